Set up the project and settle ids, reducers, errors, ports and rows

Cause: nothing stands yet, and every other part rests on shared types. Change: tool configuration, branded ids, the reducer shape, the error table, the platform's ports, the rows of configuration and groups.

--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,29 @@
+// Bundles every program of the project into dist/, one file a program.
+import { existsSync } from 'node:fs';
+import { build } from 'esbuild';
+
+const PROGRAMS = {
+  nutmegstack: 'src/cli/main.ts',
+  platform: 'stand-ins/platform/main.ts',
+  engine: 'stand-ins/engine/main.ts',
+  service: 'stand-ins/service/main.ts',
+  demo: 'scripts/demo.ts',
+  bench: 'bench/main.ts',
+  fuzz: 'tests/fuzz/main.ts',
+};
+
+const present = Object.entries(PROGRAMS).filter(([, source]) => existsSync(source));
+
+await build({
+  entryPoints: Object.fromEntries(present),
+  outdir: 'dist',
+  outExtension: { '.js': '.cjs' },
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  sourcemap: 'linked',
+  // The addon only speeds cbor-x up; its JavaScript does the same without.
+  external: ['cbor-extract'],
+  logLevel: 'warning',
+});
--- /dev/null
+++ b/src/core/groups/types.ts
@@ -0,0 +1,74 @@
+/** Replica groups and what is known of them. */
+
+import type { DomainId, Epoch, FencingNumber, GroupId, InstanceId, ModelId, MonoTime } from '../ids';
+
+/** Life of a group, as its row says. */
+export type GroupPhase = 'forming' | 'serving' | 'draining' | 'dissolved';
+
+/** One member of a group; rank 0 takes the requests. */
+export interface Member {
+  readonly instance: InstanceId;
+  readonly address: string;
+}
+
+/** The row `group/{id}`. */
+export interface GroupRow {
+  readonly id: GroupId;
+  readonly model: ModelId;
+  readonly domain: DomainId;
+  readonly epoch: Epoch;
+  readonly fencing: FencingNumber;
+  readonly phase: GroupPhase;
+  readonly members: readonly Member[];
+}
+
+/** The row `instance/{id}`: the one group that holds an instance. */
+export interface InstanceRow {
+  readonly instance: InstanceId;
+  readonly group?: GroupId;
+  readonly epoch: Epoch;
+  readonly fencing: FencingNumber;
+}
+
+/** What an engine says of itself. */
+export type EngineState = 'idle' | 'loading' | 'serving' | 'draining' | 'broken';
+
+export interface EngineReport {
+  readonly instance: InstanceId;
+  /** Changes when the engine process starts anew. */
+  readonly incarnation: string;
+  readonly state: EngineState;
+  readonly group?: GroupId;
+  readonly epoch?: Epoch;
+  readonly rank?: number;
+  readonly model?: ModelId;
+  /** Models whose weights are held in memory or on the instance. */
+  readonly weights: readonly ModelId[];
+  readonly inFlight: number;
+  readonly queued: number;
+  /** Highest fencing number seen. */
+  readonly fencing: number;
+  readonly leaving: boolean;
+}
+
+/** A report and how long it counts. */
+export interface Observation {
+  readonly report: EngineReport;
+  /** After this the observation is no observation. */
+  readonly freshUntil: MonoTime;
+}
+
+/** A group that a request may be sent to, as the request plane sees it. */
+export interface RoutableGroup {
+  readonly id: GroupId;
+  readonly model: ModelId;
+  readonly domain: DomainId;
+  readonly epoch: Epoch;
+  /** Address of the rank 0 member. */
+  readonly address: string;
+  readonly members: readonly Member[];
+  /** Requests it runs at a time. */
+  readonly maxBatch: number;
+  /** Until then, the observations of all its members are fresh. */
+  readonly routableUntil: MonoTime;
+}
--- /dev/null
+++ b/src/ports/platform.ts
@@ -0,0 +1,84 @@
+/** The platform's services, as the core's adapters see them. */
+
+import type { ResultAsync } from 'neverthrow';
+
+import type { DomainId, InstanceId, ZoneId } from '../core/ids';
+import type { StepError } from '../utils/errors';
+
+/** A JSON value as rows hold it. */
+export type Json = null | boolean | number | string | readonly Json[] | { readonly [k: string]: Json };
+
+/** One row of the table service. Versions grow with each write of the row. */
+export interface Row {
+  readonly key: string;
+  readonly version: number;
+  readonly value: Json;
+}
+
+/** A row must have this version for the transaction to commit; 0 means it must be absent. */
+export interface Condition {
+  readonly key: string;
+  readonly version: number;
+}
+
+/** A row to put, or to delete where `value` is left out. */
+export interface Write {
+  readonly key: string;
+  readonly value?: Json;
+}
+
+export interface Transaction {
+  readonly conditions: readonly Condition[];
+  readonly writes: readonly Write[];
+}
+
+/** Versions after the commit, by key of each row put. */
+export interface Committed {
+  readonly versions: Readonly<Record<string, number>>;
+}
+
+export interface ScanPage {
+  readonly rows: readonly Row[];
+  /** Where to go on; absent at the end. */
+  readonly after?: string;
+}
+
+/**
+ * The transactional table service.
+ *
+ * Errors: `conflict` (nothing was written), `store-unavailable` (nothing was written),
+ * `store-unknown` (the write may have taken effect: read back before acting on it).
+ */
+export interface Table {
+  read(keys: readonly string[]): ResultAsync<readonly Row[], StepError>;
+  scan(prefix: string, after?: string): ResultAsync<ScanPage, StepError>;
+  commit(transaction: Transaction): ResultAsync<Committed, StepError>;
+}
+
+/** The object store. Errors as for {@link Table}; a missing object is `undefined`. */
+export interface ObjectStore {
+  put(key: string, body: Uint8Array): ResultAsync<void, StepError>;
+  get(key: string): ResultAsync<Uint8Array | undefined, StepError>;
+  remove(key: string): ResultAsync<void, StepError>;
+}
+
+/** One entry of the platform's instance list, which lags. */
+export interface InstanceEntry {
+  readonly id: InstanceId;
+  /** `engine`: one member of replica groups; `daemon`: one of ours. */
+  readonly role: 'engine' | 'daemon';
+  /** `host:port`; the engine's HTTP address or the daemon's peer address. */
+  readonly address: string;
+  readonly zone: ZoneId;
+  /** Absent for daemons. */
+  readonly domain?: DomainId;
+  readonly accelerators: number;
+  readonly state: 'live' | 'leaving';
+  /** Whether the engine refuses an order with an old fencing number. */
+  readonly checksFencing: boolean;
+}
+
+/** The lagging list of live and leaving instances. */
+export interface InstanceList {
+  list(): ResultAsync<readonly InstanceEntry[], StepError>;
+}
--- /dev/null
+++ b/src/utils/common.ts
@@ -0,0 +1,19 @@
+/** Small helpers that more than one feature needs. */
+
+import { createHash } from 'node:crypto';
+
+/** SHA-256 of the parts, each ended by a zero byte so that parts cannot run together; hex. */
+export function hashParts(...parts: readonly (string | Uint8Array)[]): string {
+  const hash = createHash('sha256');
+  for (const part of parts) {
+    hash.update(part);
+    hash.update('\0');
+  }
+  return hash.digest('hex');
+}
+
+/** Compares strings by code unit: the same order on every machine. */
+export function compareText(a: string, b: string): number {
+  if (a === b) return 0;
+  return a < b ? -1 : 1;
+}
