--- a/eslint.config.js
+++ b/eslint.config.js
@@ -27,8 +27,18 @@
         { object: 'Math', property: 'random' },
         { object: 'performance', property: 'now' },
       ],
-      'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'setImmediate', 'process', 'fetch'],
-      'no-restricted-imports': ['error', { patterns: ['node:*', 'rxjs*', '**/ports/*', '**/adapters/*', '**/app/*'] }],
+      'no-restricted-globals': [
+        'error',
+        'setTimeout',
+        'setInterval',
+        'setImmediate',
+        'process',
+        'fetch',
+      ],
+      'no-restricted-imports': [
+        'error',
+        { patterns: ['node:*', 'rxjs*', '**/ports/*', '**/adapters/*', '**/app/*'] },
+      ],
     },
   },
   {
--- a/src/core/groups/types.ts
+++ b/src/core/groups/types.ts
@@ -1,6 +1,14 @@
 /** Replica groups and what is known of them. */
 
-import type { DomainId, Epoch, FencingNumber, GroupId, InstanceId, ModelId, MonoTime } from '../ids';
+import type {
+  DomainId,
+  Epoch,
+  FencingNumber,
+  GroupId,
+  InstanceId,
+  ModelId,
+  MonoTime,
+} from '../ids';
 
 /** Life of a group, as its row says. */
 export type GroupPhase = 'forming' | 'serving' | 'draining' | 'dissolved';
--- a/src/ports/platform.ts
+++ b/src/ports/platform.ts
@@ -6,7 +6,8 @@
 import type { StepError } from '../utils/errors';
 
 /** A JSON value as rows hold it. */
-export type Json = null | boolean | number | string | readonly Json[] | { readonly [k: string]: Json };
+export type Json =
+  null | boolean | number | string | readonly Json[] | { readonly [k: string]: Json };
 
 /** One row of the table service. Versions grow with each write of the row. */
 export interface Row {
