Relay model and service calls with honest outcomes

The request plane's first usable version: entry, terms, attempts with retry decisions and a budget, relay of streams and whole answers, plain services. Weighed: the agent's own connecting (bytes are buffered before the connection stands, so that a paused process would send past its deadline after the last check) against handing the agent connected sockets only and writing in the tick of the check; the latter is used. Each path returns an ending, and one module states outcomes.

Not yet: claims, quarantine, admission, affinity.

--- /dev/null
+++ b/src/adapters/upstream/upstream.ts
@@ -0,0 +1,166 @@
+/**
+ * Calls to backend servers over Node's `http`.
+ *
+ * The one promise that all outcomes rest on: a result of kind `not-sent` means that no byte of the
+ * call left this process, nor ever will. To hold it, the request is written only once the
+ * connection stands, in the same tick as the caller's last check (`beforeSend`).
+ */
+
+import { Agent, request } from 'node:http';
+import type { ClientRequest, IncomingMessage, OutgoingHttpHeaders } from 'node:http';
+import { connect } from 'node:net';
+import type { NetConnectOpts, Socket } from 'node:net';
+
+import type { ErrorCode, StepError } from '../../utils/errors';
+import { fail } from '../../utils/errors';
+
+export interface UpstreamOptions {
+  /** How long a connection may take to be made, milliseconds. */
+  readonly connectTimeoutMs?: number;
+  /** Idle connections kept to one address. */
+  readonly maxIdle?: number;
+}
+
+/** One call to one backend server. */
+export interface UpstreamCall {
+  /** `host:port`. */
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: OutgoingHttpHeaders;
+  readonly body: Uint8Array;
+  /** Whether to use a connection that no other call uses, before or after. */
+  readonly ownConnection: boolean;
+  /** Runs in the tick of the write; an error here means that nothing is sent. */
+  readonly beforeSend: () => StepError | undefined;
+  /** Aborting destroys the connection. */
+  readonly signal: AbortSignal;
+}
+
+/** Nothing left this process, nor ever will. */
+export interface NotSent {
+  readonly kind: 'not-sent';
+  readonly error: StepError;
+}
+
+/** Bytes left and no answer head came back. */
+export interface Lost {
+  readonly kind: 'lost';
+  readonly error: StepError;
+}
+
+/** An answer head is there; the body follows. */
+export interface Answered {
+  readonly kind: 'answered';
+  readonly res: IncomingMessage;
+  /** Tears the connection, so that no other call gets it. */
+  readonly destroy: () => void;
+}
+
+export type UpstreamResult = NotSent | Lost | Answered;
+
+export interface Upstream {
+  send(call: UpstreamCall): Promise<UpstreamResult>;
+  /** Tears all connections. */
+  close(): void;
+}
+
+const DEFAULTS = { connectTimeoutMs: 1_000, maxIdle: 64 } as const;
+
+type Connected = (err: Error | null, socket?: Socket) => void;
+
+/** Hands a socket to the agent only when it is connected. */
+function connectFirst(timeoutMs: number, options: NetConnectOpts, done: Connected): undefined {
+  const socket = connect({ ...options, noDelay: true });
+  const onFail = (err: Error): void => {
+    clearTimeout(timer);
+    socket.destroy();
+    done(err);
+  };
+  const timer = setTimeout(() => {
+    onFail(fail('unavailable', 'connection not made in time', { step: 'connect' }));
+  }, timeoutMs);
+  socket.once('error', onFail);
+  socket.once('connect', () => {
+    clearTimeout(timer);
+    socket.off('error', onFail);
+    done(null, socket);
+  });
+  return undefined;
+}
+
+function createAgent(keepAlive: boolean, opts: Required<UpstreamOptions>): Agent {
+  const agent = new Agent({ keepAlive, maxFreeSockets: opts.maxIdle });
+  const open = (options: NetConnectOpts, done: Connected): undefined => {
+    connectFirst(opts.connectTimeoutMs, options, done);
+  };
+  return Object.assign(agent, { createConnection: open });
+}
+
+function splitAddress(address: string): { host: string; port: number } {
+  const at = address.lastIndexOf(':');
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+}
+
+function upstreamError(code: ErrorCode, call: UpstreamCall, cause: unknown): StepError {
+  const step = code === 'unavailable' ? 'connect' : 'first-byte';
+  const detail = cause instanceof Error ? cause.message : 'connection closed';
+  return fail(code, detail, { step, peer: call.address, cause });
+}
+
+function settleCall(
+  call: UpstreamCall,
+  req: ClientRequest,
+  settle: (result: UpstreamResult) => void,
+): void {
+  let sent = false;
+  const onFail = (err: unknown): void => {
+    const error = upstreamError(sent ? 'backend-lost' : 'unavailable', call, err);
+    settle({ kind: sent ? 'lost' : 'not-sent', error });
+  };
+  const onAbort = (): void => {
+    req.destroy();
+    onFail(call.signal.reason);
+  };
+  call.signal.addEventListener('abort', onAbort, { once: true });
+  req.once('close', () => {
+    call.signal.removeEventListener('abort', onAbort);
+  });
+  req.on('error', onFail);
+  req.once('socket', () => {
+    const refusal = call.signal.aborted
+      ? fail('cancelled', 'given up', { step: 'send' })
+      : call.beforeSend();
+    if (refusal !== undefined) {
+      req.destroy();
+      settle({ kind: 'not-sent', error: refusal });
+      return;
+    }
+    sent = true;
+    req.end(call.body);
+  });
+  req.once('response', (res) => {
+    settle({ kind: 'answered', res, destroy: () => req.destroy() });
+  });
+}
+
+/** Makes the adapter. Idle connections are reused only after a whole answer. */
+export function createUpstream(options: UpstreamOptions = {}): Upstream {
+  const opts = { ...DEFAULTS, ...options };
+  const shared = createAgent(true, opts);
+  const single = createAgent(false, opts);
+  return {
+    send: (call) =>
+      new Promise((resolve) => {
+        const { host, port } = splitAddress(call.address);
+        const { method, path, headers } = call;
+        const agent = call.ownConnection ? single : shared;
+        const req = request({ agent, host, port, method, path, headers });
+        settleCall(call, req, resolve);
+      }),
+    close: () => {
+      shared.destroy();
+      single.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/src/app/requests/guard.ts
@@ -0,0 +1,34 @@
+/** What stands between a call and its sending: nothing, or a claim. */
+
+import type { StepError } from '../../utils/errors';
+
+/** Keeps what is passed on of a stream, up to a limit. */
+export interface Capture {
+  readonly push: (bytes: Buffer) => void;
+  /** Undefined if it grew beyond the limit. */
+  readonly chunks: () => readonly Buffer[] | undefined;
+}
+
+export interface SendGuard {
+  /** Runs in the tick of the write; an error forbids it. */
+  beforeSend(): StepError | undefined;
+  /** A capture, if the answer is to be stored. */
+  capture(): Capture | undefined;
+}
+
+/** For calls without a claim. */
+export const OPEN_GUARD: SendGuard = {
+  beforeSend: () => undefined,
+  capture: () => undefined,
+};
+
+export function createCapture(maxBytes: number): Capture {
+  let kept: Buffer[] | undefined = [];
+  let bytes = 0;
+  const push = (chunk: Buffer): void => {
+    bytes += chunk.length;
+    if (bytes > maxBytes) kept = undefined;
+    kept?.push(chunk);
+  };
+  return { push, chunks: () => kept };
+}
--- /dev/null
+++ b/src/app/requests/model-attempt.ts
@@ -0,0 +1,262 @@
+/** One attempt of a model call on one replica group. */
+
+import type { IncomingMessage, OutgoingHttpHeaders } from 'node:http';
+
+import type { RoutableGroup } from '../../core/groups/types';
+import type { AttemptId } from '../../core/ids';
+import type { Answered, NotSent, Lost } from '../../adapters/upstream/upstream';
+import type { Span } from '../../ports/telemetry';
+import type { ErrorCode, StepError } from '../../utils/errors';
+import { fail } from '../../utils/errors';
+import { isRecord } from '../../utils/is';
+import { EXPOSURE_OF } from '../../core/retry/decide';
+import type { AttemptFailure } from '../../core/retry/decide';
+import type { AttemptResult, AttemptFailed } from './attempts';
+import { readBody } from './body';
+import type { RequestContext } from './context';
+import { done } from './ending';
+import type { ModelCall } from './model-call';
+import { HEADER, METRIC } from './names';
+import { relayStream } from './relay';
+import { startStream } from './reply';
+import { checkWholeAnswer } from './whole';
+
+const MAX_REFUSAL_BYTES = 64 * 1024;
+const EVENT_STREAM = 'text/event-stream';
+const STATUS = { ok: 200, conflict: 409, unavailable: 503, errorsOfOurs: 400, errorsOfTheirs: 500 };
+
+/** What one attempt needs at hand. */
+export interface ModelAttempt {
+  readonly ctx: RequestContext;
+  readonly call: ModelCall;
+  readonly group: RoutableGroup;
+  readonly id: AttemptId;
+  readonly span: Span;
+  /** Aborts the attempt: deadline, or the caller gone. */
+  readonly abort: AbortController;
+  /** The deadline no longer ends the attempt. */
+  readonly liftDeadline: () => void;
+}
+
+/** A failure of the attempt. What a caller that is gone or too late had sent stays exposed. */
+export function attemptFailed(
+  failure: Exclude<AttemptFailure, 'given-up'>,
+  error: StepError,
+  started = false,
+): AttemptFailed {
+  return { kind: 'failed', failure, error, exposure: EXPOSURE_OF[failure], started };
+}
+
+function engineHeaders(attempt: ModelAttempt): OutgoingHttpHeaders {
+  const { call, group, id, span } = attempt;
+  return {
+    'content-type': 'application/json',
+    'content-length': call.body.byteLength,
+    accept: call.stream ? EVENT_STREAM : 'application/json',
+    [HEADER.group]: group.id,
+    [HEADER.epoch]: String(group.epoch),
+    [HEADER.attempt]: id,
+    [HEADER.priority]: String(call.caller.class.worth),
+    [HEADER.deadline]: String(Math.floor(call.terms.deadlineAt)),
+    [HEADER.cacheSalt]: call.cacheSalt,
+    [HEADER.traceparent]: span.traceparent,
+  };
+}
+
+/** Checked in the tick of the write, since this process may have been paused meanwhile. */
+function checkBeforeSend({ ctx, call, group }: ModelAttempt): StepError | undefined {
+  const now = ctx.clock.now();
+  const origin = { step: 'send', peer: group.address };
+  if (now >= call.terms.deadline) return fail('deadline-exceeded', 'deadline passed', origin);
+  const current = ctx.groups.routable(group.model).find((each) => each.id === group.id);
+  if (current?.epoch !== group.epoch) {
+    return fail('no-group', 'group is no longer routable', origin);
+  }
+  return call.guard.beforeSend();
+}
+
+type EchoFault = 'wrong-attempt' | 'wrong-group';
+
+/** Whether the answer is this attempt's, from the group and epoch it was sent to. */
+function echoFault(res: IncomingMessage, { id, group }: ModelAttempt): EchoFault | undefined {
+  if (res.headers[HEADER.attempt] !== id) return 'wrong-attempt';
+  const sameGroup = res.headers[HEADER.group] === group.id;
+  const sameEpoch = res.headers[HEADER.epoch] === String(group.epoch);
+  return sameGroup && sameEpoch ? undefined : 'wrong-group';
+}
+
+function badAnswer(
+  attempt: ModelAttempt,
+  message: string,
+  code: ErrorCode = 'bad-answer',
+): AttemptFailed {
+  const error = fail(code, message, { step: 'first-byte', peer: attempt.group.address });
+  return attemptFailed('bad-answer', error);
+}
+
+function reportEvidence(
+  { ctx, group }: ModelAttempt,
+  kind: 'lost' | 'wrong-group' | 'refused',
+  step: string,
+): void {
+  ctx.groups.report({ group: group.id, epoch: group.epoch, kind, step });
+}
+
+/** The reason in an engine's refusal, or undefined if its body did not come whole. */
+async function readReason(answered: Answered): Promise<string | undefined> {
+  const body = await readBody(answered.res, { maxBytes: MAX_REFUSAL_BYTES, step: 'first-byte' });
+  if (body.isErr()) return undefined;
+  try {
+    const parsed: unknown = JSON.parse(body.value.toString());
+    return isRecord(parsed) && typeof parsed.error === 'string' ? parsed.error : '';
+  } catch {
+    return '';
+  }
+}
+
+/** A 409: the engine belongs to another group or epoch, and did not run the request. */
+async function onConflict(attempt: ModelAttempt, answered: Answered): Promise<AttemptResult> {
+  const reason = await readReason(answered);
+  if (reason !== 'wrong-group') return badAnswer(attempt, 'conflict without a known reason');
+  reportEvidence(attempt, 'wrong-group', 'first-byte');
+  const origin = { step: 'first-byte', peer: attempt.group.address };
+  return attemptFailed('wrong-group', fail('backend-refused', 'engine left the group', origin));
+}
+
+/** A 503: not run, if the engine says so. */
+async function onUnavailable(attempt: ModelAttempt, answered: Answered): Promise<AttemptResult> {
+  const reason = await readReason(answered);
+  const isRefusal = answered.res.headers[HEADER.refused] === 'true' && reason !== undefined;
+  if (!isRefusal) return badAnswer(attempt, 'engine failed', 'backend-lost');
+  const origin = { step: 'first-byte', peer: attempt.group.address };
+  return attemptFailed('refused', fail('backend-refused', 'engine takes no request now', origin));
+}
+
+/** An error that the engine found in the request itself: passed on as the answer. */
+async function onRequestError(attempt: ModelAttempt, answered: Answered): Promise<AttemptResult> {
+  const { ctx, group, abort } = attempt;
+  const origin = { step: 'last-byte', peer: group.address };
+  const maxBytes = ctx.settings.maxAnswerBytes;
+  const body = await readBody(answered.res, { maxBytes, signal: abort.signal, ...origin });
+  if (body.isErr()) return attemptFailed('lost', body.error);
+  const type = answered.res.headers['content-type'] ?? 'application/json';
+  const headers = { 'content-type': type };
+  const status = answered.res.statusCode ?? STATUS.errorsOfOurs;
+  return { kind: 'done', ending: done({ kind: 'whole', status, headers, body: body.value }) };
+}
+
+function observeFirst({ ctx, call }: ModelAttempt): void {
+  const sinceArrival = ctx.clock.now() - call.exchange.arrivedAt;
+  ctx.metrics.observe(METRIC.firstToken, sinceArrival, call.labels);
+}
+
+async function onWhole(attempt: ModelAttempt, answered: Answered): Promise<AttemptResult> {
+  const { ctx, group, abort } = attempt;
+  const origin = { step: 'last-byte', peer: group.address };
+  const maxBytes = ctx.settings.maxAnswerBytes;
+  const body = await readBody(answered.res, { maxBytes, signal: abort.signal, ...origin });
+  if (body.isErr()) return attemptFailed('lost', body.error);
+  const fault = checkWholeAnswer(body.value);
+  if (fault !== undefined) return badAnswer(attempt, `not a whole answer: ${fault}`);
+  observeFirst(attempt);
+  const headers = { 'content-type': 'application/json' };
+  return { kind: 'done', ending: done({ kind: 'whole', status: 200, headers, body: body.value }) };
+}
+
+/** One gap in so many is recorded, which keeps the cost per chunk down and the sample fair. */
+const GAP_SAMPLE = 16;
+
+function createGapMeter({ ctx, call }: ModelAttempt): () => void {
+  let chunks = 0;
+  let before = 0;
+  return () => {
+    const place = chunks % GAP_SAMPLE;
+    chunks += 1;
+    if (place === 0) before = ctx.clock.now();
+    else if (place === 1) {
+      ctx.metrics.observe(METRIC.betweenTokens, ctx.clock.now() - before, call.labels);
+    }
+  };
+}
+
+async function onStream(attempt: ModelAttempt, answered: Answered): Promise<AttemptResult> {
+  const { ctx, call, group } = attempt;
+  const contentType = answered.res.headers['content-type'] ?? EVENT_STREAM;
+  if (!contentType.startsWith(EVENT_STREAM)) return badAnswer(attempt, 'not an event stream');
+  const capture = call.guard.capture();
+  const relayed = await relayStream({
+    from: answered.res,
+    to: call.exchange.res,
+    peer: group.address,
+    maxFrameBytes: ctx.settings.maxFrameBytes,
+    idleMs: ctx.settings.streamIdleMs,
+    onFirst: () => {
+      attempt.liftDeadline();
+      observeFirst(attempt);
+      startStream(call.exchange.res, call.exchange.id, contentType);
+    },
+    onChunk: createGapMeter(attempt),
+    onForward: capture?.push,
+  });
+  if (relayed.kind === 'broken') return attemptFailed('lost', relayed.error, relayed.started);
+  const captured = capture?.chunks();
+  return {
+    kind: 'done',
+    ending: done({ kind: 'stream-end', last: relayed.last, contentType, captured }),
+  };
+}
+
+/** Reads the answer according to its status. */
+async function readAnswer(attempt: ModelAttempt, answered: Answered): Promise<AttemptResult> {
+  const status = answered.res.statusCode ?? 0;
+  const fault = echoFault(answered.res, attempt);
+  if (fault === 'wrong-attempt') return badAnswer(attempt, 'answer is for another attempt');
+  if (status === STATUS.conflict) return onConflict(attempt, answered);
+  if (status === STATUS.unavailable) return onUnavailable(attempt, answered);
+  if (status >= STATUS.errorsOfTheirs) return badAnswer(attempt, 'engine failed', 'backend-lost');
+  if (fault === 'wrong-group') {
+    reportEvidence(attempt, 'wrong-group', 'first-byte');
+    return badAnswer(attempt, 'answer is from another group or epoch');
+  }
+  if (status >= STATUS.errorsOfOurs) return onRequestError(attempt, answered);
+  return attempt.call.stream ? onStream(attempt, answered) : onWhole(attempt, answered);
+}
+
+function onNotAnswered(attempt: ModelAttempt, result: NotSent | Lost): AttemptFailed {
+  if (!attempt.abort.signal.aborted && result.error.code !== 'no-group') {
+    reportEvidence(attempt, 'lost', result.error.step);
+  }
+  return attemptFailed(result.kind, result.error);
+}
+
+/** After an abort there is no further attempt, whatever the connection's error looks like. */
+function orGivenUp(attempt: ModelAttempt, result: AttemptResult): AttemptResult {
+  if (result.kind === 'done' || !attempt.abort.signal.aborted) return result;
+  const reason: unknown = attempt.abort.signal.reason;
+  const error = reason instanceof Error && 'step' in reason ? (reason as StepError) : result.error;
+  return { ...result, failure: 'given-up', error };
+}
+
+/** Sends the call to the group and reads the answer. Tears the connection unless all went well. */
+export async function attemptModel(attempt: ModelAttempt): Promise<AttemptResult> {
+  const { ctx, call, group, abort } = attempt;
+  const sent = await ctx.upstream.send({
+    address: group.address,
+    method: 'POST',
+    path: call.path,
+    headers: engineHeaders(attempt),
+    body: call.body,
+    ownConnection: !call.terms.repeatable,
+    beforeSend: () => checkBeforeSend(attempt),
+    signal: abort.signal,
+  });
+  if (sent.kind !== 'answered') return orGivenUp(attempt, onNotAnswered(attempt, sent));
+  const result = await readAnswer(attempt, sent);
+  if (result.kind === 'failed' && result.exposure === 'exposed') {
+    sent.destroy();
+    if (result.failure === 'lost' && !abort.signal.aborted) {
+      reportEvidence(attempt, 'lost', result.error.step);
+    }
+  }
+  return orGivenUp(attempt, result);
+}
--- /dev/null
+++ b/src/app/requests/requests.ts
@@ -0,0 +1,103 @@
+/** The request plane of a daemon: callers' requests in, whole answers or honest refusals out. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import { createUpstream } from '../../adapters/upstream/upstream';
+import type { RequestPart } from '../parts';
+import { createBackends } from './backends';
+import { createBudgets } from './context';
+import type { RequestContext, RequestDeps } from './context';
+import type { Ending } from './ending';
+import { answer, createExchange, refuseDraining } from './entry';
+import type { Entry } from './entry';
+import type { Exchange } from './exchange';
+import { METRIC } from './names';
+import { writeEnding } from './reply';
+import { REQUEST_DEFAULTS } from './settings';
+
+export type { RequestDeps } from './context';
+
+function createContext(deps: RequestDeps): RequestContext {
+  const settings = { ...REQUEST_DEFAULTS, ...deps.settings };
+  const upstream = createUpstream({ connectTimeoutMs: settings.connectTimeoutMs });
+  return { ...deps, settings, upstream, budgets: createBudgets(settings) };
+}
+
+/** Says how a request went, to its caller and to those who watch. */
+function conclude(ctx: RequestContext, exchange: Exchange, ending: Ending): void {
+  const { id, res, span } = exchange;
+  const outcome = writeEnding({ id, res, epoch: ctx.clock.epoch() }, ending);
+  const code = ending.kind === 'failed' ? ending.error.code : 'ok';
+  ctx.metrics.count(METRIC.requests, { outcome: outcome.kind, code });
+  ctx.metrics.observe(METRIC.duration, ctx.clock.now() - exchange.arrivedAt);
+  span.set('outcome', outcome.kind);
+  span.end(ending.kind === 'failed' ? code : undefined);
+  if (ending.kind === 'done') return;
+  const { step, peer, message } = ending.error;
+  ctx.logger.info(message, { requestId: id, step, code, ...(peer !== undefined && { peer }) });
+}
+
+/** Resolves when the caller has all of the answer, or is gone, or has not taken it in time. */
+function closed(res: ServerResponse, withinMs: number): Promise<void> {
+  if (res.closed) return Promise.resolve();
+  return new Promise((resolve) => {
+    const timer = setTimeout(() => {
+      res.destroy();
+    }, withinMs);
+    res.once('close', () => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
+
+/** Makes the request plane. Settings left out have the defaults of `settings.ts`. */
+export function createRequests(deps: RequestDeps): RequestPart {
+  const ctx = createContext(deps);
+  const entry: Entry = { ctx, backends: createBackends(ctx.clock, ctx.random) };
+  let inFlight = 0;
+  let isDraining = false;
+  let onIdle: (() => void)[] = [];
+
+  const change = (by: number): void => {
+    inFlight += by;
+    ctx.metrics.gauge(METRIC.inFlight, inFlight);
+    if (inFlight > 0) return;
+    onIdle.forEach((resolve) => {
+      resolve();
+    });
+    onIdle = [];
+  };
+
+  const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const exchange = createExchange(ctx, req, res);
+    if (isDraining) {
+      res.setHeader('connection', 'close');
+      conclude(ctx, exchange, refuseDraining(ctx));
+      return;
+    }
+    change(1);
+    conclude(ctx, exchange, await answer(entry, exchange));
+    await closed(res, ctx.settings.streamIdleMs);
+    change(-1);
+  };
+
+  return {
+    handler: (req, res) => {
+      void serve(req, res);
+    },
+    inFlight: () => inFlight,
+    drain: () => {
+      isDraining = true;
+      return new Promise((resolve) => {
+        if (inFlight === 0) resolve();
+        else onIdle.push(resolve);
+      });
+    },
+    start: () => Promise.resolve(),
+    stop: () => {
+      ctx.upstream.close();
+      return Promise.resolve();
+    },
+  };
+}
--- /dev/null
+++ b/src/app/requests/whole.ts
@@ -0,0 +1,27 @@
+/** Checks an answer that is not streamed. */
+
+import { isRecord } from '../../utils/is';
+
+export type WholeFault = 'not-json' | 'no-choices' | 'wrong-index' | 'no-finish-reason';
+
+function parse(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString());
+  } catch {
+    return undefined;
+  }
+}
+
+function choiceFault(choice: unknown, index: number): WholeFault | undefined {
+  if (!isRecord(choice) || choice.index !== index) return 'wrong-index';
+  return typeof choice.finish_reason === 'string' ? undefined : 'no-finish-reason';
+}
+
+/** The first reason why `body` is not a whole answer of an OpenAI-style call. */
+export function checkWholeAnswer(body: Buffer): WholeFault | undefined {
+  const answer = parse(body);
+  if (!isRecord(answer)) return 'not-json';
+  const choices: unknown = answer.choices;
+  if (!Array.isArray(choices) || choices.length === 0) return 'no-choices';
+  return choices.map(choiceFault).find((fault) => fault !== undefined);
+}
--- /dev/null
+++ b/tests/support/requests-engine.ts
@@ -0,0 +1,95 @@
+/** A scripted engine: each call is answered by the next script, or by a whole answer. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Server } from 'node:http';
+
+import { listen } from './requests-fixture';
+
+export interface EngineCall {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly body: Record<string, unknown>;
+}
+
+export type Script = (call: EngineCall) => void | Promise<void>;
+
+export interface ScriptedEngine {
+  readonly address: string;
+  readonly calls: EngineCall[];
+  /** Scripts for the calls to come; the last one stays. */
+  scripts: Script[];
+  readonly close: () => Promise<void>;
+}
+
+/** The headers that a proper engine echoes. */
+export function echo(req: IncomingMessage): Record<string, string> {
+  const names = ['nutmegstack-group', 'nutmegstack-epoch', 'nutmegstack-attempt'];
+  return Object.fromEntries(names.map((name) => [name, String(req.headers[name])]));
+}
+
+export function frame(content: string, finish: string | null = null): string {
+  const choices = [{ index: 0, delta: { content }, finish_reason: finish }];
+  return `data: ${JSON.stringify({ choices })}\n\n`;
+}
+
+export const END_MARK = 'data: [DONE]\n\n';
+
+export function startSse({ req, res }: EngineCall): void {
+  res.writeHead(200, { ...echo(req), 'content-type': 'text/event-stream' });
+}
+
+export function wholeBody(content: string): string {
+  const message = { role: 'assistant', content };
+  return JSON.stringify({ choices: [{ index: 0, message, finish_reason: 'stop' }] });
+}
+
+/** Answers as an engine should. */
+export const answerWell: Script = (call) => {
+  const { req, res, body } = call;
+  if (body.stream !== true) {
+    res.writeHead(200, { ...echo(req), 'content-type': 'application/json' });
+    res.end(wholeBody('hello world'));
+    return;
+  }
+  startSse(call);
+  res.write(frame('hello '));
+  res.write(frame('world', 'stop'));
+  res.end(END_MARK);
+};
+
+/** Refuses, and says that it did not run. */
+export const refuse: Script = ({ req, res }) => {
+  res.writeHead(503, { ...echo(req), 'nutmegstack-refused': 'true' });
+  res.end('{}');
+};
+
+/** Breaks the connection without an answer. */
+export const tear: Script = ({ res }) => {
+  res.destroy();
+};
+
+async function readJson(req: IncomingMessage): Promise<Record<string, unknown>> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  const text = Buffer.concat(chunks).toString();
+  return (text === '' ? {} : JSON.parse(text)) as Record<string, unknown>;
+}
+
+export async function createEngine(...scripts: Script[]): Promise<ScriptedEngine> {
+  const calls: EngineCall[] = [];
+  const state = { scripts };
+  const serve = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const call = { req, res, body: await readJson(req) };
+    calls.push(call);
+    const script = state.scripts.length > 1 ? state.scripts.shift() : state.scripts[0];
+    await (script ?? answerWell)(call);
+  };
+  const { server, address } = await listen((req, res) => void serve(req, res));
+  const engine = Object.assign(state, { address, calls, close: () => closeServer(server) });
+  return engine;
+}
+
+export async function closeServer(server: Server): Promise<void> {
+  server.closeAllConnections();
+  await new Promise((resolve) => server.close(resolve));
+}
