--- /dev/null
+++ b/src/adapters/http-call.ts
@@ -0,0 +1,102 @@
+/** One small HTTP exchange by Node's client: a body out, a whole body back. For control, not for callers. */
+
+import { request } from 'node:http';
+import type { Agent, IncomingHttpHeaders } from 'node:http';
+import { ResultAsync } from 'neverthrow';
+
+/** What is asked of which address. */
+export interface HttpCall {
+  readonly agent: Agent;
+  /** `host:port`. */
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body?: Uint8Array;
+  readonly contentType?: string;
+  /** After this many milliseconds the call is given up and its connection destroyed. */
+  readonly timeoutMs: number;
+  /** Answers longer than this are given up, bytes. */
+  readonly maxBytes?: number;
+}
+
+export interface HttpReply {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+/** Why there is no answer. */
+export interface HttpFailure {
+  /** False only where it is certain that the other side never saw the call. */
+  readonly maybeSent: boolean;
+  readonly cause: Error;
+}
+
+const DEFAULT_MAX_BYTES = 16 * 1024 * 1024;
+const NEVER_CONNECTED = new Set(['ECONNREFUSED', 'ENOTFOUND', 'EHOSTUNREACH', 'ENETUNREACH']);
+
+function toFailure(cause: Error): HttpFailure {
+  const { code } = cause as NodeJS.ErrnoException;
+  return { maybeSent: code === undefined || !NEVER_CONNECTED.has(code), cause };
+}
+
+function exchange(call: HttpCall): Promise<HttpReply> {
+  return new Promise((resolve, reject) => {
+    const [host, port] = splitAddress(call.address);
+    const headers: Record<string, string> = {};
+    if (call.body !== undefined) {
+      headers['content-type'] = call.contentType ?? 'application/json';
+      headers['content-length'] = String(call.body.byteLength);
+    }
+    const req = request({
+      agent: call.agent,
+      host,
+      port,
+      method: call.method,
+      path: call.path,
+      headers,
+    });
+    const timer = setTimeout(() => req.destroy(new Error('timed out')), call.timeoutMs);
+    const settle = (err: Error): void => {
+      clearTimeout(timer);
+      reject(err);
+    };
+    req.on('error', settle);
+    req.on('response', (res) => {
+      const chunks: Buffer[] = [];
+      let bytes = 0;
+      res.on('data', (chunk: Buffer) => {
+        bytes += chunk.byteLength;
+        if (bytes > (call.maxBytes ?? DEFAULT_MAX_BYTES)) {
+          req.destroy(new Error('answer too long'));
+          return;
+        }
+        chunks.push(chunk);
+      });
+      res.on('error', settle);
+      res.on('end', () => {
+        clearTimeout(timer);
+        resolve({
+          status: res.statusCode ?? 0,
+          headers: res.headers,
+          body: Buffer.concat(chunks),
+        });
+      });
+    });
+    req.end(call.body);
+  });
+}
+
+/** Splits `host:port`; IPv6 hosts stand in brackets. */
+export function splitAddress(address: string): readonly [string, number] {
+  const at = address.lastIndexOf(':');
+  const host = address.slice(0, at).replace(/^\[|\]$/g, '');
+  return [host, Number(address.slice(at + 1))];
+}
+
+/** Sends one call. */
+export function callHttp(call: HttpCall): ResultAsync<HttpReply, HttpFailure> {
+  return ResultAsync.fromPromise(exchange(call), (err) =>
+    toFailure(err instanceof Error ? err : new Error(String(err))),
+  );
+}
