--- /dev/null
+++ b/tests/support/processes.ts
@@ -0,0 +1,97 @@
+/** Starts the bundled programs as processes of their own, and brings faults about in them. */
+
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { createInterface } from 'node:readline';
+import { z } from 'zod';
+
+const readyLine = z.looseObject({ ready: z.literal(true) });
+
+/** A program that has said it is ready. */
+export interface Running {
+  readonly ready: Record<string, unknown>;
+  readonly child: ChildProcess;
+  /** Lines written so far to standard output, after the ready line, and to standard error. */
+  readonly lines: readonly string[];
+  freeze(): void;
+  resume(): void;
+  /** SIGKILL. */
+  kill(): Promise<void>;
+  /** SIGTERM; resolves with the exit code. */
+  stop(): Promise<number | null>;
+}
+
+function exitOf(child: ChildProcess): Promise<number | null> {
+  if (child.exitCode !== null || child.signalCode !== null) return Promise.resolve(child.exitCode);
+  return new Promise((resolve) => child.once('exit', resolve));
+}
+
+/** Runs `dist/{program}.cjs` and waits for its ready line. */
+export function run(
+  program: string,
+  args: readonly string[],
+  env: Readonly<Record<string, string>> = {},
+): Promise<Running> {
+  const child = spawn(process.execPath, [`dist/${program}.cjs`, ...args], {
+    env: { ...process.env, ...env },
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  const lines: string[] = [];
+  const exited = exitOf(child);
+  createInterface({ input: child.stderr }).on('line', (line) => lines.push(line));
+  return new Promise((resolve, reject) => {
+    void exited.then((code) => {
+      reject(
+        new Error(
+          `${program} ended with ${String(code)} before it was ready:\n${lines.join('\n')}`,
+        ),
+      );
+    });
+    createInterface({ input: child.stdout }).on('line', (line) => {
+      const parsed = parseReady(line);
+      if (parsed === undefined) {
+        lines.push(line);
+        return;
+      }
+      resolve({
+        ready: parsed,
+        child,
+        lines,
+        freeze: () => child.kill('SIGSTOP'),
+        resume: () => child.kill('SIGCONT'),
+        kill: async () => {
+          child.kill('SIGKILL');
+          await exited;
+        },
+        stop: () => {
+          child.kill('SIGTERM');
+          return exited;
+        },
+      });
+    });
+  });
+}
+
+function parseReady(line: string): Record<string, unknown> | undefined {
+  try {
+    const parsed = readyLine.safeParse(JSON.parse(line));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Waits until `probe` gives something, asking again at once after each answer; for asynchronous facts. */
+export async function until<T>(
+  probe: () => Promise<T | undefined>,
+  what: string,
+  limitMs = 30_000,
+): Promise<T> {
+  const givenUpAt = Date.now() + limitMs;
+  for (;;) {
+    const found = await probe();
+    if (found !== undefined) return found;
+    if (Date.now() > givenUpAt) throw new Error(`gave up waiting: ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+}
