Move Json to the core; add direct messages and leave to the membership part

Shared files, additive: src/ports/platform.ts re-exports Json from src/core/json.ts (the core may not import ports); src/app/parts.ts gains Direct and MembershipPart.direct and .leave(). A daemon that has missed a configuration takes the document from one peer; by gossip it would go to all.

--- a/src/app/parts.ts
+++ b/src/app/parts.ts
@@ -90,8 +90,25 @@
   entries(topic: string): readonly GossipEntry[];
 }
 
+/** A message from one daemon to another alone. */
+export interface DirectMessage {
+  readonly from: DaemonId;
+  readonly topic: string;
+  readonly value: Json;
+}
+
+/** Messages between two daemons: at most once, lost when there is no link. */
+export interface Direct {
+  /** False when the message was dropped at once. */
+  send(to: DaemonId, topic: string, value: Json): boolean;
+  readonly received: Observable<DirectMessage>;
+}
+
 export interface MembershipPart extends Part, MembershipView {
   readonly gossip: Gossip;
+  readonly direct: Direct;
+  /** Tells all that this daemon is leaving, so that its roles move at once; `stop` does it as well. */
+  leave(): void;
 }
 
 /** What the request plane saw of a group. */
--- a/src/ports/platform.ts
+++ b/src/ports/platform.ts
@@ -3,11 +3,10 @@
 import type { ResultAsync } from 'neverthrow';
 
 import type { DomainId, InstanceId, ZoneId } from '../core/ids';
+import type { Json } from '../core/json';
 import type { StepError } from '../utils/errors';
 
-/** A JSON value as rows hold it. */
-export type Json =
-  null | boolean | number | string | readonly Json[] | { readonly [k: string]: Json };
+export type { Json } from '../core/json';
 
 /** One row of the table service. Versions grow with each write of the row. */
 export interface Row {
