Decide admission under overload and the choice of a group

Change: core/admission (fair queueing over organisations by time in a slot, worth density and deadline within one, refusals at once with when to come back, baselines behind the same table) and core/routing (own counts with lagging reports, two choices over affinity candidates within a load bound, cache beliefs, outlier ejection with a floor).

Ruled out for now: worth compared between organisations (each template has its own unit).

--- /dev/null
+++ b/src/core/admission/pool.ts
@@ -0,0 +1,137 @@
+/**
+ * Slots of one model and whose turn it is: start-time fair queueing over the organisations (Goyal,
+ * Vin, Cheng), with time in a slot as the work, charged by estimate and corrected by measurement.
+ */
+
+import type { ModelId, MonoTime } from '../ids';
+import { createHeap, peek, push, remove, update } from './heap';
+import type { AdmissionPolicy } from './policies';
+import { best, createQueue, dequeue, enqueue } from './queue';
+import type { Account, AdmissionRequest, Entry, Pool } from './types';
+
+/** Weight of the newest measurement of time in a slot. */
+const NEWEST_WEIGHT = 0.02;
+
+export function createPool(model: ModelId): Pool {
+  return {
+    model,
+    slots: 0,
+    running: 0,
+    queued: 0,
+    queuedMs: 0,
+    backloggedShare: 0,
+    virtual: 0,
+    servedMs: 0,
+    estimatedMs: 0,
+    expectedAt: undefined,
+    accounts: new Map(),
+    turn: createHeap<Account>((a, b) => a.start < b.start),
+    fullest: createHeap<Account>((a, b) => queuedPerShare(a) > queuedPerShare(b)),
+    expiry: createHeap<Entry>((a, b) => a.startBy < b.startBy),
+  };
+}
+
+export function queuedPerShare(account: Account): number {
+  return account.queue.size / account.share;
+}
+
+/** The account a request is charged to. */
+export function accountOf(pool: Pool, req: AdmissionRequest, policy: AdmissionPolicy): Account {
+  const owner = policy.fair ? req.organisation : SHARED_ACCOUNT;
+  const known = pool.accounts.get(owner);
+  if (known !== undefined) {
+    if (policy.fair) setShare(pool, known, req.share);
+    return known;
+  }
+  const share = policy.fair ? req.share : 1;
+  const account: Account = {
+    organisation: owner,
+    queue: createQueue(),
+    share,
+    start: pool.virtual,
+    running: 0,
+  };
+  pool.accounts.set(owner, account);
+  return account;
+}
+
+/** Owner of all requests where organisations have no shares. */
+const SHARED_ACCOUNT = '' as AdmissionRequest['organisation'];
+
+function setShare(pool: Pool, account: Account, share: number): void {
+  if (account.share === share) return;
+  if (account.queue.size > 0) pool.backloggedShare += share - account.share;
+  account.share = share;
+  update(pool.fullest, account);
+}
+
+/** Puts a request into its account's queue. */
+export function enter(pool: Pool, entry: Entry, policy: AdmissionPolicy): void {
+  const { account } = entry;
+  enqueue(account.queue, entry, policy);
+  push(pool.expiry, entry);
+  pool.queued += 1;
+  pool.queuedMs += entry.req.estimateMs;
+  if (account.queue.size > 1) {
+    update(pool.fullest, account);
+    return;
+  }
+  account.start = Math.max(account.start, pool.virtual);
+  pool.backloggedShare += account.share;
+  push(pool.turn, account);
+  push(pool.fullest, account);
+}
+
+/** Takes a request out of its account's queue. */
+export function leave(pool: Pool, entry: Entry): void {
+  const { account } = entry;
+  dequeue(account.queue, entry);
+  remove(pool.expiry, entry);
+  pool.queued -= 1;
+  pool.queuedMs = pool.queued === 0 ? 0 : pool.queuedMs - entry.req.estimateMs;
+  if (account.queue.size > 0) {
+    update(pool.fullest, account);
+    return;
+  }
+  remove(pool.turn, account);
+  remove(pool.fullest, account);
+  pool.backloggedShare = pool.queued === 0 ? 0 : pool.backloggedShare - account.share;
+}
+
+/** The queued request whose turn it is. */
+export function nextInTurn(pool: Pool): Entry | undefined {
+  const account = peek(pool.turn);
+  return account && best(account.queue);
+}
+
+/** Gives a request a slot and charges its account the estimate. */
+export function occupy(pool: Pool, entry: Entry, now: MonoTime): void {
+  const { account } = entry;
+  entry.startedAt = now;
+  pool.running += 1;
+  account.running += 1;
+  const start = Math.max(account.start, pool.virtual);
+  pool.virtual = start;
+  account.start = start + entry.req.estimateMs / account.share;
+  update(pool.turn, account);
+}
+
+/** Frees the slot and corrects the charge by the time it was really held. */
+export function vacate(pool: Pool, entry: Entry, startedAt: MonoTime, now: MonoTime): void {
+  const { account, req } = entry;
+  const heldMs = now - startedAt;
+  pool.running -= 1;
+  account.running -= 1;
+  account.start += (heldMs - req.estimateMs) / account.share;
+  update(pool.turn, account);
+  learn(pool, heldMs, req.estimateMs);
+  const isIdle = account.running === 0 && account.queue.size === 0;
+  // Its start tag would be raised to the virtual time anyway.
+  if (isIdle && account.start <= pool.virtual) pool.accounts.delete(account.organisation);
+}
+
+function learn(pool: Pool, heldMs: number, estimateMs: number): void {
+  const weight = pool.estimatedMs === 0 ? 1 : NEWEST_WEIGHT;
+  pool.servedMs += weight * (heldMs - pool.servedMs);
+  pool.estimatedMs += weight * (estimateMs - pool.estimatedMs);
+}
--- /dev/null
+++ b/src/core/admission/queue.ts
@@ -0,0 +1,67 @@
+/** The queue of one organisation: buckets by worth density, a heap by deadline in each. */
+
+import { createHeap, peek, push, remove } from './heap';
+import type { AdmissionPolicy } from './policies';
+import type { Bucket, Entry, OrganisationQueue } from './types';
+
+export function createQueue(): OrganisationQueue {
+  return { buckets: [], size: 0, workMs: 0 };
+}
+
+export function enqueue(queue: OrganisationQueue, entry: Entry, policy: AdmissionPolicy): void {
+  const bucket = queue.buckets[entry.bucket] ?? createBucket(policy);
+  queue.buckets[entry.bucket] = bucket;
+  push(bucket.entries, entry);
+  count(queue, bucket, entry, 1);
+}
+
+export function dequeue(queue: OrganisationQueue, entry: Entry): void {
+  const bucket = queue.buckets[entry.bucket];
+  if (bucket === undefined || !remove(bucket.entries, entry)) return;
+  count(queue, bucket, entry, -1);
+}
+
+function createBucket(policy: AdmissionPolicy): Bucket {
+  return { entries: createHeap((a, b) => policy.before(a, b)), workMs: 0 };
+}
+
+function count(queue: OrganisationQueue, bucket: Bucket, entry: Entry, by: 1 | -1): void {
+  const workMs = by * entry.req.estimateMs;
+  queue.size += by;
+  // Sums of fractions drift; what is empty holds nothing.
+  queue.workMs = queue.size === 0 ? 0 : queue.workMs + workMs;
+  bucket.workMs = bucket.entries.items.length === 0 ? 0 : bucket.workMs + workMs;
+}
+
+function isFilled(bucket: Bucket | undefined): bucket is Bucket {
+  return bucket !== undefined && bucket.entries.items.length > 0;
+}
+
+/** The request that goes next. */
+export function best(queue: OrganisationQueue): Entry | undefined {
+  const bucket = queue.buckets.find(isFilled);
+  return bucket && peek(bucket.entries);
+}
+
+/** A request of the least dense bucket, and one that is not about to go. */
+export function worst(queue: OrganisationQueue): Entry | undefined {
+  return queue.buckets.findLast(isFilled)?.entries.items.at(-1);
+}
+
+/** The most pressing request of the least dense bucket. */
+export function mostPressedOfWorst(queue: OrganisationQueue): Entry | undefined {
+  const bucket = queue.buckets.findLast(isFilled);
+  return bucket && peek(bucket.entries);
+}
+
+/** Estimated work in buckets that go before this one, milliseconds. */
+export function workBefore(queue: OrganisationQueue, bucket: number): number {
+  let workMs = 0;
+  for (let i = 0; i < bucket; i++) workMs += queue.buckets[i]?.workMs ?? 0;
+  return workMs;
+}
+
+/** The same with this bucket's own work. */
+export function workThrough(queue: OrganisationQueue, bucket: number): number {
+  return workBefore(queue, bucket + 1);
+}
--- /dev/null
+++ b/src/core/routing/policies.ts
@@ -0,0 +1,109 @@
+/** The policies that choose among the groups of a model. */
+
+import type { ChanceContext } from '../random';
+import { expectedHit } from './cache';
+import { hashText, mixHashes } from './hash';
+import { estimateLoad } from './load';
+import type { GroupState, ModelState, RoutingPolicyName, RoutingState } from './types';
+
+/** What a policy may look at. */
+export interface Choice {
+  readonly state: RoutingState;
+  readonly model: ModelState;
+  /** Affinity keys of the request's prefixes, shortest first. */
+  readonly keys: readonly string[];
+  readonly ctx: ChanceContext;
+}
+
+export interface RoutingPolicy {
+  /** Whether stragglers are kept from it. */
+  readonly ejects: boolean;
+  /** Picks one of `groups`, which are not empty. */
+  choose(groups: readonly GroupState[], choice: Choice): GroupState | undefined;
+}
+
+/** Load as a share of a batch, after one more request. */
+function fill(group: GroupState, { state, model, ctx }: Choice): number {
+  const load = estimateLoad(group.load, model.meanOthers, ctx.now, state.opts);
+  return (load + 1) / group.maxBatch;
+}
+
+/** The group with the lowest cost; of equal ones, one by lot. */
+function cheapest(
+  groups: readonly GroupState[],
+  cost: (group: GroupState) => number,
+  { ctx }: Choice,
+): GroupState | undefined {
+  let best: GroupState | undefined;
+  let bestCost = Infinity;
+  let ties = 0;
+  for (const group of groups) {
+    const value = cost(group);
+    if (value > bestCost) continue;
+    ties = value === bestCost ? ties + 1 : 1;
+    if (ties > 1 && ctx.random.next() >= 1 / ties) continue;
+    best = group;
+    bestCost = value;
+  }
+  return best;
+}
+
+function pickRandom(groups: readonly GroupState[], { ctx }: Choice): GroupState | undefined {
+  return groups[Math.floor(ctx.random.next() * groups.length)];
+}
+
+/** Two by lot, the less loaded of them (Mitzenmacher, "The power of two choices"). */
+function chooseOfTwo(groups: readonly GroupState[], choice: Choice): GroupState | undefined {
+  const first = pickRandom(groups, choice);
+  const rest = groups.filter((group) => group !== first);
+  const second = pickRandom(rest, choice);
+  const two = [first, second].filter((group) => group !== undefined);
+  return cheapest(two, (group) => fill(group, choice), choice);
+}
+
+/**
+ * The two groups highest by rendezvous hash of the prefix that are within the load bound, after
+ * "Consistent hashing with bounded loads" (Mirrokni, Thorup, Zadimoghaddam).
+ */
+function affinityCandidates(
+  groups: readonly GroupState[],
+  key: string,
+  choice: Choice,
+): readonly GroupState[] {
+  const loads = groups.map((group) => fill(group, choice));
+  const mean = loads.reduce((sum, load) => sum + load, 0) / groups.length;
+  const bound = mean * choice.state.opts.loadBound;
+  const hash = hashText(key);
+  const ranked = groups
+    .filter((_group, i) => (loads[i] ?? 0) <= bound)
+    .map((group) => ({ group, rank: mixHashes(group.hash, hash) }));
+  ranked.sort((a, b) => b.rank - a.rank);
+  return ranked.slice(0, 2).map(({ group }) => group);
+}
+
+function chooseByAffinity(groups: readonly GroupState[], choice: Choice): GroupState | undefined {
+  const [key] = choice.keys;
+  if (key === undefined) return chooseOfTwo(groups, choice);
+  const { state, keys, ctx } = choice;
+  const candidates = affinityCandidates(groups, key, choice);
+  const cost = (group: GroupState) =>
+    fill(group, choice) - state.opts.cacheBonus * expectedHit(state, keys, group.id, ctx.now);
+  return cheapest(candidates, cost, choice);
+}
+
+export const ROUTING_POLICIES: Readonly<Record<RoutingPolicyName, RoutingPolicy>> = {
+  'round-robin': {
+    ejects: false,
+    choose: (groups, { model }) => {
+      model.turn += 1;
+      return groups[model.turn % groups.length];
+    },
+  },
+  random: { ejects: false, choose: pickRandom },
+  'least-in-flight': {
+    ejects: false,
+    choose: (groups, choice) => cheapest(groups, (group) => group.load.inFlight, choice),
+  },
+  'two-choices': { ejects: true, choose: chooseOfTwo },
+  affinity: { ejects: true, choose: chooseByAffinity },
+};
--- /dev/null
+++ b/src/core/routing/types.ts
@@ -0,0 +1,186 @@
+/** What routing takes in and keeps. */
+
+import type { RoutableGroup } from '../groups/types';
+import type { AttemptId, GroupId, ModelId, MonoTime, OrganisationId } from '../ids';
+
+/** Names of the policies; see `policies.ts`. */
+export type RoutingPolicyName =
+  'round-robin' | 'random' | 'least-in-flight' | 'two-choices' | 'affinity';
+
+export interface RoutingOptions {
+  readonly policy: RoutingPolicyName;
+  /** How old an engine's load report is when it arrives, milliseconds. */
+  readonly reportLagMs: number;
+  /** A report's weight against the average of its model halves in this time, milliseconds. */
+  readonly reportHalfLifeMs: number;
+  /** A group may hold this multiple of the average load before affinity passes it over. */
+  readonly loadBound: number;
+  /** Load, as a share of a batch, that a certain cache hit is worth. */
+  readonly cacheBonus: number;
+  /** Prefixes remembered; the least recently used go first. */
+  readonly maxPrefixes: number;
+  /** Belief in a stored prefix halves in this time, milliseconds. */
+  readonly cacheHalfLifeMs: number;
+  /** A latency beyond this multiple of the median marks a straggler. */
+  readonly outlierFactor: number;
+  /** ... and only beyond the median by this much, milliseconds. */
+  readonly outlierGapMs: number;
+  /** Answers needed before a group is judged. */
+  readonly outlierSamples: number;
+  /** At most this share of a model's groups is ejected at a time. */
+  readonly maxEjectedShare: number;
+  /** First ejection, milliseconds; doubles with each further one. */
+  readonly ejectionMs: number;
+  readonly maxEjectionMs: number;
+  /** Time over which a group that returns gets its full part of the work, milliseconds. */
+  readonly rampMs: number;
+  /** Groups of a model are judged this often, milliseconds. */
+  readonly judgeEveryMs: number;
+}
+
+export const ROUTING_DEFAULTS: RoutingOptions = {
+  policy: 'affinity',
+  reportLagMs: 500,
+  reportHalfLifeMs: 2_000,
+  loadBound: 1.25,
+  cacheBonus: 0.5,
+  maxPrefixes: 20_000,
+  cacheHalfLifeMs: 60_000,
+  outlierFactor: 2,
+  outlierGapMs: 50,
+  outlierSamples: 8,
+  maxEjectedShare: 0.34,
+  ejectionMs: 5_000,
+  maxEjectionMs: 120_000,
+  rampMs: 10_000,
+  judgeEveryMs: 250,
+};
+
+/** Own requests in flight on a group from one instant on. */
+export interface LoadPoint {
+  readonly at: MonoTime;
+  readonly inFlight: number;
+}
+
+/** A moving average with the number of its samples. */
+export interface Average {
+  value: number;
+  samples: number;
+}
+
+/** Own sends to a group and what the group said of others'. */
+export interface GroupLoad {
+  inFlight: number;
+  /** Newest last; bounded. */
+  readonly history: LoadPoint[];
+  /** Requests of other daemons, by the last report. */
+  others: number;
+  reportedAt: MonoTime | undefined;
+}
+
+/** All that routing keeps of one group. */
+export interface GroupState {
+  readonly id: GroupId;
+  readonly model: ModelId;
+  /** Hash of the id, for rendezvous. */
+  readonly hash: number;
+  maxBatch: number;
+  readonly load: GroupLoad;
+  /** Attempts without a first token, oldest first, with when they were sent. */
+  readonly waiting: Map<AttemptId, MonoTime>;
+  readonly firstTokenMs: Average;
+  readonly interTokenMs: Average;
+  ejections: number;
+  ejectedUntil: MonoTime | undefined;
+  /** Last sequence number of its cache events. */
+  cacheSeq: number;
+  lastSeen: MonoTime;
+}
+
+/** What all groups of one model share. */
+export interface ModelState {
+  /** Turn of round robin. */
+  turn: number;
+  judgeAt: MonoTime;
+  /** Average load of other daemons per group. */
+  meanOthers: number;
+}
+
+export interface AttemptState {
+  readonly group: GroupId;
+  firstTokenAt: MonoTime | undefined;
+}
+
+/** A belief that a group holds a prefix, as of an instant. */
+export interface CacheBelief {
+  readonly probability: number;
+  readonly at: MonoTime;
+}
+
+/**
+ * State of routing. A mutable record that one loop owns: functions change it in place and hand it
+ * back (see `docs/ROUTING.md` for the measurement behind that).
+ */
+export interface RoutingState {
+  readonly opts: RoutingOptions;
+  readonly groups: Map<GroupId, GroupState>;
+  readonly models: Map<ModelId, ModelState>;
+  readonly attempts: Map<AttemptId, AttemptState>;
+  /** By affinity key, least recently used first. */
+  readonly prefixes: Map<string, Map<GroupId, CacheBelief>>;
+  choices: number;
+}
+
+/** A request that needs a group. */
+export interface RouteRequest {
+  /** Groups of one model. */
+  readonly groups: readonly RoutableGroup[];
+  /** Groups already tried. */
+  readonly exclude: ReadonlySet<GroupId>;
+  /** Keys of the prompt's prefixes, shortest first; may be empty. */
+  readonly prefixKeys: readonly string[];
+  readonly organisation: OrganisationId;
+}
+
+export interface Route {
+  readonly state: RoutingState;
+  readonly group: RoutableGroup | undefined;
+}
+
+export interface SentEvent {
+  readonly attempt: AttemptId;
+  readonly group: GroupId;
+  /** The same as for the choice; remembered as probably cached from now on. */
+  readonly prefixKeys?: readonly string[];
+  readonly organisation?: OrganisationId;
+}
+
+export interface FirstTokenEvent {
+  readonly attempt: AttemptId;
+}
+
+export interface EndEvent {
+  readonly attempt: AttemptId;
+  /** Chunks or tokens received, where known. */
+  readonly tokens?: number;
+}
+
+/** What an engine said of its load, as of `reportLagMs` ago. */
+export interface LoadReport {
+  readonly group: GroupId;
+  readonly inFlight: number;
+  readonly queued: number;
+}
+
+/** One entry of an engine's cache log. */
+export interface CacheEvent {
+  readonly seq: number;
+  readonly kind: 'stored' | 'evicted';
+  /** An affinity key; see `affinityKey`. */
+  readonly prefix: string;
+}
+
+export interface CacheEvents {
+  readonly group: GroupId;
+  readonly events: readonly CacheEvent[];
+}
