--- /dev/null
+++ b/stand-ins/platform/instances.ts
@@ -0,0 +1,35 @@
+/** The instance list, as it was some time ago. */
+
+import type { InstanceEntry } from '../../src/ports/platform';
+
+/** Older states than this are forgotten, milliseconds. */
+const LONGEST_LAG_MS = 600_000;
+
+interface Change {
+  readonly at: number;
+  /** Absent: the instance left the list. */
+  readonly entry?: InstanceEntry;
+}
+
+/** Every change of each instance, oldest first. */
+export type InstanceHistory = Map<string, Change[]>;
+
+export function enterInstance(
+  history: InstanceHistory,
+  id: string,
+  entry: InstanceEntry | undefined,
+  now: number,
+): void {
+  const changes = history.get(id) ?? [];
+  changes.push(entry === undefined ? { at: now } : { at: now, entry });
+  const kept = changes.findLastIndex(({ at }) => at <= now - LONGEST_LAG_MS);
+  history.set(id, kept > 0 ? changes.slice(kept) : changes);
+}
+
+/** The list as it was at `instant`. */
+export function listInstances(history: InstanceHistory, instant: number): readonly InstanceEntry[] {
+  return [...history.values()].flatMap((changes) => {
+    const entry = changes.findLast(({ at }) => at <= instant)?.entry;
+    return entry === undefined ? [] : [entry];
+  });
+}
