Claim keys of non-repeatable requests; admit and route by the core's decisions

Claims are a pure reducer (core/ledger) driven by app/requests/claims.ts and written in groups by claim-writer.ts. A holder that gives up writes a released row rather than deleting: an insert whose answer was lost may still be under way, and a row there keeps it from taking effect. No one but the holder changes a claim. Ruled out: taking over claims after a deadline, since a paused holder may resume; deleting on release, for the reason above.

Admission before the claim, so that refused calls cost no write.

--- /dev/null
+++ b/src/app/requests/admit.ts
@@ -0,0 +1,51 @@
+/** The way of a call that is understood: admission, then the claim if it needs one, then sending. */
+
+import type { GuardedRun } from './at-most-once';
+import { runAtMostOnce } from './at-most-once';
+import type { RequestContext, RequestParts } from './context';
+import { refused } from './ending';
+import type { Ending } from './ending';
+import type { Call } from './exchange';
+import type { GateRequest } from './gate';
+import { OPEN_GUARD } from './guard';
+import { METRIC } from './names';
+
+/** A call that is ready to be admitted. */
+export interface ReadyCall extends GateRequest {
+  /** Whether the backend server itself runs a key only once. */
+  readonly honoursKey: boolean;
+  readonly run: GuardedRun;
+}
+
+/** A call that is not repeatable and has a key runs under a claim. */
+function runOnceIfAsked(
+  ctx: RequestContext,
+  parts: RequestParts,
+  call: Call,
+  { honoursKey, run }: ReadyCall,
+): Promise<Ending> {
+  const { repeatable, idempotencyKey } = call.terms;
+  if (repeatable || idempotencyKey === undefined) return run(OPEN_GUARD);
+  return runAtMostOnce(ctx, parts.claims, call, idempotencyKey, run, { honoursKey });
+}
+
+/** Admits the call and runs it. A refusal is the ending, at once. */
+export async function admitAndRun(
+  ctx: RequestContext,
+  parts: RequestParts,
+  ready: ReadyCall,
+): Promise<Ending> {
+  const { call, target } = ready;
+  const span = call.exchange.span.child('admission');
+  const enteredAt = ctx.clock.now();
+  const verdict = await parts.gate.enter(ready);
+  const labels = { target, class: call.caller.class.name };
+  ctx.metrics.observe(METRIC.queueing, ctx.clock.now() - enteredAt, labels);
+  span.end(verdict.kind === 'refused' ? verdict.error.code : undefined);
+  if (verdict.kind === 'refused') return refused(verdict.error, verdict.retryAt);
+  try {
+    return await runOnceIfAsked(ctx, parts, call, ready);
+  } finally {
+    parts.gate.leave(call.exchange.id);
+  }
+}
--- a/src/app/requests/attempts.ts
+++ b/src/app/requests/attempts.ts
@@ -11,7 +11,9 @@
 import type { DoneEnding, Ending, Failure } from './ending';
 import { ended } from './ending';
 import type { Call } from './exchange';
+import type { SendGuard } from './guard';
 import { METRIC } from './names';
+import { pause } from './pause';
 
 /** An attempt that gave a whole answer. */
 export interface AttemptDone {
@@ -34,6 +36,7 @@
   /** Model or service, for budgets and metrics. */
   readonly target: string;
   readonly repeatable: boolean;
+  readonly guard: SendGuard;
   /** The next place to send to, or why there is none. */
   readonly pick: (tried: ReadonlySet<string>) => Picked<T>;
   readonly attempt: (place: T, id: AttemptId) => Promise<AttemptResult>;
@@ -43,18 +46,6 @@
   | { readonly kind: 'place'; readonly key: string; readonly place: T }
   | { readonly kind: 'none'; readonly failure: Failure };
 
-function pause(ms: number, gone: AbortSignal): Promise<void> {
-  return new Promise((resolve) => {
-    const finish = (): void => {
-      clearTimeout(timer);
-      gone.removeEventListener('abort', finish);
-      resolve();
-    };
-    const timer = setTimeout(finish, Math.max(0, ms));
-    gone.addEventListener('abort', finish, { once: true });
-  });
-}
-
 function decide<T>(
   ctx: RequestContext,
   call: Call,
@@ -131,6 +122,7 @@
     ctx.metrics.count(METRIC.attempts, { target: plan.target });
     const result = await plan.attempt(picked.place, id);
     if (result.kind === 'done') return result.ending;
+    plan.guard.onFailed(result.failure);
     const decision = decide(ctx, call, plan, progress.attempts + 1, result);
     progress = advance(progress, picked.key, result);
     if (decision.kind === 'stop') return summarise(progress, result);
--- a/src/app/requests/entry.ts
+++ b/src/app/requests/entry.ts
@@ -5,29 +5,38 @@
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 
-import type { RequestId } from '../../core/ids';
+import type { ModelId, RequestId } from '../../core/ids';
 import { brandAs, later } from '../../core/ids';
 import type { StepError } from '../../utils/errors';
 import { fail } from '../../utils/errors';
-import type { Backends } from './backends';
+import { admitAndRun } from './admit';
 import { readBody } from './body';
-import type { RequestContext } from './context';
+import type { RequestContext, RequestParts } from './context';
 import { done, ended, refused } from './ending';
 import type { Ending } from './ending';
 import type { Call, Caller, Exchange } from './exchange';
-import { OPEN_GUARD } from './guard';
 import { readModelBody, MODEL_PATHS } from './model-body';
 import type { ModelPath } from './model-body';
-import { answerModelCall, createModelCall } from './model-call';
+import {
+  answerModelCall,
+  createModelCall,
+  estimateMs,
+  hasModel,
+  modelCapacity,
+} from './model-call';
 import { HEADER } from './names';
 import { answerServiceCall } from './service-call';
+import type { ServiceCall } from './service-call';
 import { isRepeatable, readServicePath } from './service-path';
 import type { ServicePath } from './service-path';
 import { findCaller, readTerms } from './terms';
 
+/** First guess at the time of a call to a plain service, milliseconds. */
+const SERVICE_ESTIMATE_MS = 50;
+
 export interface Entry {
   readonly ctx: RequestContext;
-  readonly backends: Backends;
+  readonly parts: RequestParts;
 }
 
 type Route = (entry: Entry, exchange: Exchange, caller: Caller) => Promise<Ending>;
@@ -76,7 +85,19 @@
   if (call.isErr()) return refused(call.error);
   const body = readModelBody(path, call.value.body);
   if (body.isErr()) return refused(body.error);
-  return answerModelCall(entry.ctx, createModelCall(call.value, body.value));
+  const { ctx, parts } = entry;
+  if (!hasModel(ctx, call.value, body.value.model)) {
+    return refused(fail('model-not-found', 'no such model', { step: 'entry' }));
+  }
+  const model = createModelCall(call.value, body.value);
+  return admitAndRun(ctx, parts, {
+    call: model,
+    target: model.model,
+    estimateMs: estimateMs(model),
+    capacity: modelCapacity(ctx, model.model),
+    honoursKey: false,
+    run: (guard) => answerModelCall(ctx, parts, model, guard),
+  });
 }
 
 /** The models of the caller's organisation. */
@@ -103,7 +124,16 @@
   const path = place.path + place.query;
   const call = await readCall(entry, exchange, caller, path, repeatable);
   if (call.isErr()) return refused(call.error);
-  return answerServiceCall(entry.ctx, { ...call.value, spec, guard: OPEN_GUARD }, entry.backends);
+  const { ctx, parts } = entry;
+  const found: ServiceCall = { ...call.value, spec };
+  return admitAndRun(ctx, parts, {
+    call: found,
+    target: brandAs<ModelId>(`service/${spec.id}`),
+    estimateMs: SERVICE_ESTIMATE_MS,
+    capacity: { slots: spec.backends.length * spec.maxInFlight, expectedAt: undefined },
+    honoursKey: spec.honoursIdempotencyKey,
+    run: (guard) => answerServiceCall(ctx, parts.backends, found, guard),
+  });
 }
 
 const ROUTES: Readonly<Record<string, Readonly<Record<string, Route>>>> = {
--- /dev/null
+++ b/src/app/requests/gate.ts
@@ -0,0 +1,146 @@
+/** Lets calls in by the decisions of `core/admission`, and has them wait or sends them away. */
+
+import {
+  admit,
+  createAdmission,
+  expire,
+  nextExpiry,
+  release,
+  setCapacity,
+} from '../../core/admission/admission';
+import type { AdmissionRequest, RefusalCode, Refused, Settled } from '../../core/admission/types';
+import type { EpochTime, ModelId, MonoTime, RequestId } from '../../core/ids';
+import { later } from '../../core/ids';
+import type { Clock, Random } from '../../ports/runtime';
+import type { StepError } from '../../utils/errors';
+import { fail } from '../../utils/errors';
+import type { Call } from './exchange';
+
+/** What a call asks for. */
+export interface GateRequest {
+  readonly call: Call;
+  /** Model or service; they share one name space here. */
+  readonly target: ModelId;
+  /** Expected time in a slot, milliseconds. */
+  readonly estimateMs: number;
+  readonly capacity: Capacity;
+}
+
+/** What this daemon may have in flight towards one target. */
+export interface Capacity {
+  readonly slots: number;
+  /** When there is capacity again, if there is none. */
+  readonly expectedAt: EpochTime | undefined;
+}
+
+export type GateVerdict =
+  | { readonly kind: 'admitted' }
+  | { readonly kind: 'refused'; readonly error: StepError; readonly retryAt: EpochTime };
+
+export interface Gate {
+  /** Resolves at once unless the call has to wait for a slot. */
+  enter(req: GateRequest): Promise<GateVerdict>;
+  /** To be called when an admitted call is over; gives its slot to the next. */
+  leave(id: RequestId): void;
+  /** The capacity of a target may have changed. */
+  update(target: ModelId, capacity: Capacity): void;
+}
+
+const MESSAGES: Readonly<Record<RefusalCode, string>> = {
+  'too-many-requests': 'too many requests in flight',
+  overloaded: 'no room for the request',
+  'deadline-exceeded': 'the deadline cannot be met',
+};
+
+export function createGate(clock: Clock, random: Random): Gate {
+  const state = createAdmission();
+  const waiting = new Map<RequestId, (verdict: GateVerdict) => void>();
+  let timer: NodeJS.Timeout | undefined;
+
+  const context = () => ({ now: clock.now(), random });
+  const toEpoch = (at: MonoTime): EpochTime => later(clock.epoch(), at - clock.now());
+  const toMono = (at: EpochTime): MonoTime => later(clock.now(), at - clock.epoch());
+
+  const refusal = ({ code, reason, retryAt }: Refused): GateVerdict => {
+    const error = fail(code, `${MESSAGES[code]} (${reason})`, { step: 'admission' });
+    return { kind: 'refused', error, retryAt: toEpoch(retryAt) };
+  };
+
+  const settle = (id: RequestId, verdict: GateVerdict): void => {
+    const resolve = waiting.get(id);
+    waiting.delete(id);
+    resolve?.(verdict);
+  };
+
+  const arm = (): void => {
+    clearTimeout(timer);
+    const at = nextExpiry(state);
+    if (at === undefined) return;
+    timer = setTimeout(
+      () => {
+        apply(expire(state, context()));
+      },
+      Math.max(0, at - clock.now()),
+    ).unref();
+  };
+
+  const apply = ({ admitted, refused }: Pick<Settled, 'admitted' | 'refused'>): void => {
+    admitted.forEach((id) => {
+      settle(id, { kind: 'admitted' });
+    });
+    refused.forEach(({ id, verdict }) => {
+      settle(id, refusal(verdict));
+    });
+    arm();
+  };
+
+  const update = (target: ModelId, { slots, expectedAt }: Capacity): void => {
+    const expected = expectedAt === undefined ? undefined : toMono(expectedAt);
+    apply(setCapacity(state, target, slots, context(), expected));
+  };
+
+  const leave = (id: RequestId): void => {
+    waiting.delete(id);
+    apply(release(state, id, context()));
+  };
+
+  const queue = (call: Call): Promise<GateVerdict> =>
+    new Promise((resolve) => {
+      const { id, gone } = call.exchange;
+      const onGone = (): void => {
+        const error = fail('cancelled', 'caller went away', { step: 'admission' });
+        settle(id, { kind: 'refused', error, retryAt: clock.epoch() });
+        leave(id);
+      };
+      gone.addEventListener('abort', onGone, { once: true });
+      waiting.set(id, (verdict) => {
+        gone.removeEventListener('abort', onGone);
+        resolve(verdict);
+      });
+    });
+
+  return {
+    enter: ({ call, target, estimateMs, capacity }) => {
+      update(target, capacity);
+      const { organisation, class: callerClass } = call.caller;
+      const req: AdmissionRequest = {
+        id: call.exchange.id,
+        organisation: organisation.id,
+        class: callerClass,
+        share: organisation.share,
+        model: target,
+        deadline: call.terms.deadline,
+        estimateMs,
+      };
+      const { verdict, admitted, refused } = admit(state, req, context());
+      const answer =
+        verdict.kind === 'queued'
+          ? queue(call)
+          : Promise.resolve(verdict.kind === 'refused' ? refusal(verdict) : verdict);
+      apply({ admitted, refused });
+      return answer;
+    },
+    leave,
+    update,
+  };
+}
--- a/src/app/requests/guard.ts
+++ b/src/app/requests/guard.ts
@@ -1,5 +1,6 @@
 /** What stands between a call and its sending: nothing, or a claim. */
 
+import type { AttemptFailure } from '../../core/retry/decide';
 import type { StepError } from '../../utils/errors';
 
 /** Keeps what is passed on of a stream, up to a limit. */
@@ -12,6 +13,8 @@
 export interface SendGuard {
   /** Runs in the tick of the write; an error forbids it. */
   beforeSend(): StepError | undefined;
+  /** An attempt failed; in some ways, what was sent did not run. */
+  onFailed(failure: AttemptFailure): void;
   /** A capture, if the answer is to be stored. */
   capture(): Capture | undefined;
 }
@@ -19,6 +22,7 @@
 /** For calls without a claim. */
 export const OPEN_GUARD: SendGuard = {
   beforeSend: () => undefined,
+  onFailed: () => undefined,
   capture: () => undefined,
 };
 
--- a/src/app/requests/model-attempt.ts
+++ b/src/app/requests/model-attempt.ts
@@ -11,10 +11,13 @@
 import { isRecord } from '../../utils/is';
 import { EXPOSURE_OF } from '../../core/retry/decide';
 import type { AttemptFailure } from '../../core/retry/decide';
+import type { AttemptAbort } from './abort';
 import type { AttemptResult, AttemptFailed } from './attempts';
 import { readBody } from './body';
 import type { RequestContext } from './context';
 import { done } from './ending';
+import type { GroupChoice } from './group-choice';
+import type { SendGuard } from './guard';
 import type { ModelCall } from './model-call';
 import { HEADER, METRIC } from './names';
 import { relayStream } from './relay';
@@ -32,10 +35,9 @@
   readonly group: RoutableGroup;
   readonly id: AttemptId;
   readonly span: Span;
-  /** Aborts the attempt: deadline, or the caller gone. */
-  readonly abort: AbortController;
-  /** The deadline no longer ends the attempt. */
-  readonly liftDeadline: () => void;
+  readonly guard: SendGuard;
+  readonly choice: GroupChoice;
+  readonly abort: AttemptAbort;
 }
 
 /** A failure of the attempt. What a caller that is gone or too late had sent stays exposed. */
@@ -63,8 +65,14 @@
   };
 }
 
+function noteSent({ choice, call, group, id }: ModelAttempt): void {
+  const organisation = call.caller.organisation.id;
+  choice.sent(id, group.id, { prefixKeys: call.prefixKeys, organisation });
+}
+
 /** Checked in the tick of the write, since this process may have been paused meanwhile. */
-function checkBeforeSend({ ctx, call, group }: ModelAttempt): StepError | undefined {
+function checkBeforeSend(attempt: ModelAttempt): StepError | undefined {
+  const { ctx, call, group } = attempt;
   const now = ctx.clock.now();
   const origin = { step: 'send', peer: group.address };
   if (now >= call.terms.deadline) return fail('deadline-exceeded', 'deadline passed', origin);
@@ -72,7 +80,9 @@
   if (current?.epoch !== group.epoch) {
     return fail('no-group', 'group is no longer routable', origin);
   }
-  return call.guard.beforeSend();
+  const refusal = attempt.guard.beforeSend();
+  if (refusal === undefined) noteSent(attempt);
+  return refusal;
 }
 
 type EchoFault = 'wrong-attempt' | 'wrong-group';
@@ -137,7 +147,11 @@
   const { ctx, group, abort } = attempt;
   const origin = { step: 'last-byte', peer: group.address };
   const maxBytes = ctx.settings.maxAnswerBytes;
-  const body = await readBody(answered.res, { maxBytes, signal: abort.signal, ...origin });
+  const body = await readBody(answered.res, {
+    maxBytes,
+    signal: abort.controller.signal,
+    ...origin,
+  });
   if (body.isErr()) return attemptFailed('lost', body.error);
   const type = answered.res.headers['content-type'] ?? 'application/json';
   const headers = { 'content-type': type };
@@ -145,7 +159,8 @@
   return { kind: 'done', ending: done({ kind: 'whole', status, headers, body: body.value }) };
 }
 
-function observeFirst({ ctx, call }: ModelAttempt): void {
+function observeFirst({ ctx, call, choice, id }: ModelAttempt): void {
+  choice.firstToken(id);
   const sinceArrival = ctx.clock.now() - call.exchange.arrivedAt;
   ctx.metrics.observe(METRIC.firstToken, sinceArrival, call.labels);
 }
@@ -154,7 +169,11 @@
   const { ctx, group, abort } = attempt;
   const origin = { step: 'last-byte', peer: group.address };
   const maxBytes = ctx.settings.maxAnswerBytes;
-  const body = await readBody(answered.res, { maxBytes, signal: abort.signal, ...origin });
+  const body = await readBody(answered.res, {
+    maxBytes,
+    signal: abort.controller.signal,
+    ...origin,
+  });
   if (body.isErr()) return attemptFailed('lost', body.error);
   const fault = checkWholeAnswer(body.value);
   if (fault !== undefined) return badAnswer(attempt, `not a whole answer: ${fault}`);
@@ -166,10 +185,16 @@
 /** One gap in so many is recorded, which keeps the cost per chunk down and the sample fair. */
 const GAP_SAMPLE = 16;
 
-function createGapMeter({ ctx, call }: ModelAttempt): () => void {
+/** Counts chunks and samples the time between them. */
+interface ChunkMeter {
+  readonly onChunk: () => void;
+  readonly chunks: () => number;
+}
+
+function createChunkMeter({ ctx, call }: ModelAttempt): ChunkMeter {
   let chunks = 0;
   let before = 0;
-  return () => {
+  const onChunk = (): void => {
     const place = chunks % GAP_SAMPLE;
     chunks += 1;
     if (place === 0) before = ctx.clock.now();
@@ -177,13 +202,15 @@
       ctx.metrics.observe(METRIC.betweenTokens, ctx.clock.now() - before, call.labels);
     }
   };
+  return { onChunk, chunks: () => chunks };
 }
 
 async function onStream(attempt: ModelAttempt, answered: Answered): Promise<AttemptResult> {
   const { ctx, call, group } = attempt;
   const contentType = answered.res.headers['content-type'] ?? EVENT_STREAM;
   if (!contentType.startsWith(EVENT_STREAM)) return badAnswer(attempt, 'not an event stream');
-  const capture = call.guard.capture();
+  const capture = attempt.guard.capture();
+  const meter = createChunkMeter(attempt);
   const relayed = await relayStream({
     from: answered.res,
     to: call.exchange.res,
@@ -191,13 +218,14 @@
     maxFrameBytes: ctx.settings.maxFrameBytes,
     idleMs: ctx.settings.streamIdleMs,
     onFirst: () => {
-      attempt.liftDeadline();
+      attempt.abort.liftDeadline();
       observeFirst(attempt);
       startStream(call.exchange.res, call.exchange.id, contentType);
     },
-    onChunk: createGapMeter(attempt),
+    onChunk: meter.onChunk,
     onForward: capture?.push,
   });
+  attempt.choice.end(attempt.id, meter.chunks());
   if (relayed.kind === 'broken') return attemptFailed('lost', relayed.error, relayed.started);
   const captured = capture?.chunks();
   return {
@@ -223,7 +251,7 @@
 }
 
 function onNotAnswered(attempt: ModelAttempt, result: NotSent | Lost): AttemptFailed {
-  if (!attempt.abort.signal.aborted && result.error.code !== 'no-group') {
+  if (!attempt.abort.controller.signal.aborted && result.error.code !== 'no-group') {
     reportEvidence(attempt, 'lost', result.error.step);
   }
   return attemptFailed(result.kind, result.error);
@@ -231,15 +259,20 @@
 
 /** After an abort there is no further attempt, whatever the connection's error looks like. */
 function orGivenUp(attempt: ModelAttempt, result: AttemptResult): AttemptResult {
-  if (result.kind === 'done' || !attempt.abort.signal.aborted) return result;
-  const reason: unknown = attempt.abort.signal.reason;
+  if (result.kind === 'done' || !attempt.abort.controller.signal.aborted) return result;
+  const reason: unknown = attempt.abort.controller.signal.reason;
   const error = reason instanceof Error && 'step' in reason ? (reason as StepError) : result.error;
   return { ...result, failure: 'given-up', error };
 }
 
+function loadHeader({ headers }: IncomingMessage): string | undefined {
+  const load = headers[HEADER.load];
+  return typeof load === 'string' ? load : undefined;
+}
+
 /** Sends the call to the group and reads the answer. Tears the connection unless all went well. */
 export async function attemptModel(attempt: ModelAttempt): Promise<AttemptResult> {
-  const { ctx, call, group, abort } = attempt;
+  const { ctx, call, group, choice, id, abort } = attempt;
   const sent = await ctx.upstream.send({
     address: group.address,
     method: 'POST',
@@ -248,13 +281,18 @@
     body: call.body,
     ownConnection: !call.terms.repeatable,
     beforeSend: () => checkBeforeSend(attempt),
-    signal: abort.signal,
+    signal: abort.controller.signal,
   });
-  if (sent.kind !== 'answered') return orGivenUp(attempt, onNotAnswered(attempt, sent));
+  if (sent.kind !== 'answered') {
+    choice.end(id, 0);
+    return orGivenUp(attempt, onNotAnswered(attempt, sent));
+  }
+  choice.load(group.id, loadHeader(sent.res));
   const result = await readAnswer(attempt, sent);
+  choice.end(id, 0);
   if (result.kind === 'failed' && result.exposure === 'exposed') {
     sent.destroy();
-    if (result.failure === 'lost' && !abort.signal.aborted) {
+    if (result.failure === 'lost' && !abort.controller.signal.aborted) {
       reportEvidence(attempt, 'lost', result.error.step);
     }
   }
--- a/src/app/requests/model-call.ts
+++ b/src/app/requests/model-call.ts
@@ -9,28 +9,31 @@
 import { createAbort } from './abort';
 import { runAttempts } from './attempts';
 import type { AttemptPlan, AttemptResult, Picked } from './attempts';
-import type { RequestContext } from './context';
+import type { RequestContext, RequestParts } from './context';
 import type { Ending } from './ending';
-import { refused } from './ending';
 import type { Call } from './exchange';
+import type { Capacity } from './gate';
+import { prefixKeysOf } from './group-choice';
 import type { SendGuard } from './guard';
-import { OPEN_GUARD } from './guard';
 import { attemptModel } from './model-attempt';
 import type { ModelBody } from './model-body';
 
+/** Estimate of the time in a slot, milliseconds; admission corrects it by what it measures. */
+const ESTIMATE = { baseMs: 100, perTokenMs: 20, tokensByDefault: 256 } as const;
+
 /** A call of a model that was read and checked. */
 export interface ModelCall extends Call {
   readonly model: ModelId;
   readonly stream: boolean;
-  readonly parts: readonly string[];
+  readonly maxTokens: number | undefined;
+  readonly prefixKeys: readonly string[];
   /** Keeps the cached prefixes of organisations apart. */
   readonly cacheSalt: string;
   readonly labels: Labels;
-  readonly guard: SendGuard;
 }
 
 /** Whether the organisation has the model. Others' models are as good as unknown. */
-function hasModel(ctx: RequestContext, call: Call, model: string): boolean {
+export function hasModel(ctx: RequestContext, call: Call, model: string): boolean {
   const { replicas } = call.caller.organisation;
   return Object.hasOwn(ctx.config.current().models, model) && Object.hasOwn(replicas, model);
 }
@@ -40,13 +43,25 @@
     ...call,
     model: brandAs<ModelId>(body.model),
     stream: body.stream,
-    parts: body.parts,
+    maxTokens: body.maxTokens,
+    prefixKeys: prefixKeysOf(body.parts),
     cacheSalt: hashParts('cache-salt', call.caller.organisation.id),
     labels: { model: body.model, class: call.caller.class.name },
-    guard: OPEN_GUARD,
   };
 }
 
+/** Requests that this daemon may have in flight on the model's groups: its part of their batches. */
+export function modelCapacity(ctx: RequestContext, model: ModelId): Capacity {
+  const batches = ctx.groups.routable(model).reduce((sum, { maxBatch }) => sum + maxBatch, 0);
+  const daemons = Math.max(1, ctx.peerCount?.() ?? 1);
+  const slots = Math.ceil((batches * ctx.settings.slotOvercommit) / daemons);
+  return { slots, expectedAt: ctx.groups.expectedAt(model) };
+}
+
+export function estimateMs({ maxTokens = ESTIMATE.tokensByDefault }: ModelCall): number {
+  return ESTIMATE.baseMs + maxTokens * ESTIMATE.perTokenMs;
+}
+
 function noGroup(ctx: RequestContext, call: ModelCall): Picked<RoutableGroup> {
   const error = fail('no-group', 'no replica group can take the request', { step: 'routing' });
   const soon = later(ctx.clock.epoch(), ctx.settings.retryAfterMs);
@@ -56,42 +71,44 @@
 
 function pickGroup(
   ctx: RequestContext,
+  parts: RequestParts,
   call: ModelCall,
   tried: ReadonlySet<string>,
 ): Picked<RoutableGroup> {
-  const groups = ctx.groups.routable(call.model).filter((group) => !tried.has(group.id));
-  const place = groups[Math.floor(ctx.random.next() * groups.length)];
+  const span = call.exchange.span.child('routing');
+  const groups = ctx.groups.routable(call.model);
+  const { prefixKeys } = call;
+  const organisation = call.caller.organisation.id;
+  const place = parts.choice.choose({ groups, tried, prefixKeys, organisation });
+  span.set('groups', groups.length);
+  span.end(place === undefined ? 'no-group' : undefined);
   if (place === undefined) return noGroup(ctx, call);
   return { kind: 'place', key: place.id, place };
 }
 
+/** Where one attempt goes, and what must hold when it is sent. */
+interface Sending {
+  readonly group: RoutableGroup;
+  readonly id: AttemptId;
+  readonly guard: SendGuard;
+}
+
 async function runAttempt(
   ctx: RequestContext,
+  parts: RequestParts,
   call: ModelCall,
-  group: RoutableGroup,
-  id: AttemptId,
+  { group, id, guard }: Sending,
 ): Promise<AttemptResult> {
+  const { choice } = parts;
   const span = call.exchange.span.child('attempt');
   span.set('group', group.id);
   span.set('peer', group.address);
   const { deadline } = call.terms;
-  const abort = createAbort({
-    clock: ctx.clock,
-    deadline,
-    gone: call.exchange.gone,
-    peer: group.address,
-  });
-  const { controller, liftDeadline } = abort;
+  const { gone } = call.exchange;
+  const abort = createAbort({ clock: ctx.clock, deadline, gone, peer: group.address });
+  const attempt = { ctx, choice, call, group, id, span, guard, abort };
   try {
-    const result = await attemptModel({
-      ctx,
-      call,
-      group,
-      id,
-      span,
-      abort: controller,
-      liftDeadline,
-    });
+    const result = await attemptModel(attempt);
     span.end(result.kind === 'failed' ? result.error.code : undefined);
     return result;
   } finally {
@@ -100,15 +117,18 @@
 }
 
 /** Sends the call to replica groups until one gives a whole answer. */
-export async function answerModelCall(ctx: RequestContext, call: ModelCall): Promise<Ending> {
-  if (!hasModel(ctx, call, call.model)) {
-    return refused(fail('model-not-found', 'no such model', { step: 'entry' }));
-  }
+export function answerModelCall(
+  ctx: RequestContext,
+  parts: RequestParts,
+  call: ModelCall,
+  guard: SendGuard,
+): Promise<Ending> {
   const plan: AttemptPlan<RoutableGroup> = {
     target: call.model,
     repeatable: call.terms.repeatable,
-    pick: (tried) => pickGroup(ctx, call, tried),
-    attempt: (group, id) => runAttempt(ctx, call, group, id),
+    guard,
+    pick: (tried) => pickGroup(ctx, parts, call, tried),
+    attempt: (group, id) => runAttempt(ctx, parts, call, { group, id, guard }),
   };
   return runAttempts(ctx, call, plan);
 }
--- a/src/app/requests/requests.ts
+++ b/src/app/requests/requests.ts
@@ -5,13 +5,19 @@
 import { createUpstream } from '../../adapters/upstream/upstream';
 import type { RequestPart } from '../parts';
 import { createBackends } from './backends';
+import { createClaimWriter } from './claim-writer';
+import type { ClaimWriter } from './claim-writer';
+import { createClaims } from './claims';
 import { createBudgets } from './context';
-import type { RequestContext, RequestDeps } from './context';
+import type { RequestContext, RequestDeps, RequestParts } from './context';
 import type { Ending } from './ending';
 import { answer, createExchange, refuseDraining } from './entry';
 import type { Entry } from './entry';
 import type { Exchange } from './exchange';
+import { createGate } from './gate';
+import { createGroupChoice } from './group-choice';
 import { METRIC } from './names';
+import { pause } from './pause';
 import { writeEnding } from './reply';
 import { REQUEST_DEFAULTS } from './settings';
 
@@ -51,10 +57,35 @@
   });
 }
 
+function createWriter(ctx: RequestContext): ClaimWriter {
+  const { table, clock, metrics, settings } = ctx;
+  return createClaimWriter({
+    table,
+    clock,
+    metrics,
+    daemons: ctx.peerCount ?? (() => 1),
+    commitsPerSecond: settings.tableCommitsPerSecond,
+    claimShare: settings.claimShare,
+    batch: settings.claimBatch,
+    gatherMs: settings.claimGatherMs,
+    waitMs: settings.claimWaitMs,
+  });
+}
+
+function createParts(ctx: RequestContext): RequestParts {
+  return {
+    backends: createBackends(ctx.clock, ctx.random),
+    claims: createClaims(ctx, createWriter(ctx)),
+    gate: createGate(ctx.clock, ctx.random),
+    choice: createGroupChoice(ctx.clock, ctx.random),
+  };
+}
+
 /** Makes the request plane. Settings left out have the defaults of `settings.ts`. */
 export function createRequests(deps: RequestDeps): RequestPart {
   const ctx = createContext(deps);
-  const entry: Entry = { ctx, backends: createBackends(ctx.clock, ctx.random) };
+  const parts = createParts(ctx);
+  const entry: Entry = { ctx, parts };
   let inFlight = 0;
   let isDraining = false;
   let onIdle: (() => void)[] = [];
@@ -95,9 +126,9 @@
       });
     },
     start: () => Promise.resolve(),
-    stop: () => {
+    stop: async () => {
       ctx.upstream.close();
-      return Promise.resolve();
+      await Promise.race([parts.claims.settled(), pause(ctx.settings.settleWaitMs)]);
     },
   };
 }
--- a/src/app/requests/service-call.ts
+++ b/src/app/requests/service-call.ts
@@ -49,6 +49,13 @@
 /** A call of a plain service that was read and checked. */
 export interface ServiceCall extends Call {
   readonly spec: ServiceSpec;
+}
+
+/** Where one attempt goes, and what must hold when it is sent. */
+interface Sending {
+  readonly peer: string;
+  readonly id: AttemptId;
+  readonly span: Span;
   readonly guard: SendGuard;
 }
 
@@ -83,12 +90,12 @@
 function checkBeforeSend(
   ctx: RequestContext,
   call: ServiceCall,
-  peer: string,
+  { peer, guard }: Sending,
 ): StepError | undefined {
   if (ctx.clock.now() >= call.terms.deadline) {
     return fail('deadline-exceeded', 'deadline passed', { step: 'send', peer });
   }
-  return call.guard.beforeSend();
+  return guard.beforeSend();
 }
 
 /** An answer that only the end of the connection ends cannot be told from one cut short. */
@@ -125,10 +132,9 @@
 async function sendOnce(
   ctx: RequestContext,
   call: ServiceCall,
-  peer: string,
-  id: AttemptId,
-  span: Span,
+  sending: Sending,
 ): Promise<AttemptResult> {
+  const { peer, id, span } = sending;
   const { clock } = ctx;
   const { deadline } = call.terms;
   const abort = createAbort({ clock, deadline, gone: call.exchange.gone, peer });
@@ -141,7 +147,7 @@
     body: call.body,
     // Services echo no attempt id, so that a late answer on a shared connection could not be told.
     ownConnection: true,
-    beforeSend: () => checkBeforeSend(ctx, call, peer),
+    beforeSend: () => checkBeforeSend(ctx, call, sending),
     signal,
   });
   const result =
@@ -156,17 +162,16 @@
 
 async function runAttempt(
   ctx: RequestContext,
-  call: ServiceCall,
   backends: Backends,
-  address: string,
-  id: AttemptId,
+  call: ServiceCall,
+  sending: Sending,
 ): Promise<AttemptResult> {
-  const span = call.exchange.span.child('attempt');
-  span.set('peer', address);
-  const release = backends.take(address);
+  const { peer, span } = sending;
+  span.set('peer', peer);
+  const release = backends.take(peer);
   try {
-    const result = await sendOnce(ctx, call, address, id, span);
-    if (result.kind === 'failed' && result.failure === 'not-sent') backends.avoid(address);
+    const result = await sendOnce(ctx, call, sending);
+    if (result.kind === 'failed' && result.failure === 'not-sent') backends.avoid(peer);
     span.end(result.kind === 'failed' ? result.error.code : undefined);
     return result;
   } finally {
@@ -190,16 +195,21 @@
 /** Sends the call to the service's backend servers until one gives a whole answer. */
 export function answerServiceCall(
   ctx: RequestContext,
-  call: ServiceCall,
   backends: Backends,
+  call: ServiceCall,
+  guard: SendGuard,
 ): Promise<Ending> {
   const { spec, terms } = call;
   const hasKey = terms.idempotencyKey !== undefined;
   const plan: AttemptPlan<string> = {
     target: spec.id,
+    guard,
     repeatable: terms.repeatable || (spec.honoursIdempotencyKey && hasKey),
     pick: (tried) => pickBackend(ctx, call, backends, tried),
-    attempt: (address, id) => runAttempt(ctx, call, backends, address, id),
+    attempt: (peer, id) => {
+      const span = call.exchange.span.child('attempt');
+      return runAttempt(ctx, backends, call, { peer, id, span, guard });
+    },
   };
   return runAttempts(ctx, call, plan);
 }
--- a/src/app/requests/settings.ts
+++ b/src/app/requests/settings.ts
@@ -20,6 +20,8 @@
   readonly retryShare: number;
   /** Further attempts saved up at most, by model or service. */
   readonly retryBurst: number;
+  /** Requests admitted per place in the groups' batches; above 1, engines keep a short queue. */
+  readonly slotOvercommit: number;
   /** When to come back if nothing better is known, milliseconds. */
   readonly retryAfterMs: number;
   /** Commits a second that the table service takes from all daemons. */
@@ -34,6 +36,8 @@
   readonly claimWaitMs: number;
   /** How long an answer waits for its record before it goes to the caller, milliseconds. */
   readonly recordWaitMs: number;
+  /** How long stopping waits for claims to be settled, milliseconds. */
+  readonly settleWaitMs: number;
   /** How long a claim and its stored answer are kept, milliseconds. */
   readonly claimRetentionMs: number;
   /** How long the mark of a released claim is kept, milliseconds. */
@@ -59,6 +63,7 @@
   maxRetryDelayMs: 1_000,
   retryShare: 0.1,
   retryBurst: 20,
+  slotOvercommit: 1.5,
   retryAfterMs: 1_000,
   tableCommitsPerSecond: 400,
   claimShare: 0.5,
@@ -66,6 +71,7 @@
   claimGatherMs: 3,
   claimWaitMs: 1_000,
   recordWaitMs: 300,
+  settleWaitMs: 2_000,
   claimRetentionMs: 24 * 3_600_000,
   releasedRetentionMs: 10 * 60_000,
   rowAnswerBytes: 16 * 1024,
--- /dev/null
+++ b/src/core/ledger/claim.ts
@@ -0,0 +1,222 @@
+/**
+ * Life of one claim, as its holder sees it: a reducer without I/O.
+ *
+ * A claim is a row that is written, on condition that it is absent or released, before the first
+ * byte of a request leaves. No one but its holder ever changes it, so that a holder that was paused
+ * finds nothing taken over. Whether the holder may still send is decided by `send`, in the tick of
+ * the write to the connection; once it was decided to give up, no state leads to sending.
+ */
+
+import { later } from '../ids';
+import type { HandlerTable, Step, StepContext } from '../reducer';
+import { createReducer, next } from '../reducer';
+import type {
+  ClaimEffect,
+  ClaimEvent,
+  ClaimPhase,
+  ClaimState,
+  ClaimTerms,
+  NotHeldReason,
+} from './claim-types';
+import type { ClaimRow, SeenRow } from './rows';
+
+type ClaimStep = Step<ClaimState, ClaimEffect>;
+
+/** Inserts tried before giving up, where the first ones' answers were lost. */
+const MAX_INSERTS = 2;
+const MAX_CLOSING_TRIES = 12;
+const FIRST_WAIT_MS = 100;
+const MAX_WAIT_MS = 20_000;
+
+export function createClaim(terms: ClaimTerms): ClaimState {
+  return { terms, phase: 'taking', version: 0, wanted: true, tries: 0, last: undefined };
+}
+
+function fieldsOf({ attempt, holder, bodyHash, deadlineAt, expiresAt }: ClaimTerms) {
+  return { attempt, holder, bodyHash, deadlineAt, expiresAt };
+}
+
+function claimedRow(terms: ClaimTerms): ClaimRow {
+  return { ...fieldsOf(terms), state: 'claimed' };
+}
+
+function releasedRow(terms: ClaimTerms): ClaimRow {
+  return { ...fieldsOf(terms), state: 'released', expiresAt: terms.releasedUntil };
+}
+
+function isOwn(state: ClaimState, row: ClaimRow | undefined): boolean {
+  return row?.attempt === state.terms.attempt;
+}
+
+/** Whether a claim may be written over what is there. */
+function isFree(row: ClaimRow | undefined): boolean {
+  return row === undefined || row.state === 'released';
+}
+
+function isLate(state: ClaimState, { now }: StepContext): boolean {
+  return now >= state.terms.deadline;
+}
+
+function insert(state: ClaimState, version: number): ClaimStep {
+  const row = claimedRow(state.terms);
+  return next<ClaimState, ClaimEffect>(
+    { ...state, phase: 'taking', version },
+    { kind: 'write', row, version },
+  );
+}
+
+function read(state: ClaimState, phase: 'reading' | 'checking'): ClaimStep {
+  return next<ClaimState, ClaimEffect>({ ...state, phase }, { kind: 'read' });
+}
+
+function closed(state: ClaimState, settled: boolean, ...before: ClaimEffect[]): ClaimStep {
+  return next<ClaimState, ClaimEffect>({ ...state, phase: 'closed' }, ...before, {
+    kind: 'closed',
+    settled,
+  });
+}
+
+/** Writes what the row is to say at the end. */
+function close(state: ClaimState, last: ClaimRow): ClaimStep {
+  const write: ClaimEffect = { kind: 'write', row: last, version: state.version };
+  return next({ ...state, phase: 'closing', last, tries: 0 }, write);
+}
+
+function unwanted(state: ClaimState): ClaimState {
+  return { ...state, wanted: false, last: releasedRow(state.terms) };
+}
+
+/** Says that the claim was not had, unless that was said. */
+function notHeld(state: ClaimState, reason: NotHeldReason): readonly ClaimEffect[] {
+  return state.wanted ? [{ kind: 'not-held', reason }] : [];
+}
+
+/** Gives up before the claim was had: looks first, since an insert may still take effect. */
+function abandon(state: ClaimState, reason: NotHeldReason): ClaimStep {
+  const { effects } = read(state, 'checking');
+  return next({ ...unwanted(state), phase: 'checking' }, ...notHeld(state, reason), ...effects);
+}
+
+/** Gives up while an insert or a read is under way: its result decides how to go on. */
+function giveUpWaiting(state: ClaimState): ClaimStep {
+  return next(unwanted(state), ...notHeld(state, 'late'));
+}
+
+/** The read after an insert that was not simply taken. */
+function onSeenWhileReading(state: ClaimState, seen: SeenRow, ctx: StepContext): ClaimStep {
+  const { row, version } = seen;
+  if (!state.wanted) return onSeenWhileChecking(state, seen);
+  if (isOwn(state, row) && row?.state === 'claimed') {
+    return next<ClaimState, ClaimEffect>({ ...state, phase: 'held', version }, { kind: 'held' });
+  }
+  if (row !== undefined && !isFree(row)) return closed(state, true, { kind: 'exists', row });
+  if (isLate(state, ctx)) return abandon(state, 'late');
+  if (state.tries >= MAX_INSERTS) return abandon(state, 'store-unknown');
+  return insert(state, version);
+}
+
+/** The read after a last write that was not simply taken. */
+function onSeenWhileChecking(state: ClaimState, seen: SeenRow): ClaimStep {
+  const { row, version } = seen;
+  const { last } = state;
+  if (last === undefined) return closed(state, true);
+  if (isOwn(state, row) && row?.state === last.state) return closed(state, true);
+  if (isOwn(state, row) || isFree(row)) {
+    const write: ClaimEffect = { kind: 'write', row: last, version };
+    return next({ ...state, phase: 'closing', version }, write);
+  }
+  return closed(state, true);
+}
+
+/** Waits, longer each time, and tries the last write again. */
+function closeLater(state: ClaimState, { now }: StepContext): ClaimStep {
+  const tries = state.tries + 1;
+  if (tries > MAX_CLOSING_TRIES) return closed({ ...state, tries }, false);
+  const waitMs = Math.min(MAX_WAIT_MS, FIRST_WAIT_MS * 2 ** tries);
+  const wait: ClaimEffect = { kind: 'wait', until: later(now, waitMs) };
+  return next({ ...state, phase: 'checking', tries }, wait);
+}
+
+type PhaseHandlers = Partial<
+  Record<ClaimPhase, (state: ClaimState, ctx: StepContext) => ClaimStep>
+>;
+
+/** Looks the handler up by phase; an event that means nothing in a phase changes nothing. */
+function byPhase(handlers: PhaseHandlers) {
+  return (state: ClaimState, _event: unknown, ctx: StepContext): ClaimStep =>
+    handlers[state.phase]?.(state, ctx) ?? next<ClaimState, ClaimEffect>(state);
+}
+
+/** The insert's answer was lost or a conflict: what does the row say? */
+function readAfterInsert(state: ClaimState): ClaimStep {
+  return read({ ...state, tries: state.tries + 1 }, state.wanted ? 'reading' : 'checking');
+}
+
+function onInsertUnavailable(state: ClaimState): ClaimStep {
+  // An earlier insert whose answer was lost may still take effect.
+  if (state.tries > 0) return abandon(state, 'store-unavailable');
+  return closed(state, true, ...notHeld(state, 'store-unavailable'));
+}
+
+function onInserted(state: ClaimState): ClaimStep {
+  if (!state.wanted) return close(state, releasedRow(state.terms));
+  return next<ClaimState, ClaimEffect>({ ...state, phase: 'held' }, { kind: 'held' });
+}
+
+/** The row could not be read: the caller is told, and the row settled later. */
+function onUnreadable(state: ClaimState, ctx: StepContext): ClaimStep {
+  const { state: left, effects } = closeLater(unwanted(state), ctx);
+  return next(left, ...notHeld(state, 'store-unknown'), ...effects);
+}
+
+const HANDLERS: HandlerTable<ClaimState, ClaimEvent, ClaimEffect> = {
+  begin: (state) => insert(state, 0),
+
+  written: (state, { version }) => {
+    const written = { ...state, version };
+    if (state.phase === 'taking') return onInserted(written);
+    return state.phase === 'closing' ? closed(written, true) : next(state);
+  },
+
+  conflict: byPhase({ taking: readAfterInsert, closing: (state) => read(state, 'checking') }),
+
+  unavailable: byPhase({ taking: onInsertUnavailable, closing: closeLater }),
+
+  unanswered: byPhase({ taking: readAfterInsert, closing: closeLater }),
+
+  seen: (state, { seen }, ctx) => {
+    if (state.phase === 'reading') return onSeenWhileReading(state, seen, ctx);
+    return state.phase === 'checking' ? onSeenWhileChecking(state, seen) : next(state);
+  },
+
+  unreadable: byPhase({ reading: onUnreadable, checking: closeLater }),
+
+  waited: byPhase({ checking: (state) => read(state, 'checking') }),
+
+  send: (state, _event, ctx) => {
+    const isHeld = state.phase === 'held' || state.phase === 'sent';
+    if (!isHeld || isLate(state, ctx)) {
+      return next<ClaimState, ClaimEffect>(state, { kind: 'must-not-send' });
+    }
+    return next<ClaimState, ClaimEffect>({ ...state, phase: 'sent' }, { kind: 'may-send' });
+  },
+
+  refused: byPhase({ sent: (state) => next<ClaimState, ClaimEffect>({ ...state, phase: 'held' }) }),
+
+  'give-up': byPhase({
+    taking: giveUpWaiting,
+    reading: giveUpWaiting,
+    held: (state) => close(state, releasedRow(state.terms)),
+    sent: (state) => close(state, { ...fieldsOf(state.terms), state: 'unknown' }),
+  }),
+
+  answered: (state, { answer }) =>
+    state.phase === 'sent'
+      ? close(state, { ...fieldsOf(state.terms), state: 'finished', answer })
+      : next(state),
+
+  lost: byPhase({ sent: (state) => close(state, { ...fieldsOf(state.terms), state: 'unknown' }) }),
+};
+
+/** One step in the life of a claim. */
+export const stepClaim = createReducer(HANDLERS);
