Keep the configuration in force by push, poll and fetch

createConfig: submit, read, versions, current, changes. Accepted changes travel as a delta with the hashes before and after; a daemon that cannot apply it fetches the document from the table, or from a peer while the table is down; a poll of the head every 3 s with jitter is the backstop.

--- /dev/null
+++ b/src/app/config/config.ts
@@ -0,0 +1,149 @@
+/** The configuration part of a daemon: takes changes in, keeps the newest in force, tells peers. */
+
+import { ResultAsync, err, errAsync, ok, okAsync } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+import { diffDocuments } from '../../core/config/delta';
+import type { InForceState } from '../../core/config/in-force';
+import {
+  HEAD_KEY,
+  VERSION_PREFIX,
+  hashDocument,
+  parseHead,
+  parseVersionRow,
+  versionKey,
+  versionOfKey,
+} from '../../core/config/rows';
+import type { StoredRow } from '../../core/config/rows';
+import type { Accepted, Change } from '../../core/config/submit';
+import { brandAs, later } from '../../core/ids';
+import type { ChangeId, ConfigVersion } from '../../core/ids';
+import type { Table } from '../../ports/platform';
+import { fail } from '../../utils/errors';
+import type { StepError } from '../../utils/errors';
+import type { AcceptedConfig, ConfigChange, ConfigPart } from '../parts';
+import { PUSH_TOPIC, encodePush } from './messages';
+import type { Push } from './messages';
+import { CONFIG_DEFAULTS } from './settings';
+import type { ConfigSettings } from './settings';
+import { runSubmit } from './submit';
+import { createSync } from './sync';
+import type { SyncDeps } from './sync';
+
+export interface ConfigDeps extends SyncDeps {
+  readonly settings?: Partial<ConfigSettings>;
+}
+
+function toChange({ changeId, ifVersion, document, organisation }: ConfigChange): Change {
+  return {
+    changeId: brandAs<ChangeId>(changeId),
+    document,
+    ...(ifVersion === undefined ? {} : { ifVersion }),
+    ...(organisation === undefined ? {} : { organisation }),
+  };
+}
+
+/** What to tell peers: the change itself where they can apply it and it is small. */
+function pushOf(before: InForceState, accepted: AcceptedConfig, pushBytes: number): Push {
+  const { version, document } = accepted;
+  const mark = { version, hash: hashDocument(document) };
+  if (before.mark.version !== version - 1 || before.document === undefined) return { mark };
+  const delta = diffDocuments(before.document, document);
+  if (JSON.stringify(delta).length > pushBytes) return { mark };
+  return { mark, base: before.mark, delta };
+}
+
+function parseAccepted(row: StoredRow): Result<AcceptedConfig, StepError> {
+  const parsed = parseVersionRow(row);
+  if (parsed.isOk()) return ok({ version: parsed.value.version, document: parsed.value.document });
+  return err(fail('unavailable', parsed.error.message, { step: 'config-read', peer: row.key }));
+}
+
+function readVersion(table: Table, version: ConfigVersion): ResultAsync<AcceptedConfig, StepError> {
+  return table.read([versionKey(version)]).andThen(([row]) => {
+    if (row) return parseAccepted(row);
+    const message = `version ${version} is not kept`;
+    return err(fail('not-found', message, { step: 'config-read' }));
+  });
+}
+
+function readHeadVersion(table: Table): ResultAsync<ConfigVersion, StepError> {
+  return table.read([HEAD_KEY]).andThen(([row]) => {
+    const origin = { step: 'config-read', peer: HEAD_KEY };
+    if (!row) return err(fail('not-found', 'no configuration was accepted yet', origin));
+    return parseHead(row)
+      .map((head) => head.version)
+      .mapErr(({ message }) => fail('unavailable', message, origin));
+  });
+}
+
+function scanVersions(
+  table: Table,
+  found: readonly ConfigVersion[] = [],
+  after?: string,
+): ResultAsync<readonly ConfigVersion[], StepError> {
+  return table.scan(VERSION_PREFIX, after).andThen((page) => {
+    const all = [...found, ...page.rows.map((row) => versionOfKey(row.key))];
+    return page.after === undefined ? okAsync(all) : scanVersions(table, all, page.after);
+  });
+}
+
+/** Makes the configuration part; `start` it before use. */
+export function createConfig(deps: ConfigDeps): ConfigPart {
+  const settings: ConfigSettings = { ...CONFIG_DEFAULTS, ...deps.settings };
+  const { table, gossip, clock } = deps;
+  const sync = createSync(deps, settings);
+
+  function takeEffect(accepted: AcceptedConfig): void {
+    const { version, document } = accepted;
+    // A repeated change or one that changed nothing: peers know it already.
+    if (version <= sync.state().mark.version) return;
+    const push = pushOf(sync.state(), accepted, settings.pushBytes);
+    sync.dispatch({ kind: 'document', mark: push.mark, document, from: 'self' });
+    const expiresAt = later(clock.epoch(), settings.pushTtlMs);
+    gossip.publish(PUSH_TOPIC, `v/${version}`, encodePush(push), expiresAt);
+  }
+
+  /** The document of an accepted change; a repeated one may have been merged when it was new. */
+  function documentOf(
+    change: Change,
+    { version, document }: Accepted,
+  ): ResultAsync<AcceptedConfig, StepError> {
+    if (document !== undefined) return okAsync({ version, document });
+    if (change.organisation !== undefined) return readVersion(table, version);
+    return okAsync({ version, document: change.document });
+  }
+
+  function submit(request: ConfigChange): ResultAsync<AcceptedConfig, StepError> {
+    const change = toChange(request);
+    const running = runSubmit({ ...deps, submitMs: settings.submitMs }, change);
+    return ResultAsync.fromSafePromise(running).andThen((answer) => {
+      if (answer.kind === 'accepted') return documentOf(change, answer).andTee(takeEffect);
+      return errAsync(fail(answer.code, answer.message, { step: 'config-submit' }));
+    });
+  }
+
+  /** The newest accepted version; the one in force here while the table is down. */
+  function readNewest(): ResultAsync<AcceptedConfig, StepError> {
+    return readHeadVersion(table)
+      .andThen((version) => readVersion(table, version))
+      .orElse((error) => {
+        const { mark, document } = sync.state();
+        if (error.code === 'not-found' || document === undefined) return errAsync(error);
+        return okAsync({ version: mark.version, document });
+      });
+  }
+
+  return {
+    current: () => sync.state().config,
+    changes: sync.changes,
+    submit,
+    read: (version) => (version === undefined ? readNewest() : readVersion(table, version)),
+    versions: () => scanVersions(table),
+    start: () => sync.start(),
+    stop: () => {
+      sync.stop();
+      return Promise.resolve();
+    },
+  };
+}
--- /dev/null
+++ b/src/app/config/messages.ts
@@ -0,0 +1,72 @@
+/** What daemons tell each other of the configuration, by gossip and directly. */
+
+import { z } from 'zod';
+
+import type { VersionMark } from '../../core/config/in-force';
+import type { Delta } from '../../core/config/delta';
+import type { ConfigVersion } from '../../core/ids';
+import { brandAs } from '../../core/ids';
+import type { Json } from '../../core/json';
+
+/** Gossip topic: one entry a version. */
+export const PUSH_TOPIC = 'config';
+/** Direct topic: asks for a document of at least some version. */
+export const WANT_TOPIC = 'config-want';
+/** Direct topic: the document in force at the sender. */
+export const DOCUMENT_TOPIC = 'config-document';
+
+const json = z.custom<Json>((value) => value !== undefined);
+const version = z
+  .int()
+  .min(1)
+  .transform((n) => brandAs<ConfigVersion>(n));
+const mark = z.object({ version, hash: z.string() });
+const entry = z.object({
+  section: z.string(),
+  name: z.string().optional(),
+  value: json.optional(),
+});
+
+const pushSchema = z.object({ mark, base: mark.optional(), delta: z.array(entry).optional() });
+const wantSchema = z.object({ version });
+const documentSchema = z.object({ mark, document: json });
+
+/** A version that a daemon has accepted, with what changed where that is small. */
+export interface Push {
+  readonly mark: VersionMark;
+  readonly base?: VersionMark;
+  readonly delta?: Delta;
+}
+
+export interface DocumentMessage {
+  readonly mark: VersionMark;
+  readonly document: Json;
+}
+
+/** Drops fields without a value: JSON has no `undefined`. */
+function plain(value: unknown): Json {
+  return JSON.parse(JSON.stringify(value)) as Json;
+}
+
+export function encodePush(push: Push): Json {
+  return plain(push);
+}
+
+export function parsePush(value: Json): Push | undefined {
+  const parsed = pushSchema.safeParse(value);
+  return parsed.success ? (plain(parsed.data) as unknown as Push) : undefined;
+}
+
+export function parseWant(value: Json): ConfigVersion | undefined {
+  const parsed = wantSchema.safeParse(value);
+  return parsed.success ? parsed.data.version : undefined;
+}
+
+export function encodeDocument(message: DocumentMessage): Json {
+  return plain(message);
+}
+
+export function parseDocumentMessage(value: Json): DocumentMessage | undefined {
+  const parsed = documentSchema.safeParse(value);
+  return parsed.success ? parsed.data : undefined;
+}
--- /dev/null
+++ b/src/app/config/settings.ts
@@ -0,0 +1,25 @@
+/** Settings of the configuration part, with defaults. */
+
+export interface ConfigSettings {
+  /** Period at which the head in the table is read. */
+  readonly pollMs: number;
+  /** Share of a period by which each wait varies, so that daemons do not read together. */
+  readonly jitter: number;
+  /** Longest that a submitted change is tried before its outcome is unknown. */
+  readonly submitMs: number;
+  /** A change larger than this is only announced; daemons fetch the document. */
+  readonly pushBytes: number;
+  /** Life of a pushed change in gossip. */
+  readonly pushTtlMs: number;
+  /** Fetches after an announcement are spread over this time. */
+  readonly fetchSpreadMs: number;
+}
+
+export const CONFIG_DEFAULTS: ConfigSettings = {
+  pollMs: 3000,
+  jitter: 0.2,
+  submitMs: 5000,
+  pushBytes: 2048,
+  pushTtlMs: 30_000,
+  fetchSpreadMs: 200,
+};
--- /dev/null
+++ b/src/app/config/sync.ts
@@ -0,0 +1,222 @@
+/** Keeps the configuration in force up to date: pushes, polls of the head, fetches. */
+
+import { BehaviorSubject, Subject, concatMap, defer, filter, repeat, takeUntil, timer } from 'rxjs';
+import type { Observable } from 'rxjs';
+
+import { NOTHING_IN_FORCE, reduceInForce } from '../../core/config/in-force';
+import type {
+  AlarmCode,
+  InForceEffect,
+  InForceEvent,
+  InForceState,
+  VersionMark,
+} from '../../core/config/in-force';
+import { HEAD_KEY, parseHead, parseVersionRow, versionKey } from '../../core/config/rows';
+import type { Config } from '../../core/config/types';
+import type { ConfigVersion, DaemonId } from '../../core/ids';
+import type { Table } from '../../ports/platform';
+import type { Clock, Logger, Random } from '../../ports/runtime';
+import type { Metrics } from '../../ports/telemetry';
+import type { Direct, DirectMessage, Gossip, PeerInfo } from '../parts';
+import {
+  DOCUMENT_TOPIC,
+  PUSH_TOPIC,
+  WANT_TOPIC,
+  encodeDocument,
+  parseDocumentMessage,
+  parsePush,
+  parseWant,
+} from './messages';
+import type { ConfigSettings } from './settings';
+
+export interface SyncDeps {
+  readonly self: DaemonId;
+  readonly table: Table;
+  readonly gossip: Gossip;
+  /** Lets daemons fetch from each other while the table is down. */
+  readonly direct?: Direct;
+  readonly peers?: () => readonly PeerInfo[];
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics?: Metrics;
+}
+
+export interface Sync {
+  readonly changes: Observable<Config>;
+  state(): InForceState;
+  dispatch(event: InForceEvent): void;
+  /** Resolves after the first look at the table, whether it answered or not. */
+  start(): Promise<void>;
+  stop(): void;
+}
+
+export function createSync(deps: SyncDeps, settings: ConfigSettings): Sync {
+  const { table, gossip, direct, random, logger, metrics } = deps;
+  const changes = new BehaviorSubject<Config>(NOTHING_IN_FORCE.config);
+  const stopped = new Subject<void>();
+  const fetching = new Set<number>();
+  const alarms = new Map<AlarmCode, string>();
+  let state = NOTHING_IN_FORCE;
+  let tableUp = true;
+
+  const perform: {
+    readonly [K in InForceEffect['kind']]: (effect: Extract<InForceEffect, { kind: K }>) => void;
+  } = {
+    'in-force': ({ config }) => {
+      metrics?.gauge('nutmegstack_config_version', config.version);
+      logger.info('configuration in force', { step: 'config', version: config.version });
+      changes.next(config);
+    },
+    alarm: ({ code, message }) => {
+      metrics?.count('nutmegstack_config_alarms_total', { code });
+      if (alarms.get(code) === message) return;
+      alarms.set(code, message);
+      logger.error(message, { step: 'config', code });
+    },
+    fetch: ({ mark }) => {
+      fetchSoon(mark);
+    },
+  };
+
+  function dispatch(event: InForceEvent): void {
+    const step = reduceInForce(state, event, { now: deps.clock.now() });
+    state = step.state;
+    for (const effect of step.effects) {
+      (perform[effect.kind] as (effect: InForceEffect) => void)(effect);
+    }
+  }
+
+  function fetchSoon(mark: VersionMark): void {
+    if (fetching.has(mark.version)) return;
+    fetching.add(mark.version);
+    timer(random.next() * settings.fetchSpreadMs)
+      .pipe(
+        concatMap(() => fetchFromTable(mark)),
+        takeUntil(stopped),
+      )
+      .subscribe({ complete: () => fetching.delete(mark.version) });
+  }
+
+  async function fetchFromTable(mark: VersionMark): Promise<void> {
+    if (state.mark.version > mark.version) return;
+    const rows = await table.read([versionKey(mark.version)]);
+    const row = rows.isOk() ? rows.value[0] : undefined;
+    if (!row) {
+      askPeer(mark.version);
+      return;
+    }
+    const parsed = parseVersionRow(row);
+    if (parsed.isErr()) {
+      dispatch({ kind: 'unreadable', message: `${row.key}: ${parsed.error.message}` });
+      return;
+    }
+    const { version, hash, document } = parsed.value;
+    dispatch({ kind: 'document', mark: { version, hash }, document, from: 'table' });
+  }
+
+  /** Asks one peer, picked at random from those that have the version. */
+  function askPeer(version: ConfigVersion): void {
+    const able = (deps.peers?.() ?? []).filter(
+      (peer) => peer.id !== deps.self && peer.configVersion >= version,
+    );
+    const peer = able[Math.floor(random.next() * able.length)];
+    if (peer) direct?.send(peer.id, WANT_TOPIC, { version });
+  }
+
+  function askNewerPeer(): void {
+    const peers = deps.peers?.() ?? [];
+    const newest = Math.max(0, ...peers.map((peer) => peer.configVersion));
+    if (newest > state.mark.version) askPeer((state.mark.version + 1) as ConfigVersion);
+  }
+
+  async function poll(): Promise<void> {
+    const before = state.mark;
+    const rows = await table.read([HEAD_KEY]);
+    noteTable(rows.isOk());
+    if (rows.isErr()) {
+      askNewerPeer();
+      return;
+    }
+    const [row] = rows.value;
+    if (row) seeHead(before, parseHead(row));
+    else if (before.version > 0) alarmAhead(before.version, 0);
+  }
+
+  function seeHead(before: VersionMark, head: ReturnType<typeof parseHead>): void {
+    if (head.isErr()) {
+      const { key, message } = head.error;
+      dispatch({ kind: 'unreadable', message: `${key}: ${message}` });
+      return;
+    }
+    const { version, hash } = head.value;
+    if (version < before.version) alarmAhead(before.version, version);
+    dispatch({ kind: 'head', mark: { version, hash } });
+  }
+
+  /** Versions never fall in the table, so a peer told of one that was never accepted. */
+  function alarmAhead(held: number, head: number): void {
+    const message = `version ${held} is in force here, but the table's head is ${head}`;
+    perform.alarm({ kind: 'alarm', code: 'config-ahead', message });
+  }
+
+  function noteTable(up: boolean): void {
+    if (up === tableUp) return;
+    tableUp = up;
+    const message = up ? 'table answers again' : 'table does not answer; configuration stays';
+    logger.warn(message, { step: 'config-poll', version: state.mark.version });
+  }
+
+  function nextPollMs(): number {
+    return settings.pollMs * (1 - settings.jitter + 2 * settings.jitter * random.next());
+  }
+
+  const handlers: Readonly<Record<string, (message: DirectMessage) => void>> = {
+    [WANT_TOPIC]: ({ from, value }) => {
+      const version = parseWant(value);
+      const { mark, document } = state;
+      if (version === undefined || mark.version < version || document === undefined) return;
+      direct?.send(from, DOCUMENT_TOPIC, encodeDocument({ mark, document }));
+    },
+    [DOCUMENT_TOPIC]: ({ value }) => {
+      const message = parseDocumentMessage(value);
+      if (message) dispatch({ kind: 'document', ...message, from: 'peer' });
+    },
+  };
+
+  function listen(): void {
+    gossip.received
+      .pipe(
+        filter((entry) => entry.topic === PUSH_TOPIC),
+        takeUntil(stopped),
+      )
+      .subscribe(({ value }) => {
+        const push = parsePush(value);
+        if (push) dispatch({ kind: 'pushed', ...push });
+      });
+    direct?.received.pipe(takeUntil(stopped)).subscribe((message) => {
+      handlers[message.topic]?.(message);
+    });
+  }
+
+  async function start(): Promise<void> {
+    listen();
+    await poll();
+    timer(nextPollMs())
+      .pipe(
+        concatMap(() => defer(poll).pipe(repeat({ delay: () => timer(nextPollMs()) }))),
+        takeUntil(stopped),
+      )
+      .subscribe();
+  }
+
+  return {
+    changes,
+    state: () => state,
+    dispatch,
+    start,
+    stop: () => {
+      stopped.next();
+    },
+  };
+}
--- a/tests/config-check.test.ts
+++ b/tests/config-check.test.ts
@@ -65,10 +65,10 @@
 
   it('refuses the same key twice, a caller key without class, and an unknown organisation', () => {
     const keys = [
-      { hash: HASHES[0], role: 'operator' },
-      { hash: HASHES[0], role: 'operator' },
-      { hash: HASHES[1], role: 'caller', organisation: 'rennes' },
-      { hash: HASHES[2], role: 'operator', organisation: 'none' },
+      { hash: HASHES.caller, role: 'operator' },
+      { hash: HASHES.caller, role: 'operator' },
+      { hash: HASHES.ownOperator, role: 'caller', organisation: 'rennes' },
+      { hash: HASHES.operator, role: 'operator', organisation: 'none' },
       { hash: 'plain-key', role: 'operator' },
     ];
     expect(faultsOf({ keys })).toEqual(['keys[4].hash']);
@@ -100,7 +100,7 @@
       maxInFlight: 8,
     });
     expect(config.organisations.brest?.classes.pharmacist?.worth).toBe(10);
-    expect(config.keys[HASHES[0] ?? '']).toEqual({
+    expect(config.keys[HASHES.caller]).toEqual({
       organisation: 'rennes',
       role: 'caller',
       class: 'pharmacist',
--- a/tests/support/config-documents.ts
+++ b/tests/support/config-documents.ts
@@ -6,7 +6,11 @@
   return createHash('sha256').update(key).digest('hex');
 }
 
-export const HASHES = ['caller-rennes', 'operator-rennes', 'operator'].map(hashOf);
+export const HASHES = {
+  caller: hashOf('caller-rennes'),
+  ownOperator: hashOf('operator-rennes'),
+  operator: hashOf('operator'),
+};
 
 export const DOCUMENT = {
   templates: {
@@ -33,8 +37,8 @@
     billing: { backends: ['[::1]:7302'], honoursIdempotencyKey: true },
   },
   keys: [
-    { hash: HASHES[0], organisation: 'rennes', role: 'caller', class: 'pharmacist' },
-    { hash: HASHES[1], organisation: 'rennes', role: 'operator' },
-    { hash: HASHES[2], role: 'operator' },
+    { hash: HASHES.caller, organisation: 'rennes', role: 'caller', class: 'pharmacist' },
+    { hash: HASHES.ownOperator, organisation: 'rennes', role: 'operator' },
+    { hash: HASHES.operator, role: 'operator' },
   ],
 };
--- a/tests/support/fake-table.ts
+++ b/tests/support/fake-table.ts
@@ -3,7 +3,7 @@
 import { ResultAsync, err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
-import type { Committed, Json, Row, ScanPage, Table, Transaction } from '../../src/ports/platform';
+import type { Committed, Row, ScanPage, Table, Transaction } from '../../src/ports/platform';
 import { fail } from '../../src/utils/errors';
 import type { StepError } from '../../src/utils/errors';
 
@@ -58,7 +58,7 @@
     for (const { key, value } of transaction.writes) {
       rows.delete(key);
       if (value === undefined) continue;
-      rows.set(key, { key, version: counter, value: structuredClone(value) as Json });
+      rows.set(key, { key, version: counter, value: structuredClone(value) });
       versions[key] = counter;
     }
     return ok({ versions });
