Add the administration API

Cause: operators submit, amend and read configurations, see every daemon, and take instances and daemons out of service. Ruled out: replacing a whole organisation on amend (two operators would undo each other's fields); taking keys themselves (only hashes need to come here); passing a drain on over HTTP (a daemon knows the others' peer addresses only). Change: routes in one table; a merge patch of an organisation is made anew from the newest document when another change came between; another organisation's keys look absent; errors carry code, step, peer, outcome and the path of each wrong field. Conclusion: ready to be wired.

--- /dev/null
+++ b/src/app/admin/admin.ts
@@ -0,0 +1,110 @@
+/** The administration API under `/admin/v1`. */
+
+import type { IncomingMessage } from 'node:http';
+import { err, errAsync } from 'neverthrow';
+import { filter } from 'rxjs';
+
+import { fail } from '../../utils/errors';
+import type { HttpHandler } from '../parts';
+import { findOperator } from './auth';
+import { DEFAULT_MAX_BODY_BYTES } from './deps';
+import type { AdminDeps } from './deps';
+import {
+  amendOrganisation,
+  listVersions,
+  readConfig,
+  readOrganisation,
+  submitConfig,
+} from './documents';
+import { refuse, sendResult } from './exchange';
+import type { Answered } from './exchange';
+import { addKey, listKeys, removeKey } from './keys';
+import { drain, DRAIN_TOPIC, readStatus } from './operations';
+import type { Route } from './route';
+
+export type { AdminDeps } from './deps';
+
+const PREFIX = '/admin/v1/';
+
+/** By method and first segment; with a `/` where the path goes on to name something. */
+const ROUTES: Readonly<Record<string, Route>> = {
+  'PUT config': submitConfig,
+  'GET config': readConfig,
+  'GET versions': listVersions,
+  'GET organisations/': readOrganisation,
+  'PATCH organisations/': amendOrganisation,
+  'GET status': readStatus,
+  'POST drain': drain,
+  'GET keys': listKeys,
+  'POST keys': addKey,
+  'DELETE keys/': removeKey,
+};
+
+interface Target {
+  readonly route: Route | undefined;
+  /** Whether the path exists with another method. */
+  readonly known: boolean;
+  readonly name: string;
+}
+
+function decodeName(text: string): string {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return text;
+  }
+}
+
+function findTarget(method: string, path: string): Target {
+  const rest = path.startsWith(PREFIX) ? path.slice(PREFIX.length) : '';
+  const slash = rest.indexOf('/');
+  const resource = slash === -1 ? rest : rest.slice(0, slash + 1);
+  const name = slash === -1 ? '' : decodeName(rest.slice(slash + 1));
+  const key = `${method} ${resource}`;
+  const route = Object.hasOwn(ROUTES, key) ? ROUTES[key] : undefined;
+  const known = Object.keys(ROUTES).some((other) => other.endsWith(` ${resource}`));
+  return { route, known, name };
+}
+
+function parseUrl(req: IncomingMessage): URL {
+  return URL.parse(req.url ?? '/', 'http://admin') ?? new URL('http://admin/');
+}
+
+function answer(deps: AdminDeps, req: IncomingMessage): Answered {
+  const url = parseUrl(req);
+  const operator = findOperator(
+    deps.config.current(),
+    deps.bootstrapKeyHash,
+    req.headers.authorization,
+  );
+  if (operator.isErr()) return errAsync(refuse(operator.error));
+  const { route, known, name } = findTarget(req.method ?? 'GET', url.pathname);
+  if (route === undefined) {
+    const code = known ? 'method-not-allowed' : 'not-found';
+    return errAsync(refuse(fail(code, 'no such route', { step: 'admin-route' })));
+  }
+  const maxBodyBytes = deps.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+  return route({ deps, req, url, operator: operator.value, name, maxBodyBytes });
+}
+
+/** Creates the handler of the administration address. */
+export function createAdmin(deps: AdminDeps): HttpHandler {
+  deps.membership.direct.received
+    .pipe(filter(({ topic }) => topic === DRAIN_TOPIC))
+    .subscribe(({ from }) => {
+      deps.logger.info('asked to stop by another daemon', { step: 'drain', peer: from });
+      void deps.drain();
+    });
+  return (req, res) => {
+    // A route that breaks its own promise answers with an error all the same.
+    void Promise.resolve(answer(deps, req))
+      .catch((cause: unknown) => {
+        deps.logger.error('administration request failed', { step: 'admin-route' });
+        const message = 'the request could not be worked through';
+        return err(refuse(fail('internal', message, { step: 'admin-route', cause })));
+      })
+      .then((result) => {
+        sendResult(req, res, result);
+      });
+  };
+}
--- /dev/null
+++ b/src/app/admin/documents.ts
@@ -0,0 +1,184 @@
+/** Routes that submit, amend and read the configuration. */
+
+import { err, errAsync, ok, okAsync } from 'neverthrow';
+import type { Result, ResultAsync } from 'neverthrow';
+
+import { checkDocument, describeFaults } from '../../core/config/check';
+import { scopeDocument } from '../../core/config/scope';
+import { brandAs } from '../../core/ids';
+import type { ConfigVersion } from '../../core/ids';
+import type { Json } from '../../core/json';
+import { fail } from '../../utils/errors';
+import type { StepError } from '../../utils/errors';
+import { isRecord } from '../../utils/is';
+import type { AcceptedConfig, ConfigChange } from '../parts';
+import { requireOrganisation } from './auth';
+import type { Operator } from './auth';
+import type { AdminDeps } from './deps';
+import { etagOf, readChangeId, readDocument, readIfMatch, readObject, refuse } from './exchange';
+import type { Answer, Answered, Refusal } from './exchange';
+import { mergePatch } from './merge-patch';
+import type { Route } from './route';
+
+export type JsonRecord = Readonly<Record<string, Json>>;
+
+/** Changes that are made anew when another operator was faster. */
+const MAX_RACES = 5;
+
+export function recordOf(value: Json | undefined): JsonRecord {
+  return isRecord(value) ? value : {};
+}
+
+/** What the operator may see of a document. */
+function viewOf(operator: Operator, document: Json): Json {
+  const { organisation } = operator;
+  return organisation === undefined ? document : scopeDocument(document, organisation);
+}
+
+function checkWhole(document: Json): Result<Json, Refusal> {
+  const checked = checkDocument(document);
+  if (checked.isOk()) return ok(document);
+  const fields = checked.error;
+  const error = fail('bad-request', describeFaults(fields), { step: 'check-config' });
+  return err({ error, fields });
+}
+
+function accepted({ version }: AcceptedConfig, changeId: string): Answer {
+  return { status: 200, body: { version, changeId }, headers: etagOf(version) };
+}
+
+function submitLogged(deps: AdminDeps, change: ConfigChange): Answered {
+  return deps.config
+    .submit(change)
+    .andTee(({ version }) => {
+      deps.logger.info('configuration accepted', { step: 'config-submit', version });
+    })
+    .map((result) => accepted(result, change.changeId))
+    .mapErr(refuse);
+}
+
+/** `PUT /admin/v1/config`. */
+export const submitConfig: Route = ({ deps, req, operator, maxBodyBytes }) => {
+  const ids = readChangeId(req).andThen((changeId) =>
+    readIfMatch(req).map((ifVersion) => ({ changeId, ifVersion })),
+  );
+  if (ids.isErr()) return errAsync(ids.error);
+  const { changeId, ifVersion } = ids.value;
+  const { organisation } = operator;
+  return readDocument(req, maxBodyBytes)
+    .andThen((document) => (organisation === undefined ? checkWhole(document) : ok(document)))
+    .andThen((document) =>
+      submitLogged(deps, {
+        changeId,
+        document,
+        ...(ifVersion === undefined ? {} : { ifVersion }),
+        ...(organisation === undefined ? {} : { organisation }),
+      }),
+    );
+};
+
+function parseVersion(text: string | null): Result<ConfigVersion | undefined, StepError> {
+  if (text === null) return ok(undefined);
+  const version = Number(text);
+  if (Number.isSafeInteger(version) && version > 0) return ok(brandAs<ConfigVersion>(version));
+  return err(
+    fail('bad-request', 'version must be a whole number above 0', { step: 'config-read' }),
+  );
+}
+
+/** `GET /admin/v1/config`, with `?version=` for an earlier one. */
+export const readConfig: Route = ({ deps, url, operator }) => {
+  const version = parseVersion(url.searchParams.get('version'));
+  if (version.isErr()) return errAsync(refuse(version.error));
+  return deps.config
+    .read(version.value)
+    .map((found) => ({
+      status: 200,
+      body: { version: found.version, document: viewOf(operator, found.document) },
+      headers: etagOf(found.version),
+    }))
+    .mapErr(refuse);
+};
+
+/** `GET /admin/v1/versions`. */
+export const listVersions: Route = ({ deps }) =>
+  deps.config
+    .versions()
+    .map((versions) => ({ status: 200, body: { versions } }))
+    .mapErr(refuse);
+
+/** One change made from the newest document. */
+export interface Amendment {
+  readonly changeId: string;
+  /** Refused unless this version is in force. */
+  readonly ifVersion?: ConfigVersion;
+  /** Limits the change to this organisation's parameters. */
+  readonly organisation?: string;
+  readonly change: (document: JsonRecord) => Result<Json, Refusal>;
+}
+
+/** Reads the newest document, changes it and submits it; again when another change came between. */
+export function amend(deps: AdminDeps, amendment: Amendment, races = 0): Answered {
+  const { changeId, ifVersion, organisation, change } = amendment;
+  const read: ResultAsync<AcceptedConfig, Refusal> = deps.config.read().mapErr(refuse);
+  return read
+    .andThen(({ version, document }) =>
+      change(recordOf(document))
+        .andThen(checkWhole)
+        .map((changed) => ({ version, changed })),
+    )
+    .andThen(({ version, changed }) =>
+      submitLogged(deps, {
+        changeId,
+        ifVersion: ifVersion ?? version,
+        document: changed,
+        ...(organisation === undefined ? {} : { organisation }),
+      }),
+    )
+    .orElse((refusal): Answered => {
+      const raced = refusal.error.code === 'conflict' && ifVersion === undefined;
+      return raced && races < MAX_RACES ? amend(deps, amendment, races + 1) : errAsync(refusal);
+    });
+}
+
+function unknownOrganisation(id: string): Refusal {
+  return refuse(fail('not-found', `no organisation ${id}`, { step: 'config-amend' }));
+}
+
+/** `PATCH /admin/v1/organisations/{id}`: a merge patch of one organisation's parameters. */
+export const amendOrganisation: Route = ({ deps, req, operator, name, maxBodyBytes }) => {
+  const ids = requireOrganisation(operator, name)
+    .mapErr(refuse)
+    .andThen(() => readChangeId(req))
+    .andThen((changeId) => readIfMatch(req).map((ifVersion) => ({ changeId, ifVersion })));
+  if (ids.isErr()) return errAsync(ids.error);
+  const { changeId, ifVersion } = ids.value;
+  return readObject(req, maxBodyBytes).andThen((patch) =>
+    amend(deps, {
+      changeId,
+      organisation: name,
+      ...(ifVersion === undefined ? {} : { ifVersion }),
+      change: (document) => {
+        const organisations = recordOf(document.organisations);
+        if (!Object.hasOwn(organisations, name)) return err(unknownOrganisation(name));
+        const own = mergePatch(organisations[name], patch);
+        return ok({ ...document, organisations: { ...organisations, [name]: own } });
+      },
+    }),
+  );
+};
+
+/** `GET /admin/v1/organisations/{id}`: its parameters as written. */
+export const readOrganisation: Route = ({ deps, operator, name }) => {
+  const allowed = requireOrganisation(operator, name);
+  if (allowed.isErr()) return errAsync(refuse(allowed.error));
+  return deps.config
+    .read()
+    .mapErr(refuse)
+    .andThen(({ version, document }): Answered => {
+      const organisations = recordOf(recordOf(document).organisations);
+      if (!Object.hasOwn(organisations, name)) return errAsync(unknownOrganisation(name));
+      const body = { version, parameters: organisations[name] };
+      return okAsync({ status: 200, body, headers: etagOf(version) });
+    });
+};
--- /dev/null
+++ b/src/app/admin/keys.ts
@@ -0,0 +1,70 @@
+/** Routes for keys. Only hashes come here; the keys themselves stay with the operator. */
+
+import { err, errAsync, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+
+import type { Json } from '../../core/json';
+import { fail } from '../../utils/errors';
+import { requireOrganisation, requirePlatform } from './auth';
+import type { Operator } from './auth';
+import { amend, recordOf } from './documents';
+import type { JsonRecord } from './documents';
+import { readChangeId, readObject, refuse } from './exchange';
+import type { Refusal } from './exchange';
+import type { Route } from './route';
+
+function keysOf(document: JsonRecord): readonly JsonRecord[] {
+  const { keys } = document;
+  return Array.isArray(keys) ? (keys as readonly Json[]).map(recordOf) : [];
+}
+
+/** Errors: `forbidden` unless the key is one of the operator's own organisation. */
+function requireOwn(operator: Operator, { organisation }: JsonRecord): Result<void, Refusal> {
+  const allowed =
+    typeof organisation === 'string'
+      ? requireOrganisation(operator, organisation)
+      : requirePlatform(operator);
+  return allowed.mapErr(refuse);
+}
+
+/** `GET /admin/v1/keys`: hashes with what they grant. */
+export const listKeys: Route = ({ deps, operator }) =>
+  deps.config
+    .read()
+    .map(({ version, document }) => {
+      const keys = keysOf(recordOf(document)).filter((key) => requireOwn(operator, key).isOk());
+      return { status: 200, body: { version, keys } };
+    })
+    .mapErr(refuse);
+
+/** `POST /admin/v1/keys` `{hash, organisation?, role, class?}`. */
+export const addKey: Route = ({ deps, req, operator, maxBodyBytes }) => {
+  const changeId = readChangeId(req);
+  if (changeId.isErr()) return errAsync(changeId.error);
+  return readObject(req, maxBodyBytes)
+    .andThen((key) => requireOwn(operator, key).map(() => key))
+    .andThen((key) =>
+      amend(deps, {
+        changeId: changeId.value,
+        change: (document) => ok({ ...document, keys: [...keysOf(document), key] }),
+      }),
+    );
+};
+
+/** `DELETE /admin/v1/keys/{hash}`. */
+export const removeKey: Route = ({ deps, req, operator, name }) => {
+  const changeId = readChangeId(req);
+  if (changeId.isErr()) return errAsync(changeId.error);
+  return amend(deps, {
+    changeId: changeId.value,
+    change: (document) => {
+      const keys = keysOf(document);
+      const found = keys.find(({ hash }) => hash === name);
+      // Another organisation's key looks as if it were not there.
+      if (found === undefined || requireOwn(operator, found).isErr()) {
+        return err(refuse(fail('not-found', 'no such key', { step: 'config-amend' })));
+      }
+      return ok({ ...document, keys: keys.filter((key) => key !== found) });
+    },
+  });
+};
--- /dev/null
+++ b/src/app/admin/operations.ts
@@ -0,0 +1,66 @@
+/** Routes that show what runs and take instances and daemons out of service. */
+
+import { errAsync, okAsync } from 'neverthrow';
+
+import { brandAs } from '../../core/ids';
+import type { DaemonId, InstanceId } from '../../core/ids';
+import { fail } from '../../utils/errors';
+import { requirePlatform } from './auth';
+import type { AdminDeps } from './deps';
+import { readObject, refuse } from './exchange';
+import type { Answered } from './exchange';
+import type { Route } from './route';
+
+/** Topic of the message by which one daemon asks another to stop. */
+export const DRAIN_TOPIC = 'admin-drain';
+const STEP = 'drain';
+
+/** `GET /admin/v1/status`: each daemon with the version in force on it; for the platform's operators all else too. */
+export const readStatus: Route = ({ deps, operator }) => {
+  const { config, membership, requests, control } = deps;
+  const daemons = membership
+    .peers()
+    .map(({ id, zone, state, configVersion }) => ({ id, zone, state, configVersion }));
+  const common = { daemon: membership.self, version: config.current().version, daemons };
+  if (operator.organisation !== undefined) return okAsync({ status: 200, body: common });
+  const body = { ...common, inFlight: requests.inFlight(), control: control.status() };
+  return okAsync({ status: 200, body });
+};
+
+function drainDaemon(deps: AdminDeps, id: DaemonId): Answered {
+  const { membership } = deps;
+  const body = { draining: { daemon: id } };
+  if (id === membership.self) {
+    void deps.drain();
+    return okAsync({ status: 202, body });
+  }
+  if (!membership.peers().some((peer) => peer.id === id)) {
+    return errAsync(refuse(fail('not-found', `no daemon ${id} is known`, { step: STEP })));
+  }
+  if (membership.direct.send(id, DRAIN_TOPIC, {})) return okAsync({ status: 202, body });
+  const message = 'the daemon cannot be reached from here';
+  return errAsync(refuse(fail('unavailable', message, { step: STEP, peer: id })));
+}
+
+function drainInstance(deps: AdminDeps, id: InstanceId): Answered {
+  return deps.control
+    .drainInstance(id)
+    .map(() => ({ status: 202, body: { draining: { instance: id } } }))
+    .mapErr(refuse);
+}
+
+/** `POST /admin/v1/drain` `{daemon}` or `{instance}`. */
+export const drain: Route = ({ deps, req, operator, maxBodyBytes }) => {
+  const allowed = requirePlatform(operator);
+  if (allowed.isErr()) return errAsync(refuse(allowed.error));
+  return readObject(req, maxBodyBytes).andThen(({ daemon, instance }): Answered => {
+    if (typeof daemon === 'string' && instance === undefined) {
+      return drainDaemon(deps, brandAs<DaemonId>(daemon));
+    }
+    if (typeof instance === 'string' && daemon === undefined) {
+      return drainInstance(deps, brandAs<InstanceId>(instance));
+    }
+    const message = 'name either a daemon or an instance';
+    return errAsync(refuse(fail('bad-request', message, { step: STEP })));
+  });
+};
