--- a/src/core/ledger/claim-types.ts
+++ b/src/core/ledger/claim-types.ts
@@ -60,11 +60,9 @@
   | { readonly kind: 'send' }
   /** The backend server said that it did not run what was sent. */
   | { readonly kind: 'refused' }
-  /** Nothing more will be sent. */
+  /** Nothing more will be sent, and no whole answer came. */
   | { readonly kind: 'give-up' }
-  | { readonly kind: 'answered'; readonly answer: StoredAnswer }
-  /** Sent, and no whole answer came. */
-  | { readonly kind: 'lost' };
+  | { readonly kind: 'answered'; readonly answer: StoredAnswer };
 
 export type ClaimEffect =
   | { readonly kind: 'write'; readonly row: ClaimRow; readonly version: number }
--- a/src/core/ledger/claim.ts
+++ b/src/core/ledger/claim.ts
@@ -214,8 +214,6 @@
     state.phase === 'sent'
       ? close(state, { ...fieldsOf(state.terms), state: 'finished', answer })
       : next(state),
-
-  lost: byPhase({ sent: (state) => close(state, { ...fieldsOf(state.terms), state: 'unknown' }) }),
 };
 
 /** One step in the life of a claim. */
--- /dev/null
+++ b/tests/fuzz/ledger.ts
@@ -0,0 +1,203 @@
+/** Stateful fuzzing of claims against an oracle that knows nothing of how they work. */
+
+import fc from 'fast-check';
+
+import {
+  ONCE_WITHIN_MS,
+  answer,
+  answerOf,
+  createWorld,
+  giveUp,
+  kill,
+  landLate,
+  resume,
+  sendOut,
+  submit,
+  sweep,
+} from './ledger-world';
+import type { Run, SendFault, Submission, World, WriteFault } from './ledger-world';
+
+const DAEMONS = 3;
+
+/** No other request with the key of `run` was sent while its claim had to last. */
+function checkOnce(world: World, run: Run): void {
+  const other = world.runs.find(
+    ({ sub, sentAt }) =>
+      sub !== run.sub && sub.key === run.sub.key && Math.abs(sentAt - run.sentAt) < ONCE_WITHIN_MS,
+  );
+  if (other !== undefined) throw new Error(`${run.sub.id} and ${other.sub.id} both ran`);
+}
+
+/** A stored answer is that of the key's last run, for the same body. */
+function checkReplay(world: World, sub: Submission): void {
+  const isOfKey = ({ sub: { key, body, id } }: Run): boolean =>
+    key === sub.key && body === sub.body && sub.replayed === answerOf(id);
+  if (!world.runs.some(isOfKey)) throw new Error(`${sub.id} got an answer that is not its key's`);
+}
+
+/** What must hold after every step, from what ran and what callers were told. */
+function check(world: World): void {
+  for (const run of world.runs) {
+    checkOnce(world, run);
+    if (run.sub.told === 'not-run') throw new Error(`${run.sub.id} ran, and was told not-run`);
+    const again = world.runs.some((other) => other !== run && other.sub === run.sub);
+    if (again) throw new Error(`${run.sub.id} ran twice`);
+  }
+  for (const sub of world.submissions) {
+    if (sub.told === 'replayed') checkReplay(world, sub);
+  }
+}
+
+/** Once all is quiet, a key whose holders live and sent nothing can be used again. */
+function checkSettled(world: World): void {
+  // A write that lands later than released rows are kept costs its key until the claim expires.
+  if (world.sweptEarly) return;
+  for (const { row } of world.table.values()) {
+    const holder = world.submissions.find((sub) => sub.id === row.attempt);
+    const lives = holder !== undefined && !world.dead.has(holder.daemon);
+    if (lives && row.state === 'claimed' && holder.told === 'not-run') {
+      throw new Error(`${holder.id} left its key claimed`);
+    }
+  }
+}
+
+function settle(world: World): void {
+  for (const daemon of world.frozen) resume(world, daemon);
+  while (world.lateWrites.length + world.lateRuns.length > 0) landLate(world);
+  for (let round = 0; round < 40; round += 1) {
+    for (const sub of world.submissions) answer(world, sub, 'none');
+  }
+  check(world);
+  checkSettled(world);
+}
+
+/** Runs without a model: the oracle reads the world's record after each step. */
+function command(name: string, run: (world: World) => void): fc.Command<object, World> {
+  return {
+    check: () => true,
+    run: (_model, world) => {
+      run(world);
+      check(world);
+    },
+    toString: () => name,
+  };
+}
+
+/** Acts on one of the submissions that fit, or on any if none does: nothing may then go wrong. */
+function onSome(
+  world: World,
+  pick: number,
+  fits: (sub: Submission) => boolean,
+  act: (sub: Submission) => void,
+): void {
+  const fitting = world.submissions.filter(fits);
+  const all = fitting.length > 0 ? fitting : world.submissions;
+  const sub = all.at(-1 - (pick % Math.max(1, all.length)));
+  if (sub !== undefined) act(sub);
+}
+
+const daemonId = fc.nat(DAEMONS - 1);
+const pick = fc.nat(2);
+const writeFault = fc.oneof(
+  { weight: 6, arbitrary: fc.constant<WriteFault>('none') },
+  {
+    weight: 3,
+    arbitrary: fc.constantFrom<WriteFault>('lost-answer', 'lost-request', 'late', 'down'),
+  },
+);
+const sendFault = fc.constantFrom<SendFault>(
+  'none',
+  'lost-answer',
+  'lost-answer',
+  'late',
+  'refused',
+);
+const key = fc.constantFrom('k1', 'k1', 'k1', 'k2');
+const body = fc.constantFrom('b1', 'b1', 'b1', 'b2');
+
+const submitting = fc.tuple(daemonId, key, body).map(([d, k, b]) =>
+  command(`submit(d${d}, ${k}, ${b})`, (world) => {
+    if (!world.dead.has(d) && !world.frozen.has(d)) submit(world, d, k, b);
+  }),
+);
+
+const answering = fc.tuple(pick, writeFault).map(([at, fault]) =>
+  command(`answer(-${at}, ${fault})`, (world) => {
+    const fits = (sub: Submission): boolean => sub.pending !== undefined;
+    onSome(world, at, fits, (sub) => {
+      answer(world, sub, fault);
+    });
+  }),
+);
+
+const sending = fc.tuple(pick, sendFault).map(([at, fault]) =>
+  command(`send(-${at}, ${fault})`, (world) => {
+    const fits = ({ state, told }: Submission): boolean =>
+      told === undefined && (state.phase === 'held' || state.phase === 'sent');
+    onSome(world, at, fits, (sub) => {
+      sendOut(world, sub, fault);
+    });
+  }),
+);
+
+const givingUp = pick.map((at) =>
+  command(`giveUp(-${at})`, (world) => {
+    const fits = ({ told }: Submission): boolean => told === undefined;
+    onSome(world, at, fits, (sub) => {
+      giveUp(world, sub);
+    });
+  }),
+);
+
+const freezing = daemonId.map((d) =>
+  command(`freeze(d${d})`, (world) => {
+    if (!world.dead.has(d)) world.frozen.add(d);
+  }),
+);
+
+const resuming = daemonId.map((d) =>
+  command(`resume(d${d})`, (world) => {
+    resume(world, d);
+  }),
+);
+
+const killing = daemonId.map((d) =>
+  command(`kill(d${d})`, (world) => {
+    if (world.dead.size < DAEMONS - 1) kill(world, d);
+  }),
+);
+
+const passing = fc.constantFrom(300, 300, 1_000, 21_000).map((ms) =>
+  command(`pass(${ms})`, (world) => {
+    world.now += ms;
+  }),
+);
+
+const landing = fc.constant(command('landLate', landLate));
+const sweeping = fc.constant(command('sweep', sweep));
+
+/** Those that stand more than once come up more often. */
+const COMMANDS = [
+  ...[submitting, submitting, submitting],
+  ...[answering, answering, answering, answering, answering, answering],
+  ...[sending, sending, sending],
+  ...[givingUp, freezing, resuming, resuming, killing, passing, landing, sweeping],
+];
+
+export interface FuzzOptions {
+  readonly seed: number;
+  readonly runs: number;
+}
+
+/** Throws with the seed and the shrunk history if anything that must hold did not. */
+export function fuzzLedger({ seed, runs }: FuzzOptions): void {
+  const histories = fc.commands(COMMANDS, { maxCommands: 60, size: 'max' });
+  fc.assert(
+    fc.property(histories, (commands) => {
+      const world = createWorld();
+      fc.modelRun(() => ({ model: {}, real: world }), commands);
+      settle(world);
+    }),
+    { seed, numRuns: runs },
+  );
+}
--- /dev/null
+++ b/tests/ledger-writer.test.ts
@@ -0,0 +1,88 @@
+/** Claim rows are written in groups, and each write stands on its own. */
+
+import { describe, expect, it } from 'vitest';
+
+import { createClock } from '../src/adapters/runtime';
+import { createClaimWriter } from '../src/app/requests/claim-writer';
+import type { ClaimWriter, WriterOptions } from '../src/app/requests/claim-writer';
+import { createFakeTable } from './support/fake-table';
+import { fakeMetrics } from './support/requests-fixture';
+
+const fake = () => {
+  const table = createFakeTable();
+  const client = table.client();
+  const create = (opts: Partial<WriterOptions> = {}): ClaimWriter =>
+    createClaimWriter({
+      table: client.table,
+      clock: createClock(),
+      metrics: fakeMetrics(),
+      daemons: () => 1,
+      commitsPerSecond: 10_000,
+      claimShare: 1,
+      batch: 64,
+      gatherMs: 1,
+      waitMs: 1_000,
+      ...opts,
+    });
+  return { table, client, create };
+};
+
+describe('claim writer', () => {
+  it('carries what came together in one commit', async () => {
+    const { table, create } = fake();
+    const writer = create();
+    const keys = Array.from({ length: 50 }, (_, i) => `claim/a/${i}`);
+    const results = await Promise.all(
+      keys.map((key) => writer.write({ key, version: 0, value: key })),
+    );
+    expect(results.every(({ kind }) => kind === 'written')).toBe(true);
+    expect(table.counts.commits).toBe(1);
+  });
+
+  it('fails the write alone whose row has another version', async () => {
+    const { table, create } = fake();
+    const writer = create();
+    await writer.write({ key: 'taken', version: 0, value: 'first' });
+    const results = await Promise.all(
+      ['a', 'taken', 'b'].map((key) => writer.write({ key, version: 0, value: 'second' })),
+    );
+    expect(results.map(({ kind }) => kind)).toEqual(['written', 'conflict', 'written']);
+    expect(table.rows.get('taken')?.value).toBe('first');
+  });
+
+  it('lets one of two writes of the same row through', async () => {
+    const { create } = fake();
+    const writer = create();
+    const write = () => writer.write({ key: 'k', version: 0, value: 1 });
+    const results = await Promise.all([write(), write()]);
+    expect(results.map(({ kind }) => kind)).toEqual(['written', 'conflict']);
+  });
+
+  it('tells a lost answer from a refusal', async () => {
+    const { client, create } = fake();
+    const writer = create();
+    client.faults.lostAnswers = 1;
+    expect(await writer.write({ key: 'k', version: 0, value: 1 })).toEqual({ kind: 'unanswered' });
+    client.faults.down = true;
+    expect(await writer.write({ key: 'l', version: 0, value: 1 })).toEqual({ kind: 'unavailable' });
+  });
+
+  it('keeps to its share of the commits, and says when it has no room', async () => {
+    const { table, create } = fake();
+    const writer = create({
+      commitsPerSecond: 70,
+      claimShare: 0.5,
+      daemons: () => 7,
+      batch: 2,
+      waitMs: 300,
+    });
+    const writes = Array.from({ length: 40 }, (_, i) =>
+      writer.write({ key: `k${i}`, version: 0, value: i }),
+    );
+    expect(writer.isOverloaded()).toBe(true);
+    const results = await Promise.all(writes);
+    // Five commits a second: one saved up, and one or two in the time that writes wait.
+    expect(table.counts.commits).toBeLessThanOrEqual(4);
+    expect(results.some(({ kind }) => kind === 'unavailable')).toBe(true);
+  });
+});
