--- /dev/null
+++ b/src/app/control/control.ts
@@ -0,0 +1,301 @@
+/**
+ * The control plane of one daemon: leases, observation, groups. Events come in from the table, the
+ * instance list, probes, gossip and the clock; reducers decide; orders and transactions go out.
+ */
+
+import { errAsync } from 'neverthrow';
+import { Subscription, interval } from 'rxjs';
+import type { Observable } from 'rxjs';
+
+import { NO_EXPECTATIONS, expectedAt, noteForming, noteReady } from '../../core/groups/expect';
+import type { ModelPlan } from '../../core/groups/domain-types';
+import type { EngineReport, InstanceFacts } from '../../core/groups/types';
+import { openSlots } from '../../core/groups/slots';
+import { later } from '../../core/ids';
+import type { DomainId, InstanceId, ModelId, MonoTime } from '../../core/ids';
+import type { ControlPart } from '../parts';
+import { logFailure, settleCall } from './context';
+import type { ControlDeps } from './context';
+import { createDemand } from './demand';
+import { createDirectory } from './directory';
+import { createDue } from './due';
+import { createHolders } from './holders';
+import { createLeases } from './leases';
+import { createLosses } from './losses';
+import { createMeasures } from './measures';
+import { createNews } from './news';
+import { createProbes } from './probes';
+import { createRoles } from './roles';
+import { paceOf } from './settings';
+import type { Pace } from './settings';
+import { contextOf, pause, plansOf, unknownInstance } from './setup';
+import { statusOf } from './status';
+import { createStore } from './store';
+import { createWatches, routableGroup } from './watches';
+import type { WatchChange } from './watches';
+
+export type { ControlDeps } from './context';
+export type { ControlOverrides } from './settings';
+
+/** Beside the part itself, a tick for those who bring their own clock. */
+export interface DrivenControl extends ControlPart {
+  /** One look at all deadlines. `start` calls it every `tickMs` unless told not to. */
+  tick(): void;
+}
+
+export interface ControlOptions {
+  /** What drives the ticks; left out: the event loop's timer. */
+  readonly ticks?: Observable<unknown>;
+}
+
+/** Between two looks at whether all leases are handed back. */
+const RELEASE_LOOK_MS = 20;
+
+type Work = 'list' | 'leases' | 'groups' | 'roles' | 'brief' | 'state';
+
+export function createControl(deps: ControlDeps, options: ControlOptions = {}): DrivenControl {
+  const ctx = contextOf(deps);
+  const { clock, settings } = ctx;
+  const store = createStore(ctx.table);
+  const watches = createWatches(ctx);
+  const leases = createLeases(ctx, store);
+  const losses = createLosses(ctx, watches);
+  const measures = createMeasures(ctx);
+  const subscription = new Subscription();
+  const due = createDue<Work>();
+  let scanning = false;
+  let expectations = NO_EXPECTATIONS;
+  let plans: Readonly<Record<ModelId, ModelPlan>> = {};
+  let pace: Pace = paceOf(settings, { probed: 0, peers: 1, listed: 0, isLister: true });
+
+  const reported = (report: EngineReport, sentAt: MonoTime): void => {
+    for (const state of holders.all()) {
+      if (!state.instances[report.instance]) continue;
+      holders.tell(state.domain, { kind: 'reported', instance: report.instance, report, sentAt });
+    }
+    watches.reported(report, sentAt, later(sentAt, pace.freshMs));
+    if (report.leaving) leave(report.instance);
+  };
+
+  const silent = (instance: InstanceId, sentAt: MonoTime): void => {
+    holders.tellAll({ kind: 'silent', instance, sentAt });
+    watches.silent(instance, sentAt);
+  };
+
+  /** Tells all, the first time that this daemon hears of it. */
+  const leave = (instance: InstanceId): void => {
+    if (directory.isMarked(instance)) return;
+    markLeaving(instance);
+    news.leaving(instance);
+  };
+
+  const markLeaving = (instance: InstanceId): void => {
+    directory.markLeaving(instance);
+    holders.tellAll({ kind: 'drain', instance });
+    watches.tick(directory.isLeaving);
+  };
+
+  const directory = createDirectory(ctx, () => {
+    for (const [domain, zone] of directory.domains()) leases.know(domain, zone);
+    for (const { id, leaving } of directory.instances()) {
+      if (leaving) leave(id);
+    }
+    brief();
+    watches.tick(directory.isLeaving);
+  });
+
+  const holders = createHolders(ctx, store, leases, {
+    wrote: (written) => {
+      ctx.logger.info('group changed', {
+        step: 'group',
+        group: written.row.id,
+        model: written.row.model,
+        epoch: written.row.epoch,
+        phase: written.gone ? 'dissolved' : written.row.phase,
+        reason: written.reason,
+      });
+      if (written.gone) watches.drop(written.row);
+      else watches.put(written.row, written.version);
+      news.wrote(written);
+      due.now('brief');
+    },
+    reported,
+    conflicted: () => {
+      due.now('groups');
+    },
+    drained: (instances) => {
+      for (const instance of instances) leave(instance);
+    },
+    began: (domain) => {
+      briefOne(domain, directory.instances());
+    },
+  });
+
+  const probes = createProbes(ctx, { reported, silent });
+  const demand = createDemand(ctx, probes);
+  const roles = createRoles(ctx, directory, leases, watches);
+  const news = createNews(ctx, watches, {
+    leaving: markLeaving,
+    vouched: (group, domain, until) => {
+      holders.tell(domain, { kind: 'vouched', group, until });
+    },
+  });
+
+  /** Tells a holder what it needs besides the rows and the reports. */
+  const briefOne = (domain: DomainId, instances: readonly InstanceFacts[]): void => {
+    const groups = watches.all().map(({ row }) => row);
+    holders.tell(domain, { kind: 'configured', models: plans });
+    holders.tell(domain, { kind: 'listed', instances: directory.inDomain(domain) });
+    for (const { id } of directory.inDomain(domain)) {
+      if (directory.isMarked(id)) holders.tell(domain, { kind: 'drain', instance: id });
+    }
+    const open = openSlots({ domain, models: plans, groups, instances });
+    const loadsElsewhere = news.loadsElsewhere(domain);
+    holders.tell(domain, { kind: 'slots', open, loadsElsewhere });
+  };
+
+  const brief = (): void => {
+    const instances = directory.instances();
+    for (const { domain } of holders.all()) briefOne(domain, instances);
+  };
+
+  const pollGroups = (): void => {
+    if (scanning) return;
+    scanning = true;
+    const since = clock.now();
+    settleCall(
+      ctx,
+      store.scanGroups(),
+      (rows) => {
+        scanning = false;
+        watches.sync(rows, since);
+        due.now('brief');
+        due.now('roles');
+      },
+      (err) => {
+        scanning = false;
+        logFailure(ctx, err);
+      },
+    );
+  };
+
+  const assign = (): void => {
+    probes.assign(roles.targets());
+    pace = paceOf(settings, {
+      probed: probes.assigned,
+      peers: ctx.membership.peers().length,
+      listed: directory.instances().length,
+      isLister: roles.isLister(),
+    });
+    const rows = watches.all().map(({ row }) => row);
+    expectations = noteForming(expectations, rows, clock.now());
+    demand.keep(new Set(rows.map(({ id }) => id)));
+  };
+
+  const stateNews = (): void => {
+    news.state(watches.all().filter(({ id }) => roles.observes(id)));
+    for (const state of holders.all()) news.loads(state);
+    measures.add(holders.all());
+  };
+
+  const onChange = (change: WatchChange): void => {
+    losses.note(change);
+    if (change.kind === 'ready') {
+      expectations = noteReady(expectations, change.group, clock.now());
+      demand.settled(change.group);
+      return;
+    }
+    const state = watches.get(change.group);
+    const isBad = state?.distrustedAt !== undefined && !state.warning;
+    if (isBad && roles.observes(change.group)) news.warn(change.group, change.epoch);
+  };
+
+  /** Spread by chance, so that daemons which start or recover together don't poll in step. */
+  const jittered = (ms: number): number => ms * (0.75 + ctx.random.next() / 2);
+
+  const tick = (): void => {
+    const now = clock.now();
+    due.run('list', now, jittered(pace.listMs), directory.poll);
+    due.run('leases', now, jittered(pace.pollMs), leases.poll);
+    due.run('groups', now, jittered(pace.pollMs), pollGroups);
+    leases.tick();
+    holders.sync();
+    due.run('roles', now, settings.stateMs, assign);
+    due.run('brief', now, settings.stateMs, brief);
+    due.run('state', now, pace.stateMs, stateNews);
+    probes.tick(pace.probeMs);
+    holders.tick();
+    watches.tick(directory.isLeaving);
+  };
+
+  const release = async (): Promise<void> => {
+    for (let waited = 0; waited < settings.stopMs; waited += RELEASE_LOOK_MS) {
+      leases.release();
+      holders.sync();
+      if (leases.isReleased() && ctx.inFlight.size === 0) return;
+      await pause(RELEASE_LOOK_MS);
+    }
+  };
+
+  return {
+    start: () => {
+      subscription.add(watches.changes.subscribe(onChange));
+      subscription.add(
+        ctx.config.changes.subscribe((config) => {
+          plans = plansOf(config);
+          brief();
+        }),
+      );
+      news.start();
+      const ticks = options.ticks ?? interval(settings.tickMs);
+      subscription.add(ticks.subscribe(tick));
+      return Promise.resolve();
+    },
+    stop: async () => {
+      news.stop();
+      subscription.unsubscribe();
+      await release();
+    },
+    tick,
+    routable: (model) => {
+      const now = clock.now();
+      const maxBatch = ctx.config.current().models[model]?.maxBatch ?? 1;
+      return watches.ofModel(model).flatMap((state) => {
+        const group = routableGroup(state, maxBatch, now);
+        if (!group) demand.want(state);
+        return group ?? [];
+      });
+    },
+    expectedAt: (model) => {
+      const now = clock.now();
+      const at = expectedAt(expectations, model, now);
+      return at && later(clock.epoch(), at - now);
+    },
+    report: ({ group, epoch, kind }) => {
+      const state = watches.get(group);
+      if (kind !== 'refused') {
+        watches.evidence(group, epoch);
+        demand.hurry(group);
+      }
+      if (state) demand.want(state);
+    },
+    lost: losses.lost,
+    drainInstance: (instance) => {
+      if (!directory.has(instance)) {
+        return errAsync(unknownInstance(instance));
+      }
+      leave(instance);
+      return store.markDrained(instance);
+    },
+    status: () =>
+      statusOf(ctx, {
+        leases,
+        watches,
+        directory,
+        held: holders.all(),
+        totals: measures.totals(),
+        pace,
+        probed: probes.assigned,
+      }),
+  };
+}
--- /dev/null
+++ b/src/app/control/roles.ts
@@ -0,0 +1,86 @@
+/** Which instances this daemon probes: all of the domains it holds, and the groups it observes. */
+
+import { rankAll } from '../../core/groups/rank';
+import type { DaemonId, GroupId, InstanceId } from '../../core/ids';
+import type { PeerInfo } from '../parts';
+import type { ControlContext } from './context';
+import type { Directory } from './directory';
+import type { Leases } from './leases';
+import { signatureOf } from './peers';
+import type { Watches } from './watches';
+
+export interface Roles {
+  /** Instances to probe, with their addresses. */
+  targets(): ReadonlyMap<InstanceId, string>;
+  observes(group: GroupId): boolean;
+  /** Whether this daemon reads the instance list often, for the others. */
+  isLister(): boolean;
+}
+
+/** Daemons that read the instance list at the shortest interval. */
+const LISTERS = 2;
+
+interface Ranked {
+  readonly peers: string;
+  readonly holder: DaemonId | undefined;
+  readonly observes: boolean;
+}
+
+export function createRoles(
+  ctx: ControlContext,
+  directory: Directory,
+  leases: Leases,
+  watches: Watches,
+): Roles {
+  // Ranking all peers for all groups is dear at size: kept until the peers or the holder change.
+  const ranked = new Map<GroupId, Ranked>();
+
+  const observes = (group: GroupId, all: readonly PeerInfo[], peers: string): boolean => {
+    const watch = watches.get(group);
+    if (!watch) return false;
+    const holder = leases.holderOf(watch.row.domain);
+    const known = ranked.get(group);
+    if (known?.peers === peers && known.holder === holder) return known.observes;
+    const others = all.filter((peer) => peer.id !== holder && peer.state !== 'leaving');
+    const zone = directory.domains().get(watch.row.domain);
+    const chosen = rankAll(`watch/${group}`, others, zone).slice(0, ctx.settings.observers);
+    const isChosen = chosen.some((peer) => peer.id === ctx.self);
+    ranked.set(group, { peers, holder, observes: isChosen });
+    return isChosen;
+  };
+
+  const observesNow = (group: GroupId): boolean => {
+    const peers = ctx.membership.peers();
+    return observes(group, peers, signatureOf(peers));
+  };
+
+  return {
+    targets: () => {
+      const targets = new Map<InstanceId, string>();
+      const peers = ctx.membership.peers();
+      const signature = signatureOf(peers);
+      for (const domain of leases.domains()) {
+        if (leases.holderOf(domain) !== ctx.self) continue;
+        for (const { id, address } of directory.inDomain(domain)) targets.set(id, address);
+      }
+      for (const { id, row } of watches.all()) {
+        const isOwn = leases.holderOf(row.domain) === ctx.self;
+        if (!isOwn && !observes(id, peers, signature)) continue;
+        for (const { instance, address } of row.members) targets.set(instance, address);
+      }
+      for (const id of ranked.keys()) {
+        if (!watches.get(id)) ranked.delete(id);
+      }
+      return targets;
+    },
+    observes: (group) => {
+      const domain = watches.get(group)?.row.domain;
+      const isOwn = domain !== undefined && leases.holderOf(domain) === ctx.self;
+      return isOwn || observesNow(group);
+    },
+    isLister: () => {
+      const first = rankAll('instance-list', ctx.membership.peers()).slice(0, LISTERS);
+      return first.some((peer) => peer.id === ctx.self);
+    },
+  };
+}
--- /dev/null
+++ b/src/app/control/status.ts
@@ -0,0 +1,56 @@
+/** What `status` shows of the control plane. */
+
+import { routableUntil } from '../../core/groups/watch';
+import type { Totals } from '../../core/groups/totals';
+import type { DomainState } from '../../core/groups/domain-types';
+import type { Json } from '../../ports/platform';
+import type { ControlContext } from './context';
+import type { Directory } from './directory';
+import type { Leases } from './leases';
+import type { Pace } from './settings';
+import type { Watches } from './watches';
+
+export interface StatusSources {
+  readonly leases: Leases;
+  readonly watches: Watches;
+  readonly directory: Directory;
+  readonly held: readonly DomainState[];
+  readonly totals: Totals;
+  readonly pace: Pace;
+  readonly probed: number;
+}
+
+export function statusOf(ctx: ControlContext, from: StatusSources): Json {
+  const now = ctx.clock.now();
+  const { leases, watches, directory, totals, pace } = from;
+  return {
+    groups: watches.all().map((state) => ({
+      id: state.id,
+      model: state.row.model,
+      domain: state.row.domain,
+      epoch: state.row.epoch,
+      phase: state.row.phase,
+      routable: routableUntil(state, now) !== undefined,
+      members: state.row.members.map(({ instance }) => instance),
+    })),
+    leases: leases.domains().map((domain) => ({
+      domain,
+      holder: leases.holderOf(domain) ?? null,
+      held: leases.held(domain) !== undefined,
+      fencing: leases.held(domain)?.fencing ?? null,
+    })),
+    domains: from.held.map((state) => ({
+      domain: state.domain,
+      dark: state.darkSince !== undefined,
+      openSlots: state.openSlots.length,
+      pending: state.pending?.reason ?? null,
+    })),
+    instances: directory.instances().length,
+    totals: {
+      downtimeSeconds: { ...totals.downtime },
+      strandedAcceleratorSeconds: { ...totals.stranded },
+      unassignedAcceleratorSeconds: totals.unassigned,
+    },
+    probes: { instances: from.probed, everyMs: Math.round(pace.probeMs) },
+  };
+}
--- /dev/null
+++ b/src/core/groups/domain.ts
@@ -0,0 +1,289 @@
+/**
+ * The holder of one fabric domain: from the rows, the configuration and the members' reports to
+ * transactions and orders. One transaction at a time; a lost answer is read back before anything
+ * else is decided.
+ */
+
+import { later } from '../ids';
+import type { DomainId, GroupId, InstanceId, MonoTime } from '../ids';
+import { omit } from '../../utils/omit';
+import { createReducer, next } from '../reducer';
+import type { Step } from '../reducer';
+import { DOMAIN_SETTINGS } from './domain-types';
+import type {
+  DomainEffect,
+  DomainEvent,
+  DomainSettings,
+  DomainState,
+  GroupTransaction,
+  InstanceView,
+  OpenSlot,
+} from './domain-types';
+import { planForming } from './forming';
+import { groupsOf, isDark, leavingMembers } from './health';
+import { planGroups } from './lifecycle';
+import { planOrders } from './orders';
+import { applyTransaction, slotKey } from './rows';
+import type { InstanceFacts, Versioned } from './types';
+
+type DomainStep = Step<DomainState, DomainEffect>;
+type EventOf<K extends DomainEvent['kind']> = Extract<DomainEvent, { kind: K }>;
+
+const REFUSED_RETRY_MS = 500;
+
+export interface DomainOptions {
+  readonly domain: DomainId;
+  readonly settings?: Partial<DomainSettings>;
+}
+
+export function createDomain(options: DomainOptions, now: MonoTime): DomainState {
+  return {
+    domain: options.domain,
+    settings: { ...DOMAIN_SETTINGS, ...options.settings },
+    rows: 'unread',
+    readAt: now,
+    groups: {},
+    instanceRows: {},
+    instances: {},
+    models: {},
+    openSlots: [],
+    openSince: {},
+    retryAt: now,
+    drainUntil: {},
+    restartAt: {},
+    loadsElsewhere: 0,
+    seq: 1,
+  };
+}
+
+/** Whether this daemon may decide for the domain at this instant. */
+export function mayDecide(state: DomainState, now: MonoTime): boolean {
+  return state.lease !== undefined && now < state.lease.validUntil;
+}
+
+const NO_VIEW: InstanceView = { drained: false };
+
+function withView(
+  state: DomainState,
+  instance: InstanceId,
+  change: (view: InstanceView) => InstanceView,
+): DomainState {
+  const view = change(state.instances[instance] ?? NO_VIEW);
+  return { ...state, instances: { ...state.instances, [instance]: view } };
+}
+
+function withoutPending(state: DomainState): DomainState {
+  return omit(state, 'pending');
+}
+
+function onLeased(state: DomainState, { lease }: EventOf<'leased'>): DomainStep {
+  if (state.lease?.fencing === lease.fencing) return next({ ...state, lease });
+  return next({ ...withoutPending(state), lease, rows: 'unread' });
+}
+
+function onUnleased(state: DomainState): DomainStep {
+  return next({ ...omit(withoutPending(state), 'lease'), rows: 'unread' });
+}
+
+function onListed(state: DomainState, event: EventOf<'listed'>): DomainStep {
+  const facts = new Map(event.instances.map((one) => [one.id, one]));
+  const grouped = groupsOf(state).flatMap(({ members }) => members.map((one) => one.instance));
+  const kept = new Set([...facts.keys(), ...grouped]);
+  const instances: Record<InstanceId, InstanceView> = {};
+  for (const id of kept) instances[id] = withFacts(state.instances[id] ?? NO_VIEW, facts.get(id));
+  const isNew = [...facts.keys()].some((id) => state.instanceRows[id] === undefined);
+  const rows = isNew && state.rows === 'read' ? 'unread' : state.rows;
+  return next({ ...state, instances, rows });
+}
+
+function withFacts(view: InstanceView, facts: InstanceFacts | undefined): InstanceView {
+  return facts ? { ...view, facts } : omit(view, 'facts');
+}
+
+function onRead(state: DomainState, event: EventOf<'read'>, now: MonoTime): DomainStep {
+  if (state.rows !== 'reading') return next(state);
+  const instanceRows: Record<
+    InstanceId,
+    Versioned<DomainState['instanceRows'][InstanceId]['row']>
+  > = {};
+  for (const read of event.instances) instanceRows[read.row.instance] = read;
+  const groups: Record<GroupId, DomainState['groups'][GroupId]> = {};
+  for (const read of event.groups) groups[read.row.id] = read;
+  const after: DomainState = { ...state, rows: 'read', readAt: now, groups, instanceRows };
+  return next(withMembers(after));
+}
+
+/** Members that the platform's list does not have, so that they are probed all the same. */
+function withMembers(state: DomainState): DomainState {
+  const instances = { ...state.instances };
+  for (const { members } of groupsOf(state)) {
+    for (const { instance } of members) instances[instance] ??= NO_VIEW;
+  }
+  return { ...state, instances };
+}
+
+function onReported(state: DomainState, event: EventOf<'reported'>): DomainStep {
+  const before = state.instances[event.instance];
+  if (!before || (before.reportedAt ?? event.sentAt) > event.sentAt) return next(state);
+  return next(
+    withView(state, event.instance, (view) => ({
+      ...omit(view, 'silentSince'),
+      report: event.report,
+      reportedAt: event.sentAt,
+    })),
+  );
+}
+
+function onSilent(state: DomainState, event: EventOf<'silent'>): DomainStep {
+  const before = state.instances[event.instance];
+  if (!before || (before.reportedAt ?? event.sentAt) > event.sentAt) return next(state);
+  return next(
+    withView(state, event.instance, (view) => ({
+      ...view,
+      silentSince: view.silentSince ?? event.sentAt,
+    })),
+  );
+}
+
+function onVouched(state: DomainState, event: EventOf<'vouched'>): DomainStep {
+  const members = state.groups[event.group]?.row.members ?? [];
+  const after = members.reduce(
+    (acc, { instance }) =>
+      withView(acc, instance, (view) => ({ ...view, vouchedUntil: event.until })),
+    state,
+  );
+  return next(after);
+}
+
+function onSlots(state: DomainState, event: EventOf<'slots'>, now: MonoTime): DomainStep {
+  const openSince: Record<string, MonoTime> = {};
+  for (const slot of event.open) {
+    const key = keyOfSlot(slot);
+    openSince[key] = state.openSince[key] ?? now;
+  }
+  const { loadsElsewhere } = event;
+  return next({ ...state, openSlots: event.open, openSince, loadsElsewhere });
+}
+
+function keyOfSlot(slot: OpenSlot): string {
+  return slotKey(slot.model, slot.slot);
+}
+
+function onCommitted(state: DomainState, event: EventOf<'committed'>, now: MonoTime): DomainStep {
+  const tx = state.pending;
+  if (tx?.id !== event.id) return next(state);
+  const after = applyTransaction(withoutPending(state), tx, event.versions);
+  return next(withoutSlot(withRestart(after, tx, now), tx));
+}
+
+/** A slot just filled is open no more, whatever the last look at all groups said. */
+function withoutSlot(state: DomainState, tx: GroupTransaction): DomainState {
+  const filled = tx.writes.flatMap(({ write }) =>
+    write.kind === 'slot' && write.row ? [slotKey(write.model, write.slot)] : [],
+  );
+  if (filled.length === 0) return state;
+  return {
+    ...state,
+    openSlots: state.openSlots.filter((slot) => !filled.includes(keyOfSlot(slot))),
+  };
+}
+
+/** Gives a group that was just changed the time to start before it is started again. */
+function withRestart(state: DomainState, tx: GroupTransaction, now: MonoTime): DomainState {
+  const restartAt = { ...state.restartAt };
+  for (const { write } of tx.writes) {
+    if (write.kind !== 'group') continue;
+    if (write.row) restartAt[write.id] = later(now, state.settings.restartMs);
+    else Reflect.deleteProperty(restartAt, write.id);
+  }
+  return { ...state, restartAt };
+}
+
+function onRefused(state: DomainState, event: EventOf<'refused'>, now: MonoTime): DomainStep {
+  if (state.pending?.id !== event.id) return next(state);
+  const after = { ...withoutPending(state), retryAt: later(now, REFUSED_RETRY_MS) };
+  if (!event.conflict) return next(after);
+  return next({ ...withoutSlot(after, state.pending), rows: 'unread' });
+}
+
+function onUnsure(state: DomainState, event: EventOf<'unsure'>): DomainStep {
+  if (state.pending?.id !== event.id) return next(state);
+  return next({ ...withoutSlot(withoutPending(state), state.pending), rows: 'unread' });
+}
+
+/** Deadlines of drains that began, and of dark domains. */
+function withDeadlines(state: DomainState, now: MonoTime): DomainState {
+  const drainUntil: Record<GroupId, MonoTime> = {};
+  for (const row of groupsOf(state)) {
+    if (row.phase !== 'draining' && leavingMembers(state, row).length === 0) continue;
+    drainUntil[row.id] = state.drainUntil[row.id] ?? later(now, state.settings.drainMs);
+  }
+  const { darkSince, ...rest } = state;
+  if (!isDark(state, now)) return { ...rest, drainUntil };
+  return { ...rest, drainUntil, darkSince: darkSince ?? now };
+}
+
+function readRows(state: DomainState): DomainStep {
+  const instances = Object.keys(state.instances) as InstanceId[];
+  return next<DomainState, DomainEffect>(
+    { ...state, rows: 'reading' },
+    { kind: 'read', instances },
+  );
+}
+
+function onTick(state: DomainState, now: MonoTime): DomainStep {
+  if (!mayDecide(state, now) || state.rows === 'reading') return next(state);
+  const isOld = now >= later(state.readAt, state.settings.rereadMs);
+  if (state.rows === 'unread' || (isOld && !state.pending)) return readRows(state);
+  const timed = withDeadlines(state, now);
+  const { state: ordered, effects } = sendOrders(timed, now);
+  if (ordered.pending || now < ordered.retryAt) return { state: ordered, effects };
+  const tx = planGroups(ordered, now) ?? planForming(ordered, now);
+  if (!tx) return { state: ordered, effects };
+  const after = { ...ordered, pending: tx, seq: ordered.seq + 1 };
+  return next<DomainState, DomainEffect>(after, ...effects, { kind: 'commit', transaction: tx });
+}
+
+/** Sends what is planned, but the same order to the same instance only after a while. */
+function sendOrders(state: DomainState, now: MonoTime): DomainStep {
+  const effects: DomainEffect[] = [];
+  let after = state;
+  for (const { instance, order } of planOrders(state, now)) {
+    const view = after.instances[instance];
+    const address = view?.facts?.address ?? addressOf(state, instance);
+    const text = `${order.kind} ${JSON.stringify(order)}`;
+    const sentAgo = view?.order?.text === text && now < view.order.retryAt;
+    if (sentAgo || address === undefined) continue;
+    const retryAt = later(now, state.settings.orderRetryMs);
+    after = withView(after, instance, (one) => ({ ...one, order: { text, retryAt } }));
+    effects.push({ kind: 'order', instance, address, order });
+  }
+  return { state: after, effects };
+}
+
+/** Where an instance is reached, by the list or else by its group's row. */
+export function addressOf(state: DomainState, instance: InstanceId): string | undefined {
+  const facts = state.instances[instance]?.facts;
+  if (facts) return facts.address;
+  const members = groupsOf(state).flatMap((row) => row.members);
+  return members.find((member) => member.instance === instance)?.address;
+}
+
+export const reduceDomain = createReducer<DomainState, DomainEvent, DomainEffect>({
+  leased: onLeased,
+  unleased: onUnleased,
+  configured: (state, { models }) => next({ ...state, models }),
+  listed: onListed,
+  read: (state, event, { now }) => onRead(state, event, now),
+  'read-failed': (state) => next({ ...state, rows: 'unread' }),
+  reported: onReported,
+  silent: onSilent,
+  vouched: onVouched,
+  drain: (state, { instance }) =>
+    next(withView(state, instance, (view) => ({ ...view, drained: true }))),
+  slots: (state, event, { now }) => onSlots(state, event, now),
+  committed: (state, event, { now }) => onCommitted(state, event, now),
+  refused: (state, event, { now }) => onRefused(state, event, now),
+  unsure: onUnsure,
+  tick: (state, _event, { now }) => onTick(state, now),
+});
--- /dev/null
+++ b/src/core/groups/orders.ts
@@ -0,0 +1,169 @@
+/**
+ * Bringing engines to what the rows say, by orders that are repeated until the reports match. Also
+ * what corrects engines that ignore fencing numbers and took an order from a former holder.
+ */
+
+import type { InstanceId, ModelId, MonoTime } from '../ids';
+import { CHOOSE, LOADS, SPARES } from './policies';
+import type { DomainState, PlannedOrder } from './domain-types';
+import {
+  freeInstances,
+  groupsOf,
+  healthOf,
+  isWarm,
+  leavingMembers,
+  missingMembers,
+  planOf,
+} from './health';
+import type { GroupRow } from './types';
+
+export interface OrderTo {
+  readonly instance: InstanceId;
+  readonly order: PlannedOrder;
+}
+
+/** All orders that the domain's engines need now; those sent a moment ago included. */
+export function planOrders(state: DomainState, now: MonoTime): readonly OrderTo[] {
+  const rows = inLoadOrder(state);
+  const joins = joinOrders(state, rows, now);
+  return [
+    ...joins,
+    ...rows.flatMap((row) => drainOrders(state, row, now)),
+    ...releaseOrders(state),
+    ...preloadOrders(state, rows, now),
+  ];
+}
+
+function inLoadOrder(state: DomainState): readonly GroupRow[] {
+  const rows = groupsOf(state);
+  const first = rows.map((row) => planOf(state, row)).find((plan) => plan !== undefined);
+  return first ? LOADS[first.policies.loads](state, rows) : rows;
+}
+
+function isUnheard(state: DomainState, instance: InstanceId): boolean {
+  const view = state.instances[instance];
+  return !view?.report || view.silentSince !== undefined;
+}
+
+/** Members fetching weights now, here. */
+function loadsHere(state: DomainState): number {
+  return Object.values<DomainState['instances'][InstanceId]>(state.instances).filter(
+    (view) => view.report?.state === 'loading',
+  ).length;
+}
+
+function joinOrders(
+  state: DomainState,
+  rows: readonly GroupRow[],
+  now: MonoTime,
+): readonly OrderTo[] {
+  const orders: OrderTo[] = [];
+  // At least one may always load, however busy the others say they are.
+  let budget = Math.max(state.settings.maxLoads - state.loadsElsewhere, 1) - loadsHere(state);
+  for (const row of rows) {
+    if (row.phase === 'draining') continue;
+    for (const order of joinsOf(state, row, now)) {
+      const cold = order.order.kind === 'join' && !isWarm(state, order.instance, row.model);
+      if (cold && budget <= 0) continue;
+      if (cold) budget--;
+      orders.push(order);
+    }
+  }
+  return orders;
+}
+
+/** Rank 0 goes last: it watches the others from the moment it joins. */
+function joinsOf(state: DomainState, row: GroupRow, now: MonoTime): readonly OrderTo[] {
+  const joined = row.members.map(({ instance }) =>
+    ['well', 'loading', 'draining'].includes(healthOf(state, row, instance, now)),
+  );
+  const othersJoined = joined.slice(1).every(Boolean);
+  return row.members.flatMap(({ instance }, rank) => {
+    if (joined[rank] || (rank === 0 && !othersJoined) || isUnheard(state, instance)) return [];
+    const report = state.instances[instance]?.report;
+    // A newer epoch than the row's: the rows are out of date, or the engine is another's.
+    if (!report || (report.group === row.id && (report.epoch ?? 0) >= row.epoch)) return [];
+    const foreign = report.group !== undefined && report.group !== row.id;
+    return foreign ? releaseOf(state, instance) : [{ instance, order: joinOf(row, rank) }];
+  });
+}
+
+function joinOf(row: GroupRow, rank: number): PlannedOrder {
+  const { id, epoch, model, members } = row;
+  return { kind: 'join', group: id, epoch, model, rank, members };
+}
+
+function drainOrders(state: DomainState, row: GroupRow, now: MonoTime): readonly OrderTo[] {
+  if (row.phase !== 'draining' && leavingMembers(state, row).length === 0) return [];
+  return row.members.flatMap(({ instance }) => {
+    const runs = healthOf(state, row, instance, now) === 'well';
+    if (!runs || isUnheard(state, instance)) return [];
+    return [{ instance, order: { kind: 'drain' as const, group: row.id, epoch: row.epoch } }];
+  });
+}
+
+/** Instances that hold a group though their row says that none holds them. */
+function releaseOrders(state: DomainState): readonly OrderTo[] {
+  const ids = Object.keys(state.instances) as InstanceId[];
+  return ids.flatMap((instance) => {
+    const row = state.instanceRows[instance]?.row;
+    return row && row.group === undefined ? releaseOf(state, instance) : [];
+  });
+}
+
+function releaseOf(state: DomainState, instance: InstanceId): readonly OrderTo[] {
+  const report = state.instances[instance]?.report;
+  if (isUnheard(state, instance) || report?.group === undefined) return [];
+  const { group, epoch } = report;
+  return epoch === undefined ? [] : [{ instance, order: { kind: 'release', group, epoch } }];
+}
+
+/** Weights fetched ahead by instances that will likely be needed. */
+function preloadOrders(
+  state: DomainState,
+  rows: readonly GroupRow[],
+  now: MonoTime,
+): readonly OrderTo[] {
+  if (state.darkSince !== undefined) return [];
+  const wanted = new Map<InstanceId, ModelId>();
+  for (const row of rows) wantReplacements(state, row, now, wanted);
+  wantSpare(state, rows, now, wanted);
+  return [...wanted]
+    .filter(([id, model]) => !isWarm(state, id, model) && !isLoading(state, id))
+    .map(([instance, model]) => ({ instance, order: { kind: 'preload', model } }));
+}
+
+function isLoading(state: DomainState, instance: InstanceId): boolean {
+  return state.instances[instance]?.report?.state === 'loading';
+}
+
+function wantReplacements(
+  state: DomainState,
+  row: GroupRow,
+  now: MonoTime,
+  wanted: Map<InstanceId, ModelId>,
+): void {
+  const plan = planOf(state, row);
+  if (plan?.policies.replace !== 'preload') return;
+  const needed = new Set([...missingMembers(state, row, now), ...leavingMembers(state, row)]).size;
+  const free = CHOOSE[plan.policies.choose](state, plan, now).filter((id) => !wanted.has(id));
+  for (const id of free.slice(0, needed)) wanted.set(id, plan.id);
+}
+
+/** One free instance holds the weights of the model whose downtime costs the domain most. */
+function wantSpare(
+  state: DomainState,
+  rows: readonly GroupRow[],
+  now: MonoTime,
+  wanted: Map<InstanceId, ModelId>,
+): void {
+  const plans = rows.flatMap((row) => planOf(state, row) ?? []);
+  const kept = plans
+    .filter((plan) => SPARES[plan.policies.spares].warm)
+    .sort((a, b) => b.weights.downtime - a.weights.downtime)[0];
+  if (!kept) return;
+  const free = freeInstances(state, now).filter((id) => !wanted.has(id));
+  if (free.some((id) => isWarm(state, id, kept.id))) return;
+  const spare = free[0];
+  if (spare !== undefined) wanted.set(spare, kept.id);
+}
--- /dev/null
+++ b/src/core/groups/totals.ts
@@ -0,0 +1,73 @@
+/** Running totals of the two measures: group downtime and stranded accelerators, by model. */
+
+import type { InstanceId, ModelId, MonoTime } from '../ids';
+import type { DomainState } from './domain-types';
+import { groupsOf, isWanted, serves } from './health';
+
+/** What one domain lacks at an instant. */
+export interface Shortfall {
+  /** Groups that are there but cannot serve, by model. */
+  readonly down: Readonly<Record<ModelId, number>>;
+  /** Accelerators of their instances, by model. */
+  readonly stranded: Readonly<Record<ModelId, number>>;
+  /** Accelerators of live instances in no group. */
+  readonly unassigned: number;
+}
+
+/** Seconds summed since this daemon started, over the domains while it held them. */
+export interface Totals {
+  readonly downtime: Readonly<Record<ModelId, number>>;
+  readonly stranded: Readonly<Record<ModelId, number>>;
+  readonly unassigned: number;
+}
+
+export const NO_TOTALS: Totals = { downtime: {}, stranded: {}, unassigned: 0 };
+
+const MS_PER_SECOND = 1_000;
+const DEFAULT_ACCELERATORS = 1;
+
+/** The shortfall of a domain as its holder sees it. */
+export function shortfallOf(state: DomainState, now: MonoTime): Shortfall {
+  const down: Record<ModelId, number> = {};
+  const stranded: Record<ModelId, number> = {};
+  const held = new Set<InstanceId>();
+  for (const row of groupsOf(state)) {
+    const instances = row.members.map(({ instance }) => instance);
+    for (const id of instances) held.add(id);
+    if (serves(state, row, now)) continue;
+    const lost = instances.reduce((sum, id) => sum + acceleratorsOf(state, id), 0);
+    if (isWanted(state, row)) down[row.model] = (down[row.model] ?? 0) + 1;
+    stranded[row.model] = (stranded[row.model] ?? 0) + lost;
+  }
+  const free = (Object.keys(state.instances) as InstanceId[]).filter((id) => !held.has(id));
+  const unassigned = free.reduce((sum, id) => sum + acceleratorsOf(state, id), 0);
+  return { down, stranded, unassigned };
+}
+
+/** An instance that left the platform's list costs nobody anything. */
+function acceleratorsOf(state: DomainState, instance: InstanceId): number {
+  const view = state.instances[instance];
+  return view?.facts ? view.facts.accelerators || DEFAULT_ACCELERATORS : 0;
+}
+
+/** The totals after a shortfall lasted for `ms` milliseconds. */
+export function addShortfall(totals: Totals, short: Shortfall, ms: number): Totals {
+  const seconds = ms / MS_PER_SECOND;
+  return {
+    downtime: addScaled(totals.downtime, short.down, seconds),
+    stranded: addScaled(totals.stranded, short.stranded, seconds),
+    unassigned: totals.unassigned + short.unassigned * seconds,
+  };
+}
+
+function addScaled(
+  sums: Readonly<Record<ModelId, number>>,
+  add: Readonly<Record<ModelId, number>>,
+  by: number,
+): Readonly<Record<ModelId, number>> {
+  const after: Record<ModelId, number> = { ...sums };
+  for (const model of Object.keys(add) as ModelId[]) {
+    after[model] = (after[model] ?? 0) + (add[model] ?? 0) * by;
+  }
+  return after;
+}
--- a/src/core/groups/types.ts
+++ b/src/core/groups/types.ts
@@ -8,6 +8,7 @@
   InstanceId,
   ModelId,
   MonoTime,
+  ZoneId,
 } from '../ids';
 
 /** Life of a group, as its row says. */
@@ -28,6 +29,32 @@
   readonly fencing: FencingNumber;
   readonly phase: GroupPhase;
   readonly members: readonly Member[];
+  /** Which of the model's replicas this is; the row `slot/{model}/{slot}` guards it. */
+  readonly slot?: number;
+}
+
+/** The row `slot/{model}/{n}`: the one group that fills a replica of a model. */
+export interface SlotRow {
+  readonly model: ModelId;
+  readonly slot: number;
+  readonly group: GroupId;
+}
+
+/** A row with the version that the table gave it; version 0 stands for an absent row. */
+export interface Versioned<R> {
+  readonly version: number;
+  readonly row: R;
+}
+
+/** What the platform's list says of an engine instance. */
+export interface InstanceFacts {
+  readonly id: InstanceId;
+  readonly address: string;
+  readonly domain: DomainId;
+  readonly zone: ZoneId;
+  readonly accelerators: number;
+  readonly leaving: boolean;
+  readonly checksFencing: boolean;
 }
 
 /** The row `instance/{id}`: the one group that holds an instance. */
--- /dev/null
+++ b/src/core/lease/lease.ts
@@ -0,0 +1,201 @@
+/**
+ * The lease on one fabric domain, without agreement on clocks.
+ *
+ * The holder counts its validity from before it sent the renewal, less a margin. A taker waits the
+ * full time, plus the margin, from when it first saw the present version of the row. Both use their
+ * own monotonic clocks. After Gray and Cheriton, "Leases", 1989; fencing numbers keep out a holder
+ * that was paused past its lease.
+ */
+
+import { later } from '../ids';
+import type { DaemonId, DomainId, FencingNumber, MonoTime } from '../ids';
+import { omit } from '../../utils/omit';
+import { createReducer, next } from '../reducer';
+import type { Step } from '../reducer';
+import { LEASE_SETTINGS } from './types';
+import type { LeaseEffect, LeaseEvent, LeaseRow, LeaseSettings, LeaseState } from './types';
+
+const HANDOVER_BACKOFF = 4;
+
+type LeaseStep = Step<LeaseState, LeaseEffect>;
+
+export interface LeaseOptions {
+  readonly domain: DomainId;
+  readonly self: DaemonId;
+  readonly session: string;
+  readonly settings?: Partial<LeaseSettings>;
+}
+
+export function createLease(options: LeaseOptions, now: MonoTime): LeaseState {
+  return {
+    domain: options.domain,
+    self: options.self,
+    session: options.session,
+    settings: { ...LEASE_SETTINGS, ...options.settings },
+    rank: Infinity,
+    rankedAt: now,
+    stopping: false,
+    reading: false,
+    dueAt: now,
+  };
+}
+
+/** Whether this daemon may act for the domain at this instant. */
+export function isHolder(state: LeaseState, now: MonoTime): boolean {
+  return state.held !== undefined && now < state.held.validUntil && !state.stopping;
+}
+
+function isOwn(state: LeaseState, row: LeaseRow | undefined): boolean {
+  return row?.holder === state.self && row.session === state.session && !row.released;
+}
+
+/** When others may take the lease; undefined while nothing is known of it. */
+function freeAt(state: LeaseState): MonoTime | undefined {
+  const { seen, settings } = state;
+  if (!seen) return undefined;
+  if (!seen.row || seen.row.released) return seen.since;
+  return later(seen.since, seen.row.ttlMs + settings.marginMs);
+}
+
+function read(state: LeaseState): LeaseStep {
+  if (state.reading) return next(state);
+  return next<LeaseState, LeaseEffect>({ ...state, reading: true }, { kind: 'read' });
+}
+
+function withoutHeld(state: LeaseState): LeaseState {
+  return omit(state, 'held');
+}
+
+function withoutPending(state: LeaseState): LeaseState {
+  return omit(state, 'pending');
+}
+
+function renew(state: LeaseState, now: MonoTime, released: boolean): LeaseStep {
+  const { held, seen, settings } = state;
+  if (!held || !seen) return next(state);
+  const row: LeaseRow = {
+    holder: state.self,
+    session: state.session,
+    fencing: held.fencing,
+    ttlMs: settings.ttlMs,
+    released,
+  };
+  const kind = released ? 'release' : 'renew';
+  return next<LeaseState, LeaseEffect>(
+    { ...state, pending: { kind, sentAt: now, row }, dueAt: later(now, settings.renewMs) },
+    { kind: 'commit', row, leaseVersion: seen.version },
+  );
+}
+
+function take(state: LeaseState, now: MonoTime): LeaseStep {
+  const { seen, settings } = state;
+  if (!seen) return read(state);
+  const row: LeaseRow = {
+    holder: state.self,
+    session: state.session,
+    fencing: (Math.max(seen.fencing, seen.row?.fencing ?? 0) + 1) as FencingNumber,
+    ttlMs: settings.ttlMs,
+    released: false,
+  };
+  return next<LeaseState, LeaseEffect>(
+    { ...state, pending: { kind: 'take', sentAt: now, row }, dueAt: later(now, settings.renewMs) },
+    { kind: 'commit', row, leaseVersion: seen.version, fenceVersion: seen.fenceVersion },
+  );
+}
+
+/** A peer ranked before this daemon for a while: let it have the lease. */
+function isHandoverDue(state: LeaseState, now: MonoTime): boolean {
+  return state.rank > 0 && now >= later(state.rankedAt, state.settings.handoverMs);
+}
+
+function onTick(state: LeaseState, now: MonoTime): LeaseStep {
+  if (state.pending) return next(state);
+  if (!state.seen) return read(state);
+  if (state.held) {
+    if (state.stopping || isHandoverDue(state, now)) return renew(state, now, true);
+    return now >= state.dueAt ? renew(state, now, false) : next(state);
+  }
+  if (state.stopping || !Number.isFinite(state.rank) || now < state.dueAt) return next(state);
+  const free = freeAt(state);
+  const tryAt = free && later(free, state.rank * state.settings.backupDelayMs);
+  return tryAt !== undefined && now >= tryAt ? take(state, now) : next(state);
+}
+
+function onRead(
+  state: LeaseState,
+  event: Extract<LeaseEvent, { kind: 'read' }>,
+  now: MonoTime,
+): LeaseStep {
+  const done: LeaseState = { ...state, reading: false };
+  const version = event.lease?.version ?? 0;
+  // An answer from before what is known already, or while a commit is on its way.
+  if (done.pending || (done.seen && version < done.seen.version)) return next(done);
+  const seen = {
+    version,
+    ...(event.lease ? { row: event.lease.row } : {}),
+    fenceVersion: event.fence?.version ?? 0,
+    fencing: event.fence?.row.fencing ?? (0 as FencingNumber),
+    since: done.seen?.version === version ? done.seen.since : now,
+  };
+  if (!isOwn(done, seen.row)) return next(withoutHeld({ ...done, seen }));
+  if (done.seen?.version === version && done.held) return next({ ...done, seen });
+  // Our write took effect though its answer was lost. Which sending it was cannot be told, so the
+  // lease counts as lapsed until renewed.
+  const held = {
+    fencing: seen.fencing,
+    fenceVersion: seen.fenceVersion,
+    validUntil: done.held?.fencing === seen.fencing ? done.held.validUntil : now,
+  };
+  return next({ ...done, seen, held, dueAt: now });
+}
+
+function onCommitted(
+  state: LeaseState,
+  event: Extract<LeaseEvent, { kind: 'committed' }>,
+  now: MonoTime,
+): LeaseStep {
+  const { pending, seen, settings } = state;
+  if (!pending || !seen) return next(state);
+  const fenceVersion = pending.kind === 'take' ? event.fenceVersion : seen.fenceVersion;
+  const after: LeaseState = {
+    ...withoutPending(state),
+    seen: {
+      version: event.version,
+      row: pending.row,
+      fenceVersion,
+      fencing: pending.row.fencing,
+      since: now,
+    },
+  };
+  if (pending.kind === 'release') {
+    // Leave the others time to take it; should none do so, keep it longer the next time.
+    const rankedAt = later(now, settings.handoverMs * HANDOVER_BACKOFF);
+    return next({ ...withoutHeld(after), dueAt: later(now, settings.handoverMs), rankedAt });
+  }
+  const validUntil = later(pending.sentAt, settings.ttlMs - settings.marginMs);
+  return next({ ...after, held: { fencing: pending.row.fencing, fenceVersion, validUntil } });
+}
+
+function onRefused(state: LeaseState, conflict: boolean, now: MonoTime): LeaseStep {
+  const after = withoutPending(state);
+  if (conflict) return read({ ...withoutHeld(after), dueAt: now });
+  return next({ ...after, dueAt: later(now, state.settings.renewMs / 2) });
+}
+
+/** The lease on one domain. Effects: reads and commits of its two rows. */
+export const reduceLease = createReducer<LeaseState, LeaseEvent, LeaseEffect>({
+  read: (state, event, { now }) => onRead(state, event, now),
+  'read-failed': (state) => next({ ...state, reading: false }),
+  ranked: (state, { rank }, { now }) =>
+    next(rank === state.rank ? state : { ...state, rank, rankedAt: rankedAt(state, rank, now) }),
+  tick: (state, _event, { now }) => onTick(state, now),
+  committed: (state, event, { now }) => onCommitted(state, event, now),
+  refused: (state, { conflict }, { now }) => onRefused(state, conflict, now),
+  unsure: (state) => read(withoutPending(state)),
+  stop: (state, _event, { now }) => onTick({ ...state, stopping: true }, now),
+});
+
+/** The hand-over delay runs from when this daemon stopped being the first choice. */
+function rankedAt(state: LeaseState, rank: number, now: MonoTime): MonoTime {
+  return state.rank > 0 && rank > 0 ? state.rankedAt : now;
+}
--- /dev/null
+++ b/src/core/lease/types.ts
@@ -0,0 +1,113 @@
+/** Leases on fabric domains: rows, state, events and effects. */
+
+import type { DaemonId, DomainId, FencingNumber, MonoTime } from '../ids';
+
+/** The row `lease/{domain}`; written anew, unchanged, at each renewal. */
+export interface LeaseRow {
+  readonly holder: DaemonId;
+  /** Chosen at the holder's start: a restarted process with the same id is another holder. */
+  readonly session: string;
+  readonly fencing: FencingNumber;
+  /** How long others wait after first seeing a version of this row, milliseconds. */
+  readonly ttlMs: number;
+  /** Handed back: the next holder need not wait. */
+  readonly released: boolean;
+}
+
+/**
+ * The row `lease/{domain}#fence`. Written only when the lease changes hands, so that a transaction
+ * with its version as a condition conflicts with a new holder and never with a renewal.
+ */
+export interface FenceRow {
+  readonly fencing: FencingNumber;
+}
+
+export interface LeaseSettings {
+  readonly ttlMs: number;
+  /** Taken off the holder's validity and added to the taker's wait: bounds clock drift. */
+  readonly marginMs: number;
+  readonly renewMs: number;
+  /** How much later each further candidate tries for a free lease. */
+  readonly backupDelayMs: number;
+  /** How long a better-placed peer must stay so before the lease is handed to it. */
+  readonly handoverMs: number;
+}
+
+export const LEASE_SETTINGS: LeaseSettings = {
+  ttlMs: 10_000,
+  marginMs: 1_000,
+  renewMs: 2_500,
+  backupDelayMs: 2_000,
+  handoverMs: 15_000,
+};
+
+/** The rows as last read. `since` is when this daemon first saw this version. */
+export interface SeenLease {
+  readonly version: number;
+  readonly row?: LeaseRow;
+  readonly fenceVersion: number;
+  readonly fencing: FencingNumber;
+  readonly since: MonoTime;
+}
+
+/** The lease as its holder knows it. It may act only before `validUntil`. */
+export interface HeldLease {
+  readonly fencing: FencingNumber;
+  readonly fenceVersion: number;
+  readonly validUntil: MonoTime;
+}
+
+/** A commit whose result is not known yet. */
+export interface PendingLease {
+  readonly kind: 'take' | 'renew' | 'release';
+  readonly sentAt: MonoTime;
+  readonly row: LeaseRow;
+}
+
+export interface LeaseState {
+  readonly domain: DomainId;
+  readonly self: DaemonId;
+  readonly session: string;
+  readonly settings: LeaseSettings;
+  /** Place among the candidates; 0 is the first choice, Infinity none. */
+  readonly rank: number;
+  readonly rankedAt: MonoTime;
+  readonly stopping: boolean;
+  readonly reading: boolean;
+  readonly seen?: SeenLease;
+  readonly held?: HeldLease;
+  readonly pending?: PendingLease;
+  /** Next renewal, or next try after a failed one. */
+  readonly dueAt: MonoTime;
+}
+
+export interface SeenFence {
+  readonly version: number;
+  readonly row: FenceRow;
+}
+
+export type LeaseEvent =
+  | {
+      readonly kind: 'read';
+      readonly lease?: { readonly version: number; readonly row: LeaseRow };
+      readonly fence?: SeenFence;
+    }
+  | { readonly kind: 'read-failed' }
+  | { readonly kind: 'ranked'; readonly rank: number }
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'committed'; readonly version: number; readonly fenceVersion: number }
+  /** Nothing was written; `conflict` when the rows had moved on. */
+  | { readonly kind: 'refused'; readonly conflict: boolean }
+  /** No one can tell whether it was written. */
+  | { readonly kind: 'unsure' }
+  | { readonly kind: 'stop' };
+
+export type LeaseEffect =
+  | { readonly kind: 'read' }
+  | {
+      readonly kind: 'commit';
+      readonly row: LeaseRow;
+      readonly leaseVersion: number;
+      /** Present when the lease changes hands: the fence row is written too. */
+      readonly fenceVersion?: number;
+    };
--- /dev/null
+++ b/tests/support/control-engine.ts
@@ -0,0 +1,200 @@
+/** One engine member in memory, as docs/INTERFACES.md describes it, with its own record. */
+
+import type { PlannedOrder } from '../../src/core/groups/domain-types';
+import type { EngineReport } from '../../src/core/groups/types';
+import type { Epoch, GroupId, InstanceId, ModelId } from '../../src/core/ids';
+
+export type OrderAnswer = 'done' | 'stale-fencing' | 'stale-epoch' | 'other-group' | 'unreachable';
+
+/** From when to when a member held a group. */
+export interface HeldRecord {
+  readonly group: GroupId;
+  readonly epoch: Epoch;
+  readonly from: number;
+  to?: number;
+}
+
+export interface FakeEngine {
+  readonly id: InstanceId;
+  readonly address: string;
+  readonly checksFencing: boolean;
+  state: EngineReport['state'];
+  group?: GroupId | undefined;
+  epoch?: Epoch | undefined;
+  rank?: number | undefined;
+  model?: ModelId | undefined;
+  members: readonly string[];
+  weights: Set<ModelId>;
+  loading?: { readonly model: ModelId; readonly until: number } | undefined;
+  incarnation: number;
+  fencing: number;
+  inFlight: number;
+  leaving: boolean;
+  /** Neither answers nor acts; a resumed one goes on where it was. */
+  up: boolean;
+  readonly heldBy: HeldRecord[];
+}
+
+export interface FakeEngineOptions {
+  readonly id: string;
+  readonly checksFencing?: boolean;
+  readonly weights?: readonly string[];
+}
+
+export function createFakeEngine(options: FakeEngineOptions): FakeEngine {
+  return {
+    id: options.id as InstanceId,
+    address: `${options.id}:1`,
+    checksFencing: options.checksFencing ?? true,
+    state: 'idle',
+    members: [],
+    weights: new Set(options.weights as readonly ModelId[] | undefined),
+    incarnation: 1,
+    fencing: 0,
+    inFlight: 0,
+    leaving: false,
+    up: true,
+    heldBy: [],
+  };
+}
+
+export function reportOf(engine: FakeEngine): EngineReport {
+  const { group, epoch, rank, model } = engine;
+  return {
+    instance: engine.id,
+    incarnation: `${engine.id}#${engine.incarnation}`,
+    state: engine.state,
+    ...(group === undefined ? {} : { group }),
+    ...(epoch === undefined ? {} : { epoch }),
+    ...(rank === undefined ? {} : { rank }),
+    ...(model === undefined ? {} : { model }),
+    weights: [...engine.weights],
+    inFlight: engine.inFlight,
+    queued: 0,
+    fencing: engine.fencing,
+    leaving: engine.leaving,
+  };
+}
+
+/** Whether the member itself holds the group at this epoch and can run it. */
+export function holds(engine: FakeEngine, group: GroupId, epoch: Epoch): boolean {
+  return engine.up && engine.group === group && engine.epoch === epoch;
+}
+
+function leave(engine: FakeEngine, now: number): void {
+  const last = engine.heldBy.at(-1);
+  if (last) last.to ??= now;
+  engine.group = undefined;
+  engine.epoch = undefined;
+  engine.rank = undefined;
+  engine.model = undefined;
+  engine.members = [];
+}
+
+function load(engine: FakeEngine, model: ModelId, until: number): void {
+  engine.loading = { model, until };
+  engine.state = 'loading';
+}
+
+export interface OrderBy {
+  readonly fencing: number;
+  /** Until when a fetch of weights lasts, should one be needed. */
+  readonly loadedAt: number;
+}
+
+/** Obeys or refuses an order. */
+export function obey(
+  engine: FakeEngine,
+  order: PlannedOrder,
+  by: OrderBy,
+  now: number,
+): OrderAnswer {
+  if (!engine.up) return 'unreachable';
+  if (engine.checksFencing && by.fencing < engine.fencing) return 'stale-fencing';
+  engine.fencing = Math.max(engine.fencing, by.fencing);
+  if (order.kind === 'preload') {
+    if (engine.group === undefined && !engine.weights.has(order.model) && !engine.loading) {
+      load(engine, order.model, by.loadedAt);
+    }
+    return 'done';
+  }
+  if (order.kind !== 'join') return end(engine, order, now);
+  const isOther = engine.group !== undefined && engine.group !== order.group;
+  if (isOther && engine.checksFencing) return 'other-group';
+  if (engine.group === order.group && (engine.epoch ?? 0) > order.epoch) return 'stale-epoch';
+  join(engine, order, by, now);
+  return 'done';
+}
+
+function join(
+  engine: FakeEngine,
+  order: Extract<PlannedOrder, { kind: 'join' }>,
+  by: OrderBy,
+  now: number,
+): void {
+  const { inFlight } = engine;
+  leave(engine, now);
+  engine.inFlight = inFlight;
+  engine.group = order.group;
+  engine.epoch = order.epoch;
+  engine.rank = order.rank;
+  engine.model = order.model;
+  engine.members = order.members.map((member) => member.instance);
+  engine.heldBy.push({ group: order.group, epoch: order.epoch, from: now });
+  if (engine.weights.has(order.model)) engine.state = 'serving';
+  else if (engine.loading?.model === order.model) engine.state = 'loading';
+  else load(engine, order.model, by.loadedAt);
+}
+
+function end(
+  engine: FakeEngine,
+  order: Extract<PlannedOrder, { kind: 'drain' | 'release' }>,
+  now: number,
+): OrderAnswer {
+  if (engine.group !== order.group) return engine.group === undefined ? 'done' : 'other-group';
+  if ((engine.epoch ?? 0) > order.epoch) return 'stale-epoch';
+  if (order.kind === 'drain') {
+    if (engine.state === 'serving') engine.state = 'draining';
+    return 'done';
+  }
+  leave(engine, now);
+  engine.inFlight = 0;
+  engine.state = engine.loading ? 'loading' : 'idle';
+  return 'done';
+}
+
+/** Time passes: weights arrive, and rank 0 looks at the other members. */
+export function passTime(
+  engine: FakeEngine,
+  all: ReadonlyMap<string, FakeEngine>,
+  now: number,
+): void {
+  if (!engine.up) return;
+  if (engine.loading && now >= engine.loading.until) {
+    engine.weights.add(engine.loading.model);
+    engine.loading = undefined;
+    engine.state = engine.group === undefined ? 'idle' : 'serving';
+  }
+  const { group, epoch } = engine;
+  if (engine.rank !== 0 || engine.state !== 'serving' || group === undefined) return;
+  const whole = engine.members.every((id) => {
+    const member = all.get(id);
+    return member !== undefined && holds(member, group, epoch ?? (0 as Epoch));
+  });
+  if (!whole) {
+    engine.state = 'broken';
+    engine.inFlight = 0;
+  }
+}
+
+/** The process dies and starts anew: no group, weights lost unless they are kept. */
+export function restart(engine: FakeEngine, now: number, keepsWeights = false): void {
+  leave(engine, now);
+  engine.incarnation++;
+  engine.state = 'idle';
+  engine.loading = undefined;
+  engine.fencing = 0;
+  engine.inFlight = 0;
+  engine.up = true;
+  if (!keepsWeights) engine.weights.clear();
+}
