Add membership between daemons over TCP

createMembership: probes after SWIM with relays before suspicion, refutation by incarnation, rumours of bounded sends, anti-entropy by salted digests, a token bucket, links proved by HMAC challenge and response, optionally TLS. Members are entries like any other: one version number orders incarnation and state, so that the dead stay dead until they raise their incarnation themselves. Weighed: Scuttlebutt's one version counter per origin (needs entries in order, which rumours are not) against digests of buckets (chosen); probing all daemons at random against twelve neighbours by rendezvous (chosen: links stay open, no handshake a probe).

--- /dev/null
+++ b/src/adapters/peers/peers.ts
@@ -0,0 +1,254 @@
+/** Links to the other daemons, by address: dialled when needed, kept while used. */
+
+import { randomUUID } from 'node:crypto';
+import type { Server, Socket } from 'node:net';
+import { Subject } from 'rxjs';
+import type { Observable } from 'rxjs';
+
+import type { DaemonId } from '../../core/ids';
+import type { Peers, Received } from '../../ports/peers';
+import type { Clock, Logger, Random } from '../../ports/runtime';
+import { fail } from '../../utils/errors';
+import { createBackoff } from './backoff';
+import type { BackoffLimits } from './backoff';
+import type { PeerName } from './handshake';
+import { IDLE, createLink } from './link';
+import type { Link, LinkLimits } from './link';
+import { createPeerServer, dialPeer, parseAddress } from './tls';
+import type { PeerTls } from './tls';
+
+export interface PeerSettings extends LinkLimits, BackoffLimits {
+  /** Messages that wait for a link being made. */
+  readonly queuedMessages: number;
+  /** Connections from others that are not proved yet. */
+  readonly pendingLinks: number;
+  /** Longest wait for the last bytes at stop. */
+  readonly closeMs: number;
+}
+
+export const PEER_DEFAULTS: PeerSettings = {
+  handshakeMs: 2000,
+  idleMs: 60_000,
+  handshakeBytes: 4096,
+  bufferBytes: 4_000_000,
+  firstMs: 100,
+  longestMs: 2000,
+  queuedMessages: 64,
+  pendingLinks: 256,
+  closeMs: 500,
+};
+
+export interface PeersOptions<M> {
+  readonly self: { readonly id: DaemonId; readonly address: string };
+  /** Where to listen, if not at the address others use. */
+  readonly listen?: string;
+  readonly secret: string;
+  readonly tls?: PeerTls;
+  /** Reads a frame; undefined if no daemon sends such a one. */
+  readonly parse: (frame: unknown) => M | undefined;
+  readonly dial?: (address: string) => Socket;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly settings?: Partial<PeerSettings>;
+}
+
+/** A message with the address at which its sender is found. */
+export interface ReceivedFrom<M> extends Received<M> {
+  readonly address: string;
+}
+
+export interface PeerTraffic {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+  readonly links: number;
+}
+
+export interface TcpPeers<M> extends Peers<M> {
+  readonly received: Observable<ReceivedFrom<M>>;
+  /** Addresses that could not be reached or whose link broke. */
+  readonly unreachable: Observable<string>;
+  /** Breaks the link, so that the next message makes a new one. */
+  drop(address: string): void;
+  traffic(): PeerTraffic;
+  start(): Promise<void>;
+  /** Sends what waits, then closes all links. */
+  stop(): Promise<void>;
+}
+
+interface Dialling<M> {
+  readonly queue: M[];
+}
+
+export function createPeers<M>(options: PeersOptions<M>): TcpPeers<M> {
+  const settings: PeerSettings = { ...PEER_DEFAULTS, ...options.settings };
+  const { self, secret, tls, logger } = options;
+  const name: PeerName = { id: self.id, address: self.address, process: randomUUID() };
+  const dial = options.dial ?? ((address: string) => dialPeer(address, tls));
+  const backoff = createBackoff(settings, options.clock, options.random);
+  const received = new Subject<ReceivedFrom<M>>();
+  const unreachable = new Subject<string>();
+  const links = new Map<string, Link>();
+  const dialling = new Map<string, Dialling<M>>();
+  const all = new Set<Link>();
+  const selfAddresses = new Set<string>([self.address]);
+  const closedBytes = { sent: 0, received: 0 };
+  let pending = 0;
+  let server: Server | undefined;
+  let stopped = false;
+
+  function takeFrame(peer: PeerName | undefined, frame: unknown): boolean {
+    const message = options.parse(frame);
+    if (message === undefined || !peer) return false;
+    received.next({ from: peer.id, address: peer.address, message });
+    return true;
+  }
+
+  function isAcceptable(peer: PeerName, dialled?: string): boolean {
+    if (peer.process === name.process) {
+      if (dialled !== undefined) selfAddresses.add(dialled);
+      return false;
+    }
+    if (peer.id !== name.id) return true;
+    logger.error('another process uses the id of this daemon', {
+      step: 'peer-handshake',
+      peer: peer.address,
+      code: 'duplicate-id',
+    });
+    return false;
+  }
+
+  function noteClosed(link: Link): void {
+    all.delete(link);
+    closedBytes.sent += link.sentBytes();
+    closedBytes.received += link.receivedBytes();
+    for (const [address, held] of links) if (held === link) links.delete(address);
+  }
+
+  function openOutgoing(address: string): void {
+    const attempt: Dialling<M> = { queue: [] };
+    dialling.set(address, attempt);
+    let peer: PeerName | undefined;
+    const link = createLink(dial(address), {
+      role: 'dialler',
+      name,
+      secret,
+      limits: settings,
+      onOpen: (found) => {
+        peer = found;
+        dialling.delete(address);
+        if (!isAcceptable(found, address)) return false;
+        backoff.noteSuccess(address);
+        links.set(address, link).set(found.address, link);
+        for (const message of attempt.queue) link.send(message);
+        return true;
+      },
+      onFrame: (frame) => takeFrame(peer, frame),
+      onClose: (reason) => {
+        dialling.delete(address);
+        noteClosed(link);
+        if (!peer) backoff.noteFailure(address);
+        noteBroken(peer?.address ?? address, reason);
+      },
+    });
+    all.add(link);
+  }
+
+  function noteBroken(address: string, reason: string): void {
+    if (reason === IDLE || stopped || selfAddresses.has(address)) return;
+    logger.debug(`link broke: ${reason}`, { step: 'peer-link', peer: address });
+    unreachable.next(address);
+  }
+
+  function openIncoming(socket: Socket): void {
+    if (stopped || pending >= settings.pendingLinks) {
+      socket.destroy();
+      return;
+    }
+    pending += 1;
+    let peer: PeerName | undefined;
+    const link = createLink(socket, {
+      role: 'listener',
+      name,
+      secret,
+      limits: settings,
+      onOpen: (found) => {
+        pending -= 1;
+        peer = found;
+        if (!isAcceptable(found)) return false;
+        if (!links.has(found.address)) links.set(found.address, link);
+        return true;
+      },
+      onFrame: (frame) => takeFrame(peer, frame),
+      onClose: (reason) => {
+        noteClosed(link);
+        if (peer) {
+          noteBroken(peer.address, reason);
+          return;
+        }
+        pending -= 1;
+        const from = socket.remoteAddress ?? '';
+        logger.warn(`link refused: ${reason}`, { step: 'peer-handshake', peer: from });
+      },
+    });
+    all.add(link);
+  }
+
+  function send(address: string, message: M): boolean {
+    if (stopped || selfAddresses.has(address)) return false;
+    const link = links.get(address);
+    if (link) return link.send(message);
+    if (!dialling.has(address)) {
+      if (!backoff.mayDial(address)) return false;
+      openOutgoing(address);
+    }
+    const attempt = dialling.get(address);
+    if (!attempt || attempt.queue.length >= settings.queuedMessages) return false;
+    attempt.queue.push(message);
+    return true;
+  }
+
+  function traffic(): PeerTraffic {
+    let { sent: sentBytes, received: receivedBytes } = closedBytes;
+    for (const link of all) {
+      sentBytes += link.sentBytes();
+      receivedBytes += link.receivedBytes();
+    }
+    return { sentBytes, receivedBytes, links: all.size };
+  }
+
+  function start(): Promise<void> {
+    const listening = createPeerServer(tls, openIncoming);
+    server = listening;
+    return new Promise((resolve, reject) => {
+      listening.once('error', (cause: Error) => {
+        reject(fail('internal', cause.message, { step: 'peer-listen', cause }));
+      });
+      listening.listen(parseAddress(options.listen ?? self.address), resolve);
+    });
+  }
+
+  async function stop(): Promise<void> {
+    if (stopped) return;
+    stopped = true;
+    server?.close();
+    for (const link of all) link.close();
+    const deadline = options.clock.now() + settings.closeMs;
+    while (all.size > 0 && options.clock.now() < deadline) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    for (const link of all) link.destroy('stopped');
+    received.complete();
+    unreachable.complete();
+  }
+
+  return {
+    send,
+    received,
+    unreachable,
+    drop: (address) => links.get(address)?.destroy(IDLE),
+    traffic,
+    start,
+    stop,
+  };
+}
--- /dev/null
+++ b/src/adapters/peers/tls.ts
@@ -0,0 +1,40 @@
+/** Sockets between daemons: plain TCP, or TLS where a certificate is set. */
+
+import { connect, createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import { connect as connectTls, createServer as createTlsServer } from 'node:tls';
+
+/** PEM texts; each daemon has a certificate of the same authority. */
+export interface PeerTls {
+  readonly cert: string;
+  readonly key: string;
+  readonly ca: string;
+}
+
+/** `host:port` taken apart. */
+export interface HostPort {
+  readonly host: string;
+  readonly port: number;
+}
+
+export function parseAddress(address: string): HostPort {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+  return { host, port: Number(address.slice(colon + 1)) };
+}
+
+/** Dials a daemon. Daemons are known by IP numbers, so the authority is checked and no host name. */
+export function dialPeer(address: string, tls: PeerTls | undefined): Socket {
+  const target = parseAddress(address);
+  if (!tls) return connect(target);
+  return connectTls({ ...target, ...tls, checkServerIdentity: () => undefined });
+}
+
+/** A server that hands over sockets once they are fit for the handshake. */
+export function createPeerServer(
+  tls: PeerTls | undefined,
+  onSocket: (socket: Socket) => void,
+): Server {
+  if (!tls) return createServer(onSocket);
+  return createTlsServer({ ...tls, requestCert: true, rejectUnauthorized: true }, onSocket);
+}
--- /dev/null
+++ b/src/core/membership/entries.ts
@@ -0,0 +1,144 @@
+/** The store of gossip entries and its comparison with another one by digests. */
+
+import type { EpochTime } from '../ids';
+import { hashText, mix } from './hash';
+import type { DigestMessage, Entry, LinesMessage } from './types';
+
+export type EntryStore = ReadonlyMap<string, Entry>;
+
+const BUCKETS = 64;
+/** Entries this close to their end are not compared: clocks differ. */
+const EXPIRY_MARGIN_MS = 2000;
+/** Entries listed in one comparison. */
+const MAX_LINES = 128;
+const ENTRY_OVERHEAD_BYTES = 60;
+const MAX_ENTRIES = 50_000;
+
+export function entryId(entry: Pick<Entry, 'topic' | 'key' | 'origin'>): string {
+  return `${entry.topic}\n${entry.key}\n${entry.origin}`;
+}
+
+/** About what an entry takes in a message, bytes. */
+export function entryBytes(entry: Entry): number {
+  const { topic, key, origin, value } = entry;
+  return (
+    ENTRY_OVERHEAD_BYTES + topic.length + key.length + origin.length + JSON.stringify(value).length
+  );
+}
+
+/** Whether the store lacks this version or a newer one. */
+export function isNews(store: EntryStore, entry: Entry, epoch: EpochTime): boolean {
+  if (entry.expiresAt <= epoch) return false;
+  const held = store.get(entryId(entry));
+  if (!held) return store.size < MAX_ENTRIES;
+  return held.version < entry.version;
+}
+
+export function withEntries(store: EntryStore, entries: readonly Entry[]): EntryStore {
+  const changed = new Map(store);
+  for (const entry of entries) changed.set(entryId(entry), entry);
+  return changed;
+}
+
+/** Drops what has expired; the same store if nothing has. */
+export function sweep(store: EntryStore, epoch: EpochTime): EntryStore {
+  const expired = [...store].filter(([, entry]) => entry.expiresAt <= epoch);
+  if (expired.length === 0) return store;
+  const kept = new Map(store);
+  for (const [id] of expired) kept.delete(id);
+  return kept;
+}
+
+interface HashedEntry {
+  readonly entry: Entry;
+  readonly hash: number;
+  readonly bucket: number;
+}
+
+function hashEntries(store: EntryStore, salt: number, epoch: EpochTime): HashedEntry[] {
+  const hashed: HashedEntry[] = [];
+  for (const [id, entry] of store) {
+    if (entry.expiresAt <= epoch + EXPIRY_MARGIN_MS) continue;
+    const hash = mix(hashText(id, salt));
+    hashed.push({ entry, hash, bucket: hash % BUCKETS });
+  }
+  return hashed;
+}
+
+function hashVersion(hash: number, version: number): number {
+  return mix(hash ^ mix(version >>> 0) ^ Math.floor(version / 2 ** 32));
+}
+
+/** One number a bucket, each the exclusive or of its entries' hashes. */
+export function digestOf(store: EntryStore, salt: number, epoch: EpochTime): DigestMessage {
+  const buckets = new Array<number>(BUCKETS).fill(0);
+  for (const { entry, hash, bucket } of hashEntries(store, salt, epoch)) {
+    buckets[bucket] = ((buckets[bucket] ?? 0) ^ hashVersion(hash, entry.version)) >>> 0;
+  }
+  return { kind: 'digest', salt, buckets };
+}
+
+/**
+ * What to answer to a digest: the lines of buckets that differ, as many as one message holds,
+ * beginning with bucket `first`. Undefined if all are equal.
+ */
+export function answerDigest(
+  store: EntryStore,
+  digest: DigestMessage,
+  first: number,
+  epoch: EpochTime,
+): LinesMessage | undefined {
+  const own = digestOf(store, digest.salt, epoch);
+  const hashed = hashEntries(store, digest.salt, epoch);
+  const buckets: number[] = [];
+  const lines: HashedEntry[] = [];
+  for (let i = 0; i < BUCKETS; i += 1) {
+    const bucket = (first + i) % BUCKETS;
+    if (own.buckets[bucket] === digest.buckets[bucket]) continue;
+    const found = hashed.filter((line) => line.bucket === bucket);
+    if (buckets.length > 0 && lines.length + found.length > MAX_LINES) break;
+    buckets.push(bucket);
+    lines.push(...found);
+  }
+  if (buckets.length === 0) return undefined;
+  return {
+    kind: 'lines',
+    salt: digest.salt,
+    buckets,
+    ids: lines.map((line) => line.hash),
+    versions: lines.map((line) => line.entry.version),
+  };
+}
+
+/** What two stores lack of each other in some buckets. */
+export interface Difference {
+  /** What the other store lacks. */
+  readonly theirs: readonly Entry[];
+  /** Salted ids of what this store lacks. */
+  readonly ours: readonly number[];
+}
+
+export function compareLines(store: EntryStore, lines: LinesMessage, epoch: EpochTime): Difference {
+  const versions = new Map(lines.ids.map((id, i) => [id, lines.versions[i] ?? 0] as const));
+  const theirs: Entry[] = [];
+  const known = new Set<number>();
+  for (const { entry, hash, bucket } of hashEntries(store, lines.salt, epoch)) {
+    if (!lines.buckets.includes(bucket)) continue;
+    const version = versions.get(hash);
+    if (version !== undefined && version <= entry.version) known.add(hash);
+    if (version === undefined || version < entry.version) theirs.push(entry);
+  }
+  return { theirs, ours: lines.ids.filter((id) => !known.has(id)) };
+}
+
+export function entriesBySaltedId(
+  store: EntryStore,
+  salt: number,
+  ids: readonly number[],
+  epoch: EpochTime,
+): readonly Entry[] {
+  const wanted = new Set(ids);
+  return hashEntries(store, salt, epoch)
+    .filter(({ hash }) => wanted.has(hash))
+    .map(({ entry }) => entry);
+}
--- /dev/null
+++ b/src/core/membership/membership.ts
@@ -0,0 +1,148 @@
+/** Membership of daemons as one reducer. */
+
+import type { ConfigVersion } from '../ids';
+import { brandAs } from '../ids';
+import { createReducer, next } from '../reducer';
+import { memberEntry } from './members';
+import {
+  checkProbe,
+  checkRelayed,
+  checkSuspects,
+  forgiveAfterPause,
+  noteUnreachable,
+  probeNext,
+  takeAck,
+  takeNack,
+  takeRelay,
+} from './probing';
+import { announce, flush, takeEntries, tell } from './spread';
+import { chain, send, unchanged } from './state';
+import type { MembershipState, MembershipStep } from './state';
+import {
+  greetSender,
+  rejoinNext,
+  sweepExpired,
+  syncNext,
+  takeDigest,
+  takeLines,
+  takeWant,
+} from './sync';
+import { refill, spend } from './token-bucket';
+import type { Entry, MembershipContext, MembershipEffect, MembershipEvent, Message } from './types';
+
+type MessageHandlers = {
+  readonly [K in Message['kind']]: (
+    state: MembershipState,
+    event: { readonly address: string; readonly from: MembershipState['self']['id'] },
+    message: Extract<Message, { kind: K }>,
+    ctx: MembershipContext,
+  ) => MembershipStep;
+};
+
+const MESSAGE_HANDLERS: MessageHandlers = {
+  probe: (state, { from, address }, { seq }, ctx) =>
+    chain(
+      state,
+      (current) => next(current, send(address, { kind: 'ack', seq })),
+      (current) => greetSender(current, from, address, ctx),
+    ),
+  ack: (state, _, { seq }) => takeAck(state, seq),
+  nack: (state, _, { seq }) => takeNack(state, seq),
+  relay: (state, { address }, message, ctx) => takeRelay(state, address, message, ctx),
+  entries: (state, { from }, { entries }, ctx) => takeEntries(state, entries, from, ctx),
+  digest: (state, { from, address }, message, ctx) =>
+    chain(
+      state,
+      (current) => takeDigest(current, address, message, ctx),
+      (current) =>
+        current.members.has(from) ? greetSender(current, from, address, ctx) : unchanged(current),
+    ),
+  lines: (state, { address }, message, ctx) => takeLines(state, address, message, ctx),
+  want: (state, { address }, message, ctx) => takeWant(state, address, message, ctx),
+};
+
+function takeMessage(
+  state: MembershipState,
+  event: Extract<MembershipEvent, { kind: 'message' }>,
+  ctx: MembershipContext,
+): MembershipStep {
+  const handler = MESSAGE_HANDLERS[event.message.kind] as MessageHandlers['probe'];
+  return handler(state, event, event.message as never, ctx);
+}
+
+function notePause(state: MembershipState, ctx: MembershipContext): MembershipStep {
+  const gapMs = ctx.now - state.lastTick;
+  const ticked = { ...state, lastTick: ctx.now };
+  if (gapMs <= ctx.settings.pauseMs) return next(ticked);
+  // What was told meanwhile is fetched at once.
+  return next({ ...forgiveAfterPause(ticked, gapMs), probeAt: ctx.now, syncAt: ctx.now });
+}
+
+function announceConfig(state: MembershipState, ctx: MembershipContext): MembershipStep {
+  const { configVersion } = state;
+  if (configVersion === state.self.configVersion || ctx.now < state.announceAt) {
+    return unchanged(state);
+  }
+  return announce(state, { configVersion }, ctx);
+}
+
+function tick(state: MembershipState, ctx: MembershipContext): MembershipStep {
+  return chain(
+    state,
+    (current) => notePause(current, ctx),
+    (current) => next(sweepExpired(current, ctx)),
+    (current) => checkProbe(current, ctx),
+    (current) => checkRelayed(current, ctx),
+    (current) => checkSuspects(current, ctx),
+    (current) => probeNext(current, ctx),
+    (current) => announceConfig(current, ctx),
+    (current) => flush(current, ctx),
+    (current) => syncNext(current, ctx),
+    (current) => rejoinNext(current, ctx),
+  );
+}
+
+function publish(
+  state: MembershipState,
+  event: Extract<MembershipEvent, { kind: 'publish' }>,
+  ctx: MembershipContext,
+): MembershipStep {
+  const { topic, key, value, expiresAt } = event;
+  // Above every version of an earlier life, as long as clocks do not go back further than it lasted.
+  const version = Math.max(Math.floor(ctx.epoch), state.lastVersion + 1);
+  const entry: Entry = { topic, key, origin: state.self.id, version, value, expiresAt };
+  return tell({ ...state, lastVersion: version }, entry, ctx);
+}
+
+function leave(state: MembershipState, ctx: MembershipContext): MembershipStep {
+  if (state.self.state === 'leaving') return unchanged(state);
+  const announced = announce(state, { state: 'leaving' }, ctx);
+  const entries = [memberEntry(announced.state.self)];
+  // The last words go to all neighbours, whatever the limit of bytes says.
+  const words: MembershipEffect[] = state.neighbours.flatMap((id) => {
+    const address = state.members.get(id)?.address;
+    return address === undefined ? [] : [send(address, { kind: 'entries', entries })];
+  });
+  return next(announced.state, ...announced.effects, ...words);
+}
+
+/** Takes in what happens and says what to do; see `types.ts`. */
+export const reduceMembership = createReducer<
+  MembershipState,
+  MembershipEvent,
+  MembershipEffect,
+  MembershipContext
+>({
+  tick: (state, _, ctx) => tick(state, ctx),
+  message: takeMessage,
+  unreachable: (state, { address }, ctx) => noteUnreachable(state, address, ctx),
+  candidates: (state, { addresses }) => next({ ...state, candidates: addresses }),
+  publish,
+  'config-version': (state, { version }) =>
+    next({ ...state, configVersion: brandAs<ConfigVersion>(version) }),
+  spent: (state, { bytes }, ctx) => {
+    const bucket = refill(state.bucket, ctx.settings, ctx.now);
+    return next({ ...state, bucket: spend(bucket, bytes) });
+  },
+  leave: (state, _, ctx) => leave(state, ctx),
+});
--- /dev/null
+++ b/src/core/membership/spread.ts
@@ -0,0 +1,218 @@
+/** Takes entries in and passes news on: rumour spreading with a bounded number of sends. */
+
+import type { DaemonId } from '../ids';
+import { next } from '../reducer';
+import { entryBytes, entryId, isNews, withEntries } from './entries';
+import { MEMBER_TOPIC, isPresent, memberEntry, memberVersion, parseMember } from './members';
+import { chain, sample, send, unchanged, withNeighbours } from './state';
+import type { MembershipState, MembershipStep, Rumour } from './state';
+import { refill, spend } from './token-bucket';
+import type { Entry, MemberRecord, MembershipContext, MembershipEffect } from './types';
+
+/** Rumours are packed into messages of about this size. */
+const MAX_MESSAGE_BYTES = 8000;
+/** Least time between two answers to another process that claims this daemon's id. */
+const DUPLICATE_PAUSE_MS = 5000;
+
+/** Whether anything but the state of suspicion changed between two records of a member. */
+function movesNeighbours(before: MemberRecord | undefined, after: MemberRecord): boolean {
+  return !before || isPresent(before) !== isPresent(after);
+}
+
+function startRumour(entry: Entry, from: DaemonId | undefined, sends: number): Rumour {
+  const sentTo = new Set(from === undefined ? [] : [from]);
+  return { left: sends, bytes: entryBytes(entry), sentTo };
+}
+
+/** Suspects get time to speak up; whoever is no suspect any more is struck off. */
+function noteSuspect(
+  state: MembershipState,
+  member: MemberRecord,
+  ctx: MembershipContext,
+): MembershipState {
+  const suspects = new Map(state.suspects);
+  if (member.state === 'suspect') suspects.set(member.id, suspicionEnd(state, ctx));
+  else suspects.delete(member.id);
+  return { ...state, suspects };
+}
+
+function suspicionEnd(state: MembershipState, ctx: MembershipContext): typeof ctx.now {
+  const scale = Math.max(1, Math.log10(state.members.size));
+  return (ctx.now + ctx.settings.suspectMs * scale) as typeof ctx.now;
+}
+
+function putMember(
+  state: MembershipState,
+  member: MemberRecord,
+  ctx: MembershipContext,
+): MembershipState {
+  const before = state.members.get(member.id);
+  const members = new Map(state.members).set(member.id, member);
+  const put = noteSuspect({ ...state, members }, member, ctx);
+  return movesNeighbours(before, member) ? withNeighbours(put, ctx.settings.neighbours) : put;
+}
+
+/** Puts one entry that is news; it is passed on from now on. */
+function putEntry(
+  state: MembershipState,
+  entry: Entry,
+  from: DaemonId | undefined,
+  ctx: MembershipContext,
+): MembershipStep {
+  const rumours = new Map(state.rumours);
+  rumours.set(entryId(entry), startRumour(entry, from, ctx.settings.sends));
+  const put = { ...state, entries: withEntries(state.entries, [entry]), rumours };
+  if (entry.topic === MEMBER_TOPIC) {
+    const member = parseMember(entry);
+    if (!member) return unchanged(state);
+    return next(putMember(put, member, ctx), { kind: 'members-changed' });
+  }
+  if (entry.origin !== state.self.id) return next(put, { kind: 'received', entry });
+  // From an earlier life of this daemon: its own entries must get higher versions.
+  return next({ ...put, lastVersion: Math.max(put.lastVersion, entry.version) });
+}
+
+/** Announces this daemon anew, above whatever is said of it. */
+export function announce(
+  state: MembershipState,
+  change: Partial<Pick<MemberRecord, 'state' | 'incarnation' | 'configVersion'>>,
+  ctx: MembershipContext,
+): MembershipStep {
+  const self = { ...state.self, incarnation: state.self.incarnation + 1, ...change };
+  const perDaemon = ctx.settings.announceMsPerDaemon * state.members.size;
+  const announceAt = (ctx.now + perDaemon) as typeof ctx.now;
+  return putEntry({ ...state, self, announceAt }, memberEntry(self), undefined, ctx);
+}
+
+/** Someone says something of this daemon that it has not said: it speaks up. */
+function refute(
+  state: MembershipState,
+  entry: Entry,
+  claim: MemberRecord,
+  ctx: MembershipContext,
+): MembershipStep {
+  const own = memberVersion(state.self.incarnation, state.self.state);
+  if (entry.version <= own) return unchanged(state);
+  const incarnation = Math.max(claim.incarnation, state.self.incarnation) + 1;
+  const speakUp = (): MembershipStep => announce(state, { incarnation }, ctx);
+  if (claim.state !== 'alive' || claim.address === state.self.address) return speakUp();
+  if (ctx.now < state.refuteAt) return unchanged(state);
+  const refuteAt = (ctx.now + DUPLICATE_PAUSE_MS) as typeof ctx.now;
+  const alarm: MembershipEffect = { kind: 'duplicate-id', address: claim.address };
+  const spoken = speakUp();
+  return next({ ...spoken.state, refuteAt }, alarm, ...spoken.effects);
+}
+
+/** An entry that came again has been spread by others: it needs fewer sends from here. */
+function heardAgain(state: MembershipState, entry: Entry, from: DaemonId): MembershipState {
+  const id = entryId(entry);
+  const rumour = state.rumours.get(id);
+  if (rumour === undefined || state.entries.get(id)?.version !== entry.version) return state;
+  const sentTo = new Set(rumour.sentTo).add(from);
+  const rumours = new Map(state.rumours).set(id, { ...rumour, left: rumour.left - 1, sentTo });
+  return { ...state, rumours };
+}
+
+function takeEntry(
+  state: MembershipState,
+  entry: Entry,
+  from: DaemonId,
+  ctx: MembershipContext,
+): MembershipStep {
+  if (entry.topic === MEMBER_TOPIC && entry.key === state.self.id) {
+    const claim = parseMember(entry);
+    return claim ? refute(state, entry, claim, ctx) : unchanged(state);
+  }
+  if (!isNews(state.entries, entry, ctx.epoch)) return next(heardAgain(state, entry, from));
+  return putEntry(state, entry, from, ctx);
+}
+
+/** Takes in entries from a peer and passes on at once what is news. */
+export function takeEntries(
+  state: MembershipState,
+  entries: readonly Entry[],
+  from: DaemonId,
+  ctx: MembershipContext,
+): MembershipStep {
+  const takes = entries.map(
+    (entry) => (current: MembershipState) => takeEntry(current, entry, from, ctx),
+  );
+  return chain(state, ...takes, (current) => flush(current, ctx));
+}
+
+/** Puts an entry made here and passes it on at once. */
+export function tell(state: MembershipState, entry: Entry, ctx: MembershipContext): MembershipStep {
+  return chain(
+    state,
+    (current) => putEntry(current, entry, undefined, ctx),
+    (current) => flush(current, ctx),
+  );
+}
+
+interface Parcel {
+  readonly ids: readonly string[];
+  readonly bytes: number;
+}
+
+/** The rumours that `target` may not have, the least spread ones first, as many as fit. */
+function packFor(state: MembershipState, target: DaemonId, budget: number): Parcel {
+  const fresh = [...state.rumours]
+    .filter(([, rumour]) => rumour.left > 0 && !rumour.sentTo.has(target))
+    .sort(([, a], [, b]) => b.left - a.left);
+  const ids: string[] = [];
+  let bytes = 0;
+  for (const [id, rumour] of fresh) {
+    const fits = bytes + rumour.bytes <= Math.min(budget, MAX_MESSAGE_BYTES);
+    if (!fits && ids.length > 0) break;
+    ids.push(id);
+    bytes += rumour.bytes;
+  }
+  return { ids, bytes };
+}
+
+function markSent(
+  state: MembershipState,
+  ids: readonly string[],
+  target: DaemonId,
+): MembershipState {
+  const rumours = new Map(state.rumours);
+  for (const id of ids) {
+    const rumour = rumours.get(id);
+    if (!rumour) continue;
+    const sentTo = new Set(rumour.sentTo).add(target);
+    rumours.set(id, { ...rumour, left: rumour.left - 1, sentTo });
+  }
+  return { ...state, rumours };
+}
+
+function sendRumours(state: MembershipState, target: DaemonId): MembershipStep {
+  const address = state.members.get(target)?.address;
+  if (address === undefined || state.bucket.tokens <= 0) return unchanged(state);
+  const { ids, bytes } = packFor(state, target, state.bucket.tokens);
+  const entries = ids.flatMap((id) => state.entries.get(id) ?? []);
+  if (entries.length === 0) return unchanged(state);
+  const marked = markSent(state, ids, target);
+  const spent = { ...marked, bucket: spend(state.bucket, bytes) };
+  return next(spent, send(address, { kind: 'entries', entries }));
+}
+
+/** Ends rumours that were sent often enough or that every neighbour has. */
+function endRumours(state: MembershipState): MembershipState {
+  const live = [...state.rumours].filter(
+    ([id, rumour]) =>
+      rumour.left > 0 &&
+      state.entries.has(id) &&
+      state.neighbours.some((neighbour) => !rumour.sentTo.has(neighbour)),
+  );
+  return live.length === state.rumours.size ? state : { ...state, rumours: new Map(live) };
+}
+
+/** Passes rumours on to a few neighbours, within the limit of bytes. */
+export function flush(state: MembershipState, ctx: MembershipContext): MembershipStep {
+  if (state.rumours.size === 0 || state.neighbours.length === 0) return unchanged(state);
+  const bucket = refill(state.bucket, ctx.settings, ctx.now);
+  const targets = sample(state.neighbours, ctx.settings.fanOut, ctx.random);
+  const sends = targets.map((target) => (current: MembershipState) => sendRumours(current, target));
+  const done = chain({ ...state, bucket }, ...sends);
+  return { ...done, state: endRumours(done.state) };
+}
--- /dev/null
+++ b/tests/support/membership-daemons.ts
@@ -0,0 +1,168 @@
+/** Membership parts of several daemons in this process, over loopback TCP. */
+
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { okAsync } from 'neverthrow';
+
+import { dialPeer } from '../../src/adapters/peers/tls';
+import type { PeerTls } from '../../src/adapters/peers/tls';
+import { createClock, createRandom } from '../../src/adapters/runtime';
+import { createMembership } from '../../src/app/membership/membership';
+import type { Membership, MembershipPartSettings } from '../../src/app/membership/membership';
+import type { ConfigVersion, DaemonId, ZoneId } from '../../src/core/ids';
+import type { Logger } from '../../src/ports/runtime';
+
+export interface TestDaemon {
+  readonly id: DaemonId;
+  readonly address: string;
+  readonly part: Membership;
+  /** Set by the test. */
+  configVersion: number;
+  /** Codes of the errors it logged. */
+  readonly alarms: string[];
+}
+
+export interface Fleet {
+  readonly daemons: readonly TestDaemon[];
+  /** Cuts all links of a daemon with the others until healed. */
+  cut(id: string): void;
+  heal(id: string): void;
+  /** Starts one more daemon; `id` may be that of one that was stopped. */
+  add(id: string): Promise<TestDaemon>;
+  stop(): Promise<void>;
+}
+
+export interface FleetOptions {
+  readonly count: number;
+  readonly settings?: Partial<MembershipPartSettings>;
+  readonly tls?: PeerTls;
+  /** Each daemon knows only this many first ones. */
+  readonly seeds?: number;
+}
+
+export const QUICK: Partial<MembershipPartSettings> = {
+  probeMs: 100,
+  probeTimeoutMs: 40,
+  suspectMs: 150,
+  syncMs: 300,
+  rejoinMs: 100,
+  announceMsPerDaemon: 5,
+  tickMs: 10,
+  listMs: 200,
+  links: { longestMs: 100 },
+};
+
+/** Ports that nobody listens on, each told once. */
+export async function freeAddresses(count: number): Promise<readonly string[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const addresses: string[] = [];
+  for (const server of servers) {
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    addresses.push(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+  }
+  for (const server of servers) await new Promise((resolve) => server.close(resolve));
+  return addresses;
+}
+
+function logTo(alarms: string[]): Logger {
+  const ignore = (): void => undefined;
+  return {
+    debug: ignore,
+    info: ignore,
+    warn: ignore,
+    error: (_, fields) => alarms.push(fields?.code ?? ''),
+  };
+}
+
+/** Sockets by their two ends, so that a pair of daemons can be cut apart. */
+function createWires(): {
+  dialFor: (from: string) => (address: string) => Socket;
+  cut: Set<string>;
+  breakLinks: (address: string) => void;
+} {
+  const cut = new Set<string>();
+  const open = new Map<Socket, readonly [string, string]>();
+  const dialFor = (from: string) => (address: string) => {
+    const socket = dialPeer(address, undefined);
+    open.set(socket, [from, address]);
+    socket.once('close', () => open.delete(socket));
+    // A dropped packet is silence: the socket never gets further than connecting.
+    if (cut.has(from) || cut.has(address)) socket.destroy();
+    return socket;
+  };
+  const breakLinks = (address: string): void => {
+    for (const [socket, ends] of open) if (ends.includes(address)) socket.destroy();
+  };
+  return { dialFor, cut, breakLinks };
+}
+
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
+  const { count, settings = QUICK, tls, seeds = count } = options;
+  const addresses = await freeAddresses(count);
+  const wires = createWires();
+  const daemons: TestDaemon[] = [];
+
+  function make(id: string, address: string): TestDaemon {
+    const alarms: string[] = [];
+    const daemon: TestDaemon = {
+      id: id as DaemonId,
+      address,
+      configVersion: 0,
+      alarms,
+      part: createMembership({
+        self: { id: id as DaemonId, address, zone: 'rennes' as ZoneId },
+        seeds: addresses.slice(0, seeds),
+        secret: 'test-secret',
+        ...(tls ? { tls } : { dial: wires.dialFor(address) }),
+        instances: { list: () => okAsync([]) },
+        configVersion: () => daemon.configVersion as ConfigVersion,
+        clock: createClock(),
+        random: createRandom(daemons.length + 1),
+        logger: logTo(alarms),
+        settings,
+      }),
+    };
+    daemons.push(daemon);
+    return daemon;
+  }
+
+  function addressOf(id: string): string {
+    return daemons.find((daemon) => daemon.id === id)?.address ?? '';
+  }
+
+  addresses.forEach((address, i) => make(`daemon-${i}`, address));
+  await Promise.all(daemons.map(({ part }) => part.start()));
+  return {
+    daemons,
+    cut: (id) => {
+      wires.cut.add(addressOf(id));
+      wires.breakLinks(addressOf(id));
+    },
+    heal: (id) => {
+      wires.cut.delete(addressOf(id));
+    },
+    add: async (id) => {
+      const [address = ''] = await freeAddresses(1);
+      const daemon = make(id, address);
+      await daemon.part.start();
+      return daemon;
+    },
+    stop: async () => {
+      await Promise.all(daemons.map(({ part }) => part.stop()));
+    },
+  };
+}
+
+/** Looks again and again until `condition` holds; fails the test after ten seconds. */
+export async function until(what: string, condition: () => boolean): Promise<void> {
+  const deadline = performance.now() + 10_000;
+  while (!condition()) {
+    if (performance.now() > deadline) throw new Error(`never came true: ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+/** What `viewer` believes of `id`. */
+export function beliefOf(viewer: TestDaemon, id: string): string {
+  return viewer.part.peers().find((peer) => peer.id === id)?.state ?? 'gone';
+}
