Put the parts of a daemon together

Cause: the parts stand; nothing ran as one process yet. Ruled out: handing leases back before the streams have finished, since a draining daemon can still decide for its domains while it waits.

--- /dev/null
+++ b/src/adapters/tls-files.ts
@@ -0,0 +1,21 @@
+/** Reads a certificate with its key for the links between daemons. */
+
+import { readFile } from 'node:fs/promises';
+
+import type { PeerTls } from './peers/tls';
+
+/** Paths as the settings give them. */
+export interface TlsFiles {
+  readonly certFile: string;
+  readonly keyFile: string;
+  readonly caFile: string;
+}
+
+export async function readTls(files: TlsFiles): Promise<PeerTls> {
+  const [cert, key, ca] = await Promise.all([
+    readFile(files.certFile, 'utf8'),
+    readFile(files.keyFile, 'utf8'),
+    readFile(files.caFile, 'utf8'),
+  ]);
+  return { cert, key, ca };
+}
--- /dev/null
+++ b/src/app/daemon.ts
@@ -0,0 +1,159 @@
+/** One daemon: puts the parts together, starts them in order and stops them in the reverse. */
+
+import { createEngine } from '../adapters/engine';
+import { createInstanceList } from '../adapters/platform/instances';
+import type { InstanceRegistry } from '../adapters/platform/instances';
+import { createObjectStore } from '../adapters/platform/objects';
+import { createTable } from '../adapters/platform/table';
+import { createClock, createRandom } from '../adapters/runtime';
+import { createLogger } from '../adapters/telemetry/logger';
+import { createMetrics } from '../adapters/telemetry/metrics';
+import { createTracer } from '../adapters/telemetry/tracer';
+import { readTls } from '../adapters/tls-files';
+import { brandAs } from '../core/ids';
+import type { InstanceId } from '../core/ids';
+import type { InstanceEntry } from '../ports/platform';
+import type { Logger } from '../ports/runtime';
+import { createAdmin } from './admin/admin';
+import { createConfig } from './config/config';
+import { createControl } from './control/control';
+import { createEntry } from './entry';
+import { listen } from './listen';
+import type { Listening } from './listen';
+import { createMembership } from './membership/membership';
+import type { ConfigPart, ControlPart, MembershipPart, RequestPart } from './parts';
+import { createRequests } from './requests/requests';
+import type { DaemonSettings, RunningDaemon } from './settings';
+import { createStop } from './stop';
+
+/** The parts of one daemon. */
+export interface Parts {
+  readonly config: ConfigPart;
+  readonly membership: MembershipPart;
+  readonly control: ControlPart;
+  readonly requests: RequestPart;
+}
+
+function ownEntry(settings: DaemonSettings, state: InstanceEntry['state']): InstanceEntry {
+  return {
+    id: brandAs<InstanceId>(settings.id),
+    role: 'daemon',
+    address: settings.peerListen,
+    zone: settings.zone,
+    accelerators: 0,
+    state,
+    checksFencing: false,
+  };
+}
+
+/** The list is a hint, so a daemon serves without its entry and says so. */
+async function enterList(
+  instances: InstanceRegistry,
+  entry: InstanceEntry,
+  logger: Logger,
+): Promise<void> {
+  const entered = await instances.enter(entry);
+  if (entered.isOk()) return;
+  logger.warn('not entered into the instance list', { step: 'start', code: entered.error.code });
+}
+
+/** Starts a daemon; resolves once it listens. */
+export async function startDaemon(settings: DaemonSettings): Promise<RunningDaemon> {
+  const self = settings.id;
+  const clock = createClock();
+  const random = createRandom(settings.seed);
+  const logger = createLogger({ level: settings.logLevel, fields: { daemon: self } });
+  const metrics = createMetrics();
+  const tracer = createTracer({
+    service: 'nutmegstack',
+    instance: self,
+    ...(settings.otlpUrl === undefined ? {} : { otlpUrl: settings.otlpUrl }),
+  });
+  const platform = { address: settings.platform };
+  const table = createTable(platform);
+  const instances = createInstanceList(platform);
+  const base = { self, table, clock, random, logger, metrics };
+
+  const membership = createMembership({
+    ...base,
+    self: { id: self, address: settings.peerListen, zone: settings.zone },
+    seeds: settings.seeds,
+    secret: settings.peerSecret,
+    ...(settings.peerTls === undefined ? {} : { tls: await readTls(settings.peerTls) }),
+    instances,
+    configVersion: () => config.current().version,
+  });
+  const { gossip } = membership;
+  const config: ConfigPart = createConfig({
+    ...base,
+    gossip,
+    direct: membership.direct,
+    peers: () => membership.peers(),
+  });
+  const control = createControl({
+    ...base,
+    instances,
+    engine: createEngine(),
+    config,
+    membership,
+    gossip,
+  });
+  const requests = createRequests({
+    ...base,
+    config,
+    groups: control,
+    objects: createObjectStore(platform),
+    gossip,
+    tracer,
+    peerCount: () => membership.peers().length,
+    settings: { maxBodyBytes: settings.maxBodyBytes },
+  });
+  const parts: Parts = { config, membership, control, requests };
+
+  const listening: Listening[] = [];
+  const stop = createStop({
+    settings,
+    parts,
+    listening,
+    logger,
+    leaveList: () => instances.leave(brandAs<InstanceId>(self)),
+    flushTraces: () => tracer.close(),
+  });
+  await membership.start();
+  await config.start();
+  await control.start();
+  await requests.start();
+  const entry = createEntry({
+    requests: requests.handler,
+    metrics,
+    isReady: () => !stop.isStopping(),
+  });
+  const admin = createAdmin({
+    ...parts,
+    logger,
+    drain: stop.drain,
+    ...(settings.bootstrapKeyHash === undefined
+      ? {}
+      : { bootstrapKeyHash: settings.bootstrapKeyHash }),
+  });
+  const { maxHeaderBytes, maxConnections } = settings;
+  const callers = await listen({
+    address: settings.listen,
+    handler: entry,
+    maxHeaderBytes,
+    maxConnections,
+  });
+  const operators = await listen({ address: settings.adminListen, handler: admin });
+  listening.push(callers, operators);
+  await enterList(instances, ownEntry(settings, 'live'), logger);
+  logger.info('started', { step: 'start' });
+  return {
+    addresses: {
+      callers: callers.address,
+      admin: operators.address,
+      peers: settings.peerListen,
+    },
+    drain: stop.drain,
+    stopped: stop.stopped,
+  };
+}
--- a/src/app/listen.ts
+++ b/src/app/listen.ts
@@ -21,8 +21,8 @@
   readonly address: string;
   /** Takes no new connection; resolves once those open have ended. */
   close(): Promise<void>;
-  /** Ends idle connections that wait for a next request. */
-  closeIdle(): void;
+  /** Destroys the connections still open. */
+  cut(): void;
 }
 
 const DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
@@ -62,8 +62,8 @@
             });
             server.closeIdleConnections();
           }),
-        closeIdle: () => {
-          server.closeIdleConnections();
+        cut: () => {
+          server.closeAllConnections();
         },
       });
     });
--- a/src/app/requests/at-most-once.ts
+++ b/src/app/requests/at-most-once.ts
@@ -64,7 +64,9 @@
     claim.giveUp();
     return;
   }
-  const recorded = storeAnswer(ctx, claim.objectKey, ending).then((answer) => claim.answered(answer));
+  const recorded = storeAnswer(ctx, claim.objectKey, ending).then((answer) =>
+    claim.answered(answer),
+  );
   await Promise.race([recorded, pause(ctx.settings.recordWaitMs)]);
 }
 
--- a/src/app/settings.ts
+++ b/src/app/settings.ts
@@ -56,4 +56,6 @@
   readonly addresses: DaemonAddresses;
   /** The planned stop: refuses new work, lets streams finish, hands back leases, stops. */
   drain(): Promise<void>;
+  /** Resolves once the planned stop is over, whoever asked for it. */
+  readonly stopped: Promise<void>;
 }
--- /dev/null
+++ b/src/app/stop.ts
@@ -0,0 +1,82 @@
+/** The planned stop of a daemon: cuts off no request in flight, and hands back what it holds. */
+
+import type { ResultAsync } from 'neverthrow';
+
+import type { Logger } from '../ports/runtime';
+import type { StepError } from '../utils/errors';
+import type { Parts } from './daemon';
+import type { Listening } from './listen';
+import type { DaemonSettings } from './settings';
+
+export interface StopDeps {
+  readonly settings: Pick<DaemonSettings, 'drainWaitMs' | 'drainLimitMs'>;
+  readonly parts: Parts;
+  /** Filled in as the daemon starts to listen. */
+  readonly listening: readonly Listening[];
+  readonly logger: Logger;
+  readonly leaveList: () => ResultAsync<unknown, StepError>;
+  readonly flushTraces: () => Promise<void>;
+}
+
+export interface Stop {
+  isStopping(): boolean;
+  /** Stops; a second call joins the first. */
+  readonly drain: () => Promise<void>;
+  readonly stopped: Promise<void>;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+async function within(work: Promise<void>, limitMs: number): Promise<boolean> {
+  let timer: NodeJS.Timeout | undefined;
+  const limit = new Promise<boolean>((resolve) => {
+    timer = setTimeout(() => {
+      resolve(false);
+    }, limitMs);
+  });
+  const inTime = await Promise.race([work.then(() => true), limit]);
+  clearTimeout(timer);
+  return inTime;
+}
+
+/** Unready, wait for the balancer, refuse new work, finish what runs, hand back, stop. */
+async function run({ settings, parts, listening, logger, ...deps }: StopDeps): Promise<void> {
+  logger.info('stopping', { step: 'drain' });
+  await pause(settings.drainWaitMs);
+  const finished = await within(parts.requests.drain(), settings.drainLimitMs);
+  if (!finished) {
+    logger.warn('requests were still in flight at the limit', {
+      step: 'drain',
+      inFlight: parts.requests.inFlight(),
+    });
+  }
+  await parts.control.stop();
+  await parts.requests.stop();
+  await parts.config.stop();
+  await parts.membership.stop();
+  const left = await deps.leaveList();
+  if (left.isErr()) logger.warn('still in the instance list', { code: left.error.code });
+  if (!finished) for (const server of listening) server.cut();
+  await Promise.all(listening.map((server) => server.close()));
+  await deps.flushTraces();
+  logger.info('stopped', { step: 'drain' });
+}
+
+/** Prepares the planned stop. */
+export function createStop(deps: StopDeps): Stop {
+  let running: Promise<void> | undefined;
+  let end: (() => void) | undefined;
+  const stopped = new Promise<void>((resolve) => {
+    end = resolve;
+  });
+  return {
+    isStopping: () => running !== undefined,
+    drain: () => {
+      running ??= run(deps).finally(() => end?.());
+      return running;
+    },
+    stopped,
+  };
+}
