Add settings and the command line

Cause: daemons are set up by flags and variables, operators work from a shell. Ruled out: defaults given to the flag parser (they would hide the variables); numbers parsed by it (a name like 007 would change); its own exits on wrong flags (code 1, and one fault at a time).

--- a/tests/admin.test.ts
+++ b/tests/admin.test.ts
@@ -24,7 +24,7 @@
 
 beforeEach(async () => {
   race = undefined;
-  const config = fakeConfig(DOCUMENT as unknown as Json, () => race?.());
+  const config = fakeConfig(DOCUMENT, () => race?.());
   parts = fakeParts(config);
   const handler = createAdmin({
     ...parts.deps,
--- /dev/null
+++ b/tests/cli-settings.test.ts
@@ -0,0 +1,56 @@
+import { describe, expect, it } from 'vitest';
+
+import { readSettings } from '../src/cli/settings';
+import type { Environment, Flags } from '../src/cli/settings';
+
+const ENV = {
+  NUTMEGSTACK_ID: 'e1',
+  NUTMEGSTACK_ZONE: 'rennes',
+  NUTMEGSTACK_PLATFORM: '10.0.0.1:7000',
+  NUTMEGSTACK_PEER_SECRET: 'sixteen letters!',
+};
+
+function wrong(flags: Flags, env: Environment): string[] {
+  return readSettings(flags, env)
+    ._unsafeUnwrapErr()
+    .map(({ flag, variable, message }) => `${flag} ${variable} ${message}`);
+}
+
+describe('settings of serve', () => {
+  it('come from variables, flags going first, defaults last', () => {
+    const settings = readSettings({ zone: 'brest' }, ENV)._unsafeUnwrap();
+    expect(settings).toMatchObject({
+      id: 'e1',
+      zone: 'brest',
+      listen: '127.0.0.1:8080',
+      seeds: [],
+    });
+    expect(settings).not.toHaveProperty('otlpUrl');
+  });
+
+  it('keep the text of a flag that looks like a number', () => {
+    expect(readSettings({ id: '007' }, ENV)._unsafeUnwrap().id).toBe('007');
+  });
+
+  it('are all reported at once, by flag and variable', () => {
+    expect(wrong({ listen: 'localhost:80', seed: '-1' }, { NUTMEGSTACK_SEEDS: 'a:1' })).toEqual([
+      '--id NUTMEGSTACK_ID must be given',
+      '--zone NUTMEGSTACK_ZONE must be given',
+      expect.stringMatching(/^--listen NUTMEGSTACK_LISTEN must be an IP number/),
+      expect.stringMatching(/^--seeds NUTMEGSTACK_SEEDS must be an IP number/),
+      '--peer-secret NUTMEGSTACK_PEER_SECRET must be given',
+      '--platform NUTMEGSTACK_PLATFORM must be given',
+      '--seed NUTMEGSTACK_SEED must be a whole number',
+    ]);
+  });
+
+  it('take the files of a certificate together only', () => {
+    expect(wrong({ 'peer-tls-cert': 'a.pem' }, ENV)).toEqual([
+      expect.stringContaining('--peer-tls-key'),
+      expect.stringContaining('--peer-tls-ca'),
+    ]);
+    const flags = { 'peer-tls-cert': 'a', 'peer-tls-key': 'b', 'peer-tls-ca': 'c' };
+    const { peerTls } = readSettings(flags, ENV)._unsafeUnwrap();
+    expect(peerTls).toEqual({ certFile: 'a', keyFile: 'b', caFile: 'c' });
+  });
+});
