--- a/src/app/control/control.ts
+++ b/src/app/control/control.ts
@@ -41,6 +41,8 @@
 export interface DrivenControl extends ControlPart {
   /** One look at all deadlines. `start` calls it every `tickMs` unless told not to. */
   tick(): void;
+  /** Domains that this daemon may decide for at this instant. */
+  heldDomains(): readonly DomainId[];
 }
 
 export interface ControlOptions {
@@ -257,6 +259,7 @@
       await release();
     },
     tick,
+    heldDomains: () => leases.domains().filter((domain) => leases.held(domain) !== undefined),
     routable: (model) => {
       const now = clock.now();
       const maxBatch = ctx.config.current().models[model]?.maxBatch ?? 1;
--- /dev/null
+++ b/tests/lease.test.ts
@@ -0,0 +1,167 @@
+import { describe, expect, it } from 'vitest';
+
+import type { DaemonId, DomainId, MonoTime } from '../src/core/ids';
+import { createLease, isHolder, reduceLease } from '../src/core/lease/lease';
+import type { LeaseEffect, LeaseEvent, LeaseRow, LeaseState } from '../src/core/lease/types';
+
+const SETTINGS = { ttlMs: 10_000, marginMs: 1_000, renewMs: 2_500, backupDelayMs: 2_000 };
+
+interface Driven {
+  readonly state: LeaseState;
+  readonly effects: readonly LeaseEffect[];
+}
+
+function drive(state: LeaseState, now: number, ...events: readonly LeaseEvent[]): Driven {
+  const effects: LeaseEffect[] = [];
+  let after = state;
+  for (const event of events) {
+    const step = reduceLease(after, event, { now: now as MonoTime });
+    after = step.state;
+    effects.push(...step.effects);
+  }
+  return { state: after, effects };
+}
+
+function candidate(self = 'a', rank = 0): LeaseState {
+  const options = { domain: 'd' as DomainId, self: self as DaemonId, session: `${self}1` };
+  const state = createLease({ ...options, settings: SETTINGS }, 0 as MonoTime);
+  return drive(state, 0, { kind: 'ranked', rank }).state;
+}
+
+function rowOf(holder: string, change: Partial<LeaseRow> = {}): LeaseRow {
+  const row = { holder, session: `${holder}1`, fencing: 1, ttlMs: 10_000, released: false };
+  return { ...row, ...change } as LeaseRow;
+}
+
+function seen(version: number, row: LeaseRow): LeaseEvent {
+  const fence = { version: 1, row: { fencing: row.fencing } };
+  return { kind: 'read', lease: { version, row }, fence };
+}
+
+/** A holder whose renewal was sent at 0 and answered at `answeredAt`. */
+function holder(answeredAt = 0): LeaseState {
+  const sent = drive(candidate(), 0, { kind: 'read' }, { kind: 'tick' });
+  return drive(sent.state, answeredAt, { kind: 'committed', version: 5, fenceVersion: 5 }).state;
+}
+
+const TICK: LeaseEvent = { kind: 'tick' };
+
+describe('holder of a lease', () => {
+  it('takes an absent lease with both rows absent as conditions', () => {
+    const { effects } = drive(candidate(), 0, { kind: 'read' }, TICK);
+    expect(effects).toMatchObject([
+      { kind: 'commit', leaseVersion: 0, fenceVersion: 0, row: { holder: 'a', fencing: 1 } },
+    ]);
+  });
+
+  it('counts its validity from before the renewal was sent, less the margin', () => {
+    const state = holder(4_000);
+    expect(isHolder(state, 8_999 as MonoTime)).toBe(true);
+    expect(isHolder(state, 9_000 as MonoTime)).toBe(false);
+  });
+
+  it('renews without touching the fence row', () => {
+    const { effects } = drive(holder(), 2_500, TICK);
+    expect(effects).toMatchObject([{ kind: 'commit', leaseVersion: 5 }]);
+    expect(effects[0]).not.toHaveProperty('fenceVersion');
+  });
+
+  it('may not act after a pause past its lease, and learns that another took it', () => {
+    const paused = drive(holder(), 60_000, TICK);
+    expect(isHolder(paused.state, 60_000 as MonoTime)).toBe(false);
+    const told = drive(paused.state, 60_000, { kind: 'refused', conflict: true });
+    expect(told.effects).toEqual([{ kind: 'read' }]);
+    const after = drive(told.state, 60_001, seen(9, rowOf('b', { fencing: 2 as never })), TICK);
+    expect(after.state.held).toBeUndefined();
+    expect(after.effects).toEqual([]);
+  });
+
+  it('goes on from a lapsed lease that nobody took once a renewal commits', () => {
+    const late = drive(holder(), 60_000, TICK);
+    const after = drive(late.state, 60_010, { kind: 'committed', version: 6, fenceVersion: 0 });
+    expect(isHolder(after.state, 60_010 as MonoTime)).toBe(true);
+    expect(after.state.held?.fencing).toBe(1);
+  });
+
+  it('reads back after a lost answer and counts as lapsed until it has renewed', () => {
+    const sent = drive(candidate(), 0, { kind: 'read' }, TICK);
+    const lost = drive(sent.state, 9_500, { kind: 'unsure' });
+    expect(lost.effects).toEqual([{ kind: 'read' }]);
+    const found = drive(lost.state, 9_600, seen(5, rowOf('a')));
+    expect(isHolder(found.state, 9_600 as MonoTime)).toBe(false);
+    const renewed = drive(found.state, 9_700, TICK);
+    expect(renewed.effects).toMatchObject([{ kind: 'commit', leaseVersion: 5 }]);
+    const after = drive(renewed.state, 9_800, { kind: 'committed', version: 6, fenceVersion: 0 });
+    expect(isHolder(after.state, 9_800 as MonoTime)).toBe(true);
+  });
+
+  it('takes no row of an earlier process of the same id for its own', () => {
+    const restarted = drive(candidate(), 0, seen(5, rowOf('a', { session: 'a0' })), TICK);
+    expect(restarted.state.held).toBeUndefined();
+    expect(restarted.effects).toEqual([]);
+  });
+
+  it('hands back at stop', () => {
+    const { effects, state } = drive(holder(), 100, { kind: 'stop' });
+    expect(effects).toMatchObject([{ kind: 'commit', row: { released: true, fencing: 1 } }]);
+    expect(isHolder(state, 100 as MonoTime)).toBe(false);
+  });
+
+  it('hands over to a better-placed peer only after that stayed so', () => {
+    const ranked = drive(holder(), 1_000, { kind: 'ranked', rank: 1 }).state;
+    expect(drive(ranked, 2_500, TICK).effects).toMatchObject([{ row: { released: false } }]);
+    expect(drive(ranked, 16_000, TICK).effects).toMatchObject([{ row: { released: true } }]);
+  });
+});
+
+describe('taker of a lease', () => {
+  it('waits the full time from when it first saw the present version', () => {
+    const first = drive(candidate('b'), 5_000, seen(5, rowOf('a'))).state;
+    expect(drive(first, 15_900, seen(5, rowOf('a')), TICK).effects).toEqual([]);
+    expect(drive(first, 16_000, seen(5, rowOf('a')), TICK).effects).toMatchObject([
+      { kind: 'commit', leaseVersion: 5, fenceVersion: 1, row: { holder: 'b', fencing: 2 } },
+    ]);
+  });
+
+  it('begins to wait anew with each renewal', () => {
+    const first = drive(candidate('b'), 0, seen(5, rowOf('a'))).state;
+    const renewed = drive(first, 10_000, seen(6, rowOf('a'))).state;
+    expect(drive(renewed, 20_900, TICK).effects).toEqual([]);
+    expect(drive(renewed, 21_000, TICK).effects).toHaveLength(1);
+  });
+
+  it('takes a released lease at once, later candidates a little later', () => {
+    const released = seen(5, rowOf('a', { released: true }));
+    expect(drive(candidate('b'), 100, released, TICK).effects).toHaveLength(1);
+    const second = drive(candidate('c', 1), 100, released, TICK);
+    expect(second.effects).toEqual([]);
+    expect(drive(second.state, 2_100, TICK).effects).toHaveLength(1);
+  });
+
+  it('does not try as long as it is no candidate', () => {
+    const out = drive(candidate('b', Infinity), 0, { kind: 'read' }, TICK);
+    expect(out.effects).toEqual([]);
+  });
+
+  it('passes over an answer older than what it knows', () => {
+    const known = drive(candidate('b'), 0, seen(6, rowOf('a'))).state;
+    expect(drive(known, 5_000, seen(5, rowOf('a'))).state.seen).toMatchObject({
+      version: 6,
+      since: 0,
+    });
+  });
+
+  it('reads again after losing a race', () => {
+    const sent = drive(candidate('b'), 0, { kind: 'read' }, TICK);
+    const lost = drive(sent.state, 10, { kind: 'refused', conflict: true });
+    expect(lost.effects).toEqual([{ kind: 'read' }]);
+    expect(lost.state.pending).toBeUndefined();
+  });
+
+  it('tries again, later, when the table is down', () => {
+    const sent = drive(candidate('b'), 0, { kind: 'read' }, TICK);
+    const down = drive(sent.state, 10, { kind: 'refused', conflict: false }, TICK);
+    expect(down.effects).toEqual([]);
+    expect(drive(down.state, 2_000, TICK).effects).toMatchObject([{ kind: 'commit' }]);
+  });
+});
--- /dev/null
+++ b/tests/support/control-table.ts
@@ -0,0 +1,80 @@
+/** The table service in memory, with its faults. */
+
+import { errAsync, okAsync } from 'neverthrow';
+import type { ResultAsync } from 'neverthrow';
+
+import type { Committed, Row, Table, Transaction } from '../../src/ports/platform';
+import { fail } from '../../src/utils/errors';
+import type { StepError } from '../../src/utils/errors';
+
+export interface FakeTable extends Table {
+  readonly rows: Map<string, Row>;
+  down: boolean;
+  /** The next writes take effect but their answers are lost. */
+  lostAnswers: number;
+  /** The next writes are answered as lost and take effect only at `flushLate`. */
+  lateCommits: number;
+  reads: number;
+  commits: number;
+  flushLate(): void;
+}
+
+export function createFakeTable(): FakeTable {
+  let counter = 0;
+  const late: Transaction[] = [];
+  const unavailable = <T>(): ResultAsync<T, StepError> =>
+    errAsync(fail('store-unavailable', 'down', { step: 'table' }));
+  const unknown = (): ResultAsync<Committed, StepError> =>
+    errAsync(fail('store-unknown', 'answer lost', { step: 'commit' }));
+
+  const apply = ({ conditions, writes }: Transaction): ResultAsync<Committed, StepError> => {
+    for (const { key, version } of conditions) {
+      if ((table.rows.get(key)?.version ?? 0) === version) continue;
+      return errAsync(fail('conflict', key, { step: 'commit' }));
+    }
+    const versions: Record<string, number> = {};
+    counter++;
+    for (const { key, value } of writes) {
+      if (value === undefined) table.rows.delete(key);
+      else table.rows.set(key, { key, version: (versions[key] = counter), value });
+    }
+    return okAsync({ versions });
+  };
+
+  const table: FakeTable = {
+    rows: new Map(),
+    down: false,
+    lostAnswers: 0,
+    lateCommits: 0,
+    reads: 0,
+    commits: 0,
+    read: (keys) => {
+      table.reads++;
+      if (table.down) return unavailable();
+      return okAsync(keys.flatMap((key) => table.rows.get(key) ?? []));
+    },
+    scan: (prefix) => {
+      table.reads++;
+      if (table.down) return unavailable();
+      const keys = [...table.rows.keys()].filter((key) => key.startsWith(prefix)).sort();
+      return okAsync({ rows: keys.flatMap((key) => table.rows.get(key) ?? []) });
+    },
+    commit: (tx) => {
+      table.commits++;
+      if (table.down) return unavailable();
+      if (table.lateCommits > 0) {
+        table.lateCommits--;
+        late.push(tx);
+        return unknown();
+      }
+      const done = apply(tx);
+      if (table.lostAnswers === 0) return done;
+      table.lostAnswers--;
+      return unknown();
+    },
+    flushLate: () => {
+      for (const tx of late.splice(0)) void apply(tx);
+    },
+  };
+  return table;
+}
--- a/tests/support/control-world.ts
+++ b/tests/support/control-world.ts
@@ -2,7 +2,6 @@
 
 import { BehaviorSubject, NEVER, Subject } from 'rxjs';
 import { errAsync, okAsync } from 'neverthrow';
-import type { ResultAsync } from 'neverthrow';
 
 import { createRandom } from '../../src/adapters/runtime';
 import { createControl } from '../../src/app/control/control';
@@ -19,72 +18,28 @@
   MonoTime,
   ZoneId,
 } from '../../src/core/ids';
-import type { Engine } from '../../src/ports/engine';
-import type { InstanceEntry, Json, Row, Table } from '../../src/ports/platform';
+import type { Engine, EngineOrder, OrderAuthority } from '../../src/ports/engine';
+import type { InstanceEntry, Json, Table } from '../../src/ports/platform';
 import { fail } from '../../src/utils/errors';
-import type { StepError } from '../../src/utils/errors';
+import { createFakeTable } from './control-table';
+import type { FakeTable } from './control-table';
 import { createFakeEngine, obey, passTime, reportOf } from './control-engine';
 import type { FakeEngine } from './control-engine';
 
 export const EPOCH_START = 1_700_000_000_000;
 const STEP_MS = 100;
-
-export interface FakeTable extends Table {
-  readonly rows: Map<string, Row>;
-  down: boolean;
-  /** The next writes take effect but their answers are lost. */
-  lostAnswers: number;
-  reads: number;
-  commits: number;
-}
-
-export function createFakeTable(): FakeTable {
-  let counter = 0;
-  const unavailable = <T>(): ResultAsync<T, StepError> =>
-    errAsync(fail('store-unavailable', 'down', { step: 'table' }));
-  const table: FakeTable = {
-    rows: new Map(),
-    down: false,
-    lostAnswers: 0,
-    reads: 0,
-    commits: 0,
-    read: (keys) => {
-      table.reads++;
-      if (table.down) return unavailable();
-      return okAsync(keys.flatMap((key) => table.rows.get(key) ?? []));
-    },
-    scan: (prefix) => {
-      table.reads++;
-      if (table.down) return unavailable();
-      const keys = [...table.rows.keys()].filter((key) => key.startsWith(prefix)).sort();
-      return okAsync({ rows: keys.flatMap((key) => table.rows.get(key) ?? []) });
-    },
-    commit: ({ conditions, writes }) => {
-      table.commits++;
-      if (table.down) return unavailable();
-      for (const { key, version } of conditions) {
-        if ((table.rows.get(key)?.version ?? 0) === version) continue;
-        return errAsync(fail('conflict', key, { step: 'commit' }));
-      }
-      const versions: Record<string, number> = {};
-      counter++;
-      for (const { key, value } of writes) {
-        if (value === undefined) table.rows.delete(key);
-        else table.rows.set(key, { key, version: (versions[key] = counter), value });
-      }
-      if (table.lostAnswers === 0) return okAsync({ versions });
-      table.lostAnswers--;
-      return errAsync(fail('store-unknown', 'answer lost', { step: 'commit' }));
-    },
-  };
-  return table;
-}
+/** More than any chain of answers takes. */
+const MICROTASKS = 60;
 
 export interface FakeDaemon {
   readonly id: DaemonId;
+  /** How fast its monotonic clock runs. */
+  readonly rate: number;
   readonly control: DrivenControl;
   /** Frozen or dead: its ticks don't run. */
   running: boolean;
+  /** Its next orders reach the engines only at `flushLate`; it takes them as lost. */
+  lateOrders: number;
   /** Cut off from the other daemons, the table and the engines, each by itself. */
   readonly cut: { gossip: boolean; table: boolean; engines: boolean };
   readonly received: Subject<GossipEntry>;
@@ -100,15 +55,26 @@
   advance(ms: number): Promise<void>;
   /** Lets answers come in, no time passing. */
   settle(): Promise<void>;
+  /** Orders and commits held back by the network arrive. */
+  flushLate(): void;
+  /** Orders sent under a fencing number that was not the domain's newest. */
+  readonly staleOrders: readonly string[];
   addDaemon(id: string): Promise<FakeDaemon>;
+  /** Stops a daemon for good, without handing anything back. */
+  kill(daemon: FakeDaemon): void;
   addEngine(id: string, domain: string, options?: { checksFencing?: boolean }): FakeEngine;
+  /** Groups with their epochs that each running daemon would give requests to. */
   routable(model: string): readonly string[];
 }
 
 export interface WorldOptions {
   readonly seed?: number;
   readonly loadMs?: number;
+  /** How far the daemons' clocks run apart, as a share. */
+  readonly drift?: number;
   readonly settings?: ControlOverrides;
+  /** Runs after each step of time. */
+  readonly onStep?: (world: World) => void;
 }
 
 export function modelSpec(id: string, change: Partial<ModelSpec> = {}): ModelSpec {
@@ -128,7 +94,7 @@
 }
 
 export function createWorld(options: WorldOptions = {}): World {
-  const { seed = 1, loadMs = 5_000 } = options;
+  const { seed = 1, loadMs = 5_000, drift = 0 } = options;
   let now = 0;
   const table = createFakeTable();
   const engines = new Map<string, FakeEngine>();
@@ -137,8 +103,16 @@
   const config = new BehaviorSubject<Config>(EMPTY_CONFIG);
   const entries = new Map<string, GossipEntry>();
 
+  const late: (() => unknown)[] = [];
+  const staleOrders: string[] = [];
+
   const settle = async (): Promise<void> => {
-    for (let i = 0; i < 3; i++) await new Promise((resolve) => setImmediate(resolve));
+    for (let i = 0; i < MICROTASKS; i++) await Promise.resolve();
+  };
+
+  const noteStale = (id: string, order: EngineOrder, by: OrderAuthority): void => {
+    const fence = table.rows.get(`lease/${by.domain}#fence`)?.value as { fencing: number };
+    if (by.fencing < fence.fencing) staleOrders.push(`${id}: ${order.kind} under ${by.fencing}`);
   };
 
   const peers = (): readonly PeerInfo[] =>
@@ -191,6 +165,14 @@
       order: (address, order, by) => {
         const engine = find(address);
         if (engine?.up !== true) return unreachable;
+        noteStale(self().id, order, by);
+        if (self().lateOrders > 0) {
+          self().lateOrders--;
+          late.push(() =>
+            obey(engine, order, { fencing: by.fencing, loadedAt: now + loadMs }, now),
+          );
+          return errAsync(fail('backend-lost', 'answer lost', { step: 'order', peer: address }));
+        }
         const answer = obey(engine, order, { fencing: by.fencing, loadedAt: now + loadMs }, now);
         if (answer === 'done') return okAsync(reportOf(engine));
         return errAsync(fail('conflict', answer, { step: 'order', peer: address }));
@@ -210,6 +192,7 @@
   const addDaemon = async (id: string): Promise<FakeDaemon> => {
     const self = (): FakeDaemon => daemon;
     const changes = new Subject<readonly PeerInfo[]>();
+    const rate = 1 + drift * ((daemons.length % 3) - 1);
     const control = createControl(
       {
         self: id as DaemonId,
@@ -219,7 +202,10 @@
         config: { current: () => config.value, changes: config },
         membership: { self: id as DaemonId, peers, changes },
         gossip: gossipOf(self),
-        clock: { now: () => now as MonoTime, epoch: () => (EPOCH_START + now) as EpochTime },
+        clock: {
+          now: () => (now * rate) as MonoTime,
+          epoch: () => (EPOCH_START + now) as EpochTime,
+        },
         random: createRandom(seed + daemons.length),
         logger: { debug: ignore, info: ignore, warn: ignore, error: ignore },
         ...(options.settings && { settings: options.settings }),
@@ -229,7 +215,9 @@
     const daemon: FakeDaemon = {
       id: id as DaemonId,
       control,
+      rate,
       running: true,
+      lateOrders: 0,
       cut: { gossip: false, table: false, engines: false },
       received: new Subject(),
     };
@@ -246,10 +234,11 @@
         if (daemon.running) daemon.control.tick();
       }
       await settle();
+      options.onStep?.(world);
     }
   };
 
-  return {
+  const world: World = {
     table,
     engines,
     daemons,
@@ -258,6 +247,15 @@
     now: () => now,
     advance,
     settle,
+    staleOrders,
+    flushLate: () => {
+      table.flushLate();
+      for (const deliver of late.splice(0)) deliver();
+    },
+    kill: (daemon) => {
+      daemon.running = false;
+      daemons.splice(daemons.indexOf(daemon), 1);
+    },
     addDaemon,
     addEngine: (id, domain, engineOptions = {}) => {
       const engine = createFakeEngine({ id, ...engineOptions });
@@ -284,6 +282,7 @@
             .join(' '),
         ),
   };
+  return world;
 }
 
 function ignore(): void {
