--- a/src/app/config/config.ts
+++ b/src/app/config/config.ts
@@ -3,12 +3,10 @@
 import { ResultAsync, err, errAsync, ok, okAsync } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
-import { diffDocuments } from '../../core/config/delta';
-import type { InForceState } from '../../core/config/in-force';
+import { pushOf } from '../../core/config/push';
 import {
   HEAD_KEY,
   VERSION_PREFIX,
-  hashDocument,
   parseHead,
   parseVersionRow,
   versionKey,
@@ -23,7 +21,6 @@
 import type { StepError } from '../../utils/errors';
 import type { AcceptedConfig, ConfigChange, ConfigPart } from '../parts';
 import { PUSH_TOPIC, encodePush } from './messages';
-import type { Push } from './messages';
 import { CONFIG_DEFAULTS } from './settings';
 import type { ConfigSettings } from './settings';
 import { runSubmit } from './submit';
@@ -43,16 +40,6 @@
   };
 }
 
-/** What to tell peers: the change itself where they can apply it and it is small. */
-function pushOf(before: InForceState, accepted: AcceptedConfig, pushBytes: number): Push {
-  const { version, document } = accepted;
-  const mark = { version, hash: hashDocument(document) };
-  if (before.mark.version !== version - 1 || before.document === undefined) return { mark };
-  const delta = diffDocuments(before.document, document);
-  if (JSON.stringify(delta).length > pushBytes) return { mark };
-  return { mark, base: before.mark, delta };
-}
-
 function parseAccepted(row: StoredRow): Result<AcceptedConfig, StepError> {
   const parsed = parseVersionRow(row);
   if (parsed.isOk()) return ok({ version: parsed.value.version, document: parsed.value.document });
@@ -98,7 +85,7 @@
     const { version, document } = accepted;
     // A repeated change or one that changed nothing: peers know it already.
     if (version <= sync.state().mark.version) return;
-    const push = pushOf(sync.state(), accepted, settings.pushBytes);
+    const push = pushOf(sync.state(), version, document, settings.pushBytes);
     sync.dispatch({ kind: 'document', mark: push.mark, document, from: 'self' });
     const expiresAt = later(clock.epoch(), settings.pushTtlMs);
     gossip.publish(PUSH_TOPIC, `v/${version}`, encodePush(push), expiresAt);
--- a/src/app/config/messages.ts
+++ b/src/app/config/messages.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod';
 
 import type { VersionMark } from '../../core/config/in-force';
-import type { Delta } from '../../core/config/delta';
+import type { Push } from '../../core/config/push';
 import type { ConfigVersion } from '../../core/ids';
 import { brandAs } from '../../core/ids';
 import type { Json } from '../../core/json';
@@ -31,13 +31,6 @@
 const wantSchema = z.object({ version });
 const documentSchema = z.object({ mark, document: json });
 
-/** A version that a daemon has accepted, with what changed where that is small. */
-export interface Push {
-  readonly mark: VersionMark;
-  readonly base?: VersionMark;
-  readonly delta?: Delta;
-}
-
 export interface DocumentMessage {
   readonly mark: VersionMark;
   readonly document: Json;
--- a/src/core/config/submit.ts
+++ b/src/core/config/submit.ts
@@ -283,7 +283,7 @@
     return refuse(
       state,
       'store-unavailable',
-      'the table service did not answer; nothing was changed',
+      'the table service did not answer; this submission changed nothing',
     );
   }
   const message =
--- a/tests/config-submit.test.ts
+++ b/tests/config-submit.test.ts
@@ -3,9 +3,9 @@
 import { scopeDocument } from '../src/core/config/scope';
 import type { ConfigVersion } from '../src/core/ids';
 import type { Json } from '../src/ports/platform';
-import { amend, createConfigWorld, documentWith, shareIn } from './support/config-daemons';
+import { amend, createConfigWorld, shareIn } from './support/config-daemons';
 import type { ConfigDaemon, ConfigWorld } from './support/config-daemons';
-import { DOCUMENT } from './support/config-documents';
+import { DOCUMENT, documentWith } from './support/config-documents';
 
 const V1 = 1 as ConfigVersion;
 
--- a/tests/support/config-daemons.ts
+++ b/tests/support/config-daemons.ts
@@ -8,7 +8,7 @@
 import type { AcceptedConfig, ConfigPart } from '../../src/app/parts';
 import type { ConfigVersion } from '../../src/core/ids';
 import type { Logger } from '../../src/ports/runtime';
-import { DOCUMENT } from './config-documents';
+import { documentWith } from './config-documents';
 import { createFakeHub } from './fake-hub';
 import type { FakeHub } from './fake-hub';
 import { createFakeTable } from './fake-table';
@@ -77,15 +77,6 @@
   await firstValueFrom(config.changes.pipe(reached, timeout(10_000)));
 }
 
-/** A document that differs from others by the share of one organisation. */
-export function documentWith(share: number): typeof DOCUMENT {
-  const { organisations } = DOCUMENT;
-  return {
-    ...DOCUMENT,
-    organisations: { ...organisations, brest: { ...organisations.brest, share } as never },
-  };
-}
-
 /** The share that {@link documentWith} set. */
 export function shareIn(config: ConfigPart): number | undefined {
   return config.current().organisations.brest?.share;
--- a/tests/support/config-documents.ts
+++ b/tests/support/config-documents.ts
@@ -42,3 +42,12 @@
     { hash: HASHES.operator, role: 'operator' },
   ],
 };
+
+/** A document that differs from others by the share of one organisation. */
+export function documentWith(share: number): typeof DOCUMENT {
+  const { organisations } = DOCUMENT;
+  return {
+    ...DOCUMENT,
+    organisations: { ...organisations, brest: { ...organisations.brest, share } as never },
+  };
+}
