Measure the admission and routing policies and keep what wins

Change, admission: organisations that used less than their share get a bounded credit; the wait estimate counts the denser work that keeps coming in. Change, routing: affinity weighs load and expected hit for every group in place of two choices among bounded candidates; first tokens are judged only where the group had room; groups count by their speed; trust in reports falls with their lag.

--- /dev/null
+++ b/bench/admission-loop.ts
@@ -0,0 +1,259 @@
+/**
+ * A small loop around the pure admission core: seeded arrivals, slots with service times, a clock
+ * that jumps from event to event. It measures the policies; it models no cluster.
+ */
+
+import {
+  admit,
+  createAdmission,
+  expire,
+  nextExpiry,
+  release,
+  setCapacity,
+} from '../src/core/admission/admission';
+import { createHeap, peek, push, remove } from '../src/core/admission/heap';
+import type {
+  AdmissionOptions,
+  AdmissionRequest,
+  AdmissionState,
+  Settled,
+} from '../src/core/admission/types';
+import { createRandom } from '../src/adapters/runtime';
+import type { CallerClass } from '../src/core/config/types';
+import { brandAs } from '../src/core/ids';
+import type { ModelId, MonoTime, OrganisationId, RequestId } from '../src/core/ids';
+import type { Random } from '../src/core/random';
+
+const MODEL = brandAs<ModelId>('model');
+
+/** A kind of request: its class, mean time in a slot and part of its organisation's requests. */
+export interface Kind {
+  readonly class: CallerClass;
+  readonly meanMs: number;
+  readonly part: number;
+}
+
+export interface Tenant {
+  readonly name: string;
+  readonly share: number;
+  /** Offered work, in slots. */
+  readonly load: number;
+}
+
+export interface LoopOptions {
+  readonly admission: Partial<AdmissionOptions>;
+  readonly slots: number;
+  readonly tenants: readonly Tenant[];
+  readonly kinds: readonly Kind[];
+  /** Spread of service times: standard deviation of the logarithm. */
+  readonly spread: number;
+  /** Requests per burst; 1 for plain Poisson arrivals. */
+  readonly burst: number;
+  readonly endMs: number;
+  readonly seed: number;
+}
+
+/** What became of one organisation's requests. */
+export interface TenantResult {
+  readonly name: string;
+  offered: number;
+  answered: number;
+  inTime: number;
+  offeredWorth: number;
+  worthInTime: number;
+  /** Time from arrival to the end, of answered requests, milliseconds. */
+  readonly latenciesMs: number[];
+  /** Time from arrival to the refusal, milliseconds. */
+  readonly refusalsMs: number[];
+}
+
+/** A tenant with its own chance, so that its requests are the same whatever the others do. */
+interface Source {
+  readonly tenant: Tenant;
+  readonly random: Random;
+  readonly result: TenantResult;
+}
+
+interface Arrival {
+  readonly kind: 'arrival';
+  readonly at: number;
+  readonly source: Source;
+}
+
+interface End {
+  readonly kind: 'end';
+  readonly at: number;
+  readonly id: RequestId;
+}
+
+type LoopEvent = Arrival | End;
+
+interface Job {
+  readonly req: AdmissionRequest;
+  readonly at: number;
+  readonly serviceMs: number;
+  readonly result: TenantResult;
+}
+
+interface Loop {
+  readonly opts: LoopOptions;
+  readonly random: Random;
+  readonly events: ReturnType<typeof createHeap<LoopEvent>>;
+  readonly state: AdmissionState;
+  readonly jobs: Map<RequestId, Job>;
+  now: number;
+  seq: number;
+}
+
+/** Runs the loop to its end and gives each organisation's result, in the order of `tenants`. */
+export function runLoop(opts: LoopOptions): readonly TenantResult[] {
+  const loop = createLoop(opts);
+  const sources = opts.tenants.map((tenant, i) => createSource(tenant, opts.seed, i));
+  for (const source of sources) scheduleArrival(loop, source);
+  for (let event = peek(loop.events); event !== undefined; event = peek(loop.events)) {
+    expireUntil(loop, event.at);
+    remove(loop.events, event);
+    loop.now = event.at;
+    if (event.kind === 'arrival') arrive(loop, event.source);
+    else finish(loop, event.id);
+  }
+  return sources.map(({ result }) => result);
+}
+
+const STREAMS_PER_SEED = 1_000;
+
+function createSource(tenant: Tenant, seed: number, index: number): Source {
+  const random = createRandom(seed * STREAMS_PER_SEED + index + 1);
+  return { tenant, random, result: createResult(tenant.name) };
+}
+
+function createLoop(opts: LoopOptions): Loop {
+  const random = createRandom(opts.seed);
+  const state = createAdmission(opts.admission);
+  setCapacity(state, MODEL, opts.slots, { now: brandAs<MonoTime>(0), random });
+  return {
+    opts,
+    random,
+    events: createHeap<LoopEvent>((a, b) => a.at < b.at),
+    state,
+    jobs: new Map(),
+    now: 0,
+    seq: 0,
+  };
+}
+
+function createResult(name: string): TenantResult {
+  return {
+    name,
+    offered: 0,
+    answered: 0,
+    inTime: 0,
+    offeredWorth: 0,
+    worthInTime: 0,
+    latenciesMs: [],
+    refusalsMs: [],
+  };
+}
+
+function exponential(random: Random, mean: number): number {
+  return -Math.log(1 - random.next()) * mean;
+}
+
+/** Log-normal around `mean` (Box and Muller). */
+function logNormal(random: Random, mean: number, spread: number): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
+  const normal = radius * Math.cos(2 * Math.PI * random.next());
+  return mean * Math.exp(spread * normal - (spread * spread) / 2);
+}
+
+function scheduleArrival(loop: Loop, source: Source): void {
+  const { kinds, burst, endMs } = loop.opts;
+  const meanMs = kinds.reduce((sum, kind) => sum + kind.part * kind.meanMs, 0);
+  const gapMs = (meanMs * burst) / source.tenant.load;
+  const at = loop.now + exponential(source.random, gapMs);
+  if (at < endMs) push(loop.events, { kind: 'arrival', at, source });
+}
+
+function arrive(loop: Loop, source: Source): void {
+  scheduleArrival(loop, source);
+  for (let i = 0; i < loop.opts.burst; i++) offer(loop, source);
+}
+
+function offer(loop: Loop, { tenant, random, result }: Source): void {
+  const { now, state } = loop;
+  const kind = pickKind(loop.opts.kinds, random);
+  if (kind === undefined) return;
+  loop.seq += 1;
+  const req: AdmissionRequest = {
+    id: brandAs<RequestId>(`r${loop.seq}`),
+    organisation: brandAs<OrganisationId>(tenant.name),
+    class: kind.class,
+    share: tenant.share,
+    model: MODEL,
+    deadline: brandAs<MonoTime>(now + kind.class.deadlineMs),
+    estimateMs: kind.meanMs,
+  };
+  const serviceMs = logNormal(random, kind.meanMs, loop.opts.spread);
+  loop.jobs.set(req.id, { req, at: now, serviceMs, result });
+  result.offered += 1;
+  result.offeredWorth += kind.class.worth;
+  const admission = admit(state, req, context(loop));
+  if (admission.verdict.kind === 'admitted') begin(loop, req.id);
+  if (admission.verdict.kind === 'refused') end(loop, req.id);
+  settle(loop, admission);
+}
+
+function pickKind(kinds: readonly Kind[], random: Random): Kind | undefined {
+  let left = random.next();
+  return kinds.find((kind) => {
+    left -= kind.part;
+    return left < 0;
+  });
+}
+
+function context(loop: Loop) {
+  return { now: brandAs<MonoTime>(loop.now), random: loop.random };
+}
+
+function begin(loop: Loop, id: RequestId): void {
+  const job = loop.jobs.get(id);
+  if (job !== undefined) push(loop.events, { kind: 'end', at: loop.now + job.serviceMs, id });
+}
+
+/** A refused request is done with. */
+function end(loop: Loop, id: RequestId): void {
+  const job = loop.jobs.get(id);
+  loop.jobs.delete(id);
+  job?.result.refusalsMs.push(loop.now - job.at);
+}
+
+function finish(loop: Loop, id: RequestId): void {
+  const job = loop.jobs.get(id);
+  if (job !== undefined) {
+    const { result, req } = job;
+    loop.jobs.delete(id);
+    result.answered += 1;
+    result.latenciesMs.push(loop.now - job.at);
+    if (loop.now <= req.deadline) {
+      result.inTime += 1;
+      result.worthInTime += req.class.worth;
+    }
+  }
+  settle(loop, release(loop.state, id, context(loop)));
+}
+
+function settle(loop: Loop, settled: Settled): void {
+  for (const id of settled.admitted) begin(loop, id);
+  for (const { id } of settled.refused) end(loop, id);
+}
+
+function expireUntil(loop: Loop, until: number): void {
+  for (
+    let at = nextExpiry(loop.state);
+    at !== undefined && at < until;
+    at = nextExpiry(loop.state)
+  ) {
+    loop.now = Math.max(loop.now, at);
+    settle(loop, expire(loop.state, context(loop)));
+  }
+}
--- /dev/null
+++ b/bench/statistics.ts
@@ -0,0 +1,33 @@
+/** Small statistics for the benchmarks. */
+
+/** The value below which `part` of the values lie (nearest rank); 0 for none. */
+export function quantile(values: readonly number[], part: number): number {
+  const sorted = values.toSorted((a, b) => a - b);
+  const rank = Math.max(0, Math.ceil(part * sorted.length) - 1);
+  return sorted[rank] ?? 0;
+}
+
+export function mean(values: readonly number[]): number {
+  if (values.length === 0) return 0;
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+/** Rounds to `digits` behind the point. */
+export function round(value: number, digits = 3): number {
+  return Number(value.toFixed(digits));
+}
+
+/** Mean with the least and the greatest value over seeds. */
+export interface Summary {
+  readonly mean: number;
+  readonly min: number;
+  readonly max: number;
+}
+
+export function summarise(values: readonly number[], digits = 3): Summary {
+  return {
+    mean: round(mean(values), digits),
+    min: round(Math.min(...values), digits),
+    max: round(Math.max(...values), digits),
+  };
+}
--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -14,6 +14,7 @@
 import { ADMISSION_POLICIES } from './policies';
 import {
   accountOf,
+  countArrival,
   createPool,
   enter,
   leave,
@@ -148,26 +149,28 @@
   ctx: ChanceContext,
 ): Verdict {
   const { req, pool } = entry;
-  if (req.deadline <= ctx.now) return refuse('deadline-passed', backlogMs(entry), state.opts, ctx);
+  if (req.deadline <= ctx.now)
+    return refuse('deadline-passed', backlogMs(state, entry, ctx), state.opts, ctx);
   const broken = brokenLimit(state, req);
   if (broken !== undefined) {
     return refuse(broken, serviceMs(pool, req.estimateMs), state.opts, ctx);
   }
   if (pool.running < pool.slots) {
     // Nothing waits while a slot is free, so even a request that may be late takes no one's place.
-    hold(state, entry);
-    occupy(pool, entry, ctx.now);
+    hold(state, entry, policy, ctx.now);
+    occupy(pool, entry, ctx.now, state.opts);
     return { kind: 'admitted' };
   }
   const reason = whyNotQueue(state, entry, policy, ctx);
-  if (reason !== undefined) return refuse(reason, retryMs(entry, ctx.now), state.opts, ctx);
+  if (reason !== undefined) return refuse(reason, retryMs(state, entry, ctx), state.opts, ctx);
   if (isFull(state, pool)) {
     const given = leastOf(entry, policy);
-    if (given === undefined) return refuse('queue-full', backlogMs(entry), state.opts, ctx);
+    if (given === undefined)
+      return refuse('queue-full', backlogMs(state, entry, ctx), state.opts, ctx);
     refused.push(giveUp(state, given, 'displaced', ctx));
   }
-  hold(state, entry);
-  enter(pool, entry, policy);
+  hold(state, entry, policy, ctx.now);
+  enter(pool, entry, policy, state.opts);
   if (policy.refusesEarly) shedHopeless(state, entry, refused, ctx);
   return { kind: 'queued' };
 }
@@ -176,27 +179,29 @@
   state: AdmissionState,
   entry: Entry,
   policy: AdmissionPolicy,
-  { now }: ChanceContext,
+  ctx: ChanceContext,
 ): RefusalReason | undefined {
   if (!policy.queues) return 'queue-full';
+  const { now } = ctx;
   const from = capacityAt(entry.pool, now);
   if (from === undefined) return 'no-capacity';
   if (!policy.refusesEarly) return undefined;
   if (from > now) return from > entry.startBy ? 'no-capacity' : undefined;
-  const wait = backlogMs(entry) * state.opts.waitSafety;
+  const wait = backlogMs(state, entry, ctx) * state.opts.waitSafety;
   return now + wait > entry.startBy ? 'deadline-unreachable' : undefined;
 }
 
 /** Wait of a request that would join now. */
-function backlogMs({ pool, account, bucket, req }: Entry): number {
-  return joinWaitMs(pool, account, bucket, req.estimateMs);
+function backlogMs({ opts }: AdmissionState, entry: Entry, { now }: ChanceContext): number {
+  return joinWaitMs(entry, { now, opts });
 }
 
 /** Time until the backlog will have shrunk enough for a request like this one. */
-function retryMs(entry: Entry, now: MonoTime): number {
+function retryMs(state: AdmissionState, entry: Entry, ctx: ChanceContext): number {
   const { pool, startBy } = entry;
+  const { now } = ctx;
   if (pool.slots === 0) return pool.expectedAt === undefined ? Infinity : pool.expectedAt - now;
-  return now + backlogMs(entry) - startBy;
+  return now + backlogMs(state, entry, ctx) - startBy;
 }
 
 function isFull({ opts }: AdmissionState, pool: Pool): boolean {
@@ -230,13 +235,15 @@
     entry !== undefined;
     entry = mostPressedOfWorst(queue)
   ) {
-    const startAt = ctx.now + queuedWaitMs(entry.pool, entry) * state.opts.waitSafety;
+    const startAt =
+      ctx.now + queuedWaitMs(entry, { now: ctx.now, opts: state.opts }) * state.opts.waitSafety;
     if (entry === added || startAt <= entry.startBy) return;
     refused.push(giveUp(state, entry, 'displaced', ctx));
   }
 }
 
-function hold(state: AdmissionState, entry: Entry): void {
+function hold(state: AdmissionState, entry: Entry, policy: AdmissionPolicy, now: MonoTime): void {
+  countArrival(entry, policy, now, state.opts.arrivalMemoryMs);
   state.entries.set(entry.req.id, entry);
   countInFlight(state, entry.req, 1);
 }
@@ -255,7 +262,8 @@
 ): RefusedRequest {
   forget(state, entry);
   leave(entry.pool, entry);
-  const afterMs = reason === 'no-capacity' ? retryMs(entry, ctx.now) : backlogMs(entry);
+  const isWithout = reason === 'no-capacity';
+  const afterMs = isWithout ? retryMs(state, entry, ctx) : backlogMs(state, entry, ctx);
   return { id: entry.req.id, verdict: refuse(reason, afterMs, state.opts, ctx) };
 }
 
@@ -275,7 +283,7 @@
       continue;
     }
     leave(pool, entry);
-    occupy(pool, entry, ctx.now);
+    occupy(pool, entry, ctx.now, state.opts);
     admitted.push(entry.req.id);
   }
   return { state, admitted, refused };
--- a/src/core/admission/estimate.ts
+++ b/src/core/admission/estimate.ts
@@ -1,13 +1,21 @@
-/** How long a request would wait for a slot, from the work ahead of it and the measured rate. */
+/** How long a request would wait for a slot: the work ahead of it over the rate left for it. */
 
 import type { MonoTime } from '../ids';
-import { workBefore, workThrough } from './queue';
-import type { Account, Entry, Pool } from './types';
+import { startTag } from './pool';
+import { arrivalsBefore, workBefore, workThrough } from './queue';
+import { rateAt } from './rate';
+import type { Account, AdmissionOptions, Entry, Pool } from './types';
 
 /** Bounds of the correction, so that a few odd answers cannot shut admission. */
 const MIN_STRETCH = 0.25;
 const MAX_STRETCH = 4;
 
+/** What an estimate is made from besides the request. */
+export interface EstimateContext {
+  readonly now: MonoTime;
+  readonly opts: AdmissionOptions;
+}
+
 /** Measured time in a slot over the estimated one. */
 export function stretch(pool: Pool): number {
   if (pool.estimatedMs === 0) return 1;
@@ -19,28 +27,70 @@
   return estimateMs * stretch(pool);
 }
 
-/**
- * Wait until `aheadMs` of the account's own work is done, at its share of the slots, or until all
- * queued work is done, whichever is less. Milliseconds; infinite without capacity.
- */
-function waitMs(pool: Pool, account: Account, aheadMs: number, allMs: number): number {
+/** Estimated work done per millisecond by all slots. */
+function poolSpeed(pool: Pool): number {
+  return pool.slots / stretch(pool);
+}
+
+/** The same for one account: its share among those that wait, or what the others leave. */
+function accountSpeed(pool: Pool, account: Account, { now, opts }: EstimateContext): number {
+  const all = poolSpeed(pool);
+  const waiting = pool.backloggedShare + (account.queue.size > 0 ? 0 : account.share);
+  const byShare = (all * account.share) / waiting;
+  if (opts.arrivalMemoryMs === 0) return byShare;
+  const memoryMs = opts.arrivalMemoryMs;
+  const others = rateAt(pool.arrivals, now, memoryMs) - rateAt(account.arrivals, now, memoryMs);
+  return Math.max(byShare, all - others);
+}
+
+/** Work that the account may have done ahead of all others, milliseconds. */
+function creditMs(pool: Pool, account: Account, opts: AdmissionOptions): number {
+  return Math.max(0, pool.virtual - startTag(pool, account, opts)) * account.share;
+}
+
+/** Wait until `aheadMs` of the account's work is done; infinite without capacity. */
+function waitMs(pool: Pool, account: Account, work: Work, ctx: EstimateContext): number {
   if (pool.slots === 0) return Infinity;
-  const backlogged = pool.backloggedShare + (account.queue.size > 0 ? 0 : account.share);
-  const part = account.share / backlogged;
-  const work = Math.min(aheadMs / part, allMs);
-  return serviceMs(pool, work) / pool.slots;
+  const credited = Math.min(work.aheadMs, creditMs(pool, account, ctx.opts));
+  const speed = accountSpeed(pool, account, ctx);
+  const denser = arrivalsBefore(account.queue, work.bucket, ctx.now, ctx.opts.arrivalMemoryMs);
+  const left = speed - denser;
+  const rest = work.aheadMs - credited;
+  const ownMs = credited / poolSpeed(pool) + (rest > 0 ? over(rest, left) : 0);
+  return Math.min(ownMs, drainMs(pool, work.allMs, ctx));
+}
+
+/** Time until all queued work is done, given what comes in; no request waits longer. */
+function drainMs(pool: Pool, allMs: number, { now, opts }: EstimateContext): number {
+  const left = poolSpeed(pool) - rateAt(pool.arrivals, now, opts.arrivalMemoryMs);
+  return over(allMs, left);
+}
+
+function over(workMs: number, speed: number): number {
+  return speed > 0 ? workMs / speed : Infinity;
+}
+
+interface Work {
+  readonly bucket: number;
+  /** Of the same account, the request itself included. */
+  readonly aheadMs: number;
+  /** Of all accounts, the request itself included. */
+  readonly allMs: number;
 }
 
-/** Wait of a request that is about to join the bucket, behind all that is in it. */
-export function joinWaitMs(pool: Pool, account: Account, bucket: number, ownMs: number): number {
-  const ahead = workThrough(account.queue, bucket) + ownMs;
-  return waitMs(pool, account, ahead, pool.queuedMs + ownMs);
+/** Wait of a request that is about to join its bucket, behind all that is in it. */
+export function joinWaitMs(entry: Entry, ctx: EstimateContext): number {
+  const { pool, account, bucket, req } = entry;
+  const aheadMs = workThrough(account.queue, bucket) + req.estimateMs;
+  const allMs = pool.queuedMs + req.estimateMs;
+  return waitMs(pool, account, { bucket, aheadMs, allMs }, ctx);
 }
 
 /** Wait of the first request of its bucket. */
-export function queuedWaitMs(pool: Pool, { account, bucket, req }: Entry): number {
-  const ahead = workBefore(account.queue, bucket) + req.estimateMs;
-  return waitMs(pool, account, ahead, pool.queuedMs);
+export function queuedWaitMs(entry: Entry, ctx: EstimateContext): number {
+  const { pool, account, bucket, req } = entry;
+  const aheadMs = workBefore(account.queue, bucket) + req.estimateMs;
+  return waitMs(pool, account, { bucket, aheadMs, allMs: pool.queuedMs }, ctx);
 }
 
 /** When capacity is there at the earliest. */
--- a/src/core/admission/pool.ts
+++ b/src/core/admission/pool.ts
@@ -6,8 +6,9 @@
 import type { ModelId, MonoTime } from '../ids';
 import { createHeap, peek, push, remove, update } from './heap';
 import type { AdmissionPolicy } from './policies';
-import { best, createQueue, dequeue, enqueue } from './queue';
-import type { Account, AdmissionRequest, Entry, Pool } from './types';
+import { best, bucketAt, createQueue, dequeue, enqueue } from './queue';
+import { addWork, createRate } from './rate';
+import type { Account, AdmissionOptions, AdmissionRequest, Entry, Pool } from './types';
 
 /** Weight of the newest measurement of time in a slot. */
 const NEWEST_WEIGHT = 0.02;
@@ -23,6 +24,7 @@
     virtual: 0,
     servedMs: 0,
     estimatedMs: 0,
+    arrivals: createRate(),
     expectedAt: undefined,
     accounts: new Map(),
     turn: createHeap<Account>((a, b) => a.start < b.start),
@@ -48,8 +50,9 @@
     organisation: owner,
     queue: createQueue(),
     share,
-    start: pool.virtual,
+    start: -Infinity,
     running: 0,
+    arrivals: createRate(),
   };
   pool.accounts.set(owner, account);
   return account;
@@ -65,8 +68,36 @@
   update(pool.fullest, account);
 }
 
+/** Counts the work of a request that was let in, at once or into the queue. */
+export function countArrival(
+  { pool, account, bucket, req }: Entry,
+  policy: AdmissionPolicy,
+  now: MonoTime,
+  memoryMs: number,
+): void {
+  const ofBucket = bucketAt(account.queue, bucket, policy).arrivals;
+  for (const rate of [pool.arrivals, account.arrivals, ofBucket]) {
+    addWork(rate, req.estimateMs, now, memoryMs);
+  }
+}
+
+/**
+ * Start tag of the account's next request. One that used less than its share may lie behind the
+ * virtual time, and so goes first, but not by more than the credit.
+ */
+export function startTag(pool: Pool, account: Account, opts: AdmissionOptions): number {
+  const known = pool.backloggedShare > 0 ? pool.backloggedShare : account.share;
+  const credit = (opts.creditMs * pool.slots) / known;
+  return Math.max(account.start, pool.virtual - credit);
+}
+
 /** Puts a request into its account's queue. */
-export function enter(pool: Pool, entry: Entry, policy: AdmissionPolicy): void {
+export function enter(
+  pool: Pool,
+  entry: Entry,
+  policy: AdmissionPolicy,
+  opts: AdmissionOptions,
+): void {
   const { account } = entry;
   enqueue(account.queue, entry, policy);
   push(pool.expiry, entry);
@@ -76,8 +107,8 @@
     update(pool.fullest, account);
     return;
   }
-  account.start = Math.max(account.start, pool.virtual);
   pool.backloggedShare += account.share;
+  account.start = startTag(pool, account, opts);
   push(pool.turn, account);
   push(pool.fullest, account);
 }
@@ -105,13 +136,13 @@
 }
 
 /** Gives a request a slot and charges its account the estimate. */
-export function occupy(pool: Pool, entry: Entry, now: MonoTime): void {
+export function occupy(pool: Pool, entry: Entry, now: MonoTime, opts: AdmissionOptions): void {
   const { account } = entry;
   entry.startedAt = now;
   pool.running += 1;
   account.running += 1;
-  const start = Math.max(account.start, pool.virtual);
-  pool.virtual = start;
+  const start = startTag(pool, account, opts);
+  pool.virtual = Math.max(pool.virtual, start);
   account.start = start + entry.req.estimateMs / account.share;
   update(pool.turn, account);
 }
@@ -125,9 +156,6 @@
   account.start += (heldMs - req.estimateMs) / account.share;
   update(pool.turn, account);
   learn(pool, heldMs, req.estimateMs);
-  const isIdle = account.running === 0 && account.queue.size === 0;
-  // Its start tag would be raised to the virtual time anyway.
-  if (isIdle && account.start <= pool.virtual) pool.accounts.delete(account.organisation);
 }
 
 function learn(pool: Pool, heldMs: number, estimateMs: number): void {
--- a/src/core/admission/queue.ts
+++ b/src/core/admission/queue.ts
@@ -2,15 +2,16 @@
 
 import { createHeap, peek, push, remove } from './heap';
 import type { AdmissionPolicy } from './policies';
+import { createRate, rateAt } from './rate';
+import type { MonoTime } from '../ids';
 import type { Bucket, Entry, OrganisationQueue } from './types';
 
 export function createQueue(): OrganisationQueue {
-  return { buckets: [], size: 0, workMs: 0 };
+  return { buckets: [], size: 0 };
 }
 
 export function enqueue(queue: OrganisationQueue, entry: Entry, policy: AdmissionPolicy): void {
-  const bucket = queue.buckets[entry.bucket] ?? createBucket(policy);
-  queue.buckets[entry.bucket] = bucket;
+  const bucket = bucketAt(queue, entry.bucket, policy);
   push(bucket.entries, entry);
   count(queue, bucket, entry, 1);
 }
@@ -21,15 +22,23 @@
   count(queue, bucket, entry, -1);
 }
 
-function createBucket(policy: AdmissionPolicy): Bucket {
-  return { entries: createHeap((a, b) => policy.before(a, b)), workMs: 0 };
+/** The bucket of that number, made if it is new. */
+export function bucketAt(queue: OrganisationQueue, index: number, policy: AdmissionPolicy): Bucket {
+  const known = queue.buckets[index];
+  if (known !== undefined) return known;
+  const bucket: Bucket = {
+    entries: createHeap((a, b) => policy.before(a, b)),
+    workMs: 0,
+    arrivals: createRate(),
+  };
+  queue.buckets[index] = bucket;
+  return bucket;
 }
 
 function count(queue: OrganisationQueue, bucket: Bucket, entry: Entry, by: 1 | -1): void {
   const workMs = by * entry.req.estimateMs;
   queue.size += by;
   // Sums of fractions drift; what is empty holds nothing.
-  queue.workMs = queue.size === 0 ? 0 : queue.workMs + workMs;
   bucket.workMs = bucket.entries.items.length === 0 ? 0 : bucket.workMs + workMs;
 }
 
@@ -65,3 +74,18 @@
 export function workThrough(queue: OrganisationQueue, bucket: number): number {
   return workBefore(queue, bucket + 1);
 }
+
+/** Work per millisecond that comes in for buckets that go before this one. */
+export function arrivalsBefore(
+  queue: OrganisationQueue,
+  bucket: number,
+  now: MonoTime,
+  memoryMs: number,
+): number {
+  let sum = 0;
+  for (let i = 0; i < bucket; i++) {
+    const before = queue.buckets[i];
+    if (before !== undefined) sum += rateAt(before.arrivals, now, memoryMs);
+  }
+  return sum;
+}
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -15,6 +15,10 @@
   readonly minQueue: number;
   /** Requests in flight, queued ones included, of one organisation on this daemon. */
   readonly organisationLimit: number;
+  /** An organisation that used less than its share may make up for this much time, milliseconds. */
+  readonly creditMs: number;
+  /** Arrivals are remembered for about this long, to foresee denser ones, milliseconds. */
+  readonly arrivalMemoryMs: number;
   /** The estimated wait is multiplied by this before it is held against the deadline. */
   readonly waitSafety: number;
   /** Least time after which a refused caller should come back, milliseconds. */
@@ -30,6 +34,8 @@
   queuePerSlot: 16,
   minQueue: 64,
   organisationLimit: 4_096,
+  creditMs: 2_000,
+  arrivalMemoryMs: 5_000,
   waitSafety: 1,
   minRetryMs: 100,
   retryJitter: 0.5,
@@ -124,6 +130,8 @@
   /** Start tag of its next request, in milliseconds of work per unit of share. */
   start: number;
   running: number;
+  /** Work that comes in, all buckets together. */
+  readonly arrivals: Rate;
 }
 
 /** Queued requests of one organisation, by bucket and deadline. */
@@ -131,13 +139,20 @@
   /** Sparse: a bucket is made when first used. */
   readonly buckets: (Bucket | undefined)[];
   size: number;
-  /** Estimated work of all its entries, milliseconds. */
-  workMs: number;
 }
 
 export interface Bucket {
   readonly entries: Heap<Entry>;
+  /** Estimated work of its entries, milliseconds. */
   workMs: number;
+  /** Work that comes in for it, queued or not. */
+  readonly arrivals: Rate;
+}
+
+/** Work that comes in per millisecond: a sum that fades. */
+export interface Rate {
+  value: number;
+  at: MonoTime;
 }
 
 /** A binary heap from which any item can be taken. */
@@ -162,6 +177,8 @@
   /** Moving averages of the time in a slot, measured and as estimated, milliseconds. */
   servedMs: number;
   estimatedMs: number;
+  /** Work that comes in, all organisations together. */
+  readonly arrivals: Rate;
   /** When capacity is expected again; only while there is none. */
   expectedAt: MonoTime | undefined;
   readonly accounts: Map<OrganisationId, Account>;
--- a/src/core/routing/cache.ts
+++ b/src/core/routing/cache.ts
@@ -32,27 +32,25 @@
 /** Own send: the group will probably hold these prefixes. */
 export function noteSent(
   state: RoutingState,
-  group: GroupId,
+  group: GroupState,
   keys: readonly string[],
   now: MonoTime,
 ): void {
   for (const key of keys) {
     const known = probability(state, key, group, now);
-    remember(state, key, group, { probability: Math.max(known, SENT_PROBABILITY), at: now });
+    const belief = Math.max(known, SENT_PROBABILITY);
+    remember(state, key, group.id, { probability: belief, at: now, gaps: group.cacheGaps });
   }
 }
 
-const NOTE: Readonly<
-  Record<
-    CacheEvent['kind'],
-    (state: RoutingState, event: CacheEvent, group: GroupId, now: MonoTime) => void
-  >
-> = {
-  stored: (state, event, group, now) => {
-    remember(state, event.prefix, group, { probability: STORED_PROBABILITY, at: now });
+type NoteEvent = (state: RoutingState, prefix: string, group: GroupState, now: MonoTime) => void;
+
+const NOTES: Readonly<Record<CacheEvent['kind'], NoteEvent>> = {
+  stored: (state, prefix, { id, cacheGaps }, now) => {
+    remember(state, prefix, id, { probability: STORED_PROBABILITY, at: now, gaps: cacheGaps });
   },
-  evicted: (state, event, group) => {
-    state.prefixes.get(event.prefix)?.delete(group);
+  evicted: (state, prefix, { id }) => {
+    state.prefixes.get(prefix)?.delete(id);
   },
 };
 
@@ -65,18 +63,10 @@
 ): void {
   for (const event of batch.events) {
     if (event.seq <= group.cacheSeq) continue;
-    if (event.seq > group.cacheSeq + 1 && group.cacheSeq > 0) doubt(state, group.id);
+    const isGap = group.cacheSeq > 0 && event.seq > group.cacheSeq + 1;
+    if (isGap) group.cacheGaps += 1;
     group.cacheSeq = event.seq;
-    NOTE[event.kind](state, event, group.id, now);
-  }
-}
-
-/** After a gap any of the beliefs about the group may be wrong. */
-function doubt(state: RoutingState, group: GroupId): void {
-  for (const beliefs of state.prefixes.values()) {
-    const belief = beliefs.get(group);
-    if (belief === undefined) continue;
-    beliefs.set(group, { ...belief, probability: belief.probability * GAP_FACTOR });
+    NOTES[event.kind](state, event.prefix, group, now);
   }
 }
 
@@ -84,19 +74,21 @@
 export function probability(
   state: RoutingState,
   key: string,
-  group: GroupId,
+  group: GroupState,
   now: MonoTime,
 ): number {
-  const belief = state.prefixes.get(key)?.get(group);
+  const belief = state.prefixes.get(key)?.get(group.id);
   if (belief === undefined) return 0;
-  return belief.probability * 0.5 ** ((now - belief.at) / state.opts.cacheHalfLifeMs);
+  const halfLives = (now - belief.at) / state.opts.cacheHalfLifeMs;
+  const doubt = GAP_FACTOR ** (group.cacheGaps - belief.gaps);
+  return belief.probability * doubt * 0.5 ** halfLives;
 }
 
 /** Expected share of the prompt's prefixes that the group holds. */
 export function expectedHit(
   state: RoutingState,
   keys: readonly string[],
-  group: GroupId,
+  group: GroupState,
   now: MonoTime,
 ): number {
   let best = 0;
--- a/src/core/routing/load.ts
+++ b/src/core/routing/load.ts
@@ -46,6 +46,7 @@
   opts: RoutingOptions,
 ): number {
   if (load.reportedAt === undefined) return load.inFlight + meanOthers;
-  const trust = 0.5 ** ((now - load.reportedAt) / opts.reportHalfLifeMs);
+  const ageMs = now - load.reportedAt + opts.reportLagMs;
+  const trust = 0.5 ** (ageMs / opts.reportHalfLifeMs);
   return load.inFlight + meanOthers + (load.others - meanOthers) * trust;
 }
--- a/src/core/routing/policies.ts
+++ b/src/core/routing/policies.ts
@@ -22,10 +22,10 @@
   choose(groups: readonly GroupState[], choice: Choice): GroupState | undefined;
 }
 
-/** Load as a share of a batch, after one more request. */
+/** Load as a share of a batch, after one more request, on a group of average speed. */
 function fill(group: GroupState, { state, model, ctx }: Choice): number {
   const load = estimateLoad(group.load, model.meanOthers, ctx.now, state.opts);
-  return (load + 1) / group.maxBatch;
+  return ((load + 1) * group.slowness) / group.maxBatch;
 }
 
 /** The group with the lowest cost; of equal ones, one by lot. */
@@ -81,16 +81,54 @@
   return ranked.slice(0, 2).map(({ group }) => group);
 }
 
-function chooseByAffinity(groups: readonly GroupState[], choice: Choice): GroupState | undefined {
+function chooseBoundedAffinity(
+  groups: readonly GroupState[],
+  choice: Choice,
+): GroupState | undefined {
   const [key] = choice.keys;
   if (key === undefined) return chooseOfTwo(groups, choice);
   const { state, keys, ctx } = choice;
   const candidates = affinityCandidates(groups, key, choice);
   const cost = (group: GroupState) =>
-    fill(group, choice) - state.opts.cacheBonus * expectedHit(state, keys, group.id, ctx.now);
+    fill(group, choice) - state.opts.cacheBonus * expectedHit(state, keys, group, ctx.now);
   return cheapest(candidates, cost, choice);
 }
 
+/** The groups highest by rendezvous hash of the prefix: all daemons send it there at first. */
+function homesOf(groups: readonly GroupState[], key: string): ReadonlySet<GroupState> {
+  const hash = hashText(key);
+  let first: GroupState | undefined;
+  let second: GroupState | undefined;
+  let firstRank = -1;
+  let secondRank = -1;
+  for (const group of groups) {
+    const rank = mixHashes(group.hash, hash);
+    if (rank > firstRank) {
+      [second, secondRank] = [first, firstRank];
+      [first, firstRank] = [group, rank];
+    } else if (rank > secondRank) {
+      [second, secondRank] = [group, rank];
+    }
+  }
+  return new Set([first, second].filter((group) => group !== undefined));
+}
+
+/** Load and cache weighed for every group; a hit outweighs a bounded difference of load alone. */
+function chooseByAffinity(groups: readonly GroupState[], choice: Choice): GroupState | undefined {
+  const { state, keys, ctx } = choice;
+  const { cacheBonus, homePrior, overflowCost } = state.opts;
+  const [key] = keys;
+  if (key === undefined) return cheapest(groups, (group) => fill(group, choice), choice);
+  const homes = homesOf(groups, key);
+  const cost = (group: GroupState) => {
+    const filled = fill(group, choice);
+    const known = expectedHit(state, keys, group, ctx.now);
+    const hit = homes.has(group) ? Math.max(known, homePrior) : known;
+    return filled + overflowCost * Math.max(0, filled - 1) - cacheBonus * hit;
+  };
+  return cheapest(groups, cost, choice);
+}
+
 export const ROUTING_POLICIES: Readonly<Record<RoutingPolicyName, RoutingPolicy>> = {
   'round-robin': {
     ejects: false,
@@ -104,6 +142,11 @@
     ejects: false,
     choose: (groups, choice) => cheapest(groups, (group) => group.load.inFlight, choice),
   },
+  'least-estimated': {
+    ejects: true,
+    choose: (groups, choice) => cheapest(groups, (group) => fill(group, choice), choice),
+  },
   'two-choices': { ejects: true, choose: chooseOfTwo },
+  'bounded-affinity': { ejects: true, choose: chooseBoundedAffinity },
   affinity: { ejects: true, choose: chooseByAffinity },
 };
--- a/src/core/routing/routing.ts
+++ b/src/core/routing/routing.ts
@@ -10,7 +10,7 @@
 import type { StepContext } from '../reducer';
 import { affinityKey, noteEvents, noteSent } from './cache';
 import { hashText } from './hash';
-import { changeLoad, createLoad, takeReport } from './load';
+import { changeLoad, createLoad, estimateLoad, takeReport } from './load';
 import { ROUTING_POLICIES } from './policies';
 import { addSample, createAverage, inStanding, judge } from './stragglers';
 import { ROUTING_DEFAULTS } from './types';
@@ -71,13 +71,16 @@
 export function onSent(state: RoutingState, event: SentEvent, { now }: StepContext): RoutingState {
   const group = state.groups.get(event.group);
   if (group === undefined || state.attempts.has(event.attempt)) return state;
-  state.attempts.set(event.attempt, { group: event.group, firstTokenAt: undefined });
-  group.waiting.set(event.attempt, now);
+  const meanOthers = state.models.get(group.model)?.meanOthers ?? 0;
+  const hadRoom = estimateLoad(group.load, meanOthers, now, state.opts) < group.maxBatch;
+  const attempt = { group: event.group, sentAt: now, hadRoom, firstTokenAt: undefined };
+  state.attempts.set(event.attempt, attempt);
+  if (hadRoom) group.waiting.set(event.attempt, now);
   changeLoad(group.load, 1, now);
   const { organisation, prefixKeys = [] } = event;
   if (organisation === undefined) return state;
   const keys = prefixKeys.map((key) => affinityKey(organisation, key));
-  noteSent(state, event.group, keys, now);
+  noteSent(state, group, keys, now);
   return state;
 }
 
@@ -89,11 +92,10 @@
 ): RoutingState {
   const attempt = state.attempts.get(event.attempt);
   const group = attempt && state.groups.get(attempt.group);
-  const sentAt = group?.waiting.get(event.attempt);
-  if (attempt === undefined || group === undefined || sentAt === undefined) return state;
+  if (attempt === undefined || attempt.firstTokenAt !== undefined) return state;
   attempt.firstTokenAt = now;
-  group.waiting.delete(event.attempt);
-  addSample(group.firstTokenMs, now - sentAt);
+  group?.waiting.delete(event.attempt);
+  if (group !== undefined && attempt.hadRoom) addSample(group.firstTokenMs, now - attempt.sentAt);
   return state;
 }
 
@@ -151,9 +153,11 @@
     waiting: new Map(),
     firstTokenMs: createAverage(),
     interTokenMs: createAverage(),
+    slowness: 1,
     ejections: 0,
     ejectedUntil: undefined,
     cacheSeq: 0,
+    cacheGaps: 0,
     lastSeen: now,
   };
   state.groups.set(group.id, seen);
--- a/src/core/routing/stragglers.ts
+++ b/src/core/routing/stragglers.ts
@@ -49,27 +49,33 @@
   return kept.length > 0 ? kept : groups;
 }
 
-/** A latency to judge by: what was measured, or a longer wait that still goes on. */
+/** A latency to judge by. */
 interface Signal {
-  readonly name: string;
-  read(group: GroupState, now: MonoTime, opts: RoutingOptions): number | undefined;
+  readonly factor: (opts: RoutingOptions) => number;
+  readonly gapMs: (opts: RoutingOptions) => number;
+  /** What was measured; the median is taken over these. */
+  measured(group: GroupState, opts: RoutingOptions): number | undefined;
+  /** A wait that still goes on; it counts when it is longer, even before any answer. */
+  pending(group: GroupState, now: MonoTime): number;
 }
 
 const SIGNALS: readonly Signal[] = [
   {
-    name: 'first-token',
-    read: (group, now, opts) => {
-      const waitMs = oldestWait(group, now);
-      const measured = settled(group.firstTokenMs, opts);
-      if (measured === undefined) return undefined;
-      return Math.max(measured, waitMs);
-    },
+    factor: (opts) => opts.firstTokenFactor,
+    gapMs: (opts) => opts.firstTokenGapMs,
+    measured: (group, opts) => settled(group.firstTokenMs, opts.firstTokenSamples),
+    pending: oldestWait,
+  },
+  {
+    factor: (opts) => opts.interTokenFactor,
+    gapMs: (opts) => opts.interTokenGapMs,
+    measured: (group, opts) => settled(group.interTokenMs, opts.interTokenSamples),
+    pending: () => 0,
   },
-  { name: 'inter-token', read: (group, _now, opts) => settled(group.interTokenMs, opts) },
 ];
 
-function settled(average: Average, opts: RoutingOptions): number | undefined {
-  return average.samples >= opts.outlierSamples ? average.value : undefined;
+function settled(average: Average, samples: number): number | undefined {
+  return average.samples >= samples ? average.value : undefined;
 }
 
 function oldestWait(group: GroupState, now: MonoTime): number {
@@ -83,8 +89,9 @@
 }
 
 /** How far a group lies above the median, in multiples; 0 where it is no outlier. */
-function excess(value: number, middle: number, opts: RoutingOptions): number {
-  const isOutlier = value > middle * opts.outlierFactor && value > middle + opts.outlierGapMs;
+function excess(signal: Signal, value: number, middle: number, opts: RoutingOptions): number {
+  const isFar = value > middle * signal.factor(opts);
+  const isOutlier = isFar && value > middle + signal.gapMs(opts);
   return isOutlier ? value / Math.max(middle, 1) : 0;
 }
 
@@ -92,21 +99,34 @@
 export function judge(groups: readonly GroupState[], now: MonoTime, opts: RoutingOptions): void {
   for (const group of groups) forgive(group, now, opts);
   const worst = new Map<GroupState, number>();
+  const inGame = groups.filter((group) => standing(group, now, opts) > 0);
   for (const signal of SIGNALS) {
-    const inGame = groups.filter((group) => standing(group, now, opts) > 0);
-    const read = inGame.map((group) => ({ group, value: signal.read(group, now, opts) }));
-    const middle = median(read.flatMap(({ value }) => (value === undefined ? [] : [value])));
-    for (const { group, value } of read) {
-      const by = value === undefined ? 0 : excess(value, middle, opts);
+    const measured = inGame.map((group) => signal.measured(group, opts));
+    const middle = median(measured.filter((value) => value !== undefined));
+    if (middle === 0) continue;
+    for (const [i, group] of inGame.entries()) {
+      const value = Math.max(measured[i] ?? 0, signal.pending(group, now));
+      const by = excess(signal, value, middle, opts);
       if (by > 0) worst.set(group, Math.max(by, worst.get(group) ?? 0));
     }
   }
+  rateSpeed(groups, opts);
   const out = groups.filter((group) => standing(group, now, opts) === 0).length;
   const room = Math.floor(groups.length * opts.maxEjectedShare) - out;
   const outliers = [...worst].toSorted((a, b) => b[1] - a[1]);
   for (const [group] of outliers.slice(0, Math.max(0, room))) eject(group, now, opts);
 }
 
+/** Notes how slow each group is against the median, for the choice among those that are in. */
+function rateSpeed(groups: readonly GroupState[], opts: RoutingOptions): void {
+  const read = groups.map((group) => settled(group.interTokenMs, opts.interTokenSamples));
+  const middle = median(read.filter((value) => value !== undefined));
+  for (const [i, group] of groups.entries()) {
+    const value = read[i];
+    if (value !== undefined && middle > 0) group.slowness = Math.max(1, value / middle);
+  }
+}
+
 function eject(group: GroupState, now: MonoTime, opts: RoutingOptions): void {
   const lengthMs = Math.min(opts.maxEjectionMs, opts.ejectionMs * 2 ** group.ejections);
   group.ejectedUntil = later(now, lengthMs);
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -5,7 +5,13 @@
 
 /** Names of the policies; see `policies.ts`. */
 export type RoutingPolicyName =
-  'round-robin' | 'random' | 'least-in-flight' | 'two-choices' | 'affinity';
+  | 'round-robin'
+  | 'random'
+  | 'least-in-flight'
+  | 'least-estimated'
+  | 'two-choices'
+  | 'bounded-affinity'
+  | 'affinity';
 
 export interface RoutingOptions {
   readonly policy: RoutingPolicyName;
@@ -17,16 +23,25 @@
   readonly loadBound: number;
   /** Load, as a share of a batch, that a certain cache hit is worth. */
   readonly cacheBonus: number;
+  /** Probability of a hit that a prefix's home groups are given unseen. */
+  readonly homePrior: number;
+  /** Cost of load beyond a full batch, over that of load within it. */
+  readonly overflowCost: number;
   /** Prefixes remembered; the least recently used go first. */
   readonly maxPrefixes: number;
   /** Belief in a stored prefix halves in this time, milliseconds. */
   readonly cacheHalfLifeMs: number;
-  /** A latency beyond this multiple of the median marks a straggler. */
-  readonly outlierFactor: number;
-  /** ... and only beyond the median by this much, milliseconds. */
-  readonly outlierGapMs: number;
-  /** Answers needed before a group is judged. */
-  readonly outlierSamples: number;
+  /** A first token that takes this multiple of the median marks a straggler ... */
+  readonly firstTokenFactor: number;
+  /** ... if it is also later by this much, milliseconds. */
+  readonly firstTokenGapMs: number;
+  /** The same for the time between tokens, which load and cache hits move far less. */
+  readonly interTokenFactor: number;
+  readonly interTokenGapMs: number;
+  /** Answers needed before a group is judged by its first tokens. */
+  readonly firstTokenSamples: number;
+  /** Fewer do for the time between tokens: each is an average over an answer. */
+  readonly interTokenSamples: number;
   /** At most this share of a model's groups is ejected at a time. */
   readonly maxEjectedShare: number;
   /** First ejection, milliseconds; doubles with each further one. */
@@ -41,16 +56,21 @@
 export const ROUTING_DEFAULTS: RoutingOptions = {
   policy: 'affinity',
   reportLagMs: 500,
-  reportHalfLifeMs: 2_000,
+  reportHalfLifeMs: 500,
   loadBound: 1.25,
-  cacheBonus: 0.5,
+  cacheBonus: 0.25,
+  homePrior: 0.6,
+  overflowCost: 2,
   maxPrefixes: 20_000,
   cacheHalfLifeMs: 60_000,
-  outlierFactor: 2,
-  outlierGapMs: 50,
-  outlierSamples: 8,
+  firstTokenFactor: 4,
+  firstTokenGapMs: 500,
+  interTokenFactor: 2,
+  interTokenGapMs: 5,
+  firstTokenSamples: 8,
+  interTokenSamples: 3,
   maxEjectedShare: 0.34,
-  ejectionMs: 5_000,
+  ejectionMs: 10_000,
   maxEjectionMs: 120_000,
   rampMs: 10_000,
   judgeEveryMs: 250,
@@ -86,14 +106,18 @@
   readonly hash: number;
   maxBatch: number;
   readonly load: GroupLoad;
-  /** Attempts without a first token, oldest first, with when they were sent. */
+  /** Attempts without a first token that found room in the batch, oldest first: when sent. */
   readonly waiting: Map<AttemptId, MonoTime>;
   readonly firstTokenMs: Average;
   readonly interTokenMs: Average;
+  /** Time between tokens over the median of its model, at least 1. */
+  slowness: number;
   ejections: number;
   ejectedUntil: MonoTime | undefined;
   /** Last sequence number of its cache events. */
   cacheSeq: number;
+  /** Times that events were missing. */
+  cacheGaps: number;
   lastSeen: MonoTime;
 }
 
@@ -108,6 +132,9 @@
 
 export interface AttemptState {
   readonly group: GroupId;
+  readonly sentAt: MonoTime;
+  /** Whether the group was believed to have room in its batch, so that no queueing is measured. */
+  readonly hadRoom: boolean;
   firstTokenAt: MonoTime | undefined;
 }
 
@@ -115,6 +142,8 @@
 export interface CacheBelief {
   readonly probability: number;
   readonly at: MonoTime;
+  /** Gaps in the group's events by then. */
+  readonly gaps: number;
 }
 
 /**
--- a/tests/routing.test.ts
+++ b/tests/routing.test.ts
@@ -3,7 +3,7 @@
 import { brandAs } from '../src/core/ids';
 import type { AttemptId, GroupId, MonoTime, OrganisationId } from '../src/core/ids';
 import type { Random } from '../src/core/random';
-import { affinityKey } from '../src/core/routing/cache';
+import { affinityKey, probability } from '../src/core/routing/cache';
 import {
   chooseGroup,
   createRouting,
@@ -156,9 +156,15 @@
     const prefix = affinityKey(ORGANISATION, 'k');
     const group = brandAs<GroupId>('g1');
     onCacheEvents(state, { group, events: [{ seq: 1, kind: 'stored', prefix }] }, at(0));
-    const before = state.prefixes.get(prefix)?.get(group)?.probability ?? 0;
-    onCacheEvents(state, { group, events: [{ seq: 3, kind: 'stored', prefix: 'p' }] }, at(0));
-    expect(state.prefixes.get(prefix)?.get(group)?.probability).toBeCloseTo(before / 2);
+    const held = () => {
+      const known = state.groups.get(group);
+      return known === undefined ? 0 : probability(state, prefix, known, brandAs<MonoTime>(0));
+    };
+    const before = held();
+    onCacheEvents(state, { group, events: [{ seq: 2, kind: 'stored', prefix: 'p' }] }, at(0));
+    expect(held()).toBe(before);
+    onCacheEvents(state, { group, events: [{ seq: 4, kind: 'stored', prefix: 'q' }] }, at(0));
+    expect(held()).toBeCloseTo(before / 2);
   });
 });
 
