--- /dev/null
+++ b/tests/support/control-world.ts
@@ -0,0 +1,297 @@
+/** Several control planes on one injected clock, over in-memory ports. */
+
+import { BehaviorSubject, NEVER, Subject } from 'rxjs';
+import { errAsync, okAsync } from 'neverthrow';
+
+import { createRandom } from '../../src/adapters/runtime';
+import { createControl } from '../../src/app/control/control';
+import type { ControlOverrides, DrivenControl } from '../../src/app/control/control';
+import type { Gossip, GossipEntry, PeerInfo } from '../../src/app/parts';
+import { EMPTY_CONFIG } from '../../src/core/config/types';
+import type { Config, ModelSpec } from '../../src/core/config/types';
+import type {
+  DaemonId,
+  DomainId,
+  EpochTime,
+  InstanceId,
+  ModelId,
+  MonoTime,
+  ZoneId,
+} from '../../src/core/ids';
+import type { Engine, EngineOrder, OrderAuthority } from '../../src/ports/engine';
+import type { InstanceEntry, Json, Table } from '../../src/ports/platform';
+import { fail } from '../../src/utils/errors';
+import { createFakeTable } from './control-table';
+import type { FakeTable } from './control-table';
+import { createFakeEngine, obey, passTime, reportOf } from './control-engine';
+import type { FakeEngine } from './control-engine';
+
+export const EPOCH_START = 1_700_000_000_000;
+const STEP_MS = 100;
+/** More than any chain of answers takes. */
+const MICROTASKS = 60;
+
+export interface FakeDaemon {
+  readonly id: DaemonId;
+  /** How fast its monotonic clock runs. */
+  readonly rate: number;
+  readonly control: DrivenControl;
+  /** Frozen or dead: its ticks don't run. */
+  running: boolean;
+  /** Its next orders reach the engines only at `flushLate`; it takes them as lost. */
+  lateOrders: number;
+  /** Cut off from the other daemons, the table and the engines, each by itself. */
+  readonly cut: { gossip: boolean; table: boolean; engines: boolean };
+  readonly received: Subject<GossipEntry>;
+}
+
+export interface World {
+  readonly table: FakeTable;
+  readonly engines: Map<string, FakeEngine>;
+  readonly daemons: FakeDaemon[];
+  readonly config: BehaviorSubject<Config>;
+  readonly listed: Map<InstanceId, InstanceEntry>;
+  now(): number;
+  advance(ms: number): Promise<void>;
+  /** Lets answers come in, no time passing. */
+  settle(): Promise<void>;
+  /** Orders and commits held back by the network arrive. */
+  flushLate(): void;
+  /** Orders sent under a fencing number that was not the domain's newest. */
+  readonly staleOrders: readonly string[];
+  addDaemon(id: string): Promise<FakeDaemon>;
+  /** Stops a daemon for good, without handing anything back. */
+  kill(daemon: FakeDaemon): void;
+  addEngine(id: string, domain: string, options?: { checksFencing?: boolean }): FakeEngine;
+  /** Groups with their epochs that each running daemon would give requests to. */
+  routable(model: string): readonly string[];
+}
+
+export interface WorldOptions {
+  readonly seed?: number;
+  readonly loadMs?: number;
+  /** How far the daemons' clocks run apart, as a share. */
+  readonly drift?: number;
+  readonly settings?: ControlOverrides;
+  /** Runs after each step of time. */
+  readonly onStep?: (world: World) => void;
+}
+
+export function modelSpec(id: string, change: Partial<ModelSpec> = {}): ModelSpec {
+  return {
+    id: id as ModelId,
+    membersPerReplica: 4,
+    replicas: 1,
+    maxBatch: 8,
+    weights: { downtime: 1, stranded: 1 },
+    policies: {},
+    ...change,
+  };
+}
+
+export function configOf(...specs: readonly ModelSpec[]): Config {
+  return { ...EMPTY_CONFIG, models: Object.fromEntries(specs.map((spec) => [spec.id, spec])) };
+}
+
+export function createWorld(options: WorldOptions = {}): World {
+  const { seed = 1, loadMs = 5_000, drift = 0 } = options;
+  let now = 0;
+  const table = createFakeTable();
+  const engines = new Map<string, FakeEngine>();
+  const daemons: FakeDaemon[] = [];
+  const listed = new Map<InstanceId, InstanceEntry>();
+  const config = new BehaviorSubject<Config>(EMPTY_CONFIG);
+  const entries = new Map<string, GossipEntry>();
+
+  const late: (() => unknown)[] = [];
+  const staleOrders: string[] = [];
+
+  const settle = async (): Promise<void> => {
+    for (let i = 0; i < MICROTASKS; i++) await Promise.resolve();
+  };
+
+  const noteStale = (id: string, order: EngineOrder, by: OrderAuthority): void => {
+    const fence = table.rows.get(`lease/${by.domain}#fence`)?.value as { fencing: number };
+    if (by.fencing < fence.fencing) staleOrders.push(`${id}: ${order.kind} under ${by.fencing}`);
+  };
+
+  const peers = (): readonly PeerInfo[] =>
+    daemons
+      .filter((daemon) => daemon.running)
+      .map(({ id }) => ({
+        id,
+        address: `${id}:1`,
+        zone: 'z' as ZoneId,
+        state: 'alive',
+        configVersion: config.value.version,
+      }));
+
+  const gossipOf = (self: () => FakeDaemon): Gossip => ({
+    publish: (topic, key, value, expiresAt) => {
+      const { id, cut } = self();
+      const known = entries.get(`${topic} ${key}`);
+      const entry = {
+        topic,
+        key,
+        origin: id,
+        version: (known?.version ?? 0) + 1,
+        value,
+        expiresAt,
+      };
+      entries.set(`${topic} ${key}`, entry);
+      if (cut.gossip) return;
+      for (const other of daemons) {
+        if (other.id !== id && other.running && !other.cut.gossip) other.received.next(entry);
+      }
+    },
+    get received() {
+      return self().received;
+    },
+    entries: (topic) =>
+      [...entries.values()].filter(
+        (entry) => entry.topic === topic && entry.expiresAt > EPOCH_START + now,
+      ),
+  });
+
+  const engineOf = (self: () => FakeDaemon): Engine => {
+    const find = (address: string) =>
+      self().cut.engines ? undefined : engines.get(address.replace(/:1$/, ''));
+    const unreachable = errAsync(fail('unavailable', 'not reached', { step: 'engine' }));
+    return {
+      report: (address) => {
+        const engine = find(address);
+        return engine?.up === true ? okAsync(reportOf(engine)) : unreachable;
+      },
+      order: (address, order, by) => {
+        const engine = find(address);
+        if (engine?.up !== true) return unreachable;
+        noteStale(self().id, order, by);
+        if (self().lateOrders > 0) {
+          self().lateOrders--;
+          late.push(() =>
+            obey(engine, order, { fencing: by.fencing, loadedAt: now + loadMs }, now),
+          );
+          return errAsync(fail('backend-lost', 'answer lost', { step: 'order', peer: address }));
+        }
+        const answer = obey(engine, order, { fencing: by.fencing, loadedAt: now + loadMs }, now);
+        if (answer === 'done') return okAsync(reportOf(engine));
+        return errAsync(fail('conflict', answer, { step: 'order', peer: address }));
+      },
+    };
+  };
+
+  const tableOf = (self: () => FakeDaemon): Table => {
+    const cut = () => errAsync(fail('store-unavailable', 'cut off', { step: 'table' }));
+    return {
+      read: (keys) => (self().cut.table ? cut() : table.read(keys)),
+      scan: (prefix, after) => (self().cut.table ? cut() : table.scan(prefix, after)),
+      commit: (tx) => (self().cut.table ? cut() : table.commit(tx)),
+    };
+  };
+
+  const addDaemon = async (id: string): Promise<FakeDaemon> => {
+    const self = (): FakeDaemon => daemon;
+    const changes = new Subject<readonly PeerInfo[]>();
+    const rate = 1 + drift * ((daemons.length % 3) - 1);
+    const control = createControl(
+      {
+        self: id as DaemonId,
+        table: tableOf(self),
+        instances: { list: () => okAsync([...listed.values()]) },
+        engine: engineOf(self),
+        config: { current: () => config.value, changes: config },
+        membership: { self: id as DaemonId, peers, changes },
+        gossip: gossipOf(self),
+        clock: {
+          now: () => (now * rate) as MonoTime,
+          epoch: () => (EPOCH_START + now) as EpochTime,
+        },
+        random: createRandom(seed + daemons.length),
+        logger: { debug: ignore, info: ignore, warn: ignore, error: ignore },
+        ...(options.settings && { settings: options.settings }),
+      },
+      { ticks: NEVER },
+    );
+    const daemon: FakeDaemon = {
+      id: id as DaemonId,
+      control,
+      rate,
+      running: true,
+      lateOrders: 0,
+      cut: { gossip: false, table: false, engines: false },
+      received: new Subject(),
+    };
+    daemons.push(daemon);
+    await control.start();
+    return daemon;
+  };
+
+  const advance = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += STEP_MS) {
+      now += STEP_MS;
+      for (const engine of engines.values()) passTime(engine, engines, now);
+      for (const daemon of daemons) {
+        if (daemon.running) daemon.control.tick();
+      }
+      await settle();
+      options.onStep?.(world);
+    }
+  };
+
+  const world: World = {
+    table,
+    engines,
+    daemons,
+    config,
+    listed,
+    now: () => now,
+    advance,
+    settle,
+    staleOrders,
+    flushLate: () => {
+      table.flushLate();
+      for (const deliver of late.splice(0)) deliver();
+    },
+    kill: (daemon) => {
+      daemon.running = false;
+      daemons.splice(daemons.indexOf(daemon), 1);
+    },
+    addDaemon,
+    addEngine: (id, domain, engineOptions = {}) => {
+      const engine = createFakeEngine({ id, ...engineOptions });
+      engines.set(id, engine);
+      listed.set(engine.id, {
+        id: engine.id,
+        role: 'engine',
+        address: engine.address,
+        zone: 'z' as ZoneId,
+        domain: domain as DomainId,
+        accelerators: 8,
+        state: 'live',
+        checksFencing: engine.checksFencing,
+      });
+      return engine;
+    },
+    routable: (model) =>
+      daemons
+        .filter((daemon) => daemon.running)
+        .map((daemon) =>
+          daemon.control
+            .routable(model as ModelId)
+            .map((group) => `${group.id}@${group.epoch}`)
+            .join(' '),
+        ),
+  };
+  return world;
+}
+
+function ignore(): void {
+  return undefined;
+}
+
+/** Values of all rows below a prefix. */
+export function rowsBelow(table: FakeTable, prefix: string): readonly Json[] {
+  return [...table.rows.values()]
+    .filter(({ key }) => key.startsWith(prefix))
+    .map((row) => row.value);
+}
