--- a/src/app/requests/requests.ts
+++ b/src/app/requests/requests.ts
@@ -20,6 +20,7 @@
 import { pause } from './pause';
 import { writeEnding } from './reply';
 import { REQUEST_DEFAULTS } from './settings';
+import { createSweep } from './sweep';
 
 export type { RequestDeps } from './context';
 
@@ -72,10 +73,10 @@
   });
 }
 
-function createParts(ctx: RequestContext): RequestParts {
+function createParts(ctx: RequestContext, writer: ClaimWriter): RequestParts {
   return {
     backends: createBackends(ctx.clock, ctx.random),
-    claims: createClaims(ctx, createWriter(ctx)),
+    claims: createClaims(ctx, writer),
     gate: createGate(ctx.clock, ctx.random),
     choice: createGroupChoice(ctx.clock, ctx.random),
   };
@@ -84,7 +85,9 @@
 /** Makes the request plane. Settings left out have the defaults of `settings.ts`. */
 export function createRequests(deps: RequestDeps): RequestPart {
   const ctx = createContext(deps);
-  const parts = createParts(ctx);
+  const writer = createWriter(ctx);
+  const parts = createParts(ctx, writer);
+  const sweep = createSweep(ctx, writer);
   const entry: Entry = { ctx, parts };
   let inFlight = 0;
   let isDraining = false;
@@ -125,8 +128,12 @@
         else onIdle.push(resolve);
       });
     },
-    start: () => Promise.resolve(),
+    start: () => {
+      sweep.start();
+      return Promise.resolve();
+    },
     stop: async () => {
+      sweep.stop();
       ctx.upstream.close();
       await Promise.race([parts.claims.settled(), pause(ctx.settings.settleWaitMs)]);
     },
--- a/src/app/requests/settings.ts
+++ b/src/app/requests/settings.ts
@@ -75,7 +75,7 @@
   claimRetentionMs: 24 * 3_600_000,
   releasedRetentionMs: 10 * 60_000,
   rowAnswerBytes: 16 * 1024,
-  sweepEveryMs: 30_000,
+  sweepEveryMs: 10_000,
   strikeRetentionMs: 10 * 60_000,
   strikeLimit: 2,
 };
