--- a/tests/support/requests-fixture.ts
+++ b/tests/support/requests-fixture.ts
@@ -175,6 +175,31 @@
 
 const TRACER: Tracer = { start: fakeSpan };
 
+export interface DaemonOptions {
+  readonly id: string;
+  readonly table: Table;
+  /** `host:port` of the one backend server of the plain service. */
+  readonly backend: string;
+}
+
+/** What a request plane with one plain service needs; for daemons that are processes. */
+export function createDaemonDeps({ id, table, backend }: DaemonOptions): RequestDeps {
+  const config = new BehaviorSubject(testConfig({ backends: [backend] }));
+  return {
+    self: id as DaemonId,
+    config: { current: () => config.value, changes: config },
+    groups: fakeGroups(),
+    table,
+    objects: fakeObjects(),
+    gossip: fakeGossip(),
+    clock: createClock(),
+    random: createRandom(1),
+    logger: SILENT,
+    metrics: fakeMetrics(),
+    tracer: TRACER,
+  };
+}
+
 export interface Fixture {
   readonly url: string;
   readonly requests: ReturnType<typeof createRequests>;
