Take a refusal on a shared connection only with its attempt's id

A refusal without an echo, read from a connection that served other calls, may be a late answer to one of those; not-run would then be untrue. The engine stand-in echoes the attempt in refusals now.

--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -53,6 +53,8 @@
 export interface Answered {
   readonly kind: 'answered';
   readonly res: IncomingMessage;
+  /** Whether the connection served other calls before this one. */
+  readonly reused: boolean;
   /** Tears the connection, so that no other call gets it. */
   readonly destroy: () => void;
 }
@@ -140,7 +142,7 @@
     req.end(call.body);
   });
   req.once('response', (res) => {
-    settle({ kind: 'answered', res, destroy: () => req.destroy() });
+    settle({ kind: 'answered', res, reused: req.reusedSocket, destroy: () => req.destroy() });
   });
 }
 
--- a/src/app/requests/model-attempt.ts
+++ b/src/app/requests/model-attempt.ts
@@ -85,14 +85,9 @@
   return refusal;
 }
 
-type EchoFault = 'wrong-attempt' | 'wrong-group';
-
-/** Whether the answer is this attempt's, from the group and epoch it was sent to. */
-function echoFault(res: IncomingMessage, { id, group }: ModelAttempt): EchoFault | undefined {
-  if (res.headers[HEADER.attempt] !== id) return 'wrong-attempt';
-  const sameGroup = res.headers[HEADER.group] === group.id;
-  const sameEpoch = res.headers[HEADER.epoch] === String(group.epoch);
-  return sameGroup && sameEpoch ? undefined : 'wrong-group';
+/** Whether the answer is from the group and epoch that the attempt was sent to. */
+function isFromGroup({ headers }: IncomingMessage, { group }: ModelAttempt): boolean {
+  return headers[HEADER.group] === group.id && headers[HEADER.epoch] === String(group.epoch);
 }
 
 function badAnswer(
@@ -234,15 +229,21 @@
   };
 }
 
+/** Whether the answer can only be to this attempt: it says so, or no other call was before it. */
+function isOwn(attempt: ModelAttempt, { res, reused }: Answered): boolean {
+  const echoed = res.headers[HEADER.attempt];
+  const isRefusal = res.statusCode === STATUS.conflict || res.statusCode === STATUS.unavailable;
+  return echoed === attempt.id || (echoed === undefined && isRefusal && !reused);
+}
+
 /** Reads the answer according to its status. */
 async function readAnswer(attempt: ModelAttempt, answered: Answered): Promise<AttemptResult> {
   const status = answered.res.statusCode ?? 0;
-  const fault = echoFault(answered.res, attempt);
-  if (fault === 'wrong-attempt') return badAnswer(attempt, 'answer is for another attempt');
+  if (!isOwn(attempt, answered)) return badAnswer(attempt, 'answer is for another attempt');
   if (status === STATUS.conflict) return onConflict(attempt, answered);
   if (status === STATUS.unavailable) return onUnavailable(attempt, answered);
   if (status >= STATUS.errorsOfTheirs) return badAnswer(attempt, 'engine failed', 'backend-lost');
-  if (fault === 'wrong-group') {
+  if (!isFromGroup(answered.res, attempt)) {
     reportEvidence(attempt, 'wrong-group', 'first-byte');
     return badAnswer(attempt, 'answer is from another group or epoch');
   }
--- a/stand-ins/engine/completions.ts
+++ b/stand-ins/engine/completions.ts
@@ -228,6 +228,8 @@
   req: IncomingMessage,
   res: ServerResponse,
 ): Promise<void> {
+  // Refusals echo the attempt as well: on a shared connection nothing else tells whose they are.
+  res.setHeader('nutmegstack-attempt', headerOf(req, 'nutmegstack-attempt') ?? 'none');
   const text = (await readBody(req)).toString('utf8');
   if (!mayServe(serving, req, res)) return;
   const body = JSON.parse(text) as CompletionBody;
