Quarantine requests that crash the groups that run them

Strikes need both a torn run and the group's loss; groups of one domain lost together, or three of any, give none. A suspect goes to another domain, alone where it can; if one was among those torn, the others are left alone; a whole answer clears it.

--- a/src/app/requests/attempts.ts
+++ b/src/app/requests/attempts.ts
@@ -115,7 +115,9 @@
   for (;;) {
     const picked = plan.pick(progress.tried);
     if (picked.kind === 'none') {
-      const error = progress.lastError ?? picked.failure.error;
+      // Where nothing is left to try, the last attempt says more than that.
+      const isExhausted = picked.failure.error.code === 'no-group';
+      const error = (isExhausted ? progress.lastError : undefined) ?? picked.failure.error;
       return summarise(progress, { ...picked.failure, error });
     }
     const id = brandAs<AttemptId>(`${call.exchange.id}.${progress.attempts + 1}`);
--- a/src/app/requests/context.ts
+++ b/src/app/requests/context.ts
@@ -13,6 +13,7 @@
 import type { Gate } from './gate';
 import type { GroupChoice } from './group-choice';
 import type { RequestSettings } from './settings';
+import type { Strikes } from './strikes';
 
 /** What the request plane needs of the rest of the daemon. */
 export interface RequestDeps {
@@ -51,6 +52,7 @@
   readonly claims: Claims;
   readonly gate: Gate;
   readonly choice: GroupChoice;
+  readonly strikes: Strikes;
 }
 
 export function createBudgets(settings: RequestSettings): Budgets {
--- a/src/app/requests/entry.ts
+++ b/src/app/requests/entry.ts
@@ -23,6 +23,7 @@
   estimateMs,
   hasModel,
   modelCapacity,
+  quarantineFailure,
 } from './model-call';
 import { HEADER } from './names';
 import { answerServiceCall } from './service-call';
@@ -90,6 +91,8 @@
     return refused(fail('model-not-found', 'no such model', { step: 'entry' }));
   }
   const model = createModelCall(call.value, body.value);
+  const quarantined = quarantineFailure(parts, model);
+  if (quarantined !== undefined) return ended(quarantined);
   return admitAndRun(ctx, parts, {
     call: model,
     target: model.model,
--- a/src/app/requests/model-attempt.ts
+++ b/src/app/requests/model-attempt.ts
@@ -11,6 +11,7 @@
 import { isRecord } from '../../utils/is';
 import { EXPOSURE_OF } from '../../core/retry/decide';
 import type { AttemptFailure } from '../../core/retry/decide';
+import type { Run } from '../../core/retry/quarantine-types';
 import type { AttemptAbort } from './abort';
 import type { AttemptResult, AttemptFailed } from './attempts';
 import { readBody } from './body';
@@ -22,6 +23,7 @@
 import { HEADER, METRIC } from './names';
 import { relayStream } from './relay';
 import { startStream } from './reply';
+import type { Strikes } from './strikes';
 import { checkWholeAnswer } from './whole';
 
 const MAX_REFUSAL_BYTES = 64 * 1024;
@@ -37,6 +39,7 @@
   readonly span: Span;
   readonly guard: SendGuard;
   readonly choice: GroupChoice;
+  readonly strikes: Strikes;
   readonly abort: AttemptAbort;
 }
 
@@ -65,7 +68,15 @@
   };
 }
 
-function noteSent({ choice, call, group, id }: ModelAttempt): void {
+function runOf({ strikes, call, group, id }: ModelAttempt): Run {
+  const { fingerprint } = call;
+  const suspect = strikes.suspicion(fingerprint) !== 'clear';
+  return { attempt: id, fingerprint, group: group.id, domain: group.domain, suspect };
+}
+
+function noteSent(attempt: ModelAttempt): void {
+  const { choice, strikes, call, group, id } = attempt;
+  strikes.sent(runOf(attempt));
   const organisation = call.caller.organisation.id;
   choice.sent(id, group.id, { prefixKeys: call.prefixKeys, organisation });
 }
@@ -271,6 +282,14 @@
   return typeof load === 'string' ? load : undefined;
 }
 
+/** Tells quarantine how a run ended, before the group's loss is reported. */
+function noteEnd(attempt: ModelAttempt, result: AttemptResult): void {
+  const { strikes, id, abort } = attempt;
+  const isTorn = result.kind === 'failed' && result.failure === 'lost';
+  if (isTorn && !abort.controller.signal.aborted) strikes.torn(id);
+  else strikes.ended(runOf(attempt), result.kind === 'done');
+}
+
 /** Sends the call to the group and reads the answer. Tears the connection unless all went well. */
 export async function attemptModel(attempt: ModelAttempt): Promise<AttemptResult> {
   const { ctx, call, group, choice, id, abort } = attempt;
@@ -286,11 +305,13 @@
   });
   if (sent.kind !== 'answered') {
     choice.end(id, 0);
+    noteEnd(attempt, attemptFailed(sent.kind, sent.error));
     return orGivenUp(attempt, onNotAnswered(attempt, sent));
   }
   choice.load(group.id, loadHeader(sent.res));
   const result = await readAnswer(attempt, sent);
   choice.end(id, 0);
+  noteEnd(attempt, result);
   if (result.kind === 'failed' && result.exposure === 'exposed') {
     sent.destroy();
     if (result.failure === 'lost' && !abort.controller.signal.aborted) {
--- a/src/app/requests/model-call.ts
+++ b/src/app/requests/model-call.ts
@@ -1,7 +1,7 @@
 /** A call of a model: from a body that was read to an ending. */
 
 import type { RoutableGroup } from '../../core/groups/types';
-import type { AttemptId, ModelId } from '../../core/ids';
+import type { AttemptId, Fingerprint, ModelId } from '../../core/ids';
 import { brandAs, later } from '../../core/ids';
 import type { Labels } from '../../ports/telemetry';
 import { hashParts } from '../../utils/common';
@@ -10,7 +10,7 @@
 import { runAttempts } from './attempts';
 import type { AttemptPlan, AttemptResult, Picked } from './attempts';
 import type { RequestContext, RequestParts } from './context';
-import type { Ending } from './ending';
+import type { Ending, Failure } from './ending';
 import type { Call } from './exchange';
 import type { Capacity } from './gate';
 import { prefixKeysOf } from './group-choice';
@@ -27,6 +27,8 @@
   readonly stream: boolean;
   readonly maxTokens: number | undefined;
   readonly prefixKeys: readonly string[];
+  /** The same for the same request sent again. */
+  readonly fingerprint: Fingerprint;
   /** Keeps the cached prefixes of organisations apart. */
   readonly cacheSalt: string;
   readonly labels: Labels;
@@ -38,6 +40,10 @@
   return Object.hasOwn(ctx.config.current().models, model) && Object.hasOwn(replicas, model);
 }
 
+function fingerprintOf({ caller, path, body }: Call, model: string): Fingerprint {
+  return brandAs<Fingerprint>(hashParts(caller.organisation.id, model, path, body));
+}
+
 export function createModelCall(call: Call, body: ModelBody): ModelCall {
   return {
     ...call,
@@ -45,6 +51,7 @@
     stream: body.stream,
     maxTokens: body.maxTokens,
     prefixKeys: prefixKeysOf(body.parts),
+    fingerprint: fingerprintOf(call, body.model),
     cacheSalt: hashParts('cache-salt', call.caller.organisation.id),
     labels: { model: body.model, class: call.caller.class.name },
   };
@@ -69,14 +76,28 @@
   return { kind: 'none', failure: { error, exposure: 'none', retryAt } };
 }
 
+/** The failure of a request that has crashed too many groups; it says nothing of earlier attempts. */
+export function quarantineFailure(
+  parts: RequestParts,
+  { fingerprint }: ModelCall,
+): Failure | undefined {
+  if (parts.strikes.suspicion(fingerprint) !== 'quarantined') return undefined;
+  const message = 'the request was running whenever several groups were lost';
+  const error = fail('quarantined', message, { step: 'quarantine' });
+  return { error, exposure: 'none', retryAt: parts.strikes.quarantinedUntil(fingerprint) };
+}
+
 function pickGroup(
   ctx: RequestContext,
   parts: RequestParts,
   call: ModelCall,
   tried: ReadonlySet<string>,
 ): Picked<RoutableGroup> {
+  const quarantined = quarantineFailure(parts, call);
+  if (quarantined !== undefined) return { kind: 'none', failure: quarantined };
   const span = call.exchange.span.child('routing');
-  const groups = ctx.groups.routable(call.model);
+  const untried = ctx.groups.routable(call.model).filter(({ id }) => !tried.has(id));
+  const groups = parts.strikes.open(call.fingerprint, untried);
   const { prefixKeys } = call;
   const organisation = call.caller.organisation.id;
   const place = parts.choice.choose({ groups, tried, prefixKeys, organisation });
@@ -99,14 +120,14 @@
   call: ModelCall,
   { group, id, guard }: Sending,
 ): Promise<AttemptResult> {
-  const { choice } = parts;
+  const { choice, strikes } = parts;
   const span = call.exchange.span.child('attempt');
   span.set('group', group.id);
   span.set('peer', group.address);
   const { deadline } = call.terms;
   const { gone } = call.exchange;
   const abort = createAbort({ clock: ctx.clock, deadline, gone, peer: group.address });
-  const attempt = { ctx, choice, call, group, id, span, guard, abort };
+  const attempt = { ctx, choice, strikes, call, group, id, span, guard, abort };
   try {
     const result = await attemptModel(attempt);
     span.end(result.kind === 'failed' ? result.error.code : undefined);
--- a/src/app/requests/requests.ts
+++ b/src/app/requests/requests.ts
@@ -20,6 +20,7 @@
 import { pause } from './pause';
 import { writeEnding } from './reply';
 import { REQUEST_DEFAULTS } from './settings';
+import { createStrikes } from './strikes';
 import { createSweep } from './sweep';
 
 export type { RequestDeps } from './context';
@@ -79,6 +80,7 @@
     claims: createClaims(ctx, writer),
     gate: createGate(ctx.clock, ctx.random),
     choice: createGroupChoice(ctx.clock, ctx.random),
+    strikes: createStrikes(ctx),
   };
 }
 
@@ -130,10 +132,12 @@
     },
     start: () => {
       sweep.start();
+      parts.strikes.start();
       return Promise.resolve();
     },
     stop: async () => {
       sweep.stop();
+      parts.strikes.stop();
       ctx.upstream.close();
       await Promise.race([parts.claims.settled(), pause(ctx.settings.settleWaitMs)]);
     },
--- /dev/null
+++ b/src/core/retry/quarantine-types.ts
@@ -0,0 +1,88 @@
+/** What quarantine takes in and keeps. */
+
+import type { AttemptId, DomainId, EpochTime, Fingerprint, GroupId, MonoTime } from '../ids';
+
+export interface QuarantineOptions {
+  /** Strikes on different groups at which a request is refused. */
+  readonly limit: number;
+  /** How long a strike counts, milliseconds. */
+  readonly retentionMs: number;
+  /** A torn run and the loss of its group belong together within this time, milliseconds. */
+  readonly blameMs: number;
+  /** Groups lost within this time are lost together, milliseconds; strikes wait as long. */
+  readonly togetherMs: number;
+  /** So many groups of one domain lost together are a fault of the domain. */
+  readonly domainGroups: number;
+  /** So many groups lost together, of whatever domains, are no request's fault. */
+  readonly wideGroups: number;
+  /** Fingerprints remembered at most; those whose strikes end first go first. */
+  readonly maxFingerprints: number;
+}
+
+export const QUARANTINE_DEFAULTS: QuarantineOptions = {
+  limit: 2,
+  retentionMs: 10 * 60_000,
+  blameMs: 3_000,
+  togetherMs: 1_000,
+  domainGroups: 2,
+  wideGroups: 3,
+  maxFingerprints: 10_000,
+};
+
+/** A group was lost while, or just after, it ran the request. */
+export interface Strike {
+  readonly fingerprint: Fingerprint;
+  readonly group: GroupId;
+  readonly domain: DomainId;
+  readonly at: EpochTime;
+  readonly until: EpochTime;
+}
+
+/** A strike that counts once it is clear that not many groups were lost together. */
+export interface PendingStrike extends Strike {
+  readonly dueAt: MonoTime;
+}
+
+/** An attempt on a group. */
+export interface Run {
+  readonly attempt: AttemptId;
+  readonly fingerprint: Fingerprint;
+  readonly group: GroupId;
+  readonly domain: DomainId;
+  /** Whether it was under suspicion when it was sent. */
+  readonly suspect: boolean;
+}
+
+/** A run whose connection broke. */
+export interface TornRun extends Run {
+  readonly tornAt: MonoTime;
+}
+
+export interface LostGroup {
+  readonly group: GroupId;
+  readonly domain: DomainId | undefined;
+  readonly at: MonoTime;
+  /** The group's domain is known to be dark. */
+  readonly domainDark: boolean;
+}
+
+/** `suspect`: to be tried alone; `quarantined`: to be refused. */
+export type Suspicion = 'clear' | 'suspect' | 'quarantined';
+
+/** State of quarantine. A mutable record that one loop owns. */
+export interface QuarantineState {
+  readonly opts: QuarantineOptions;
+  /** Strikes that count, by fingerprint and group. */
+  readonly strikes: Map<Fingerprint, Map<GroupId, Strike>>;
+  pending: PendingStrike[];
+  readonly running: Map<AttemptId, Run>;
+  torn: TornRun[];
+  lost: LostGroup[];
+}
+
+/** What a decision here may know. */
+export interface QuarantineContext {
+  readonly now: MonoTime;
+  /** For strikes, which are shared between daemons. */
+  readonly epoch: EpochTime;
+}
