--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -42,8 +42,9 @@
     const daemon = await startDaemon(settings.value);
     const { addresses } = daemon;
     process.stdout.write(`${JSON.stringify({ ready: true, role: 'daemon', id, addresses })}\n`);
-    await stopRequested();
-    await daemon.drain();
+    // An operator's drain ends the daemon too.
+    void stopRequested().then(() => daemon.drain());
+    await daemon.stopped;
     return { exit: EXIT.done };
   } catch (err: unknown) {
     return startRefused(err);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,7 +1,8 @@
 /** The program: one binary, a subcommand each for the daemon and for operators. */
 
-import sade from 'sade';
+import { startDaemon } from '../app/daemon';
+import { runProgram } from './program';
 
-const VERSION = '0.1.0';
-
-sade('nutmegstack').version(VERSION).parse(process.argv);
+void runProgram(process.argv, process.env, startDaemon).then((code) => {
+  process.exit(code);
+});
--- a/tests/cli.test.ts
+++ b/tests/cli.test.ts
@@ -91,9 +91,16 @@
 
 describe('serve', () => {
   it('says where it listens, and stops gracefully on SIGTERM', async () => {
-    const drain = vi.fn(() => Promise.resolve());
+    let stop: (() => void) | undefined;
+    const stopped = new Promise<void>((resolve) => {
+      stop = resolve;
+    });
+    const drain = vi.fn(() => {
+      stop?.();
+      return stopped;
+    });
     const addresses = { callers: '127.0.0.1:1', admin: '127.0.0.1:2', peers: '127.0.0.1:3' };
-    startDaemon.mockResolvedValue({ addresses, drain });
+    startDaemon.mockResolvedValue({ addresses, drain, stopped });
     const settings = ['--id', 'e1', '--zone', 'z', '--platform', '127.0.0.1:4'];
     const ended = nutmegstack('serve', ...settings, '--peer-secret', 'sixteen letters!');
     await vi.waitFor(() => {
