Judge a broken group only by probes that came after the break

Cause: the new tests of failures showed four faults. A dead member was answered by a restart with the next epoch before its silence was noticed; a domain that came back lost members that answered a second later than the others; a lease taken in place of a better-placed peer was offered back at once and left free; and silence from before a pause of the holder counted as silence. Ruled out: a longer wait before each restart, which costs downtime and still guesses. Change: a restart needs an answer of every member from after the last change; silence counts anew when a dark domain returns or a lapsed lease is renewed; a lease is offered to a better-placed peer once a ranking.

--- a/src/core/groups/domain-types.ts
+++ b/src/core/groups/domain-types.ts
@@ -99,6 +99,8 @@
   readonly report?: EngineReport;
   /** When the probe that brought the report was sent. */
   readonly reportedAt?: MonoTime;
+  /** Since when its reports name this state, group and epoch. */
+  readonly changedAt?: MonoTime;
   /** Since when it gave no answer; absent while it does. */
   readonly silentSince?: MonoTime;
   /** Another daemon sees it well until then. */
--- a/src/core/groups/domain.ts
+++ b/src/core/groups/domain.ts
@@ -24,7 +24,7 @@
 import { planGroups } from './lifecycle';
 import { planOrders } from './orders';
 import { applyTransaction, slotKey } from './rows';
-import type { InstanceFacts, Versioned } from './types';
+import type { EngineReport, InstanceFacts, Versioned } from './types';
 
 type DomainStep = Step<DomainState, DomainEffect>;
 type EventOf<K extends DomainEvent['kind']> = Extract<DomainEvent, { kind: K }>;
@@ -76,9 +76,21 @@
   return omit(state, 'pending');
 }
 
-function onLeased(state: DomainState, { lease }: EventOf<'leased'>): DomainStep {
+function onLeased(state: DomainState, { lease }: EventOf<'leased'>, now: MonoTime): DomainStep {
   if (state.lease?.fencing === lease.fencing) return next({ ...state, lease });
-  return next({ ...withoutPending(state), lease, rows: 'unread' });
+  // Silence from before is no silence: this daemon may have been paused, and probed nobody.
+  const begun = withSilenceFrom(withoutPending(state), now);
+  return next({ ...begun, lease, rows: 'unread' });
+}
+
+/** Counts the silence of all who are silent from `now` on. */
+function withSilenceFrom(state: DomainState, now: MonoTime): DomainState {
+  const instances: Record<InstanceId, InstanceView> = { ...state.instances };
+  for (const id of Object.keys(instances) as InstanceId[]) {
+    const view = instances[id];
+    if (view?.silentSince !== undefined) instances[id] = { ...view, silentSince: now };
+  }
+  return { ...state, instances };
 }
 
 function onUnleased(state: DomainState): DomainStep {
@@ -130,10 +142,17 @@
       ...omit(view, 'silentSince'),
       report: event.report,
       reportedAt: event.sentAt,
+      changedAt: isSame(view.report, event.report)
+        ? (view.changedAt ?? event.sentAt)
+        : event.sentAt,
     })),
   );
 }
 
+function isSame(a: EngineReport | undefined, b: EngineReport): boolean {
+  return a?.state === b.state && a.group === b.group && a.epoch === b.epoch;
+}
+
 function onSilent(state: DomainState, event: EventOf<'silent'>): DomainStep {
   const before = state.instances[event.instance];
   if (!before || (before.reportedAt ?? event.sentAt) > event.sentAt) return next(state);
@@ -218,9 +237,11 @@
     if (row.phase !== 'draining' && leavingMembers(state, row).length === 0) continue;
     drainUntil[row.id] = state.drainUntil[row.id] ?? later(now, state.settings.drainMs);
   }
-  const { darkSince, ...rest } = state;
-  if (!isDark(state, now)) return { ...rest, drainUntil };
-  return { ...rest, drainUntil, darkSince: darkSince ?? now };
+  const { darkSince } = state;
+  if (isDark(state, now)) return { ...state, drainUntil, darkSince: darkSince ?? now };
+  if (darkSince === undefined) return { ...state, drainUntil };
+  // The domain is coming back: members that come a little later than the rest are not yet lost.
+  return { ...omit(withSilenceFrom(state, now), 'darkSince'), drainUntil };
 }
 
 function readRows(state: DomainState): DomainStep {
@@ -270,7 +291,7 @@
 }
 
 export const reduceDomain = createReducer<DomainState, DomainEvent, DomainEffect>({
-  leased: onLeased,
+  leased: (state, event, { now }) => onLeased(state, event, now),
   unleased: onUnleased,
   configured: (state, { models }) => next({ ...state, models }),
   listed: onListed,
--- a/src/core/groups/lifecycle.ts
+++ b/src/core/groups/lifecycle.ts
@@ -113,12 +113,24 @@
   if (row.phase === 'draining' || leavingMembers(state, row).length > 0) return undefined;
   if (now < (state.restartAt[row.id] ?? now)) return undefined;
   const healths = row.members.map(({ instance }) => healthOf(state, row, instance, now));
-  if (healths.includes('silent') || healths.includes('unknown')) return undefined;
+  if (!isSettled(state, row)) return undefined;
   const lost = row.phase === 'serving' && healths.includes('astray');
   if (!lost && !healths.includes('broken') && !healths.includes('draining')) return undefined;
   return swapCold(state, row, now) ?? changeGroup(state, row.id, nextEpoch(row), 'restart');
 }
 
+/** Whether every member answered a probe sent after the last of them changed. */
+function isSettled(state: DomainState, row: GroupRow): boolean {
+  const views = row.members.map(({ instance }) => state.instances[instance]);
+  const changedAt = Math.max(...views.map((view) => view?.changedAt ?? 0));
+  return views.every(
+    (view) =>
+      view?.reportedAt !== undefined &&
+      view.silentSince === undefined &&
+      view.reportedAt >= changedAt,
+  );
+}
+
 /** A member that restarted without its weights gives way to a spare that holds them. */
 function swapCold(state: DomainState, row: GroupRow, now: MonoTime) {
   const plan = planOf(state, row);
--- a/src/core/lease/lease.ts
+++ b/src/core/lease/lease.ts
@@ -15,8 +15,6 @@
 import { LEASE_SETTINGS } from './types';
 import type { LeaseEffect, LeaseEvent, LeaseRow, LeaseSettings, LeaseState } from './types';
 
-const HANDOVER_BACKOFF = 4;
-
 type LeaseStep = Step<LeaseState, LeaseEffect>;
 
 export interface LeaseOptions {
@@ -34,6 +32,7 @@
     settings: { ...LEASE_SETTINGS, ...options.settings },
     rank: Infinity,
     rankedAt: now,
+    offered: false,
     stopping: false,
     reading: false,
     dueAt: now,
@@ -103,9 +102,10 @@
   );
 }
 
-/** A peer ranked before this daemon for a while: let it have the lease. */
+/** A peer ranked before this daemon for a while: let it have the lease, but offer it only once. */
 function isHandoverDue(state: LeaseState, now: MonoTime): boolean {
-  return state.rank > 0 && now >= later(state.rankedAt, state.settings.handoverMs);
+  if (state.rank === 0 || state.offered) return false;
+  return now >= later(state.rankedAt, state.settings.handoverMs);
 }
 
 function onTick(state: LeaseState, now: MonoTime): LeaseStep {
@@ -168,12 +168,14 @@
     },
   };
   if (pending.kind === 'release') {
-    // Leave the others time to take it; should none do so, keep it longer the next time.
-    const rankedAt = later(now, settings.handoverMs * HANDOVER_BACKOFF);
-    return next({ ...withoutHeld(after), dueAt: later(now, settings.handoverMs), rankedAt });
+    // Leave the others time to take it.
+    const dueAt = later(now, settings.handoverMs);
+    return next({ ...withoutHeld(after), dueAt, offered: true });
   }
   const validUntil = later(pending.sentAt, settings.ttlMs - settings.marginMs);
-  return next({ ...after, held: { fencing: pending.row.fencing, fenceVersion, validUntil } });
+  const held = { fencing: pending.row.fencing, fenceVersion, validUntil };
+  const rankedAt = pending.kind === 'take' ? now : after.rankedAt;
+  return next({ ...after, held, rankedAt });
 }
 
 function onRefused(state: LeaseState, conflict: boolean, now: MonoTime): LeaseStep {
@@ -182,20 +184,21 @@
   return next({ ...after, dueAt: later(now, state.settings.renewMs / 2) });
 }
 
+/** The hand-over delay runs from when this daemon stopped being the first choice. */
+function onRanked(state: LeaseState, rank: number, now: MonoTime): LeaseState {
+  const rankedAt = state.rank > 0 && rank > 0 ? state.rankedAt : now;
+  return { ...state, rank, rankedAt, offered: false };
+}
+
 /** The lease on one domain. Effects: reads and commits of its two rows. */
 export const reduceLease = createReducer<LeaseState, LeaseEvent, LeaseEffect>({
   read: (state, event, { now }) => onRead(state, event, now),
   'read-failed': (state) => next({ ...state, reading: false }),
   ranked: (state, { rank }, { now }) =>
-    next(rank === state.rank ? state : { ...state, rank, rankedAt: rankedAt(state, rank, now) }),
+    next(rank === state.rank ? state : onRanked(state, rank, now)),
   tick: (state, _event, { now }) => onTick(state, now),
   committed: (state, event, { now }) => onCommitted(state, event, now),
   refused: (state, { conflict }, { now }) => onRefused(state, conflict, now),
   unsure: (state) => read(withoutPending(state)),
   stop: (state, _event, { now }) => onTick({ ...state, stopping: true }, now),
 });
-
-/** The hand-over delay runs from when this daemon stopped being the first choice. */
-function rankedAt(state: LeaseState, rank: number, now: MonoTime): MonoTime {
-  return state.rank > 0 && rank > 0 ? state.rankedAt : now;
-}
--- a/src/core/lease/types.ts
+++ b/src/core/lease/types.ts
@@ -72,6 +72,8 @@
   /** Place among the candidates; 0 is the first choice, Infinity none. */
   readonly rank: number;
   readonly rankedAt: MonoTime;
+  /** Already handed back once for a better-placed peer, of this ranking. */
+  readonly offered: boolean;
   readonly stopping: boolean;
   readonly reading: boolean;
   readonly seen?: SeenLease;
--- /dev/null
+++ b/tests/control-lease.test.ts
@@ -0,0 +1,83 @@
+import { describe, expect, it } from 'vitest';
+
+import { configOf, createWorld, modelSpec, rowsBelow } from './support/control-world';
+import type { FakeDaemon, World } from './support/control-world';
+
+async function serving(checksFencing: boolean): Promise<World> {
+  const world = createWorld({ drift: 0.03 });
+  for (const n of [1, 2, 3, 4, 5, 6]) world.addEngine(`e${n}`, 'd1', { checksFencing });
+  for (const id of ['a1', 'a2', 'a3']) await world.addDaemon(id);
+  world.config.next(configOf(modelSpec('m', { replicas: 1 })));
+  await world.advance(12_000);
+  return world;
+}
+
+function holderIn(world: World): FakeDaemon {
+  const found = world.daemons.find(({ control }) => control.heldDomains().length > 0);
+  if (!found) throw new Error('no holder');
+  return found;
+}
+
+describe.each([true, false])('engines that check fencing numbers: %s', (checksFencing) => {
+  it('see nothing of a holder frozen past its lease and resumed', async () => {
+    const world = await serving(checksFencing);
+    const frozen = holderIn(world);
+    frozen.running = false;
+    for (const one of [...world.engines.values()].slice(0, 1)) one.up = false;
+    await world.advance(30_000);
+    expect(holderIn(world).id).not.toBe(frozen.id);
+    const rows = new Map(world.table.rows);
+    const orders = [...world.engines.values()].map((one) => one.heldBy.length);
+    for (const other of world.daemons) other.running = other === frozen;
+    await world.advance(5_000);
+    expect(frozen.control.heldDomains()).toEqual([]);
+    expect([...world.engines.values()].map((one) => one.heldBy.length)).toEqual(orders);
+    for (const [key, row] of rows) expect(world.table.rows.get(key)).toEqual(row);
+    expect(world.staleOrders).toEqual([]);
+  });
+
+  it('end up as the rows say when orders of the former holder arrive late', async () => {
+    const world = await serving(checksFencing);
+    const former = holderIn(world);
+    former.lateOrders = 100;
+    // The group is replaced by another; its joins stay under way.
+    world.config.next(configOf(modelSpec('n', { replicas: 1 })));
+    await world.advance(40_000);
+    world.kill(former);
+    world.config.next(configOf(modelSpec('m', { replicas: 1 })));
+    await world.advance(60_000);
+    const before = world.routable('m');
+    expect(before[0]).not.toBe('');
+    world.flushLate();
+    await world.advance(30_000);
+    expect(new Set(world.routable('m'))).toHaveLength(1);
+    expect(world.routable('m')[0]).not.toBe('');
+    expect(rowsBelow(world.table, 'group/')).toHaveLength(1);
+    const held = [...world.engines.values()].filter((one) => one.group !== undefined);
+    expect(held).toHaveLength(4);
+  });
+});
+
+describe('lease on a domain', () => {
+  it('passes to the next daemon at once when its holder stops', async () => {
+    const world = await serving(true);
+    const leaving = holderIn(world);
+    const stopped = leaving.control.stop();
+    leaving.running = false;
+    await stopped;
+    await world.advance(4_500);
+    expect(holderIn(world).id).not.toBe(leaving.id);
+    expect(world.routable('m').every((groups) => groups.endsWith('@1'))).toBe(true);
+  });
+
+  it('is given up by a holder cut off from the table, and taken only after that', async () => {
+    const world = await serving(true);
+    const cut = holderIn(world);
+    cut.cut.table = true;
+    await world.advance(5_000);
+    expect(holderIn(world).id).toBe(cut.id);
+    await world.advance(13_000);
+    expect(holderIn(world).id).not.toBe(cut.id);
+    expect(cut.control.routable('m' as never)).toHaveLength(1);
+  });
+});
--- a/tests/support/control-world.ts
+++ b/tests/support/control-world.ts
@@ -20,6 +20,7 @@
 } from '../../src/core/ids';
 import type { Engine, EngineOrder, OrderAuthority } from '../../src/ports/engine';
 import type { InstanceEntry, Json, Table } from '../../src/ports/platform';
+import type { LogFields } from '../../src/ports/runtime';
 import { fail } from '../../src/utils/errors';
 import { createFakeTable } from './control-table';
 import type { FakeTable } from './control-table';
@@ -57,6 +58,8 @@
   settle(): Promise<void>;
   /** Orders and commits held back by the network arrive. */
   flushLate(): void;
+  /** Changes of groups and leases, as logged. */
+  readonly log: readonly string[];
   /** Orders sent under a fencing number that was not the domain's newest. */
   readonly staleOrders: readonly string[];
   addDaemon(id: string): Promise<FakeDaemon>;
@@ -105,6 +108,10 @@
 
   const late: (() => unknown)[] = [];
   const staleOrders: string[] = [];
+  const log: string[] = [];
+  const note = (message: string, fields: LogFields = {}): void => {
+    log.push(`${now} ${message} ${JSON.stringify(fields)}`);
+  };
 
   const settle = async (): Promise<void> => {
     for (let i = 0; i < MICROTASKS; i++) await Promise.resolve();
@@ -207,7 +214,7 @@
           epoch: () => (EPOCH_START + now) as EpochTime,
         },
         random: createRandom(seed + daemons.length),
-        logger: { debug: ignore, info: ignore, warn: ignore, error: ignore },
+        logger: { debug: ignore, info: note, warn: ignore, error: ignore },
         ...(options.settings && { settings: options.settings }),
       },
       { ticks: NEVER },
@@ -248,6 +255,7 @@
     advance,
     settle,
     staleOrders,
+    log,
     flushLate: () => {
       table.flushLate();
       for (const deliver of late.splice(0)) deliver();
