--- a/src/app/control/control.ts
+++ b/src/app/control/control.ts
@@ -98,7 +98,10 @@
   };
 
   const directory = createDirectory(ctx, () => {
-    for (const [domain, zone] of directory.domains()) leases.know(domain, zone);
+    for (const [domain, zone] of directory.domains()) {
+      if (!leases.isKnown(domain)) due.now('leases');
+      leases.know(domain, zone);
+    }
     for (const { id, leaving } of directory.instances()) {
       if (leaving) leave(id);
     }
--- a/src/app/control/leases.ts
+++ b/src/app/control/leases.ts
@@ -12,6 +12,7 @@
 export interface Leases {
   /** Makes a domain known, so that its lease may be sought. */
   know(domain: DomainId, zone?: ZoneId): void;
+  isKnown(domain: DomainId): boolean;
   /** Reads all leases that others hold. */
   readonly poll: () => void;
   tick(): void;
@@ -96,6 +97,7 @@
 
   return {
     know,
+    isKnown: (domain) => states.has(domain),
     poll: () => {
       if (scanning) return;
       scanning = true;
@@ -104,8 +106,12 @@
         store.scanLeases(),
         (scanned) => {
           scanning = false;
+          const found = new Set(scanned.map(({ domain }) => domain));
           for (const rows of scanned) know(rows.domain);
           for (const rows of scanned) onRows(rows);
+          for (const domain of states.keys()) {
+            if (!found.has(domain)) onRows({ domain });
+          }
         },
         (err) => {
           scanning = false;
--- a/src/core/groups/domain.ts
+++ b/src/core/groups/domain.ts
@@ -30,6 +30,7 @@
 type EventOf<K extends DomainEvent['kind']> = Extract<DomainEvent, { kind: K }>;
 
 const REFUSED_RETRY_MS = 500;
+const READ_RETRY_MS = 2_000;
 
 export interface DomainOptions {
   readonly domain: DomainId;
@@ -255,7 +256,9 @@
 function onTick(state: DomainState, now: MonoTime): DomainStep {
   if (!mayDecide(state, now) || state.rows === 'reading') return next(state);
   const isOld = now >= later(state.readAt, state.settings.rereadMs);
-  if (state.rows === 'unread' || (isOld && !state.pending)) return readRows(state);
+  if (state.rows === 'unread' || (isOld && !state.pending)) {
+    return now < state.retryAt ? next(state) : readRows(state);
+  }
   const timed = withDeadlines(state, now);
   const { state: ordered, effects } = sendOrders(timed, now);
   if (ordered.pending || now < ordered.retryAt) return { state: ordered, effects };
@@ -296,7 +299,8 @@
   configured: (state, { models }) => next({ ...state, models }),
   listed: onListed,
   read: (state, event, { now }) => onRead(state, event, now),
-  'read-failed': (state) => next({ ...state, rows: 'unread' }),
+  'read-failed': (state, _event, { now }) =>
+    next({ ...state, rows: 'unread', retryAt: later(now, READ_RETRY_MS) }),
   reported: onReported,
   silent: onSilent,
   vouched: onVouched,
--- a/src/core/lease/lease.ts
+++ b/src/core/lease/lease.ts
@@ -88,7 +88,7 @@
 
 function take(state: LeaseState, now: MonoTime): LeaseStep {
   const { seen, settings } = state;
-  if (!seen) return read(state);
+  if (!seen) return next(state);
   const row: LeaseRow = {
     holder: state.self,
     session: state.session,
@@ -110,7 +110,6 @@
 
 function onTick(state: LeaseState, now: MonoTime): LeaseStep {
   if (state.pending) return next(state);
-  if (!state.seen) return read(state);
   if (state.held) {
     if (state.stopping || isHandoverDue(state, now)) return renew(state, now, true);
     return now >= state.dueAt ? renew(state, now, false) : next(state);
--- /dev/null
+++ b/tests/control-outage.test.ts
@@ -0,0 +1,80 @@
+import { describe, expect, it } from 'vitest';
+
+import { configOf, createWorld, modelSpec } from './support/control-world';
+import type { World } from './support/control-world';
+
+const OUTAGE_MS = 600_000;
+/** The users' size, and the table's limits at it. */
+const DAEMONS_AT_SIZE = 670;
+const COMMITS_PER_SECOND = 400;
+const READS_PER_SECOND = 2_000;
+
+async function serving(): Promise<World> {
+  const world = createWorld();
+  for (let n = 1; n <= 6; n++) world.addEngine(`e${n}`, 'd1');
+  for (let n = 1; n <= 6; n++) world.addEngine(`f${n}`, 'd2');
+  for (const id of ['a1', 'a2', 'a3', 'a4', 'a5', 'a6', 'a7']) await world.addDaemon(id);
+  world.config.next(configOf(modelSpec('m', { replicas: 2 })));
+  await world.advance(15_000);
+  return world;
+}
+
+function served(world: World): readonly number[] {
+  return world.daemons.map(({ control }) => control.routable('m' as never).length);
+}
+
+describe('ten minutes without the table service', () => {
+  it('change nothing for groups that are whole, and serve none that is not', async () => {
+    const world = await serving();
+    world.table.down = true;
+    const least: number[] = [];
+    for (let passed = 0; passed < OUTAGE_MS / 2; passed += 5_000) {
+      await world.advance(5_000);
+      least.push(Math.min(...served(world)));
+    }
+    expect(Math.min(...least)).toBe(2);
+    const [group] = world.daemons[0]?.control.routable('m' as never) ?? [];
+    const victim = world.engines.get(group?.members[2]?.instance ?? '');
+    if (!victim) throw new Error('no member');
+    victim.up = false;
+    await world.advance(3_500);
+    for (const { control } of world.daemons) {
+      const ids = control.routable('m' as never).map((one) => one.id);
+      expect(ids).not.toContain(group?.id);
+    }
+    await world.advance(OUTAGE_MS / 2);
+    expect(Math.max(...served(world))).toBe(1);
+    world.table.down = false;
+    await world.advance(25_000);
+    expect(Math.min(...served(world))).toBe(2);
+  });
+
+  it('are followed by no rush on the table', async () => {
+    const world = await serving();
+    world.table.down = true;
+    await world.advance(OUTAGE_MS);
+    world.table.down = false;
+    const worst = { reads: 0, commits: 0 };
+    for (let second = 0; second < 30; second++) {
+      const { reads, commits } = world.table;
+      await world.advance(1_000);
+      worst.reads = Math.max(worst.reads, world.table.reads - reads);
+      worst.commits = Math.max(worst.commits, world.table.commits - commits);
+    }
+    const share = world.daemons.length / DAEMONS_AT_SIZE;
+    // Seven daemons may not take more than seven times a daemon's share, but for a few at a time.
+    expect(worst.reads).toBeLessThan(READS_PER_SECOND * share);
+    expect(worst.commits).toBeLessThan(COMMITS_PER_SECOND * share + world.daemons.length);
+    process.stdout.write(`worst second after the outage: ${JSON.stringify(worst)}\n`);
+  });
+});
+
+describe('a daemon that starts while the table is down', () => {
+  it('learns the groups from its peers and serves', async () => {
+    const world = await serving();
+    world.table.down = true;
+    const daemon = await world.addDaemon('b');
+    await world.advance(5_000);
+    expect(daemon.control.routable('m' as never)).toHaveLength(2);
+  });
+});
