--- a/tests/control-lease.test.ts
+++ b/tests/control-lease.test.ts
@@ -58,6 +58,24 @@
   });
 });
 
+describe('a commit of a former holder', () => {
+  it('takes no effect once another has taken the lease, though its rows are unchanged', async () => {
+    const world = await serving(true);
+    const former = holderIn(world);
+    Object.assign(world.table, { lateCommits: 1, latePrefix: 'group/' });
+    // Nothing but this one commit: the former holder is gone before it arrives.
+    world.config.next(configOf());
+    while (!world.table.isLatePending()) await world.advance(100);
+    world.kill(former);
+    world.config.next(configOf(modelSpec('m', { replicas: 1 })));
+    await world.advance(30_000);
+    const rows = new Map(world.table.rows);
+    expect(holderIn(world).id).not.toBe(former.id);
+    world.table.flushLate();
+    for (const [key, row] of rows) expect(world.table.rows.get(key)).toEqual(row);
+  });
+});
+
 describe('lease on a domain', () => {
   it('passes to the next daemon at once when its holder stops', async () => {
     const world = await serving(true);
--- a/tests/support/control-table.ts
+++ b/tests/support/control-table.ts
@@ -14,9 +14,12 @@
   lostAnswers: number;
   /** The next writes are answered as lost and take effect only at `flushLate`. */
   lateCommits: number;
+  /** Only writes with a key below this are late. */
+  latePrefix: string;
   reads: number;
   commits: number;
   flushLate(): void;
+  isLatePending(): boolean;
 }
 
 export function createFakeTable(): FakeTable {
@@ -46,6 +49,7 @@
     down: false,
     lostAnswers: 0,
     lateCommits: 0,
+    latePrefix: '',
     reads: 0,
     commits: 0,
     read: (keys) => {
@@ -62,7 +66,8 @@
     commit: (tx) => {
       table.commits++;
       if (table.down) return unavailable();
-      if (table.lateCommits > 0) {
+      const isLate = tx.writes.some(({ key }) => key.startsWith(table.latePrefix));
+      if (table.lateCommits > 0 && isLate) {
         table.lateCommits--;
         late.push(tx);
         return unknown();
@@ -72,6 +77,7 @@
       table.lostAnswers--;
       return unknown();
     },
+    isLatePending: () => late.length > 0,
     flushLate: () => {
       for (const tx of late.splice(0)) void apply(tx);
     },
