--- a/tests/fuzz/config-world.ts
+++ b/tests/fuzz/config-world.ts
@@ -39,7 +39,8 @@
 
 interface Daemon {
   state: InForceState;
-  fetch: VersionMark | undefined;
+  /** Fetches on their way; an old one may arrive last. */
+  fetches: VersionMark[];
   cut: boolean;
 }
 
@@ -84,7 +85,7 @@
   constructor() {
     this.daemons = Array.from({ length: DAEMONS }, () => ({
       state: NOTHING_IN_FORCE,
-      fetch: undefined,
+      fetches: [],
       cut: false,
     }));
   }
@@ -99,6 +100,15 @@
     this.start(daemon, change);
   }
 
+  /** Submits an amendment of the head and carries it out without a fault. */
+  change(daemon: number, share: number): void {
+    const changeId = `c${this.submissions.length}` as ChangeId;
+    const ifVersion = this.history.length as ConfigVersion;
+    this.start(daemon, { changeId, ifVersion, document: documentWith(share) });
+    const submission = this.submissions.at(-1);
+    while (submission?.effect) this.carryOut(submission, 'none');
+  }
+
   /** An operator who had no answer, or an answer that says unknown, sends its change again. */
   submitAgain(index: number, daemon: number): void {
     const earlier = this.pick(this.submissions, index);
@@ -138,11 +148,11 @@
   }
 
   /** Carries out a fetch, from the table or, with its document damaged or not, from a peer. */
-  fetch(index: number, from: 'table' | 'peer' | 'damaged-peer'): void {
+  fetch(index: number, which: number, from: 'table' | 'peer' | 'damaged-peer'): void {
     const daemon = this.daemonAt(index);
-    const mark = daemon.fetch;
+    const mark = this.pick(daemon.fetches, which);
     if (daemon.cut || !mark) return;
-    daemon.fetch = undefined;
+    daemon.fetches.splice(daemon.fetches.indexOf(mark), 1);
     if (from === 'table') {
       const document = this.documentOf(mark.version);
       if (document !== undefined) this.dispatch(index, { kind: 'document', mark, document, from });
@@ -157,7 +167,7 @@
   restart(index: number): void {
     const daemon = this.daemonAt(index);
     daemon.state = NOTHING_IN_FORCE;
-    daemon.fetch = undefined;
+    daemon.fetches = [];
     for (const submission of this.submissions) {
       if (submission.daemon === index % DAEMONS) submission.effect = undefined;
     }
@@ -193,7 +203,7 @@
     this.daemons.forEach((daemon, i) => {
       daemon.cut = false;
       this.poll(i);
-      this.fetch(i, 'table');
+      while (daemon.fetches.length > 0) this.fetch(i, 0, 'table');
       check(daemon.state.mark.version === this.history.length, `daemon ${i} is not on the head`);
     });
   }
@@ -308,7 +318,8 @@
     const step = reduceInForce(daemon.state, event, { now: this.now });
     daemon.state = step.state;
     check(step.state.mark.version >= before, `daemon ${index} fell back from version ${before}`);
-    for (const effect of step.effects) if (effect.kind === 'fetch') daemon.fetch = effect.mark;
+    for (const effect of step.effects)
+      if (effect.kind === 'fetch') daemon.fetches.push(effect.mark);
   }
 
   private documentOf(version: number): Json | undefined {
--- a/tests/fuzz/config.ts
+++ b/tests/fuzz/config.ts
@@ -64,9 +64,14 @@
       world.deliver(i, how);
     }),
   ),
-  fc.tuple(index, source).map(([i, from]) =>
-    command(`fetch(${i}, ${from})`, (world) => {
-      world.fetch(i, from);
+  fc.tuple(index, index, source).map(([i, n, from]) =>
+    command(`fetch(${i}, ${n}, ${from})`, (world) => {
+      world.fetch(i, n, from);
+    }),
+  ),
+  fc.tuple(index, share).map(([i, n]) =>
+    command(`change(${i}, ${n})`, (world) => {
+      world.change(i, n);
     }),
   ),
   fc.tuple(index, fc.boolean()).map(([i, cut]) =>
