Judge first tokens of streamed answers alone

Cause: the request plane reports the first byte of a whole answer as its first token; that includes all of its decoding, so a group that got such requests looked like a straggler.

Change: onSent takes `streams`; attempts without it are counted in flight but neither judged by their first token nor by how long they wait for it.

Left: the request plane does not pass `streams` yet, so that stragglers are found by the time between tokens alone until it does.

--- a/bench/routing-loop.ts
+++ b/bench/routing-loop.ts
@@ -213,6 +213,7 @@
   const event = {
     attempt: job.attempt,
     group: server.group.id,
+    streams: true,
     prefixKeys,
     organisation: ORGANISATION,
   };
--- a/src/core/routing/routing.ts
+++ b/src/core/routing/routing.ts
@@ -73,9 +73,10 @@
   if (group === undefined || state.attempts.has(event.attempt)) return state;
   const meanOthers = state.models.get(group.model)?.meanOthers ?? 0;
   const hadRoom = estimateLoad(group.load, meanOthers, now, state.opts) < group.maxBatch;
-  const attempt = { group: event.group, sentAt: now, hadRoom, firstTokenAt: undefined };
+  const { streams = false } = event;
+  const attempt = { group: event.group, sentAt: now, hadRoom, streams, firstTokenAt: undefined };
   state.attempts.set(event.attempt, attempt);
-  if (hadRoom) group.waiting.set(event.attempt, now);
+  if (hadRoom && streams) group.waiting.set(event.attempt, now);
   changeLoad(group.load, 1, now);
   const { organisation, prefixKeys = [] } = event;
   if (organisation === undefined) return state;
@@ -95,7 +96,8 @@
   if (attempt === undefined || attempt.firstTokenAt !== undefined) return state;
   attempt.firstTokenAt = now;
   group?.waiting.delete(event.attempt);
-  if (group !== undefined && attempt.hadRoom) addSample(group.firstTokenMs, now - attempt.sentAt);
+  const counts = attempt.hadRoom && attempt.streams;
+  if (group !== undefined && counts) addSample(group.firstTokenMs, now - attempt.sentAt);
   return state;
 }
 
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -106,7 +106,7 @@
   readonly hash: number;
   maxBatch: number;
   readonly load: GroupLoad;
-  /** Attempts without a first token that found room in the batch, oldest first: when sent. */
+  /** Streaming attempts without a first token that found room in the batch, oldest first: when sent. */
   readonly waiting: Map<AttemptId, MonoTime>;
   readonly firstTokenMs: Average;
   readonly interTokenMs: Average;
@@ -135,6 +135,7 @@
   readonly sentAt: MonoTime;
   /** Whether the group was believed to have room in its batch, so that no queueing is measured. */
   readonly hadRoom: boolean;
+  readonly streams: boolean;
   firstTokenAt: MonoTime | undefined;
 }
 
@@ -179,6 +180,8 @@
 export interface SentEvent {
   readonly attempt: AttemptId;
   readonly group: GroupId;
+  /** Whether the answer is streamed. A whole answer's first byte says nothing of its first token. */
+  readonly streams?: boolean;
   /** The same as for the choice; remembered as probably cached from now on. */
   readonly prefixKeys?: readonly string[];
   readonly organisation?: OrganisationId;
@@ -190,7 +193,7 @@
 
 export interface EndEvent {
   readonly attempt: AttemptId;
-  /** Chunks or tokens received, where known. */
+  /** Chunks or tokens received; left out or 0 for an answer that was not streamed. */
   readonly tokens?: number;
 }
 
