--- /dev/null
+++ b/src/core/membership/rendezvous.ts
@@ -0,0 +1,23 @@
+/**
+ * Rendezvous (highest random weight) hashing: every daemon that knows the same candidates gives a
+ * key the same order of them, and a candidate that goes moves only its own keys.
+ */
+
+import { compareText } from '../../utils/common';
+import { FNV_OFFSET, hashText, mix } from './hash';
+
+function weigh(keyHash: number, candidate: string): number {
+  return mix(hashText(candidate, FNV_OFFSET) ^ mix(keyHash));
+}
+
+/** The candidates in the order in which they answer for `key`, first one first. */
+export function rankByRendezvous<T extends string>(
+  key: string,
+  candidates: readonly T[],
+): readonly T[] {
+  const keyHash = hashText(key, FNV_OFFSET);
+  return candidates
+    .map((candidate) => ({ candidate, weight: weigh(keyHash, candidate) }))
+    .sort((a, b) => b.weight - a.weight || compareText(a.candidate, b.candidate))
+    .map((ranked) => ranked.candidate);
+}
