Test detection and gossip at the reducer

Simulated time, seeded: kill, pause, partition of a pair and of one daemon, leaving; spread, silence when all have an entry, expiry, the limit of bytes.

--- a/tests/fuzz/membership-world.ts
+++ b/tests/fuzz/membership-world.ts
@@ -36,6 +36,10 @@
   /** Highest incarnation that each daemon has given itself. */
   readonly incarnations: Map<DaemonId, number>;
   flying: Flying[];
+  /** Pairs of daemons, `from>to`, between which messages are lost. */
+  readonly blocked: Set<string>;
+  /** Sees each message that a daemon sends. */
+  onSend: (from: DaemonId, message: Message) => void;
   now: MonoTime;
   published: number;
 }
@@ -61,6 +65,8 @@
     random: createRandom(seed),
     incarnations: new Map(),
     flying: [],
+    blocked: new Set(),
+    onSend: () => undefined,
     now: brandAs<MonoTime>(0),
     published: 0,
   };
@@ -130,12 +136,14 @@
 
 function perform(world: MembershipWorld, from: Node, effect: MembershipEffect): void {
   if (effect.kind !== 'send') return;
+  world.onSend(from.id, effect.message);
   world.flying.push({ from, to: effect.address, message: effect.message });
 }
 
 function deliver(world: MembershipWorld, { from, to, message }: Flying): void {
   const target = world.nodes.find(({ address }) => address === to);
   if (!target || target.cut || from.cut) return;
+  if (world.blocked.has(`${from.id}>${target.id}`)) return;
   if (!target.state) {
     dispatch(world, from, { kind: 'unreachable', address: to });
     return;
@@ -179,11 +187,11 @@
   dispatch(world, nodeAt(world, index), { kind: 'leave' });
 }
 
-export function publish(world: MembershipWorld, index: number): void {
+export function publish(world: MembershipWorld, index: number, ttlMs = ENTRY_TTL_MS): void {
   const node = nodeAt(world, index);
   world.published += 1;
   const key = `key-${world.published % KEYS}`;
-  const expiresAt = later(epochOf(world), ENTRY_TTL_MS);
+  const expiresAt = later(epochOf(world), ttlMs);
   const event = {
     kind: 'publish',
     topic: 'topic',
