Prove relays and forgiveness after a pause by tests of their own

Now the messages are looked at: no suspect is ever told of a cut pair, and a daemon that slept through a refutation declares nobody dead. A resumed process now runs its timers first in the fuzz world, the harsher order.

--- a/tests/fuzz/membership-world.ts
+++ b/tests/fuzz/membership-world.ts
@@ -176,6 +176,8 @@
 export function resume(world: MembershipWorld, index: number): void {
   const node = nodeAt(world, index);
   node.paused = false;
+  // A process that wakes up runs its timers before it reads its sockets.
+  dispatch(world, node, { kind: 'tick' });
   for (const event of node.waiting.splice(0)) dispatch(world, node, event);
 }
 
--- a/tests/membership-detection.test.ts
+++ b/tests/membership-detection.test.ts
@@ -75,13 +75,38 @@
   });
 });
 
+describe('a daemon that was paused while it suspected another', () => {
+  it('gives the other the time that it slept through', () => {
+    pause(world, 1);
+    while (belief(0, 1) !== 'suspect') run(world, 1, 0);
+    pause(world, 0);
+    resume(world, 1);
+    run(world, 20 * TICKS_PER_SECOND, 0);
+    const told: string[] = [];
+    world.onSend = (from, message) => {
+      if (message.kind !== 'entries') return;
+      if (JSON.stringify(message.entries).includes('"dead"')) told.push(from);
+    };
+    resume(world, 0);
+    run(world, 10 * TICKS_PER_SECOND, 0);
+    expect(told).not.toContain('daemon-0');
+    expect(everyBelief()).toEqual(['alive']);
+  });
+});
+
 describe('a partition', () => {
   it('between two daemons alone makes nobody suspect either', () => {
     world.blocked.add('daemon-0>daemon-1').add('daemon-1>daemon-0');
+    const told: string[] = [];
+    world.onSend = (from, message) => {
+      if (message.kind !== 'entries') return;
+      if (JSON.stringify(message.entries).includes('"suspect"')) told.push(from);
+    };
     for (let tick = 0; tick < 60 * TICKS_PER_SECOND; tick += 1) {
       run(world, 1, 0);
       expect(everyBelief()).toEqual(['alive']);
     }
+    expect(told).toEqual([]);
   });
 
   it('of one daemon from all makes it doubt itself before the others', () => {
