Refuse what waits for capacity that is overdue

Nothing tells admission of new capacity but the next request, and a lone caller sends none while it waits.

Change: with no slots, nextExpiry and expire act at the expected instant plus a grace (500 ms): what still waits is refused at once as no-capacity, with when to come back.

Proof: "has them refused when it is overdue"; red without the mechanism.

Left: the gate should tell admission of capacity as it comes (setCapacity on a short tick while calls wait), so that they are admitted rather than refused.

--- a/src/core/admission/admission.ts
+++ b/src/core/admission/admission.ts
@@ -15,7 +15,10 @@
   forget,
   giveUp,
   giveUpHopeless,
+  giveUpOverdue,
   hold,
+  isOverdue,
+  overdueAt,
   reasonOf,
   retryMs,
 } from './held';
@@ -71,10 +74,14 @@
   return fillSlots(state, entry.pool, ctx);
 }
 
-/** Refuses queued requests whose deadline can no longer be met. To be called at `nextExpiry`. */
+/**
+ * Refuses queued requests whose deadline can no longer be met, and those that wait for capacity
+ * which is overdue. To be called at `nextExpiry`.
+ */
 export function expire(state: AdmissionState, ctx: ChanceContext): Settled {
   const refused: RefusedRequest[] = [];
   for (const pool of state.pools.values()) {
+    if (isOverdue(state, pool, ctx.now)) refused.push(...giveUpOverdue(state, pool, ctx));
     for (let entry = peek(pool.expiry); entry !== undefined; entry = peek(pool.expiry)) {
       if (entry.startBy > ctx.now) break;
       refused.push(giveUp(state, entry, reasonOf(entry, ctx.now), ctx));
@@ -87,8 +94,11 @@
 export function nextExpiry(state: AdmissionState): MonoTime | undefined {
   let earliest: MonoTime | undefined;
   for (const pool of state.pools.values()) {
-    const at = peek(pool.expiry)?.startBy;
-    if (at !== undefined && (earliest === undefined || at < earliest)) earliest = at;
+    const first = peek(pool.expiry)?.startBy;
+    if (first === undefined) continue;
+    const due = overdueAt(state, pool);
+    const at = due === undefined || first < due ? first : due;
+    if (earliest === undefined || at < earliest) earliest = at;
   }
   return earliest;
 }
--- a/src/core/admission/held.ts
+++ b/src/core/admission/held.ts
@@ -1,6 +1,7 @@
 /** The requests that admission holds, and how those in a queue leave it. */
 
 import type { MonoTime, RequestId } from '../ids';
+import { later } from '../ids';
 import type { ChanceContext } from '../random';
 import { joinWaitMs } from './estimate';
 import { peek } from './heap';
@@ -85,3 +86,24 @@
   }
   return { state, admitted: [], refused };
 }
+
+/** When those that wait for capacity have waited long enough, if any do. */
+export function overdueAt({ opts }: AdmissionState, pool: Pool): MonoTime | undefined {
+  if (pool.slots > 0 || pool.expectedAt === undefined) return undefined;
+  return later(pool.expectedAt, opts.expectedGraceMs);
+}
+
+export function isOverdue(state: AdmissionState, pool: Pool, now: MonoTime): boolean {
+  const at = overdueAt(state, pool);
+  return at !== undefined && at <= now;
+}
+
+/** Gives up all that wait for capacity that has not come, and expects none any more. */
+export function giveUpOverdue(
+  state: AdmissionState,
+  pool: Pool,
+  ctx: ChanceContext,
+): readonly RefusedRequest[] {
+  pool.expectedAt = undefined;
+  return giveUpHopeless(state, pool, ctx).refused;
+}
--- a/src/core/admission/types.ts
+++ b/src/core/admission/types.ts
@@ -27,6 +27,8 @@
   readonly retryJitter: number;
   /** When to come back where a model has no capacity and none is expected, milliseconds. */
   readonly noCapacityRetryMs: number;
+  /** How late expected capacity may be before those that wait for it are refused, milliseconds. */
+  readonly expectedGraceMs: number;
 }
 
 export const ADMISSION_DEFAULTS: AdmissionOptions = {
@@ -40,6 +42,7 @@
   minRetryMs: 100,
   retryJitter: 0.5,
   noCapacityRetryMs: 2_000,
+  expectedGraceMs: 500,
 };
 
 /** A request that asks to be let in. */
--- a/tests/admission.test.ts
+++ b/tests/admission.test.ts
@@ -129,6 +129,28 @@
   });
 });
 
+describe('capacity that was expected', () => {
+  function waiting(): AdmissionState {
+    const state = createAdmission({ expectedGraceMs: 100 });
+    setCapacity(state, MODEL, 0, at(0), brandAs<MonoTime>(1_000));
+    expect(ask(state, { id: '1' }).verdict.kind).toBe('queued');
+    return state;
+  }
+
+  test('has those that wait for it admitted when it comes', () => {
+    expect(setCapacity(waiting(), MODEL, 1, at(1_050)).admitted).toEqual(['1']);
+  });
+
+  test('has them refused when it is overdue, long before their deadline', () => {
+    const state = waiting();
+    expect(nextExpiry(state)).toBe(1_100);
+    expect(expire(state, at(1_099)).refused).toEqual([]);
+    const { refused } = expire(state, at(1_100));
+    expect(refused).toMatchObject([{ id: '1', verdict: { reason: 'no-capacity' } }]);
+    expect(ask(state, { id: '2' }, 1_100).verdict.kind).toBe('refused');
+  });
+});
+
 describe('worth', () => {
   const urgent = { name: 'urgent', worth: 10 };
 
