Add the demo and the binary

Cause: one command shows both deployments, one file is all that is shipped. Ruled out: fixed ports from the examples (two demos would clash: the services' addresses are put into the document when they are known); one process group (Ctrl-C would reach engines before the daemons had finished). Change: the demo starts platform, engines, services and daemons of each deployment as processes of their own and stops them in order; the binary is this Node with the bundle put in by postject.

--- /dev/null
+++ b/scripts/binary.mjs
@@ -0,0 +1,25 @@
+// Makes dist/nutmegstack: the bundle inside a copy of this Node, as a single executable.
+import { execFileSync } from 'node:child_process';
+import { chmod, copyFile, readFile, rm, stat, writeFile } from 'node:fs/promises';
+import { inject } from 'postject';
+
+const BUNDLE = 'dist/nutmegstack.cjs';
+const BINARY = 'dist/nutmegstack';
+const CONFIG = 'dist/sea-config.json';
+const BLOB = 'dist/sea-prep.blob';
+/** Node looks for this mark to know that it carries a program. */
+const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+await writeFile(
+  CONFIG,
+  JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }),
+);
+execFileSync(process.execPath, ['--experimental-sea-config', CONFIG], { stdio: 'inherit' });
+await rm(BINARY, { force: true });
+await copyFile(process.execPath, BINARY);
+await chmod(BINARY, 0o755);
+await inject(BINARY, 'NODE_SEA_BLOB', await readFile(BLOB), { sentinelFuse: FUSE });
+await rm(BLOB);
+await rm(CONFIG);
+const { size } = await stat(BINARY);
+console.log(`${BINARY}: ${size} bytes`);
--- /dev/null
+++ b/scripts/demo/processes.ts
@@ -0,0 +1,90 @@
+/** Programs of the demo as processes of their own, stopped in order at the end. */
+
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { dirname, join } from 'node:path';
+import { createInterface } from 'node:readline';
+
+const HOST = '127.0.0.1';
+
+/** A process that said it is ready. */
+export interface Started {
+  readonly program: string;
+  readonly child: ChildProcess;
+  /** What it printed when it was ready. */
+  readonly ready: Readonly<Record<string, unknown>>;
+}
+
+/** The bundles lie beside the demo's own. */
+function bundleOf(program: string): string {
+  return join(dirname(process.argv[1] ?? ''), `${program}.cjs`);
+}
+
+function parseLine(line: string): Readonly<Record<string, unknown>> | undefined {
+  try {
+    return JSON.parse(line) as Readonly<Record<string, unknown>>;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Every process that runs, so that none is left behind. */
+const running = new Set<ChildProcess>();
+
+/** Kills what still runs; for an end out of order. */
+export function killAll(): void {
+  for (const child of running) child.kill('SIGKILL');
+}
+
+/** Starts a program and waits until it is ready; its warnings go to this process's errors. */
+export function start(
+  program: string,
+  args: readonly string[],
+  env: Readonly<Record<string, string>> = {},
+): Promise<Started> {
+  // In a process group of its own: Ctrl-C reaches the demo alone, which stops all in order.
+  const child = spawn(process.execPath, [bundleOf(program), ...args], {
+    env: { ...process.env, ...env },
+    stdio: ['ignore', 'pipe', 'inherit'],
+    detached: true,
+  });
+  running.add(child);
+  child.once('exit', () => running.delete(child));
+  return new Promise((resolve, reject) => {
+    child.once('exit', (code) => {
+      reject(new Error(`${program} ended with ${String(code)} before it was ready`));
+    });
+    createInterface({ input: child.stdout }).on('line', (line) => {
+      const ready = parseLine(line);
+      if (ready?.ready === true) resolve({ program, child, ready });
+      else process.stderr.write(`${line}\n`);
+    });
+  });
+}
+
+/** Asks a process to stop and waits for its end. */
+export function stop({ child }: Started): Promise<void> {
+  if (child.exitCode !== null || child.signalCode !== null) return Promise.resolve();
+  return new Promise((resolve) => {
+    child.once('exit', () => {
+      resolve();
+    });
+    child.kill('SIGTERM');
+  });
+}
+
+/** A port that was free a moment ago. */
+export function freePort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, HOST, () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => {
+        resolve(port);
+      });
+    });
+  });
+}
