Pursue a group after evidence, fetch weights ahead once, tell a restart apart

Cause: against the stand-ins' way of working, an idle engine that fetches weights ahead still says idle, so that the order was repeated each second and each repetition began another fetch from the rate-limited store; after evidence a group came back only when a request asked for it; and warnings of a restarted daemon counted from 1 again. Change: a fetch ahead is repeated after 3 minutes or to a new incarnation; a group with evidence against it is probed until it is settled; numbers of statements grow with the wall clock. The in-memory engine now serves as rank 0 only when all others do, as the stand-in does.

--- a/src/app/control/control.ts
+++ b/src/app/control/control.ts
@@ -229,6 +229,7 @@
     due.run('brief', now, settings.stateMs, brief);
     due.run('state', now, pace.stateMs, stateNews);
     probes.tick(pace.probeMs);
+    demand.tick(watches.get);
     holders.tick();
     watches.tick(directory.isLeaving);
   };
@@ -282,9 +283,8 @@
       const state = watches.get(group);
       if (kind !== 'refused') {
         watches.evidence(group, epoch);
-        demand.hurry(group);
+        if (state) demand.pursue(state);
       }
-      if (state) demand.want(state);
     },
     lost: losses.lost,
     drainInstance: (instance) => {
--- a/src/app/control/demand.ts
+++ b/src/app/control/demand.ts
@@ -9,8 +9,10 @@
 export interface Demand {
   /** Probes a group now, unless it was not long ago. */
   want(state: WatchState): void;
-  /** After evidence against a group: the next probe need not wait. */
-  hurry(group: GroupId): void;
+  /** After evidence against a group: probes it now, and goes on until it is settled. */
+  pursue(state: WatchState): void;
+  /** Probes the groups that are pursued. */
+  tick(find: (group: GroupId) => WatchState | undefined): void;
   /** The group serves again. */
   settled(group: GroupId): void;
   /** Drops what is kept of groups that are gone. */
@@ -24,24 +26,41 @@
 
 const FIRST_WAIT_MS = 250;
 const LONGEST_WAIT_MS = 5_000;
+/** How long a group is probed after evidence without being asked for. */
+const PURSUED_MS = 30_000;
 
 export function createDemand(ctx: ControlContext, probes: Probes): Demand {
   const asked = new Map<GroupId, Asked>();
+  const pursued = new Map<GroupId, MonoTime>();
+
+  const want = ({ id, row }: WatchState): void => {
+    const now = ctx.clock.now();
+    const before = asked.get(id);
+    if (before && now < before.nextAt) return;
+    if (!probes.demand(row.members)) return;
+    const waitMs = Math.min((before?.waitMs ?? FIRST_WAIT_MS / 2) * 2, LONGEST_WAIT_MS);
+    // Spread, so that daemons which lost the same group don't probe it in step.
+    asked.set(id, { nextAt: later(now, waitMs * (0.5 + ctx.random.next())), waitMs });
+  };
+
   return {
-    want: ({ id, row }) => {
-      const now = ctx.clock.now();
-      const before = asked.get(id);
-      if (before && now < before.nextAt) return;
-      if (!probes.demand(row.members)) return;
-      const waitMs = Math.min((before?.waitMs ?? FIRST_WAIT_MS / 2) * 2, LONGEST_WAIT_MS);
-      // Spread, so that daemons which lost the same group don't probe it in step.
-      asked.set(id, { nextAt: later(now, waitMs * (0.5 + ctx.random.next())), waitMs });
+    want,
+    pursue: (state) => {
+      asked.delete(state.id);
+      pursued.set(state.id, later(ctx.clock.now(), PURSUED_MS));
+      want(state);
     },
-    hurry: (group) => {
-      asked.delete(group);
+    tick: (find) => {
+      const now = ctx.clock.now();
+      for (const [id, until] of pursued) {
+        const state = find(id);
+        if (state && now < until) want(state);
+        else pursued.delete(id);
+      }
     },
     settled: (group) => {
       asked.delete(group);
+      pursued.delete(group);
     },
     keep: (groups) => {
       for (const id of asked.keys()) {
--- a/src/app/control/news.ts
+++ b/src/app/control/news.ts
@@ -3,6 +3,7 @@
 import { Subscription } from 'rxjs';
 
 import type { DomainState } from '../../core/groups/domain-types';
+import { loadsHere } from '../../core/groups/orders';
 import { ownUntil } from '../../core/groups/watch';
 import type { WatchState } from '../../core/groups/watch';
 import { later } from '../../core/ids';
@@ -55,6 +56,11 @@
   const { gossip, clock, self } = ctx;
   const subscription = new Subscription();
   let seq = 0;
+  /** Grows also from one process to the next of the same id. */
+  const nextSeq = (): number => {
+    seq = Math.max(seq + 1, clock.epoch());
+    return seq;
+  };
 
   const publish = (topic: string, key: string, value: object, forMs: number): void => {
     gossip.publish(topic, key, encode(value), later(clock.epoch(), forMs));
@@ -82,7 +88,7 @@
 
   const onWarned = (entry: GossipEntry): void => {
     const value = decodeWarned(entry.value);
-    const group = groupOf(entry.key);
+    const group = entry.key as GroupId;
     if (value) watches.warned(group, value.epoch, { origin: entry.origin, seq: value.seq });
   };
 
@@ -110,29 +116,26 @@
     },
     wrote: ({ row, version, gone }) => {
       const value: ToldValue = { version, row, gone };
-      publish(TOPICS.row, ownKey(row.id, self), value, ROW_MS);
+      publish(TOPICS.row, row.id, value, ROW_MS);
     },
     leaving: (instance) => {
       publish(TOPICS.leaving, instance, { instance }, LEAVING_MS);
     },
     warn: (group, epoch) => {
-      seq++;
-      const value: WarnedValue = { epoch, seq };
-      publish(TOPICS.warning, ownKey(group, self), value, WARNING_MS);
+      const value: WarnedValue = { epoch, seq: nextSeq() };
+      publish(TOPICS.warning, group, value, WARNING_MS);
     },
     state: (watched) => {
-      seq++;
+      nextSeq();
       for (const [domain, groups] of wholeByDomain(watched, clock.now())) {
         const forMs = Math.min(...groups.map((one) => one.until)) - clock.now();
         const ids = groups.map(({ id, epoch }) => [id, epoch] as const);
         const value: StatedValue = { groups: ids, forMs, seq };
-        publish(TOPICS.well, ownKey(domain, self), value, forMs);
+        publish(TOPICS.well, domain, value, forMs);
       }
     },
     loads: (state) => {
-      const loads = Object.values<DomainState['instances'][InstanceId]>(state.instances).filter(
-        (view) => view.report?.state === 'loading',
-      ).length;
+      const loads = loadsHere(state, clock.now());
       if (loads > 0) publish(TOPICS.loads, state.domain, { loads }, LOADS_MS);
     },
     loadsElsewhere: (domain) =>
@@ -143,15 +146,6 @@
   };
 }
 
-/** Each daemon has keys of its own, so that none replaces another's word. */
-function ownKey(id: string, self: string): string {
-  return `${id}@${self}`;
-}
-
-function groupOf(key: string): GroupId {
-  return key.slice(0, key.lastIndexOf('@')) as GroupId;
-}
-
 interface WholeGroup {
   readonly id: GroupId;
   readonly epoch: Epoch;
--- a/src/app/control/watches.ts
+++ b/src/app/control/watches.ts
@@ -33,7 +33,7 @@
   evidence(group: GroupId, epoch: Epoch): void;
   tick(isLeaving: (instance: InstanceId) => boolean): void;
   all(): readonly WatchState[];
-  get(group: GroupId): WatchState | undefined;
+  readonly get: (group: GroupId) => WatchState | undefined;
   until(group: GroupId): MonoTime | undefined;
   /** Groups of one model, routable or not. */
   ofModel(model: ModelId): Iterable<WatchEntry>;
--- a/src/core/groups/domain-types.ts
+++ b/src/core/groups/domain-types.ts
@@ -63,6 +63,8 @@
   readonly drainMs: number;
   /** Before the same order is sent again. */
   readonly orderRetryMs: number;
+  /** Before an idle instance that still lacks weights is told again to fetch them. */
+  readonly preloadRetryMs: number;
   /** Before a group that broke is started again with the next epoch. */
   readonly restartMs: number;
   /** Members of the domain that may fetch weights at a time. */
@@ -85,6 +87,7 @@
   giveUpMs: 180_000,
   drainMs: 30_000,
   orderRetryMs: 1_000,
+  preloadRetryMs: 180_000,
   restartMs: 1_000,
   maxLoads: 16,
   slotDelayMs: 1_500,
@@ -110,6 +113,7 @@
 }
 
 export interface SentOrder {
+  readonly kind: PlannedOrder['kind'];
   readonly text: string;
   readonly retryAt: MonoTime;
 }
--- a/src/core/groups/domain.ts
+++ b/src/core/groups/domain.ts
@@ -275,11 +275,14 @@
   for (const { instance, order } of planOrders(state, now)) {
     const view = after.instances[instance];
     const address = view?.facts?.address ?? addressOf(state, instance);
-    const text = `${order.kind} ${JSON.stringify(order)}`;
+    // A restarted engine has forgotten what it was told.
+    const text = `${view?.report?.incarnation} ${JSON.stringify(order)}`;
     const sentAgo = view?.order?.text === text && now < view.order.retryAt;
     if (sentAgo || address === undefined) continue;
-    const retryAt = later(now, state.settings.orderRetryMs);
-    after = withView(after, instance, (one) => ({ ...one, order: { text, retryAt } }));
+    const { kind } = order;
+    const { orderRetryMs, preloadRetryMs } = state.settings;
+    const retryAt = later(now, kind === 'preload' ? preloadRetryMs : orderRetryMs);
+    after = withView(after, instance, (one) => ({ ...one, order: { kind, text, retryAt } }));
     effects.push({ kind: 'order', instance, address, order });
   }
   return { state: after, effects };
--- a/src/core/groups/orders.ts
+++ b/src/core/groups/orders.ts
@@ -5,7 +5,7 @@
 
 import type { InstanceId, ModelId, MonoTime } from '../ids';
 import { CHOOSE, LOADS, SPARES } from './policies';
-import type { DomainState, PlannedOrder } from './domain-types';
+import type { DomainState, InstanceView, PlannedOrder } from './domain-types';
 import {
   freeInstances,
   groupsOf,
@@ -45,11 +45,20 @@
   return !view?.report || view.silentSince !== undefined;
 }
 
-/** Members fetching weights now, here. */
-function loadsHere(state: DomainState): number {
-  return Object.values<DomainState['instances'][InstanceId]>(state.instances).filter(
-    (view) => view.report?.state === 'loading',
-  ).length;
+/** Instances fetching weights now, here, as far as their reports tell or their orders. */
+export function loadsHere(state: DomainState, now: MonoTime): number {
+  const views = Object.values<DomainState['instances'][InstanceId]>(state.instances);
+  return views.filter((view) => isFetching(view, now)).length;
+}
+
+function isFetching({ report, order }: InstanceView, now: MonoTime): boolean {
+  if (report?.state === 'loading' && report.model !== undefined) {
+    // With its weights it only waits for the others.
+    return !report.weights.includes(report.model);
+  }
+  // An idle one does not say; most have no weights at all before the fetch is done.
+  const isTold = order?.kind === 'preload' && now < order.retryAt;
+  return isTold && report?.state === 'idle' && report.weights.length === 0;
 }
 
 function joinOrders(
@@ -59,7 +68,7 @@
 ): readonly OrderTo[] {
   const orders: OrderTo[] = [];
   // At least one may always load, however busy the others say they are.
-  let budget = Math.max(state.settings.maxLoads - state.loadsElsewhere, 1) - loadsHere(state);
+  let budget = Math.max(state.settings.maxLoads - state.loadsElsewhere, 1) - loadsHere(state, now);
   for (const row of rows) {
     if (row.phase === 'draining') continue;
     for (const order of joinsOf(state, row, now)) {
--- a/tests/support/control-engine.ts
+++ b/tests/support/control-engine.ts
@@ -27,6 +27,8 @@
   weights: Set<ModelId>;
   loading?: { readonly model: ModelId; readonly until: number } | undefined;
   incarnation: number;
+  /** Fetches of weights begun ahead of a join. */
+  preloads: number;
   fencing: number;
   inFlight: number;
   leaving: boolean;
@@ -50,6 +52,7 @@
     members: [],
     weights: new Set(options.weights as readonly ModelId[] | undefined),
     incarnation: 1,
+    preloads: 0,
     fencing: 0,
     inFlight: 0,
     leaving: false,
@@ -91,11 +94,6 @@
   engine.members = [];
 }
 
-function load(engine: FakeEngine, model: ModelId, until: number): void {
-  engine.loading = { model, until };
-  engine.state = 'loading';
-}
-
 export interface OrderBy {
   readonly fencing: number;
   /** Until when a fetch of weights lasts, should one be needed. */
@@ -114,7 +112,9 @@
   engine.fencing = Math.max(engine.fencing, by.fencing);
   if (order.kind === 'preload') {
     if (engine.group === undefined && !engine.weights.has(order.model) && !engine.loading) {
-      load(engine, order.model, by.loadedAt);
+      // It reports itself idle all the while.
+      engine.loading = { model: order.model, until: by.loadedAt };
+      engine.preloads++;
     }
     return 'done';
   }
@@ -141,9 +141,11 @@
   engine.model = order.model;
   engine.members = order.members.map((member) => member.instance);
   engine.heldBy.push({ group: order.group, epoch: order.epoch, from: now });
-  if (engine.weights.has(order.model)) engine.state = 'serving';
-  else if (engine.loading?.model === order.model) engine.state = 'loading';
-  else load(engine, order.model, by.loadedAt);
+  // Rank 0 serves once all others do.
+  const hasWeights = engine.weights.has(order.model);
+  engine.state = hasWeights && order.rank !== 0 ? 'serving' : 'loading';
+  if (hasWeights || engine.loading?.model === order.model) return;
+  engine.loading = { model: order.model, until: by.loadedAt };
 }
 
 function end(
@@ -159,7 +161,7 @@
   }
   leave(engine, now);
   engine.inFlight = 0;
-  engine.state = engine.loading ? 'loading' : 'idle';
+  engine.state = 'idle';
   return 'done';
 }
 
@@ -173,15 +175,20 @@
   if (engine.loading && now >= engine.loading.until) {
     engine.weights.add(engine.loading.model);
     engine.loading = undefined;
-    engine.state = engine.group === undefined ? 'idle' : 'serving';
+    if (engine.group !== undefined && engine.rank !== 0) engine.state = 'serving';
   }
-  const { group, epoch } = engine;
-  if (engine.rank !== 0 || engine.state !== 'serving' || group === undefined) return;
-  const whole = engine.members.every((id) => {
-    const member = all.get(id);
-    return member !== undefined && holds(member, group, epoch ?? (0 as Epoch));
-  });
-  if (!whole) {
+  if (engine.rank === 0 && engine.group !== undefined) watchOthers(engine, all);
+}
+
+function watchOthers(engine: FakeEngine, all: ReadonlyMap<string, FakeEngine>): void {
+  const { group, epoch, model, state } = engine;
+  if (group === undefined || epoch === undefined || model === undefined) return;
+  const others = engine.members.filter((id) => id !== engine.id).map((id) => all.get(id));
+  const isWhole = others.every((one) => one !== undefined && holds(one, group, epoch));
+  const isReady = others.every((one) => one?.state === 'serving' || one?.state === 'draining');
+  if (state === 'loading') {
+    if (isWhole && isReady && engine.weights.has(model)) engine.state = 'serving';
+  } else if (!isWhole) {
     engine.state = 'broken';
     engine.inFlight = 0;
   }
--- a/tests/support/control-world.ts
+++ b/tests/support/control-world.ts
@@ -136,7 +136,7 @@
   const gossipOf = (self: () => FakeDaemon): Gossip => ({
     publish: (topic, key, value, expiresAt) => {
       const { id, cut } = self();
-      const known = entries.get(`${topic} ${key}`);
+      const known = entries.get(`${topic} ${key} ${id}`);
       const entry = {
         topic,
         key,
@@ -145,7 +145,7 @@
         value,
         expiresAt,
       };
-      entries.set(`${topic} ${key}`, entry);
+      entries.set(`${topic} ${key} ${id}`, entry);
       if (cut.gossip) return;
       for (const other of daemons) {
         if (other.id !== id && other.running && !other.cut.gossip) other.received.next(entry);
