--- /dev/null
+++ b/tests/telemetry-hops.test.ts
@@ -0,0 +1,118 @@
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+import { callJson } from '../stand-ins/shared/client';
+import { listen, readJson, sendJson } from '../stand-ins/shared/server';
+import type { Listening } from '../stand-ins/shared/server';
+import { until } from './support/processes';
+import { CALLER_KEY, chat, documentFor, startSystem, submit, untilServing } from './support/system';
+import type { System } from './support/system';
+
+interface OtlpSpan {
+  readonly name: string;
+  readonly traceId: string;
+  readonly spanId: string;
+  readonly parentSpanId?: string;
+  readonly status: { readonly code: number };
+}
+
+interface OtlpBody {
+  readonly resourceSpans: readonly {
+    readonly scopeSpans: readonly { readonly spans: readonly OtlpSpan[] }[];
+  }[];
+}
+
+/** Trace ids of the test's own requests begin so. */
+const TRACE_PREFIX = '0af7651916cd43dd8448eb211c8031';
+const ERROR = 2;
+const PROMPT = 'is insulin on the shelves of Quimper?';
+
+const spans: OtlpSpan[] = [];
+let collector: Listening;
+let system: System;
+
+beforeAll(async () => {
+  collector = await listen(
+    async (req, res) => {
+      const { resourceSpans } = (await readJson(req)) as OtlpBody;
+      for (const { scopeSpans } of resourceSpans) {
+        for (const scope of scopeSpans) spans.push(...scope.spans);
+      }
+      sendJson(res, 200, {});
+    },
+    { host: '127.0.0.1', port: 0 },
+  );
+  const otlpUrl = `http://${collector.address}/v1/traces`;
+  system = await startSystem({
+    daemons: 1,
+    domains: [2, 2],
+    daemonArgs: ['--otlp-url', otlpUrl, '--log-level', 'debug'],
+  });
+  const [daemon] = system.daemons;
+  if (daemon) await submit(daemon, documentFor(system, 2, 2));
+  await untilServing(system);
+});
+
+afterAll(async () => {
+  await system.stop();
+  await collector.close();
+});
+
+function traceOf(id: string): OtlpSpan[] {
+  return spans.filter(({ traceId }) => traceId === id);
+}
+
+/** Whether the trace is whole and shows two attempts. */
+function isRetried(trace: readonly OtlpSpan[]): boolean {
+  const names = trace.map(({ name }) => name);
+  return names.includes('entry') && names.filter((name) => name === 'attempt').length === 2;
+}
+
+/** Sends a request in the trace; its answer must be whole. */
+async function ask(traceId: string): Promise<void> {
+  const [daemon] = system.daemons;
+  if (daemon === undefined) return;
+  const body = { messages: [{ role: 'user', content: `${traceId} ${PROMPT}` }] };
+  const res = await chat(daemon, body, { traceparent: `00-${traceId}-b7ad6b7169203331-01` });
+  expect(res.status).toBe(200);
+  await res.text();
+}
+
+describe('a request that was retried', () => {
+  it('leaves a tree with a span for each hop below the span of the caller', async () => {
+    // One group gives every answer the id of another attempt.
+    const address = system.engines[0]?.members[0]?.address ?? '';
+    const body = { wrongAttempt: 1000 };
+    await callJson({ address, method: 'POST', path: '/faults', body });
+    for (let i = 10; i < 30; i += 1) await ask(`${TRACE_PREFIX}${i}`);
+
+    const retried = await until(() => {
+      const ids = [...new Set(spans.map(({ traceId }) => traceId))];
+      return Promise.resolve(ids.map(traceOf).find(isRetried));
+    }, 'the spans of a retried request are exported');
+
+    const entry = retried.find(({ name }) => name === 'entry');
+    expect(entry?.parentSpanId).toBe('b7ad6b7169203331');
+    const below = retried.filter((span) => span !== entry);
+    expect(below.every(({ parentSpanId }) => parentSpanId === entry?.spanId)).toBe(true);
+    expect(new Set(below.map(({ name }) => name))).toEqual(
+      new Set(['admission', 'routing', 'attempt']),
+    );
+    const attempts = below.filter(({ name }) => name === 'attempt');
+    expect(attempts.filter(({ status }) => status.code === ERROR)).toHaveLength(1);
+  });
+});
+
+describe('logs and metrics', () => {
+  it('hold neither prompts nor keys', async () => {
+    const [daemon] = system.daemons;
+    const logs = daemon?.process.lines.join('\n') ?? '';
+    const metrics = await (await fetch(`http://${daemon?.callers ?? ''}/metrics`)).text();
+    for (const text of [logs, metrics, JSON.stringify(spans)]) {
+      expect(text).not.toContain('insulin');
+      expect(text).not.toContain(CALLER_KEY);
+    }
+    for (const line of logs.split('\n')) {
+      expect(JSON.parse(line)).toMatchObject({ level: expect.any(String) as string });
+    }
+  });
+});
