Let waiting calls in as soon as a replica group is routable

Ruled out: an event from the control plane alone, since asking for the routable groups is also what has them probed on demand. Change: while calls wait, the gate looks at their targets' capacity each 25 ms.

--- a/src/app/requests/entry.ts
+++ b/src/app/requests/entry.ts
@@ -97,7 +97,7 @@
     call: model,
     target: model.model,
     estimateMs: estimateMs(model),
-    capacity: modelCapacity(ctx, model.model),
+    capacity: () => modelCapacity(ctx, model.model),
     honoursKey: false,
     run: (guard) => answerModelCall(ctx, parts, model, guard),
   });
@@ -133,7 +133,10 @@
     call: found,
     target: brandAs<ModelId>(`service/${spec.id}`),
     estimateMs: SERVICE_ESTIMATE_MS,
-    capacity: { slots: spec.backends.length * spec.maxInFlight, expectedAt: undefined },
+    capacity: () => ({
+      slots: spec.backends.length * spec.maxInFlight,
+      expectedAt: undefined,
+    }),
     honoursKey: spec.honoursIdempotencyKey,
     run: (guard) => answerServiceCall(ctx, parts.backends, found, guard),
   });
--- a/src/app/requests/gate.ts
+++ b/src/app/requests/gate.ts
@@ -23,7 +23,8 @@
   readonly target: ModelId;
   /** Expected time in a slot, milliseconds. */
   readonly estimateMs: number;
-  readonly capacity: Capacity;
+  /** The target's capacity at this instant; asked again while the call waits. */
+  readonly capacity: () => Capacity;
 }
 
 /** What this daemon may have in flight towards one target. */
@@ -42,8 +43,6 @@
   enter(req: GateRequest): Promise<GateVerdict>;
   /** To be called when an admitted call is over; gives its slot to the next. */
   leave(id: RequestId): void;
-  /** The capacity of a target may have changed. */
-  update(target: ModelId, capacity: Capacity): void;
 }
 
 const MESSAGES: Readonly<Record<RefusalCode, string>> = {
@@ -52,10 +51,16 @@
   'deadline-exceeded': 'the deadline cannot be met',
 };
 
+/** How often the capacity that waiting calls need is looked at. */
+const LOOK_MS = 25;
+
 export function createGate(clock: Clock, random: Random): Gate {
   const state = createAdmission();
   const waiting = new Map<RequestId, (verdict: GateVerdict) => void>();
+  /** Targets that some call may wait for. */
+  const wanted = new Map<ModelId, () => Capacity>();
   let timer: NodeJS.Timeout | undefined;
+  let looking: NodeJS.Timeout | undefined;
 
   const context = () => ({ now: clock.now(), random });
   const toEpoch = (at: MonoTime): EpochTime => later(clock.epoch(), at - clock.now());
@@ -104,9 +109,23 @@
     apply(release(state, id, context()));
   };
 
-  const queue = (call: Call): Promise<GateVerdict> =>
+  /** Capacity may come without a request that would tell of it. */
+  const look = (): void => {
+    looking = undefined;
+    for (const [target, capacity] of wanted) update(target, capacity());
+    if (waiting.size === 0) wanted.clear();
+    else lookSoon();
+  };
+
+  const lookSoon = (): void => {
+    looking ??= setTimeout(look, LOOK_MS).unref();
+  };
+
+  const queue = ({ call, target, capacity }: GateRequest): Promise<GateVerdict> =>
     new Promise((resolve) => {
       const { id, gone } = call.exchange;
+      wanted.set(target, capacity);
+      lookSoon();
       const onGone = (): void => {
         const error = fail('cancelled', 'caller went away', { step: 'admission' });
         settle(id, { kind: 'refused', error, retryAt: clock.epoch() });
@@ -120,8 +139,9 @@
     });
 
   return {
-    enter: ({ call, target, estimateMs, capacity }) => {
-      update(target, capacity);
+    enter: (asked) => {
+      const { call, target, estimateMs, capacity } = asked;
+      update(target, capacity());
       const { organisation, class: callerClass } = call.caller;
       const req: AdmissionRequest = {
         id: call.exchange.id,
@@ -135,12 +155,11 @@
       const { verdict, admitted, refused } = admit(state, req, context());
       const answer =
         verdict.kind === 'queued'
-          ? queue(call)
+          ? queue(asked)
           : Promise.resolve(verdict.kind === 'refused' ? refusal(verdict) : verdict);
       apply({ admitted, refused });
       return answer;
     },
     leave,
-    update,
   };
 }
