--- a/src/app/control/control.ts
+++ b/src/app/control/control.ts
@@ -7,13 +7,12 @@
 import { Subscription, interval } from 'rxjs';
 import type { Observable } from 'rxjs';
 
-import { NO_EXPECTATIONS, expectedAt, noteForming, noteReady } from '../../core/groups/expect';
 import type { ModelPlan } from '../../core/groups/domain-types';
-import type { EngineReport, InstanceFacts, RoutableGroup } from '../../core/groups/types';
-import { openSlots } from '../../core/groups/slots';
+import type { EngineReport } from '../../core/groups/types';
 import { later } from '../../core/ids';
 import type { DomainId, InstanceId, ModelId, MonoTime } from '../../core/ids';
 import type { ControlPart } from '../parts';
+import { createBriefing } from './briefing';
 import { logFailure, settleCall } from './context';
 import type { ControlDeps } from './context';
 import { createDemand } from './demand';
@@ -21,7 +20,6 @@
 import { createDue } from './due';
 import { createHolders } from './holders';
 import { createLeases } from './leases';
-import { createLosses } from './losses';
 import { createMeasures } from './measures';
 import { createNews } from './news';
 import { createProbes } from './probes';
@@ -33,6 +31,7 @@
 import { createStore } from './store';
 import { createWatches } from './watches';
 import type { WatchChange } from './watches';
+import { createView } from './view';
 
 export type { ControlDeps } from './context';
 export type { ControlOverrides } from './settings';
@@ -61,13 +60,11 @@
   const store = createStore(ctx.table);
   const watches = createWatches(ctx);
   const leases = createLeases(ctx, store);
-  const losses = createLosses(ctx, watches);
   const measures = createMeasures(ctx);
   const subscription = new Subscription();
   const due = createDue<Work>();
   let scanning = false;
-  let expectations = NO_EXPECTATIONS;
-  let plans: Readonly<Record<ModelId, ModelPlan>> = {};
+  let plansInForce: Readonly<Record<ModelId, ModelPlan>> = {};
   let pace: Pace = paceOf(settings, { probed: 0, peers: 1, listed: 0, isLister: true });
 
   const reported = (report: EngineReport, sentAt: MonoTime): void => {
@@ -105,7 +102,7 @@
     for (const { id, leaving } of directory.instances()) {
       if (leaving) leave(id);
     }
-    brief();
+    briefing.all();
     watches.tick(directory.isLeaving);
   });
 
@@ -132,12 +129,13 @@
       for (const instance of instances) leave(instance);
     },
     began: (domain) => {
-      briefOne(domain, directory.instances());
+      briefing.one(domain);
     },
   });
 
   const probes = createProbes(ctx, { reported, silent });
   const demand = createDemand(ctx, probes);
+  const view = createView(ctx, watches, demand);
   const roles = createRoles(ctx, directory, leases, watches);
   const news = createNews(ctx, watches, {
     leaving: markLeaving,
@@ -146,23 +144,8 @@
     },
   });
 
-  /** Tells a holder what it needs besides the rows and the reports. */
-  const briefOne = (domain: DomainId, instances: readonly InstanceFacts[]): void => {
-    const groups = watches.all().map(({ row }) => row);
-    holders.tell(domain, { kind: 'configured', models: plans });
-    holders.tell(domain, { kind: 'listed', instances: directory.inDomain(domain) });
-    for (const { id } of directory.inDomain(domain)) {
-      if (directory.isMarked(id)) holders.tell(domain, { kind: 'drain', instance: id });
-    }
-    const open = openSlots({ domain, models: plans, groups, instances });
-    const loadsElsewhere = news.loadsElsewhere(domain);
-    holders.tell(domain, { kind: 'slots', open, loadsElsewhere });
-  };
-
-  const brief = (): void => {
-    const instances = directory.instances();
-    for (const { domain } of holders.all()) briefOne(domain, instances);
-  };
+  const plans = () => plansInForce;
+  const briefing = createBriefing({ holders, directory, watches, news, plans });
 
   const pollGroups = (): void => {
     if (scanning) return;
@@ -192,9 +175,7 @@
       listed: directory.instances().length,
       isLister: roles.isLister(),
     });
-    const rows = watches.all().map(({ row }) => row);
-    expectations = noteForming(expectations, rows, clock.now());
-    demand.keep(new Set(rows.map(({ id }) => id)));
+    view.refresh();
   };
 
   const stateNews = (): void => {
@@ -204,12 +185,8 @@
   };
 
   const onChange = (change: WatchChange): void => {
-    losses.note(change);
-    if (change.kind === 'ready') {
-      expectations = noteReady(expectations, change.group, clock.now());
-      demand.settled(change.group);
-      return;
-    }
+    view.note(change);
+    if (change.kind === 'ready') return;
     const state = watches.get(change.group);
     const isBad = state?.distrustedAt !== undefined && !state.warning;
     if (isBad && roles.observes(change.group)) news.warn(change.group, change.epoch);
@@ -226,7 +203,7 @@
     leases.tick();
     holders.sync();
     due.run('roles', now, settings.stateMs, assign);
-    due.run('brief', now, settings.stateMs, brief);
+    due.run('brief', now, settings.stateMs, briefing.all);
     due.run('state', now, pace.stateMs, stateNews);
     probes.tick(pace.probeMs);
     demand.tick(watches.get);
@@ -244,12 +221,13 @@
   };
 
   return {
+    ...view,
     start: () => {
       subscription.add(watches.changes.subscribe(onChange));
       subscription.add(
         ctx.config.changes.subscribe((config) => {
-          plans = plansOf(config);
-          brief();
+          plansInForce = plansOf(config);
+          briefing.all();
         }),
       );
       news.start();
@@ -264,29 +242,6 @@
     },
     tick,
     heldDomains: () => leases.domains().filter((domain) => leases.held(domain) !== undefined),
-    routable: (model) => {
-      const now = clock.now();
-      const maxBatch = ctx.config.current().models[model]?.maxBatch ?? 1;
-      const groups: RoutableGroup[] = [];
-      for (const { state, routable } of watches.ofModel(model)) {
-        if (routable && now < routable.routableUntil) groups.push({ ...routable, maxBatch });
-        else demand.want(state);
-      }
-      return groups;
-    },
-    expectedAt: (model) => {
-      const now = clock.now();
-      const at = expectedAt(expectations, model, now);
-      return at && later(clock.epoch(), at - now);
-    },
-    report: ({ group, epoch, kind }) => {
-      const state = watches.get(group);
-      if (kind !== 'refused') {
-        watches.evidence(group, epoch);
-        if (state) demand.pursue(state);
-      }
-    },
-    lost: losses.lost,
     drainInstance: (instance) => {
       if (!directory.has(instance)) {
         return errAsync(unknownInstance(instance));
