Renew a group's observations on demand, and wait for them briefly

Cause: with the holder of a domain frozen, its statements ran out 2.7 s later on a daemon that observed nothing itself; the first request after that was refused, though the group served all along. Ruled out: longer freshness, which would keep a group with a lost member routable for longer; more observers, which cost bytes at size. Change: a group in use is probed once its observations have less than a second to go; a group against which nothing speaks, but whose observations are old or yet to come, is expected within a probe's time, so that calls wait for the probe and are refused at once when it fails.

--- a/src/app/control/demand.ts
+++ b/src/app/control/demand.ts
@@ -7,8 +7,10 @@
 import type { Probes } from './probes';
 
 export interface Demand {
-  /** Probes a group now, unless it was not long ago. */
+  /** Probes a group now, unless it was not long ago; waits longer each time. */
   want(state: WatchState): void;
+  /** Probes a group that is in use and whose observations are about to go stale. */
+  renew(state: WatchState): void;
   /** After evidence against a group: probes it now, and goes on until it is settled. */
   pursue(state: WatchState): void;
   /** Probes the groups that are pursued. */
@@ -33,18 +35,24 @@
   const asked = new Map<GroupId, Asked>();
   const pursued = new Map<GroupId, MonoTime>();
 
-  const want = ({ id, row }: WatchState): void => {
+  const ask = ({ id, row }: WatchState, waitMs: number): void => {
     const now = ctx.clock.now();
-    const before = asked.get(id);
-    if (before && now < before.nextAt) return;
+    if (now < (asked.get(id)?.nextAt ?? now)) return;
     if (!probes.demand(row.members)) return;
-    const waitMs = Math.min((before?.waitMs ?? FIRST_WAIT_MS / 2) * 2, LONGEST_WAIT_MS);
     // Spread, so that daemons which lost the same group don't probe it in step.
     asked.set(id, { nextAt: later(now, waitMs * (0.5 + ctx.random.next())), waitMs });
   };
 
+  const want = (state: WatchState): void => {
+    const before = asked.get(state.id)?.waitMs ?? FIRST_WAIT_MS / 2;
+    ask(state, Math.min(before * 2, LONGEST_WAIT_MS));
+  };
+
   return {
     want,
+    renew: (state) => {
+      ask(state, FIRST_WAIT_MS);
+    },
     pursue: (state) => {
       asked.delete(state.id);
       pursued.set(state.id, later(ctx.clock.now(), PURSUED_MS));
--- a/src/app/control/view.ts
+++ b/src/app/control/view.ts
@@ -2,6 +2,7 @@
 
 import { NO_EXPECTATIONS, expectedAt, noteForming, noteReady } from '../../core/groups/expect';
 import type { RoutableGroup } from '../../core/groups/types';
+import { isUnsettled } from '../../core/groups/watch';
 import { later } from '../../core/ids';
 import type { GroupView } from '../parts';
 import type { ControlContext } from './context';
@@ -9,6 +10,11 @@
 import { createLosses } from './losses';
 import type { WatchChange, Watches } from './watches';
 
+/** A group in use is probed when its observations have no longer than this to go. */
+const RENEW_BEFORE_MS = 1_000;
+/** A probe on demand should be answered within this time. */
+const PROBE_MS = 100;
+
 export interface View extends GroupView {
   /** A group became routable or ceased to be. */
   note(change: WatchChange): void;
@@ -26,13 +32,20 @@
       const maxBatch = config.current().models[model]?.maxBatch ?? 1;
       const groups: RoutableGroup[] = [];
       for (const { state, routable } of watches.ofModel(model)) {
-        if (routable && now < routable.routableUntil) groups.push({ ...routable, maxBatch });
-        else demand.want(state);
+        if (!routable || now >= routable.routableUntil) {
+          demand.want(state);
+          continue;
+        }
+        groups.push({ ...routable, maxBatch });
+        if (routable.routableUntil - now < RENEW_BEFORE_MS) demand.renew(state);
       }
       return groups;
     },
     expectedAt: (model) => {
       const now = clock.now();
+      for (const { state } of watches.ofModel(model)) {
+        if (isUnsettled(state, now)) return later(clock.epoch(), PROBE_MS);
+      }
       const at = expectedAt(expectations, model, now);
       return at && later(clock.epoch(), at - now);
     },
--- a/src/core/groups/watch.ts
+++ b/src/core/groups/watch.ts
@@ -96,6 +96,12 @@
   return Number.isFinite(until) ? (until as MonoTime) : undefined;
 }
 
+/** Nothing speaks against the group; what spoke for it is old or has yet to come. A probe settles it. */
+export function isUnsettled(state: WatchState, now: MonoTime): boolean {
+  const isServing = state.row.phase === 'serving' && !state.leaving;
+  return isServing && state.distrustedAt === undefined && routableUntil(state, now) === undefined;
+}
+
 function statedUntil(state: WatchState): MonoTime | undefined {
   const { stated, row, distrustedAt } = state;
   return distrustedAt === undefined && stated?.epoch === row.epoch ? stated.until : undefined;
--- a/tests/faults/system.test.ts
+++ b/tests/faults/system.test.ts
@@ -26,6 +26,12 @@
   heldBy: z.array(z.object({ group: z.string(), from: z.number(), to: z.number().optional() })),
 });
 
+const leaseRows = z.object({
+  rows: z.array(
+    z.object({ value: z.object({ holder: z.string(), released: z.boolean() }).partial() }),
+  ),
+});
+
 type Member = EngineProcess['members'][number];
 type MemberRecord = z.infer<typeof record>;
 
@@ -83,8 +89,8 @@
 async function answerWhole(daemon: DaemonProcess, count: number): Promise<void> {
   for (let n = 0; n < count; n++) {
     const res = await chat(daemon, {});
-    expect(res.status).toBe(200);
-    await res.text();
+    const text = await res.text();
+    expect(res.status, text).toBe(200);
   }
 }
 
@@ -165,11 +171,14 @@
     const other = system.daemons.find((daemon) => daemon !== frozen) ?? frozen;
     const before = (await records()).map(({ heldBy }) => heldBy);
     frozen.process.freeze();
-    await until(async () => {
-      await answerWhole(other, 1);
-      return (await rowsBelow('lease/')).includes(`"holder":"${frozen.id}"`) ? undefined : true;
-    }, 'others hold all leases');
-    frozen.process.resume();
+    try {
+      await until(async () => {
+        await answerWhole(other, 1);
+        return (await rowsBelow('lease/')).includes(`"holder":"${frozen.id}"`) ? undefined : true;
+      }, 'others hold all leases');
+    } finally {
+      frozen.process.resume();
+    }
     await answerWhole(frozen, 3);
     expect((await records()).map(({ heldBy }) => heldBy)).toEqual(before);
   });
@@ -230,6 +239,7 @@
       expect(res.headers.get('nutmegstack-outcome')).toBe('not-run');
     }
     expect(await ended).toBe(0);
-    expect(await rowsBelow('lease/')).not.toContain(`"holder":"${leaver.id}","session"`);
+    const held = leaseRows.parse(JSON.parse(await rowsBelow('lease/'))).rows;
+    expect(held.filter(({ value }) => value.holder === leaver.id && !value.released)).toEqual([]);
   });
 });
--- a/tests/groups-watch.test.ts
+++ b/tests/groups-watch.test.ts
@@ -2,7 +2,13 @@
 
 import type { DaemonId, Epoch, GroupId, MonoTime } from '../src/core/ids';
 import type { EngineReport, GroupRow } from '../src/core/groups/types';
-import { createWatch, ownUntil, reduceWatch, routableUntil } from '../src/core/groups/watch';
+import {
+  createWatch,
+  isUnsettled,
+  ownUntil,
+  reduceWatch,
+  routableUntil,
+} from '../src/core/groups/watch';
 import type { Statement, WatchEvent, WatchState } from '../src/core/groups/watch';
 
 const ROW = {
@@ -116,6 +122,24 @@
   });
 });
 
+describe('a group that no probe has settled', () => {
+  it('may be waited for while nothing speaks against it', () => {
+    const stale = after(100, probed('x', 0), probed('y', 50));
+    expect(isUnsettled(stale, 200 as MonoTime)).toBe(false);
+    expect(isUnsettled(stale, 3_100 as MonoTime)).toBe(true);
+    expect(isUnsettled(after(0), 100 as MonoTime)).toBe(true);
+  });
+
+  it.each<[string, WatchEvent]>([
+    ['a member is silent', { kind: 'silent', instance: 'x' as never, sentAt: 60 as MonoTime }],
+    ['a request failed', { kind: 'evidence', epoch: 2 as Epoch }],
+    ['a member is leaving', { kind: 'leaving', leaving: true }],
+  ])('may not once %s', (_what, event) => {
+    const state = after(100, probed('x', 0), probed('y', 50), event);
+    expect(isUnsettled(state, 3_100 as MonoTime)).toBe(false);
+  });
+});
+
 describe("a peer's word", () => {
   it('makes a group routable for as long as it says, but is never passed on', () => {
     const state = after(100, stated('p', 1, 2_000));
