--- a/scripts/demo/deployment.ts
+++ b/scripts/demo/deployment.ts
@@ -154,24 +154,30 @@
   return JSON.stringify({ model, stream: true, messages: [{ role: 'user', content: question }] });
 }
 
-/** Resolves once every daemon answers the first request. */
-export async function untilServing({ spec, daemons }: Deployment, key: string): Promise<void> {
+async function untilDaemonServes(
+  spec: DeploymentSpec,
+  { id, addresses }: Daemon,
+  key: string,
+): Promise<void> {
   const givenUpAt = Date.now() + SERVING_WITHIN_MS;
-  for (const { id, addresses } of daemons) {
-    for (;;) {
-      const res = await fetch(`http://${addresses.callers}/v1/chat/completions`, {
-        method: 'POST',
-        headers: { authorization: `Bearer ${key}` },
-        body: firstRequest(spec),
-      });
-      const text = await res.text();
-      if (res.ok) break;
-      if (Date.now() > givenUpAt) throw new Error(`${id} does not serve: ${text}`);
-      await delay(TRY_EVERY_MS);
-    }
+  for (;;) {
+    const res = await fetch(`http://${addresses.callers}/v1/chat/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${key}` },
+      body: firstRequest(spec),
+    });
+    const text = await res.text();
+    if (res.ok) return;
+    if (Date.now() > givenUpAt) throw new Error(`${id} does not serve: ${text}`);
+    await delay(TRY_EVERY_MS);
   }
 }
 
+/** Resolves once every daemon answers the first request. */
+export async function untilServing({ spec, daemons }: Deployment, key: string): Promise<void> {
+  await Promise.all(daemons.map((daemon) => untilDaemonServes(spec, daemon, key)));
+}
+
 /** Stops the daemons first, so that they finish what runs, then all else. */
 export async function stopDeployment(deployment: Deployment): Promise<void> {
   const { daemons, engines, services, platform } = deployment;
