--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -1,3 +1,22 @@
 /** One line of help for each metric; a name that is missing here is shown without. */
 
-export const DESCRIPTIONS: Readonly<Record<string, string>> = {};
+export const DESCRIPTIONS: Readonly<Record<string, string>> = {
+  nutmegstack_requests_total: 'Requests of callers by outcome and code',
+  nutmegstack_requests_in_flight: 'Requests of callers that are not answered yet',
+  nutmegstack_request_ms: 'Time from arrival to the end of the answer',
+  nutmegstack_queueing_ms: 'Time that requests wait for admission',
+  nutmegstack_first_token_ms: 'Time from arrival to the first token',
+  nutmegstack_between_tokens_ms: 'Time between two tokens of a stream',
+  nutmegstack_attempts_total: 'Attempts sent to backend servers',
+  nutmegstack_retries_total: 'Attempts after the first, by what failed before',
+  nutmegstack_claims_total: 'Claims of non-repeatable requests by verdict',
+  nutmegstack_claim_commit_ms: 'Time of one transaction of claims in the table service',
+  nutmegstack_strikes_total: 'Strikes against requests on which a group was lost',
+  nutmegstack_quarantined_total: 'Requests refused for the groups they were lost on',
+  nutmegstack_group_downtime_seconds_total:
+    'Seconds in which wanted replica groups could not serve',
+  nutmegstack_stranded_accelerator_seconds_total:
+    'Accelerator seconds held by no serving group; without a model: by no group at all',
+  nutmegstack_config_version: 'Version of the configuration in force on this daemon',
+  nutmegstack_config_alarms_total: 'Configurations that could not be put in force, by code',
+};
--- a/src/cli/commands/operations.ts
+++ b/src/cli/commands/operations.ts
@@ -99,13 +99,26 @@
   return done(body, renderTable([['HASH', 'ROLE', 'ORGANISATION', 'CLASS'], ...rows]));
 };
 
-const addKey: KeyAction = async (ctx, target) => {
+interface NewKey {
+  readonly key: string;
+  readonly hash: string;
+}
+
+function createKey(): NewKey {
   const key = `nk_${randomBytes(KEY_BYTES).toString('base64url')}`;
-  const hash = hashOperatorKey(key);
+  return { key, hash: hashOperatorKey(key) };
+}
+
+function showKey({ key, hash }: NewKey): CommandResult {
+  return done({ key, hash }, `key ${key}\nhash ${hash}\nThe key is not kept: note it now.`);
+}
+
+const addKey: KeyAction = async (ctx, target) => {
+  const created = createKey();
   const organisation = flagOf(ctx, 'organisation');
   const callerClass = flagOf(ctx, 'class');
   const body = {
-    hash,
+    hash: created.hash,
     role: flagOf(ctx, 'role') ?? 'caller',
     ...(organisation === undefined ? {} : { organisation }),
     ...(callerClass === undefined ? {} : { class: callerClass }),
@@ -113,7 +126,7 @@
   const reply = await callAdmin(target, { method: 'POST', path: 'keys', body });
   const failure = failureOf(reply);
   if (failure !== undefined) return failure;
-  return done({ key, hash }, `key ${key}\nhash ${hash}\nThe key is not kept: note it now.`);
+  return showKey(created);
 };
 
 const removeKey: KeyAction = async (ctx, target) => {
@@ -130,11 +143,12 @@
   remove: removeKey,
 };
 
-/** `keys list`, `keys add` and `keys remove <hash>`. */
+/** `keys list`, `keys add`, `keys remove <hash>`, and `keys new`, which asks no daemon. */
 export const keys: Command = async (ctx) => {
   const name = ctx.args[0] ?? 'list';
+  if (name === 'new') return showKey(createKey());
   const action = Object.hasOwn(KEY_ACTIONS, name) ? KEY_ACTIONS[name] : undefined;
-  if (action === undefined) return usage('keys knows list, add and remove');
+  if (action === undefined) return usage('keys knows list, add, remove and new');
   const target = readTarget(ctx);
   return typeof target === 'string' ? usage(target) : action(ctx, target);
 };
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -94,14 +94,18 @@
   },
   keys: {
     usage: '[action] [hash]',
-    help: 'List, add or remove keys.',
+    help: 'List, add or remove keys; new makes one without a daemon.',
     flags: [
       ...ADMIN_FLAGS,
       { flag: 'organisation', help: 'Organisation of the key' },
       { flag: 'role', help: 'caller or operator', byDefault: 'caller' },
       { flag: 'class', help: "Class of a caller's key" },
     ],
-    examples: ['keys add --organisation rennes --class pharmacist', 'keys remove <hash>'],
+    examples: [
+      'keys add --organisation rennes --class pharmacist',
+      'keys remove <hash>',
+      'keys new',
+    ],
     run: keys,
   },
   check: {
--- a/tests/cli-settings.test.ts
+++ b/tests/cli-settings.test.ts
@@ -1,6 +1,9 @@
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
 import { describe, expect, it } from 'vitest';
 
-import { readSettings } from '../src/cli/settings';
+import { DESCRIPTIONS } from '../src/adapters/telemetry/descriptions';
+import { readSettings, SETTINGS, variableOf } from '../src/cli/settings';
 import type { Environment, Flags } from '../src/cli/settings';
 
 const ENV = {
@@ -53,4 +56,24 @@
     const { peerTls } = readSettings(flags, ENV)._unsafeUnwrap();
     expect(peerTls).toEqual({ certFile: 'a', keyFile: 'b', caFile: 'c' });
   });
+
+  it('are all named on the operators’ page', () => {
+    const page = readFileSync('docs/OPERATORS.md', 'utf8');
+    for (const { flag } of Object.values(SETTINGS)) {
+      expect(page).toContain(`--${flag}`);
+      expect(page).toContain(variableOf(flag));
+    }
+  });
+});
+
+describe('metrics', () => {
+  const sources = readdirSync('src', { recursive: true, encoding: 'utf8' })
+    .filter((file) => file.endsWith('.ts'))
+    .map((file) => readFileSync(join('src', file), 'utf8'));
+  const names = sources.flatMap((text) => text.match(/(?<=')nutmegstack_[a-z_]+(?=')/g) ?? []);
+
+  it.each([...new Set(names)])('%s is described for operators', (name) => {
+    expect(readFileSync('docs/OPERATORS.md', 'utf8')).toContain(name);
+    expect(DESCRIPTIONS).toHaveProperty(name);
+  });
 });
--- a/tests/cli.test.ts
+++ b/tests/cli.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import { createAdmin } from '../src/app/admin/admin';
+import { hashOperatorKey } from '../src/app/admin/auth';
 import type { StartDaemon } from '../src/cli/command';
 import { COMMANDS, runProgram } from '../src/cli/program';
 import { fakeConfig, fakeParts } from './support/admin-parts';
@@ -185,6 +186,13 @@
     expect(parts.asked).toEqual(['admin-drain e2', 'instance i1']);
   });
 
+  it('make a key with its hash without a daemon', async () => {
+    const args = ['node', 'nutmegstack', 'keys', 'new', '--output', 'json'];
+    expect(await runProgram(args, {}, startDaemon)).toBe(0);
+    const { key, hash } = output() as { key: string; hash: string };
+    expect(hash).toBe(hashOperatorKey(key));
+  });
+
   it('add and remove keys, of which the daemon sees hashes alone', async () => {
     const add = ['keys', 'add', '--organisation', 'rennes', '--class', 'pharmacist'];
     expect(await nutmegstack(...add, '--output', 'json')).toBe(0);
