--- a/tests/fuzz/main.ts
+++ b/tests/fuzz/main.ts
@@ -3,6 +3,13 @@
 import sade from 'sade';
 import { z } from 'zod';
 
+import { fuzzAdmission } from './admission';
+import { fuzzConfig } from './config';
+import { fuzzGroups } from './groups/groups';
+import { fuzzLedger } from './ledger';
+import { fuzzMembership } from './membership';
+import { fuzzRouting } from './routing';
+
 /** How a fuzz run is asked for. */
 export interface FuzzOptions {
   readonly seed: number;
@@ -12,7 +19,14 @@
 /** A property over histories; throws with the seed and the shrunk history of a failure. */
 type Fuzz = (opts: FuzzOptions) => Promise<void> | void;
 
-const FUZZES: Readonly<Record<string, Fuzz>> = {};
+const FUZZES: Readonly<Record<string, Fuzz>> = {
+  admission: fuzzAdmission,
+  routing: fuzzRouting,
+  ledger: fuzzLedger,
+  config: fuzzConfig,
+  membership: fuzzMembership,
+  groups: fuzzGroups,
+};
 
 const options = z.object({
   seed: z.coerce.number().int(),
