Load weights group by group, the one worth most first

Cause: after a domain lost its power and came back cold, the urgent group waited for three turns of the weight store: its rank 0, which joins last, lost its turn to members of the next groups. Ruled out: joining rank 0 first, since it then sees the others as missing; fetching ahead for it, since a join begins the fetch anew. Change: rank 0's turn is kept; as many members of a domain load at a time as one group has, and 64 overall.

--- /dev/null
+++ b/bench/groups-loads.ts
@@ -0,0 +1,72 @@
+/** The order of weight loads after a fabric domain lost its power: all come back cold at once. */
+
+import type { LoadPolicy, ModelPlan } from '../src/core/groups/domain-types';
+import { groupsOf } from '../src/core/groups/health';
+import { policiesOf } from '../src/core/groups/policies';
+import { restart } from '../tests/support/control-engine';
+import { configure, createLoop, isServing, look, modelOf } from './groups-loop';
+import type { Loop } from './groups-loop';
+
+export interface LoadsBenchRow {
+  readonly loads: LoadPolicy;
+  /** Members that may fetch weights at a time. */
+  readonly maxLoads: number;
+  /** Seconds until the groups of each model serve again, summed over its groups. */
+  readonly urgentDowntime: number;
+  readonly bulkDowntime: number;
+  /** Both, by their worth. */
+  readonly cost: number;
+}
+
+const MEMBERS = 4;
+const INSTANCES = 16;
+const URGENT_WORTH = 10;
+const SETTLE_S = 900;
+const LONGEST_S = 3_600;
+
+function plansOf(loads: LoadPolicy): readonly [bulk: ModelPlan, urgent: ModelPlan] {
+  const plan = (id: string, replicas: number, downtime: number): ModelPlan => {
+    const weights = { downtime, stranded: 1 };
+    const policies = { ...policiesOf({ weights, policies: {} }), loads };
+    return modelOf(id, { membersPerReplica: MEMBERS, replicas, weights, policies });
+  };
+  return [plan('bulk', 3, 1), plan('urgent', 1, URGENT_WORTH)];
+}
+
+function pass(loop: Loop, seconds: number): void {
+  for (let i = 0; i < seconds; i++) {
+    look(loop);
+    loop.now++;
+  }
+}
+
+function play(loads: LoadPolicy, maxLoads: number): LoadsBenchRow {
+  const [bulk, urgent] = plansOf(loads);
+  const loop = createLoop({ instances: INSTANCES, models: [bulk], settings: { maxLoads } });
+  pass(loop, SETTLE_S);
+  // The urgent model came last, so that its group stands last in the order of arrival.
+  configure(loop, [bulk, urgent]);
+  pass(loop, SETTLE_S);
+  for (const engine of loop.engines.values()) restart(engine, loop.now);
+  const downtime = { bulk: 0, urgent: 0 };
+  for (let i = 0; i < LONGEST_S; i++) {
+    pass(loop, 1);
+    for (const row of groupsOf(loop.state)) {
+      if (!isServing(loop, row)) downtime[row.model === bulk.id ? 'bulk' : 'urgent']++;
+    }
+  }
+  return {
+    loads,
+    maxLoads,
+    urgentDowntime: downtime.urgent,
+    bulkDowntime: downtime.bulk,
+    cost: downtime.urgent * URGENT_WORTH + downtime.bulk,
+  };
+}
+
+/** Both orders, with loads limited to one group at a time and not limited. */
+export function benchLoads(): readonly LoadsBenchRow[] {
+  return (['arrival', 'value-first'] as const).flatMap((loads) =>
+    [MEMBERS, INSTANCES].map((maxLoads) => play(loads, maxLoads)),
+  );
+}
--- a/src/core/groups/domain-types.ts
+++ b/src/core/groups/domain-types.ts
@@ -67,8 +67,10 @@
   readonly preloadRetryMs: number;
   /** Before a group that broke is started again with the next epoch. */
   readonly restartMs: number;
-  /** Members of the domain that may fetch weights at a time. */
-  readonly maxLoads: number;
+  /** Members of the domain that may fetch weights at a time; left out: those of one group. */
+  readonly maxLoads?: number;
+  /** The same for all domains together, as far as their holders hear of each other. */
+  readonly maxLoadsOverall: number;
   /** How much later each further domain tries for a free slot. */
   readonly slotDelayMs: number;
   /** Rows are read again after this long, should another's write have been missed. */
@@ -89,7 +91,7 @@
   orderRetryMs: 1_000,
   preloadRetryMs: 180_000,
   restartMs: 1_000,
-  maxLoads: 16,
+  maxLoadsOverall: 64,
   slotDelayMs: 1_500,
   rereadMs: 30_000,
 };
--- a/src/core/groups/orders.ts
+++ b/src/core/groups/orders.ts
@@ -5,7 +5,7 @@
 
 import type { InstanceId, ModelId, MonoTime } from '../ids';
 import { CHOOSE, LOADS, SPARES } from './policies';
-import type { DomainState, InstanceView, PlannedOrder } from './domain-types';
+import type { DomainState, InstanceView, ModelPlan, PlannedOrder } from './domain-types';
 import {
   freeInstances,
   groupsOf,
@@ -61,14 +61,20 @@
   return isTold && report?.state === 'idle' && report.weights.length === 0;
 }
 
+/** At least one member may always load, however busy the other domains say they are. */
+function loadLimit({ settings, models, loadsElsewhere }: DomainState): number {
+  const sizes = Object.values<ModelPlan>(models).map((plan) => plan.membersPerReplica);
+  const here = settings.maxLoads ?? Math.max(...sizes, 1);
+  return Math.max(Math.min(here, settings.maxLoadsOverall - loadsElsewhere), 1);
+}
+
 function joinOrders(
   state: DomainState,
   rows: readonly GroupRow[],
   now: MonoTime,
 ): readonly OrderTo[] {
   const orders: OrderTo[] = [];
-  // At least one may always load, however busy the others say they are.
-  let budget = Math.max(state.settings.maxLoads - state.loadsElsewhere, 1) - loadsHere(state, now);
+  let budget = loadLimit(state) - loadsHere(state, now);
   for (const row of rows) {
     if (row.phase === 'draining') continue;
     for (const order of joinsOf(state, row, now)) {
@@ -77,10 +83,20 @@
       if (cold) budget--;
       orders.push(order);
     }
+    // Rank 0 must not lose its turn to the next group while it waits for the others to join.
+    if (isFirstToCome(state, row, now)) budget--;
   }
   return orders;
 }
 
+/** Whether rank 0 has yet to join and to fetch weights, and nobody is missing. */
+function isFirstToCome(state: DomainState, row: GroupRow, now: MonoTime): boolean {
+  const first = row.members[0]?.instance;
+  if (first === undefined || isWarm(state, first, row.model)) return false;
+  if (row.members.some(({ instance }) => isUnheard(state, instance))) return false;
+  return healthOf(state, row, first, now) !== 'loading';
+}
+
 /** Rank 0 goes last: it watches the others from the moment it joins. */
 function joinsOf(state: DomainState, row: GroupRow, now: MonoTime): readonly OrderTo[] {
   const joined = row.members.map(({ instance }) =>
--- a/tests/groups-domain.test.ts
+++ b/tests/groups-domain.test.ts
@@ -230,6 +230,19 @@
     expect(driven.orders()).toEqual(['join b', 'join c']);
   });
 
+  it('keeps a turn for rank 0 of the group that loads first', () => {
+    const dear = plan('m', { weights: { downtime: 5, stranded: 1 } });
+    const driven = formed(['a', 'b', 'c', 'd'], [dear, plan('n')], { maxLoads: 2 });
+    driven.tick(40);
+    driven.commit(50, 6);
+    driven.tick(60);
+    // The second group would otherwise take the turn while rank 0 of the first waits.
+    expect(driven.orders()).toEqual([]);
+    driven.report(70, 'b', { group: GROUP, epoch: 1, model: 'm', state: 'loading' } as never);
+    driven.tick(80);
+    expect(driven.orders()).toEqual(['join a']);
+  });
+
   it('raises the epoch at each change of members and keeps the survivors', () => {
     const driven = formed(['a', 'b', 'c'], [plan('m')]);
     joined(driven, 100, ['a', 'b']);
