Choose among ready entries, and measure what the request plane really does

Cause: the slope of the choice measured another function than the one that requests call, and each call copied each group to fill in its batch size. Change: batch sizes are filled in when a group or the configuration changes; the slope runs the same function as requests do; a domain's bytes are measured over 20 copies. Bytes of a probe and of a list entry are those measured against the stand-ins (475 and 150).

--- a/bench/groups-slopes.ts
+++ b/bench/groups-slopes.ts
@@ -8,7 +8,8 @@
 import { hashAll, rankOf } from '../src/core/groups/rank';
 import { openSlots } from '../src/core/groups/slots';
 import type { EngineReport, GroupRow, InstanceFacts } from '../src/core/groups/types';
-import { createWatch, reduceWatch, routableUntil } from '../src/core/groups/watch';
+import { entryOf, routableNow } from '../src/app/control/watches';
+import { createWatch, reduceWatch } from '../src/core/groups/watch';
 import type { WatchState } from '../src/core/groups/watch';
 import type {
   DomainId,
@@ -36,6 +37,8 @@
 const FRESH_UNTIL = 1e9 as MonoTime;
 const SERVER_SIZES = [750, 1_500, 3_000, 7_500] as const;
 const DOMAIN_SIZES = [16, 32, 64, 128] as const;
+/** One domain is too little to be told from the noise of the heap. */
+const DOMAIN_COPIES = 20;
 const PEER_SIZES = [7, 70, 335, 670] as const;
 const ROUNDS = 7;
 const US_PER_MS = 1_000;
@@ -166,7 +169,9 @@
 
 function holderRows(): readonly SlopeRow[] {
   return DOMAIN_SIZES.flatMap((size) => {
-    const { held, bytes } = hold(() => domainOf(size));
+    const copies = hold(() => Array.from({ length: DOMAIN_COPIES }, () => domainOf(size)));
+    const bytes = Math.round(copies.bytes / DOMAIN_COPIES);
+    const held = domainOf(size);
     const tick = timeOf(200, () => {
       reduceDomain(held, { kind: 'tick' }, { now: NOW });
     });
@@ -205,8 +210,9 @@
   return SERVER_SIZES.flatMap((size) => {
     const { held, bytes } = hold(() => watchesOf(size));
     const facts = hold(() => Array.from({ length: size }, (_, n) => factsOf(n, `d${n >> 5}`)));
-    const routable = timeOf(200, () => {
-      held.forEach((state) => routableUntil(state, NOW));
+    const entries = held.map((state) => entryOf(state, 8, NOW));
+    const routable = timeOf(500, () => {
+      routableNow(entries, NOW, () => undefined);
     });
     const ticks = timeOf(200, () => {
       held.forEach((state) => reduceWatch(state, { kind: 'tick' }, { now: NOW }));
--- a/src/app/control/control.ts
+++ b/src/app/control/control.ts
@@ -227,6 +227,7 @@
       subscription.add(
         ctx.config.changes.subscribe((config) => {
           plansInForce = plansOf(config);
+          watches.refresh();
           briefing.all();
         }),
       );
--- a/src/app/control/demand.ts
+++ b/src/app/control/demand.ts
@@ -8,7 +8,7 @@
 
 export interface Demand {
   /** Probes a group now, unless it was not long ago. */
-  want(state: WatchState): void;
+  readonly want: (state: WatchState) => void;
   /** After evidence against a group: probes it now, and goes on until it is settled. */
   pursue(state: WatchState): void;
   /** Probes the groups that are pursued. */
--- a/src/app/control/settings.ts
+++ b/src/app/control/settings.ts
@@ -64,9 +64,9 @@
 }
 
 /** What one probe and its answer take on the wire, without TCP's own headers; measured. */
-const PROBE_BYTES = 450;
-/** One entry of the instance list. */
-const LIST_ENTRY_BYTES = 200;
+const PROBE_BYTES = 475;
+/** One entry of the instance list; measured. */
+const LIST_ENTRY_BYTES = 150;
 const MS_PER_SECOND = 1_000;
 /** Statements of a peer that cost the receivers this much time between two of them. */
 const STATE_MS_PER_PEER = 80;
--- a/src/app/control/view.ts
+++ b/src/app/control/view.ts
@@ -1,12 +1,12 @@
 /** Where model requests may go, as the request plane asks and is told. */
 
 import { NO_EXPECTATIONS, expectedAt, noteForming, noteReady } from '../../core/groups/expect';
-import type { RoutableGroup } from '../../core/groups/types';
 import { later } from '../../core/ids';
 import type { GroupView } from '../parts';
 import type { ControlContext } from './context';
 import type { Demand } from './demand';
 import { createLosses } from './losses';
+import { routableNow } from './watches';
 import type { WatchChange, Watches } from './watches';
 
 export interface View extends GroupView {
@@ -17,20 +17,11 @@
 }
 
 export function createView(ctx: ControlContext, watches: Watches, demand: Demand): View {
-  const { clock, config } = ctx;
+  const { clock } = ctx;
   const losses = createLosses(ctx, watches);
   let expectations = NO_EXPECTATIONS;
   return {
-    routable: (model) => {
-      const now = clock.now();
-      const maxBatch = config.current().models[model]?.maxBatch ?? 1;
-      const groups: RoutableGroup[] = [];
-      for (const { state, routable } of watches.ofModel(model)) {
-        if (routable && now < routable.routableUntil) groups.push({ ...routable, maxBatch });
-        else demand.want(state);
-      }
-      return groups;
-    },
+    routable: (model) => routableNow(watches.ofModel(model), clock.now(), demand.want),
     expectedAt: (model) => {
       const now = clock.now();
       const at = expectedAt(expectations, model, now);
--- a/src/app/control/watches.ts
+++ b/src/app/control/watches.ts
@@ -32,6 +32,8 @@
   warned(group: GroupId, epoch: Epoch, by: Told): void;
   evidence(group: GroupId, epoch: Epoch): void;
   tick(isLeaving: (instance: InstanceId) => boolean): void;
+  /** Takes over the sizes of batches after a change of the configuration. */
+  refresh(): void;
   all(): readonly WatchState[];
   readonly get: (group: GroupId) => WatchState | undefined;
   until(group: GroupId): MonoTime | undefined;
@@ -50,6 +52,20 @@
 /** Longer than any gossip of a dissolved group's row may take to arrive. */
 const GONE_MS = 60_000;
 
+/** Chooses among the entries of a model: no work but a comparison for each. */
+export function routableNow(
+  entries: Iterable<WatchEntry>,
+  now: MonoTime,
+  missing: (state: WatchState) => void,
+): readonly RoutableGroup[] {
+  const groups: RoutableGroup[] = [];
+  for (const { state, routable } of entries) {
+    if (routable && now < routable.routableUntil) groups.push(routable);
+    else missing(state);
+  }
+  return groups;
+}
+
 export function createWatches(ctx: ControlContext): Watches {
   const states = new Map<GroupId, WatchState>();
   /** The request plane asks for each request: nothing is worked out there. */
@@ -77,7 +93,8 @@
   const enter = (state: WatchState): void => {
     const { model } = state.row;
     const ofModel = entries.get(model) ?? new Map<GroupId, WatchEntry>();
-    entries.set(model, ofModel.set(state.id, entryOf(state, ctx.clock.now())));
+    const maxBatch = ctx.config.current().models[model]?.maxBatch ?? 1;
+    entries.set(model, ofModel.set(state.id, entryOf(state, maxBatch, ctx.clock.now())));
   };
 
   const tell = (group: GroupId, event: WatchEvent): void => {
@@ -167,6 +184,9 @@
         else if (state.routable) tell(state.id, { kind: 'tick' });
       }
     },
+    refresh: () => {
+      states.forEach(enter);
+    },
     all: () => [...states.values()],
     get: (group) => states.get(group),
     until: (group) => {
@@ -179,13 +199,12 @@
 }
 
 /** The group as the request plane sees it. */
-function entryOf(state: WatchState, now: MonoTime): WatchEntry {
+export function entryOf(state: WatchState, maxBatch: number, now: MonoTime): WatchEntry {
   const until = routableUntil(state, now);
   const first = state.row.members[0];
   if (until === undefined || !first) return { state };
   const { id, model, domain, epoch, members } = state.row;
   const { address } = first;
-  // The size of a batch is the configuration's: `routable` of the control plane fills it in.
-  const fixed = { id, model, domain, epoch, address, members, maxBatch: 1 };
+  const fixed = { id, model, domain, epoch, address, members, maxBatch };
   return { state, routable: { ...fixed, routableUntil: until } };
 }
