Count own probes for three probe intervals at any number of peers

Cause: the freshness of own probes grew with the interval of statements, to 160 s at 670 peers, though own probes go on each second. Change: only statements hold longer where they come seldom.

--- a/src/app/control/control.ts
+++ b/src/app/control/control.ts
@@ -179,7 +179,8 @@
   };
 
   const stateNews = (): void => {
-    news.state(watches.all().filter(({ id }) => roles.observes(id)));
+    const watched = watches.all().filter(({ id }) => roles.observes(id));
+    news.state(watched, pace.statedExtraMs);
     for (const state of holders.all()) news.loads(state);
     measures.add(holders.all());
   };
--- a/src/app/control/news.ts
+++ b/src/app/control/news.ts
@@ -45,8 +45,11 @@
   wrote(group: WrittenGroup): void;
   leaving(instance: InstanceId): void;
   warn(group: GroupId, epoch: Epoch): void;
-  /** States, domain by domain, which of the watched groups this daemon itself sees whole. */
-  state(watched: readonly WatchState[]): void;
+  /**
+   * States, domain by domain, which of the watched groups this daemon itself sees whole, for as long
+   * as its probes count and `extraMs` more.
+   */
+  state(watched: readonly WatchState[], extraMs: number): void;
   loads(state: DomainState): void;
   /** Members fetching weights in other domains. */
   loadsElsewhere(domain: DomainId): number;
@@ -125,10 +128,11 @@
       const value: WarnedValue = { epoch, seq: nextSeq() };
       publish(TOPICS.warning, group, value, WARNING_MS);
     },
-    state: (watched) => {
+    state: (watched, extraMs) => {
       nextSeq();
       for (const [domain, groups] of wholeByDomain(watched, clock.now())) {
-        const forMs = Math.min(...groups.map((one) => one.until)) - clock.now();
+        const until = Math.min(...groups.map((one) => one.until));
+        const forMs = until - clock.now() + extraMs;
         const ids = groups.map(({ id, epoch }) => [id, epoch] as const);
         const value: StatedValue = { groups: ids, forMs, seq };
         publish(TOPICS.well, domain, value, forMs);
--- a/src/app/control/settings.ts
+++ b/src/app/control/settings.ts
@@ -85,7 +85,10 @@
 export interface Pace {
   readonly probeMs: number;
   readonly stateMs: number;
+  /** How long an own probe counts. */
   readonly freshMs: number;
+  /** How much longer a statement counts than the probes that it rests on. */
+  readonly statedExtraMs: number;
   readonly pollMs: number;
   readonly listMs: number;
 }
@@ -101,7 +104,9 @@
   return {
     probeMs,
     stateMs,
-    freshMs: FRESH_INTERVALS * Math.max(probeMs, stateMs),
+    freshMs: FRESH_INTERVALS * probeMs,
+    // Statements that come seldom must hold for longer.
+    statedExtraMs: (FRESH_INTERVALS - 1) * (stateMs - settings.stateMs),
     pollMs: Math.max(settings.pollMs, polling),
     listMs: load.isLister ? settings.listMs : Math.max(settings.listMs, listing),
   };
--- a/tests/control-news.test.ts
+++ b/tests/control-news.test.ts
@@ -56,13 +56,13 @@
 describe('statements that groups are well', () => {
   it('rest on own probes alone, never on what a peer stated', () => {
     const { news, published } = newsOf();
-    news.state([statedOnly()]);
+    news.state([statedOnly()], 0);
     expect(published).toEqual([]);
   });
 
   it('hold for no longer than the probes that they rest on', () => {
     const { news, published } = newsOf();
-    news.state([probed()]);
+    news.state([probed()], 0);
     expect(published).toMatchObject([{ value: { groups: [['g', 1]], forMs: 2_900 } }]);
   });
 
