Change the size of replicas one group at a time, and tell of leaving once

Ruled out: waiting for groups in other domains too, which needs a count that no holder has at hand; so one group in each domain may give way at a time. Change: such a group waits until all others of its model in the domain serve and no slot of the model is open; a slot given back is open here at once; of the list, only the two listers tell.

--- a/src/app/control/control.ts
+++ b/src/app/control/control.ts
@@ -99,8 +99,10 @@
       if (!leases.isKnown(domain)) due.now('leases');
       leases.know(domain, zone);
     }
+    // The others hear of it from the listers: one entry of gossip for each daemon is too many.
+    const tellAll = roles.isLister() ? leave : markLeaving;
     for (const { id, leaving } of directory.instances()) {
-      if (leaving) leave(id);
+      if (leaving && !directory.isMarked(id)) tellAll(id);
     }
     briefing.all();
     watches.tick(directory.isLeaving);
--- a/src/core/groups/domain.ts
+++ b/src/core/groups/domain.ts
@@ -193,7 +193,7 @@
   const tx = state.pending;
   if (tx?.id !== event.id) return next(state);
   const after = applyTransaction(withoutPending(state), tx, event.versions);
-  return next(withoutSlot(withRestart(after, tx, now), tx));
+  return next(withFreedSlot(withoutSlot(withRestart(after, tx, now), tx), tx, now));
 }
 
 /** A slot just filled is open no more, whatever the last look at all groups said. */
@@ -208,6 +208,17 @@
   };
 }
 
+/** A slot just given back is open here, before the next look at all groups says so. */
+function withFreedSlot(state: DomainState, tx: GroupTransaction, now: MonoTime): DomainState {
+  const freed = tx.writes.flatMap(({ write }) =>
+    write.kind === 'slot' && !write.row ? [{ model: write.model, slot: write.slot, rank: 1 }] : [],
+  );
+  if (freed.length === 0) return state;
+  const openSince = { ...state.openSince };
+  for (const slot of freed) openSince[keyOfSlot(slot)] = now;
+  return { ...state, openSlots: [...state.openSlots, ...freed], openSince };
+}
+
 /** Gives a group that was just changed the time to start before it is started again. */
 function withRestart(state: DomainState, tx: GroupTransaction, now: MonoTime): DomainState {
   const restartAt = { ...state.restartAt };
--- a/src/core/groups/lifecycle.ts
+++ b/src/core/groups/lifecycle.ts
@@ -61,11 +61,21 @@
   return dissolveGroup(state, row.id, 'drained');
 }
 
-function drainUnwanted(state: DomainState, row: GroupRow) {
+function drainUnwanted(state: DomainState, row: GroupRow, now: MonoTime) {
   if (row.phase === 'draining' || isWanted(state, row)) return undefined;
+  if (mustWaitItsTurn(state, row, now)) return undefined;
   return changeGroup(state, row.id, { phase: 'draining' }, 'unwanted');
 }
 
+/** Groups whose size alone has changed give way one after the other, so that some always serve. */
+function mustWaitItsTurn(state: DomainState, row: GroupRow, now: MonoTime): boolean {
+  const plan = planOf(state, row);
+  if (!plan || (row.slot ?? 0) >= plan.replicas || !serves(state, row, now)) return false;
+  const others = groupsOf(state).filter(({ id, model }) => model === row.model && id !== row.id);
+  const isOpen = state.openSlots.some(({ model }) => model === row.model);
+  return isOpen || others.some((other) => other.phase !== 'serving' || !serves(state, other, now));
+}
+
 function replaceSilent(state: DomainState, row: GroupRow, now: MonoTime) {
   if (row.phase === 'draining') return undefined;
   const missing = missingMembers(state, row, now);
--- a/tests/control-leaving.test.ts
+++ b/tests/control-leaving.test.ts
@@ -126,4 +126,22 @@
     expect(rowsBelow(world.table, 'slot/')).toEqual([]);
     expect([...world.engines.values()].every((one) => one.state === 'idle')).toBe(true);
   });
+
+  it('has groups of another size give way one after the other', async () => {
+    const world = createWorld();
+    for (let n = 1; n <= 8; n++) world.addEngine(`e${n}`, 'd1');
+    const { control } = await world.addDaemon('a');
+    world.config.next(configOf(modelSpec('m', { replicas: 2 })));
+    await world.advance(18_000);
+    expect(control.routable('m' as never)).toHaveLength(2);
+    world.config.next(configOf(modelSpec('m', { replicas: 2, membersPerReplica: 3 })));
+    const least: number[] = [];
+    for (let passed = 0; passed < 30_000; passed += 500) {
+      await world.advance(500);
+      least.push(control.routable('m' as never).length);
+    }
+    expect(Math.min(...least)).toBe(1);
+    const sizes = control.routable('m' as never).map((group) => group.members.length);
+    expect(sizes).toEqual([3, 3]);
+  });
 });
