--- a/src/app/control/settings.ts
+++ b/src/app/control/settings.ts
@@ -64,9 +64,9 @@
 }
 
 /** What one probe and its answer take on the wire, without TCP's own headers; measured. */
-const PROBE_BYTES = 450;
-/** One entry of the instance list. */
-const LIST_ENTRY_BYTES = 200;
+const PROBE_BYTES = 475;
+/** One entry of the instance list; measured. */
+const LIST_ENTRY_BYTES = 150;
 const MS_PER_SECOND = 1_000;
 /** Statements of a peer that cost the receivers this much time between two of them. */
 const STATE_MS_PER_PEER = 80;
@@ -85,7 +85,10 @@
 export interface Pace {
   readonly probeMs: number;
   readonly stateMs: number;
+  /** How long an own probe counts. */
   readonly freshMs: number;
+  /** How much longer a statement counts than the probes that it rests on. */
+  readonly statedExtraMs: number;
   readonly pollMs: number;
   readonly listMs: number;
 }
@@ -101,7 +104,9 @@
   return {
     probeMs,
     stateMs,
-    freshMs: FRESH_INTERVALS * Math.max(probeMs, stateMs),
+    freshMs: FRESH_INTERVALS * probeMs,
+    // Statements that come seldom must hold for longer.
+    statedExtraMs: (FRESH_INTERVALS - 1) * (stateMs - settings.stateMs),
     pollMs: Math.max(settings.pollMs, polling),
     listMs: load.isLister ? settings.listMs : Math.max(settings.listMs, listing),
   };
