--- a/tests/support/membership-daemons.ts
+++ b/tests/support/membership-daemons.ts
@@ -27,6 +27,8 @@
   /** Cuts all links of a daemon with the others until healed. */
   cut(id: string): void;
   heal(id: string): void;
+  /** Existing links of a daemon go silent without breaking; new ones work. */
+  silence(id: string): void;
   /** Starts one more daemon; `id` may be that of one that was stopped. */
   add(id: string): Promise<TestDaemon>;
   stop(): Promise<void>;
@@ -79,6 +81,7 @@
   dialFor: (from: string) => (address: string) => Socket;
   cut: Set<string>;
   breakLinks: (address: string) => void;
+  silenceLinks: (address: string) => void;
 } {
   const cut = new Set<string>();
   const open = new Map<Socket, readonly [string, string]>();
@@ -86,14 +89,20 @@
     const socket = dialPeer(address, undefined);
     open.set(socket, [from, address]);
     socket.once('close', () => open.delete(socket));
-    // A dropped packet is silence: the socket never gets further than connecting.
     if (cut.has(from) || cut.has(address)) socket.destroy();
     return socket;
   };
   const breakLinks = (address: string): void => {
     for (const [socket, ends] of open) if (ends.includes(address)) socket.destroy();
   };
-  return { dialFor, cut, breakLinks };
+  const silenceLinks = (address: string): void => {
+    for (const [socket, ends] of open) {
+      if (!ends.includes(address)) continue;
+      socket.pause();
+      socket.write = () => true;
+    }
+  };
+  return { dialFor, cut, breakLinks, silenceLinks };
 }
 
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
@@ -141,6 +150,9 @@
     heal: (id) => {
       wires.cut.delete(addressOf(id));
     },
+    silence: (id) => {
+      wires.silenceLinks(addressOf(id));
+    },
     add: async (id) => {
       const [address = ''] = await freeAddresses(1);
       const daemon = make(id, address);
