Spread fetches by the number of daemons and send rumours by its logarithm

Causes: the first change had no base, so it was only announced, fetched within 200 ms, and the next change came before that, and so on; and at ten changes a second the limit of bytes held rumours back (six sends each for six peers). Change: the first version is a delta from nothing, fetches are spread by 0.5 ms a daemon, sends are log2 of the daemons plus one, at most six.

--- /dev/null
+++ b/bench/membership-traffic.ts
@@ -0,0 +1,80 @@
+/**
+ * Bytes a second and processor time of membership per daemon, measured on loopback TCP with many
+ * daemons in one process: at rest, and with each daemon publishing.
+ */
+
+import { later } from '../src/core/ids';
+import type { EpochTime } from '../src/core/ids';
+import { startFleet, until } from '../tests/support/membership-daemons';
+import type { Fleet } from '../tests/support/membership-daemons';
+import { round } from './statistics';
+
+const SIZES = [7, 25, 50, 100];
+const SETTLE_MS = 3000;
+const MEASURE_MS = 10_000;
+const PUBLISH_EVERY_MS = 100;
+const TTL_MS = 5000;
+const LIMIT_BYTES_PER_SECOND = 8192;
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+interface Sample {
+  readonly sent: readonly number[];
+  readonly cpuUs: number;
+  readonly at: number;
+}
+
+function sampleOf(fleet: Fleet): Sample {
+  const { user, system } = process.cpuUsage();
+  const sent = fleet.daemons.map(({ part }) => part.traffic().sentBytes);
+  return { sent, cpuUs: user + system, at: performance.now() };
+}
+
+function rowOf(load: string, size: number, from: Sample, to: Sample): object {
+  const seconds = (to.at - from.at) / 1000;
+  const rates = to.sent.map((bytes, i) => (bytes - (from.sent[i] ?? 0)) / seconds);
+  const mean = rates.reduce((sum, rate) => sum + rate, 0) / size;
+  return {
+    role: 'peer',
+    unit: load,
+    size,
+    bytesPerSecond: round(mean, 0),
+    mostBytesPerSecond: round(Math.max(...rates), 0),
+    limit: LIMIT_BYTES_PER_SECOND,
+    coreShare: round((to.cpuUs - from.cpuUs) / 1e6 / seconds / size, 5),
+  };
+}
+
+async function measure(load: string, fleet: Fleet, act: () => void): Promise<object> {
+  const from = sampleOf(fleet);
+  const timer = setInterval(act, PUBLISH_EVERY_MS);
+  await sleep(MEASURE_MS);
+  clearInterval(timer);
+  return rowOf(load, fleet.daemons.length, from, sampleOf(fleet));
+}
+
+async function measureSize(size: number): Promise<readonly object[]> {
+  const fleet = await startFleet({ count: size, settings: {}, seeds: 3 });
+  await until('all daemons know each other', () =>
+    fleet.daemons.every(({ part }) => part.peers().length === size),
+  );
+  await sleep(SETTLE_MS);
+  const rest = await measure('at rest', fleet, () => undefined);
+  let turn = 0;
+  const busy = await measure('ten entries a second in all', fleet, () => {
+    turn += 1;
+    const daemon = fleet.daemons[turn % size];
+    const expiresAt = later(Date.now() as EpochTime, TTL_MS);
+    daemon?.part.gossip.publish('topic', 'key', { domain: 'domain-1', wellUntil: turn }, expiresAt);
+  });
+  await fleet.stop();
+  return [rest, busy];
+}
+
+export async function benchMembershipTraffic(): Promise<readonly object[]> {
+  const rows: object[] = [];
+  for (const size of SIZES) rows.push(...(await measureSize(size)));
+  return rows;
+}
--- a/src/app/config/messages.ts
+++ b/src/app/config/messages.ts
@@ -21,13 +21,15 @@
   .min(1)
   .transform((n) => brandAs<ConfigVersion>(n));
 const mark = z.object({ version, hash: z.string() });
+/** The document before the first version is empty, as version 0. */
+const base = z.object({ version: z.int().min(0), hash: z.string() });
 const entry = z.object({
   section: z.string(),
   name: z.string().optional(),
   value: json.optional(),
 });
 
-const pushSchema = z.object({ mark, base: mark.optional(), delta: z.array(entry).optional() });
+const pushSchema = z.object({ mark, base: base.optional(), delta: z.array(entry).optional() });
 const wantSchema = z.object({ version });
 const documentSchema = z.object({ mark, document: json });
 
--- a/src/app/config/settings.ts
+++ b/src/app/config/settings.ts
@@ -11,8 +11,8 @@
   readonly pushBytes: number;
   /** Life of a pushed change in gossip. */
   readonly pushTtlMs: number;
-  /** Fetches after an announcement are spread over this time. */
-  readonly fetchSpreadMs: number;
+  /** Fetches after an announcement are spread over this time for each daemon known. */
+  readonly fetchSpreadMsPerDaemon: number;
 }
 
 export const CONFIG_DEFAULTS: ConfigSettings = {
@@ -21,5 +21,5 @@
   submitMs: 5000,
   pushBytes: 2048,
   pushTtlMs: 30_000,
-  fetchSpreadMs: 200,
+  fetchSpreadMsPerDaemon: 0.5,
 };
--- a/src/app/config/sync.ts
+++ b/src/app/config/sync.ts
@@ -90,7 +90,8 @@
   function fetchSoon(mark: VersionMark): void {
     if (fetching.has(mark.version)) return;
     fetching.add(mark.version);
-    timer(random.next() * settings.fetchSpreadMs)
+    const spreadMs = settings.fetchSpreadMsPerDaemon * (deps.peers?.().length ?? 0);
+    timer(random.next() * spreadMs)
       .pipe(
         concatMap(() => fetchFromTable(mark)),
         takeUntil(stopped),
@@ -167,8 +168,10 @@
     logger.warn(message, { step: 'config-poll', version: state.mark.version });
   }
 
+  /** Sooner while the table does not answer, so that its return is seen in time. */
   function nextPollMs(): number {
-    return settings.pollMs * (1 - settings.jitter + 2 * settings.jitter * random.next());
+    const pollMs = tableUp ? settings.pollMs : settings.pollMs / 2;
+    return pollMs * (1 - settings.jitter + 2 * settings.jitter * random.next());
   }
 
   const handlers: Readonly<Record<string, (message: DirectMessage) => void>> = {
--- a/src/core/config/in-force.ts
+++ b/src/core/config/in-force.ts
@@ -78,9 +78,9 @@
   pushed: (state, event) => {
     if (event.mark.version <= state.mark.version) return next(state);
     const { base, delta } = event;
-    const fits = base && delta && sameMark(base, state.mark) && state.document !== undefined;
+    const fits = base && delta && sameMark(base, state.mark);
     if (!fits) return want(state, event.mark);
-    const document = applyDelta(state.document, delta);
+    const document = applyDelta(state.document ?? {}, delta);
     if (hashDocument(document) !== event.mark.hash) return want(state, event.mark);
     return accept(state, event.mark, document);
   },
--- a/src/core/config/push.ts
+++ b/src/core/config/push.ts
@@ -22,8 +22,8 @@
   maxBytes: number,
 ): Push {
   const mark = { version, hash: hashDocument(document) };
-  if (before.mark.version !== version - 1 || before.document === undefined) return { mark };
-  const delta = diffDocuments(before.document, document);
+  if (before.mark.version !== version - 1) return { mark };
+  const delta = diffDocuments(before.document ?? {}, document);
   if (JSON.stringify(delta).length > maxBytes) return { mark };
   return { mark, base: before.mark, delta };
 }
--- a/src/core/membership/spread.ts
+++ b/src/core/membership/spread.ts
@@ -19,6 +19,11 @@
   return !before || isPresent(before) !== isPresent(after);
 }
 
+/** Few daemons need few sends each: about log2 of their number, and one. */
+function sendsFor(members: number, limit: number): number {
+  return Math.min(limit, Math.ceil(Math.log2(members + 1)) + 1);
+}
+
 function startRumour(entry: Entry, from: DaemonId | undefined, sends: number): Rumour {
   const sentTo = new Set(from === undefined ? [] : [from]);
   return { left: sends, bytes: entryBytes(entry), sentTo };
@@ -60,7 +65,8 @@
   ctx: MembershipContext,
 ): MembershipStep {
   const rumours = new Map(state.rumours);
-  rumours.set(entryId(entry), startRumour(entry, from, ctx.settings.sends));
+  const sends = sendsFor(state.members.size, ctx.settings.sends);
+  rumours.set(entryId(entry), startRumour(entry, from, sends));
   const put = { ...state, entries: withEntries(state.entries, [entry]), rumours };
   if (entry.topic === MEMBER_TOPIC) {
     const member = parseMember(entry);
