--- a/tests/fuzz/config.ts
+++ b/tests/fuzz/config.ts
@@ -2,8 +2,23 @@
 
 import fc from 'fast-check';
 
-import { ConfigWorld } from './config-world';
-import type { Fault } from './config-world';
+import {
+  advance,
+  arriveLate,
+  change,
+  checkAlways,
+  checkConverges,
+  createWorld,
+  deliver,
+  fetch,
+  pass,
+  poll,
+  restart,
+  setCut,
+  submit,
+  submitAgain,
+} from './config-world';
+import type { ConfigWorld, Fault } from './config-world';
 
 export interface FuzzOptions {
   readonly seed: number;
@@ -19,7 +34,7 @@
     check: () => true,
     run: (_, world) => {
       run(world);
-      world.checkAlways();
+      checkAlways(world);
     },
     toString: () => name,
   };
@@ -39,64 +54,64 @@
 const delivery = fc.constantFrom('once', 'once', 'again', 'lost', 'damaged');
 const source = fc.constantFrom('table', 'table', 'peer', 'damaged-peer');
 
-const advance = fc.tuple(index, fault).map(([i, how]) =>
+const advances = fc.tuple(index, fault).map(([i, how]) =>
   command(`advance(${i}, ${how})`, (world) => {
-    world.advance(i, how);
+    advance(world, i, how);
   }),
 );
 
 const commands: fc.Arbitrary<ConfigCommand>[] = [
-  advance,
-  advance,
-  advance,
+  advances,
+  advances,
+  advances,
   fc.tuple(index, share, fc.boolean()).map(([i, n, v]) =>
     command(`submit(${i}, ${n}, ${v})`, (world) => {
-      world.submit(i, n, v);
+      submit(world, i, n, v);
     }),
   ),
   fc.tuple(index, index).map(([i, d]) =>
     command(`submitAgain(${i}, ${d})`, (world) => {
-      world.submitAgain(i, d);
+      submitAgain(world, i, d);
     }),
   ),
   fc.tuple(index, delivery).map(([i, how]) =>
     command(`deliver(${i}, ${how})`, (world) => {
-      world.deliver(i, how);
+      deliver(world, i, how);
     }),
   ),
   fc.tuple(index, index, source).map(([i, n, from]) =>
     command(`fetch(${i}, ${n}, ${from})`, (world) => {
-      world.fetch(i, n, from);
+      fetch(world, i, n, from);
     }),
   ),
   fc.tuple(index, share).map(([i, n]) =>
     command(`change(${i}, ${n})`, (world) => {
-      world.change(i, n);
+      change(world, i, n);
     }),
   ),
   fc.tuple(index, fc.boolean()).map(([i, cut]) =>
     command(`cut(${i}, ${cut})`, (world) => {
-      world.setCut(i, cut);
+      setCut(world, i, cut);
     }),
   ),
   index.map((i) =>
     command(`poll(${i})`, (world) => {
-      world.poll(i);
+      poll(world, i);
     }),
   ),
   index.map((i) =>
     command(`arriveLate(${i})`, (world) => {
-      world.arriveLate(i);
+      arriveLate(world, i);
     }),
   ),
   index.map((i) =>
     command(`restart(${i})`, (world) => {
-      world.restart(i);
+      restart(world, i);
     }),
   ),
   index.map((i) =>
     command(`pass(${i * 300})`, (world) => {
-      world.pass(i * 300);
+      pass(world, i * 300);
     }),
   ),
 ];
@@ -105,9 +120,9 @@
 export function fuzzConfig({ seed, runs }: FuzzOptions): void {
   const history = fc.commands(commands, { maxCommands: MAX_COMMANDS, size: 'max' });
   const property = fc.property(history, (steps) => {
-    const world = new ConfigWorld();
+    const world = createWorld();
     fc.modelRun(() => ({ model: {}, real: world }), steps);
-    world.checkConverges();
+    checkConverges(world);
   });
   fc.assert(property, { seed, numRuns: runs });
 }
