--- a/src/app/requests/strikes.ts
+++ b/src/app/requests/strikes.ts
@@ -7,20 +7,19 @@
 import type { RoutableGroup } from '../../core/groups/types';
 import type { AttemptId, DomainId, EpochTime, Fingerprint, GroupId } from '../../core/ids';
 import { later } from '../../core/ids';
+import { openGroups } from '../../core/retry/isolate';
 import {
-  addStrike,
   clear,
   createQuarantine,
+  dropStrike,
   nextSettle,
   onGroupLost,
+  onPeerStrike,
   onRunEnd,
   onRunStart,
   onRunTorn,
-  probedGroups,
   quarantinedUntil,
-  runsOn,
   settleStrikes,
-  struckDomains,
   suspicionOf,
 } from '../../core/retry/quarantine';
 import type { QuarantineContext, Run, Strike, Suspicion } from '../../core/retry/quarantine-types';
@@ -36,6 +35,7 @@
   fingerprint: z.string(),
   group: z.string(),
   domain: z.string(),
+  suspect: z.boolean(),
   at: z.number(),
   until: z.number(),
 });
@@ -65,15 +65,6 @@
   torn(attempt: AttemptId): void;
 }
 
-/** The groups for which `fits` holds, or all if it holds for none. */
-function preferring(
-  groups: readonly RoutableGroup[],
-  fits: (group: RoutableGroup) => boolean,
-): readonly RoutableGroup[] {
-  const fitting = groups.filter(fits);
-  return fitting.length > 0 ? fitting : groups;
-}
-
 export function createStrikes(deps: StrikeDeps): Strikes {
   const { clock, gossip, groups, metrics, logger, settings } = deps;
   const { strikeLimit: limit, strikeRetentionMs: retentionMs } = settings;
@@ -86,15 +77,27 @@
 
   const context = (): QuarantineContext => ({ now: clock.now(), epoch: clock.epoch() });
 
-  const publish = (strike: Strike): void => {
-    metrics.count(METRIC.strikes);
-    const { fingerprint, group, until } = strike;
-    logger.warn('group lost while it ran a request', { step: 'quarantine', peer: group });
-    gossip.publish(TOPIC, `${fingerprint}/${group}`, { kind: 'strike', ...strike }, until);
+  const publish = ({ fingerprint, group, domain, suspect, at, until }: Strike): void => {
+    const value = { kind: 'strike', fingerprint, group, domain, suspect, at, until };
+    gossip.publish(TOPIC, `${fingerprint}/${group}`, value, later(at, retentionMs));
+  };
+
+  const publishNew = (strikes: readonly Strike[]): void => {
+    strikes.forEach((strike) => {
+      metrics.count(METRIC.strikes);
+      logger.warn('group lost while it ran a request', { step: 'quarantine', peer: strike.group });
+      publish(strike);
+    });
+    arm();
   };
 
+  /** A strike that ended when it began is taken back. */
   const settle = (): void => {
-    settleStrikes(state, context()).forEach(publish);
+    const { dropped } = settleStrikes(state, context());
+    const own = dropped.filter(({ isOwn }) => isOwn);
+    own.forEach((strike) => {
+      publish({ ...strike, until: strike.at });
+    });
     arm();
   };
 
@@ -109,6 +112,13 @@
     clear(state, fingerprint);
   };
 
+  const takeStrike = (strike: Strike): void => {
+    if ((cleared.get(strike.fingerprint) ?? 0) >= strike.at) return;
+    if (strike.until <= strike.at) dropStrike(state, strike);
+    else onPeerStrike(state, strike, context());
+    arm();
+  };
+
   const take = ({ value }: GossipEntry): void => {
     const parsed = entryValue.safeParse(value);
     if (!parsed.success) return;
@@ -116,13 +126,13 @@
     const entry = parsed.data as unknown as
       (Strike & { readonly kind: 'strike' }) | (Strike & { readonly kind: 'clear' });
     if (entry.kind === 'clear') takeClear(entry.fingerprint, entry.at);
-    else if ((cleared.get(entry.fingerprint) ?? 0) < entry.at) addStrike(state, entry, context());
+    else takeStrike(entry);
   };
 
   const takeLost = (group: GroupId, domainDark: boolean): void => {
-    onGroupLost(state, { group, domain: domains.get(group), domainDark }, context());
+    const loss = { group, domain: domains.get(group), domainDark };
     domains.delete(group);
-    arm();
+    publishNew(onGroupLost(state, loss, context()));
   };
 
   const tellCleared = (fingerprint: Fingerprint): void => {
@@ -136,19 +146,6 @@
     for (const { id, domain } of known) if (!domains.has(id)) domains.set(id, domain);
   };
 
-  /** Where a suspect costs least: alone, in a domain that it has not struck, on a quiet group. */
-  const openToSuspect = (
-    fingerprint: Fingerprint,
-    known: readonly RoutableGroup[],
-  ): readonly RoutableGroup[] => {
-    const struck = struckDomains(state, fingerprint, context());
-    const probed = probedGroups(state);
-    const elsewhere = preferring(known, ({ domain }) => !struck.has(domain));
-    const alone = preferring(elsewhere, ({ id }) => !probed.has(id));
-    const least = Math.min(...alone.map(({ id }) => runsOn(state, id)));
-    return alone.filter(({ id }) => runsOn(state, id) === least);
-  };
-
   return {
     start: () => {
       gossip.entries(TOPIC).forEach(take);
@@ -167,11 +164,7 @@
     quarantinedUntil: (fingerprint) => quarantinedUntil(state, fingerprint),
     open: (fingerprint, known) => {
       remember(known);
-      if (suspicionOf(state, fingerprint, context()) !== 'clear') {
-        return openToSuspect(fingerprint, known);
-      }
-      const probed = probedGroups(state);
-      return probed.size === 0 ? known : preferring(known, ({ id }) => !probed.has(id));
+      return openGroups(state, fingerprint, known, context());
     },
     sent: (run) => {
       onRunStart(state, run);
@@ -181,8 +174,7 @@
       if (whole && run.suspect) tellCleared(run.fingerprint);
     },
     torn: (attempt) => {
-      onRunTorn(state, attempt, context());
-      arm();
+      publishNew(onRunTorn(state, attempt, context()));
     },
   };
 }
--- a/src/core/retry/quarantine-types.ts
+++ b/src/core/retry/quarantine-types.ts
@@ -34,6 +34,8 @@
   readonly fingerprint: Fingerprint;
   readonly group: GroupId;
   readonly domain: DomainId;
+  /** Whether the request was a suspect already; if one was, those that were not are left alone. */
+  readonly suspect: boolean;
   readonly at: EpochTime;
   readonly until: EpochTime;
 }
@@ -41,6 +43,15 @@
 /** A strike that counts once it is clear that not many groups were lost together. */
 export interface PendingStrike extends Strike {
   readonly dueAt: MonoTime;
+  /** Whether this daemon saw it, rather than a peer. */
+  readonly isOwn: boolean;
+}
+
+/** Strikes whose time to be decided on has come. */
+export interface SettledStrikes {
+  readonly counting: readonly PendingStrike[];
+  /** Groups were lost together: these never count. */
+  readonly dropped: readonly PendingStrike[];
 }
 
 /** An attempt on a group. */
@@ -62,6 +73,8 @@
   readonly group: GroupId;
   readonly domain: DomainId | undefined;
   readonly at: MonoTime;
+  /** The same instant, to be held against strikes of peers. */
+  readonly epochAt: EpochTime;
   /** The group's domain is known to be dark. */
   readonly domainDark: boolean;
 }
@@ -75,6 +88,8 @@
   /** Strikes that count, by fingerprint and group. */
   readonly strikes: Map<Fingerprint, Map<GroupId, Strike>>;
   pending: PendingStrike[];
+  /** Strikes of late, whatever became of them. */
+  recent: Strike[];
   readonly running: Map<AttemptId, Run>;
   torn: TornRun[];
   lost: LostGroup[];
--- a/src/core/retry/quarantine.ts
+++ b/src/core/retry/quarantine.ts
@@ -14,6 +14,7 @@
   QuarantineOptions,
   QuarantineState,
   Run,
+  SettledStrikes,
   Strike,
   Suspicion,
   TornRun,
@@ -24,6 +25,7 @@
     opts: { ...QUARANTINE_DEFAULTS, ...opts },
     strikes: new Map(),
     pending: [],
+    recent: [],
     running: new Map(),
     torn: [],
     lost: [],
@@ -85,6 +87,22 @@
   return ends.sort((a, b) => b - a)[0];
 }
 
+function allStrikes(state: QuarantineState): readonly Strike[] {
+  const certain = [...state.strikes.values()].flatMap((each) => [...each.values()]);
+  return [...certain, ...state.pending];
+}
+
+/** All requests blamed for the latest loss that this one met, itself included; in order. */
+export function coBlamed(state: QuarantineState, fingerprint: Fingerprint): readonly Fingerprint[] {
+  const all = allStrikes(state);
+  const own = all.filter((strike) => strike.fingerprint === fingerprint);
+  const latest = own.sort((a, b) => b.at - a.at)[0];
+  const together = all.filter(
+    ({ group, suspect }) => group === latest?.group && suspect === latest.suspect,
+  );
+  return [...new Set(together.map((strike) => strike.fingerprint))].sort();
+}
+
 /** Domains in which the request has met the loss of a group. */
 export function struckDomains(
   state: QuarantineState,
@@ -125,55 +143,82 @@
   state: QuarantineState,
   attempt: AttemptId,
   ctx: QuarantineContext,
-): void {
+): readonly Strike[] {
   const run = state.running.get(attempt);
   state.running.delete(attempt);
-  if (run === undefined) return;
+  if (run === undefined) return [];
   const torn = { ...run, tornAt: ctx.now };
   state.torn = state.torn.filter(({ tornAt }) => ctx.now - tornAt < state.opts.blameMs);
   state.torn.push(torn);
   const loss = state.lost.find(
     ({ group, at }) => group === run.group && ctx.now - at < state.opts.blameMs,
   );
-  if (loss !== undefined) blame(state, [torn], loss, ctx);
+  return loss === undefined ? [] : blame(state, [torn], ctx);
 }
 
 /** A group was lost: those that it ran, and whose connections broke, are to blame. */
 export function onGroupLost(
   state: QuarantineState,
-  { group, domain, domainDark }: Omit<LostGroup, 'at'>,
+  { group, domain, domainDark }: Omit<LostGroup, 'at' | 'epochAt'>,
   ctx: QuarantineContext,
-): void {
+): readonly Strike[] {
   const { blameMs } = state.opts;
   const torn = state.torn.filter((run) => run.group === group && ctx.now - run.tornAt < blameMs);
-  const loss = { group, domain, at: ctx.now, domainDark };
+  const loss = { group, domain, domainDark, at: ctx.now, epochAt: ctx.epoch };
   state.lost = state.lost.filter(({ at }) => ctx.now - at < blameMs);
   state.lost.push(loss);
-  blame(state, torn, loss, ctx);
+  return blame(state, torn, ctx);
 }
 
-/** Where a suspect was among those that ran, the others are left alone. */
+/** Blames all that ran; where a suspect was among them, the others are let off when it is decided. */
 function blame(
   state: QuarantineState,
   torn: readonly TornRun[],
-  loss: LostGroup,
+  ctx: QuarantineContext,
+): readonly Strike[] {
+  const until = later(ctx.epoch, state.opts.retentionMs);
+  const strikes = torn.map(({ fingerprint, group, domain, suspect }): Strike => {
+    return { fingerprint, group, domain, suspect, at: ctx.epoch, until };
+  });
+  strikes.forEach((strike) => {
+    addPending(state, strike, true, ctx);
+  });
+  return strikes;
+}
+
+function addPending(
+  state: QuarantineState,
+  strike: Strike,
+  isOwn: boolean,
   { now, epoch }: QuarantineContext,
 ): void {
-  const hadSuspect =
-    torn.some(({ suspect }) => suspect) ||
-    state.torn.some((run) => run.suspect && run.group === loss.group);
-  const blamed = hadSuspect ? torn.filter(({ suspect }) => suspect) : torn;
-  const until = later(epoch, state.opts.retentionMs);
-  const dueAt = later(now, state.opts.togetherMs);
-  for (const { fingerprint, group, domain } of blamed) {
-    state.pending.push({ fingerprint, group, domain, at: epoch, until, dueAt });
-  }
+  const keptMs = 2 * state.opts.blameMs;
+  state.recent = state.recent.filter(({ at }) => epoch - at < keptMs);
+  state.recent.push(strike);
+  state.pending.push({ ...strike, isOwn, dueAt: later(now, state.opts.togetherMs) });
+}
+
+/** A peer's strike. A recent one is weighed by what this daemon itself sees of lost groups. */
+export function onPeerStrike(state: QuarantineState, strike: Strike, ctx: QuarantineContext): void {
+  const isRecent = ctx.epoch - strike.at < state.opts.blameMs;
+  if (isRecent) addPending(state, strike, false, ctx);
+  else addStrike(state, strike, ctx);
+}
+
+/** A strike turned out to be no request's fault. */
+export function dropStrike(
+  state: QuarantineState,
+  { fingerprint, group }: Pick<Strike, 'fingerprint' | 'group'>,
+): void {
+  state.strikes.get(fingerprint)?.delete(group);
+  state.pending = state.pending.filter(
+    (strike) => strike.fingerprint !== fingerprint || strike.group !== group,
+  );
 }
 
-function lostTogether(state: QuarantineState, dueAt: MonoTime): readonly LostGroup[] {
+function lostTogether(state: QuarantineState, strike: Strike): readonly LostGroup[] {
   const { togetherMs } = state.opts;
-  const at = dueAt - togetherMs;
-  return state.lost.filter((loss) => Math.abs(loss.at - at) <= togetherMs);
+  return state.lost.filter((loss) => Math.abs(loss.epochAt - strike.at) <= togetherMs);
 }
 
 function distinctGroups(losses: readonly LostGroup[]): number {
@@ -181,8 +226,8 @@
 }
 
 /** Whether the loss was no single request's doing. */
-function isCommonFault(state: QuarantineState, strike: Strike, dueAt: MonoTime): boolean {
-  const together = lostTogether(state, dueAt);
+function isCommonFault(state: QuarantineState, strike: Strike): boolean {
+  const together = lostTogether(state, strike);
   const isDark = together.some(({ group, domainDark }) => group === strike.group && domainDark);
   const inDomain = together.filter(({ domain }) => domain === strike.domain);
   const { domainGroups, wideGroups } = state.opts;
@@ -191,24 +236,28 @@
   );
 }
 
-/** Decides on the strikes that are due; gives those that count from now on, for the peers. */
-export function settleStrikes(state: QuarantineState, ctx: QuarantineContext): readonly Strike[] {
+/** Whether a suspect ran on the same group, on whichever daemon. */
+function isExplained(state: QuarantineState, { group, suspect, at }: Strike): boolean {
+  if (suspect) return false;
+  const { blameMs } = state.opts;
+  return state.recent.some(
+    (other) => other.suspect && other.group === group && Math.abs(other.at - at) < blameMs,
+  );
+}
+
+/** Decides on the strikes that are due. */
+export function settleStrikes(state: QuarantineState, ctx: QuarantineContext): SettledStrikes {
   const due = state.pending.filter(({ dueAt }) => dueAt <= ctx.now);
-  if (due.length === 0) return [];
+  if (due.length === 0) return { counting: [], dropped: [] };
   state.pending = state.pending.filter(({ dueAt }) => dueAt > ctx.now);
-  const counting = due
-    .filter((strike) => !isCommonFault(state, strike, strike.dueAt))
-    .map(({ fingerprint, group, domain, at, until }) => ({
-      fingerprint,
-      group,
-      domain,
-      at,
-      until,
-    }));
-  counting.forEach((strike) => {
-    addStrike(state, strike, ctx);
-  });
-  return counting;
+  const dropped = due.filter(
+    (strike) => isCommonFault(state, strike) || isExplained(state, strike),
+  );
+  const counting = due.filter((strike) => !dropped.includes(strike));
+  for (const { fingerprint, group, domain, suspect, at, until } of counting) {
+    addStrike(state, { fingerprint, group, domain, suspect, at, until }, ctx);
+  }
+  return { counting, dropped };
 }
 
 /** When `settleStrikes` next has something to do. */
@@ -233,8 +282,8 @@
   }
 }
 
-/** Takes in a strike, an own one or a peer's. */
-export function addStrike(state: QuarantineState, strike: Strike, ctx: QuarantineContext): void {
+/** Lets a strike count. */
+function addStrike(state: QuarantineState, strike: Strike, ctx: QuarantineContext): void {
   const known = state.strikes.get(strike.fingerprint) ?? new Map<GroupId, Strike>();
   known.set(strike.group, strike);
   state.strikes.delete(strike.fingerprint);
--- /dev/null
+++ b/tests/quarantine.test.ts
@@ -0,0 +1,118 @@
+/** Who is blamed for the loss of a group, and who is not. */
+
+import { describe, expect, it } from 'vitest';
+
+import type { AttemptId, EpochTime, Fingerprint, GroupId, MonoTime } from '../src/core/ids';
+import { openGroups } from '../src/core/retry/isolate';
+import {
+  clear,
+  createQuarantine,
+  onGroupLost,
+  onPeerStrike,
+  onRunStart,
+  onRunTorn,
+  settleStrikes,
+  suspicionOf,
+} from '../src/core/retry/quarantine';
+import type {
+  QuarantineContext,
+  QuarantineState,
+  Strike,
+} from '../src/core/retry/quarantine-types';
+import { testGroup } from './support/requests-fixture';
+
+const BAD = 'bad' as Fingerprint;
+const OTHER = 'other' as Fingerprint;
+
+const at = (ms: number): QuarantineContext => ({ now: ms as MonoTime, epoch: ms as EpochTime });
+
+const group = (id: string) => testGroup(id, 'x', { domain: id.split('-')[0] as never });
+
+/** Runs requests on a group, and has it fall under them. */
+function fall(
+  state: QuarantineState,
+  id: string,
+  fingerprints: readonly Fingerprint[],
+  ms: number,
+): readonly Strike[] {
+  const { domain } = group(id);
+  const attempts = fingerprints.map((fingerprint, i) => {
+    const attempt = `${id}-${ms}-${i}` as AttemptId;
+    const suspect = suspicionOf(state, fingerprint, at(ms)) === 'suspect';
+    onRunStart(state, { attempt, fingerprint, group: id as GroupId, domain, suspect });
+    return attempt;
+  });
+  const torn = attempts.flatMap((attempt) => onRunTorn(state, attempt, at(ms)));
+  const loss = { group: id as GroupId, domain, domainDark: false };
+  return [...torn, ...onGroupLost(state, loss, at(ms + 10))];
+}
+
+describe('quarantine', () => {
+  it('refuses a request under which two groups of different domains fell', () => {
+    const state = createQuarantine();
+    fall(state, 'd1-a', [BAD], 0);
+    expect(suspicionOf(state, BAD, at(100))).toBe('suspect');
+    fall(state, 'd2-a', [BAD], 500);
+    expect(suspicionOf(state, BAD, at(600))).toBe('quarantined');
+    expect(suspicionOf(state, OTHER, at(600))).toBe('clear');
+  });
+
+  it('blames no one when groups of one domain fall together', () => {
+    const state = createQuarantine();
+    fall(state, 'd1-a', [BAD, OTHER], 0);
+    fall(state, 'd1-b', [BAD], 300);
+    settleStrikes(state, at(5_000));
+    expect(suspicionOf(state, BAD, at(9_000))).toBe('clear');
+  });
+
+  it('leaves those alone that ran beside a suspect', () => {
+    const state = createQuarantine();
+    fall(state, 'd1-a', [BAD], 0);
+    settleStrikes(state, at(2_000));
+    fall(state, 'd2-a', [BAD, OTHER], 10_000);
+    settleStrikes(state, at(12_000));
+    expect(suspicionOf(state, BAD, at(20_000))).toBe('quarantined');
+    expect(suspicionOf(state, OTHER, at(20_000))).toBe('clear');
+  });
+
+  it('does not blame a request for a broken connection alone, or for a loss long after', () => {
+    const state = createQuarantine();
+    const run = { attempt: 'a' as AttemptId, fingerprint: BAD, suspect: false };
+    onRunStart(state, { ...run, group: 'd1-a' as GroupId, domain: group('d1-a').domain });
+    expect(onRunTorn(state, run.attempt, at(0))).toEqual([]);
+    const loss = { group: 'd1-a' as GroupId, domain: group('d1-a').domain, domainDark: false };
+    expect(onGroupLost(state, loss, at(60_000))).toEqual([]);
+    expect(suspicionOf(state, BAD, at(60_000))).toBe('clear');
+  });
+
+  it('counts what peers saw, forgets it in time, and clears who gave a whole answer', () => {
+    const state = createQuarantine({ retentionMs: 60_000 });
+    const peers = createQuarantine({ retentionMs: 60_000 });
+    for (const [id, ms] of [
+      ['d1-a', 0],
+      ['d2-a', 500],
+    ] as const) {
+      fall(peers, id, [BAD], ms).forEach((strike) => {
+        onPeerStrike(state, strike, at(ms + 100));
+      });
+    }
+    expect(suspicionOf(state, BAD, at(700))).toBe('quarantined');
+    settleStrikes(state, at(5_000));
+    expect(suspicionOf(state, BAD, at(5_000))).toBe('quarantined');
+    expect(suspicionOf(state, BAD, at(70_000))).toBe('clear');
+    clear(state, BAD);
+    expect(suspicionOf(state, BAD, at(5_000))).toBe('clear');
+  });
+
+  it('sends suspects to other domains, each to a group of its own', () => {
+    const state = createQuarantine();
+    const suspects = Array.from({ length: 4 }, (_, i) => `s${i}` as Fingerprint);
+    fall(state, 'd1-a', suspects, 0);
+    const groups = ['d1-b', 'd2-a', 'd2-b', 'd3-a', 'd3-b'].map(group);
+    const open = suspects.map((each) => openGroups(state, each, groups, at(100)));
+    expect(open.every((each) => each.length === 1)).toBe(true);
+    const ids = open.map((each) => each[0]?.id);
+    expect(new Set(ids).size).toBe(4);
+    expect(ids).not.toContain('d1-b');
+  });
+});
