Hold a request that crashes groups against the age at which it did

Innocents were refused mostly since they met the second loss of the same bad request by chance. One that crashes groups does so at about the same point of its run; strikes at other ages take one group more.

--- a/bench/quarantine-loop.ts
+++ b/bench/quarantine-loop.ts
@@ -36,7 +36,11 @@
   requestsPerSecond: 40,
   serviceMs: 5_000,
   badEveryMs: 120_000,
-  badCrashesAfterMs: 500,
+  /** A bad request crashes its group after so long, each at a point of its own ... */
+  badCrashesFromMs: 100,
+  badCrashesToMs: 5_000,
+  /** ... give or take this factor from run to run. */
+  badJitter: 1.5,
   ownCrashEveryMs: 300_000,
   domainDarkEveryMs: 900_000,
   groupBackAfterMs: 60_000,
@@ -62,6 +66,7 @@
 interface Request {
   readonly fingerprint: Fingerprint;
   readonly isBad: boolean;
+  readonly crashesAfterMs: number;
   sends: number;
 }
 
@@ -85,6 +90,7 @@
 
 /** A plain counter: each group lost under a request is a strike, for whatever reason. */
 const COUNTER = {
+  ageFactor: Infinity,
   togetherMs: 0,
   domainGroups: Infinity,
   wideGroups: Infinity,
@@ -174,9 +180,11 @@
     const attempt = `a${serial}` as AttemptId;
     const suspect = policy === 'quarantine' && suspicion === 'suspect';
     const { fingerprint } = req;
-    onRunStart(state, { attempt, fingerprint, group: group.id, domain: group.domain, suspect });
+    const startedAt = now as MonoTime;
+    const { id, domain } = group;
+    onRunStart(state, { attempt, fingerprint, group: id, domain, suspect, startedAt });
     const lastsMs = req.isBad
-      ? WORLD.badCrashesAfterMs
+      ? req.crashesAfterMs * WORLD.badJitter ** (2 * random.next() - 1)
       : WORLD.serviceMs * (0.2 + 1.6 * random.next());
     running.push({ req, attempt, daemon, group: group.id, suspect, endsAt: now + lastsMs });
   };
@@ -218,7 +226,9 @@
     serial += 1;
     if (isBad) result.badRequests += 1;
     else result.innocents += 1;
-    send({ fingerprint: `f${serial}` as Fingerprint, isBad, sends: 0 });
+    const { badCrashesFromMs, badCrashesToMs } = WORLD;
+    const crashesAfterMs = badCrashesFromMs * (badCrashesToMs / badCrashesFromMs) ** random.next();
+    send({ fingerprint: `f${serial}` as Fingerprint, isBad, crashesAfterMs, sends: 0 });
   };
 
   const darken = (): void => {
--- a/src/app/requests/model-attempt.ts
+++ b/src/app/requests/model-attempt.ts
@@ -68,10 +68,11 @@
   };
 }
 
-function runOf({ strikes, call, group, id }: ModelAttempt): Run {
+function runOf({ ctx, strikes, call, group, id }: ModelAttempt): Run {
   const { fingerprint } = call;
   const suspect = strikes.suspicion(fingerprint) !== 'clear';
-  return { attempt: id, fingerprint, group: group.id, domain: group.domain, suspect };
+  const startedAt = ctx.clock.now();
+  return { attempt: id, fingerprint, group: group.id, domain: group.domain, suspect, startedAt };
 }
 
 function noteSent(attempt: ModelAttempt): void {
--- a/src/app/requests/strikes.ts
+++ b/src/app/requests/strikes.ts
@@ -36,6 +36,7 @@
   group: z.string(),
   domain: z.string(),
   suspect: z.boolean(),
+  ageMs: z.number(),
   at: z.number(),
   until: z.number(),
 });
@@ -77,8 +78,9 @@
 
   const context = (): QuarantineContext => ({ now: clock.now(), epoch: clock.epoch() });
 
-  const publish = ({ fingerprint, group, domain, suspect, at, until }: Strike): void => {
-    const value = { kind: 'strike', fingerprint, group, domain, suspect, at, until };
+  const publish = (strike: Strike): void => {
+    const { fingerprint, group, domain, suspect, ageMs, at, until } = strike;
+    const value = { kind: 'strike', fingerprint, group, domain, suspect, ageMs, at, until };
     gossip.publish(TOPIC, `${fingerprint}/${group}`, value, later(at, retentionMs));
   };
 
--- a/src/core/retry/quarantine-types.ts
+++ b/src/core/retry/quarantine-types.ts
@@ -5,6 +5,13 @@
 export interface QuarantineOptions {
   /** Strikes on different groups at which a request is refused. */
   readonly limit: number;
+  /**
+   * A request that crashes groups does so at about the same point of its run. Strikes whose ages
+   * differ by more than this factor do not add up to the limit; one strike more does.
+   */
+  readonly ageFactor: number;
+  /** Ages are held to be this much longer, so that short ones may differ, milliseconds. */
+  readonly ageSlackMs: number;
   /** How long a strike counts, milliseconds. */
   readonly retentionMs: number;
   /** A torn run and the loss of its group belong together within this time, milliseconds. */
@@ -21,6 +28,8 @@
 
 export const QUARANTINE_DEFAULTS: QuarantineOptions = {
   limit: 2,
+  ageFactor: 2.5,
+  ageSlackMs: 300,
   retentionMs: 10 * 60_000,
   blameMs: 3_000,
   togetherMs: 1_000,
@@ -36,6 +45,8 @@
   readonly domain: DomainId;
   /** Whether the request was a suspect already; if one was, those that were not are left alone. */
   readonly suspect: boolean;
+  /** How long the request had run when its connection broke, milliseconds. */
+  readonly ageMs: number;
   readonly at: EpochTime;
   readonly until: EpochTime;
 }
@@ -62,6 +73,7 @@
   readonly domain: DomainId;
   /** Whether it was under suspicion when it was sent. */
   readonly suspect: boolean;
+  readonly startedAt: MonoTime;
 }
 
 /** A run whose connection broke. */
--- a/src/core/retry/quarantine.ts
+++ b/src/core/retry/quarantine.ts
@@ -41,6 +41,11 @@
   return strikes.filter(({ until }) => until > epoch);
 }
 
+function ownStrikes(state: QuarantineState, fingerprint: Fingerprint): readonly Strike[] {
+  const certain = [...(state.strikes.get(fingerprint)?.values() ?? [])];
+  return [...certain, ...state.pending.filter((strike) => strike.fingerprint === fingerprint)];
+}
+
 /** While it is open whether a domain failed, all its groups together count as one. */
 function pendingDomains(state: QuarantineState, fingerprint: Fingerprint): ReadonlySet<DomainId> {
   const own = state.pending.filter((strike) => strike.fingerprint === fingerprint);
@@ -58,6 +63,13 @@
   );
 }
 
+/** Whether the request was about as old each time that a group fell under it. */
+function agesAgree(state: QuarantineState, fingerprint: Fingerprint): boolean {
+  const { ageFactor, ageSlackMs } = state.opts;
+  const ages = ownStrikes(state, fingerprint).map(({ ageMs }) => ageMs + ageSlackMs);
+  return Math.max(...ages) <= Math.min(...ages) * ageFactor;
+}
+
 export function suspicionOf(
   state: QuarantineState,
   fingerprint: Fingerprint,
@@ -65,7 +77,8 @@
 ): Suspicion {
   const certain = countingStrikes(state, fingerprint, ctx).length;
   const count = certain + pendingDomains(state, fingerprint).size;
-  if (count >= state.opts.limit) return 'quarantined';
+  const { limit } = state.opts;
+  if (count > limit || (count === limit && agesAgree(state, fingerprint))) return 'quarantined';
   return count > 0 || tornLately(state, fingerprint, ctx).length > 0 ? 'suspect' : 'clear';
 }
 
@@ -81,9 +94,7 @@
   state: QuarantineState,
   fingerprint: Fingerprint,
 ): Strike['until'] | undefined {
-  const strikes = [...(state.strikes.get(fingerprint)?.values() ?? [])];
-  const pending = state.pending.filter((strike) => strike.fingerprint === fingerprint);
-  const ends = [...strikes, ...pending].map(({ until }) => until);
+  const ends = ownStrikes(state, fingerprint).map(({ until }) => until);
   return ends.sort((a, b) => b - a)[0];
 }
 
@@ -177,8 +188,9 @@
   ctx: QuarantineContext,
 ): readonly Strike[] {
   const until = later(ctx.epoch, state.opts.retentionMs);
-  const strikes = torn.map(({ fingerprint, group, domain, suspect }): Strike => {
-    return { fingerprint, group, domain, suspect, at: ctx.epoch, until };
+  const strikes = torn.map(({ fingerprint, group, domain, suspect, tornAt, startedAt }): Strike => {
+    const ageMs = tornAt - startedAt;
+    return { fingerprint, group, domain, suspect, ageMs, at: ctx.epoch, until };
   });
   strikes.forEach((strike) => {
     addPending(state, strike, true, ctx);
@@ -254,8 +266,8 @@
     (strike) => isCommonFault(state, strike) || isExplained(state, strike),
   );
   const counting = due.filter((strike) => !dropped.includes(strike));
-  for (const { fingerprint, group, domain, suspect, at, until } of counting) {
-    addStrike(state, { fingerprint, group, domain, suspect, at, until }, ctx);
+  for (const { fingerprint, group, domain, suspect, ageMs, at, until } of counting) {
+    addStrike(state, { fingerprint, group, domain, suspect, ageMs, at, until }, ctx);
   }
   return { counting, dropped };
 }
--- a/tests/quarantine.test.ts
+++ b/tests/quarantine.test.ts
@@ -34,12 +34,20 @@
   id: string,
   fingerprints: readonly Fingerprint[],
   ms: number,
+  ageMs = 50,
 ): readonly Strike[] {
   const { domain } = group(id);
   const attempts = fingerprints.map((fingerprint, i) => {
     const attempt = `${id}-${ms}-${i}` as AttemptId;
     const suspect = suspicionOf(state, fingerprint, at(ms)) === 'suspect';
-    onRunStart(state, { attempt, fingerprint, group: id as GroupId, domain, suspect });
+    onRunStart(state, {
+      attempt,
+      fingerprint,
+      group: id as GroupId,
+      domain,
+      suspect,
+      startedAt: (ms - ageMs) as MonoTime,
+    });
     return attempt;
   });
   const torn = attempts.flatMap((attempt) => onRunTorn(state, attempt, at(ms)));
@@ -77,7 +85,12 @@
 
   it('does not blame a request for a broken connection alone, or for a loss long after', () => {
     const state = createQuarantine();
-    const run = { attempt: 'a' as AttemptId, fingerprint: BAD, suspect: false };
+    const run = {
+      attempt: 'a' as AttemptId,
+      fingerprint: BAD,
+      suspect: false,
+      startedAt: at(0).now,
+    };
     onRunStart(state, { ...run, group: 'd1-a' as GroupId, domain: group('d1-a').domain });
     expect(onRunTorn(state, run.attempt, at(0))).toEqual([]);
     const loss = { group: 'd1-a' as GroupId, domain: group('d1-a').domain, domainDark: false };
@@ -85,6 +98,17 @@
     expect(suspicionOf(state, BAD, at(60_000))).toBe('clear');
   });
 
+  it('wants one group more where the request was of another age each time', () => {
+    const state = createQuarantine();
+    fall(state, 'd1-a', [OTHER], 10_000, 9_000);
+    settleStrikes(state, at(12_000));
+    fall(state, 'd2-a', [OTHER], 20_000, 100);
+    settleStrikes(state, at(22_000));
+    expect(suspicionOf(state, OTHER, at(30_000))).toBe('suspect');
+    fall(state, 'd3-a', [OTHER], 40_000, 4_000);
+    expect(suspicionOf(state, OTHER, at(40_100))).toBe('quarantined');
+  });
+
   it('counts what peers saw, forgets it in time, and clears who gave a whole answer', () => {
     const state = createQuarantine({ retentionMs: 60_000 });
     const peers = createQuarantine({ retentionMs: 60_000 });
--- /dev/null
+++ b/tests/requests-streams.test.ts
@@ -0,0 +1,116 @@
+/** Streams beside each other: slow callers, crossed and late answers, reused connections. */
+
+import { createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { request } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import { once } from 'node:events';
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { chatBody, sendChat } from './support/requests-client';
+import {
+  END_MARK,
+  answerWell,
+  createEngine,
+  frame,
+  startSse,
+  wholeBody,
+} from './support/requests-engine';
+import type { EngineCall, Script } from './support/requests-engine';
+import { KEYS, createFixture, fakeGroups, testGroup } from './support/requests-fixture';
+
+const cleanups: (() => Promise<void> | void)[] = [];
+
+afterEach(async () => {
+  for (const cleanup of cleanups.splice(0)) await cleanup();
+});
+
+const FRAME = frame('x'.repeat(64 * 1024));
+const FRAMES = 400;
+
+/** Writes frames as fast as they are taken. */
+async function flood({ res }: EngineCall, onWritten: (bytes: number) => void): Promise<void> {
+  res.setMaxListeners(0);
+  for (let i = 0; i < FRAMES; i += 1) {
+    onWritten(FRAME.length);
+    if (!res.write(FRAME)) await Promise.race([once(res, 'drain'), once(res, 'close')]);
+  }
+  res.end(frame('', 'stop') + END_MARK);
+}
+
+/** Asks for a stream and reads nothing of it. */
+function openStream(url: string): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    const headers = { authorization: `Bearer ${KEYS.armor}` };
+    const path = `${url}/v1/chat/completions`;
+    const req = request(path, { method: 'POST', headers, agent: false }, resolve);
+    req.on('error', reject);
+    req.end(chatBody({ stream: true, user: 'slow' }));
+  });
+}
+
+describe('streams', () => {
+  it('a slow caller holds back its own stream alone, and gets it whole in the end', async () => {
+    let written = 0;
+    const script: Script = async (call) => {
+      if (call.body.user !== 'slow') return answerWell(call);
+      startSse(call);
+      await flood(call, (bytes) => (written += bytes));
+    };
+    const engine = await createEngine(script);
+    const groups = fakeGroups([testGroup('g0', engine.address)]);
+    const fixture = await createFixture({ groups });
+    cleanups.push(fixture.close, engine.close);
+
+    const slow = await openStream(fixture.url);
+    for (let i = 0; i < 20; i += 1) {
+      expect((await sendChat(fixture.url, { stream: true })).clean).toBe(true);
+    }
+    const total = FRAME.length * FRAMES;
+    expect(written).toBeLessThan(total / 2);
+    let read = 0;
+    slow.on('data', (chunk: Buffer) => (read += chunk.length));
+    await once(slow, 'end');
+    expect(read).toBeGreaterThan(total);
+    expect(slow.complete).toBe(true);
+  });
+
+  it('takes no late second answer on a connection that is used again', async () => {
+    const sockets = new Set<Socket>();
+    const attempts: string[] = [];
+    /** Answers each request twice: the second copy is there when the next request comes. */
+    const server = createServer((socket) => {
+      sockets.add(socket);
+      let text = '';
+      socket.on('error', () => undefined);
+      socket.on('data', (chunk) => {
+        text += chunk.toString();
+        if (!text.includes('"messages"') || !text.endsWith('}')) return;
+        const attempt = /nutmegstack-attempt: (\S+)/i.exec(text)?.[1] ?? '';
+        const asked = /"content":"([^"]*)"/.exec(text)?.[1] ?? '';
+        text = '';
+        attempts.push(attempt);
+        const body = wholeBody(asked);
+        const head = `HTTP/1.1 200 OK\r\nnutmegstack-group: g0\r\nnutmegstack-epoch: 1\r\n`;
+        const more = `nutmegstack-attempt: ${attempt}\r\ncontent-length: ${body.length}\r\n\r\n`;
+        socket.write(head + more + body);
+        setTimeout(() => socket.write(head + more + body), 5);
+      });
+    });
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const { port } = server.address() as AddressInfo;
+    const groups = fakeGroups([testGroup('g0', `127.0.0.1:${port}`)]);
+    const fixture = await createFixture({ groups });
+    cleanups.push(fixture.close, () => {
+      sockets.forEach((socket) => socket.destroy());
+      server.close();
+    });
+    for (let i = 0; i < 30; i += 1) {
+      const content = `question ${i}`;
+      const seen = await sendChat(fixture.url, { messages: [{ role: 'user', content }] });
+      if (seen.status === 200) expect(seen.text).toBe(wholeBody(content));
+      else expect(seen.headers['nutmegstack-outcome']).toBe('unknown');
+    }
+    expect(attempts.length).toBeGreaterThanOrEqual(30);
+  });
+});
