Take small differences in speed for chance and raise the bar for ejection

Change: a group counts as slow from 1.5 times the median on; a first token must be 6 times and a second later than the median before it marks a straggler (was 4 times and 500 ms).

--- a/src/core/routing/stragglers.ts
+++ b/src/core/routing/stragglers.ts
@@ -11,6 +11,8 @@
 
 /** Weight of the newest sample in a moving average. */
 const NEWEST_WEIGHT = 0.2;
+/** Below this multiple of the median, differences in speed are taken for chance. */
+const SLOW_FROM = 1.5;
 /** Part of its normal work that a returning group gets at first. */
 const RAMP_START = 0.1;
 
@@ -123,7 +125,9 @@
   const middle = median(read.filter((value) => value !== undefined));
   for (const [i, group] of groups.entries()) {
     const value = read[i];
-    if (value !== undefined && middle > 0) group.slowness = Math.max(1, value / middle);
+    if (value === undefined || middle === 0) continue;
+    const ratio = value / middle;
+    group.slowness = ratio > SLOW_FROM ? ratio : 1;
   }
 }
 
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -63,8 +63,8 @@
   overflowCost: 2,
   maxPrefixes: 20_000,
   cacheHalfLifeMs: 60_000,
-  firstTokenFactor: 4,
-  firstTokenGapMs: 500,
+  firstTokenFactor: 6,
+  firstTokenGapMs: 1_000,
   interTokenFactor: 2,
   interTokenGapMs: 5,
   firstTokenSamples: 8,
@@ -110,7 +110,7 @@
   readonly waiting: Map<AttemptId, MonoTime>;
   readonly firstTokenMs: Average;
   readonly interTokenMs: Average;
-  /** Time between tokens over the median of its model, at least 1. */
+  /** Time between tokens over the median of its model; 1 unless it is clearly slower. */
   slowness: number;
   ejections: number;
   ejectedUntil: MonoTime | undefined;
