Prove that a leaving instance gets no work without a holder either

Cause: with the view's rule taken out, the tests of leaving stayed green, since the holder's drain order came as soon. Change: the same three marks while the table is down and no lease is held. Measured: 3 cases pass; without the rule they are red.

--- a/tests/control-leaving.test.ts
+++ b/tests/control-leaving.test.ts
@@ -52,6 +52,18 @@
     }
   });
 
+  it.each(MARKS)('gets none while nobody holds the lease either, when %s', async (_how, mark) => {
+    const world = await serving(5);
+    const [victim = ''] = members(world);
+    world.table.down = true;
+    await world.advance(15_000);
+    expect(world.daemons.flatMap(({ control }) => control.heldDomains())).toEqual([]);
+    mark(world, victim);
+    await world.advance(3_000);
+    expect(world.engines.get(victim)?.state).toBe('serving');
+    expect(world.routable('m')).toEqual(['', '', '']);
+  });
+
   it('is replaced by a spare that holds the weights, once what was in flight is done', async () => {
     const world = await serving(5);
     const [first = '', victim = ''] = members(world);
