--- a/src/app/requests/attempts.ts
+++ b/src/app/requests/attempts.ts
@@ -4,7 +4,7 @@
 import { brandAs } from '../../core/ids';
 import { combineExposure } from '../../core/outcome';
 import type { Exposure } from '../../core/outcome';
-import { decideRetry } from '../../core/retry/decide';
+import { EXPOSURE_OF, decideRetry } from '../../core/retry/decide';
 import type { AttemptFailure, RetryDecision } from '../../core/retry/decide';
 import type { StepError } from '../../utils/errors';
 import type { RequestContext } from './context';
@@ -31,6 +31,15 @@
 
 export type AttemptResult = AttemptDone | AttemptFailed;
 
+/** A failure of the attempt. What a caller that is gone or too late had sent stays exposed. */
+export function attemptFailed(
+  failure: Exclude<AttemptFailure, 'given-up'>,
+  error: StepError,
+  started = false,
+): AttemptFailed {
+  return { kind: 'failed', failure, error, exposure: EXPOSURE_OF[failure], started };
+}
+
 /** How one kind of call is sent. */
 export interface AttemptPlan<T> {
   /** Model or service, for budgets and metrics. */
--- a/src/app/requests/names.ts
+++ b/src/app/requests/names.ts
@@ -36,3 +36,5 @@
   strikes: 'nutmegstack_strikes_total',
   quarantined: 'nutmegstack_quarantined_total',
 } as const;
+
+export const EVENT_STREAM = 'text/event-stream';
--- a/src/app/requests/service-call.ts
+++ b/src/app/requests/service-call.ts
@@ -10,7 +10,7 @@
 import type { StepError } from '../../utils/errors';
 import { fail } from '../../utils/errors';
 import { createAbort } from './abort';
-import { runAttempts } from './attempts';
+import { attemptFailed, runAttempts } from './attempts';
 import type { AttemptPlan, AttemptResult, Picked } from './attempts';
 import type { Backends } from './backends';
 import { readBody } from './body';
@@ -19,7 +19,6 @@
 import type { Ending } from './ending';
 import type { Call } from './exchange';
 import type { SendGuard } from './guard';
-import { attemptFailed } from './model-attempt';
 import { HEADER, OWN_HEADER_PREFIX } from './names';
 
 const MAX_REFUSAL_BYTES = 64 * 1024;
