--- a/src/app/control/watches.ts
+++ b/src/app/control/watches.ts
@@ -32,19 +32,57 @@
   warned(group: GroupId, epoch: Epoch, by: Told): void;
   evidence(group: GroupId, epoch: Epoch): void;
   tick(isLeaving: (instance: InstanceId) => boolean): void;
+  /** Takes over the sizes of batches after a change of the configuration. */
+  refresh(): void;
   all(): readonly WatchState[];
-  get(group: GroupId): WatchState | undefined;
+  readonly get: (group: GroupId) => WatchState | undefined;
   until(group: GroupId): MonoTime | undefined;
   /** Groups of one model, routable or not. */
-  ofModel(model: ModelId): readonly WatchState[];
+  ofModel(model: ModelId): Iterable<WatchEntry>;
   readonly changes: Observable<WatchChange>;
 }
 
+/** A group with what the request plane needs of it, made anew at each change. */
+export interface WatchEntry {
+  readonly state: WatchState;
+  /** Absent while the group may not be given requests. */
+  readonly routable?: RoutableGroup;
+}
+
 /** Longer than any gossip of a dissolved group's row may take to arrive. */
 const GONE_MS = 60_000;
 
+/** A group in use is probed when its observations have no longer than this to go. */
+const RENEW_BEFORE_MS = 1_000;
+
+/** What becomes of groups that a choice passes over, or soon will. */
+export interface ChoiceHooks {
+  readonly missing: (state: WatchState) => void;
+  readonly expiring: (state: WatchState) => void;
+}
+
+/** Chooses among the entries of a model: no work but two comparisons for each. */
+export function routableNow(
+  entries: Iterable<WatchEntry>,
+  now: MonoTime,
+  { missing, expiring }: ChoiceHooks,
+): readonly RoutableGroup[] {
+  const groups: RoutableGroup[] = [];
+  for (const { state, routable } of entries) {
+    if (!routable || now >= routable.routableUntil) {
+      missing(state);
+      continue;
+    }
+    groups.push(routable);
+    if (routable.routableUntil - now < RENEW_BEFORE_MS) expiring(state);
+  }
+  return groups;
+}
+
 export function createWatches(ctx: ControlContext): Watches {
   const states = new Map<GroupId, WatchState>();
+  /** The request plane asks for each request: nothing is worked out there. */
+  const entries = new Map<ModelId, Map<GroupId, WatchEntry>>();
   const addedAt = new Map<GroupId, MonoTime>();
   const goneUntil = new Map<GroupId, MonoTime>();
   const holding = new Map<InstanceId, Set<GroupId>>();
@@ -65,6 +103,13 @@
     }
   };
 
+  const enter = (state: WatchState): void => {
+    const { model } = state.row;
+    const ofModel = entries.get(model) ?? new Map<GroupId, WatchEntry>();
+    const maxBatch = ctx.config.current().models[model]?.maxBatch ?? 1;
+    entries.set(model, ofModel.set(state.id, entryOf(state, maxBatch, ctx.clock.now())));
+  };
+
   const tell = (group: GroupId, event: WatchEvent): void => {
     const before = states.get(group);
     if (!before) return;
@@ -74,6 +119,7 @@
       index(state);
     }
     states.set(group, state);
+    if (state !== before) enter(state);
     for (const { kind } of effects) emit(state, kind);
   };
 
@@ -91,11 +137,13 @@
     states.set(row.id, state);
     addedAt.set(row.id, ctx.clock.now());
     index(state);
+    enter(state);
   };
 
   const forget = (state: WatchState): void => {
     states.delete(state.id);
     addedAt.delete(state.id);
+    entries.get(state.row.model)?.delete(state.id);
     unindex(state);
     if (state.routable) emit(state, 'lost');
   };
@@ -149,27 +197,27 @@
         else if (state.routable) tell(state.id, { kind: 'tick' });
       }
     },
+    refresh: () => {
+      states.forEach(enter);
+    },
     all: () => [...states.values()],
     get: (group) => states.get(group),
     until: (group) => {
       const state = states.get(group);
       return state && routableUntil(state, ctx.clock.now());
     },
-    ofModel: (model) => [...states.values()].filter(({ row }) => row.model === model),
+    ofModel: (model) => entries.get(model)?.values() ?? [],
     changes,
   };
 }
 
-/** The group as the request plane sees it; undefined while it may not be given requests. */
-export function routableGroup(
-  state: WatchState,
-  maxBatch: number,
-  now: MonoTime,
-): RoutableGroup | undefined {
+/** The group as the request plane sees it. */
+export function entryOf(state: WatchState, maxBatch: number, now: MonoTime): WatchEntry {
   const until = routableUntil(state, now);
   const first = state.row.members[0];
-  if (until === undefined || !first) return undefined;
+  if (until === undefined || !first) return { state };
   const { id, model, domain, epoch, members } = state.row;
   const { address } = first;
-  return { id, model, domain, epoch, address, members, maxBatch, routableUntil: until };
+  const fixed = { id, model, domain, epoch, address, members, maxBatch };
+  return { state, routable: { ...fixed, routableUntil: until } };
 }
--- a/src/core/groups/domain-types.ts
+++ b/src/core/groups/domain-types.ts
@@ -63,10 +63,14 @@
   readonly drainMs: number;
   /** Before the same order is sent again. */
   readonly orderRetryMs: number;
+  /** Before an idle instance that still lacks weights is told again to fetch them. */
+  readonly preloadRetryMs: number;
   /** Before a group that broke is started again with the next epoch. */
   readonly restartMs: number;
-  /** Members of the domain that may fetch weights at a time. */
-  readonly maxLoads: number;
+  /** Members of the domain that may fetch weights at a time; left out: those of one group. */
+  readonly maxLoads?: number;
+  /** The same for all domains together, as far as their holders hear of each other. */
+  readonly maxLoadsOverall: number;
   /** How much later each further domain tries for a free slot. */
   readonly slotDelayMs: number;
   /** Rows are read again after this long, should another's write have been missed. */
@@ -85,8 +89,9 @@
   giveUpMs: 180_000,
   drainMs: 30_000,
   orderRetryMs: 1_000,
+  preloadRetryMs: 180_000,
   restartMs: 1_000,
-  maxLoads: 16,
+  maxLoadsOverall: 64,
   slotDelayMs: 1_500,
   rereadMs: 30_000,
 };
@@ -110,6 +115,7 @@
 }
 
 export interface SentOrder {
+  readonly kind: PlannedOrder['kind'];
   readonly text: string;
   readonly retryAt: MonoTime;
 }
--- a/src/core/groups/domain.ts
+++ b/src/core/groups/domain.ts
@@ -193,7 +193,7 @@
   const tx = state.pending;
   if (tx?.id !== event.id) return next(state);
   const after = applyTransaction(withoutPending(state), tx, event.versions);
-  return next(withoutSlot(withRestart(after, tx, now), tx));
+  return next(withFreedSlot(withoutSlot(withRestart(after, tx, now), tx), tx, now));
 }
 
 /** A slot just filled is open no more, whatever the last look at all groups said. */
@@ -208,6 +208,17 @@
   };
 }
 
+/** A slot just given back is open here, before the next look at all groups says so. */
+function withFreedSlot(state: DomainState, tx: GroupTransaction, now: MonoTime): DomainState {
+  const freed = tx.writes.flatMap(({ write }) =>
+    write.kind === 'slot' && !write.row ? [{ model: write.model, slot: write.slot, rank: 1 }] : [],
+  );
+  if (freed.length === 0) return state;
+  const openSince = { ...state.openSince };
+  for (const slot of freed) openSince[keyOfSlot(slot)] = now;
+  return { ...state, openSlots: [...state.openSlots, ...freed], openSince };
+}
+
 /** Gives a group that was just changed the time to start before it is started again. */
 function withRestart(state: DomainState, tx: GroupTransaction, now: MonoTime): DomainState {
   const restartAt = { ...state.restartAt };
@@ -275,11 +286,14 @@
   for (const { instance, order } of planOrders(state, now)) {
     const view = after.instances[instance];
     const address = view?.facts?.address ?? addressOf(state, instance);
-    const text = `${order.kind} ${JSON.stringify(order)}`;
+    // A restarted engine has forgotten what it was told.
+    const text = `${view?.report?.incarnation} ${JSON.stringify(order)}`;
     const sentAgo = view?.order?.text === text && now < view.order.retryAt;
     if (sentAgo || address === undefined) continue;
-    const retryAt = later(now, state.settings.orderRetryMs);
-    after = withView(after, instance, (one) => ({ ...one, order: { text, retryAt } }));
+    const { kind } = order;
+    const { orderRetryMs, preloadRetryMs } = state.settings;
+    const retryAt = later(now, kind === 'preload' ? preloadRetryMs : orderRetryMs);
+    after = withView(after, instance, (one) => ({ ...one, order: { kind, text, retryAt } }));
     effects.push({ kind: 'order', instance, address, order });
   }
   return { state: after, effects };
