--- a/src/app/control/control.ts
+++ b/src/app/control/control.ts
@@ -99,8 +99,10 @@
       if (!leases.isKnown(domain)) due.now('leases');
       leases.know(domain, zone);
     }
+    // The others hear of it from the listers: one entry of gossip for each daemon is too many.
+    const tellAll = roles.isLister() ? leave : markLeaving;
     for (const { id, leaving } of directory.instances()) {
-      if (leaving) leave(id);
+      if (leaving && !directory.isMarked(id)) tellAll(id);
     }
     briefing.all();
     watches.tick(directory.isLeaving);
@@ -179,7 +181,8 @@
   };
 
   const stateNews = (): void => {
-    news.state(watches.all().filter(({ id }) => roles.observes(id)));
+    const watched = watches.all().filter(({ id }) => roles.observes(id));
+    news.state(watched, pace.statedExtraMs);
     for (const state of holders.all()) news.loads(state);
     measures.add(holders.all());
   };
@@ -227,6 +230,7 @@
       subscription.add(
         ctx.config.changes.subscribe((config) => {
           plansInForce = plansOf(config);
+          watches.refresh();
           briefing.all();
         }),
       );
--- a/src/app/control/demand.ts
+++ b/src/app/control/demand.ts
@@ -8,9 +8,9 @@
 
 export interface Demand {
   /** Probes a group now, unless it was not long ago; waits longer each time. */
-  want(state: WatchState): void;
+  readonly want: (state: WatchState) => void;
   /** Probes a group that is in use and whose observations are about to go stale. */
-  renew(state: WatchState): void;
+  readonly renew: (state: WatchState) => void;
   /** After evidence against a group: probes it now, and goes on until it is settled. */
   pursue(state: WatchState): void;
   /** Probes the groups that are pursued. */
--- a/src/app/control/view.ts
+++ b/src/app/control/view.ts
@@ -1,17 +1,15 @@
 /** Where model requests may go, as the request plane asks and is told. */
 
 import { NO_EXPECTATIONS, expectedAt, noteForming, noteReady } from '../../core/groups/expect';
-import type { RoutableGroup } from '../../core/groups/types';
 import { isUnsettled } from '../../core/groups/watch';
 import { later } from '../../core/ids';
 import type { GroupView } from '../parts';
 import type { ControlContext } from './context';
 import type { Demand } from './demand';
 import { createLosses } from './losses';
+import { routableNow } from './watches';
 import type { WatchChange, Watches } from './watches';
 
-/** A group in use is probed when its observations have no longer than this to go. */
-const RENEW_BEFORE_MS = 1_000;
 /** A probe on demand should be answered within this time. */
 const PROBE_MS = 100;
 
@@ -23,24 +21,15 @@
 }
 
 export function createView(ctx: ControlContext, watches: Watches, demand: Demand): View {
-  const { clock, config } = ctx;
+  const { clock } = ctx;
   const losses = createLosses(ctx, watches);
   let expectations = NO_EXPECTATIONS;
   return {
-    routable: (model) => {
-      const now = clock.now();
-      const maxBatch = config.current().models[model]?.maxBatch ?? 1;
-      const groups: RoutableGroup[] = [];
-      for (const { state, routable } of watches.ofModel(model)) {
-        if (!routable || now >= routable.routableUntil) {
-          demand.want(state);
-          continue;
-        }
-        groups.push({ ...routable, maxBatch });
-        if (routable.routableUntil - now < RENEW_BEFORE_MS) demand.renew(state);
-      }
-      return groups;
-    },
+    routable: (model) =>
+      routableNow(watches.ofModel(model), clock.now(), {
+        missing: demand.want,
+        expiring: demand.renew,
+      }),
     expectedAt: (model) => {
       const now = clock.now();
       for (const { state } of watches.ofModel(model)) {
