Take the demo's peer ports from below the ephemeral range

Cause: with port numbers given by the system, another process took one between the look and the daemon's start (seen once: EADDRINUSE on peer-listen). Ruled out: port 0 for peers, since a daemon tells others the address it is set to.

--- a/scripts/demo/deployment.ts
+++ b/scripts/demo/deployment.ts
@@ -7,7 +7,7 @@
 
 import { MEMBERS_PER_DOMAIN, SERVICE_PROCESSES } from './deployments';
 import type { DeploymentSpec } from './deployments';
-import { freePort, start, stop } from './processes';
+import { freePorts, start, stop } from './processes';
 import type { Started } from './processes';
 
 const HOST = '127.0.0.1';
@@ -83,7 +83,7 @@
   platform: string,
   count: number,
 ): Promise<Daemon[]> {
-  const ports = await Promise.all(Array.from({ length: count }, freePort));
+  const ports = await freePorts(count);
   const seeds = ports.slice(0, 2).map((port) => `${HOST}:${port}`);
   const env = {
     NUTMEGSTACK_PLATFORM: platform,
--- a/scripts/demo/processes.ts
+++ b/scripts/demo/processes.ts
@@ -2,8 +2,8 @@
 
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
+import { randomInt } from 'node:crypto';
 import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { dirname, join } from 'node:path';
 import { createInterface } from 'node:readline';
 
@@ -75,16 +75,30 @@
   });
 }
 
-/** A port that was free a moment ago. */
-export function freePort(): Promise<number> {
-  return new Promise((resolve, reject) => {
+/** Below the range that systems give to outgoing connections, which could take the port meanwhile. */
+const FIRST_PORT = 20_000;
+const LAST_PORT = 32_000;
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, HOST, () => {
-      const { port } = server.address() as AddressInfo;
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, HOST, () => {
       server.close(() => {
-        resolve(port);
+        resolve(true);
       });
     });
   });
 }
+
+/** Ports that were free a moment ago, all different. */
+export async function freePorts(count: number): Promise<readonly number[]> {
+  const ports = new Set<number>();
+  while (ports.size < count) {
+    const port = randomInt(FIRST_PORT, LAST_PORT);
+    if (await isFree(port)) ports.add(port);
+  }
+  return [...ports];
+}
