Count ejected groups that are not offered for the moment

Change: the floor counts every group of the model that is out.

Proof: "groups that are out count although they are not offered"; red with only the offered ones counted.

--- a/src/core/routing/routing.ts
+++ b/src/core/routing/routing.ts
@@ -12,7 +12,7 @@
 import { hashText } from './hash';
 import { changeLoad, createLoad, estimateLoad, takeReport } from './load';
 import { ROUTING_POLICIES } from './policies';
-import { addSample, createAverage, inStanding, judge } from './stragglers';
+import { addSample, countEjected, createAverage, inStanding, judge } from './stragglers';
 import { ROUTING_DEFAULTS } from './types';
 import type {
   CacheEvents,
@@ -176,16 +176,18 @@
 
 function judgeIfDue(
   state: RoutingState,
-  model: ModelState,
+  shared: ModelState,
   groups: readonly GroupState[],
   now: MonoTime,
 ): void {
-  if (now < model.judgeAt) return;
-  model.judgeAt = later(now, state.opts.judgeEveryMs);
+  if (now < shared.judgeAt) return;
+  shared.judgeAt = later(now, state.opts.judgeEveryMs);
   const reported = groups.filter((group) => group.load.reportedAt !== undefined);
   const others = reported.reduce((sum, group) => sum + group.load.others, 0);
-  model.meanOthers = reported.length === 0 ? 0 : others / reported.length;
-  judge(groups, now, state.opts);
+  shared.meanOthers = reported.length === 0 ? 0 : others / reported.length;
+  const model = groups[0]?.model;
+  const known = [...state.groups.values()].filter((group) => group.model === model);
+  judge(groups, countEjected(known, now, state.opts), now, state.opts);
 }
 
 function sweepIfDue(state: RoutingState, now: MonoTime): void {
--- a/src/core/routing/stragglers.ts
+++ b/src/core/routing/stragglers.ts
@@ -97,8 +97,27 @@
   return isOutlier ? value / Math.max(middle, 1) : 0;
 }
 
-/** Judges the groups of one model; ejects the worst outliers within the floor. */
-export function judge(groups: readonly GroupState[], now: MonoTime, opts: RoutingOptions): void {
+/** Groups that are out now. */
+export function countEjected(
+  groups: Iterable<GroupState>,
+  now: MonoTime,
+  opts: RoutingOptions,
+): number {
+  let out = 0;
+  for (const group of groups) if (standing(group, now, opts) === 0) out += 1;
+  return out;
+}
+
+/**
+ * Judges the groups of one model; ejects the worst outliers within the floor. `alreadyOut` counts
+ * those of the model that are out, whether or not they are among `groups`.
+ */
+export function judge(
+  groups: readonly GroupState[],
+  alreadyOut: number,
+  now: MonoTime,
+  opts: RoutingOptions,
+): void {
   for (const group of groups) forgive(group, now, opts);
   const worst = new Map<GroupState, number>();
   const inGame = groups.filter((group) => standing(group, now, opts) > 0);
@@ -113,8 +132,7 @@
     }
   }
   rateSpeed(groups, opts);
-  const out = groups.filter((group) => standing(group, now, opts) === 0).length;
-  const room = Math.floor(groups.length * opts.maxEjectedShare) - out;
+  const room = Math.floor(groups.length * opts.maxEjectedShare) - alreadyOut;
   const outliers = [...worst].toSorted((a, b) => b[1] - a[1]);
   for (const [group] of outliers.slice(0, Math.max(0, room))) eject(group, now, opts);
 }
--- a/tests/routing.test.ts
+++ b/tests/routing.test.ts
@@ -225,6 +225,20 @@
     expect(ejected(afterRounds(['g3', 'g4']))).toHaveLength(1);
   });
 
+  test('groups that are out count although they are not offered for the moment', () => {
+    const state = afterRounds(['g2']);
+    const offered = GROUPS.filter(({ id }) => id !== 'g2');
+    for (let i = 0; i < 10; i++) {
+      const start = 10_000 + i * 500;
+      for (const { id } of offered) send(state, `${id}-${start}`, id, start);
+      for (const { id } of offered) {
+        answer(state, `${id}-${start}`, start + (id === 'g3' ? 2_000 : 100));
+      }
+      choose(state, { groups: offered, now: start + 400 });
+    }
+    expect(ejected(state)).toEqual(['g2']);
+  });
+
   test('an ejected group is still used when no other is left', () => {
     const state = afterRounds(['g2']);
     expect(choose(state, { exclude: ['g1', 'g3', 'g4'], now: 9_500 })).toBe('g2');
