Let only the last holder try for a lease while the table is down

Cause: with the table down, each candidate whose turn had passed tried for each free lease each 1.25 s, and all of them at once when it came back: 11 commits in the worst second with seven daemons and two domains, which grows with both, beyond the table's limit at 670 daemons and 250 domains. Ruled out: growing waits alone, which still let all try when it is back.

--- a/src/core/lease/lease.ts
+++ b/src/core/lease/lease.ts
@@ -115,9 +115,29 @@
     return now >= state.dueAt ? renew(state, now, false) : next(state);
   }
   if (state.stopping || !Number.isFinite(state.rank) || now < state.dueAt) return next(state);
+  return isTurn(state, now) ? take(state, now) : next(state);
+}
+
+/**
+ * Whether this candidate may try now. After a time without the table all turns would have passed, and
+ * all candidates of all domains would try at once: turns count from when the rows can be read again,
+ * and while they cannot nobody but the last holder tries.
+ */
+function isTurn(state: LeaseState, now: MonoTime): boolean {
   const free = freeAt(state);
-  const tryAt = free && later(free, state.rank * state.settings.backupDelayMs);
-  return tryAt !== undefined && now >= tryAt ? take(state, now) : next(state);
+  const { contact, settings } = state;
+  if (free === undefined || !contact || now - contact.last > settings.ttlMs) return false;
+  return now >= later(max(free, contact.since), state.rank * settings.backupDelayMs);
+}
+
+function max(a: MonoTime, b: MonoTime): MonoTime {
+  return a > b ? a : b;
+}
+
+function inContact(state: LeaseState, now: MonoTime): LeaseState {
+  const { contact, settings } = state;
+  const isUnbroken = contact !== undefined && now - contact.last <= settings.ttlMs;
+  return { ...state, contact: { since: isUnbroken ? contact.since : now, last: now } };
 }
 
 function onRead(
@@ -125,7 +145,7 @@
   event: Extract<LeaseEvent, { kind: 'read' }>,
   now: MonoTime,
 ): LeaseStep {
-  const done: LeaseState = { ...state, reading: false };
+  const done: LeaseState = { ...inContact(state, now), reading: false };
   const version = event.lease?.version ?? 0;
   // An answer from before what is known already, or while a commit is on its way.
   if (done.pending || (done.seen && version < done.seen.version)) return next(done);
--- a/src/core/lease/types.ts
+++ b/src/core/lease/types.ts
@@ -64,6 +64,12 @@
   readonly row: LeaseRow;
 }
 
+/** An unbroken run of reads of the table. */
+export interface Contact {
+  readonly since: MonoTime;
+  readonly last: MonoTime;
+}
+
 export interface LeaseState {
   readonly domain: DomainId;
   readonly self: DaemonId;
@@ -77,6 +83,8 @@
   readonly stopping: boolean;
   readonly reading: boolean;
   readonly seen?: SeenLease;
+  /** When the rows were last read, and since when without a long gap. */
+  readonly contact?: Contact;
   readonly held?: HeldLease;
   readonly pending?: PendingLease;
   /** Next renewal, or next try after a failed one. */
