--- a/bench/groups-slopes.ts
+++ b/bench/groups-slopes.ts
@@ -34,6 +34,7 @@
 const MEMBERS = 16;
 const MODEL = 'm' as ModelId;
 const NOW = 1_000 as MonoTime;
+const NO_HOOKS = { missing: () => undefined, expiring: () => undefined };
 const FRESH_UNTIL = 1e9 as MonoTime;
 const SERVER_SIZES = [750, 1_500, 3_000, 7_500] as const;
 const DOMAIN_SIZES = [16, 32, 64, 128] as const;
@@ -212,7 +213,7 @@
     const facts = hold(() => Array.from({ length: size }, (_, n) => factsOf(n, `d${n >> 5}`)));
     const entries = held.map((state) => entryOf(state, 8, NOW));
     const routable = timeOf(500, () => {
-      routableNow(entries, NOW, () => undefined);
+      routableNow(entries, NOW, NO_HOOKS);
     });
     const ticks = timeOf(200, () => {
       held.forEach((state) => reduceWatch(state, { kind: 'tick' }, { now: NOW }));
--- a/src/app/control/view.ts
+++ b/src/app/control/view.ts
@@ -1,6 +1,7 @@
 /** Where model requests may go, as the request plane asks and is told. */
 
 import { NO_EXPECTATIONS, expectedAt, noteForming, noteReady } from '../../core/groups/expect';
+import { isUnsettled } from '../../core/groups/watch';
 import { later } from '../../core/ids';
 import type { GroupView } from '../parts';
 import type { ControlContext } from './context';
@@ -9,6 +10,9 @@
 import { routableNow } from './watches';
 import type { WatchChange, Watches } from './watches';
 
+/** A probe on demand should be answered within this time. */
+const PROBE_MS = 100;
+
 export interface View extends GroupView {
   /** A group became routable or ceased to be. */
   note(change: WatchChange): void;
@@ -21,9 +25,16 @@
   const losses = createLosses(ctx, watches);
   let expectations = NO_EXPECTATIONS;
   return {
-    routable: (model) => routableNow(watches.ofModel(model), clock.now(), demand.want),
+    routable: (model) =>
+      routableNow(watches.ofModel(model), clock.now(), {
+        missing: demand.want,
+        expiring: demand.renew,
+      }),
     expectedAt: (model) => {
       const now = clock.now();
+      for (const { state } of watches.ofModel(model)) {
+        if (isUnsettled(state, now)) return later(clock.epoch(), PROBE_MS);
+      }
       const at = expectedAt(expectations, model, now);
       return at && later(clock.epoch(), at - now);
     },
--- a/src/app/control/watches.ts
+++ b/src/app/control/watches.ts
@@ -52,16 +52,29 @@
 /** Longer than any gossip of a dissolved group's row may take to arrive. */
 const GONE_MS = 60_000;
 
-/** Chooses among the entries of a model: no work but a comparison for each. */
+/** A group in use is probed when its observations have no longer than this to go. */
+const RENEW_BEFORE_MS = 1_000;
+
+/** What becomes of groups that a choice passes over, or soon will. */
+export interface ChoiceHooks {
+  readonly missing: (state: WatchState) => void;
+  readonly expiring: (state: WatchState) => void;
+}
+
+/** Chooses among the entries of a model: no work but two comparisons for each. */
 export function routableNow(
   entries: Iterable<WatchEntry>,
   now: MonoTime,
-  missing: (state: WatchState) => void,
+  { missing, expiring }: ChoiceHooks,
 ): readonly RoutableGroup[] {
   const groups: RoutableGroup[] = [];
   for (const { state, routable } of entries) {
-    if (routable && now < routable.routableUntil) groups.push(routable);
-    else missing(state);
+    if (!routable || now >= routable.routableUntil) {
+      missing(state);
+      continue;
+    }
+    groups.push(routable);
+    if (routable.routableUntil - now < RENEW_BEFORE_MS) expiring(state);
   }
   return groups;
 }
