Compare entries soon after meeting a new daemon

Ruled out: the limit of bytes (25 members are 4 KB). Change: whoever learns of a new daemon compares within 150 to 450 ms. A test over the reducer with three seeds goes red without it.

--- a/src/core/membership/entries.ts
+++ b/src/core/membership/entries.ts
@@ -40,13 +40,15 @@
   return changed;
 }
 
+function hasExpired(store: EntryStore, epoch: EpochTime): boolean {
+  for (const entry of store.values()) if (entry.expiresAt <= epoch) return true;
+  return false;
+}
+
 /** Drops what has expired; the same store if nothing has. */
 export function sweep(store: EntryStore, epoch: EpochTime): EntryStore {
-  const expired = [...store].filter(([, entry]) => entry.expiresAt <= epoch);
-  if (expired.length === 0) return store;
-  const kept = new Map(store);
-  for (const [id] of expired) kept.delete(id);
-  return kept;
+  if (!hasExpired(store, epoch)) return store;
+  return new Map([...store].filter(([, entry]) => entry.expiresAt > epoch));
 }
 
 interface HashedEntry {
--- a/src/core/membership/spread.ts
+++ b/src/core/membership/spread.ts
@@ -11,6 +11,8 @@
 
 /** Rumours are packed into messages of about this size. */
 const MAX_MESSAGE_BYTES = 8000;
+/** A daemon that has met a new one compares its entries after about this long. */
+const GROWTH_SYNC_MS = 300;
 /** Least time between two answers to another process that claims this daemon's id. */
 const DUPLICATE_PAUSE_MS = 5000;
 
@@ -46,6 +48,12 @@
   return (ctx.now + ctx.settings.suspectMs * scale) as typeof ctx.now;
 }
 
+/** Whoever learns of a new daemon may lack more: its rumours were sized for fewer daemons. */
+function soonerSync(state: MembershipState, ctx: MembershipContext): typeof ctx.now {
+  const soon = ctx.now + GROWTH_SYNC_MS * (0.5 + ctx.random.next());
+  return Math.min(state.syncAt, soon) as typeof ctx.now;
+}
+
 function putMember(
   state: MembershipState,
   member: MemberRecord,
@@ -53,7 +61,8 @@
 ): MembershipState {
   const before = state.members.get(member.id);
   const members = new Map(state.members).set(member.id, member);
-  const put = noteSuspect({ ...state, members }, member, ctx);
+  const syncAt = before ? state.syncAt : soonerSync(state, ctx);
+  const put = noteSuspect({ ...state, members, syncAt }, member, ctx);
   return movesNeighbours(before, member) ? withNeighbours(put, ctx.settings.neighbours) : put;
 }
 
--- a/tests/membership-detection.test.ts
+++ b/tests/membership-detection.test.ts
@@ -30,6 +30,17 @@
   return [...new Set(world.nodes.flatMap((_, i) => beliefs(i)))];
 }
 
+describe('daemons that are all started at once', () => {
+  it.each([1, 2, 3])('know each other within five seconds (seed %i)', (seed) => {
+    const count = 25;
+    world = createWorld(seed, count);
+    run(world, 5 * TICKS_PER_SECOND, 0);
+    expect(world.nodes.map(({ state }) => state?.members.size)).toEqual(
+      new Array<number>(count).fill(count),
+    );
+  });
+});
+
 describe('a daemon that is killed', () => {
   it('is dead to all others within eight seconds', () => {
     kill(world, 0);
