--- a/src/app/requests/entry.ts
+++ b/src/app/requests/entry.ts
@@ -87,6 +87,10 @@
   const body = readModelBody(path, call.value.body);
   if (body.isErr()) return refused(body.error);
   const { ctx, parts } = entry;
+  if (body.value.stream && exchange.req.httpVersion === '1.0') {
+    const message = 'a stream needs HTTP/1.1: nothing else tells its end from a break';
+    return refused(fail('bad-request', message, { step: 'entry' }));
+  }
   if (!hasModel(ctx, call.value, body.value.model)) {
     return refused(fail('model-not-found', 'no such model', { step: 'entry' }));
   }
@@ -167,6 +171,8 @@
   res: ServerResponse,
 ): Exchange {
   const controller = new AbortController();
+  // A write that meets a caller who is gone must not end the process; `close` tells of it.
+  res.on('error', () => undefined);
   res.once('close', () => {
     if (!res.writableFinished) controller.abort();
   });
--- a/src/app/requests/requests.ts
+++ b/src/app/requests/requests.ts
@@ -45,6 +45,17 @@
   ctx.logger.info(message, { requestId: id, step, code, ...(peer !== undefined && { peer }) });
 }
 
+/** An answer that cannot be written, as with a header that Node refuses, is torn: never a clean end. */
+function concludeSafely(ctx: RequestContext, exchange: Exchange, ending: Ending): void {
+  try {
+    conclude(ctx, exchange, ending);
+  } catch (cause) {
+    const detail = cause instanceof Error ? cause.message : 'unknown';
+    ctx.logger.error('answer could not be written', { requestId: exchange.id, detail });
+    exchange.res.destroy();
+  }
+}
+
 /** Resolves when the caller has all of the answer, or is gone, or has not taken it in time. */
 function closed(res: ServerResponse, withinMs: number): Promise<void> {
   if (res.closed) return Promise.resolve();
@@ -113,7 +124,7 @@
       return;
     }
     change(1);
-    conclude(ctx, exchange, await answer(entry, exchange));
+    concludeSafely(ctx, exchange, await answer(entry, exchange));
     await closed(res, ctx.settings.streamIdleMs);
     change(-1);
   };
--- a/tests/requests-streams.test.ts
+++ b/tests/requests-streams.test.ts
@@ -5,6 +5,7 @@
 import { request } from 'node:http';
 import type { IncomingMessage } from 'node:http';
 import { once } from 'node:events';
+import { Subject, firstValueFrom } from 'rxjs';
 import { afterEach, describe, expect, it } from 'vitest';
 
 import { chatBody, sendChat } from './support/requests-client';
@@ -75,6 +76,34 @@
     expect(slow.complete).toBe(true);
   });
 
+  it('are all finished before draining ends, while new requests are refused', async () => {
+    const goOn = new Subject<undefined>();
+    const started = new Subject<undefined>();
+    const engine = await createEngine(async (call) => {
+      const awaited = firstValueFrom(goOn);
+      startSse(call);
+      call.res.write(frame('hello '), () => {
+        started.next(undefined);
+      });
+      await awaited;
+      call.res.end(frame('world', 'stop') + END_MARK);
+    });
+    const groups = fakeGroups([testGroup('g0', engine.address)]);
+    const { url, requests, close } = await createFixture({ groups });
+    cleanups.push(close, engine.close);
+    const begun = firstValueFrom(started);
+    const open = sendChat(url, { stream: true });
+    await begun;
+    expect(requests.inFlight()).toBe(1);
+    const drained = requests.drain();
+    expect((await sendChat(url)).status).toBe(503);
+    goOn.next(undefined);
+    const [seen] = await Promise.all([open, drained]);
+    expect(seen).toMatchObject({ status: 200, clean: true });
+    expect(seen.text).toContain('[DONE]');
+    expect(requests.inFlight()).toBe(0);
+  });
+
   it('takes no late second answer on a connection that is used again', async () => {
     const sockets = new Set<Socket>();
     const attempts: string[] = [];
