--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,8 @@
 import { compareIsolation, compareWorth } from './admission';
 import { benchGroups } from './groups';
 import { benchControlSlopes } from './groups-slopes';
+import { measureRelay } from './relay';
+import { measureRelaySlopes } from './relay-slopes';
 import { measureRequestSlopes } from './request-slopes';
 import { compareRouting } from './routing';
 
@@ -15,6 +17,8 @@
   groups: () => benchGroups(),
   'slopes-control': benchControlSlopes,
   'slopes-request': measureRequestSlopes,
+  relay: measureRelay,
+  'slopes-relay': measureRelaySlopes,
 };
 
 async function main(names: readonly string[]): Promise<void> {
