--- a/src/core/groups/domain.ts
+++ b/src/core/groups/domain.ts
@@ -24,7 +24,16 @@
 import { planGroups } from './lifecycle';
 import { planOrders } from './orders';
 import { applyTransaction, slotKey } from './rows';
-import type { EngineReport, InstanceFacts, Versioned } from './types';
+import {
+  NO_VIEW,
+  onReported,
+  onSilent,
+  onVouched,
+  withFacts,
+  withSilenceFrom,
+  withView,
+} from './sightings';
+import type { Versioned } from './types';
 
 type DomainStep = Step<DomainState, DomainEffect>;
 type EventOf<K extends DomainEvent['kind']> = Extract<DomainEvent, { kind: K }>;
@@ -62,17 +71,6 @@
   return state.lease !== undefined && now < state.lease.validUntil;
 }
 
-const NO_VIEW: InstanceView = { drained: false };
-
-function withView(
-  state: DomainState,
-  instance: InstanceId,
-  change: (view: InstanceView) => InstanceView,
-): DomainState {
-  const view = change(state.instances[instance] ?? NO_VIEW);
-  return { ...state, instances: { ...state.instances, [instance]: view } };
-}
-
 function withoutPending(state: DomainState): DomainState {
   return omit(state, 'pending');
 }
@@ -84,16 +82,6 @@
   return next({ ...begun, lease, rows: 'unread' });
 }
 
-/** Counts the silence of all who are silent from `now` on. */
-function withSilenceFrom(state: DomainState, now: MonoTime): DomainState {
-  const instances: Record<InstanceId, InstanceView> = { ...state.instances };
-  for (const id of Object.keys(instances) as InstanceId[]) {
-    const view = instances[id];
-    if (view?.silentSince !== undefined) instances[id] = { ...view, silentSince: now };
-  }
-  return { ...state, instances };
-}
-
 function onUnleased(state: DomainState): DomainStep {
   return next({ ...omit(withoutPending(state), 'lease'), rows: 'unread' });
 }
@@ -109,10 +97,6 @@
   return next({ ...state, instances, rows });
 }
 
-function withFacts(view: InstanceView, facts: InstanceFacts | undefined): InstanceView {
-  return facts ? { ...view, facts } : omit(view, 'facts');
-}
-
 function onRead(state: DomainState, event: EventOf<'read'>, now: MonoTime): DomainStep {
   if (state.rows !== 'reading') return next(state);
   const instanceRows: Record<
@@ -135,46 +119,6 @@
   return { ...state, instances };
 }
 
-function onReported(state: DomainState, event: EventOf<'reported'>): DomainStep {
-  const before = state.instances[event.instance];
-  if (!before || (before.reportedAt ?? event.sentAt) > event.sentAt) return next(state);
-  return next(
-    withView(state, event.instance, (view) => ({
-      ...omit(view, 'silentSince'),
-      report: event.report,
-      reportedAt: event.sentAt,
-      changedAt: isSame(view.report, event.report)
-        ? (view.changedAt ?? event.sentAt)
-        : event.sentAt,
-    })),
-  );
-}
-
-function isSame(a: EngineReport | undefined, b: EngineReport): boolean {
-  return a?.state === b.state && a.group === b.group && a.epoch === b.epoch;
-}
-
-function onSilent(state: DomainState, event: EventOf<'silent'>): DomainStep {
-  const before = state.instances[event.instance];
-  if (!before || (before.reportedAt ?? event.sentAt) > event.sentAt) return next(state);
-  return next(
-    withView(state, event.instance, (view) => ({
-      ...view,
-      silentSince: view.silentSince ?? event.sentAt,
-    })),
-  );
-}
-
-function onVouched(state: DomainState, event: EventOf<'vouched'>): DomainStep {
-  const members = state.groups[event.group]?.row.members ?? [];
-  const after = members.reduce(
-    (acc, { instance }) =>
-      withView(acc, instance, (view) => ({ ...view, vouchedUntil: event.until })),
-    state,
-  );
-  return next(after);
-}
-
 function onSlots(state: DomainState, event: EventOf<'slots'>, now: MonoTime): DomainStep {
   const openSince: Record<string, MonoTime> = {};
   for (const slot of event.open) {
