Wire the limit of claims, tell routing of streams, probe only when all is ending

First tokens of answers that do not stream were never told apart, so none counted. Errors of bodies and streams are made when they arise; the check for a misplaced end mark and the kept tail allocate nothing per chunk.

--- a/src/app/control/watches.ts
+++ b/src/app/control/watches.ts
@@ -52,7 +52,7 @@
 /** Longer than any gossip of a dissolved group's row may take to arrive. */
 const GONE_MS = 60_000;
 
-/** A group in use is probed when its observations have no longer than this to go. */
+/** When all groups of a model have no longer than this to go, they are probed. */
 const RENEW_BEFORE_MS = 1_000;
 
 /** What becomes of groups that a choice passes over, or soon will. */
@@ -68,14 +68,17 @@
   { missing, expiring }: ChoiceHooks,
 ): readonly RoutableGroup[] {
   const groups: RoutableGroup[] = [];
+  const ending: WatchState[] = [];
   for (const { state, routable } of entries) {
     if (!routable || now >= routable.routableUntil) {
       missing(state);
       continue;
     }
     groups.push(routable);
-    if (routable.routableUntil - now < RENEW_BEFORE_MS) expiring(state);
+    if (routable.routableUntil - now < RENEW_BEFORE_MS) ending.push(state);
   }
+  // While others stay fresh, requests go on to them; probes are counted.
+  if (ending.length === groups.length) ending.forEach(expiring);
   return groups;
 }
 
--- a/src/app/daemon.ts
+++ b/src/app/daemon.ts
@@ -107,7 +107,11 @@
     gossip,
     tracer,
     peerCount: () => membership.peers().length,
-    settings: { maxBodyBytes: settings.maxBodyBytes },
+    settings: {
+      maxBodyBytes: settings.maxBodyBytes,
+      tableCommitsPerSecond: settings.claimCommitsPerSecond,
+      claimShare: 1,
+    },
   });
   const parts: Parts = { config, membership, control, requests };
 
--- a/src/app/requests/body.ts
+++ b/src/app/requests/body.ts
@@ -24,16 +24,22 @@
   from: IncomingMessage,
   { maxBytes, signal, ...origin }: ReadOptions,
 ): Promise<Result<Buffer, StepError>> {
-  const tooLarge = fail('body-too-large', `body is longer than ${maxBytes} bytes`, origin);
-  if (Number(from.headers['content-length'] ?? 0) > maxBytes) return Promise.resolve(err(tooLarge));
+  // Errors are made when they arise: their stack traces cost more than a small body.
+  const tooLarge = (): Result<Buffer, StepError> =>
+    err(fail('body-too-large', `body is longer than ${maxBytes} bytes`, origin));
+  if (Number(from.headers['content-length'] ?? 0) > maxBytes) return Promise.resolve(tooLarge());
   const chunks: Buffer[] = [];
   let bytes = 0;
   return new Promise((resolve) => {
     const settle = (result: Result<Buffer, StepError>): void => {
       from.removeAllListeners('data');
+      from.off('close', onLost);
       signal?.removeEventListener('abort', onAbort);
       resolve(result);
     };
+    const onLost = (cause?: unknown): void => {
+      settle(err(fail('backend-lost', 'connection lost in the body', { ...origin, cause })));
+    };
     const onAbort = (): void => {
       settle(err(fail('deadline-exceeded', 'body did not come in time', origin)));
     };
@@ -43,14 +49,11 @@
       chunks.push(chunk);
       if (bytes <= maxBytes) return;
       from.pause();
-      settle(err(tooLarge));
+      settle(tooLarge());
     });
     from.once('end', () => {
       settle(ok(Buffer.concat(chunks)));
     });
-    const onLost = (cause?: unknown): void => {
-      settle(err(fail('backend-lost', 'connection lost in the body', { ...origin, cause })));
-    };
     from.once('error', onLost);
     from.once('close', onLost);
   });
--- a/src/app/requests/group-choice.ts
+++ b/src/app/requests/group-choice.ts
@@ -26,9 +26,15 @@
   readonly organisation: OrganisationId;
 }
 
+/** What is kept of a request that was sent. */
+export interface SentRequest extends Pick<ChoiceRequest, 'prefixKeys' | 'organisation'> {
+  /** Only the first token of a stream tells how fast a group begins. */
+  readonly streams: boolean;
+}
+
 export interface GroupChoice {
   choose(req: ChoiceRequest): RoutableGroup | undefined;
-  sent(attempt: AttemptId, group: GroupId, req: Omit<ChoiceRequest, 'groups' | 'tried'>): void;
+  sent(attempt: AttemptId, group: GroupId, req: SentRequest): void;
   firstToken(attempt: AttemptId): void;
   /** To be called for each attempt that was chosen, sent or not. */
   end(attempt: AttemptId, tokens: number): void;
@@ -52,8 +58,8 @@
       const req = { groups, exclude, prefixKeys, organisation };
       return chooseGroup(state, req, { now: clock.now(), random }).group;
     },
-    sent: (attempt, group, { prefixKeys, organisation }) => {
-      onSent(state, { attempt, group, prefixKeys, organisation }, now());
+    sent: (attempt, group, sent) => {
+      onSent(state, { attempt, group, ...sent }, now());
     },
     firstToken: (attempt) => {
       onFirstToken(state, { attempt }, now());
--- a/src/app/requests/model-attempt.ts
+++ b/src/app/requests/model-attempt.ts
@@ -39,7 +39,8 @@
   const { choice, strikes, call, group, id } = attempt;
   strikes.sent(runOf(attempt));
   const organisation = call.caller.organisation.id;
-  choice.sent(id, group.id, { prefixKeys: call.prefixKeys, organisation });
+  const { prefixKeys, stream: streams } = call;
+  choice.sent(id, group.id, { prefixKeys, organisation, streams });
 }
 
 /** Checked in the tick of the write, since this process may have been paused meanwhile. */
--- a/src/app/requests/relay.ts
+++ b/src/app/requests/relay.ts
@@ -62,12 +62,18 @@
     const settle = (result: RelayResult): void => {
       clearTimeout(timer);
       from.removeAllListeners('data');
+      from.off('close', onClosed);
       to.off('drain', onDrain);
       resolve(result);
     };
     const breakOff = (error: StepError): void => {
       settle({ kind: 'broken', started, error });
     };
+    const onClosed = (): void => {
+      breakOff(
+        fail('backend-lost', 'connection closed in the stream', { step: 'last-byte', peer }),
+      );
+    };
     const timer = setTimeout(() => {
       breakOff(fail('deadline-exceeded', 'no progress in the stream', { step: 'relay', peer }));
     }, job.idleMs);
@@ -97,10 +103,6 @@
       const step = started ? 'last-byte' : 'first-byte';
       breakOff(fail('backend-lost', 'connection lost in the stream', { step, peer, cause }));
     });
-    from.once('close', () => {
-      breakOff(
-        fail('backend-lost', 'connection closed in the stream', { step: 'last-byte', peer }),
-      );
-    });
+    from.once('close', onClosed);
   });
 }
--- a/src/app/requests/sse.ts
+++ b/src/app/requests/sse.ts
@@ -50,14 +50,15 @@
 
 /** Frames always start with a frame, so that the mark is at the start or after a line feed. */
 function hasEndMarkInside(frames: Buffer): boolean {
-  const start = frames.subarray(0, END_MARK.length);
-  return start.equals(END_MARK) || frames.includes(END_MARK_AT_LINE);
+  const fits = frames.length >= END_MARK.length;
+  const isFirst = fits && frames.compare(END_MARK, 0, END_MARK.length, 0, END_MARK.length) === 0;
+  return isFirst || frames.includes(END_MARK_AT_LINE);
 }
 
 /** Starts watching a stream whose frames are at most `maxFrameBytes` long. */
 export function createFrameCheck(maxFrameBytes: number): FrameCheck {
   let partial: Buffer = EMPTY;
-  let tail: Buffer[] = [];
+  const tail: Buffer[] = [];
   let tailBytes = 0;
   let ended = false;
   let fault: StreamFault | undefined;
@@ -67,7 +68,7 @@
     tailBytes += frames.length;
     const first = tail[0];
     if (first === undefined || tailBytes - first.length < TAIL_BYTES) return;
-    tail = tail.slice(1);
+    tail.shift();
     tailBytes -= first.length;
   };
 
--- a/src/app/settings.ts
+++ b/src/app/settings.ts
@@ -41,8 +41,8 @@
   readonly drainWaitMs: number;
   /** Longest wait for streams at a planned stop, milliseconds. */
   readonly drainLimitMs: number;
-  /** Claims a second that all daemons together may write to the table service. */
-  readonly claimsPerSecond: number;
+  /** Transactions of claims a second that all daemons together may commit. */
+  readonly claimCommitsPerSecond: number;
 }
 
 /** Where a started daemon listens. */
--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -158,9 +158,9 @@
     byDefault: '600000',
     schema: whole(0, 24 * HOUR_MS),
   },
-  claimsPerSecond: {
-    flag: 'claims-per-second',
-    help: 'Claims a second that all daemons together may write to the table service',
+  claimCommitsPerSecond: {
+    flag: 'claim-commits-per-second',
+    help: 'Transactions of claims a second that all daemons together may commit',
     byDefault: '200',
     schema: whole(1, 100_000),
   },
