Give comparisons a limit of bytes of their own, and keep some for what follows a digest

Every newcomer's digest was answered with lines, which alone overdrew the one limit of the seeds (15 KB/s sent against 6), so that no entry ever followed. Change: rumours and direct messages have 4,000 bytes a second, comparisons 2,000; a digest is answered only while 8 KB may be sent. The new test over the reducer (100 daemons) is red on the code before this commit; taking out the reserve alone leaves it green, so that the reserve is argued and not proved.

--- a/src/core/membership/state.ts
+++ b/src/core/membership/state.ts
@@ -60,7 +60,10 @@
   readonly probe: Probe | undefined;
   readonly relayed: readonly RelayedProbe[];
   readonly candidates: readonly string[];
+  /** Bounds rumours and direct messages. */
   readonly bucket: TokenBucket;
+  /** Bounds comparisons, which rumours must not starve, nor they rumours. */
+  readonly syncBucket: TokenBucket;
   /** The configuration version in force here; announced with some delay. */
   readonly configVersion: ConfigVersion;
   /** Highest version given to an own entry. */
@@ -110,6 +113,7 @@
     relayed: [],
     candidates: [],
     bucket: fullBucket(settings, now),
+    syncBucket: { tokens: settings.syncBurstBytes, at: now },
     configVersion: self.configVersion,
     lastVersion: 0,
     seq: 0,
--- a/src/core/membership/sync.ts
+++ b/src/core/membership/sync.ts
@@ -18,6 +18,7 @@
 import { presentOthers, sample, send, unchanged } from './state';
 import type { MembershipState, MembershipStep } from './state';
 import { refill, spend } from './token-bucket';
+import type { BucketLimits } from './token-bucket';
 import type { DigestMessage, Entry, LinesMessage, MembershipContext, WantMessage } from './types';
 
 /** Differences found at once that call for another comparison soon. */
@@ -26,16 +27,25 @@
 const DIGEST_BYTES = 350;
 const LINE_BYTES = 14;
 const MAX_PARCEL_BYTES = 16_000;
+/**
+ * A digest is answered only while this much may be sent: otherwise many newcomers would have their
+ * digests answered, and none the entries that it asks for next.
+ */
+const RESERVE_BYTES = 8000;
 const SALT_RANGE = 2 ** 32;
 const BUCKETS = 64;
 
+function syncLimits({ settings }: MembershipContext): BucketLimits {
+  return { bytesPerSecond: settings.syncBytesPerSecond, burstBytes: settings.syncBurstBytes };
+}
+
 function newDigest(state: MembershipState, ctx: MembershipContext): DigestMessage {
   return digestOf(state.entries, Math.floor(ctx.random.next() * SALT_RANGE), ctx.epoch);
 }
 
 function charge(state: MembershipState, bytes: number, ctx: MembershipContext): MembershipState {
-  const bucket = refill(state.bucket, ctx.settings, ctx.now);
-  return { ...state, bucket: spend(bucket, bytes) };
+  const syncBucket = refill(state.syncBucket, syncLimits(ctx), ctx.now);
+  return { ...state, syncBucket: spend(syncBucket, bytes) };
 }
 
 /** Compares with a neighbour when it is time and the limit of bytes allows. */
@@ -44,8 +54,8 @@
   const syncAt = later(ctx.now, ctx.settings.syncMs * (0.5 + ctx.random.next()));
   const [target] = sample(state.neighbours, 1, ctx.random);
   const address = target === undefined ? undefined : state.members.get(target)?.address;
-  const bucket = refill(state.bucket, ctx.settings, ctx.now);
-  if (address === undefined || bucket.tokens <= 0) return next({ ...state, bucket, syncAt });
+  const { tokens } = refill(state.syncBucket, syncLimits(ctx), ctx.now);
+  if (address === undefined || tokens <= 0) return next({ ...state, syncAt });
   const charged = charge({ ...state, syncAt }, DIGEST_BYTES, ctx);
   return next(charged, send(address, newDigest(state, ctx)));
 }
@@ -86,6 +96,8 @@
   digest: DigestMessage,
   ctx: MembershipContext,
 ): MembershipStep {
+  const { tokens } = refill(state.syncBucket, syncLimits(ctx), ctx.now);
+  if (tokens < RESERVE_BYTES) return unchanged(state);
   const first = Math.floor(ctx.random.next() * BUCKETS);
   const lines = answerDigest(state.entries, digest, first, ctx.epoch);
   if (!lines) return unchanged(state);
@@ -111,7 +123,7 @@
   entries: readonly Entry[],
   ctx: MembershipContext,
 ): MembershipStep {
-  const { tokens } = refill(state.bucket, ctx.settings, ctx.now);
+  const { tokens } = refill(state.syncBucket, syncLimits(ctx), ctx.now);
   if (entries.length === 0 || tokens <= 0) return unchanged(state);
   // Members first: without them nobody can be reached.
   const ordered = [...entries].sort(
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -119,9 +119,12 @@
   readonly pauseMs: number;
   /** The dead are remembered this long. */
   readonly deadTtlMs: number;
-  /** Limit of what gossip sends, bytes a second, and what may be sent at once. */
+  /** Limit of rumours and direct messages, bytes a second, and what may be sent at once. */
   readonly bytesPerSecond: number;
   readonly burstBytes: number;
+  /** The same for comparisons. */
+  readonly syncBytesPerSecond: number;
+  readonly syncBurstBytes: number;
 }
 
 export const MEMBERSHIP_DEFAULTS: MembershipSettings = {
@@ -137,8 +140,10 @@
   announceMsPerDaemon: 300,
   pauseMs: 1000,
   deadTtlMs: 2 * 3_600_000,
-  bytesPerSecond: 6000,
-  burstBytes: 48_000,
+  bytesPerSecond: 4000,
+  burstBytes: 32_000,
+  syncBytesPerSecond: 2000,
+  syncBurstBytes: 32_000,
 };
 
 /** What a step may know besides state and event. */
--- a/tests/membership-detection.test.ts
+++ b/tests/membership-detection.test.ts
@@ -41,6 +41,16 @@
   });
 });
 
+describe('a hundred daemons that are all started at once', () => {
+  it('know each other within thirty seconds', () => {
+    const count = 100;
+    world = createWorld(1, count);
+    run(world, 30 * TICKS_PER_SECOND, 0);
+    const known = world.nodes.map(({ state }) => state?.members.size ?? 0);
+    expect(Math.min(...known)).toBe(count);
+  });
+});
+
 describe('a daemon that is killed', () => {
   it('is dead to all others within eight seconds', () => {
     kill(world, 0);
