--- a/src/core/routing/stragglers.ts
+++ b/src/core/routing/stragglers.ts
@@ -11,6 +11,8 @@
 
 /** Weight of the newest sample in a moving average. */
 const NEWEST_WEIGHT = 0.2;
+/** Below this multiple of the median, differences in speed are taken for chance. */
+const SLOW_FROM = 1.5;
 /** Part of its normal work that a returning group gets at first. */
 const RAMP_START = 0.1;
 
@@ -95,8 +97,27 @@
   return isOutlier ? value / Math.max(middle, 1) : 0;
 }
 
-/** Judges the groups of one model; ejects the worst outliers within the floor. */
-export function judge(groups: readonly GroupState[], now: MonoTime, opts: RoutingOptions): void {
+/** Groups that are out now. */
+export function countEjected(
+  groups: Iterable<GroupState>,
+  now: MonoTime,
+  opts: RoutingOptions,
+): number {
+  let out = 0;
+  for (const group of groups) if (standing(group, now, opts) === 0) out += 1;
+  return out;
+}
+
+/**
+ * Judges the groups of one model; ejects the worst outliers within the floor. `alreadyOut` counts
+ * those of the model that are out, whether or not they are among `groups`.
+ */
+export function judge(
+  groups: readonly GroupState[],
+  alreadyOut: number,
+  now: MonoTime,
+  opts: RoutingOptions,
+): void {
   for (const group of groups) forgive(group, now, opts);
   const worst = new Map<GroupState, number>();
   const inGame = groups.filter((group) => standing(group, now, opts) > 0);
@@ -111,8 +132,7 @@
     }
   }
   rateSpeed(groups, opts);
-  const out = groups.filter((group) => standing(group, now, opts) === 0).length;
-  const room = Math.floor(groups.length * opts.maxEjectedShare) - out;
+  const room = Math.floor(groups.length * opts.maxEjectedShare) - alreadyOut;
   const outliers = [...worst].toSorted((a, b) => b[1] - a[1]);
   for (const [group] of outliers.slice(0, Math.max(0, room))) eject(group, now, opts);
 }
@@ -123,7 +143,9 @@
   const middle = median(read.filter((value) => value !== undefined));
   for (const [i, group] of groups.entries()) {
     const value = read[i];
-    if (value !== undefined && middle > 0) group.slowness = Math.max(1, value / middle);
+    if (value === undefined || middle === 0) continue;
+    const ratio = value / middle;
+    group.slowness = ratio > SLOW_FROM ? ratio : 1;
   }
 }
 
--- a/tests/control-leaving.test.ts
+++ b/tests/control-leaving.test.ts
@@ -52,6 +52,18 @@
     }
   });
 
+  it.each(MARKS)('gets none while nobody holds the lease either, when %s', async (_how, mark) => {
+    const world = await serving(5);
+    const [victim = ''] = members(world);
+    world.table.down = true;
+    await world.advance(15_000);
+    expect(world.daemons.flatMap(({ control }) => control.heldDomains())).toEqual([]);
+    mark(world, victim);
+    await world.advance(3_000);
+    expect(world.engines.get(victim)?.state).toBe('serving');
+    expect(world.routable('m')).toEqual(['', '', '']);
+  });
+
   it('is replaced by a spare that holds the weights, once what was in flight is done', async () => {
     const world = await serving(5);
     const [first = '', victim = ''] = members(world);
@@ -126,4 +138,22 @@
     expect(rowsBelow(world.table, 'slot/')).toEqual([]);
     expect([...world.engines.values()].every((one) => one.state === 'idle')).toBe(true);
   });
+
+  it('has groups of another size give way one after the other', async () => {
+    const world = createWorld();
+    for (let n = 1; n <= 8; n++) world.addEngine(`e${n}`, 'd1');
+    const { control } = await world.addDaemon('a');
+    world.config.next(configOf(modelSpec('m', { replicas: 2 })));
+    await world.advance(18_000);
+    expect(control.routable('m' as never)).toHaveLength(2);
+    world.config.next(configOf(modelSpec('m', { replicas: 2, membersPerReplica: 3 })));
+    const least: number[] = [];
+    for (let passed = 0; passed < 30_000; passed += 500) {
+      await world.advance(500);
+      least.push(control.routable('m' as never).length);
+    }
+    expect(Math.min(...least)).toBe(1);
+    const sizes = control.routable('m' as never).map((group) => group.members.length);
+    expect(sizes).toEqual([3, 3]);
+  });
 });
