Announce leaving as the stop begins, and enter all benchmarks

Cause: roles moved only once the last stream had finished; six benchmarks stood without an entry. Change: the drain begins with the announcement; the table of benchmarks is whole.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,11 +1,17 @@
 /** Runs the benchmarks named on the command line, or all; prints a JSON line for each figure. */
 
 import { compareIsolation, compareWorth } from './admission';
+import { benchConfigPropagation } from './config-propagation';
 import { benchGroups } from './groups';
+import { benchLoads } from './groups-loads';
 import { benchControlSlopes } from './groups-slopes';
+import { benchMembershipSlopes } from './membership-slopes';
+import { benchMembershipTraffic } from './membership-traffic';
+import { benchQuarantine } from './quarantine';
 import { measureRelay } from './relay';
 import { measureRelaySlopes } from './relay-slopes';
 import { measureRequestSlopes } from './request-slopes';
+import { compareRetries } from './retry';
 import { compareRouting } from './routing';
 
 type Benchmark = () => Promise<readonly object[]> | readonly object[];
@@ -17,6 +23,12 @@
   groups: () => benchGroups(),
   'slopes-control': benchControlSlopes,
   'slopes-request': measureRequestSlopes,
+  retries: compareRetries,
+  quarantine: benchQuarantine,
+  'group-loads': benchLoads,
+  'config-propagation': benchConfigPropagation,
+  'slopes-membership': benchMembershipSlopes,
+  'membership-traffic': benchMembershipTraffic,
   relay: measureRelay,
   'slopes-relay': measureRelaySlopes,
 };
--- a/src/app/stop.ts
+++ b/src/app/stop.ts
@@ -44,6 +44,8 @@
 /** Unready, wait for the balancer, refuse new work, finish what runs, hand back, stop. */
 async function run({ settings, parts, listening, logger, ...deps }: StopDeps): Promise<void> {
   logger.info('stopping', { step: 'drain' });
+  // Roles move to the other daemons while the streams here finish.
+  parts.membership.leave();
   await pause(settings.drainWaitMs);
   const finished = await within(parts.requests.drain(), settings.drainLimitMs);
   if (!finished) {
