--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -140,9 +140,9 @@
   announceMsPerDaemon: 300,
   pauseMs: 1000,
   deadTtlMs: 2 * 3_600_000,
-  bytesPerSecond: 4000,
+  bytesPerSecond: 5500,
   burstBytes: 32_000,
-  syncBytesPerSecond: 2000,
+  syncBytesPerSecond: 1500,
   syncBurstBytes: 32_000,
 };
 
