Bound the bytes that reading all groups takes

Ruled out: reading by domain alone, since every daemon routes to all. Change: groups are read at most as often as 4,000 bytes a second allow, about every 4 minutes at that size; gossip, its comparisons and epochs in reports tell sooner. At the size of today nothing changes (2 s).

--- a/src/app/control/control.ts
+++ b/src/app/control/control.ts
@@ -24,7 +24,7 @@
 import { createNews } from './news';
 import { createProbes } from './probes';
 import { createRoles } from './roles';
-import { paceOf } from './settings';
+import { NO_LOAD, paceOf } from './settings';
 import type { Pace } from './settings';
 import { contextOf, pause, plansOf, unknownInstance } from './setup';
 import { statusOf } from './status';
@@ -65,7 +65,7 @@
   const due = createDue<Work>();
   let scanning = false;
   let plansInForce: Readonly<Record<ModelId, ModelPlan>> = {};
-  let pace: Pace = paceOf(settings, { probed: 0, peers: 1, listed: 0, isLister: true });
+  let pace: Pace = paceOf(settings, NO_LOAD);
 
   const reported = (report: EngineReport, sentAt: MonoTime): void => {
     for (const state of holders.all()) {
@@ -175,6 +175,7 @@
       probed: probes.assigned,
       peers: ctx.membership.peers().length,
       listed: directory.instances().length,
+      grouped: watches.all().reduce((sum, { row }) => sum + row.members.length, 0),
       isLister: roles.isLister(),
     });
     view.refresh();
--- a/src/app/control/settings.ts
+++ b/src/app/control/settings.ts
@@ -16,6 +16,8 @@
   readonly probeBytesPerSecond: number;
   /** Shortest time between two reads of all groups, and of all leases. */
   readonly pollMs: number;
+  /** Bytes a second that this daemon spends on reading all groups; gossip is faster. */
+  readonly pollBytesPerSecond: number;
   /** Scans a second that all daemons together may spend on groups, and as many on leases. */
   readonly scansPerSecond: number;
   /** Shortest time between two reads of the instance list. */
@@ -39,6 +41,7 @@
   probeMs: 1_000,
   probeBytesPerSecond: 8_000,
   pollMs: 2_000,
+  pollBytesPerSecond: 4_000,
   scansPerSecond: 200,
   listMs: 1_000,
   listBytesPerSecond: 2_000,
@@ -67,6 +70,8 @@
 const PROBE_BYTES = 475;
 /** One entry of the instance list; measured. */
 const LIST_ENTRY_BYTES = 150;
+/** One member's part of a group's row, the rest of the row shared out; computed for 4 members. */
+const GROUP_MEMBER_BYTES = 120;
 const MS_PER_SECOND = 1_000;
 /** Statements of a peer that cost the receivers this much time between two of them. */
 const STATE_MS_PER_PEER = 80;
@@ -78,10 +83,15 @@
   readonly probed: number;
   readonly peers: number;
   readonly listed: number;
+  /** Members of all groups. */
+  readonly grouped: number;
   /** One of the few daemons that read the instance list often. */
   readonly isLister: boolean;
 }
 
+/** Before anything is known. */
+export const NO_LOAD: Load = { probed: 0, peers: 1, listed: 0, grouped: 0, isLister: true };
+
 export interface Pace {
   readonly probeMs: number;
   readonly stateMs: number;
@@ -100,6 +110,8 @@
   const probeMs = Math.max(settings.probeMs, probing);
   const stateMs = Math.max(settings.stateMs, load.peers * STATE_MS_PER_PEER);
   const polling = (load.peers * MS_PER_SECOND) / settings.scansPerSecond;
+  const rowBytes = load.grouped * GROUP_MEMBER_BYTES;
+  const reading = perSecond(rowBytes, settings.pollBytesPerSecond);
   const listing = perSecond(load.listed * LIST_ENTRY_BYTES, settings.listBytesPerSecond);
   return {
     probeMs,
@@ -107,7 +119,7 @@
     freshMs: FRESH_INTERVALS * probeMs,
     // Statements that come seldom must hold for longer.
     statedExtraMs: (FRESH_INTERVALS - 1) * (stateMs - settings.stateMs),
-    pollMs: Math.max(settings.pollMs, polling),
+    pollMs: Math.max(settings.pollMs, polling, reading),
     listMs: load.isLister ? settings.listMs : Math.max(settings.listMs, listing),
   };
 }
