Read leases at their own pace

Cause: the change before slowed the reads of leases together with those of groups; a dead holder's lease would have been taken over after minutes at the planned size. Change: an interval of their own, bounded by scans alone. Measured: the tests of the control plane pass; a new one holds the interval.

--- a/src/app/control/control.ts
+++ b/src/app/control/control.ts
@@ -202,7 +202,7 @@
   const tick = (): void => {
     const now = clock.now();
     due.run('list', now, jittered(pace.listMs), directory.poll);
-    due.run('leases', now, jittered(pace.pollMs), leases.poll);
+    due.run('leases', now, jittered(pace.leaseMs), leases.poll);
     due.run('groups', now, jittered(pace.pollMs), pollGroups);
     leases.tick();
     holders.sync();
--- a/src/app/control/settings.ts
+++ b/src/app/control/settings.ts
@@ -100,6 +100,8 @@
   /** How much longer a statement counts than the probes that it rests on. */
   readonly statedExtraMs: number;
   readonly pollMs: number;
+  /** Between two reads of all leases, on which their takeover waits. */
+  readonly leaseMs: number;
   readonly listMs: number;
 }
 
@@ -120,6 +122,7 @@
     // Statements that come seldom must hold for longer.
     statedExtraMs: (FRESH_INTERVALS - 1) * (stateMs - settings.stateMs),
     pollMs: Math.max(settings.pollMs, polling, reading),
+    leaseMs: Math.max(settings.pollMs, polling),
     listMs: load.isLister ? settings.listMs : Math.max(settings.listMs, listing),
   };
 }
--- a/tests/control-pace.test.ts
+++ b/tests/control-pace.test.ts
@@ -18,4 +18,10 @@
     const scansPerSecond = (PLANNED.peers * 1_000) / pollMs;
     expect(scansPerSecond).toBeLessThanOrEqual(CONTROL_SETTINGS.scansPerSecond);
   });
+
+  it('reads leases no seldomer for that, since their takeover waits on it', () => {
+    const { leaseMs } = paceOf(CONTROL_SETTINGS, PLANNED);
+    expect(leaseMs).toBeLessThan(5_000);
+    expect((PLANNED.peers * 1_000) / leaseMs).toBeLessThanOrEqual(CONTROL_SETTINGS.scansPerSecond);
+  });
 });
