Take addresses apart and read engines' bodies in one place each

Cause: read as a newcomer: host:port was taken apart in four places, one of which left the brackets on IPv6 hosts, so that a service configured as [::1]:7302 could not be dialled; two functions read an engine's body alike; tests took ports from the ephemeral range, where EADDRINUSE was seen once.

--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -4,6 +4,8 @@
 import type { Agent, IncomingHttpHeaders } from 'node:http';
 import { ResultAsync } from 'neverthrow';
 
+import { parseAddress } from '../utils/address';
+
 /** What is asked of which address. */
 export interface HttpCall {
   readonly agent: Agent;
@@ -42,7 +44,7 @@
 
 function exchange(call: HttpCall): Promise<HttpReply> {
   return new Promise((resolve, reject) => {
-    const [host, port] = splitAddress(call.address);
+    const { host, port } = parseAddress(call.address);
     const headers: Record<string, string> = {};
     if (call.body !== undefined) {
       headers['content-type'] = call.contentType ?? 'application/json';
@@ -87,13 +89,6 @@
   });
 }
 
-/** Splits `host:port`; IPv6 hosts stand in brackets. */
-export function splitAddress(address: string): readonly [string, number] {
-  const at = address.lastIndexOf(':');
-  const host = address.slice(0, at).replace(/^\[|\]$/g, '');
-  return [host, Number(address.slice(at + 1))];
-}
-
 /** Sends one call. */
 export function callHttp(call: HttpCall): ResultAsync<HttpReply, HttpFailure> {
   return ResultAsync.fromPromise(exchange(call), (err) =>
--- a/src/adapters/peers/peers.ts
+++ b/src/adapters/peers/peers.ts
@@ -6,6 +6,7 @@
 import type { Observable } from 'rxjs';
 
 import type { DaemonId } from '../../core/ids';
+import { parseAddress } from '../../utils/address';
 import type { Peers, Received } from '../../ports/peers';
 import type { Clock, Logger, Random } from '../../ports/runtime';
 import { fail } from '../../utils/errors';
@@ -14,7 +15,7 @@
 import type { PeerName } from './handshake';
 import { IDLE, createLink } from './link';
 import type { Link, LinkLimits } from './link';
-import { createPeerServer, dialPeer, parseAddress } from './tls';
+import { createPeerServer, dialPeer } from './tls';
 import type { PeerTls } from './tls';
 
 export interface PeerSettings extends LinkLimits, BackoffLimits {
--- a/src/adapters/peers/tls.ts
+++ b/src/adapters/peers/tls.ts
@@ -4,6 +4,8 @@
 import type { Server, Socket } from 'node:net';
 import { connect as connectTls, createServer as createTlsServer } from 'node:tls';
 
+import { parseAddress } from '../../utils/address';
+
 /** PEM texts; each daemon has a certificate of the same authority. */
 export interface PeerTls {
   readonly cert: string;
@@ -11,18 +13,6 @@
   readonly ca: string;
 }
 
-/** `host:port` taken apart. */
-export interface HostPort {
-  readonly host: string;
-  readonly port: number;
-}
-
-export function parseAddress(address: string): HostPort {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
-  return { host, port: Number(address.slice(colon + 1)) };
-}
-
 /** Dials a daemon. Daemons are known by IP numbers, so the authority is checked and no host name. */
 export function dialPeer(address: string, tls: PeerTls | undefined): Socket {
   const target = parseAddress(address);
--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -11,6 +11,7 @@
 import { connect } from 'node:net';
 import type { NetConnectOpts, Socket } from 'node:net';
 
+import { parseAddress } from '../../utils/address';
 import type { ErrorCode, StepError } from '../../utils/errors';
 import { fail } from '../../utils/errors';
 
@@ -99,11 +100,6 @@
   return Object.assign(agent, { createConnection: open });
 }
 
-function splitAddress(address: string): { host: string; port: number } {
-  const at = address.lastIndexOf(':');
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
-}
-
 function upstreamError(code: ErrorCode, call: UpstreamCall, cause: unknown): StepError {
   const step = code === 'unavailable' ? 'connect' : 'first-byte';
   const detail = cause instanceof Error ? cause.message : 'connection closed';
@@ -154,7 +150,7 @@
   return {
     send: (call) =>
       new Promise((resolve) => {
-        const { host, port } = splitAddress(call.address);
+        const { host, port } = parseAddress(call.address);
         const { method, path, headers } = call;
         const agent = call.ownConnection ? single : shared;
         const req = request({ agent, host, port, method, path, headers });
--- a/src/app/listen.ts
+++ b/src/app/listen.ts
@@ -4,7 +4,7 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
-import { splitAddress } from '../adapters/http-call';
+import { parseAddress } from '../utils/address';
 import { fail } from '../utils/errors';
 import type { HttpHandler } from './parts';
 
@@ -47,7 +47,7 @@
     opts.handler,
   );
   server.maxConnections = opts.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
-  const [host, port] = splitAddress(opts.address);
+  const { host, port } = parseAddress(opts.address);
   return new Promise((resolve, reject) => {
     server.once('error', (cause) => {
       reject(fail('unavailable', 'cannot listen', { step: 'listen', peer: opts.address, cause }));
--- a/src/app/requests/model-answer.ts
+++ b/src/app/requests/model-answer.ts
@@ -1,12 +1,13 @@
 /** Reads an engine's answer: whole, streamed, or a refusal; and checks whose it is. */
 
 import type { IncomingMessage } from 'node:http';
+import type { Result } from 'neverthrow';
 
 import type { Answered } from '../../adapters/upstream/upstream';
 import type { RoutableGroup } from '../../core/groups/types';
 import type { AttemptId } from '../../core/ids';
 import type { Span } from '../../ports/telemetry';
-import type { ErrorCode } from '../../utils/errors';
+import type { ErrorCode, StepError } from '../../utils/errors';
 import { fail } from '../../utils/errors';
 import { isRecord } from '../../utils/is';
 import type { AttemptAbort } from './abort';
@@ -92,16 +93,21 @@
   return attemptFailed('refused', fail('backend-refused', 'engine takes no request now', origin));
 }
 
-/** An error that the engine found in the request itself: passed on as the answer. */
-async function onRequestError(attempt: ModelAttempt, answered: Answered): Promise<AttemptResult> {
-  const { ctx, group, abort } = attempt;
-  const origin = { step: 'last-byte', peer: group.address };
-  const maxBytes = ctx.settings.maxAnswerBytes;
-  const body = await readBody(answered.res, {
-    maxBytes,
+function readWhole(
+  { ctx, group, abort }: ModelAttempt,
+  { res }: Answered,
+): Promise<Result<Buffer, StepError>> {
+  return readBody(res, {
+    maxBytes: ctx.settings.maxAnswerBytes,
     signal: abort.controller.signal,
-    ...origin,
+    step: 'last-byte',
+    peer: group.address,
   });
+}
+
+/** An error that the engine found in the request itself: passed on as the answer. */
+async function onRequestError(attempt: ModelAttempt, answered: Answered): Promise<AttemptResult> {
+  const body = await readWhole(attempt, answered);
   if (body.isErr()) return attemptFailed('lost', body.error);
   const type = answered.res.headers['content-type'] ?? 'application/json';
   const headers = { 'content-type': type };
@@ -116,14 +122,7 @@
 }
 
 async function onWhole(attempt: ModelAttempt, answered: Answered): Promise<AttemptResult> {
-  const { ctx, group, abort } = attempt;
-  const origin = { step: 'last-byte', peer: group.address };
-  const maxBytes = ctx.settings.maxAnswerBytes;
-  const body = await readBody(answered.res, {
-    maxBytes,
-    signal: abort.controller.signal,
-    ...origin,
-  });
+  const body = await readWhole(attempt, answered);
   if (body.isErr()) return attemptFailed('lost', body.error);
   const fault = checkWholeAnswer(body.value);
   if (fault !== undefined) return badAnswer(attempt, `not a whole answer: ${fault}`);
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -4,7 +4,7 @@
 import { request } from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { splitAddress } from '../adapters/http-call';
+import { parseAddress } from '../utils/address';
 import { isRecord } from '../utils/is';
 import { EXIT } from './command';
 import type { CommandContext, CommandError, CommandResult } from './command';
@@ -63,7 +63,7 @@
 }
 
 function exchange(address: string, key: string, call: AdminCall): Promise<AdminReply> {
-  const [host, port] = splitAddress(address);
+  const { host, port } = parseAddress(address);
   const { method } = call;
   const path = `/admin/v1/${call.path}`;
   return new Promise((resolve) => {
--- a/stand-ins/platform/platform.ts
+++ b/stand-ins/platform/platform.ts
@@ -3,15 +3,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { InstanceEntry, Transaction } from '../../src/ports/platform';
-import {
-  listen,
-  parseAddress,
-  pathOf,
-  readBody,
-  readJson,
-  sendEmpty,
-  sendJson,
-} from '../shared/server';
+import { parseAddress } from '../../src/utils/address';
+import { listen, pathOf, readBody, readJson, sendEmpty, sendJson } from '../shared/server';
 import type { Running } from '../shared/program';
 import { createFaults, SERVICES, underFaults } from './faults';
 import type { Call, Counts, PlatformFaults } from './faults';
--- a/stand-ins/service/service.ts
+++ b/stand-ins/service/service.ts
@@ -4,15 +4,8 @@
 
 import { passGate, takeOne } from '../shared/gate';
 import type { GateFaults } from '../shared/gate';
-import {
-  headerOf,
-  listen,
-  parseAddress,
-  pathOf,
-  readBody,
-  readJson,
-  sendJson,
-} from '../shared/server';
+import { parseAddress } from '../../src/utils/address';
+import { headerOf, listen, pathOf, readBody, readJson, sendJson } from '../shared/server';
 import type { Running } from '../shared/program';
 
 export interface ServiceOptions {
--- a/stand-ins/shared/client.ts
+++ b/stand-ins/shared/client.ts
@@ -2,7 +2,7 @@
 
 import { Agent, request } from 'node:http';
 
-import { parseAddress } from './server';
+import { parseAddress } from '../../src/utils/address';
 
 export interface JsonCall {
   /** `host:port`. */
--- a/stand-ins/shared/server.ts
+++ b/stand-ins/shared/server.ts
@@ -22,12 +22,6 @@
   close(): Promise<void>;
 }
 
-/** Splits `host:port`. */
-export function parseAddress(address: string): ListenAddress {
-  const colon = address.lastIndexOf(':');
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
-
 function onFailure(res: ServerResponse, err: unknown): void {
   if (res.headersSent) {
     res.destroy();
--- a/tests/client-library-callers.test.ts
+++ b/tests/client-library-callers.test.ts
@@ -7,7 +7,7 @@
 
 import type { MemberRecord } from '../stand-ins/engine/record';
 import { callJson } from '../stand-ins/shared/client';
-import { parseAddress } from '../stand-ins/shared/server';
+import { parseAddress } from '../src/utils/address';
 import { until } from './support/processes';
 import { CALLER_KEY, chat, documentFor, startSystem, submit, untilServing } from './support/system';
 import type { DaemonProcess, System } from './support/system';
--- a/tests/faults/membership-links.test.ts
+++ b/tests/faults/membership-links.test.ts
@@ -8,7 +8,7 @@
 import { createLink } from '../../src/adapters/peers/link';
 import { PEER_DEFAULTS } from '../../src/adapters/peers/peers';
 import type { TcpPeers } from '../../src/adapters/peers/peers';
-import { parseAddress } from '../../src/adapters/peers/tls';
+import { parseAddress } from '../../src/utils/address';
 import type { DaemonId } from '../../src/core/ids';
 import { freeAddresses, until } from '../support/membership-daemons';
 import { SECRET, closed, peersAt, provedLink, rawSocket } from '../support/raw-peers';
--- a/tests/support/raw-peers.ts
+++ b/tests/support/raw-peers.ts
@@ -7,7 +7,7 @@
 import type { Link } from '../../src/adapters/peers/link';
 import { PEER_DEFAULTS, createPeers } from '../../src/adapters/peers/peers';
 import type { PeerSettings, TcpPeers } from '../../src/adapters/peers/peers';
-import { parseAddress } from '../../src/adapters/peers/tls';
+import { parseAddress } from '../../src/utils/address';
 import { createClock, createRandom } from '../../src/adapters/runtime';
 import type { DaemonId } from '../../src/core/ids';
 import type { Logger } from '../../src/ports/runtime';
--- a/tests/support/system.ts
+++ b/tests/support/system.ts
@@ -1,10 +1,9 @@
 /** A whole system of separate processes on loopback: platform, engines, service, daemons. */
 
 import { createHash } from 'node:crypto';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { z } from 'zod';
 
+import { freePorts } from '../../scripts/demo/processes';
 import { run, until } from './processes';
 import type { Running } from './processes';
 
@@ -49,21 +48,14 @@
   stop(): Promise<void>;
 }
 
-export function sha256(text: string): string {
-  return createHash('sha256').update(text).digest('hex');
+/** A port that was free a moment ago. */
+export async function freePort(): Promise<number> {
+  const [port] = await freePorts(1);
+  return port ?? 0;
 }
 
-/** A port that was free a moment ago. */
-export function freePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => {
-        resolve(port);
-      });
-    });
-  });
+export function sha256(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
 }
 
 async function startEngines(
