Publish gossip that ends on a whole millisecond

Cause: status showed groups as not routable on daemons that did not observe them. Statements that groups are well end after a fraction of a millisecond; peers take whole ones only and dropped, without a word, the whole message a statement came in: 64 published and 0 taken in 14 s of the demo. Daemons lived by their own probes on demand. Ruled out: distrust left over from probes of a forming group. Change: the membership part rounds the end of an entry up. Conclusion: the control plane was proved over in-memory gossip alone; the test of the whole path now looks at every daemon's view.

--- a/src/app/membership/membership.ts
+++ b/src/app/membership/membership.ts
@@ -20,7 +20,8 @@
 import { createPeers } from '../../adapters/peers/peers';
 import type { PeerSettings, PeerTraffic, PeersOptions } from '../../adapters/peers/peers';
 import type { PeerTls } from '../../adapters/peers/tls';
-import type { ConfigVersion, DaemonId } from '../../core/ids';
+import { brandAs } from '../../core/ids';
+import type { ConfigVersion, DaemonId, EpochTime } from '../../core/ids';
 import { reduceMembership } from '../../core/membership/membership';
 import { createMembershipState } from '../../core/membership/state';
 import type { Identity, MembershipState } from '../../core/membership/state';
@@ -147,7 +148,9 @@
   }
 
   const gossip: Gossip = {
-    publish: (topic, key, value, expiresAt) => {
+    publish: (topic, key, value, endsAt) => {
+      // Instants on the wire are whole milliseconds; a peer drops a message with any other.
+      const expiresAt = brandAs<EpochTime>(Math.ceil(endsAt));
       dispatch({ kind: 'publish', topic, key, value, expiresAt });
     },
     received,
--- a/tests/membership-fleet.test.ts
+++ b/tests/membership-fleet.test.ts
@@ -55,6 +55,16 @@
     expect(got.at(-1)?.value).toBe(2);
   });
 
+  it('tell all of an entry whose life ends between two milliseconds', async () => {
+    fleet = await startFleet({ count: 3 });
+    await allKnow(3);
+    const expiresAt = (Math.floor(Date.now()) + 60_000.5) as EpochTime;
+    at(0).part.gossip.publish('topic', 'key', 1, expiresAt);
+    await until('the entry is everywhere', () =>
+      others().every(({ part }) => part.gossip.entries('topic')[0]?.value === 1),
+    );
+  });
+
   it('announce the version of the configuration in force', async () => {
     fleet = await startFleet({ count: 3 });
     await allKnow(3);
--- a/tests/whole-path.test.ts
+++ b/tests/whole-path.test.ts
@@ -4,8 +4,10 @@
 import { join } from 'node:path';
 import { promisify } from 'node:util';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+import { z } from 'zod';
 
 import { answerText } from '../stand-ins/engine/answer';
+import { until } from './support/processes';
 import {
   CALLER_KEY,
   chat,
@@ -17,6 +19,9 @@
 import type { System } from './support/system';
 
 const run = promisify(execFile);
+const statusBody = z.object({
+  control: z.object({ groups: z.array(z.object({ routable: z.boolean() })) }),
+});
 const MESSAGES = [{ role: 'user', content: 'is amoxicillin on the shelves of Lorient?' }];
 
 let system: System;
@@ -78,6 +83,21 @@
     }
   });
 
+  it('has every daemon know every group as routable, by word of its peers', async () => {
+    const routable = async (admin: string): Promise<readonly boolean[]> => {
+      const headers = { authorization: `Bearer ${OPERATOR_KEY}` };
+      const res = await fetch(`http://${admin}/admin/v1/status`, { headers });
+      const { control } = statusBody.parse(await res.json());
+      return control.groups.map((group) => group.routable);
+    };
+    for (const { admin, id } of system.daemons) {
+      await until(async () => {
+        const seen = await routable(admin);
+        return seen.length === 2 && seen.every(Boolean) ? true : undefined;
+      }, `${id} sees both groups`);
+    }
+  });
+
   it('runs a non-repeatable service call once, whichever daemon it is sent to', async () => {
     for (const daemon of system.daemons) {
       const res = await fetch(`http://${daemon.callers}/services/ledger/reservations`, {
