--- a/src/adapters/peers/peers.ts
+++ b/src/adapters/peers/peers.ts
@@ -100,7 +100,14 @@
 
   function takeFrame(peer: PeerName | undefined, frame: unknown): boolean {
     const message = options.parse(frame);
-    if (message === undefined || !peer) return false;
+    if (message === undefined || !peer) {
+      // A daemon of another program, or a fault: never to be passed over in silence.
+      logger.warn('message refused: no daemon sends such a one', {
+        step: 'peer-message',
+        ...(peer && { peer: peer.id }),
+      });
+      return false;
+    }
     received.next({ from: peer.id, address: peer.address, message });
     return true;
   }
--- a/tests/faults/membership-links.test.ts
+++ b/tests/faults/membership-links.test.ts
@@ -17,6 +17,7 @@
 let addresses: readonly string[];
 let daemon: TcpPeers<TestMessage>;
 let got: string[];
+let warnings: string[];
 const others: { stop(): Promise<void> }[] = [];
 
 function addressOf(index: number): string {
@@ -32,8 +33,10 @@
 
 beforeEach(async () => {
   addresses = await freeAddresses(2);
-  daemon = peersAt('daemon', addressOf(0), { settings: { handshakeMs: 200, firstMs: 20 } });
   got = [];
+  warnings = [];
+  const settings = { handshakeMs: 200, firstMs: 20 };
+  daemon = peersAt('daemon', addressOf(0), { settings, warnings });
   daemon.received.subscribe(({ message }) => got.push(message.text));
   await daemon.start();
 });
@@ -130,6 +133,7 @@
     link.send({ kind: 'other' });
     await closed(socket);
     expect(got).toEqual(['fine']);
+    expect(warnings).toEqual(['message refused: no daemon sends such a one']);
   });
 
   it('carries messages sent while it was being made, in order', async () => {
--- a/tests/support/raw-peers.ts
+++ b/tests/support/raw-peers.ts
@@ -31,7 +31,12 @@
 export function peersAt(
   id: string,
   address: string,
-  options: { readonly secret?: string; readonly settings?: Partial<PeerSettings> } = {},
+  options: {
+    readonly secret?: string;
+    readonly settings?: Partial<PeerSettings>;
+    /** Takes the messages of warnings. */
+    readonly warnings?: string[];
+  } = {},
 ): TcpPeers<TestMessage> {
   return createPeers<TestMessage>({
     self: { id: id as DaemonId, address },
@@ -39,7 +44,7 @@
     parse: parseTest,
     clock: createClock(),
     random: createRandom(1),
-    logger: SILENT,
+    logger: { ...SILENT, warn: (message) => options.warnings?.push(message) },
     settings: options.settings ?? {},
   });
 }
