Hash keys in one place

Cause: the hash under which the configuration holds a key stood twice, for callers and for operators, and the command line used the operators' one; had one changed, keys made by the command line would not have opened a daemon. Ruled out: the three short waits that look alike; one keeps the process alive during its stop and one must not, so they stay apart. Change: hashKey in utils/common.ts serves all; two tests import it under its new name, their assertions are as they were.

--- a/src/app/admin/auth.ts
+++ b/src/app/admin/auth.ts
@@ -1,11 +1,11 @@
 /** Who an operator is: found by the hash of the key. */
 
-import { createHash } from 'node:crypto';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 
 import type { Config } from '../../core/config/types';
 import type { OrganisationId } from '../../core/ids';
+import { hashKey } from '../../utils/common';
 import { fail } from '../../utils/errors';
 import type { StepError } from '../../utils/errors';
 
@@ -18,11 +18,6 @@
 const BEARER = /^Bearer +(\S+) *$/i;
 const STEP = 'admin-auth';
 
-/** The hash under which the configuration holds a key: SHA-256, hex. */
-export function hashOperatorKey(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
-}
-
 /** Errors: `unauthorized` (no known key), `forbidden` (a caller's key). */
 export function findOperator(
   config: Config,
@@ -31,7 +26,7 @@
 ): Result<Operator, StepError> {
   const key = BEARER.exec(authorization ?? '')?.[1];
   if (key === undefined) return err(fail('unauthorized', 'no operator key given', { step: STEP }));
-  const hash = hashOperatorKey(key);
+  const hash = hashKey(key);
   if (hash === bootstrapKeyHash) return ok({});
   const grant = Object.hasOwn(config.keys, hash) ? config.keys[hash] : undefined;
   if (grant === undefined) return err(fail('unauthorized', 'no such key', { step: STEP }));
--- a/src/app/requests/terms.ts
+++ b/src/app/requests/terms.ts
@@ -1,6 +1,5 @@
 /** Reads what a caller asks of the system by headers, and who the caller is. */
 
-import { createHash } from 'node:crypto';
 import type { IncomingHttpHeaders } from 'node:http';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -8,6 +7,7 @@
 import type { Config } from '../../core/config/types';
 import { brandAs, later } from '../../core/ids';
 import type { EpochTime, MonoTime } from '../../core/ids';
+import { hashKey } from '../../utils/common';
 import type { StepError } from '../../utils/errors';
 import { fail } from '../../utils/errors';
 import type { CallTerms, Caller } from './exchange';
@@ -19,11 +19,6 @@
 /** A deadline further away than this is brought nearer, milliseconds. */
 const LONGEST_DEADLINE_MS = 3_600_000;
 
-/** The hash by which a caller's key is looked up in the configuration. */
-export function hashKey(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
-}
-
 function lookUp<T>(table: Readonly<Record<string, T>>, key: string): T | undefined {
   return Object.hasOwn(table, key) ? table[key] : undefined;
 }
--- a/src/cli/commands/operations.ts
+++ b/src/cli/commands/operations.ts
@@ -3,7 +3,7 @@
 import { randomBytes } from 'node:crypto';
 
 import { version as VERSION } from '../../../package.json';
-import { hashOperatorKey } from '../../app/admin/auth';
+import { hashKey } from '../../utils/common';
 import { callAdmin, failureOf, readTarget } from '../client';
 import type { AdminTarget } from '../client';
 import { done, flagOf, usage } from '../command';
@@ -106,7 +106,7 @@
 
 function createKey(): NewKey {
   const key = `nk_${randomBytes(KEY_BYTES).toString('base64url')}`;
-  return { key, hash: hashOperatorKey(key) };
+  return { key, hash: hashKey(key) };
 }
 
 function showKey({ key, hash }: NewKey): CommandResult {
--- a/src/utils/common.ts
+++ b/src/utils/common.ts
@@ -12,6 +12,11 @@
   return hash.digest('hex');
 }
 
+/** The hash under which the configuration holds a key, of callers and operators alike: SHA-256, hex. */
+export function hashKey(key: string): string {
+  return createHash('sha256').update(key).digest('hex');
+}
+
 /** Compares strings by code unit: the same order on every machine. */
 export function compareText(a: string, b: string): number {
   if (a === b) return 0;
--- a/tests/admin.test.ts
+++ b/tests/admin.test.ts
@@ -4,7 +4,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 
 import { createAdmin } from '../src/app/admin/admin';
-import { hashOperatorKey } from '../src/app/admin/auth';
+import { hashKey } from '../src/utils/common';
 import { mergePatch } from '../src/app/admin/merge-patch';
 import { brandAs } from '../src/core/ids';
 import type { ConfigVersion, DaemonId } from '../src/core/ids';
@@ -28,7 +28,7 @@
   parts = fakeParts(config);
   const handler = createAdmin({
     ...parts.deps,
-    bootstrapKeyHash: hashOperatorKey('bootstrap'),
+    bootstrapKeyHash: hashKey('bootstrap'),
     maxBodyBytes: 10_000,
   });
   server = createServer(handler);
@@ -160,7 +160,7 @@
     expect((await send(RENNES, 'POST', 'keys', foreign)).status).toBe(403);
     const platform = { hash: '0'.repeat(64), role: 'operator' };
     expect((await send(RENNES, 'POST', 'keys', platform)).status).toBe(403);
-    const removed = await send(RENNES, 'DELETE', `keys/${hashOperatorKey(PLATFORM)}`);
+    const removed = await send(RENNES, 'DELETE', `keys/${hashKey(PLATFORM)}`);
     expect(removed.status).toBe(404);
     expect((await send(PLATFORM, 'GET', 'versions')).body).toEqual({ versions: [1] });
   });
@@ -168,7 +168,7 @@
 
 describe('keys', () => {
   it('are added and removed by hash', async () => {
-    const hash = hashOperatorKey('new');
+    const hash = hashKey('new');
     const key = { hash, organisation: 'rennes', role: 'operator' };
     expect((await send(RENNES, 'POST', 'keys', key)).status).toBe(200);
     expect((await send('new', 'GET', 'status')).status).toBe(200);
--- a/tests/cli.test.ts
+++ b/tests/cli.test.ts
@@ -4,7 +4,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import { createAdmin } from '../src/app/admin/admin';
-import { hashOperatorKey } from '../src/app/admin/auth';
+import { hashKey } from '../src/utils/common';
 import type { StartDaemon } from '../src/cli/command';
 import { COMMANDS, runProgram } from '../src/cli/program';
 import { fakeConfig, fakeParts } from './support/admin-parts';
@@ -190,7 +190,7 @@
     const args = ['node', 'nutmegstack', 'keys', 'new', '--output', 'json'];
     expect(await runProgram(args, {}, startDaemon)).toBe(0);
     const { key, hash } = output() as { key: string; hash: string };
-    expect(hash).toBe(hashOperatorKey(key));
+    expect(hash).toBe(hashKey(key));
   });
 
   it('add and remove keys, of which the daemon sees hashes alone', async () => {
