--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist', 'node_modules', '.tmp'] },
+  { ignores: ['dist', 'target', 'node_modules', '.tmp'] },
   js.configs.recommended,
   {
     files: ['**/*.ts'],
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,5 @@
-// Bundles every program of the project into dist/, one file a program.
+// Bundles every program of the project into dist/, one file a program; with the argument `daemon`, the
+// daemon of the users' platform alone into target/.
 import { existsSync } from 'node:fs';
 import { build } from 'esbuild';
 
@@ -12,11 +13,13 @@
   fuzz: 'tests/fuzz/main.ts',
 };
 
-const present = Object.entries(PROGRAMS).filter(([, source]) => existsSync(source));
+const isDeployment = process.argv[2] === 'daemon';
+const programs = isDeployment ? { daemon: 'platform/main.ts' } : PROGRAMS;
+const present = Object.entries(programs).filter(([, source]) => existsSync(source));
 
 await build({
   entryPoints: Object.fromEntries(present),
-  outdir: 'dist',
+  outdir: isDeployment ? 'target' : 'dist',
   outExtension: { '.js': '.cjs' },
   bundle: true,
   platform: 'node',
--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -15,6 +15,7 @@
   readonly path: string;
   readonly body?: Uint8Array;
   readonly contentType?: string;
+  readonly headers?: Readonly<Record<string, string>>;
   /** After this many milliseconds the call is given up and its connection destroyed. */
   readonly timeoutMs: number;
   /** Answers longer than this are given up, bytes. */
@@ -45,7 +46,7 @@
 function exchange(call: HttpCall): Promise<HttpReply> {
   return new Promise((resolve, reject) => {
     const { host, port } = parseAddress(call.address);
-    const headers: Record<string, string> = {};
+    const headers: Record<string, string> = { ...call.headers };
     if (call.body !== undefined) {
       headers['content-type'] = call.contentType ?? 'application/json';
       headers['content-length'] = String(call.body.byteLength);
--- a/src/adapters/platform/store-call.ts
+++ b/src/adapters/platform/store-call.ts
@@ -27,6 +27,8 @@
   readonly contentType?: string;
   /** Whether a lost answer leaves it open if something was written. */
   readonly writes: boolean;
+  /** In place of the store's own limit, as for a poll that waits, milliseconds. */
+  readonly timeoutMs?: number;
 }
 
 export type CallStore = (call: StoreCall) => ResultAsync<HttpReply, StepError>;
--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -20,6 +20,8 @@
   readonly connectTimeoutMs?: number;
   /** Idle connections kept to one address. */
   readonly maxIdle?: number;
+  /** An idle connection is closed after so long, milliseconds, or earlier where the server says so. */
+  readonly idleMs?: number;
 }
 
 /** One call to one backend server. */
@@ -28,7 +30,8 @@
   readonly address: string;
   readonly method: string;
   readonly path: string;
-  readonly headers: OutgoingHttpHeaders;
+  /** By name, or names and values in turn, sent as they are. */
+  readonly headers: OutgoingHttpHeaders | readonly string[];
   readonly body: Uint8Array;
   /** Whether to use a connection that no other call uses, before or after. */
   readonly ownConnection: boolean;
@@ -68,7 +71,7 @@
   close(): void;
 }
 
-const DEFAULTS = { connectTimeoutMs: 1_000, maxIdle: 64 } as const;
+const DEFAULTS = { connectTimeoutMs: 1_000, maxIdle: 64, idleMs: 60_000 } as const;
 
 type Connected = (err: Error | null, socket?: Socket) => void;
 
@@ -92,12 +95,35 @@
   return undefined;
 }
 
+type Pooling = Pick<Agent, 'keepSocketAlive' | 'reuseSocket'>;
+
+/** Bytes on an idle connection belong to no call: the connection is closed, not reused. */
+function guardIdle(agent: Agent): Pooling {
+  const guards = new WeakMap<object, () => void>();
+  return {
+    keepSocketAlive: (socket) => {
+      const guard = (): void => {
+        socket.destroy();
+      };
+      guards.set(socket, guard);
+      socket.on('data', guard);
+      // Its answer tells the pool whether to keep the connection, which the types leave out.
+      return Agent.prototype.keepSocketAlive.call(agent, socket);
+    },
+    reuseSocket: (socket, req) => {
+      const guard = guards.get(socket);
+      if (guard) socket.off('data', guard);
+      Agent.prototype.reuseSocket.call(agent, socket, req);
+    },
+  };
+}
+
 function createAgent(keepAlive: boolean, opts: Required<UpstreamOptions>): Agent {
-  const agent = new Agent({ keepAlive, maxFreeSockets: opts.maxIdle });
+  const agent = new Agent({ keepAlive, maxFreeSockets: opts.maxIdle, timeout: opts.idleMs });
   const open = (options: NetConnectOpts, done: Connected): undefined => {
     connectFirst(opts.connectTimeoutMs, options, done);
   };
-  return Object.assign(agent, { createConnection: open });
+  return Object.assign(agent, { createConnection: open, ...guardIdle(agent) });
 }
 
 function upstreamError(code: ErrorCode, call: UpstreamCall, cause: unknown): StepError {
--- /dev/null
+++ b/src/app/gateway/board.ts
@@ -0,0 +1,190 @@
+/** The groups that streams may be sent to, with what is known of their load and health. */
+
+import { Subject } from 'rxjs';
+import type { Observable } from 'rxjs';
+
+import type { GroupCandidate } from '../../core/gateway/balance';
+import { collectGroups, isOpen } from '../../core/gateway/groups';
+import type { OpenGroup } from '../../core/gateway/groups';
+import {
+  createProgress,
+  noteEnded,
+  noteEvent,
+  noteSent,
+  stalledAt,
+  usualPauseMs,
+} from '../../core/gateway/progress';
+import type { Progress } from '../../core/gateway/progress';
+import type { RouteTable } from '../../core/gateway/routes';
+import type { EngineSpec, ModelSpec } from '../../core/gateway/types';
+import { later } from '../../core/ids';
+import type { GroupId, InstanceId, ModelId, MonoTime, ServiceId } from '../../core/ids';
+import type { GatewayContext } from './context';
+import type { PeerView } from './fleet';
+import type { Roster } from './roster';
+
+/** An open group with the figures of its service. */
+export interface BoardGroup extends OpenGroup {
+  readonly service: ServiceId;
+  readonly engine: EngineSpec;
+  readonly spec: ModelSpec;
+}
+
+export interface Stall {
+  readonly group: GroupId;
+  readonly head: InstanceId;
+}
+
+export interface Board {
+  /** Groups of a model that are open and not under suspicion. */
+  candidates(service: ServiceId, model: ModelId, tried: ReadonlySet<InstanceId>): GroupCandidate[];
+  /** Groups of a model, whether or not they may be chosen now. */
+  countGroups(service: ServiceId, model: ModelId): number;
+  find(head: InstanceId): BoardGroup | undefined;
+  noteSent(head: InstanceId): void;
+  noteEnded(head: InstanceId): void;
+  noteEvent(head: InstanceId, pauseMs: number | undefined): void;
+  /** Sends nothing to the group for a while. */
+  suspect(head: InstanceId, reason: string): void;
+  /** Groups whose streams have all gone silent, as found by `tick`. */
+  readonly stalls: Observable<Stall>;
+  /** After a change of the groups, and when a place in one became free. */
+  readonly changes: Observable<void>;
+  running(): readonly (readonly [InstanceId, number])[];
+  takePeers(peers: readonly PeerView[]): void;
+  tick(): void;
+}
+
+/** Long enough for the leader to ask the members; then the group is tried again. */
+const SUSPECT_MS = 1_500;
+
+export function createBoard(
+  ctx: GatewayContext,
+  roster: Roster,
+  routes: () => RouteTable | undefined,
+): Board {
+  const { clock, logger } = ctx;
+  const progress = new Map<InstanceId, Progress>();
+  const suspects = new Map<InstanceId, MonoTime>();
+  const elsewhere = new Map<InstanceId, number>();
+  const stalls = new Subject<Stall>();
+  const changes = new Subject<void>();
+  let groups = new Map<InstanceId, BoardGroup>();
+
+  const rebuild = (): void => {
+    const table = routes();
+    const next = new Map<InstanceId, BoardGroup>();
+    if (!table) return;
+    for (const group of collectGroups(roster.servers.values())) {
+      if (!isOpen(group)) continue;
+      const { service } = group.head;
+      const engine = table.service(service)?.engine;
+      const spec = engine?.models.find(({ name }) => name === group.model);
+      if (engine && spec) next.set(group.head.id, { ...group, service, engine, spec });
+    }
+    logChanges(next);
+    groups = next;
+    changes.next();
+  };
+
+  const logChanges = (next: ReadonlyMap<InstanceId, BoardGroup>): void => {
+    for (const [head, { id, model }] of next) {
+      if (groups.get(head)?.id !== id) {
+        logger.info('group serves', { step: 'board', group: id, model, head });
+      }
+    }
+    for (const [head, { id }] of groups) {
+      if (next.get(head)?.id !== id) {
+        logger.info('group serves no more', { step: 'board', group: id, head });
+      }
+    }
+  };
+
+  const progressOf = (head: InstanceId): Progress => progress.get(head) ?? createProgress(clock.now());
+
+  const runningIn = (head: InstanceId): number =>
+    (progress.get(head)?.running ?? 0) + (elsewhere.get(head) ?? 0);
+
+  const usualOf = ({ engine, spec, head }: BoardGroup): number =>
+    usualPauseMs(engine, spec.pace, runningIn(head.id));
+
+  const slowdownOf = (group: BoardGroup): number => {
+    const seen = progress.get(group.head.id)?.pauseMs;
+    return seen === undefined ? 1 : Math.max(1, seen / usualOf(group));
+  };
+
+  const isSuspect = (head: InstanceId): boolean => {
+    const until = suspects.get(head);
+    return until !== undefined && clock.now() < until;
+  };
+
+  const suspect = (head: InstanceId, reason: string): void => {
+    const isNew = !isSuspect(head);
+    suspects.set(head, later(clock.now(), SUSPECT_MS));
+    const group = groups.get(head);
+    if (isNew) logger.warn('group suspected', { step: 'board', group: group?.id, head, reason });
+  };
+
+  const ofModel = (service: ServiceId, model: ModelId): BoardGroup[] =>
+    [...groups.values()].filter((group) => group.service === service && group.model === model);
+
+  const findStalls = (): void => {
+    const now = clock.now();
+    for (const group of groups.values()) {
+      const head = group.head.id;
+      const seen = progress.get(head);
+      const at = seen && stalledAt(seen, usualOf(group));
+      if (at === undefined || now < at || isSuspect(head)) continue;
+      suspect(head, `${seen?.running ?? 0} streams silent`);
+      stalls.next({ group: group.id, head });
+    }
+  };
+
+  roster.changes.subscribe(rebuild);
+
+  return {
+    stalls,
+    changes,
+    candidates: (service, model, tried) =>
+      ofModel(service, model)
+        .filter(({ head }) => !isSuspect(head.id))
+        .map((group) => ({
+          head: group.head.id,
+          zone: group.head.zone,
+          running: runningIn(group.head.id),
+          batchSize: group.engine.batchSize,
+          slowdown: slowdownOf(group),
+          isTried: tried.has(group.head.id),
+        })),
+    countGroups: (service, model) => ofModel(service, model).length,
+    find: (head) => groups.get(head),
+    noteSent: (head) => {
+      progress.set(head, noteSent(progressOf(head), clock.now()));
+    },
+    noteEnded: (head) => {
+      progress.set(head, noteEnded(progressOf(head)));
+      changes.next();
+    },
+    noteEvent: (head, pauseMs) => {
+      progress.set(head, noteEvent(progressOf(head), clock.now(), pauseMs));
+    },
+    suspect,
+    running: () =>
+      [...progress]
+        .filter(([, { running }]) => running > 0)
+        .map(([head, { running }]) => [head, running] as const),
+    takePeers: (peers) => {
+      elsewhere.clear();
+      for (const { running } of peers) {
+        for (const [head, count] of running) elsewhere.set(head, (elsewhere.get(head) ?? 0) + count);
+      }
+      changes.next();
+    },
+    tick: () => {
+      findStalls();
+      for (const [head, { running }] of progress) {
+        if (running === 0 && !roster.servers.has(head)) progress.delete(head);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/app/gateway/config-view.ts
@@ -0,0 +1,52 @@
+/** The configuration in force on this daemon: the newest version that the store or a peer has shown. */
+
+import { BehaviorSubject } from 'rxjs';
+
+import { createRouteTable } from '../../core/gateway/routes';
+import type { RouteTable } from '../../core/gateway/routes';
+import type { GatewayConfig } from '../../core/gateway/types';
+import type { MonoTime } from '../../core/ids';
+import type { Feed } from '../../ports/gateway';
+import type { GatewayContext } from './context';
+import { watchFeed } from './watch';
+import type { Watch } from './watch';
+
+export interface ConfigView {
+  /** Undefined until a version is known. */
+  readonly table: BehaviorSubject<RouteTable | undefined>;
+  readonly watch: Watch;
+  version(): number;
+  /** When the version in force was learned. */
+  since(): MonoTime;
+  /** Puts a version in force if it is newer than the present one; it never goes back. */
+  offer(config: GatewayConfig, source: string): boolean;
+}
+
+export function createConfigView(ctx: GatewayContext, feed: Feed<GatewayConfig>): ConfigView {
+  const table = new BehaviorSubject<RouteTable | undefined>(undefined);
+  let since = ctx.clock.now();
+
+  const version = (): number => table.value?.config.version ?? 0;
+
+  const offer = (config: GatewayConfig, source: string): boolean => {
+    if (config.version <= version()) return false;
+    since = ctx.clock.now();
+    ctx.logger.info('configuration in force', {
+      step: 'config',
+      version: config.version,
+      before: version(),
+      source,
+    });
+    table.next(createRouteTable(config));
+    return true;
+  };
+
+  const watch = watchFeed(ctx, {
+    feed,
+    take: (changes) => {
+      for (const { value } of changes) if (value) offer(value, 'store');
+    },
+  });
+
+  return { table, watch, version, since: () => since, offer };
+}
--- /dev/null
+++ b/src/app/gateway/exchange.ts
@@ -0,0 +1,115 @@
+/** One request of a caller: what was asked, until when, and how it ends. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type { Caller } from '../../core/gateway/routes';
+import { nameOf } from '../../core/gateway/routes';
+import type { Route } from '../../core/gateway/types';
+import { later } from '../../core/ids';
+import type { InstanceId, MonoTime, ServiceId } from '../../core/ids';
+import type { CallFacts } from '../../ports/gateway';
+import type { GatewayContext } from './context';
+
+/** A request that was read whole and belongs to a route. */
+export interface Exchange {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly body: Buffer;
+  readonly facts: CallFacts;
+  readonly route: Route;
+  readonly service: ServiceId;
+  readonly caller: Caller;
+  readonly priority: number;
+  readonly arrivedAt: MonoTime;
+  /** The caller's own deadline. */
+  readonly deadline: MonoTime;
+  /** An answer is due: the route's time limit, or shortly before the caller's deadline. */
+  readonly answerBy: MonoTime;
+  /** Aborted once the caller has gone. */
+  readonly gone: AbortSignal;
+}
+
+/** What may have happened to a request that has no answer. */
+export type Exposure = 'not-run' | 'unknown';
+
+/** Sent this long before the caller's deadline, an answer still reaches it, milliseconds. */
+const ANSWER_MARGIN_MS = 25;
+/** Callers that name no deadline. */
+const DEFAULT_WAIT_MS = 30_000;
+
+export function deadlinesOf(
+  facts: CallFacts,
+  route: Route,
+  arrivedAt: MonoTime,
+): Pick<Exchange, 'deadline' | 'answerBy'> {
+  const deadline = later(arrivedAt, facts.waitMs ?? DEFAULT_WAIT_MS);
+  const limit = later(arrivedAt, route.timeoutMs);
+  const margin = later(deadline, -ANSWER_MARGIN_MS);
+  return { deadline, answerBy: limit < margin ? limit : margin };
+}
+
+/** What is noted of a request at its end. */
+export interface Ending {
+  readonly outcome: 'served' | 'refused' | 'failed' | 'torn' | 'caller-gone';
+  readonly status: number;
+  readonly attempts: number;
+  readonly reason?: string;
+  readonly server?: InstanceId;
+}
+
+export function logEnding(ctx: GatewayContext, exchange: Exchange, ending: Ending): void {
+  const ms = Math.round(ctx.clock.now() - exchange.arrivedAt);
+  const { outcome } = ending;
+  ctx.metrics.count('nutmegstack_calls_total', { route: exchange.route.name, outcome });
+  ctx.metrics.observe('nutmegstack_call_ms', ms, { kind: exchange.route.kind });
+  const organisation = nameOf(exchange.caller);
+  const fields = {
+    step: 'end',
+    ...(exchange.facts.requestId !== undefined && { requestId: exchange.facts.requestId }),
+    ...(organisation !== undefined && { organisation }),
+    route: exchange.route.name,
+    ms,
+    leftMs: Math.round(exchange.deadline - ctx.clock.now()),
+    ...ending,
+  };
+  if (outcome === 'served') ctx.logger.info('request ended', fields);
+  else ctx.logger.warn('request ended', fields);
+}
+
+/** Time after which a refused caller should come back: soon, spread so that callers do not come together. */
+const RETRY_LEAST_MS = 60;
+const RETRY_SPREAD_MS = 140;
+
+/** Answers in the daemon's own name. 503 promises that the request has not run and never will. */
+export function answerOwn(
+  ctx: GatewayContext,
+  res: ServerResponse,
+  status: number,
+  message: string,
+): void {
+  if (res.headersSent || res.destroyed) return;
+  const body = Buffer.from(JSON.stringify({ error: { message } }));
+  const retryMs = RETRY_LEAST_MS + ctx.random.next() * RETRY_SPREAD_MS;
+  res.writeHead(status, {
+    'Content-Type': 'application/json',
+    'Content-Length': body.length,
+    ...(status === 503 && { 'Retry-After': (retryMs / 1000).toFixed(3) }),
+  });
+  res.end(body);
+}
+
+/** Ends a request that has no answer: refused where it surely has not run, failed otherwise. */
+export function giveUp(
+  ctx: GatewayContext,
+  exchange: Exchange,
+  exposure: Exposure,
+  reason: string,
+  attempts: number,
+): void {
+  const isLate = ctx.clock.now() >= exchange.answerBy;
+  const failed = isLate ? 504 : 502;
+  const status = exposure === 'not-run' ? 503 : failed;
+  answerOwn(ctx, exchange.res, status, reason);
+  const outcome = exposure === 'not-run' ? 'refused' : 'failed';
+  logEnding(ctx, exchange, { outcome, status, attempts, reason });
+}
--- /dev/null
+++ b/src/app/gateway/former.ts
@@ -0,0 +1,188 @@
+/** Runs the plan of replica groups while this daemon holds the lease: sends orders, and looks into stalls. */
+
+import type { FormingState, FormingView, OrderEffect } from '../../core/gateway/forming/state';
+import { createForming } from '../../core/gateway/forming/state';
+import { EPOCHS_PER_LEASE } from '../../core/gateway/forming/compose';
+import { noteResult, noteSuspect, planGroups } from '../../core/gateway/forming/plan';
+import type { RouteTable } from '../../core/gateway/routes';
+import type { BackendServer, ServiceSpec } from '../../core/gateway/types';
+import { later } from '../../core/ids';
+import type { FencingNumber, GroupId, InstanceId, MonoTime, ServiceId } from '../../core/ids';
+import type { Servers } from '../../ports/gateway';
+import type { Stall } from './board';
+import type { GatewayContext } from './context';
+import type { Leadership } from './lease';
+import type { Roster } from './roster';
+
+export interface Former {
+  /** Plans anew; to be called after each change and every so often. */
+  tick(): void;
+  /** Asks the members of a group that stands still, and replaces those that do not answer. */
+  inspect(stall: Stall): void;
+  /** Set once callers are being served anywhere. */
+  noteTraffic(): void;
+}
+
+/** A member that gives no report twice within this is held to be lost. A live one takes about a millisecond. */
+const REPORT_TIMEOUT_MS = 250;
+const REPORTS = 2;
+/** A lost member is left out for this long, or until it starts anew under another id. */
+const LOST_MS = 20_000;
+/** The same group is not looked into again before this. */
+const INSPECT_AGAIN_MS = 700;
+/** Servers may register one after the other at the start: the first plan waits until none came for this long. */
+const SETTLE_MS = 400;
+
+export interface FormerOptions {
+  readonly roster: Roster;
+  readonly routes: () => RouteTable | undefined;
+  readonly leadership: Leadership;
+  readonly servers: Servers;
+}
+
+export function createFormer(ctx: GatewayContext, options: FormerOptions): Former {
+  const { clock, logger, settings } = ctx;
+  const { roster, routes, leadership, servers } = options;
+  let term: FencingNumber | undefined;
+  let states = new Map<ServiceId, FormingState>();
+  let hasTraffic = false;
+  let settledAt = clock.now();
+  let known = 0;
+  const inspected = new Map<GroupId, MonoTime>();
+
+  const begin = (fencing: FencingNumber): void => {
+    term = fencing;
+    states = new Map();
+  };
+
+  const stateOf = (service: ServiceId): FormingState =>
+    states.get(service) ??
+    createForming({ stallMs: settings.stallMs, loadWindowMs: settings.loadWindowMs });
+
+  const viewOf = ({ name, engine }: ServiceSpec, fencing: FencingNumber): FormingView | undefined => {
+    if (!engine || engine.models.length === 0) return undefined;
+    const own = [...roster.servers].filter(([, { service }]) => service === name);
+    return { servers: new Map(own), engine, fencing, hasTraffic };
+  };
+
+  const send = async (service: ServiceId, effect: OrderEffect, fencing: FencingNumber): Promise<void> => {
+    const { key, server, order } = effect;
+    const result = await servers.order(server, order);
+    ctx.metrics.count('nutmegstack_orders_total', { kind: order.kind, result });
+    logger.info('order', {
+      step: 'order',
+      order: order.kind,
+      result,
+      server: server.id,
+      ...(order.kind === 'stage' ? { model: order.model } : { group: order.group }),
+    });
+    if (term !== fencing) return;
+    states.set(service, noteResult(stateOf(service), key, result));
+    tick();
+  };
+
+  const planService = (service: ServiceSpec, fencing: FencingNumber): void => {
+    const view = viewOf(service, fencing);
+    if (!view) return;
+    const before = stateOf(service.name);
+    const plan = planGroups(before, view, clock.now());
+    states.set(service.name, plan.state);
+    logPlan(before, plan.state);
+    for (const effect of plan.orders) void send(service.name, effect, fencing);
+  };
+
+  const logPlan = (before: FormingState, after: FormingState): void => {
+    for (const [group, { model, members }] of after.formations) {
+      if (before.formations.has(group)) continue;
+      logger.info('forming group', {
+        step: 'plan',
+        group,
+        model,
+        members: members.map(({ id }) => id).join(' '),
+      });
+    }
+    for (const [group, { step, freeAt }] of after.retirements) {
+      const earlier = before.retirements.get(group);
+      if (earlier?.step === step && earlier.freeAt === freeAt) continue;
+      logger.info('ending group', { step: 'plan', group, how: step, starved: freeAt !== undefined });
+    }
+  };
+
+  /** Whether the servers seen so far are likely to be all that have started. */
+  const isSettled = (now: MonoTime): boolean => {
+    if (roster.servers.size !== known) {
+      known = roster.servers.size;
+      settledAt = later(now, SETTLE_MS);
+    }
+    return hasTraffic || now >= settledAt;
+  };
+
+  const tick = (): void => {
+    const fencing = leadership.held();
+    const table = routes();
+    if (fencing === undefined || !table || roster.watch.isFailing()) return;
+    if (fencing !== term) begin(fencing);
+    if (!isSettled(clock.now())) return;
+    for (const service of table.config.services) planService(service, fencing);
+    if ([...states.values()].some(({ epochs }) => epochs >= EPOCHS_PER_LEASE / 2)) {
+      leadership.release();
+    }
+  };
+
+  const answers = async (server: BackendServer): Promise<boolean> => {
+    for (let i = 0; i < REPORTS; i++) {
+      const report = await servers.report(server, REPORT_TIMEOUT_MS);
+      if (report.isOk()) return true;
+    }
+    return false;
+  };
+
+  const inspect = ({ group, head }: Stall): void => {
+    const now = clock.now();
+    const again = inspected.get(group);
+    if (leadership.held() === undefined || (again !== undefined && now < again)) return;
+    inspected.set(group, later(now, INSPECT_AGAIN_MS));
+    const members = [...roster.servers.values()].filter(
+      ({ membership }) => membership?.group === group,
+    );
+    void inspectMembers(group, head, members);
+  };
+
+  const inspectMembers = async (
+    group: GroupId,
+    head: InstanceId,
+    members: readonly BackendServer[],
+  ): Promise<void> => {
+    const alive = await Promise.all(members.map(answers));
+    const lost = members.filter((_, i) => !alive[i]);
+    logger.info('members asked', {
+      step: 'inspect',
+      group,
+      head,
+      members: members.length,
+      lost: lost.map(({ id }) => id).join(' '),
+    });
+    // No answer from any of them speaks of this daemon's own link as much as of the members.
+    if (lost.length === members.length && members.length > 1 && !(await reachesOthers(members))) return;
+    for (const { id, service } of lost) {
+      states.set(service, noteSuspect(stateOf(service), id, later(clock.now(), LOST_MS)));
+    }
+    if (lost.length > 0) tick();
+  };
+
+  /** Whether any server outside the group answers. */
+  const reachesOthers = async (members: readonly BackendServer[]): Promise<boolean> => {
+    const domain = members[0]?.domain;
+    const others = [...roster.servers.values()].filter((server) => server.domain !== domain).slice(0, 2);
+    const alive = await Promise.all(others.map(answers));
+    return alive.includes(true);
+  };
+
+  return {
+    tick,
+    inspect,
+    noteTraffic: () => {
+      hasTraffic = true;
+    },
+  };
+}
--- /dev/null
+++ b/src/app/gateway/front.ts
@@ -0,0 +1,233 @@
+/** The callers' side: reads requests, finds their route and organisation, and hands them on. */
+
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+
+import { identifyCaller, pickTarget, priorityOf } from '../../core/gateway/routes';
+import type { RouteTable } from '../../core/gateway/routes';
+import type { Route } from '../../core/gateway/types';
+import type { MonoTime } from '../../core/ids';
+import { parseAddress } from '../../utils/address';
+import { fail } from '../../utils/errors';
+import type { CallFacts, Dialect } from '../../ports/gateway';
+import type { ConfigView } from './config-view';
+import type { GatewayContext } from './context';
+import { answerOwn, deadlinesOf } from './exchange';
+import type { Exchange } from './exchange';
+import type { PlainCalls } from './plain-call';
+import type { StreamCalls } from './stream-call';
+
+export interface FrontDeps {
+  readonly ctx: GatewayContext;
+  readonly config: ConfigView;
+  readonly dialect: Dialect;
+  readonly plain: PlainCalls;
+  readonly streams: StreamCalls;
+  /** Called for each request that a service is asked for. */
+  readonly onTraffic: () => void;
+}
+
+export interface Front {
+  start(): Promise<void>;
+  /** Requests that are being read or answered. */
+  inFlight(): number;
+  /** From now on every answer ends its connection. */
+  beginStop(): void;
+  /** Takes no new connection. */
+  closeListener(): void;
+  cut(): void;
+}
+
+/** Callers may reuse a connection until shortly before the limit; it is kept a little longer than that. */
+const IDLE_SLACK_MS = 1_000;
+const DEFAULT_IDLE_MS = 15_000;
+const DEFAULT_HEADER_BYTES = 64 * 1024;
+const HEADERS_TIMEOUT_MS = 30_000;
+
+type Refusal = readonly [status: number, message: string];
+
+export function createFront(deps: FrontDeps): Front {
+  const { ctx, config } = deps;
+  let inFlight = 0;
+  let isStopping = false;
+
+  const handle = (req: IncomingMessage, res: ServerResponse): void => {
+    inFlight += 1;
+    if (isStopping) res.shouldKeepAlive = false;
+    res.once('close', () => {
+      inFlight -= 1;
+    });
+    serve(deps, req, res).catch((err: unknown) => {
+      ctx.logger.error('request ended by a fault', { step: 'request', reason: String(err) });
+      res.destroy();
+    });
+  };
+
+  const server: Server = createServer(
+    {
+      maxHeaderSize: DEFAULT_HEADER_BYTES,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: 0,
+      keepAliveTimeout: DEFAULT_IDLE_MS + IDLE_SLACK_MS,
+      noDelay: true,
+    },
+    handle,
+  );
+
+  config.table.subscribe((table) => {
+    if (!table) return;
+    server.keepAliveTimeout = table.config.limits.idleTimeoutMs + IDLE_SLACK_MS;
+  });
+
+  return {
+    inFlight: () => inFlight,
+    start: () =>
+      new Promise((resolve, reject) => {
+        const { host, port } = parseAddress(ctx.settings.listen);
+        server.once('error', (cause) => {
+          const peer = ctx.settings.listen;
+          reject(fail('unavailable', 'cannot listen', { step: 'listen', peer, cause }));
+        });
+        server.listen({ host, port, backlog: 1024 }, resolve);
+      }),
+    beginStop: () => {
+      isStopping = true;
+    },
+    closeListener: () => {
+      server.close();
+      server.closeIdleConnections();
+    },
+    cut: () => {
+      server.closeAllConnections();
+    },
+  };
+}
+
+async function serve(deps: FrontDeps, req: IncomingMessage, res: ServerResponse): Promise<void> {
+  const { ctx, config, dialect } = deps;
+  const arrivedAt = ctx.clock.now();
+  const gone = watchCaller(res);
+  const table = config.table.value;
+  const facts = dialect.readCall(req.headers);
+  if (!table) {
+    refuse(ctx, facts, res, [503, 'no configuration is known yet']);
+    return;
+  }
+  const { maxBodyBytes } = table.config.limits;
+  if (Number(req.headers['content-length'] ?? 0) > maxBodyBytes) {
+    refuse(ctx, facts, res, [413, 'the body is too long']);
+    return;
+  }
+  const body = await readBody(req, maxBodyBytes);
+  if (body === 'broken' || gone.aborted) return;
+  if (body === 'too-long') {
+    refuse(ctx, facts, res, [413, 'the body is too long']);
+    return;
+  }
+  const exchange = toExchange({ deps, req, res, body, facts, arrivedAt, gone });
+  if (!('route' in exchange)) {
+    refuse(ctx, facts, res, exchange);
+    return;
+  }
+  deps.onTraffic();
+  await CALLS[exchange.route.kind](deps, exchange);
+}
+
+const CALLS: Readonly<
+  Record<Route['kind'], (deps: FrontDeps, exchange: Exchange) => Promise<void>>
+> = {
+  safe: ({ plain }, exchange) => plain.call(exchange),
+  unsafe: ({ plain }, exchange) => plain.call(exchange),
+  stream: ({ streams }, exchange) => streams.call(exchange),
+};
+
+interface Arrived {
+  readonly deps: FrontDeps;
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly body: Buffer;
+  readonly facts: CallFacts;
+  readonly arrivedAt: MonoTime;
+  readonly gone: AbortSignal;
+}
+
+/** Matches the request with the configuration that is in force once it has been read. */
+function toExchange({ deps, req, res, body, facts, arrivedAt, gone }: Arrived): Exchange | Refusal {
+  const table = deps.config.table.value;
+  if (!table) return [503, 'no configuration is known yet'];
+  const route = findRoute(table, req);
+  if (!route) return [404, 'no route'];
+  const caller = identifyCaller(table, route, facts.apiKey);
+  if (caller.kind === 'unknown-key') return [401, 'unknown API key'];
+  const service = pickTarget(route, deps.ctx.random.next());
+  if (service === undefined) return [503, 'the route has no service'];
+  const organisation = caller.kind === 'known' ? caller.organisation : undefined;
+  return {
+    req,
+    res,
+    body,
+    facts,
+    route,
+    service,
+    caller,
+    priority: priorityOf(route, organisation),
+    arrivedAt,
+    ...deadlinesOf(facts, route, arrivedAt),
+    gone,
+  };
+}
+
+function findRoute(table: RouteTable, req: IncomingMessage): Route | undefined {
+  const url = req.url ?? '/';
+  const query = url.indexOf('?');
+  const path = query < 0 ? url : url.slice(0, query);
+  const host = (req.headers.host ?? '').replace(/:\d+$/, '');
+  return table.find(host, path);
+}
+
+function refuse(
+  ctx: GatewayContext,
+  facts: CallFacts,
+  res: ServerResponse,
+  [status, message]: Refusal,
+): void {
+  ctx.metrics.count('nutmegstack_refusals_total', { status: String(status) });
+  ctx.logger.warn('request refused', {
+    step: 'route',
+    status,
+    reason: message,
+    ...(facts.requestId !== undefined && { requestId: facts.requestId }),
+  });
+  answerOwn(ctx, res, status, message);
+}
+
+/** Aborts once the connection has closed before the answer was whole. */
+function watchCaller(res: ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  res.once('close', () => {
+    if (!res.writableFinished) controller.abort(new Error('caller gone'));
+  });
+  return controller.signal;
+}
+
+function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer | 'too-long' | 'broken'> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    req.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > maxBytes) resolve('too-long');
+      else chunks.push(chunk);
+    });
+    req.on('end', () => {
+      resolve(Buffer.concat(chunks));
+    });
+    req.on('error', () => {
+      resolve('broken');
+    });
+    req.on('close', () => {
+      resolve('broken');
+    });
+  });
+}
+
--- /dev/null
+++ b/src/app/gateway/gateway.ts
@@ -0,0 +1,135 @@
+/** One gateway daemon: puts its parts together, starts them, and stops without cutting a request. */
+
+import { createUpstream } from '../../adapters/upstream/upstream';
+import type { Table } from '../../ports/platform';
+import type { Dialect, Feeds, Servers } from '../../ports/gateway';
+import { later } from '../../core/ids';
+import { createBoard } from './board';
+import { createConfigView } from './config-view';
+import type { GatewayContext } from './context';
+import { createFleet } from './fleet';
+import { createFormer } from './former';
+import { createFront } from './front';
+import { createGossip } from './gossip';
+import { createLeadership } from './lease';
+import { createPlainCalls } from './plain-call';
+import { listenReady } from './ready';
+import { createRetries } from './retries';
+import { createRoster } from './roster';
+import { createStreamCalls } from './stream-call';
+import { createWaitingRoom } from './waiting';
+
+export interface GatewayOptions {
+  readonly ctx: GatewayContext;
+  readonly feeds: Feeds;
+  readonly table: Table;
+  readonly servers: Servers;
+  readonly dialect: Dialect;
+  readonly readyPath: string;
+  /** Enters this daemon's peer address where others find it, or takes it out. */
+  readonly announce: (isHere: boolean) => Promise<void>;
+}
+
+export interface Gateway {
+  /** Resolves once all is handed back and nothing is in flight, or the time for it is over. */
+  stop(): Promise<void>;
+}
+
+/** All that is due is looked at this often: well below the shortest time that anything here waits for. */
+const TICK_MS = 50;
+/** The balancer asks once a second and needs two misses; then new connections stay away. */
+const BALANCER_MS = 2_600;
+/** The rest of the time for a stop is left for the last answers to reach their callers. */
+const STOP_MARGIN_MS = 500;
+const CONNECT_TIMEOUT_MS = 400;
+const IDLE_MS = 4_000;
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+export async function startGateway(options: GatewayOptions): Promise<Gateway> {
+  const { ctx, feeds, dialect } = options;
+  const { settings, clock, logger } = ctx;
+  let isStopping = false;
+
+  const config = createConfigView(ctx, feeds.config);
+  const roster = createRoster(ctx, feeds.servers);
+  const fleet = createFleet(ctx, feeds.daemons);
+  const leadership = createLeadership(ctx, options.table, fleet);
+  const routes = () => config.table.value;
+  const board = createBoard(ctx, roster, routes);
+  const waiting = createWaitingRoom(ctx, board);
+  const former = createFormer(ctx, { roster, routes, leadership, servers: options.servers });
+  const upstream = createUpstream({ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS });
+  const retries = createRetries(ctx, () => fleet.live().length + 1);
+  const plain = createPlainCalls({ ctx, roster, upstream, dialect, retries });
+  const streams = createStreamCalls({ ctx, board, upstream, dialect, retries, waiting });
+  const gossip = createGossip({
+    ctx,
+    config,
+    roster,
+    board,
+    fleet,
+    former,
+    leadership,
+    waiting,
+    isStopping: () => isStopping,
+  });
+  const front = createFront({
+    ctx,
+    config,
+    dialect,
+    plain,
+    streams,
+    onTraffic: gossip.noteTraffic,
+  });
+
+  const isReady = (): boolean =>
+    !isStopping && config.table.value !== undefined && roster.servers.size > 0;
+
+  await fleet.start();
+  await front.start();
+  const ready = await listenReady(ctx, { path: options.readyPath, isReady });
+  void options.announce(true);
+  roster.changes.subscribe(() => {
+    former.tick();
+  });
+  const ticker = setInterval(() => {
+    leadership.tick();
+    roster.tick();
+    board.tick();
+    gossip.tick();
+    former.tick();
+  }, TICK_MS);
+  logger.info('started', { step: 'start', listen: settings.listen, zone: settings.zone });
+
+  const finish = async (): Promise<void> => {
+    const deadline = later(clock.now(), settings.shutdownMs - STOP_MARGIN_MS);
+    const closeAt = later(clock.now(), BALANCER_MS);
+    logger.info('stopping', { step: 'stop', inFlight: front.inFlight() });
+    isStopping = true;
+    front.beginStop();
+    leadership.release();
+    void options.announce(false);
+    while (clock.now() < closeAt) await pause(TICK_MS);
+    front.closeListener();
+    while (front.inFlight() > 0 && clock.now() < deadline) await pause(TICK_MS);
+    const left = front.inFlight();
+    if (left > 0) logger.warn('requests cut at the end of the stop', { step: 'stop', inFlight: left });
+    clearInterval(ticker);
+    front.cut();
+    upstream.close();
+    ready.close();
+    await fleet.stop();
+    logger.info('stopped', { step: 'stop' });
+  };
+
+  let stopping: Promise<void> | undefined;
+  return {
+    stop: () => {
+      stopping ??= finish();
+      return stopping;
+    },
+  };
+}
--- /dev/null
+++ b/src/app/gateway/gossip.ts
@@ -0,0 +1,137 @@
+/** Tells peers what this daemon knows, and gives those that are behind what they lack. */
+
+import type { ConfigVersion, MonoTime } from '../../core/ids';
+import { brandAs, later } from '../../core/ids';
+import type { Board } from './board';
+import type { ConfigView } from './config-view';
+import type { GatewayContext } from './context';
+import type { Fleet, FromPeer } from './fleet';
+import type { Former } from './former';
+import type { Leadership } from './lease';
+import type { GatewayMessage, PeerState } from './messages';
+import type { Roster } from './roster';
+import type { WaitingRoom } from './waiting';
+
+export interface GossipDeps {
+  readonly ctx: GatewayContext;
+  readonly config: ConfigView;
+  readonly roster: Roster;
+  readonly board: Board;
+  readonly fleet: Fleet;
+  readonly former: Former;
+  readonly leadership: Leadership;
+  readonly waiting: WaitingRoom;
+  readonly isStopping: () => boolean;
+}
+
+export interface Gossip {
+  tick(): void;
+  /** Callers are being served here. */
+  noteTraffic(): void;
+}
+
+/** Between two statements of a daemon with few peers: a fraction of the time that a stream takes. */
+const LEAST_INTERVAL_MS = 100;
+/** Added for each peer, so that no daemon sends or takes more than about 60 statements a second. */
+const INTERVAL_PER_PEER_MS = 15;
+/** The store tells all daemons of a version within milliseconds; who lacks it after this is told by peers. */
+const HELP_AFTER_MS = 250;
+/** The same peer is not helped again before this. */
+const HELP_AGAIN_MS = 500;
+
+export function createGossip(deps: GossipDeps): Gossip {
+  const { ctx, config, roster, board, fleet, former, leadership, waiting } = deps;
+  const helped = new Map<string, MonoTime>();
+  let dueAt = ctx.clock.now();
+  let hasTraffic = false;
+  let revisionSince = ctx.clock.now();
+  let revision = 0;
+
+  const ownState = (): PeerState => ({
+    kind: 'state',
+    configVersion: config.version(),
+    serversRevision: roster.revision(),
+    hasTraffic,
+    isStopping: deps.isStopping(),
+    isLeader: leadership.held() !== undefined,
+    running: board.running().map(([head, count]) => [head, count]),
+    waiting: waiting.waiting().map(([model, count]) => [model, count]),
+  });
+
+  const noteTraffic = (): void => {
+    if (hasTraffic) return;
+    hasTraffic = true;
+    former.noteTraffic();
+  };
+
+  const mayHelp = (key: string): boolean => {
+    const now = ctx.clock.now();
+    const again = helped.get(key);
+    if (again !== undefined && now < again) return false;
+    helped.set(key, later(now, HELP_AGAIN_MS));
+    return true;
+  };
+
+  /** A peer behind this daemon is turned away by the store, or has just started. */
+  const help = (peer: PeerState, address: string): void => {
+    const now = ctx.clock.now();
+    const table = config.table.value;
+    const isOld = now >= later(config.since(), HELP_AFTER_MS) || peer.configVersion === 0;
+    if (table && peer.configVersion < config.version() && isOld && mayHelp(`config ${address}`)) {
+      fleet.send(address, { kind: 'config', config: table.config });
+    }
+    if (roster.revision() !== revision) {
+      revision = roster.revision();
+      revisionSince = now;
+    }
+    const isBehind = peer.serversRevision < revision && now >= later(revisionSince, HELP_AFTER_MS);
+    if (isBehind && !roster.watch.isFailing() && mayHelp(`servers ${address}`)) {
+      fleet.send(address, { kind: 'servers', revision, servers: [...roster.servers.values()] });
+    }
+  };
+
+  const take: {
+    readonly [K in GatewayMessage['kind']]: (
+      message: Extract<GatewayMessage, { kind: K }>,
+      from: FromPeer,
+    ) => void;
+  } = {
+    state: (state, { address }) => {
+      if (state.hasTraffic) noteTraffic();
+      help(state, address);
+    },
+    stalled: ({ group, head }, { from }) => {
+      if (board.find(head)?.id !== group) return;
+      board.suspect(head, `word of ${from}`);
+      former.inspect({ group, head });
+    },
+    config: ({ config: offered }, { from }) => {
+      const version = brandAs<ConfigVersion>(offered.version);
+      config.offer({ ...offered, version }, `peer ${from}`);
+    },
+    servers: ({ revision: theirs, servers }) => {
+      roster.takeFromPeer(theirs, servers);
+    },
+  };
+
+  fleet.received.subscribe((received) => {
+    take[received.message.kind](received.message as never, received);
+  });
+
+  board.stalls.subscribe(({ group, head }) => {
+    fleet.broadcast({ kind: 'stalled', group, head });
+    former.inspect({ group, head });
+  });
+
+  return {
+    noteTraffic,
+    tick: () => {
+      const now = ctx.clock.now();
+      const peers = fleet.live();
+      board.takePeers(peers);
+      if (now < dueAt) return;
+      dueAt = later(now, LEAST_INTERVAL_MS + INTERVAL_PER_PEER_MS * peers.length);
+      fleet.broadcast(ownState());
+    },
+  };
+}
--- /dev/null
+++ b/src/app/gateway/lease.ts
@@ -0,0 +1,163 @@
+/** Holds or seeks the one lease under which replica groups are formed. */
+
+import { rankByRendezvous } from '../../core/membership/rendezvous';
+import { brandAs, later } from '../../core/ids';
+import type { DomainId, FencingNumber, MonoTime } from '../../core/ids';
+import { createLease, isHolder, reduceLease } from '../../core/lease/lease';
+import type {
+  FenceRow,
+  LeaseEffect,
+  LeaseEvent,
+  LeaseRow,
+  LeaseSettings,
+  LeaseState,
+} from '../../core/lease/types';
+import type { Row, Table } from '../../ports/platform';
+import type { GatewayContext } from './context';
+import type { Fleet } from './fleet';
+
+/**
+ * Without a leader no group is formed or replaced, so the lease is short. A lapse does no harm to
+ * groups: their heads decide who serves. Three renewals may be lost before it lapses.
+ */
+const SETTINGS: Partial<LeaseSettings> = {
+  ttlMs: 3_000,
+  marginMs: 300,
+  renewMs: 800,
+  backupDelayMs: 500,
+  // Handing over a working lease gains nothing.
+  handoverMs: 86_400_000,
+};
+/** Candidates look at the row this often; twice within the life of a lease. */
+const READ_MS = 1_000;
+const LEASE_KEY = 'lease/groups';
+const FENCE_KEY = 'lease/groups#fence';
+/** Wall clock and monotonic clock may drift apart this far between two looks before a pause is assumed. */
+const CLOCK_SLACK_MS = 400;
+
+export interface Leadership {
+  /** The fencing number, while this daemon may form groups. */
+  held(): FencingNumber | undefined;
+  tick(): void;
+  /** Hands the lease back. */
+  release(): void;
+  isReleased(): boolean;
+}
+
+export function createLeadership(ctx: GatewayContext, table: Table, fleet: Fleet): Leadership {
+  const { settings, clock, logger } = ctx;
+  const session = `${settings.id} ${clock.epoch()} ${ctx.random.next()}`;
+  const domain = brandAs<DomainId>('groups');
+  let state: LeaseState = createLease(
+    { domain, self: settings.id, session, settings: SETTINGS },
+    clock.now(),
+  );
+  let readAt = clock.now();
+  let drift = clock.epoch() - clock.now();
+  /** No renewal sent before this instant counts: the process was paused, or a clock stepped. */
+  let pausedAt: MonoTime | undefined;
+
+  const dispatch = (event: LeaseEvent): void => {
+    const before = state;
+    const step = reduceLease(state, event, { now: clock.now() });
+    state = step.state;
+    logChange(before, state);
+    for (const effect of step.effects) run[effect.kind](effect as never);
+  };
+
+  const logChange = (before: LeaseState, after: LeaseState): void => {
+    if ((before.held === undefined) === (after.held === undefined)) return;
+    const fencing = after.held?.fencing ?? before.held?.fencing;
+    logger.info(after.held ? 'lease taken' : 'lease given up', { step: 'lease', fencing });
+  };
+
+  const rowOf = <T>(rows: readonly Row[], key: string): { version: number; row: T } | undefined => {
+    const found = rows.find((row) => row.key === key);
+    return found && { version: found.version, row: found.value as unknown as T };
+  };
+
+  const read = async (): Promise<void> => {
+    const rows = await table.read([LEASE_KEY, FENCE_KEY]);
+    if (rows.isErr()) {
+      logger.debug('lease not read', { step: 'lease', code: rows.error.code });
+      dispatch({ kind: 'read-failed' });
+      return;
+    }
+    const lease = rowOf<LeaseRow>(rows.value, LEASE_KEY);
+    const fence = rowOf<FenceRow>(rows.value, FENCE_KEY);
+    dispatch({ kind: 'read', ...(lease && { lease }), ...(fence && { fence }) });
+  };
+
+  const commit = async (effect: Extract<LeaseEffect, { kind: 'commit' }>): Promise<void> => {
+    const { row, leaseVersion, fenceVersion } = effect;
+    const isTake = fenceVersion !== undefined;
+    const fence = isTake ? [{ key: FENCE_KEY, value: { fencing: row.fencing } }] : [];
+    const result = await table.commit({
+      conditions: [
+        { key: LEASE_KEY, version: leaseVersion },
+        ...(isTake ? [{ key: FENCE_KEY, version: fenceVersion }] : []),
+      ],
+      writes: [{ key: LEASE_KEY, value: { ...row } }, ...fence],
+    });
+    if (result.isOk()) {
+      const { versions } = result.value;
+      const version = versions[LEASE_KEY] ?? 0;
+      dispatch({ kind: 'committed', version, fenceVersion: versions[FENCE_KEY] ?? 0 });
+      return;
+    }
+    const { code } = result.error;
+    logger.info('lease not written', { step: 'lease', code });
+    if (code === 'store-unknown') dispatch({ kind: 'unsure' });
+    else dispatch({ kind: 'refused', conflict: code === 'conflict' });
+  };
+
+  const run: {
+    readonly [K in LeaseEffect['kind']]: (effect: Extract<LeaseEffect, { kind: K }>) => void;
+  } = {
+    read: () => void read(),
+    commit: (effect) => void commit(effect),
+  };
+
+  /** A pause stops the monotonic clock in a suspended process, so both clocks are compared. */
+  const notePause = (): void => {
+    const now = clock.now();
+    const moved = clock.epoch() - now;
+    if (Math.abs(moved - drift) > CLOCK_SLACK_MS) {
+      pausedAt = now;
+      logger.warn('clocks disagree: the lease counts as lapsed until renewed', {
+        step: 'lease',
+        driftMs: Math.round(moved - drift),
+      });
+    }
+    drift = moved;
+  };
+
+  const tick = (): void => {
+    notePause();
+    const now = clock.now();
+    const candidates = [settings.id, ...fleet.live().filter((p) => !p.isStopping).map((p) => p.id)];
+    const rank = rankByRendezvous('groups', [...new Set(candidates)]).indexOf(settings.id);
+    dispatch({ kind: 'ranked', rank });
+    dispatch({ kind: 'tick' });
+    if (state.held || now < readAt || state.reading) return;
+    readAt = later(now, READ_MS * (0.8 + 0.4 * ctx.random.next()));
+    state = { ...state, reading: true };
+    void read();
+  };
+
+  return {
+    held: () => {
+      const now = clock.now();
+      if (!state.held || !isHolder(state, now)) return undefined;
+      const ttl = state.settings.ttlMs - state.settings.marginMs;
+      const renewedAt = state.held.validUntil - ttl;
+      if (pausedAt !== undefined && renewedAt < pausedAt) return undefined;
+      return state.held.fencing;
+    },
+    tick,
+    release: () => {
+      dispatch({ kind: 'stop' });
+    },
+    isReleased: () => !state.held && !state.pending,
+  };
+}
--- /dev/null
+++ b/src/app/gateway/messages.ts
@@ -0,0 +1,58 @@
+/** What gateway daemons tell each other, checked on arrival. */
+
+import { z } from 'zod';
+
+import type { BackendServer, GatewayConfig } from '../../core/gateway/types';
+import { brandAs } from '../../core/ids';
+import type { GroupId, InstanceId } from '../../core/ids';
+
+const natural = z.number().min(0);
+
+const stateSchema = z.object({
+  kind: z.literal('state'),
+  /** Version of the configuration in force; 0 for none. */
+  configVersion: natural,
+  /** Revision of the store up to which the servers are known. */
+  serversRevision: natural,
+  hasTraffic: z.boolean(),
+  isStopping: z.boolean(),
+  isLeader: z.boolean(),
+  /** Requests in flight by head of a group, and the tokens of prompts not yet answered. */
+  running: z.array(z.tuple([z.string().transform((id) => brandAs<InstanceId>(id)), natural])),
+  /** Requests that wait here for a group, by model. */
+  waiting: z.array(z.tuple([z.string(), natural])),
+});
+
+/** A group that this daemon saw stand still. */
+const stalledSchema = z.object({
+  kind: z.literal('stalled'),
+  group: z.string().transform((id) => brandAs<GroupId>(id)),
+  head: z.string().transform((id) => brandAs<InstanceId>(id)),
+});
+
+/** Sent on in the form in which this program holds them: all daemons run the same program. */
+const configSchema = z.object({
+  kind: z.literal('config'),
+  config: z.custom<GatewayConfig>((value) => typeof value === 'object' && value !== null),
+});
+
+const serversSchema = z.object({
+  kind: z.literal('servers'),
+  revision: natural,
+  servers: z.array(z.custom<BackendServer>((value) => typeof value === 'object' && value !== null)),
+});
+
+const messageSchema = z.discriminatedUnion('kind', [
+  stateSchema,
+  stalledSchema,
+  configSchema,
+  serversSchema,
+]);
+
+export type PeerState = z.output<typeof stateSchema>;
+export type GatewayMessage = z.output<typeof messageSchema>;
+
+/** The message in a frame; undefined if no daemon sends such a one. */
+export function parseGatewayMessage(frame: unknown): GatewayMessage | undefined {
+  return messageSchema.safeParse(frame).data;
+}
--- /dev/null
+++ b/src/app/gateway/plain-call.ts
@@ -0,0 +1,257 @@
+/**
+ * A call of a plain service. Its answer is held whole and checked before any of it is passed on, so a
+ * safe call can be tried again at another server; an unsafe one is sent once.
+ */
+
+import type { IncomingMessage } from 'node:http';
+
+import type { Answered, Upstream } from '../../adapters/upstream/upstream';
+import { choosePlain } from '../../core/gateway/balance';
+import type { PlainCandidate } from '../../core/gateway/balance';
+import { nameOf } from '../../core/gateway/routes';
+import type { BackendServer } from '../../core/gateway/types';
+import { later } from '../../core/ids';
+import type { InstanceId, MonoTime, ServiceId } from '../../core/ids';
+import type { AnswerFacts, Dialect } from '../../ports/gateway';
+import { fail } from '../../utils/errors';
+import type { GatewayContext } from './context';
+import { giveUp, logEnding } from './exchange';
+import type { Exchange, Exposure } from './exchange';
+import type { Retries } from './retries';
+import type { Roster } from './roster';
+
+export interface PlainDeps {
+  readonly ctx: GatewayContext;
+  readonly roster: Roster;
+  readonly upstream: Upstream;
+  readonly dialect: Dialect;
+  readonly retries: Retries;
+}
+
+export interface PlainCalls {
+  call(exchange: Exchange): Promise<void>;
+}
+
+/** What was seen of one server. */
+interface ServerRecord {
+  running: number;
+  failures: number;
+  latencyMs: number | undefined;
+}
+
+/** How one send ended. */
+type Attempt =
+  | { readonly kind: 'answered'; readonly res: IncomingMessage; readonly body: Buffer; readonly facts: AnswerFacts }
+  /** Nothing was sent, or the server says that it did not run the call. */
+  | { readonly kind: 'not-run'; readonly reason: string }
+  | { readonly kind: 'lost'; readonly reason: string };
+
+/** Weight of the latest call in a server's running means. */
+const SMOOTHING = 0.15;
+/** A safe call that may be sent again leaves a silent server after this share of the time it has left. */
+const FIRST_TRY_SHARE = 0.45;
+/** Answers above this are not held; far above what plain services send. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+const FIRST_SERVER_ERROR = 500;
+
+export function createPlainCalls(deps: PlainDeps): PlainCalls {
+  const { ctx, roster, retries } = deps;
+  const records = new Map<InstanceId, ServerRecord>();
+
+  const recordOf = (id: InstanceId): ServerRecord => {
+    const known = records.get(id);
+    if (known) return known;
+    const record: ServerRecord = { running: 0, failures: 0, latencyMs: undefined };
+    records.set(id, record);
+    return record;
+  };
+
+  const candidates = (service: ServiceId, tried: ReadonlySet<InstanceId>): PlainCandidate[] =>
+    [...roster.servers.values()]
+      .filter((server) => server.service === service && !server.isDraining)
+      .map(({ id, zone, batchSize }) => ({
+        id,
+        zone,
+        batchSize,
+        ...recordOf(id),
+        isTried: tried.has(id),
+      }));
+
+  const choose = (exchange: Exchange, tried: ReadonlySet<InstanceId>): BackendServer | undefined => {
+    const found = choosePlain(
+      candidates(exchange.service, tried),
+      ctx.settings.zone,
+      ctx.random.next(),
+    );
+    return found && roster.servers.get(found.id);
+  };
+
+  const attempt = async (
+    exchange: Exchange,
+    server: BackendServer,
+    until: MonoTime,
+  ): Promise<Attempt> => {
+    const record = recordOf(server.id);
+    const startedAt = ctx.clock.now();
+    record.running += 1;
+    const result = await sendOnce(deps, exchange, server, until);
+    record.running -= 1;
+    const hasFailed = result.kind !== 'answered' || isServerError(result.res);
+    record.failures += SMOOTHING * (Number(hasFailed) - record.failures);
+    if (result.kind === 'answered') {
+      const ms = ctx.clock.now() - startedAt;
+      record.latencyMs = (record.latencyMs ?? ms) + SMOOTHING * (ms - (record.latencyMs ?? ms));
+    }
+    return result;
+  };
+
+  const mayTryAgain = (exchange: Exchange, attempts: number, result: Attempt): boolean => {
+    const { route, service } = exchange;
+    if (attempts >= route.maxAttempts || exchange.gone.aborted) return false;
+    if (ctx.clock.now() >= exchange.answerBy) return false;
+    const isAllowed = result.kind === 'not-run' || route.kind === 'safe';
+    return isAllowed && retries.mayRetry(service);
+  };
+
+  const patience = (exchange: Exchange, attempts: number): MonoTime => {
+    const { route, answerBy } = exchange;
+    if (route.kind !== 'safe' || attempts + 1 >= route.maxAttempts) return answerBy;
+    const now = ctx.clock.now();
+    return later(now, (answerBy - now) * FIRST_TRY_SHARE);
+  };
+
+  const call = async (exchange: Exchange): Promise<void> => {
+    const tried = new Set<InstanceId>();
+    let exposure: Exposure = 'not-run';
+    let reason = 'no server of the service is known';
+    retries.noteRequest(exchange.service);
+    for (;;) {
+      const server = choose(exchange, tried);
+      if (!server) break;
+      const result = await attempt(exchange, server, patience(exchange, tried.size));
+      tried.add(server.id);
+      if (exchange.gone.aborted) {
+        logEnding(ctx, exchange, { outcome: 'caller-gone', status: 0, attempts: tried.size });
+        return;
+      }
+      if (result.kind === 'answered') {
+        const isRetriable = isServerError(result.res) && exchange.route.kind === 'safe';
+        if (!isRetriable || !mayTryAgain(exchange, tried.size, result)) {
+          passOn(deps, exchange, result, server, tried.size);
+          return;
+        }
+        exposure = 'unknown';
+        continue;
+      }
+      reason = result.reason;
+      if (result.kind === 'lost') exposure = 'unknown';
+      if (!mayTryAgain(exchange, tried.size, result)) break;
+    }
+    giveUp(ctx, exchange, exposure, reason, tried.size);
+  };
+
+  return { call };
+}
+
+function isServerError({ statusCode = 0 }: IncomingMessage): boolean {
+  return statusCode >= FIRST_SERVER_ERROR;
+}
+
+function passOn(
+  { ctx, dialect }: PlainDeps,
+  exchange: Exchange,
+  { res, body }: Extract<Attempt, { kind: 'answered' }>,
+  server: BackendServer,
+  attempts: number,
+): void {
+  const status = res.statusCode ?? 0;
+  const headers = dialect
+    .reply(res.rawHeaders)
+    .filter((_, i, all) => all[i - (i % 2)]?.toLowerCase() !== 'content-length');
+  exchange.res.writeHead(status, [...headers, 'Content-Length', String(body.length)]);
+  exchange.res.end(body);
+  logEnding(ctx, exchange, { outcome: 'served', status, attempts, server: server.id });
+}
+
+/** Sends the call to one server and reads its whole answer, until `until` at the latest. */
+async function sendOnce(
+  deps: PlainDeps,
+  exchange: Exchange,
+  server: BackendServer,
+  until: MonoTime,
+): Promise<Attempt> {
+  const { ctx, upstream, dialect } = deps;
+  const now = ctx.clock.now();
+  const limit = AbortSignal.any([exchange.gone, AbortSignal.timeout(Math.max(1, until - now))]);
+  const { method = 'GET', url = '/', rawHeaders } = exchange.req;
+  const organisation = nameOf(exchange.caller);
+  const hasBody = exchange.body.length > 0 || exchange.req.headers['content-length'] !== undefined;
+  const sent = await upstream.send({
+    address: server.address,
+    method,
+    path: url,
+    headers: dialect.forward(rawHeaders, {
+      instance: server.id,
+      leftMs: Math.min(exchange.deadline, exchange.answerBy) - now,
+      ...(hasBody && { bodyBytes: exchange.body.length }),
+      ...(organisation !== undefined && { organisation }),
+    }),
+    body: exchange.body,
+    ownConnection: false,
+    signal: limit,
+    beforeSend: () =>
+      ctx.clock.now() < until ? undefined : fail('deadline-exceeded', 'too late', { step: 'send' }),
+  });
+  if (sent.kind === 'not-sent') return { kind: 'not-run', reason: sent.error.message };
+  if (sent.kind === 'lost') return { kind: 'lost', reason: sent.error.message };
+  return readWhole(deps, exchange, sent, limit);
+}
+
+async function readWhole(
+  { dialect }: PlainDeps,
+  exchange: Exchange,
+  answered: Answered,
+  limit: AbortSignal,
+): Promise<Attempt> {
+  const { res, destroy } = answered;
+  const status = res.statusCode ?? 0;
+  const facts = dialect.readAnswer(status, res.headers);
+  const lose = (reason: string): Attempt => {
+    destroy();
+    return { kind: 'lost', reason };
+  };
+  if (facts.requestId !== undefined && facts.requestId !== exchange.facts.requestId) {
+    return lose('answer to another request');
+  }
+  if (facts.isNotExecuted) {
+    res.resume();
+    return { kind: 'not-run', reason: `server says not executed (${status})` };
+  }
+  const body = await collect(res, limit);
+  if (!body) return lose('answer broken off');
+  if (!facts.isSigned && status < 300) return lose('answer without signature');
+  if (res.headers['content-encoding'] !== undefined) return lose('answer with an encoding');
+  return { kind: 'answered', res, body, facts };
+}
+
+/** The whole body; undefined where it is not whole. */
+function collect(res: IncomingMessage, limit: AbortSignal): Promise<Buffer | undefined> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    const giveUpReading = (): void => {
+      resolve(undefined);
+    };
+    res.on('data', (chunk: Buffer) => {
+      chunks.push(chunk);
+      bytes += chunk.length;
+      if (bytes > MAX_ANSWER_BYTES) giveUpReading();
+    });
+    res.on('end', () => {
+      resolve(res.complete ? Buffer.concat(chunks) : undefined);
+    });
+    res.on('error', giveUpReading);
+    res.on('close', giveUpReading);
+    limit.addEventListener('abort', giveUpReading, { once: true });
+  });
+}
--- /dev/null
+++ b/src/app/gateway/retries.ts
@@ -0,0 +1,43 @@
+/** This daemon's part of the retries that the whole fleet may make. */
+
+import { createFleetBudget, noteFirstSend, takeRetry } from '../../core/gateway/retry-budget';
+import type { FleetAllowance, FleetBudget } from '../../core/gateway/retry-budget';
+import type { ServiceId } from '../../core/ids';
+import type { GatewayContext } from './context';
+
+export interface Retries {
+  /** A request is sent to the service for the first time. */
+  noteRequest(service: ServiceId): void;
+  /** Whether one further send may be made; counts it if so. */
+  mayRetry(service: ServiceId): boolean;
+}
+
+/** Part of the allowance that is used: daemons come and go, and do not see each other's retries. */
+const USED_SHARE = 0.75;
+
+export function createRetries(ctx: GatewayContext, daemons: () => number): Retries {
+  const { retryRatio, retrySlack, retryWindowMs } = ctx.settings;
+  const budgets = new Map<ServiceId, FleetBudget>();
+
+  const allowance = (): FleetAllowance => ({
+    ratio: retryRatio * USED_SHARE,
+    slack: retrySlack * USED_SHARE,
+    windowMs: retryWindowMs,
+    daemons: daemons(),
+  });
+
+  const budgetOf = (service: ServiceId): FleetBudget =>
+    budgets.get(service) ?? createFleetBudget(ctx.clock.now(), allowance());
+
+  return {
+    noteRequest: (service) => {
+      budgets.set(service, noteFirstSend(budgetOf(service), allowance(), ctx.clock.now()));
+    },
+    mayRetry: (service) => {
+      const taken = takeRetry(budgetOf(service), allowance(), ctx.clock.now());
+      if (taken) budgets.set(service, taken);
+      else ctx.logger.warn('retry budget spent', { step: 'retry', service });
+      return taken !== undefined;
+    },
+  };
+}
--- /dev/null
+++ b/src/app/gateway/settings.ts
@@ -0,0 +1,29 @@
+/** Settings of a gateway daemon. Durations are milliseconds and end in `Ms`. */
+
+import type { DaemonId, ZoneId } from '../../core/ids';
+
+export interface GatewaySettings {
+  readonly id: DaemonId;
+  readonly zone: ZoneId;
+  /** `host:port` for callers. */
+  readonly listen: string;
+  /** `host:port` for the balancer's readiness probe, and for metrics. */
+  readonly readyListen: string;
+  /** `host:port` for other daemons. */
+  readonly peerListen: string;
+  /** Peer addresses to join by. */
+  readonly seeds: readonly string[];
+  readonly peerSecret: string;
+  /** A planned stop is cut off after this. */
+  readonly shutdownMs: number;
+  /** A head that waits for a lost member is broken after this. */
+  readonly stallMs: number;
+  /** A server whose entry is gone, or says that it is leaving, gets nothing new after this. */
+  readonly leavingMs: number;
+  /** Retries that the whole fleet may make in a window: a share of the requests, and a number. */
+  readonly retryRatio: number;
+  readonly retrySlack: number;
+  readonly retryWindowMs: number;
+  /** Weight loads are limited over windows of this length. */
+  readonly loadWindowMs: number;
+}
--- /dev/null
+++ b/src/app/gateway/stream-call.ts
@@ -0,0 +1,326 @@
+/**
+ * A stream from a replica group. Whole events are passed on as they come; a stream that breaks goes
+ * on at another group from its last event where the route allows it, within the same answer.
+ */
+
+import type { Answered, Upstream } from '../../adapters/upstream/upstream';
+import { chooseGroup } from '../../core/gateway/balance';
+import { createEventReader } from '../../core/gateway/events';
+import { nameOf } from '../../core/gateway/routes';
+import { later } from '../../core/ids';
+import type { InstanceId, ModelId, MonoTime } from '../../core/ids';
+import type { AnswerFacts, Dialect } from '../../ports/gateway';
+import { fail } from '../../utils/errors';
+import type { Board, BoardGroup } from './board';
+import type { GatewayContext } from './context';
+import { giveUp, logEnding } from './exchange';
+import type { Exchange, Exposure } from './exchange';
+import type { Retries } from './retries';
+import type { WaitingRoom } from './waiting';
+
+export interface StreamDeps {
+  readonly ctx: GatewayContext;
+  readonly board: Board;
+  readonly upstream: Upstream;
+  readonly dialect: Dialect;
+  readonly retries: Retries;
+  readonly waiting: WaitingRoom;
+}
+
+export interface StreamCalls {
+  call(exchange: Exchange): Promise<void>;
+}
+
+/** Progress of one caller's stream over all its attempts. */
+interface StreamState {
+  readonly tried: Set<InstanceId>;
+  attempts: number;
+  exposure: Exposure;
+  /** Id of the last event that the caller has. */
+  lastId: number | undefined;
+  hasStarted: boolean;
+  reason: string;
+}
+
+/** How one attempt ended. */
+type Ended = 'complete' | 'passed-on' | 'not-run' | 'lost' | 'caller-gone';
+
+export function createStreamCalls(deps: StreamDeps): StreamCalls {
+  const { ctx, board, retries } = deps;
+
+  const choose = (exchange: Exchange, model: ModelId, state: StreamState): BoardGroup | undefined => {
+    const candidates = board.candidates(exchange.service, model, state.tried);
+    const found = chooseGroup(candidates, ctx.settings.zone, ctx.random.next());
+    const group = found && board.find(found.head);
+    // The place is taken in the same tick, so that the next request in turn sees it taken.
+    if (group) board.noteSent(group.head.id);
+    return group;
+  };
+
+  /** Takes a place in a group, if need be after a wait in turn with other requests. */
+  const findGroup = async (
+    exchange: Exchange,
+    model: ModelId,
+    state: StreamState,
+  ): Promise<BoardGroup | undefined> => {
+    const now = choose(exchange, model, state);
+    if (now) return now;
+    return deps.waiting.wait({
+      model,
+      priority: exchange.priority,
+      until: exchange.answerBy,
+      arrivedAt: exchange.arrivedAt,
+      gone: exchange.gone,
+      isRetry: state.tried.size > 0,
+      choose: () => choose(exchange, model, state),
+    });
+  };
+
+  const mayGoOn = (exchange: Exchange, state: StreamState, ended: Ended): boolean => {
+    const { route } = exchange;
+    if (exchange.gone.aborted || ctx.clock.now() >= exchange.answerBy) return false;
+    if (state.attempts >= route.maxAttempts) return false;
+    if (ended === 'lost' && !route.isResumable) return false;
+    return retries.mayRetry(exchange.service);
+  };
+
+  const call = async (exchange: Exchange): Promise<void> => {
+    const model = exchange.facts.model;
+    const given = exchange.facts.lastEventId;
+    const state: StreamState = {
+      tried: new Set(),
+      attempts: 0,
+      exposure: 'not-run',
+      lastId: given === undefined ? undefined : Number(given),
+      hasStarted: false,
+      reason: 'no group serves the model',
+    };
+    if (model === undefined) {
+      giveUp(ctx, exchange, 'not-run', 'the request names no model', 0);
+      return;
+    }
+    retries.noteRequest(exchange.service);
+    for (;;) {
+      const group = await findGroup(exchange, model, state);
+      if (!group) break;
+      state.tried.add(group.head.id);
+      state.attempts += 1;
+      const ended = await attempt(deps, exchange, group, state);
+      if (ended === 'complete' || ended === 'passed-on') {
+        const status = exchange.res.statusCode;
+        const { attempts } = state;
+        logEnding(ctx, exchange, { outcome: 'served', status, attempts, server: group.head.id });
+        return;
+      }
+      if (ended === 'lost') state.exposure = 'unknown';
+      if (ended === 'caller-gone' || !mayGoOn(exchange, state, ended)) break;
+    }
+    endWithoutAnswer(ctx, exchange, state);
+  };
+
+  return { call };
+}
+
+function endWithoutAnswer(ctx: GatewayContext, exchange: Exchange, state: StreamState): void {
+  const { attempts, reason, exposure } = state;
+  const { res, gone } = exchange;
+  if (gone.aborted) {
+    logEnding(ctx, exchange, { outcome: 'caller-gone', status: 0, attempts, reason });
+    return;
+  }
+  if (!state.hasStarted) {
+    giveUp(ctx, exchange, exposure, reason, attempts);
+    return;
+  }
+  // The caller must not take what it has for a whole answer.
+  res.destroy();
+  logEnding(ctx, exchange, { outcome: 'torn', status: res.statusCode, attempts, reason });
+}
+
+/** Sends the request to one group and passes its events on. */
+async function attempt(
+  deps: StreamDeps,
+  exchange: Exchange,
+  group: BoardGroup,
+  state: StreamState,
+): Promise<Ended> {
+  const { ctx, board, upstream, dialect } = deps;
+  const { head } = group;
+  const stop = new AbortController();
+  const now = ctx.clock.now();
+  const end = later(exchange.answerBy, 0);
+  const limit = setTimeout(() => {
+    stop.abort(new Error('no time left'));
+  }, Math.max(1, end - now));
+  const onGone = (): void => {
+    stop.abort(new Error('caller gone'));
+  };
+  exchange.gone.addEventListener('abort', onGone, { once: true });
+  const stalls = board.stalls.subscribe((stall) => {
+    if (stall.head === head.id) stop.abort(new Error('group stands still'));
+  });
+  try {
+    const organisation = nameOf(exchange.caller);
+    const { method = 'POST', url = '/', rawHeaders } = exchange.req;
+    const sent = await upstream.send({
+      address: head.address,
+      method,
+      path: url,
+      headers: dialect.forward(rawHeaders, {
+        instance: head.id,
+        leftMs: end - now,
+        bodyBytes: exchange.body.length,
+        ...(organisation !== undefined && { organisation }),
+        ...(state.lastId !== undefined && { lastEventId: String(state.lastId) }),
+      }),
+      body: exchange.body,
+      ownConnection: false,
+      signal: stop.signal,
+      beforeSend: () =>
+        ctx.clock.now() < end ? undefined : fail('deadline-exceeded', 'too late', { step: 'send' }),
+    });
+    if (sent.kind !== 'answered') {
+      state.reason = describe(stop.signal, sent.error.message);
+      if (sent.kind === 'not-sent') board.suspect(head.id, sent.error.message);
+      if (exchange.gone.aborted) return 'caller-gone';
+      return sent.kind === 'not-sent' ? 'not-run' : 'lost';
+    }
+    return await relay(deps, exchange, group, state, sent, stop.signal);
+  } finally {
+    clearTimeout(limit);
+    exchange.gone.removeEventListener('abort', onGone);
+    stalls.unsubscribe();
+    board.noteEnded(head.id);
+  }
+}
+
+function describe(signal: AbortSignal, otherwise: string): string {
+  return signal.reason instanceof Error ? signal.reason.message : otherwise;
+}
+
+async function relay(
+  deps: StreamDeps,
+  exchange: Exchange,
+  group: BoardGroup,
+  state: StreamState,
+  answered: Answered,
+  stop: AbortSignal,
+): Promise<Ended> {
+  const { res, destroy } = answered;
+  const status = res.statusCode ?? 0;
+  const facts = deps.dialect.readAnswer(status, res.headers);
+  const lose = (reason: string): Ended => {
+    state.reason = reason;
+    destroy();
+    return exchange.gone.aborted ? 'caller-gone' : 'lost';
+  };
+  if (facts.requestId !== undefined && facts.requestId !== exchange.facts.requestId) {
+    return lose('answer to another request');
+  }
+  if (facts.isNotExecuted) {
+    res.resume();
+    state.reason = `server says not executed (${status})`;
+    deps.board.suspect(group.head.id, state.reason);
+    return 'not-run';
+  }
+  if (status >= 300) return passFailure(deps, exchange, state, answered, facts);
+  if (!facts.isSigned) return lose('answer without signature');
+  const reason = await passEvents(deps, exchange, group.head.id, state, answered, stop);
+  if (reason !== undefined) return lose(describe(stop, reason));
+  exchange.res.end();
+  return 'complete';
+}
+
+/** A failure that the server answered with: passed on where nothing was passed on before. */
+async function passFailure(
+  deps: StreamDeps,
+  exchange: Exchange,
+  state: StreamState,
+  { res, destroy }: Answered,
+  facts: AnswerFacts,
+): Promise<Ended> {
+  const status = res.statusCode ?? 0;
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of res) chunks.push(chunk as Buffer);
+  } catch {
+    // Broken off: `complete` tells.
+  }
+  state.reason = `server answered ${status}`;
+  if (!res.complete || state.hasStarted || !facts.isSigned) {
+    destroy();
+    return 'lost';
+  }
+  const body = Buffer.concat(chunks);
+  const headers = deps.dialect
+    .reply(res.rawHeaders)
+    .filter((_, i, all) => all[i - (i % 2)]?.toLowerCase() !== 'content-length');
+  exchange.res.writeHead(status, [...headers, 'Content-Length', String(body.length)]);
+  exchange.res.end(body);
+  return 'passed-on';
+}
+
+/** Passes events on until the end; gives a reason where the stream is not whole. */
+function passEvents(
+  { ctx, board, dialect }: StreamDeps,
+  exchange: Exchange,
+  head: InstanceId,
+  state: StreamState,
+  { res: from }: Answered,
+  stop: AbortSignal,
+): Promise<string | undefined> {
+  const { res } = exchange;
+  const reader = createEventReader();
+  let lastAt: MonoTime | undefined;
+  return new Promise((resolve) => {
+    const start = (): void => {
+      if (state.hasStarted) return;
+      state.hasStarted = true;
+      const headers = dialect
+        .reply(from.rawHeaders)
+        .filter((_, i, all) => all[i - (i % 2)]?.toLowerCase() !== 'content-length');
+      res.writeHead(from.statusCode ?? 200, headers);
+    };
+    const onChunk = (chunk: Buffer): void => {
+      const passed: Buffer[] = [];
+      for (const { bytes, id } of reader.push(chunk)) {
+        if (id !== undefined) {
+          if (state.lastId !== undefined && id !== state.lastId + 1) {
+            resolve(`event ${id} after ${state.lastId}`);
+            return;
+          }
+          state.lastId = id;
+        }
+        passed.push(bytes);
+      }
+      if (reader.isOverfull()) {
+        resolve('event too long');
+        return;
+      }
+      if (passed.length === 0) return;
+      const now = ctx.clock.now();
+      board.noteEvent(head, lastAt === undefined ? undefined : now - lastAt);
+      lastAt = now;
+      start();
+      res.write(passed.length === 1 ? passed[0] : Buffer.concat(passed));
+    };
+    from.on('data', onChunk);
+    from.on('end', () => {
+      if (!from.complete || reader.hasRest()) resolve('stream broken off');
+      else {
+        start();
+        resolve(undefined);
+      }
+    });
+    from.on('error', () => {
+      resolve('stream broken off');
+    });
+    from.on('close', () => {
+      resolve('stream broken off');
+    });
+    stop.addEventListener('abort', () => {
+      from.off('data', onChunk);
+      resolve(describe(stop, 'stopped'));
+    });
+  });
+}
--- /dev/null
+++ b/src/app/gateway/waiting.ts
@@ -0,0 +1,78 @@
+/** Requests that wait on this daemon for a place in a group: most urgent first, then in order of arrival. */
+
+import type { ModelId, MonoTime } from '../../core/ids';
+import type { Board, BoardGroup } from './board';
+import type { GatewayContext } from './context';
+
+export interface Waiter {
+  readonly model: ModelId;
+  readonly priority: number;
+  readonly arrivedAt: MonoTime;
+  /** Given up after this. */
+  readonly until: MonoTime;
+  readonly gone: AbortSignal;
+  /** Groups tried before are left out, so that there may be none though others find one. */
+  readonly isRetry: boolean;
+  /** Takes a place in a group, if one is free. */
+  readonly choose: () => BoardGroup | undefined;
+}
+
+export interface WaitingRoom {
+  /** Undefined once the wait is over in vain. */
+  wait(waiter: Waiter): Promise<BoardGroup | undefined>;
+  waiting(): readonly (readonly [ModelId, number])[];
+}
+
+interface Entry extends Waiter {
+  readonly settle: (group: BoardGroup | undefined) => void;
+}
+
+export function createWaitingRoom(ctx: GatewayContext, board: Board): WaitingRoom {
+  const entries = new Set<Entry>();
+  let isServing = false;
+
+  const inTurn = (): Entry[] =>
+    [...entries].sort((a, b) => a.priority - b.priority || a.arrivedAt - b.arrivedAt);
+
+  /** Serves in turn; a model found full is not looked at again in the same round. */
+  const serve = (): void => {
+    if (entries.size === 0 || isServing) return;
+    isServing = true;
+    const full = new Set<ModelId>();
+    for (const entry of inTurn()) {
+      if (full.has(entry.model)) continue;
+      const group = entry.choose();
+      if (group) entry.settle(group);
+      else if (!entry.isRetry) full.add(entry.model);
+    }
+    isServing = false;
+  };
+
+  board.changes.subscribe(serve);
+
+  const wait = (waiter: Waiter): Promise<BoardGroup | undefined> =>
+    new Promise((resolve) => {
+      const settle = (group: BoardGroup | undefined): void => {
+        if (!entries.delete(entry)) return;
+        clearTimeout(timer);
+        waiter.gone.removeEventListener('abort', onGone);
+        resolve(group);
+      };
+      const onGone = (): void => {
+        settle(undefined);
+      };
+      const entry: Entry = { ...waiter, settle };
+      const timer = setTimeout(onGone, Math.max(0, waiter.until - ctx.clock.now()));
+      waiter.gone.addEventListener('abort', onGone, { once: true });
+      entries.add(entry);
+    });
+
+  return {
+    wait,
+    waiting: () => {
+      const counts = new Map<ModelId, number>();
+      for (const { model } of entries) counts.set(model, (counts.get(model) ?? 0) + 1);
+      return [...counts];
+    },
+  };
+}
--- /dev/null
+++ b/src/app/gateway/watch.ts
@@ -0,0 +1,111 @@
+/** Follows a collection of the platform's store: loads it, then waits for changes, for as long as the daemon runs. */
+
+import { later } from '../../core/ids';
+import type { MonoTime } from '../../core/ids';
+import type { Change, Changes, Feed } from '../../ports/gateway';
+import type { StepError } from '../../utils/errors';
+import type { GatewayContext } from './context';
+
+export interface WatchOptions<T> {
+  readonly feed: Feed<T>;
+  /**
+   * Longest wait of a poll, milliseconds. Connections may fall silent without an error: then it takes
+   * this long, and a little more, to notice.
+   */
+  readonly waitMs?: number;
+  /** Changes in the order of the store. `isWhole`: they are the whole collection. */
+  readonly take: (changes: readonly Change<T>[], isWhole: boolean) => void;
+}
+
+export interface Watch {
+  /** Revision of the store up to which the collection is known; 0 before the first load. */
+  revision(): number;
+  /** The store gave an answer at this instant; undefined before the first. */
+  lastContact(): MonoTime | undefined;
+  /** The end of the last failure of the store; undefined where there was none. */
+  returnedAt(): MonoTime | undefined;
+  isFailing(): boolean;
+  stop(): void;
+}
+
+const DEFAULT_WAIT_MS = 4_000;
+/** Between tries while the store fails: at once soon after a failure, then so often that all daemons stay far below its rate. */
+const FIRST_RETRY_MS = 60;
+const LONGEST_RETRY_MS = 500;
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+export function watchFeed<T>(ctx: GatewayContext, options: WatchOptions<T>): Watch {
+  const { feed, take, waitMs = DEFAULT_WAIT_MS } = options;
+  let revision = 0;
+  let lastContact: MonoTime | undefined;
+  let returnedAt: MonoTime | undefined;
+  let failures = 0;
+  let stopped = false;
+
+  const accept = (result: Changes<T>, isWhole: boolean): void => {
+    const now = ctx.clock.now();
+    lastContact = now;
+    if (failures > 0) {
+      returnedAt = now;
+      ctx.logger.info('store regained', { step: 'watch', collection: feed.name, failures });
+    }
+    failures = 0;
+    revision = Math.max(revision, result.revision);
+    if (isWhole || result.changes.length > 0) take(result.changes, isWhole);
+  };
+
+  const fail = async (err: StepError): Promise<void> => {
+    if (err.code === 'history-gone') {
+      ctx.logger.warn('history gone, loading anew', { step: 'watch', collection: feed.name });
+      revision = 0;
+      return;
+    }
+    failures += 1;
+    if (failures === 1) {
+      ctx.logger.warn('store lost', {
+        step: err.step,
+        collection: feed.name,
+        code: err.code,
+        reason: err.message,
+      });
+    }
+    const delay = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** Math.min(failures, 8));
+    await pause(delay * (0.5 + ctx.random.next() / 2));
+  };
+
+  const step = async (): Promise<void> => {
+    const isWhole = revision === 0;
+    const result = await (isWhole ? feed.load() : feed.poll(revision, waitMs));
+    if (stopped) return;
+    if (result.isOk()) accept(result.value, isWhole);
+    else await fail(result.error);
+  };
+
+  const run = async (): Promise<void> => {
+    while (!stopped) await step();
+  };
+  void run().catch((err: unknown) => {
+    ctx.logger.error('watch ended by a fault', { step: 'watch', reason: String(err) });
+    throw err;
+  });
+
+  return {
+    revision: () => revision,
+    lastContact: () => lastContact,
+    returnedAt: () => returnedAt,
+    isFailing: () => failures > 0,
+    stop: () => {
+      stopped = true;
+    },
+  };
+}
+
+/** Whether the store was away at some time since `ms` milliseconds ago. */
+export function wasAway(watch: Watch, now: MonoTime, ms: number): boolean {
+  if (watch.isFailing()) return true;
+  const returned = watch.returnedAt();
+  return returned !== undefined && now < later(returned, ms);
+}
--- /dev/null
+++ b/src/core/gateway/balance.ts
@@ -0,0 +1,90 @@
+/** Chooses the group of a stream and the server of a plain call. */
+
+import type { InstanceId, ZoneId } from '../ids';
+
+/** A group as a request may be sent to it. */
+export interface GroupCandidate {
+  readonly head: InstanceId;
+  readonly zone: ZoneId;
+  /** Requests in it, of all daemons, as far as this one knows. */
+  readonly running: number;
+  readonly batchSize: number;
+  /** Above 1: so many times slower than the published figures. */
+  readonly slowdown: number;
+  /** Already tried for this request. */
+  readonly isTried: boolean;
+}
+
+export interface GroupChoiceOptions {
+  /** Load of a group in another zone counts this much more: bytes between zones cost. */
+  readonly otherZone: number;
+  /** Requests beyond the batch that a group may hold, as a share of it: they wait at the engine. */
+  readonly queueShare: number;
+}
+
+export const GROUP_CHOICE_DEFAULTS: GroupChoiceOptions = { otherZone: 0.04, queueShare: 0 };
+
+/**
+ * The group where the request runs fastest: the least filled one, slow ones counted as fuller. None
+ * where all are full. `chance` in [0, 1) breaks ties, so that daemons do not act alike.
+ */
+export function chooseGroup(
+  candidates: readonly GroupCandidate[],
+  zone: ZoneId,
+  chance: number,
+  options: GroupChoiceOptions = GROUP_CHOICE_DEFAULTS,
+): GroupCandidate | undefined {
+  let best: GroupCandidate | undefined;
+  let bestScore = Infinity;
+  const offset = Math.floor(chance * candidates.length);
+  for (let i = 0; i < candidates.length; i++) {
+    const candidate = candidates[(i + offset) % candidates.length];
+    if (!candidate || candidate.isTried) continue;
+    const { running, batchSize, slowdown } = candidate;
+    if (running >= batchSize * (1 + options.queueShare)) continue;
+    const away = candidate.zone === zone ? 0 : options.otherZone;
+    const score = ((running + 1) / batchSize) * slowdown + away;
+    if (score < bestScore) [best, bestScore] = [candidate, score];
+  }
+  return best;
+}
+
+/** A server of a plain service. */
+export interface PlainCandidate {
+  readonly id: InstanceId;
+  readonly zone: ZoneId;
+  /** Requests of this daemon in it. */
+  readonly running: number;
+  readonly batchSize: number;
+  /** Share of late calls that failed, weighted towards the last ones. */
+  readonly failures: number;
+  /** Mean time of late calls, milliseconds; undefined where none is known. */
+  readonly latencyMs: number | undefined;
+  readonly isTried: boolean;
+}
+
+/** A failing server is avoided as if it were so many times fuller at most. */
+const FAILURE_WEIGHT = 12;
+
+/** The server with the least expected wait, failing ones counted as fuller. */
+export function choosePlain(
+  candidates: readonly PlainCandidate[],
+  zone: ZoneId,
+  chance: number,
+): PlainCandidate | undefined {
+  const known = candidates.flatMap(({ latencyMs }) => (latencyMs === undefined ? [] : [latencyMs]));
+  const usual = known.length === 0 ? 1 : Math.min(...known);
+  let best: PlainCandidate | undefined;
+  let bestScore = Infinity;
+  const offset = Math.floor(chance * candidates.length);
+  for (let i = 0; i < candidates.length; i++) {
+    const candidate = candidates[(i + offset) % candidates.length];
+    if (!candidate || candidate.isTried) continue;
+    const slow = Math.max(1, (candidate.latencyMs ?? usual) / usual);
+    const failing = 1 + FAILURE_WEIGHT * candidate.failures;
+    const away = candidate.zone === zone ? 1 : 1.05;
+    const score = ((candidate.running + 1) / candidate.batchSize) * slow * failing * away;
+    if (score < bestScore) [best, bestScore] = [candidate, score];
+  }
+  return best;
+}
--- /dev/null
+++ b/src/core/gateway/forming/compose.ts
@@ -0,0 +1,189 @@
+/** Chooses which groups to form from a domain's free servers, and what its spares are kept ready for. */
+
+import { brandAs, later } from '../../ids';
+import type { DomainId, Epoch, GroupId, InstanceId, ModelId } from '../../ids';
+import { compareText } from '../../../utils/common';
+import type { BackendServer, ModelSpec } from '../types';
+import type { ReplicaGroup } from '../groups';
+import { joinCost } from './form';
+import { mayLoad, noteLoads } from './loads';
+import { ask, isSuspect } from './state';
+import type { Draft } from './state';
+
+/** Groups of this name are one warm server each and never serve. */
+const STANDBY_PREFIX = 'standby-';
+/** One server in so many of a domain is kept spare, so that a lost member is replaced at once. */
+const SERVERS_PER_SPARE = 12;
+/** Epochs that one term of a lease may give out; its holder then takes the lease anew. */
+export const EPOCHS_PER_LEASE = 65_536;
+
+export function isStandby(group: GroupId): boolean {
+  return group.startsWith(STANDBY_PREFIX);
+}
+
+/** Servers that may be ordered into a group now, by domain. */
+export function collectFree(draft: Draft): ReadonlyMap<DomainId, BackendServer[]> {
+  const taken = new Set<InstanceId>();
+  for (const { members } of draft.formations.values()) for (const { id } of members) taken.add(id);
+  for (const { members } of draft.retirements.values()) for (const { id } of members) taken.add(id);
+  const free = new Map<DomainId, BackendServer[]>();
+  for (const server of draft.view.servers.values()) {
+    const { id, domain, isDraining, membership } = server;
+    if (domain === undefined || isDraining || taken.has(id) || isSuspect(draft, id)) continue;
+    const isBound = membership && !isStandby(membership.group) && !draft.dissolved.has(membership.group);
+    if (isBound) continue;
+    const found = free.get(domain);
+    if (found) found.push(server);
+    else free.set(domain, [server]);
+  }
+  return free;
+}
+
+/** Groups of each model that serve or soon will. */
+export function countGroups(
+  draft: Draft,
+  groups: Iterable<ReplicaGroup>,
+): Map<ModelId, number> {
+  const counts = new Map<ModelId, number>();
+  const add = (model: ModelId | undefined): void => {
+    if (model !== undefined) counts.set(model, (counts.get(model) ?? 0) + 1);
+  };
+  for (const { id, model, head } of groups) {
+    const isEnding = draft.retirements.has(id) || draft.dissolved.has(id);
+    if (isEnding || isStandby(id) || draft.formations.has(id) || !head) continue;
+    add(model);
+  }
+  for (const { model, isStandby: isSpare } of draft.formations.values()) if (!isSpare) add(model);
+  return counts;
+}
+
+/** Share of the work of a model, in groups that it keeps busy. */
+function weightOf(draft: Draft, { name, share, pace }: ModelSpec): number {
+  return draft.view.demand?.get(name) ?? share * pace;
+}
+
+/** The model that lacks groups most, among those for which there are servers enough. */
+function pickModel(
+  draft: Draft,
+  counts: ReadonlyMap<ModelId, number>,
+  servers: number,
+): ModelSpec | undefined {
+  const need = (model: ModelSpec): number =>
+    weightOf(draft, model) / ((counts.get(model.name) ?? 0) + 1);
+  return draft.view.engine.models
+    .filter(({ size }) => size <= servers)
+    .sort((a, b) => need(b) - need(a) || compareText(a.name, b.name))[0];
+}
+
+/** The servers that are ready for the model soonest; among equals those of least use to other models. */
+function pickMembers(draft: Draft, free: readonly BackendServer[], model: ModelSpec): BackendServer[] {
+  const others = draft.view.engine.models.filter(({ name }) => name !== model.name);
+  const elsewhere = (server: BackendServer): number =>
+    Math.min(...others.map((other) => joinCost(draft, server, other).ms));
+  return [...free]
+    .sort(
+      (a, b) =>
+        joinCost(draft, a, model).ms - joinCost(draft, b, model).ms ||
+        elsewhere(b) - elsewhere(a) ||
+        compareText(a.id, b.id),
+    )
+    .slice(0, model.size);
+}
+
+function nextEpoch(draft: Draft): Epoch {
+  draft.epochs += 1;
+  return brandAs<Epoch>(draft.view.fencing * EPOCHS_PER_LEASE + draft.epochs);
+}
+
+function startFormation(
+  draft: Draft,
+  model: ModelSpec,
+  members: readonly BackendServer[],
+  prefix: string,
+): void {
+  const epoch = nextEpoch(draft);
+  const group = brandAs<GroupId>(`${prefix}${epoch}`);
+  const slowest = Math.max(...members.map((server) => joinCost(draft, server, model).ms));
+  noteLoads(draft, members.filter((server) => joinCost(draft, server, model).isLoad), model);
+  // Loads that share the weight store's rate take longer than their figure.
+  const crowd = Math.max(1, draft.loads.length / draft.view.engine.loadsAtOnce);
+  draft.formations.set(group, {
+    group,
+    epoch,
+    model: model.name,
+    members,
+    deadline: later(draft.now, slowest * crowd + draft.settings.joinSlackMs),
+    isStandby: prefix === STANDBY_PREFIX,
+  });
+}
+
+function countLoads(draft: Draft, servers: readonly BackendServer[], model: ModelSpec): number {
+  return servers.filter((server) => joinCost(draft, server, model).isLoad).length;
+}
+
+/** Forms what can be formed of a domain's free servers; returns those left over. */
+function formInDomain(
+  draft: Draft,
+  free: readonly BackendServer[],
+  reserve: number,
+  counts: Map<ModelId, number>,
+): readonly BackendServer[] {
+  const model = pickModel(draft, counts, free.length - reserve);
+  if (!model) return free;
+  const members = pickMembers(draft, free, model);
+  const loads = countLoads(draft, members, model);
+  if (!mayLoad(draft, loads, draft.view.engine.loadsAtOnce)) return [];
+  startFormation(draft, model, members, 'group-');
+  counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
+  const left = free.filter((server) => !members.includes(server));
+  return formInDomain(draft, left, reserve, counts);
+}
+
+/** Starts new groups and prepares spares. */
+export function composeGroups(draft: Draft, groups: readonly ReplicaGroup[]): void {
+  const free = collectFree(draft);
+  const counts = countGroups(draft, groups);
+  const sizes = new Map<DomainId, number>();
+  for (const { domain, isDraining } of draft.view.servers.values()) {
+    if (domain !== undefined && !isDraining) sizes.set(domain, (sizes.get(domain) ?? 0) + 1);
+  }
+  for (const [domain, servers] of [...free].sort(([a], [b]) => compareText(a, b))) {
+    const reserve = Math.floor((sizes.get(domain) ?? 0) / SERVERS_PER_SPARE);
+    const spares = formInDomain(draft, servers, reserve, counts);
+    prepareSpares(draft, spares);
+  }
+}
+
+/**
+ * Keeps spares warm for one model and staged for the next, so that a lost member of either is
+ * replaced without a load. A warm spare joins in a fraction of a second in place of one or two.
+ */
+function prepareSpares(draft: Draft, spares: readonly BackendServer[]): void {
+  const models = draft.view.engine.models;
+  if (models.length === 0 || draft.formations.size > 0) return;
+  const sorted = [...spares].sort((a, b) => compareText(a.id, b.id));
+  sorted.forEach((server, i) => {
+    const warm = models[i % models.length];
+    const staged = models[(i + 1) % models.length];
+    if (warm && staged) prepareSpare(draft, server, warm, staged);
+  });
+}
+
+function prepareSpare(
+  draft: Draft,
+  server: BackendServer,
+  warm: ModelSpec,
+  staged: ModelSpec,
+): void {
+  const limit = draft.view.hasTraffic ? draft.settings.spareLoads : draft.view.engine.loadsAtOnce;
+  if (draft.loads.some(({ server: id, until }) => id === server.id && draft.now < until)) return;
+  if (server.model !== warm.name) {
+    const cost = joinCost(draft, server, warm);
+    if (!mayLoad(draft, cost.isLoad ? 1 : 0, limit)) return;
+    startFormation(draft, warm, [server], STANDBY_PREFIX);
+    return;
+  }
+  if (server.staged.includes(staged.name) || !mayLoad(draft, 1, limit)) return;
+  ask(draft, server, { kind: 'stage', model: staged.name });
+  noteLoads(draft, [server], staged);
+}
--- /dev/null
+++ b/src/core/gateway/forming/plan.ts
@@ -0,0 +1,124 @@
+/**
+ * Forms, opens, ends and replaces the replica groups of one service. A pure plan: from what servers
+ * report and what was ordered before, the orders to send now. Whoever holds the lease runs it; a new
+ * leader starts with an empty state and adopts the groups that it finds.
+ */
+
+import { later } from '../../ids';
+import type { GroupId, InstanceId, MonoTime } from '../../ids';
+import { collectGroups, isWhole } from '../groups';
+import type { ReplicaGroup } from '../groups';
+import type { OrderResult } from '../orders';
+import { composeGroups, isStandby } from './compose';
+import { continueFormations, openGroup } from './form';
+import { forgetOldLoads } from './loads';
+import { continueRetirements, startRetirement } from './retire';
+import { draftOf, isSuspect, stateOf } from './state';
+import type { Draft, FormingState, FormingView, OrderEffect } from './state';
+
+/** Settled orders and dissolved groups are remembered for this long, milliseconds. */
+const MEMORY_MS = 60_000;
+
+export interface Plan {
+  readonly state: FormingState;
+  readonly orders: readonly OrderEffect[];
+}
+
+/** Why a group must end, or undefined where it may go on. */
+function findFault(draft: Draft, group: ReplicaGroup, size: number): 'lost' | 'leaving' | undefined {
+  const isLost =
+    group.members.length < size || group.members.some(({ id }) => isSuspect(draft, id));
+  if (isLost) return 'lost';
+  return group.members.some(({ isDraining }) => isDraining) ? 'leaving' : undefined;
+}
+
+function sizeOf(draft: Draft, group: ReplicaGroup): number | undefined {
+  return draft.view.engine.models.find(({ name }) => name === group.model)?.size;
+}
+
+function end(draft: Draft, group: ReplicaGroup, step: 'finish' | 'leave'): void {
+  const { id, epoch, head, members } = group;
+  startRetirement(draft, { group: id, epoch, head, members }, step);
+}
+
+function watchOpen(draft: Draft, group: ReplicaGroup): void {
+  const size = sizeOf(draft, group);
+  const fault = size === undefined ? undefined : findFault(draft, group, size);
+  if (fault === 'lost') end(draft, group, 'leave');
+  if (fault === 'leaving') end(draft, group, 'finish');
+}
+
+/** A group that neither serves nor is being formed here: an earlier leader's work, opened if whole. */
+function watchStranger(draft: Draft, group: ReplicaGroup): void {
+  const since = draft.strangers.get(group.id) ?? draft.now;
+  draft.strangers.set(group.id, since);
+  const size = sizeOf(draft, group);
+  if (size !== undefined && isWhole(group, size) && !findFault(draft, group, size)) {
+    openGroup(draft, group);
+    return;
+  }
+  const isLoading = group.members.every(({ membership }) => membership?.state === 'joining');
+  const { adoptMs } = draft.settings;
+  const longest = Math.max(0, ...draft.view.engine.models.map(({ loadMs }) => loadMs));
+  const waitMs = isLoading && group.head ? adoptMs + longest : adoptMs;
+  if (draft.now >= later(since, waitMs)) end(draft, group, 'leave');
+}
+
+const WATCH: Readonly<Record<string, (draft: Draft, group: ReplicaGroup) => void>> = {
+  open: watchOpen,
+  closing: (draft, group) => {
+    end(draft, group, 'finish');
+  },
+  broken: (draft, group) => {
+    end(draft, group, 'leave');
+  },
+  ready: watchStranger,
+  joining: watchStranger,
+};
+
+function watchGroup(draft: Draft, group: ReplicaGroup): void {
+  const { id, head } = group;
+  if (draft.retirements.has(id) || draft.dissolved.has(id) || isStandby(id)) return;
+  const state = head?.membership?.state;
+  if (state === 'open') draft.strangers.delete(id);
+  if (draft.formations.has(id) && state !== 'broken') return;
+  if (state === undefined) watchStranger(draft, group);
+  else WATCH[state]?.(draft, group);
+}
+
+function forget(draft: Draft): void {
+  const isOld = (at: MonoTime): boolean => draft.now >= later(at, MEMORY_MS);
+  for (const [key, { at }] of draft.sent) if (isOld(at)) draft.sent.delete(key);
+  for (const [id, at] of draft.dissolved) if (isOld(at)) draft.dissolved.delete(id);
+  for (const [id, until] of draft.suspects) if (draft.now >= until) draft.suspects.delete(id);
+  forgetOldLoads(draft);
+}
+
+/** Makes the next plan. To be called after each change and every so often. */
+export function planGroups(state: FormingState, view: FormingView, now: MonoTime): Plan {
+  const draft = draftOf(state, view, now);
+  forget(draft);
+  const groups = collectGroups(view.servers.values());
+  const byId = new Map<GroupId, ReplicaGroup>(groups.map((group) => [group.id, group]));
+  for (const id of draft.strangers.keys()) if (!byId.has(id)) draft.strangers.delete(id);
+  for (const group of groups) watchGroup(draft, group);
+  continueFormations(draft, byId);
+  continueRetirements(draft);
+  composeGroups(draft, groups);
+  return { state: stateOf(draft), orders: draft.effects };
+}
+
+/** Takes in what became of an order. */
+export function noteResult(state: FormingState, key: string, result: OrderResult): FormingState {
+  const sent = state.sent.get(key);
+  if (!sent) return state;
+  return { ...state, sent: new Map(state.sent).set(key, { ...sent, result }) };
+}
+
+/** Believes a server lost until `until`, or no more where it is left out. */
+export function noteSuspect(state: FormingState, id: InstanceId, until?: MonoTime): FormingState {
+  const suspects = new Map(state.suspects);
+  if (until === undefined) suspects.delete(id);
+  else suspects.set(id, until);
+  return { ...state, suspects };
+}
--- /dev/null
+++ b/src/core/gateway/forming/retire.ts
@@ -0,0 +1,120 @@
+/**
+ * Ends groups. No member may join another group while its head may still serve: the head closes or
+ * leaves first, and where it cannot be reached its members leave, wait until it must be broken, and
+ * are free only then.
+ */
+
+import { later } from '../../ids';
+import type { BackendServer } from '../types';
+import { ask } from './state';
+import type { Draft, Retirement, RetirementStep } from './state';
+
+/** Results after which an order to the head will not help. */
+const UNREACHABLE_MS = 1_300;
+
+export function startRetirement(
+  draft: Draft,
+  of: Pick<Retirement, 'group' | 'epoch' | 'head' | 'members'>,
+  step: RetirementStep,
+): void {
+  const { group, epoch, head, members } = of;
+  draft.formations.delete(group);
+  draft.strangers.delete(group);
+  const first: RetirementStep = head ? step : 'starve';
+  draft.retirements.set(group, { group, epoch, head, members, step: first, since: draft.now });
+}
+
+function turnTo(draft: Draft, retirement: Retirement, step: RetirementStep): void {
+  draft.retirements.set(retirement.group, { ...retirement, step, since: draft.now });
+}
+
+function setFree(draft: Draft, { group }: Retirement): void {
+  draft.retirements.delete(group);
+  draft.dissolved.set(group, draft.now);
+}
+
+/** What the head reports now, as long as it reports this group. */
+function headState(draft: Draft, { group, epoch, head }: Retirement): string | undefined {
+  const now = head && draft.view.servers.get(head.id)?.membership;
+  return now?.group === group && now.epoch === epoch ? now.state : undefined;
+}
+
+/** Whether the head reports by now that it has no part in the group. */
+function hasLeft(draft: Draft, { group, epoch, head, since }: Retirement): boolean {
+  const now = head && draft.view.servers.get(head.id);
+  if (!now || draft.now < later(since, draft.settings.resendMs)) return false;
+  return now.membership?.group !== group || now.membership.epoch !== epoch;
+}
+
+function leaveOrder({ group, epoch }: Retirement): {
+  readonly kind: 'leave';
+  readonly group: Retirement['group'];
+  readonly epoch: Retirement['epoch'];
+} {
+  return { kind: 'leave', group, epoch };
+}
+
+const STEPS: Readonly<
+  Record<RetirementStep, (draft: Draft, retirement: Retirement, head: BackendServer) => void>
+> = {
+  finish: (draft, retirement, head) => {
+    const state = headState(draft, retirement);
+    if (state === 'ready' || state === 'joining' || state === 'broken') {
+      setFree(draft, retirement);
+      return;
+    }
+    const { group, epoch } = retirement;
+    const result = ask(draft, head, { kind: 'close', group, epoch, mode: 'finish' });
+    const isLate = draft.now >= later(retirement.since, draft.settings.finishMs);
+    if (isLate || result === 'refused' || result === 'other-server' || state === undefined) {
+      turnTo(draft, retirement, 'leave');
+    }
+  },
+  abort: (draft, retirement, head) => {
+    const { group, epoch } = retirement;
+    const result = ask(draft, head, { kind: 'close', group, epoch, mode: 'abort' });
+    if (result !== undefined) turnTo(draft, retirement, 'leave');
+  },
+  leave: (draft, retirement, head) => {
+    const result = ask(draft, head, leaveOrder(retirement));
+    if (result === 'done' || result === 'other-server' || hasLeft(draft, retirement)) {
+      setFree(draft, retirement);
+      return;
+    }
+    if (result === 'refused') turnTo(draft, retirement, 'abort');
+    else if (draft.now >= later(retirement.since, UNREACHABLE_MS)) turnTo(draft, retirement, 'starve');
+  },
+  starve: (draft, retirement, head) => {
+    const result = ask(draft, head, leaveOrder(retirement));
+    if (result === 'done' || result === 'other-server' || hasLeft(draft, retirement)) {
+      setFree(draft, retirement);
+      return;
+    }
+    starve(draft, retirement);
+  },
+};
+
+/** Has the members leave. From the first one's leaving the head stands still, and breaks in time. */
+function starve(draft: Draft, retirement: Retirement): void {
+  const { settings, now } = draft;
+  if (retirement.freeAt !== undefined) {
+    if (now >= retirement.freeAt) setFree(draft, retirement);
+    return;
+  }
+  const others = retirement.members.filter(({ id }) => id !== retirement.head?.id);
+  const results = others
+    .filter(({ id }) => draft.view.servers.has(id))
+    .map((member) => ask(draft, member, leaveOrder(retirement)));
+  if (!results.includes('done')) return;
+  const freeAt = later(now, settings.stallMs + settings.starveMarginMs);
+  draft.retirements.set(retirement.group, { ...retirement, freeAt });
+}
+
+/** Takes every ending group a step further. */
+export function continueRetirements(draft: Draft): void {
+  for (const retirement of [...draft.retirements.values()]) {
+    const { head } = retirement;
+    if (head) STEPS[retirement.step](draft, retirement, head);
+    else starve(draft, retirement);
+  }
+}
--- /dev/null
+++ b/src/core/gateway/forming/state.ts
@@ -0,0 +1,212 @@
+/** What the former of replica groups knows beside the servers' own reports. */
+
+import type { Epoch, GroupId, InstanceId, ModelId, MonoTime } from '../../ids';
+import type { OrderResult, ServerOrder } from '../orders';
+import type { BackendServer, EngineSpec } from '../types';
+
+export interface FormingSettings {
+  /** A head that waits for a lost member stands still for so long before it is broken; the platform's figure. */
+  readonly stallMs: number;
+  /** Weight loads are counted over windows of this length; the platform's figure. */
+  readonly loadWindowMs: number;
+  /** An order without a visible effect is sent again after this; three times a usual round trip and report. */
+  readonly resendMs: number;
+  /** Added to `stallMs` before members of an unreachable head are used again, for clocks and reports. */
+  readonly starveMarginMs: number;
+  /** Added to the expected time of a join before it is given up. */
+  readonly joinSlackMs: number;
+  /** A half-formed group of an earlier leader is left so long to become whole. */
+  readonly adoptMs: number;
+  /** A closing group may finish its requests for so long; the longest deadline of a stream and a little more. */
+  readonly finishMs: number;
+  /** Weight loads for spares alone that run at a time once callers are served: loads are dear. */
+  readonly spareLoads: number;
+  /** Share of the loads allowed in a window that are used; the rest is for a change of leader. */
+  readonly loadShare: number;
+}
+
+export const FORMING_DEFAULTS: FormingSettings = {
+  stallMs: 6_000,
+  loadWindowMs: 5_000,
+  resendMs: 900,
+  starveMarginMs: 1_000,
+  joinSlackMs: 2_500,
+  adoptMs: 2_500,
+  finishMs: 9_000,
+  spareLoads: 3,
+  loadShare: 0.8,
+};
+
+/** A group being formed. */
+export interface Formation {
+  readonly group: GroupId;
+  readonly epoch: Epoch;
+  readonly model: ModelId;
+  /** By rank. */
+  readonly members: readonly BackendServer[];
+  /** Given up after this. */
+  readonly deadline: MonoTime;
+  /** A warm spare: one member that is joined and never opened. */
+  readonly isStandby: boolean;
+}
+
+/**
+ * How far the end of a group has come. Its members may join other groups only once its head can no
+ * longer serve.
+ *
+ * - `finish`: the head closes after its requests in flight.
+ * - `abort`: the head closes at once, having refused to leave.
+ * - `leave`: the head is told to leave.
+ * - `starve`: the head cannot be reached; its members leave, so that it breaks by itself.
+ */
+export type RetirementStep = 'finish' | 'abort' | 'leave' | 'starve';
+
+export interface Retirement {
+  readonly group: GroupId;
+  readonly epoch: Epoch;
+  readonly step: RetirementStep;
+  readonly head: BackendServer | undefined;
+  readonly members: readonly BackendServer[];
+  /** When the step began. */
+  readonly since: MonoTime;
+  /** Set once a member has left: from then on the head is broken. */
+  readonly freeAt?: MonoTime;
+}
+
+/** An order on its way, or settled. */
+export interface SentOrder {
+  readonly at: MonoTime;
+  readonly result?: OrderResult;
+}
+
+export interface FormingState {
+  readonly settings: FormingSettings;
+  readonly formations: ReadonlyMap<GroupId, Formation>;
+  readonly retirements: ReadonlyMap<GroupId, Retirement>;
+  /** Groups whose heads can serve no more; their members are free, whatever they report. */
+  readonly dissolved: ReadonlyMap<GroupId, MonoTime>;
+  /** When a group was first seen that this process has not formed. */
+  readonly strangers: ReadonlyMap<GroupId, MonoTime>;
+  /** Servers believed lost, and until when. */
+  readonly suspects: ReadonlyMap<InstanceId, MonoTime>;
+  readonly sent: ReadonlyMap<string, SentOrder>;
+  /** Ends of the weight loads begun by this process, and when they began. */
+  readonly loads: readonly WeightLoad[];
+  /** Numbers the epochs of one lease. */
+  readonly epochs: number;
+}
+
+export interface WeightLoad {
+  readonly server: InstanceId;
+  readonly at: MonoTime;
+  readonly until: MonoTime;
+}
+
+/** What a plan is made from. */
+export interface FormingView {
+  readonly servers: ReadonlyMap<InstanceId, BackendServer>;
+  readonly engine: EngineSpec;
+  /** Grows with each change of the leader; epochs of a later leader are greater. */
+  readonly fencing: number;
+  /** Whether callers have been served: loads are slower from then on, and counted. */
+  readonly hasTraffic: boolean;
+  /** Work of each model, in groups that it would keep busy; left out where nothing is known. */
+  readonly demand?: ReadonlyMap<ModelId, number>;
+}
+
+export interface OrderEffect {
+  readonly key: string;
+  readonly server: BackendServer;
+  readonly order: ServerOrder;
+}
+
+export function createForming(settings: Partial<FormingSettings> = {}): FormingState {
+  return {
+    settings: { ...FORMING_DEFAULTS, ...settings },
+    formations: new Map(),
+    retirements: new Map(),
+    dissolved: new Map(),
+    strangers: new Map(),
+    suspects: new Map(),
+    sent: new Map(),
+    loads: [],
+    epochs: 0,
+  };
+}
+
+/** The same state with maps that a plan may change. */
+export interface Draft {
+  readonly settings: FormingSettings;
+  readonly formations: Map<GroupId, Formation>;
+  readonly retirements: Map<GroupId, Retirement>;
+  readonly dissolved: Map<GroupId, MonoTime>;
+  readonly strangers: Map<GroupId, MonoTime>;
+  readonly suspects: Map<InstanceId, MonoTime>;
+  readonly sent: Map<string, SentOrder>;
+  loads: WeightLoad[];
+  epochs: number;
+  readonly view: FormingView;
+  readonly now: MonoTime;
+  readonly effects: OrderEffect[];
+}
+
+export function draftOf(state: FormingState, view: FormingView, now: MonoTime): Draft {
+  return {
+    settings: state.settings,
+    formations: new Map(state.formations),
+    retirements: new Map(state.retirements),
+    dissolved: new Map(state.dissolved),
+    strangers: new Map(state.strangers),
+    suspects: new Map(state.suspects),
+    sent: new Map(state.sent),
+    loads: [...state.loads],
+    epochs: state.epochs,
+    view,
+    now,
+    effects: [],
+  };
+}
+
+export function stateOf(draft: Draft): FormingState {
+  const { settings, formations, retirements, dissolved, strangers, suspects, sent, loads, epochs } =
+    draft;
+  return { settings, formations, retirements, dissolved, strangers, suspects, sent, loads, epochs };
+}
+
+export function isSuspect(draft: Draft, id: InstanceId): boolean {
+  const until = draft.suspects.get(id);
+  return until !== undefined && draft.now < until;
+}
+
+function keyOf(server: BackendServer, order: ServerOrder): string {
+  const subject = order.kind === 'stage' ? order.model : `${order.group}/${order.epoch}`;
+  const mode = order.kind === 'close' ? order.mode : '';
+  return `${order.kind}${mode} ${subject} ${server.id}`;
+}
+
+/**
+ * Sends an order unless it is on its way or was settled a moment ago, and gives the last result.
+ * Orders without a visible effect are sent again: all of them are idempotent.
+ */
+export function ask(
+  draft: Draft,
+  server: BackendServer,
+  order: ServerOrder,
+): OrderResult | undefined {
+  const key = keyOf(server, order);
+  const sent = draft.sent.get(key);
+  const isDue = !sent || draft.now >= sent.at + draft.settings.resendMs;
+  if (isDue) {
+    draft.sent.set(key, { at: draft.now });
+    draft.effects.push({ key, server, order });
+  }
+  return sent?.result;
+}
+
+export function lastResult(
+  draft: Draft,
+  server: BackendServer,
+  order: ServerOrder,
+): OrderResult | undefined {
+  return draft.sent.get(keyOf(server, order))?.result;
+}
--- /dev/null
+++ b/src/core/gateway/groups.ts
@@ -0,0 +1,83 @@
+/** Replica groups, put together from what their members report of themselves. */
+
+import type { DomainId, Epoch, GroupId, InstanceId, ModelId } from '../ids';
+import { compareText } from '../../utils/common';
+import type { BackendServer } from './types';
+
+/** Members that report the same group and epoch. */
+export interface ReplicaGroup {
+  readonly id: GroupId;
+  readonly epoch: Epoch;
+  readonly model: ModelId | undefined;
+  readonly domain: DomainId | undefined;
+  /** The member that takes requests; absent while it does not report. */
+  readonly head: BackendServer | undefined;
+  /** By rank; a gap where a member no longer reports this group. */
+  readonly members: readonly BackendServer[];
+}
+
+function groupKey(server: BackendServer): string | undefined {
+  const membership = server.membership;
+  return membership && `${membership.group} ${membership.epoch}`;
+}
+
+function rankOf(server: BackendServer): number {
+  return server.membership?.rank ?? 0;
+}
+
+/** All groups that any server reports, in a fixed order. */
+export function collectGroups(servers: Iterable<BackendServer>): readonly ReplicaGroup[] {
+  const byKey = new Map<string, BackendServer[]>();
+  for (const server of servers) {
+    const key = groupKey(server);
+    if (key === undefined) continue;
+    const members = byKey.get(key);
+    if (members) members.push(server);
+    else byKey.set(key, [server]);
+  }
+  return [...byKey.keys()].sort(compareText).flatMap((key) => {
+    const group = toGroup(byKey.get(key) ?? []);
+    return group ? [group] : [];
+  });
+}
+
+function toGroup(found: readonly BackendServer[]): ReplicaGroup | undefined {
+  const members = [...found].sort((a, b) => rankOf(a) - rankOf(b));
+  const first = members[0];
+  if (!first?.membership) return undefined;
+  const head = rankOf(first) === 0 ? first : undefined;
+  return {
+    id: first.membership.group,
+    epoch: first.membership.epoch,
+    model: members.find(({ model }) => model !== undefined)?.model,
+    domain: first.domain,
+    head,
+    members,
+  };
+}
+
+/** A group that requests may be sent to. */
+export interface OpenGroup extends ReplicaGroup {
+  readonly head: BackendServer;
+  readonly model: ModelId;
+}
+
+/** Whether the head reports that it serves and is not leaving. */
+export function isOpen(group: ReplicaGroup): group is OpenGroup {
+  const { head, model } = group;
+  if (!head || head.isDraining || model === undefined) return false;
+  return head.membership?.state === 'open';
+}
+
+/** Whether all `size` members report that they are ready under the same group and epoch. */
+export function isWhole(group: ReplicaGroup, size: number): boolean {
+  if (group.members.length !== size) return false;
+  return group.members.every(({ membership }, rank) => {
+    if (membership?.rank !== rank) return false;
+    return membership.state === 'ready' || membership.state === 'open';
+  });
+}
+
+export function hasMember(group: ReplicaGroup, id: InstanceId): boolean {
+  return group.members.some((member) => member.id === id);
+}
--- /dev/null
+++ b/src/core/gateway/progress.ts
@@ -0,0 +1,73 @@
+/**
+ * Notices groups that have stopped to produce. A group whose head waits for a lost member keeps its
+ * connections open and sends nothing: the silence of all its streams at once is the first sign,
+ * seconds before the platform's list or the engine itself say so.
+ */
+
+import { later } from '../ids';
+import type { MonoTime } from '../ids';
+import type { EngineSpec } from './types';
+
+export interface ProgressOptions {
+  /** Silence of a group with streams running that is evidence of a fault, in usual pauses between events. */
+  readonly pauses: number;
+  /** Least silence, milliseconds: prompts that are read between the tokens of others hold all streams up. */
+  readonly leastMs: number;
+  /** Weight of the latest pause in the running mean. */
+  readonly smoothing: number;
+}
+
+export const PROGRESS_DEFAULTS: ProgressOptions = { pauses: 6, leastMs: 500, smoothing: 0.1 };
+
+/** What this daemon saw of one group. */
+export interface Progress {
+  /** Requests of this daemon that the group has and that have not ended. */
+  readonly running: number;
+  /** The group is expected to show life from here on: its latest event, or the send that ended an idle time. */
+  readonly since: MonoTime;
+  /** Mean pause between events of a stream, milliseconds; undefined until two were seen. */
+  readonly pauseMs: number | undefined;
+}
+
+export function createProgress(now: MonoTime): Progress {
+  return { running: 0, since: now, pauseMs: undefined };
+}
+
+export function noteSent(progress: Progress, now: MonoTime): Progress {
+  const since = progress.running === 0 ? now : progress.since;
+  return { ...progress, running: progress.running + 1, since };
+}
+
+export function noteEnded(progress: Progress): Progress {
+  return { ...progress, running: Math.max(0, progress.running - 1) };
+}
+
+/** Takes in an event of any of the group's streams; `pauseMs` is the time since that stream's last one. */
+export function noteEvent(
+  progress: Progress,
+  now: MonoTime,
+  pauseMs: number | undefined,
+  { smoothing }: ProgressOptions = PROGRESS_DEFAULTS,
+): Progress {
+  if (pauseMs === undefined) return { ...progress, since: now };
+  const mean = progress.pauseMs ?? pauseMs;
+  return { ...progress, since: now, pauseMs: mean + smoothing * (pauseMs - mean) };
+}
+
+/** Pause between events of a stream in a group that runs `running` requests, by the published figures. */
+export function usualPauseMs(engine: EngineSpec, pace: number, running: number): number {
+  const contextK = (engine.usual.prompt + engine.usual.answer) / 1000;
+  const perRequest = engine.perRequestMs + engine.perContextKMs * contextK;
+  return pace * engine.stepsPerPass * (engine.stepMs + perRequest * running);
+}
+
+/** When the group's silence becomes evidence of a fault; undefined while nothing runs there. */
+export function stalledAt(
+  progress: Progress,
+  usualMs: number,
+  { pauses, leastMs }: ProgressOptions = PROGRESS_DEFAULTS,
+): MonoTime | undefined {
+  if (progress.running === 0) return undefined;
+  const expected = Math.max(usualMs, progress.pauseMs ?? 0);
+  return later(progress.since, Math.max(leastMs, pauses * expected));
+}
--- /dev/null
+++ b/src/ports/gateway.ts
@@ -0,0 +1,105 @@
+/** What the gateway needs of the platform it runs on, and of the wire to callers and servers. */
+
+import type { IncomingHttpHeaders } from 'node:http';
+import type { ResultAsync } from 'neverthrow';
+
+import type { OrderResult, ServerOrder } from '../core/gateway/orders';
+import type { BackendServer, GatewayConfig } from '../core/gateway/types';
+import type { InstanceId, ModelId, OrganisationId } from '../core/ids';
+import type { StepError } from '../utils/errors';
+
+/** One entry of a collection; `value` is left out once the entry is gone. */
+export interface Change<T> {
+  readonly key: string;
+  readonly value?: T;
+}
+
+/** Entries as of one revision of the platform's store. */
+export interface Changes<T> {
+  readonly changes: readonly Change<T>[];
+  readonly revision: number;
+}
+
+/**
+ * A collection that the platform keeps and reports changes of.
+ *
+ * Errors: `store-unavailable`; `history-gone` from `poll`, after which the collection is loaded anew.
+ */
+export interface Feed<T> {
+  readonly name: string;
+  /** The whole collection. */
+  load(): ResultAsync<Changes<T>, StepError>;
+  /** Waits up to `waitMs` for changes after `revision`. */
+  poll(revision: number, waitMs: number): ResultAsync<Changes<T>, StepError>;
+}
+
+/** Feeds of the platform's own collections. */
+export interface Feeds {
+  /** The operator's configuration, a collection of one entry. */
+  readonly config: Feed<GatewayConfig>;
+  readonly servers: Feed<BackendServer>;
+  /** Peer addresses of daemons, entered by themselves. */
+  readonly daemons: Feed<string>;
+}
+
+/** What a server reports of itself when asked. */
+export interface ServerReport {
+  readonly server: Omit<BackendServer, 'id' | 'service' | 'address' | 'zone'>;
+  readonly running: number;
+  readonly waiting: number;
+  /** Above 1: so many times slower than usual. */
+  readonly slowdown: number;
+}
+
+/** Orders and questions to backend servers. */
+export interface Servers {
+  /** Never fails: an order without an answer has the result `unknown`. */
+  order(server: BackendServer, order: ServerOrder): Promise<OrderResult>;
+  report(server: BackendServer, timeoutMs: number): ResultAsync<ServerReport, StepError>;
+}
+
+/** What the headers of a caller's request say. */
+export interface CallFacts {
+  readonly requestId?: string;
+  /** How long the caller will wait, milliseconds. */
+  readonly waitMs?: number;
+  readonly apiKey?: string;
+  readonly model?: ModelId;
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+  /** The caller's estimate of the tokens of the answer; often far off. */
+  readonly outputHint?: number;
+  /** The caller has the stream's events up to this one. */
+  readonly lastEventId?: string;
+}
+
+/** What is told to a backend server beside the caller's own headers. */
+export interface ForwardFacts {
+  readonly instance: InstanceId;
+  readonly leftMs: number;
+  readonly bodyBytes?: number;
+  readonly organisation?: OrganisationId;
+  readonly lastEventId?: string;
+  /** 0 is served first, 9 last. */
+  readonly priority?: number;
+}
+
+/** What the head of a backend server's answer says. */
+export interface AnswerFacts {
+  readonly requestId?: string;
+  readonly isSigned: boolean;
+  /** The server's own word that the request did not run. */
+  readonly isNotExecuted: boolean;
+  /** The server that kept the request from running, where another one is named. */
+  readonly faultAt?: InstanceId;
+}
+
+/** The headers of callers and backend servers. Lists of headers alternate names and values. */
+export interface Dialect {
+  readCall(headers: IncomingHttpHeaders): CallFacts;
+  readAnswer(status: number, headers: IncomingHttpHeaders): AnswerFacts;
+  /** The caller's headers as they are passed on. */
+  forward(rawHeaders: readonly string[], facts: ForwardFacts): string[];
+  /** A server's headers as they are passed back, without those of the connection. */
+  reply(rawHeaders: readonly string[]): string[];
+}
--- a/src/utils/errors.ts
+++ b/src/utils/errors.ts
@@ -28,6 +28,7 @@
   'store-unknown': 503,
   'deadline-exceeded': 504,
   cancelled: 499,
+  'history-gone': 410,
 } as const;
 
 export type ErrorCode = keyof typeof ERROR_STATUS;
