--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -10,6 +10,7 @@
   createProgress,
   noteEnded,
   noteEvent,
+  noteRead,
   noteSent,
   stalledAt,
   usualPauseMs,
@@ -41,8 +42,11 @@
   /** Groups of a model, whether or not they may be chosen now. */
   countGroups(service: ServiceId, model: ModelId): number;
   find(head: InstanceId): BoardGroup | undefined;
-  noteSent(head: InstanceId): void;
-  noteEnded(head: InstanceId): void;
+  noteSent(head: InstanceId, promptTokens: number): void;
+  /** The first event of a request came: its prompt has been read. */
+  noteRead(head: InstanceId, promptTokens: number): void;
+  /** `unread`: tokens of the prompt, where no event came. */
+  noteEnded(head: InstanceId, unread: number): void;
   noteEvent(head: InstanceId, pauseMs: number | undefined): void;
   /** Sends nothing to the group for a while. */
   suspect(head: InstanceId, reason: string): void;
@@ -50,7 +54,8 @@
   readonly stalls: Observable<Stall>;
   /** After a change of the groups, and when a place in one became free. */
   readonly changes: Observable<void>;
-  running(): readonly (readonly [InstanceId, number])[];
+  /** Requests of this daemon and their unread prompt tokens, by head. */
+  running(): readonly (readonly [InstanceId, number, number])[];
   takePeers(peers: readonly PeerView[]): void;
   tick(): void;
 }
@@ -66,7 +71,7 @@
   const { clock, logger } = ctx;
   const progress = new Map<InstanceId, Progress>();
   const suspects = new Map<InstanceId, MonoTime>();
-  const elsewhere = new Map<InstanceId, number>();
+  const elsewhere = new Map<InstanceId, { readonly running: number; readonly unread: number }>();
   const stalls = new Subject<Stall>();
   const changes = new Subject<void>();
   let groups = new Map<InstanceId, BoardGroup>();
@@ -103,7 +108,13 @@
   const progressOf = (head: InstanceId): Progress => progress.get(head) ?? createProgress(clock.now());
 
   const runningIn = (head: InstanceId): number =>
-    (progress.get(head)?.running ?? 0) + (elsewhere.get(head) ?? 0);
+    (progress.get(head)?.running ?? 0) + (elsewhere.get(head)?.running ?? 0);
+
+  /** Time that the prompts sent to the group take to be read, milliseconds. */
+  const readingMs = ({ head, engine, spec }: BoardGroup): number => {
+    const tokens = (progress.get(head.id)?.unread ?? 0) + (elsewhere.get(head.id)?.unread ?? 0);
+    return (spec.pace * tokens) / engine.prefillTokensPerMs;
+  };
 
   const usualOf = ({ engine, spec, head }: BoardGroup): number =>
     usualPauseMs(engine, spec.pace, runningIn(head.id));
@@ -133,7 +144,7 @@
     for (const group of groups.values()) {
       const head = group.head.id;
       const seen = progress.get(head);
-      const at = seen && stalledAt(seen, usualOf(group));
+      const at = seen && stalledAt(seen, usualOf(group), readingMs(group));
       if (at === undefined || now < at || isSuspect(head)) continue;
       suspect(head, `${seen?.running ?? 0} streams silent`);
       stalls.next({ group: group.id, head });
@@ -158,11 +169,14 @@
         })),
     countGroups: (service, model) => ofModel(service, model).length,
     find: (head) => groups.get(head),
-    noteSent: (head) => {
-      progress.set(head, noteSent(progressOf(head), clock.now()));
+    noteSent: (head, promptTokens) => {
+      progress.set(head, noteSent(progressOf(head), clock.now(), promptTokens));
+    },
+    noteRead: (head, promptTokens) => {
+      progress.set(head, noteRead(progressOf(head), promptTokens));
     },
-    noteEnded: (head) => {
-      progress.set(head, noteEnded(progressOf(head)));
+    noteEnded: (head, unread) => {
+      progress.set(head, noteEnded(progressOf(head), unread));
       changes.next();
     },
     noteEvent: (head, pauseMs) => {
@@ -172,11 +186,14 @@
     running: () =>
       [...progress]
         .filter(([, { running }]) => running > 0)
-        .map(([head, { running }]) => [head, running] as const),
+        .map(([head, { running, unread }]) => [head, running, unread] as const),
     takePeers: (peers) => {
       elsewhere.clear();
       for (const { running } of peers) {
-        for (const [head, count] of running) elsewhere.set(head, (elsewhere.get(head) ?? 0) + count);
+        for (const [head, count, tokens] of running) {
+          const known = elsewhere.get(head) ?? { running: 0, unread: 0 };
+          elsewhere.set(head, { running: known.running + count, unread: known.unread + tokens });
+        }
       }
       changes.next();
     },
--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -30,9 +30,6 @@
 const LOST_MS = 20_000;
 /** The same group is not looked into again before this. */
 const INSPECT_AGAIN_MS = 700;
-/** Servers may register one after the other at the start: the first plan waits until none came for this long. */
-const SETTLE_MS = 400;
-
 export interface FormerOptions {
   readonly roster: Roster;
   readonly routes: () => RouteTable | undefined;
@@ -46,8 +43,6 @@
   let term: FencingNumber | undefined;
   let states = new Map<ServiceId, FormingState>();
   let hasTraffic = false;
-  let settledAt = clock.now();
-  let known = 0;
   const inspected = new Map<GroupId, MonoTime>();
 
   const begin = (fencing: FencingNumber): void => {
@@ -108,21 +103,11 @@
     }
   };
 
-  /** Whether the servers seen so far are likely to be all that have started. */
-  const isSettled = (now: MonoTime): boolean => {
-    if (roster.servers.size !== known) {
-      known = roster.servers.size;
-      settledAt = later(now, SETTLE_MS);
-    }
-    return hasTraffic || now >= settledAt;
-  };
-
   const tick = (): void => {
     const fencing = leadership.held();
     const table = routes();
     if (fencing === undefined || !table || roster.watch.isFailing()) return;
     if (fencing !== term) begin(fencing);
-    if (!isSettled(clock.now())) return;
     for (const service of table.config.services) planService(service, fencing);
     if ([...states.values()].some(({ epochs }) => epochs >= EPOCHS_PER_LEASE / 2)) {
       leadership.release();
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -54,7 +54,7 @@
     hasTraffic,
     isStopping: deps.isStopping(),
     isLeader: leadership.held() !== undefined,
-    running: board.running().map(([head, count]) => [head, count]),
+    running: board.running().map((entry) => [...entry]),
     waiting: waiting.waiting().map(([model, count]) => [model, count]),
   });
 
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -18,7 +18,9 @@
   isStopping: z.boolean(),
   isLeader: z.boolean(),
   /** Requests in flight by head of a group, and the tokens of prompts not yet answered. */
-  running: z.array(z.tuple([z.string().transform((id) => brandAs<InstanceId>(id)), natural])),
+  running: z.array(
+    z.tuple([z.string().transform((id) => brandAs<InstanceId>(id)), natural, natural]),
+  ),
   /** Requests that wait here for a group, by model. */
   waiting: z.array(z.tuple([z.string(), natural])),
 });
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -182,7 +182,7 @@
 ): Promise<Attempt> {
   const { ctx, upstream, dialect } = deps;
   const now = ctx.clock.now();
-  const limit = AbortSignal.any([exchange.gone, AbortSignal.timeout(Math.max(1, until - now))]);
+  const limit = AbortSignal.any([exchange.gone, AbortSignal.timeout(Math.ceil(Math.max(1, until - now)))]);
   const { method = 'GET', url = '/', rawHeaders } = exchange.req;
   const organisation = nameOf(exchange.caller);
   const hasBody = exchange.body.length > 0 || exchange.req.headers['content-length'] !== undefined;
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -42,6 +42,23 @@
   reason: string;
 }
 
+/** A request's place in a group. */
+interface Place {
+  /** Whether the prompt has been read, which the first event shows. */
+  isRead: boolean;
+}
+
+/** An answer that is being passed on. */
+interface Relay {
+  readonly deps: StreamDeps;
+  readonly exchange: Exchange;
+  readonly group: BoardGroup;
+  readonly state: StreamState;
+  readonly answered: Answered;
+  readonly stop: AbortSignal;
+  readonly place: Place;
+}
+
 /** How one attempt ended. */
 type Ended = 'complete' | 'passed-on' | 'not-run' | 'lost' | 'caller-gone';
 
@@ -53,7 +70,7 @@
     const found = chooseGroup(candidates, ctx.settings.zone, ctx.random.next());
     const group = found && board.find(found.head);
     // The place is taken in the same tick, so that the next request in turn sees it taken.
-    if (group) board.noteSent(group.head.id);
+    if (group) board.noteSent(group.head.id, exchange.facts.promptTokens);
     return group;
   };
 
@@ -147,6 +164,7 @@
   const { ctx, board, upstream, dialect } = deps;
   const { head } = group;
   const stop = new AbortController();
+  const place: Place = { isRead: false };
   const now = ctx.clock.now();
   const end = later(exchange.answerBy, 0);
   const limit = setTimeout(() => {
@@ -185,12 +203,12 @@
       if (exchange.gone.aborted) return 'caller-gone';
       return sent.kind === 'not-sent' ? 'not-run' : 'lost';
     }
-    return await relay(deps, exchange, group, state, sent, stop.signal);
+    return await relay({ deps, exchange, group, state, answered: sent, stop: stop.signal, place });
   } finally {
     clearTimeout(limit);
     exchange.gone.removeEventListener('abort', onGone);
     stalls.unsubscribe();
-    board.noteEnded(head.id);
+    board.noteEnded(head.id, place.isRead ? 0 : exchange.facts.promptTokens);
   }
 }
 
@@ -198,14 +216,8 @@
   return signal.reason instanceof Error ? signal.reason.message : otherwise;
 }
 
-async function relay(
-  deps: StreamDeps,
-  exchange: Exchange,
-  group: BoardGroup,
-  state: StreamState,
-  answered: Answered,
-  stop: AbortSignal,
-): Promise<Ended> {
+async function relay(relayed: Relay): Promise<Ended> {
+  const { deps, exchange, group, state, answered, stop } = relayed;
   const { res, destroy } = answered;
   const status = res.statusCode ?? 0;
   const facts = deps.dialect.readAnswer(status, res.headers);
@@ -225,7 +237,7 @@
   }
   if (status >= 300) return passFailure(deps, exchange, state, answered, facts);
   if (!facts.isSigned) return lose('answer without signature');
-  const reason = await passEvents(deps, exchange, group.head.id, state, answered, stop);
+  const reason = await passEvents(relayed);
   if (reason !== undefined) return lose(describe(stop, reason));
   exchange.res.end();
   return 'complete';
@@ -261,14 +273,11 @@
 }
 
 /** Passes events on until the end; gives a reason where the stream is not whole. */
-function passEvents(
-  { ctx, board, dialect }: StreamDeps,
-  exchange: Exchange,
-  head: InstanceId,
-  state: StreamState,
-  { res: from }: Answered,
-  stop: AbortSignal,
-): Promise<string | undefined> {
+function passEvents(relayed: Relay): Promise<string | undefined> {
+  const { deps, exchange, group, state, stop, place } = relayed;
+  const { ctx, board, dialect } = deps;
+  const head = group.head.id;
+  const { res: from } = relayed.answered;
   const { res } = exchange;
   const reader = createEventReader();
   let lastAt: MonoTime | undefined;
@@ -301,6 +310,8 @@
       const now = ctx.clock.now();
       board.noteEvent(head, lastAt === undefined ? undefined : now - lastAt);
       lastAt = now;
+      if (!place.isRead) board.noteRead(head, exchange.facts.promptTokens);
+      place.isRead = true;
       start();
       res.write(passed.length === 1 ? passed[0] : Buffer.concat(passed));
     };
--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -14,6 +14,11 @@
 const STANDBY_PREFIX = 'standby-';
 /** One server in so many of a domain is kept spare, so that a lost member is replaced at once. */
 const SERVERS_PER_SPARE = 12;
+/**
+ * Loads run at a time, in what the weight store gives without slowing down. A little more than all of
+ * it, since a whole group starts at once and would often leave a part unused.
+ */
+const LOAD_CROWD = 1.5;
 /** Epochs that one term of a lease may give out; its holder then takes the lease anew. */
 export const EPOCHS_PER_LEASE = 65_536;
 
@@ -132,7 +137,7 @@
   if (!model) return free;
   const members = pickMembers(draft, free, model);
   const loads = countLoads(draft, members, model);
-  if (!mayLoad(draft, loads, draft.view.engine.loadsAtOnce)) return [];
+  if (!mayLoad(draft, loads, draft.view.engine.loadsAtOnce * LOAD_CROWD)) return [];
   startFormation(draft, model, members, 'group-');
   counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
   const left = free.filter((server) => !members.includes(server));
--- a/src/core/gateway/progress.ts
+++ b/src/core/gateway/progress.ts
@@ -23,6 +23,8 @@
 export interface Progress {
   /** Requests of this daemon that the group has and that have not ended. */
   readonly running: number;
+  /** Tokens of their prompts, as far as they have given no event yet. */
+  readonly unread: number;
   /** The group is expected to show life from here on: its latest event, or the send that ended an idle time. */
   readonly since: MonoTime;
   /** Mean pause between events of a stream, milliseconds; undefined until two were seen. */
@@ -30,16 +32,27 @@
 }
 
 export function createProgress(now: MonoTime): Progress {
-  return { running: 0, since: now, pauseMs: undefined };
+  return { running: 0, unread: 0, since: now, pauseMs: undefined };
 }
 
-export function noteSent(progress: Progress, now: MonoTime): Progress {
+export function noteSent(progress: Progress, now: MonoTime, promptTokens: number): Progress {
   const since = progress.running === 0 ? now : progress.since;
-  return { ...progress, running: progress.running + 1, since };
+  const unread = progress.unread + promptTokens;
+  return { ...progress, running: progress.running + 1, unread, since };
 }
 
-export function noteEnded(progress: Progress): Progress {
-  return { ...progress, running: Math.max(0, progress.running - 1) };
+/** A request has ended; `unread` is its prompt where it gave no event. */
+export function noteEnded(progress: Progress, unread: number): Progress {
+  return {
+    ...progress,
+    running: Math.max(0, progress.running - 1),
+    unread: Math.max(0, progress.unread - unread),
+  };
+}
+
+/** The first event of a request: its prompt has been read. */
+export function noteRead(progress: Progress, promptTokens: number): Progress {
+  return { ...progress, unread: Math.max(0, progress.unread - promptTokens) };
 }
 
 /** Takes in an event of any of the group's streams; `pauseMs` is the time since that stream's last one. */
@@ -61,13 +74,17 @@
   return pace * engine.stepsPerPass * (engine.stepMs + perRequest * running);
 }
 
-/** When the group's silence becomes evidence of a fault; undefined while nothing runs there. */
+/**
+ * When the group's silence becomes evidence of a fault; undefined while nothing runs there. Prompts
+ * that wait to be read, of all daemons, hold the group's events up for `readingMs`.
+ */
 export function stalledAt(
   progress: Progress,
   usualMs: number,
+  readingMs: number,
   { pauses, leastMs }: ProgressOptions = PROGRESS_DEFAULTS,
 ): MonoTime | undefined {
   if (progress.running === 0) return undefined;
   const expected = Math.max(usualMs, progress.pauseMs ?? 0);
-  return later(progress.since, Math.max(leastMs, pauses * expected));
+  return later(progress.since, Math.max(leastMs, pauses * expected) + readingMs);
 }
