--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -146,7 +146,12 @@
       const seen = progress.get(head);
       const at = seen && stalledAt(seen, usualOf(group), readingMs(group));
       if (at === undefined || now < at || isSuspect(head)) continue;
-      suspect(head, `${seen?.running ?? 0} streams silent`);
+      const silentMs = Math.round(now - (seen?.since ?? now));
+      const pauseMs = Math.round(Math.max(usualOf(group), seen?.pauseMs ?? 0));
+      suspect(
+        head,
+        `${seen?.running ?? 0} streams silent for ${silentMs} ms, usual pause ${pauseMs} ms, reading ${Math.round(readingMs(group))} ms, running ${runningIn(head)}`,
+      );
       stalls.next({ group: group.id, head });
     }
   };
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -25,6 +25,8 @@
   readonly deadline: MonoTime;
   /** An answer is due: the route's time limit, or shortly before the caller's deadline. */
   readonly answerBy: MonoTime;
+  /** A stream that has no place by then is refused: its caller would soon leave. */
+  readonly placeBy: MonoTime;
   /** Aborted once the caller has gone. */
   readonly gone: AbortSignal;
 }
@@ -37,15 +39,28 @@
 /** Callers that name no deadline. */
 const DEFAULT_WAIT_MS = 30_000;
 
+/** Callers leave a stream that is silent for the longest of these; the platform's figures. */
+const LEAST_PATIENCE_MS = 2_000;
+const PATIENCE_OBJECTIVES = 4;
+const PATIENCE_GAPS = 8;
+/** Part of that time which may pass before a place is found; the rest is for reading the prompt. */
+const PLACE_SHARE = 0.65;
+
+function patienceMs({ targetMs, maxGapMs }: Route): number {
+  return Math.max(LEAST_PATIENCE_MS, PATIENCE_OBJECTIVES * targetMs, PATIENCE_GAPS * maxGapMs);
+}
+
 export function deadlinesOf(
   facts: CallFacts,
   route: Route,
   arrivedAt: MonoTime,
-): Pick<Exchange, 'deadline' | 'answerBy'> {
+): Pick<Exchange, 'deadline' | 'answerBy' | 'placeBy'> {
   const deadline = later(arrivedAt, facts.waitMs ?? DEFAULT_WAIT_MS);
   const limit = later(arrivedAt, route.timeoutMs);
   const margin = later(deadline, -ANSWER_MARGIN_MS);
-  return { deadline, answerBy: limit < margin ? limit : margin };
+  const answerBy = limit < margin ? limit : margin;
+  const placeBy = later(arrivedAt, PLACE_SHARE * patienceMs(route));
+  return { deadline, answerBy, placeBy: placeBy < answerBy ? placeBy : answerBy };
 }
 
 /** What is noted of a request at its end. */
--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -23,9 +23,10 @@
   noteTraffic(): void;
 }
 
-/** A member that gives no report twice within this is held to be lost. A live one takes about a millisecond. */
+/** A member that gives no report within this is held to be lost. A live one takes about a millisecond. */
 const REPORT_TIMEOUT_MS = 250;
-const REPORTS = 2;
+/** A second question goes out on a connection of its own after this, in case a packet was lost. */
+const SECOND_REPORT_MS = 90;
 /** A lost member is left out for this long, or until it starts anew under another id. */
 const LOST_MS = 20_000;
 /** The same group is not looked into again before this. */
@@ -37,6 +38,10 @@
   readonly servers: Servers;
 }
 
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
 export function createFormer(ctx: GatewayContext, options: FormerOptions): Former {
   const { clock, logger, settings } = ctx;
   const { roster, routes, leadership, servers } = options;
@@ -114,12 +119,14 @@
     }
   };
 
+  /** Whether the server reports, by the first or the second question. */
   const answers = async (server: BackendServer): Promise<boolean> => {
-    for (let i = 0; i < REPORTS; i++) {
-      const report = await servers.report(server, REPORT_TIMEOUT_MS);
-      if (report.isOk()) return true;
-    }
-    return false;
+    const first = servers.report(server, REPORT_TIMEOUT_MS).then((report) => report.isOk());
+    const early = await Promise.race([first, pause(SECOND_REPORT_MS)]);
+    if (early === true) return true;
+    const second = servers.report(server, REPORT_TIMEOUT_MS - SECOND_REPORT_MS);
+    const [a, b] = await Promise.all([first, second.then((report) => report.isOk())]);
+    return a || b;
   };
 
   const inspect = ({ group, head }: Stall): void => {
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -54,9 +54,12 @@
   let isStopping = false;
 
   const config = createConfigView(ctx, feeds.config);
-  const roster = createRoster(ctx, feeds.servers);
   const fleet = createFleet(ctx, feeds.daemons);
   const leadership = createLeadership(ctx, options.table, fleet);
+  const roster = createRoster(ctx, {
+    feed: feeds.servers,
+    isLeading: () => leadership.held() !== undefined,
+  });
   const routes = () => config.table.value;
   const board = createBoard(ctx, roster, routes);
   const waiting = createWaitingRoom(ctx, board);
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -47,13 +47,13 @@
   let revisionSince = ctx.clock.now();
   let revision = 0;
 
-  const ownState = (): PeerState => ({
+  const ownState = (lease = leadership.ownLease()): PeerState => ({
     kind: 'state',
     configVersion: config.version(),
     serversRevision: roster.revision(),
     hasTraffic,
     isStopping: deps.isStopping(),
-    isLeader: leadership.held() !== undefined,
+    ...(lease && { lease }),
     running: board.running().map((entry) => [...entry]),
     waiting: waiting.waiting().map(([model, count]) => [model, count]),
   });
@@ -98,6 +98,7 @@
   } = {
     state: (state, { address }) => {
       if (state.hasTraffic) noteTraffic();
+      if (state.lease) leadership.takeLease(state.lease);
       help(state, address);
     },
     stalled: ({ group, head }, { from }) => {
@@ -112,12 +113,20 @@
     servers: ({ revision: theirs, servers }) => {
       roster.takeFromPeer(theirs, servers);
     },
+    news: (news) => {
+      roster.takeNews(news);
+    },
   };
 
   fleet.received.subscribe((received) => {
     take[received.message.kind](received.message as never, received);
   });
 
+  roster.news.subscribe((news) => {
+    if (leadership.held() === undefined) return;
+    fleet.broadcast({ kind: 'news', ...news, changes: [...news.changes] });
+  });
+
   board.stalls.subscribe(({ group, head }) => {
     fleet.broadcast({ kind: 'stalled', group, head });
     former.inspect({ group, head });
--- a/src/app/gateway/lease.ts
+++ b/src/app/gateway/lease.ts
@@ -15,27 +15,32 @@
 import type { Row, Table } from '../../ports/platform';
 import type { GatewayContext } from './context';
 import type { Fleet } from './fleet';
+import type { PeerState } from './messages';
 
 /**
  * Without a leader no group is formed or replaced, so the lease is short. A lapse does no harm to
- * groups: their heads decide who serves. Three renewals may be lost before it lapses.
+ * groups: their heads decide who serves. Two renewals may be lost before it lapses.
  */
 const SETTINGS: Partial<LeaseSettings> = {
-  ttlMs: 3_000,
-  marginMs: 300,
-  renewMs: 800,
-  backupDelayMs: 500,
+  ttlMs: 2_000,
+  marginMs: 200,
+  renewMs: 600,
+  backupDelayMs: 300,
   // Handing over a working lease gains nothing.
   handoverMs: 86_400_000,
 };
-/** Candidates look at the row this often; twice within the life of a lease. */
-const READ_MS = 1_000;
+/** Candidates that hear nothing of a leader look at the row this often; twice within the life of a lease. */
+const READ_MS = 900;
 const LEASE_KEY = 'lease/groups';
 const FENCE_KEY = 'lease/groups#fence';
 /** Wall clock and monotonic clock may drift apart this far between two looks before a pause is assumed. */
 const CLOCK_SLACK_MS = 400;
 
 export interface Leadership {
+  /** The row as held, for peers; undefined for others than the holder. */
+  ownLease(): PeerState['lease'];
+  /** Takes the leader's word for the row. */
+  takeLease(lease: NonNullable<PeerState['lease']>): void;
   /** The fencing number, while this daemon may form groups. */
   held(): FencingNumber | undefined;
   tick(): void;
@@ -146,6 +151,17 @@
   };
 
   return {
+    ownLease: () => {
+      const { held, seen } = state;
+      if (!held || !seen?.row || seen.row.released) return undefined;
+      return { version: seen.version, row: seen.row, fenceVersion: held.fenceVersion };
+    },
+    takeLease: ({ version, row, fenceVersion }) => {
+      readAt = later(clock.now(), READ_MS);
+      if (state.held || state.pending) return;
+      const fence = { version: fenceVersion, row: { fencing: row.fencing } };
+      dispatch({ kind: 'read', lease: { version, row }, fence });
+    },
     held: () => {
       const now = clock.now();
       if (!state.held || !isHolder(state, now)) return undefined;
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -4,7 +4,7 @@
 
 import type { BackendServer, GatewayConfig } from '../../core/gateway/types';
 import { brandAs } from '../../core/ids';
-import type { GroupId, InstanceId } from '../../core/ids';
+import type { DaemonId, FencingNumber, GroupId, InstanceId } from '../../core/ids';
 
 const natural = z.number().min(0);
 
@@ -16,8 +16,21 @@
   serversRevision: natural,
   hasTraffic: z.boolean(),
   isStopping: z.boolean(),
-  isLeader: z.boolean(),
-  /** Requests in flight by head of a group, and the tokens of prompts not yet answered. */
+  /** The lease row of a leader, so that others need not read it. */
+  lease: z
+    .object({
+      version: natural,
+      row: z.object({
+        holder: z.string().transform((id) => brandAs<DaemonId>(id)),
+        session: z.string(),
+        fencing: natural.transform((n) => brandAs<FencingNumber>(n)),
+        ttlMs: natural,
+        released: z.boolean(),
+      }),
+      fenceVersion: natural,
+    })
+    .optional(),
+  /** By head of a group: requests in flight, and the prompt tokens of those without an event. */
   running: z.array(
     z.tuple([z.string().transform((id) => brandAs<InstanceId>(id)), natural, natural]),
   ),
@@ -44,11 +57,25 @@
   servers: z.array(z.custom<BackendServer>((value) => typeof value === 'object' && value !== null)),
 });
 
+/** Changes of the servers from one revision of the store to a later one. */
+const newsSchema = z.object({
+  kind: z.literal('news'),
+  since: natural,
+  revision: natural,
+  changes: z.array(
+    z.object({
+      key: z.string(),
+      value: z.custom<BackendServer>((value) => typeof value === 'object').optional(),
+    }),
+  ),
+});
+
 const messageSchema = z.discriminatedUnion('kind', [
   stateSchema,
   stalledSchema,
   configSchema,
   serversSchema,
+  newsSchema,
 ]);
 
 export type PeerState = z.output<typeof stateSchema>;
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -20,21 +20,45 @@
 /** Servers that live enter themselves again within two seconds of the store's return; a little more for the way here. */
 const RETURN_MS = 2_300;
 
+/** Changes from one revision of the store to a later one. */
+export interface RosterNews {
+  readonly since: number;
+  readonly revision: number;
+  readonly changes: readonly Change<BackendServer>[];
+}
+
 export interface Roster {
   readonly servers: ReadonlyMap<InstanceId, BackendServer>;
   /** After each change. */
   readonly changes: Observable<void>;
+  /** What the store reported, for peers that look less often. */
+  readonly news: Observable<RosterNews>;
   readonly watch: Watch;
   /** Takes a peer's view, where it is newer and the store cannot be reached from here. */
   takeFromPeer(revision: number, servers: readonly BackendServer[]): void;
+  /** Takes what a peer heard from the store, where it goes on from what is known here. */
+  takeNews(news: RosterNews): void;
   /** Revision of the view, from the store or a peer. */
   revision(): number;
   tick(): void;
 }
 
-export function createRoster(ctx: GatewayContext, feed: Feed<BackendServer>): Roster {
+export interface RosterOptions {
+  readonly feed: Feed<BackendServer>;
+  /** Whether this daemon forms groups, and so needs each change at once. */
+  readonly isLeading: () => boolean;
+}
+
+/** Changes that come together are fetched together; a fraction of the shortest step of forming a group. */
+const LEADER_REST_MS = 25;
+/** Others hear of changes from the leader, and look for themselves well inside the time that a leaving server allows. */
+const FOLLOWER_REST_MS = 1_200;
+
+export function createRoster(ctx: GatewayContext, { feed, isLeading }: RosterOptions): Roster {
   const servers = new Map<InstanceId, BackendServer>();
   const changes = new Subject<void>();
+  const news = new Subject<RosterNews>();
+  let told = 0;
   /** Lapsed while the store was away: gone at this instant unless they come back. */
   const lapsed = new Map<InstanceId, MonoTime>();
   let peerRevision = 0;
@@ -59,6 +83,13 @@
     if (servers.delete(id)) ctx.logger.info('server gone', { step: 'roster', server: id, reason });
   };
 
+  const takeFromStore = (list: readonly Change<BackendServer>[], isWhole: boolean): void => {
+    take(list, isWhole);
+    const revision = watch.revision();
+    if (!isWhole) news.next({ since: told, revision, changes: list });
+    told = revision;
+  };
+
   const take = (list: readonly Change<BackendServer>[], isWhole: boolean): void => {
     const seen = new Set<string>();
     for (const { key, value } of list) {
@@ -70,7 +101,11 @@
     changes.next();
   };
 
-  const watch = watchFeed(ctx, { feed, take });
+  const watch = watchFeed(ctx, {
+    feed,
+    take: takeFromStore,
+    restMs: () => (isLeading() ? LEADER_REST_MS : FOLLOWER_REST_MS),
+  });
 
   const dropLapsed = (): void => {
     if (lapsed.size === 0 || watch.isFailing()) return;
@@ -83,6 +118,7 @@
   return {
     servers,
     changes,
+    news,
     watch,
     revision: () => Math.max(watch.revision(), peerRevision),
     takeFromPeer: (revision, list) => {
@@ -94,6 +130,13 @@
       );
       ctx.logger.info('servers taken from a peer', { step: 'roster', revision });
     },
+    takeNews: ({ since, revision, changes: list }) => {
+      const known = watch.revision();
+      if (known === 0 || since > known || revision <= known) return;
+      watch.skipTo(revision);
+      told = revision;
+      take(list, false);
+    },
     tick: dropLapsed,
   };
 }
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -85,7 +85,7 @@
     return deps.waiting.wait({
       model,
       priority: exchange.priority,
-      until: exchange.answerBy,
+      until: state.hasStarted ? exchange.answerBy : exchange.placeBy,
       arrivedAt: exchange.arrivedAt,
       gone: exchange.gone,
       isRetry: state.tried.size > 0,
--- a/src/app/gateway/watch.ts
+++ b/src/app/gateway/watch.ts
@@ -13,6 +13,11 @@
    * this long, and a little more, to notice.
    */
   readonly waitMs?: number;
+  /**
+   * Time between a poll that brought changes and the next one, milliseconds: changes come in groups,
+   * and each call has its price.
+   */
+  readonly restMs?: () => number;
   /** Changes in the order of the store. `isWhole`: they are the whole collection. */
   readonly take: (changes: readonly Change<T>[], isWhole: boolean) => void;
 }
@@ -25,10 +30,13 @@
   /** The end of the last failure of the store; undefined where there was none. */
   returnedAt(): MonoTime | undefined;
   isFailing(): boolean;
+  /** The collection is known up to `revision` by another way. */
+  skipTo(revision: number): void;
   stop(): void;
 }
 
 const DEFAULT_WAIT_MS = 4_000;
+const DEFAULT_REST_MS = 20;
 /** Between tries while the store fails: at once soon after a failure, then so often that all daemons stay far below its rate. */
 const FIRST_RETRY_MS = 60;
 const LONGEST_RETRY_MS = 500;
@@ -38,7 +46,7 @@
 }
 
 export function watchFeed<T>(ctx: GatewayContext, options: WatchOptions<T>): Watch {
-  const { feed, take, waitMs = DEFAULT_WAIT_MS } = options;
+  const { feed, take, waitMs = DEFAULT_WAIT_MS, restMs = () => DEFAULT_REST_MS } = options;
   let revision = 0;
   let lastContact: MonoTime | undefined;
   let returnedAt: MonoTime | undefined;
@@ -80,8 +88,12 @@
     const isWhole = revision === 0;
     const result = await (isWhole ? feed.load() : feed.poll(revision, waitMs));
     if (stopped) return;
-    if (result.isOk()) accept(result.value, isWhole);
-    else await fail(result.error);
+    if (result.isErr()) {
+      await fail(result.error);
+      return;
+    }
+    accept(result.value, isWhole);
+    if (result.value.changes.length > 0) await pause(restMs());
   };
 
   const run = async (): Promise<void> => {
@@ -97,6 +109,9 @@
     lastContact: () => lastContact,
     returnedAt: () => returnedAt,
     isFailing: () => failures > 0,
+    skipTo: (known) => {
+      if (revision > 0) revision = Math.max(revision, known);
+    },
     stop: () => {
       stopped = true;
     },
--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -62,22 +62,48 @@
   return counts;
 }
 
-/** Share of the work of a model, in groups that it keeps busy. */
-function weightOf(draft: Draft, { name, share, pace }: ModelSpec): number {
-  return draft.view.demand?.get(name) ?? share * pace;
+/** How much a model needs one more group: its part of the work, in groups, over those it has. */
+function needOf(draft: Draft, counts: ReadonlyMap<ModelId, number>, model: ModelSpec): number {
+  // `share` counts servers at work, so that a group's part is that share over its size.
+  const work = draft.view.demand?.get(model.name) ?? model.share / model.size;
+  return work / ((counts.get(model.name) ?? 0) + 1);
 }
 
-/** The model that lacks groups most, among those for which there are servers enough. */
+function byNeed(draft: Draft, counts: ReadonlyMap<ModelId, number>): readonly ModelSpec[] {
+  return [...draft.view.engine.models].sort(
+    (a, b) =>
+      needOf(draft, counts, b) - needOf(draft, counts, a) ||
+      b.size - a.size ||
+      compareText(a.name, b.name),
+  );
+}
+
+/**
+ * The model to form a group of. One that needs no weights loaded goes first. Otherwise the one that
+ * lacks groups most, and while further servers may come to the domain only that one.
+ */
 function pickModel(
   draft: Draft,
   counts: ReadonlyMap<ModelId, number>,
+  free: readonly BackendServer[],
   servers: number,
+  isSettled: boolean,
 ): ModelSpec | undefined {
-  const need = (model: ModelSpec): number =>
-    weightOf(draft, model) / ((counts.get(model.name) ?? 0) + 1);
-  return draft.view.engine.models
-    .filter(({ size }) => size <= servers)
-    .sort((a, b) => need(b) - need(a) || compareText(a.name, b.name))[0];
+  const models = byNeed(draft, counts);
+  const fits = models.filter(({ size }) => size <= servers);
+  const warm = fits.find((model) => countLoads(draft, pickMembers(draft, free, model), model) === 0);
+  if (warm) return warm;
+  return isSettled || fits[0] === models[0] ? fits[0] : undefined;
+}
+
+/** Whether servers have stopped coming to the domain. */
+function isSettled(draft: Draft, domain: DomainId, servers: number): boolean {
+  const known = draft.arrivals.get(domain);
+  if (!known || known.servers !== servers) {
+    draft.arrivals.set(domain, { servers, at: draft.now });
+    return false;
+  }
+  return draft.now >= later(known.at, draft.settings.settleMs);
 }
 
 /** The servers that are ready for the model soonest; among equals those of least use to other models. */
@@ -126,37 +152,62 @@
   return servers.filter((server) => joinCost(draft, server, model).isLoad).length;
 }
 
-/** Forms what can be formed of a domain's free servers; returns those left over. */
-function formInDomain(
+/** A domain with servers that are free. */
+interface FreeDomain {
+  readonly domain: DomainId;
+  readonly free: readonly BackendServer[];
+  /** Servers of it that are kept for losses. */
+  readonly reserve: number;
+  readonly isSettled: boolean;
+}
+
+/** Starts one group in the domain, if one is lacking for which there are servers and loads. */
+function formOne(
   draft: Draft,
-  free: readonly BackendServer[],
-  reserve: number,
+  { free, reserve, isSettled: isComplete }: FreeDomain,
   counts: Map<ModelId, number>,
 ): readonly BackendServer[] {
-  const model = pickModel(draft, counts, free.length - reserve);
-  if (!model) return free;
+  const model = pickModel(draft, counts, free, free.length - reserve, isComplete);
+  if (!model) return [];
   const members = pickMembers(draft, free, model);
   const loads = countLoads(draft, members, model);
   if (!mayLoad(draft, loads, draft.view.engine.loadsAtOnce * LOAD_CROWD)) return [];
   startFormation(draft, model, members, 'group-');
   counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
-  const left = free.filter((server) => !members.includes(server));
-  return formInDomain(draft, left, reserve, counts);
+  return members;
 }
 
-/** Starts new groups and prepares spares. */
+/** Starts new groups, one a domain in turn, and prepares spares. */
 export function composeGroups(draft: Draft, groups: readonly ReplicaGroup[]): void {
-  const free = collectFree(draft);
   const counts = countGroups(draft, groups);
+  let domains = freeDomains(draft);
+  for (let isDone = false; !isDone; ) {
+    isDone = true;
+    domains = domains.map((domain) => {
+      const members = formOne(draft, domain, counts);
+      if (members.length > 0) isDone = false;
+      return { ...domain, free: domain.free.filter((server) => !members.includes(server)) };
+    });
+  }
+  for (const { free, isSettled: isComplete } of domains) if (isComplete) prepareSpares(draft, free);
+}
+
+function freeDomains(draft: Draft): FreeDomain[] {
   const sizes = new Map<DomainId, number>();
   for (const { domain, isDraining } of draft.view.servers.values()) {
     if (domain !== undefined && !isDraining) sizes.set(domain, (sizes.get(domain) ?? 0) + 1);
   }
-  for (const [domain, servers] of [...free].sort(([a], [b]) => compareText(a, b))) {
-    const reserve = Math.floor((sizes.get(domain) ?? 0) / SERVERS_PER_SPARE);
-    const spares = formInDomain(draft, servers, reserve, counts);
-    prepareSpares(draft, spares);
-  }
+  return [...collectFree(draft)]
+    .sort(([a], [b]) => compareText(a, b))
+    .map(([domain, free]) => {
+      const servers = sizes.get(domain) ?? 0;
+      return {
+        domain,
+        free,
+        reserve: Math.floor(servers / SERVERS_PER_SPARE),
+        isSettled: isSettled(draft, domain, servers),
+      };
+    });
 }
 
 /**
@@ -164,8 +215,9 @@
  * replaced without a load. A warm spare joins in a fraction of a second in place of one or two.
  */
 function prepareSpares(draft: Draft, spares: readonly BackendServer[]): void {
-  const models = draft.view.engine.models;
-  if (models.length === 0 || draft.formations.size > 0) return;
+  // The largest group loses a member most often.
+  const models = [...draft.view.engine.models].sort((a, b) => b.size - a.size);
+  if (models.length === 0) return;
   const sorted = [...spares].sort((a, b) => compareText(a.id, b.id));
   sorted.forEach((server, i) => {
     const warm = models[i % models.length];
--- a/src/core/gateway/forming/retire.ts
+++ b/src/core/gateway/forming/retire.ts
@@ -6,11 +6,11 @@
 
 import { later } from '../../ids';
 import type { BackendServer } from '../types';
-import { ask } from './state';
+import { ask, isSuspect } from './state';
 import type { Draft, Retirement, RetirementStep } from './state';
 
-/** Results after which an order to the head will not help. */
-const UNREACHABLE_MS = 1_300;
+/** A head that answers no order for so long is held to be out of reach; one lost answer and a little more. */
+const UNREACHABLE_MS = 1_000;
 
 export function startRetirement(
   draft: Draft,
@@ -20,7 +20,8 @@
   const { group, epoch, head, members } = of;
   draft.formations.delete(group);
   draft.strangers.delete(group);
-  const first: RetirementStep = head ? step : 'starve';
+  const isReachable = head !== undefined && !isSuspect(draft, head.id);
+  const first: RetirementStep = isReachable ? step : 'starve';
   draft.retirements.set(group, { group, epoch, head, members, step: first, since: draft.now });
 }
 
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -1,6 +1,6 @@
 /** What the former of replica groups knows beside the servers' own reports. */
 
-import type { Epoch, GroupId, InstanceId, ModelId, MonoTime } from '../../ids';
+import type { DomainId, Epoch, GroupId, InstanceId, ModelId, MonoTime } from '../../ids';
 import type { OrderResult, ServerOrder } from '../orders';
 import type { BackendServer, EngineSpec } from '../types';
 
@@ -19,6 +19,11 @@
   readonly adoptMs: number;
   /** A closing group may finish its requests for so long; the longest deadline of a stream and a little more. */
   readonly finishMs: number;
+  /**
+   * A domain to which no server came for so long is taken to be complete: only then are weights
+   * loaded for a model that would not have been the first choice.
+   */
+  readonly settleMs: number;
   /** Weight loads for spares alone that run at a time once callers are served: loads are dear. */
   readonly spareLoads: number;
   /** Share of the loads allowed in a window that are used; the rest is for a change of leader. */
@@ -29,11 +34,12 @@
   stallMs: 6_000,
   loadWindowMs: 5_000,
   resendMs: 900,
-  starveMarginMs: 1_000,
+  starveMarginMs: 500,
   joinSlackMs: 2_500,
   adoptMs: 2_500,
   finishMs: 9_000,
-  spareLoads: 3,
+  settleMs: 900,
+  spareLoads: 6,
   loadShare: 0.8,
 };
 
@@ -94,6 +100,13 @@
   readonly loads: readonly WeightLoad[];
   /** Numbers the epochs of one lease. */
   readonly epochs: number;
+  /** When servers last came to a domain, and how many it has. */
+  readonly arrivals: ReadonlyMap<DomainId, Arrival>;
+}
+
+export interface Arrival {
+  readonly servers: number;
+  readonly at: MonoTime;
 }
 
 export interface WeightLoad {
@@ -131,6 +144,7 @@
     sent: new Map(),
     loads: [],
     epochs: 0,
+    arrivals: new Map(),
   };
 }
 
@@ -145,6 +159,7 @@
   readonly sent: Map<string, SentOrder>;
   loads: WeightLoad[];
   epochs: number;
+  readonly arrivals: Map<DomainId, Arrival>;
   readonly view: FormingView;
   readonly now: MonoTime;
   readonly effects: OrderEffect[];
@@ -161,6 +176,7 @@
     sent: new Map(state.sent),
     loads: [...state.loads],
     epochs: state.epochs,
+    arrivals: new Map(state.arrivals),
     view,
     now,
     effects: [],
@@ -168,9 +184,20 @@
 }
 
 export function stateOf(draft: Draft): FormingState {
-  const { settings, formations, retirements, dissolved, strangers, suspects, sent, loads, epochs } =
-    draft;
-  return { settings, formations, retirements, dissolved, strangers, suspects, sent, loads, epochs };
+  const { settings, formations, retirements, dissolved, strangers } = draft;
+  const { suspects, sent, loads, epochs, arrivals } = draft;
+  return {
+    settings,
+    formations,
+    retirements,
+    dissolved,
+    strangers,
+    suspects,
+    sent,
+    loads,
+    epochs,
+    arrivals,
+  };
 }
 
 export function isSuspect(draft: Draft, id: InstanceId): boolean {
