--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -113,8 +113,12 @@
     servers: ({ revision: theirs, servers }) => {
       roster.takeFromPeer(theirs, servers);
     },
-    news: (news) => {
-      roster.takeNews(news);
+    news: ({ since, revision: theirs, changes }) => {
+      roster.takeNews({
+        since,
+        revision: theirs,
+        changes: changes.map(({ key, value }) => (value ? { key, value } : { key })),
+      });
     },
   };
 
