--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -121,12 +121,13 @@
 
   /** Whether the server reports, by the first or the second question. */
   const answers = async (server: BackendServer): Promise<boolean> => {
-    const first = servers.report(server, REPORT_TIMEOUT_MS).then((report) => report.isOk());
-    const early = await Promise.race([first, pause(SECOND_REPORT_MS).then(() => false)]);
-    if (early) return true;
-    const second = servers.report(server, REPORT_TIMEOUT_MS - SECOND_REPORT_MS);
-    const [a, b] = await Promise.all([first, second.then((report) => report.isOk())]);
-    return a || b;
+    const ask = async (timeoutMs: number): Promise<boolean> =>
+      (await servers.report(server, timeoutMs)).isOk();
+    const first = ask(REPORT_TIMEOUT_MS);
+    const isQuick = await Promise.race([first, pause(SECOND_REPORT_MS).then(() => false)]);
+    if (isQuick) return true;
+    const both = await Promise.all([first, ask(REPORT_TIMEOUT_MS - SECOND_REPORT_MS)]);
+    return both.includes(true);
   };
 
   const inspect = ({ group, head }: Stall): void => {
