--- /dev/null
+++ b/tests/gateway/choice.test.ts
@@ -0,0 +1,73 @@
+import { describe, expect, it } from 'vitest';
+
+import { chooseGroup, choosePlain } from '../../src/core/gateway/balance';
+import type { GroupCandidate, PlainCandidate } from '../../src/core/gateway/balance';
+import { brandAs } from '../../src/core/ids';
+import type { ZoneId } from '../../src/core/ids';
+import { instance } from './support';
+
+const [HERE, THERE] = [brandAs<ZoneId>('a'), brandAs<ZoneId>('b')];
+
+function group(id: string, more: Partial<GroupCandidate> = {}): GroupCandidate {
+  return {
+    head: instance(id),
+    zone: HERE,
+    running: 0,
+    batchSize: 10,
+    slowdown: 1,
+    isTried: false,
+    ...more,
+  };
+}
+
+function plain(id: string, more: Partial<PlainCandidate> = {}): PlainCandidate {
+  return {
+    id: instance(id),
+    zone: HERE,
+    running: 0,
+    batchSize: 6,
+    failures: 0,
+    latencyMs: 40,
+    isTried: false,
+    ...more,
+  };
+}
+
+describe('the group of a stream', () => {
+  it('is the least filled one', () => {
+    const found = chooseGroup([group('1', { running: 4 }), group('2', { running: 2 })], HERE, 0);
+    expect(found?.head).toBe('2');
+  });
+
+  it('is in the own zone where loads are alike, elsewhere where they are not', () => {
+    const near = group('1', { running: 2 });
+    expect(chooseGroup([group('2', { running: 2, zone: THERE }), near], HERE, 0)).toBe(near);
+    expect(chooseGroup([group('2', { zone: THERE }), near], HERE, 0)?.head).toBe('2');
+  });
+
+  it('is not a slow one with the same load', () => {
+    const slow = group('1', { running: 1, slowdown: 4 });
+    expect(chooseGroup([slow, group('2', { running: 3 })], HERE, 0)?.head).toBe('2');
+  });
+
+  it('is none that is full or was tried', () => {
+    const candidates = [group('1', { running: 10 }), group('2', { isTried: true })];
+    expect(chooseGroup(candidates, HERE, 0)).toBeUndefined();
+  });
+});
+
+describe('the server of a plain call', () => {
+  it('is not one that fails while others do not', () => {
+    const failing = plain('1', { failures: 0.4 });
+    expect(choosePlain([failing, plain('2', { running: 2 })], HERE, 0)?.id).toBe('2');
+  });
+
+  it('is not one that is slow', () => {
+    const slow = plain('1', { latencyMs: 400 });
+    expect(choosePlain([slow, plain('2', { running: 3 })], HERE, 0)?.id).toBe('2');
+  });
+
+  it('is none where all were tried', () => {
+    expect(choosePlain([plain('1', { isTried: true })], HERE, 0.5)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/tests/gateway/engine-fleet.ts
@@ -0,0 +1,304 @@
+/**
+ * A domain or more of engine servers in simulated time, as the users' platform describes them, for
+ * tests of forming groups. It keeps the two promises under watch: no group serves with a member that
+ * was never ready in it, and no server joins another group while its own group's head may serve.
+ */
+
+import type { OrderResult, ServerOrder } from '../../src/core/gateway/orders';
+import type { OrderEffect } from '../../src/core/gateway/forming/state';
+import type { BackendServer, MemberState } from '../../src/core/gateway/types';
+import { brandAs } from '../../src/core/ids';
+import type { DomainId, InstanceId, ModelId } from '../../src/core/ids';
+import { ENGINE, instance, makeServer } from './support';
+
+const STALL_MS = 6_000;
+const FORM_MS = 300;
+const REJOIN_MS = 200;
+const LAPSE_MS = 3_600;
+
+interface Joined {
+  readonly group: string;
+  readonly epoch: number;
+  readonly members: readonly InstanceId[];
+  readonly model: ModelId;
+  state: MemberState;
+  readyAt: number;
+  openAt: number | undefined;
+  /** Since when the head waits for a lost member. */
+  stalledAt: number | undefined;
+}
+
+interface SimServer {
+  readonly id: InstanceId;
+  readonly domain: DomainId;
+  isAlive: boolean;
+  diedAt: number;
+  /** What its row shows; rows of the dead stay until they lapse. */
+  shown: Joined | undefined;
+  /** Lives, but orders do not reach it and its row lapses. */
+  isCut: boolean;
+  cutAt: number;
+  isDraining: boolean;
+  staged: ModelId | undefined;
+  lastModel: ModelId | undefined;
+  joined: Joined | undefined;
+  highestEpoch: number;
+}
+
+interface Late {
+  readonly at: number;
+  readonly server: InstanceId;
+  readonly order: ServerOrder;
+}
+
+export interface EngineFleetOptions {
+  readonly domains: readonly number[];
+  readonly hasTraffic: boolean;
+}
+
+/** The promises that were broken, in words. */
+export type Violation = string;
+
+export function createEngineFleet({ domains, hasTraffic }: EngineFleetOptions) {
+  const servers = new Map<InstanceId, SimServer>();
+  const everReady = new Set<string>();
+  const late: Late[] = [];
+  const violations: Violation[] = [];
+  let now = 0;
+  let loads = 0;
+  let nextId = 0;
+  let isOrderLate = false;
+
+  const add = (domain: string): InstanceId => {
+    const id = instance(`s${String(nextId++).padStart(3, '0')}`);
+    servers.set(id, {
+      id,
+      domain: brandAs<DomainId>(domain),
+      isAlive: true,
+      diedAt: 0,
+      shown: undefined,
+      isCut: false,
+      cutAt: 0,
+      isDraining: false,
+      staged: undefined,
+      lastModel: undefined,
+      joined: undefined,
+      highestEpoch: 0,
+    });
+    return id;
+  };
+  domains.forEach((count, i) => {
+    for (let n = 0; n < count; n++) add(`d${i}`);
+  });
+
+  const specOf = (model: ModelId) => {
+    const spec = ENGINE.models.find(({ name }) => name === model);
+    if (!spec) throw new Error(`no model ${model}`);
+    return spec;
+  };
+
+  const isIn = (server: SimServer | undefined, group: string, epoch: number): boolean =>
+    server?.isAlive === true && server.joined?.group === group && server.joined.epoch === epoch;
+
+  /** Whether the head of the server's group could still serve, or waits for a lost member. */
+  const mayHeadServe = (server: SimServer): boolean => {
+    const { joined } = server;
+    if (!joined) return false;
+    const head = servers.get(joined.members[0] ?? server.id);
+    if (!isIn(head, joined.group, joined.epoch)) return false;
+    const state = head?.joined?.state;
+    return state === 'open' || state === 'closing';
+  };
+
+  const join = (server: SimServer, order: Extract<ServerOrder, { kind: 'join' }>): OrderResult => {
+    const { joined } = server;
+    const { group, epoch, model, members } = order;
+    if (epoch < server.highestEpoch) return 'refused';
+    if (joined?.group === group && joined.epoch === epoch) {
+      return joined.members.join() === members.join() ? 'done' : 'refused';
+    }
+    if (mayHeadServe(server)) {
+      violations.push(`${now}: ${server.id} joins ${group} while the head of ${joined?.group} serves`);
+    }
+    const isLoad = server.lastModel !== model && server.staged !== model;
+    if (isLoad) loads += 1;
+    const share = hasTraffic ? 1 : 0.1;
+    const warmMs = server.lastModel === model ? REJOIN_MS : specOf(model).warmMs;
+    server.highestEpoch = epoch;
+    server.joined = {
+      group,
+      epoch,
+      members,
+      model,
+      state: 'joining',
+      readyAt: now + (isLoad ? specOf(model).loadMs * share : warmMs),
+      openAt: undefined,
+      stalledAt: undefined,
+    };
+    return 'done';
+  };
+
+  type Handlers = {
+    readonly [K in ServerOrder['kind']]: (
+      server: SimServer,
+      order: Extract<ServerOrder, { kind: K }>,
+    ) => OrderResult;
+  };
+
+  const handlers: Handlers = {
+    join,
+    open: ({ joined }, { group, epoch }) => {
+      if (joined?.group !== group || joined.epoch !== epoch) return 'refused';
+      if (joined.state === 'open') return 'done';
+      if (joined.state !== 'ready') return 'refused';
+      joined.openAt ??= now + FORM_MS;
+      return 'done';
+    },
+    close: ({ joined }, { group, epoch }) => {
+      if (joined?.group !== group || joined.epoch !== epoch) return 'refused';
+      if (joined.state === 'open') joined.state = 'ready';
+      joined.openAt = undefined;
+      return 'done';
+    },
+    leave: (server, { group, epoch }) => {
+      if (server.joined?.group === group && server.joined.epoch === epoch) server.joined = undefined;
+      return 'done';
+    },
+    stage: (server, { model }) => {
+      if (server.staged !== model) loads += 1;
+      server.staged = model;
+      return 'done';
+    },
+  };
+
+  const carryOut = (id: InstanceId, order: ServerOrder): OrderResult => {
+    const server = servers.get(id);
+    if (!server?.isAlive) return 'unknown';
+    return handlers[order.kind](server, order as never);
+  };
+
+  /** Takes an order; late ones are carried out seconds afterwards and answered by nothing. */
+  const take = ({ server, order }: OrderEffect, lateMs: number): OrderResult => {
+    const target = servers.get(server.id);
+    if (!target?.isAlive || target.isCut) return 'unknown';
+    if (!isOrderLate || lateMs === 0) return carryOut(server.id, order);
+    late.push({ at: now + lateMs, server: server.id, order });
+    return 'unknown';
+  };
+
+  const isWhole = ({ group, epoch, members }: Joined): boolean =>
+    members.every((id) => isIn(servers.get(id), group, epoch));
+
+  const advanceServer = (server: SimServer): void => {
+    const { joined } = server;
+    if (!server.isAlive || !joined) return;
+    if (joined.state === 'joining' && now >= joined.readyAt) {
+      joined.state = 'ready';
+      server.lastModel = joined.model;
+      if (server.staged === undefined) server.staged = joined.model;
+      everReady.add(`${joined.group} ${joined.epoch} ${server.id}`);
+    }
+    if (joined.state === 'ready' && joined.openAt !== undefined && now >= joined.openAt) {
+      joined.state = 'open';
+      joined.openAt = undefined;
+    }
+    if (joined.state !== 'open') return;
+    checkServing(server, joined);
+    if (isWhole(joined)) joined.stalledAt = undefined;
+    else joined.stalledAt ??= now;
+    if (joined.stalledAt !== undefined && now >= joined.stalledAt + STALL_MS) joined.state = 'broken';
+  };
+
+  const checkServing = (server: SimServer, { group, epoch, members, model }: Joined): void => {
+    const isComplete = members.length === specOf(model).size;
+    const wereReady = members.every((id) => everReady.has(`${group} ${epoch} ${id}`));
+    if (!isComplete || !wereReady) violations.push(`${now}: ${server.id} serves ${group} in part`);
+  };
+
+  const advance = (ms: number): void => {
+    now += ms;
+    for (const order of late.splice(0)) {
+      if (now < order.at) late.push(order);
+      else carryOut(order.server, order.order);
+    }
+    for (const server of servers.values()) advanceServer(server);
+    for (const server of servers.values()) {
+      if (server.isAlive && !server.isCut) server.shown = server.joined && { ...server.joined };
+    }
+  };
+
+  /** The servers as their rows show them. */
+  const rows = (): Map<InstanceId, BackendServer> => {
+    const shown = [...servers.values()].filter((server) => {
+      if (!server.isAlive) return now < server.diedAt + LAPSE_MS;
+      return !server.isCut || now < server.cutAt + LAPSE_MS;
+    });
+    return new Map(shown.map((server) => [server.id, toRow(server)]));
+  };
+
+  const toRow = ({ id, domain, isDraining, staged, shown: joined }: SimServer): BackendServer =>
+    makeServer(id, {
+      domain,
+      isDraining,
+      staged: staged === undefined ? [] : [staged],
+      ...(joined && joined.state !== 'joining' && { model: joined.model }),
+      ...(joined && {
+        membership: {
+          group: brandAs(joined.group),
+          epoch: brandAs(joined.epoch),
+          rank: joined.members.indexOf(id),
+          state: joined.state,
+        },
+      }),
+    });
+
+  /** Members that give no report, of groups whose streams have stood still for half a second. */
+  const stalled = (): InstanceId[] =>
+    [...servers.values()].flatMap(({ joined }) => {
+      if (joined?.stalledAt === undefined || now < joined.stalledAt + 500) return [];
+      return joined.members.filter((id) => {
+        const member = servers.get(id);
+        return member?.isAlive !== true || member.isCut;
+      });
+    });
+
+  return {
+    servers,
+    violations,
+    add,
+    take,
+    advance,
+    rows,
+    stalled,
+    now: () => now,
+    loads: () => loads,
+    kill: (id: InstanceId) => {
+      const server = servers.get(id);
+      if (!server?.isAlive) return;
+      server.isAlive = false;
+      server.diedAt = now;
+      server.joined = undefined;
+    },
+    cut: (id: InstanceId, isCut: boolean) => {
+      const server = servers.get(id);
+      if (!server) return;
+      server.isCut = isCut;
+      server.cutAt = now;
+    },
+    drain: (id: InstanceId) => {
+      const server = servers.get(id);
+      if (server) server.isDraining = true;
+    },
+    setLate: (isLate: boolean) => {
+      isOrderLate = isLate;
+    },
+    /** Groups that serve, by model. */
+    serving: (model: ModelId): number =>
+      [...servers.values()].filter(({ isAlive, joined }) => {
+        const isServing = joined?.state === 'open' && joined.stalledAt === undefined;
+        return isAlive && isServing && joined.model === model;
+      }).length,
+  };
+}
+
+export type EngineFleet = ReturnType<typeof createEngineFleet>;
--- /dev/null
+++ b/tests/gateway/forming-fuzz.test.ts
@@ -0,0 +1,92 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+
+import { createEngineFleet } from './engine-fleet';
+import type { EngineFleet } from './engine-fleet';
+import { createLeader } from './leader';
+import { LARGE, SMALL } from './support';
+
+type Leader = ReturnType<typeof createLeader>;
+
+interface Trouble {
+  readonly kind: 'kill' | 'cut' | 'heal' | 'drain' | 'late' | 'in-time' | 'leader' | 'add';
+  readonly which: number;
+  readonly afterMs: number;
+}
+
+const trouble: fc.Arbitrary<Trouble> = fc.record({
+  kind: fc.constantFrom('kill', 'cut', 'heal', 'drain', 'late', 'in-time', 'leader', 'add'),
+  which: fc.nat(40),
+  afterMs: fc.integer({ min: 50, max: 3_000 }),
+});
+
+function pick(fleet: EngineFleet, which: number) {
+  const ids = [...fleet.servers.keys()];
+  return ids[which % ids.length] ?? fleet.add('d0');
+}
+
+const APPLY: Readonly<
+  Record<Trouble['kind'], (fleet: EngineFleet, leader: Leader, which: number) => void>
+> = {
+  kill: (fleet, _, which) => {
+    fleet.kill(pick(fleet, which));
+  },
+  cut: (fleet, _, which) => {
+    fleet.cut(pick(fleet, which), true);
+  },
+  heal: (fleet, _, which) => {
+    fleet.cut(pick(fleet, which), false);
+  },
+  drain: (fleet, _, which) => {
+    fleet.drain(pick(fleet, which));
+  },
+  late: (fleet) => {
+    fleet.setLate(true);
+  },
+  'in-time': (fleet) => {
+    fleet.setLate(false);
+  },
+  leader: (_, leader) => {
+    leader.replace();
+  },
+  add: (fleet, _, which) => {
+    fleet.add(`d${which % 2}`);
+  },
+};
+
+describe('groups under any series of troubles', () => {
+  it('never serve in part, and no server is in two of them', () => {
+    fc.assert(
+      fc.property(fc.array(trouble, { maxLength: 25 }), fc.nat(), (troubles, salt) => {
+        const fleet = createEngineFleet({ domains: [11, 11], hasTraffic: true });
+        const lateMs = (n: number): number => ((n * 7919 + salt) % 2 === 0 ? 2_000 + (n * 613) % 10_000 : 0);
+        const leader = createLeader(fleet, { hasTraffic: true, lateMs });
+        leader.run(40_000);
+        for (const { kind, which, afterMs } of troubles) {
+          APPLY[kind](fleet, leader, which);
+          leader.run(afterMs);
+        }
+        expect(fleet.violations).toEqual([]);
+      }),
+      { seed: 23, numRuns: 40 },
+    );
+  });
+
+  it('serve again once the troubles are over and servers enough are left', () => {
+    fc.assert(
+      fc.property(fc.array(trouble, { maxLength: 8 }), (troubles) => {
+        const fleet = createEngineFleet({ domains: [14], hasTraffic: true });
+        const leader = createLeader(fleet, { hasTraffic: true });
+        leader.run(40_000);
+        for (const { kind, which, afterMs } of troubles) {
+          if (kind === 'kill' || kind === 'leader') APPLY[kind](fleet, leader, which % 3);
+          leader.run(afterMs);
+        }
+        leader.run(60_000);
+        expect(fleet.serving(LARGE) + fleet.serving(SMALL)).toBeGreaterThanOrEqual(2);
+        expect(fleet.violations).toEqual([]);
+      }),
+      { seed: 29, numRuns: 25 },
+    );
+  });
+});
--- /dev/null
+++ b/tests/gateway/forming.test.ts
@@ -0,0 +1,105 @@
+import { describe, expect, it } from 'vitest';
+
+import { createEngineFleet } from './engine-fleet';
+import { createLeader } from './leader';
+import { instance, LARGE, SMALL } from './support';
+
+function headOf(fleet: ReturnType<typeof createEngineFleet>, model: string) {
+  const found = [...fleet.servers.values()].find(
+    ({ joined, id }) => joined?.state === 'open' && joined.model === model && joined.members[0] === id,
+  );
+  if (!found) throw new Error(`no group of ${model} serves`);
+  return found;
+}
+
+describe('groups of a domain', () => {
+  it('are formed of all models, with spares left over', () => {
+    const fleet = createEngineFleet({ domains: [11], hasTraffic: false });
+    createLeader(fleet).run(8_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([1, 1]);
+    expect(fleet.violations).toEqual([]);
+  });
+
+  it('share the models evenly over domains', () => {
+    const fleet = createEngineFleet({ domains: [11, 11, 11], hasTraffic: false });
+    createLeader(fleet).run(15_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([3, 3]);
+  });
+
+  it('wait for further servers before they take a model that lacks groups less', () => {
+    const fleet = createEngineFleet({ domains: [3], hasTraffic: false });
+    const leader = createLeader(fleet);
+    leader.run(500);
+    expect(leader.state().formations.size).toBe(0);
+    for (let i = 0; i < 8; i++) fleet.add('d0');
+    leader.run(6_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([1, 1]);
+  });
+});
+
+describe('a lost member', () => {
+  it.each([LARGE, SMALL])('of %s is replaced by a warm spare within a second', (model) => {
+    const fleet = createEngineFleet({ domains: [11], hasTraffic: false });
+    const leader = createLeader(fleet);
+    leader.run(15_000);
+    const loads = fleet.loads();
+    const member = headOf(fleet, model).joined?.members[1] ?? instance('none');
+    fleet.kill(member);
+    leader.run(600);
+    expect(fleet.serving(model)).toBe(0);
+    leader.run(1_000);
+    expect(fleet.serving(model)).toBe(1);
+    expect(fleet.loads()).toBe(loads);
+    expect(fleet.violations).toEqual([]);
+  });
+
+  it('that is the head frees the others only once it must be broken', () => {
+    const fleet = createEngineFleet({ domains: [11], hasTraffic: false });
+    const leader = createLeader(fleet);
+    leader.run(15_000);
+    const head = headOf(fleet, LARGE);
+    fleet.cut(head.id, true);
+    fleet.kill(head.joined?.members[1] ?? instance('none'));
+    leader.run(5_000);
+    expect(fleet.serving(LARGE)).toBe(0);
+    leader.run(6_000);
+    expect(fleet.serving(LARGE)).toBe(1);
+    expect(fleet.violations).toEqual([]);
+  });
+});
+
+describe('a new leader', () => {
+  it('adopts the groups that serve, without an order to them', () => {
+    const fleet = createEngineFleet({ domains: [9], hasTraffic: false });
+    const leader = createLeader(fleet);
+    leader.run(10_000);
+    const orders = leader.orders();
+    leader.replace();
+    leader.run(5_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([1, 1]);
+    expect(leader.orders()).toBe(orders);
+  });
+
+  it('opens a group that its predecessor left whole', () => {
+    const fleet = createEngineFleet({ domains: [6], hasTraffic: false });
+    const leader = createLeader(fleet);
+    leader.run(1_750);
+    expect(fleet.serving(LARGE)).toBe(0);
+    leader.replace();
+    leader.run(1_500);
+    expect(fleet.serving(LARGE)).toBe(1);
+    expect(fleet.violations).toEqual([]);
+  });
+});
+
+describe('a member that leaves by plan', () => {
+  it('is replaced after the requests in flight', () => {
+    const fleet = createEngineFleet({ domains: [11], hasTraffic: false });
+    const leader = createLeader(fleet);
+    leader.run(15_000);
+    fleet.drain(headOf(fleet, SMALL).joined?.members[2] ?? instance('none'));
+    leader.run(2_000);
+    expect(fleet.serving(SMALL)).toBe(1);
+    expect(fleet.violations).toEqual([]);
+  });
+});
--- /dev/null
+++ b/tests/gateway/leader.ts
@@ -0,0 +1,48 @@
+/** Runs the plan of groups against a simulated fleet, as the holder of the lease does. */
+
+import { createForming } from '../../src/core/gateway/forming/state';
+import type { FormingState } from '../../src/core/gateway/forming/state';
+import { noteResult, noteSuspect, planGroups } from '../../src/core/gateway/forming/plan';
+import type { EngineFleet } from './engine-fleet';
+import { at, ENGINE } from './support';
+
+const TICK_MS = 50;
+
+export interface LeaderOptions {
+  readonly hasTraffic?: boolean;
+  /** Delay of an order that is carried out late, by the number of the order. */
+  readonly lateMs?: (n: number) => number;
+}
+
+export function createLeader(fleet: EngineFleet, { hasTraffic = false, lateMs = () => 0 }: LeaderOptions = {}) {
+  let fencing = 1;
+  let orders = 0;
+  let state: FormingState = createForming();
+
+  const step = (): void => {
+    fleet.advance(TICK_MS);
+    const now = at(fleet.now());
+    for (const id of fleet.stalled()) state = noteSuspect(state, id, at(now + 20_000));
+    const view = { servers: fleet.rows(), engine: ENGINE, fencing, hasTraffic };
+    const plan = planGroups(state, view, now);
+    state = plan.state;
+    for (const effect of plan.orders) {
+      orders += 1;
+      const result = fleet.take(effect, lateMs(orders));
+      state = noteResult(state, effect.key, result);
+    }
+  };
+
+  return {
+    run: (ms: number): void => {
+      for (let passed = 0; passed < ms; passed += TICK_MS) step();
+    },
+    /** Another daemon takes the lease; it knows nothing but what servers report. */
+    replace: (): void => {
+      fencing += 1;
+      state = createForming();
+    },
+    orders: () => orders,
+    state: () => state,
+  };
+}
--- /dev/null
+++ b/tests/gateway/support.ts
@@ -0,0 +1,105 @@
+/** Small makers of what gateway tests need again and again. */
+
+import type { BackendServer, EngineSpec, GatewayConfig, Route } from '../../src/core/gateway/types';
+import { brandAs } from '../../src/core/ids';
+import type {
+  ConfigVersion,
+  DomainId,
+  Epoch,
+  GroupId,
+  InstanceId,
+  ModelId,
+  MonoTime,
+  ServiceId,
+  ZoneId,
+} from '../../src/core/ids';
+import type { MemberState } from '../../src/core/gateway/types';
+
+export const SERVICE = brandAs<ServiceId>('llm');
+export const LARGE = brandAs<ModelId>('large');
+export const SMALL = brandAs<ModelId>('small');
+
+export function at(ms: number): MonoTime {
+  return brandAs<MonoTime>(ms);
+}
+
+export function instance(id: string): InstanceId {
+  return brandAs<InstanceId>(id);
+}
+
+/** Engines like those of the users: a large model of six servers and a small one of three. */
+export const ENGINE: EngineSpec = {
+  batchSize: 18,
+  stepsPerPass: 6,
+  stepMs: 6.45,
+  perRequestMs: 0.14,
+  perContextKMs: 0.0042,
+  prefillTokensPerMs: 56,
+  models: [
+    { name: LARGE, size: 6, pace: 1, share: 0.67, loadMs: 16_000, warmMs: 1_600 },
+    { name: SMALL, size: 3, pace: 0.6, share: 0.33, loadMs: 12_000, warmMs: 1_100 },
+  ],
+  loadsPerS: 5.5,
+  loadsAtOnce: 8,
+  usual: { prompt: 1115, answer: 152 },
+};
+
+export function makeServer(id: string, more: Partial<BackendServer> = {}): BackendServer {
+  return {
+    id: instance(id),
+    service: SERVICE,
+    address: `127.0.0.1:${1000 + Number(id.replace(/\D/g, ''))}`,
+    zone: brandAs<ZoneId>('a'),
+    isDraining: false,
+    batchSize: 18,
+    domain: brandAs<DomainId>('d0'),
+    staged: [],
+    isBusy: false,
+    ...more,
+  };
+}
+
+export function inGroup(
+  group: string,
+  rank: number,
+  state: MemberState,
+  epoch = 1,
+): Pick<BackendServer, 'membership'> {
+  return {
+    membership: { group: brandAs<GroupId>(group), epoch: brandAs<Epoch>(epoch), rank, state },
+  };
+}
+
+export function makeRoute(more: Partial<Route> = {}): Route {
+  return {
+    name: 'r',
+    host: 'a.example',
+    prefix: '/a/',
+    kind: 'safe',
+    timeoutMs: 1_000,
+    targetMs: 200,
+    priority: 1,
+    targets: [{ service: SERVICE, weight: 1 }],
+    maxAttempts: 2,
+    isPublic: false,
+    isResumable: false,
+    maxGapMs: 0,
+    ...more,
+  };
+}
+
+export function makeConfig(more: Partial<GatewayConfig> = {}): GatewayConfig {
+  return {
+    version: brandAs<ConfigVersion>(1),
+    routes: [],
+    services: [],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 65_536,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    organisations: [],
+    ...more,
+  };
+}
