--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -12,6 +12,7 @@
   noteEvent,
   noteRead,
   noteSent,
+  readableTokens,
   stalledAt,
   usualPauseMs,
 } from '../../core/gateway/progress';
@@ -37,8 +38,13 @@
 }
 
 export interface Board {
-  /** Groups of a model that are open and not under suspicion. */
-  candidates(service: ServiceId, model: ModelId, tried: ReadonlySet<InstanceId>): GroupCandidate[];
+  /** Groups of a model that are open and not under suspicion, for streams that bear pauses of `gapMs`. */
+  candidates(
+    service: ServiceId,
+    model: ModelId,
+    gapMs: number,
+    tried: ReadonlySet<InstanceId>,
+  ): GroupCandidate[];
   /** Groups of a model, whether or not they may be chosen now. */
   countGroups(service: ServiceId, model: ModelId): number;
   find(head: InstanceId): BoardGroup | undefined;
@@ -62,6 +68,8 @@
 
 /** Long enough for the leader to ask the members; then the group is tried again. */
 const SUSPECT_MS = 1_500;
+/** Peers' words of their loads are this old at most, but for a slow link: the interval at which a few daemons speak. */
+const WORDS_MS = 200;
 
 export function createBoard(
   ctx: GatewayContext,
@@ -72,6 +80,11 @@
   const progress = new Map<InstanceId, Progress>();
   const suspects = new Map<InstanceId, MonoTime>();
   const elsewhere = new Map<InstanceId, { readonly running: number; readonly unread: number }>();
+  /** Requests sent since the peers' words were last taken in. */
+  const takenSince = new Map<InstanceId, number>();
+  /** Peers with requests that wait for a model. */
+  const waitingPeers = new Map<string, number>();
+  let wordsDueAt = clock.now();
   const stalls = new Subject<Stall>();
   const changes = new Subject<void>();
   let groups = new Map<InstanceId, BoardGroup>();
@@ -110,10 +123,19 @@
   const runningIn = (head: InstanceId): number =>
     (progress.get(head)?.running ?? 0) + (elsewhere.get(head)?.running ?? 0);
 
+  const unreadIn = (head: InstanceId): number =>
+    (progress.get(head)?.unread ?? 0) + (elsewhere.get(head)?.unread ?? 0);
+
   /** Time that the prompts sent to the group take to be read, milliseconds. */
-  const readingMs = ({ head, engine, spec }: BoardGroup): number => {
-    const tokens = (progress.get(head.id)?.unread ?? 0) + (elsewhere.get(head.id)?.unread ?? 0);
-    return (spec.pace * tokens) / engine.prefillTokensPerMs;
+  const readingMs = ({ head, engine, spec }: BoardGroup): number =>
+    (spec.pace * unreadIn(head.id)) / engine.prefillTokensPerMs;
+
+  /** This daemon's part of the places that were free at the last word of the peers, less what it took since. */
+  const mayTake = ({ head, model, engine }: BoardGroup): number => {
+    const taken = takenSince.get(head.id) ?? 0;
+    const free = engine.batchSize - runningIn(head.id) + taken;
+    const daemons = 1 + (waitingPeers.get(model) ?? 0);
+    return Math.max(1, Math.ceil(free / daemons)) - taken;
   };
 
   const usualOf = ({ engine, spec, head }: BoardGroup): number =>
@@ -161,7 +183,7 @@
   return {
     stalls,
     changes,
-    candidates: (service, model, tried) =>
+    candidates: (service, model, gapMs, tried) =>
       ofModel(service, model)
         .filter(({ head }) => !isSuspect(head.id))
         .map((group) => ({
@@ -169,6 +191,14 @@
           zone: group.head.zone,
           running: runningIn(group.head.id),
           batchSize: group.engine.batchSize,
+          mayTake: mayTake(group),
+          unread: unreadIn(group.head.id),
+          maxUnread: readableTokens(
+            group.engine,
+            group.spec.pace,
+            runningIn(group.head.id),
+            gapMs,
+          ),
           slowdown: slowdownOf(group),
           isTried: tried.has(group.head.id),
         })),
@@ -176,6 +206,7 @@
     find: (head) => groups.get(head),
     noteSent: (head, promptTokens) => {
       progress.set(head, noteSent(progressOf(head), clock.now(), promptTokens));
+      takenSince.set(head, (takenSince.get(head) ?? 0) + 1);
     },
     noteRead: (head, promptTokens) => {
       progress.set(head, noteRead(progressOf(head), promptTokens));
@@ -194,12 +225,21 @@
         .map(([head, { running, unread }]) => [head, running, unread] as const),
     takePeers: (peers) => {
       elsewhere.clear();
-      for (const { running } of peers) {
+      waitingPeers.clear();
+      for (const { running, waiting } of peers) {
+        for (const [model, count] of waiting) {
+          if (count > 0) waitingPeers.set(model, (waitingPeers.get(model) ?? 0) + 1);
+        }
         for (const [head, count, tokens] of running) {
           const known = elsewhere.get(head) ?? { running: 0, unread: 0 };
           elsewhere.set(head, { running: known.running + count, unread: known.unread + tokens });
         }
       }
+      const now = clock.now();
+      if (now >= wordsDueAt) {
+        takenSince.clear();
+        wordsDueAt = later(now, WORDS_MS);
+      }
       changes.next();
     },
     tick: () => {
--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -49,6 +49,8 @@
   let states = new Map<ServiceId, FormingState>();
   let hasTraffic = false;
   const inspected = new Map<GroupId, MonoTime>();
+  /** Servers whose entries have gone and whose groups were asked since. */
+  const asked = new Set<InstanceId>();
 
   const begin = (fencing: FencingNumber): void => {
     term = fencing;
@@ -62,7 +64,8 @@
   const viewOf = ({ name, engine }: ServiceSpec, fencing: FencingNumber): FormingView | undefined => {
     if (!engine || engine.models.length === 0) return undefined;
     const own = [...roster.servers].filter(([, { service }]) => service === name);
-    return { servers: new Map(own), engine, fencing, hasTraffic };
+    const lapsed = [...roster.lapsed].filter(([, { service }]) => service === name);
+    return { servers: new Map(own), lapsed: new Map(lapsed), engine, fencing, hasTraffic };
   };
 
   const send = async (service: ServiceId, effect: OrderEffect, fencing: FencingNumber): Promise<void> => {
@@ -135,7 +138,7 @@
     const again = inspected.get(group);
     if (leadership.held() === undefined || (again !== undefined && now < again)) return;
     inspected.set(group, later(now, INSPECT_AGAIN_MS));
-    const members = [...roster.servers.values()].filter(
+    const members = [...roster.servers.values(), ...roster.lapsed.values()].filter(
       ({ membership }) => membership?.group === group,
     );
     void inspectMembers(group, head, members);
@@ -163,6 +166,18 @@
     if (lost.length > 0) tick();
   };
 
+  /** A member whose entry has gone may be lost, or may have lost touch with the list alone. */
+  const inspectLapsed = (): void => {
+    for (const { id, membership } of roster.lapsed.values()) {
+      if (asked.has(id)) continue;
+      asked.add(id);
+      if (membership) inspect({ group: membership.group, head: id });
+    }
+    for (const id of asked) if (!roster.lapsed.has(id)) asked.delete(id);
+  };
+
+  roster.changes.subscribe(inspectLapsed);
+
   /** Whether any server outside the group answers. */
   const reachesOthers = async (members: readonly BackendServer[]): Promise<boolean> => {
     const domain = members[0]?.domain;
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -19,6 +19,8 @@
 
 /** Servers that live enter themselves again within two seconds of the store's return; a little more for the way here. */
 const RETURN_MS = 2_300;
+/** Entries of servers that are gone are remembered for this long: as long as a cut from the store is likely to last. */
+const LAPSED_MS = 60_000;
 
 /** Changes from one revision of the store to a later one. */
 export interface RosterNews {
@@ -28,6 +30,8 @@
 }
 
 export interface Roster {
+  /** Last known entries of servers whose entries are gone. Some of them live and serve on. */
+  readonly lapsed: ReadonlyMap<InstanceId, BackendServer>;
   readonly servers: ReadonlyMap<InstanceId, BackendServer>;
   /** After each change. */
   readonly changes: Observable<void>;
@@ -60,11 +64,15 @@
   const news = new Subject<RosterNews>();
   let told = 0;
   /** Lapsed while the store was away: gone at this instant unless they come back. */
-  const lapsed = new Map<InstanceId, MonoTime>();
+  const held = new Map<InstanceId, MonoTime>();
+  /** Gone from `servers`, and until when they are remembered. */
+  const forgetAt = new Map<InstanceId, MonoTime>();
+  const gone = new Map<InstanceId, BackendServer>();
   let peerRevision = 0;
 
   const set = (id: InstanceId, server: BackendServer): void => {
-    lapsed.delete(id);
+    held.delete(id);
+    gone.delete(id);
     servers.set(id, server);
   };
 
@@ -72,14 +80,17 @@
     if (!servers.has(id)) return;
     const now = ctx.clock.now();
     if (wasAway(watch, now, RETURN_MS)) {
-      if (!lapsed.has(id)) lapsed.set(id, later(watch.returnedAt() ?? now, RETURN_MS));
+      if (!held.has(id)) held.set(id, later(watch.returnedAt() ?? now, RETURN_MS));
       return;
     }
     drop(id, 'entry gone');
   };
 
   const drop = (id: InstanceId, reason: string): void => {
-    lapsed.delete(id);
+    held.delete(id);
+    const server = servers.get(id);
+    if (server) gone.set(id, server);
+    forgetAt.set(id, later(ctx.clock.now(), LAPSED_MS));
     if (servers.delete(id)) ctx.logger.info('server gone', { step: 'roster', server: id, reason });
   };
 
@@ -107,16 +118,26 @@
     restMs: () => (isLeading() ? LEADER_REST_MS : FOLLOWER_REST_MS),
   });
 
-  const dropLapsed = (): void => {
-    if (lapsed.size === 0 || watch.isFailing()) return;
+  const forgetGone = (): void => {
     const now = ctx.clock.now();
-    const due = [...lapsed].filter(([, at]) => now >= at);
+    for (const [id, until] of forgetAt) {
+      if (now < until) continue;
+      forgetAt.delete(id);
+      gone.delete(id);
+    }
+  };
+
+  const dropHeld = (): void => {
+    if (held.size === 0 || watch.isFailing()) return;
+    const now = ctx.clock.now();
+    const due = [...held].filter(([, at]) => now >= at);
     for (const [id] of due) drop(id, 'entry not back after the store was');
     if (due.length > 0) changes.next();
   };
 
   return {
     servers,
+    lapsed: gone,
     changes,
     news,
     watch,
@@ -137,6 +158,9 @@
       told = revision;
       take(list, false);
     },
-    tick: dropLapsed,
+    tick: () => {
+      dropHeld();
+      forgetGone();
+    },
   };
 }
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -66,8 +66,10 @@
   const { ctx, board, retries } = deps;
 
   const choose = (exchange: Exchange, model: ModelId, state: StreamState): BoardGroup | undefined => {
-    const candidates = board.candidates(exchange.service, model, state.tried);
-    const found = chooseGroup(candidates, ctx.settings.zone, ctx.random.next());
+    const { service, route, facts } = exchange;
+    const candidates = board.candidates(service, model, route.maxGapMs, state.tried);
+    const { zone } = ctx.settings;
+    const found = chooseGroup(candidates, facts.promptTokens, zone, ctx.random.next());
     const group = found && board.find(found.head);
     // The place is taken in the same tick, so that the next request in turn sees it taken.
     if (group) board.noteSent(group.head.id, exchange.facts.promptTokens);
@@ -87,6 +89,7 @@
       priority: exchange.priority,
       until: state.hasStarted ? exchange.answerBy : exchange.placeBy,
       arrivedAt: exchange.arrivedAt,
+      onTimeUntil: later(exchange.arrivedAt, exchange.route.targetMs),
       gone: exchange.gone,
       isRetry: state.tried.size > 0,
       choose: () => choose(exchange, model, state),
--- a/src/app/gateway/waiting.ts
+++ b/src/app/gateway/waiting.ts
@@ -1,4 +1,8 @@
-/** Requests that wait on this daemon for a place in a group: most urgent first, then in order of arrival. */
+/**
+ * Requests that wait on this daemon for a place in a group: most urgent first, then those that can
+ * still be on time, then in order of arrival. Late ones come last, since waiting longer costs them
+ * little and others much.
+ */
 
 import type { ModelId, MonoTime } from '../../core/ids';
 import type { Board, BoardGroup } from './board';
@@ -8,6 +12,8 @@
   readonly model: ModelId;
   readonly priority: number;
   readonly arrivedAt: MonoTime;
+  /** The latency objective is missed after this. */
+  readonly onTimeUntil: MonoTime;
   /** Given up after this. */
   readonly until: MonoTime;
   readonly gone: AbortSignal;
@@ -31,8 +37,13 @@
   const entries = new Set<Entry>();
   let isServing = false;
 
-  const inTurn = (): Entry[] =>
-    [...entries].sort((a, b) => a.priority - b.priority || a.arrivedAt - b.arrivedAt);
+  const inTurn = (): Entry[] => {
+    const now = ctx.clock.now();
+    const isLate = ({ onTimeUntil }: Entry): number => Number(now >= onTimeUntil);
+    return [...entries].sort(
+      (a, b) => a.priority - b.priority || isLate(a) - isLate(b) || a.arrivedAt - b.arrivedAt,
+    );
+  };
 
   /** Serves in turn; a model found full is not looked at again in the same round. */
   const serve = (): void => {
--- a/src/core/gateway/balance.ts
+++ b/src/core/gateway/balance.ts
@@ -9,6 +9,15 @@
   /** Requests in it, of all daemons, as far as this one knows. */
   readonly running: number;
   readonly batchSize: number;
+  /**
+   * Requests that this daemon may add before it hears from its peers again: its part of the free
+   * places, where others wait for them as well.
+   */
+  readonly mayTake: number;
+  /** Prompt tokens in it that wait to be read. */
+  readonly unread: number;
+  /** Prompt tokens that may wait without holding up the events of others for too long. */
+  readonly maxUnread: number;
   /** Above 1: so many times slower than the published figures. */
   readonly slowdown: number;
   /** Already tried for this request. */
@@ -18,11 +27,16 @@
 export interface GroupChoiceOptions {
   /** Load of a group in another zone counts this much more: bytes between zones cost. */
   readonly otherZone: number;
-  /** Requests beyond the batch that a group may hold, as a share of it: they wait at the engine. */
-  readonly queueShare: number;
+  /** What a full measure of unread prompts counts, in batches. */
+  readonly unreadWeight: number;
 }
 
-export const GROUP_CHOICE_DEFAULTS: GroupChoiceOptions = { otherZone: 0.04, queueShare: 0 };
+export const GROUP_CHOICE_DEFAULTS: GroupChoiceOptions = { otherZone: 0.04, unreadWeight: 0.5 };
+
+function hasRoom({ running, batchSize, mayTake, unread, maxUnread }: GroupCandidate, prompt: number): boolean {
+  if (running >= batchSize || mayTake < 1) return false;
+  return unread === 0 || unread + prompt <= maxUnread;
+}
 
 /**
  * The group where the request runs fastest: the least filled one, slow ones counted as fuller. None
@@ -30,6 +44,7 @@
  */
 export function chooseGroup(
   candidates: readonly GroupCandidate[],
+  promptTokens: number,
   zone: ZoneId,
   chance: number,
   options: GroupChoiceOptions = GROUP_CHOICE_DEFAULTS,
@@ -39,11 +54,11 @@
   const offset = Math.floor(chance * candidates.length);
   for (let i = 0; i < candidates.length; i++) {
     const candidate = candidates[(i + offset) % candidates.length];
-    if (!candidate || candidate.isTried) continue;
-    const { running, batchSize, slowdown } = candidate;
-    if (running >= batchSize * (1 + options.queueShare)) continue;
+    if (!candidate || candidate.isTried || !hasRoom(candidate, promptTokens)) continue;
+    const { running, batchSize, slowdown, unread, maxUnread } = candidate;
     const away = candidate.zone === zone ? 0 : options.otherZone;
-    const score = ((running + 1) / batchSize) * slowdown + away;
+    const filled = (running + 1) / batchSize + (options.unreadWeight * unread) / maxUnread;
+    const score = filled * slowdown + away;
     if (score < bestScore) [best, bestScore] = [candidate, score];
   }
   return best;
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -9,8 +9,9 @@
 import { collectGroups, isWhole } from '../groups';
 import type { ReplicaGroup } from '../groups';
 import type { OrderResult } from '../orders';
-import { composeGroups, isStandby } from './compose';
-import { continueFormations, openGroup } from './form';
+import type { BackendServer } from '../types';
+import { collectFree, composeGroups, isStandby } from './compose';
+import { continueFormations, joinCost, openGroup } from './form';
 import { forgetOldLoads } from './loads';
 import { continueRetirements, startRetirement } from './retire';
 import { draftOf, isSuspect, stateOf } from './state';
@@ -24,28 +25,65 @@
   readonly orders: readonly OrderEffect[];
 }
 
-/** Why a group must end, or undefined where it may go on. */
+/** Members of the group that are not listed any more, and that nothing else speaks against. */
+function unseenMembers(draft: Draft, { id, epoch }: ReplicaGroup): BackendServer[] {
+  return [...draft.view.lapsed.values()].filter(
+    ({ membership }) => membership?.group === id && membership.epoch === epoch,
+  );
+}
+
+/**
+ * Why a group must end, or undefined where it may go on. A member that is not listed any more may
+ * have lost touch with the platform's list alone: the group serves on unless it is found lost.
+ */
 function findFault(draft: Draft, group: ReplicaGroup, size: number): 'lost' | 'leaving' | undefined {
-  const isLost =
-    group.members.length < size || group.members.some(({ id }) => isSuspect(draft, id));
+  const members = [...group.members, ...unseenMembers(draft, group)];
+  const isLost = members.length < size || members.some(({ id }) => isSuspect(draft, id));
   if (isLost) return 'lost';
-  return group.members.some(({ isDraining }) => isDraining) ? 'leaving' : undefined;
+  return members.some(({ isDraining }) => isDraining) ? 'leaving' : undefined;
 }
 
 function sizeOf(draft: Draft, group: ReplicaGroup): number | undefined {
   return draft.view.engine.models.find(({ name }) => name === group.model)?.size;
 }
 
-function end(draft: Draft, group: ReplicaGroup, step: 'finish' | 'leave'): void {
-  const { id, epoch, head, members } = group;
+function end(draft: Draft, group: ReplicaGroup, step: 'finish' | 'leave', head = group.head): void {
+  const { id, epoch, members } = group;
   startRetirement(draft, { group: id, epoch, head, members }, step);
 }
 
+/**
+ * Whether the group's remaining members and free servers can form a group of its model without a
+ * load. Only then is one that still serves replaced: a load takes longer than the member stays.
+ */
+function hasReplacement(draft: Draft, group: ReplicaGroup): boolean {
+  const model = draft.view.engine.models.find(({ name }) => name === group.model);
+  if (!model || group.domain === undefined) return false;
+  const staying = group.members.filter(({ isDraining }) => !isDraining);
+  const spares = (collectFree(draft).get(group.domain) ?? []).filter(
+    (server) => !joinCost(draft, server, model).isLoad,
+  );
+  return staying.length + spares.length >= model.size;
+}
+
 function watchOpen(draft: Draft, group: ReplicaGroup): void {
   const size = sizeOf(draft, group);
   const fault = size === undefined ? undefined : findFault(draft, group, size);
   if (fault === 'lost') end(draft, group, 'leave');
-  if (fault === 'leaving') end(draft, group, 'finish');
+  if (fault === 'leaving' && hasReplacement(draft, group)) end(draft, group, 'finish');
+}
+
+/** A group whose head is not listed: no request is sent to it, though it may serve. */
+function watchHeadless(draft: Draft, group: ReplicaGroup): void {
+  const since = draft.strangers.get(group.id) ?? draft.now;
+  draft.strangers.set(group.id, since);
+  const head = unseenMembers(draft, group).find(({ membership }) => membership?.rank === 0);
+  if (!head || isSuspect(draft, head.id)) {
+    end(draft, group, 'leave', head);
+    return;
+  }
+  const isLong = draft.now >= later(since, draft.settings.unseenMs);
+  if (isLong || hasReplacement(draft, group)) end(draft, group, 'finish', head);
 }
 
 /** A group that neither serves nor is being formed here: an earlier leader's work, opened if whole. */
@@ -60,7 +98,7 @@
   const isLoading = group.members.every(({ membership }) => membership?.state === 'joining');
   const { adoptMs } = draft.settings;
   const longest = Math.max(0, ...draft.view.engine.models.map(({ loadMs }) => loadMs));
-  const waitMs = isLoading && group.head ? adoptMs + longest : adoptMs;
+  const waitMs = isLoading ? adoptMs + longest : adoptMs;
   if (draft.now >= later(since, waitMs)) end(draft, group, 'leave');
 }
 
@@ -82,7 +120,7 @@
   const state = head?.membership?.state;
   if (state === 'open') draft.strangers.delete(id);
   if (draft.formations.has(id) && state !== 'broken') return;
-  if (state === undefined) watchStranger(draft, group);
+  if (state === undefined) watchHeadless(draft, group);
   else WATCH[state]?.(draft, group);
 }
 
--- a/src/core/gateway/forming/retire.ts
+++ b/src/core/gateway/forming/retire.ts
@@ -66,8 +66,11 @@
     }
     const { group, epoch } = retirement;
     const result = ask(draft, head, { kind: 'close', group, epoch, mode: 'finish' });
-    const isLate = draft.now >= later(retirement.since, draft.settings.finishMs);
-    if (isLate || result === 'refused' || result === 'other-server' || state === undefined) {
+    const { finishMs, unseenFinishMs } = draft.settings;
+    const limitMs = state === undefined ? unseenFinishMs : finishMs;
+    const isLate = draft.now >= later(retirement.since, limitMs);
+    const isLost = retirement.members.some(({ id }) => isSuspect(draft, id));
+    if (isLate || isLost || result === 'refused' || result === 'other-server') {
       turnTo(draft, retirement, 'leave');
     }
   },
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -17,6 +17,10 @@
   readonly joinSlackMs: number;
   /** A half-formed group of an earlier leader is left so long to become whole. */
   readonly adoptMs: number;
+  /** A head that is not listed and closes after its requests shows no end; it has this long. */
+  readonly unseenFinishMs: number;
+  /** A group whose head is not listed waits so long for its return before it is replaced at the price of a load. */
+  readonly unseenMs: number;
   /** A closing group may finish its requests for so long; the longest deadline of a stream and a little more. */
   readonly finishMs: number;
   /**
@@ -37,6 +41,8 @@
   starveMarginMs: 500,
   joinSlackMs: 2_500,
   adoptMs: 2_500,
+  unseenFinishMs: 1_500,
+  unseenMs: 8_000,
   finishMs: 9_000,
   settleMs: 900,
   spareLoads: 6,
@@ -118,6 +124,8 @@
 /** What a plan is made from. */
 export interface FormingView {
   readonly servers: ReadonlyMap<InstanceId, BackendServer>;
+  /** Last known entries of servers that are not listed any more and may still serve. */
+  readonly lapsed: ReadonlyMap<InstanceId, BackendServer>;
   readonly engine: EngineSpec;
   /** Grows with each change of the leader; epochs of a later leader are greater. */
   readonly fencing: number;
--- a/src/core/gateway/progress.ts
+++ b/src/core/gateway/progress.ts
@@ -88,3 +88,20 @@
   const expected = Math.max(usualMs, progress.pauseMs ?? 0);
   return later(progress.since, Math.max(leastMs, pauses * expected) + readingMs);
 }
+
+/** Part of a caller's longest pause that reading others' prompts may take up. */
+const READING_SHARE = 0.8;
+
+/**
+ * Prompt tokens that may wait in a group at a time. A pass of the engine that reads prompts holds up
+ * the next events of all streams, which must not wait for longer than `gapMs`.
+ */
+export function readableTokens(
+  engine: EngineSpec,
+  pace: number,
+  running: number,
+  gapMs: number,
+): number {
+  const readingMs = READING_SHARE * gapMs - usualPauseMs(engine, pace, running);
+  return Math.max(engine.usual.prompt, (readingMs / pace) * engine.prefillTokensPerMs);
+}
--- a/tests/gateway/choice.test.ts
+++ b/tests/gateway/choice.test.ts
@@ -14,6 +14,9 @@
     zone: HERE,
     running: 0,
     batchSize: 10,
+    mayTake: 10,
+    unread: 0,
+    maxUnread: 5_000,
     slowdown: 1,
     isTried: false,
     ...more,
@@ -35,24 +38,35 @@
 
 describe('the group of a stream', () => {
   it('is the least filled one', () => {
-    const found = chooseGroup([group('1', { running: 4 }), group('2', { running: 2 })], HERE, 0);
+    const found = chooseGroup([group('1', { running: 4 }), group('2', { running: 2 })], 1_000, HERE, 0);
     expect(found?.head).toBe('2');
   });
 
   it('is in the own zone where loads are alike, elsewhere where they are not', () => {
     const near = group('1', { running: 2 });
-    expect(chooseGroup([group('2', { running: 2, zone: THERE }), near], HERE, 0)).toBe(near);
-    expect(chooseGroup([group('2', { zone: THERE }), near], HERE, 0)?.head).toBe('2');
+    expect(chooseGroup([group('2', { running: 2, zone: THERE }), near], 1_000, HERE, 0)).toBe(near);
+    expect(chooseGroup([group('2', { zone: THERE }), near], 1_000, HERE, 0)?.head).toBe('2');
   });
 
   it('is not a slow one with the same load', () => {
     const slow = group('1', { running: 1, slowdown: 4 });
-    expect(chooseGroup([slow, group('2', { running: 3 })], HERE, 0)?.head).toBe('2');
+    expect(chooseGroup([slow, group('2', { running: 3 })], 1_000, HERE, 0)?.head).toBe('2');
+  });
+
+  it('is not one whose streams would pause too long for the prompt to be read', () => {
+    const reading = group('1', { running: 1, unread: 4_500 });
+    expect(chooseGroup([reading, group('2', { running: 8 })], 1_000, HERE, 0)?.head).toBe('2');
+    expect(chooseGroup([reading], 1_000, HERE, 0)).toBeUndefined();
+    expect(chooseGroup([reading], 400, HERE, 0)).toBe(reading);
+  });
+
+  it('takes no more than this part of the free places until peers are heard', () => {
+    expect(chooseGroup([group('1', { mayTake: 0 })], 1_000, HERE, 0)).toBeUndefined();
   });
 
   it('is none that is full or was tried', () => {
     const candidates = [group('1', { running: 10 }), group('2', { isTried: true })];
-    expect(chooseGroup(candidates, HERE, 0)).toBeUndefined();
+    expect(chooseGroup(candidates, 1_000, HERE, 0)).toBeUndefined();
   });
 });
 
--- a/tests/gateway/engine-fleet.ts
+++ b/tests/gateway/engine-fleet.ts
@@ -236,6 +236,13 @@
     return new Map(shown.map((server) => [server.id, toRow(server)]));
   };
 
+  /** Those that rows no longer show, as they last stood there. */
+  const lapsed = (): Map<InstanceId, BackendServer> => {
+    const listed = rows();
+    const missing = [...servers.values()].filter(({ id }) => !listed.has(id));
+    return new Map(missing.map((server) => [server.id, toRow(server)]));
+  };
+
   const toRow = ({ id, domain, isDraining, staged, shown: joined }: SimServer): BackendServer =>
     makeServer(id, {
       domain,
@@ -252,9 +259,10 @@
       }),
     });
 
-  /** Members that give no report, of groups whose streams have stood still for half a second. */
+  /** Members that give no report, of groups that stood still for half a second or whose entries have gone. */
   const stalled = (): InstanceId[] =>
-    [...servers.values()].flatMap(({ joined }) => {
+    [...servers.values()].flatMap(({ joined, isAlive, shown, diedAt, id }) => {
+      if (!isAlive && shown && now >= diedAt + LAPSE_MS) return [id];
       if (joined?.stalledAt === undefined || now < joined.stalledAt + 500) return [];
       return joined.members.filter((id) => {
         const member = servers.get(id);
@@ -269,6 +277,7 @@
     take,
     advance,
     rows,
+    lapsed,
     stalled,
     now: () => now,
     loads: () => loads,
--- a/tests/gateway/leader.ts
+++ b/tests/gateway/leader.ts
@@ -23,7 +23,7 @@
     fleet.advance(TICK_MS);
     const now = at(fleet.now());
     for (const id of fleet.stalled()) state = noteSuspect(state, id, at(now + 20_000));
-    const view = { servers: fleet.rows(), engine: ENGINE, fencing, hasTraffic };
+    const view = { servers: fleet.rows(), lapsed: fleet.lapsed(), engine: ENGINE, fencing, hasTraffic };
     const plan = planGroups(state, view, now);
     state = plan.state;
     for (const effect of plan.orders) {
