--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -48,6 +48,8 @@
   /** Groups of a model, whether or not they may be chosen now. */
   countGroups(service: ServiceId, model: ModelId): number;
   find(head: InstanceId): BoardGroup | undefined;
+  /** Whether any daemon has streams running in the group. */
+  isBusy(group: GroupId): boolean;
   noteSent(head: InstanceId, promptTokens: number): void;
   /** The first event of a request came: its prompt has been read. */
   noteRead(head: InstanceId, promptTokens: number): void;
@@ -204,6 +206,8 @@
         })),
     countGroups: (service, model) => ofModel(service, model).length,
     find: (head) => groups.get(head),
+    isBusy: (group) =>
+      [...groups.values()].some(({ id, head }) => id === group && runningIn(head.id) > 0),
     noteSent: (head, promptTokens) => {
       progress.set(head, noteSent(progressOf(head), clock.now(), promptTokens));
       takenSince.set(head, (takenSince.get(head) ?? 0) + 1);
--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -36,6 +36,8 @@
   readonly routes: () => RouteTable | undefined;
   readonly leadership: Leadership;
   readonly servers: Servers;
+  /** Whether any daemon has streams running in the group. */
+  readonly isBusy: (group: GroupId) => boolean;
 }
 
 function pause(ms: number): Promise<void> {
@@ -44,7 +46,7 @@
 
 export function createFormer(ctx: GatewayContext, options: FormerOptions): Former {
   const { clock, logger, settings } = ctx;
-  const { roster, routes, leadership, servers } = options;
+  const { roster, routes, leadership, servers, isBusy } = options;
   let term: FencingNumber | undefined;
   let states = new Map<ServiceId, FormingState>();
   let hasTraffic = false;
@@ -166,12 +168,16 @@
     if (lost.length > 0) tick();
   };
 
-  /** A member whose entry has gone may be lost, or may have lost touch with the list alone. */
+  /**
+   * A member whose entry has gone may be lost, or may have lost touch with the list and with this
+   * daemon alone. Streams of its group tell by going on or by falling silent; a group without any is
+   * asked.
+   */
   const inspectLapsed = (): void => {
     for (const { id, membership } of roster.lapsed.values()) {
       if (asked.has(id)) continue;
       asked.add(id);
-      if (membership) inspect({ group: membership.group, head: id });
+      if (membership && !isBusy(membership.group)) inspect({ group: membership.group, head: id });
     }
     for (const id of asked) if (!roster.lapsed.has(id)) asked.delete(id);
   };
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -63,7 +63,13 @@
   const routes = () => config.table.value;
   const board = createBoard(ctx, roster, routes);
   const waiting = createWaitingRoom(ctx, board);
-  const former = createFormer(ctx, { roster, routes, leadership, servers: options.servers });
+  const former = createFormer(ctx, {
+    roster,
+    routes,
+    leadership,
+    servers: options.servers,
+    isBusy: board.isBusy,
+  });
   const upstream = createUpstream({ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS });
   const retries = createRetries(ctx, () => fleet.live().length + 1);
   const plain = createPlainCalls({ ctx, roster, upstream, dialect, retries });
