Take a reset for a broken answer where the answer has no length

Cause: Node's parser takes any end of the connection for the end of an answer that has neither length nor chunks, a reset as well; 'complete' is then true. Ruled out: chunked and measured answers, which the parser checks itself. The upstream now says whether its connection has failed since the head.

--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -59,6 +59,11 @@
   readonly res: IncomingMessage;
   /** Whether the connection served other calls before this one. */
   readonly reused: boolean;
+  /**
+   * Whether the connection has failed since. An answer without a length ends with its connection, and
+   * Node's parser takes a reset for that end: without this it would pass for a whole one.
+   */
+  readonly hasFailed: () => boolean;
   /** Tears the connection, so that no other call gets it. */
   readonly destroy: () => void;
 }
@@ -138,7 +143,9 @@
   settle: (result: UpstreamResult) => void,
 ): void {
   let sent = false;
+  let failed = false;
   const onFail = (err: unknown): void => {
+    failed = true;
     const error = upstreamError(sent ? 'backend-lost' : 'unavailable', call, err);
     settle({ kind: sent ? 'lost' : 'not-sent', error });
   };
@@ -164,7 +171,13 @@
     req.end(call.body);
   });
   req.once('response', (res) => {
-    settle({ kind: 'answered', res, reused: req.reusedSocket, destroy: () => req.destroy() });
+    settle({
+      kind: 'answered',
+      res,
+      reused: req.reusedSocket,
+      hasFailed: () => failed,
+      destroy: () => req.destroy(),
+    });
   });
 }
 
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -228,7 +228,7 @@
     return { kind: 'not-run', reason: `server says not executed (${status})` };
   }
   const body = await collect(res, limit);
-  if (!body) return lose('answer broken off');
+  if (!body || answered.hasFailed()) return lose('answer broken off');
   if (!facts.isSigned && status < 300) return lose('answer without signature');
   if (res.headers['content-encoding'] !== undefined) return lose('answer with an encoding');
   return { kind: 'answered', res, body, facts };
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -251,7 +251,7 @@
   deps: StreamDeps,
   exchange: Exchange,
   state: StreamState,
-  { res, destroy }: Answered,
+  { res, destroy, hasFailed }: Answered,
   facts: AnswerFacts,
 ): Promise<Ended> {
   const status = res.statusCode ?? 0;
@@ -262,7 +262,7 @@
     // Broken off: `complete` tells.
   }
   state.reason = `server answered ${status}`;
-  if (!res.complete || state.hasStarted || !facts.isSigned) {
+  if (!res.complete || hasFailed() || state.hasStarted || !facts.isSigned) {
     destroy();
     return 'lost';
   }
@@ -280,7 +280,7 @@
   const { deps, exchange, group, state, stop, place } = relayed;
   const { ctx, board, dialect } = deps;
   const head = group.head.id;
-  const { res: from } = relayed.answered;
+  const { res: from, hasFailed } = relayed.answered;
   const { res } = exchange;
   const reader = createEventReader();
   let lastAt: MonoTime | undefined;
@@ -320,7 +320,7 @@
     };
     from.on('data', onChunk);
     from.on('end', () => {
-      if (!from.complete || reader.hasRest()) resolve('stream broken off');
+      if (!from.complete || reader.hasRest() || hasFailed()) resolve('stream broken off');
       else {
         start();
         resolve(undefined);
