Tell a reset from an end where both are found with the last bytes

Cause: libuv reads the last bytes of an answer and, where the poll also says hang-up, reports an end without asking for the error. Ruled out: an error event that was missed (none is emitted: sockets showed 'end' alone). A connection that was reset has no peer name any more: asked at the end of the socket.

--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -80,9 +80,23 @@
 
 type Connected = (err: Error | null, socket?: Socket) => void;
 
+/** Sockets whose end was a reset. */
+const resetSockets = new WeakSet<Socket>();
+
+/**
+ * Where the last bytes and a reset are found by the same poll, libuv reads the bytes and reports the
+ * hang-up as an ordinary end. The kernel knows better: a connection that was reset has no peer any more.
+ */
+function noteReset(socket: Socket): void {
+  socket.once('end', () => {
+    if (socket.remoteAddress === undefined) resetSockets.add(socket);
+  });
+}
+
 /** Hands a socket to the agent only when it is connected. */
 function connectFirst(timeoutMs: number, options: NetConnectOpts, done: Connected): undefined {
   const socket = connect({ ...options, noDelay: true });
+  noteReset(socket);
   const onFail = (err: Error): void => {
     clearTimeout(timer);
     socket.destroy();
@@ -171,11 +185,12 @@
     req.end(call.body);
   });
   req.once('response', (res) => {
+    const { socket } = res;
     settle({
       kind: 'answered',
       res,
       reused: req.reusedSocket,
-      hasFailed: () => failed,
+      hasFailed: () => failed || resetSockets.has(socket),
       destroy: () => req.destroy(),
     });
   });
--- a/tests/gateway/upstream-unframed.test.ts
+++ b/tests/gateway/upstream-unframed.test.ts
@@ -1,3 +1,4 @@
+import { spawn } from 'node:child_process';
 import { createServer } from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
 import { afterEach, describe, expect, it } from 'vitest';
@@ -26,7 +27,37 @@
   });
 }
 
-async function fetchWhole(address: string): Promise<{ text: string; isWhole: boolean }> {
+const PROGRAM = `
+  const server = require('node:net').createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write(${JSON.stringify('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\na')});
+      setTimeout(() => socket.write(' part', () => socket.resetAndDestroy()), 30);
+    });
+  });
+  server.listen(0, '127.0.0.1', () => console.log(server.address().port));
+`;
+
+/** A server in a process of its own, since this one's loop must stand still while it answers. */
+function serveElsewhere(): Promise<string> {
+  const child = spawn(process.execPath, ['-e', PROGRAM], { stdio: ['ignore', 'pipe', 'inherit'] });
+  closers.push(() => child.kill());
+  return new Promise((resolve) => {
+    child.stdout.once('data', (port: Buffer) => {
+      resolve(`127.0.0.1:${String(port).trim()}`);
+    });
+  });
+}
+
+/** Holds up the event loop until the rest of the answer and the reset have surely come. */
+function blockFor(): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 300);
+}
+
+async function fetchWhole(
+  address: string,
+  onHead: () => void = () => undefined,
+): Promise<{ text: string; isWhole: boolean }> {
   const upstream = createUpstream();
   closers.push(() => {
     upstream.close();
@@ -42,6 +73,7 @@
     signal: new AbortController().signal,
   });
   if (result.kind !== 'answered') throw new Error(result.kind);
+  onHead();
   let text = '';
   try {
     for await (const chunk of result.res) text += String(chunk);
@@ -59,6 +91,11 @@
     expect(await fetchWhole(address)).toEqual({ text: 'all of it', isWhole: true });
   });
 
+  it('is not whole when its last bytes and the reset are found at the same moment', async () => {
+    const address = await serveElsewhere();
+    expect((await fetchWhole(address, blockFor)).isWhole).toBe(false);
+  });
+
   it('is not whole when its connection is reset', async () => {
     const address = await serve((socket) => {
       socket.write(`${HEAD}a part`, () => {
