--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -5,6 +5,7 @@
 
 const PROGRAMS = {
   nutmegstack: 'src/cli/main.ts',
+  gateway: 'platform/main.ts',
   platform: 'stand-ins/platform/main.ts',
   engine: 'stand-ins/engine/main.ts',
   service: 'stand-ins/service/main.ts',
--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -120,7 +120,8 @@
     }
   };
 
-  const progressOf = (head: InstanceId): Progress => progress.get(head) ?? createProgress(clock.now());
+  const progressOf = (head: InstanceId): Progress =>
+    progress.get(head) ?? createProgress(clock.now());
 
   const runningIn = (head: InstanceId): number =>
     (progress.get(head)?.running ?? 0) + (elsewhere.get(head)?.running ?? 0);
@@ -195,12 +196,7 @@
           batchSize: group.engine.batchSize,
           mayTake: mayTake(group),
           unread: unreadIn(group.head.id),
-          maxUnread: readableTokens(
-            group.engine,
-            group.spec.pace,
-            runningIn(group.head.id),
-            gapMs,
-          ),
+          maxUnread: readableTokens(group.engine, group.spec.pace, runningIn(group.head.id), gapMs),
           slowdown: slowdownOf(group),
           isTried: tried.has(group.head.id),
         })),
--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -63,14 +63,21 @@
     states.get(service) ??
     createForming({ stallMs: settings.stallMs, loadWindowMs: settings.loadWindowMs });
 
-  const viewOf = ({ name, engine }: ServiceSpec, fencing: FencingNumber): FormingView | undefined => {
+  const viewOf = (
+    { name, engine }: ServiceSpec,
+    fencing: FencingNumber,
+  ): FormingView | undefined => {
     if (!engine || engine.models.length === 0) return undefined;
     const own = [...roster.servers].filter(([, { service }]) => service === name);
     const lapsed = [...roster.lapsed].filter(([, { service }]) => service === name);
     return { servers: new Map(own), lapsed: new Map(lapsed), engine, fencing, hasTraffic };
   };
 
-  const send = async (service: ServiceId, effect: OrderEffect, fencing: FencingNumber): Promise<void> => {
+  const send = async (
+    service: ServiceId,
+    effect: OrderEffect,
+    fencing: FencingNumber,
+  ): Promise<void> => {
     const { key, server, order } = effect;
     const result = await servers.order(server, order);
     ctx.metrics.count('nutmegstack_orders_total', { kind: order.kind, result });
@@ -109,7 +116,12 @@
     for (const [group, { step, freeAt }] of after.retirements) {
       const earlier = before.retirements.get(group);
       if (earlier?.step === step && earlier.freeAt === freeAt) continue;
-      logger.info('ending group', { step: 'plan', group, how: step, starved: freeAt !== undefined });
+      logger.info('ending group', {
+        step: 'plan',
+        group,
+        how: step,
+        starved: freeAt !== undefined,
+      });
     }
   };
 
@@ -161,7 +173,8 @@
       lost: lost.map(({ id }) => id).join(' '),
     });
     // No answer from any of them speaks of this daemon's own link as much as of the members.
-    if (lost.length === members.length && members.length > 1 && !(await reachesOthers(members))) return;
+    if (lost.length === members.length && members.length > 1 && !(await reachesOthers(members)))
+      return;
     for (const { id, service } of lost) {
       states.set(service, noteSuspect(stateOf(service), id, later(clock.now(), LOST_MS)));
     }
@@ -187,7 +200,9 @@
   /** Whether any server outside the group answers. */
   const reachesOthers = async (members: readonly BackendServer[]): Promise<boolean> => {
     const domain = members[0]?.domain;
-    const others = [...roster.servers.values()].filter((server) => server.domain !== domain).slice(0, 2);
+    const others = [...roster.servers.values()]
+      .filter((server) => server.domain !== domain)
+      .slice(0, 2);
     const alive = await Promise.all(others.map(answers));
     return alive.includes(true);
   };
--- a/src/app/gateway/front.ts
+++ b/src/app/gateway/front.ts
@@ -230,4 +230,3 @@
     });
   });
 }
-
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -125,7 +125,8 @@
     front.closeListener();
     while (front.inFlight() > 0 && clock.now() < deadline) await pause(TICK_MS);
     const left = front.inFlight();
-    if (left > 0) logger.warn('requests cut at the end of the stop', { step: 'stop', inFlight: left });
+    if (left > 0)
+      logger.warn('requests cut at the end of the stop', { step: 'stop', inFlight: left });
     clearInterval(ticker);
     front.cut();
     upstream.close();
--- a/src/app/gateway/lease.ts
+++ b/src/app/gateway/lease.ts
@@ -140,7 +140,13 @@
   const tick = (): void => {
     notePause();
     const now = clock.now();
-    const candidates = [settings.id, ...fleet.live().filter((p) => !p.isStopping).map((p) => p.id)];
+    const candidates = [
+      settings.id,
+      ...fleet
+        .live()
+        .filter((p) => !p.isStopping)
+        .map((p) => p.id),
+    ];
     const rank = rankByRendezvous('groups', [...new Set(candidates)]).indexOf(settings.id);
     dispatch({ kind: 'ranked', rank });
     dispatch({ kind: 'tick' });
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -41,7 +41,12 @@
 
 /** How one send ended. */
 type Attempt =
-  | { readonly kind: 'answered'; readonly res: IncomingMessage; readonly body: Buffer; readonly facts: AnswerFacts }
+  | {
+      readonly kind: 'answered';
+      readonly res: IncomingMessage;
+      readonly body: Buffer;
+      readonly facts: AnswerFacts;
+    }
   /** Nothing was sent, or the server says that it did not run the call. */
   | { readonly kind: 'not-run'; readonly reason: string }
   | { readonly kind: 'lost'; readonly reason: string };
@@ -77,7 +82,10 @@
         isTried: tried.has(id),
       }));
 
-  const choose = (exchange: Exchange, tried: ReadonlySet<InstanceId>): BackendServer | undefined => {
+  const choose = (
+    exchange: Exchange,
+    tried: ReadonlySet<InstanceId>,
+  ): BackendServer | undefined => {
     const found = choosePlain(
       candidates(exchange.service, tried),
       ctx.settings.zone,
@@ -182,7 +190,10 @@
 ): Promise<Attempt> {
   const { ctx, upstream, dialect } = deps;
   const now = ctx.clock.now();
-  const limit = AbortSignal.any([exchange.gone, AbortSignal.timeout(Math.ceil(Math.max(1, until - now)))]);
+  const limit = AbortSignal.any([
+    exchange.gone,
+    AbortSignal.timeout(Math.ceil(Math.max(1, until - now))),
+  ]);
   const { method = 'GET', url = '/', rawHeaders } = exchange.req;
   const organisation = nameOf(exchange.caller);
   const hasBody = exchange.body.length > 0 || exchange.req.headers['content-length'] !== undefined;
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -65,7 +65,11 @@
 export function createStreamCalls(deps: StreamDeps): StreamCalls {
   const { ctx, board, retries } = deps;
 
-  const choose = (exchange: Exchange, model: ModelId, state: StreamState): BoardGroup | undefined => {
+  const choose = (
+    exchange: Exchange,
+    model: ModelId,
+    state: StreamState,
+  ): BoardGroup | undefined => {
     const { service, route, facts } = exchange;
     const candidates = board.candidates(service, model, route.maxGapMs, state.tried);
     const { zone } = ctx.settings;
@@ -170,9 +174,12 @@
   const place: Place = { isRead: false };
   const now = ctx.clock.now();
   const end = later(exchange.answerBy, 0);
-  const limit = setTimeout(() => {
-    stop.abort(new Error('no time left'));
-  }, Math.max(1, end - now));
+  const limit = setTimeout(
+    () => {
+      stop.abort(new Error('no time left'));
+    },
+    Math.max(1, end - now),
+  );
   const onGone = (): void => {
     stop.abort(new Error('caller gone'));
   };
--- a/src/core/gateway/balance.ts
+++ b/src/core/gateway/balance.ts
@@ -33,7 +33,10 @@
 
 export const GROUP_CHOICE_DEFAULTS: GroupChoiceOptions = { otherZone: 0.04, unreadWeight: 0.5 };
 
-function hasRoom({ running, batchSize, mayTake, unread, maxUnread }: GroupCandidate, prompt: number): boolean {
+function hasRoom(
+  { running, batchSize, mayTake, unread, maxUnread }: GroupCandidate,
+  prompt: number,
+): boolean {
   if (running >= batchSize || mayTake < 1) return false;
   return unread === 0 || unread + prompt <= maxUnread;
 }
--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -35,7 +35,8 @@
   for (const server of draft.view.servers.values()) {
     const { id, domain, isDraining, membership } = server;
     if (domain === undefined || isDraining || taken.has(id) || isSuspect(draft, id)) continue;
-    const isBound = membership && !isStandby(membership.group) && !draft.dissolved.has(membership.group);
+    const isBound =
+      membership && !isStandby(membership.group) && !draft.dissolved.has(membership.group);
     if (isBound) continue;
     const found = free.get(domain);
     if (found) found.push(server);
@@ -45,10 +46,7 @@
 }
 
 /** Groups of each model that serve or soon will. */
-export function countGroups(
-  draft: Draft,
-  groups: Iterable<ReplicaGroup>,
-): Map<ModelId, number> {
+export function countGroups(draft: Draft, groups: Iterable<ReplicaGroup>): Map<ModelId, number> {
   const counts = new Map<ModelId, number>();
   const add = (model: ModelId | undefined): void => {
     if (model !== undefined) counts.set(model, (counts.get(model) ?? 0) + 1);
@@ -91,7 +89,9 @@
 ): ModelSpec | undefined {
   const models = byNeed(draft, counts);
   const fits = models.filter(({ size }) => size <= servers);
-  const warm = fits.find((model) => countLoads(draft, pickMembers(draft, free, model), model) === 0);
+  const warm = fits.find(
+    (model) => countLoads(draft, pickMembers(draft, free, model), model) === 0,
+  );
   if (warm) return warm;
   return isSettled || fits[0] === models[0] ? fits[0] : undefined;
 }
@@ -107,7 +107,11 @@
 }
 
 /** The servers that are ready for the model soonest; among equals those of least use to other models. */
-function pickMembers(draft: Draft, free: readonly BackendServer[], model: ModelSpec): BackendServer[] {
+function pickMembers(
+  draft: Draft,
+  free: readonly BackendServer[],
+  model: ModelSpec,
+): BackendServer[] {
   const others = draft.view.engine.models.filter(({ name }) => name !== model.name);
   const elsewhere = (server: BackendServer): number =>
     Math.min(...others.map((other) => joinCost(draft, server, other).ms));
@@ -135,7 +139,11 @@
   const epoch = nextEpoch(draft);
   const group = brandAs<GroupId>(`${prefix}${epoch}`);
   const slowest = Math.max(...members.map((server) => joinCost(draft, server, model).ms));
-  noteLoads(draft, members.filter((server) => joinCost(draft, server, model).isLoad), model);
+  noteLoads(
+    draft,
+    members.filter((server) => joinCost(draft, server, model).isLoad),
+    model,
+  );
   // Loads that share the weight store's rate take longer than their figure.
   const crowd = Math.max(1, draft.loads.length / draft.view.engine.loadsAtOnce);
   draft.formations.set(group, {
@@ -181,7 +189,7 @@
 export function composeGroups(draft: Draft, groups: readonly ReplicaGroup[]): void {
   const counts = countGroups(draft, groups);
   let domains = freeDomains(draft);
-  for (let isDone = false; !isDone; ) {
+  for (let isDone = false; !isDone;) {
     isDone = true;
     domains = domains.map((domain) => {
       const members = formOne(draft, domain, counts);
--- a/src/core/gateway/forming/form.ts
+++ b/src/core/gateway/forming/form.ts
@@ -54,10 +54,7 @@
 }
 
 /** Takes every group being formed a step further. */
-export function continueFormations(
-  draft: Draft,
-  groups: ReadonlyMap<GroupId, ReplicaGroup>,
-): void {
+export function continueFormations(draft: Draft, groups: ReadonlyMap<GroupId, ReplicaGroup>): void {
   for (const formation of [...draft.formations.values()]) {
     continueOne(draft, formation, groups.get(formation.group));
   }
--- a/src/core/gateway/forming/loads.ts
+++ b/src/core/gateway/forming/loads.ts
@@ -31,11 +31,7 @@
 }
 
 /** Enters the loads that joining or staging begins. */
-export function noteLoads(
-  draft: Draft,
-  servers: readonly BackendServer[],
-  model: ModelSpec,
-): void {
+export function noteLoads(draft: Draft, servers: readonly BackendServer[], model: ModelSpec): void {
   for (const server of servers) {
     const { ms } = joinCost(draft, server, model);
     draft.loads.push({ server: server.id, at: draft.now, until: later(draft.now, ms) });
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -36,7 +36,11 @@
  * Why a group must end, or undefined where it may go on. A member that is not listed any more may
  * have lost touch with the platform's list alone: the group serves on unless it is found lost.
  */
-function findFault(draft: Draft, group: ReplicaGroup, size: number): 'lost' | 'leaving' | undefined {
+function findFault(
+  draft: Draft,
+  group: ReplicaGroup,
+  size: number,
+): 'lost' | 'leaving' | undefined {
   const members = [...group.members, ...unseenMembers(draft, group)];
   const isLost = members.length < size || members.some(({ id }) => isSuspect(draft, id));
   if (isLost) return 'lost';
--- a/src/core/gateway/forming/retire.ts
+++ b/src/core/gateway/forming/retire.ts
@@ -86,7 +86,8 @@
       return;
     }
     if (result === 'refused') turnTo(draft, retirement, 'abort');
-    else if (draft.now >= later(retirement.since, UNREACHABLE_MS)) turnTo(draft, retirement, 'starve');
+    else if (draft.now >= later(retirement.since, UNREACHABLE_MS))
+      turnTo(draft, retirement, 'starve');
   },
   starve: (draft, retirement, head) => {
     const result = ask(draft, head, leaveOrder(retirement));
--- a/tests/gateway/engine-fleet.ts
+++ b/stand-ins/users-platform/engines.ts
@@ -1,19 +1,20 @@
 /**
- * A domain or more of engine servers in simulated time, as the users' platform describes them, for
- * tests of forming groups. It keeps the two promises under watch: no group serves with a member that
- * was never ready in it, and no server joins another group while its own group's head may serve.
+ * Domains of engine servers as the users' platform describes them: joins, opens, loads, stalls. Time
+ * passes only by `advance`, so that tests run it in simulated time and the emulator in real time. It
+ * keeps two promises under watch: no group serves with a member that was never ready in it, and no
+ * server joins another group while its own group's head may serve.
  */
 
 import type { OrderResult, ServerOrder } from '../../src/core/gateway/orders';
 import type { OrderEffect } from '../../src/core/gateway/forming/state';
-import type { BackendServer, MemberState } from '../../src/core/gateway/types';
+import type { BackendServer, EngineSpec, MemberState } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
-import type { DomainId, InstanceId, ModelId } from '../../src/core/ids';
-import { ENGINE, instance, makeServer } from './support';
+import type { DomainId, InstanceId, ModelId, ServiceId, ZoneId } from '../../src/core/ids';
 
 const STALL_MS = 6_000;
 const FORM_MS = 300;
 const REJOIN_MS = 200;
+/** A silent server's row is removed after three of its heartbeats. */
 const LAPSE_MS = 3_600;
 
 interface Joined {
@@ -30,6 +31,7 @@
 
 interface SimServer {
   readonly id: InstanceId;
+  readonly address: string;
   readonly domain: DomainId;
   isAlive: boolean;
   diedAt: number;
@@ -52,14 +54,26 @@
 }
 
 export interface EngineFleetOptions {
+  readonly engine: EngineSpec;
+  readonly service: ServiceId;
+  /** Servers of each domain. */
   readonly domains: readonly number[];
+  /** Before the first request loads take a tenth of the time. */
   readonly hasTraffic: boolean;
+  /** Where the server with this number listens. */
+  readonly addressOf?: (n: number) => string;
 }
 
 /** The promises that were broken, in words. */
 export type Violation = string;
 
-export function createEngineFleet({ domains, hasTraffic }: EngineFleetOptions) {
+export function createEngineFleet({
+  engine,
+  service,
+  domains,
+  hasTraffic,
+  addressOf = (n) => `127.0.0.1:${10_000 + n}`,
+}: EngineFleetOptions) {
   const servers = new Map<InstanceId, SimServer>();
   const everReady = new Set<string>();
   const late: Late[] = [];
@@ -70,9 +84,11 @@
   let isOrderLate = false;
 
   const add = (domain: string): InstanceId => {
-    const id = instance(`s${String(nextId++).padStart(3, '0')}`);
+    const n = nextId++;
+    const id = brandAs<InstanceId>(`s${String(n).padStart(3, '0')}`);
     servers.set(id, {
       id,
+      address: addressOf(n),
       domain: brandAs<DomainId>(domain),
       isAlive: true,
       diedAt: 0,
@@ -92,7 +108,7 @@
   });
 
   const specOf = (model: ModelId) => {
-    const spec = ENGINE.models.find(({ name }) => name === model);
+    const spec = engine.models.find(({ name }) => name === model);
     if (!spec) throw new Error(`no model ${model}`);
     return spec;
   };
@@ -118,7 +134,9 @@
       return joined.members.join() === members.join() ? 'done' : 'refused';
     }
     if (mayHeadServe(server)) {
-      violations.push(`${now}: ${server.id} joins ${group} while the head of ${joined?.group} serves`);
+      violations.push(
+        `${now}: ${server.id} joins ${group} while the head of ${joined?.group} serves`,
+      );
     }
     const isLoad = server.lastModel !== model && server.staged !== model;
     if (isLoad) loads += 1;
@@ -161,7 +179,8 @@
       return 'done';
     },
     leave: (server, { group, epoch }) => {
-      if (server.joined?.group === group && server.joined.epoch === epoch) server.joined = undefined;
+      if (server.joined?.group === group && server.joined.epoch === epoch)
+        server.joined = undefined;
       return 'done';
     },
     stage: (server, { model }) => {
@@ -206,7 +225,8 @@
     checkServing(server, joined);
     if (isWhole(joined)) joined.stalledAt = undefined;
     else joined.stalledAt ??= now;
-    if (joined.stalledAt !== undefined && now >= joined.stalledAt + STALL_MS) joined.state = 'broken';
+    if (joined.stalledAt !== undefined && now >= joined.stalledAt + STALL_MS)
+      joined.state = 'broken';
   };
 
   const checkServing = (server: SimServer, { group, epoch, members, model }: Joined): void => {
@@ -243,8 +263,15 @@
     return new Map(missing.map((server) => [server.id, toRow(server)]));
   };
 
-  const toRow = ({ id, domain, isDraining, staged, shown: joined }: SimServer): BackendServer =>
-    makeServer(id, {
+  const toRow = ({ id, address, domain, ...server }: SimServer): BackendServer => {
+    const { isDraining, staged, shown: joined } = server;
+    return {
+      id,
+      service,
+      address,
+      zone: brandAs<ZoneId>('zone-a'),
+      batchSize: engine.batchSize,
+      isBusy: false,
       domain,
       isDraining,
       staged: staged === undefined ? [] : [staged],
@@ -257,7 +284,8 @@
           state: joined.state,
         },
       }),
-    });
+    };
+  };
 
   /** Members that give no report, of groups that stood still for half a second or whose entries have gone. */
   const stalled = (): InstanceId[] =>
@@ -278,6 +306,7 @@
     advance,
     rows,
     lapsed,
+    carryOut,
     stalled,
     now: () => now,
     loads: () => loads,
--- /dev/null
+++ b/stand-ins/users-platform/servers.ts
@@ -0,0 +1,179 @@
+/** Engine servers and plain servers over HTTP, with a record of what truly ran. */
+
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+
+import { HEADERS, PATHS } from '../../platform/names';
+import { brandAs } from '../../src/core/ids';
+import type { InstanceId } from '../../src/core/ids';
+import type { EngineFleet } from './engines';
+import { decodeOrder, ORDER_STATUS } from './wire';
+
+/** One request that a server began to run. */
+export interface Run {
+  readonly server: InstanceId;
+  readonly requestId: string;
+  readonly organisation: string | undefined;
+  readonly path: string;
+  readonly body: string;
+  readonly hadKey: boolean;
+  readonly lastEventId: string | undefined;
+}
+
+/** What the caller gets signed: enough to tell whose answer it is. */
+export function signatureOf(server: string, requestId: string): string {
+  return `${server}.${requestId}`;
+}
+
+export interface PlainFaults {
+  /** Answers still to be cut in the middle. */
+  cutAnswers: number;
+  /** Answers still to be failed with a 500. */
+  failAnswers: number;
+  /** Requests still to be refused without having run. */
+  refuse: number;
+}
+
+const EVENT_MS = 20;
+
+async function readBody(req: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString();
+}
+
+function header(req: IncomingMessage, name: string): string | undefined {
+  const value = req.headers[name];
+  return typeof value === 'string' ? value : value?.[0];
+}
+
+function runOf(server: InstanceId, req: IncomingMessage, body: string): Run {
+  return {
+    server,
+    requestId: header(req, HEADERS.requestId) ?? '',
+    organisation: header(req, HEADERS.organisation),
+    path: req.url ?? '',
+    body,
+    hadKey: req.headers.authorization !== undefined,
+    lastEventId: header(req, HEADERS.lastEventId),
+  };
+}
+
+function isMeant(id: InstanceId, req: IncomingMessage, res: ServerResponse): boolean {
+  const expected = header(req, HEADERS.expectInstance);
+  if (expected === undefined || expected === id) return true;
+  res.writeHead(421).end();
+  return false;
+}
+
+async function listen(server: Server, host: string, port: number): Promise<void> {
+  await new Promise<void>((resolve) => server.listen(port, host, resolve));
+}
+
+/** Starts the engine server with this id; it serves streams while its group is open and whole. */
+export async function startEngine(
+  fleet: EngineFleet,
+  id: InstanceId,
+  runs: Run[],
+): Promise<() => void> {
+  const state = () => fleet.servers.get(id);
+
+  const takeOrder = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const order = decodeOrder(JSON.parse(await readBody(req)));
+    if (!order) {
+      res.writeHead(400).end();
+      return;
+    }
+    res.writeHead(ORDER_STATUS[fleet.carryOut(id, order)]).end();
+  };
+
+  const report = (res: ServerResponse): void => {
+    const body = { models: [], staged: [], busy: false, active: 0, queued: 0, pace: 1 };
+    res.writeHead(200, { 'Content-Type': 'application/json' }).end(JSON.stringify(body));
+  };
+
+  /** Events 1 to `count`, from after the last one that the caller has; silent while the group stands still. */
+  const stream = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const body = await readBody(req);
+    const run = runOf(id, req, body);
+    runs.push(run);
+    const count = Number(new URLSearchParams(body).get('events') ?? 3);
+    let next = Number(run.lastEventId ?? 0) + 1;
+    res.writeHead(200, {
+      'Content-Type': 'text/event-stream',
+      [HEADERS.requestId]: run.requestId,
+      [HEADERS.signature]: signatureOf(id, run.requestId),
+    });
+    const timer = setInterval(() => {
+      const joined = state()?.joined;
+      if (joined?.state === 'open' && joined.stalledAt !== undefined) return;
+      if (joined?.state !== 'open') {
+        res.destroy();
+        return;
+      }
+      if (next <= count) res.write(`id: ${next}\ndata: ${run.requestId} ${next}\n\n`);
+      else res.end();
+      next += 1;
+    }, EVENT_MS);
+    res.once('close', () => {
+      clearInterval(timer);
+    });
+  };
+
+  const server = createServer((req, res) => {
+    const isAlive = state()?.isAlive === true;
+    // A machine without power answers nothing.
+    if (!isAlive || !isMeant(id, req, res)) return;
+    if (req.url === PATHS.order) void takeOrder(req, res);
+    else if (req.url === PATHS.report) report(res);
+    else if (state()?.joined?.state === 'open') void stream(req, res);
+    else res.writeHead(503, { [HEADERS.notExecuted]: '1' }).end();
+  });
+  const { hostname, port } = new URL(`http://${state()?.address ?? ''}`);
+  await listen(server, hostname, Number(port));
+  return () => {
+    server.closeAllConnections();
+    server.close();
+  };
+}
+
+/** Starts a plain server that answers every call with its own body. */
+export async function startPlain(
+  name: string,
+  address: string,
+  runs: Run[],
+  faults: PlainFaults,
+): Promise<() => void> {
+  const id = brandAs<InstanceId>(name);
+  const take = (fault: keyof PlainFaults): boolean => {
+    if (faults[fault] <= 0) return false;
+    faults[fault] -= 1;
+    return true;
+  };
+  const server = createServer((req, res) => {
+    if (!isMeant(id, req, res)) return;
+    void readBody(req).then((body) => {
+      if (take('refuse')) {
+        res.writeHead(503, { [HEADERS.notExecuted]: '1' }).end();
+        return;
+      }
+      const run = runOf(id, req, body);
+      runs.push(run);
+      const status = take('failAnswers') ? 500 : 200;
+      const answer = `${run.requestId} ${body}`;
+      res.writeHead(status, {
+        [HEADERS.requestId]: run.requestId,
+        [HEADERS.signature]: signatureOf(name, run.requestId),
+        'Content-Length': answer.length,
+      });
+      if (!take('cutAnswers')) res.end(answer);
+      else res.write(answer.slice(0, 3), () => res.destroy());
+    });
+  });
+  const { hostname, port } = new URL(`http://${address}`);
+  await listen(server, hostname, Number(port));
+  return () => {
+    server.closeAllConnections();
+    server.close();
+  };
+}
--- /dev/null
+++ b/stand-ins/users-platform/start.ts
@@ -0,0 +1,100 @@
+/** The whole platform on loopback, in real time: store, engines, plain servers, and an operator's hand. */
+
+import { CONFIG_KEY, TABLES } from '../../platform/names';
+import type { EngineSpec } from '../../src/core/gateway/types';
+import { brandAs } from '../../src/core/ids';
+import type { InstanceId, ServiceId } from '../../src/core/ids';
+import { createEngineFleet } from './engines';
+import type { EngineFleet } from './engines';
+import { startEngine, startPlain } from './servers';
+import type { PlainFaults, Run } from './servers';
+import { startStore } from './store';
+import type { StoreStandIn } from './store';
+import { encodeRow } from './wire';
+
+export interface PlatformOptions {
+  readonly host: string;
+  /** First of as many ports as there are servers, and one. */
+  readonly firstPort: number;
+  readonly engine: EngineSpec;
+  readonly domains: readonly number[];
+  readonly plainServers: number;
+}
+
+export interface PlatformStandIn {
+  readonly store: StoreStandIn;
+  readonly fleet: EngineFleet;
+  readonly plainFaults: PlainFaults;
+  /** Every request that a server began to run. */
+  readonly runs: readonly Run[];
+  readonly storeAddress: string;
+  /** Writes a configuration as the operator does. */
+  configure(document: object): void;
+  close(): void;
+}
+
+const TICK_MS = 20;
+export const LLM_SERVICE = brandAs<ServiceId>('llm');
+export const PLAIN_SERVICE = brandAs<ServiceId>('ledger');
+
+export async function startPlatform(options: PlatformOptions): Promise<PlatformStandIn> {
+  const { host, firstPort, engine, domains, plainServers } = options;
+  const store = await startStore(host, firstPort);
+  const runs: Run[] = [];
+  const plainFaults: PlainFaults = { cutAnswers: 0, failAnswers: 0, refuse: 0 };
+  const closers: (() => void)[] = [];
+  const fleet = createEngineFleet({
+    engine,
+    service: LLM_SERVICE,
+    domains,
+    hasTraffic: false,
+    addressOf: (n) => `${host}:${firstPort + 1 + plainServers + n}`,
+  });
+  for (const id of fleet.servers.keys()) closers.push(await startEngine(fleet, id, runs));
+  for (let n = 0; n < plainServers; n++) {
+    const id = brandAs<InstanceId>(`plain-${n}`);
+    const address = `${host}:${firstPort + 1 + n}`;
+    closers.push(await startPlain(id, address, runs, plainFaults));
+    const row = { service: PLAIN_SERVICE, address, zone: 'zone-a', batchSize: 6, state: 'ready' };
+    store.put(TABLES.servers, id, row);
+  }
+
+  const shown = new Map<InstanceId, string>();
+  const publish = (): void => {
+    const rows = fleet.rows();
+    for (const id of [...shown.keys()]) {
+      if (rows.has(id)) continue;
+      shown.delete(id);
+      store.remove(TABLES.servers, id);
+    }
+    for (const [id, server] of rows) {
+      const text = JSON.stringify(encodeRow(server));
+      if (shown.get(id) === text) continue;
+      shown.set(id, text);
+      store.put(TABLES.servers, id, JSON.parse(text));
+    }
+  };
+  let last = performance.now();
+  const ticker = setInterval(() => {
+    const now = performance.now();
+    fleet.advance(now - last);
+    last = now;
+    publish();
+  }, TICK_MS);
+
+  return {
+    store,
+    fleet,
+    plainFaults,
+    runs,
+    storeAddress: `${host}:${firstPort}`,
+    configure: (document) => {
+      store.put(TABLES.operator, CONFIG_KEY, document);
+    },
+    close: () => {
+      clearInterval(ticker);
+      for (const close of closers) close();
+      store.close();
+    },
+  };
+}
--- /dev/null
+++ b/stand-ins/users-platform/store.ts
@@ -0,0 +1,189 @@
+/** The platform's store: rows with conditions, and feeds of their changes. Faults by switches. */
+
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { z } from 'zod';
+
+import { PATHS } from '../../platform/names';
+
+interface StoredRow {
+  readonly table: string;
+  readonly part: string;
+  readonly key: string;
+  /** Base64; undefined once the row is removed. */
+  readonly value: string | undefined;
+  readonly rowVersion: number;
+}
+
+const place = { table: z.string(), part: z.string(), key: z.string() };
+const transactionSchema = z.object({
+  precondition: z.array(z.object({ ...place, rowVersion: z.number() })),
+  writes: z.array(z.object({ ...place, value: z.string() })),
+  remove: z.array(z.object(place)),
+});
+
+/** Faults that tests switch on and off. */
+export interface StoreFaults {
+  /** Every call is answered 503, nothing done. */
+  isDown: boolean;
+  /** Calls are taken and never answered. */
+  isSilent: boolean;
+  /** Writes are done and their connections cut. */
+  losesAnswers: boolean;
+}
+
+export interface StoreStandIn {
+  readonly faults: StoreFaults;
+  /** Writes as the operator and the servers do. */
+  put(table: string, key: string, value: unknown): void;
+  remove(table: string, key: string): void;
+  get(table: string, key: string): unknown;
+  /** Forgets what changed: feeds have to load anew. */
+  compact(): void;
+  /** Calls so far, by path. */
+  readonly calls: ReadonlyMap<string, number>;
+  close(): void;
+}
+
+async function readJson(req: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  return JSON.parse(Buffer.concat(chunks).toString());
+}
+
+/** Starts the store at `host:port`. */
+export async function startStore(host: string, port: number): Promise<StoreStandIn> {
+  const rows = new Map<string, StoredRow>();
+  const waiters = new Set<() => void>();
+  const calls = new Map<string, number>();
+  const faults: StoreFaults = { isDown: false, isSilent: false, losesAnswers: false };
+  let version = 0;
+  let oldest = 0;
+
+  const keyOf = (table: string, part: string, key: string): string => `${table}\0${part}\0${key}`;
+
+  const set = (table: string, part: string, key: string, value: string | undefined): void => {
+    rows.set(keyOf(table, part, key), { table, part, key, value, rowVersion: version });
+  };
+
+  const commit = (change: () => void): void => {
+    version += 1;
+    change();
+    for (const wake of [...waiters]) wake();
+  };
+
+  const answer = (res: ServerResponse, status: number, body: object): void => {
+    const text = JSON.stringify({
+      ...body,
+      rowVersion: version,
+      nowMs: Math.round(performance.now()),
+    });
+    res.writeHead(status, { 'Content-Type': 'application/json' }).end(text);
+  };
+
+  const shown = ({ value, ...row }: StoredRow): object =>
+    value === undefined ? { ...row, deleted: true } : { ...row, value };
+
+  const transact = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const { precondition, writes, remove } = transactionSchema.parse(await readJson(req));
+    const holds = precondition.every(({ table, part, key, rowVersion }) => {
+      const row = rows.get(keyOf(table, part, key));
+      return (row?.value === undefined ? 0 : row.rowVersion) === rowVersion;
+    });
+    if (!holds) {
+      answer(res, 412, { rows: [] });
+      return;
+    }
+    commit(() => {
+      for (const { table, part, key, value } of writes) set(table, part, key, value);
+      for (const { table, part, key } of remove) set(table, part, key, undefined);
+    });
+    if (faults.losesAnswers) res.destroy();
+    else answer(res, 200, {});
+  };
+
+  const list = (url: URL, res: ServerResponse): void => {
+    const table = url.searchParams.get('table') ?? '';
+    const found = [...rows.values()]
+      .filter((row) => row.table === table && row.value !== undefined)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    answer(res, 200, { rows: found.map(shown), hasMore: false });
+  };
+
+  const feed = (url: URL, res: ServerResponse): void => {
+    const table = url.searchParams.get('table') ?? '';
+    const after = Number(url.searchParams.get('after'));
+    const waitMs = Number(url.searchParams.get('waitMs'));
+    if (after < oldest) {
+      answer(res, 410, { rows: [] });
+      return;
+    }
+    const changed = (): StoredRow[] =>
+      [...rows.values()]
+        .filter((row) => row.table === table && row.rowVersion > after)
+        .sort((a, b) => a.rowVersion - b.rowVersion);
+    const finish = (): void => {
+      waiters.delete(wake);
+      clearTimeout(timer);
+      if (faults.isDown) res.writeHead(503).end();
+      else answer(res, 200, { rows: changed().map(shown) });
+    };
+    const wake = (): void => {
+      if (changed().length > 0) finish();
+    };
+    const timer = setTimeout(finish, waitMs);
+    waiters.add(wake);
+    res.once('close', () => {
+      waiters.delete(wake);
+      clearTimeout(timer);
+    });
+    wake();
+  };
+
+  const serve = (req: IncomingMessage, res: ServerResponse): void => {
+    const url = new URL(req.url ?? '/', 'http://store');
+    calls.set(url.pathname, (calls.get(url.pathname) ?? 0) + 1);
+    if (faults.isSilent) return;
+    if (faults.isDown) {
+      res.writeHead(503).end();
+      return;
+    }
+    if (url.pathname === PATHS.transaction) void transact(req, res);
+    else if (url.pathname === PATHS.rows) list(url, res);
+    else if (url.pathname === PATHS.feed) feed(url, res);
+    else res.writeHead(404).end();
+  };
+
+  const server: Server = createServer(serve);
+  await new Promise<void>((resolve) => server.listen(port, host, resolve));
+
+  return {
+    faults,
+    calls,
+    put: (table, key, value) => {
+      const text = Buffer.from(JSON.stringify(value)).toString('base64');
+      commit(() => {
+        set(table, '', key, text);
+      });
+    },
+    remove: (table, key) => {
+      commit(() => {
+        set(table, '', key, undefined);
+      });
+    },
+    get: (table, key) => {
+      const value = rows.get(keyOf(table, '', key))?.value;
+      return value === undefined
+        ? undefined
+        : (JSON.parse(Buffer.from(value, 'base64').toString()) as unknown);
+    },
+    compact: () => {
+      oldest = version;
+      for (const wake of [...waiters]) wake();
+    },
+    close: () => {
+      server.closeAllConnections();
+      server.close();
+    },
+  };
+}
--- a/tests/gateway/choice.test.ts
+++ b/tests/gateway/choice.test.ts
@@ -38,7 +38,12 @@
 
 describe('the group of a stream', () => {
   it('is the least filled one', () => {
-    const found = chooseGroup([group('1', { running: 4 }), group('2', { running: 2 })], 1_000, HERE, 0);
+    const found = chooseGroup(
+      [group('1', { running: 4 }), group('2', { running: 2 })],
+      1_000,
+      HERE,
+      0,
+    );
     expect(found?.head).toBe('2');
   });
 
--- a/tests/gateway/events.test.ts
+++ b/tests/gateway/events.test.ts
@@ -3,7 +3,11 @@
 
 import { createEventReader } from '../../src/core/gateway/events';
 
-function read(chunks: readonly string[]): { texts: string[]; ids: (number | undefined)[]; rest: boolean } {
+function read(chunks: readonly string[]): {
+  texts: string[];
+  ids: (number | undefined)[];
+  rest: boolean;
+} {
   const reader = createEventReader();
   const events = chunks.flatMap((chunk) => reader.push(Buffer.from(chunk)));
   return {
@@ -34,13 +38,16 @@
   it('gives the same events however its bytes are cut', () => {
     const text = 'id: 1\ndata: a\n\nid: 2\ndata: bb\n\nid: 3\ndata: c\n\n';
     fc.assert(
-      fc.property(fc.array(fc.integer({ min: 1, max: text.length - 1 }), { maxLength: 8 }), (cuts) => {
-        const edges = [0, ...[...new Set(cuts)].sort((a, b) => a - b), text.length];
-        const chunks = edges.slice(1).map((end, i) => text.slice(edges[i], end));
-        const seen = read(chunks);
-        expect(seen.ids).toEqual([1, 2, 3]);
-        expect(seen.texts.join('')).toBe(text);
-      }),
+      fc.property(
+        fc.array(fc.integer({ min: 1, max: text.length - 1 }), { maxLength: 8 }),
+        (cuts) => {
+          const edges = [0, ...[...new Set(cuts)].sort((a, b) => a - b), text.length];
+          const chunks = edges.slice(1).map((end, i) => text.slice(edges[i], end));
+          const seen = read(chunks);
+          expect(seen.ids).toEqual([1, 2, 3]);
+          expect(seen.texts.join('')).toBe(text);
+        },
+      ),
       { seed: 7, numRuns: 200 },
     );
   });
--- a/tests/gateway/forming-fuzz.test.ts
+++ b/tests/gateway/forming-fuzz.test.ts
@@ -1,10 +1,10 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import { createEngineFleet } from './engine-fleet';
-import type { EngineFleet } from './engine-fleet';
+import { createEngineFleet } from '../../stand-ins/users-platform/engines';
+import type { EngineFleet } from '../../stand-ins/users-platform/engines';
 import { createLeader } from './leader';
-import { LARGE, SMALL } from './support';
+import { FLEET, LARGE, SMALL } from './support';
 
 type Leader = ReturnType<typeof createLeader>;
 
@@ -58,8 +58,9 @@
   it('never serve in part, and no server is in two of them', () => {
     fc.assert(
       fc.property(fc.array(trouble, { maxLength: 25 }), fc.nat(), (troubles, salt) => {
-        const fleet = createEngineFleet({ domains: [11, 11], hasTraffic: true });
-        const lateMs = (n: number): number => ((n * 7919 + salt) % 2 === 0 ? 2_000 + (n * 613) % 10_000 : 0);
+        const fleet = createEngineFleet({ ...FLEET, domains: [11, 11], hasTraffic: true });
+        const lateMs = (n: number): number =>
+          (n * 7919 + salt) % 2 === 0 ? 2_000 + ((n * 613) % 10_000) : 0;
         const leader = createLeader(fleet, { hasTraffic: true, lateMs });
         leader.run(40_000);
         for (const { kind, which, afterMs } of troubles) {
@@ -75,7 +76,7 @@
   it('serve again once the troubles are over and servers enough are left', () => {
     fc.assert(
       fc.property(fc.array(trouble, { maxLength: 8 }), (troubles) => {
-        const fleet = createEngineFleet({ domains: [14], hasTraffic: true });
+        const fleet = createEngineFleet({ ...FLEET, domains: [14], hasTraffic: true });
         const leader = createLeader(fleet, { hasTraffic: true });
         leader.run(40_000);
         for (const { kind, which, afterMs } of troubles) {
--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -1,12 +1,13 @@
 import { describe, expect, it } from 'vitest';
 
-import { createEngineFleet } from './engine-fleet';
+import { createEngineFleet } from '../../stand-ins/users-platform/engines';
 import { createLeader } from './leader';
-import { instance, LARGE, SMALL } from './support';
+import { FLEET, instance, LARGE, SMALL } from './support';
 
 function headOf(fleet: ReturnType<typeof createEngineFleet>, model: string) {
   const found = [...fleet.servers.values()].find(
-    ({ joined, id }) => joined?.state === 'open' && joined.model === model && joined.members[0] === id,
+    ({ joined, id }) =>
+      joined?.state === 'open' && joined.model === model && joined.members[0] === id,
   );
   if (!found) throw new Error(`no group of ${model} serves`);
   return found;
@@ -14,20 +15,20 @@
 
 describe('groups of a domain', () => {
   it('are formed of all models, with spares left over', () => {
-    const fleet = createEngineFleet({ domains: [11], hasTraffic: false });
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: false });
     createLeader(fleet).run(8_000);
     expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([1, 1]);
     expect(fleet.violations).toEqual([]);
   });
 
   it('share the models evenly over domains', () => {
-    const fleet = createEngineFleet({ domains: [11, 11, 11], hasTraffic: false });
+    const fleet = createEngineFleet({ ...FLEET, domains: [11, 11, 11], hasTraffic: false });
     createLeader(fleet).run(15_000);
     expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([3, 3]);
   });
 
   it('wait for further servers before they take a model that lacks groups less', () => {
-    const fleet = createEngineFleet({ domains: [3], hasTraffic: false });
+    const fleet = createEngineFleet({ ...FLEET, domains: [3], hasTraffic: false });
     const leader = createLeader(fleet);
     leader.run(500);
     expect(leader.state().formations.size).toBe(0);
@@ -39,7 +40,7 @@
 
 describe('a lost member', () => {
   it.each([LARGE, SMALL])('of %s is replaced by a warm spare within a second', (model) => {
-    const fleet = createEngineFleet({ domains: [11], hasTraffic: false });
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: false });
     const leader = createLeader(fleet);
     leader.run(15_000);
     const loads = fleet.loads();
@@ -54,7 +55,7 @@
   });
 
   it('that is the head frees the others only once it must be broken', () => {
-    const fleet = createEngineFleet({ domains: [11], hasTraffic: false });
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: false });
     const leader = createLeader(fleet);
     leader.run(15_000);
     const head = headOf(fleet, LARGE);
@@ -70,7 +71,7 @@
 
 describe('a new leader', () => {
   it('adopts the groups that serve, without an order to them', () => {
-    const fleet = createEngineFleet({ domains: [9], hasTraffic: false });
+    const fleet = createEngineFleet({ ...FLEET, domains: [9], hasTraffic: false });
     const leader = createLeader(fleet);
     leader.run(10_000);
     const orders = leader.orders();
@@ -81,7 +82,7 @@
   });
 
   it('opens a group that its predecessor left whole', () => {
-    const fleet = createEngineFleet({ domains: [6], hasTraffic: false });
+    const fleet = createEngineFleet({ ...FLEET, domains: [6], hasTraffic: false });
     const leader = createLeader(fleet);
     leader.run(1_750);
     expect(fleet.serving(LARGE)).toBe(0);
@@ -94,7 +95,7 @@
 
 describe('a member that leaves by plan', () => {
   it('is replaced after the requests in flight', () => {
-    const fleet = createEngineFleet({ domains: [11], hasTraffic: false });
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: false });
     const leader = createLeader(fleet);
     leader.run(15_000);
     fleet.drain(headOf(fleet, SMALL).joined?.members[2] ?? instance('none'));
--- a/tests/gateway/leader.ts
+++ b/tests/gateway/leader.ts
@@ -3,7 +3,7 @@
 import { createForming } from '../../src/core/gateway/forming/state';
 import type { FormingState } from '../../src/core/gateway/forming/state';
 import { noteResult, noteSuspect, planGroups } from '../../src/core/gateway/forming/plan';
-import type { EngineFleet } from './engine-fleet';
+import type { EngineFleet } from '../../stand-ins/users-platform/engines';
 import { at, ENGINE } from './support';
 
 const TICK_MS = 50;
@@ -14,7 +14,10 @@
   readonly lateMs?: (n: number) => number;
 }
 
-export function createLeader(fleet: EngineFleet, { hasTraffic = false, lateMs = () => 0 }: LeaderOptions = {}) {
+export function createLeader(
+  fleet: EngineFleet,
+  { hasTraffic = false, lateMs = () => 0 }: LeaderOptions = {},
+) {
   let fencing = 1;
   let orders = 0;
   let state: FormingState = createForming();
@@ -23,7 +26,13 @@
     fleet.advance(TICK_MS);
     const now = at(fleet.now());
     for (const id of fleet.stalled()) state = noteSuspect(state, id, at(now + 20_000));
-    const view = { servers: fleet.rows(), lapsed: fleet.lapsed(), engine: ENGINE, fencing, hasTraffic };
+    const view = {
+      servers: fleet.rows(),
+      lapsed: fleet.lapsed(),
+      engine: ENGINE,
+      fencing,
+      hasTraffic,
+    };
     const plan = planGroups(state, view, now);
     state = plan.state;
     for (const effect of plan.orders) {
--- a/tests/gateway/routes.test.ts
+++ b/tests/gateway/routes.test.ts
@@ -1,6 +1,11 @@
 import { describe, expect, it } from 'vitest';
 
-import { createRouteTable, identifyCaller, pickTarget, priorityOf } from '../../src/core/gateway/routes';
+import {
+  createRouteTable,
+  identifyCaller,
+  pickTarget,
+  priorityOf,
+} from '../../src/core/gateway/routes';
 import { brandAs } from '../../src/core/ids';
 import type { OrganisationId, ServiceId } from '../../src/core/ids';
 import { makeConfig, makeRoute } from './support';
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -103,3 +103,6 @@
     ...more,
   };
 }
+
+/** What simulated fleets have in common. */
+export const FLEET = { engine: ENGINE, service: SERVICE };
