--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -116,6 +116,12 @@
 
 type Pooling = Pick<Agent, 'keepSocketAlive' | 'reuseSocket'>;
 
+/** Node's own pooling. The first tells the pool whether to keep a connection, which its types leave out. */
+const nodePooling = Agent.prototype as unknown as {
+  readonly keepSocketAlive: (this: Agent, socket: object) => boolean;
+  readonly reuseSocket: (this: Agent, socket: object, req: object) => void;
+};
+
 /** Bytes on an idle connection belong to no call: the connection is closed, not reused. */
 function guardIdle(agent: Agent): Pooling {
   const guards = new WeakMap<object, () => void>();
@@ -126,13 +132,12 @@
       };
       guards.set(socket, guard);
       socket.on('data', guard);
-      // Its answer tells the pool whether to keep the connection, which the types leave out.
-      return Agent.prototype.keepSocketAlive.call(agent, socket);
+      return nodePooling.keepSocketAlive.call(agent, socket);
     },
     reuseSocket: (socket, req) => {
       const guard = guards.get(socket);
       if (guard) socket.off('data', guard);
-      Agent.prototype.reuseSocket.call(agent, socket, req);
+      nodePooling.reuseSocket.call(agent, socket, req);
     },
   };
 }
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -68,7 +68,7 @@
     routes,
     leadership,
     servers: options.servers,
-    isBusy: board.isBusy,
+    isBusy: (group) => board.isBusy(group),
   });
   const upstream = createUpstream({ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS });
   const retries = createRetries(ctx, () => fleet.live().length + 1);
@@ -91,7 +91,9 @@
     dialect,
     plain,
     streams,
-    onTraffic: gossip.noteTraffic,
+    onTraffic: () => {
+      gossip.noteTraffic();
+    },
   });
 
   const isReady = (): boolean =>
--- a/src/app/gateway/lease.ts
+++ b/src/app/gateway/lease.ts
@@ -76,10 +76,8 @@
     logger.info(after.held ? 'lease taken' : 'lease given up', { step: 'lease', fencing });
   };
 
-  const rowOf = <T>(rows: readonly Row[], key: string): { version: number; row: T } | undefined => {
-    const found = rows.find((row) => row.key === key);
-    return found && { version: found.version, row: found.value as unknown as T };
-  };
+  const rowOf = (rows: readonly Row[], key: string): Row | undefined =>
+    rows.find((row) => row.key === key);
 
   const read = async (): Promise<void> => {
     const rows = await table.read([LEASE_KEY, FENCE_KEY]);
@@ -88,9 +86,13 @@
       dispatch({ kind: 'read-failed' });
       return;
     }
-    const lease = rowOf<LeaseRow>(rows.value, LEASE_KEY);
-    const fence = rowOf<FenceRow>(rows.value, FENCE_KEY);
-    dispatch({ kind: 'read', ...(lease && { lease }), ...(fence && { fence }) });
+    const lease = rowOf(rows.value, LEASE_KEY);
+    const fence = rowOf(rows.value, FENCE_KEY);
+    dispatch({
+      kind: 'read',
+      ...(lease && { lease: { version: lease.version, row: lease.value as unknown as LeaseRow } }),
+      ...(fence && { fence: { version: fence.version, row: fence.value as unknown as FenceRow } }),
+    });
   };
 
   const commit = async (effect: Extract<LeaseEffect, { kind: 'commit' }>): Promise<void> => {
--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -99,7 +99,7 @@
 /** Whether servers have stopped coming to the domain. */
 function isSettled(draft: Draft, domain: DomainId, servers: number): boolean {
   const known = draft.arrivals.get(domain);
-  if (!known || known.servers !== servers) {
+  if (known?.servers !== servers) {
     draft.arrivals.set(domain, { servers, at: draft.now });
     return false;
   }
--- a/stand-ins/users-platform/engines.ts
+++ b/stand-ins/users-platform/engines.ts
@@ -214,7 +214,7 @@
     if (joined.state === 'joining' && now >= joined.readyAt) {
       joined.state = 'ready';
       server.lastModel = joined.model;
-      if (server.staged === undefined) server.staged = joined.model;
+      server.staged ??= joined.model;
       everReady.add(`${joined.group} ${joined.epoch} ${server.id}`);
     }
     if (joined.state === 'ready' && joined.openAt !== undefined && now >= joined.openAt) {
