--- a/src/app/gateway/config-view.ts
+++ b/src/app/gateway/config-view.ts
@@ -22,7 +22,19 @@
   offer(config: GatewayConfig, source: string): boolean;
 }
 
-export function createConfigView(ctx: GatewayContext, feed: Feed<GatewayConfig>): ConfigView {
+/**
+ * Longest wait of a poll for each daemon, milliseconds, and its bounds. Whoever hears of a version
+ * tells the others, so that among many daemons each may ask less often.
+ */
+const WAIT_PER_DAEMON_MS = 500;
+const LEAST_WAIT_MS = 4_000;
+const LONGEST_WAIT_MS = 20_000;
+
+export function createConfigView(
+  ctx: GatewayContext,
+  feed: Feed<GatewayConfig>,
+  daemons: () => number,
+): ConfigView {
   const table = new BehaviorSubject<RouteTable | undefined>(undefined);
   let since = ctx.clock.now();
 
@@ -43,6 +55,8 @@
 
   const watch = watchFeed(ctx, {
     feed,
+    waitMs: () =>
+      Math.min(LONGEST_WAIT_MS, Math.max(LEAST_WAIT_MS, WAIT_PER_DAEMON_MS * daemons())),
     take: (changes) => {
       for (const { value } of changes) if (value) offer(value, 'store');
     },
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -28,6 +28,8 @@
 export interface Fleet {
   /** Peers that were heard of lately. */
   live(): readonly PeerView[];
+  /** The peer that says that it holds the lease. */
+  leader(): PeerView | undefined;
   readonly received: Observable<FromPeer>;
   /** Addresses whose links broke or could not be made. */
   readonly unreachable: Observable<string>;
@@ -42,6 +44,8 @@
 /** A waiting link is given up soon: state is sent again anyway. */
 const HANDSHAKE_MS = 1_000;
 const LONGEST_BACKOFF_MS = 1_000;
+/** Daemons enter themselves one after the other at a start; who has not been read yet makes itself known. */
+const ENTRIES_REST_MS = 3_000;
 
 export function createFleet(ctx: GatewayContext, entries: Feed<string>): Fleet {
   const { settings, clock } = ctx;
@@ -60,7 +64,8 @@
 
   const watch = watchFeed(ctx, {
     feed: entries,
-    waitMs: 15_000,
+    waitMs: () => 15_000,
+    restMs: () => ENTRIES_REST_MS,
     take: (changes: readonly Change<string>[], isWhole) => {
       if (isWhole) known.clear();
       for (const { key, value } of changes) {
@@ -97,6 +102,7 @@
 
   return {
     live,
+    leader: () => live().find(({ lease }) => lease !== undefined),
     received,
     unreachable: peers.unreachable,
     send: (address, message) => {
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -53,12 +53,14 @@
   const { settings, clock, logger } = ctx;
   let isStopping = false;
 
-  const config = createConfigView(ctx, feeds.config);
   const fleet = createFleet(ctx, feeds.daemons);
+  const daemons = (): number => fleet.live().length + 1;
+  const config = createConfigView(ctx, feeds.config, daemons);
   const leadership = createLeadership(ctx, options.table, fleet);
   const roster = createRoster(ctx, {
     feed: feeds.servers,
     isLeading: () => leadership.held() !== undefined,
+    ledRevision: () => fleet.leader()?.serversRevision,
   });
   const routes = () => config.table.value;
   const board = createBoard(ctx, roster, routes);
@@ -71,9 +73,9 @@
     isBusy: (group) => board.isBusy(group),
   });
   const upstream = createUpstream({ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS });
-  const retries = createRetries(ctx, () => fleet.live().length + 1);
+  const retries = createRetries(ctx, daemons);
   const plain = createPlainCalls({ ctx, roster, upstream, dialect, retries });
-  const streams = createStreamCalls({ ctx, board, upstream, dialect, retries, waiting });
+  const streams = createStreamCalls({ ctx, board, upstream, dialect, retries, waiting, daemons });
   const gossip = createGossip({
     ctx,
     config,
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -32,8 +32,8 @@
 
 /** Between two statements of a daemon with few peers: a fraction of the time that a stream takes. */
 const LEAST_INTERVAL_MS = 100;
-/** Added for each peer, so that no daemon sends or takes more than about 60 statements a second. */
-const INTERVAL_PER_PEER_MS = 15;
+/** Added for each peer, so that no daemon sends or takes more than about 110 statements a second. */
+const INTERVAL_PER_PEER_MS = 9;
 /** The store tells all daemons of a version within milliseconds; who lacks it after this is told by peers. */
 const HELP_AFTER_MS = 250;
 /** The same peer is not helped again before this. */
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -51,14 +51,21 @@
   readonly feed: Feed<BackendServer>;
   /** Whether this daemon forms groups, and so needs each change at once. */
   readonly isLeading: () => boolean;
+  /** Revision up to which the leader has told of changes; undefined while none is heard. */
+  readonly ledRevision: () => number | undefined;
 }
 
 /** Changes that come together are fetched together; a fraction of the shortest step of forming a group. */
 const LEADER_REST_MS = 25;
-/** Others hear of changes from the leader, and look for themselves well inside the time that a leaving server allows. */
-const FOLLOWER_REST_MS = 1_200;
-
-export function createRoster(ctx: GatewayContext, { feed, isLeading }: RosterOptions): Roster {
+/** Without a leader's word each looks for itself, well inside the time that a leaving server allows. */
+const ALONE_REST_MS = 1_200;
+/** Those who hear of each change from the leader look seldom: a call for each change and daemon is dear. */
+const LED_REST_MS = 6_000;
+
+export function createRoster(
+  ctx: GatewayContext,
+  { feed, isLeading, ledRevision }: RosterOptions,
+): Roster {
   const servers = new Map<InstanceId, BackendServer>();
   const changes = new Subject<void>();
   const news = new Subject<RosterNews>();
@@ -112,10 +119,16 @@
     changes.next();
   };
 
+  const restMs = (): number => {
+    if (isLeading()) return LEADER_REST_MS;
+    const led = ledRevision();
+    return led === undefined || led > watch.revision() ? ALONE_REST_MS : LED_REST_MS;
+  };
+
   const watch = watchFeed(ctx, {
     feed,
     take: takeFromStore,
-    restMs: () => (isLeading() ? LEADER_REST_MS : FOLLOWER_REST_MS),
+    restMs,
   });
 
   const forgetGone = (): void => {
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Answered, Upstream } from '../../adapters/upstream/upstream';
-import { chooseGroup } from '../../core/gateway/balance';
+import { chooseGroup, countToLookAt, hasRoom, sample } from '../../core/gateway/balance';
 import { createEventReader } from '../../core/gateway/events';
 import { nameOf } from '../../core/gateway/routes';
 import { later } from '../../core/ids';
@@ -25,6 +25,8 @@
   readonly dialect: Dialect;
   readonly retries: Retries;
   readonly waiting: WaitingRoom;
+  /** Daemons that choose as well, this one included. */
+  readonly daemons: () => number;
 }
 
 export interface StreamCalls {
@@ -72,8 +74,13 @@
   ): BoardGroup | undefined => {
     const { service, route, facts } = exchange;
     const candidates = board.candidates(service, model, route.maxGapMs, state.tried);
+    const open = candidates.filter(
+      (candidate) => !candidate.isTried && hasRoom(candidate, facts.promptTokens),
+    );
+    const count = countToLookAt(open.length, deps.daemons());
+    const some = sample(open, count, () => ctx.random.next());
     const { zone } = ctx.settings;
-    const found = chooseGroup(candidates, facts.promptTokens, zone, ctx.random.next());
+    const found = chooseGroup(some, facts.promptTokens, zone, ctx.random.next());
     const group = found && board.find(found.head);
     // The place is taken in the same tick, so that the next request in turn sees it taken.
     if (group) board.noteSent(group.head.id, exchange.facts.promptTokens);
--- a/src/app/gateway/watch.ts
+++ b/src/app/gateway/watch.ts
@@ -12,10 +12,10 @@
    * Longest wait of a poll, milliseconds. Connections may fall silent without an error: then it takes
    * this long, and a little more, to notice.
    */
-  readonly waitMs?: number;
+  readonly waitMs?: () => number;
   /**
    * Time between a poll that brought changes and the next one, milliseconds: changes come in groups,
-   * and each call has its price.
+   * and each call has its price. Asked again while it runs, so that it may end early.
    */
   readonly restMs?: () => number;
   /** Changes in the order of the store. `isWhole`: they are the whole collection. */
@@ -37,6 +37,8 @@
 
 const DEFAULT_WAIT_MS = 4_000;
 const DEFAULT_REST_MS = 20;
+/** A rest that may end early is looked at this often. */
+const REST_LOOK_MS = 100;
 /** Between tries while the store fails: at once soon after a failure, then so often that all daemons stay far below its rate. */
 const FIRST_RETRY_MS = 60;
 const LONGEST_RETRY_MS = 500;
@@ -46,7 +48,7 @@
 }
 
 export function watchFeed<T>(ctx: GatewayContext, options: WatchOptions<T>): Watch {
-  const { feed, take, waitMs = DEFAULT_WAIT_MS, restMs = () => DEFAULT_REST_MS } = options;
+  const { feed, take, waitMs = () => DEFAULT_WAIT_MS, restMs = () => DEFAULT_REST_MS } = options;
   let revision = 0;
   let lastContact: MonoTime | undefined;
   let returnedAt: MonoTime | undefined;
@@ -84,16 +86,23 @@
     await pause(delay * (0.5 + ctx.random.next() / 2));
   };
 
+  const rest = async (): Promise<void> => {
+    const since = ctx.clock.now();
+    for (let left = restMs(); left > 0; left = later(since, restMs()) - ctx.clock.now()) {
+      await pause(Math.min(left, REST_LOOK_MS));
+    }
+  };
+
   const step = async (): Promise<void> => {
     const isWhole = revision === 0;
-    const result = await (isWhole ? feed.load() : feed.poll(revision, waitMs));
+    const result = await (isWhole ? feed.load() : feed.poll(revision, waitMs()));
     if (stopped) return;
     if (result.isErr()) {
       await fail(result.error);
       return;
     }
     accept(result.value, isWhole);
-    if (result.value.changes.length > 0) await pause(restMs());
+    if (result.value.changes.length > 0) await rest();
   };
 
   const run = async (): Promise<void> => {
--- a/src/core/gateway/balance.ts
+++ b/src/core/gateway/balance.ts
@@ -33,7 +33,11 @@
 
 export const GROUP_CHOICE_DEFAULTS: GroupChoiceOptions = { otherZone: 0.04, unreadWeight: 0.5 };
 
-function hasRoom(
+/** So many daemons may all look at all groups. */
+const FEW_DAEMONS = 10;
+const LEAST_CHOICES = 3;
+
+export function hasRoom(
   { running, batchSize, mayTake, unread, maxUnread }: GroupCandidate,
   prompt: number,
 ): boolean {
@@ -41,6 +45,25 @@
   return unread === 0 || unread + prompt <= maxUnread;
 }
 
+/**
+ * How many of the groups to look at. A few daemons look at all. Many daemons whose knowledge is of the
+ * same age would all choose the same group: each then looks at a few, drawn at random (Mitzenmacher,
+ * "The Power of Two Choices in Randomized Load Balancing", 2001).
+ */
+export function countToLookAt(groups: number, daemons: number): number {
+  const share = FEW_DAEMONS / Math.max(FEW_DAEMONS, daemons);
+  return Math.max(LEAST_CHOICES, Math.ceil(groups * share));
+}
+
+/** A random sample of `count` candidates, by `random` in [0, 1). */
+export function sample<T>(all: readonly T[], count: number, random: () => number): readonly T[] {
+  if (count >= all.length) return all;
+  const left = [...all];
+  return Array.from({ length: count }, () =>
+    left.splice(Math.floor(random() * left.length), 1),
+  ).flat();
+}
+
 /**
  * The group where the request runs fastest: the least filled one, slow ones counted as fuller. None
  * where all are full. `chance` in [0, 1) breaks ties, so that daemons do not act alike.
