Gather loads at the leader of a large fleet, and plan groups by demand

Statements to all are now seldom there; loads go to the leader every 200 ms, which spreads their sum. Needs of models follow what runs and waits.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -22,7 +22,7 @@
 import { later } from '../../core/ids';
 import type { GroupId, InstanceId, ModelId, MonoTime, ServiceId } from '../../core/ids';
 import type { GatewayContext } from './context';
-import type { PeerView } from './fleet';
+import type { Loads } from './messages';
 import type { Roster } from './roster';
 
 /** An open group with the figures of its service. */
@@ -64,7 +64,10 @@
   readonly changes: Observable<void>;
   /** Requests of this daemon and their unread prompt tokens, by head. */
   running(): readonly (readonly [InstanceId, number, number])[];
-  takePeers(peers: readonly PeerView[]): void;
+  /** What the other daemons have running and waiting, together. */
+  takeLoads(loads: Pick<Loads, 'running' | 'waiting'>): void;
+  /** Work of each model by all daemons' words: requests that run or wait, in full groups. */
+  demand(): ReadonlyMap<ModelId, number>;
   tick(): void;
 }
 
@@ -86,6 +89,8 @@
   const takenSince = new Map<InstanceId, number>();
   /** Peers with requests that wait for a model. */
   const waitingPeers = new Map<string, number>();
+  /** Their requests that wait, by model. */
+  const waitingAll = new Map<string, number>();
   let wordsDueAt = clock.now();
   const stalls = new Subject<Stall>();
   const changes = new Subject<void>();
@@ -164,18 +169,22 @@
   const ofModel = (service: ServiceId, model: ModelId): BoardGroup[] =>
     [...groups.values()].filter((group) => group.service === service && group.model === model);
 
+  const ofModelAnywhere = (name: ModelId): { readonly batchSize: number } => {
+    const found = [...groups.values()].find(({ model }) => model === name);
+    return { batchSize: found?.engine.batchSize ?? 1 };
+  };
+
   const findStalls = (): void => {
     const now = clock.now();
-    for (const group of groups.values()) {
-      const head = group.head.id;
-      const seen = progress.get(head);
-      const at = seen && stalledAt(seen, usualOf(group), readingMs(group));
-      if (at === undefined || now < at || isSuspect(head)) continue;
-      const silentMs = Math.round(now - (seen?.since ?? now));
-      const pauseMs = Math.round(Math.max(usualOf(group), seen?.pauseMs ?? 0));
+    for (const [head, seen] of progress) {
+      const group = seen.running > 0 ? groups.get(head) : undefined;
+      const at = group && stalledAt(seen, usualOf(group), readingMs(group));
+      if (!group || at === undefined || now < at || isSuspect(head)) continue;
+      const silentMs = Math.round(now - seen.since);
+      const pauseMs = Math.round(Math.max(usualOf(group), seen.pauseMs ?? 0));
       suspect(
         head,
-        `${seen?.running ?? 0} streams silent for ${silentMs} ms, usual pause ${pauseMs} ms, reading ${Math.round(readingMs(group))} ms, running ${runningIn(head)}`,
+        `${seen.running} streams silent for ${silentMs} ms, usual pause ${pauseMs} ms, reading ${Math.round(readingMs(group))} ms, running ${runningIn(head)}`,
       );
       stalls.next({ group: group.id, head });
     }
@@ -223,17 +232,16 @@
       [...progress]
         .filter(([, { running }]) => running > 0)
         .map(([head, { running, unread }]) => [head, running, unread] as const),
-    takePeers: (peers) => {
+    takeLoads: ({ running, waiting }) => {
       elsewhere.clear();
       waitingPeers.clear();
-      for (const { running, waiting } of peers) {
-        for (const [model, count] of waiting) {
-          if (count > 0) waitingPeers.set(model, (waitingPeers.get(model) ?? 0) + 1);
-        }
-        for (const [head, count, tokens] of running) {
-          const known = elsewhere.get(head) ?? { running: 0, unread: 0 };
-          elsewhere.set(head, { running: known.running + count, unread: known.unread + tokens });
-        }
+      waitingAll.clear();
+      for (const [head, count, tokens] of running) {
+        elsewhere.set(head, { running: count, unread: tokens });
+      }
+      for (const [model, daemons, count] of waiting) {
+        waitingPeers.set(model, daemons);
+        waitingAll.set(model, count);
       }
       const now = clock.now();
       if (now >= wordsDueAt) {
@@ -242,6 +250,18 @@
       }
       changes.next();
     },
+    demand: () => {
+      const demand = new Map<ModelId, number>();
+      for (const { head, model, engine } of groups.values()) {
+        const work = runningIn(head.id) / engine.batchSize;
+        demand.set(model, (demand.get(model) ?? 0) + work);
+      }
+      for (const [model, work] of demand) {
+        const { batchSize } = ofModelAnywhere(model);
+        demand.set(model, work + (waitingAll.get(model) ?? 0) / batchSize);
+      }
+      return demand;
+    },
     tick: () => {
       findStalls();
       for (const [head, { running }] of progress) {
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -40,7 +40,9 @@
 }
 
 /** Silence after which a peer's last word no longer counts: a few of its statements. */
-export const PEER_FRESH_MS = 1_500;
+const PEER_FRESH_MS = 1_500;
+/** Added for each peer known: in a large fleet each speaks less often. */
+const FRESH_PER_PEER_MS = 40;
 /** A waiting link is given up soon: state is sent again anyway. */
 const HANDSHAKE_MS = 1_000;
 const LONGEST_BACKOFF_MS = 1_000;
@@ -84,7 +86,8 @@
 
   const live = (): PeerView[] => {
     const now = clock.now();
-    return [...heard.values()].filter(({ at }) => now < later(at, PEER_FRESH_MS));
+    const freshMs = PEER_FRESH_MS + FRESH_PER_PEER_MS * heard.size;
+    return [...heard.values()].filter(({ at }) => now < later(at, freshMs));
   };
 
   const addresses = (): Set<string> => {
--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -7,7 +7,14 @@
 import type { RouteTable } from '../../core/gateway/routes';
 import type { BackendServer, ServiceSpec } from '../../core/gateway/types';
 import { later } from '../../core/ids';
-import type { FencingNumber, GroupId, InstanceId, MonoTime, ServiceId } from '../../core/ids';
+import type {
+  FencingNumber,
+  GroupId,
+  InstanceId,
+  ModelId,
+  MonoTime,
+  ServiceId,
+} from '../../core/ids';
 import type { Servers } from '../../ports/gateway';
 import type { Stall } from './board';
 import type { GatewayContext } from './context';
@@ -31,6 +38,10 @@
 const LOST_MS = 20_000;
 /** The same group is not looked into again before this. */
 const INSPECT_AGAIN_MS = 700;
+/** Demand is taken in at this interval, with this weight: a mean over about five seconds. */
+const DEMAND_MS = 500;
+const DEMAND_SMOOTHING = 0.1;
+
 export interface FormerOptions {
   readonly roster: Roster;
   readonly routes: () => RouteTable | undefined;
@@ -38,6 +49,8 @@
   readonly servers: Servers;
   /** Whether any daemon has streams running in the group. */
   readonly isBusy: (group: GroupId) => boolean;
+  /** Work of each model, in full groups. */
+  readonly demand: () => ReadonlyMap<ModelId, number>;
 }
 
 function pause(ms: number): Promise<void> {
@@ -54,6 +67,19 @@
   /** Servers whose entries have gone and whose groups were asked since. */
   const asked = new Set<InstanceId>();
 
+  /** Demand as a running mean, so that no short peak decides which model a group gets. */
+  const smoothed = new Map<ModelId, number>();
+  let smoothedAt = clock.now();
+  const noteDemand = (): void => {
+    const now = clock.now();
+    if (now < later(smoothedAt, DEMAND_MS)) return;
+    smoothedAt = now;
+    for (const [model, work] of options.demand()) {
+      const before = smoothed.get(model) ?? work;
+      smoothed.set(model, before + DEMAND_SMOOTHING * (work - before));
+    }
+  };
+
   const begin = (fencing: FencingNumber): void => {
     term = fencing;
     states = new Map();
@@ -70,7 +96,8 @@
     if (!engine || engine.models.length === 0) return undefined;
     const own = [...roster.servers].filter(([, { service }]) => service === name);
     const lapsed = [...roster.lapsed].filter(([, { service }]) => service === name);
-    return { servers: new Map(own), lapsed: new Map(lapsed), engine, fencing, hasTraffic };
+    const view = { servers: new Map(own), lapsed: new Map(lapsed), engine, fencing, hasTraffic };
+    return hasTraffic ? { ...view, demand: smoothed } : view;
   };
 
   const send = async (
@@ -130,6 +157,7 @@
     const table = routes();
     if (fencing === undefined || !table || roster.watch.isFailing()) return;
     if (fencing !== term) begin(fencing);
+    noteDemand();
     for (const service of table.config.services) planService(service, fencing);
     if ([...states.values()].some(({ epochs }) => epochs >= EPOCHS_PER_LEASE / 2)) {
       leadership.release();
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -71,6 +71,7 @@
     leadership,
     servers: options.servers,
     isBusy: (group) => board.isBusy(group),
+    demand: () => board.demand(),
   });
   const upstream = createUpstream({ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS });
   const retries = createRetries(ctx, daemons);
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -5,9 +5,10 @@
 import type { Board } from './board';
 import type { ConfigView } from './config-view';
 import type { GatewayContext } from './context';
-import type { Fleet, FromPeer } from './fleet';
+import type { Fleet, FromPeer, PeerView } from './fleet';
 import type { Former } from './former';
 import type { Leadership } from './lease';
+import { sumLoads, withoutOwn } from './loads';
 import type { GatewayMessage, PeerState } from './messages';
 import type { Roster } from './roster';
 import type { WaitingRoom } from './waiting';
@@ -32,8 +33,16 @@
 
 /** Between two statements of a daemon with few peers: a fraction of the time that a stream takes. */
 const LEAST_INTERVAL_MS = 100;
-/** Added for each peer, so that no daemon sends or takes more than about 110 statements a second. */
+/** A fleet with more peers than this tells its loads by way of the leader. */
+const DIRECT_PEERS = 12;
+/** Between two statements to all in such a fleet: they only show who lives and which versions it has. */
+const LARGE_INTERVAL_MS = 1_200;
+/** Between two statements of loads to the leader, and of the leader to all. */
+const LOADS_MS = 200;
+/** Added for each peer, so that a daemon's messages do not grow with the fleet. */
 const INTERVAL_PER_PEER_MS = 9;
+/** Words of silent peers are dropped at this interval at the latest. */
+const NEWS_MS = 500;
 /** The store tells all daemons of a version within milliseconds; who lacks it after this is told by peers. */
 const HELP_AFTER_MS = 250;
 /** The same peer is not helped again before this. */
@@ -44,6 +53,11 @@
   const helped = new Map<string, MonoTime>();
   let dueAt = ctx.clock.now();
   let hasTraffic = false;
+  let hasNews = false;
+  let newsDueAt = ctx.clock.now();
+  let loadsDueAt = ctx.clock.now();
+  /** This daemon's last word to the leader. */
+  let told: PeerState | undefined;
   let revisionSince = ctx.clock.now();
   let revision = 0;
 
@@ -97,6 +111,7 @@
     ) => void;
   } = {
     state: (state, { address }) => {
+      hasNews = true;
       if (state.hasTraffic) noteTraffic();
       if (state.lease) leadership.takeLease(state.lease);
       help(state, address);
@@ -113,6 +128,10 @@
     servers: ({ revision: theirs, servers }) => {
       roster.takeFromPeer(theirs, servers);
     },
+    loads: (sums) => {
+      if (sums.lease) leadership.takeLease(sums.lease);
+      board.takeLoads(told ? withoutOwn(sums, told) : sums);
+    },
     news: ({ since, revision: theirs, changes }) => {
       roster.takeNews({
         since,
@@ -126,6 +145,29 @@
     take[received.message.kind](received.message as never, received);
   });
 
+  const takeDirectLoads = (now: MonoTime, peers: readonly PeerView[]): void => {
+    if (!hasNews && now < newsDueAt) return;
+    board.takeLoads(sumLoads(peers));
+    hasNews = false;
+    newsDueAt = later(now, NEWS_MS);
+  };
+
+  /** Tells the leader this daemon's loads, or as the leader tells all daemons the sum. */
+  const exchangeLoads = (now: MonoTime, peers: readonly PeerView[]): void => {
+    if (now < loadsDueAt) return;
+    loadsDueAt = later(now, LOADS_MS);
+    const state = ownState();
+    if (state.lease) {
+      board.takeLoads(sumLoads(peers));
+      fleet.broadcast({ kind: 'loads', lease: state.lease, ...sumLoads([...peers, state]) });
+      return;
+    }
+    told = state;
+    const leader = fleet.leader();
+    if (leader) fleet.send(leader.address, state);
+    else board.takeLoads(sumLoads(peers));
+  };
+
   roster.news.subscribe((news) => {
     if (leadership.held() === undefined) return;
     fleet.broadcast({ kind: 'news', ...news, changes: [...news.changes] });
@@ -141,9 +183,12 @@
     tick: () => {
       const now = ctx.clock.now();
       const peers = fleet.live();
-      board.takePeers(peers);
+      const isLarge = peers.length > DIRECT_PEERS;
+      if (isLarge) exchangeLoads(now, peers);
+      else takeDirectLoads(now, peers);
       if (now < dueAt) return;
-      dueAt = later(now, LEAST_INTERVAL_MS + INTERVAL_PER_PEER_MS * peers.length);
+      const intervalMs = isLarge ? LARGE_INTERVAL_MS : LEAST_INTERVAL_MS;
+      dueAt = later(now, intervalMs + INTERVAL_PER_PEER_MS * peers.length);
       fleet.broadcast(ownState());
     },
   };
--- a/src/app/gateway/lease.ts
+++ b/src/app/gateway/lease.ts
@@ -31,6 +31,8 @@
 };
 /** Candidates that hear nothing of a leader look at the row this often; twice within the life of a lease. */
 const READ_MS = 900;
+/** Between two looks at who else may hold the lease. */
+const RANK_MS = 400;
 const LEASE_KEY = 'lease/groups';
 const FENCE_KEY = 'lease/groups#fence';
 /** Wall clock and monotonic clock may drift apart this far between two looks before a pause is assumed. */
@@ -58,6 +60,7 @@
     clock.now(),
   );
   let readAt = clock.now();
+  let rankAt = clock.now();
   let drift = clock.epoch() - clock.now();
   /** No renewal sent before this instant counts: the process was paused, or a clock stepped. */
   let pausedAt: MonoTime | undefined;
@@ -139,18 +142,20 @@
     drift = moved;
   };
 
+  /** Place among the daemons that may hold the lease; the peers of a fleet change seldom. */
+  const rank = (now: MonoTime): void => {
+    if (now < rankAt) return;
+    rankAt = later(now, RANK_MS);
+    const peers = fleet.live().filter(({ isStopping }) => !isStopping);
+    const candidates = new Set([settings.id, ...peers.map(({ id }) => id)]);
+    const place = rankByRendezvous('groups', [...candidates]).indexOf(settings.id);
+    dispatch({ kind: 'ranked', rank: place });
+  };
+
   const tick = (): void => {
     notePause();
     const now = clock.now();
-    const candidates = [
-      settings.id,
-      ...fleet
-        .live()
-        .filter((p) => !p.isStopping)
-        .map((p) => p.id),
-    ];
-    const rank = rankByRendezvous('groups', [...new Set(candidates)]).indexOf(settings.id);
-    dispatch({ kind: 'ranked', rank });
+    rank(now);
     dispatch({ kind: 'tick' });
     if (state.held || now < readAt || state.reading) return;
     readAt = later(now, READ_MS * (0.8 + 0.4 * ctx.random.next()));
--- /dev/null
+++ b/src/app/gateway/loads.ts
@@ -0,0 +1,46 @@
+/**
+ * What all daemons have running and waiting. A few daemons tell each other directly. In a large fleet
+ * each tells the leader, which spreads the sum: messages then grow with the daemons, not their square.
+ */
+
+import type { InstanceId } from '../../core/ids';
+import type { Loads, PeerState } from './messages';
+
+export type LoadSums = Pick<Loads, 'running' | 'waiting'>;
+
+/** Sums of several daemons' statements. */
+export function sumLoads(states: readonly Pick<PeerState, 'running' | 'waiting'>[]): LoadSums {
+  const running = new Map<InstanceId, readonly [number, number]>();
+  const waiting = new Map<string, readonly [number, number]>();
+  for (const state of states) {
+    for (const [head, count, tokens] of state.running) {
+      const [counts, sum] = running.get(head) ?? [0, 0];
+      running.set(head, [counts + count, sum + tokens]);
+    }
+    for (const [model, count] of state.waiting) {
+      const [daemons, sum] = waiting.get(model) ?? [0, 0];
+      waiting.set(model, [daemons + 1, sum + count]);
+    }
+  }
+  return {
+    running: [...running].map(([head, [count, tokens]]) => [head, count, tokens]),
+    waiting: [...waiting].map(([model, [daemons, count]]) => [model, daemons, count]),
+  };
+}
+
+/** A sum without one daemon's own part, as far as that part is the one that was summed. */
+export function withoutOwn(sums: LoadSums, own: Pick<PeerState, 'running' | 'waiting'>): LoadSums {
+  const ownRunning = new Map(own.running.map(([head, ...rest]) => [head, rest] as const));
+  const ownWaiting = new Map(own.waiting);
+  return {
+    running: sums.running.map(([head, count, tokens]) => {
+      const [ownCount, ownTokens] = ownRunning.get(head) ?? [0, 0];
+      return [head, Math.max(0, count - ownCount), Math.max(0, tokens - ownTokens)];
+    }),
+    waiting: sums.waiting.map(([model, daemons, count]) => {
+      const ownCount = ownWaiting.get(model);
+      if (ownCount === undefined) return [model, daemons, count];
+      return [model, Math.max(0, daemons - 1), Math.max(0, count - ownCount)];
+    }),
+  };
+}
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -38,6 +38,15 @@
   waiting: z.array(z.tuple([z.string(), natural])),
 });
 
+/** Loads of all daemons together, as the leader of a large fleet gathers and spreads them. */
+const loadsSchema = z.object({
+  kind: z.literal('loads'),
+  lease: stateSchema.shape.lease,
+  running: stateSchema.shape.running,
+  /** Daemons with requests that wait for a model, and how many wait, by model. */
+  waiting: z.array(z.tuple([z.string(), natural, natural])),
+});
+
 /** A group that this daemon saw stand still. */
 const stalledSchema = z.object({
   kind: z.literal('stalled'),
@@ -76,8 +85,10 @@
   configSchema,
   serversSchema,
   newsSchema,
+  loadsSchema,
 ]);
 
+export type Loads = z.output<typeof loadsSchema>;
 export type PeerState = z.output<typeof stateSchema>;
 export type GatewayMessage = z.output<typeof messageSchema>;
 
--- /dev/null
+++ b/tests/gateway/loads.test.ts
@@ -0,0 +1,53 @@
+import { describe, expect, it } from 'vitest';
+
+import { sumLoads, withoutOwn } from '../../src/app/gateway/loads';
+import { countToLookAt, sample } from '../../src/core/gateway/balance';
+import { instance } from './support';
+
+const [A, B] = [instance('a'), instance('b')];
+
+describe('loads of all daemons', () => {
+  const own = { running: [[A, 2, 100] as [typeof A, number, number]], waiting: [] };
+  const other = {
+    running: [
+      [A, 3, 50],
+      [B, 1, 0],
+    ] as [typeof A, number, number][],
+    waiting: [['large', 4]] as [string, number][],
+  };
+
+  it('add up by head and by model', () => {
+    expect(sumLoads([own, other])).toEqual({
+      running: [
+        [A, 5, 150],
+        [B, 1, 0],
+      ],
+      waiting: [['large', 1, 4]],
+    });
+  });
+
+  it('leave those of the others once the own part is taken off', () => {
+    const sums = sumLoads([own, other]);
+    expect(withoutOwn(sums, own)).toEqual({
+      running: [
+        [A, 3, 50],
+        [B, 1, 0],
+      ],
+      waiting: [['large', 1, 4]],
+    });
+    expect(withoutOwn(sums, other).waiting).toEqual([['large', 0, 0]]);
+  });
+});
+
+describe('the groups that a daemon looks at', () => {
+  it('are all among few daemons and a few among many', () => {
+    expect(countToLookAt(12, 7)).toBe(12);
+    expect(countToLookAt(12, 70)).toBe(3);
+  });
+
+  it('are drawn without repetition', () => {
+    let n = 0;
+    const drawn = sample([1, 2, 3, 4, 5], 3, () => [0.9, 0, 0.5][n++] ?? 0);
+    expect(new Set(drawn).size).toBe(3);
+  });
+});
