Untie the files of the request plane that imported each other

Three circles (daemon/stop, claims/context/strikes, model-answer/model-attempt/ model-call): the shared types move to parts.ts, request-parts.ts and model-request.ts.

--- a/src/app/daemon.ts
+++ b/src/app/daemon.ts
@@ -22,19 +22,11 @@
 import { listen } from './listen';
 import type { Listening } from './listen';
 import { createMembership } from './membership/membership';
-import type { ConfigPart, ControlPart, MembershipPart, RequestPart } from './parts';
+import type { ConfigPart, Parts } from './parts';
 import { createRequests } from './requests/requests';
 import type { DaemonSettings, RunningDaemon } from './settings';
 import { createStop } from './stop';
 
-/** The parts of one daemon. */
-export interface Parts {
-  readonly config: ConfigPart;
-  readonly membership: MembershipPart;
-  readonly control: ControlPart;
-  readonly requests: RequestPart;
-}
-
 function ownEntry(settings: DaemonSettings, state: InstanceEntry['state']): InstanceEntry {
   return {
     id: brandAs<InstanceId>(settings.id),
--- a/src/app/parts.ts
+++ b/src/app/parts.ts
@@ -146,3 +146,11 @@
   /** Refuses new requests from now on; resolves when none is in flight. */
   drain(): Promise<void>;
 }
+
+/** The parts of one daemon. */
+export interface Parts {
+  readonly config: ConfigPart;
+  readonly membership: MembershipPart;
+  readonly control: ControlPart;
+  readonly requests: RequestPart;
+}
--- a/src/app/requests/admit.ts
+++ b/src/app/requests/admit.ts
@@ -2,7 +2,8 @@
 
 import type { GuardedRun } from './at-most-once';
 import { runAtMostOnce } from './at-most-once';
-import type { RequestContext, RequestParts } from './context';
+import type { RequestContext } from './context';
+import type { RequestParts } from './request-parts';
 import { refused } from './ending';
 import type { Ending } from './ending';
 import type { Call } from './exchange';
--- a/src/app/requests/context.ts
+++ b/src/app/requests/context.ts
@@ -8,12 +8,7 @@
 import type { Clock, Logger, Random } from '../../ports/runtime';
 import type { Metrics, Tracer } from '../../ports/telemetry';
 import type { ConfigView, Gossip, GroupView } from '../parts';
-import type { Backends } from './backends';
-import type { Claims } from './claims';
-import type { Gate } from './gate';
-import type { GroupChoice } from './group-choice';
 import type { RequestSettings } from './settings';
-import type { Strikes } from './strikes';
 
 /** What the request plane needs of the rest of the daemon. */
 export interface RequestDeps {
@@ -46,15 +41,6 @@
   readonly budgets: Budgets;
 }
 
-/** The parts of the request plane that keep state. */
-export interface RequestParts {
-  readonly backends: Backends;
-  readonly claims: Claims;
-  readonly gate: Gate;
-  readonly choice: GroupChoice;
-  readonly strikes: Strikes;
-}
-
 export function createBudgets(settings: RequestSettings): Budgets {
   const budgets = new Map<string, RetryBudget>();
   const budgetOf = (target: string): RetryBudget =>
--- a/src/app/requests/model-answer.ts
+++ b/src/app/requests/model-answer.ts
@@ -18,7 +18,7 @@
 import { done } from './ending';
 import type { GroupChoice } from './group-choice';
 import type { SendGuard } from './guard';
-import type { ModelCall } from './model-call';
+import type { ModelCall } from './model-request';
 import { EVENT_STREAM, HEADER, METRIC } from './names';
 import { relayStream } from './relay';
 import { startStream } from './reply';
--- a/src/app/requests/model-call.ts
+++ b/src/app/requests/model-call.ts
@@ -3,13 +3,13 @@
 import type { RoutableGroup } from '../../core/groups/types';
 import type { AttemptId, Fingerprint, ModelId } from '../../core/ids';
 import { brandAs, later } from '../../core/ids';
-import type { Labels } from '../../ports/telemetry';
 import { hashParts } from '../../utils/common';
 import { fail } from '../../utils/errors';
 import { createAbort } from './abort';
 import { runAttempts } from './attempts';
 import type { AttemptPlan, AttemptResult, Picked } from './attempts';
-import type { RequestContext, RequestParts } from './context';
+import type { RequestContext } from './context';
+import type { RequestParts } from './request-parts';
 import type { Ending, Failure } from './ending';
 import type { Call } from './exchange';
 import type { Capacity } from './gate';
@@ -17,23 +17,11 @@
 import type { SendGuard } from './guard';
 import { attemptModel } from './model-attempt';
 import type { ModelBody } from './model-body';
+import type { ModelCall } from './model-request';
 
 /** Estimate of the time in a slot, milliseconds; admission corrects it by what it measures. */
 const ESTIMATE = { baseMs: 100, perTokenMs: 20, tokensByDefault: 256 } as const;
 
-/** A call of a model that was read and checked. */
-export interface ModelCall extends Call {
-  readonly model: ModelId;
-  readonly stream: boolean;
-  readonly maxTokens: number | undefined;
-  readonly prefixKeys: readonly string[];
-  /** The same for the same request sent again. */
-  readonly fingerprint: Fingerprint;
-  /** Keeps the cached prefixes of organisations apart. */
-  readonly cacheSalt: string;
-  readonly labels: Labels;
-}
-
 /** Whether the organisation has the model. Others' models are as good as unknown. */
 export function hasModel(ctx: RequestContext, call: Call, model: string): boolean {
   const { replicas } = call.caller.organisation;
--- a/src/app/stop.ts
+++ b/src/app/stop.ts
@@ -4,7 +4,7 @@
 
 import type { Logger } from '../ports/runtime';
 import type { StepError } from '../utils/errors';
-import type { Parts } from './daemon';
+import type { Parts } from './parts';
 import type { Listening } from './listen';
 import type { DaemonSettings } from './settings';
 
