Have every daemon look for leaving servers in time, whatever the leader tells

Cause: a daemon that heard a leader looked for changes of servers every 6 s. Each daemon now looks in 0.6 of the time that a leaving server allows. Price: calls to the store.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -60,7 +60,6 @@
   const roster = createRoster(ctx, {
     feed: feeds.servers,
     isLeading: () => leadership.held() !== undefined,
-    ledRevision: () => fleet.leader()?.serversRevision,
   });
   const routes = () => config.table.value;
   const board = createBoard(ctx, roster, routes);
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -51,21 +51,17 @@
   readonly feed: Feed<BackendServer>;
   /** Whether this daemon forms groups, and so needs each change at once. */
   readonly isLeading: () => boolean;
-  /** Revision up to which the leader has told of changes; undefined while none is heard. */
-  readonly ledRevision: () => number | undefined;
 }
 
 /** Changes that come together are fetched together; a fraction of the shortest step of forming a group. */
 const LEADER_REST_MS = 25;
-/** Without a leader's word each looks for itself, in this part of the time that a leaving server allows. */
-const ALONE_REST_SHARE = 0.6;
-/** Those who hear of each change from the leader look seldom: a call for each change and daemon is dear. */
-const LED_REST_MS = 6_000;
-
-export function createRoster(
-  ctx: GatewayContext,
-  { feed, isLeading, ledRevision }: RosterOptions,
-): Roster {
+/**
+ * Others hear of changes from the leader, and still look for themselves in this part of the time that a
+ * leaving server allows: a leader that the store has stopped to answer goes on speaking for a while.
+ */
+const FOLLOWER_REST_SHARE = 0.6;
+
+export function createRoster(ctx: GatewayContext, { feed, isLeading }: RosterOptions): Roster {
   const servers = new Map<InstanceId, BackendServer>();
   const changes = new Subject<void>();
   const news = new Subject<RosterNews>();
@@ -119,12 +115,8 @@
     changes.next();
   };
 
-  const restMs = (): number => {
-    if (isLeading()) return LEADER_REST_MS;
-    const led = ledRevision();
-    const isLed = led !== undefined && led <= watch.revision();
-    return isLed ? LED_REST_MS : ctx.settings.leavingMs * ALONE_REST_SHARE;
-  };
+  const restMs = (): number =>
+    isLeading() ? LEADER_REST_MS : ctx.settings.leavingMs * FOLLOWER_REST_SHARE;
 
   const watch = watchFeed(ctx, {
     feed,
