--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -66,15 +66,15 @@
   running(): readonly (readonly [InstanceId, number, number])[];
   /** What the other daemons have running and waiting, together. */
   takeLoads(loads: Pick<Loads, 'running' | 'waiting'>): void;
-  /** Work of each model by all daemons' words: requests that run or wait, in full groups. */
+  /** Work of each model over all daemons: requests that run or wait, in full groups. */
   demand(): ReadonlyMap<ModelId, number>;
   tick(): void;
 }
 
 /** Long enough for the leader to ask the members; then the group is tried again. */
 const SUSPECT_MS = 1_500;
-/** Peers' words of their loads are this old at most, but for a slow link: the interval at which a few daemons speak. */
-const WORDS_MS = 200;
+/** Peers' reports of their loads are this old at most, but for a slow link: the interval at which few daemons gossip. */
+const REPORT_AGE_MS = 200;
 
 export function createBoard(
   ctx: GatewayContext,
@@ -85,13 +85,13 @@
   const progress = new Map<InstanceId, Progress>();
   const suspects = new Map<InstanceId, MonoTime>();
   const elsewhere = new Map<InstanceId, { readonly running: number; readonly unread: number }>();
-  /** Requests sent since the peers' words were last taken in. */
+  /** Requests sent since the peers' reports were last taken in. */
   const takenSince = new Map<InstanceId, number>();
   /** Peers with requests that wait for a model. */
   const waitingPeers = new Map<string, number>();
   /** Their requests that wait, by model. */
   const waitingAll = new Map<string, number>();
-  let wordsDueAt = clock.now();
+  let reportsDueAt = clock.now();
   const stalls = new Subject<Stall>();
   const changes = new Subject<void>();
   let groups = new Map<InstanceId, BoardGroup>();
@@ -138,7 +138,7 @@
   const readingMs = ({ head, engine, spec }: BoardGroup): number =>
     (spec.pace * unreadIn(head.id)) / engine.prefillTokensPerMs;
 
-  /** This daemon's part of the places that were free at the last word of the peers, less what it took since. */
+  /** This daemon's part of the places that were free at the last report of the peers, less what it took since. */
   const mayTake = ({ head, model, engine }: BoardGroup): number => {
     const taken = takenSince.get(head.id) ?? 0;
     const free = engine.batchSize - runningIn(head.id) + taken;
@@ -244,9 +244,9 @@
         waitingAll.set(model, count);
       }
       const now = clock.now();
-      if (now >= wordsDueAt) {
+      if (now >= reportsDueAt) {
         takenSince.clear();
-        wordsDueAt = later(now, WORDS_MS);
+        reportsDueAt = later(now, REPORT_AGE_MS);
       }
       changes.next();
     },
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -39,9 +39,9 @@
   stop(): Promise<void>;
 }
 
-/** Silence after which a peer's last word no longer counts: a few of its statements. */
+/** Silence after which a peer's last state message is stale: a few of its intervals. */
 const PEER_FRESH_MS = 1_500;
-/** Added for each peer known: in a large fleet each speaks less often. */
+/** Added for each peer known: in a large fleet each broadcasts less often. */
 const FRESH_PER_PEER_MS = 40;
 /** A waiting link is given up soon: state is sent again anyway. */
 const HANDSHAKE_MS = 1_000;
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -33,7 +33,7 @@
 
 /** Between two statements of a daemon with few peers: a fraction of the time that a stream takes. */
 const LEAST_INTERVAL_MS = 100;
-/** A fleet with more peers than this tells its loads by way of the leader. */
+/** A fleet with more peers than this aggregates its loads at the leader. */
 const DIRECT_PEERS = 12;
 /** Between two statements to all in such a fleet: they only show who lives and which versions it has. */
 const LARGE_INTERVAL_MS = 1_200;
@@ -56,7 +56,7 @@
   let hasNews = false;
   let newsDueAt = ctx.clock.now();
   let loadsDueAt = ctx.clock.now();
-  /** This daemon's last word to the leader. */
+  /** The state last sent to the leader. */
   let told: PeerState | undefined;
   let revisionSince = ctx.clock.now();
   let revision = 0;
@@ -118,7 +118,7 @@
     },
     stalled: ({ group, head }, { from }) => {
       if (board.find(head)?.id !== group) return;
-      board.suspect(head, `word of ${from}`);
+      board.suspect(head, `reported by ${from}`);
       former.inspect({ group, head });
     },
     config: ({ config: offered }, { from }) => {
@@ -152,7 +152,7 @@
     newsDueAt = later(now, NEWS_MS);
   };
 
-  /** Tells the leader this daemon's loads, or as the leader tells all daemons the sum. */
+  /** Sends this daemon's loads to the leader, or broadcasts the sum as the leader. */
   const exchangeLoads = (now: MonoTime, peers: readonly PeerView[]): void => {
     if (now < loadsDueAt) return;
     loadsDueAt = later(now, LOADS_MS);
--- a/src/app/gateway/lease.ts
+++ b/src/app/gateway/lease.ts
@@ -41,7 +41,7 @@
 export interface Leadership {
   /** The row as held, for peers; undefined for others than the holder. */
   ownLease(): PeerState['lease'];
-  /** Takes the leader's word for the row. */
+  /** Takes the row as the leader gossips it. */
   takeLease(lease: NonNullable<PeerState['lease']>): void;
   /** The fencing number, while this daemon may form groups. */
   held(): FencingNumber | undefined;
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -57,7 +57,7 @@
 const LEADER_REST_MS = 25;
 /**
  * Others hear of changes from the leader, and still look for themselves in this part of the time that a
- * leaving server allows: a leader that the store has stopped to answer goes on speaking for a while.
+ * leaving server allows: a leader that the store no longer answers keeps its lease, and its peers' trust, for a while.
  */
 const FOLLOWER_REST_SHARE = 0.6;
 
