--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -45,8 +45,6 @@
     gapMs: number,
     tried: ReadonlySet<InstanceId>,
   ): GroupCandidate[];
-  /** Groups of a model, whether or not they may be chosen now. */
-  countGroups(service: ServiceId, model: ModelId): number;
   find(head: InstanceId): BoardGroup | undefined;
   /** Whether any daemon has streams running in the group. */
   isBusy(group: GroupId): boolean;
@@ -209,7 +207,6 @@
           slowdown: slowdownOf(group),
           isTried: tried.has(group.head.id),
         })),
-    countGroups: (service, model) => ofModel(service, model).length,
     find: (head) => groups.get(head),
     isBusy: (group) =>
       [...groups.values()].some(({ id, head }) => id === group && runningIn(head.id) > 0),
--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -16,6 +16,7 @@
   ServiceId,
 } from '../../core/ids';
 import type { Servers } from '../../ports/gateway';
+import { pause } from '../../utils/pause';
 import type { Stall } from './board';
 import type { GatewayContext } from './context';
 import type { Leadership } from './lease';
@@ -53,10 +54,6 @@
   readonly demand: () => ReadonlyMap<ModelId, number>;
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 export function createFormer(ctx: GatewayContext, options: FormerOptions): Former {
   const { clock, logger, settings } = ctx;
   const { roster, routes, leadership, servers, isBusy } = options;
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import type { Table } from '../../ports/platform';
 import type { Dialect, Feeds, Servers } from '../../ports/gateway';
 import { later } from '../../core/ids';
+import { pause } from '../../utils/pause';
 import { createBoard } from './board';
 import { createConfigView } from './config-view';
 import type { GatewayContext } from './context';
@@ -44,10 +45,6 @@
 const CONNECT_TIMEOUT_MS = 400;
 const IDLE_MS = 4_000;
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
   const { ctx, feeds, dialect } = options;
   const { settings, clock, logger } = ctx;
--- a/src/app/gateway/watch.ts
+++ b/src/app/gateway/watch.ts
@@ -4,6 +4,7 @@
 import type { MonoTime } from '../../core/ids';
 import type { Change, Changes, Feed } from '../../ports/gateway';
 import type { StepError } from '../../utils/errors';
+import { pause } from '../../utils/pause';
 import type { GatewayContext } from './context';
 
 export interface WatchOptions<T> {
@@ -43,10 +44,6 @@
 const FIRST_RETRY_MS = 60;
 const LONGEST_RETRY_MS = 500;
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 export function watchFeed<T>(ctx: GatewayContext, options: WatchOptions<T>): Watch {
   const { feed, take, waitMs = () => DEFAULT_WAIT_MS, restMs = () => DEFAULT_REST_MS } = options;
   let revision = 0;
--- a/src/app/stop.ts
+++ b/src/app/stop.ts
@@ -4,6 +4,7 @@
 
 import type { Logger } from '../ports/runtime';
 import type { StepError } from '../utils/errors';
+import { pause } from '../utils/pause';
 import type { Parts } from './parts';
 import type { Listening } from './listen';
 import type { DaemonSettings } from './settings';
@@ -25,10 +26,6 @@
   readonly stopped: Promise<void>;
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 async function within(work: Promise<void>, limitMs: number): Promise<boolean> {
   let timer: NodeJS.Timeout | undefined;
   const limit = new Promise<boolean>((resolve) => {
--- a/src/core/gateway/groups.ts
+++ b/src/core/gateway/groups.ts
@@ -1,6 +1,6 @@
 /** Replica groups, put together from what their members report of themselves. */
 
-import type { DomainId, Epoch, GroupId, InstanceId, ModelId } from '../ids';
+import type { DomainId, Epoch, GroupId, ModelId } from '../ids';
 import { compareText } from '../../utils/common';
 import type { BackendServer } from './types';
 
@@ -77,7 +77,3 @@
     return membership.state === 'ready' || membership.state === 'open';
   });
 }
-
-export function hasMember(group: ReplicaGroup, id: InstanceId): boolean {
-  return group.members.some((member) => member.id === id);
-}
