--- a/src/adapters/telemetry/bounded-lines.ts
+++ b/src/adapters/telemetry/bounded-lines.ts
@@ -11,7 +11,8 @@
 }
 
 export interface BoundedLinesOptions {
-  readonly write: (line: string) => void;
+  /** Takes a line; false where it cannot. */
+  readonly write: (line: string) => boolean;
   /** Monotonic milliseconds. */
   readonly now: () => number;
   readonly ordinary?: LineBudget;
@@ -58,16 +59,14 @@
   const report = (time: number): void => {
     if (leftOut === 0 || time < reportedAt + REPORT_MS) return;
     const message = 'log lines left out';
-    write(JSON.stringify({ level: 'warn', message, step: 'log', count: leftOut }));
-    leftOut = 0;
     reportedAt = time;
+    if (write(JSON.stringify({ level: 'warn', message, step: 'log', count: leftOut }))) leftOut = 0;
   };
 
   return (line) => {
     const time = now();
     const bucket = IMPORTANT_LINE.test(line) ? buckets.important : buckets.ordinary;
-    if (take(bucket, time)) write(line);
-    else leftOut += 1;
+    if (!take(bucket, time) || !write(line)) leftOut += 1;
     report(time);
   };
 }
--- a/tests/gateway/bounded-lines.test.ts
+++ b/tests/gateway/bounded-lines.test.ts
@@ -9,7 +9,7 @@
   const lines: string[] = [];
   const clock = { now: 0 };
   const write = createBoundedLines({
-    write: (line) => lines.push(line),
+    write: (line) => lines.push(line) > 0,
     now: () => clock.now,
     ordinary: { perS: 10, burst: 5 },
     important: { perS: 10, burst: 5 },
