--- a/src/app/gateway/context.ts
+++ b/src/app/gateway/context.ts
@@ -1,11 +1,15 @@
 /** What every part of a gateway daemon uses. */
 
+import type { BehaviorSubject } from 'rxjs';
+
 import type { Clock, Logger, Random } from '../../ports/runtime';
 import type { Metrics } from '../../ports/telemetry';
-import type { GatewaySettings } from './settings';
+import type { GatewaySettings, GatewayTunables } from './settings';
 
 export interface GatewayContext {
   readonly settings: GatewaySettings;
+  /** Settings in force now. */
+  readonly tunables: BehaviorSubject<GatewayTunables>;
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -91,7 +91,7 @@
   };
 
   const addresses = (): Set<string> => {
-    const all = new Set<string>([...settings.seeds, ...known.values()]);
+    const all = new Set<string>([...ctx.tunables.value.seeds, ...known.values()]);
     for (const { address } of heard.values()) all.add(address);
     all.delete(settings.peerListen);
     return all;
--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -55,7 +55,7 @@
 }
 
 export function createFormer(ctx: GatewayContext, options: FormerOptions): Former {
-  const { clock, logger, settings } = ctx;
+  const { clock, logger } = ctx;
   const { roster, routes, leadership, servers, isBusy } = options;
   let term: FencingNumber | undefined;
   let states = new Map<ServiceId, FormingState>();
@@ -82,9 +82,11 @@
     states = new Map();
   };
 
-  const stateOf = (service: ServiceId): FormingState =>
-    states.get(service) ??
-    createForming({ headBreakMs: settings.headBreakMs, loadWindowMs: settings.loadWindowMs });
+  const stateOf = (service: ServiceId): FormingState => {
+    const { headBreakMs, loadWindowMs } = ctx.tunables.value;
+    const state = states.get(service) ?? createForming();
+    return { ...state, settings: { ...state.settings, headBreakMs, loadWindowMs } };
+  };
 
   const viewOf = (
     { name, engine }: ServiceSpec,
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -115,7 +115,7 @@
   logger.info('started', { step: 'start', listen: settings.listen, zone: settings.zone });
 
   const finish = async (): Promise<void> => {
-    const deadline = later(clock.now(), settings.shutdownMs - STOP_MARGIN_MS);
+    const deadline = later(clock.now(), ctx.tunables.value.shutdownMs - STOP_MARGIN_MS);
     const closeAt = later(clock.now(), BALANCER_MS);
     logger.info('stopping', { step: 'stop', inFlight: front.inFlight() });
     isStopping = true;
--- a/src/app/gateway/retries.ts
+++ b/src/app/gateway/retries.ts
@@ -16,15 +16,17 @@
 const USED_SHARE = 0.75;
 
 export function createRetries(ctx: GatewayContext, daemons: () => number): Retries {
-  const { retryRatio, retrySlack, retryWindowMs } = ctx.settings;
   const budgets = new Map<ServiceId, FleetBudget>();
 
-  const allowance = (): FleetAllowance => ({
-    ratio: retryRatio * USED_SHARE,
-    slack: retrySlack * USED_SHARE,
-    windowMs: retryWindowMs,
-    daemons: daemons(),
-  });
+  const allowance = (): FleetAllowance => {
+    const { retryRatio, retrySlack, retryWindowMs } = ctx.tunables.value;
+    return {
+      ratio: retryRatio * USED_SHARE,
+      slack: retrySlack * USED_SHARE,
+      windowMs: retryWindowMs,
+      daemons: daemons(),
+    };
+  };
 
   const budgetOf = (service: ServiceId): FleetBudget =>
     budgets.get(service) ?? createFleetBudget(ctx.clock.now(), allowance());
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -116,7 +116,7 @@
   };
 
   const restMs = (): number =>
-    isLeading() ? LEADER_REST_MS : ctx.settings.leavingMs * FOLLOWER_REST_SHARE;
+    isLeading() ? LEADER_REST_MS : ctx.tunables.value.leavingMs * FOLLOWER_REST_SHARE;
 
   const watch = watchFeed(ctx, {
     feed,
--- a/src/app/gateway/settings.ts
+++ b/src/app/gateway/settings.ts
@@ -2,6 +2,7 @@
 
 import type { DaemonId, ZoneId } from '../../core/ids';
 
+/** What holds for the life of the process. */
 export interface GatewaySettings {
   readonly id: DaemonId;
   readonly zone: ZoneId;
@@ -11,9 +12,13 @@
   readonly readyListen: string;
   /** `host:port` for other daemons. */
   readonly peerListen: string;
+  readonly peerSecret: string;
+}
+
+/** What may change while the daemon runs. */
+export interface GatewayTunables {
   /** Peer addresses to join by. */
   readonly seeds: readonly string[];
-  readonly peerSecret: string;
   /** A planned stop is cut off after this. */
   readonly shutdownMs: number;
   /** A head that waits for a lost member is broken after this. */
--- a/tests/gateway/roster.test.ts
+++ b/tests/gateway/roster.test.ts
@@ -1,10 +1,11 @@
 import { okAsync } from 'neverthrow';
+import { BehaviorSubject } from 'rxjs';
 import { describe, expect, it } from 'vitest';
 
 import { createClock, createRandom } from '../../src/adapters/runtime';
 import type { GatewayContext } from '../../src/app/gateway/context';
 import { createRoster } from '../../src/app/gateway/roster';
-import type { GatewaySettings } from '../../src/app/gateway/settings';
+import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
 import type { BackendServer } from '../../src/core/gateway/types';
 import type { Feed } from '../../src/ports/gateway';
 import { createLogger } from '../../src/adapters/telemetry/logger';
@@ -14,7 +15,8 @@
 const LEAVING_MS = 100;
 
 const ctx: GatewayContext = {
-  settings: { leavingMs: LEAVING_MS } as GatewaySettings,
+  settings: {} as GatewaySettings,
+  tunables: new BehaviorSubject({ leavingMs: LEAVING_MS } as GatewayTunables),
   clock: createClock(),
   random: createRandom(1),
   logger: createLogger({ write: () => undefined }),
