Soak the daemons as processes: proxies on every link, signals, a judge from outside

Real daemons run against the platform's stand-in under a seeded schedule of overlapping faults: links to the store, between daemons and to servers are silenced, cut one way, delayed or reset by a loopback proxy; processes are killed, paused, stopped, told to reload; the store is down, silent, loses answers and history; servers are lost; configurations change. Callers keep their connections. Judged are what callers and servers saw, processes that end by themselves, and that all is served and the newest configuration is in force once the faults are over. A daemon may now listen for its peers elsewhere than at the address it gives them (peerBind), which the proxies need. Clocks are not shifted: a process cannot be given another clock without a library loaded into it.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -12,6 +12,7 @@
   demo: 'scripts/demo.ts',
   bench: 'bench/main.ts',
   fuzz: 'tests/fuzz/main.ts',
+  soak: 'tests/soak/main.ts',
 };
 
 const isDeployment = process.argv[2] === 'daemon';
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -53,6 +53,7 @@
   const { settings, clock } = ctx;
   const peers = createPeers<GatewayMessage>({
     self: { id: settings.id, address: settings.peerListen },
+    ...(settings.peerBind !== undefined && { listen: settings.peerBind }),
     secret: settings.peerSecret,
     parse: parseGatewayMessage,
     clock,
--- a/src/app/gateway/settings.ts
+++ b/src/app/gateway/settings.ts
@@ -12,6 +12,8 @@
   readonly readyListen: string;
   /** `host:port` for other daemons. */
   readonly peerListen: string;
+  /** Where to listen for them, if not at that address. */
+  readonly peerBind?: string;
   readonly peerSecret: string;
 }
 
--- /dev/null
+++ b/stand-ins/users-platform/document.ts
@@ -0,0 +1,92 @@
+/** The operator's document, as the stand-in's operator writes it. */
+
+import type { EngineSpec } from '../../src/core/gateway/types';
+import { LLM_SERVICE, PLAIN_SERVICE } from './start';
+
+export interface OperatorOrganisation {
+  readonly name: string;
+  readonly apiKeys: readonly string[];
+}
+
+export interface DocumentOptions {
+  readonly version: number;
+  readonly routes: readonly object[];
+  readonly engine: EngineSpec;
+  readonly organisations: readonly OperatorOrganisation[];
+}
+
+const HOST_NAME = 'a.example';
+
+/** A route to `service` below `/name/`. */
+export function describeRoute(
+  name: string,
+  kind: 'safe' | 'unsafe' | 'streaming',
+  service: string,
+  more: object = {},
+): object {
+  return {
+    name,
+    host: HOST_NAME,
+    prefix: `/${name}/`,
+    kind,
+    timeoutMs: 8_000,
+    targetLatencyMs: 400,
+    priority: 1,
+    service,
+    maxAttempts: 2,
+    ...more,
+  };
+}
+
+/** A resumable stream, a safe and an unsafe call. */
+export const USUAL_ROUTES: readonly object[] = [
+  describeRoute('stream', 'streaming', LLM_SERVICE, { resumable: true, maxGapMs: 250 }),
+  describeRoute('safe', 'safe', PLAIN_SERVICE),
+  describeRoute('unsafe', 'unsafe', PLAIN_SERVICE, { maxAttempts: 1 }),
+];
+
+function describeEngine({ models, ...engine }: EngineSpec): object {
+  return {
+    batchSize: engine.batchSize,
+    interval: engine.stepsPerPass,
+    step_ms: engine.stepMs,
+    per_seq_ms: engine.perRequestMs,
+    context_per_k: engine.perContextKMs,
+    read_per_s: engine.prefillTokensPerMs * 1000,
+    loadsPerS: engine.loadsPerS,
+    loads_at_once: engine.loadsAtOnce,
+    usual: engine.usual,
+    models: models.map(({ name, size, share, pace, loadMs, warmMs }) => ({
+      name,
+      size,
+      share,
+      pace,
+      loadS: loadMs / 1000,
+      warmS: warmMs / 1000,
+    })),
+  };
+}
+
+export function describeConfig({
+  version,
+  routes,
+  engine,
+  organisations,
+}: DocumentOptions): object {
+  const usual = { healthPath: '/health', maxConns: 100 };
+  return {
+    version,
+    routes,
+    services: [
+      { name: LLM_SERVICE, ...usual, engine: describeEngine(engine) },
+      { name: PLAIN_SERVICE, ...usual },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 100_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+    tenants: organisations.map(({ name, apiKeys }) => ({ name, apiKeys, priority: 1 })),
+  };
+}
--- a/stand-ins/users-platform/start.ts
+++ b/stand-ins/users-platform/start.ts
@@ -19,6 +19,8 @@
   readonly engine: EngineSpec;
   readonly domains: readonly number[];
   readonly plainServers: number;
+  /** Where callers find the server that listens at `address`; a proxy, for instance. */
+  readonly publishedAddress?: (address: string) => string;
 }
 
 export interface PlatformStandIn {
@@ -30,6 +32,8 @@
   readonly storeAddress: string;
   /** Writes a configuration as the operator does. */
   configure(document: object): void;
+  /** Starts a further engine server in a domain. */
+  addEngine(domain: string): Promise<void>;
   close(): void;
 }
 
@@ -39,6 +43,7 @@
 
 export async function startPlatform(options: PlatformOptions): Promise<PlatformStandIn> {
   const { host, firstPort, engine, domains, plainServers } = options;
+  const publishedAddress = options.publishedAddress ?? ((address: string) => address);
   const store = await startStore(host, firstPort);
   const runs: Run[] = [];
   const plainFaults: PlainFaults = { cutAnswers: 0, failAnswers: 0, refuse: 0 };
@@ -55,7 +60,14 @@
     const id = brandAs<InstanceId>(`plain-${n}`);
     const address = `${host}:${firstPort + 1 + n}`;
     closers.push(await startPlain(id, address, runs, plainFaults));
-    const row = { service: PLAIN_SERVICE, address, zone: 'zone-a', batchSize: 6, state: 'ready' };
+    const published = publishedAddress(address);
+    const row = {
+      service: PLAIN_SERVICE,
+      address: published,
+      zone: 'zone-a',
+      batchSize: 6,
+      state: 'ready',
+    };
     store.put(TABLES.servers, id, row);
   }
 
@@ -68,7 +80,8 @@
       store.remove(TABLES.servers, id);
     }
     for (const [id, server] of rows) {
-      const text = JSON.stringify(encodeRow(server));
+      const address = publishedAddress(server.address);
+      const text = JSON.stringify(encodeRow({ ...server, address }));
       if (shown.get(id) === text) continue;
       shown.set(id, text);
       store.put(TABLES.servers, id, JSON.parse(text));
@@ -91,6 +104,9 @@
     configure: (document) => {
       store.put(TABLES.operator, CONFIG_KEY, document);
     },
+    addEngine: async (domain) => {
+      closers.push(await startEngine(fleet, fleet.add(domain), runs));
+    },
     close: () => {
       clearInterval(ticker);
       for (const close of closers) close();
--- a/tests/gateway/whole-path.test.ts
+++ b/tests/gateway/whole-path.test.ts
@@ -1,15 +1,19 @@
-import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
-import { Agent, request } from 'node:http';
-import type { IncomingHttpHeaders } from 'node:http';
+import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
-import { LLM_SERVICE, PLAIN_SERVICE, startPlatform } from '../../stand-ins/users-platform/start';
+import {
+  describeConfig,
+  describeRoute,
+  USUAL_ROUTES,
+} from '../../stand-ins/users-platform/document';
+import { PLAIN_SERVICE, startPlatform } from '../../stand-ins/users-platform/start';
 import type { PlatformStandIn } from '../../stand-ins/users-platform/start';
-import { HEADERS, PATHS } from '../../platform/names';
+import { PATHS } from '../../platform/names';
+import { callDaemon, eventIds, launchDaemon } from '../support/gateway-daemon';
+import type { Reply } from '../support/gateway-daemon';
 import { ENGINE, LARGE, SMALL } from './support';
 
 const HOST = '127.0.0.1';
@@ -24,14 +28,6 @@
   readonly front: string;
 }
 
-interface Reply {
-  readonly status: number;
-  readonly headers: IncomingHttpHeaders;
-  readonly text: string;
-  /** Whether the answer came to its proper end. */
-  readonly isWhole: boolean;
-}
-
 let platform: PlatformStandIn;
 const dir = mkdtempSync(join(tmpdir(), 'nutmegstack-gateway-'));
 const daemons: Daemon[] = [];
@@ -42,149 +38,35 @@
 }
 
 function launch(n: number): ChildProcess {
-  const path = join(dir, `daemon-${n}.json`);
-  const settings = {
+  return launchDaemon({
     id: `daemon-${n}`,
-    zone: 'zone-a',
+    dir,
     listen: portOf(n, 0),
     readyListen: portOf(n, 1),
     peerListen: portOf(n, 2),
     seeds: [portOf(0, 2), portOf(1, 2)],
     platform: platform.storeAddress,
-    shutdownS: 8,
-    leavingMs: 2_000,
-    headBreakMs: 6_000,
-    retryRatio: 0.2,
-    retryWindowS: 10,
-    retrySlack: 132,
-    loadWindowS: 5,
-  };
-  writeFileSync(path, JSON.stringify(settings));
-  return spawn(process.execPath, ['dist/gateway.cjs'], {
-    env: {
-      PATH: process.env.PATH,
-      NUTMEGSTACK_CONFIG: path,
-      NUTMEGSTACK_PEER_SECRET: 'a secret of this test alone',
-    },
-    stdio: ['ignore', 'ignore', 'inherit'],
   });
 }
 
-/** Sends a request and reads whatever comes back. */
 function send(
   address: string,
   path: string,
-  { body = '', headers = {} }: { body?: string; headers?: Record<string, string> } = {},
+  options: { readonly body?: string; readonly headers?: Record<string, string> } = {},
 ): Promise<Reply> {
   const requestId = `request-${lastRequest++}`;
-  const [host, port] = address.split(':');
-  return new Promise((resolve, reject) => {
-    const req = request({
-      host,
-      port,
-      path,
-      method: 'POST',
-      agent: new Agent(),
-      headers: {
-        Host: 'a.example',
-        Authorization: `Bearer ${KEY}`,
-        [HEADERS.requestId]: requestId,
-        [HEADERS.waitMs]: '8000',
-        [HEADERS.model]: SMALL,
-        [HEADERS.tokenCounts]: '100,18',
-        'Content-Length': String(body.length),
-        ...headers,
-      },
-    });
-    req.on('error', reject);
-    req.on('response', (res) => {
-      let text = '';
-      res.on('data', (chunk: Buffer) => (text += chunk.toString()));
-      res.on('error', () => undefined);
-      res.on('close', () => {
-        resolve({
-          status: res.statusCode ?? 0,
-          headers: res.headers,
-          text,
-          isWhole: res.complete,
-        });
-      });
-    });
-    req.end(body);
-  });
-}
-
-function eventIds(text: string): number[] {
-  return [...text.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+  return callDaemon(address, path, { requestId, key: KEY, model: SMALL, ...options });
 }
 
 async function until(check: () => boolean | Promise<boolean>): Promise<void> {
   while (!(await check())) await new Promise((resolve) => setTimeout(resolve, 50));
 }
 
-function route(name: string, kind: string, service: string, more: object = {}): object {
-  return {
-    name,
-    host: 'a.example',
-    prefix: `/${name}/`,
-    kind,
-    timeoutMs: 8_000,
-    targetLatencyMs: 400,
-    priority: 1,
-    service,
-    maxAttempts: 2,
-    ...more,
-  };
-}
-
-function documentOf(version: number, routes: object[]): object {
-  const { models, ...engine } = ENGINE;
-  return {
-    version,
-    routes,
-    services: [
-      {
-        name: LLM_SERVICE,
-        healthPath: '/health',
-        maxConns: 100,
-        engine: {
-          batchSize: engine.batchSize,
-          interval: engine.stepsPerPass,
-          step_ms: engine.stepMs,
-          per_seq_ms: engine.perRequestMs,
-          context_per_k: engine.perContextKMs,
-          read_per_s: engine.prefillTokensPerMs * 1000,
-          loadsPerS: engine.loadsPerS,
-          loads_at_once: engine.loadsAtOnce,
-          usual: engine.usual,
-          models: models.map(({ name, size, share, pace, loadMs, warmMs }) => ({
-            name,
-            size,
-            share,
-            pace,
-            loadS: loadMs / 1000,
-            warmS: warmMs / 1000,
-          })),
-        },
-      },
-      { name: PLAIN_SERVICE, healthPath: '/health', maxConns: 100 },
-    ],
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 100_000,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
-    tenants: [{ name: 'depot', apiKeys: [KEY], priority: 1 }],
-  };
+function documentOf(version: number, routes: readonly object[]): object {
+  const organisations = [{ name: 'depot', apiKeys: [KEY] }];
+  return describeConfig({ version, routes, engine: ENGINE, organisations });
 }
 
-const ROUTES = [
-  route('stream', 'streaming', LLM_SERVICE, { resumable: true, maxGapMs: 250 }),
-  route('safe', 'safe', PLAIN_SERVICE),
-  route('unsafe', 'unsafe', PLAIN_SERVICE, { maxAttempts: 1 }),
-];
-
 beforeAll(async () => {
   platform = await startPlatform({
     host: HOST,
@@ -196,7 +78,7 @@
   for (let n = 0; n < DAEMONS; n++) {
     daemons.push({ n, process: launch(n), front: portOf(n, 0) });
   }
-  platform.configure(documentOf(1, ROUTES));
+  platform.configure(documentOf(1, USUAL_ROUTES));
   await until(() => platform.fleet.serving(SMALL) === 2 && platform.fleet.serving(LARGE) === 2);
 });
 
@@ -274,7 +156,9 @@
   });
 
   it('have a new version in force on all of them, and still have it after a kill', async () => {
-    platform.configure(documentOf(2, [...ROUTES, route('added', 'safe', PLAIN_SERVICE)]));
+    platform.configure(
+      documentOf(2, [...USUAL_ROUTES, describeRoute('added', 'safe', PLAIN_SERVICE)]),
+    );
     const isInForce = async ({ front: address }: Daemon): Promise<boolean> =>
       (await send(address, '/added/x')).status === 200;
     for (const daemon of daemons) await until(() => isInForce(daemon));
@@ -298,7 +182,9 @@
 
   it('load everything anew once the history of the store is gone', async () => {
     platform.store.compact();
-    platform.configure(documentOf(3, [...ROUTES, route('later', 'safe', PLAIN_SERVICE)]));
+    platform.configure(
+      documentOf(3, [...USUAL_ROUTES, describeRoute('later', 'safe', PLAIN_SERVICE)]),
+    );
     for (const { front: address } of daemons) {
       await until(async () => (await send(address, '/later/x')).status === 200);
     }
--- /dev/null
+++ b/tests/soak/main.ts
@@ -0,0 +1,53 @@
+/** Soaks by hand: `npm run soak -- --seed 1 --seeds 50`. Exits with 1 where a promise was broken. */
+
+import { mkdirSync } from 'node:fs';
+import { join } from 'node:path';
+import sade from 'sade';
+import { z } from 'zod';
+
+import { soak } from './soak';
+
+const optionsSchema = z.object({
+  seed: z.coerce.number().int(),
+  seeds: z.coerce.number().int().positive(),
+  daemons: z.coerce.number().int().min(2),
+  faults: z.coerce.number().int().positive(),
+  seconds: z.coerce.number().positive(),
+  port: z.coerce.number().int(),
+  logs: z.string().optional(),
+});
+
+async function run(args: unknown): Promise<void> {
+  const { seed: first, seeds, daemons, faults, seconds, port, logs } = optionsSchema.parse(args);
+  for (let seed = first; seed < first + seeds; seed++) {
+    const logsOfSeed = logs === undefined ? undefined : join(logs, `seed-${seed}`);
+    if (logsOfSeed !== undefined) mkdirSync(logsOfSeed, { recursive: true });
+    const report = await soak({
+      seed,
+      daemons,
+      faults,
+      durationMs: seconds * 1_000,
+      firstPort: port,
+      ...(logsOfSeed !== undefined && { logs: logsOfSeed }),
+    });
+    if (report.faults.length > 0) process.exitCode = 1;
+    process.stdout.write(`${JSON.stringify(report)}\n`);
+  }
+}
+
+sade('soak', true)
+  .describe('Runs daemons as processes under load and a seeded schedule of faults.')
+  .option('--seed', 'First seed', 1)
+  .option('--seeds', 'Number of seeds', 1)
+  .option('--daemons', 'Daemon processes', 3)
+  .option('--faults', 'Faults of a schedule', 14)
+  .option('--seconds', 'Time over which the faults begin', 14)
+  .option('--logs', "Directory for the daemons' logs, one folder a seed")
+  .option('--port', 'First of about 400 ports', 23_000)
+  .action((options: unknown) => {
+    run(options).catch((err: unknown) => {
+      process.stderr.write(`${String(err)}\n`);
+      process.exitCode = 2;
+    });
+  })
+  .parse(process.argv);
--- /dev/null
+++ b/tests/soak/soak.test.ts
@@ -0,0 +1,16 @@
+import { describe, expect, it } from 'vitest';
+
+import { soak } from './soak';
+
+/** Apart from the ports of soaks that are run by hand. */
+const PORT = 27_000;
+
+describe('daemons under a seeded series of overlapping faults', () => {
+  it.each([{ seed: 1 }, { seed: 2 }])('keep every promise (seed $seed)', async ({ seed }) => {
+    const report = await soak({ seed, faults: 7, durationMs: 5_000, firstPort: PORT });
+    expect(report.faults).toEqual([]);
+    // A run in which nobody was served shows nothing.
+    expect(report.counts['stream 200']).toBeGreaterThan(0);
+    expect(report.counts['unsafe 200']).toBeGreaterThan(0);
+  });
+});
--- /dev/null
+++ b/tests/soak/world.ts
@@ -0,0 +1,187 @@
+/** The system under soak: the platform's stand-in, daemon processes, and proxies on every link between them. */
+
+import type { ChildProcess } from 'node:child_process';
+import { closeSync, mkdtempSync, openSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import {
+  describeConfig,
+  describeRoute,
+  USUAL_ROUTES,
+} from '../../stand-ins/users-platform/document';
+import { PLAIN_SERVICE, startPlatform } from '../../stand-ins/users-platform/start';
+import type { PlatformStandIn } from '../../stand-ins/users-platform/start';
+import { ENGINE } from '../gateway/support';
+import { launchDaemon } from '../support/gateway-daemon';
+import { startProxy } from './proxy';
+import type { Proxy } from './proxy';
+
+export const KEY = 'key-of-the-depot';
+/** Only this fleet's oldest documents hold it. */
+export const FORMER_KEY = 'former-key-of-the-depot';
+const HOST = '127.0.0.1';
+const PORTS_PER_DAEMON = 8;
+const PLAIN_SERVERS = 3;
+const DOMAINS = [11, 11];
+/** Engine servers that may be added on a run. */
+const SPARE_PORTS = 120;
+
+/** Why a daemon's process ended, as far as the soak meant it to. */
+export type MeantEnd = 'killed' | 'stopped';
+
+export interface SoakDaemon {
+  readonly id: string;
+  readonly front: string;
+  readonly ready: string;
+  /** Links to the store, and links of peers to it. */
+  readonly toStore: Proxy;
+  readonly toPeers: Proxy;
+  process: ChildProcess;
+  meantEnd: MeantEnd | undefined;
+  isPaused: boolean;
+}
+
+export interface World {
+  readonly platform: PlatformStandIn;
+  readonly daemons: readonly SoakDaemon[];
+  /** Links to servers, by the address that is published. */
+  readonly servers: ReadonlyMap<string, Proxy>;
+  /** Ends of processes that the soak did not bring about. */
+  readonly unmeantEnds: readonly string[];
+  /** Names of the routes that were added, oldest first. */
+  readonly addedRoutes: readonly string[];
+  addRoute(): void;
+  removeKey(): void;
+  start(daemon: SoakDaemon): void;
+  close(): void;
+}
+
+export interface WorldOptions {
+  readonly daemons: number;
+  readonly firstPort: number;
+  /** Directory for the daemons' logs; none are kept without. */
+  readonly logs?: string;
+}
+
+export async function startWorld({
+  daemons: count,
+  firstPort,
+  logs,
+}: WorldOptions): Promise<World> {
+  const dir = mkdtempSync(join(tmpdir(), 'nutmegstack-soak-'));
+  const proxies = new Map<string, Proxy>();
+  const unmeantEnds: string[] = [];
+  const addedRoutes: string[] = [];
+  let keys = [KEY, FORMER_KEY];
+  let version = 0;
+  let isClosed = false;
+
+  const serverPorts = firstPort + PORTS_PER_DAEMON * count;
+  const proxyOffset = SPARE_PORTS + 40;
+  /** Each server is found behind a proxy at a port further on. */
+  const publishedAddress = (address: string): string => {
+    const port = Number(address.split(':')[1]);
+    return `${HOST}:${port + proxyOffset}`;
+  };
+  const platform = await startPlatform({
+    host: HOST,
+    firstPort: serverPorts,
+    engine: ENGINE,
+    domains: DOMAINS,
+    plainServers: PLAIN_SERVERS,
+    publishedAddress,
+  });
+  const servers = 1 + PLAIN_SERVERS + DOMAINS.reduce((sum, size) => sum + size, 0) + SPARE_PORTS;
+  for (let port = serverPorts + 1; port < serverPorts + servers; port++) {
+    const published = publishedAddress(`${HOST}:${port}`);
+    proxies.set(published, await startProxy(published, `${HOST}:${port}`));
+  }
+
+  const configure = (): void => {
+    version += 1;
+    const routes = [
+      ...USUAL_ROUTES,
+      ...addedRoutes.map((name) => describeRoute(name, 'safe', PLAIN_SERVICE)),
+    ];
+    const organisations = [{ name: 'depot', apiKeys: keys }];
+    platform.configure(describeConfig({ version, routes, engine: ENGINE, organisations }));
+  };
+
+  const portOf = (n: number, role: number): string =>
+    `${HOST}:${firstPort + PORTS_PER_DAEMON * n + role}`;
+  const seeds = [portOf(0, 3), portOf(1, 3)];
+
+  const start = (daemon: SoakDaemon): void => {
+    const n = daemons.indexOf(daemon);
+    const log = logs === undefined ? 'ignore' : openSync(join(logs, `${daemon.id}.jsonl`), 'a');
+    const child = launchDaemon(
+      {
+        id: daemon.id,
+        dir,
+        listen: daemon.front,
+        readyListen: daemon.ready,
+        peerListen: daemon.toPeers.address,
+        seeds,
+        platform: daemon.toStore.address,
+        more: { peerBind: portOf(n, 2) },
+      },
+      log,
+    );
+    if (typeof log === 'number') closeSync(log);
+    daemon.process = child;
+    daemon.meantEnd = undefined;
+    child.once('exit', (code, signal) => {
+      // Asked to stop before it could handle the signal, a process ends by it.
+      const isStopped = daemon.meantEnd === 'stopped' && (code === 0 || signal === 'SIGTERM');
+      const isMeant = daemon.meantEnd === 'killed' || isStopped || isClosed;
+      if (!isMeant) unmeantEnds.push(`${daemon.id} ended with ${code ?? signal}`);
+      if (!isClosed) start(daemon);
+    });
+  };
+
+  const daemons: SoakDaemon[] = [];
+  for (let n = 0; n < count; n++) {
+    daemons.push({
+      id: `daemon-${n}`,
+      front: portOf(n, 0),
+      ready: portOf(n, 1),
+      toStore: await startProxy(portOf(n, 4), platform.storeAddress),
+      toPeers: await startProxy(portOf(n, 3), portOf(n, 2)),
+      // Replaced by `start` before anything reads it.
+      process: undefined as unknown as ChildProcess,
+      meantEnd: undefined,
+      isPaused: false,
+    });
+  }
+  daemons.forEach(start);
+  configure();
+
+  return {
+    platform,
+    daemons,
+    servers: proxies,
+    unmeantEnds,
+    addedRoutes,
+    start,
+    addRoute: () => {
+      addedRoutes.push(`added-${addedRoutes.length}`);
+      configure();
+    },
+    removeKey: () => {
+      keys = [KEY];
+      configure();
+    },
+    close: () => {
+      isClosed = true;
+      for (const { process: child, toStore, toPeers } of daemons) {
+        child.kill('SIGKILL');
+        toStore.close();
+        toPeers.close();
+      }
+      for (const proxy of proxies.values()) proxy.close();
+      platform.close();
+      rmSync(dir, { recursive: true });
+    },
+  };
+}
--- /dev/null
+++ b/tests/support/gateway-daemon.ts
@@ -0,0 +1,127 @@
+/** Gateway daemons as processes of their own, and a caller of theirs. */
+
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { writeFileSync } from 'node:fs';
+import { Agent, request } from 'node:http';
+import type { IncomingHttpHeaders } from 'node:http';
+import { join } from 'node:path';
+
+import { HEADERS } from '../../platform/names';
+
+export interface DaemonOptions {
+  readonly id: string;
+  /** Where the settings file goes. */
+  readonly dir: string;
+  readonly listen: string;
+  readonly readyListen: string;
+  readonly peerListen: string;
+  readonly seeds: readonly string[];
+  /** Address of the store. */
+  readonly platform: string;
+  /** Further settings. */
+  readonly more?: object;
+}
+
+const SETTINGS = {
+  zone: 'zone-a',
+  shutdownS: 8,
+  leavingMs: 2_000,
+  headBreakMs: 6_000,
+  retryRatio: 0.2,
+  retryWindowS: 10,
+  retrySlack: 132,
+  loadWindowS: 5,
+};
+
+/** Writes the settings file of a daemon and gives its path. */
+export function writeSettings({ dir, more, ...options }: DaemonOptions): string {
+  const path = join(dir, `${options.id}.json`);
+  writeFileSync(path, JSON.stringify({ ...SETTINGS, ...options, ...more }));
+  return path;
+}
+
+/** `stdout`: a file descriptor for the daemon's log, or `ignore`. */
+export function launchDaemon(
+  options: DaemonOptions,
+  stdout: 'ignore' | number = 'ignore',
+): ChildProcess {
+  return spawn(process.execPath, ['dist/gateway.cjs'], {
+    env: {
+      PATH: process.env.PATH,
+      NUTMEGSTACK_CONFIG: writeSettings(options),
+      NUTMEGSTACK_PEER_SECRET: 'a secret of this test alone',
+    },
+    stdio: ['ignore', stdout, typeof stdout === 'number' ? stdout : 'inherit'],
+  });
+}
+
+export interface Reply {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly text: string;
+  /** Whether the answer came to its proper end. */
+  readonly isWhole: boolean;
+}
+
+export interface CallOptions {
+  readonly requestId: string;
+  readonly key: string;
+  readonly model: string;
+  readonly body?: string;
+  readonly headers?: Record<string, string>;
+  readonly agent?: Agent;
+  readonly waitMs?: number;
+}
+
+/** Sends a request and reads whatever comes back. */
+export function callDaemon(
+  address: string,
+  path: string,
+  {
+    requestId,
+    key,
+    model,
+    body = '',
+    headers = {},
+    agent = new Agent(),
+    waitMs = 8_000,
+  }: CallOptions,
+): Promise<Reply> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    const req = request({
+      host,
+      port,
+      path,
+      method: 'POST',
+      agent,
+      headers: {
+        Host: 'a.example',
+        Authorization: `Bearer ${key}`,
+        [HEADERS.requestId]: requestId,
+        [HEADERS.waitMs]: String(waitMs),
+        [HEADERS.model]: model,
+        [HEADERS.tokenCounts]: '100,18',
+        'Content-Length': String(body.length),
+        ...headers,
+      },
+    });
+    req.on('error', reject);
+    req.on('response', (res) => {
+      let text = '';
+      res.on('data', (chunk: Buffer) => (text += chunk.toString()));
+      res.on('error', () => undefined);
+      res.on('close', () => {
+        const { statusCode: status = 0, headers: given, complete: isWhole } = res;
+        resolve({ status, headers: given, text, isWhole });
+      });
+    });
+    req.end(body);
+  });
+}
+
+/** Ids of the events of a stream, in order. */
+export function eventIds(text: string): number[] {
+  return [...text.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+}
