Keep the order of bytes in the soak's proxy, and pass ends on in turn

The proxy had delayed the last events and, once its delay was over, let the end of the answer overtake them, which no network does. Chunks, ends and resets now go through one queue a direction.

--- a/tests/soak/proxy.ts
+++ b/tests/soak/proxy.ts
@@ -25,59 +25,70 @@
 
 export const SILENT: LinkFault = { silent: ['to-target', 'from-target'], delayMs: 0 };
 
-interface Pipe {
-  /** Sends on what was held back. */
-  release(): void;
+/** A chunk on its way, or how its direction ended. */
+interface Queued {
+  readonly chunk: Buffer | 'end' | 'reset';
+  readonly dueAt: number;
 }
 
 export async function startProxy(address: string, target: string): Promise<Proxy> {
   let fault: LinkFault | undefined;
   const sockets = new Set<Socket>();
-  const pipes = new Set<Pipe>();
+  /** Send on what is due, each of one connection and direction. */
+  const pipes = new Set<() => void>();
 
   const pipe = (from: Socket, to: Socket, direction: Direction): void => {
-    const held: (Buffer | 'end')[] = [];
+    const queue: Queued[] = [];
+    let timer: NodeJS.Timeout | undefined;
     const isHeld = (): boolean => fault?.silent.includes(direction) === true;
-    const send = (chunk: Buffer | 'end'): void => {
+    const send = ({ chunk }: Queued): void => {
       if (to.destroyed) return;
       if (chunk === 'end') to.end();
+      else if (chunk === 'reset') to.resetAndDestroy();
       else to.write(chunk);
     };
-    const pass = (chunk: Buffer | 'end'): void => {
-      const delayMs = fault?.delayMs ?? 0;
-      if (isHeld() || held.length > 0) held.push(chunk);
-      else if (delayMs > 0) setTimeout(send, delayMs, chunk);
-      else send(chunk);
+    /** Sends in order, whatever delay each chunk was given: TCP never lets one overtake another. */
+    const pump = (): void => {
+      clearTimeout(timer);
+      while (!isHeld()) {
+        const next = queue[0];
+        if (!next) return;
+        const waitMs = next.dueAt - performance.now();
+        if (waitMs > 0) {
+          timer = setTimeout(pump, waitMs);
+          return;
+        }
+        queue.shift();
+        send(next);
+      }
     };
-    const own: Pipe = {
-      release: () => {
-        if (!isHeld()) held.splice(0).forEach(send);
-      },
+    const pass = (chunk: Queued['chunk']): void => {
+      queue.push({ chunk, dueAt: performance.now() + (fault?.delayMs ?? 0) });
+      pump();
     };
-    pipes.add(own);
+    pipes.add(pump);
     from.on('data', pass);
     from.on('end', () => {
       pass('end');
     });
+    from.on('error', () => {
+      pass('reset');
+    });
     from.on('close', () => {
-      pipes.delete(own);
+      if (queue.length === 0) pipes.delete(pump);
+    });
+    to.on('close', () => {
+      clearTimeout(timer);
+      pipes.delete(pump);
     });
   };
 
   const server = createServer({ allowHalfOpen: true, noDelay: true }, (caller) => {
     const { host, port } = parseAddress(target);
     const callee = connect({ host, port, allowHalfOpen: true, noDelay: true });
-    for (const [socket, other] of [
-      [caller, callee],
-      [callee, caller],
-    ] as const) {
+    for (const socket of [caller, callee]) {
       sockets.add(socket);
-      socket.on('error', () => other.resetAndDestroy());
-      socket.on('close', () => {
-        sockets.delete(socket);
-        // A silent link shows nothing, also not that its other side has gone.
-        if (fault === undefined || fault.silent.length === 0) other.destroySoon();
-      });
+      socket.on('close', () => sockets.delete(socket));
     }
     pipe(caller, callee, 'to-target');
     pipe(callee, caller, 'from-target');
@@ -93,7 +104,7 @@
     reset,
     disturb: (next) => {
       fault = next;
-      for (const own of pipes) own.release();
+      for (const pump of [...pipes]) pump();
     },
     close: () => {
       reset();
