--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -104,3 +104,64 @@
     expect(fleet.violations).toEqual([]);
   });
 });
+
+describe('a model without enough groups', () => {
+  /** Ends a group of the model by the loss of two members, of which only one can be replaced. */
+  function loseMembers(fleet: ReturnType<typeof createEngineFleet>, model: string): void {
+    const members = headOf(fleet, model).joined?.members ?? [];
+    for (const id of members.slice(1, 3)) fleet.kill(id);
+  }
+
+  it('is formed again from the servers kept for losses, before a model that has room', () => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [26], hasTraffic: true });
+    const demand = new Map([
+      [LARGE, 2],
+      [SMALL, 0.5],
+    ]);
+    const leader = createLeader(fleet, { hasTraffic: true, demand });
+    leader.run(120_000);
+    const before = fleet.serving(LARGE);
+    loseMembers(fleet, LARGE);
+    leader.run(12_000);
+    expect(fleet.serving(LARGE)).toBe(before);
+    expect(fleet.violations).toEqual([]);
+  });
+
+  it('has its published part of the work where nothing shows that it is asked for', () => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: true });
+    const demand = new Map([[SMALL, 0.5]]);
+    createLeader(fleet, { hasTraffic: true, demand }).run(60_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([1, 1]);
+  });
+});
+
+describe('servers of a model with little work', () => {
+  function setUp(large: number, small: number) {
+    const fleet = createEngineFleet({ ...FLEET, domains: [11, 11], hasTraffic: false });
+    createLeader(fleet).run(15_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([2, 2]);
+    const demand = new Map([
+      [LARGE, large],
+      [SMALL, small],
+    ]);
+    return { fleet, leader: createLeader(fleet, { hasTraffic: true, demand }) };
+  }
+
+  it('move to one whose requests wait, and stay there', () => {
+    const { fleet, leader } = setUp(0.3, 3);
+    leader.replace();
+    leader.run(60_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([1, 4]);
+    expect(fleet.violations).toEqual([]);
+  });
+
+  it.each([
+    { large: 1.9, small: 3 },
+    { large: 0.3, small: 1.9 },
+  ])('stay where the difference is small ($large to $small)', ({ large, small }) => {
+    const { fleet, leader } = setUp(large, small);
+    leader.replace();
+    leader.run(60_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([2, 2]);
+  });
+});
