Speak by way of the leader in a large fleet

Cause: with 70 daemons each told each its state (2,700 messages a second, 70 x 69 links), and 69 answered each newcomer with the whole configuration and all servers. Ruled out: longer intervals (liveness and lease would be learned late), and a list of who lives (1.4 KB to each, five times a second).

Above 13 daemons a follower now tells the leader alone, and the leader tells all in one message what all have, how many live, its lease and how far it is. Without a leader those first in line for the lease are told. Of the others only a few help a peer that is behind, and only one without the store is sent the servers. Candidates for the lease are read from the store's entries.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -54,8 +54,8 @@
   /** `unread`: tokens of the prompt, where no event came. */
   noteEnded(head: InstanceId, unread: number): void;
   noteEvent(head: InstanceId, pauseMs: number | undefined): void;
-  /** Sends nothing to the group for a while. */
-  suspect(head: InstanceId, reason: string): void;
+  /** Sends nothing to the group for a while. False where that was so before. */
+  suspect(head: InstanceId, reason: string): boolean;
   /** Groups whose streams have all gone silent, as found by `tick`. */
   readonly stalls: Observable<Stall>;
   /** After a change of the groups, and when a place in one became free. */
@@ -157,11 +157,12 @@
     return until !== undefined && clock.now() < until;
   };
 
-  const suspect = (head: InstanceId, reason: string): void => {
+  const suspect = (head: InstanceId, reason: string): boolean => {
     const isNew = !isSuspect(head);
     suspects.set(head, later(clock.now(), SUSPECT_MS));
     const group = groups.get(head);
     if (isNew) logger.warn('group suspected', { step: 'board', group: group?.id, head, reason });
+    return isNew;
   };
 
   const ofModel = (service: ServiceId, model: ModelId): BoardGroup[] =>
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -4,8 +4,10 @@
 import type { Observable } from 'rxjs';
 
 import { createPeers } from '../../adapters/peers/peers';
-import { later } from '../../core/ids';
+import { sample } from '../../core/gateway/balance';
+import { brandAs, later } from '../../core/ids';
 import type { DaemonId, MonoTime } from '../../core/ids';
+import { rankByRendezvous } from '../../core/membership/rendezvous';
 import type { Change, Feed } from '../../ports/gateway';
 import type { GatewayContext } from './context';
 import { parseGatewayMessage } from './messages';
@@ -25,16 +27,33 @@
   readonly at: MonoTime;
 }
 
+export interface Leader {
+  readonly id: DaemonId;
+  readonly address: string;
+  /** When it last said so. */
+  readonly at: MonoTime;
+  /** Daemons that it hears of, where it told. */
+  readonly daemons?: number;
+}
+
 export interface Fleet {
   /** Peers that were heard of lately. */
   live(): readonly PeerView[];
-  /** The peer that says that it holds the lease. */
-  leader(): PeerView | undefined;
+  /** The peer that said last, and lately, that it holds the lease. */
+  leader(): Leader | undefined;
+  /** Daemons at work, this one included, as far as is known. */
+  size(): number;
+  /** Whether there are too many daemons for each to tell each what it knows. */
+  isLarge(): boolean;
+  /** Daemons that may be at work: heard of lately, or entered in the store; without those that stop. */
+  candidates(): ReadonlySet<DaemonId>;
   readonly received: Observable<FromPeer>;
   /** Addresses whose links broke or could not be made. */
   readonly unreachable: Observable<string>;
   send(address: string, message: GatewayMessage): void;
   broadcast(message: GatewayMessage): void;
+  /** Sends to those that are most likely to lead, or soon will: a leader tells everyone it has heard of. */
+  sendToLikelyLeaders(message: GatewayMessage): void;
   start(): Promise<void>;
   stop(): Promise<void>;
 }
@@ -46,6 +65,14 @@
 /** A waiting link is given up soon: state is sent again anyway. */
 const HANDSHAKE_MS = 1_000;
 const LONGEST_BACKOFF_MS = 1_000;
+/** A fleet with more daemons than this speaks by way of its leader. */
+const DIRECT_DAEMONS = 13;
+/** Silence after which a leader counts as gone: it broadcasts several times in that time. */
+const LEADER_FRESH_MS = 1_200;
+/** So many of the first in line for the lease, and as many others, are told where no leader is heard of. */
+const LIKELY_LEADERS = 3;
+/** The lease that the leader holds; daemons rank themselves by its name. */
+export const LEASE_NAME = 'groups';
 /** Daemons enter themselves one after the other at a start; who has not been read yet makes itself known. */
 const ENTRIES_REST_MS = 3_000;
 
@@ -61,7 +88,8 @@
     logger: ctx.logger,
     settings: { handshakeMs: HANDSHAKE_MS, longestMs: LONGEST_BACKOFF_MS },
   });
-  const known = new Map<string, string>();
+  /** Entries of the store: peer addresses by daemon. */
+  const known = new Map<DaemonId, string>();
   const heard = new Map<DaemonId, PeerView>();
   const received = new Subject<FromPeer>();
 
@@ -72,16 +100,25 @@
     take: (changes: readonly Change<string>[], isWhole) => {
       if (isWhole) known.clear();
       for (const { key, value } of changes) {
-        if (value === undefined) known.delete(key);
-        else known.set(key, value);
+        const id = brandAs<DaemonId>(key);
+        if (value === undefined) known.delete(id);
+        else known.set(id, value);
       }
     },
   });
 
+  let lastLeader: Leader | undefined;
+  const noteLeader = (id: DaemonId, address: string, message: GatewayMessage): void => {
+    const at = clock.now();
+    if (message.kind === 'loads') lastLeader = { id, address, at, daemons: message.daemons };
+    else if (message.kind === 'state' && message.lease) lastLeader = { id, address, at };
+  };
+
   peers.received.subscribe(({ from, address, message }) => {
     if (message.kind === 'state') {
       heard.set(from, { ...message, id: from, address, at: clock.now() });
     }
+    noteLeader(from, address, message);
     received.next({ from, address, message });
   });
 
@@ -91,6 +128,20 @@
     return [...heard.values()].filter(({ at }) => now < later(at, freshMs));
   };
 
+  const leader = (): Leader | undefined =>
+    lastLeader && clock.now() < later(lastLeader.at, LEADER_FRESH_MS) ? lastLeader : undefined;
+
+  const size = (): number => Math.max(live().length + 1, leader()?.daemons ?? 0);
+
+  const candidates = (): Set<DaemonId> => {
+    const all = new Set<DaemonId>([settings.id, ...known.keys()]);
+    for (const { id, isStopping } of live()) {
+      if (isStopping) all.delete(id);
+      else all.add(id);
+    }
+    return all;
+  };
+
   const addresses = (): Set<string> => {
     const all = new Set<string>([...ctx.tunables.value.seeds, ...known.values()]);
     for (const { address } of heard.values()) all.add(address);
@@ -98,6 +149,18 @@
     return all;
   };
 
+  const likelyLeaders = (): Set<string> => {
+    const others = [...candidates()].filter((id) => id !== settings.id);
+    const first = rankByRendezvous(LEASE_NAME, others).slice(0, LIKELY_LEADERS);
+    const drawn = sample(others, LIKELY_LEADERS, () => ctx.random.next());
+    const found = [...first, ...drawn].flatMap(
+      (id) => known.get(id) ?? heard.get(id)?.address ?? [],
+    );
+    const all = new Set([...ctx.tunables.value.seeds, ...found]);
+    all.delete(settings.peerListen);
+    return all;
+  };
+
   /** Peers that ended for good are forgotten, so that nobody dials them for ever. */
   const forgetSilent = (): void => {
     const now = clock.now();
@@ -106,7 +169,10 @@
 
   return {
     live,
-    leader: () => live().find(({ lease }) => lease !== undefined),
+    leader,
+    size,
+    isLarge: () => Math.max(size(), known.size) > DIRECT_DAEMONS,
+    candidates,
     received,
     unreachable: peers.unreachable,
     send: (address, message) => {
@@ -116,6 +182,9 @@
       forgetSilent();
       for (const address of addresses()) peers.send(address, message);
     },
+    sendToLikelyLeaders: (message) => {
+      for (const address of likelyLeaders()) peers.send(address, message);
+    },
     start: () => peers.start(),
     stop: () => {
       watch.stop();
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -51,7 +51,7 @@
   let isStopping = false;
 
   const fleet = createFleet(ctx, feeds.daemons);
-  const daemons = (): number => fleet.live().length + 1;
+  const daemons = (): number => fleet.size();
   const config = createConfigView(ctx, feeds.config, daemons);
   const leadership = createLeadership(ctx, options.table, fleet);
   const roster = createRoster(ctx, {
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -9,7 +9,7 @@
 import type { Former } from './former';
 import type { Leadership } from './lease';
 import { sumLoads, withoutOwn } from './loads';
-import type { GatewayMessage, PeerState } from './messages';
+import type { GatewayMessage, PeerState, Progress } from './messages';
 import type { Roster } from './roster';
 import type { WaitingRoom } from './waiting';
 
@@ -33,11 +33,9 @@
 
 /** Between two statements of a daemon with few peers: a fraction of the time that a stream takes. */
 const LEAST_INTERVAL_MS = 100;
-/** A fleet with more peers than this aggregates its loads at the leader. */
-const DIRECT_PEERS = 12;
-/** Between two statements to all in such a fleet: they only show who lives and which versions it has. */
+/** Between two statements to all in a large fleet that hears of no leader. */
 const LARGE_INTERVAL_MS = 1_200;
-/** Between two statements of loads to the leader, and of the leader to all. */
+/** Between two statements to the leader of a large fleet, and of the leader to all. */
 const LOADS_MS = 200;
 /** Added for each peer, so that a daemon's messages do not grow with the fleet. */
 const INTERVAL_PER_PEER_MS = 9;
@@ -45,6 +43,8 @@
 const NEWS_MS = 500;
 /** The store tells all daemons of a version within milliseconds; who lacks it after this is told by peers. */
 const HELP_AFTER_MS = 250;
+/** Daemons of a large fleet, beside its leader, that help the same peer at a time. */
+const HELPERS = 3;
 /** The same peer is not helped again before this. */
 const HELP_AGAIN_MS = 500;
 
@@ -65,6 +65,7 @@
     kind: 'state',
     configVersion: config.version(),
     serversRevision: roster.revision(),
+    isStoreLost: roster.watch.isFailing(),
     hasTraffic,
     isStopping: deps.isStopping(),
     ...(lease && { lease }),
@@ -86,8 +87,15 @@
     return true;
   };
 
+  /** In a large fleet the leader helps, and of the others only a few: all hear of the same need. */
+  const isHelper = (): boolean =>
+    !fleet.isLarge() ||
+    leadership.ownLease() !== undefined ||
+    ctx.random.next() < HELPERS / fleet.size();
+
   /** A peer behind this daemon is turned away by the store, or has just started. */
-  const help = (peer: PeerState, address: string): void => {
+  const help = (peer: Progress, address: string): void => {
+    if (!isHelper()) return;
     const now = ctx.clock.now();
     const table = config.table.value;
     const isOld = now >= later(config.since(), HELP_AFTER_MS) || peer.configVersion === 0;
@@ -99,7 +107,8 @@
       revisionSince = now;
     }
     const isBehind = peer.serversRevision < revision && now >= later(revisionSince, HELP_AFTER_MS);
-    if (isBehind && !roster.watch.isFailing() && mayHelp(`servers ${address}`)) {
+    const canTell = peer.isStoreLost && !roster.watch.isFailing();
+    if (isBehind && canTell && mayHelp(`servers ${address}`)) {
       fleet.send(address, { kind: 'servers', revision, servers: [...roster.servers.values()] });
     }
   };
@@ -118,8 +127,12 @@
     },
     stalled: ({ group, head }, { from }) => {
       if (board.find(head)?.id !== group) return;
-      board.suspect(head, `reported by ${from}`);
+      const isNews = board.suspect(head, `reported by ${from}`);
       former.inspect({ group, head });
+      // In a large fleet only the leader was told.
+      if (isNews && fleet.isLarge() && leadership.held() !== undefined) {
+        fleet.broadcast({ kind: 'stalled', group, head });
+      }
     },
     config: ({ config: offered }, { from }) => {
       const version = brandAs<ConfigVersion>(offered.version);
@@ -128,9 +141,11 @@
     servers: ({ revision: theirs, servers }) => {
       roster.takeFromPeer(theirs, servers);
     },
-    loads: (sums) => {
-      if (sums.lease) leadership.takeLease(sums.lease);
+    loads: (sums, { address }) => {
+      leadership.takeLease(sums.lease);
+      if (sums.hasTraffic) noteTraffic();
       board.takeLoads(told ? withoutOwn(sums, told) : sums);
+      help(sums, address);
     },
     news: ({ since, revision: theirs, changes }) => {
       roster.takeNews({
@@ -152,29 +167,50 @@
     newsDueAt = later(now, NEWS_MS);
   };
 
-  /** Sends this daemon's loads to the leader, or broadcasts the sum as the leader. */
+  /** Sends this daemon's state to the leader, or broadcasts the sum of all as the leader. */
   const exchangeLoads = (now: MonoTime, peers: readonly PeerView[]): void => {
     if (now < loadsDueAt) return;
     loadsDueAt = later(now, LOADS_MS);
     const state = ownState();
-    if (state.lease) {
+    const { lease, configVersion, serversRevision, isStoreLost } = state;
+    if (lease) {
       board.takeLoads(sumLoads(peers));
-      fleet.broadcast({ kind: 'loads', lease: state.lease, ...sumLoads([...peers, state]) });
+      fleet.broadcast({
+        kind: 'loads',
+        configVersion,
+        serversRevision,
+        isStoreLost,
+        hasTraffic,
+        lease,
+        daemons: peers.length + 1,
+        ...sumLoads([...peers, state]),
+      });
       return;
     }
     told = state;
     const leader = fleet.leader();
-    if (leader) fleet.send(leader.address, state);
+    if (leader) fleet.send(leader.address, told);
     else board.takeLoads(sumLoads(peers));
   };
 
+  /** Tells all peers; in a large fleet the leader does, and without one those that may become it are told. */
+  const tellAll = (now: MonoTime, peers: readonly PeerView[], isLarge: boolean): void => {
+    if (now < dueAt) return;
+    const intervalMs = isLarge ? LARGE_INTERVAL_MS : LEAST_INTERVAL_MS;
+    dueAt = later(now, intervalMs + INTERVAL_PER_PEER_MS * peers.length);
+    if (!isLarge) fleet.broadcast(ownState());
+    else if (!fleet.leader() && !leadership.ownLease()) fleet.sendToLikelyLeaders(ownState());
+  };
+
   roster.news.subscribe((news) => {
     if (leadership.held() === undefined) return;
     fleet.broadcast({ kind: 'news', ...news, changes: [...news.changes] });
   });
 
   board.stalls.subscribe(({ group, head }) => {
-    fleet.broadcast({ kind: 'stalled', group, head });
+    const leader = fleet.isLarge() ? fleet.leader() : undefined;
+    if (leader) fleet.send(leader.address, { kind: 'stalled', group, head });
+    else fleet.broadcast({ kind: 'stalled', group, head });
     former.inspect({ group, head });
   });
 
@@ -183,13 +219,10 @@
     tick: () => {
       const now = ctx.clock.now();
       const peers = fleet.live();
-      const isLarge = peers.length > DIRECT_PEERS;
+      const isLarge = fleet.isLarge();
       if (isLarge) exchangeLoads(now, peers);
       else takeDirectLoads(now, peers);
-      if (now < dueAt) return;
-      const intervalMs = isLarge ? LARGE_INTERVAL_MS : LEAST_INTERVAL_MS;
-      dueAt = later(now, intervalMs + INTERVAL_PER_PEER_MS * peers.length);
-      fleet.broadcast(ownState());
+      tellAll(now, peers, isLarge);
     },
   };
 }
--- a/src/app/gateway/lease.ts
+++ b/src/app/gateway/lease.ts
@@ -14,6 +14,7 @@
 } from '../../core/lease/types';
 import type { Row, Table } from '../../ports/platform';
 import type { GatewayContext } from './context';
+import { LEASE_NAME } from './fleet';
 import type { Fleet } from './fleet';
 import type { PeerState } from './messages';
 
@@ -33,8 +34,8 @@
 const READ_MS = 900;
 /** Between two looks at who else may hold the lease. */
 const RANK_MS = 400;
-const LEASE_KEY = 'lease/groups';
-const FENCE_KEY = 'lease/groups#fence';
+const LEASE_KEY = `lease/${LEASE_NAME}`;
+const FENCE_KEY = `${LEASE_KEY}#fence`;
 /** Wall clock and monotonic clock may drift apart this far between two looks before a pause is assumed. */
 const CLOCK_SLACK_MS = 400;
 
@@ -54,7 +55,7 @@
 export function createLeadership(ctx: GatewayContext, table: Table, fleet: Fleet): Leadership {
   const { settings, clock, logger } = ctx;
   const session = `${settings.id} ${clock.epoch()} ${ctx.random.next()}`;
-  const domain = brandAs<DomainId>('groups');
+  const domain = brandAs<DomainId>(LEASE_NAME);
   let state: LeaseState = createLease(
     { domain, self: settings.id, session, settings: SETTINGS },
     clock.now(),
@@ -146,9 +147,7 @@
   const rank = (now: MonoTime): void => {
     if (now < rankAt) return;
     rankAt = later(now, RANK_MS);
-    const peers = fleet.live().filter(({ isStopping }) => !isStopping);
-    const candidates = new Set([settings.id, ...peers.map(({ id }) => id)]);
-    const place = rankByRendezvous('groups', [...candidates]).indexOf(settings.id);
+    const place = rankByRendezvous(LEASE_NAME, [...fleet.candidates()]).indexOf(settings.id);
     dispatch({ kind: 'ranked', rank: place });
   };
 
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -8,41 +8,53 @@
 
 const natural = z.number().min(0);
 
-const stateSchema = z.object({
-  kind: z.literal('state'),
+/** How far a daemon is, so that others can tell whether it lacks anything. */
+const progressSchema = {
   /** Version of the configuration in force; 0 for none. */
   configVersion: natural,
   /** Revision of the store up to which the servers are known. */
   serversRevision: natural,
+  /** The store cannot be reached from there. */
+  isStoreLost: z.boolean(),
   hasTraffic: z.boolean(),
+};
+
+/** The lease row of a leader, so that others need not read it. */
+const leaseSchema = z.object({
+  version: natural,
+  row: z.object({
+    holder: z.string().transform((id) => brandAs<DaemonId>(id)),
+    session: z.string(),
+    fencing: natural.transform((n) => brandAs<FencingNumber>(n)),
+    ttlMs: natural,
+    released: z.boolean(),
+  }),
+  fenceVersion: natural,
+});
+
+/** By head of a group: requests in flight, and the prompt tokens of those without an event. */
+const runningSchema = z.array(
+  z.tuple([z.string().transform((id) => brandAs<InstanceId>(id)), natural, natural]),
+);
+
+const stateSchema = z.object({
+  kind: z.literal('state'),
+  ...progressSchema,
   isStopping: z.boolean(),
-  /** The lease row of a leader, so that others need not read it. */
-  lease: z
-    .object({
-      version: natural,
-      row: z.object({
-        holder: z.string().transform((id) => brandAs<DaemonId>(id)),
-        session: z.string(),
-        fencing: natural.transform((n) => brandAs<FencingNumber>(n)),
-        ttlMs: natural,
-        released: z.boolean(),
-      }),
-      fenceVersion: natural,
-    })
-    .optional(),
-  /** By head of a group: requests in flight, and the prompt tokens of those without an event. */
-  running: z.array(
-    z.tuple([z.string().transform((id) => brandAs<InstanceId>(id)), natural, natural]),
-  ),
+  lease: leaseSchema.optional(),
+  running: runningSchema,
   /** Requests that wait here for a group, by model. */
   waiting: z.array(z.tuple([z.string(), natural])),
 });
 
-/** Loads of all daemons together, as the leader of a large fleet gathers and spreads them. */
+/** What the leader of a large fleet tells all, in place of what each would tell each. */
 const loadsSchema = z.object({
   kind: z.literal('loads'),
-  lease: stateSchema.shape.lease,
-  running: stateSchema.shape.running,
+  ...progressSchema,
+  lease: leaseSchema,
+  /** Daemons that the leader hears of, itself included. */
+  daemons: natural,
+  running: runningSchema,
   /** Daemons with requests that wait for a model, and how many wait, by model. */
   waiting: z.array(z.tuple([z.string(), natural, natural])),
 });
@@ -88,6 +100,7 @@
   loadsSchema,
 ]);
 
+export type Progress = Pick<PeerState, 'configVersion' | 'serversRevision' | 'isStoreLost'>;
 export type Loads = z.output<typeof loadsSchema>;
 export type PeerState = z.output<typeof stateSchema>;
 export type GatewayMessage = z.output<typeof messageSchema>;
--- /dev/null
+++ b/tests/gateway/large-fleet.test.ts
@@ -0,0 +1,192 @@
+import { BehaviorSubject, Subject } from 'rxjs';
+import { describe, expect, it } from 'vitest';
+
+import { createClock, createRandom } from '../../src/adapters/runtime';
+import { createLogger } from '../../src/adapters/telemetry/logger';
+import { createMetrics } from '../../src/adapters/telemetry/metrics';
+import type { GatewayContext } from '../../src/app/gateway/context';
+import type { FromPeer, PeerView } from '../../src/app/gateway/fleet';
+import { createGossip } from '../../src/app/gateway/gossip';
+import type { GossipDeps } from '../../src/app/gateway/gossip';
+import type { GatewayMessage, Loads, PeerState } from '../../src/app/gateway/messages';
+import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
+import { brandAs, later } from '../../src/core/ids';
+import type { DaemonId, FencingNumber, GroupId, InstanceId, MonoTime } from '../../src/core/ids';
+
+const LEADER = '127.0.0.1:1';
+const PEERS = 69;
+const LEASE: NonNullable<PeerState['lease']> = {
+  version: 1,
+  row: {
+    holder: brandAs<DaemonId>('leader'),
+    session: 's',
+    fencing: brandAs<FencingNumber>(1),
+    ttlMs: 2_000,
+    released: false,
+  },
+  fenceVersion: 1,
+};
+const STALL = { group: brandAs<GroupId>('g'), head: brandAs<InstanceId>('s1') };
+
+function stateOf(more: Partial<PeerState> = {}): PeerState {
+  return {
+    kind: 'state',
+    configVersion: 3,
+    serversRevision: 10,
+    isStoreLost: false,
+    hasTraffic: false,
+    isStopping: false,
+    running: [],
+    waiting: [],
+    ...more,
+  };
+}
+
+/** One daemon of a fleet of 70, whose messages are noted in place of being sent. */
+function setUp({ isLeading = false, hasLeader = true, seed = 7 } = {}) {
+  const clock = createClock();
+  let now = clock.now();
+  const ctx: GatewayContext = {
+    settings: { id: brandAs<DaemonId>('own') } as GatewaySettings,
+    tunables: new BehaviorSubject({} as GatewayTunables),
+    clock: { ...clock, now: () => now },
+    random: createRandom(seed),
+    logger: createLogger({ write: () => undefined }),
+    metrics: createMetrics({ ofProcess: false }),
+  };
+  const sent: { readonly to: string; readonly message: GatewayMessage }[] = [];
+  const received = new Subject<FromPeer>();
+  const stalls = new Subject<typeof STALL>();
+  const note = (to: string) => (message: GatewayMessage) => sent.push({ to, message });
+  const live: PeerView[] = isLeading
+    ? Array.from({ length: PEERS }, (_, n) => ({
+        ...stateOf(),
+        id: brandAs<DaemonId>(`d${n}`),
+        address: `127.0.0.1:${n}`,
+        at: now,
+      }))
+    : [];
+  const deps = {
+    ctx,
+    config: {
+      version: () => 3,
+      since: () => later(now, -10_000),
+      table: new BehaviorSubject({ config: { version: 3 } }),
+    },
+    roster: {
+      revision: () => 10,
+      servers: new Map(),
+      news: new Subject(),
+      watch: { isFailing: () => false },
+    },
+    board: {
+      running: () => [],
+      takeLoads: () => undefined,
+      stalls,
+      find: () => ({ id: 'g' }),
+      suspect: () => true,
+    },
+    fleet: {
+      received,
+      live: () => live,
+      isLarge: () => true,
+      size: () => PEERS + 1,
+      leader: () => (hasLeader && !isLeading ? { address: LEADER } : undefined),
+      send: (to: string, message: GatewayMessage) => note(to)(message),
+      broadcast: note('all'),
+      sendToLikelyLeaders: note('likely leaders'),
+    },
+    former: { noteTraffic: () => undefined, inspect: () => undefined },
+    leadership: {
+      ownLease: () => (isLeading ? LEASE : undefined),
+      held: () => (isLeading ? 1 : undefined),
+      takeLease: () => undefined,
+    },
+    waiting: { waiting: () => [] },
+    isStopping: () => false,
+  };
+  const gossip = createGossip(deps as unknown as GossipDeps);
+  const run = (ms: number): void => {
+    for (let passed = 0; passed < ms; passed += 50) {
+      now = later(now, 50);
+      gossip.tick();
+    }
+  };
+  const hear = (message: GatewayMessage, address = LEADER): void => {
+    received.next({ from: brandAs<DaemonId>('peer'), address, message });
+  };
+  return {
+    sent,
+    run,
+    hear,
+    stalls,
+    wait: (ms: number) => (now = later(now, ms) satisfies MonoTime),
+  };
+}
+
+const LOADS: Loads = {
+  kind: 'loads',
+  configVersion: 3,
+  serversRevision: 10,
+  isStoreLost: false,
+  hasTraffic: true,
+  lease: LEASE,
+  daemons: 70,
+  running: [],
+  waiting: [],
+};
+
+describe('a daemon of a large fleet', () => {
+  it('speaks to the leader alone, so that messages grow with the daemons and not their square', () => {
+    const { sent, run, stalls } = setUp();
+    run(3_000);
+    stalls.next(STALL);
+    expect(new Set(sent.map(({ to }) => to))).toEqual(new Set([LEADER]));
+    expect(sent.length).toBeLessThanOrEqual(16);
+  });
+
+  it('makes itself known to those that may lead while it hears of no leader', () => {
+    const { sent, run } = setUp({ hasLeader: false });
+    run(3_000);
+    expect(new Set(sent.map(({ to }) => to))).toEqual(new Set(['likely leaders']));
+  });
+
+  it('as the leader tells all what all together have, and who lives', () => {
+    const { sent, run } = setUp({ isLeading: true });
+    run(1_000);
+    expect(sent.every(({ to, message }) => to === 'all' && message.kind === 'loads')).toBe(true);
+    expect(sent[0]?.message).toMatchObject({ daemons: PEERS + 1, configVersion: 3 });
+  });
+
+  it('as the leader passes a stall on to all once', () => {
+    const { sent, hear } = setUp({ isLeading: true });
+    hear({ kind: 'stalled', ...STALL });
+    expect(sent).toEqual([{ to: 'all', message: { kind: 'stalled', ...STALL } }]);
+  });
+
+  it('as the leader gives a daemon without the store what it lacks, and no servers to one with it', () => {
+    const { sent, hear, wait } = setUp({ isLeading: true });
+    const behind = { configVersion: 0, serversRevision: 0 };
+    hear(stateOf(behind));
+    wait(400);
+    hear(stateOf(behind), 'cut off');
+    wait(400);
+    hear(stateOf({ ...behind, isStoreLost: true }), 'cut off');
+    const kindsTo = (address: string) =>
+      sent.filter(({ to }) => to === address).map(({ message }) => message.kind);
+    expect(kindsTo(LEADER)).toEqual(['config']);
+    expect(kindsTo('cut off')).toEqual(['config', 'servers']);
+  });
+
+  it('leaves it to a few others to help a leader that is behind', () => {
+    const daemons = Array.from({ length: PEERS }, (_, seed) => setUp({ seed }));
+    let helpers = 0;
+    for (const { sent, hear, wait } of daemons) {
+      wait(400);
+      hear({ ...LOADS, configVersion: 1 });
+      helpers += sent.length;
+    }
+    expect(helpers).toBeGreaterThan(0);
+    expect(helpers).toBeLessThan(10);
+  });
+});
