--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -8,7 +8,7 @@
 import { joinCost } from './form';
 import { mayLoad, noteLoads } from './loads';
 import { GROUP_PREFIX, isStandby, STANDBY_PREFIX } from './names';
-import { isShort, isStarved, rankByNeed, WARM_NEED_SHARE } from './need';
+import { isShort, rankByNeed, WARM_NEED_SHARE } from './need';
 import type { ModelNeed } from './need';
 import { rebalance } from './rebalance';
 import { ask, isSuspect } from './state';
@@ -21,8 +21,6 @@
  * it, since a whole group starts at once and would often leave a part unused.
  */
 const LOAD_CROWD = 1.5;
-/** Loads that begin after a formation slow its own loads down; it may take so many times its expected time. */
-const LATE_LOADS = 1.5;
 /** Epochs that one term of a lease may give out; its holder then takes the lease anew. */
 export const EPOCHS_PER_LEASE = 65_536;
 
@@ -60,54 +58,29 @@
   return counts;
 }
 
-/** A model that a group could be formed of now. */
-interface Candidate extends ModelNeed {
-  /** Weight loads that its group would take. */
-  readonly loads: number;
-  /** Whether it would take servers that are kept for losses. */
-  readonly usesReserve: boolean;
-}
-
-/** The models that the domain's free servers suffice for; those kept for losses only for one that is short. */
-function listCandidates(
-  draft: Draft,
-  needs: readonly ModelNeed[],
-  { free, reserve }: FreeDomain,
-): readonly Candidate[] {
-  return needs.flatMap((need, i): Candidate[] => {
-    const { model } = need;
-    const usesReserve = model.size > free.length - reserve;
-    const mayUseReserve = i === 0 && isShort(draft, need);
-    if (model.size > free.length || (usesReserve && !mayUseReserve)) return [];
-    const loads = countLoads(draft, pickMembers(draft, free, model), model);
-    return [{ ...need, loads, usesReserve }];
-  });
-}
-
 /**
- * The model to form a group of. One that needs no weights loaded goes first, since it serves at once,
- * unless another can hardly work without one more group. Otherwise the one that lacks groups most, and
- * while further servers may come to the domain only that one.
+ * The model to form a group of. One that needs no weights loaded goes first, unless another lacks
+ * groups far more. Otherwise the one that lacks groups most, and while further servers may come to
+ * the domain only that one. Servers kept for losses go to a model that cannot do its work without.
  */
 function pickModel(
   draft: Draft,
   counts: ReadonlyMap<ModelId, number>,
-  domain: FreeDomain,
+  { free, reserve, isSettled }: FreeDomain,
 ): ModelSpec | undefined {
   const needs = rankByNeed(draft, counts);
   const most = needs[0];
   if (!most) return undefined;
-  const isUrgent = isStarved(draft, most);
-  const candidates = listCandidates(draft, needs, domain);
-  const warm = candidates.find(
-    ({ loads, need }) => loads === 0 && (!isUrgent || need >= WARM_NEED_SHARE * most.need),
+  const servers = (need: ModelNeed): number =>
+    need === most && isShort(draft, need) ? free.length : free.length - reserve;
+  const fits = needs.filter((need) => need.model.size <= servers(need));
+  const warm = fits.find(
+    ({ model, need }) =>
+      need >= WARM_NEED_SHARE * most.need &&
+      countLoads(draft, pickMembers(draft, free, model), model) === 0,
   );
   if (warm) return warm.model;
-  const [first, second] = candidates;
-  if (first?.model !== most.model) return domain.isSettled ? first?.model : undefined;
-  const isCheapest = !second || first.loads <= second.loads;
-  if (!first.usesReserve || isUrgent || isCheapest) return first.model;
-  return domain.isSettled ? second.model : undefined;
+  return isSettled || fits[0] === most ? fits[0]?.model : undefined;
 }
 
 /** Whether servers have stopped coming to the domain. */
@@ -165,7 +138,7 @@
     epoch,
     model: model.name,
     members,
-    deadline: later(draft.now, slowest * crowd * LATE_LOADS + draft.settings.joinSlackMs),
+    deadline: later(draft.now, slowest * crowd + draft.settings.joinSlackMs),
     isStandby: prefix === STANDBY_PREFIX,
   });
 }
@@ -257,8 +230,6 @@
   staged: ModelSpec,
 ): void {
   const limit = draft.view.hasTraffic ? draft.settings.spareLoads : draft.view.engine.loadsAtOnce;
-  // An earlier leader's order: another join would begin the load anew.
-  if (server.membership?.state === 'joining') return;
   if (draft.loads.some(({ server: id, until }) => id === server.id && draft.now < until)) return;
   if (server.model !== warm.name) {
     const cost = joinCost(draft, server, warm);
--- a/src/core/gateway/forming/loads.ts
+++ b/src/core/gateway/forming/loads.ts
@@ -30,11 +30,10 @@
   return begun + count <= allowed;
 }
 
-/** Enters the loads that joining or staging begins; many at a time take longer in proportion. */
+/** Enters the loads that joining or staging begins. */
 export function noteLoads(draft: Draft, servers: readonly BackendServer[], model: ModelSpec): void {
-  const crowd = (running(draft) + servers.length) / draft.view.engine.loadsAtOnce;
   for (const server of servers) {
-    const ms = joinCost(draft, server, model).ms * Math.max(1, crowd);
+    const { ms } = joinCost(draft, server, model);
     draft.loads.push({ server: server.id, at: draft.now, until: later(draft.now, ms) });
   }
 }
--- a/src/core/gateway/forming/need.ts
+++ b/src/core/gateway/forming/need.ts
@@ -20,8 +20,6 @@
 export const WARM_NEED_SHARE = 0.75;
 /** Above this much work for each group, requests wait. */
 const SHORT_AT = 0.9;
-/** Above this much, most of them wait in vain. */
-const STARVED_AT = 1.3;
 
 /** `share` counts servers at work, so that a group's part is that share over its size. */
 function partOf({ share, size }: ModelSpec): number {
@@ -62,8 +60,3 @@
 export function isShort({ view }: Draft, { work, groups }: ModelNeed): boolean {
   return view.demand !== undefined && work > SHORT_AT * groups;
 }
-
-/** Whether the model has hardly any groups for its work, so that its callers are mostly refused. */
-export function isStarved({ view }: Draft, { work, groups }: ModelNeed): boolean {
-  return view.demand !== undefined && work > STARVED_AT * groups;
-}
