--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -7,13 +7,11 @@
 import type { ReplicaGroup } from '../groups';
 import { joinCost } from './form';
 import { mayLoad, noteLoads } from './loads';
-import { GROUP_PREFIX, isStandby, STANDBY_PREFIX } from './names';
-import { isShort, rankByNeed, WARM_NEED_SHARE } from './need';
-import type { ModelNeed } from './need';
-import { rebalance } from './rebalance';
 import { ask, isSuspect } from './state';
 import type { Draft } from './state';
 
+/** Groups of this name are one warm server each and never serve. */
+const STANDBY_PREFIX = 'standby-';
 /** One server in so many of a domain is kept spare, so that a lost member is replaced at once. */
 const SERVERS_PER_SPARE = 12;
 /**
@@ -24,6 +22,10 @@
 /** Epochs that one term of a lease may give out; its holder then takes the lease anew. */
 export const EPOCHS_PER_LEASE = 65_536;
 
+export function isStandby(group: GroupId): boolean {
+  return group.startsWith(STANDBY_PREFIX);
+}
+
 /** Servers that may be ordered into a group now, by domain. */
 export function collectFree(draft: Draft): ReadonlyMap<DomainId, BackendServer[]> {
   const taken = new Set<InstanceId>();
@@ -58,29 +60,40 @@
   return counts;
 }
 
+/** How much a model needs one more group: its part of the work, in groups, over those it has. */
+function needOf(draft: Draft, counts: ReadonlyMap<ModelId, number>, model: ModelSpec): number {
+  // `share` counts servers at work, so that a group's part is that share over its size.
+  const work = draft.view.demand?.get(model.name) ?? model.share / model.size;
+  return work / ((counts.get(model.name) ?? 0) + 1);
+}
+
+function byNeed(draft: Draft, counts: ReadonlyMap<ModelId, number>): readonly ModelSpec[] {
+  return [...draft.view.engine.models].sort(
+    (a, b) =>
+      needOf(draft, counts, b) - needOf(draft, counts, a) ||
+      b.size - a.size ||
+      compareText(a.name, b.name),
+  );
+}
+
 /**
- * The model to form a group of. One that needs no weights loaded goes first, unless another lacks
- * groups far more. Otherwise the one that lacks groups most, and while further servers may come to
- * the domain only that one. Servers kept for losses go to a model that cannot do its work without.
+ * The model to form a group of. One that needs no weights loaded goes first. Otherwise the one that
+ * lacks groups most, and while further servers may come to the domain only that one.
  */
 function pickModel(
   draft: Draft,
   counts: ReadonlyMap<ModelId, number>,
-  { free, reserve, isSettled }: FreeDomain,
+  free: readonly BackendServer[],
+  servers: number,
+  isSettled: boolean,
 ): ModelSpec | undefined {
-  const needs = rankByNeed(draft, counts);
-  const most = needs[0];
-  if (!most) return undefined;
-  const servers = (need: ModelNeed): number =>
-    need === most && isShort(draft, need) ? free.length : free.length - reserve;
-  const fits = needs.filter((need) => need.model.size <= servers(need));
+  const models = byNeed(draft, counts);
+  const fits = models.filter(({ size }) => size <= servers);
   const warm = fits.find(
-    ({ model, need }) =>
-      need >= WARM_NEED_SHARE * most.need &&
-      countLoads(draft, pickMembers(draft, free, model), model) === 0,
+    (model) => countLoads(draft, pickMembers(draft, free, model), model) === 0,
   );
-  if (warm) return warm.model;
-  return isSettled || fits[0] === most ? fits[0]?.model : undefined;
+  if (warm) return warm;
+  return isSettled || fits[0] === models[0] ? fits[0] : undefined;
 }
 
 /** Whether servers have stopped coming to the domain. */
@@ -159,16 +172,15 @@
 /** Starts one group in the domain, if one is lacking for which there are servers and loads. */
 function formOne(
   draft: Draft,
-  domain: FreeDomain,
+  { free, reserve, isSettled: isComplete }: FreeDomain,
   counts: Map<ModelId, number>,
 ): readonly BackendServer[] {
-  const { free } = domain;
-  const model = pickModel(draft, counts, domain);
+  const model = pickModel(draft, counts, free, free.length - reserve, isComplete);
   if (!model) return [];
   const members = pickMembers(draft, free, model);
   const loads = countLoads(draft, members, model);
   if (!mayLoad(draft, loads, draft.view.engine.loadsAtOnce * LOAD_CROWD)) return [];
-  startFormation(draft, model, members, GROUP_PREFIX);
+  startFormation(draft, model, members, 'group-');
   counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
   return members;
 }
@@ -176,7 +188,6 @@
 /** Starts new groups, one a domain in turn, and prepares spares. */
 export function composeGroups(draft: Draft, groups: readonly ReplicaGroup[]): void {
   const counts = countGroups(draft, groups);
-  rebalance(draft, groups, counts, collectFree(draft));
   let domains = freeDomains(draft);
   for (let isDone = false; !isDone;) {
     isDone = true;
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -28,8 +28,6 @@
    * loaded for a model that would not have been the first choice.
    */
   readonly settleMs: number;
-  /** Servers are moved from one model to another no more often than this; longer than most loads of weights. */
-  readonly moveRestMs: number;
   /** Weight loads for spares alone that run at a time once callers are served: loads are dear. */
   readonly spareLoads: number;
   /** Share of the loads allowed in a window that are used; the rest is for a change of leader. */
@@ -47,7 +45,6 @@
   unseenMs: 8_000,
   finishMs: 9_000,
   settleMs: 900,
-  moveRestMs: 20_000,
   spareLoads: 6,
   loadShare: 0.8,
 };
@@ -111,8 +108,6 @@
   readonly epochs: number;
   /** When servers last came to a domain, and how many it has. */
   readonly arrivals: ReadonlyMap<DomainId, Arrival>;
-  /** When servers were last moved from one model to another. */
-  readonly movedAt?: MonoTime;
 }
 
 export interface Arrival {
@@ -173,7 +168,6 @@
   loads: WeightLoad[];
   epochs: number;
   readonly arrivals: Map<DomainId, Arrival>;
-  movedAt: MonoTime | undefined;
   readonly view: FormingView;
   readonly now: MonoTime;
   readonly effects: OrderEffect[];
@@ -191,7 +185,6 @@
     loads: [...state.loads],
     epochs: state.epochs,
     arrivals: new Map(state.arrivals),
-    movedAt: state.movedAt,
     view,
     now,
     effects: [],
@@ -200,7 +193,7 @@
 
 export function stateOf(draft: Draft): FormingState {
   const { settings, formations, retirements, dissolved, strangers } = draft;
-  const { suspects, sent, loads, epochs, arrivals, movedAt } = draft;
+  const { suspects, sent, loads, epochs, arrivals } = draft;
   return {
     settings,
     formations,
@@ -212,7 +205,6 @@
     loads,
     epochs,
     arrivals,
-    ...(movedAt !== undefined && { movedAt }),
   };
 }
 
