Put a group that lost a member together again with the servers kept for losses

Kept is the smaller part: spares are used where that saves loads, and the work of a model without groups is at least its published part. Tests: forming.test.ts, 2 red before.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -168,11 +168,6 @@
   const ofModel = (service: ServiceId, model: ModelId): BoardGroup[] =>
     [...groups.values()].filter((group) => group.service === service && group.model === model);
 
-  const ofModelAnywhere = (name: ModelId): { readonly batchSize: number } => {
-    const found = [...groups.values()].find(({ model }) => model === name);
-    return { batchSize: found?.engine.batchSize ?? 1 };
-  };
-
   const findStalls = (): void => {
     const now = clock.now();
     for (const [head, seen] of progress) {
@@ -250,14 +245,15 @@
     },
     demand: () => {
       const demand = new Map<ModelId, number>();
+      for (const { engine } of routes()?.config.services ?? []) {
+        for (const { name } of engine?.models ?? []) {
+          demand.set(name, (waitingAll.get(name) ?? 0) / (engine?.batchSize ?? 1));
+        }
+      }
       for (const { head, model, engine } of groups.values()) {
         const work = runningIn(head.id) / engine.batchSize;
         demand.set(model, (demand.get(model) ?? 0) + work);
       }
-      for (const [model, work] of demand) {
-        const { batchSize } = ofModelAnywhere(model);
-        demand.set(model, work + (waitingAll.get(model) ?? 0) / batchSize);
-      }
       return demand;
     },
     tick: () => {
--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -96,7 +96,7 @@
     const own = [...roster.servers].filter(([, { service }]) => service === name);
     const lapsed = [...roster.lapsed].filter(([, { service }]) => service === name);
     const view = { servers: new Map(own), lapsed: new Map(lapsed), engine, fencing, hasTraffic };
-    return hasTraffic ? { ...view, demand: smoothed } : view;
+    return hasTraffic && smoothed.size > 0 ? { ...view, demand: smoothed } : view;
   };
 
   const send = async (
--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -7,6 +7,8 @@
 import type { ReplicaGroup } from '../groups';
 import { joinCost } from './form';
 import { mayLoad, noteLoads } from './loads';
+import { isShort, rankByNeed } from './need';
+import type { ModelNeed } from './need';
 import { ask, isSuspect } from './state';
 import type { Draft } from './state';
 
@@ -60,20 +62,36 @@
   return counts;
 }
 
-/** How much a model needs one more group: its part of the work, in groups, over those it has. */
-function needOf(draft: Draft, counts: ReadonlyMap<ModelId, number>, model: ModelSpec): number {
-  // `share` counts servers at work, so that a group's part is that share over its size.
-  const work = draft.view.demand?.get(model.name) ?? model.share / model.size;
-  return work / ((counts.get(model.name) ?? 0) + 1);
+/** A model that a group could be formed of now. */
+interface Candidate extends ModelNeed {
+  /** Weight loads that its group would take. */
+  readonly loads: number;
+  /** Whether it would take servers that are kept for losses. */
+  readonly usesReserve: boolean;
 }
 
-function byNeed(draft: Draft, counts: ReadonlyMap<ModelId, number>): readonly ModelSpec[] {
-  return [...draft.view.engine.models].sort(
-    (a, b) =>
-      needOf(draft, counts, b) - needOf(draft, counts, a) ||
-      b.size - a.size ||
-      compareText(a.name, b.name),
+/** The models that the domain's free servers suffice for, the one that lacks groups most first. */
+function listCandidates(
+  draft: Draft,
+  needs: readonly ModelNeed[],
+  { free, reserve }: FreeDomain,
+): readonly Candidate[] {
+  const all = needs
+    .filter(({ model }) => model.size <= free.length)
+    .map((need): Candidate => {
+      const { model } = need;
+      const loads = countLoads(draft, pickMembers(draft, free, model), model);
+      return { ...need, loads, usesReserve: model.size > free.length - reserve };
+    });
+  const cheapest = Math.min(
+    Infinity,
+    ...all.filter(({ usesReserve }) => !usesReserve).map(({ loads }) => loads),
   );
+  // Servers are kept for losses: a group that lost a member is put together again with them, rather
+  // than its others being loaded with another model.
+  const mayUseReserve = ({ loads, ...need }: Candidate): boolean =>
+    loads === 0 || (loads < cheapest && (cheapest < Infinity || isShort(draft, need)));
+  return all.filter((candidate) => !candidate.usesReserve || mayUseReserve(candidate));
 }
 
 /**
@@ -83,17 +101,13 @@
 function pickModel(
   draft: Draft,
   counts: ReadonlyMap<ModelId, number>,
-  free: readonly BackendServer[],
-  servers: number,
-  isSettled: boolean,
+  domain: FreeDomain,
 ): ModelSpec | undefined {
-  const models = byNeed(draft, counts);
-  const fits = models.filter(({ size }) => size <= servers);
-  const warm = fits.find(
-    (model) => countLoads(draft, pickMembers(draft, free, model), model) === 0,
-  );
-  if (warm) return warm;
-  return isSettled || fits[0] === models[0] ? fits[0] : undefined;
+  const needs = rankByNeed(draft, counts);
+  const candidates = listCandidates(draft, needs, domain);
+  const first = candidates.find(({ loads }) => loads === 0) ?? candidates[0];
+  const isSure = first?.loads === 0 || domain.isSettled || first?.model === needs[0]?.model;
+  return isSure ? first?.model : undefined;
 }
 
 /** Whether servers have stopped coming to the domain. */
@@ -172,10 +186,11 @@
 /** Starts one group in the domain, if one is lacking for which there are servers and loads. */
 function formOne(
   draft: Draft,
-  { free, reserve, isSettled: isComplete }: FreeDomain,
+  domain: FreeDomain,
   counts: Map<ModelId, number>,
 ): readonly BackendServer[] {
-  const model = pickModel(draft, counts, free, free.length - reserve, isComplete);
+  const { free } = domain;
+  const model = pickModel(draft, counts, domain);
   if (!model) return [];
   const members = pickMembers(draft, free, model);
   const loads = countLoads(draft, members, model);
--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -104,3 +104,30 @@
     expect(fleet.violations).toEqual([]);
   });
 });
+
+describe('a model without enough groups', () => {
+  it('is formed again with the servers kept for losses, before others are loaded anew', () => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [26], hasTraffic: true });
+    const demand = new Map([
+      [LARGE, 2],
+      [SMALL, 0.5],
+    ]);
+    const leader = createLeader(fleet, { hasTraffic: true, demand });
+    leader.run(120_000);
+    const before = fleet.serving(LARGE);
+    const loads = fleet.loads();
+    const members = headOf(fleet, LARGE).joined?.members ?? [];
+    for (const id of members.slice(1, 3)) fleet.kill(id);
+    leader.run(12_000);
+    expect(fleet.serving(LARGE)).toBe(before);
+    expect(fleet.loads() - loads).toBeLessThanOrEqual(2);
+    expect(fleet.violations).toEqual([]);
+  });
+
+  it('has its published part of the work where nothing shows that it is asked for', () => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: true });
+    const demand = new Map([[SMALL, 0.5]]);
+    createLeader(fleet, { hasTraffic: true, demand }).run(60_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([1, 1]);
+  });
+});
--- a/tests/gateway/leader.ts
+++ b/tests/gateway/leader.ts
@@ -3,6 +3,7 @@
 import { createForming } from '../../src/core/gateway/forming/state';
 import type { FormingState } from '../../src/core/gateway/forming/state';
 import { noteResult, noteSuspect, planGroups } from '../../src/core/gateway/forming/plan';
+import type { ModelId } from '../../src/core/ids';
 import type { EngineFleet } from '../../stand-ins/users-platform/engines';
 import { at, ENGINE } from './support';
 
@@ -12,11 +13,13 @@
   readonly hasTraffic?: boolean;
   /** Delay of an order that is carried out late, by the number of the order. */
   readonly lateMs?: (n: number) => number;
+  /** Work of each model, in groups that it would keep busy. */
+  readonly demand?: ReadonlyMap<ModelId, number>;
 }
 
 export function createLeader(
   fleet: EngineFleet,
-  { hasTraffic = false, lateMs = () => 0 }: LeaderOptions = {},
+  { hasTraffic = false, lateMs = () => 0, demand }: LeaderOptions = {},
 ) {
   let fencing = 1;
   let orders = 0;
@@ -32,6 +35,7 @@
       engine: ENGINE,
       fencing,
       hasTraffic,
+      ...(demand && { demand }),
     };
     const plan = planGroups(state, view, now);
     state = plan.state;
