Tell what happened to a request: nutmegstack explain

Gathers from several daemons' logs the lines of a request, of the groups and servers that it met (or of its model's groups, where it was sent to none), of leaders and of the dependencies of the daemons that handled it, in one order of time.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -7,6 +7,7 @@
 import type { Command, CommandContext, CommandResult, StartDaemon } from './command';
 import { usage } from './command';
 import { apply, check, diff, get } from './commands/documents';
+import { explain } from './commands/explain';
 import { drain, keys, status, version } from './commands/operations';
 import { serve } from './commands/serve';
 import { SETTINGS, variableOf } from './settings';
@@ -76,6 +77,16 @@
     flags: [...ADMIN_FLAGS, { flag: 'config-version', help: 'Compare with an earlier version' }],
     run: diff,
   },
+  explain: {
+    usage: '<request> [logs...]',
+    help: "Tell what happened to a request, from daemons' logs in files or on standard input.",
+    flags: [
+      { flag: 'before', help: 'Show beliefs and decisions from so many seconds before it on' },
+      OUTPUT,
+    ],
+    examples: ['explain 9c41d07be2a35f68 front-1.log front-2.log', 'explain 9c41d07b < all.log'],
+    run: explain,
+  },
   status: {
     usage: '',
     help: 'Show every daemon with the version in force on it.',
