Tell callers of a model without groups when to come back, soon

Now it waits 0.7 s, in which a group is formed again from warm servers, and its caller is told to come back after 1 to 1.6 s. The model is logged with the end of each request. Test: whole-path.test.ts, red before.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -45,6 +45,8 @@
     gapMs: number,
     tried: ReadonlySet<InstanceId>,
   ): GroupCandidate[];
+  /** Whether any group of the model is open, suspected or not. */
+  serves(service: ServiceId, model: ModelId | undefined): boolean;
   find(head: InstanceId): BoardGroup | undefined;
   /** Whether any daemon has streams running in the group. */
   isBusy(group: GroupId): boolean;
@@ -203,6 +205,7 @@
           slowdown: slowdownOf(group),
           isTried: tried.has(group.head.id),
         })),
+    serves: (service, model) => model !== undefined && ofModel(service, model).length > 0,
     find: (head) => groups.get(head),
     isBusy: (group) =>
       [...groups.values()].some(({ id, head }) => id === group && runningIn(head.id) > 0),
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -83,6 +83,7 @@
     ...(exchange.facts.requestId !== undefined && { requestId: exchange.facts.requestId }),
     ...(organisation !== undefined && { organisation }),
     route: exchange.route.name,
+    ...(exchange.facts.model !== undefined && { model: exchange.facts.model }),
     ms,
     leftMs: Math.round(exchange.deadline - ctx.clock.now()),
     ...ending,
@@ -91,20 +92,32 @@
   else ctx.logger.warn('request ended', fields);
 }
 
-/** Time after which a refused caller should come back: soon, spread so that callers do not come together. */
-const RETRY_LEAST_MS = 60;
-const RETRY_SPREAD_MS = 140;
+/** When a refused caller should come back, milliseconds; spread so that callers do not come together. */
+export interface RetryAfter {
+  readonly leastMs: number;
+  readonly spreadMs: number;
+}
+
+/** All places are taken: one becomes free every few milliseconds. */
+const WHEN_FULL: RetryAfter = { leastMs: 60, spreadMs: 140 };
+/** No group serves the model: forming one takes between half a second from warm servers and a load of weights. */
+export const WHEN_UNSERVED: RetryAfter = { leastMs: 1_000, spreadMs: 600 };
+
+export interface OwnAnswer {
+  readonly status: number;
+  readonly message: string;
+  readonly retryAfter?: RetryAfter;
+}
 
 /** Answers in the daemon's own name. 503 promises that the request has not run and never will. */
 export function answerOwn(
   ctx: GatewayContext,
   res: ServerResponse,
-  status: number,
-  message: string,
+  { status, message, retryAfter = WHEN_FULL }: OwnAnswer,
 ): void {
   if (res.headersSent || res.destroyed) return;
   const body = Buffer.from(JSON.stringify({ error: { message } }));
-  const retryMs = RETRY_LEAST_MS + ctx.random.next() * RETRY_SPREAD_MS;
+  const retryMs = retryAfter.leastMs + ctx.random.next() * retryAfter.spreadMs;
   res.writeHead(status, {
     'Content-Type': 'application/json',
     'Content-Length': body.length,
@@ -113,18 +126,24 @@
   res.end(body);
 }
 
+/** What became of a request that has no answer. */
+export interface GivenUp {
+  readonly exposure: Exposure;
+  readonly reason: string;
+  readonly attempts: number;
+  readonly retryAfter?: RetryAfter;
+}
+
 /** Ends a request that has no answer: refused where it surely has not run, failed otherwise. */
 export function giveUp(
   ctx: GatewayContext,
   exchange: Exchange,
-  exposure: Exposure,
-  reason: string,
-  attempts: number,
+  { exposure, reason, attempts, retryAfter }: GivenUp,
 ): void {
   const isLate = ctx.clock.now() >= exchange.answerBy;
   const failed = isLate ? 504 : 502;
   const status = exposure === 'not-run' ? 503 : failed;
-  answerOwn(ctx, exchange.res, status, reason);
+  answerOwn(ctx, exchange.res, { status, message: reason, ...(retryAfter && { retryAfter }) });
   const outcome = exposure === 'not-run' ? 'refused' : 'failed';
   logEnding(ctx, exchange, { outcome, status, attempts, reason });
 }
--- a/src/app/gateway/front.ts
+++ b/src/app/gateway/front.ts
@@ -198,7 +198,7 @@
     reason: message,
     ...(facts.requestId !== undefined && { requestId: facts.requestId }),
   });
-  answerOwn(ctx, res, status, message);
+  answerOwn(ctx, res, { status, message });
 }
 
 /** Aborts once the connection has closed before the answer was whole. */
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -155,7 +155,7 @@
       if (result.kind === 'lost') exposure = 'unknown';
       if (!mayTryAgain(exchange, tried.size, result)) break;
     }
-    giveUp(ctx, exchange, exposure, reason, tried.size);
+    giveUp(ctx, exchange, { exposure, reason, attempts: tried.size });
   };
 
   return { call };
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -7,17 +7,19 @@
 import { chooseGroup, countToLookAt, hasRoom, sample } from '../../core/gateway/balance';
 import { nameOf } from '../../core/gateway/routes';
 import { later } from '../../core/ids';
-import type { ModelId } from '../../core/ids';
+import type { ModelId, MonoTime } from '../../core/ids';
 import { fail } from '../../utils/errors';
 import type { BoardGroup } from './board';
-import type { GatewayContext } from './context';
-import { giveUp, logEnding } from './exchange';
+import { giveUp, logEnding, WHEN_UNSERVED } from './exchange';
 import type { Exchange } from './exchange';
 import type { Retries } from './retries';
 import { describe, relay } from './stream-relay';
 import type { Ended, Place, RelayDeps, StreamState } from './stream-relay';
 import type { WaitingRoom } from './waiting';
 
+/** A group that lost a member is formed again from warm servers in little more than half a second. */
+const UNSERVED_WAIT_MS = 700;
+
 export interface StreamDeps extends RelayDeps {
   readonly upstream: Upstream;
   readonly retries: Retries;
@@ -53,6 +55,14 @@
     return group;
   };
 
+  /** A caller whose model no group serves is told to come back, for its wait would likely be in vain. */
+  const waitUntil = (exchange: Exchange, model: ModelId, state: StreamState): MonoTime => {
+    if (state.hasStarted) return exchange.answerBy;
+    if (board.serves(exchange.service, model)) return exchange.placeBy;
+    const soon = later(exchange.arrivedAt, UNSERVED_WAIT_MS);
+    return soon < exchange.placeBy ? soon : exchange.placeBy;
+  };
+
   /** Takes a place in a group, if need be after a wait in turn with other requests. */
   const findGroup = async (
     exchange: Exchange,
@@ -64,7 +74,7 @@
     return deps.waiting.wait({
       model,
       priority: exchange.priority,
-      until: state.hasStarted ? exchange.answerBy : exchange.placeBy,
+      until: waitUntil(exchange, model, state),
       arrivedAt: exchange.arrivedAt,
       onTimeUntil: later(exchange.arrivedAt, exchange.route.targetMs),
       gone: exchange.gone,
@@ -93,7 +103,11 @@
       reason: 'no group serves the model',
     };
     if (model === undefined) {
-      giveUp(ctx, exchange, 'not-run', 'the request names no model', 0);
+      giveUp(ctx, exchange, {
+        exposure: 'not-run',
+        reason: 'the request names no model',
+        attempts: 0,
+      });
       return;
     }
     retries.noteRequest(exchange.service);
@@ -112,13 +126,17 @@
       if (ended === 'lost') state.exposure = 'unknown';
       if (ended === 'caller-gone' || !mayGoOn(exchange, state, ended)) break;
     }
-    endWithoutAnswer(ctx, exchange, state);
+    endWithoutAnswer(deps, exchange, state);
   };
 
   return { call };
 }
 
-function endWithoutAnswer(ctx: GatewayContext, exchange: Exchange, state: StreamState): void {
+function endWithoutAnswer(
+  { ctx, board }: StreamDeps,
+  exchange: Exchange,
+  state: StreamState,
+): void {
   const { attempts, reason, exposure } = state;
   const { res, gone } = exchange;
   if (gone.aborted) {
@@ -126,7 +144,10 @@
     return;
   }
   if (!state.hasStarted) {
-    giveUp(ctx, exchange, exposure, reason, attempts);
+    const retryAfter = board.serves(exchange.service, exchange.facts.model)
+      ? undefined
+      : WHEN_UNSERVED;
+    giveUp(ctx, exchange, { exposure, reason, attempts, ...(retryAfter && { retryAfter }) });
     return;
   }
   // The caller must not take what it has for a whole answer.
--- a/tests/gateway/whole-path.test.ts
+++ b/tests/gateway/whole-path.test.ts
@@ -11,7 +11,7 @@
 } from '../../stand-ins/users-platform/document';
 import { PLAIN_SERVICE, startPlatform } from '../../stand-ins/users-platform/start';
 import type { PlatformStandIn } from '../../stand-ins/users-platform/start';
-import { PATHS } from '../../platform/names';
+import { HEADERS, PATHS } from '../../platform/names';
 import { callDaemon, eventIds, launchDaemon } from '../support/gateway-daemon';
 import type { Reply } from '../support/gateway-daemon';
 import { ENGINE, LARGE, SMALL } from './support';
@@ -119,6 +119,12 @@
     expect((await send(front(0), '/safe/x', { body: 'x'.repeat(200_000) })).status).toBe(413);
   });
 
+  it('tell a caller whose model no group serves when to come back', async () => {
+    const reply = await send(front(0), '/stream/x', { headers: { [HEADERS.model]: 'unserved' } });
+    expect(reply.status).toBe(503);
+    expect(Number(reply.headers['retry-after'])).toBeGreaterThanOrEqual(1);
+  });
+
   it('send a safe call again where its server fails or breaks off, and an unsafe one never', async () => {
     platform.plainFaults.cutAnswers = 1;
     expect(await send(front(1), '/safe/x', { body: 'cut' })).toMatchObject({ status: 200 });
