Serve groups as soon as servers and configuration are known, whichever came first

Cause: the board of groups was built when servers changed. Ruled out: the start itself (0.3 s), and the lease, which was taken 2.5 s after the restart but is not needed to serve. The board is now also built when a configuration comes into force. Also logged: each attempt that failed, with its server and group.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -1,7 +1,7 @@
 /** The groups that streams may be sent to, with what is known of their load and health. */
 
-import { Subject } from 'rxjs';
-import type { Observable } from 'rxjs';
+import { merge, Subject } from 'rxjs';
+import type { BehaviorSubject, Observable } from 'rxjs';
 
 import type { GroupCandidate } from '../../core/gateway/balance';
 import { collectGroups, isOpen } from '../../core/gateway/groups';
@@ -79,7 +79,7 @@
 export function createBoard(
   ctx: GatewayContext,
   roster: Roster,
-  routes: () => RouteTable | undefined,
+  routes: BehaviorSubject<RouteTable | undefined>,
 ): Board {
   const { clock, logger } = ctx;
   const progress = new Map<InstanceId, Progress>();
@@ -97,7 +97,7 @@
   let groups = new Map<InstanceId, BoardGroup>();
 
   const rebuild = (): void => {
-    const table = routes();
+    const table = routes.value;
     const next = new Map<InstanceId, BoardGroup>();
     if (!table) return;
     for (const group of collectGroups(roster.servers.values())) {
@@ -186,7 +186,8 @@
     }
   };
 
-  roster.changes.subscribe(rebuild);
+  // Either may come first: without the configuration no group is known to belong to a service.
+  merge(roster.changes, routes).subscribe(rebuild);
 
   return {
     stalls,
@@ -248,7 +249,7 @@
     },
     demand: () => {
       const demand = new Map<ModelId, number>();
-      for (const { engine } of routes()?.config.services ?? []) {
+      for (const { engine } of routes.value?.config.services ?? []) {
         for (const { name } of engine?.models ?? []) {
           demand.set(name, (waitingAll.get(name) ?? 0) / (engine?.batchSize ?? 1));
         }
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -6,7 +6,7 @@
 import { nameOf } from '../../core/gateway/routes';
 import type { Route } from '../../core/gateway/types';
 import { later } from '../../core/ids';
-import type { InstanceId, MonoTime, ServiceId } from '../../core/ids';
+import type { GroupId, InstanceId, MonoTime, ServiceId } from '../../core/ids';
 import type { CallFacts } from '../../ports/gateway';
 import type { GatewayContext } from './context';
 
@@ -92,6 +92,27 @@
   else ctx.logger.warn('request ended', fields);
 }
 
+/** One send that brought no answer for the caller. */
+export interface FailedAttempt {
+  readonly server: InstanceId;
+  readonly group?: GroupId;
+  readonly ended: string;
+  readonly reason: string;
+}
+
+export function logFailedAttempt(
+  ctx: GatewayContext,
+  { facts }: Exchange,
+  attempt: FailedAttempt,
+): void {
+  const { requestId } = facts;
+  ctx.logger.info('attempt failed', {
+    step: 'attempt',
+    ...(requestId !== undefined && { requestId }),
+    ...attempt,
+  });
+}
+
 /** When a refused caller should come back, milliseconds; spread so that callers do not come together. */
 export interface RetryAfter {
   readonly leastMs: number;
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -60,7 +60,7 @@
     leader: () => fleet.leader(),
   });
   const routes = () => config.table.value;
-  const board = createBoard(ctx, roster, routes);
+  const board = createBoard(ctx, roster, config.table);
   const waiting = createWaitingRoom(ctx, board);
   const former = createFormer(ctx, {
     roster,
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -15,7 +15,7 @@
 import type { AnswerFacts, Dialect } from '../../ports/gateway';
 import { fail } from '../../utils/errors';
 import type { GatewayContext } from './context';
-import { giveUp, logEnding } from './exchange';
+import { giveUp, logEnding, logFailedAttempt } from './exchange';
 import type { Exchange, Exposure } from './exchange';
 import type { Retries } from './retries';
 import type { Roster } from './roster';
@@ -152,6 +152,7 @@
         continue;
       }
       reason = result.reason;
+      logFailedAttempt(ctx, exchange, { server: server.id, ended: result.kind, reason });
       if (result.kind === 'lost') exposure = 'unknown';
       if (!mayTryAgain(exchange, tried.size, result)) break;
     }
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -10,7 +10,7 @@
 import type { ModelId, MonoTime } from '../../core/ids';
 import { fail } from '../../utils/errors';
 import type { BoardGroup } from './board';
-import { giveUp, logEnding, WHEN_UNSERVED } from './exchange';
+import { giveUp, logEnding, logFailedAttempt, WHEN_UNSERVED } from './exchange';
 import type { Exchange } from './exchange';
 import type { Retries } from './retries';
 import { describe, relay } from './stream-relay';
@@ -123,6 +123,8 @@
         logEnding(ctx, exchange, { outcome: 'served', status, attempts, server: group.head.id });
         return;
       }
+      const { reason } = state;
+      logFailedAttempt(ctx, exchange, { server: group.head.id, group: group.id, ended, reason });
       if (ended === 'lost') state.exposure = 'unknown';
       if (ended === 'caller-gone' || !mayGoOn(exchange, state, ended)) break;
     }
