--- a/src/app/control/setup.ts
+++ b/src/app/control/setup.ts
@@ -32,10 +32,3 @@
     peer: instance,
   });
 }
-
-/** Lets answers come in. */
-export function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/tests/gateway/board.test.ts
+++ b/tests/gateway/board.test.ts
@@ -1,28 +1,12 @@
 import { BehaviorSubject, Subject } from 'rxjs';
 import { describe, expect, it } from 'vitest';
 
-import { createClock, createRandom } from '../../src/adapters/runtime';
-import { createLogger } from '../../src/adapters/telemetry/logger';
-import { createMetrics } from '../../src/adapters/telemetry/metrics';
 import { createBoard } from '../../src/app/gateway/board';
-import type { GatewayContext } from '../../src/app/gateway/context';
 import type { Roster } from '../../src/app/gateway/roster';
-import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
-import { createStoreAccess } from '../../src/app/gateway/store-access';
 import type { RouteTable } from '../../src/core/gateway/routes';
 import { brandAs } from '../../src/core/ids';
 import type { Epoch, GroupId } from '../../src/core/ids';
-import { ENGINE, instance, makeServer, SERVICE, SMALL } from './support';
-
-const ctx: GatewayContext = {
-  settings: {} as GatewaySettings,
-  tunables: new BehaviorSubject({} as GatewayTunables),
-  clock: createClock(),
-  random: createRandom(1),
-  logger: createLogger({ write: () => undefined }),
-  metrics: createMetrics({ ofProcess: false }),
-  store: createStoreAccess(),
-};
+import { ENGINE, instance, makeContext, makeServer, SERVICE, SMALL } from './support';
 
 const TABLE = {
   config: { services: [{ name: SERVICE, engine: ENGINE }] },
@@ -45,7 +29,7 @@
   const changes = new Subject<void>();
   const servers = new Map(openGroup().map((server) => [server.id, server]));
   const routes = new BehaviorSubject<RouteTable | undefined>(undefined);
-  const board = createBoard(ctx, { servers, changes } as unknown as Roster, routes);
+  const board = createBoard(makeContext(), { servers, changes } as unknown as Roster, routes);
   const heads = () => board.candidates(SERVICE, SMALL, 250, new Set()).map(({ head }) => head);
   return { changes, routes, heads };
 }
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -1,18 +1,14 @@
 import { BehaviorSubject, Subject } from 'rxjs';
 import { describe, expect, it } from 'vitest';
 
-import { createClock, createRandom } from '../../src/adapters/runtime';
-import { createLogger } from '../../src/adapters/telemetry/logger';
-import { createMetrics } from '../../src/adapters/telemetry/metrics';
-import type { GatewayContext } from '../../src/app/gateway/context';
+import { createClock } from '../../src/adapters/runtime';
 import type { FromPeer, PeerView } from '../../src/app/gateway/fleet';
 import { createGossip } from '../../src/app/gateway/gossip';
 import type { GossipDeps } from '../../src/app/gateway/gossip';
 import type { GatewayMessage, Loads, PeerState } from '../../src/app/gateway/messages';
-import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
-import { createStoreAccess } from '../../src/app/gateway/store-access';
 import { brandAs, later } from '../../src/core/ids';
 import type { DaemonId, FencingNumber, GroupId, InstanceId, MonoTime } from '../../src/core/ids';
+import { makeContext } from './support';
 
 const LEADER = '127.0.0.1:1';
 const PEERS = 69;
@@ -48,15 +44,11 @@
 function setUp({ isLeading = false, hasLeader = true, seed = 7 } = {}) {
   const clock = createClock();
   let now = clock.now();
-  const ctx: GatewayContext = {
-    settings: { id: brandAs<DaemonId>('own') } as GatewaySettings,
-    tunables: new BehaviorSubject({} as GatewayTunables),
+  const ctx = makeContext({
+    settings: { id: brandAs<DaemonId>('own') },
     clock: { ...clock, now: () => now },
-    random: createRandom(seed),
-    logger: createLogger({ write: () => undefined }),
-    metrics: createMetrics({ ofProcess: false }),
-    store: createStoreAccess(),
-  };
+    seed,
+  });
   const sent: { readonly to: string; readonly message: GatewayMessage }[] = [];
   const received = new Subject<FromPeer>();
   const stalls = new Subject<typeof STALL>();
--- a/tests/gateway/roster.test.ts
+++ b/tests/gateway/roster.test.ts
@@ -1,34 +1,20 @@
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
-import { BehaviorSubject } from 'rxjs';
 import { describe, expect, it } from 'vitest';
 
-import { createClock, createRandom } from '../../src/adapters/runtime';
-import type { GatewayContext } from '../../src/app/gateway/context';
 import type { Leader } from '../../src/app/gateway/fleet';
 import type { Progress } from '../../src/app/gateway/messages';
 import { createRoster } from '../../src/app/gateway/roster';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
-import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
 import type { BackendServer } from '../../src/core/gateway/types';
 import type { Feed } from '../../src/ports/gateway';
-import { createLogger } from '../../src/adapters/telemetry/logger';
-import { createMetrics } from '../../src/adapters/telemetry/metrics';
 import { watchFeed } from '../../src/app/gateway/watch';
 import { fail } from '../../src/utils/errors';
 import { pause } from '../../src/utils/pause';
-import { makeServer } from './support';
+import { makeContext, makeServer } from './support';
 
 const LEAVING_MS = 100;
 
-const ctx: GatewayContext = {
-  settings: {} as GatewaySettings,
-  tunables: new BehaviorSubject({ leavingMs: LEAVING_MS } as GatewayTunables),
-  clock: createClock(),
-  random: createRandom(1),
-  logger: createLogger({ write: () => undefined }),
-  metrics: createMetrics({ ofProcess: false }),
-  store: createStoreAccess(),
-};
+const ctx = makeContext({ tunables: { leavingMs: LEAVING_MS } });
 
 /** A collection that changes all the time, and notes when it is asked. */
 function createBusyFeed(askedAt: number[]): Feed<BackendServer> {
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -1,5 +1,13 @@
 /** Small makers of what gateway tests need again and again. */
 
+import { BehaviorSubject } from 'rxjs';
+
+import { createClock, createRandom } from '../../src/adapters/runtime';
+import { createLogger } from '../../src/adapters/telemetry/logger';
+import { createMetrics } from '../../src/adapters/telemetry/metrics';
+import type { GatewayContext } from '../../src/app/gateway/context';
+import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
+import { createStoreAccess } from '../../src/app/gateway/store-access';
 import type { BackendServer, EngineSpec, GatewayConfig, Route } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
 import type {
@@ -105,3 +113,30 @@
 
 /** What simulated fleets have in common. */
 export const FLEET = { engine: ENGINE, service: SERVICE };
+
+export interface ContextOptions extends Partial<
+  Omit<GatewayContext, 'settings' | 'tunables' | 'random'>
+> {
+  readonly settings?: Partial<GatewaySettings>;
+  readonly tunables?: Partial<GatewayTunables>;
+  readonly seed?: number;
+}
+
+/** What parts of a daemon use, with the settings that a test needs and no others. */
+export function makeContext({
+  settings = {},
+  tunables = {},
+  seed = 1,
+  ...more
+}: ContextOptions = {}): GatewayContext {
+  return {
+    settings: settings as GatewaySettings,
+    tunables: new BehaviorSubject(tunables as GatewayTunables),
+    clock: createClock(),
+    random: createRandom(seed),
+    logger: createLogger({ write: () => undefined }),
+    metrics: createMetrics({ ofProcess: false }),
+    store: createStoreAccess(),
+    ...more,
+  };
+}
