--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -27,6 +27,7 @@
   readonly at: MonoTime;
 }
 
+/** The daemon that holds the lease, as it last said. */
 export interface Leader {
   readonly id: DaemonId;
   readonly address: string;
@@ -74,8 +75,15 @@
 const LIKELY_LEADERS = 3;
 /** The lease that the leader holds; daemons rank themselves by its name. */
 export const LEASE_NAME = 'groups';
-/** Daemons enter themselves one after the other at a start; who has not been read yet makes itself known. */
+/**
+ * Daemons enter themselves one after the other at a start, and are read together after this. Until
+ * then a daemon is known by its own messages.
+ */
 const ENTRIES_REST_MS = 3_000;
+/** Entries change seldom, and a poll that fell silent harms nobody: daemons are known by their messages too. */
+const ENTRIES_WAIT_MS = 15_000;
+/** A peer that has been silent for so long has ended for good. */
+const FORGET_MS = 60_000;
 
 export function createFleet(ctx: GatewayContext, entries: Feed<string>): Fleet {
   const { settings, clock } = ctx;
@@ -96,7 +104,7 @@
 
   const watch = watchFeed(ctx, {
     feed: entries,
-    waitMs: () => 15_000,
+    waitMs: () => ENTRIES_WAIT_MS,
     restUntil: (since) => later(since, ENTRIES_REST_MS),
     take: (changes: readonly Change<string>[], isWhole) => {
       if (isWhole) known.clear();
@@ -168,7 +176,7 @@
   /** Peers that ended for good are forgotten, so that nobody dials them for ever. */
   const forgetSilent = (): void => {
     const now = clock.now();
-    for (const [id, { at }] of heard) if (now >= later(at, 60_000)) heard.delete(id);
+    for (const [id, { at }] of heard) if (now >= later(at, FORGET_MS)) heard.delete(id);
   };
 
   return {
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -39,9 +39,9 @@
 const LOADS_MS = 200;
 /** Added for each peer, so that a daemon's messages do not grow with the fleet. */
 const INTERVAL_PER_PEER_MS = 9;
-/** Words of silent peers are dropped at this interval at the latest. */
+/** Loads of peers that fell silent are dropped at this interval at the latest. */
 const NEWS_MS = 500;
-/** The store tells all daemons of a version within milliseconds; who lacks it after this is told by peers. */
+/** The store tells all daemons of a version within milliseconds; peers send it to one that lacks it after this. */
 const HELP_AFTER_MS = 250;
 /** Daemons of a large fleet, beside its leader, that help the same peer at a time. */
 const HELPERS = 3;
