Leave enough of a stop's time for its end

Requests were cut half a second before the limit, and closing the links to peers may take that half second alone; 'stopped' was never logged. Ruled out: requests that do not end (they were cut at 7.5 s as meant). The margin now covers what follows.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -40,8 +40,11 @@
 const TICK_MS = 50;
 /** The balancer asks once a second and needs two misses; then new connections stay away. */
 const BALANCER_MS = 2_600;
-/** The rest of the time for a stop is left for the last answers to reach their callers. */
-const STOP_MARGIN_MS = 500;
+/**
+ * Left of the time for a stop once requests are cut: the last answers reach their callers, links to
+ * peers are closed (500 ms at most) and the last lines of the log are written (200 ms at most).
+ */
+const STOP_MARGIN_MS = 900;
 const CONNECT_TIMEOUT_MS = 400;
 const IDLE_MS = 4_000;
 
