--- a/tests/gateway/reload.test.ts
+++ b/tests/gateway/reload.test.ts
@@ -7,6 +7,7 @@
 import { createReload } from '../../platform/reload';
 import { readSettings } from '../../platform/settings';
 import { createLogger } from '../../src/adapters/telemetry/logger';
+import { COMMON_SETTINGS } from '../support/gateway-daemon';
 
 const dir = mkdtempSync(join(tmpdir(), 'nutmegstack-settings-'));
 const path = join(dir, 'settings.json');
@@ -16,20 +17,13 @@
 };
 
 const FILE = {
+  ...COMMON_SETTINGS,
   id: 'daemon-1',
-  zone: 'zone-a',
   listen: '127.0.0.1:1',
   readyListen: '127.0.0.1:2',
   peerListen: '127.0.0.1:3',
   seeds: ['127.0.0.1:3'],
   platform: '127.0.0.1:4',
-  shutdownS: 8,
-  leavingMs: 2_000,
-  headBreakMs: 6_000,
-  retryRatio: 0.2,
-  retryWindowS: 10,
-  retrySlack: 132,
-  loadWindowS: 5,
 };
 
 function save(change: object): void {
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -80,11 +80,9 @@
 
 function pauseProcess(daemon: SoakDaemon): EndFault {
   const child = daemon.process;
-  daemon.isPaused = true;
   child.kill('SIGSTOP');
   return () => {
     child.kill('SIGCONT');
-    daemon.isPaused = false;
   };
 }
 
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -39,7 +39,6 @@
   readonly toPeers: Proxy;
   process: ChildProcess;
   meantEnd: MeantEnd | undefined;
-  isPaused: boolean;
 }
 
 export interface World {
@@ -53,7 +52,6 @@
   readonly addedRoutes: readonly string[];
   addRoute(): void;
   removeKey(): void;
-  start(daemon: SoakDaemon): void;
   close(): void;
 }
 
@@ -151,7 +149,6 @@
       // Replaced by `start` before anything reads it.
       process: undefined as unknown as ChildProcess,
       meantEnd: undefined,
-      isPaused: false,
     });
   }
   daemons.forEach(start);
@@ -163,7 +160,6 @@
     servers: proxies,
     unmeantEnds,
     addedRoutes,
-    start,
     addRoute: () => {
       addedRoutes.push(`added-${addedRoutes.length}`);
       configure();
--- a/tests/support/gateway-daemon.ts
+++ b/tests/support/gateway-daemon.ts
@@ -23,7 +23,8 @@
   readonly more?: object;
 }
 
-const SETTINGS = {
+/** What the daemons of the tests have in common. */
+export const COMMON_SETTINGS = {
   zone: 'zone-a',
   shutdownS: 8,
   leavingMs: 2_000,
@@ -37,7 +38,7 @@
 /** Writes the settings file of a daemon and gives its path. */
 export function writeSettings({ dir, more, ...options }: DaemonOptions): string {
   const path = join(dir, `${options.id}.json`);
-  writeFileSync(path, JSON.stringify({ ...SETTINGS, ...options, ...more }));
+  writeFileSync(path, JSON.stringify({ ...COMMON_SETTINGS, ...options, ...more }));
   return path;
 }
 
