Give a model that has lost all its groups one from a model with several

Every caller of the large model is refused until as many servers come anew.

Now: a model without any group keeps the domain where fewest groups end for it; no other model is left without one. New test red before (0 groups of the large model after 60 s, then 1).

--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -103,6 +103,10 @@
   counts: ReadonlyMap<ModelId, number>,
   domain: FreeDomain,
 ): ModelSpec | undefined {
+  const { claimant, free } = domain;
+  if (claimant && (counts.get(claimant.name) ?? 0) === 0) {
+    return claimant.size <= free.length ? claimant : undefined;
+  }
   const needs = rankByNeed(draft, counts);
   const candidates = listCandidates(draft, needs, domain);
   const first = candidates.find(({ loads }) => loads === 0) ?? candidates[0];
@@ -181,6 +185,8 @@
   /** Servers of it that are kept for losses. */
   readonly reserve: number;
   readonly isSettled: boolean;
+  /** A model without any group, for which the domain's free servers are kept. */
+  readonly claimant?: ModelSpec;
 }
 
 /** Starts one group in the domain, if one is lacking for which there are servers and loads. */
@@ -201,9 +207,13 @@
 }
 
 /** Starts new groups, one a domain in turn, and prepares spares. */
-export function composeGroups(draft: Draft, groups: readonly ReplicaGroup[]): void {
+export function composeGroups(
+  draft: Draft,
+  groups: readonly ReplicaGroup[],
+  claims: ReadonlyMap<DomainId, ModelSpec>,
+): void {
   const counts = countGroups(draft, groups);
-  let domains = freeDomains(draft);
+  let domains = freeDomains(draft, claims);
   for (let isDone = false; !isDone;) {
     isDone = true;
     domains = domains.map((domain) => {
@@ -215,7 +225,7 @@
   for (const { free, isSettled: isComplete } of domains) if (isComplete) prepareSpares(draft, free);
 }
 
-function freeDomains(draft: Draft): FreeDomain[] {
+function freeDomains(draft: Draft, claims: ReadonlyMap<DomainId, ModelSpec>): FreeDomain[] {
   const sizes = new Map<DomainId, number>();
   for (const { domain, isDraining } of draft.view.servers.values()) {
     if (domain !== undefined && !isDraining) sizes.set(domain, (sizes.get(domain) ?? 0) + 1);
@@ -224,7 +234,9 @@
     .sort(([a], [b]) => compareText(a, b))
     .map(([domain, free]) => {
       const servers = sizes.get(domain) ?? 0;
+      const claimant = claims.get(domain);
       return {
+        ...(claimant && { claimant }),
         domain,
         free,
         reserve: Math.floor(servers / SERVERS_PER_SPARE),
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -14,6 +14,7 @@
 import { continueFormations, joinCost, openGroup } from './form';
 import { forgetOldLoads } from './loads';
 import { continueRetirements, startRetirement } from './retire';
+import { claimForStarved } from './starved';
 import { draftOf, isSuspect, stateOf } from './state';
 import type { Draft, FormingState, FormingView, OrderEffect } from './state';
 
@@ -146,7 +147,7 @@
   for (const group of groups) watchGroup(draft, group);
   continueFormations(draft, byId);
   continueRetirements(draft);
-  composeGroups(draft, groups);
+  composeGroups(draft, groups, claimForStarved(draft, groups));
   return { state: stateOf(draft), orders: draft.effects };
 }
 
--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -131,3 +131,48 @@
     expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([1, 1]);
   });
 });
+
+describe('a model that has lost all its groups', () => {
+  const demand = new Map([
+    [LARGE, 0.5],
+    [SMALL, 3],
+  ]);
+
+  function startServing(domains: readonly number[]) {
+    const fleet = createEngineFleet({ ...FLEET, domains, hasTraffic: false });
+    const leader = createLeader(fleet, { hasTraffic: false, demand });
+    leader.run(15_000);
+    leader.beginTraffic();
+    return { fleet, leader };
+  }
+
+  it('gets the servers of a group of another model, where what is free does not suffice', () => {
+    const { fleet, leader } = startServing([12]);
+    const members = headOf(fleet, LARGE).joined?.members ?? [];
+    for (const id of members.slice(1, 4)) fleet.kill(id);
+    leader.run(60_000);
+    expect(fleet.serving(LARGE)).toBe(1);
+    expect(fleet.serving(SMALL)).toBeGreaterThanOrEqual(1);
+    expect(fleet.violations).toEqual([]);
+  });
+
+  it('takes none from a model that would then have none', () => {
+    const { fleet, leader } = startServing([10]);
+    const members = headOf(fleet, LARGE).joined?.members ?? [];
+    for (const id of members.slice(1, 3)) fleet.kill(id);
+    leader.run(60_000);
+    expect(fleet.serving(SMALL)).toBeGreaterThanOrEqual(1);
+    expect(fleet.violations).toEqual([]);
+  });
+
+  it('takes none where the servers kept for losses suffice', () => {
+    const { fleet, leader } = startServing([13]);
+    const before = fleet.serving(SMALL);
+    const members = headOf(fleet, LARGE).joined?.members ?? [];
+    fleet.kill(members[2] ?? instance('none'));
+    leader.run(3_000);
+    expect(fleet.serving(LARGE)).toBe(1);
+    expect(fleet.serving(SMALL)).toBe(before);
+    expect(fleet.violations).toEqual([]);
+  });
+});
--- a/tests/gateway/leader.ts
+++ b/tests/gateway/leader.ts
@@ -19,8 +19,9 @@
 
 export function createLeader(
   fleet: EngineFleet,
-  { hasTraffic = false, lateMs = () => 0, demand }: LeaderOptions = {},
+  { hasTraffic: startsWithTraffic = false, lateMs = () => 0, demand }: LeaderOptions = {},
 ) {
+  let hasTraffic = startsWithTraffic;
   let fencing = 1;
   let orders = 0;
   let state: FormingState = createForming();
@@ -55,6 +56,10 @@
       fencing += 1;
       state = createForming();
     },
+    /** Callers come from now on; the fleet's own loads keep their speed. */
+    beginTraffic: (): void => {
+      hasTraffic = true;
+    },
     orders: () => orders,
     state: () => state,
   };
