Keep a server's lives apart, and spares for the groups that are ending

Cause: a server may start again under its id; nothing read `born`, so open streams, suspicion, orders and a place in a group of the earlier life were taken for those of the new one.

Now: id and start together are the id of one life, made and undone in platform/. Reports and orders that another life answers do not count.

Found by the new test: the spares of a domain were taken for a group of the small model in the 100 ms in which the survivors of a group of six come free, so that the large model lost a group for good. What completes an ending group is held back now; the restart tests are red without it.

--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -95,7 +95,9 @@
     if (!engine || engine.models.length === 0) return undefined;
     const own = [...roster.servers].filter(([, { service }]) => service === name);
     const lapsed = [...roster.lapsed].filter(([, { service }]) => service === name);
-    const view = { servers: new Map(own), lapsed: new Map(lapsed), engine, fencing, hasTraffic };
+    const { ended } = roster;
+    const servers = new Map(own);
+    const view = { servers, lapsed: new Map(lapsed), ended, engine, fencing, hasTraffic };
     return hasTraffic && smoothed.size > 0 ? { ...view, demand: smoothed } : view;
   };
 
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -201,7 +201,7 @@
     method,
     path: url,
     headers: dialect.forward(rawHeaders, {
-      instance: server.id,
+      server: server.name,
       leftMs: Math.min(exchange.deadline, exchange.answerBy) - now,
       ...(hasBody && { bodyBytes: exchange.body.length }),
       ...(organisation !== undefined && { organisation }),
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -10,7 +10,7 @@
 import type { Observable } from 'rxjs';
 
 import type { BackendServer } from '../../core/gateway/types';
-import { brandAs, later } from '../../core/ids';
+import { later } from '../../core/ids';
 import type { InstanceId, MonoTime } from '../../core/ids';
 import type { Change, Feed } from '../../ports/gateway';
 import type { GatewayContext } from './context';
@@ -34,6 +34,8 @@
   /** Last known entries of servers whose entries are gone. Some of them live and serve on. */
   readonly lapsed: ReadonlyMap<InstanceId, BackendServer>;
   readonly servers: ReadonlyMap<InstanceId, BackendServer>;
+  /** Last known entries of lives that have surely ended, remembered for as long as lapsed ones. */
+  readonly ended: ReadonlyMap<InstanceId, BackendServer>;
   /** After each change. */
   readonly changes: Observable<void>;
   /** What the store reported, for peers that look less often. */
@@ -69,6 +71,11 @@
 /** Others wait for changes as long as the store lets them, milliseconds. */
 const FOLLOWER_WAIT_MS = 4_000;
 
+/** Whether the entry is of a life before the one that is known. */
+function isEarlier({ startedAt }: BackendServer, known: BackendServer): boolean {
+  return startedAt !== undefined && known.startedAt !== undefined && startedAt < known.startedAt;
+}
+
 export function createRoster(
   ctx: GatewayContext,
   { feed, isLeading, leader }: RosterOptions,
@@ -79,19 +86,42 @@
   let told = 0;
   /** Lapsed while the store was away: gone at this instant unless they come back. */
   const held = new Map<InstanceId, MonoTime>();
+  /** The last known life of each server, by the name of its entry. */
+  const lives = new Map<string, BackendServer>();
+  /** Lives that are known to have ended, since the server has begun another. */
+  const ended = new Map<InstanceId, BackendServer>();
   /** Gone from `servers`, and until when they are remembered. */
   const forgetAt = new Map<InstanceId, MonoTime>();
   const gone = new Map<InstanceId, BackendServer>();
   let changedAt = 0;
 
-  const set = (id: InstanceId, server: BackendServer): void => {
+  const endLife = (before: BackendServer): void => {
+    const { id } = before;
+    held.delete(id);
+    gone.delete(id);
+    servers.delete(id);
+    ended.set(id, before);
+    forgetAt.set(id, later(ctx.clock.now(), LAPSED_MS));
+    ctx.logger.info('server gone', { step: 'roster', server: id, reason: 'it has started again' });
+  };
+
+  const set = (server: BackendServer): void => {
+    const { id, name } = server;
+    const before = lives.get(name);
+    if (ended.has(id) || (before && isEarlier(server, before))) {
+      ctx.logger.debug('entry of an earlier life ignored', { step: 'roster', server: id });
+      return;
+    }
+    if (before && before.id !== id) endLife(before);
+    lives.set(name, server);
     held.delete(id);
     gone.delete(id);
     servers.set(id, server);
   };
 
-  const remove = (id: InstanceId): void => {
-    if (!servers.has(id)) return;
+  const remove = (name: string): void => {
+    const id = lives.get(name)?.id;
+    if (id === undefined || !servers.has(id)) return;
     const now = ctx.clock.now();
     if (wasAway(watch, now, RETURN_MS)) {
       if (!held.has(id)) held.set(id, later(watch.returnedAt() ?? now, RETURN_MS));
@@ -120,10 +150,10 @@
     const seen = new Set<string>();
     for (const { key, value } of list) {
       seen.add(key);
-      if (value) set(value.id, value);
-      else remove(brandAs<InstanceId>(key));
+      if (value) set(value);
+      else remove(key);
     }
-    if (isWhole) for (const id of [...servers.keys()]) if (!seen.has(id)) remove(id);
+    if (isWhole) for (const name of lives.keys()) if (!seen.has(name)) remove(name);
     changes.next();
   };
 
@@ -159,6 +189,10 @@
       if (now < until) continue;
       forgetAt.delete(id);
       gone.delete(id);
+      ended.delete(id);
+    }
+    for (const [name, { id }] of lives) {
+      if (!servers.has(id) && !forgetAt.has(id)) lives.delete(name);
     }
   };
 
@@ -173,6 +207,7 @@
   return {
     servers,
     lapsed: gone,
+    ended,
     changes,
     news,
     watch,
@@ -181,7 +216,7 @@
       if (!watch.isFailing() || revision <= Math.max(watch.revision(), changedAt)) return;
       changedAt = revision;
       take(
-        list.map((value) => ({ key: value.id, value })),
+        list.map((value) => ({ key: value.name, value })),
         true,
       );
       ctx.logger.info('servers taken from a peer', { step: 'roster', revision });
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -191,7 +191,7 @@
       method,
       path: url,
       headers: dialect.forward(rawHeaders, {
-        instance: head.id,
+        server: head.name,
         leftMs: end - now,
         bodyBytes: exchange.body.length,
         ...(organisation !== undefined && { organisation }),
--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -174,6 +174,42 @@
   });
 }
 
+/** Members of ending groups that will be free in the domain, by the model to form again with them. */
+function comingTo(draft: Draft, domain: DomainId): ReadonlyMap<ModelId, readonly BackendServer[]> {
+  const coming = new Map<ModelId, BackendServer[]>();
+  for (const { model, members } of draft.retirements.values()) {
+    if (model === undefined) continue;
+    const staying = members.flatMap(({ id }) => {
+      const server = draft.view.servers.get(id);
+      const isLost = !server || server.isDraining || isSuspect(draft, id);
+      return isLost || server.domain !== domain ? [] : [server];
+    });
+    if (staying.length > 0) coming.set(model, [...(coming.get(model) ?? []), ...staying]);
+  }
+  return coming;
+}
+
+/**
+ * The domain's free servers without those that complete a group which is just ending. Its members come
+ * free within some 100 ms. A smaller group formed of the spares meanwhile would leave the larger one
+ * without its replacement: its survivors are then too few, and its model loses a group for good.
+ */
+function withoutHeld(
+  draft: Draft,
+  domain: DomainId,
+  free: readonly BackendServer[],
+): readonly BackendServer[] {
+  let left = free;
+  for (const [name, coming] of comingTo(draft, domain)) {
+    const model = draft.view.engine.models.find((each) => each.name === name);
+    const lacking = model ? model.size - (coming.length % model.size) : 0;
+    if (!model || lacking === model.size || lacking > left.length) continue;
+    const held = new Set(pickMembers(draft, left, { ...model, size: lacking }));
+    left = left.filter((server) => !held.has(server));
+  }
+  return left;
+}
+
 function countLoads(draft: Draft, servers: readonly BackendServer[], model: ModelSpec): number {
   return servers.filter((server) => joinCost(draft, server, model).isLoad).length;
 }
@@ -238,7 +274,7 @@
       return {
         ...(claimant && { claimant }),
         domain,
-        free,
+        free: withoutHeld(draft, domain, free),
         reserve: Math.floor(servers / SERVERS_PER_SPARE),
         isSettled: isSettled(draft, domain, servers),
       };
--- a/src/core/gateway/forming/form.ts
+++ b/src/core/gateway/forming/form.ts
@@ -26,8 +26,9 @@
 }
 
 function giveUp(draft: Draft, formation: Formation): void {
-  const { group, epoch, members } = formation;
-  startRetirement(draft, { group, epoch, head: members[0], members }, 'leave');
+  const { group, epoch, members, model, isStandby } = formation;
+  const again = isStandby ? {} : { model };
+  startRetirement(draft, { group, epoch, head: members[0], members, ...again }, 'leave');
 }
 
 function continueOne(draft: Draft, formation: Formation, group: ReplicaGroup | undefined): void {
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -33,6 +33,13 @@
   );
 }
 
+/** Members of the group whose servers have started again since. */
+function endedMembers(draft: Draft, { id, epoch }: ReplicaGroup): BackendServer[] {
+  return [...draft.view.ended.values()].filter(
+    ({ membership }) => membership?.group === id && membership.epoch === epoch,
+  );
+}
+
 /**
  * Why a group must end, or undefined where it may go on. A member that is not listed any more may
  * have lost touch with the platform's list alone: the group serves on unless it is found lost.
@@ -53,8 +60,9 @@
 }
 
 function end(draft: Draft, group: ReplicaGroup, step: 'finish' | 'leave', head = group.head): void {
-  const { id, epoch, members } = group;
-  startRetirement(draft, { group: id, epoch, head, members }, step);
+  const { id, epoch, members, model } = group;
+  const again = model === undefined ? {} : { model };
+  startRetirement(draft, { group: id, epoch, head, members, ...again }, step);
 }
 
 /**
@@ -82,8 +90,10 @@
 function watchHeadless(draft: Draft, group: ReplicaGroup): void {
   const since = draft.strangers.get(group.id) ?? draft.now;
   draft.strangers.set(group.id, since);
-  const head = unseenMembers(draft, group).find(({ membership }) => membership?.rank === 0);
-  if (!head || isSuspect(draft, head.id)) {
+  const head = [...unseenMembers(draft, group), ...endedMembers(draft, group)].find(
+    ({ membership }) => membership?.rank === 0,
+  );
+  if (!head || isSuspect(draft, head.id) || draft.view.ended.has(head.id)) {
     end(draft, group, 'leave', head);
     return;
   }
--- a/src/core/gateway/forming/retire.ts
+++ b/src/core/gateway/forming/retire.ts
@@ -14,15 +14,15 @@
 
 export function startRetirement(
   draft: Draft,
-  of: Pick<Retirement, 'group' | 'epoch' | 'head' | 'members'>,
+  of: Pick<Retirement, 'group' | 'epoch' | 'head' | 'members' | 'model'>,
   step: RetirementStep,
 ): void {
-  const { group, epoch, head, members } = of;
+  const { group, head } = of;
   draft.formations.delete(group);
   draft.strangers.delete(group);
   const isReachable = head !== undefined && !isSuspect(draft, head.id);
   const first: RetirementStep = isReachable ? step : 'starve';
-  draft.retirements.set(group, { group, epoch, head, members, step: first, since: draft.now });
+  draft.retirements.set(group, { ...of, step: first, since: draft.now });
 }
 
 function turnTo(draft: Draft, retirement: Retirement, step: RetirementStep): void {
@@ -119,7 +119,9 @@
 export function continueRetirements(draft: Draft): void {
   for (const retirement of [...draft.retirements.values()]) {
     const { head } = retirement;
-    if (head) STEPS[retirement.step](draft, retirement, head);
+    // A head that has started again has nothing of the group that its earlier life served.
+    if (head && draft.view.ended.has(head.id)) setFree(draft, retirement);
+    else if (head) STEPS[retirement.step](draft, retirement, head);
     else starve(draft, retirement);
   }
 }
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -79,6 +79,8 @@
   readonly step: RetirementStep;
   readonly head: BackendServer | undefined;
   readonly members: readonly BackendServer[];
+  /** The model to form again with its members; undefined where they go to another one. */
+  readonly model?: ModelId;
   /** When the step began. */
   readonly since: MonoTime;
   /** Set once a member has left: from then on the head is broken. */
@@ -126,6 +128,8 @@
   readonly servers: ReadonlyMap<InstanceId, BackendServer>;
   /** Last known entries of servers that are not listed any more and may still serve. */
   readonly lapsed: ReadonlyMap<InstanceId, BackendServer>;
+  /** Last known entries of lives that have surely ended: their servers have started again. */
+  readonly ended: ReadonlyMap<InstanceId, BackendServer>;
   readonly engine: EngineSpec;
   /** Grows with each change of the leader; epochs of a later leader are greater. */
   readonly fencing: number;
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -4,10 +4,12 @@
   ConfigVersion,
   DomainId,
   Epoch,
+  EpochTime,
   GroupId,
   InstanceId,
   ModelId,
   OrganisationId,
+  ServerName,
   ServiceId,
   ZoneId,
 } from '../ids';
@@ -129,8 +131,15 @@
 
 /** A backend server as it registered itself. */
 export interface BackendServer {
-  /** New at each start of the server. */
+  /**
+   * One life of the server: all that is believed of it is kept by this id, and so ends with the life.
+   * A server that starts again may have the same name.
+   */
   readonly id: InstanceId;
+  /** Under which the server registered itself. */
+  readonly name: ServerName;
+  /** When this life began, by the server's clock; undefined where it does not tell. */
+  readonly startedAt?: EpochTime;
   readonly service: ServiceId;
   /** `host:port`; given to other servers after this one has ended. */
   readonly address: string;
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -7,6 +7,8 @@
 
 export type OrganisationId = Brand<string, 'OrganisationId'>;
 export type InstanceId = Brand<string, 'InstanceId'>;
+/** What a backend server calls itself, in each of its lives. */
+export type ServerName = Brand<string, 'ServerName'>;
 export type DomainId = Brand<string, 'DomainId'>;
 export type ZoneId = Brand<string, 'ZoneId'>;
 export type ModelId = Brand<string, 'ModelId'>;
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -5,7 +5,7 @@
 
 import type { OrderResult, ServerOrder } from '../core/gateway/orders';
 import type { BackendServer, GatewayConfig } from '../core/gateway/types';
-import type { InstanceId, ModelId, OrganisationId } from '../core/ids';
+import type { InstanceId, ModelId, OrganisationId, ServerName } from '../core/ids';
 import type { StepError } from '../utils/errors';
 
 /** One entry of a collection; `value` is left out once the entry is gone. */
@@ -44,7 +44,7 @@
 
 /** What a server reports of itself when asked. */
 export interface ServerReport {
-  readonly server: Omit<BackendServer, 'id' | 'service' | 'address' | 'zone'>;
+  readonly state: Pick<BackendServer, 'staged' | 'domain' | 'model' | 'membership'>;
   readonly running: number;
   readonly waiting: number;
   /** Above 1: so many times slower than usual. */
@@ -73,7 +73,7 @@
 
 /** What is told to a backend server beside the caller's own headers. */
 export interface ForwardFacts {
-  readonly instance: InstanceId;
+  readonly server: ServerName;
   readonly leftMs: number;
   readonly bodyBytes?: number;
   readonly organisation?: OrganisationId;
--- a/stand-ins/users-platform/engines.ts
+++ b/stand-ins/users-platform/engines.ts
@@ -8,8 +8,17 @@
 import type { OrderResult, ServerOrder } from '../../src/core/gateway/orders';
 import type { OrderEffect } from '../../src/core/gateway/forming/state';
 import type { BackendServer, EngineSpec, MemberState } from '../../src/core/gateway/types';
+import { toInstanceId } from '../../platform/servers';
 import { brandAs } from '../../src/core/ids';
-import type { DomainId, InstanceId, ModelId, ServiceId, ZoneId } from '../../src/core/ids';
+import type {
+  DomainId,
+  EpochTime,
+  InstanceId,
+  ModelId,
+  ServerName,
+  ServiceId,
+  ZoneId,
+} from '../../src/core/ids';
 
 const STALL_MS = 6_000;
 const FORM_MS = 300;
@@ -31,6 +40,9 @@
 
 interface SimServer {
   readonly id: InstanceId;
+  readonly name: ServerName;
+  /** When this life began. */
+  readonly startedAt: EpochTime;
   readonly address: string;
   readonly domain: DomainId;
   isAlive: boolean;
@@ -83,13 +95,25 @@
   let nextId = 0;
   let isOrderLate = false;
 
+  /** Lives that a restart ended, as their rows stood last. */
+  const ended = new Map<InstanceId, BackendServer>();
+
   const add = (domain: string): InstanceId => {
     const n = nextId++;
-    const id = brandAs<InstanceId>(`s${String(n).padStart(3, '0')}`);
+    const name = brandAs<ServerName>(`s${String(n).padStart(3, '0')}`);
+    return begin(name, addressOf(n), brandAs<DomainId>(domain));
+  };
+
+  /** Begins a life of a server; its id is the one that the platform's adapter gives it. */
+  const begin = (name: ServerName, address: string, domain: DomainId): InstanceId => {
+    const startedAt = brandAs<EpochTime>(Math.round(now));
+    const id = toInstanceId(name, startedAt);
     servers.set(id, {
       id,
-      address: addressOf(n),
-      domain: brandAs<DomainId>(domain),
+      name,
+      startedAt,
+      address,
+      domain,
       isAlive: true,
       diedAt: 0,
       shown: undefined,
@@ -263,10 +287,12 @@
     return new Map(missing.map((server) => [server.id, toRow(server)]));
   };
 
-  const toRow = ({ id, address, domain, ...server }: SimServer): BackendServer => {
+  const toRow = ({ id, name, startedAt, address, domain, ...server }: SimServer): BackendServer => {
     const { isDraining, staged, shown: joined } = server;
     return {
       id,
+      name,
+      startedAt,
       service,
       address,
       zone: brandAs<ZoneId>('zone-a'),
@@ -297,8 +323,27 @@
       });
     });
 
+  /** The server starts again under its name and holds nothing of before; its host keeps what is staged. */
+  const restart = (id: InstanceId): InstanceId => {
+    const before = servers.get(id);
+    if (!before) throw new Error(`no server ${id}`);
+    ended.set(id, toRow(before));
+    servers.delete(id);
+    const next = begin(before.name, before.address, before.domain);
+    const life = servers.get(next);
+    if (life) life.staged = before.staged;
+    return next;
+  };
+
+  /** The present life of the server with this name. */
+  const named = (name: ServerName): SimServer | undefined =>
+    [...servers.values()].find((server) => server.name === name);
+
   return {
     servers,
+    ended,
+    restart,
+    named,
     violations,
     add,
     take,
--- a/stand-ins/users-platform/servers.ts
+++ b/stand-ins/users-platform/servers.ts
@@ -4,14 +4,16 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
 import { HEADERS, PATHS } from '../../platform/names';
+import { toServerName } from '../../platform/servers';
 import { brandAs } from '../../src/core/ids';
-import type { InstanceId } from '../../src/core/ids';
+import type { ServerOrder } from '../../src/core/gateway/orders';
+import type { ServerName } from '../../src/core/ids';
 import type { EngineFleet } from './engines';
 import { decodeOrder, ORDER_STATUS } from './wire';
 
 /** One request that a server began to run. */
 export interface Run {
-  readonly server: InstanceId;
+  readonly server: ServerName;
   readonly requestId: string;
   readonly organisation: string | undefined;
   readonly path: string;
@@ -47,7 +49,7 @@
   return typeof value === 'string' ? value : value?.[0];
 }
 
-function runOf(server: InstanceId, req: IncomingMessage, body: string): Run {
+function runOf(server: ServerName, req: IncomingMessage, body: string): Run {
   return {
     server,
     requestId: header(req, HEADERS.requestId) ?? '',
@@ -59,7 +61,7 @@
   };
 }
 
-function isMeant(id: InstanceId, req: IncomingMessage, res: ServerResponse): boolean {
+function isMeant(id: ServerName, req: IncomingMessage, res: ServerResponse): boolean {
   const expected = header(req, HEADERS.expectInstance);
   if (expected === undefined || expected === id) return true;
   res.writeHead(421).end();
@@ -70,13 +72,20 @@
   await new Promise<void>((resolve) => server.listen(port, host, resolve));
 }
 
-/** Starts the engine server with this id; it serves streams while its group is open and whole. */
+/** The members of a join are named on the wire; the fleet knows them by their present lives. */
+function toLives(fleet: EngineFleet, order: ServerOrder): ServerOrder {
+  if (order.kind !== 'join') return order;
+  const members = order.members.map((name) => fleet.named(toServerName(name))?.id ?? name);
+  return { ...order, members };
+}
+
+/** Starts the engine server of this name; it serves streams while its group is open and whole. */
 export async function startEngine(
   fleet: EngineFleet,
-  id: InstanceId,
+  name: ServerName,
   runs: Run[],
 ): Promise<() => void> {
-  const state = () => fleet.servers.get(id);
+  const state = () => fleet.named(name);
 
   const takeOrder = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     const order = decodeOrder(JSON.parse(await readBody(req)));
@@ -84,25 +93,28 @@
       res.writeHead(400).end();
       return;
     }
-    res.writeHead(ORDER_STATUS[fleet.carryOut(id, order)]).end();
+    const id = state()?.id;
+    const result = id === undefined ? 'unknown' : fleet.carryOut(id, toLives(fleet, order));
+    res.writeHead(ORDER_STATUS[result]).end();
   };
 
   const report = (res: ServerResponse): void => {
-    const body = { models: [], staged: [], busy: false, active: 0, queued: 0, pace: 1 };
+    const born = state()?.startedAt;
+    const body = { born, models: [], staged: [], busy: false, active: 0, queued: 0, pace: 1 };
     res.writeHead(200, { 'Content-Type': 'application/json' }).end(JSON.stringify(body));
   };
 
   /** Events 1 to `count`, from after the last one that the caller has; silent while the group stands still. */
   const stream = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     const body = await readBody(req);
-    const run = runOf(id, req, body);
+    const run = runOf(name, req, body);
     runs.push(run);
     const count = Number(new URLSearchParams(body).get('events') ?? 3);
     let next = Number(run.lastEventId ?? 0) + 1;
     res.writeHead(200, {
       'Content-Type': 'text/event-stream',
       [HEADERS.requestId]: run.requestId,
-      [HEADERS.signature]: signatureOf(id, run.requestId),
+      [HEADERS.signature]: signatureOf(name, run.requestId),
     });
     const timer = setInterval(() => {
       const joined = state()?.joined;
@@ -123,7 +135,7 @@
   const server = createServer((req, res) => {
     const isAlive = state()?.isAlive === true;
     // A machine without power answers nothing.
-    if (!isAlive || !isMeant(id, req, res)) return;
+    if (!isAlive || !isMeant(name, req, res)) return;
     if (req.url === PATHS.order) void takeOrder(req, res);
     else if (req.url === PATHS.report) report(res);
     else if (state()?.joined?.state === 'open') void stream(req, res);
@@ -144,7 +156,7 @@
   runs: Run[],
   faults: PlainFaults,
 ): Promise<() => void> {
-  const id = brandAs<InstanceId>(name);
+  const id = brandAs<ServerName>(name);
   const take = (fault: keyof PlainFaults): boolean => {
     if (faults[fault] <= 0) return false;
     faults[fault] -= 1;
--- a/stand-ins/users-platform/start.ts
+++ b/stand-ins/users-platform/start.ts
@@ -3,7 +3,7 @@
 import { CONFIG_KEY, TABLES } from '../../platform/names';
 import type { EngineSpec } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
-import type { InstanceId, ServiceId } from '../../src/core/ids';
+import type { ServerName, ServiceId } from '../../src/core/ids';
 import { createEngineFleet } from './engines';
 import type { EngineFleet } from './engines';
 import { startEngine, startPlain } from './servers';
@@ -55,11 +55,13 @@
     hasTraffic: false,
     addressOf: (n) => `${host}:${firstPort + 1 + plainServers + n}`,
   });
-  for (const id of fleet.servers.keys()) closers.push(await startEngine(fleet, id, runs));
+  for (const { name } of fleet.servers.values()) {
+    closers.push(await startEngine(fleet, name, runs));
+  }
   for (let n = 0; n < plainServers; n++) {
-    const id = brandAs<InstanceId>(`plain-${n}`);
+    const name = `plain-${n}`;
     const address = `${host}:${firstPort + 1 + n}`;
-    closers.push(await startPlain(id, address, runs, plainFaults));
+    closers.push(await startPlain(name, address, runs, plainFaults));
     const published = publishedAddress(address);
     const row = {
       service: PLAIN_SERVICE,
@@ -68,23 +70,23 @@
       batchSize: 6,
       state: 'ready',
     };
-    store.put(TABLES.servers, id, row);
+    store.put(TABLES.servers, name, row);
   }
 
-  const shown = new Map<InstanceId, string>();
+  const shown = new Map<ServerName, string>();
   const publish = (): void => {
-    const rows = fleet.rows();
-    for (const id of [...shown.keys()]) {
-      if (rows.has(id)) continue;
-      shown.delete(id);
-      store.remove(TABLES.servers, id);
+    const rows = new Map([...fleet.rows().values()].map((row) => [row.name, row]));
+    for (const name of [...shown.keys()]) {
+      if (rows.has(name)) continue;
+      shown.delete(name);
+      store.remove(TABLES.servers, name);
     }
-    for (const [id, server] of rows) {
+    for (const [name, server] of rows) {
       const address = publishedAddress(server.address);
       const text = JSON.stringify(encodeRow({ ...server, address }));
-      if (shown.get(id) === text) continue;
-      shown.set(id, text);
-      store.put(TABLES.servers, id, JSON.parse(text));
+      if (shown.get(name) === text) continue;
+      shown.set(name, text);
+      store.put(TABLES.servers, name, JSON.parse(text));
     }
   };
   let last = performance.now();
@@ -105,7 +107,8 @@
       store.put(TABLES.operator, CONFIG_KEY, document);
     },
     addEngine: async (domain) => {
-      closers.push(await startEngine(fleet, fleet.add(domain), runs));
+      const name = fleet.servers.get(fleet.add(domain))?.name;
+      if (name !== undefined) closers.push(await startEngine(fleet, name, runs));
     },
     close: () => {
       clearInterval(ticker);
--- a/stand-ins/users-platform/wire.ts
+++ b/stand-ins/users-platform/wire.ts
@@ -10,6 +10,7 @@
 export function encodeRow(server: BackendServer): object {
   const { service, address, zone, isDraining, batchSize, domain, staged, model, membership } =
     server;
+  const { startedAt: born } = server;
   return {
     service,
     address,
@@ -17,6 +18,7 @@
     version: 'v1',
     batchSize,
     state: isDraining ? 'draining' : 'ready',
+    ...(born !== undefined && { born }),
     sequence: 1,
     coldMs: 0,
     ...(domain !== undefined && {
--- a/tests/gateway/forming-fuzz.test.ts
+++ b/tests/gateway/forming-fuzz.test.ts
@@ -11,13 +11,26 @@
 type Leader = ReturnType<typeof createLeader>;
 
 interface Trouble {
-  readonly kind: 'kill' | 'cut' | 'heal' | 'drain' | 'late' | 'in-time' | 'leader' | 'add';
+  readonly kind:
+    'kill' | 'restart' | 'cut' | 'heal' | 'drain' | 'late' | 'in-time' | 'leader' | 'add';
   readonly which: number;
   readonly afterMs: number;
 }
 
+const TROUBLES = [
+  'kill',
+  'cut',
+  'heal',
+  'drain',
+  'late',
+  'in-time',
+  'leader',
+  'add',
+  'restart',
+] as const;
+
 const trouble: fc.Arbitrary<Trouble> = fc.record({
-  kind: fc.constantFrom('kill', 'cut', 'heal', 'drain', 'late', 'in-time', 'leader', 'add'),
+  kind: fc.constantFrom(...TROUBLES),
   which: fc.nat(40),
   afterMs: fc.integer({ min: 50, max: 3_000 }),
 });
@@ -36,6 +49,9 @@
   cut: (fleet, _, which) => {
     fleet.cut(pick(fleet, which), true);
   },
+  restart: (fleet, _, which) => {
+    fleet.restart(pick(fleet, which));
+  },
   heal: (fleet, _, which) => {
     fleet.cut(pick(fleet, which), false);
   },
--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -69,6 +69,28 @@
   });
 });
 
+describe('a server that starts again under its name', () => {
+  it.each([LARGE, SMALL])('is no member of its group of %s any more', (model) => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: false });
+    const leader = createLeader(fleet);
+    leader.run(15_000);
+    fleet.restart(headOf(fleet, model).joined?.members[1] ?? instance('none'));
+    leader.run(1_500);
+    expect(fleet.serving(model)).toBe(1);
+    expect(fleet.violations).toEqual([]);
+  });
+
+  it('as the head of a group sets the members free at once', () => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: false });
+    const leader = createLeader(fleet);
+    leader.run(15_000);
+    fleet.restart(headOf(fleet, LARGE).id);
+    leader.run(1_500);
+    expect(fleet.serving(LARGE)).toBe(1);
+    expect(fleet.violations).toEqual([]);
+  });
+});
+
 describe('a new leader', () => {
   it('adopts the groups that serve, without an order to them', () => {
     const fleet = createEngineFleet({ ...FLEET, domains: [9], hasTraffic: false });
--- a/tests/gateway/leader.ts
+++ b/tests/gateway/leader.ts
@@ -33,6 +33,7 @@
     const view = {
       servers: fleet.rows(),
       lapsed: fleet.lapsed(),
+      ended: fleet.ended,
       engine: ENGINE,
       fencing,
       hasTraffic,
--- a/tests/gateway/roster.test.ts
+++ b/tests/gateway/roster.test.ts
@@ -6,11 +6,13 @@
 import { createRoster } from '../../src/app/gateway/roster';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
 import type { BackendServer } from '../../src/core/gateway/types';
-import type { Feed } from '../../src/ports/gateway';
+import { brandAs } from '../../src/core/ids';
+import type { EpochTime } from '../../src/core/ids';
+import type { Change, Feed } from '../../src/ports/gateway';
 import { watchFeed } from '../../src/app/gateway/watch';
 import { fail } from '../../src/utils/errors';
 import { pause } from '../../src/utils/pause';
-import { makeContext, makeServer } from './support';
+import { instance, makeContext, makeServer } from './support';
 
 const LEAVING_MS = 100;
 
@@ -92,3 +94,48 @@
     for (const watch of watches) watch.stop();
   });
 });
+
+describe('a server that starts again under its name', () => {
+  const lifeOf = (startedAt: number): BackendServer => ({
+    ...makeServer('s1'),
+    id: instance(`s1@${startedAt}`),
+    startedAt: brandAs<EpochTime>(startedAt),
+  });
+
+  /** A collection that gives one batch of changes after the other. */
+  const rosterOf = async (...batches: readonly (readonly Change<BackendServer>[])[]) => {
+    let revision = 0;
+    const next = () => {
+      const changes = batches[revision];
+      revision += 1;
+      if (changes) return okAsync({ changes, revision });
+      return ResultAsync.fromSafePromise(new Promise<never>(() => undefined));
+    };
+    const feed: Feed<BackendServer> = { name: 'servers', load: next, poll: next };
+    const roster = createRoster(ctx, { feed, isLeading: () => true, leader: () => undefined });
+    await pause(250);
+    roster.watch.stop();
+    return roster;
+  };
+
+  it('is another one, and the life before has ended', async () => {
+    const first = lifeOf(1);
+    const second = lifeOf(2);
+    const roster = await rosterOf([{ key: 's1', value: first }], [{ key: 's1', value: second }]);
+    expect([...roster.servers.keys()]).toEqual([second.id]);
+    expect([...roster.ended.keys()]).toEqual([first.id]);
+    expect(roster.lapsed.size).toBe(0);
+  });
+
+  it('stays so when an entry of the earlier life comes late', async () => {
+    const late = { key: 's1', value: lifeOf(1) };
+    const roster = await rosterOf([late], [{ key: 's1', value: lifeOf(2) }], [late]);
+    expect([...roster.servers.keys()]).toEqual([lifeOf(2).id]);
+  });
+
+  it('is gone with the entry of its name', async () => {
+    const roster = await rosterOf([{ key: 's1', value: lifeOf(3) }], [{ key: 's1' }]);
+    expect(roster.servers.size).toBe(0);
+    expect([...roster.lapsed.keys()]).toEqual([lifeOf(3).id]);
+  });
+});
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -18,6 +18,7 @@
   InstanceId,
   ModelId,
   MonoTime,
+  ServerName,
   ServiceId,
   ZoneId,
 } from '../../src/core/ids';
@@ -55,6 +56,7 @@
 export function makeServer(id: string, more: Partial<BackendServer> = {}): BackendServer {
   return {
     id: instance(id),
+    name: brandAs<ServerName>(id),
     service: SERVICE,
     address: `127.0.0.1:${1000 + Number(id.replace(/\D/g, ''))}`,
     zone: brandAs<ZoneId>('a'),
--- a/tests/gateway/whole-path.test.ts
+++ b/tests/gateway/whole-path.test.ts
@@ -150,7 +150,7 @@
     const reply = send(front(0), '/stream/x', { body: 'events=60&n=resumed' });
     await until(() => runsOf('events=60&n=resumed') === 1);
     const head = platform.runs.find((run) => run.body === 'events=60&n=resumed')?.server;
-    const member = head && platform.fleet.servers.get(head)?.joined?.members[1];
+    const member = head && platform.fleet.named(head)?.joined?.members[1];
     if (member === undefined) throw new Error('the stream runs in no group');
     platform.fleet.kill(member);
     const { status, text, isWhole } = await reply;
@@ -161,6 +161,32 @@
     expect(platform.fleet.violations).toEqual([]);
   });
 
+  it('resume a stream when a member of its group starts again under its name', async () => {
+    const reply = send(front(1), '/stream/x', { body: 'events=60&n=restarted' });
+    await until(() => runsOf('events=60&n=restarted') === 1);
+    const head = platform.runs.find((run) => run.body === 'events=60&n=restarted')?.server;
+    const member = head && platform.fleet.named(head)?.joined?.members[1];
+    if (member === undefined) throw new Error('the stream runs in no group');
+    platform.fleet.restart(member);
+    const { status, text, isWhole } = await reply;
+    expect({ status, isWhole }).toEqual({ status: 200, isWhole: true });
+    expect(eventIds(text)).toEqual(Array.from({ length: 60 }, (_, i) => i + 1));
+    await until(() => platform.fleet.serving(SMALL) === 2);
+    expect(platform.fleet.violations).toEqual([]);
+  });
+
+  it('serve on beside entries of another writer that make no sense', async () => {
+    const good = { service: 'ledger', address: '127.0.0.1:9', zone: 'zone-a', batchSize: 6 };
+    platform.store.put('servers', 'stranger-1', { ...good, state: 'retired' });
+    platform.store.put('servers', 'stranger-2', { ...good, state: 'ready', address: 7 });
+    platform.store.put('servers', 'stranger-3', { ...good, state: 'ready', born: '9' });
+    platform.store.put('servers', 'stranger-4', []);
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    for (let i = 0; i < 12; i++) {
+      expect((await send(front(i % 3), '/safe/x', { body: `beside-${i}` })).status).toBe(200);
+    }
+  });
+
   it('have a new version in force on all of them, and still have it after a kill', async () => {
     platform.configure(
       documentOf(2, [...USUAL_ROUTES, describeRoute('added', 'safe', PLAIN_SERVICE)]),
