Keep a spare warm for the model that it served

Cause: spares were given models by their place in the order of ids, so that each spare that came or went changed the models of those behind it.

Now a spare stays with the model it is warm for; a fresh one takes what its host has staged, or the model with fewest warm spares. The test is red before (a load more for one lost spare). compose.ts is split into what begins a group, who its members are, what is held back, and spares.

--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -2,7 +2,7 @@
 
 import type { FormingState, FormingView, OrderEffect } from '../../core/gateway/forming/state';
 import { createForming } from '../../core/gateway/forming/state';
-import { EPOCHS_PER_LEASE } from '../../core/gateway/forming/compose';
+import { EPOCHS_PER_LEASE } from '../../core/gateway/forming/start';
 import { noteResult, noteSuspect, planGroups } from '../../core/gateway/forming/plan';
 import type { RouteTable } from '../../core/gateway/routes';
 import type { BackendServer, ServiceSpec } from '../../core/gateway/types';
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -10,11 +10,13 @@
 import type { ReplicaGroup } from '../groups';
 import type { OrderResult } from '../orders';
 import type { BackendServer } from '../types';
-import { collectFree, composeGroups, isStandby } from './compose';
+import { composeGroups } from './compose';
 import { continueFormations, joinCost, openGroup } from './form';
 import { forgetOldLoads } from './loads';
+import { collectFree } from './members';
 import { continueRetirements, startRetirement } from './retire';
 import { claimForStarved } from './starved';
+import { isStandby } from './start';
 import { draftOf, isSuspect, stateOf } from './state';
 import type { Draft, FormingState, FormingView, OrderEffect } from './state';
 
--- /dev/null
+++ b/src/core/gateway/forming/spares.ts
@@ -0,0 +1,83 @@
+/** Prepares spares, so that a lost member is replaced without a load of weights. */
+
+import type { DomainId, ModelId } from '../../ids';
+import { compareText } from '../../../utils/common';
+import type { BackendServer, ModelSpec } from '../types';
+import { joinCost } from './form';
+import { mayLoad, noteLoads } from './loads';
+import { STANDBY_PREFIX, startFormation } from './start';
+import { ask } from './state';
+import type { Draft } from './state';
+
+/** Spares of a domain that are warm for each model, or soon will be. */
+function countWarm(
+  draft: Draft,
+  domain: DomainId,
+  spares: readonly BackendServer[],
+): Map<ModelId, number> {
+  const counts = new Map<ModelId, number>();
+  const add = (model: ModelId): void => {
+    counts.set(model, (counts.get(model) ?? 0) + 1);
+  };
+  for (const { model } of spares) if (model !== undefined) add(model);
+  for (const { isStandby, model, members } of draft.formations.values()) {
+    if (isStandby && members[0]?.domain === domain) add(model);
+  }
+  return counts;
+}
+
+/**
+ * The model that a spare is kept warm for. One that served a model stays with it, whatever spares come
+ * and go beside it: to change it costs a load, and for that long it replaces nobody. A fresh one takes
+ * what its host has staged, or the model that fewest spares are warm for.
+ */
+function warmModel(
+  models: readonly ModelSpec[],
+  server: BackendServer,
+  warm: ReadonlyMap<ModelId, number>,
+): ModelSpec | undefined {
+  const own = models.find(({ name }) => name === server.model);
+  const staged = models.find(({ name }) => server.staged.includes(name));
+  const [fewest] = [...models].sort((a, b) => (warm.get(a.name) ?? 0) - (warm.get(b.name) ?? 0));
+  return own ?? staged ?? fewest;
+}
+
+/**
+ * Keeps spares warm for one model and staged for another, so that a lost member of either is replaced
+ * without a load. A warm spare joins in a fraction of a second, a staged one in one or two.
+ */
+export function prepareSpares(
+  draft: Draft,
+  domain: DomainId,
+  spares: readonly BackendServer[],
+): void {
+  // The largest group loses a member most often.
+  const models = [...draft.view.engine.models].sort((a, b) => b.size - a.size);
+  const warm = countWarm(draft, domain, spares);
+  for (const server of [...spares].sort((a, b) => compareText(a.id, b.id))) {
+    const model = warmModel(models, server, warm);
+    const other = models.find((each) => each !== model);
+    if (!model) continue;
+    if (server.model === undefined) warm.set(model.name, (warm.get(model.name) ?? 0) + 1);
+    prepareSpare(draft, server, model, other);
+  }
+}
+
+function prepareSpare(
+  draft: Draft,
+  server: BackendServer,
+  warm: ModelSpec,
+  staged: ModelSpec | undefined,
+): void {
+  const limit = draft.view.hasTraffic ? draft.settings.spareLoads : draft.view.engine.loadsAtOnce;
+  if (draft.loads.some(({ server: id, until }) => id === server.id && draft.now < until)) return;
+  if (server.model !== warm.name) {
+    const cost = joinCost(draft, server, warm);
+    if (!mayLoad(draft, cost.isLoad ? 1 : 0, limit)) return;
+    startFormation(draft, warm, [server], STANDBY_PREFIX);
+    return;
+  }
+  if (!staged || server.staged.includes(staged.name) || !mayLoad(draft, 1, limit)) return;
+  ask(draft, server, { kind: 'stage', model: staged.name });
+  noteLoads(draft, [server], staged);
+}
--- a/src/core/gateway/forming/starved.ts
+++ b/src/core/gateway/forming/starved.ts
@@ -11,9 +11,11 @@
 import { compareText } from '../../../utils/common';
 import type { ReplicaGroup } from '../groups';
 import type { ModelSpec } from '../types';
-import { collectFree, countGroups, isStandby } from './compose';
+import { countGroups } from './compose';
+import { collectFree } from './members';
 import { rankByNeed } from './need';
 import { startRetirement } from './retire';
+import { isStandby } from './start';
 import { isSuspect } from './state';
 import type { Draft } from './state';
 
--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -91,6 +91,21 @@
   });
 });
 
+describe('a spare', () => {
+  it('stays warm for its model when another one is lost', () => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: true });
+    const leader = createLeader(fleet, { hasTraffic: true });
+    leader.run(90_000);
+    const { servers } = fleet;
+    const spares = [...servers.values()].filter(({ joined }) => joined?.members.length === 1);
+    expect(spares).toHaveLength(2);
+    const loads = fleet.loads();
+    fleet.kill(spares[0]?.id ?? instance('none'));
+    leader.run(20_000);
+    expect(fleet.loads()).toBe(loads);
+  });
+});
+
 describe('a new leader', () => {
   it('adopts the groups that serve, without an order to them', () => {
     const fleet = createEngineFleet({ ...FLEET, domains: [9], hasTraffic: false });
