Keep as many spares as losses are likely, and form no group that nothing fills

Ruled out: loads too slow for the losses (0.5 a second against 0.33 losses); the leader's absence, which explains 2 s of 12.

Now a domain keeps what is likely to be lost while one more spare is loaded, by the losses observed, and loads of weights or kept servers go into a further group only where work fills 0.6 of those there are.

--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -8,14 +8,13 @@
 import { withoutHeld } from './held';
 import { mayLoad } from './loads';
 import { collectFree, countLoads, pickMembers } from './members';
-import { isShort, rankByNeed } from './need';
+import { isShort, isWanted, rankByNeed } from './need';
 import type { ModelNeed } from './need';
+import { countReserve } from './reserve';
 import { prepareSpares } from './spares';
 import { GROUP_PREFIX, isStandby, startFormation } from './start';
 import type { Draft } from './state';
 
-/** One server in so many of a domain is kept spare, so that a lost member is replaced at once. */
-const SERVERS_PER_SPARE = 12;
 /**
  * Loads run at a time, in what the weight store gives without slowing down. A little more than all of
  * it, since a whole group starts at once and would often leave a part unused.
@@ -66,7 +65,10 @@
   // than its others being loaded with another model.
   const mayUseReserve = ({ loads, ...need }: Candidate): boolean =>
     loads === 0 || (loads < cheapest && (cheapest < Infinity || isShort(draft, need)));
-  return all.filter((candidate) => !candidate.usesReserve || mayUseReserve(candidate));
+  return all.filter((candidate) => {
+    if (!candidate.usesReserve) return candidate.loads === 0 || isWanted(draft, candidate);
+    return isWanted(draft, candidate) && mayUseReserve(candidate);
+  });
 }
 
 /**
@@ -162,7 +164,7 @@
         ...(claimant && { claimant }),
         domain,
         free: withoutHeld(draft, domain, free),
-        reserve: Math.floor(servers / SERVERS_PER_SPARE),
+        reserve: countReserve(draft, servers, sizes.size),
         isSettled: isSettled(draft, domain, servers),
       };
     });
--- a/src/core/gateway/forming/need.ts
+++ b/src/core/gateway/forming/need.ts
@@ -54,6 +54,17 @@
   );
 }
 
+/**
+ * Work for each group above which a further one is worth loads of weights, or servers that are kept for
+ * losses. Below it a burst of two thirds more still finds places (1 / 0.6).
+ */
+const WANTED_AT = 0.6;
+
+/** Whether a further group of the model would be put to use; so it is as long as no work is known. */
+export function isWanted({ view }: Draft, { work, groups }: ModelNeed): boolean {
+  return view.demand === undefined || groups === 0 || work > WANTED_AT * groups;
+}
+
 /** Whether callers are served and the model has fewer groups than its work fills. */
 export function isShort({ view }: Draft, { work, groups }: ModelNeed): boolean {
   return view.demand !== undefined && work > SHORT_AT * groups;
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -14,6 +14,7 @@
 import { continueFormations, joinCost, openGroup } from './form';
 import { forgetOldLoads } from './loads';
 import { collectFree } from './members';
+import { forgetOldLosses, noteLoss } from './reserve';
 import { continueRetirements, startRetirement } from './retire';
 import { claimForStarved } from './starved';
 import { isStandby } from './start';
@@ -84,7 +85,10 @@
 function watchOpen(draft: Draft, group: ReplicaGroup): void {
   const size = sizeOf(draft, group);
   const fault = size === undefined ? undefined : findFault(draft, group, size);
-  if (fault === 'lost') end(draft, group, 'leave');
+  if (fault === 'lost') {
+    noteLoss(draft);
+    end(draft, group, 'leave');
+  }
   if (fault === 'leaving' && hasReplacement(draft, group)) end(draft, group, 'finish');
 }
 
@@ -147,6 +151,7 @@
   for (const [id, at] of draft.dissolved) if (isOld(at)) draft.dissolved.delete(id);
   for (const [id, until] of draft.suspects) if (draft.now >= until) draft.suspects.delete(id);
   forgetOldLoads(draft);
+  forgetOldLosses(draft);
 }
 
 /** Makes the next plan. To be called after each change and every so often. */
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -110,6 +110,8 @@
   readonly epochs: number;
   /** When servers last came to a domain, and how many it has. */
   readonly arrivals: ReadonlyMap<DomainId, Arrival>;
+  /** When groups lost members, of late. */
+  readonly losses: readonly MonoTime[];
 }
 
 export interface Arrival {
@@ -157,6 +159,7 @@
     loads: [],
     epochs: 0,
     arrivals: new Map(),
+    losses: [],
   };
 }
 
@@ -172,6 +175,7 @@
   loads: WeightLoad[];
   epochs: number;
   readonly arrivals: Map<DomainId, Arrival>;
+  losses: MonoTime[];
   readonly view: FormingView;
   readonly now: MonoTime;
   readonly effects: OrderEffect[];
@@ -189,6 +193,7 @@
     loads: [...state.loads],
     epochs: state.epochs,
     arrivals: new Map(state.arrivals),
+    losses: [...state.losses],
     view,
     now,
     effects: [],
@@ -197,7 +202,7 @@
 
 export function stateOf(draft: Draft): FormingState {
   const { settings, formations, retirements, dissolved, strangers } = draft;
-  const { suspects, sent, loads, epochs, arrivals } = draft;
+  const { suspects, sent, loads, epochs, arrivals, losses } = draft;
   return {
     settings,
     formations,
@@ -209,6 +214,7 @@
     loads,
     epochs,
     arrivals,
+    losses,
   };
 }
 
--- a/stand-ins/users-platform/engines.ts
+++ b/stand-ins/users-platform/engines.ts
@@ -83,9 +83,10 @@
   engine,
   service,
   domains,
-  hasTraffic,
+  hasTraffic: startsWithTraffic,
   addressOf = (n) => `127.0.0.1:${10_000 + n}`,
 }: EngineFleetOptions) {
+  let hasTraffic = startsWithTraffic;
   const servers = new Map<InstanceId, SimServer>();
   const everReady = new Set<string>();
   const late: Late[] = [];
@@ -352,6 +353,10 @@
     lapsed,
     carryOut,
     stalled,
+    /** Callers come from now on: loads take their full time. */
+    beginTraffic: (): void => {
+      hasTraffic = true;
+    },
     now: () => now,
     loads: () => loads,
     kill: (id: InstanceId) => {
