Tell a daemon that knows of no server what its peers know, though the store is away for all

Cause: a test that failed once (a wait that was missing) left daemon 1 without servers for 60 s: it was killed and started while the store answered nobody, and peers told a starting daemon of servers only while their own polls still stood. With the store lost for all, nobody told it anything, and it refused every call until the store's return.

Ruled out: the configuration, which it had from a peer within 0.3 s (log of the run).

New test with daemons as processes.

--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -109,7 +109,9 @@
       revisionSince = now;
     }
     const isBehind = peer.serversRevision < revision && now >= later(revisionSince, HELP_AFTER_MS);
-    const canTell = peer.isStoreLost && !roster.watch.isFailing();
+    // One that knows of no server at all is told even what this daemon can't look up any more.
+    const isFresh = !roster.watch.isFailing() || peer.serversRevision === 0;
+    const canTell = peer.isStoreLost && isFresh;
     if (isBehind && canTell && mayHelp(`servers ${address}`)) {
       fleet.send(address, { kind: 'servers', revision, servers: [...roster.servers.values()] });
     }
--- a/tests/gateway/whole-path.test.ts
+++ b/tests/gateway/whole-path.test.ts
@@ -212,6 +212,24 @@
     platform.store.faults.isDown = false;
   });
 
+  it('learn the servers from peers when they start while the store answers nobody', async () => {
+    platform.store.faults.isDown = true;
+    // Ends the polls that still wait, so that every daemon finds the store lost.
+    platform.store.put('servers', 'stranger-5', []);
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    const killed = daemons[0];
+    killed?.process.kill('SIGKILL');
+    if (killed) killed.process = launch(0);
+    await until(async () => {
+      const status = await send(front(0), '/safe/x').then(
+        (reply) => reply.status,
+        () => 0,
+      );
+      return status === 200;
+    });
+    platform.store.faults.isDown = false;
+  });
+
   it('load everything anew once the history of the store is gone', async () => {
     platform.store.compact();
     platform.configure(
