Give a model whose groups are nearly full the servers of one with groups to spare

Now one member of each smaller group has the larger model staged on its host, a load that runs beside all other work.

--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -11,7 +11,7 @@
 import { isShort, isWanted, rankByNeed } from './need';
 import type { ModelNeed } from './need';
 import { countReserve } from './reserve';
-import { prepareSpares } from './spares';
+import { prepareSpares, stageMembers } from './spares';
 import { GROUP_PREFIX, isStandby, startFormation } from './start';
 import type { Draft } from './state';
 
@@ -81,9 +81,7 @@
   domain: FreeDomain,
 ): ModelSpec | undefined {
   const { claimant, free } = domain;
-  if (claimant && (counts.get(claimant.name) ?? 0) === 0) {
-    return claimant.size <= free.length ? claimant : undefined;
-  }
+  if (claimant) return claimant.size <= free.length ? claimant : undefined;
   const needs = rankByNeed(draft, counts);
   const candidates = listCandidates(draft, needs, domain);
   const first = candidates.find(({ loads }) => loads === 0) ?? candidates[0];
@@ -108,7 +106,7 @@
   /** Servers of it that are kept for losses. */
   readonly reserve: number;
   readonly isSettled: boolean;
-  /** A model without any group, for which the domain's free servers are kept. */
+  /** A model that lacks groups, for which the domain's free servers are kept. */
   readonly claimant?: ModelSpec;
 }
 
@@ -129,6 +127,19 @@
   return members;
 }
 
+/** What is left of the domain once a group was formed there; a claim on it has been met. */
+function withoutMembers(
+  { domain, free, reserve, isSettled }: FreeDomain,
+  members: readonly BackendServer[],
+): FreeDomain {
+  return {
+    domain,
+    free: free.filter((server) => !members.includes(server)),
+    reserve,
+    isSettled,
+  };
+}
+
 /** Starts new groups, one a domain in turn, and prepares spares. */
 export function composeGroups(
   draft: Draft,
@@ -141,13 +152,15 @@
     isDone = true;
     domains = domains.map((domain) => {
       const members = formOne(draft, domain, counts);
-      if (members.length > 0) isDone = false;
-      return { ...domain, free: domain.free.filter((server) => !members.includes(server)) };
+      if (members.length === 0) return domain;
+      isDone = false;
+      return withoutMembers(domain, members);
     });
   }
   for (const { domain, free, isSettled: isComplete } of domains) {
     if (isComplete) prepareSpares(draft, domain, free);
   }
+  stageMembers(draft, groups);
 }
 
 function freeDomains(draft: Draft, claims: ReadonlyMap<DomainId, ModelSpec>): FreeDomain[] {
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -16,7 +16,7 @@
 import { collectFree } from './members';
 import { forgetOldLosses, noteLoss } from './reserve';
 import { continueRetirements, startRetirement } from './retire';
-import { claimForStarved } from './starved';
+import { claimDomain } from './rebalance';
 import { isStandby } from './start';
 import { draftOf, isSuspect, stateOf } from './state';
 import type { Draft, FormingState, FormingView, OrderEffect } from './state';
@@ -164,7 +164,7 @@
   for (const group of groups) watchGroup(draft, group);
   continueFormations(draft, byId);
   continueRetirements(draft);
-  composeGroups(draft, groups, claimForStarved(draft, groups));
+  composeGroups(draft, groups, claimDomain(draft, groups));
   return { state: stateOf(draft), orders: draft.effects };
 }
 
--- a/src/core/gateway/forming/spares.ts
+++ b/src/core/gateway/forming/spares.ts
@@ -2,10 +2,11 @@
 
 import type { DomainId, ModelId } from '../../ids';
 import { compareText } from '../../../utils/common';
+import type { ReplicaGroup } from '../groups';
 import type { BackendServer, ModelSpec } from '../types';
 import { joinCost } from './form';
 import { mayLoad, noteLoads } from './loads';
-import { STANDBY_PREFIX, startFormation } from './start';
+import { isStandby, STANDBY_PREFIX, startFormation } from './start';
 import { ask } from './state';
 import type { Draft } from './state';
 
@@ -63,21 +64,50 @@
   }
 }
 
+function loadsForSpares({ view, settings }: Draft): number {
+  return view.hasTraffic ? settings.spareLoads : view.engine.loadsAtOnce;
+}
+
+function isLoading(draft: Draft, { id }: BackendServer): boolean {
+  return draft.loads.some(({ server, until }) => server === id && draft.now < until);
+}
+
+function stage(draft: Draft, server: BackendServer, model: ModelSpec): void {
+  if (isLoading(draft, server) || !mayLoad(draft, 1, loadsForSpares(draft))) return;
+  ask(draft, server, { kind: 'stage', model: model.name });
+  noteLoads(draft, [server], model);
+}
+
 function prepareSpare(
   draft: Draft,
   server: BackendServer,
   warm: ModelSpec,
   staged: ModelSpec | undefined,
 ): void {
-  const limit = draft.view.hasTraffic ? draft.settings.spareLoads : draft.view.engine.loadsAtOnce;
-  if (draft.loads.some(({ server: id, until }) => id === server.id && draft.now < until)) return;
+  if (isLoading(draft, server)) return;
   if (server.model !== warm.name) {
     const cost = joinCost(draft, server, warm);
-    if (!mayLoad(draft, cost.isLoad ? 1 : 0, limit)) return;
+    if (!mayLoad(draft, cost.isLoad ? 1 : 0, loadsForSpares(draft))) return;
     startFormation(draft, warm, [server], STANDBY_PREFIX);
     return;
   }
-  if (!staged || server.staged.includes(staged.name) || !mayLoad(draft, 1, limit)) return;
-  ask(draft, server, { kind: 'stage', model: staged.name });
-  noteLoads(draft, [server], staged);
+  if (staged && !server.staged.includes(staged.name)) stage(draft, server, staged);
+}
+
+/**
+ * Stages the weights of larger models on one member of each smaller group. A large group that lost a
+ * member where no spare is left is then put together again within two seconds, at the price of a group
+ * of a model that has enough, in place of a load of weights.
+ */
+export function stageMembers(draft: Draft, groups: readonly ReplicaGroup[]): void {
+  const { models } = draft.view.engine;
+  for (const { id, model, members } of groups) {
+    const own = models.find(({ name }) => name === model);
+    const larger = models.find(({ size }) => own !== undefined && size > own.size);
+    const last = members.at(-1);
+    const isKnown = larger && members.some(({ staged }) => staged.includes(larger.name));
+    if (!larger || isKnown || !last || isStandby(id) || draft.retirements.has(id)) continue;
+    if (last.membership?.state !== 'ready' || members.length !== own?.size) continue;
+    stage(draft, last, larger);
+  }
 }
--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -215,6 +215,26 @@
   });
 });
 
+describe('a model whose groups are nearly full', () => {
+  it('is given back its group without a load, by a model with groups to spare', () => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [12], hasTraffic: false });
+    const demand = new Map([
+      [LARGE, 0.85],
+      [SMALL, 0.7],
+    ]);
+    const leader = createLeader(fleet, { demand });
+    leader.run(15_000);
+    leader.beginTraffic();
+    fleet.beginTraffic();
+    leader.run(40_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([1, 2]);
+    fleet.kill(headOf(fleet, LARGE).joined?.members[1] ?? instance('none'));
+    leader.run(5_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([1, 1]);
+    expect(fleet.violations).toEqual([]);
+  });
+});
+
 describe('members lost every few seconds, and as many servers added', () => {
   /** Share of the time in which the large model had as many groups as its work fills, over some seeds. */
   function shareServed(seed: number): number {
