Ask for configurations less often while they come in a series

Cause: each daemon polled anew 20 ms after every version.

Now a daemon rests after a version for 0.15 of the time in which it must be in force, a new setting from the platform's own bound.

--- a/src/app/gateway/config-view.ts
+++ b/src/app/gateway/config-view.ts
@@ -5,6 +5,7 @@
 import { createRouteTable } from '../../core/gateway/routes';
 import type { RouteTable } from '../../core/gateway/routes';
 import type { GatewayConfig } from '../../core/gateway/types';
+import { later } from '../../core/ids';
 import type { MonoTime } from '../../core/ids';
 import type { Feed } from '../../ports/gateway';
 import type { GatewayContext } from './context';
@@ -29,6 +30,12 @@
 const WAIT_PER_DAEMON_MS = 500;
 const LEAST_WAIT_MS = 4_000;
 const LONGEST_WAIT_MS = 20_000;
+/**
+ * After a version a daemon asks again only after this part of the time in which versions must be in
+ * force. An operator's series of them then costs a few calls of each daemon in place of one a version;
+ * the rest of that time is for the call, and for peers where the store turns this daemon away.
+ */
+const REST_SHARE = 0.15;
 
 export function createConfigView(
   ctx: GatewayContext,
@@ -57,6 +64,7 @@
     feed,
     waitMs: () =>
       Math.min(LONGEST_WAIT_MS, Math.max(LEAST_WAIT_MS, WAIT_PER_DAEMON_MS * daemons())),
+    restUntil: (at) => later(at, ctx.tunables.value.configMs * REST_SHARE),
     take: (changes) => {
       for (const { value } of changes) if (value) offer(value, 'store');
     },
--- a/src/app/gateway/settings.ts
+++ b/src/app/gateway/settings.ts
@@ -27,6 +27,8 @@
   readonly headBreakMs: number;
   /** A server whose entry is gone, or says that it is leaving, gets nothing new after this. */
   readonly leavingMs: number;
+  /** A configuration is in force on all daemons within this time of its acknowledgement. */
+  readonly configMs: number;
   /** Retries that the whole fleet may make in a window: a share of the requests, and a number. */
   readonly retryRatio: number;
   readonly retrySlack: number;
--- a/tests/support/gateway-daemon.ts
+++ b/tests/support/gateway-daemon.ts
@@ -28,6 +28,7 @@
   zone: 'zone-a',
   shutdownS: 8,
   leavingMs: 2_000,
+  configMs: 2_000,
   headBreakMs: 6_000,
   retryRatio: 0.2,
   retryWindowS: 10,
