--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -1,6 +1,7 @@
 /** The faults that a soak injects, by name. Each begins at once and gives the way to end it. */
 
 import type { Random } from '../../src/ports/runtime';
+import { TABLES } from '../../platform/names';
 import { SILENT } from './proxy';
 import type { LinkFault, Proxy } from './proxy';
 import type { SoakDaemon, World } from './world';
@@ -98,7 +99,7 @@
   };
 }
 
-export const FAULTS: Readonly<Record<string, Fault>> = {
+const COMMON_FAULTS: Readonly<Record<string, Fault>> = {
   'store-link-silent': ofLinks(storeLink, silence),
   'store-link-one-way': ofLinks(storeLink, oneWay),
   'store-link-slow': ofLinks(storeLink, delay),
@@ -161,6 +162,32 @@
   },
 };
 
+/**
+ * Faults of the servers' own entries. They are drawn apart from the others, so that the schedules of
+ * seeds that once showed a fault stay as they were.
+ */
+const ENTRY_FAULTS: Readonly<Record<string, Fault>> = {
+  'server-restarted': ({ world, random }) => {
+    const { fleet } = world.platform;
+    const alive = [...fleet.servers.values()].filter((server) => server.isAlive);
+    fleet.restart(pick(random, alive).id);
+    return NOTHING;
+  },
+  'entry-spoiled': ({ world, random }) => {
+    const { fleet, store } = world.platform;
+    const { name } = pick(random, [...fleet.servers.values()]);
+    store.put(TABLES.servers, name, { state: 'unheard-of', address: random.next() });
+    return NOTHING;
+  },
+  'entry-of-stranger': ({ world }) => {
+    const row = { service: 'nobody', state: 'ready', address: 'nowhere', zone: 1 };
+    world.platform.store.put(TABLES.servers, 'stranger', row);
+    return NOTHING;
+  },
+};
+
+export const FAULTS: Readonly<Record<string, Fault>> = { ...COMMON_FAULTS, ...ENTRY_FAULTS };
+
 /** One fault of a schedule; times are milliseconds from the start of the load. */
 export interface PlannedFault {
   readonly name: string;
@@ -171,9 +198,12 @@
 const SHORTEST_MS = 300;
 const LONGEST_MS = 4_000;
 
-/** A schedule of overlapping faults. */
-export function planFaults(random: Random, count: number, durationMs: number): PlannedFault[] {
-  const names = Object.keys(FAULTS);
+function drawFaults(
+  random: Random,
+  names: readonly string[],
+  count: number,
+  durationMs: number,
+): PlannedFault[] {
   const plan = Array.from({ length: count }, () => ({
     name: pick(random, names),
     at: Math.round(random.next() * durationMs),
@@ -181,3 +211,13 @@
   }));
   return plan.sort((a, b) => a.at - b.at);
 }
+
+/** A schedule of overlapping faults. */
+export function planFaults(random: Random, count: number, durationMs: number): PlannedFault[] {
+  return drawFaults(random, Object.keys(COMMON_FAULTS), count, durationMs);
+}
+
+/** Faults of the servers' entries that fall between those of a schedule. */
+export function planEntryFaults(random: Random, count: number, durationMs: number): PlannedFault[] {
+  return drawFaults(random, Object.keys(ENTRY_FAULTS), count, durationMs);
+}
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -12,13 +12,15 @@
   seeds: z.coerce.number().int().positive(),
   daemons: z.coerce.number().int().min(2),
   faults: z.coerce.number().int().positive(),
+  entryFaults: z.coerce.number().int().nonnegative(),
   seconds: z.coerce.number().positive(),
   port: z.coerce.number().int(),
   logs: z.string().optional(),
 });
 
 async function run(args: unknown): Promise<void> {
-  const { seed: first, seeds, daemons, faults, seconds, port, logs } = optionsSchema.parse(args);
+  const options = optionsSchema.parse(args);
+  const { seed: first, seeds, daemons, faults, entryFaults, seconds, port, logs } = options;
   for (let seed = first; seed < first + seeds; seed++) {
     const logsOfSeed = logs === undefined ? undefined : join(logs, `seed-${seed}`);
     if (logsOfSeed !== undefined) mkdirSync(logsOfSeed, { recursive: true });
@@ -26,6 +28,7 @@
       seed,
       daemons,
       faults,
+      entryFaults,
       durationMs: seconds * 1_000,
       firstPort: port,
       ...(logsOfSeed !== undefined && { logs: logsOfSeed }),
@@ -41,6 +44,7 @@
   .option('--seeds', 'Number of seeds', 1)
   .option('--daemons', 'Daemon processes', 3)
   .option('--faults', 'Faults of a schedule', 14)
+  .option('--entryFaults', 'Restarts of servers under their names, and spoiled rows', 0)
   .option('--seconds', 'Time over which the faults begin', 14)
   .option('--logs', "Directory for the daemons' logs, one folder a seed")
   .option('--port', 'First of about 400 ports', 23_000)
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -5,7 +5,7 @@
 import { SMALL, LARGE } from '../gateway/support';
 import { callDaemon } from '../support/gateway-daemon';
 import { startCallers } from './callers';
-import { FAULTS, planFaults } from './faults';
+import { FAULTS, planEntryFaults, planFaults } from './faults';
 import type { PlannedFault } from './faults';
 import { judge, tally } from './judge';
 import { FORMER_KEY, KEY, startWorld } from './world';
@@ -16,6 +16,8 @@
   readonly daemons?: number;
   readonly callersPerDaemon?: number;
   readonly faults?: number;
+  /** Faults of servers' entries beside them: restarts under the same name, spoiled rows. */
+  readonly entryFaults?: number;
   readonly durationMs?: number;
   readonly firstPort?: number;
   /** Directory for the daemons' logs. */
@@ -102,12 +104,15 @@
   daemons = 3,
   callersPerDaemon = 6,
   faults = 14,
+  entryFaults = 0,
   durationMs = 14_000,
   firstPort = 23_000,
   logs,
 }: SoakOptions): Promise<SoakReport> {
   const random = createRandom(seed);
-  const plan = planFaults(random, faults, durationMs);
+  const common = planFaults(random, faults, durationMs);
+  const ofEntries = planEntryFaults(createRandom(seed), entryFaults, durationMs);
+  const plan = [...common, ...ofEntries].sort((a, b) => a.at - b.at);
   const world = await startWorld({ daemons, firstPort, ...(logs !== undefined && { logs }) });
   try {
     await awaitServing(world);
