Remember the model of a server's last group

Cause: a server reports no model once it has left its group, though it joins a group of the same model in 0.2 s. The plan took the survivors of a group for servers that need 1.6 s, or a load of 16 s where another model was staged on their host, and warmed each of them as a spare anew.

--- a/src/core/gateway/forming/form.ts
+++ b/src/core/gateway/forming/form.ts
@@ -5,7 +5,7 @@
 import type { ReplicaGroup } from '../groups';
 import type { GroupId } from '../../ids';
 import { startRetirement } from './retire';
-import { ask, isSuspect, lastResult } from './state';
+import { ask, isSuspect, lastResult, modelOf } from './state';
 import type { Draft, Formation } from './state';
 
 function joinOrder({ group, epoch, model, members }: Formation) {
@@ -73,7 +73,7 @@
 const EARLY_LOAD_SHARE = 0.1;
 
 export function joinCost(draft: Draft, server: BackendServer, model: ModelSpec): JoinCost {
-  if (server.model === model.name) return { ms: REJOIN_MS, isLoad: false };
+  if (modelOf(draft, server) === model.name) return { ms: REJOIN_MS, isLoad: false };
   if (server.staged.includes(model.name)) return { ms: model.warmMs, isLoad: false };
   const share = draft.view.hasTraffic ? 1 : EARLY_LOAD_SHARE;
   return { ms: model.loadMs * share, isLoad: true };
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -18,7 +18,7 @@
 import { continueRetirements, startRetirement } from './retire';
 import { claimDomain } from './rebalance';
 import { isStandby } from './start';
-import { draftOf, isSuspect, stateOf } from './state';
+import { draftOf, isSuspect, noteModels, stateOf } from './state';
 import type { Draft, FormingState, FormingView, OrderEffect } from './state';
 
 /** Settled orders and dissolved groups are remembered for this long, milliseconds. */
@@ -158,6 +158,7 @@
 export function planGroups(state: FormingState, view: FormingView, now: MonoTime): Plan {
   const draft = draftOf(state, view, now);
   forget(draft);
+  noteModels(draft);
   const groups = collectGroups(view.servers.values());
   const byId = new Map<GroupId, ReplicaGroup>(groups.map((group) => [group.id, group]));
   for (const id of draft.strangers.keys()) if (!byId.has(id)) draft.strangers.delete(id);
--- a/src/core/gateway/forming/spares.ts
+++ b/src/core/gateway/forming/spares.ts
@@ -7,7 +7,7 @@
 import { joinCost } from './form';
 import { mayLoad, noteLoads } from './loads';
 import { isStandby, STANDBY_PREFIX, startFormation } from './start';
-import { ask } from './state';
+import { ask, modelOf } from './state';
 import type { Draft } from './state';
 
 /** Spares of a domain that are warm for each model, or soon will be. */
@@ -20,7 +20,10 @@
   const add = (model: ModelId): void => {
     counts.set(model, (counts.get(model) ?? 0) + 1);
   };
-  for (const { model } of spares) if (model !== undefined) add(model);
+  for (const server of spares) {
+    const model = modelOf(draft, server);
+    if (model !== undefined) add(model);
+  }
   for (const { isStandby, model, members } of draft.formations.values()) {
     if (isStandby && members[0]?.domain === domain) add(model);
   }
@@ -33,11 +36,12 @@
  * what its host has staged, or the model that fewest spares are warm for.
  */
 function warmModel(
+  draft: Draft,
   models: readonly ModelSpec[],
   server: BackendServer,
   warm: ReadonlyMap<ModelId, number>,
 ): ModelSpec | undefined {
-  const own = models.find(({ name }) => name === server.model);
+  const own = models.find(({ name }) => name === modelOf(draft, server));
   const staged = models.find(({ name }) => server.staged.includes(name));
   const [fewest] = [...models].sort((a, b) => (warm.get(a.name) ?? 0) - (warm.get(b.name) ?? 0));
   return own ?? staged ?? fewest;
@@ -56,10 +60,10 @@
   const models = [...draft.view.engine.models].sort((a, b) => b.size - a.size);
   const warm = countWarm(draft, domain, spares);
   for (const server of [...spares].sort((a, b) => compareText(a.id, b.id))) {
-    const model = warmModel(models, server, warm);
+    const model = warmModel(draft, models, server, warm);
     const other = models.find((each) => each !== model);
     if (!model) continue;
-    if (server.model === undefined) warm.set(model.name, (warm.get(model.name) ?? 0) + 1);
+    if (modelOf(draft, server) === undefined) warm.set(model.name, (warm.get(model.name) ?? 0) + 1);
     prepareSpare(draft, server, model, other);
   }
 }
@@ -85,7 +89,7 @@
   staged: ModelSpec | undefined,
 ): void {
   if (isLoading(draft, server)) return;
-  if (server.model !== warm.name) {
+  if (modelOf(draft, server) !== warm.name) {
     const cost = joinCost(draft, server, warm);
     if (!mayLoad(draft, cost.isLoad ? 1 : 0, loadsForSpares(draft))) return;
     startFormation(draft, warm, [server], STANDBY_PREFIX);
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -112,6 +112,8 @@
   readonly arrivals: ReadonlyMap<DomainId, Arrival>;
   /** When groups lost members, of late. */
   readonly losses: readonly MonoTime[];
+  /** Model of the last group of each server: it stays warm for it, though it reports none once it has left. */
+  readonly lastModels: ReadonlyMap<InstanceId, ModelId>;
 }
 
 export interface Arrival {
@@ -160,6 +162,7 @@
     epochs: 0,
     arrivals: new Map(),
     losses: [],
+    lastModels: new Map(),
   };
 }
 
@@ -176,6 +179,7 @@
   epochs: number;
   readonly arrivals: Map<DomainId, Arrival>;
   losses: MonoTime[];
+  readonly lastModels: Map<InstanceId, ModelId>;
   readonly view: FormingView;
   readonly now: MonoTime;
   readonly effects: OrderEffect[];
@@ -194,6 +198,7 @@
     epochs: state.epochs,
     arrivals: new Map(state.arrivals),
     losses: [...state.losses],
+    lastModels: new Map(state.lastModels),
     view,
     now,
     effects: [],
@@ -202,7 +207,7 @@
 
 export function stateOf(draft: Draft): FormingState {
   const { settings, formations, retirements, dissolved, strangers } = draft;
-  const { suspects, sent, loads, epochs, arrivals, losses } = draft;
+  const { suspects, sent, loads, epochs, arrivals, losses, lastModels } = draft;
   return {
     settings,
     formations,
@@ -215,9 +220,25 @@
     epochs,
     arrivals,
     losses,
+    lastModels,
   };
 }
 
+/** The model of a server's present or last group. */
+export function modelOf({ lastModels }: Draft, { id, model }: BackendServer): ModelId | undefined {
+  return model ?? lastModels.get(id);
+}
+
+/** Remembers what servers are warm for, and forgets those that are gone. */
+export function noteModels({ lastModels, view }: Draft): void {
+  for (const { id, model, membership } of view.servers.values()) {
+    if (model !== undefined && membership?.state !== 'joining') lastModels.set(id, model);
+  }
+  for (const id of lastModels.keys()) {
+    if (!view.servers.has(id) && !view.lapsed.has(id)) lastModels.delete(id);
+  }
+}
+
 export function isSuspect(draft: Draft, id: InstanceId): boolean {
   const until = draft.suspects.get(id);
   return until !== undefined && draft.now < until;
