Send orders without an effect again after 200 ms

Cause: an order without an answer was sent again after 900 ms. While a third of the orders is lost, all twelve joins of a group are answered at once in 0.6 of 100 cases, and after two repeats in 59; its formation was then given up after 2.7 s and begun anew. A leave without an answer for 1 s, two tries, let the head count as out of reach, which holds its members for 4.5 to 6.5 s more.

Ruled out: late orders that take effect after newer ones; epochs refuse them.

--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -9,7 +9,11 @@
   readonly headBreakMs: number;
   /** Weight loads are counted over windows of this length; the platform's figure. */
   readonly loadWindowMs: number;
-  /** An order without a visible effect is sent again after this; three times a usual round trip and report. */
+  /**
+   * An order without a visible effect is sent again after this: an answer takes a few milliseconds, and
+   * the server's entry shows the effect within about 100. All orders are idempotent. Where a third of
+   * them is lost, a group of six is whole again 1.9 s after a loss, and 4.9 s with 900 ms here.
+   */
   readonly resendMs: number;
   /** Added to `headBreakMs` before members of an unreachable head are used again, for clocks and reports. */
   readonly starveMarginMs: number;
@@ -37,7 +41,7 @@
 export const FORMING_DEFAULTS: FormingSettings = {
   headBreakMs: 6_000,
   loadWindowMs: 5_000,
-  resendMs: 900,
+  resendMs: 200,
   starveMarginMs: 500,
   joinSlackMs: 2_500,
   adoptMs: 2_500,
--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -292,3 +292,26 @@
     expect(shares.reduce((sum, share) => sum + share, 0) / shares.length).toBeGreaterThan(0.8);
   });
 });
+
+describe('a third of the orders unanswered and carried out late', () => {
+  /** Time until the large model is served again once a member is lost, milliseconds. */
+  function outageMs(seed: number): number {
+    const random = createRandom(seed);
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: false });
+    const lateMs = (): number => (random.next() < 0.35 ? 2_000 + 10_000 * random.next() : 0);
+    const leader = createLeader(fleet, { lateMs });
+    leader.run(15_000);
+    fleet.setLate(true);
+    fleet.kill(headOf(fleet, LARGE).joined?.members[1] ?? instance('none'));
+    leader.run(100);
+    let ms = 100;
+    for (; fleet.serving(LARGE) === 0 && ms < 30_000; ms += 50) leader.run(50);
+    expect(fleet.violations).toEqual([]);
+    return ms;
+  }
+
+  it('keep a group that lost a member from serving for two seconds at most, as a mean', () => {
+    const outages = Array.from({ length: 20 }, (_, i) => outageMs(i + 1));
+    expect(outages.reduce((sum, ms) => sum + ms, 0) / outages.length).toBeLessThan(2_000);
+  });
+});
