Order waiting requests by how long they hold a place, in a pure module

Now among requests of the same urgency that can still be on time, 100 ms of waiting count as much as one second of holding a place, by the mean that was observed for the route. Ruled out: strictly shortest first and twice the weight, which cost the long ones a further tenth and gain the short ones nothing.

--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -6,6 +6,7 @@
 import type { Upstream } from '../../adapters/upstream/upstream';
 import { chooseGroup, countToLookAt, hasRoom, sample } from '../../core/gateway/balance';
 import { nameOf } from '../../core/gateway/routes';
+import { noteHold } from '../../core/gateway/waiting-order';
 import { later } from '../../core/ids';
 import type { ModelId, MonoTime } from '../../core/ids';
 import { fail } from '../../utils/errors';
@@ -34,6 +35,8 @@
 
 export function createStreamCalls(deps: StreamDeps): StreamCalls {
   const { ctx, board, retries } = deps;
+  /** Mean time that requests of a route hold a place, milliseconds. */
+  const holds = new Map<string, number>();
 
   const choose = (
     exchange: Exchange,
@@ -77,6 +80,7 @@
       until: waitUntil(exchange, model, state),
       arrivedAt: exchange.arrivedAt,
       onTimeUntil: later(exchange.arrivedAt, exchange.route.targetMs),
+      holdMs: holds.get(exchange.route.name) ?? 0,
       gone: exchange.gone,
       isRetry: state.tried.size > 0,
       choose: () => choose(exchange, model, state),
@@ -116,8 +120,11 @@
       if (!group) break;
       state.tried.add(group.head.id);
       state.attempts += 1;
+      const sentAt = ctx.clock.now();
       const ended = await attempt(deps, exchange, group, state);
       if (ended === 'complete' || ended === 'passed-on') {
+        const { name } = exchange.route;
+        holds.set(name, noteHold(holds.get(name), ctx.clock.now() - sentAt));
         const status = exchange.res.statusCode;
         const { attempts } = state;
         logEnding(ctx, exchange, { outcome: 'served', status, attempts, server: group.head.id });
--- a/src/app/gateway/waiting.ts
+++ b/src/app/gateway/waiting.ts
@@ -1,19 +1,13 @@
-/**
- * Requests that wait on this daemon for a place in a group: most urgent first, then those that can
- * still be on time, then in order of arrival. Late ones come last, since waiting longer costs them
- * little and others much.
- */
+/** Requests that wait on this daemon for a place in a group. */
 
+import { compareWaiting } from '../../core/gateway/waiting-order';
+import type { WaitingRequest } from '../../core/gateway/waiting-order';
 import type { ModelId, MonoTime } from '../../core/ids';
 import type { Board, BoardGroup } from './board';
 import type { GatewayContext } from './context';
 
-export interface Waiter {
+export interface Waiter extends WaitingRequest {
   readonly model: ModelId;
-  readonly priority: number;
-  readonly arrivedAt: MonoTime;
-  /** The latency objective is missed after this. */
-  readonly onTimeUntil: MonoTime;
   /** Given up after this. */
   readonly until: MonoTime;
   readonly gone: AbortSignal;
@@ -39,10 +33,7 @@
 
   const inTurn = (): Entry[] => {
     const now = ctx.clock.now();
-    const isLate = ({ onTimeUntil }: Entry): number => Number(now >= onTimeUntil);
-    return [...entries].sort(
-      (a, b) => a.priority - b.priority || isLate(a) - isLate(b) || a.arrivedAt - b.arrivedAt,
-    );
+    return [...entries].sort((a, b) => compareWaiting(a, b, now));
   };
 
   /** Serves in turn; a model found full is not looked at again in the same round. */
--- /dev/null
+++ b/tests/gateway/waiting-order.test.ts
@@ -0,0 +1,87 @@
+import { describe, expect, it } from 'vitest';
+
+import { createRandom } from '../../src/adapters/runtime';
+import { compareWaiting, noteHold } from '../../src/core/gateway/waiting-order';
+import type { WaitingRequest } from '../../src/core/gateway/waiting-order';
+import type { MonoTime } from '../../src/core/ids';
+import { at } from './support';
+
+const OBJECTIVE_MS = 400;
+
+function request(arrivedAt: number, more: Partial<WaitingRequest> = {}): WaitingRequest {
+  return {
+    priority: 1,
+    arrivedAt: at(arrivedAt),
+    onTimeUntil: at(arrivedAt + OBJECTIVE_MS),
+    holdMs: 1_000,
+    ...more,
+  };
+}
+
+describe('of two waiting requests', () => {
+  it('the more urgent one goes first, however late and long', () => {
+    const urgent = request(0, { priority: 0, holdMs: 9_000 });
+    expect(compareWaiting(urgent, request(900), at(1_000))).toBeLessThan(0);
+  });
+
+  it('one that can still be on time goes before a late one', () => {
+    expect(compareWaiting(request(700), request(0), at(1_000))).toBeLessThan(0);
+  });
+
+  it('a short one goes before a long one that came a little earlier, and not before one that came much earlier', () => {
+    const short = request(200, { holdMs: 0 });
+    expect(compareWaiting(short, request(150), at(300))).toBeLessThan(0);
+    expect(compareWaiting(request(200, { holdMs: 0 }), request(50), at(300))).toBeGreaterThan(0);
+  });
+
+  it('late ones go in order of arrival', () => {
+    const short = request(200, { holdMs: 0 });
+    expect(compareWaiting(short, request(50), at(2_000))).toBeGreaterThan(0);
+  });
+});
+
+type Compare = (a: WaitingRequest, b: WaitingRequest, now: MonoTime) => number;
+
+const LONG_MS = 1_800;
+const SHORT_MS = 400;
+
+/** Long and short requests at 1.3 times what 36 places can take, for 60 s; those on time, by kind. */
+function countOnTime(compare: Compare): Readonly<Record<'long' | 'short', number>> {
+  const random = createRandom(7);
+  const onTime = { long: 0, short: 0 };
+  let waiting: WaitingRequest[] = [];
+  let ends: number[] = [];
+  for (let now = 0; now < 60_000; now += 10) {
+    ends = ends.filter((end) => end > now);
+    if (random.next() < 0.2) waiting.push(request(now, { holdMs: LONG_MS }));
+    if (random.next() < 0.27) waiting.push(request(now, { holdMs: SHORT_MS }));
+    waiting.sort((a, b) => compare(a, b, at(now)));
+    for (const { holdMs, onTimeUntil } of waiting.splice(0, 36 - ends.length)) {
+      ends.push(now + holdMs);
+      if (now < onTimeUntil) onTime[holdMs === LONG_MS ? 'long' : 'short'] += 1;
+    }
+    waiting = waiting.filter(({ arrivedAt }) => now < arrivedAt + 1_300);
+  }
+  return onTime;
+}
+
+describe('requests of two lengths, more than there are places', () => {
+  const inOrderOfArrival: Compare = (a, b, now) => {
+    const late = Number(now >= a.onTimeUntil) - Number(now >= b.onTimeUntil);
+    return late || a.arrivedAt - b.arrivedAt;
+  };
+
+  it('are on time more often than in order of arrival, and the long ones not starved', () => {
+    const before = countOnTime(inOrderOfArrival);
+    const after = countOnTime(compareWaiting);
+    expect(after.long + after.short).toBeGreaterThan(1.1 * (before.long + before.short));
+    expect(after.long).toBeGreaterThan(0.85 * before.long);
+  });
+});
+
+describe('the mean holding time', () => {
+  it('begins with the first request and follows the later ones', () => {
+    expect(noteHold(undefined, 500)).toBe(500);
+    expect(noteHold(500, 1_500)).toBe(600);
+  });
+});
