--- a/src/core/gateway/balance.ts
+++ b/src/core/gateway/balance.ts
@@ -31,7 +31,12 @@
   readonly unreadWeight: number;
 }
 
-export const GROUP_CHOICE_DEFAULTS: GroupChoiceOptions = { otherZone: 0.04, unreadWeight: 0.5 };
+/**
+ * A group in another zone is chosen where it is 0.15 of a batch less full. Bytes between zones are paid
+ * for; a group fuller by so much gives its events some 4 in 100 later (step times of the published
+ * figures), far below what a missed objective costs.
+ */
+export const GROUP_CHOICE_DEFAULTS: GroupChoiceOptions = { otherZone: 0.15, unreadWeight: 0.5 };
 
 /** So many daemons may all look at all groups. */
 const FEW_DAEMONS = 10;
--- a/tests/gateway/choice.test.ts
+++ b/tests/gateway/choice.test.ts
@@ -53,6 +53,13 @@
     expect(chooseGroup([group('2', { zone: THERE }), near], 1_000, HERE, 0)?.head).toBe('2');
   });
 
+  it('is in the own zone up to a moderate difference of loads: bytes between zones are paid for', () => {
+    const near = group('1', { running: 3 });
+    const far = group('2', { running: 2, zone: THERE });
+    expect(chooseGroup([far, near], 1_000, HERE, 0)).toBe(near);
+    expect(chooseGroup([{ ...far, running: 1 }, near], 1_000, HERE, 0)?.head).toBe('2');
+  });
+
   it('is not a slow one with the same load', () => {
     const slow = group('1', { running: 1, slowdown: 4 });
     expect(chooseGroup([slow, group('2', { running: 3 })], 1_000, HERE, 0)?.head).toBe('2');
