--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -135,9 +135,21 @@
   joining: watchStranger,
 };
 
+/** An entry shows a change within this, milliseconds; some 100 are usual. */
+const STALE_ENTRY_MS = 500;
+
+/**
+ * A dissolved group whose head reports it anew has been brought back by orders that were carried out
+ * late: a join first, then an open. Its members are not free until the head has left again.
+ */
 function watchGroup(draft: Draft, group: ReplicaGroup): void {
   const { id, head } = group;
-  if (draft.retirements.has(id) || draft.dissolved.has(id) || isStandby(id)) return;
+  if (draft.retirements.has(id) || isStandby(id)) return;
+  const dissolvedAt = draft.dissolved.get(id);
+  if (dissolvedAt !== undefined) {
+    if (head && draft.now >= later(dissolvedAt, STALE_ENTRY_MS)) end(draft, group, 'leave');
+    return;
+  }
   const state = head?.membership?.state;
   if (state === 'open') draft.strangers.delete(id);
   if (draft.formations.has(id) && state !== 'broken') return;
--- a/src/core/gateway/forming/retire.ts
+++ b/src/core/gateway/forming/retire.ts
@@ -20,6 +20,7 @@
   const { group, head } = of;
   draft.formations.delete(group);
   draft.strangers.delete(group);
+  draft.dissolved.delete(group);
   const isReachable = head !== undefined && !isSuspect(draft, head.id);
   const first: RetirementStep = isReachable ? step : 'starve';
   draft.retirements.set(group, { ...of, step: first, since: draft.now });
--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -269,6 +269,13 @@
 });
 
 describe('a third of the orders unanswered and carried out late', () => {
+  it.each([
+    { seed: 6, without: ['rebalance'] as const },
+    { seed: 5, without: ['reserve'] as const },
+  ])('bring no dissolved group back whose members join others (seed $seed)', (options) => {
+    expect(runLosses({ ...options, lateShare: 0.35 }).violations).toEqual([]);
+  });
+
   /** Time until the large model is served again once a member is lost, milliseconds. */
   function outageMs(seed: number): number {
     const random = createRandom(seed);
