Take a group to stand still once enough daemons have seen it

Now a group stands still for all where as many daemons say so within 600 ms as its load asks for, or one says so again a second later. The daemon that saw it moves its own streams as before. Tests of the pattern: 200 single false reports in 30 s confirm none; a true one is confirmed within 300 ms.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -48,6 +48,8 @@
   /** Whether any group of the model is open, suspected or not. */
   serves(service: ServiceId, model: ModelId | undefined): boolean;
   find(head: InstanceId): BoardGroup | undefined;
+  /** Requests of the other daemons in the group, as far as is known here. */
+  runningElsewhere(head: InstanceId): number;
   /** Whether any daemon has streams running in the group. */
   isBusy(group: GroupId): boolean;
   noteSent(head: InstanceId, promptTokens: number): void;
@@ -208,6 +210,7 @@
         })),
     serves: (service, model) => model !== undefined && ofModel(service, model).length > 0,
     find: (head) => groups.get(head),
+    runningElsewhere: (head) => elsewhere.get(head)?.running ?? 0,
     isBusy: (group) =>
       [...groups.values()].some(({ id, head }) => id === group && runningIn(head.id) > 0),
     noteSent: (head, promptTokens) => {
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -1,8 +1,10 @@
 /** Tells peers what this daemon knows, and gives those that are behind what they lack. */
 
-import type { ConfigVersion, MonoTime } from '../../core/ids';
+import { isConfirmed, noteWitness } from '../../core/gateway/witnesses';
+import type { Witnesses } from '../../core/gateway/witnesses';
+import type { ConfigVersion, DaemonId, MonoTime } from '../../core/ids';
 import { brandAs, later } from '../../core/ids';
-import type { Board } from './board';
+import type { Board, Stall } from './board';
 import type { ConfigView } from './config-view';
 import type { GatewayContext } from './context';
 import type { Fleet, FromPeer, PeerView } from './fleet';
@@ -61,6 +63,7 @@
   let told: PeerState | undefined;
   let revisionSince = ctx.clock.now();
   let revision = 0;
+  let witnesses: Witnesses = new Map();
 
   const ownState = (lease = leadership.ownLease()): PeerState => ({
     kind: 'state',
@@ -117,6 +120,19 @@
     }
   };
 
+  /** A group that stands still is avoided by all, and looked into by the leader, once enough have seen it. */
+  const takeStall = ({ group, head }: Stall, reporter: DaemonId, isKnown: boolean): void => {
+    const now = ctx.clock.now();
+    witnesses = noteWitness(witnesses, group, reporter, now);
+    if (!isKnown && !isConfirmed(witnesses, group, board.runningElsewhere(head), now)) return;
+    const isNews = board.suspect(head, `reported by ${reporter}`);
+    former.inspect({ group, head });
+    // In a large fleet only the leader was told.
+    if (isNews && !isKnown && fleet.isLarge() && leadership.held() !== undefined) {
+      fleet.broadcast({ kind: 'stalled', group, head, isConfirmed: true });
+    }
+  };
+
   const take: {
     readonly [K in GatewayMessage['kind']]: (
       message: Extract<GatewayMessage, { kind: K }>,
@@ -129,14 +145,8 @@
       if (state.lease) leadership.takeLease(state.lease);
       help(state, address);
     },
-    stalled: ({ group, head }, { from }) => {
-      if (board.find(head)?.id !== group) return;
-      const isNews = board.suspect(head, `reported by ${from}`);
-      former.inspect({ group, head });
-      // In a large fleet only the leader was told.
-      if (isNews && fleet.isLarge() && leadership.held() !== undefined) {
-        fleet.broadcast({ kind: 'stalled', group, head });
-      }
+    stalled: ({ group, head, isConfirmed: isKnown }, { from }) => {
+      if (board.find(head)?.id === group) takeStall({ group, head }, from, isKnown);
     },
     config: ({ config: offered }, { from }) => {
       const version = brandAs<ConfigVersion>(offered.version);
@@ -214,9 +224,10 @@
 
   board.stalls.subscribe(({ group, head }) => {
     const leader = fleet.isLarge() ? fleet.leader() : undefined;
-    if (leader) fleet.send(leader.address, { kind: 'stalled', group, head });
-    else fleet.broadcast({ kind: 'stalled', group, head });
-    former.inspect({ group, head });
+    const message = { kind: 'stalled', group, head, isConfirmed: false } as const;
+    if (leader) fleet.send(leader.address, message);
+    else fleet.broadcast(message);
+    takeStall({ group, head }, ctx.settings.id, false);
   });
 
   return {
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -61,11 +61,13 @@
   waiting: z.array(z.tuple([z.string(), natural, natural])),
 });
 
-/** A group that this daemon saw stand still. */
+/** A group that a daemon saw stand still. */
 const stalledSchema = z.object({
   kind: z.literal('stalled'),
   group: z.string().transform((id) => brandAs<GroupId>(id)),
   head: z.string().transform((id) => brandAs<InstanceId>(id)),
+  /** Whether enough daemons saw it, in place of the sender alone. */
+  isConfirmed: z.boolean(),
 });
 
 /** Sent on in the form in which this program holds them: all daemons run the same program. */
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -41,7 +41,7 @@
 }
 
 /** One daemon of a fleet of 70, whose messages are noted in place of being sent. */
-function setUp({ isLeading = false, hasLeader = true, seed = 7 } = {}) {
+function setUp({ isLeading = false, hasLeader = true, seed = 7, running = 0 } = {}) {
   const clock = createClock();
   let now = clock.now();
   const ctx = makeContext({
@@ -80,6 +80,7 @@
       stalls,
       find: () => ({ id: 'g' }),
       suspect: () => true,
+      runningElsewhere: () => running,
     },
     fleet: {
       received,
@@ -156,8 +157,15 @@
 
   it('as the leader passes a stall on to all once', () => {
     const { sent, hear } = setUp({ isLeading: true });
-    hear({ kind: 'stalled', ...STALL });
-    expect(sent).toEqual([{ to: 'all', message: { kind: 'stalled', ...STALL } }]);
+    hear({ kind: 'stalled', ...STALL, isConfirmed: false });
+    const message = { kind: 'stalled', ...STALL, isConfirmed: true };
+    expect(sent).toEqual([{ to: 'all', message }]);
+  });
+
+  it('as the leader keeps to itself what one daemon alone saw of a group that others use', () => {
+    const { sent, hear } = setUp({ isLeading: true, running: 20 });
+    hear({ kind: 'stalled', ...STALL, isConfirmed: false });
+    expect(sent).toEqual([]);
   });
 
   it('as the leader gives a daemon without the store what it lacks, and no servers to one with it', () => {
--- /dev/null
+++ b/tests/gateway/witnesses.test.ts
@@ -0,0 +1,77 @@
+import { describe, expect, it } from 'vitest';
+
+import { isConfirmed, noteWitness, quorumOf } from '../../src/core/gateway/witnesses';
+import type { Witnesses } from '../../src/core/gateway/witnesses';
+import { brandAs } from '../../src/core/ids';
+import type { DaemonId, GroupId } from '../../src/core/ids';
+import { at } from './support';
+
+const GROUP = brandAs<GroupId>('g1');
+
+function reportsOf(...reports: readonly (readonly [daemon: string, ms: number])[]): Witnesses {
+  return reports.reduce<Witnesses>(
+    (seen, [daemon, ms]) => noteWitness(seen, GROUP, brandAs<DaemonId>(daemon), at(ms)),
+    new Map(),
+  );
+}
+
+describe('a group that one daemon saw stand still', () => {
+  it('does so where nobody else has streams in it', () => {
+    expect(isConfirmed(reportsOf(['a', 0]), GROUP, 0, at(0))).toBe(true);
+  });
+
+  it('does not where others have, and say nothing', () => {
+    expect(isConfirmed(reportsOf(['a', 0]), GROUP, 5, at(100))).toBe(false);
+  });
+
+  it('does where the daemon finds it so again after its streams were moved', () => {
+    expect(isConfirmed(reportsOf(['a', 0], ['a', 400]), GROUP, 30, at(400))).toBe(false);
+    expect(isConfirmed(reportsOf(['a', 0], ['a', 1_600]), GROUP, 30, at(1_600))).toBe(true);
+  });
+});
+
+describe('a group that several daemons saw stand still', () => {
+  it('does so once they are enough for the requests in it', () => {
+    expect([0, 1, 2, 11, 12].map(quorumOf)).toEqual([1, 1, 2, 2, 3]);
+    const two = reportsOf(['a', 0], ['b', 200]);
+    expect(isConfirmed(two, GROUP, 11, at(200))).toBe(true);
+    expect(isConfirmed(two, GROUP, 30, at(200))).toBe(false);
+  });
+
+  it('does not where they saw it at different times', () => {
+    expect(isConfirmed(reportsOf(['a', 0], ['b', 900]), GROUP, 5, at(900))).toBe(false);
+  });
+
+  it('is not mixed up with another one, and is forgotten in time', () => {
+    const other = noteWitness(
+      reportsOf(['a', 0]),
+      brandAs<GroupId>('g2'),
+      brandAs<DaemonId>('b'),
+      at(10),
+    );
+    expect(isConfirmed(other, GROUP, 5, at(10))).toBe(false);
+    const later = noteWitness(other, brandAs<GroupId>('g2'), brandAs<DaemonId>('b'), at(9_000));
+    expect([...later.keys()]).toEqual(['g2']);
+  });
+});
+
+describe('eighty daemons with a stream or two in each of eighteen groups', () => {
+  it('take no group for lost by single false reports, and one that is lost within 300 ms', () => {
+    let witnesses: Witnesses = new Map();
+    let confirmed = 0;
+    // A false report of some daemon on some group every 150 ms, for 30 s.
+    for (let n = 0; n < 200; n++) {
+      const group = brandAs<GroupId>(`g${(n * 7) % 18}`);
+      const now = at(n * 150);
+      witnesses = noteWitness(witnesses, group, brandAs<DaemonId>(`d${(n * 31) % 80}`), now);
+      if (isConfirmed(witnesses, group, 20, now)) confirmed += 1;
+    }
+    expect(confirmed).toBe(0);
+    const since = 30_000;
+    for (let n = 0; n < 15; n++) {
+      const now = at(since + n * 20);
+      witnesses = noteWitness(witnesses, GROUP, brandAs<DaemonId>(`e${n}`), now);
+    }
+    expect(isConfirmed(witnesses, GROUP, 20, at(since + 300))).toBe(true);
+  });
+});
