Wait longer for first events before a group counts as silent, where others have streams there

Now such a wait counts only after 1.2 s and the reading of prompts, while two or more requests of others are in the group; those with begun streams see a fault after 0.5 s, and what they confirm moves the streams of all.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -14,6 +14,7 @@
   noteSent,
   readableTokens,
   stalledAt,
+  stalledBesideOthersAt,
   usualPauseMs,
 } from '../../core/gateway/progress';
 import type { Progress } from '../../core/gateway/progress';
@@ -58,6 +59,10 @@
   /** `unread`: tokens of the prompt, where no event came. */
   noteEnded(head: InstanceId, unread: number): void;
   noteEvent(head: InstanceId, pauseMs: number | undefined): void;
+  /** The group surely stands still: this daemon's streams in it are moved as well. */
+  abandon(stall: Stall): void;
+  /** Groups that surely stand still, as `abandon` was told. */
+  readonly abandoned: Observable<Stall>;
   /** Sends nothing to the group for a while. False where that was so before. */
   suspect(head: InstanceId, reason: string): boolean;
   /** Groups whose streams have all gone silent, as found by `tick`. */
@@ -75,6 +80,8 @@
 
 /** Long enough for the leader to ask the members; then the group is tried again. */
 const SUSPECT_MS = 1_500;
+/** With so many requests of others in a group they tell of a fault as well. */
+const SHARED_AT = 2;
 /** Peers' reports of their loads are this old at most, but for a slow link: the interval at which few daemons gossip. */
 const REPORT_AGE_MS = 200;
 
@@ -95,6 +102,7 @@
   const waitingAll = new Map<string, number>();
   let reportsDueAt = clock.now();
   const stalls = new Subject<Stall>();
+  const abandoned = new Subject<Stall>();
   const changes = new Subject<void>();
   let groups = new Map<InstanceId, BoardGroup>();
 
@@ -176,7 +184,9 @@
     const now = clock.now();
     for (const [head, seen] of progress) {
       const group = seen.running > 0 ? groups.get(head) : undefined;
-      const at = group && stalledAt(seen, usualOf(group), readingMs(group));
+      const isShared = (elsewhere.get(head)?.running ?? 0) >= SHARED_AT;
+      const silentAt = isShared ? stalledBesideOthersAt : stalledAt;
+      const at = group && silentAt(seen, usualOf(group), readingMs(group));
       if (!group || at === undefined || now < at || isSuspect(head)) continue;
       const silentMs = Math.round(now - seen.since);
       const pauseMs = Math.round(Math.max(usualOf(group), seen.pauseMs ?? 0));
@@ -193,6 +203,10 @@
 
   return {
     stalls,
+    abandoned,
+    abandon: (stall) => {
+      abandoned.next(stall);
+    },
     changes,
     candidates: (service, model, gapMs, tried) =>
       ofModel(service, model)
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -126,6 +126,7 @@
     witnesses = noteWitness(witnesses, group, reporter, now);
     if (!isKnown && !isConfirmed(witnesses, group, board.runningElsewhere(head), now)) return;
     const isNews = board.suspect(head, `reported by ${reporter}`);
+    board.abandon({ group, head });
     former.inspect({ group, head });
     // In a large fleet only the leader was told.
     if (isNews && !isKnown && fleet.isLarge() && leadership.held() !== undefined) {
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -3,6 +3,8 @@
  * on at another group from its last event where the route allows it, within the same answer.
  */
 
+import { merge } from 'rxjs';
+
 import type { Upstream } from '../../adapters/upstream/upstream';
 import { chooseGroup, countToLookAt, hasRoom, sample } from '../../core/gateway/balance';
 import { nameOf } from '../../core/gateway/routes';
@@ -187,7 +189,7 @@
     stop.abort(new Error('caller gone'));
   };
   exchange.gone.addEventListener('abort', onGone, { once: true });
-  const stalls = board.stalls.subscribe((stall) => {
+  const stalls = merge(board.stalls, board.abandoned).subscribe((stall) => {
     if (stall.head === head.id) stop.abort(new Error('group stands still'));
   });
   try {
--- a/src/core/gateway/progress.ts
+++ b/src/core/gateway/progress.ts
@@ -23,7 +23,9 @@
 export interface Progress {
   /** Requests of this daemon that the group has and that have not ended. */
   readonly running: number;
-  /** Tokens of their prompts, as far as they have given no event yet. */
+  /** How many of them have given an event. */
+  readonly started: number;
+  /** Tokens of the prompts of the others. */
   readonly unread: number;
   /** The group is expected to show life from here on: its latest event, or the send that ended an idle time. */
   readonly since: MonoTime;
@@ -32,7 +34,7 @@
 }
 
 export function createProgress(now: MonoTime): Progress {
-  return { running: 0, unread: 0, since: now, pauseMs: undefined };
+  return { running: 0, started: 0, unread: 0, since: now, pauseMs: undefined };
 }
 
 export function noteSent(progress: Progress, now: MonoTime, promptTokens: number): Progress {
@@ -43,16 +45,20 @@
 
 /** A request has ended; `unread` is its prompt where it gave no event. */
 export function noteEnded(progress: Progress, unread: number): Progress {
+  const running = Math.max(0, progress.running - 1);
+  const started = progress.started - (unread === 0 ? 1 : 0);
   return {
     ...progress,
-    running: Math.max(0, progress.running - 1),
+    running,
+    started: Math.max(0, Math.min(running, started)),
     unread: Math.max(0, progress.unread - unread),
   };
 }
 
 /** The first event of a request: its prompt has been read. */
 export function noteRead(progress: Progress, promptTokens: number): Progress {
-  return { ...progress, unread: Math.max(0, progress.unread - promptTokens) };
+  const started = Math.min(progress.running, progress.started + 1);
+  return { ...progress, started, unread: Math.max(0, progress.unread - promptTokens) };
 }
 
 /** Takes in an event of any of the group's streams; `pauseMs` is the time since that stream's last one. */
@@ -89,6 +95,24 @@
   return later(progress.since, Math.max(leastMs, pauses * expected) + readingMs);
 }
 
+/** Silence of streams without any event that is evidence of a fault, while others have streams there, ms. */
+const FIRST_EVENT_MS = 1_200;
+
+/**
+ * When the silence of a group becomes evidence where others have streams in it. A wait for the first
+ * events alone shows little: prompts are read in turn, and the group may be full. Those whose streams
+ * had begun see a fault at once.
+ */
+export function stalledBesideOthersAt(
+  progress: Progress,
+  usualMs: number,
+  readingMs: number,
+): MonoTime | undefined {
+  if (progress.running === 0 || progress.started > 0)
+    return stalledAt(progress, usualMs, readingMs);
+  return later(progress.since, FIRST_EVENT_MS + readingMs);
+}
+
 /** Part of a caller's longest pause that reading others' prompts may take up. */
 const READING_SHARE = 0.8;
 
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -80,6 +80,7 @@
       stalls,
       find: () => ({ id: 'g' }),
       suspect: () => true,
+      abandon: () => undefined,
       runningElsewhere: () => running,
     },
     fleet: {
--- a/tests/gateway/progress.test.ts
+++ b/tests/gateway/progress.test.ts
@@ -7,6 +7,7 @@
   noteRead,
   noteSent,
   stalledAt,
+  stalledBesideOthersAt,
   usualPauseMs,
 } from '../../src/core/gateway/progress';
 import { at, ENGINE } from './support';
@@ -43,6 +44,16 @@
     expect(noteRead(sent, 5_600).unread).toBe(0);
   });
 
+  it('is no evidence for long while the first events are awaited and others have streams there', () => {
+    const sent = noteSent(createProgress(at(0)), at(0), 100);
+    expect(stalledBesideOthersAt(sent, USUAL, 0)).toBe(1_200);
+    const begun = noteSent(noteEvent(noteRead(sent, 100), at(100), undefined), at(150), 200);
+    expect(stalledBesideOthersAt(begun, USUAL, 0)).toBe(600);
+    const left = noteEnded(begun, 0);
+    expect(stalledBesideOthersAt(left, USUAL, 0)).toBe(1_300);
+    expect(noteEnded(left, 200)).toMatchObject({ running: 0, started: 0, unread: 0 });
+  });
+
   it('is expected to grow with the load, by the published figures', () => {
     expect(usualPauseMs(ENGINE, 1, 0)).toBeCloseTo(38.7);
     expect(usualPauseMs(ENGINE, 1, 18)).toBeGreaterThan(53);
