--- a/tests/gateway/forming-fuzz.test.ts
+++ b/tests/gateway/forming-fuzz.test.ts
@@ -93,6 +93,38 @@
     );
   });
 
+  it('never serve in part, also where models take groups from each other', async () => {
+    const work = fc.record({
+      large: fc.double({ min: 0, max: 4, noNaN: true }),
+      small: fc.double({ min: 0, max: 4, noNaN: true }),
+    });
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(trouble, { maxLength: 25 }),
+        fc.nat(),
+        work,
+        async (troubles, salt, { large, small }) => {
+          await setImmediate();
+          const fleet = createEngineFleet({ ...FLEET, domains: [11, 13], hasTraffic: true });
+          const lateMs = (n: number): number =>
+            (n * 7919 + salt) % 3 === 0 ? 2_000 + ((n * 613) % 10_000) : 0;
+          const demand = new Map([
+            [LARGE, large],
+            [SMALL, small],
+          ]);
+          const leader = createLeader(fleet, { hasTraffic: true, lateMs, demand });
+          leader.run(40_000);
+          for (const { kind, which, afterMs } of troubles) {
+            APPLY[kind](fleet, leader, which);
+            leader.run(afterMs);
+          }
+          expect(fleet.violations).toEqual([]);
+        },
+      ),
+      { seed: 41, numRuns: 40 },
+    );
+  });
+
   it('serve again once the troubles are over and servers enough are left', async () => {
     await fc.assert(
       fc.asyncProperty(fc.array(trouble, { maxLength: 8 }), async (troubles) => {
