--- a/bench/forming.ts
+++ b/bench/forming.ts
@@ -10,7 +10,6 @@
   'wanted',
   'rebalance',
   'staged-members',
-  'survivors',
   'spares',
 ];
 const SEEDS = Array.from({ length: 12 }, (_, i) => i + 1);
--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -13,7 +13,6 @@
 import { countReserve } from './reserve';
 import { prepareSpares, stageMembers } from './spares';
 import { GROUP_PREFIX, isStandby, startFormation } from './start';
-import { uses } from './state';
 import type { Draft } from './state';
 
 /**
@@ -87,32 +86,7 @@
   const candidates = listCandidates(draft, needs, domain);
   const first = candidates.find(({ loads }) => loads === 0) ?? candidates[0];
   const isSure = first?.loads === 0 || domain.isSettled || first?.model === needs[0]?.model;
-  if (!first || !isSure) return undefined;
-  const kept = keptForLarger(draft, first, needs, domain);
-  if (kept) return kept.size <= domain.free.length ? kept : undefined;
-  return first.model;
-}
-
-/**
- * The fuller, larger model that the domain's servers are kept for, where all but one of a group's
- * members are warm for it. A smaller group formed of them would take weights off them that are loaded
- * again in 16 s only, while one more server comes within a few seconds; so they wait, unless requests
- * for the smaller model do.
- */
-function keptForLarger(
-  draft: Draft,
-  first: Candidate,
-  needs: readonly ModelNeed[],
-  { free, reserve }: FreeDomain,
-): ModelSpec | undefined {
-  const [fullest] = needs;
-  if (!uses(draft, 'survivors')) return undefined;
-  if (!draft.view.demand || !fullest || fullest.model.size <= first.model.size) return undefined;
-  if (first.groups === 0 || isShort(draft, first)) return undefined;
-  const { model } = fullest;
-  const warm = free.length - countLoads(draft, free, model);
-  const leavesEnough = free.length - first.model.size >= model.size - 1 + reserve;
-  return warm >= model.size - 1 && !leavesEnough ? model : undefined;
+  return isSure ? first?.model : undefined;
 }
 
 /** Whether servers have stopped coming to the domain. */
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -13,11 +13,10 @@
  * - `wanted`: no loads for groups that no work fills.
  * - `rebalance`: a model that lacks groups takes those of another one.
  * - `staged-members`: a member of a smaller group has the larger model on its host.
- * - `survivors`: those of a large group wait for one more server.
  * - `spares`: spares are warm, with the other model on their hosts.
  */
 export type FormingMechanism =
-  'held-spares' | 'reserve' | 'wanted' | 'rebalance' | 'staged-members' | 'survivors' | 'spares';
+  'held-spares' | 'reserve' | 'wanted' | 'rebalance' | 'staged-members' | 'spares';
 
 export interface FormingSettings {
   /** Mechanisms that are switched off, for measurement. */
--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -236,29 +236,6 @@
   });
 });
 
-describe('the survivors of a large group', () => {
-  it('wait for one more server, as long as no smaller group is needed', () => {
-    const fleet = createEngineFleet({ ...FLEET, domains: [9], hasTraffic: false });
-    const demand = new Map([
-      [LARGE, 1.9],
-      [SMALL, 1.75],
-    ]);
-    const leader = createLeader(fleet, { demand });
-    for (let i = 0; i < 9; i++) fleet.add('d1');
-    leader.run(15_000);
-    leader.beginTraffic();
-    fleet.beginTraffic();
-    expect(fleet.serving(LARGE)).toBe(2);
-    fleet.kill(headOf(fleet, LARGE).joined?.members[1] ?? instance('none'));
-    leader.run(6_000);
-    fleet.add('d0');
-    fleet.add('d1');
-    leader.run(24_000);
-    expect(fleet.serving(LARGE)).toBe(2);
-    expect(fleet.violations).toEqual([]);
-  });
-});
-
 describe('members lost every few seconds, and as many servers added', () => {
   it('leave the large model the groups that its work fills', () => {
     const runs = [1, 2, 3, 4].map((seed) => runLosses({ seed }));
