Load servers that come to a domain while a group of it is ending

Cause: spares of a domain were not prepared while any group of it was ending, so that survivors were not warmed as spares. The plan remembers since what survivors are warm for, and warms none of them anew, so that the rule is needless. Test red before.

--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -127,12 +127,6 @@
   return members;
 }
 
-/** Domains with members of groups that are ending. */
-function endingDomains(draft: Draft): ReadonlySet<DomainId> {
-  const members = [...draft.retirements.values()].flatMap((retirement) => retirement.members);
-  return new Set(members.flatMap(({ domain }) => domain ?? []));
-}
-
 /** What is left of the domain once a group was formed there; a claim on it has been met. */
 function withoutMembers(
   { domain, free, reserve, isSettled }: FreeDomain,
@@ -163,10 +157,8 @@
       return withoutMembers(domain, members);
     });
   }
-  const ending = endingDomains(draft);
   for (const { domain, free, isSettled: isComplete, claimant } of domains) {
-    // A survivor of an ending group is about to join another one: as a spare it would be missing there.
-    if (isComplete && !claimant && !ending.has(domain)) prepareSpares(draft, domain, free);
+    if (isComplete && !claimant) prepareSpares(draft, domain, free);
   }
   stageMembers(draft, groups);
 }
--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -108,6 +108,23 @@
   });
 });
 
+describe('a server that comes while a group of its domain is ending', () => {
+  it('is loaded at once, though the members of a lost head are held for seconds', () => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: false });
+    const leader = createLeader(fleet);
+    leader.run(15_000);
+    leader.beginTraffic();
+    fleet.kill(headOf(fleet, LARGE).id);
+    leader.run(4_000);
+    fleet.add('d0');
+    const loads = fleet.loads();
+    leader.run(2_500);
+    expect(leader.state().retirements.size).toBe(1);
+    expect(fleet.loads()).toBeGreaterThan(loads);
+    expect(fleet.violations).toEqual([]);
+  });
+});
+
 describe('a new leader', () => {
   it('adopts the groups that serve, without an order to them', () => {
     const fleet = createEngineFleet({ ...FLEET, domains: [9], hasTraffic: false });
