--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -124,7 +124,10 @@
   const takeStall = ({ group, head }: Stall, reporter: DaemonId, isKnown: boolean): void => {
     const now = ctx.clock.now();
     witnesses = noteWitness(witnesses, group, reporter, now);
-    if (!isKnown && !isConfirmed(witnesses, group, board.runningElsewhere(head), now)) return;
+    const running = board.runningElsewhere(head);
+    const isSure = isKnown || isConfirmed(witnesses, group, running, now);
+    ctx.logger.info('group seen silent', { step: 'stall', group, reporter, running, isSure });
+    if (!isSure) return;
     const isNews = board.suspect(head, `reported by ${reporter}`);
     board.abandon({ group, head });
     former.inspect({ group, head });
