Tell the staying members of an ending group, and the members among old entries, by one function each

The plan of groups filtered the members of ending groups in two places (held spares, rebalancing), and old entries by group in two (lapsed, ended).

--- a/src/core/gateway/forming/held.ts
+++ b/src/core/gateway/forming/held.ts
@@ -2,8 +2,8 @@
 
 import type { DomainId, ModelId } from '../../ids';
 import type { BackendServer } from '../types';
-import { pickMembers } from './members';
-import { isSuspect, uses } from './state';
+import { pickMembers, stayingOf } from './members';
+import { uses } from './state';
 import type { Draft } from './state';
 
 /** Members of ending groups that will be free in the domain, by the model to form again with them. */
@@ -11,11 +11,7 @@
   const coming = new Map<ModelId, BackendServer[]>();
   for (const { model, members } of draft.retirements.values()) {
     if (model === undefined) continue;
-    const staying = members.flatMap(({ id }) => {
-      const server = draft.view.servers.get(id);
-      const isLost = !server || server.isDraining || isSuspect(draft, id);
-      return isLost || server.domain !== domain ? [] : [server];
-    });
+    const staying = stayingOf(draft, members).filter((server) => server.domain === domain);
     if (staying.length > 0) coming.set(model, [...(coming.get(model) ?? []), ...staying]);
   }
   return coming;
--- a/src/core/gateway/forming/members.ts
+++ b/src/core/gateway/forming/members.ts
@@ -27,6 +27,14 @@
   return free;
 }
 
+/** Those of an ending group's members that go on to another one, as their entries stand now. */
+export function stayingOf(draft: Draft, members: readonly BackendServer[]): BackendServer[] {
+  return members.flatMap(({ id }) => {
+    const server = draft.view.servers.get(id);
+    return !server || server.isDraining || isSuspect(draft, id) ? [] : [server];
+  });
+}
+
 /** The servers that are ready for the model soonest; among equals those of least use to other models. */
 export function pickMembers(
   draft: Draft,
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -29,18 +29,24 @@
   readonly orders: readonly OrderEffect[];
 }
 
-/** Members of the group that are not listed any more, and that nothing else speaks against. */
-function unseenMembers(draft: Draft, { id, epoch }: ReplicaGroup): BackendServer[] {
-  return [...draft.view.lapsed.values()].filter(
+/** Those of the servers whose last entry names the group. */
+function membersAmong(
+  servers: ReadonlyMap<InstanceId, BackendServer>,
+  { id, epoch }: ReplicaGroup,
+): BackendServer[] {
+  return [...servers.values()].filter(
     ({ membership }) => membership?.group === id && membership.epoch === epoch,
   );
 }
 
+/** Members of the group that are not listed any more, and that nothing else speaks against. */
+function unseenMembers(draft: Draft, group: ReplicaGroup): BackendServer[] {
+  return membersAmong(draft.view.lapsed, group);
+}
+
 /** Members of the group whose servers have started again since. */
-function endedMembers(draft: Draft, { id, epoch }: ReplicaGroup): BackendServer[] {
-  return [...draft.view.ended.values()].filter(
-    ({ membership }) => membership?.group === id && membership.epoch === epoch,
-  );
+function endedMembers(draft: Draft, group: ReplicaGroup): BackendServer[] {
+  return membersAmong(draft.view.ended, group);
 }
 
 /**
--- a/src/core/gateway/forming/rebalance.ts
+++ b/src/core/gateway/forming/rebalance.ts
@@ -15,12 +15,12 @@
 import type { BackendServer, ModelSpec } from '../types';
 import { countGroups } from './compose';
 import { joinCost } from './form';
-import { collectFree } from './members';
+import { collectFree, stayingOf } from './members';
 import { rankByNeed } from './need';
 import type { ModelNeed } from './need';
 import { startRetirement } from './retire';
 import { isStandby } from './start';
-import { isSuspect, uses } from './state';
+import { uses } from './state';
 import type { Draft } from './state';
 
 /** Domains whose free servers are kept for one model. */
@@ -41,12 +41,7 @@
     found.set(server.domain, [...(found.get(server.domain) ?? []), server]);
   };
   for (const free of collectFree(draft).values()) free.forEach(add);
-  for (const { members } of draft.retirements.values()) {
-    for (const { id } of members) {
-      const server = draft.view.servers.get(id);
-      if (server && !server.isDraining && !isSuspect(draft, id)) add(server);
-    }
-  }
+  for (const { members } of draft.retirements.values()) stayingOf(draft, members).forEach(add);
   return found;
 }
 
