Log how old the configuration behind a denial is, and how long each failed call of the store was out

The logs of the late configuration could not tell a poll that was never answered from a version that was built wrongly: only the first failure of a collection was logged, without the time that its call was out, and a denial named neither the version it went by nor that version's age. No decision is changed.

--- a/src/app/gateway/config-view.ts
+++ b/src/app/gateway/config-view.ts
@@ -19,6 +19,8 @@
   version(): number;
   /** When the version in force was learned. */
   since(): MonoTime;
+  /** Time since the store last said here which version is the newest, milliseconds. */
+  ageMs(): number;
   /** Puts a version in force if it is newer than the present one; it never goes back. */
   offer(config: GatewayConfig, source: string): boolean;
 }
@@ -70,5 +72,8 @@
     },
   });
 
-  return { table, watch, version, since: () => since, offer };
+  const startedAt = ctx.clock.now();
+  const ageMs = (): number => ctx.clock.now() - (watch.lastContact() ?? startedAt);
+
+  return { table, watch, version, since: () => since, ageMs, offer };
 }
--- a/src/app/gateway/front.ts
+++ b/src/app/gateway/front.ts
@@ -110,23 +110,23 @@
   const table = config.table.value;
   const facts = dialect.readCall(req.headers);
   if (!table) {
-    refuse(ctx, facts, res, [503, 'no configuration is known yet']);
+    refuse(deps, facts, res, [503, 'no configuration is known yet']);
     return;
   }
   const { maxBodyBytes } = table.config.limits;
   if (Number(req.headers['content-length'] ?? 0) > maxBodyBytes) {
-    refuse(ctx, facts, res, [413, 'the body is too long']);
+    refuse(deps, facts, res, [413, 'the body is too long']);
     return;
   }
   const body = await readBody(req, maxBodyBytes);
   if (body === 'broken' || gone.aborted) return;
   if (body === 'too-long') {
-    refuse(ctx, facts, res, [413, 'the body is too long']);
+    refuse(deps, facts, res, [413, 'the body is too long']);
     return;
   }
   const exchange = toExchange({ deps, req, res, body, facts, arrivedAt, gone });
   if (!('route' in exchange)) {
-    refuse(ctx, facts, res, exchange);
+    refuse(deps, facts, res, exchange);
     return;
   }
   deps.onTraffic();
@@ -186,7 +186,7 @@
 }
 
 function refuse(
-  ctx: GatewayContext,
+  { ctx, config }: FrontDeps,
   facts: CallFacts,
   res: ServerResponse,
   [status, message]: Refusal,
@@ -196,6 +196,8 @@
     step: 'route',
     status,
     reason: message,
+    configVersion: config.version(),
+    configAgeMs: Math.round(config.ageMs()),
     ...(facts.requestId !== undefined && { requestId: facts.requestId }),
   });
   answerOwn(ctx, res, { status, message });
--- a/src/app/gateway/watch.ts
+++ b/src/app/gateway/watch.ts
@@ -58,10 +58,16 @@
 
   const accept = (result: Changes<T>, isWhole: boolean): void => {
     const now = ctx.clock.now();
+    const before = lastContact;
     lastContact = now;
     if (failures > 0) {
       returnedAt = now;
-      ctx.logger.info('store regained', { step: 'watch', collection: feed.name, failures });
+      ctx.logger.info('store regained', {
+        step: 'watch',
+        collection: feed.name,
+        failures,
+        ...(before !== undefined && { awayMs: Math.round(now - before) }),
+      });
     }
     failures = 0;
     ctx.store.noteAnswer();
@@ -69,21 +75,25 @@
     if (isWhole || result.changes.length > 0) take(result.changes, isWhole);
   };
 
-  const fail = async (err: StepError): Promise<void> => {
+  const fail = async (err: StepError, sentAt: MonoTime): Promise<void> => {
     if (err.code === 'history-gone') {
       ctx.logger.warn('history gone, loading anew', { step: 'watch', collection: feed.name });
       revision = 0;
       return;
     }
     failures += 1;
-    if (failures === 1) {
-      ctx.logger.warn('store lost', {
-        step: err.step,
-        collection: feed.name,
-        code: err.code,
-        reason: err.message,
-      });
-    }
+    const now = ctx.clock.now();
+    const fields = {
+      step: err.step,
+      collection: feed.name,
+      code: err.code,
+      reason: err.message,
+      failures,
+      outMs: Math.round(now - sentAt),
+      ...(lastContact !== undefined && { ageMs: Math.round(now - lastContact) }),
+    };
+    if (failures === 1) ctx.logger.warn('store lost', fields);
+    else ctx.logger.info('store call failed again', fields);
     const delay = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** Math.min(failures, 8));
     ctx.store.noteFailure(feed.name);
     await pause(delay * (0.5 + ctx.random.next() / 2));
@@ -98,10 +108,11 @@
 
   const step = async (): Promise<void> => {
     const isWhole = revision === 0;
+    const sentAt = ctx.clock.now();
     const result = await (isWhole ? feed.load() : feed.poll(revision, waitMs()));
     if (stopped) return;
     if (result.isErr()) {
-      await fail(result.error);
+      await fail(result.error, sentAt);
       return;
     }
     accept(result.value, isWhole);
