--- a/src/app/gateway/settings.ts
+++ b/src/app/gateway/settings.ts
@@ -29,6 +29,11 @@
   readonly leavingMs: number;
   /** A configuration is in force on all daemons within this time of its acknowledgement. */
   readonly configMs: number;
+  /**
+   * Daemons whose store or links were disturbed keep every promise again after this time of calm: what
+   * they learned before the disturbance must have been confirmed or replaced by then.
+   */
+  readonly settleMs: number;
   /** Retries that the whole fleet may make in a window: a share of the requests, and a number. */
   readonly retryRatio: number;
   readonly retrySlack: number;
--- a/tests/support/gateway-daemon.ts
+++ b/tests/support/gateway-daemon.ts
@@ -29,6 +29,7 @@
   shutdownS: 8,
   leavingMs: 2_000,
   configMs: 2_000,
+  settleMs: 3_000,
   headBreakMs: 6_000,
   retryRatio: 0.2,
   retryWindowS: 10,
