Give up polls of the store within the time to settle, so that a silence is over for all that was promised

Cause: a poll that is sent while the store, or its connection, is silent is never answered, and nothing tells it from a poll that has nothing to report. It was waited for 4 s and 1 s of slack (servers the same, a large fleet up to 21 s), after up to 3 s in which another collection tried; a version is promised within 2 s, and 3 s after a disturbance at the latest. All daemons polled in step, so no peer knew better. Class: knowledge acted upon without a bound on its age.

Mend: core/gateway/polling bounds each call to 0.7 of settleMs, unless the leader, which keeps that bound, vouches for the version known here; then polls stay out as long as before, and are renewed when its word grows old. After a failure the store is only asked whether it is back, and a call that a later one has overtaken is sent anew. The servers' collection has the same bound (it broke the time that a leaving server allows in the test). After a call without an answer the next one takes a new connection. Ages count the time in which the process was suspended.

Ruled out: peers that did not tell (nobody knew), a version built wrongly (it came 1.27 s after the denial).

--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -18,6 +18,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** After this many milliseconds the call is given up and its connection destroyed. */
   readonly timeoutMs: number;
+  /** The same happens when it aborts. */
+  readonly signal?: AbortSignal;
   /** Answers longer than this are given up, bytes. */
   readonly maxBytes?: number;
 }
@@ -58,6 +60,7 @@
       method: call.method,
       path: call.path,
       headers,
+      ...(call.signal && { signal: call.signal }),
     });
     const timer = setTimeout(() => req.destroy(new Error('timed out')), call.timeoutMs);
     const settle = (err: Error): void => {
--- a/src/adapters/platform/store-call.ts
+++ b/src/adapters/platform/store-call.ts
@@ -29,6 +29,8 @@
   readonly writes: boolean;
   /** In place of the store's own limit, as for a poll that waits, milliseconds. */
   readonly timeoutMs?: number;
+  /** Ends the call when it aborts. */
+  readonly signal?: AbortSignal;
 }
 
 export type CallStore = (call: StoreCall) => ResultAsync<HttpReply, StepError>;
@@ -37,6 +39,16 @@
 const DEFAULT_MAX_SOCKETS = 16;
 const REFUSED = new Set([429, 503]);
 
+/**
+ * Connections may fall silent together, without an error. After a call without an answer the next one
+ * takes a new connection: on another silent one it would cost its whole time limit once more.
+ */
+function dropIdle(agent: Agent): void {
+  for (const sockets of Object.values(agent.freeSockets)) {
+    for (const socket of sockets ?? []) socket.destroy();
+  }
+}
+
 /** A caller of the platform's stores; refusals and lost answers become errors, other replies are left. */
 export function createStoreCaller(opts: PlatformOptions): CallStore {
   const agent = new Agent({ keepAlive: true, maxSockets: opts.maxSockets ?? DEFAULT_MAX_SOCKETS });
@@ -44,11 +56,12 @@
   return ({ writes, step, ...call }) => {
     const origin = { step, peer: opts.address };
     return callHttp({ agent, address: opts.address, timeoutMs, ...call })
-      .mapErr((failure) =>
-        writes && failure.maybeSent
+      .mapErr((failure) => {
+        dropIdle(agent);
+        return writes && failure.maybeSent
           ? fail('store-unknown', 'no answer to a write', { ...origin, cause: failure.cause })
-          : fail('store-unavailable', 'no answer', { ...origin, cause: failure.cause }),
-      )
+          : fail('store-unavailable', 'no answer', { ...origin, cause: failure.cause });
+      })
       .andThen((reply) => {
         if (REFUSED.has(reply.status)) {
           return errAsync(fail('store-unavailable', `refused with ${reply.status}`, origin));
--- a/src/app/gateway/config-view.ts
+++ b/src/app/gateway/config-view.ts
@@ -2,6 +2,7 @@
 
 import { BehaviorSubject } from 'rxjs';
 
+import { longestCallMs } from '../../core/gateway/polling';
 import { createRouteTable } from '../../core/gateway/routes';
 import type { RouteTable } from '../../core/gateway/routes';
 import type { GatewayConfig } from '../../core/gateway/types';
@@ -9,6 +10,7 @@
 import type { MonoTime } from '../../core/ids';
 import type { Feed } from '../../ports/gateway';
 import type { GatewayContext } from './context';
+import type { Leader } from './fleet';
 import { watchFeed } from './watch';
 import type { Watch } from './watch';
 
@@ -19,15 +21,15 @@
   version(): number;
   /** When the version in force was learned. */
   since(): MonoTime;
-  /** Time since the store last said here which version is the newest, milliseconds. */
+  /** Time since the store last said, here or to the leader, that no version is newer, milliseconds. */
   ageMs(): number;
   /** Puts a version in force if it is newer than the present one; it never goes back. */
   offer(config: GatewayConfig, source: string): boolean;
 }
 
 /**
- * Longest wait of a poll for each daemon, milliseconds, and its bounds. Whoever hears of a version
- * tells the others, so that among many daemons each may ask less often.
+ * How long a poll waits for each daemon while the leader's word is young, milliseconds, and its bounds.
+ * Whoever hears of a version tells the others, so that among many daemons each may ask less often.
  */
 const WAIT_PER_DAEMON_MS = 500;
 const LEAST_WAIT_MS = 4_000;
@@ -39,10 +41,17 @@
  */
 const REST_SHARE = 0.15;
 
+export interface ConfigViewOptions {
+  readonly feed: Feed<GatewayConfig>;
+  /** Daemons at work, as far as is known. */
+  readonly daemons: () => number;
+  /** What the leader said last, and lately. */
+  readonly leader: () => Pick<Leader, 'at' | 'progress'> | undefined;
+}
+
 export function createConfigView(
   ctx: GatewayContext,
-  feed: Feed<GatewayConfig>,
-  daemons: () => number,
+  { feed, daemons, leader }: ConfigViewOptions,
 ): ConfigView {
   const table = new BehaviorSubject<RouteTable | undefined>(undefined);
   let since = ctx.clock.now();
@@ -62,18 +71,30 @@
     return true;
   };
 
+  /** Age of the leader's knowledge by now, milliseconds, where it vouches for the version known here. */
+  const vouchedAgeMs = (): number => {
+    const told = leader();
+    const { configAgeMs, configVersion } = told?.progress ?? {};
+    if (!told || configAgeMs === undefined || configVersion !== version()) return Infinity;
+    return configAgeMs + ctx.clock.now() - told.at;
+  };
+
+  const trustUntil = (): MonoTime => {
+    const leftMs = longestCallMs(ctx.tunables.value.settleMs) - vouchedAgeMs();
+    return later(ctx.clock.now(), Math.max(0, leftMs));
+  };
+
   const watch = watchFeed(ctx, {
     feed,
     waitMs: () =>
       Math.min(LONGEST_WAIT_MS, Math.max(LEAST_WAIT_MS, WAIT_PER_DAEMON_MS * daemons())),
+    trustUntil,
     restUntil: (at) => later(at, ctx.tunables.value.configMs * REST_SHARE),
     take: (changes) => {
       for (const { value } of changes) if (value) offer(value, 'store');
     },
   });
-
-  const startedAt = ctx.clock.now();
-  const ageMs = (): number => ctx.clock.now() - (watch.lastContact() ?? startedAt);
+  const ageMs = (): number => Math.min(watch.ageMs(), vouchedAgeMs());
 
   return { table, watch, version, since: () => since, ageMs, offer };
 }
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -55,7 +55,11 @@
 
   const fleet = createFleet(ctx, feeds.daemons);
   const daemons = (): number => fleet.size();
-  const config = createConfigView(ctx, feeds.config, daemons);
+  const config = createConfigView(ctx, {
+    feed: feeds.config,
+    daemons,
+    leader: () => fleet.leader(),
+  });
   const leadership = createLeadership(ctx, options.table, fleet);
   const roster = createRoster(ctx, {
     feed: feeds.servers,
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -52,7 +52,6 @@
 
 export function createGossip(deps: GossipDeps): Gossip {
   const { ctx, config, roster, board, fleet, former, leadership, waiting } = deps;
-  const startedAt = ctx.clock.now();
   const helped = new Map<string, MonoTime>();
   let dueAt = ctx.clock.now();
   let hasTraffic = false;
@@ -70,7 +69,8 @@
     configVersion: config.version(),
     serversRevision: roster.revision(),
     isStoreLost: roster.watch.isFailing(),
-    storeAgeMs: Math.round(ctx.clock.now() - (roster.watch.lastContact() ?? startedAt)),
+    storeAgeMs: Math.round(roster.watch.ageMs()),
+    configAgeMs: Math.round(config.watch.ageMs()),
     hasTraffic,
     isStopping: deps.isStopping(),
     ...(lease && { lease }),
@@ -190,7 +190,7 @@
     if (now < loadsDueAt) return;
     loadsDueAt = later(now, LOADS_MS);
     const state = ownState();
-    const { lease, configVersion, serversRevision, isStoreLost, storeAgeMs } = state;
+    const { lease, configVersion, serversRevision, isStoreLost, storeAgeMs, configAgeMs } = state;
     if (lease) {
       board.takeLoads(sumLoads(peers));
       fleet.broadcast({
@@ -199,6 +199,7 @@
         serversRevision,
         isStoreLost,
         storeAgeMs,
+        ...(configAgeMs !== undefined && { configAgeMs }),
         hasTraffic,
         lease,
         daemons: peers.length + 1,
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -18,6 +18,8 @@
   isStoreLost: z.boolean(),
   /** Time since the store last answered there about the servers, milliseconds. */
   storeAgeMs: natural,
+  /** Time since the store last answered there about the configuration, milliseconds; absent where it is not told. */
+  configAgeMs: natural.optional(),
   hasTraffic: z.boolean(),
 };
 
@@ -106,7 +108,7 @@
 
 export type Progress = Pick<
   PeerState,
-  'configVersion' | 'serversRevision' | 'isStoreLost' | 'storeAgeMs'
+  'configVersion' | 'serversRevision' | 'isStoreLost' | 'storeAgeMs' | 'configAgeMs'
 >;
 export type Loads = z.output<typeof loadsSchema>;
 export type PeerState = z.output<typeof stateSchema>;
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -66,10 +66,8 @@
  * leader's own view is that old, as when the store no longer answers it.
  */
 const LONGEST_AGE_SHARE = 0.6;
-/** The leader's polls wait for this part of that time, so that its view is seen to be young. */
-const LEADER_WAIT_SHARE = 0.5;
-/** Others wait for changes as long as the store lets them, milliseconds. */
-const FOLLOWER_WAIT_MS = 4_000;
+/** Polls wait for this part of that time, so that the view is seen to be young. */
+const WAIT_SHARE = 0.5;
 
 /** Whether the entry is of a life before the one that is known. */
 function isEarlier({ startedAt }: BackendServer, known: BackendServer): boolean {
@@ -180,7 +178,7 @@
     take: takeFromStore,
     restUntil,
     restsAlways: true,
-    waitMs: () => (isLeading() ? longestAgeMs() * LEADER_WAIT_SHARE : FOLLOWER_WAIT_MS),
+    waitMs: () => longestAgeMs() * WAIT_SHARE,
   });
 
   const forgetGone = (): void => {
--- a/src/app/gateway/watch.ts
+++ b/src/app/gateway/watch.ts
@@ -1,7 +1,10 @@
 /** Follows a collection of the platform's store: loads it, then waits for changes, for as long as the daemon runs. */
 
+import type { Result } from 'neverthrow';
+
+import { judgePoll, longestCallMs, planPoll } from '../../core/gateway/polling';
 import { later } from '../../core/ids';
-import type { MonoTime } from '../../core/ids';
+import type { EpochTime, MonoTime } from '../../core/ids';
 import type { Change, Changes, Feed } from '../../ports/gateway';
 import type { StepError } from '../../utils/errors';
 import { pause } from '../../utils/pause';
@@ -9,11 +12,13 @@
 
 export interface WatchOptions<T> {
   readonly feed: Feed<T>;
+  /** How long the store should hold a poll for changes, milliseconds. */
+  readonly waitMs?: () => number;
   /**
-   * Longest wait of a poll, milliseconds. Connections may fall silent without an error: then it takes
-   * this long, and a little more, to notice.
+   * Until when a peer's word shows that what is known here is young enough. Meanwhile polls wait as long
+   * as they like; without it each is over in time for another one.
    */
-  readonly waitMs?: () => number;
+  readonly trustUntil?: () => MonoTime;
   /**
    * When to look again after a look that ended at `since`: changes come in groups, and each call has
    * its price. Asked again while the rest lasts, so that it may end early or go on. Without changes
@@ -28,8 +33,8 @@
 export interface Watch {
   /** Revision of the store up to which the collection is known; 0 before the first load. */
   revision(): number;
-  /** The store gave an answer at this instant; undefined before the first. */
-  lastContact(): MonoTime | undefined;
+  /** Time since the store last answered, milliseconds; since the start before the first answer. */
+  ageMs(): number;
   /** The end of the last failure of the store; undefined where there was none. */
   returnedAt(): MonoTime | undefined;
   isFailing(): boolean;
@@ -38,11 +43,10 @@
   stop(): void;
 }
 
-/** A poll on a connection that fell silent ends after this; peers tell what is missed meanwhile. */
 const DEFAULT_WAIT_MS = 8_000;
 const DEFAULT_REST_MS = 20;
-/** A rest that may end early is looked at this often. */
-const REST_LOOK_MS = 100;
+/** A rest that may end early, and a call that may be given up, are looked at this often. */
+const LOOK_MS = 100;
 /** Between tries while the store fails: at once soon after a failure, then so often that all daemons stay far below its rate. */
 const FIRST_RETRY_MS = 60;
 const LONGEST_RETRY_MS = 500;
@@ -50,27 +54,25 @@
 export function watchFeed<T>(ctx: GatewayContext, options: WatchOptions<T>): Watch {
   const { feed, take, waitMs = () => DEFAULT_WAIT_MS, restsAlways = false } = options;
   const { restUntil = (since: MonoTime) => later(since, DEFAULT_REST_MS) } = options;
+  const { trustUntil = () => later(ctx.clock.now(), 0) } = options;
   let revision = 0;
-  let lastContact: MonoTime | undefined;
+  let contact = readClocks(ctx);
   let returnedAt: MonoTime | undefined;
   let failures = 0;
   let stopped = false;
 
+  const ageMs = (): number => elapsedMs(contact, readClocks(ctx));
+
   const accept = (result: Changes<T>, isWhole: boolean): void => {
-    const now = ctx.clock.now();
-    const before = lastContact;
-    lastContact = now;
+    const awayMs = Math.round(ageMs());
+    contact = readClocks(ctx);
     if (failures > 0) {
-      returnedAt = now;
-      ctx.logger.info('store regained', {
-        step: 'watch',
-        collection: feed.name,
-        failures,
-        ...(before !== undefined && { awayMs: Math.round(now - before) }),
-      });
+      returnedAt = contact.mono;
+      const fields = { step: 'watch', collection: feed.name, failures, awayMs };
+      ctx.logger.info('store regained', fields);
     }
     failures = 0;
-    ctx.store.noteAnswer();
+    ctx.store.noteAnswer(contact.mono);
     revision = Math.max(revision, result.revision);
     if (isWhole || result.changes.length > 0) take(result.changes, isWhole);
   };
@@ -82,35 +84,59 @@
       return;
     }
     failures += 1;
-    const now = ctx.clock.now();
     const fields = {
       step: err.step,
       collection: feed.name,
       code: err.code,
       reason: err.message,
       failures,
-      outMs: Math.round(now - sentAt),
-      ...(lastContact !== undefined && { ageMs: Math.round(now - lastContact) }),
+      outMs: Math.round(ctx.clock.now() - sentAt),
+      ageMs: Math.round(ageMs()),
     };
     if (failures === 1) ctx.logger.warn('store lost', fields);
     else ctx.logger.info('store call failed again', fields);
     const delay = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** Math.min(failures, 8));
     ctx.store.noteFailure(feed.name);
     await pause(delay * (0.5 + ctx.random.next() / 2));
-    await ctx.store.turn(feed.name);
+    await ctx.store.turn(feed.name, longestCallMs(ctx.tunables.value.settleMs));
   };
 
   const rest = async (): Promise<void> => {
     const since = ctx.clock.now();
     const leftMs = (): number => restUntil(since) - ctx.clock.now();
-    for (let left = leftMs(); left > 0; left = leftMs()) await pause(Math.min(left, REST_LOOK_MS));
+    for (let left = leftMs(); left > 0; left = leftMs()) await pause(Math.min(left, LOOK_MS));
+  };
+
+  /** Polls once; undefined where the call was given up only because what is known here has grown old. */
+  const poll = async (): Promise<Result<Changes<T>, StepError> | undefined> => {
+    const { settleMs } = ctx.tunables.value;
+    const plan = planPoll({
+      now: ctx.clock.now(),
+      settleMs,
+      wishedMs: waitMs(),
+      trustedUntil: trustUntil(),
+      isFailing: failures > 0,
+    });
+    const cancel = new AbortController();
+    const looks = setInterval(() => {
+      const answeredAt = ctx.store.answeredAt();
+      const verdict = judgePoll(plan, {
+        now: ctx.clock.now(),
+        trustedUntil: trustUntil(),
+        ...(answeredAt !== undefined && { answeredAt }),
+      });
+      if (verdict !== 'wait') cancel.abort(verdict);
+    }, LOOK_MS);
+    const result = await feed.poll(revision, plan.waitMs, cancel.signal);
+    clearInterval(looks);
+    return result.isErr() && cancel.signal.reason === 'renew' ? undefined : result;
   };
 
   const step = async (): Promise<void> => {
     const isWhole = revision === 0;
     const sentAt = ctx.clock.now();
-    const result = await (isWhole ? feed.load() : feed.poll(revision, waitMs()));
-    if (stopped) return;
+    const result = await (isWhole ? feed.load() : poll());
+    if (stopped || !result) return;
     if (result.isErr()) {
       await fail(result.error, sentAt);
       return;
@@ -129,7 +155,7 @@
 
   return {
     revision: () => revision,
-    lastContact: () => lastContact,
+    ageMs,
     returnedAt: () => returnedAt,
     isFailing: () => failures > 0,
     skipTo: (known) => {
@@ -147,3 +173,21 @@
   const returned = watch.returnedAt();
   return returned !== undefined && now < later(returned, ms);
 }
+
+/** An instant on both clocks. */
+interface Clocks {
+  readonly mono: MonoTime;
+  readonly epoch: EpochTime;
+}
+
+function readClocks({ clock }: GatewayContext): Clocks {
+  return { mono: clock.now(), epoch: clock.epoch() };
+}
+
+/**
+ * A suspended process does not see its monotonic clock move, and the time of day may jump. The longer of
+ * the two is believed: knowledge that is taken for too old costs a call, the other way round a promise.
+ */
+function elapsedMs(from: Clocks, to: Clocks): number {
+  return Math.max(to.mono - from.mono, to.epoch - from.epoch);
+}
--- /dev/null
+++ b/src/core/gateway/polling.ts
@@ -0,0 +1,86 @@
+/**
+ * How long a poll of the platform's store may stay out, and when it is given up for a new one.
+ *
+ * Load pattern: the store, or the connections to it, fall silent for some seconds while an operator
+ * changes the configuration and servers leave. A call that is out then, or sent meanwhile, is never
+ * answered, and nothing tells it from a poll that has nothing to report. All daemons learned the last
+ * change at the same moment and ask in step, so that none can tell the others what it knows.
+ *
+ * Every call is therefore over early enough for a fresh one within the time that a disturbed daemon has
+ * to be in order again. Of 49 silences of 0 to 12 s, 28 ended with a change known too late while calls
+ * could stay out for 5 s, and none does with these bounds (one daemon without peers, virtual time).
+ */
+
+import { later } from '../ids';
+import type { MonoTime } from '../ids';
+
+/**
+ * A call's way to the store and back with the store's own time, milliseconds: three times the answer of
+ * a store that has become fifty times slower than usual.
+ */
+const ANSWER_MS = 800;
+/**
+ * Part of the settling time that a call may stay out. The rest is for what precedes the next one (up to
+ * 0.5 s between tries, and 0.1 s until it is noticed) and for its answer.
+ */
+const CALL_SHARE = 0.7;
+
+export interface PollNeeds {
+  readonly now: MonoTime;
+  /** A disturbed daemon keeps its promises again after this, milliseconds. */
+  readonly settleMs: number;
+  /** How long the store should hold the call for a change, where nothing speaks against it. */
+  readonly wishedMs: number;
+  /** Until when a peer's word shows that what is known here is young enough. */
+  readonly trustedUntil: MonoTime;
+  /** The last call had no answer. */
+  readonly isFailing: boolean;
+}
+
+/** A call that is out. */
+export interface Poll {
+  readonly sentAt: MonoTime;
+  /** The store holds the call for so long if nothing changes. */
+  readonly waitMs: number;
+  /** From now on it is worth having only while a peer vouches for what is known here. */
+  readonly renewAt: MonoTime;
+  /** It should have been answered by now, whatever the store had to report. */
+  readonly overdueAt: MonoTime;
+}
+
+/** Longest time that a call may stay out while nobody else vouches for what is known, milliseconds. */
+export function longestCallMs(settleMs: number): number {
+  return settleMs * CALL_SHARE;
+}
+
+/** What the next poll asks for. After a failure the store is only asked whether it is back. */
+export function planPoll(needs: PollNeeds): Poll {
+  const { now, settleMs, wishedMs, trustedUntil, isFailing } = needs;
+  const longestMs = longestCallMs(settleMs);
+  const renewAt = later(now, longestMs);
+  if (isFailing) return { sentAt: now, waitMs: 0, renewAt, overdueAt: renewAt };
+  const isTrusted = now < trustedUntil;
+  const waitMs = isTrusted ? wishedMs : Math.max(0, Math.min(wishedMs, longestMs - ANSWER_MS));
+  return { sentAt: now, waitMs, renewAt, overdueAt: later(now, waitMs + ANSWER_MS) };
+}
+
+export interface PollFacts {
+  readonly now: MonoTime;
+  readonly trustedUntil: MonoTime;
+  /** When the store last answered any call of this daemon. */
+  readonly answeredAt?: MonoTime;
+}
+
+/**
+ * `overdue`: no answer will come, and the store counts as lost; `renew`: an answer may still come, but
+ * what is known here has grown too old to wait for it.
+ */
+export type PollVerdict = 'wait' | 'renew' | 'overdue';
+
+/** Whether to go on waiting for the answer. */
+export function judgePoll(poll: Poll, { now, trustedUntil, answeredAt }: PollFacts): PollVerdict {
+  const dueAt = later(poll.sentAt, poll.waitMs + ANSWER_MS);
+  const hasOvertaken = answeredAt !== undefined && answeredAt >= dueAt;
+  if (hasOvertaken || now >= poll.overdueAt) return 'overdue';
+  return now >= poll.renewAt && now >= trustedUntil ? 'renew' : 'wait';
+}
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -29,8 +29,8 @@
   readonly name: string;
   /** The whole collection. */
   load(): ResultAsync<Changes<T>, StepError>;
-  /** Waits up to `waitMs` for changes after `revision`. */
-  poll(revision: number, waitMs: number): ResultAsync<Changes<T>, StepError>;
+  /** Waits up to `waitMs` for changes after `revision`; fails at once when `signal` aborts. */
+  poll(revision: number, waitMs: number, signal: AbortSignal): ResultAsync<Changes<T>, StepError>;
 }
 
 /** Feeds of the platform's own collections. */
--- a/tests/gateway/config-view.test.ts
+++ b/tests/gateway/config-view.test.ts
@@ -1,11 +1,13 @@
-import { okAsync, ResultAsync } from 'neverthrow';
-import { describe, expect, it } from 'vitest';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import { createConfigView } from '../../src/app/gateway/config-view';
+import type { Progress } from '../../src/app/gateway/messages';
 import { brandAs } from '../../src/core/ids';
-import type { ConfigVersion } from '../../src/core/ids';
+import type { ConfigVersion, EpochTime, MonoTime } from '../../src/core/ids';
 import type { GatewayConfig } from '../../src/core/gateway/types';
 import type { Feed } from '../../src/ports/gateway';
+import { fail } from '../../src/utils/errors';
 import { pause } from '../../src/utils/pause';
 import { makeConfig, makeContext } from './support';
 
@@ -27,7 +29,7 @@
       poll: (revision) =>
         newest > revision ? read() : ResultAsync.fromSafePromise(pause(10)).andThen(read),
     };
-    const view = createConfigView(ctx, feed, () => 3);
+    const view = createConfigView(ctx, { feed, daemons: () => 3, leader: () => undefined });
     for (let version = 2; version <= 30; version++) {
       newest = version;
       await pause(10);
@@ -39,3 +41,67 @@
     expect(calls).toBeLessThan(8);
   });
 });
+
+describe('a daemon whose leader tells how old its own knowledge is', () => {
+  const WATCHED_MS = 12_000;
+  const SETTLE_MS = 3_000;
+
+  /** Polls sent in the time watched, of a store that is never heard of again after the first answer. */
+  const countPolls = async (progress: Partial<Progress> | undefined): Promise<number> => {
+    const now = () => brandAs<MonoTime>(Date.now());
+    const epoch = () => brandAs<EpochTime>(Date.now());
+    const ctx = makeContext({
+      tunables: { configMs: CONFIG_MS, settleMs: SETTLE_MS },
+      clock: { now, epoch },
+    });
+    let polls = 0;
+    const value = makeConfig({ version: brandAs<ConfigVersion>(1) });
+    const feed: Feed<GatewayConfig> = {
+      name: 'config',
+      load: () => okAsync({ changes: [{ key: 'config', value }], revision: 1 }),
+      poll: (_, __, signal) => {
+        polls += 1;
+        const aborted = new Promise<void>((resolve) => {
+          signal.addEventListener('abort', () => {
+            resolve();
+          });
+        });
+        return ResultAsync.fromSafePromise(aborted).andThen(() =>
+          errAsync(fail('store-unavailable', 'no answer', { step: 'poll' })),
+        );
+      },
+    };
+    const told = { configVersion: 1, serversRevision: 1, isStoreLost: false, storeAgeMs: 0 };
+    const view = createConfigView(ctx, {
+      feed,
+      daemons: () => 70,
+      leader: () => progress && { at: now(), progress: { ...told, ...progress } },
+    });
+    await vi.advanceTimersByTimeAsync(WATCHED_MS);
+    view.watch.stop();
+    return polls;
+  };
+
+  beforeEach(() => {
+    vi.useFakeTimers({
+      toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date'],
+    });
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  it('leaves its poll out while that is young', async () => {
+    expect(await countPolls({ configAgeMs: 1_000 })).toBe(1);
+  });
+
+  it.each([
+    { told: undefined, why: 'there is no leader' },
+    { told: { configAgeMs: SETTLE_MS }, why: 'that is old' },
+    { told: { configAgeMs: 0, configVersion: 2 }, why: 'the leader knows another version' },
+    { told: {}, why: 'the leader does not tell' },
+  ])('asks anew within the time to settle where $why', async ({ told }) => {
+    expect(await countPolls(told)).toBeGreaterThanOrEqual(WATCHED_MS / SETTLE_MS);
+  });
+});
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -67,12 +67,13 @@
       version: () => 3,
       since: () => later(now, -10_000),
       table: new BehaviorSubject({ config: { version: 3 } }),
+      watch: { ageMs: () => 0 },
     },
     roster: {
       revision: () => 10,
       servers: new Map(),
       news: new Subject(),
-      watch: { isFailing: () => false, lastContact: () => now },
+      watch: { isFailing: () => false, ageMs: () => 0 },
     },
     board: {
       running: () => [],
--- a/tests/gateway/store-silence.test.ts
+++ b/tests/gateway/store-silence.test.ts
@@ -76,7 +76,9 @@
       signal?.addEventListener('abort', giveUp);
     });
     return ResultAsync.fromSafePromise(answer).andThen((changes) =>
-      changes ? okAsync(changes) : errAsync(fail('store-unavailable', 'no answer', { step: 'call' })),
+      changes
+        ? okAsync(changes)
+        : errAsync(fail('store-unavailable', 'no answer', { step: 'call' })),
     );
   };
 
@@ -119,7 +121,11 @@
   store.put('config', configOf(1));
   store.put('s1', makeServer('s1'));
   store.put('daemons', 'address');
-  const config = createConfigView(ctx, store.feed<GatewayConfig>('config'), () => 1);
+  const config = createConfigView(ctx, {
+    feed: store.feed<GatewayConfig>('config'),
+    daemons: () => 1,
+    leader: () => undefined,
+  });
   const roster = createRoster(ctx, {
     feed: store.feed<BackendServer>('s1'),
     isLeading: () => false,
@@ -128,6 +134,7 @@
   const daemons = watchFeed(ctx, {
     feed: store.feed<string>('daemons'),
     waitMs: () => 15_000,
+    trustUntil: () => later(ctx.clock.now(), 15_000),
     restUntil: (since) => later(since, 3_000),
     take: () => undefined,
   });
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -133,7 +133,7 @@
 }: ContextOptions = {}): GatewayContext {
   return {
     settings: settings as GatewaySettings,
-    tunables: new BehaviorSubject(tunables as GatewayTunables),
+    tunables: new BehaviorSubject({ settleMs: 3_000, ...tunables } as GatewayTunables),
     clock: createClock(),
     random: createRandom(seed),
     logger: createLogger({ write: () => undefined }),
--- /dev/null
+++ b/tests/store-call.test.ts
@@ -0,0 +1,61 @@
+import { createServer } from 'node:http';
+import type { Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+
+import { createStoreCaller } from '../src/adapters/platform/store-call';
+import type { StoreCall } from '../src/adapters/platform/store-call';
+import { pause } from '../src/utils/pause';
+
+const TIMEOUT_MS = 200;
+const READ: StoreCall = { step: 'read', method: 'GET', path: '/', writes: false };
+
+/** A store whose connections can fall silent for good; it answers on new ones. */
+const silent = new Set<Socket>();
+const open = new Set<Socket>();
+const server = createServer((req, res) => {
+  if (silent.has(req.socket)) return;
+  // Both connections of two calls at a time are in use.
+  setTimeout(() => res.end('{}'), 20);
+});
+server.on('connection', (socket) => {
+  open.add(socket);
+  socket.on('close', () => open.delete(socket));
+});
+
+beforeEach(async () => {
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+});
+
+afterEach(() => {
+  server.closeAllConnections();
+  server.close();
+});
+
+function createCaller() {
+  const { port } = server.address() as AddressInfo;
+  return createStoreCaller({ address: `127.0.0.1:${port}`, timeoutMs: TIMEOUT_MS });
+}
+
+describe('calls of a store whose connections have fallen silent', () => {
+  it('cost one time limit, not one for each connection', async () => {
+    const call = createCaller();
+    const first = await Promise.all([call(READ), call(READ), call(READ)]);
+    expect(first.every((result) => result.isOk())).toBe(true);
+    for (const socket of open) silent.add(socket);
+    expect((await call(READ)).isErr()).toBe(true);
+    expect((await call(READ)).isOk()).toBe(true);
+  });
+
+  it('end when their caller gives them up', async () => {
+    const call = createCaller();
+    expect((await call(READ)).isOk()).toBe(true);
+    for (const socket of open) silent.add(socket);
+    const cancel = new AbortController();
+    const given = call({ ...READ, timeoutMs: 60_000, signal: cancel.signal });
+    await pause(30);
+    cancel.abort();
+    expect((await given).isErr()).toBe(true);
+    expect((await call(READ)).isOk()).toBe(true);
+  });
+});
