Take one instant for a poll's start and for the trust in the leader: polls without trust had waited as if trusted

Cause: a daemon without a leader's word trusted until the instant at which it was asked, and that instant was read a moment after the poll's own start: every poll counted as trusted, and waited 4 s again. Faked time stood still within a call and hid it; a denial that met an age of 3.9 s on an idle leader showed it.

--- a/src/app/gateway/config-view.ts
+++ b/src/app/gateway/config-view.ts
@@ -72,16 +72,16 @@
   };
 
   /** Age of the leader's knowledge by now, milliseconds, where it vouches for the version known here. */
-  const vouchedAgeMs = (): number => {
+  const vouchedAgeMs = (now: MonoTime): number => {
     const told = leader();
     const { configAgeMs, configVersion } = told?.progress ?? {};
     if (!told || configAgeMs === undefined || configVersion !== version()) return Infinity;
-    return configAgeMs + ctx.clock.now() - told.at;
+    return configAgeMs + now - told.at;
   };
 
-  const trustUntil = (): MonoTime => {
-    const leftMs = longestCallMs(ctx.tunables.value.settleMs) - vouchedAgeMs();
-    return later(ctx.clock.now(), Math.max(0, leftMs));
+  const trustUntil = (now: MonoTime): MonoTime => {
+    const leftMs = longestCallMs(ctx.tunables.value.settleMs) - vouchedAgeMs(now);
+    return later(now, Math.max(0, leftMs));
   };
 
   const watch = watchFeed(ctx, {
@@ -94,7 +94,7 @@
       for (const { value } of changes) if (value) offer(value, 'store');
     },
   });
-  const ageMs = (): number => Math.min(watch.ageMs(), vouchedAgeMs());
+  const ageMs = (): number => Math.min(watch.ageMs(), vouchedAgeMs(ctx.clock.now()));
 
   return { table, watch, version, since: () => since, ageMs, offer };
 }
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -105,7 +105,7 @@
   const watch = watchFeed(ctx, {
     feed: entries,
     waitMs: () => ENTRIES_WAIT_MS,
-    trustUntil: () => later(clock.now(), ENTRIES_WAIT_MS),
+    trustUntil: (now) => later(now, ENTRIES_WAIT_MS),
     restUntil: (since) => later(since, ENTRIES_REST_MS),
     take: (changes: readonly Change<string>[], isWhole) => {
       if (isWhole) known.clear();
--- a/src/app/gateway/watch.ts
+++ b/src/app/gateway/watch.ts
@@ -18,7 +18,7 @@
    * Until when a peer's word shows that what is known here is young enough. Meanwhile polls wait as long
    * as they like; without it each is over in time for another one.
    */
-  readonly trustUntil?: () => MonoTime;
+  readonly trustUntil?: (now: MonoTime) => MonoTime;
   /**
    * When to look again after a look that ended at `since`: changes come in groups, and each call has
    * its price. Asked again while the rest lasts, so that it may end early or go on. Without changes
@@ -54,7 +54,7 @@
 export function watchFeed<T>(ctx: GatewayContext, options: WatchOptions<T>): Watch {
   const { feed, take, waitMs = () => DEFAULT_WAIT_MS, restsAlways = false } = options;
   const { restUntil = (since: MonoTime) => later(since, DEFAULT_REST_MS) } = options;
-  const { trustUntil = () => later(ctx.clock.now(), 0) } = options;
+  const { trustUntil = (now: MonoTime) => now } = options;
   let revision = 0;
   let contact = readClocks(ctx);
   let returnedAt: MonoTime | undefined;
@@ -110,19 +110,21 @@
   /** Polls once; undefined where the call was given up only because what is known here has grown old. */
   const poll = async (): Promise<Result<Changes<T>, StepError> | undefined> => {
     const { settleMs } = ctx.tunables.value;
+    const sentAt = ctx.clock.now();
     const plan = planPoll({
-      now: ctx.clock.now(),
+      now: sentAt,
       settleMs,
       wishedMs: waitMs(),
-      trustedUntil: trustUntil(),
+      trustedUntil: trustUntil(sentAt),
       isFailing: failures > 0,
     });
     const cancel = new AbortController();
     const looks = setInterval(() => {
+      const now = ctx.clock.now();
       const answeredAt = ctx.store.answeredAt();
       const verdict = judgePoll(plan, {
-        now: ctx.clock.now(),
-        trustedUntil: trustUntil(),
+        now,
+        trustedUntil: trustUntil(now),
         ...(answeredAt !== undefined && { answeredAt }),
       });
       if (verdict !== 'wait') cancel.abort(verdict);
--- a/tests/gateway/config-view.test.ts
+++ b/tests/gateway/config-view.test.ts
@@ -4,12 +4,12 @@
 import { createConfigView } from '../../src/app/gateway/config-view';
 import type { Progress } from '../../src/app/gateway/messages';
 import { brandAs } from '../../src/core/ids';
-import type { ConfigVersion, EpochTime, MonoTime } from '../../src/core/ids';
+import type { ConfigVersion } from '../../src/core/ids';
 import type { GatewayConfig } from '../../src/core/gateway/types';
 import type { Feed } from '../../src/ports/gateway';
 import { fail } from '../../src/utils/errors';
 import { pause } from '../../src/utils/pause';
-import { makeConfig, makeContext } from './support';
+import { createFakeClock, makeConfig, makeContext } from './support';
 
 const CONFIG_MS = 1_000;
 
@@ -48,11 +48,10 @@
 
   /** Polls sent in the time watched, of a store that is never heard of again after the first answer. */
   const countPolls = async (progress: Partial<Progress> | undefined): Promise<number> => {
-    const now = () => brandAs<MonoTime>(Date.now());
-    const epoch = () => brandAs<EpochTime>(Date.now());
+    const clock = createFakeClock();
     const ctx = makeContext({
       tunables: { configMs: CONFIG_MS, settleMs: SETTLE_MS },
-      clock: { now, epoch },
+      clock,
     });
     let polls = 0;
     const value = makeConfig({ version: brandAs<ConfigVersion>(1) });
@@ -75,7 +74,7 @@
     const view = createConfigView(ctx, {
       feed,
       daemons: () => 70,
-      leader: () => progress && { at: now(), progress: { ...told, ...progress } },
+      leader: () => progress && { at: clock.now(), progress: { ...told, ...progress } },
     });
     await vi.advanceTimersByTimeAsync(WATCHED_MS);
     view.watch.stop();
--- a/tests/gateway/store-silence.test.ts
+++ b/tests/gateway/store-silence.test.ts
@@ -15,11 +15,11 @@
 import { watchFeed } from '../../src/app/gateway/watch';
 import { brandAs, later } from '../../src/core/ids';
 import type { BackendServer, GatewayConfig } from '../../src/core/gateway/types';
-import type { ConfigVersion, EpochTime, MonoTime } from '../../src/core/ids';
+import type { ConfigVersion } from '../../src/core/ids';
 import type { Changes, Feed } from '../../src/ports/gateway';
 import { fail } from '../../src/utils/errors';
 import type { StepError } from '../../src/utils/errors';
-import { instance, makeConfig, makeContext, makeServer } from './support';
+import { createFakeClock, instance, makeConfig, makeContext, makeServer } from './support';
 
 const CONFIG_MS = 2_000;
 const LEAVING_MS = 2_000;
@@ -112,10 +112,7 @@
   const store = createSilentStore();
   const ctx = makeContext({
     tunables: { configMs: CONFIG_MS, leavingMs: LEAVING_MS, settleMs: SETTLE_MS },
-    clock: {
-      now: () => brandAs<MonoTime>(Date.now()),
-      epoch: () => brandAs<EpochTime>(Date.now()),
-    },
+    clock: createFakeClock(),
     seed,
   });
   store.put('config', configOf(1));
@@ -134,7 +131,7 @@
   const daemons = watchFeed(ctx, {
     feed: store.feed<string>('daemons'),
     waitMs: () => 15_000,
-    trustUntil: () => later(ctx.clock.now(), 15_000),
+    trustUntil: (now) => later(now, 15_000),
     restUntil: (since) => later(since, 3_000),
     take: () => undefined,
   });
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -8,12 +8,14 @@
 import type { GatewayContext } from '../../src/app/gateway/context';
 import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
+import type { Clock } from '../../src/ports/runtime';
 import type { BackendServer, EngineSpec, GatewayConfig, Route } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
 import type {
   ConfigVersion,
   DomainId,
   Epoch,
+  EpochTime,
   GroupId,
   InstanceId,
   ModelId,
@@ -116,6 +118,19 @@
 /** What simulated fleets have in common. */
 export const FLEET = { engine: ENGINE, service: SERVICE };
 
+/**
+ * A clock over the faked time of a test. Every look finds it a little later, as real ones do: a decision
+ * that takes two looks for the same instant shows.
+ */
+export function createFakeClock(): Clock {
+  const STEP_MS = 0.01;
+  let looks = 0;
+  return {
+    now: () => brandAs<MonoTime>(Date.now() + STEP_MS * (looks += 1)),
+    epoch: () => brandAs<EpochTime>(Date.now()),
+  };
+}
+
 export interface ContextOptions extends Partial<
   Omit<GatewayContext, 'settings' | 'tunables' | 'random'>
 > {
