Refuse in place of denying while the known configuration may be out of date

A denial is final: callers do not come back after 401 or 404. While a daemon's configuration has not been confirmed for as long as a new one may take to be in force, a request that it does not allow is refused with 503 and a time to come back; it has not run. Protects callers of new organisations and routes at daemons that the store turns away.

--- a/src/app/gateway/front.ts
+++ b/src/app/gateway/front.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 
+import { mayDeny } from '../../core/gateway/denial';
 import { identifyCaller, pickTarget, priorityOf } from '../../core/gateway/routes';
 import type { RouteTable } from '../../core/gateway/routes';
 import type { Route } from '../../core/gateway/types';
@@ -13,7 +14,7 @@
 import type { ConfigView } from './config-view';
 import type { GatewayContext } from './context';
 import { answerOwn, deadlinesOf } from './exchange';
-import type { Exchange } from './exchange';
+import type { Exchange, RetryAfter } from './exchange';
 import type { PlainCalls } from './plain-call';
 import type { StreamCalls } from './stream-call';
 
@@ -44,7 +45,13 @@
 const DEFAULT_HEADER_BYTES = 64 * 1024;
 const HEADERS_TIMEOUT_MS = 30_000;
 
-type Refusal = readonly [status: number, message: string];
+type Refusal = readonly [status: number, message: string, retryAfter?: RetryAfter];
+
+/**
+ * The store, or a peer that it answers, tells within this time in most cases; callers that come back to
+ * another daemon are served at once.
+ */
+const WHEN_UNCONFIRMED: RetryAfter = { leastMs: 300, spreadMs: 700 };
 
 export function createFront(deps: FrontDeps): Front {
   const { ctx, config } = deps;
@@ -156,9 +163,9 @@
   const table = deps.config.table.value;
   if (!table) return [503, 'no configuration is known yet'];
   const route = findRoute(table, req);
-  if (!route) return [404, 'no route'];
+  if (!route) return deny(deps, [404, 'no route']);
   const caller = identifyCaller(table, route, facts.apiKey);
-  if (caller.kind === 'unknown-key') return [401, 'unknown API key'];
+  if (caller.kind === 'unknown-key') return deny(deps, [401, 'unknown API key']);
   const service = pickTarget(route, deps.ctx.random.next());
   if (service === undefined) return [503, 'the route has no service'];
   const organisation = caller.kind === 'known' ? caller.organisation : undefined;
@@ -177,6 +184,12 @@
   };
 }
 
+/** A denial is final, so it needs knowledge that cannot be out of date. */
+function deny({ ctx, config }: FrontDeps, denial: Refusal): Refusal {
+  if (mayDeny(config.ageMs(), ctx.tunables.value.configMs)) return denial;
+  return [503, `${denial[1]}, as far as is known without the store`, WHEN_UNCONFIRMED];
+}
+
 function findRoute(table: RouteTable, req: IncomingMessage): Route | undefined {
   const url = req.url ?? '/';
   const query = url.indexOf('?');
@@ -189,7 +202,7 @@
   { ctx, config }: FrontDeps,
   facts: CallFacts,
   res: ServerResponse,
-  [status, message]: Refusal,
+  [status, message, retryAfter]: Refusal,
 ): void {
   ctx.metrics.count('nutmegstack_refusals_total', { status: String(status) });
   ctx.logger.warn('request refused', {
@@ -200,7 +213,7 @@
     configAgeMs: Math.round(config.ageMs()),
     ...(facts.requestId !== undefined && { requestId: facts.requestId }),
   });
-  answerOwn(ctx, res, { status, message });
+  answerOwn(ctx, res, { status, message, ...(retryAfter && { retryAfter }) });
 }
 
 /** Aborts once the connection has closed before the answer was whole. */
--- a/tests/gateway/whole-path.test.ts
+++ b/tests/gateway/whole-path.test.ts
@@ -230,6 +230,21 @@
     platform.store.faults.isDown = false;
   });
 
+  it('deny nothing for good while the store has not confirmed their configuration for long', async () => {
+    const ask = async (): Promise<Reply> => send(front(1), '/none/x');
+    expect((await ask()).status).toBe(404);
+    platform.store.faults.isSilent = true;
+    let reply = await ask();
+    while (reply.status === 404) {
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      reply = await ask();
+    }
+    expect(reply.status).toBe(503);
+    expect(Number(reply.headers['retry-after'])).toBeGreaterThan(0);
+    platform.store.faults.isSilent = false;
+    await until(async () => (await ask()).status === 404);
+  });
+
   it('load everything anew once the history of the store is gone', async () => {
     platform.store.compact();
     platform.configure(
