Make the link to a silent peer anew

What is written to it waits in buffers (4 MB, minutes), and writing keeps its idle limit from ending it; the peer counts as gone, and a leader that is not heard is not followed. serve drops links by its probes; the gateway had nothing of the kind.

Mend: core/gateway/silence: a peer that answered before and is silent for half of settleMs while it is told things is spoken to over a new link, and the newest link of a peer is the one that is used, so that one side's evidence mends both directions. A follower tells the leader it last heard of, too.

Ruled out: TCP keep-alive (it does not probe while data waits) and an acknowledgement a frame (the handshake and the messages are strict, so daemons of two versions would break each other's links).

Before: two daemons behind muted links do not hear of each other again (3 of 3 cases). After: within 3 s.

--- a/src/adapters/peers/peers.ts
+++ b/src/adapters/peers/peers.ts
@@ -184,7 +184,8 @@
         pending -= 1;
         peer = found;
         if (!isAcceptable(found)) return false;
-        if (!links.has(found.address)) links.set(found.address, link);
+        // The newest link is the one that works: its maker may have found the others silent.
+        links.set(found.address, link);
         return true;
       },
       onFrame: (frame) => takeFrame(peer, frame),
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -5,6 +5,8 @@
 
 import { createPeers } from '../../adapters/peers/peers';
 import { sample } from '../../core/gateway/balance';
+import { isSilent, noteSpoken } from '../../core/gateway/silence';
+import type { Conversation } from '../../core/gateway/silence';
 import { brandAs, later } from '../../core/ids';
 import type { DaemonId, MonoTime } from '../../core/ids';
 import { rankByRendezvous } from '../../core/membership/rendezvous';
@@ -101,6 +103,9 @@
   const known = new Map<DaemonId, string>();
   const heard = new Map<DaemonId, PeerView>();
   const received = new Subject<FromPeer>();
+  /** By address: when a peer was last heard of, and what it is being told. */
+  const heardAt = new Map<string, MonoTime>();
+  const conversations = new Map<string, Conversation>();
 
   const watch = watchFeed(ctx, {
     feed: entries,
@@ -128,6 +133,7 @@
   };
 
   peers.received.subscribe(({ from, address, message }) => {
+    heardAt.set(address, clock.now());
     if (message.kind === 'state') {
       heard.set(from, { ...message, id: from, address, at: clock.now() });
     }
@@ -170,6 +176,8 @@
       (id) => known.get(id) ?? heard.get(id)?.address ?? [],
     );
     const all = new Set([...ctx.tunables.value.seeds, ...found]);
+    // A leader that is no longer heard of may only have lost its link to here.
+    if (lastLeader && candidates().has(lastLeader.id)) all.add(lastLeader.address);
     all.delete(settings.peerListen);
     return all;
   };
@@ -178,6 +186,25 @@
   const forgetSilent = (): void => {
     const now = clock.now();
     for (const [id, { at }] of heard) if (now >= later(at, FORGET_MS)) heard.delete(id);
+    for (const [address, at] of heardAt) {
+      if (now < later(at, FORGET_MS)) continue;
+      heardAt.delete(address);
+      conversations.delete(address);
+    }
+  };
+
+  /** Sends to a peer that answers such messages, over a new link where it has fallen silent. */
+  const tell = (address: string, message: GatewayMessage): void => {
+    const now = clock.now();
+    const { settleMs } = ctx.tunables.value;
+    const conversation = noteSpoken(conversations.get(address), now, settleMs);
+    conversations.set(address, conversation);
+    if (isSilent(conversation, heardAt.get(address), now, settleMs)) {
+      ctx.logger.info('peer is silent, link made anew', { step: 'peer-link', peer: address });
+      conversations.delete(address);
+      peers.drop(address);
+    }
+    peers.send(address, message);
   };
 
   return {
@@ -193,10 +220,17 @@
     },
     broadcast: (message) => {
       forgetSilent();
-      for (const address of addresses()) peers.send(address, message);
+      const isAnswered = message.kind === 'state' || message.kind === 'loads';
+      for (const address of addresses()) {
+        if (isAnswered) tell(address, message);
+        else peers.send(address, message);
+      }
     },
     sendToLikelyLeaders: (message) => {
-      for (const address of likelyLeaders()) peers.send(address, message);
+      for (const address of likelyLeaders()) {
+        if (address === lastLeader?.address) tell(address, message);
+        else peers.send(address, message);
+      }
     },
     start: () => peers.start(),
     stop: () => {
--- /dev/null
+++ b/src/core/gateway/silence.ts
@@ -0,0 +1,46 @@
+/**
+ * Whether the link to a peer is to be made anew.
+ *
+ * Load pattern: daemons that tell each other what they know several times a second, over connections
+ * that may fall silent for good without an error while new ones work. Bytes that are written to such a
+ * link wait in buffers for minutes, and the peer, which is heard no more, counts as gone: its requests are
+ * not counted, and a leader that is not heard is not followed. A peer that answered before and is silent
+ * for half of the time in which daemons are to be in order again is therefore spoken to over a new link.
+ * Two daemons whose links fell silent were without each other until their end; they are heard again
+ * within 3 s with this (both directions, and each alone; real links behind a proxy).
+ */
+
+import { later } from '../ids';
+import type { MonoTime } from '../ids';
+
+/** Part of the settling time after which a peer counts as silent; the rest is for the new link. */
+const SILENT_SHARE = 0.5;
+
+/** What this daemon tells one peer, again and again. */
+export interface Conversation {
+  /** No answer before this instant is missed: the peer was not told anything, or over another link. */
+  readonly since: MonoTime;
+  readonly spokeAt: MonoTime;
+}
+
+/** Enters that the peer is told something now. After a pause a conversation begins anew. */
+export function noteSpoken(
+  before: Conversation | undefined,
+  now: MonoTime,
+  settleMs: number,
+): Conversation {
+  const isRunning = before && now < later(before.spokeAt, settleMs * SILENT_SHARE);
+  return { since: isRunning ? before.since : now, spokeAt: now };
+}
+
+/** `heardAt`: when the peer was last heard of over any link; one that never was is not known to answer. */
+export function isSilent(
+  { since }: Conversation,
+  heardAt: MonoTime | undefined,
+  now: MonoTime,
+  settleMs: number,
+): boolean {
+  if (heardAt === undefined) return false;
+  const latest = heardAt > since ? heardAt : since;
+  return now >= later(latest, settleMs * SILENT_SHARE);
+}
--- /dev/null
+++ b/tests/gateway/fleet-links.test.ts
@@ -0,0 +1,98 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { okAsync, ResultAsync } from 'neverthrow';
+
+import { createFleet } from '../../src/app/gateway/fleet';
+import type { Fleet } from '../../src/app/gateway/fleet';
+import type { PeerState } from '../../src/app/gateway/messages';
+import { brandAs } from '../../src/core/ids';
+import type { DaemonId } from '../../src/core/ids';
+import type { Feed } from '../../src/ports/gateway';
+import { pause } from '../../src/utils/pause';
+import { startProxy } from '../soak/proxy';
+import type { Proxy } from '../soak/proxy';
+import { makeContext } from './support';
+
+const PORT = 21_800;
+const SETTLE_MS = 3_000;
+const STATE: PeerState = {
+  kind: 'state',
+  configVersion: 1,
+  serversRevision: 1,
+  isStoreLost: false,
+  storeAgeMs: 0,
+  hasTraffic: false,
+  isStopping: false,
+  running: [],
+  waiting: [],
+};
+
+const closers: (() => void | Promise<void>)[] = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0)) await close();
+});
+
+async function startFleet(n: number, seed: string): Promise<Fleet> {
+  const ctx = makeContext({
+    settings: {
+      id: brandAs<DaemonId>(`daemon-${n}`),
+      peerListen: `127.0.0.1:${PORT + 2 * n + 1}`,
+      peerBind: `127.0.0.1:${PORT + 2 * n}`,
+      peerSecret: 'a secret of this test alone',
+    },
+    tunables: { seeds: [seed], settleMs: SETTLE_MS },
+  });
+  const never = ResultAsync.fromSafePromise<never>(new Promise(() => undefined));
+  const entries: Feed<string> = {
+    name: 'daemons',
+    load: () => okAsync({ changes: [], revision: 1 }),
+    poll: () => never,
+  };
+  const fleet = createFleet(ctx, entries);
+  await fleet.start();
+  const speaker = setInterval(() => {
+    fleet.broadcast(STATE);
+  }, 100);
+  closers.push(() => {
+    clearInterval(speaker);
+    return fleet.stop();
+  });
+  return fleet;
+}
+
+async function startPair(): Promise<{ fleets: readonly Fleet[]; proxies: readonly Proxy[] }> {
+  const addresses = [0, 1].map((n) => `127.0.0.1:${PORT + 2 * n}`);
+  const proxies = await Promise.all(
+    addresses.map((address, n) => startProxy(`127.0.0.1:${PORT + 2 * n + 1}`, address)),
+  );
+  for (const proxy of proxies) {
+    closers.push(() => {
+      proxy.close();
+    });
+  }
+  const fleets = [
+    await startFleet(0, `127.0.0.1:${PORT + 3}`),
+    await startFleet(1, `127.0.0.1:${PORT + 1}`),
+  ];
+  await pause(500);
+  return { fleets, proxies };
+}
+
+const heard = (fleets: readonly Fleet[]): number[] => fleets.map((fleet) => fleet.live().length);
+
+describe('daemons whose links have fallen silent without an error', () => {
+  it.each([
+    { which: 'all links', muted: [0, 1] },
+    { which: 'the links to one of them', muted: [0] },
+    { which: 'the links to the other', muted: [1] },
+  ])('hear of each other again over new ones within the time to settle: $which', async (row) => {
+    const { fleets, proxies } = await startPair();
+    expect(heard(fleets)).toEqual([1, 1]);
+    for (const n of row.muted) proxies[n]?.mute();
+    await pause(SETTLE_MS + 200);
+    // Heard of within the last second and a half, so over links that were made since.
+    expect(heard(fleets)).toEqual([1, 1]);
+    await pause(2_000);
+    expect(heard(fleets)).toEqual([1, 1]);
+  });
+});
--- a/tests/soak/proxy.ts
+++ b/tests/soak/proxy.ts
@@ -20,6 +20,8 @@
   disturb(fault: LinkFault | undefined): void;
   /** Resets all present connections. */
   reset(): void;
+  /** Holds back what passes over the present connections for good; they stay open, and new ones work. */
+  mute(): void;
   close(): void;
 }
 
@@ -36,11 +38,12 @@
   const sockets = new Set<Socket>();
   /** Send on what is due, each of one connection and direction. */
   const pipes = new Set<() => void>();
+  const muted = new Set<() => void>();
 
   const pipe = (from: Socket, to: Socket, direction: Direction): void => {
     const queue: Queued[] = [];
     let timer: NodeJS.Timeout | undefined;
-    const isHeld = (): boolean => fault?.silent.includes(direction) === true;
+    const isHeld = (): boolean => muted.has(pump) || fault?.silent.includes(direction) === true;
     const send = ({ chunk }: Queued): void => {
       if (to.destroyed) return;
       if (chunk === 'end') to.end();
@@ -102,6 +105,9 @@
   return {
     address,
     reset,
+    mute: () => {
+      for (const pump of pipes) muted.add(pump);
+    },
     disturb: (next) => {
       fault = next;
       for (const pump of [...pipes]) pump();
