Close connections of the soak's proxy whose end is under way in place of resetting them

Cause: Node's resetAndDestroy on a socket that was ended in the same turn is refused by libuv and the handle is forgotten; its pending shutdown then keeps the event loop turning without any JavaScript, so that no debugger is answered. Shown by a sampling profile (nothing but the clock), the list of handles (three destroyed sockets to one address) and a test of the proxy that fails before. A held-back end and a reset fall into one turn when a silence ends.

--- a/tests/soak/proxy.ts
+++ b/tests/soak/proxy.ts
@@ -33,6 +33,12 @@
   readonly dueAt: number;
 }
 
+/** Resets a connection; one whose end is under way is closed, since the runtime would lose it and spin. */
+function tear(socket: Socket): void {
+  if (socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
+
 export async function startProxy(address: string, target: string): Promise<Proxy> {
   let fault: LinkFault | undefined;
   const sockets = new Set<Socket>();
@@ -47,7 +53,7 @@
     const send = ({ chunk }: Queued): void => {
       if (to.destroyed) return;
       if (chunk === 'end') to.end();
-      else if (chunk === 'reset') to.resetAndDestroy();
+      else if (chunk === 'reset') tear(to);
       else to.write(chunk);
     };
     /** Sends in order, whatever delay each chunk was given: TCP never lets one overtake another. */
@@ -100,7 +106,7 @@
   await new Promise<void>((resolve) => server.listen(port, host, resolve));
 
   const reset = (): void => {
-    for (const socket of sockets) socket.resetAndDestroy();
+    for (const socket of sockets) tear(socket);
   };
   return {
     address,
