Soak silences, each followed by a change that must be in force in time

Why the soak missed the late configuration: it asked that all daemons come to serve the newest configuration within 40 s, never when; and its links fell silent as a whole, never one connection for good while new ones work. Rounds of both, with paused processes, now end in a change and a look at every daemon after settleMs and 0.25 s.

Seed 601 on ports from 33,000: one daemon ended with 1, its log not kept, not seen again there or on other ports; the range is that of outgoing connections and is refused now.

--- a/tests/gateway/whole-path.test.ts
+++ b/tests/gateway/whole-path.test.ts
@@ -62,6 +62,25 @@
   while (!(await check())) await new Promise((resolve) => setTimeout(resolve, 50));
 }
 
+const SET_UP_MS = 55_000;
+
+/** Two groups of each model; says what there is instead where a daemon ends or the time runs out. */
+async function awaitGroups(): Promise<void> {
+  const giveUpAt = performance.now() + SET_UP_MS;
+  const isServing = (): boolean =>
+    platform.fleet.serving(SMALL) === 2 && platform.fleet.serving(LARGE) === 2;
+  const hasEnded = (): boolean => daemons.some(({ process: child }) => child.exitCode !== null);
+  await until(() => isServing() || hasEnded() || performance.now() > giveUpAt);
+  if (isServing()) return;
+  const groups = [...platform.fleet.servers.values()].map(({ id, joined }) => [
+    id,
+    joined?.group,
+    joined?.state,
+  ]);
+  const ends = daemons.map(({ process: child }) => child.exitCode);
+  throw new Error(`no groups: daemons ended with ${ends.join()}, ${JSON.stringify(groups)}`);
+}
+
 function documentOf(version: number, routes: readonly object[]): object {
   const organisations = [{ name: 'depot', apiKeys: [KEY] }];
   return describeConfig({ version, routes, engine: ENGINE, organisations });
@@ -79,7 +98,7 @@
     daemons.push({ n, process: launch(n), front: portOf(n, 0) });
   }
   platform.configure(documentOf(1, USUAL_ROUTES));
-  await until(() => platform.fleet.serving(SMALL) === 2 && platform.fleet.serving(LARGE) === 2);
+  await awaitGroups();
 });
 
 afterAll(() => {
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -186,7 +186,33 @@
   },
 };
 
-export const FAULTS: Readonly<Record<string, Fault>> = { ...COMMON_FAULTS, ...ENTRY_FAULTS };
+function muteOf(choose: (ctx: FaultContext) => readonly Proxy[]): Fault {
+  return (ctx) => {
+    for (const proxy of choose(ctx)) proxy.mute();
+    return NOTHING;
+  };
+}
+
+const allPeerLinks = ({ world }: FaultContext): readonly Proxy[] =>
+  world.daemons.map(({ toPeers }) => toPeers);
+
+/** What hides the operator's changes from daemons without an error. They are drawn apart as well. */
+export const SILENCES: Readonly<Record<string, Fault>> = {
+  'store-silent': ofLinks(allStoreLinks, silence),
+  'store-link-silent': ofLinks(storeLink, silence),
+  'store-one-way': ofLinks(allStoreLinks, oneWay),
+  'store-connections-muted': muteOf(allStoreLinks),
+  'store-connection-muted': muteOf(storeLink),
+  'peer-connections-muted': muteOf(allPeerLinks),
+  'peer-links-silent': ofLinks(allPeerLinks, silence),
+  'daemon-paused': ({ world, random }) => pauseProcess(pick(random, world.daemons)),
+};
+
+export const FAULTS: Readonly<Record<string, Fault>> = {
+  ...COMMON_FAULTS,
+  ...ENTRY_FAULTS,
+  ...SILENCES,
+};
 
 /** One fault of a schedule; times are milliseconds from the start of the load. */
 export interface PlannedFault {
@@ -217,6 +243,14 @@
   return drawFaults(random, Object.keys(COMMON_FAULTS), count, durationMs);
 }
 
+/** Silences that overlap, all over by `longestMs`. */
+export function planSilences(random: Random, count: number, longestMs: number): PlannedFault[] {
+  return drawFaults(random, Object.keys(SILENCES), count, longestMs / 2).map((fault) => ({
+    ...fault,
+    forMs: Math.min(fault.forMs, longestMs - fault.at),
+  }));
+}
+
 /** Faults of the servers' entries that fall between those of a schedule. */
 export function planEntryFaults(random: Random, count: number, durationMs: number): PlannedFault[] {
   return drawFaults(random, Object.keys(ENTRY_FAULTS), count, durationMs);
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -7,20 +7,28 @@
 
 import { soak } from './soak';
 
+/** Linux gives ports from 32,768 on to outgoing connections; a daemon that needs one of these cannot start. */
+const HIGHEST_PORT = 32_300;
+
 const optionsSchema = z.object({
   seed: z.coerce.number().int(),
   seeds: z.coerce.number().int().positive(),
   daemons: z.coerce.number().int().min(2),
-  faults: z.coerce.number().int().positive(),
+  faults: z.coerce.number().int().nonnegative(),
   entryFaults: z.coerce.number().int().nonnegative(),
+  silentRounds: z.coerce.number().int().nonnegative(),
   seconds: z.coerce.number().positive(),
-  port: z.coerce.number().int(),
+  port: z.coerce
+    .number()
+    .int()
+    .max(HIGHEST_PORT, 'its ports must lie below those of outgoing connections'),
   logs: z.string().optional(),
 });
 
 async function run(args: unknown): Promise<void> {
   const options = optionsSchema.parse(args);
-  const { seed: first, seeds, daemons, faults, entryFaults, seconds, port, logs } = options;
+  const { seed: first, seeds, daemons, faults, entryFaults, silentRounds } = options;
+  const { seconds, port, logs } = options;
   for (let seed = first; seed < first + seeds; seed++) {
     const logsOfSeed = logs === undefined ? undefined : join(logs, `seed-${seed}`);
     if (logsOfSeed !== undefined) mkdirSync(logsOfSeed, { recursive: true });
@@ -29,6 +37,7 @@
       daemons,
       faults,
       entryFaults,
+      silentRounds,
       durationMs: seconds * 1_000,
       firstPort: port,
       ...(logsOfSeed !== undefined && { logs: logsOfSeed }),
@@ -45,6 +54,7 @@
   .option('--daemons', 'Daemon processes', 3)
   .option('--faults', 'Faults of a schedule', 14)
   .option('--entryFaults', 'Restarts of servers under their names, and spoiled rows', 0)
+  .option('--silentRounds', 'Rounds of silences, each followed by a change, before the faults', 0)
   .option('--seconds', 'Time over which the faults begin', 14)
   .option('--logs', "Directory for the daemons' logs, one folder a seed")
   .option('--port', 'First of about 400 ports', 23_000)
--- a/tests/soak/soak.test.ts
+++ b/tests/soak/soak.test.ts
@@ -20,3 +20,11 @@
     expect(report.counts['unsafe 200']).toBeGreaterThan(0);
   });
 });
+
+describe('daemons whose store, links or processes fall silent', () => {
+  it('serve the newest route once the time to settle has passed (seed 602)', async () => {
+    const report = await soak({ seed: 602, faults: 0, silentRounds: 4, firstPort: PORT });
+    expect(report.faults).toEqual([]);
+    expect(report.counts['stream 200']).toBeGreaterThan(0);
+  });
+});
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,11 +1,12 @@
 /** One soak: real daemons under load and a seeded schedule of faults, judged from outside. */
 
 import { createRandom } from '../../src/adapters/runtime';
+import type { Random } from '../../src/ports/runtime';
 import { pause } from '../../src/utils/pause';
 import { SMALL, LARGE } from '../gateway/support';
-import { callDaemon } from '../support/gateway-daemon';
+import { callDaemon, COMMON_SETTINGS } from '../support/gateway-daemon';
 import { startCallers } from './callers';
-import { FAULTS, planEntryFaults, planFaults } from './faults';
+import { FAULTS, planEntryFaults, planFaults, planSilences } from './faults';
 import type { PlannedFault } from './faults';
 import { judge, tally } from './judge';
 import { FORMER_KEY, KEY, startWorld } from './world';
@@ -18,6 +19,8 @@
   readonly faults?: number;
   /** Faults of servers' entries beside them: restarts under the same name, spoiled rows. */
   readonly entryFaults?: number;
+  /** Rounds of silences before them, each followed by a change that must be in force in time. */
+  readonly silentRounds?: number;
   readonly durationMs?: number;
   readonly firstPort?: number;
   /** Directory for the daemons' logs. */
@@ -37,8 +40,11 @@
 /** Requests on their way when the load ends have run by then, if ever. */
 const SETTLE_MS = 500;
 
-async function carryOut(world: World, plan: readonly PlannedFault[], seed: number): Promise<void> {
-  const random = createRandom(seed + 1);
+async function carryOut(
+  world: World,
+  plan: readonly PlannedFault[],
+  random: Random,
+): Promise<void> {
   const startedAt = performance.now();
   const ends: Promise<void>[] = [];
   for (const { name, at, forMs } of plan) {
@@ -77,6 +83,32 @@
   ];
 }
 
+const SILENCES_OF_ROUND = 3;
+/** Longer than any call to the store may stay out. */
+const LONGEST_SILENCE_MS = 6_000;
+/** A probe's own way and time. */
+const PROBE_SLACK_MS = 250;
+
+/**
+ * Silences that end together, and changes in their midst and right at their end: once the time to settle
+ * has passed, every daemon serves the newest route.
+ */
+async function runSilentRound(world: World, random: Random): Promise<string[]> {
+  const plan = planSilences(random, SILENCES_OF_ROUND, LONGEST_SILENCE_MS);
+  const done = carryOut(world, plan, random);
+  await pause(random.next() * LONGEST_SILENCE_MS);
+  world.addRoute();
+  await done;
+  world.addRoute();
+  const route = world.addedRoutes.at(-1) ?? '';
+  await pause(COMMON_SETTINGS.settleMs + PROBE_SLACK_MS);
+  const found = await Promise.all(world.daemons.map((daemon) => statusOf(daemon, route)));
+  const names = plan.map(({ name, at, forMs }) => `${name} ${at}+${forMs}`).join();
+  return found.flatMap((status, n) =>
+    status === 200 ? [] : [`daemon-${n} answers ${status} at the newest route after ${names}`],
+  );
+}
+
 /** Waits until every daemon answers as it must; names what stays wrong. */
 async function awaitRecovery(world: World, isKeyRemoved: boolean): Promise<string[]> {
   const until = performance.now() + RECOVERY_MS;
@@ -105,6 +137,7 @@
   callersPerDaemon = 6,
   faults = 14,
   entryFaults = 0,
+  silentRounds = 0,
   durationMs = 14_000,
   firstPort = 23_000,
   logs,
@@ -117,7 +150,12 @@
   try {
     await awaitServing(world);
     const callers = startCallers(world, random, callersPerDaemon);
-    await carryOut(world, plan, seed);
+    const late: string[] = [];
+    const ofSilences = createRandom(seed + 2);
+    for (let round = 0; round < silentRounds; round++) {
+      late.push(...(await runSilentRound(world, ofSilences)));
+    }
+    await carryOut(world, plan, createRandom(seed + 1));
     const isKeyRemoved = plan.some(({ name }) => name === 'key-removed');
     const wrong = await awaitRecovery(world, isKeyRemoved);
     await callers.stop();
@@ -126,7 +164,7 @@
       seed,
       plan,
       counts: tally(callers.calls),
-      faults: [...wrong, ...judge(world, callers.calls)],
+      faults: [...late, ...wrong, ...judge(world, callers.calls)],
     };
   } finally {
     world.close();
