--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -1,27 +1,15 @@
 /** `explain`: what happened to one request, from the logs of the daemons. */
 
-import { createReadStream } from 'node:fs';
-import { createInterface } from 'node:readline';
-import type { Readable } from 'node:stream';
-
-import { explain as explainRequest, readLine } from '../../core/explain/explain';
-import type { ExplainedLine, LogLine } from '../../core/explain/explain';
+import { explain as explainRequest } from '../../core/explain/explain';
+import type { ExplainedLine } from '../../core/explain/explain';
 import { done, flagOf, refused, usage } from '../command';
 import type { Command } from '../command';
+import { readLogs } from '../logs';
 
 const MS_PER_S = 1_000;
 /** Shown apart, or of no use to a reader. */
 const HIDDEN: ReadonlySet<string> = new Set(['level', 'step', 'requestId']);
 
-async function readLines(input: Readable): Promise<LogLine[]> {
-  const lines: LogLine[] = [];
-  for await (const text of createInterface({ input })) {
-    const line = readLine(text);
-    if (line) lines.push(line);
-  }
-  return lines;
-}
-
 function renderFields({ fields }: ExplainedLine): string {
   return Object.entries(fields)
     .filter(([name]) => !HIDDEN.has(name))
@@ -48,9 +36,8 @@
   const before = flagOf(ctx, 'before');
   const beforeS = Number(before ?? NaN);
   if (before !== undefined && !(beforeS >= 0)) return usage('--before must be a number of seconds');
-  const inputs = files.length === 0 ? [process.stdin] : files.map((path) => createReadStream(path));
   try {
-    const lines = (await Promise.all(inputs.map(readLines))).flat();
+    const lines = await readLogs(files);
     const found = explainRequest(
       lines,
       requestId,
--- /dev/null
+++ b/src/cli/logs.ts
@@ -0,0 +1,23 @@
+/** Daemons' logs, from files or standard input. */
+
+import { createReadStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+import type { Readable } from 'node:stream';
+
+import { readLine } from '../core/explain/explain';
+import type { LogLine } from '../core/explain/explain';
+
+async function readStream(input: Readable): Promise<LogLine[]> {
+  const lines: LogLine[] = [];
+  for await (const text of createInterface({ input })) {
+    const line = readLine(text);
+    if (line) lines.push(line);
+  }
+  return lines;
+}
+
+/** All lines that a daemon wrote; of standard input without a path. Rejects where a file can't be read. */
+export async function readLogs(paths: readonly string[]): Promise<LogLine[]> {
+  const inputs = paths.length === 0 ? [process.stdin] : paths.map((path) => createReadStream(path));
+  return (await Promise.all(inputs.map(readStream))).flat();
+}
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -9,6 +9,7 @@
 import { apply, check, diff, get } from './commands/documents';
 import { explain } from './commands/explain';
 import { drain, keys, status, version } from './commands/operations';
+import { report } from './commands/report';
 import { serve } from './commands/serve';
 import { SETTINGS, variableOf } from './settings';
 import type { Environment, Flags, SettingSpec } from './settings';
@@ -87,6 +88,13 @@
     examples: ['explain 9c41d07be2a35f68 front-1.log front-2.log', 'explain 9c41d07b < all.log'],
     run: explain,
   },
+  report: {
+    usage: '[logs...]',
+    help: "Tell who was served, who was not and why, from all daemons' logs in files or on standard input.",
+    flags: [{ flag: 'svg', help: 'Also draw what became of requests into this file' }, OUTPUT],
+    examples: ['report front-1.log front-2.log', 'report --svg day.svg < all.log'],
+    run: report,
+  },
   status: {
     usage: '',
     help: 'Show every daemon with the version in force on it.',
--- /dev/null
+++ b/src/cli/report-text.ts
@@ -0,0 +1,110 @@
+/** A report as text for a terminal. */
+
+import type { Report, Second } from '../core/report/types';
+
+const MS_PER_S = 1_000;
+const MOST_ROWS = 10;
+
+function seconds(ms: number): string {
+  return `${(ms / MS_PER_S).toFixed(1)} s`;
+}
+
+function table(title: string, rows: readonly (readonly string[])[]): string {
+  if (rows.length < 2) return `${title}\n  none`;
+  const widths = (rows[0] ?? []).map((_, i) =>
+    Math.max(...rows.map((row) => (row[i] ?? '').length)),
+  );
+  const lines = rows.map((row) =>
+    `  ${row.map((cell, i) => cell.padEnd(widths[i] ?? 0)).join('  ')}`.trimEnd(),
+  );
+  return [title, ...lines].join('\n');
+}
+
+function lostShare({ outcomes }: Second): number {
+  const all = Object.values(outcomes).reduce((sum, count) => sum + count, 0);
+  return 1 - (outcomes.served ?? 0) / all;
+}
+
+/** The seconds in which the largest part was not served, worst first. */
+function worstSeconds({ seconds: all }: Report): Second[] {
+  return all
+    .filter((second) => lostShare(second) > 0)
+    .sort((a, b) => lostShare(b) - lostShare(a))
+    .slice(0, MOST_ROWS);
+}
+
+export function renderText(report: Report): string {
+  const { startedAt, lastsMs, daemons, leaders } = report;
+  const head = `${daemons.length} daemons, ${seconds(lastsMs)} from ${new Date(startedAt).toISOString()}`;
+  return [
+    head,
+    table('Requests', [
+      ['kind', 'ended', 'served', 'median', 'p99'],
+      ...report.requests.map(({ name, ended, served, medianMs, p99Ms }) => [
+        name,
+        String(ended),
+        String(served),
+        `${medianMs} ms`,
+        `${p99Ms} ms`,
+      ]),
+    ]),
+    table('Not served', [
+      ['outcome', 'count', 'from', 'to', 'reason'],
+      ...report.reasons
+        .slice(0, MOST_ROWS)
+        .map(({ outcome, reason, count, firstAt, lastAt }) => [
+          outcome,
+          String(count),
+          seconds(firstAt),
+          seconds(lastAt),
+          reason,
+        ]),
+    ]),
+    table('Worst seconds', [
+      ['at', 'not served', 'outcomes'],
+      ...worstSeconds(report).map((second) => [
+        seconds(second.at),
+        `${Math.round(100 * lostShare(second))}%`,
+        Object.entries(second.outcomes)
+          .map(([outcome, count]) => `${outcome} ${count}`)
+          .join(', '),
+      ]),
+    ]),
+    table('Groups', [
+      ['model', 'formed', 'lost', 'until decided', 'forming', 'longest', 'without any'],
+      ...report.models.map((model) => [
+        model.model,
+        String(model.formed),
+        String(model.lost),
+        seconds(model.medianUndecidedMs),
+        seconds(model.medianFormingMs),
+        seconds(model.longestFormingMs),
+        seconds(model.unservedMs),
+      ]),
+    ]),
+    table('Store without an answer', [
+      ['at', 'for', 'daemon', 'collection'],
+      ...report.outages
+        .slice(0, MOST_ROWS)
+        .map(({ at, ms, daemon, collection }) => [
+          seconds(at),
+          ms === undefined ? 'not seen back' : seconds(ms),
+          daemon,
+          collection,
+        ]),
+    ]),
+    table('Configurations that came slowest', [
+      ['version', 'first at', 'until last', 'daemons'],
+      ...[...report.versions]
+        .sort((a, b) => b.spreadMs - a.spreadMs)
+        .slice(0, MOST_ROWS)
+        .map(({ version, at, spreadMs, daemons: count }) => [
+          String(version),
+          seconds(at),
+          seconds(spreadMs),
+          String(count),
+        ]),
+    ]),
+    table('Leaders', [['at', 'daemon'], ...leaders.map(({ at, daemon }) => [seconds(at), daemon])]),
+  ].join('\n\n');
+}
--- /dev/null
+++ b/src/core/report/events.ts
@@ -0,0 +1,73 @@
+/** The lines of several daemons' logs on one clock. */
+
+import { estimateOffsets } from '../explain/clocks';
+import type { LogLine } from '../explain/explain';
+
+/** A line with the time since the report's start. */
+export interface Event {
+  readonly at: number;
+  readonly daemon: string;
+  readonly message: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+export interface Timeline {
+  readonly startedAt: number;
+  readonly events: readonly Event[];
+}
+
+/** Orders the lines by the clock of the daemon that logged most. */
+export function createTimeline(lines: readonly LogLine[]): Timeline {
+  const offsets = estimateOffsets(lines, busiest(lines));
+  const moved = lines.map((line) => ({ ...line, at: line.at - (offsets.get(line.daemon) ?? 0) }));
+  const sorted = moved.sort((a, b) => a.at - b.at);
+  const startedAt = sorted[0]?.at ?? 0;
+  return {
+    startedAt,
+    events: sorted.map(({ at, daemon, message, fields }) => ({
+      at: at - startedAt,
+      daemon,
+      message,
+      fields,
+    })),
+  };
+}
+
+function busiest(lines: readonly LogLine[]): string {
+  const counts = countBy(lines, ({ daemon }) => daemon);
+  const [first] = [...counts].sort(([, a], [, b]) => b - a);
+  return first?.[0] ?? '';
+}
+
+export function countBy<T>(items: readonly T[], keyOf: (item: T) => string): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const item of items) counts.set(keyOf(item), (counts.get(keyOf(item)) ?? 0) + 1);
+  return counts;
+}
+
+export function groupBy<T>(items: readonly T[], keyOf: (item: T) => string): Map<string, T[]> {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const group = groups.get(keyOf(item));
+    if (group) group.push(item);
+    else groups.set(keyOf(item), [item]);
+  }
+  return groups;
+}
+
+/** A field as text; empty where it is missing. */
+export function textOf({ fields }: Event, name: string): string {
+  const value = fields[name];
+  return typeof value === 'string' || typeof value === 'number' ? String(value) : '';
+}
+
+export function numberOf({ fields }: Event, name: string): number | undefined {
+  const value = fields[name];
+  return typeof value === 'number' ? value : undefined;
+}
+
+/** The value below which the share lies; 0 of no values. */
+export function quantile(values: readonly number[], share: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0;
+}
--- /dev/null
+++ b/src/core/report/report.ts
@@ -0,0 +1,73 @@
+/**
+ * What the logs of all daemons tell of a stretch of time: who was served, who was not and why, which
+ * groups were missing for how long, when the store was away, and how fast configurations came into force.
+ */
+
+import type { LogLine } from '../explain/explain';
+import { createTimeline, groupBy, numberOf, textOf } from './events';
+import type { Event } from './events';
+import { summarizeModels } from './groups';
+import { countSeconds, isEnd, summarizeReasons, summarizeRequests } from './requests';
+import type { Outage, Report, VersionSummary } from './types';
+
+function findOutages(events: readonly Event[]): Outage[] {
+  const open = new Map<string, Event>();
+  const outages: Outage[] = [];
+  const toOutage = (lost: Event, ms: number | undefined): Outage => ({
+    daemon: lost.daemon,
+    collection: textOf(lost, 'collection'),
+    at: lost.at,
+    ms,
+  });
+  for (const event of events) {
+    const key = `${event.daemon} ${textOf(event, 'collection')}`;
+    const lost = open.get(key);
+    if (event.message === 'store lost') {
+      if (lost) outages.push(toOutage(lost, undefined));
+      open.set(key, event);
+    } else if (event.message === 'store regained' && lost) {
+      outages.push(toOutage(lost, numberOf(event, 'awayMs') ?? event.at - lost.at));
+      open.delete(key);
+    }
+  }
+  return [...outages, ...[...open.values()].map((lost) => toOutage(lost, undefined))].sort(
+    (a, b) => a.at - b.at,
+  );
+}
+
+function summarizeVersions(events: readonly Event[]): VersionSummary[] {
+  const inForce = events.filter(({ message }) => message === 'configuration in force');
+  return [...groupBy(inForce, (event) => textOf(event, 'version'))].map(([version, own]) => {
+    // A process that started again learns versions that are long in force.
+    const first = new Map<string, number>();
+    for (const { daemon, at } of own) if (!first.has(daemon)) first.set(daemon, at);
+    const times = [...first.values()];
+    const at = Math.min(...times);
+    return {
+      version: Number(version),
+      at,
+      spreadMs: Math.max(...times) - at,
+      daemons: times.length,
+    };
+  });
+}
+
+export function createReport(lines: readonly LogLine[]): Report {
+  const { startedAt, events } = createTimeline(lines);
+  const lastsMs = events.at(-1)?.at ?? 0;
+  const ends = events.filter(isEnd);
+  return {
+    startedAt,
+    lastsMs,
+    daemons: [...new Set(events.map(({ daemon }) => daemon))].sort(),
+    requests: summarizeRequests(ends),
+    reasons: summarizeReasons(ends),
+    seconds: countSeconds(ends),
+    models: summarizeModels(events, lastsMs),
+    outages: findOutages(events),
+    versions: summarizeVersions(events),
+    leaders: events
+      .filter(({ message }) => message === 'lease taken')
+      .map(({ daemon, at }) => ({ daemon, at })),
+  };
+}
