Test the polls of a whole fleet: how seldom it asks, and that a change is in force everywhere after a silence

Six and thirty daemons in virtual time, a leader that tells its progress every 200 ms: calls a second stay below what the longest polls cost, plus one; a change at the end of a silence of 0 to 8 s, and one that finds the leader and the connections silent together, is in force on all within settleMs.

--- /dev/null
+++ b/tests/gateway/fleet-polls.test.ts
@@ -0,0 +1,118 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+
+import { createConfigView } from '../../src/app/gateway/config-view';
+import type { ConfigView } from '../../src/app/gateway/config-view';
+import type { Leader } from '../../src/app/gateway/fleet';
+import { brandAs } from '../../src/core/ids';
+import type { DaemonId } from '../../src/core/ids';
+import type { GatewayConfig } from '../../src/core/gateway/types';
+import { createSilentStore } from './silent-store';
+import { createFakeClock, makeConfig, makeContext } from './support';
+
+/** As in a fleet that speaks by way of its leader. */
+const TELL_MS = 200;
+const LEADER_FRESH_MS = 1_200;
+const LONGEST_POLL_S = 20;
+
+const configOf = (version: number): GatewayConfig => makeConfig({ version: brandAs(version) });
+
+/** A leader and its followers, which hear of its progress as long as it speaks. */
+function startFleet(size: number, { configMs, settleMs }: { configMs: number; settleMs: number }) {
+  const store = createSilentStore();
+  store.put('config', configOf(1));
+  const feed = store.feed<GatewayConfig>('config');
+  const clock = createFakeClock();
+  let told: Leader | undefined;
+  const view = (seed: number, leader: () => Leader | undefined): ConfigView => {
+    const ctx = makeContext({ tunables: { configMs, settleMs }, clock, seed });
+    return createConfigView(ctx, { feed, daemons: () => size, leader });
+  };
+  const heard = (): Leader | undefined =>
+    told && clock.now() < told.at + LEADER_FRESH_MS ? told : undefined;
+  const leading = view(0, () => undefined);
+  const views = [
+    leading,
+    ...Array.from({ length: size - 1 }, (_, n) => view(n + 1, () => heard())),
+  ];
+  const speaker = setInterval(() => {
+    told = {
+      id: brandAs<DaemonId>('leader'),
+      address: 'leader',
+      at: clock.now(),
+      progress: {
+        configVersion: leading.version(),
+        serversRevision: 1,
+        isStoreLost: false,
+        storeAgeMs: 0,
+        configAgeMs: leading.watch.ageMs(),
+      },
+    };
+  }, TELL_MS);
+  return {
+    store,
+    views,
+    silenceLeader: () => {
+      clearInterval(speaker);
+    },
+    stop: () => {
+      clearInterval(speaker);
+      for (const { watch } of views) watch.stop();
+    },
+  };
+}
+
+beforeEach(() => {
+  vi.useFakeTimers({
+    toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date'],
+  });
+});
+
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+describe.each([
+  { size: 6, bounds: { configMs: 2_000, settleMs: 3_000 } },
+  { size: 30, bounds: { configMs: 3_000, settleMs: 4_000 } },
+])('a fleet of $size daemons', ({ size, bounds }) => {
+  it('asks as seldom as the longest polls allow, its leader alone more often', async () => {
+    const { store, stop } = startFleet(size, bounds);
+    await vi.advanceTimersByTimeAsync(30_000);
+    const before = store.calls();
+    const forS = 40;
+    await vi.advanceTimersByTimeAsync(forS * 1_000);
+    const perS = (store.calls() - before) / forS;
+    stop();
+    const shortestPollS = Math.min(LONGEST_POLL_S, Math.max(4, 0.5 * size));
+    expect(perS).toBeLessThan(1.2 * (size / shortestPollS) + 1);
+  });
+
+  it.each([0, 1_000, 4_000, 8_000])(
+    'has a change in force everywhere in time after %i ms without the store',
+    async (silentMs) => {
+      const { store, views, stop } = startFleet(size, bounds);
+      await vi.advanceTimersByTimeAsync(30_000);
+      store.silence();
+      await vi.advanceTimersByTimeAsync(silentMs);
+      store.answer();
+      store.put('config', configOf(2));
+      await vi.advanceTimersByTimeAsync(bounds.settleMs);
+      const late = views.filter((view) => view.version() !== 2).length;
+      stop();
+      expect(late).toBe(0);
+    },
+  );
+
+  it('has one in force in time where its leader and the connections fall silent together', async () => {
+    const { store, views, silenceLeader, stop } = startFleet(size, bounds);
+    await vi.advanceTimersByTimeAsync(30_000);
+    silenceLeader();
+    store.silence();
+    store.answer();
+    store.put('config', configOf(2));
+    await vi.advanceTimersByTimeAsync(bounds.settleMs);
+    const late = views.filter((view) => view.version() !== 2).length;
+    stop();
+    expect(late).toBe(0);
+  });
+});
--- a/tests/gateway/store-silence.test.ts
+++ b/tests/gateway/store-silence.test.ts
@@ -7,7 +7,6 @@
  * when the call was given up, on all daemons within 0.3 s, and with it everything that was missed.
  */
 
-import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import { createConfigView } from '../../src/app/gateway/config-view';
@@ -16,93 +15,12 @@
 import { brandAs, later } from '../../src/core/ids';
 import type { BackendServer, GatewayConfig } from '../../src/core/gateway/types';
 import type { ConfigVersion } from '../../src/core/ids';
-import type { Changes, Feed } from '../../src/ports/gateway';
-import { fail } from '../../src/utils/errors';
-import type { StepError } from '../../src/utils/errors';
+import { createSilentStore } from './silent-store';
 import { createFakeClock, instance, makeConfig, makeContext, makeServer } from './support';
 
 const CONFIG_MS = 2_000;
 const LEAVING_MS = 2_000;
 const SETTLE_MS = 3_000;
-/** The way to the store and back. */
-const WAY_MS = 5;
-/** Without a word from the caller, the client of the store gives a call up this long after its wait. */
-const CLIENT_SLACK_MS = 1_000;
-
-/** A store that falls silent: calls that are out then, and those sent meanwhile, are never answered. */
-function createSilentStore() {
-  const values = new Map<string, { readonly value: unknown; readonly revision: number }>();
-  const wakers = new Set<() => void>();
-  let revision = 0;
-  let isSilent = false;
-  /** Calls of an earlier era are never answered. */
-  let era = 0;
-
-  const read = <T>(name: string, after: number): Changes<T> => {
-    const row = values.get(name);
-    const changes = row && row.revision > after ? [{ key: name, value: row.value as T }] : [];
-    return { changes, revision };
-  };
-
-  const call = <T>(
-    name: string,
-    after: number,
-    waitMs: number,
-    signal?: AbortSignal,
-  ): ResultAsync<Changes<T>, StepError> => {
-    const sentIn = era;
-    const answer = new Promise<Changes<T> | undefined>((resolve) => {
-      const isHeard = (): boolean => !isSilent && sentIn === era;
-      const finish = (): void => {
-        if (!isHeard()) return;
-        wakers.delete(look);
-        setTimeout(() => {
-          if (isHeard()) resolve(read<T>(name, after));
-        }, WAY_MS);
-      };
-      const look = (): void => {
-        if (read(name, after).changes.length > 0) finish();
-      };
-      const giveUp = (): void => {
-        wakers.delete(look);
-        resolve(undefined);
-      };
-      if (isHeard()) {
-        wakers.add(look);
-        setTimeout(finish, waitMs);
-        look();
-      }
-      setTimeout(giveUp, waitMs + CLIENT_SLACK_MS);
-      signal?.addEventListener('abort', giveUp);
-    });
-    return ResultAsync.fromSafePromise(answer).andThen((changes) =>
-      changes
-        ? okAsync(changes)
-        : errAsync(fail('store-unavailable', 'no answer', { step: 'call' })),
-    );
-  };
-
-  return {
-    put: (name: string, value: unknown): void => {
-      revision += 1;
-      values.set(name, { value, revision });
-      for (const wake of [...wakers]) wake();
-    },
-    silence: (): void => {
-      isSilent = true;
-      era += 1;
-    },
-    answer: (): void => {
-      isSilent = false;
-    },
-    feed: <T>(name: string): Feed<T> => ({
-      name,
-      load: (signal?: AbortSignal) => call<T>(name, -1, 0, signal),
-      poll: (after: number, waitMs: number, signal?: AbortSignal) =>
-        call<T>(name, after, waitMs, signal),
-    }),
-  };
-}
 
 const configOf = (version: number): GatewayConfig =>
   makeConfig({ version: brandAs<ConfigVersion>(version) });
