--- a/tests/gateway/fleet-links.test.ts
+++ b/tests/gateway/fleet-links.test.ts
@@ -3,29 +3,16 @@
 
 import { createFleet } from '../../src/app/gateway/fleet';
 import type { Fleet } from '../../src/app/gateway/fleet';
-import type { PeerState } from '../../src/app/gateway/messages';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId } from '../../src/core/ids';
 import type { Feed } from '../../src/ports/gateway';
 import { pause } from '../../src/utils/pause';
 import { startProxy } from '../soak/proxy';
 import type { Proxy } from '../soak/proxy';
-import { makeContext } from './support';
+import { makeContext, makeState } from './support';
 
 const PORT = 21_800;
 const SETTLE_MS = 3_000;
-const STATE: PeerState = {
-  kind: 'state',
-  configVersion: 1,
-  serversRevision: 1,
-  isStoreLost: false,
-  storeAgeMs: 0,
-  hasTraffic: false,
-  isStopping: false,
-  running: [],
-  waiting: [],
-};
-
 const closers: (() => void | Promise<void>)[] = [];
 
 afterEach(async () => {
@@ -51,7 +38,7 @@
   const fleet = createFleet(ctx, entries);
   await fleet.start();
   const speaker = setInterval(() => {
-    fleet.broadcast(STATE);
+    fleet.broadcast(makeState());
   }, 100);
   closers.push(() => {
     clearInterval(speaker);
--- a/tests/gateway/fleet-polls.test.ts
+++ b/tests/gateway/fleet-polls.test.ts
@@ -48,17 +48,21 @@
       },
     };
   }, TELL_MS);
-  return {
-    store,
-    views,
-    silenceLeader: () => {
-      clearInterval(speaker);
-    },
-    stop: () => {
-      clearInterval(speaker);
-      for (const { watch } of views) watch.stop();
-    },
+  const silenceLeader = (): void => {
+    clearInterval(speaker);
   };
+  const stop = (): void => {
+    silenceLeader();
+    for (const { watch } of views) watch.stop();
+  };
+  /** Changes the configuration, and counts the daemons without it after the time to settle. */
+  const countLate = async (): Promise<number> => {
+    store.put('config', configOf(2));
+    await vi.advanceTimersByTimeAsync(settleMs);
+    stop();
+    return views.filter((each) => each.version() !== 2).length;
+  };
+  return { store, silenceLeader, stop, countLate };
 }
 
 beforeEach(() => {
@@ -90,29 +94,21 @@
   it.each([0, 1_000, 4_000, 8_000])(
     'has a change in force everywhere in time after %i ms without the store',
     async (silentMs) => {
-      const { store, views, stop } = startFleet(size, bounds);
+      const { store, countLate } = startFleet(size, bounds);
       await vi.advanceTimersByTimeAsync(30_000);
       store.silence();
       await vi.advanceTimersByTimeAsync(silentMs);
       store.answer();
-      store.put('config', configOf(2));
-      await vi.advanceTimersByTimeAsync(bounds.settleMs);
-      const late = views.filter((view) => view.version() !== 2).length;
-      stop();
-      expect(late).toBe(0);
+      expect(await countLate()).toBe(0);
     },
   );
 
   it('has one in force in time where its leader and the connections fall silent together', async () => {
-    const { store, views, silenceLeader, stop } = startFleet(size, bounds);
+    const { store, silenceLeader, countLate } = startFleet(size, bounds);
     await vi.advanceTimersByTimeAsync(30_000);
     silenceLeader();
     store.silence();
     store.answer();
-    store.put('config', configOf(2));
-    await vi.advanceTimersByTimeAsync(bounds.settleMs);
-    const late = views.filter((view) => view.version() !== 2).length;
-    stop();
-    expect(late).toBe(0);
+    expect(await countLate()).toBe(0);
   });
 });
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -8,7 +8,7 @@
 import type { GatewayMessage, Loads, PeerState } from '../../src/app/gateway/messages';
 import { brandAs, later } from '../../src/core/ids';
 import type { DaemonId, FencingNumber, GroupId, InstanceId, MonoTime } from '../../src/core/ids';
-import { makeContext } from './support';
+import { makeContext, makeState } from './support';
 
 const LEADER = '127.0.0.1:1';
 const PEERS = 69;
@@ -25,21 +25,6 @@
 };
 const STALL = { group: brandAs<GroupId>('g'), head: brandAs<InstanceId>('s1') };
 
-function stateOf(more: Partial<PeerState> = {}): PeerState {
-  return {
-    kind: 'state',
-    configVersion: 3,
-    serversRevision: 10,
-    isStoreLost: false,
-    storeAgeMs: 0,
-    hasTraffic: false,
-    isStopping: false,
-    running: [],
-    waiting: [],
-    ...more,
-  };
-}
-
 /** One daemon of a fleet of 70, whose messages are noted in place of being sent. */
 function setUp({ isLeading = false, hasLeader = true, seed = 7, running = 0 } = {}) {
   const clock = createClock();
@@ -55,7 +40,7 @@
   const note = (to: string) => (message: GatewayMessage) => sent.push({ to, message });
   const live: PeerView[] = isLeading
     ? Array.from({ length: PEERS }, (_, n) => ({
-        ...stateOf(),
+        ...makeState(),
         id: brandAs<DaemonId>(`d${n}`),
         address: `127.0.0.1:${n}`,
         at: now,
@@ -173,11 +158,11 @@
   it('as the leader gives a daemon without the store what it lacks, and no servers to one with it', () => {
     const { sent, hear, wait } = setUp({ isLeading: true });
     const behind = { configVersion: 0, serversRevision: 0 };
-    hear(stateOf(behind));
+    hear(makeState(behind));
     wait(400);
-    hear(stateOf(behind), 'cut off');
+    hear(makeState(behind), 'cut off');
     wait(400);
-    hear(stateOf({ ...behind, isStoreLost: true }), 'cut off');
+    hear(makeState({ ...behind, isStoreLost: true }), 'cut off');
     const kindsTo = (address: string) =>
       sent.filter(({ to }) => to === address).map(({ message }) => message.kind);
     expect(kindsTo(LEADER)).toEqual(['config']);
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -6,6 +6,7 @@
 import { createLogger } from '../../src/adapters/telemetry/logger';
 import { createMetrics } from '../../src/adapters/telemetry/metrics';
 import type { GatewayContext } from '../../src/app/gateway/context';
+import type { PeerState } from '../../src/app/gateway/messages';
 import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
 import type { Clock } from '../../src/ports/runtime';
@@ -115,6 +116,22 @@
   };
 }
 
+/** What a daemon tells its peers. */
+export function makeState(more: Partial<PeerState> = {}): PeerState {
+  return {
+    kind: 'state',
+    configVersion: 3,
+    serversRevision: 10,
+    isStoreLost: false,
+    storeAgeMs: 0,
+    hasTraffic: false,
+    isStopping: false,
+    running: [],
+    waiting: [],
+    ...more,
+  };
+}
+
 /** What simulated fleets have in common. */
 export const FLEET = { engine: ENGINE, service: SERVICE };
 
