--- a/src/app/gateway/front.ts
+++ b/src/app/gateway/front.ts
@@ -48,8 +48,8 @@
 type Refusal = readonly [status: number, message: string, retryAfter?: RetryAfter];
 
 /**
- * The store, or a peer that it answers, tells within this time in most cases; callers that come back to
- * another daemon are served at once.
+ * A peer that the store answers tells what is missed here after a quarter of a second. Callers come back
+ * spread over the time that follows, most of them to another daemon.
  */
 const WHEN_UNCONFIRMED: RetryAfter = { leastMs: 300, spreadMs: 700 };
 
