--- a/tests/gateway/store-silence.test.ts
+++ b/tests/gateway/store-silence.test.ts
@@ -7,6 +7,7 @@
  * when the call was given up, on all daemons within 0.3 s, and with it everything that was missed.
  */
 
+import fc from 'fast-check';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
 import { createConfigView } from '../../src/app/gateway/config-view';
@@ -94,3 +95,60 @@
     expect(seen).toEqual({ version: 3, isDraining: true });
   });
 });
+
+describe('a store that is silent again and again', () => {
+  const STEP_MS = 250;
+  const RUNS = 60;
+
+  /** Calm, a change at its end or none, then a silence; of 0 ms for one of the connections alone. */
+  const rounds = fc.array(
+    fc.record({
+      calmSteps: fc.integer({ min: 0, max: 24 }),
+      silentSteps: fc.integer({ min: 0, max: 36 }),
+      changes: fc.constantFrom('before', 'during', 'after', 'never'),
+    }),
+    { minLength: 1, maxLength: 6 },
+  );
+
+  it('never hides a change for longer than is promised', async () => {
+    const property = fc.asyncProperty(rounds, fc.nat(), async (plan, seed) => {
+      const { store, config, stop } = followStore(seed);
+      let newest = 1;
+      let changedAt = Date.now();
+      let disturbedAt = Date.now();
+      const change = (): void => {
+        newest += 1;
+        changedAt = Date.now();
+        store.put('config', configOf(newest));
+      };
+      const late: string[] = [];
+      const pass = async (steps: number, isSilent: boolean): Promise<void> => {
+        for (let step = 0; step < steps; step++) {
+          await vi.advanceTimersByTimeAsync(STEP_MS);
+          if (isSilent) disturbedAt = Date.now();
+          const dueAt = Math.max(disturbedAt + SETTLE_MS, changedAt + CONFIG_MS);
+          if (Date.now() < dueAt || config.version() === newest) continue;
+          late.push(
+            `version ${config.version()} of ${newest} at ${Date.now() - dueAt} ms past due`,
+          );
+        }
+      };
+      await pass(20, false);
+      for (const { calmSteps, silentSteps, changes } of plan) {
+        await pass(calmSteps, false);
+        if (changes === 'before') change();
+        store.silence();
+        disturbedAt = Date.now();
+        await pass(Math.floor(silentSteps / 2), true);
+        if (changes === 'during') change();
+        await pass(Math.ceil(silentSteps / 2), true);
+        store.answer();
+        if (changes === 'after') change();
+      }
+      await pass(24, false);
+      stop();
+      expect(late).toEqual([]);
+    });
+    await fc.assert(property, { numRuns: RUNS, seed: 20, endOnFailure: true });
+  });
+});
