Close connections whose answers end during a stop, also those whose answers began before it

Idle connections are closed once, 2.6 s after it; a stream that was under way has sent its head with the offer to keep the connection, ends later, and its caller's next call is taken.

Mend: an answer that ends during a stop ends its connection.

--- a/src/app/gateway/front.ts
+++ b/src/app/gateway/front.ts
@@ -64,6 +64,11 @@
     res.once('close', () => {
       inFlight -= 1;
     });
+    // The head of an answer that began before the stop offered to keep the connection. A caller that took
+    // the offer seconds later would be cut with the last requests.
+    res.once('finish', () => {
+      if (isStopping) req.socket.destroySoon();
+    });
     serve(deps, req, res).catch((err: unknown) => {
       ctx.logger.error('request ended by a fault', { step: 'request', reason: String(err) });
       res.destroy();
--- a/tests/gateway/whole-path.test.ts
+++ b/tests/gateway/whole-path.test.ts
@@ -1,5 +1,6 @@
 import type { ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync } from 'node:fs';
+import { Agent } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
@@ -13,7 +14,7 @@
 import type { PlatformStandIn } from '../../stand-ins/users-platform/start';
 import { HEADERS, PATHS } from '../../platform/names';
 import { callDaemon, eventIds, launchDaemon } from '../support/gateway-daemon';
-import type { Reply } from '../support/gateway-daemon';
+import type { CallOptions, Reply } from '../support/gateway-daemon';
 import { ENGINE, LARGE, SMALL } from './support';
 
 const HOST = '127.0.0.1';
@@ -288,4 +289,32 @@
     expect(eventIds(reply.text)).toHaveLength(100);
     expect(await exited).toBe(0);
   });
+
+  /**
+   * A caller's request was cut at the end of a stop, though it had come seconds after the stop began: a
+   * stream that was under way when the stop began had ended, and its connection was kept for the next call.
+   */
+  it('keep no connection for further calls once a stop has begun, however long its answer took', async () => {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const order: string[] = [];
+    const stream = (body: string, more: Partial<CallOptions> = {}): Promise<Reply> =>
+      callDaemon(front(1), '/stream/x', {
+        requestId: `request-${lastRequest++}`,
+        key: KEY,
+        model: SMALL,
+        body,
+        ...more,
+      });
+    const long = stream('events=280&n=long').then(() => order.push('long stream ended'));
+    const short = stream('events=150&n=short', { agent });
+    await until(() => runsOf('events=150&n=short') === 1 && runsOf('events=280&n=long') === 1);
+    const [kept] = Object.values(agent.sockets).flatMap((sockets) => sockets ?? []);
+    kept?.once('close', () => order.push('connection of the short stream closed'));
+    daemons[1]?.process.kill('SIGTERM');
+    expect(eventIds((await short).text)).toHaveLength(150);
+    await long;
+    await until(() => order.length === 2);
+    agent.destroy();
+    expect(order).toEqual(['connection of the short stream closed', 'long stream ended']);
+  });
 });
