--- a/src/core/explain/clocks.ts
+++ b/src/core/explain/clocks.ts
@@ -1,15 +1,11 @@
 /** How far the wall clocks of daemons lie apart, by what several of them logged of the same event. */
 
 import type { LogLine } from './explain';
+import { quantile } from './quantile';
 
 /** All daemons log these within milliseconds of each other: the store or the leader tells them together. */
 const SHARED: ReadonlySet<string> = new Set(['group serves', 'group serves no more']);
 
-function median(values: readonly number[]): number {
-  const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.floor(sorted.length / 2)] ?? 0;
-}
-
 /** When a daemon first logged each shared event. */
 function firstTimes(lines: readonly LogLine[]): ReadonlyMap<string, ReadonlyMap<string, number>> {
   const byDaemon = new Map<string, Map<string, number>>();
@@ -36,7 +32,7 @@
       const other = own?.get(event);
       return other === undefined ? [] : [at - other];
     });
-    offsets.set(daemon, median(differences));
+    offsets.set(daemon, quantile(differences, 0.5));
   }
   return offsets;
 }
--- a/src/core/report/events.ts
+++ b/src/core/report/events.ts
@@ -19,32 +19,20 @@
 /** Orders the lines by the clock of the daemon that logged most. */
 export function createTimeline(lines: readonly LogLine[]): Timeline {
   const offsets = estimateOffsets(lines, busiest(lines));
-  const moved = lines.map((line) => ({ ...line, at: line.at - (offsets.get(line.daemon) ?? 0) }));
-  const sorted = moved.sort((a, b) => a.at - b.at);
+  const sorted = lines
+    .map((line) => ({ ...line, at: line.at - (offsets.get(line.daemon) ?? 0) }))
+    .sort((a, b) => a.at - b.at);
   const startedAt = sorted[0]?.at ?? 0;
-  return {
-    startedAt,
-    events: sorted.map(({ at, daemon, message, fields }) => ({
-      at: at - startedAt,
-      daemon,
-      message,
-      fields,
-    })),
-  };
+  return { startedAt, events: sorted.map((line) => ({ ...line, at: line.at - startedAt })) };
 }
 
 function busiest(lines: readonly LogLine[]): string {
-  const counts = countBy(lines, ({ daemon }) => daemon);
-  const [first] = [...counts].sort(([, a], [, b]) => b - a);
+  const [first] = [...groupBy(lines, ({ daemon }) => daemon)].sort(
+    ([, a], [, b]) => b.length - a.length,
+  );
   return first?.[0] ?? '';
 }
 
-export function countBy<T>(items: readonly T[], keyOf: (item: T) => string): Map<string, number> {
-  const counts = new Map<string, number>();
-  for (const item of items) counts.set(keyOf(item), (counts.get(keyOf(item)) ?? 0) + 1);
-  return counts;
-}
-
 export function groupBy<T>(items: readonly T[], keyOf: (item: T) => string): Map<string, T[]> {
   const groups = new Map<string, T[]>();
   for (const item of items) {
@@ -65,9 +53,3 @@
   const value = fields[name];
   return typeof value === 'number' ? value : undefined;
 }
-
-/** The value below which the share lies; 0 of no values. */
-export function quantile(values: readonly number[], share: number): number {
-  const sorted = [...values].sort((a, b) => a - b);
-  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0;
-}
--- a/src/core/report/groups.ts
+++ b/src/core/report/groups.ts
@@ -1,6 +1,7 @@
 /** How long groups were missing, and which step took that time. */
 
-import { groupBy, quantile, textOf } from './events';
+import { quantile } from '../explain/quantile';
+import { groupBy, textOf } from './events';
 import type { Event } from './events';
 import type { ModelSummary } from './types';
 
--- a/src/core/report/requests.ts
+++ b/src/core/report/requests.ts
@@ -1,6 +1,7 @@
 /** What became of requests, by kind, reason and second. */
 
-import { groupBy, numberOf, quantile, textOf } from './events';
+import { quantile } from '../explain/quantile';
+import { groupBy, numberOf, textOf } from './events';
 import type { Event } from './events';
 import type { ReasonSummary, RequestSummary, Second } from './types';
 
