Forget what peers were told by the time of the last telling

An address that never answered was kept for the life of the daemon, since only those that were heard of were swept. A conversation begins anew after a pause anyway, so nothing else changes.

--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -186,10 +186,9 @@
   const forgetSilent = (): void => {
     const now = clock.now();
     for (const [id, { at }] of heard) if (now >= later(at, FORGET_MS)) heard.delete(id);
-    for (const [address, at] of heardAt) {
-      if (now < later(at, FORGET_MS)) continue;
-      heardAt.delete(address);
-      conversations.delete(address);
+    for (const [address, at] of heardAt) if (now >= later(at, FORGET_MS)) heardAt.delete(address);
+    for (const [address, { spokeAt }] of conversations) {
+      if (now >= later(spokeAt, FORGET_MS)) conversations.delete(address);
     }
   };
 
