Fake time for tests in one place, and send the test of a stop's requests as the others are sent

Three files set the same timers up; the whole path's new test repeated its sender for the sake of an agent.

--- a/tests/gateway/config-view.test.ts
+++ b/tests/gateway/config-view.test.ts
@@ -1,5 +1,5 @@
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 
 import { createConfigView } from '../../src/app/gateway/config-view';
 import type { Progress } from '../../src/app/gateway/messages';
@@ -9,7 +9,8 @@
 import type { Feed } from '../../src/ports/gateway';
 import { fail } from '../../src/utils/errors';
 import { pause } from '../../src/utils/pause';
-import { createFakeClock, makeConfig, makeContext } from './support';
+import { createFakeClock, fakeTime } from './fake-time';
+import { makeConfig, makeContext } from './support';
 
 const CONFIG_MS = 1_000;
 
@@ -81,15 +82,7 @@
     return polls;
   };
 
-  beforeEach(() => {
-    vi.useFakeTimers({
-      toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date'],
-    });
-  });
-
-  afterEach(() => {
-    vi.useRealTimers();
-  });
+  fakeTime();
 
   it('leaves its poll out while that is young', async () => {
     expect(await countPolls({ configAgeMs: 1_000 })).toBe(1);
--- a/tests/gateway/fleet-polls.test.ts
+++ b/tests/gateway/fleet-polls.test.ts
@@ -1,4 +1,4 @@
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 
 import { createConfigView } from '../../src/app/gateway/config-view';
 import type { ConfigView } from '../../src/app/gateway/config-view';
@@ -7,7 +7,8 @@
 import type { DaemonId } from '../../src/core/ids';
 import type { GatewayConfig } from '../../src/core/gateway/types';
 import { createSilentStore } from './silent-store';
-import { createFakeClock, makeConfig, makeContext } from './support';
+import { createFakeClock, fakeTime } from './fake-time';
+import { makeConfig, makeContext } from './support';
 
 /** As in a fleet that speaks by way of its leader. */
 const TELL_MS = 200;
@@ -65,15 +66,7 @@
   return { store, silenceLeader, stop, countLate };
 }
 
-beforeEach(() => {
-  vi.useFakeTimers({
-    toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date'],
-  });
-});
-
-afterEach(() => {
-  vi.useRealTimers();
-});
+fakeTime();
 
 describe.each([
   { size: 6, bounds: { configMs: 2_000, settleMs: 3_000 } },
--- a/tests/gateway/store-silence.test.ts
+++ b/tests/gateway/store-silence.test.ts
@@ -8,7 +8,7 @@
  */
 
 import fc from 'fast-check';
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 
 import { createConfigView } from '../../src/app/gateway/config-view';
 import { createRoster } from '../../src/app/gateway/roster';
@@ -17,7 +17,8 @@
 import type { BackendServer, GatewayConfig } from '../../src/core/gateway/types';
 import type { ConfigVersion } from '../../src/core/ids';
 import { createSilentStore } from './silent-store';
-import { createFakeClock, instance, makeConfig, makeContext, makeServer } from './support';
+import { createFakeClock, fakeTime } from './fake-time';
+import { instance, makeConfig, makeContext, makeServer } from './support';
 
 const CONFIG_MS = 2_000;
 const LEAVING_MS = 2_000;
@@ -60,15 +61,7 @@
   return { store, config, roster, stop };
 }
 
-beforeEach(() => {
-  vi.useFakeTimers({
-    toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date'],
-  });
-});
-
-afterEach(() => {
-  vi.useRealTimers();
-});
+fakeTime();
 
 /** From a silence of the connections alone, over which new ones work, to one of twelve seconds. */
 const SILENCES = Array.from({ length: 49 }, (_, n) => n * 250);
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -9,14 +9,12 @@
 import type { PeerState } from '../../src/app/gateway/messages';
 import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
-import type { Clock } from '../../src/ports/runtime';
 import type { BackendServer, EngineSpec, GatewayConfig, Route } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
 import type {
   ConfigVersion,
   DomainId,
   Epoch,
-  EpochTime,
   GroupId,
   InstanceId,
   ModelId,
@@ -135,19 +133,6 @@
 /** What simulated fleets have in common. */
 export const FLEET = { engine: ENGINE, service: SERVICE };
 
-/**
- * A clock over the faked time of a test. Every look finds it a little later, as real ones do: a decision
- * that takes two looks for the same instant shows.
- */
-export function createFakeClock(): Clock {
-  const STEP_MS = 0.01;
-  let looks = 0;
-  return {
-    now: () => brandAs<MonoTime>(Date.now() + STEP_MS * (looks += 1)),
-    epoch: () => brandAs<EpochTime>(Date.now()),
-  };
-}
-
 export interface ContextOptions extends Partial<
   Omit<GatewayContext, 'settings' | 'tunables' | 'random'>
 > {
--- a/tests/gateway/whole-path.test.ts
+++ b/tests/gateway/whole-path.test.ts
@@ -53,7 +53,7 @@
 function send(
   address: string,
   path: string,
-  options: { readonly body?: string; readonly headers?: Record<string, string> } = {},
+  options: Pick<CallOptions, 'body' | 'headers' | 'agent'> = {},
 ): Promise<Reply> {
   const requestId = `request-${lastRequest++}`;
   return callDaemon(address, path, { requestId, key: KEY, model: SMALL, ...options });
@@ -297,16 +297,10 @@
   it('keep no connection for further calls once a stop has begun, however long its answer took', async () => {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     const order: string[] = [];
-    const stream = (body: string, more: Partial<CallOptions> = {}): Promise<Reply> =>
-      callDaemon(front(1), '/stream/x', {
-        requestId: `request-${lastRequest++}`,
-        key: KEY,
-        model: SMALL,
-        body,
-        ...more,
-      });
-    const long = stream('events=280&n=long').then(() => order.push('long stream ended'));
-    const short = stream('events=150&n=short', { agent });
+    const long = send(front(1), '/stream/x', { body: 'events=280&n=long' }).then(() =>
+      order.push('long stream ended'),
+    );
+    const short = send(front(1), '/stream/x', { body: 'events=150&n=short', agent });
     await until(() => runsOf('events=150&n=short') === 1 && runsOf('events=280&n=long') === 1);
     const [kept] = Object.values(agent.sockets).flatMap((sockets) => sockets ?? []);
     kept?.once('close', () => order.push('connection of the short stream closed'));
