Pass a leader's messages on through relays, and collect the answers the same way

Cause: in a fleet of 195 daemons the leader sent each message to 194 peers, encoded for each: loads five times a second, news of servers up to forty times. Change: relays of each zone, the strongest machines first, pass the leader's messages on and collect what their peers say; messages are encoded once; news of 100 ms go together, of one server only the last. Tests: relays and news (pure), 195 daemons in memory (before: 970 sends a second of the leader; at most 97 now), half of the relays lost at once.

--- a/src/adapters/peers/link.ts
+++ b/src/adapters/peers/link.ts
@@ -33,6 +33,8 @@
 export interface Link {
   /** False, and the link is broken, when too much waits to be read by the other side. */
   send(frame: unknown): boolean;
+  /** As `send`, for a frame that is encoded already: one that goes to many is encoded once. */
+  sendEncoded(bytes: Uint8Array): boolean;
   close(): void;
   destroy(reason: string): void;
   sentBytes(): number;
@@ -131,16 +133,19 @@
   });
   if (role === 'dialler') write(own);
 
+  function sendEncoded(bytes: Uint8Array): boolean {
+    if (socket.destroyed || !socket.writable) return false;
+    if (socket.writableLength > limits.bufferBytes) {
+      destroy('the other side does not read');
+      return false;
+    }
+    socket.write(bytes);
+    return true;
+  }
+
   return {
-    send: (frame) => {
-      if (socket.destroyed || !socket.writable) return false;
-      if (socket.writableLength > limits.bufferBytes) {
-        destroy('the other side does not read');
-        return false;
-      }
-      write(frame);
-      return true;
-    },
+    send: (frame) => sendEncoded(encodeFrame(frame)),
+    sendEncoded,
     close: () => {
       reason = IDLE;
       socket.end();
--- a/src/adapters/peers/peers.ts
+++ b/src/adapters/peers/peers.ts
@@ -11,6 +11,7 @@
 import type { Clock, Logger, Random } from '../../ports/runtime';
 import { fail } from '../../utils/errors';
 import { createBackoff } from './backoff';
+import { encodeFrame } from './codec';
 import type { BackoffLimits } from './backoff';
 import type { PeerName } from './handshake';
 import { IDLE, createLink } from './link';
@@ -69,6 +70,8 @@
   readonly received: Observable<ReceivedFrom<M>>;
   /** Addresses that could not be reached or whose link broke. */
   readonly unreachable: Observable<string>;
+  /** Sends to each of the addresses; the message is encoded once. */
+  sendToAll(addresses: Iterable<string>, message: M): void;
   /** Breaks the link, so that the next message makes a new one. */
   drop(address: string): void;
   traffic(): PeerTraffic;
@@ -77,8 +80,9 @@
   stop(): Promise<void>;
 }
 
-interface Dialling<M> {
-  readonly queue: M[];
+interface Dialling {
+  /** Encoded frames. */
+  readonly queue: Uint8Array[];
 }
 
 export function createPeers<M>(options: PeersOptions<M>): TcpPeers<M> {
@@ -90,7 +94,7 @@
   const received = new Subject<ReceivedFrom<M>>();
   const unreachable = new Subject<string>();
   const links = new Map<string, Link>();
-  const dialling = new Map<string, Dialling<M>>();
+  const dialling = new Map<string, Dialling>();
   const all = new Set<Link>();
   const selfAddresses = new Set<string>([self.address]);
   const closedBytes = { sent: 0, received: 0 };
@@ -134,7 +138,7 @@
   }
 
   function openOutgoing(address: string): void {
-    const attempt: Dialling<M> = { queue: [] };
+    const attempt: Dialling = { queue: [] };
     dialling.set(address, attempt);
     let peer: PeerName | undefined;
     const link = createLink(dial(address), {
@@ -148,7 +152,7 @@
         if (!isAcceptable(found, address)) return false;
         backoff.noteSuccess(address);
         links.set(address, link).set(found.address, link);
-        for (const message of attempt.queue) link.send(message);
+        for (const bytes of attempt.queue) link.sendEncoded(bytes);
         return true;
       },
       onFrame: (frame) => takeFrame(peer, frame),
@@ -203,20 +207,31 @@
     all.add(link);
   }
 
-  function send(address: string, message: M): boolean {
+  /** `encode` is called only where there is a link to send over, or one is being made. */
+  function sendEncoded(address: string, encode: () => Uint8Array): boolean {
     if (stopped || selfAddresses.has(address)) return false;
     const link = links.get(address);
-    if (link) return link.send(message);
+    if (link) return link.sendEncoded(encode());
     if (!dialling.has(address)) {
       if (!backoff.mayDial(address)) return false;
       openOutgoing(address);
     }
     const attempt = dialling.get(address);
     if (!attempt || attempt.queue.length >= settings.queuedMessages) return false;
-    attempt.queue.push(message);
+    attempt.queue.push(encode());
     return true;
   }
 
+  function send(address: string, message: M): boolean {
+    return sendEncoded(address, () => encodeFrame(message));
+  }
+
+  function sendToAll(addresses: Iterable<string>, message: M): void {
+    let encoded: Uint8Array | undefined;
+    const encode = (): Uint8Array => (encoded ??= encodeFrame(message));
+    for (const address of addresses) sendEncoded(address, encode);
+  }
+
   function traffic(): PeerTraffic {
     let { sent: sentBytes, received: receivedBytes } = closedBytes;
     for (const link of all) {
@@ -253,6 +268,7 @@
 
   return {
     send,
+    sendToAll,
     received,
     unreachable,
     drop: (address) => links.get(address)?.destroy(IDLE),
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -13,14 +13,17 @@
 import type { Change, Feed } from '../../ports/gateway';
 import type { GatewayContext } from './context';
 import { parseGatewayMessage } from './messages';
-import type { GatewayMessage, PeerState, Progress } from './messages';
+import type { GatewayMessage, LeaderMessage, PeerState, PlainMessage, Progress } from './messages';
+import { createRelaying } from './relaying';
 import { watchFeed } from './watch';
 
 /** A message with its sender. */
 export interface FromPeer {
   readonly from: DaemonId;
   readonly address: string;
-  readonly message: GatewayMessage;
+  /** Address of the daemon that passed it on; the sender's own where it came directly. */
+  readonly via: string;
+  readonly message: PlainMessage;
 }
 
 export interface PeerView extends PeerState {
@@ -33,6 +36,8 @@
 export interface Leader {
   readonly id: DaemonId;
   readonly address: string;
+  /** Address of the daemon through which it was last heard. */
+  readonly via: string;
   /** When it last said so. */
   readonly at: MonoTime;
   readonly progress: Progress;
@@ -54,10 +59,16 @@
   readonly received: Observable<FromPeer>;
   /** Addresses whose links broke or could not be made. */
   readonly unreachable: Observable<string>;
-  send(address: string, message: GatewayMessage): void;
-  broadcast(message: GatewayMessage): void;
+  send(address: string, message: PlainMessage): void;
+  broadcast(message: PlainMessage): void;
+  /** Tells all daemons what this one, their leader, has to say; in a large fleet through relays. */
+  spread(message: LeaderMessage): void;
+  /** Tells the leader what this daemon has to say; in a large fleet through the relay that it was heard by. */
+  answer(leader: Leader, message: PeerState): void;
+  /** Sends on what peers have for the leader. */
+  tick(): void;
   /** Sends to those that are most likely to lead, or soon will: a leader tells everyone it has heard of. */
-  sendToLikelyLeaders(message: GatewayMessage): void;
+  sendToLikelyLeaders(message: PlainMessage): void;
   start(): Promise<void>;
   stop(): Promise<void>;
 }
@@ -102,7 +113,7 @@
   /** Entries of the store: peer addresses by daemon. */
   const known = new Map<DaemonId, string>();
   const heard = new Map<DaemonId, PeerView>();
-  const received = new Subject<FromPeer>();
+  const all = new Subject<FromPeer>();
   /** By address: when a peer was last heard of, and what it is being told. */
   const heardAt = new Map<string, MonoTime>();
   const conversations = new Map<string, Conversation>();
@@ -123,22 +134,39 @@
   });
 
   let lastLeader: Leader | undefined;
-  const noteLeader = (id: DaemonId, address: string, message: GatewayMessage): void => {
+  const noteLeader = ({ from: id, address, via, message }: FromPeer): void => {
     const at = clock.now();
     if (message.kind === 'loads') {
-      lastLeader = { id, address, at, progress: message, daemons: message.daemons };
+      lastLeader = { id, address, via, at, progress: message, daemons: message.daemons };
     } else if (message.kind === 'state' && message.lease) {
-      lastLeader = { id, address, at, progress: message };
+      lastLeader = { id, address, via, at, progress: message };
     }
   };
 
-  peers.received.subscribe(({ from, address, message }) => {
-    heardAt.set(address, clock.now());
+  const take = (received: FromPeer): void => {
+    const { from, address, message } = received;
     if (message.kind === 'state') {
       heard.set(from, { ...message, id: from, address, at: clock.now() });
     }
-    noteLeader(from, address, message);
-    received.next({ from, address, message });
+    noteLeader(received);
+    all.next(received);
+  };
+
+  peers.received.subscribe(({ from, address, message }) => {
+    heardAt.set(address, clock.now());
+    if (message.kind === 'relayed') {
+      take(relaying.passOn(message, address));
+      return;
+    }
+    if (message.kind === 'states') {
+      for (const entry of message.states) {
+        if (entry.id === settings.id) continue;
+        take({ from: entry.id, address: entry.address, via: address, message: entry.state });
+      }
+      return;
+    }
+    if (message.kind === 'state' && isLarge()) relaying.collect(from, address, message);
+    take({ from, address, via: address, message });
   });
 
   const live = (): PeerView[] => {
@@ -152,6 +180,8 @@
 
   const size = (): number => Math.max(live().length + 1, leader()?.daemons ?? 0);
 
+  const isLarge = (): boolean => Math.max(size(), known.size) > DIRECT_DAEMONS;
+
   const candidates = (): Set<DaemonId> => {
     const all = new Set<DaemonId>([settings.id, ...known.keys()]);
     for (const { id, isStopping } of live()) {
@@ -192,44 +222,69 @@
     }
   };
 
-  /** Sends to a peer that answers such messages, over a new link where it has fallen silent. */
-  const tell = (address: string, message: GatewayMessage): void => {
-    const now = clock.now();
+  /** Breaks the link to a peer that answers what it is told now and has fallen silent. */
+  const renewSilent = (address: string, now: MonoTime): void => {
     const { settleMs } = ctx.tunables.value;
     const conversation = noteSpoken(conversations.get(address), now, settleMs);
     conversations.set(address, conversation);
-    if (isSilent(conversation, heardAt.get(address), now, settleMs)) {
-      ctx.logger.info('peer is silent, link made anew', { step: 'peer-link', peer: address });
-      conversations.delete(address);
-      peers.drop(address);
-    }
-    peers.send(address, message);
+    if (!isSilent(conversation, heardAt.get(address), now, settleMs)) return;
+    ctx.logger.info('peer is silent, link made anew', { step: 'peer-link', peer: address });
+    conversations.delete(address);
+    peers.drop(address);
+  };
+
+  /** Sends what peers answer, over new links to those that have fallen silent. */
+  const tell = (addresses: Iterable<string>, message: GatewayMessage): void => {
+    const now = clock.now();
+    const to = [...addresses];
+    for (const address of to) renewSilent(address, now);
+    peers.sendToAll(to, message);
+  };
+
+  const relaying = createRelaying(ctx, {
+    tell,
+    sendToAll: (addresses, message) => {
+      peers.sendToAll(addresses, message);
+    },
+  });
+
+  const broadcast = (message: PlainMessage): void => {
+    forgetSilent();
+    const isAnswered = message.kind === 'state' || message.kind === 'loads';
+    if (isAnswered) tell(addresses(), message);
+    else peers.sendToAll(addresses(), message);
   };
 
   return {
     live,
     leader,
     size,
-    isLarge: () => Math.max(size(), known.size) > DIRECT_DAEMONS,
+    isLarge,
     candidates,
-    received,
+    received: all,
     unreachable: peers.unreachable,
     send: (address, message) => {
       peers.send(address, message);
     },
-    broadcast: (message) => {
-      forgetSilent();
-      const isAnswered = message.kind === 'state' || message.kind === 'loads';
-      for (const address of addresses()) {
-        if (isAnswered) tell(address, message);
-        else peers.send(address, message);
+    broadcast,
+    spread: (message) => {
+      if (!isLarge()) {
+        broadcast(message);
+        return;
       }
+      forgetSilent();
+      relaying.spread(message, live(), addresses());
+    },
+    answer: ({ via }, message) => {
+      peers.send(via, message);
+    },
+    tick: () => {
+      relaying.flush(leader());
     },
     sendToLikelyLeaders: (message) => {
-      for (const address of likelyLeaders()) {
-        if (address === lastLeader?.address) tell(address, message);
-        else peers.send(address, message);
-      }
+      const likely = likelyLeaders();
+      if (lastLeader && likely.delete(lastLeader.address)) tell([lastLeader.address], message);
+      peers.sendToAll(likely, message);
     },
     start: () => peers.start(),
     stop: () => {
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -1,5 +1,6 @@
 /** Tells peers what this daemon knows, and gives those that are behind what they lack. */
 
+import { joinNews } from '../../core/gateway/news';
 import { isConfirmed, noteWitness } from '../../core/gateway/witnesses';
 import type { Witnesses } from '../../core/gateway/witnesses';
 import type { ConfigVersion, DaemonId, MonoTime } from '../../core/ids';
@@ -11,8 +12,8 @@
 import type { Former } from './former';
 import type { Leadership } from './lease';
 import { sumLoads, withoutOwn } from './loads';
-import type { GatewayMessage, PeerState, Progress } from './messages';
-import type { Roster } from './roster';
+import type { PeerState, PlainMessage, Progress } from './messages';
+import type { Roster, RosterNews } from './roster';
 import type { WaitingRoom } from './waiting';
 
 export interface GossipDeps {
@@ -47,6 +48,8 @@
 const HELP_AFTER_MS = 250;
 /** Daemons of a large fleet, beside its leader, that help the same peer at a time. */
 const HELPERS = 3;
+/** News of servers to a large fleet go together for so long: half of the time between two statements of loads. */
+const NEWS_TOGETHER_MS = 100;
 /** The same peer is not helped again before this. */
 const HELP_AGAIN_MS = 500;
 
@@ -63,6 +66,9 @@
   let revisionSince = ctx.clock.now();
   let revision = 0;
   let witnesses: Witnesses = new Map();
+  /** News that wait to be told, and from when on they may be. */
+  let pendingNews: RosterNews | undefined;
+  let tellNewsAt = ctx.clock.now();
 
   const ownState = (lease = leadership.ownLease()): PeerState => ({
     kind: 'state',
@@ -73,6 +79,9 @@
     configAgeMs: Math.round(config.watch.ageMs()),
     hasTraffic,
     isStopping: deps.isStopping(),
+    zone: ctx.settings.zone,
+    cores: ctx.settings.cores,
+    hearsLeader: lease !== undefined || fleet.leader() !== undefined,
     ...(lease && { lease }),
     running: board.running().map((entry) => [...entry]),
     waiting: waiting.waiting().map(([model, count]) => [model, count]),
@@ -133,13 +142,13 @@
     former.inspect({ group, head });
     // In a large fleet only the leader was told.
     if (isNews && !isKnown && fleet.isLarge() && leadership.held() !== undefined) {
-      fleet.broadcast({ kind: 'stalled', group, head, isConfirmed: true });
+      fleet.spread({ kind: 'stalled', group, head, isConfirmed: true });
     }
   };
 
   const take: {
-    readonly [K in GatewayMessage['kind']]: (
-      message: Extract<GatewayMessage, { kind: K }>,
+    readonly [K in PlainMessage['kind']]: (
+      message: Extract<PlainMessage, { kind: K }>,
       from: FromPeer,
     ) => void;
   } = {
@@ -193,7 +202,7 @@
     const { lease, configVersion, serversRevision, isStoreLost, storeAgeMs, configAgeMs } = state;
     if (lease) {
       board.takeLoads(sumLoads(peers));
-      fleet.broadcast({
+      fleet.spread({
         kind: 'loads',
         configVersion,
         serversRevision,
@@ -209,7 +218,7 @@
     }
     told = state;
     const leader = fleet.leader();
-    if (leader) fleet.send(leader.address, told);
+    if (leader) fleet.answer(leader, told);
     else board.takeLoads(sumLoads(peers));
   };
 
@@ -222,15 +231,30 @@
     else if (!fleet.leader() && !leadership.ownLease()) fleet.sendToLikelyLeaders(ownState());
   };
 
+  /** News of a short time go together: each message is passed on to the whole fleet. */
+  const tellNews = (now: MonoTime): void => {
+    if (!pendingNews || now < tellNewsAt) return;
+    tellNewsAt = later(now, fleet.isLarge() ? NEWS_TOGETHER_MS : 0);
+    const { since, revision: upTo, changes } = pendingNews;
+    pendingNews = undefined;
+    fleet.spread({ kind: 'news', since, revision: upTo, changes: [...changes] });
+  };
+
   roster.news.subscribe((news) => {
-    if (leadership.held() === undefined) return;
-    fleet.broadcast({ kind: 'news', ...news, changes: [...news.changes] });
+    if (leadership.held() === undefined) {
+      pendingNews = undefined;
+      return;
+    }
+    pendingNews = joinNews(pendingNews, news);
+    tellNews(ctx.clock.now());
   });
 
   board.stalls.subscribe(({ group, head }) => {
-    const leader = fleet.isLarge() ? fleet.leader() : undefined;
+    const isLarge = fleet.isLarge();
+    const leader = isLarge ? fleet.leader() : undefined;
     const message = { kind: 'stalled', group, head, isConfirmed: false } as const;
     if (leader) fleet.send(leader.address, message);
+    else if (isLarge) fleet.sendToLikelyLeaders(message);
     else fleet.broadcast(message);
     takeStall({ group, head }, ctx.settings.id, false);
   });
@@ -244,6 +268,8 @@
       if (isLarge) exchangeLoads(now, peers);
       else takeDirectLoads(now, peers);
       tellAll(now, peers, isLarge);
+      tellNews(now);
+      fleet.tick();
     },
   };
 }
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -4,7 +4,7 @@
 
 import type { BackendServer, GatewayConfig } from '../../core/gateway/types';
 import { brandAs } from '../../core/ids';
-import type { DaemonId, FencingNumber, GroupId, InstanceId } from '../../core/ids';
+import type { DaemonId, FencingNumber, GroupId, InstanceId, ZoneId } from '../../core/ids';
 
 const natural = z.number().min(0);
 
@@ -45,6 +45,11 @@
   kind: z.literal('state'),
   ...progressSchema,
   isStopping: z.boolean(),
+  zone: z.string().transform((zone) => brandAs<ZoneId>(zone)),
+  /** Processor cores that the daemon may use. */
+  cores: natural,
+  /** Whether this daemon hears a leader, or leads. */
+  hearsLeader: z.boolean(),
   lease: leaseSchema.optional(),
   running: runningSchema,
   /** Requests that wait here for a group, by model. */
@@ -97,13 +102,31 @@
   ),
 });
 
+const daemonIdSchema = z.string().transform((id) => brandAs<DaemonId>(id));
+
+/** What a leader says to all; `to` are addresses that the receiver passes it on to. */
+const relayedSchema = z.object({
+  kind: z.literal('relayed'),
+  to: z.array(z.string()),
+  origin: z.object({ id: daemonIdSchema, address: z.string() }),
+  message: z.discriminatedUnion('kind', [loadsSchema, newsSchema, stalledSchema]),
+});
+
+/** Statements of several daemons, as a relay collected them for the leader. */
+const statesSchema = z.object({
+  kind: z.literal('states'),
+  states: z.array(z.object({ id: daemonIdSchema, address: z.string(), state: stateSchema })),
+});
+
 const messageSchema = z.discriminatedUnion('kind', [
   stateSchema,
+  statesSchema,
   stalledSchema,
   configSchema,
   serversSchema,
   newsSchema,
   loadsSchema,
+  relayedSchema,
 ]);
 
 export type Progress = Pick<
@@ -113,6 +136,12 @@
 export type Loads = z.output<typeof loadsSchema>;
 export type PeerState = z.output<typeof stateSchema>;
 export type GatewayMessage = z.output<typeof messageSchema>;
+type Relayed = z.output<typeof relayedSchema>;
+/** What the leader of a large fleet says to all. */
+export type LeaderMessage = Relayed['message'];
+/** One statement of one daemon, however it came here. */
+export type PlainMessage = Exclude<GatewayMessage, { readonly kind: 'relayed' | 'states' }>;
+export type StateEntry = z.output<typeof statesSchema>['states'][number];
 
 /** The message in a frame; undefined if no daemon sends such a one. */
 export function parseGatewayMessage(frame: unknown): GatewayMessage | undefined {
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -9,6 +9,7 @@
 import { Subject } from 'rxjs';
 import type { Observable } from 'rxjs';
 
+import type { News } from '../../core/gateway/news';
 import type { BackendServer } from '../../core/gateway/types';
 import { later } from '../../core/ids';
 import type { InstanceId, MonoTime } from '../../core/ids';
@@ -23,12 +24,7 @@
 /** Entries of servers that are gone are remembered for this long: as long as a cut from the store is likely to last. */
 const LAPSED_MS = 60_000;
 
-/** Changes from one revision of the store to a later one. */
-export interface RosterNews {
-  readonly since: number;
-  readonly revision: number;
-  readonly changes: readonly Change<BackendServer>[];
-}
+export type RosterNews = News<BackendServer>;
 
 export interface Roster {
   /** Last known entries of servers whose entries are gone. Some of them live and serve on. */
--- a/src/app/gateway/settings.ts
+++ b/src/app/gateway/settings.ts
@@ -6,6 +6,8 @@
 export interface GatewaySettings {
   readonly id: DaemonId;
   readonly zone: ZoneId;
+  /** Processor cores that this daemon may use. */
+  readonly cores: number;
   /** `host:port` for callers. */
   readonly listen: string;
   /** `host:port` for the balancer's readiness probe, and for metrics. */
--- /dev/null
+++ b/src/core/gateway/news.ts
@@ -0,0 +1,23 @@
+/**
+ * Changes of a collection that are told to peers, from one revision of the store to a later one.
+ *
+ * Load pattern: hundreds of servers start, join groups and open within seconds, each reporting several
+ * states. Every message about them goes to the whole fleet, so changes of a short time go together, and
+ * of one server only the last.
+ */
+
+export interface News<T> {
+  readonly since: number;
+  readonly revision: number;
+  readonly changes: readonly { readonly key: string; readonly value?: T }[];
+}
+
+/**
+ * Earlier news with later ones. Where something is missing between them only the later ones are left:
+ * nobody may take them for all that happened since the earlier ones.
+ */
+export function joinNews<T>(earlier: News<T> | undefined, news: News<T>): News<T> {
+  if (!earlier || earlier.revision < news.since) return news;
+  const last = new Map([...earlier.changes, ...news.changes].map((change) => [change.key, change]));
+  return { since: earlier.since, revision: news.revision, changes: [...last.values()] };
+}
--- a/tests/gateway/fleet-polls.test.ts
+++ b/tests/gateway/fleet-polls.test.ts
@@ -39,6 +39,7 @@
     told = {
       id: brandAs<DaemonId>('leader'),
       address: 'leader',
+      via: 'leader',
       at: clock.now(),
       progress: {
         configVersion: leading.version(),
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -5,7 +5,12 @@
 import type { FromPeer, PeerView } from '../../src/app/gateway/fleet';
 import { createGossip } from '../../src/app/gateway/gossip';
 import type { GossipDeps } from '../../src/app/gateway/gossip';
-import type { GatewayMessage, Loads, PeerState } from '../../src/app/gateway/messages';
+import type {
+  GatewayMessage,
+  Loads,
+  PeerState,
+  PlainMessage,
+} from '../../src/app/gateway/messages';
 import { brandAs, later } from '../../src/core/ids';
 import type { DaemonId, FencingNumber, GroupId, InstanceId, MonoTime } from '../../src/core/ids';
 import { makeContext, makeState } from './support';
@@ -76,7 +81,10 @@
       size: () => PEERS + 1,
       leader: () => (hasLeader && !isLeading ? { address: LEADER } : undefined),
       send: (to: string, message: GatewayMessage) => note(to)(message),
+      answer: (_: unknown, message: GatewayMessage) => note(LEADER)(message),
       broadcast: note('all'),
+      spread: note('all'),
+      tick: () => undefined,
       sendToLikelyLeaders: note('likely leaders'),
     },
     former: { noteTraffic: () => undefined, inspect: () => undefined },
@@ -95,8 +103,8 @@
       gossip.tick();
     }
   };
-  const hear = (message: GatewayMessage, address = LEADER): void => {
-    received.next({ from: brandAs<DaemonId>('peer'), address, message });
+  const hear = (message: PlainMessage, address = LEADER): void => {
+    received.next({ from: brandAs<DaemonId>('peer'), address, via: address, message });
   };
   return {
     sent,
--- a/tests/gateway/leader.ts
+++ b/tests/gateway/leader.ts
@@ -3,6 +3,7 @@
 import { createForming } from '../../src/core/gateway/forming/state';
 import type { FormingMechanism, FormingState } from '../../src/core/gateway/forming/state';
 import { noteResult, noteSuspect, planGroups } from '../../src/core/gateway/forming/plan';
+import type { EngineSpec } from '../../src/core/gateway/types';
 import type { ModelId } from '../../src/core/ids';
 import type { EngineFleet } from '../../stand-ins/users-platform/engines';
 import { at, ENGINE } from './support';
@@ -10,6 +11,7 @@
 const TICK_MS = 50;
 
 export interface LeaderOptions {
+  readonly engine?: EngineSpec;
   readonly hasTraffic?: boolean;
   /** Delay of an order that is carried out late, by the number of the order. */
   readonly lateMs?: (n: number) => number;
@@ -25,6 +27,7 @@
     hasTraffic: startsWithTraffic = false,
     lateMs = () => 0,
     demand,
+    engine = ENGINE,
     without = [],
   }: LeaderOptions = {},
 ) {
@@ -41,7 +44,7 @@
       servers: fleet.rows(),
       lapsed: fleet.lapsed(),
       ended: fleet.ended,
-      engine: ENGINE,
+      engine,
       fencing,
       hasTraffic,
       ...(demand && { demand }),
--- /dev/null
+++ b/tests/gateway/relaying.test.ts
@@ -0,0 +1,175 @@
+import { describe, expect, it } from 'vitest';
+
+import { createClock } from '../../src/adapters/runtime';
+import type { Leader, PeerView } from '../../src/app/gateway/fleet';
+import type { GatewayMessage, Loads } from '../../src/app/gateway/messages';
+import { createRelaying } from '../../src/app/gateway/relaying';
+import type { Relaying } from '../../src/app/gateway/relaying';
+import { brandAs, later } from '../../src/core/ids';
+import type { DaemonId, FencingNumber, ZoneId } from '../../src/core/ids';
+import { makeContext, makeState } from './support';
+
+const DAEMONS = 195;
+const LEADER = 0;
+const STEP_MS = 50;
+const SPEAK_MS = 200;
+
+const LOADS: Loads = {
+  kind: 'loads',
+  configVersion: 3,
+  serversRevision: 10,
+  isStoreLost: false,
+  storeAgeMs: 0,
+  hasTraffic: true,
+  lease: {
+    version: 1,
+    row: {
+      holder: brandAs<DaemonId>('d0'),
+      session: 's',
+      fencing: brandAs<FencingNumber>(1),
+      ttlMs: 2_000,
+      released: false,
+    },
+    fenceVersion: 1,
+  },
+  daemons: DAEMONS,
+  running: [],
+  waiting: [],
+};
+
+interface Daemon {
+  readonly relaying: Relaying;
+  isUp: boolean;
+  leader: Leader | undefined;
+  sends: number;
+}
+
+/** A fleet whose messages arrive at once; one that is down neither speaks nor hears. */
+function createWorld() {
+  const clock = createClock();
+  let now = clock.now();
+  const daemons: Daemon[] = [];
+  /** What the leader heard of each peer last. */
+  const heard = new Map<DaemonId, PeerView>();
+
+  const addressOf = (n: number): string => `a${n}`;
+
+  const take = (n: number, via: string, message: GatewayMessage): void => {
+    const daemon = daemons[n];
+    if (!daemon?.isUp) return;
+    if (message.kind === 'relayed') {
+      const { from, address, message: inner } = daemon.relaying.passOn(message, via);
+      if (inner.kind === 'loads') {
+        daemon.leader = { id: from, address, via, at: now, progress: inner };
+      }
+    }
+    if (message.kind === 'loads') {
+      const id = brandAs<DaemonId>('d0');
+      daemon.leader = { id, address: addressOf(LEADER), via, at: now, progress: message };
+    }
+    if (message.kind === 'state') {
+      const from = Number(via.slice(1));
+      const id = brandAs<DaemonId>(`d${from}`);
+      if (n === LEADER) heard.set(id, { ...message, id, address: via, at: now });
+      else daemon.relaying.collect(id, via, message);
+    }
+    if (message.kind === 'states') {
+      for (const { id, address, state } of message.states) {
+        heard.set(id, { ...state, id, address, at: now });
+      }
+    }
+  };
+
+  const sender = (n: number) => (addresses: Iterable<string>, message: GatewayMessage) => {
+    const daemon = daemons[n];
+    for (const address of addresses) {
+      if (daemon) daemon.sends += 1;
+      take(Number(address.slice(1)), addressOf(n), message);
+    }
+  };
+
+  for (let n = 0; n < DAEMONS; n++) {
+    const ctx = makeContext({
+      settings: { id: brandAs<DaemonId>(`d${n}`), peerListen: addressOf(n) },
+      clock: { ...clock, now: () => now },
+    });
+    const send = sender(n);
+    const relaying = createRelaying(ctx, { tell: send, sendToAll: send });
+    daemons.push({ relaying, isUp: true, leader: undefined, sends: 0 });
+  }
+
+  const everybody = daemons.map((_, n) => addressOf(n)).filter((_, n) => n !== LEADER);
+
+  const speak = (daemon: Daemon, n: number): void => {
+    if (n === LEADER) {
+      daemon.relaying.spread(LOADS, [...heard.values()], everybody);
+      return;
+    }
+    const { leader } = daemon;
+    const hearsLeader = leader !== undefined && now < later(leader.at, 1_200);
+    const state = makeState({
+      hearsLeader,
+      zone: brandAs<ZoneId>(`z${n % 5}`),
+      cores: n < 16 ? 1.35 : 0.324,
+    });
+    sender(n)([hearsLeader ? leader.via : addressOf(LEADER)], state);
+  };
+
+  return {
+    daemons,
+    run: (ms: number): void => {
+      for (let passed = 0; passed < ms; passed += STEP_MS) {
+        now = later(now, STEP_MS);
+        daemons.forEach((daemon, n) => {
+          if (!daemon.isUp) return;
+          if (passed % SPEAK_MS === 0) speak(daemon, n);
+          daemon.relaying.flush(daemon.leader);
+        });
+      }
+    },
+    /** Longest time since a daemon that is up heard the leader, milliseconds. */
+    oldestMs: (): number =>
+      Math.max(
+        ...daemons.map(({ isUp, leader }, n) =>
+          !isUp || n === LEADER ? 0 : leader ? now - leader.at : Infinity,
+        ),
+      ),
+    heardMs: (): number => Math.max(...[...heard.values()].map(({ at }) => now - at)),
+    relays: (): Set<string> =>
+      new Set(daemons.flatMap(({ leader }) => (leader && leader.via !== 'a0' ? [leader.via] : []))),
+  };
+}
+
+describe('a fleet of 195 daemons', () => {
+  it('hears its leader, and is heard, within half a second', () => {
+    const world = createWorld();
+    world.run(3_000);
+    expect(world.oldestMs()).toBeLessThanOrEqual(SPEAK_MS);
+    expect(world.heardMs()).toBeLessThanOrEqual(500);
+  });
+
+  it('takes the leader no more sends a second than a tenth of what each alone would', () => {
+    const world = createWorld();
+    world.run(3_000);
+    const before = world.daemons[LEADER]?.sends ?? 0;
+    world.run(1_000);
+    expect((world.daemons[LEADER]?.sends ?? 0) - before).toBeLessThanOrEqual(
+      (DAEMONS * 1_000) / SPEAK_MS / 10,
+    );
+  });
+
+  it('is divided among others within a second when half of the relays are lost at once', () => {
+    const world = createWorld();
+    world.run(3_000);
+    const relays = [...world.relays()];
+    expect(relays.length).toBeGreaterThan(5);
+    for (const relay of relays.slice(0, relays.length / 2)) {
+      const lost = world.daemons[Number(relay.slice(1))];
+      if (lost) lost.isUp = false;
+    }
+    world.run(1_000);
+    expect(world.oldestMs()).toBeLessThanOrEqual(1_000);
+    world.run(2_000);
+    expect(world.oldestMs()).toBeLessThanOrEqual(SPEAK_MS);
+  });
+});
--- a/tests/support/gateway-daemon.ts
+++ b/tests/support/gateway-daemon.ts
@@ -26,6 +26,8 @@
 /** What the daemons of the tests have in common. */
 export const COMMON_SETTINGS = {
   zone: 'zone-a',
+  cpuCores: 1,
+  cpuShare: 1,
   shutdownS: 8,
   leavingMs: 2_000,
   configMs: 2_000,
