Plan at a bounded share of the processor, and try groups that cannot be reached elsewhere

Change: planning takes a fifth of the processor at most; an order without effect is sent again ever more seldom after five times; what was never sent goes elsewhere; an unreachable head is told to the leader, which asks the members and tells all what is lost; suspicion is of a group, not of its head, and grows. A time limit no longer passes before answers that arrived while the process stood still were read.

--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -5,6 +5,7 @@
 import { ResultAsync } from 'neverthrow';
 
 import { parseAddress } from '../utils/address';
+import { createTimeout } from '../utils/timeout';
 
 /** What is asked of which address. */
 export interface HttpCall {
@@ -62,9 +63,9 @@
       headers,
       ...(call.signal && { signal: call.signal }),
     });
-    const timer = setTimeout(() => req.destroy(new Error('timed out')), call.timeoutMs);
+    const limit = createTimeout(call.timeoutMs, () => req.destroy(new Error('timed out')));
     const settle = (err: Error): void => {
-      clearTimeout(timer);
+      limit.clear();
       reject(err);
     };
     req.on('error', settle);
@@ -81,7 +82,7 @@
       });
       res.on('error', settle);
       res.on('end', () => {
-        clearTimeout(timer);
+        limit.clear();
         resolve({
           status: res.statusCode ?? 0,
           headers: res.headers,
--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -14,6 +14,7 @@
 import { parseAddress } from '../../utils/address';
 import type { ErrorCode, StepError } from '../../utils/errors';
 import { fail } from '../../utils/errors';
+import { createTimeout } from '../../utils/timeout';
 
 export interface UpstreamOptions {
   /** How long a connection may take to be made, milliseconds. */
@@ -98,16 +99,16 @@
   const socket = connect({ ...options, noDelay: true });
   noteReset(socket);
   const onFail = (err: Error): void => {
-    clearTimeout(timer);
+    limit.clear();
     socket.destroy();
     done(err);
   };
-  const timer = setTimeout(() => {
+  const limit = createTimeout(timeoutMs, () => {
     onFail(fail('unavailable', 'connection not made in time', { step: 'connect' }));
-  }, timeoutMs);
+  });
   socket.once('error', onFail);
   socket.once('connect', () => {
-    clearTimeout(timer);
+    limit.clear();
     socket.off('error', onFail);
     done(null, socket);
   });
--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -19,9 +19,11 @@
 } from '../../core/gateway/progress';
 import type { Progress } from '../../core/gateway/progress';
 import type { RouteTable } from '../../core/gateway/routes';
+import { isSuspect, noteEvidence } from '../../core/gateway/suspicion';
+import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
 import type { EngineSpec, ModelSpec } from '../../core/gateway/types';
 import { later } from '../../core/ids';
-import type { GroupId, InstanceId, ModelId, MonoTime, ServiceId } from '../../core/ids';
+import type { GroupId, InstanceId, ModelId, ServiceId } from '../../core/ids';
 import type { GatewayContext } from './context';
 import type { Loads } from './messages';
 import type { Roster } from './roster';
@@ -64,7 +66,11 @@
   /** Groups that surely stand still, as `abandon` was told. */
   readonly abandoned: Observable<Stall>;
   /** Sends nothing to the group for a while. False where that was so before. */
-  suspect(head: InstanceId, reason: string): boolean;
+  suspect(group: GroupId, evidence: Evidence, reason: string): boolean;
+  /** Holds back from a group whose head could not be reached, and tells of it. */
+  noteUnreachable(stall: Stall, reason: string): void;
+  /** Groups whose heads could not be reached from here. */
+  readonly unreachable: Observable<Stall>;
   /** Groups whose streams have all gone silent, as found by `tick`. */
   readonly stalls: Observable<Stall>;
   /** After a change of the groups, and when a place in one became free. */
@@ -78,8 +84,6 @@
   tick(): void;
 }
 
-/** Long enough for the leader to ask the members; then the group is tried again. */
-const SUSPECT_MS = 1_500;
 /** With so many requests of others in a group they tell of a fault as well. */
 const SHARED_AT = 2;
 /** Peers' reports of their loads are this old at most, but for a slow link: the interval at which few daemons gossip. */
@@ -92,7 +96,7 @@
 ): Board {
   const { clock, logger } = ctx;
   const progress = new Map<InstanceId, Progress>();
-  const suspects = new Map<InstanceId, MonoTime>();
+  let suspicions: Suspicions = new Map();
   const elsewhere = new Map<InstanceId, { readonly running: number; readonly unread: number }>();
   /** Requests sent since the peers' reports were last taken in. */
   const takenSince = new Map<InstanceId, number>();
@@ -103,12 +107,22 @@
   let reportsDueAt = clock.now();
   const stalls = new Subject<Stall>();
   const abandoned = new Subject<Stall>();
+  const unreachable = new Subject<Stall>();
   const changes = new Subject<void>();
-  let groups = new Map<InstanceId, BoardGroup>();
+  let known = new Map<InstanceId, BoardGroup>();
+  /** Whether servers or configuration have changed since `known` was made of them. */
+  let isStale = false;
+
+  /** The open groups by their heads. Hundreds of servers change more often than anybody looks. */
+  const groups = (): ReadonlyMap<InstanceId, BoardGroup> => {
+    if (isStale) rebuild();
+    return known;
+  };
 
   const rebuild = (): void => {
     const table = routes.value;
     const next = new Map<InstanceId, BoardGroup>();
+    isStale = false;
     if (!table) return;
     for (const group of collectGroups(roster.servers.values())) {
       if (!isOpen(group)) continue;
@@ -118,17 +132,16 @@
       if (engine && spec) next.set(group.head.id, { ...group, service, engine, spec });
     }
     logChanges(next);
-    groups = next;
-    changes.next();
+    known = next;
   };
 
   const logChanges = (next: ReadonlyMap<InstanceId, BoardGroup>): void => {
     for (const [head, { id, model }] of next) {
-      if (groups.get(head)?.id !== id) {
+      if (known.get(head)?.id !== id) {
         logger.info('group serves', { step: 'board', group: id, model, head });
       }
     }
-    for (const [head, { id }] of groups) {
+    for (const [head, { id }] of known) {
       if (next.get(head)?.id !== id) {
         logger.info('group serves no more', { step: 'board', group: id, head });
       }
@@ -164,34 +177,31 @@
     return seen === undefined ? 1 : Math.max(1, seen / usualOf(group));
   };
 
-  const isSuspect = (head: InstanceId): boolean => {
-    const until = suspects.get(head);
-    return until !== undefined && clock.now() < until;
-  };
+  const isHeld = (group: GroupId): boolean => isSuspect(suspicions, group, clock.now());
 
-  const suspect = (head: InstanceId, reason: string): boolean => {
-    const isNew = !isSuspect(head);
-    suspects.set(head, later(clock.now(), SUSPECT_MS));
-    const group = groups.get(head);
-    if (isNew) logger.warn('group suspected', { step: 'board', group: group?.id, head, reason });
+  const suspect = (group: GroupId, evidence: Evidence, reason: string): boolean => {
+    const isNew = !isHeld(group);
+    suspicions = noteEvidence(suspicions, group, evidence, clock.now());
+    if (isNew) logger.warn('group suspected', { step: 'board', group, evidence, reason });
     return isNew;
   };
 
   const ofModel = (service: ServiceId, model: ModelId): BoardGroup[] =>
-    [...groups.values()].filter((group) => group.service === service && group.model === model);
+    [...groups().values()].filter((group) => group.service === service && group.model === model);
 
   const findStalls = (): void => {
     const now = clock.now();
     for (const [head, seen] of progress) {
-      const group = seen.running > 0 ? groups.get(head) : undefined;
+      const group = seen.running > 0 ? groups().get(head) : undefined;
       const isShared = (elsewhere.get(head)?.running ?? 0) >= SHARED_AT;
       const silentAt = isShared ? stalledBesideOthersAt : stalledAt;
       const at = group && silentAt(seen, usualOf(group), readingMs(group));
-      if (!group || at === undefined || now < at || isSuspect(head)) continue;
+      if (!group || at === undefined || now < at || isHeld(group.id)) continue;
       const silentMs = Math.round(now - seen.since);
       const pauseMs = Math.round(Math.max(usualOf(group), seen.pauseMs ?? 0));
       suspect(
-        head,
+        group.id,
+        'silent',
         `${seen.running} streams silent for ${silentMs} ms, usual pause ${pauseMs} ms, reading ${Math.round(readingMs(group))} ms, running ${runningIn(head)}`,
       );
       stalls.next({ group: group.id, head });
@@ -199,18 +209,25 @@
   };
 
   // Either may come first: without the configuration no group is known to belong to a service.
-  merge(roster.changes, routes).subscribe(rebuild);
+  merge(roster.changes, routes).subscribe(() => {
+    isStale = true;
+    changes.next();
+  });
 
   return {
     stalls,
     abandoned,
+    unreachable,
+    noteUnreachable: (stall, reason) => {
+      if (suspect(stall.group, 'unreachable', reason)) unreachable.next(stall);
+    },
     abandon: (stall) => {
       abandoned.next(stall);
     },
     changes,
     candidates: (service, model, gapMs, tried) =>
       ofModel(service, model)
-        .filter(({ head }) => !isSuspect(head.id))
+        .filter(({ id }) => !isHeld(id))
         .map((group) => ({
           head: group.head.id,
           zone: group.head.zone,
@@ -223,10 +240,10 @@
           isTried: tried.has(group.head.id),
         })),
     serves: (service, model) => model !== undefined && ofModel(service, model).length > 0,
-    find: (head) => groups.get(head),
+    find: (head) => groups().get(head),
     runningElsewhere: (head) => elsewhere.get(head)?.running ?? 0,
     isBusy: (group) =>
-      [...groups.values()].some(({ id, head }) => id === group && runningIn(head.id) > 0),
+      [...groups().values()].some(({ id, head }) => id === group && runningIn(head.id) > 0),
     noteSent: (head, promptTokens) => {
       progress.set(head, noteSent(progressOf(head), clock.now(), promptTokens));
       takenSince.set(head, (takenSince.get(head) ?? 0) + 1);
@@ -271,13 +288,14 @@
           demand.set(name, (waitingAll.get(name) ?? 0) / (engine?.batchSize ?? 1));
         }
       }
-      for (const { head, model, engine } of groups.values()) {
+      for (const { head, model, engine } of groups().values()) {
         const work = runningIn(head.id) / engine.batchSize;
         demand.set(model, (demand.get(model) ?? 0) + work);
       }
       return demand;
     },
     tick: () => {
+      groups();
       findStalls();
       for (const [head, { running }] of progress) {
         if (running === 0 && !roster.servers.has(head)) progress.delete(head);
--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -1,5 +1,8 @@
 /** Runs the plan of replica groups while this daemon holds the lease: sends orders, and looks into stalls. */
 
+import { Subject } from 'rxjs';
+import type { Observable } from 'rxjs';
+
 import type { FormingState, FormingView, OrderEffect } from '../../core/gateway/forming/state';
 import { createForming } from '../../core/gateway/forming/state';
 import { EPOCHS_PER_LEASE } from '../../core/gateway/forming/start';
@@ -27,6 +30,8 @@
   tick(): void;
   /** Asks the members of a group that stands still, and replaces those that do not answer. */
   inspect(stall: Stall): void;
+  /** Groups of which a member is lost, as its silence to questions shows. */
+  readonly lost: Observable<Stall>;
   /** Set once callers are being served anywhere. */
   noteTraffic(): void;
 }
@@ -42,6 +47,12 @@
 /** Demand is taken in at this interval, with this weight: a mean over about five seconds. */
 const DEMAND_MS = 500;
 const DEMAND_SMOOTHING = 0.1;
+/**
+ * Part of the processor's time that planning may take. Each answer to an order and each change of the
+ * servers asks for a plan; in a large fleet they come faster than plans are made, and what is late then
+ * is the lease, the orders' answers and all that peers wait for.
+ */
+const PLAN_SHARE = 0.2;
 
 export interface FormerOptions {
   readonly roster: Roster;
@@ -60,9 +71,12 @@
   let term: FencingNumber | undefined;
   let states = new Map<ServiceId, FormingState>();
   let hasTraffic = false;
+  let planDueAt = clock.now();
+  let planTimer: NodeJS.Timeout | undefined;
   const inspected = new Map<GroupId, MonoTime>();
   /** Servers whose entries have gone and whose groups were asked since. */
   const asked = new Set<InstanceId>();
+  const lostGroups = new Subject<Stall>();
 
   /** Demand as a running mean, so that no short peak decides which model a group gets. */
   const smoothed = new Map<ModelId, number>();
@@ -153,7 +167,24 @@
     }
   };
 
+  /** Plans again soon after the last plan, and not at once, where that one took long. */
   const tick = (): void => {
+    const startedAt = clock.now();
+    if (startedAt < planDueAt) {
+      planTimer ??= setTimeout(planLater, Math.ceil(planDueAt - startedAt));
+      return;
+    }
+    plan();
+    const now = clock.now();
+    planDueAt = later(now, (now - startedAt) * (1 / PLAN_SHARE - 1));
+  };
+
+  const planLater = (): void => {
+    planTimer = undefined;
+    tick();
+  };
+
+  const plan = (): void => {
     const fencing = leadership.held();
     const table = routes();
     if (fencing === undefined || !table || roster.watch.isFailing()) return;
@@ -207,7 +238,9 @@
     for (const { id, service } of lost) {
       states.set(service, noteSuspect(stateOf(service), id, later(clock.now(), LOST_MS)));
     }
-    if (lost.length > 0) tick();
+    if (lost.length === 0) return;
+    lostGroups.next({ group, head });
+    tick();
   };
 
   /**
@@ -239,6 +272,7 @@
   return {
     tick,
     inspect,
+    lost: lostGroups,
     noteTraffic: () => {
       hasTraffic = true;
     },
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -12,7 +12,7 @@
 import type { Former } from './former';
 import type { Leadership } from './lease';
 import { sumLoads, withoutOwn } from './loads';
-import type { PeerState, PlainMessage, Progress } from './messages';
+import type { Finding, PeerState, PlainMessage, Progress } from './messages';
 import type { Roster, RosterNews } from './roster';
 import type { WaitingRoom } from './waiting';
 
@@ -129,21 +129,42 @@
     }
   };
 
-  /** A group that stands still is avoided by all, and looked into by the leader, once enough have seen it. */
-  const takeStall = ({ group, head }: Stall, reporter: DaemonId, isKnown: boolean): void => {
+  /** Nothing is sent to the group for a while, its streams are moved, and the leader looks into it. */
+  const believe = ({ group, head }: Stall, finding: 'confirmed' | 'lost', source: string): void => {
+    const evidence = finding === 'lost' ? 'lost' : 'silent';
+    const isNews = board.suspect(group, evidence, source);
+    board.abandon({ group, head });
+    if (finding === 'confirmed') former.inspect({ group, head });
+    // In a large fleet only the leader was told; what it found by itself is news to all.
+    const mustTell = finding === 'lost' || (isNews && fleet.isLarge());
+    if (mustTell && leadership.held() !== undefined) {
+      fleet.spread({ kind: 'stalled', group, head, finding });
+    }
+  };
+
+  const noteSeen = (stall: Stall, reporter: DaemonId): void => {
     const now = ctx.clock.now();
+    const { group, head } = stall;
     witnesses = noteWitness(witnesses, group, reporter, now);
     const running = board.runningElsewhere(head);
-    const isSure = isKnown || isConfirmed(witnesses, group, running, now);
+    const isSure = isConfirmed(witnesses, group, running, now);
     ctx.logger.info('group seen silent', { step: 'stall', group, reporter, running, isSure });
-    if (!isSure) return;
-    const isNews = board.suspect(head, `reported by ${reporter}`);
-    board.abandon({ group, head });
-    former.inspect({ group, head });
-    // In a large fleet only the leader was told.
-    if (isNews && !isKnown && fleet.isLarge() && leadership.held() !== undefined) {
-      fleet.spread({ kind: 'stalled', group, head, isConfirmed: true });
-    }
+    if (isSure) believe(stall, 'confirmed', `reported by ${reporter}`);
+  };
+
+  /** What a daemon found of a group. One that could not reach it may have lost only its own link. */
+  const takeFinding: Readonly<Record<Finding, (stall: Stall, reporter: DaemonId) => void>> = {
+    seen: noteSeen,
+    unreachable: (stall) => {
+      former.inspect(stall);
+    },
+    confirmed: (stall, reporter) => {
+      believe(stall, 'confirmed', `told by ${reporter}`);
+    },
+    lost: (stall, reporter) => {
+      board.suspect(stall.group, 'lost', `found by ${reporter}`);
+      board.abandon(stall);
+    },
   };
 
   const take: {
@@ -158,8 +179,8 @@
       if (state.lease) leadership.takeLease(state.lease);
       help(state, address);
     },
-    stalled: ({ group, head, isConfirmed: isKnown }, { from }) => {
-      if (board.find(head)?.id === group) takeStall({ group, head }, from, isKnown);
+    stalled: ({ group, head, finding }, { from }) => {
+      if (board.find(head)?.id === group) takeFinding[finding]({ group, head }, from);
     },
     config: ({ config: offered }, { from }) => {
       const version = brandAs<ConfigVersion>(offered.version);
@@ -249,14 +270,24 @@
     tellNews(ctx.clock.now());
   });
 
-  board.stalls.subscribe(({ group, head }) => {
+  const report = ({ group, head }: Stall, finding: 'seen' | 'unreachable'): void => {
+    const message = { kind: 'stalled', group, head, finding } as const;
     const isLarge = fleet.isLarge();
     const leader = isLarge ? fleet.leader() : undefined;
-    const message = { kind: 'stalled', group, head, isConfirmed: false } as const;
     if (leader) fleet.send(leader.address, message);
     else if (isLarge) fleet.sendToLikelyLeaders(message);
     else fleet.broadcast(message);
-    takeStall({ group, head }, ctx.settings.id, false);
+    takeFinding[finding]({ group, head }, ctx.settings.id);
+  };
+
+  board.stalls.subscribe((stall) => {
+    report(stall, 'seen');
+  });
+  board.unreachable.subscribe((stall) => {
+    report(stall, 'unreachable');
+  });
+  former.lost.subscribe((stall) => {
+    believe(stall, 'lost', 'members asked');
   });
 
   return {
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -68,13 +68,18 @@
   waiting: z.array(z.tuple([z.string(), natural, natural])),
 });
 
-/** A group that a daemon saw stand still. */
+/**
+ * What is believed of a group that gives no sign: one daemon saw its streams fall silent, or could not
+ * reach it; enough daemons saw it; or its members were asked, and some are lost.
+ */
+const findings = z.enum(['seen', 'unreachable', 'confirmed', 'lost']);
+
+/** A group that seems to stand still. */
 const stalledSchema = z.object({
   kind: z.literal('stalled'),
   group: z.string().transform((id) => brandAs<GroupId>(id)),
   head: z.string().transform((id) => brandAs<InstanceId>(id)),
-  /** Whether enough daemons saw it, in place of the sender alone. */
-  isConfirmed: z.boolean(),
+  finding: findings,
 });
 
 /** Sent on in the form in which this program holds them: all daemons run the same program. */
@@ -135,6 +140,7 @@
 >;
 export type Loads = z.output<typeof loadsSchema>;
 export type PeerState = z.output<typeof stateSchema>;
+export type Finding = z.output<typeof findings>;
 export type GatewayMessage = z.output<typeof messageSchema>;
 type Relayed = z.output<typeof relayedSchema>;
 /** What the leader of a large fleet says to all. */
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -22,6 +22,11 @@
 
 /** A group that lost a member is formed again from warm servers in little more than half a second. */
 const UNSERVED_WAIT_MS = 700;
+/**
+ * Groups that a request may turn to in vain because their heads cannot be reached. Nothing was sent to
+ * them, so that this is no retry; it ends where the trouble is this daemon's own link.
+ */
+const MAX_UNREACHED = 4;
 
 export interface StreamDeps extends RelayDeps {
   readonly upstream: Upstream;
@@ -92,6 +97,7 @@
   const mayGoOn = (exchange: Exchange, state: StreamState, ended: Ended): boolean => {
     const { route } = exchange;
     if (exchange.gone.aborted || ctx.clock.now() >= exchange.answerBy) return false;
+    if (ended === 'not-sent') return state.unreached < MAX_UNREACHED;
     if (state.attempts >= route.maxAttempts) return false;
     if (ended === 'lost' && !route.isResumable) return false;
     return retries.mayRetry(exchange.service);
@@ -103,6 +109,7 @@
     const state: StreamState = {
       tried: new Set(),
       attempts: 0,
+      unreached: 0,
       exposure: 'not-run',
       lastId: given === undefined ? undefined : Number(given),
       hasStarted: false,
@@ -121,9 +128,10 @@
       const group = await findGroup(exchange, model, state);
       if (!group) break;
       state.tried.add(group.head.id);
-      state.attempts += 1;
       const sentAt = ctx.clock.now();
       const ended = await attempt(deps, exchange, group, state);
+      if (ended === 'not-sent') state.unreached += 1;
+      else state.attempts += 1;
       if (ended === 'complete' || ended === 'passed-on') {
         const { name } = exchange.route;
         holds.set(name, noteHold(holds.get(name), ctx.clock.now() - sentAt));
@@ -214,9 +222,12 @@
     });
     if (sent.kind !== 'answered') {
       state.reason = describe(stop.signal, sent.error.message);
-      if (sent.kind === 'not-sent') board.suspect(head.id, sent.error.message);
       if (exchange.gone.aborted) return 'caller-gone';
-      return sent.kind === 'not-sent' ? 'not-run' : 'lost';
+      if (sent.kind === 'lost') return 'lost';
+      if (sent.error.code === 'unavailable' && !stop.signal.aborted) {
+        board.noteUnreachable({ group: group.id, head: head.id }, state.reason);
+      }
+      return 'not-sent';
     }
     return await relay({ deps, exchange, group, state, answered: sent, stop: stop.signal, place });
   } finally {
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -17,7 +17,10 @@
 /** Progress of one caller's stream over all its attempts. */
 export interface StreamState {
   readonly tried: Set<InstanceId>;
+  /** Groups that it was sent to. */
   attempts: number;
+  /** Groups whose heads could not be reached. */
+  unreached: number;
   exposure: Exposure;
   /** Id of the last event that the caller has. */
   lastId: number | undefined;
@@ -43,7 +46,7 @@
 }
 
 /** How one attempt ended. */
-export type Ended = 'complete' | 'passed-on' | 'not-run' | 'lost' | 'caller-gone';
+export type Ended = 'complete' | 'passed-on' | 'not-sent' | 'not-run' | 'lost' | 'caller-gone';
 
 /** Why an attempt was stopped, where it was; else what its connection says. */
 export function describe(signal: AbortSignal, otherwise: string): string {
@@ -67,7 +70,7 @@
   if (facts.isNotExecuted) {
     res.resume();
     state.reason = `server says not executed (${status})`;
-    deps.board.suspect(group.head.id, state.reason);
+    deps.board.suspect(group.id, 'rejecting', state.reason);
     return 'not-run';
   }
   if (status >= 300) return passFailure(deps, exchange, state, answered, facts);
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -1,6 +1,7 @@
 /** What the former of replica groups knows beside the servers' own reports. */
 
 import type { DomainId, Epoch, GroupId, InstanceId, ModelId, MonoTime } from '../../ids';
+import { later } from '../../ids';
 import type { OrderResult, ServerOrder } from '../orders';
 import type { BackendServer, EngineSpec } from '../types';
 
@@ -31,6 +32,12 @@
    * them is lost, a group of six is whole again 1.9 s after a loss, and 4.9 s with 900 ms here.
    */
   readonly resendMs: number;
+  /**
+   * Longest time between two sendings of an order. After `quickSends` the time doubles with each: a
+   * server that still gives no sign is likely dark, and a fleet loses servers by the hundred.
+   */
+  readonly longestResendMs: number;
+  readonly quickSends: number;
   /** Added to `headBreakMs` before members of an unreachable head are used again, for clocks and reports. */
   readonly starveMarginMs: number;
   /** Added to the expected time of a join before it is given up. */
@@ -59,6 +66,8 @@
   headBreakMs: 6_000,
   loadWindowMs: 5_000,
   resendMs: 200,
+  longestResendMs: 1_600,
+  quickSends: 5,
   starveMarginMs: 500,
   joinSlackMs: 2_500,
   adoptMs: 2_500,
@@ -111,6 +120,8 @@
 /** An order on its way, or settled. */
 export interface SentOrder {
   readonly at: MonoTime;
+  /** How often it was sent. */
+  readonly sends: number;
   readonly result?: OrderResult;
 }
 
@@ -276,6 +287,12 @@
   return `${order.kind}${mode} ${subject} ${server.id}`;
 }
 
+function resendAt({ settings }: Draft, { at, sends }: SentOrder): MonoTime {
+  const { resendMs, longestResendMs, quickSends } = settings;
+  const doublings = Math.max(0, sends - quickSends);
+  return later(at, Math.min(longestResendMs, resendMs * 2 ** doublings));
+}
+
 /**
  * Sends an order unless it is on its way or was settled a moment ago, and gives the last result.
  * Orders without a visible effect are sent again: all of them are idempotent.
@@ -287,9 +304,8 @@
 ): OrderResult | undefined {
   const key = keyOf(server, order);
   const sent = draft.sent.get(key);
-  const isDue = !sent || draft.now >= sent.at + draft.settings.resendMs;
-  if (isDue) {
-    draft.sent.set(key, { at: draft.now });
+  if (!sent || draft.now >= resendAt(draft, sent)) {
+    draft.sent.set(key, { at: draft.now, sends: (sent?.sends ?? 0) + 1 });
     draft.effects.push({ key, server, order });
   }
   return sent?.result;
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -71,6 +71,7 @@
       stalls,
       find: () => ({ id: 'g' }),
       suspect: () => true,
+      unreachable: new Subject(),
       abandon: () => undefined,
       runningElsewhere: () => running,
     },
@@ -87,7 +88,7 @@
       tick: () => undefined,
       sendToLikelyLeaders: note('likely leaders'),
     },
-    former: { noteTraffic: () => undefined, inspect: () => undefined },
+    former: { noteTraffic: () => undefined, inspect: () => undefined, lost: new Subject() },
     leadership: {
       ownLease: () => (isLeading ? LEASE : undefined),
       held: () => (isLeading ? 1 : undefined),
@@ -152,14 +153,14 @@
 
   it('as the leader passes a stall on to all once', () => {
     const { sent, hear } = setUp({ isLeading: true });
-    hear({ kind: 'stalled', ...STALL, isConfirmed: false });
-    const message = { kind: 'stalled', ...STALL, isConfirmed: true };
+    hear({ kind: 'stalled', ...STALL, finding: 'seen' });
+    const message = { kind: 'stalled', ...STALL, finding: 'confirmed' };
     expect(sent).toEqual([{ to: 'all', message }]);
   });
 
   it('as the leader keeps to itself what one daemon alone saw of a group that others use', () => {
     const { sent, hear } = setUp({ isLeading: true, running: 20 });
-    hear({ kind: 'stalled', ...STALL, isConfirmed: false });
+    hear({ kind: 'stalled', ...STALL, finding: 'seen' });
     expect(sent).toEqual([]);
   });
 
--- /dev/null
+++ b/tests/gateway/suspicion.test.ts
@@ -0,0 +1,55 @@
+import { describe, expect, it } from 'vitest';
+
+import { isSuspect, noteEvidence } from '../../src/core/gateway/suspicion';
+import type { Evidence, Suspicions } from '../../src/core/gateway/suspicion';
+import { brandAs } from '../../src/core/ids';
+import type { GroupId } from '../../src/core/ids';
+import { at } from './support';
+
+const GROUP = brandAs<GroupId>('group-1');
+
+/** Tries the group whenever nothing speaks against it, in vain; gives the instants of the tries. */
+function tryInVain(evidence: Evidence, untilMs: number): number[] {
+  const tries: number[] = [];
+  let suspicions: Suspicions = new Map();
+  for (let now = 0; now < untilMs; now += 100) {
+    if (isSuspect(suspicions, GROUP, at(now))) continue;
+    tries.push(now);
+    suspicions = noteEvidence(suspicions, GROUP, evidence, at(now));
+  }
+  return tries;
+}
+
+describe('a group that disappoints', () => {
+  it('is tried less and less often', () => {
+    expect(tryInVain('unreachable', 20_000)).toEqual([0, 1_500, 4_500, 10_500, 16_500]);
+  });
+
+  it('is not tried again where the leader found it lost', () => {
+    expect(tryInVain('lost', 20_000)).toEqual([0]);
+  });
+
+  it('is held back from once for what several daemons or streams see together', () => {
+    let suspicions: Suspicions = new Map();
+    for (let n = 0; n < 9; n++) suspicions = noteEvidence(suspicions, GROUP, 'silent', at(n * 10));
+    expect(isSuspect(suspicions, GROUP, at(1_590))).toBe(false);
+  });
+
+  it('starts afresh once it has served for a while', () => {
+    const first = noteEvidence(new Map(), GROUP, 'rejecting', at(0));
+    const again = noteEvidence(first, GROUP, 'rejecting', at(5_000));
+    expect(isSuspect(again, GROUP, at(6_400))).toBe(true);
+    expect(isSuspect(again, GROUP, at(6_500))).toBe(false);
+  });
+
+  it('does not shorten what is held of a lost one', () => {
+    const lost = noteEvidence(new Map(), GROUP, 'lost', at(0));
+    const again = noteEvidence(lost, GROUP, 'silent', at(100));
+    expect(isSuspect(again, GROUP, at(19_000))).toBe(true);
+  });
+
+  it('says nothing of another group with the same head', () => {
+    const suspicions = noteEvidence(new Map(), GROUP, 'lost', at(0));
+    expect(isSuspect(suspicions, brandAs<GroupId>('group-2'), at(1))).toBe(false);
+  });
+});
