Give the lease to the strongest machines, and let few look at it

Cause: most machines of a large fleet have a third of a core; the lease went to any. While no leader was heard all 195 daemons read the lease each second. Connections to dark servers were waited for 400 ms. Change: the order of successors goes by cores first; the first six look at once, the others after their turns; plain calls that were never sent go elsewhere too; the limit of a connection follows what others take. Entries of daemons say their cores (platform/daemons).

--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -15,9 +15,11 @@
 import type { ErrorCode, StepError } from '../../utils/errors';
 import { fail } from '../../utils/errors';
 import { createTimeout } from '../../utils/timeout';
+import { createConnectLimit } from './connect-limit';
+import type { ConnectLimit } from './connect-limit';
 
 export interface UpstreamOptions {
-  /** How long a connection may take to be made, milliseconds. */
+  /** How long a connection may take to be made at most, milliseconds; less where others take less. */
   readonly connectTimeoutMs?: number;
   /** Idle connections kept to one address. */
   readonly maxIdle?: number;
@@ -95,7 +97,8 @@
 }
 
 /** Hands a socket to the agent only when it is connected. */
-function connectFirst(timeoutMs: number, options: NetConnectOpts, done: Connected): undefined {
+function connectFirst(limits: ConnectLimit, options: NetConnectOpts, done: Connected): undefined {
+  const startedAt = performance.now();
   const socket = connect({ ...options, noDelay: true });
   noteReset(socket);
   const onFail = (err: Error): void => {
@@ -103,12 +106,13 @@
     socket.destroy();
     done(err);
   };
-  const limit = createTimeout(timeoutMs, () => {
+  const limit = createTimeout(limits.limitMs(), () => {
     onFail(fail('unavailable', 'connection not made in time', { step: 'connect' }));
   });
   socket.once('error', onFail);
   socket.once('connect', () => {
     limit.clear();
+    limits.note(performance.now() - startedAt);
     socket.off('error', onFail);
     done(null, socket);
   });
@@ -145,8 +149,9 @@
 
 function createAgent(keepAlive: boolean, opts: Required<UpstreamOptions>): Agent {
   const agent = new Agent({ keepAlive, maxFreeSockets: opts.maxIdle, timeout: opts.idleMs });
+  const limits = createConnectLimit(opts.connectTimeoutMs);
   const open = (options: NetConnectOpts, done: Connected): undefined => {
-    connectFirst(opts.connectTimeoutMs, options, done);
+    connectFirst(limits, options, done);
   };
   return Object.assign(agent, { createConnection: open, ...guardIdle(agent) });
 }
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -9,8 +9,9 @@
 import type { Conversation } from '../../core/gateway/silence';
 import { brandAs, later } from '../../core/ids';
 import type { DaemonId, MonoTime } from '../../core/ids';
-import { rankByRendezvous } from '../../core/membership/rendezvous';
-import type { Change, Feed } from '../../ports/gateway';
+import { rankSuccessors } from '../../core/gateway/succession';
+import type { Strengths } from '../../core/gateway/succession';
+import type { Change, DaemonEntry, Feed } from '../../ports/gateway';
 import type { GatewayContext } from './context';
 import { parseGatewayMessage } from './messages';
 import type { GatewayMessage, LeaderMessage, PeerState, PlainMessage, Progress } from './messages';
@@ -55,7 +56,7 @@
   /** Whether there are too many daemons for each to tell each what it knows. */
   isLarge(): boolean;
   /** Daemons that may be at work: heard of lately, or entered in the store; without those that stop. */
-  candidates(): ReadonlySet<DaemonId>;
+  candidates(): Strengths;
   readonly received: Observable<FromPeer>;
   /** Addresses whose links broke or could not be made. */
   readonly unreachable: Observable<string>;
@@ -98,7 +99,7 @@
 /** A peer that has been silent for so long has ended for good. */
 const FORGET_MS = 60_000;
 
-export function createFleet(ctx: GatewayContext, entries: Feed<string>): Fleet {
+export function createFleet(ctx: GatewayContext, entries: Feed<DaemonEntry>): Fleet {
   const { settings, clock } = ctx;
   const peers = createPeers<GatewayMessage>({
     self: { id: settings.id, address: settings.peerListen },
@@ -110,8 +111,8 @@
     logger: ctx.logger,
     settings: { handshakeMs: HANDSHAKE_MS, longestMs: LONGEST_BACKOFF_MS },
   });
-  /** Entries of the store: peer addresses by daemon. */
-  const known = new Map<DaemonId, string>();
+  /** Entries of the store. */
+  const known = new Map<DaemonId, DaemonEntry>();
   const heard = new Map<DaemonId, PeerView>();
   const all = new Subject<FromPeer>();
   /** By address: when a peer was last heard of, and what it is being told. */
@@ -123,7 +124,7 @@
     waitMs: () => ENTRIES_WAIT_MS,
     trustUntil: (now) => later(now, ENTRIES_WAIT_MS),
     restUntil: (since) => later(since, ENTRIES_REST_MS),
-    take: (changes: readonly Change<string>[], isWhole) => {
+    take: (changes: readonly Change<DaemonEntry>[], isWhole) => {
       if (isWhole) known.clear();
       for (const { key, value } of changes) {
         const id = brandAs<DaemonId>(key);
@@ -182,28 +183,30 @@
 
   const isLarge = (): boolean => Math.max(size(), known.size) > DIRECT_DAEMONS;
 
-  const candidates = (): Set<DaemonId> => {
-    const all = new Set<DaemonId>([settings.id, ...known.keys()]);
-    for (const { id, isStopping } of live()) {
+  const candidates = (): Map<DaemonId, number> => {
+    const all = new Map<DaemonId, number>([[settings.id, settings.cores]]);
+    for (const [id, { cores }] of known) all.set(id, cores);
+    for (const { id, cores, isStopping } of live()) {
       if (isStopping) all.delete(id);
-      else all.add(id);
+      else all.set(id, cores);
     }
     return all;
   };
 
   const addresses = (): Set<string> => {
-    const all = new Set<string>([...ctx.tunables.value.seeds, ...known.values()]);
+    const all = new Set<string>(ctx.tunables.value.seeds);
+    for (const { address } of known.values()) all.add(address);
     for (const { address } of heard.values()) all.add(address);
     all.delete(settings.peerListen);
     return all;
   };
 
   const likelyLeaders = (): Set<string> => {
-    const others = [...candidates()].filter((id) => id !== settings.id);
-    const first = rankByRendezvous(LEASE_NAME, others).slice(0, LIKELY_LEADERS);
+    const others = rankSuccessors(LEASE_NAME, candidates()).filter((id) => id !== settings.id);
+    const first = others.slice(0, LIKELY_LEADERS);
     const drawn = sample(others, LIKELY_LEADERS, () => ctx.random.next());
     const found = [...first, ...drawn].flatMap(
-      (id) => known.get(id) ?? heard.get(id)?.address ?? [],
+      (id) => known.get(id)?.address ?? heard.get(id)?.address ?? [],
     );
     const all = new Set([...ctx.tunables.value.seeds, ...found]);
     // A leader that is no longer heard of may only have lost its link to here.
--- a/src/app/gateway/lease.ts
+++ b/src/app/gateway/lease.ts
@@ -1,6 +1,6 @@
 /** Holds or seeks the one lease under which replica groups are formed. */
 
-import { rankByRendezvous } from '../../core/membership/rendezvous';
+import { rankSuccessors, readDelayMs } from '../../core/gateway/succession';
 import { brandAs, later } from '../../core/ids';
 import type { DomainId, FencingNumber, MonoTime } from '../../core/ids';
 import { createLease, isHolder, reduceLease } from '../../core/lease/lease';
@@ -62,6 +62,8 @@
   );
   let readAt = clock.now();
   let rankAt = clock.now();
+  /** When a leader was last heard of; before the first, the start. */
+  let ledAt = clock.now();
   let drift = clock.epoch() - clock.now();
   /** No renewal sent before this instant counts: the process was paused, or a clock stepped. */
   let pausedAt: MonoTime | undefined;
@@ -147,7 +149,7 @@
   const rank = (now: MonoTime): void => {
     if (now < rankAt) return;
     rankAt = later(now, RANK_MS);
-    const place = rankByRendezvous(LEASE_NAME, [...fleet.candidates()]).indexOf(settings.id);
+    const place = rankSuccessors(LEASE_NAME, fleet.candidates()).indexOf(settings.id);
     dispatch({ kind: 'ranked', rank: place });
   };
 
@@ -157,6 +159,7 @@
     rank(now);
     dispatch({ kind: 'tick' });
     if (state.held || now < readAt || state.reading || ctx.store.isAway()) return;
+    if (now < later(ledAt, readDelayMs(state.rank, state.settings.backupDelayMs))) return;
     readAt = later(now, READ_MS * (0.8 + 0.4 * ctx.random.next()));
     state = { ...state, reading: true };
     void read();
@@ -169,7 +172,8 @@
       return { version: seen.version, row: seen.row, fenceVersion: held.fenceVersion };
     },
     takeLease: ({ version, row, fenceVersion }) => {
-      readAt = later(clock.now(), READ_MS);
+      ledAt = clock.now();
+      readAt = later(ledAt, READ_MS);
       if (state.held || state.pending) return;
       const fence = { version: fenceVersion, row: { fencing: row.fencing } };
       dispatch({ kind: 'read', lease: { version, row }, fence });
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -47,7 +47,9 @@
       readonly body: Buffer;
       readonly facts: AnswerFacts;
     }
-  /** Nothing was sent, or the server says that it did not run the call. */
+  /** No connection to the server. */
+  | { readonly kind: 'not-sent'; readonly reason: string }
+  /** The server says that it did not run the call. */
   | { readonly kind: 'not-run'; readonly reason: string }
   | { readonly kind: 'lost'; readonly reason: string };
 
@@ -113,10 +115,12 @@
     return result;
   };
 
+  /** `attempts`: servers that the call was sent to. One that could not be reached is no attempt. */
   const mayTryAgain = (exchange: Exchange, attempts: number, result: Attempt): boolean => {
     const { route, service } = exchange;
-    if (attempts >= route.maxAttempts || exchange.gone.aborted) return false;
-    if (ctx.clock.now() >= exchange.answerBy) return false;
+    if (exchange.gone.aborted || ctx.clock.now() >= exchange.answerBy) return false;
+    if (result.kind === 'not-sent') return true;
+    if (attempts >= route.maxAttempts) return false;
     const isAllowed = result.kind === 'not-run' || route.kind === 'safe';
     return isAllowed && retries.mayRetry(service);
   };
@@ -132,20 +136,22 @@
     const tried = new Set<InstanceId>();
     let exposure: Exposure = 'not-run';
     let reason = 'no server of the service is known';
+    let attempts = 0;
     retries.noteRequest(exchange.service);
     for (;;) {
       const server = choose(exchange, tried);
       if (!server) break;
-      const result = await attempt(exchange, server, patience(exchange, tried.size));
+      const result = await attempt(exchange, server, patience(exchange, attempts));
       tried.add(server.id);
+      if (result.kind !== 'not-sent') attempts += 1;
       if (exchange.gone.aborted) {
-        logEnding(ctx, exchange, { outcome: 'caller-gone', status: 0, attempts: tried.size });
+        logEnding(ctx, exchange, { outcome: 'caller-gone', status: 0, attempts });
         return;
       }
       if (result.kind === 'answered') {
         const isRetriable = isServerError(result.res) && exchange.route.kind === 'safe';
-        if (!isRetriable || !mayTryAgain(exchange, tried.size, result)) {
-          passOn(deps, exchange, result, server, tried.size);
+        if (!isRetriable || !mayTryAgain(exchange, attempts, result)) {
+          passOn(deps, exchange, result, server, attempts);
           return;
         }
         exposure = 'unknown';
@@ -154,9 +160,9 @@
       reason = result.reason;
       logFailedAttempt(ctx, exchange, { server: server.id, ended: result.kind, reason });
       if (result.kind === 'lost') exposure = 'unknown';
-      if (!mayTryAgain(exchange, tried.size, result)) break;
+      if (!mayTryAgain(exchange, attempts, result)) break;
     }
-    giveUp(ctx, exchange, { exposure, reason, attempts: tried.size });
+    giveUp(ctx, exchange, { exposure, reason, attempts });
   };
 
   return { call };
@@ -212,7 +218,7 @@
     beforeSend: () =>
       ctx.clock.now() < until ? undefined : fail('deadline-exceeded', 'too late', { step: 'send' }),
   });
-  if (sent.kind === 'not-sent') return { kind: 'not-run', reason: sent.error.message };
+  if (sent.kind === 'not-sent') return { kind: 'not-sent', reason: sent.error.message };
   if (sent.kind === 'lost') return { kind: 'lost', reason: sent.error.message };
   return readWhole(deps, exchange, sent, limit);
 }
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -33,13 +33,21 @@
   poll(revision: number, waitMs: number, signal: AbortSignal): ResultAsync<Changes<T>, StepError>;
 }
 
+/** What a daemon enters of itself where the others find it. */
+export interface DaemonEntry {
+  /** `host:port` for its peers. */
+  readonly address: string;
+  /** Processor cores that it may use. */
+  readonly cores: number;
+}
+
 /** Feeds of the platform's own collections. */
 export interface Feeds {
   /** The operator's configuration, a collection of one entry. */
   readonly config: Feed<GatewayConfig>;
   readonly servers: Feed<BackendServer>;
-  /** Peer addresses of daemons, entered by themselves. */
-  readonly daemons: Feed<string>;
+  /** Daemons, entered by themselves. */
+  readonly daemons: Feed<DaemonEntry>;
 }
 
 /** What a server reports of itself when asked. */
--- a/tests/gateway/fleet-links.test.ts
+++ b/tests/gateway/fleet-links.test.ts
@@ -5,7 +5,7 @@
 import type { Fleet } from '../../src/app/gateway/fleet';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId } from '../../src/core/ids';
-import type { Feed } from '../../src/ports/gateway';
+import type { DaemonEntry, Feed } from '../../src/ports/gateway';
 import { pause } from '../../src/utils/pause';
 import { startProxy } from '../soak/proxy';
 import type { Proxy } from '../soak/proxy';
@@ -23,6 +23,7 @@
   const ctx = makeContext({
     settings: {
       id: brandAs<DaemonId>(`daemon-${n}`),
+      cores: 1,
       peerListen: `127.0.0.1:${PORT + 2 * n + 1}`,
       peerBind: `127.0.0.1:${PORT + 2 * n}`,
       peerSecret: 'a secret of this test alone',
@@ -30,7 +31,7 @@
     tunables: { seeds: [seed], settleMs: SETTLE_MS },
   });
   const never = ResultAsync.fromSafePromise<never>(new Promise(() => undefined));
-  const entries: Feed<string> = {
+  const entries: Feed<DaemonEntry> = {
     name: 'daemons',
     load: () => okAsync({ changes: [], revision: 1 }),
     poll: () => never,
