Know slow groups by what all daemons saw of them

Cause: with 195 daemons before 130 groups a daemon has a stream in a given group once in half a minute, so that nobody notices a group that has turned slow; its own last impression also stayed for ever. Change: daemons tell the paces they saw within 2.5 s, the leader their mean for groups slower than usual; a group nearly twice as slow is taken only where no quick one has room. Tests: mean paces, choice, pace known within a second and forgotten again.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -13,6 +13,7 @@
   noteRead,
   noteSent,
   readableTokens,
+  slowdownOf,
   stalledAt,
   stalledBesideOthersAt,
   usualPauseMs,
@@ -77,8 +78,10 @@
   readonly changes: Observable<void>;
   /** Requests of this daemon and their unread prompt tokens, by head. */
   running(): readonly (readonly [InstanceId, number, number])[];
-  /** What the other daemons have running and waiting, together. */
-  takeLoads(loads: Pick<Loads, 'running' | 'waiting'>): void;
+  /** Paces of groups as this daemon saw them of late, by head. */
+  paces(): readonly (readonly [InstanceId, number])[];
+  /** What the other daemons have running and waiting, together, and the paces that all saw. */
+  takeLoads(loads: Pick<Loads, 'running' | 'paces' | 'waiting'>): void;
   /** Work of each model over all daemons: requests that run or wait, in full groups. */
   demand(): ReadonlyMap<ModelId, number>;
   tick(): void;
@@ -98,6 +101,7 @@
   const progress = new Map<InstanceId, Progress>();
   let suspicions: Suspicions = new Map();
   const elsewhere = new Map<InstanceId, { readonly running: number; readonly unread: number }>();
+  const sharedPaces = new Map<InstanceId, number>();
   /** Requests sent since the peers' reports were last taken in. */
   const takenSince = new Map<InstanceId, number>();
   /** Peers with requests that wait for a model. */
@@ -172,11 +176,15 @@
   const usualOf = ({ engine, spec, head }: BoardGroup): number =>
     usualPauseMs(engine, spec.pace, runningIn(head.id));
 
-  const slowdownOf = (group: BoardGroup): number => {
-    const seen = progress.get(group.head.id)?.pauseMs;
-    return seen === undefined ? 1 : Math.max(1, seen / usualOf(group));
+  const ownPace = (group: BoardGroup): number | undefined => {
+    const seen = progress.get(group.head.id);
+    return seen && slowdownOf(seen, usualOf(group), clock.now());
   };
 
+  /** The slower of what this daemon and all together saw: one of them may have seen it later. */
+  const paceOf = (group: BoardGroup): number =>
+    Math.max(ownPace(group) ?? 1, sharedPaces.get(group.head.id) ?? 1);
+
   const isHeld = (group: GroupId): boolean => isSuspect(suspicions, group, clock.now());
 
   const suspect = (group: GroupId, evidence: Evidence, reason: string): boolean => {
@@ -236,7 +244,7 @@
           mayTake: mayTake(group),
           unread: unreadIn(group.head.id),
           maxUnread: readableTokens(group.engine, group.spec.pace, runningIn(group.head.id), gapMs),
-          slowdown: slowdownOf(group),
+          slowdown: paceOf(group),
           isTried: tried.has(group.head.id),
         })),
     serves: (service, model) => model !== undefined && ofModel(service, model).length > 0,
@@ -263,8 +271,16 @@
       [...progress]
         .filter(([, { running }]) => running > 0)
         .map(([head, { running, unread }]) => [head, running, unread] as const),
-    takeLoads: ({ running, waiting }) => {
+    paces: () =>
+      [...progress.keys()].flatMap((head) => {
+        const group = groups().get(head);
+        const pace = group && ownPace(group);
+        return pace === undefined ? [] : [[head, pace] as const];
+      }),
+    takeLoads: ({ running, paces, waiting }) => {
       elsewhere.clear();
+      sharedPaces.clear();
+      for (const [head, slowdown] of paces) sharedPaces.set(head, slowdown);
       waitingPeers.clear();
       waitingAll.clear();
       for (const [head, count, tokens] of running) {
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -84,6 +84,7 @@
     hearsLeader: lease !== undefined || fleet.leader() !== undefined,
     ...(lease && { lease }),
     running: board.running().map((entry) => [...entry]),
+    paces: board.paces().map((entry) => [...entry]),
     waiting: waiting.waiting().map(([model, count]) => [model, count]),
   });
 
--- a/src/app/gateway/loads.ts
+++ b/src/app/gateway/loads.ts
@@ -6,10 +6,32 @@
 import type { InstanceId } from '../../core/ids';
 import type { Loads, PeerState } from './messages';
 
-export type LoadSums = Pick<Loads, 'running' | 'waiting'>;
+export type LoadSums = Pick<Loads, 'running' | 'paces' | 'waiting'>;
+
+/** Below this a group counts as being at its usual pace. */
+const SLOW_AT = 1.2;
+const PACE_DIGITS = 1;
+
+/**
+ * Mean pace of each slow group. In a large fleet a daemon has a stream in a given group now and then;
+ * only together do they see within a second that one has turned slow.
+ */
+function meanPaces(states: readonly Pick<PeerState, 'paces'>[]): LoadSums['paces'] {
+  const seen = new Map<InstanceId, readonly [count: number, sum: number]>();
+  for (const [head, slowdown] of states.flatMap(({ paces }) => paces)) {
+    const [count, sum] = seen.get(head) ?? [0, 0];
+    seen.set(head, [count + 1, sum + slowdown]);
+  }
+  return [...seen].flatMap(([head, [count, sum]]) => {
+    const mean = Number((sum / count).toFixed(PACE_DIGITS));
+    return mean < SLOW_AT ? [] : [[head, mean] as [InstanceId, number]];
+  });
+}
 
 /** Sums of several daemons' statements. */
-export function sumLoads(states: readonly Pick<PeerState, 'running' | 'waiting'>[]): LoadSums {
+export function sumLoads(
+  states: readonly Pick<PeerState, 'running' | 'paces' | 'waiting'>[],
+): LoadSums {
   const running = new Map<InstanceId, readonly [number, number]>();
   const waiting = new Map<string, readonly [number, number]>();
   for (const state of states) {
@@ -24,6 +46,7 @@
   }
   return {
     running: [...running].map(([head, [count, tokens]]) => [head, count, tokens]),
+    paces: meanPaces(states),
     waiting: [...waiting].map(([model, [daemons, count]]) => [model, daemons, count]),
   };
 }
@@ -33,6 +56,7 @@
   const ownRunning = new Map(own.running.map(([head, ...rest]) => [head, rest] as const));
   const ownWaiting = new Map(own.waiting);
   return {
+    paces: sums.paces,
     running: sums.running.map(([head, count, tokens]) => {
       const [ownCount, ownTokens] = ownRunning.get(head) ?? [0, 0];
       return [head, Math.max(0, count - ownCount), Math.max(0, tokens - ownTokens)];
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -41,6 +41,11 @@
   z.tuple([z.string().transform((id) => brandAs<InstanceId>(id)), natural, natural]),
 );
 
+/** By head of a group: how many times slower than usual its events came of late. */
+const pacesSchema = z.array(
+  z.tuple([z.string().transform((id) => brandAs<InstanceId>(id)), z.number().min(1)]),
+);
+
 const stateSchema = z.object({
   kind: z.literal('state'),
   ...progressSchema,
@@ -52,6 +57,7 @@
   hearsLeader: z.boolean(),
   lease: leaseSchema.optional(),
   running: runningSchema,
+  paces: pacesSchema,
   /** Requests that wait here for a group, by model. */
   waiting: z.array(z.tuple([z.string(), natural])),
 });
@@ -64,6 +70,8 @@
   /** Daemons that the leader hears of, itself included. */
   daemons: natural,
   running: runningSchema,
+  /** Means over the daemons that saw the groups; those at their usual pace are left out. */
+  paces: pacesSchema,
   /** Daemons with requests that wait for a model, and how many wait, by model. */
   waiting: z.array(z.tuple([z.string(), natural, natural])),
 });
--- a/src/core/gateway/balance.ts
+++ b/src/core/gateway/balance.ts
@@ -29,6 +29,10 @@
   readonly otherZone: number;
   /** What a full measure of unread prompts counts, in batches. */
   readonly unreadWeight: number;
+  /** A group that is so many times slower misses the latency objective of most requests. */
+  readonly slowAt: number;
+  /** What such a group counts more than a quick one, in batches: it is taken where no other has room. */
+  readonly slowWeight: number;
 }
 
 /**
@@ -36,7 +40,12 @@
  * for; a group fuller by so much gives its events some 4 in 100 later (step times of the published
  * figures), far below what a missed objective costs.
  */
-export const GROUP_CHOICE_DEFAULTS: GroupChoiceOptions = { otherZone: 0.15, unreadWeight: 0.5 };
+export const GROUP_CHOICE_DEFAULTS: GroupChoiceOptions = {
+  otherZone: 0.15,
+  unreadWeight: 0.5,
+  slowAt: 1.9,
+  slowWeight: 1,
+};
 
 /** So many daemons may all look at all groups. */
 const FEW_DAEMONS = 10;
@@ -71,7 +80,11 @@
 
 /**
  * The group where the request runs fastest: the least filled one, slow ones counted as fuller. None
- * where all are full. `chance` in [0, 1) breaks ties, so that daemons do not act alike.
+ * where all are full.
+ *
+ * Load pattern: some model servers turn several times slower while their neighbours stay quick, and a
+ * group is as slow as its slowest member. A nearly empty slow group still answers later than a quick
+ * one that is nearly full. `chance` in [0, 1) breaks ties, so that daemons do not act alike.
  */
 export function chooseGroup(
   candidates: readonly GroupCandidate[],
@@ -89,7 +102,8 @@
     const { running, batchSize, slowdown, unread, maxUnread } = candidate;
     const away = candidate.zone === zone ? 0 : options.otherZone;
     const filled = (running + 1) / batchSize + (options.unreadWeight * unread) / maxUnread;
-    const score = filled * slowdown + away;
+    const slow = slowdown >= options.slowAt ? options.slowWeight : 0;
+    const score = filled * slowdown + slow + away;
     if (score < bestScore) [best, bestScore] = [candidate, score];
   }
   return best;
--- a/src/core/gateway/progress.ts
+++ b/src/core/gateway/progress.ts
@@ -17,7 +17,7 @@
   readonly smoothing: number;
 }
 
-export const PROGRESS_DEFAULTS: ProgressOptions = { pauses: 6, leastMs: 500, smoothing: 0.1 };
+export const PROGRESS_DEFAULTS: ProgressOptions = { pauses: 6, leastMs: 500, smoothing: 0.2 };
 
 /** What this daemon saw of one group. */
 export interface Progress {
@@ -31,10 +31,12 @@
   readonly since: MonoTime;
   /** Mean pause between events of a stream, milliseconds; undefined until two were seen. */
   readonly pauseMs: number | undefined;
+  /** When a pause was last seen. */
+  readonly pausedAt: MonoTime | undefined;
 }
 
 export function createProgress(now: MonoTime): Progress {
-  return { running: 0, started: 0, unread: 0, since: now, pauseMs: undefined };
+  return { running: 0, started: 0, unread: 0, since: now, pauseMs: undefined, pausedAt: undefined };
 }
 
 export function noteSent(progress: Progress, now: MonoTime, promptTokens: number): Progress {
@@ -70,7 +72,7 @@
 ): Progress {
   if (pauseMs === undefined) return { ...progress, since: now };
   const mean = progress.pauseMs ?? pauseMs;
-  return { ...progress, since: now, pauseMs: mean + smoothing * (pauseMs - mean) };
+  return { ...progress, since: now, pausedAt: now, pauseMs: mean + smoothing * (pauseMs - mean) };
 }
 
 /** Pause between events of a stream in a group that runs `running` requests, by the published figures. */
@@ -80,6 +82,19 @@
   return pace * engine.stepsPerPass * (engine.stepMs + perRequest * running);
 }
 
+/** What was seen of a group's pace says nothing of it after this, milliseconds: slow spells end. */
+const PACE_FRESH_MS = 2_500;
+
+/** How many times slower than usual the group was of late, 1 at least; undefined where none of its events was seen. */
+export function slowdownOf(
+  { pauseMs, pausedAt }: Progress,
+  usualMs: number,
+  now: MonoTime,
+): number | undefined {
+  if (pauseMs === undefined || pausedAt === undefined) return undefined;
+  return now < later(pausedAt, PACE_FRESH_MS) ? Math.max(1, pauseMs / usualMs) : undefined;
+}
+
 /**
  * When the group's silence becomes evidence of a fault; undefined while nothing runs there. Prompts
  * that wait to be read, of all daemons, hold the group's events up for `readingMs`.
--- a/tests/gateway/choice.test.ts
+++ b/tests/gateway/choice.test.ts
@@ -65,6 +65,12 @@
     expect(chooseGroup([slow, group('2', { running: 3 })], 1_000, HERE, 0)?.head).toBe('2');
   });
 
+  it('is a slow one, however empty, only where no quick one has room', () => {
+    const slow = group('1', { slowdown: 3 });
+    expect(chooseGroup([slow, group('2', { running: 9 })], 1_000, HERE, 0)?.head).toBe('2');
+    expect(chooseGroup([slow, group('2', { running: 10 })], 1_000, HERE, 0)).toBe(slow);
+  });
+
   it('is not one whose streams would pause too long for the prompt to be read', () => {
     const reading = group('1', { running: 1, unread: 4_500 });
     expect(chooseGroup([reading, group('2', { running: 8 })], 1_000, HERE, 0)?.head).toBe('2');
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -67,6 +67,7 @@
     },
     board: {
       running: () => [],
+      paces: () => [],
       takeLoads: () => undefined,
       stalls,
       find: () => ({ id: 'g' }),
@@ -126,6 +127,7 @@
   lease: LEASE,
   daemons: 70,
   running: [],
+  paces: [],
   waiting: [],
 };
 
--- a/tests/gateway/loads.test.ts
+++ b/tests/gateway/loads.test.ts
@@ -7,12 +7,13 @@
 const [A, B] = [instance('a'), instance('b')];
 
 describe('loads of all daemons', () => {
-  const own = { running: [[A, 2, 100] as [typeof A, number, number]], waiting: [] };
+  const own = { running: [[A, 2, 100] as [typeof A, number, number]], paces: [], waiting: [] };
   const other = {
     running: [
       [A, 3, 50],
       [B, 1, 0],
     ] as [typeof A, number, number][],
+    paces: [],
     waiting: [['large', 4]] as [string, number][],
   };
 
@@ -22,6 +23,7 @@
         [A, 5, 150],
         [B, 1, 0],
       ],
+      paces: [],
       waiting: [['large', 1, 4]],
     });
   });
@@ -33,12 +35,29 @@
         [A, 3, 50],
         [B, 1, 0],
       ],
+      paces: [],
       waiting: [['large', 1, 4]],
     });
     expect(withoutOwn(sums, other).waiting).toEqual([['large', 0, 0]]);
   });
 });
 
+describe('the pace of a group', () => {
+  const seenBy = (...paces: [typeof A, number][]) => ({ running: [], paces, waiting: [] });
+
+  it('is the mean of what the daemons saw that had streams there', () => {
+    const sums = sumLoads([seenBy([A, 3]), seenBy([A, 4]), seenBy([B, 2.5]), seenBy()]);
+    expect(sums.paces).toEqual([
+      [A, 3.5],
+      [B, 2.5],
+    ]);
+  });
+
+  it('is not told where it is the usual one', () => {
+    expect(sumLoads([seenBy([A, 1.1]), seenBy([A, 1.2])]).paces).toEqual([]);
+  });
+});
+
 describe('the groups that a daemon looks at', () => {
   it('are all among few daemons and a few among many', () => {
     expect(countToLookAt(12, 7)).toBe(12);
--- a/tests/gateway/progress.test.ts
+++ b/tests/gateway/progress.test.ts
@@ -6,6 +6,7 @@
   noteEvent,
   noteRead,
   noteSent,
+  slowdownOf,
   stalledAt,
   stalledBesideOthersAt,
   usualPauseMs,
@@ -14,6 +15,24 @@
 
 const USUAL = 50;
 
+describe('the pace of a group', () => {
+  it('is known within a second after one of its members has turned slow', () => {
+    let progress = noteEvent(createProgress(at(0)), at(0), USUAL);
+    for (let now = 150; now <= 1_000; now += 150) progress = noteEvent(progress, at(now), 150);
+    expect(slowdownOf(progress, USUAL, at(1_000))).toBeGreaterThan(2);
+  });
+
+  it('is unknown again once none of its events was seen for some time', () => {
+    const progress = noteEvent(createProgress(at(0)), at(0), 4 * USUAL);
+    expect(slowdownOf(progress, USUAL, at(2_000))).toBe(4);
+    expect(slowdownOf(progress, USUAL, at(4_000))).toBeUndefined();
+  });
+
+  it('is never above the usual one', () => {
+    expect(slowdownOf(noteEvent(createProgress(at(0)), at(0), 10), USUAL, at(1))).toBe(1);
+  });
+});
+
 describe('the silence of a group', () => {
   it('means nothing while nothing runs there', () => {
     const ended = noteEnded(noteSent(createProgress(at(0)), at(0), 100), 100);
--- a/tests/gateway/relaying.test.ts
+++ b/tests/gateway/relaying.test.ts
@@ -34,6 +34,7 @@
   },
   daemons: DAEMONS,
   running: [],
+  paces: [],
   waiting: [],
 };
 
