Judge the silence of a group by what others see of it, and not while this process stood still

Change: silence counts only while the process itself ran; with unknown loads a quorum of three is needed; an event at any daemon within 350 ms shows that the group goes on. Ruled out: want of groups (27 served throughout), lost members (none between seconds 36 and 38). Tests: board (held up, just started), witnesses.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -24,7 +24,7 @@
 import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
 import type { EngineSpec, ModelSpec } from '../../core/gateway/types';
 import { later } from '../../core/ids';
-import type { GroupId, InstanceId, ModelId, ServiceId } from '../../core/ids';
+import type { GroupId, InstanceId, ModelId, MonoTime, ServiceId } from '../../core/ids';
 import type { GatewayContext } from './context';
 import type { Loads } from './messages';
 import type { Roster } from './roster';
@@ -78,10 +78,16 @@
   readonly changes: Observable<void>;
   /** Requests of this daemon and their unread prompt tokens, by head. */
   running(): readonly (readonly [InstanceId, number, number])[];
+  /** Groups with requests of this daemon: time since any gave an event, milliseconds, by head. */
+  quiet(): readonly (readonly [InstanceId, number])[];
+  /** When a stream of this daemon last had an event of the group. */
+  eventAt(head: InstanceId): MonoTime | undefined;
   /** Paces of groups as this daemon saw them of late, by head. */
   paces(): readonly (readonly [InstanceId, number])[];
   /** What the other daemons have running and waiting, together, and the paces that all saw. */
-  takeLoads(loads: Pick<Loads, 'running' | 'paces' | 'waiting'>): void;
+  takeLoads(loads: Pick<Loads, 'running' | 'paces' | 'waiting'>, isWhole: boolean): void;
+  /** Whether the loads of the others are known, and young. */
+  knowsOthers(): boolean;
   /** Work of each model over all daemons: requests that run or wait, in full groups. */
   demand(): ReadonlyMap<ModelId, number>;
   tick(): void;
@@ -89,6 +95,10 @@
 
 /** With so many requests of others in a group they tell of a fault as well. */
 const SHARED_AT = 2;
+/** The sum of all loads holds for so long: leaders tell it several times in that time. */
+const LOADS_FRESH_MS = 1_500;
+/** A tick so late shows that the process did not run, milliseconds. */
+const HELD_UP_MS = 150;
 /** Peers' reports of their loads are this old at most, but for a slow link: the interval at which few daemons gossip. */
 const REPORT_AGE_MS = 200;
 
@@ -109,6 +119,10 @@
   /** Their requests that wait, by model. */
   const waitingAll = new Map<string, number>();
   let reportsDueAt = clock.now();
+  let knownUntil = clock.now();
+  let tickedAt = clock.now();
+  /** The end of the last time in which this process did not run, as when it was short of processor time. */
+  let heldUpUntil = clock.now();
   const stalls = new Subject<Stall>();
   const abandoned = new Subject<Stall>();
   const unreachable = new Subject<Stall>();
@@ -197,11 +211,21 @@
   const ofModel = (service: ServiceId, model: ModelId): BoardGroup[] =>
     [...groups().values()].filter((group) => group.service === service && group.model === model);
 
+  const knowsOthers = (): boolean => clock.now() < knownUntil;
+
+  const noteHeldUp = (): void => {
+    const now = clock.now();
+    if (now >= later(tickedAt, HELD_UP_MS)) heldUpUntil = now;
+    tickedAt = now;
+  };
+
   const findStalls = (): void => {
     const now = clock.now();
-    for (const [head, seen] of progress) {
+    for (const [head, known] of progress) {
+      // Events that came while this process did not run are not read yet.
+      const seen = known.since < heldUpUntil ? { ...known, since: heldUpUntil } : known;
       const group = seen.running > 0 ? groups().get(head) : undefined;
-      const isShared = (elsewhere.get(head)?.running ?? 0) >= SHARED_AT;
+      const isShared = !knowsOthers() || (elsewhere.get(head)?.running ?? 0) >= SHARED_AT;
       const silentAt = isShared ? stalledBesideOthersAt : stalledAt;
       const at = group && silentAt(seen, usualOf(group), readingMs(group));
       if (!group || at === undefined || now < at || isHeld(group.id)) continue;
@@ -277,7 +301,16 @@
         const pace = group && ownPace(group);
         return pace === undefined ? [] : [[head, pace] as const];
       }),
-    takeLoads: ({ running, paces, waiting }) => {
+    quiet: () => {
+      const now = clock.now();
+      return [...progress].flatMap(([head, { running, eventAt }]) =>
+        running > 0 && eventAt !== undefined ? [[head, Math.round(now - eventAt)] as const] : [],
+      );
+    },
+    eventAt: (head) => progress.get(head)?.eventAt,
+    knowsOthers,
+    takeLoads: ({ running, paces, waiting }, isWhole) => {
+      if (isWhole) knownUntil = later(clock.now(), LOADS_FRESH_MS);
       elsewhere.clear();
       sharedPaces.clear();
       for (const [head, slowdown] of paces) sharedPaces.set(head, slowdown);
@@ -312,6 +345,7 @@
     },
     tick: () => {
       groups();
+      noteHeldUp();
       findStalls();
       for (const [head, { running }] of progress) {
         if (running === 0 && !roster.servers.has(head)) progress.delete(head);
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -3,7 +3,7 @@
 import { joinNews } from '../../core/gateway/news';
 import { isConfirmed, noteWitness } from '../../core/gateway/witnesses';
 import type { Witnesses } from '../../core/gateway/witnesses';
-import type { ConfigVersion, DaemonId, MonoTime } from '../../core/ids';
+import type { ConfigVersion, DaemonId, InstanceId, MonoTime } from '../../core/ids';
 import { brandAs, later } from '../../core/ids';
 import type { Board, Stall } from './board';
 import type { ConfigView } from './config-view';
@@ -48,6 +48,10 @@
 const HELP_AFTER_MS = 250;
 /** Daemons of a large fleet, beside its leader, that help the same peer at a time. */
 const HELPERS = 3;
+/** Requests of others that a group is taken to have while their loads are not known: as many as a busy one. */
+const UNKNOWN_RUNNING = 12;
+/** Older events say nothing of a group any more. */
+const EVENT_MEMORY_MS = 10_000;
 /** News of servers to a large fleet go together for so long: half of the time between two statements of loads. */
 const NEWS_TOGETHER_MS = 100;
 /** The same peer is not helped again before this. */
@@ -66,6 +70,8 @@
   let revisionSince = ctx.clock.now();
   let revision = 0;
   let witnesses: Witnesses = new Map();
+  /** When groups last gave an event to a peer, by head. */
+  const lastEvents = new Map<InstanceId, MonoTime>();
   /** News that wait to be told, and from when on they may be. */
   let pendingNews: RosterNews | undefined;
   let tellNewsAt = ctx.clock.now();
@@ -84,6 +90,7 @@
     hearsLeader: lease !== undefined || fleet.leader() !== undefined,
     ...(lease && { lease }),
     running: board.running().map((entry) => [...entry]),
+    quiet: board.quiet().map((entry) => [...entry]),
     paces: board.paces().map((entry) => [...entry]),
     waiting: waiting.waiting().map(([model, count]) => [model, count]),
   });
@@ -143,12 +150,29 @@
     }
   };
 
+  const noteEvents = (quiet: PeerState['quiet']): void => {
+    const now = ctx.clock.now();
+    for (const [head, quietMs] of quiet) {
+      const eventAt = later(now, -quietMs);
+      const known = lastEvents.get(head);
+      if (known === undefined || eventAt > known) lastEvents.set(head, eventAt);
+    }
+  };
+
+  const forgetEvents = (now: MonoTime): void => {
+    for (const [head, at] of lastEvents) {
+      if (now >= later(at, EVENT_MEMORY_MS)) lastEvents.delete(head);
+    }
+  };
+
   const noteSeen = (stall: Stall, reporter: DaemonId): void => {
     const now = ctx.clock.now();
     const { group, head } = stall;
     witnesses = noteWitness(witnesses, group, reporter, now);
-    const running = board.runningElsewhere(head);
-    const isSure = isConfirmed(witnesses, group, running, now);
+    // Where the others' loads are not known, they are taken to have many streams there.
+    const running = board.knowsOthers() ? board.runningElsewhere(head) : UNKNOWN_RUNNING;
+    const eventAt = latest(lastEvents.get(head), board.eventAt(head));
+    const isSure = isConfirmed(witnesses, group, { running, eventAt }, now);
     ctx.logger.info('group seen silent', { step: 'stall', group, reporter, running, isSure });
     if (isSure) believe(stall, 'confirmed', `reported by ${reporter}`);
   };
@@ -176,6 +200,7 @@
   } = {
     state: (state, { address }) => {
       hasNews = true;
+      noteEvents(state.quiet);
       if (state.hasTraffic) noteTraffic();
       if (state.lease) leadership.takeLease(state.lease);
       help(state, address);
@@ -193,7 +218,7 @@
     loads: (sums, { address }) => {
       leadership.takeLease(sums.lease);
       if (sums.hasTraffic) noteTraffic();
-      board.takeLoads(told ? withoutOwn(sums, told) : sums);
+      board.takeLoads(told ? withoutOwn(sums, told) : sums, isMost(sums.daemons));
       help(sums, address);
     },
     news: ({ since, revision: theirs, changes }) => {
@@ -209,9 +234,12 @@
     take[received.message.kind](received.message as never, received);
   });
 
+  /** Whether so many daemons are most of those that may be at work. */
+  const isMost = (daemons: number): boolean => 2 * daemons > fleet.candidates().size;
+
   const takeDirectLoads = (now: MonoTime, peers: readonly PeerView[]): void => {
     if (!hasNews && now < newsDueAt) return;
-    board.takeLoads(sumLoads(peers));
+    board.takeLoads(sumLoads(peers), isMost(peers.length + 1));
     hasNews = false;
     newsDueAt = later(now, NEWS_MS);
   };
@@ -223,7 +251,7 @@
     const state = ownState();
     const { lease, configVersion, serversRevision, isStoreLost, storeAgeMs, configAgeMs } = state;
     if (lease) {
-      board.takeLoads(sumLoads(peers));
+      board.takeLoads(sumLoads(peers), isMost(peers.length + 1));
       fleet.spread({
         kind: 'loads',
         configVersion,
@@ -241,12 +269,13 @@
     told = state;
     const leader = fleet.leader();
     if (leader) fleet.answer(leader, told);
-    else board.takeLoads(sumLoads(peers));
+    else board.takeLoads(sumLoads(peers), false);
   };
 
   /** Tells all peers; in a large fleet the leader does, and without one those that may become it are told. */
   const tellAll = (now: MonoTime, peers: readonly PeerView[], isLarge: boolean): void => {
     if (now < dueAt) return;
+    forgetEvents(now);
     const intervalMs = isLarge ? LARGE_INTERVAL_MS : LEAST_INTERVAL_MS;
     dueAt = later(now, intervalMs + INTERVAL_PER_PEER_MS * peers.length);
     if (!isLarge) fleet.broadcast(ownState());
@@ -305,3 +334,8 @@
     },
   };
 }
+
+function latest(a: MonoTime | undefined, b: MonoTime | undefined): MonoTime | undefined {
+  if (a === undefined || b === undefined) return a ?? b;
+  return a > b ? a : b;
+}
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -57,6 +57,8 @@
   hearsLeader: z.boolean(),
   lease: leaseSchema.optional(),
   running: runningSchema,
+  /** By head of a group with requests in flight here: time since any of them gave an event, milliseconds. */
+  quiet: z.array(z.tuple([z.string().transform((id) => brandAs<InstanceId>(id)), natural])),
   paces: pacesSchema,
   /** Requests that wait here for a group, by model. */
   waiting: z.array(z.tuple([z.string(), natural])),
--- a/src/core/gateway/progress.ts
+++ b/src/core/gateway/progress.ts
@@ -31,12 +31,12 @@
   readonly since: MonoTime;
   /** Mean pause between events of a stream, milliseconds; undefined until two were seen. */
   readonly pauseMs: number | undefined;
-  /** When a pause was last seen. */
-  readonly pausedAt: MonoTime | undefined;
+  /** When an event of any stream was last seen. */
+  readonly eventAt: MonoTime | undefined;
 }
 
 export function createProgress(now: MonoTime): Progress {
-  return { running: 0, started: 0, unread: 0, since: now, pauseMs: undefined, pausedAt: undefined };
+  return { running: 0, started: 0, unread: 0, since: now, pauseMs: undefined, eventAt: undefined };
 }
 
 export function noteSent(progress: Progress, now: MonoTime, promptTokens: number): Progress {
@@ -70,9 +70,9 @@
   pauseMs: number | undefined,
   { smoothing }: ProgressOptions = PROGRESS_DEFAULTS,
 ): Progress {
-  if (pauseMs === undefined) return { ...progress, since: now };
+  if (pauseMs === undefined) return { ...progress, since: now, eventAt: now };
   const mean = progress.pauseMs ?? pauseMs;
-  return { ...progress, since: now, pausedAt: now, pauseMs: mean + smoothing * (pauseMs - mean) };
+  return { ...progress, since: now, eventAt: now, pauseMs: mean + smoothing * (pauseMs - mean) };
 }
 
 /** Pause between events of a stream in a group that runs `running` requests, by the published figures. */
@@ -87,12 +87,12 @@
 
 /** How many times slower than usual the group was of late, 1 at least; undefined where none of its events was seen. */
 export function slowdownOf(
-  { pauseMs, pausedAt }: Progress,
+  { pauseMs, eventAt }: Progress,
   usualMs: number,
   now: MonoTime,
 ): number | undefined {
-  if (pauseMs === undefined || pausedAt === undefined) return undefined;
-  return now < later(pausedAt, PACE_FRESH_MS) ? Math.max(1, pauseMs / usualMs) : undefined;
+  if (pauseMs === undefined || eventAt === undefined) return undefined;
+  return now < later(eventAt, PACE_FRESH_MS) ? Math.max(1, pauseMs / usualMs) : undefined;
 }
 
 /**
--- a/src/core/gateway/witnesses.ts
+++ b/src/core/gateway/witnesses.ts
@@ -5,7 +5,8 @@
  * stream that waits for its first token then looks like a group that stands still. Taken for granted,
  * one such report keeps the whole fleet from the group for seconds, and while some members are cut off
  * from the daemons that ask them, it ends a group that serves. A group that truly stands still is seen
- * to do so by nearly all that have streams in it, within the time of a few events.
+ * to do so by nearly all that have streams in it, within the time of a few events; one that gives events
+ * to anybody does not.
  */
 
 import { later } from '../ids';
@@ -51,13 +52,25 @@
   return QUORUMS.find(([others]) => running >= others)?.[1] ?? 1;
 }
 
+/** Events this recent, of any daemon's stream, show that a group goes on; a few pauses of a busy one, milliseconds. */
+const ALIVE_MS = 350;
+
+/** What the daemon that judges knows of the group beside the reports. */
+export interface GroupFacts {
+  /** Requests of others in it. */
+  readonly running: number;
+  /** When it last gave an event to any daemon, as far as is known. */
+  readonly eventAt: MonoTime | undefined;
+}
+
 /** Whether enough daemons saw the group stand still, or one saw it again and again. */
 export function isConfirmed(
   witnesses: Witnesses,
   group: GroupId,
-  running: number,
+  { running, eventAt }: GroupFacts,
   now: MonoTime,
 ): boolean {
+  if (eventAt !== undefined && now < later(eventAt, ALIVE_MS)) return false;
   const reports = witnesses.get(group) ?? [];
   const together = new Set(
     reports.filter(({ at }) => now < later(at, TOGETHER_MS)).map(({ reporter }) => reporter),
--- a/tests/gateway/board.test.ts
+++ b/tests/gateway/board.test.ts
@@ -1,13 +1,15 @@
 import { BehaviorSubject, Subject } from 'rxjs';
 import { describe, expect, it } from 'vitest';
 
+import { createClock } from '../../src/adapters/runtime';
 import { createBoard } from '../../src/app/gateway/board';
 import type { Roster } from '../../src/app/gateway/roster';
 import type { RouteTable } from '../../src/core/gateway/routes';
-import { brandAs } from '../../src/core/ids';
-import type { Epoch, GroupId } from '../../src/core/ids';
+import { brandAs, later } from '../../src/core/ids';
+import type { Epoch, GroupId, InstanceId } from '../../src/core/ids';
 import { ENGINE, instance, makeContext, makeServer, SERVICE, SMALL } from './support';
 
+const TICK_MS = 50;
 const TABLE = {
   config: { services: [{ name: SERVICE, engine: ENGINE }] },
   service: () => ({ name: SERVICE, engine: ENGINE }),
@@ -24,14 +26,45 @@
   );
 }
 
-/** A board with the servers of one open group in the roster. */
+const HEAD = instance('s0');
+
+/** A board with the servers of one open group in the roster, and a clock of its own. */
 function setUp() {
+  const clock = createClock();
+  let now = clock.now();
   const changes = new Subject<void>();
   const servers = new Map(openGroup().map((server) => [server.id, server]));
   const routes = new BehaviorSubject<RouteTable | undefined>(undefined);
-  const board = createBoard(makeContext(), { servers, changes } as unknown as Roster, routes);
+  const board = createBoard(
+    makeContext({ clock: { ...clock, now: () => now } }),
+    { servers, changes } as unknown as Roster,
+    routes,
+  );
   const heads = () => board.candidates(SERVICE, SMALL, 250, new Set()).map(({ head }) => head);
-  return { changes, routes, heads };
+  /** The process runs, and looks about it as often as it should. */
+  const run = (ms: number): void => {
+    for (let passed = 0; passed < ms; passed += TICK_MS) {
+      now = later(now, TICK_MS);
+      board.tick();
+    }
+  };
+  /** The process does not run. */
+  const stand = (ms: number): void => {
+    now = later(now, ms);
+  };
+  const stalls: InstanceId[] = [];
+  board.stalls.subscribe(({ head }) => stalls.push(head));
+  return { board, changes, routes, heads, run, stand, stalls };
+}
+
+/** As `setUp`, with the group in use by this daemon. */
+function setUpServing() {
+  const parts = setUp();
+  parts.routes.next(TABLE);
+  parts.changes.next();
+  parts.board.takeLoads({ running: [], paces: [], waiting: [] }, true);
+  parts.run(100);
+  return parts;
 }
 
 describe('the groups that streams may be sent to', () => {
@@ -48,3 +81,64 @@
     expect(configFirst.heads()).toEqual([instance('s0')]);
   });
 });
+
+describe('a group whose streams are silent', () => {
+  it('is seen to stand still once they were for longer than any pause', () => {
+    const { board, run, stalls } = setUpServing();
+    board.noteSent(HEAD, 100);
+    board.noteRead(HEAD, 100);
+    board.noteEvent(HEAD, undefined);
+    run(450);
+    expect(stalls).toEqual([]);
+    run(200);
+    expect(stalls).toEqual([HEAD]);
+  });
+
+  it('is not where this process did not run: events that came meanwhile are not read yet', () => {
+    const { board, run, stand, stalls } = setUpServing();
+    board.noteSent(HEAD, 100);
+    board.noteRead(HEAD, 100);
+    board.noteEvent(HEAD, undefined);
+    stand(800);
+    run(50);
+    expect(stalls).toEqual([]);
+    run(600);
+    expect(stalls).toEqual([HEAD]);
+  });
+
+  it('is given time for its first event by a daemon that has just started: others fill it unseen', () => {
+    const { board, routes, changes, run, stalls } = setUp();
+    routes.next(TABLE);
+    changes.next();
+    run(100);
+    board.noteSent(HEAD, 100);
+    run(1_000);
+    expect(stalls).toEqual([]);
+    run(400);
+    expect(stalls).toEqual([HEAD]);
+  });
+});
+
+describe('a group that is slow', () => {
+  it('is known as such by what other daemons saw, and no longer than they see it', () => {
+    const { board } = setUpServing();
+    const pace = () => board.candidates(SERVICE, SMALL, 250, new Set())[0]?.slowdown;
+    board.takeLoads({ running: [], paces: [[HEAD, 3.5]], waiting: [] }, true);
+    expect(pace()).toBe(3.5);
+    board.takeLoads({ running: [], paces: [], waiting: [] }, true);
+    expect(pace()).toBe(1);
+  });
+
+  it('is told of by a daemon that saw its events', () => {
+    const { board, run } = setUpServing();
+    board.noteSent(HEAD, 100);
+    board.noteRead(HEAD, 100);
+    board.noteEvent(HEAD, undefined);
+    for (let n = 0; n < 20; n++) {
+      run(200);
+      board.noteEvent(HEAD, 200);
+    }
+    expect(board.paces()[0]?.[1]).toBeGreaterThan(2);
+    expect(board.quiet()).toEqual([[HEAD, 0]]);
+  });
+});
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -68,6 +68,9 @@
     board: {
       running: () => [],
       paces: () => [],
+      quiet: () => [],
+      eventAt: () => undefined,
+      knowsOthers: () => true,
       takeLoads: () => undefined,
       stalls,
       find: () => ({ id: 'g' }),
@@ -81,6 +84,7 @@
       live: () => live,
       isLarge: () => true,
       size: () => PEERS + 1,
+      candidates: () => new Map(Array.from({ length: PEERS + 1 }, (_, n) => [`d${n}`, 1])),
       leader: () => (hasLeader && !isLeading ? { address: LEADER } : undefined),
       send: (to: string, message: GatewayMessage) => note(to)(message),
       answer: (_: unknown, message: GatewayMessage) => note(LEADER)(message),
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -128,6 +128,7 @@
     cores: 1,
     hearsLeader: true,
     running: [],
+    quiet: [],
     paces: [],
     waiting: [],
     ...more,
--- a/tests/gateway/witnesses.test.ts
+++ b/tests/gateway/witnesses.test.ts
@@ -8,6 +8,9 @@
 
 const GROUP = brandAs<GroupId>('g1');
 
+/** Requests of others in the group, none of which is known to have had an event. */
+const others = (running: number) => ({ running, eventAt: undefined });
+
 function reportsOf(...reports: readonly (readonly [daemon: string, ms: number])[]): Witnesses {
   return reports.reduce<Witnesses>(
     (seen, [daemon, ms]) => noteWitness(seen, GROUP, brandAs<DaemonId>(daemon), at(ms)),
@@ -17,16 +20,28 @@
 
 describe('a group that one daemon saw stand still', () => {
   it('does so where nobody else has streams in it', () => {
-    expect(isConfirmed(reportsOf(['a', 0]), GROUP, 0, at(0))).toBe(true);
+    expect(isConfirmed(reportsOf(['a', 0]), GROUP, others(0), at(0))).toBe(true);
   });
 
   it('does not where others have, and say nothing', () => {
-    expect(isConfirmed(reportsOf(['a', 0]), GROUP, 5, at(100))).toBe(false);
+    expect(isConfirmed(reportsOf(['a', 0]), GROUP, others(5), at(100))).toBe(false);
   });
 
   it('does where the daemon finds it so again after its streams were moved', () => {
-    expect(isConfirmed(reportsOf(['a', 0], ['a', 400]), GROUP, 30, at(400))).toBe(false);
-    expect(isConfirmed(reportsOf(['a', 0], ['a', 1_600]), GROUP, 30, at(1_600))).toBe(true);
+    expect(isConfirmed(reportsOf(['a', 0], ['a', 400]), GROUP, others(30), at(400))).toBe(false);
+    expect(isConfirmed(reportsOf(['a', 0], ['a', 1_600]), GROUP, others(30), at(1_600))).toBe(true);
+  });
+});
+
+describe('a group that gave an event to any daemon of late', () => {
+  const three = reportsOf(['a', 0], ['b', 50], ['c', 100]);
+
+  it('does not stand still, however many wait there for their first', () => {
+    expect(isConfirmed(three, GROUP, { running: 30, eventAt: at(-100) }, at(200))).toBe(false);
+  });
+
+  it('does once its last event is as long ago as their silence', () => {
+    expect(isConfirmed(three, GROUP, { running: 30, eventAt: at(-300) }, at(200))).toBe(true);
   });
 });
 
@@ -34,12 +49,12 @@
   it('does so once they are enough for the requests in it', () => {
     expect([0, 1, 2, 11, 12].map(quorumOf)).toEqual([1, 1, 2, 2, 3]);
     const two = reportsOf(['a', 0], ['b', 200]);
-    expect(isConfirmed(two, GROUP, 11, at(200))).toBe(true);
-    expect(isConfirmed(two, GROUP, 30, at(200))).toBe(false);
+    expect(isConfirmed(two, GROUP, others(11), at(200))).toBe(true);
+    expect(isConfirmed(two, GROUP, others(30), at(200))).toBe(false);
   });
 
   it('does not where they saw it at different times', () => {
-    expect(isConfirmed(reportsOf(['a', 0], ['b', 900]), GROUP, 5, at(900))).toBe(false);
+    expect(isConfirmed(reportsOf(['a', 0], ['b', 900]), GROUP, others(5), at(900))).toBe(false);
   });
 
   it('is not mixed up with another one, and is forgotten in time', () => {
@@ -49,7 +64,7 @@
       brandAs<DaemonId>('b'),
       at(10),
     );
-    expect(isConfirmed(other, GROUP, 5, at(10))).toBe(false);
+    expect(isConfirmed(other, GROUP, others(5), at(10))).toBe(false);
     const later = noteWitness(other, brandAs<GroupId>('g2'), brandAs<DaemonId>('b'), at(9_000));
     expect([...later.keys()]).toEqual(['g2']);
   });
@@ -64,7 +79,7 @@
       const group = brandAs<GroupId>(`g${(n * 7) % 18}`);
       const now = at(n * 150);
       witnesses = noteWitness(witnesses, group, brandAs<DaemonId>(`d${(n * 31) % 80}`), now);
-      if (isConfirmed(witnesses, group, 20, now)) confirmed += 1;
+      if (isConfirmed(witnesses, group, others(20), now)) confirmed += 1;
     }
     expect(confirmed).toBe(0);
     const since = 30_000;
@@ -72,6 +87,6 @@
       const now = at(since + n * 20);
       witnesses = noteWitness(witnesses, GROUP, brandAs<DaemonId>(`e${n}`), now);
     }
-    expect(isConfirmed(witnesses, GROUP, 20, at(since + 300))).toBe(true);
+    expect(isConfirmed(witnesses, GROUP, others(20), at(since + 300))).toBe(true);
   });
 });
