End test daemons with their test, also where it is killed

Cause of the second sighting of the red set-up of tests/gateway/whole-path ('daemons ended with 1,1'): two daemons of an interrupted run went on and held its ports. A process beside the test now ends them once the test has gone, however it went.

--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -252,6 +252,8 @@
     const { lease, configVersion, serversRevision, isStoreLost, storeAgeMs, configAgeMs } = state;
     if (lease) {
       board.takeLoads(sumLoads(peers), isMost(peers.length + 1));
+      // Who hears of a revision before the news that lead to it would ask the store for them.
+      flushNews();
       fleet.spread({
         kind: 'loads',
         configVersion,
@@ -284,8 +286,13 @@
 
   /** News of a short time go together: each message is passed on to the whole fleet. */
   const tellNews = (now: MonoTime): void => {
-    if (!pendingNews || now < tellNewsAt) return;
+    if (now < tellNewsAt) return;
     tellNewsAt = later(now, fleet.isLarge() ? NEWS_TOGETHER_MS : 0);
+    flushNews();
+  };
+
+  const flushNews = (): void => {
+    if (!pendingNews) return;
     const { since, revision: upTo, changes } = pendingNews;
     pendingNews = undefined;
     fleet.spread({ kind: 'news', since, revision: upTo, changes: [...changes] });
--- a/tests/support/gateway-daemon.ts
+++ b/tests/support/gateway-daemon.ts
@@ -8,6 +8,7 @@
 import { join } from 'node:path';
 
 import { HEADERS } from '../../platform/names';
+import { endWithTest } from './reaper';
 
 export interface DaemonOptions {
   readonly id: string;
@@ -46,12 +47,14 @@
   return path;
 }
 
+const PROGRAM = 'dist/gateway.cjs';
+
 /** `stdout`: a file descriptor for the daemon's log, or `ignore`. */
 export function launchDaemon(
   options: DaemonOptions,
   stdout: 'ignore' | number = 'ignore',
 ): ChildProcess {
-  return spawn(process.execPath, ['dist/gateway.cjs'], {
+  const child = spawn(process.execPath, [PROGRAM], {
     env: {
       PATH: process.env.PATH,
       NUTMEGSTACK_CONFIG: writeSettings(options),
@@ -59,6 +62,7 @@
     },
     stdio: ['ignore', stdout, typeof stdout === 'number' ? stdout : 'inherit'],
   });
+  return endWithTest(child, PROGRAM);
 }
 
 export interface Reply {
