--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -219,6 +219,13 @@
     tickedAt = now;
   };
 
+  const silentAt = (seen: Progress, group: BoardGroup, isShared: boolean): MonoTime | undefined => {
+    const [usualMs, readMs] = [usualOf(group), readingMs(group)];
+    return isShared
+      ? stalledBesideOthersAt(seen, usualMs, readMs, knowsOthers())
+      : stalledAt(seen, usualMs, readMs);
+  };
+
   const findStalls = (): void => {
     const now = clock.now();
     for (const [head, known] of progress) {
@@ -226,8 +233,7 @@
       const seen = known.since < heldUpUntil ? { ...known, since: heldUpUntil } : known;
       const group = seen.running > 0 ? groups().get(head) : undefined;
       const isShared = !knowsOthers() || (elsewhere.get(head)?.running ?? 0) >= SHARED_AT;
-      const silentAt = isShared ? stalledBesideOthersAt : stalledAt;
-      const at = group && silentAt(seen, usualOf(group), readingMs(group));
+      const at = group && silentAt(seen, group, isShared);
       if (!group || at === undefined || now < at || isHeld(group.id)) continue;
       const silentMs = Math.round(now - seen.since);
       const pauseMs = Math.round(Math.max(usualOf(group), seen.pauseMs ?? 0));
--- a/src/core/gateway/progress.ts
+++ b/src/core/gateway/progress.ts
@@ -112,6 +112,11 @@
 
 /** Silence of streams without any event that is evidence of a fault, while others have streams there, ms. */
 const FIRST_EVENT_MS = 1_200;
+/**
+ * The same where nothing is known of the others' streams, as in the seconds after all daemons were lost:
+ * callers then come back together, and groups are filled by daemons that do not see each other.
+ */
+const FIRST_EVENT_UNSEEN_MS = 2_000;
 
 /**
  * When the silence of a group becomes evidence where others have streams in it. A wait for the first
@@ -122,10 +127,12 @@
   progress: Progress,
   usualMs: number,
   readingMs: number,
+  knowsOthers: boolean,
 ): MonoTime | undefined {
   if (progress.running === 0 || progress.started > 0)
     return stalledAt(progress, usualMs, readingMs);
-  return later(progress.since, FIRST_EVENT_MS + readingMs);
+  const firstEventMs = knowsOthers ? FIRST_EVENT_MS : FIRST_EVENT_UNSEEN_MS;
+  return later(progress.since, firstEventMs + readingMs);
 }
 
 /** Part of a caller's longest pause that reading others' prompts may take up. */
