Ask the store more seldom where the leader vouches for what it would tell

A daemon that the store turns away tries again after up to three tenths of the time to settle while the leader's word is young (500 ms before); entries of daemons are looked at each 10 s, not 3 s, once a leader is heard.

--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -94,6 +94,8 @@
  * then a daemon is known by its own messages.
  */
 const ENTRIES_REST_MS = 3_000;
+/** The same once a leader is heard, which tells how many daemons there are. */
+const LED_ENTRIES_REST_MS = 10_000;
 /** Entries change seldom, and a poll that fell silent harms nobody: daemons are known by their messages too. */
 const ENTRIES_WAIT_MS = 15_000;
 /** A peer that has been silent for so long has ended for good. */
@@ -123,7 +125,7 @@
     feed: entries,
     waitMs: () => ENTRIES_WAIT_MS,
     trustUntil: (now) => later(now, ENTRIES_WAIT_MS),
-    restUntil: (since) => later(since, ENTRIES_REST_MS),
+    restUntil: (since) => later(since, leader() ? LED_ENTRIES_REST_MS : ENTRIES_REST_MS),
     take: (changes: readonly Change<DaemonEntry>[], isWhole) => {
       if (isWhole) known.clear();
       for (const { key, value } of changes) {
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -172,6 +172,7 @@
   const watch = watchFeed(ctx, {
     feed,
     take: takeFromStore,
+    trustUntil,
     restUntil,
     restsAlways: true,
     waitMs: () => longestAgeMs() * WAIT_SHARE,
--- a/src/app/gateway/watch.ts
+++ b/src/app/gateway/watch.ts
@@ -50,6 +50,11 @@
 /** Between tries while the store fails: at once soon after a failure, then so often that all daemons stay far below its rate. */
 const FIRST_RETRY_MS = 60;
 const LONGEST_RETRY_MS = 500;
+/**
+ * The same while a peer vouches for what is known here: hundreds of daemons that the store turns away
+ * learn all from peers, and need it again only some time after its return.
+ */
+const VOUCHED_RETRY_SHARE = 0.3;
 
 export function watchFeed<T>(ctx: GatewayContext, options: WatchOptions<T>): Watch {
   const { feed, take, waitMs = () => DEFAULT_WAIT_MS, restsAlways = false } = options;
@@ -77,6 +82,12 @@
     if (isWhole || result.changes.length > 0) take(result.changes, isWhole);
   };
 
+  const longestRetryMs = (): number => {
+    const now = ctx.clock.now();
+    if (now >= trustUntil(now)) return LONGEST_RETRY_MS;
+    return Math.max(LONGEST_RETRY_MS, ctx.tunables.value.settleMs * VOUCHED_RETRY_SHARE);
+  };
+
   const fail = async (err: StepError, sentAt: MonoTime): Promise<void> => {
     if (err.code === 'history-gone') {
       ctx.logger.warn('history gone, loading anew', { step: 'watch', collection: feed.name });
@@ -95,7 +106,7 @@
     };
     if (failures === 1) ctx.logger.warn('store lost', fields);
     else ctx.logger.info('store call failed again', fields);
-    const delay = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** Math.min(failures, 8));
+    const delay = Math.min(longestRetryMs(), FIRST_RETRY_MS * 2 ** Math.min(failures, 8));
     ctx.store.noteFailure(feed.name);
     await pause(delay * (0.5 + ctx.random.next() / 2));
     await ctx.store.turn(feed.name, longestCallMs(ctx.tunables.value.settleMs));
