Take the lease of an own earlier process at once

After the loss of all daemons nobody led for 2.2 s more, until the lease had run out. A daemon that finds its own id with another session knows that process to have ended, and takes the lease under a new fencing number. Two processes with one id would take it from each other; fencing keeps their orders apart, and links refuse such a peer.

--- a/src/core/lease/lease.ts
+++ b/src/core/lease/lease.ts
@@ -48,11 +48,14 @@
   return row?.holder === state.self && row.session === state.session && !row.released;
 }
 
-/** When others may take the lease; undefined while nothing is known of it. */
+/**
+ * When this candidate may take the lease; undefined while nothing is known of it. An earlier process of
+ * its own id has ended: after all daemons were lost together, its lease need not run out first.
+ */
 function freeAt(state: LeaseState): MonoTime | undefined {
-  const { seen, settings } = state;
+  const { seen, settings, self } = state;
   if (!seen) return undefined;
-  if (!seen.row || seen.row.released) return seen.since;
+  if (!seen.row || seen.row.released || seen.row.holder === self) return seen.since;
   return later(seen.since, seen.row.ttlMs + settings.marginMs);
 }
 
