Test the plan of groups with 875 servers, six or seven lost each three seconds

25 domains of 35, models of 16 and 4, all orders answered or a third late: the work of both models has its groups throughout, no group in part, no server in two.

--- /dev/null
+++ b/tests/gateway/forming-large.test.ts
@@ -0,0 +1,86 @@
+import { describe, expect, it } from 'vitest';
+
+import { createRandom } from '../../src/adapters/runtime';
+import type { EngineSpec } from '../../src/core/gateway/types';
+import { createEngineFleet } from '../../stand-ins/users-platform/engines';
+import { createLeader } from './leader';
+import { ENGINE, FLEET, LARGE, SMALL } from './support';
+
+/** A large model of 16 servers and a small one of four, as in the largest fleets. */
+const LARGE_ENGINE: EngineSpec = {
+  ...ENGINE,
+  batchSize: 9,
+  stepsPerPass: 10,
+  loadsPerS: 73,
+  loadsAtOnce: 109,
+  models: [
+    { name: LARGE, size: 16, pace: 1, share: 0.5, loadMs: 16_000, warmMs: 1_600 },
+    { name: SMALL, size: 4, pace: 0.6, share: 0.5, loadMs: 12_000, warmMs: 1_100 },
+  ],
+};
+const DOMAINS = Array.from({ length: 25 }, () => 35);
+/** Groups that the work of each model keeps busy: a little over half of what the servers could form. */
+const WORK = new Map([
+  [LARGE, 13],
+  [SMALL, 60],
+]);
+
+describe('875 servers of which six or seven are lost every three seconds', () => {
+  it.each([
+    { orders: 'all orders answered', lateShare: 0 },
+    { orders: 'a third of the orders late', lateShare: 0.35 },
+  ])(
+    'serve the work of both models throughout: $orders',
+    ({ lateShare }) => {
+      const random = createRandom(5);
+      const engine = LARGE_ENGINE;
+      const fleet = createEngineFleet({ ...FLEET, engine, domains: DOMAINS, hasTraffic: false });
+      const lateMs = (): number => (random.next() < lateShare ? 2_000 + 10_000 * random.next() : 0);
+      const leader = createLeader(fleet, {
+        engine,
+        demand: WORK,
+        ...(lateShare > 0 && { lateMs }),
+      });
+      leader.run(16_000);
+      leader.beginTraffic();
+      fleet.beginTraffic();
+      fleet.setLate(lateShare > 0);
+      const least = { large: Infinity, small: Infinity };
+      for (let second = 0; second < 30; second++) {
+        const joined = [...fleet.servers.values()].filter(
+          ({ isAlive, joined: membership }) => isAlive && (membership?.members.length ?? 0) > 1,
+        );
+        for (let n = 0; n < 6 + (second % 2) && second % 3 === 0; n++) {
+          const victim = joined[Math.floor(random.next() * joined.length)];
+          if (victim) fleet.kill(victim.id);
+        }
+        if (second % 3 === 1) for (let n = 0; n < 6; n++) fleet.add(`d${n * 4}`);
+        leader.run(1_000);
+        least.large = Math.min(least.large, fleet.serving(LARGE));
+        least.small = Math.min(least.small, fleet.serving(SMALL));
+      }
+      expect(least.large).toBeGreaterThanOrEqual(WORK.get(LARGE) ?? 0);
+      expect(least.small).toBeGreaterThanOrEqual(WORK.get(SMALL) ?? 0);
+      expect(fleet.violations).toEqual([]);
+    },
+    60_000,
+  );
+
+  it('are asked ever more seldom where they give no sign', () => {
+    const engine = LARGE_ENGINE;
+    const fleet = createEngineFleet({ ...FLEET, engine, domains: [35, 35], hasTraffic: false });
+    const leader = createLeader(fleet, { engine });
+    leader.run(16_000);
+    const heads = [...fleet.servers.values()].filter(({ id, joined }) => joined?.members[0] === id);
+    for (const { id, joined } of heads) {
+      fleet.cut(id, true);
+      const member = joined?.members[1];
+      if (member !== undefined) fleet.kill(member);
+    }
+    const before = leader.orders();
+    leader.run(6_000);
+    // Sent again every 200 ms to each head that does not answer, there would be thirty of each.
+    expect(leader.orders() - before).toBeLessThan(heads.length * 20);
+    expect(fleet.violations).toEqual([]);
+  });
+});
