--- a/src/app/gateway/relaying.ts
+++ b/src/app/gateway/relaying.ts
@@ -6,6 +6,7 @@
 import { planFanOut } from '../../core/gateway/relays';
 import type { FanOut } from '../../core/gateway/relays';
 import { later } from '../../core/ids';
+import { compareText } from '../../utils/common';
 import type { DaemonId, MonoTime } from '../../core/ids';
 import type { GatewayContext } from './context';
 import type { FromPeer, Leader, PeerView } from './fleet';
@@ -39,6 +40,8 @@
   const origin = { id: settings.id, address: settings.peerListen };
   let plan: FanOut = new Map();
   let planDueAt = clock.now();
+  /** Relays of the last plan, as logged. */
+  let known = '';
   let flushDueAt = clock.now();
   const collected = new Map<DaemonId, StateEntry>();
 
@@ -46,6 +49,15 @@
     if (now < planDueAt) return;
     planDueAt = later(now, PLAN_MS);
     plan = planFanOut(live, now);
+    logRelays([...plan].flatMap(([relay, to]) => (to.length > 0 ? [relay] : [])));
+  };
+
+  const logRelays = (relays: readonly string[]): void => {
+    const names = [...relays].sort(compareText).join(' ');
+    if (names === known) return;
+    known = names;
+    const direct = plan.size - relays.length;
+    ctx.logger.info('relays chosen', { step: 'relay', relays: names, direct });
   };
 
   return {
