--- a/src/app/gateway/former.ts
+++ b/src/app/gateway/former.ts
@@ -5,7 +5,7 @@
 
 import type { FormingState, FormingView, OrderEffect } from '../../core/gateway/forming/state';
 import { createForming } from '../../core/gateway/forming/state';
-import { EPOCHS_PER_LEASE } from '../../core/gateway/forming/start';
+import { EPOCHS_PER_LEASE, isStandby } from '../../core/gateway/forming/start';
 import { noteResult, noteSuspect, planGroups } from '../../core/gateway/forming/plan';
 import type { RouteTable } from '../../core/gateway/routes';
 import type { BackendServer, ServiceSpec } from '../../core/gateway/types';
@@ -239,7 +239,7 @@
       states.set(service, noteSuspect(stateOf(service), id, later(clock.now(), LOST_MS)));
     }
     if (lost.length === 0) return;
-    lostGroups.next({ group, head });
+    if (!isStandby(group)) lostGroups.next({ group, head });
     tick();
   };
 
