Let a leader whose lease has run out speak no more

Another took the lease at 20.5, and the first went on telling loads until 25.9: daemons followed whichever spoke last, so each knew half. Change: a lease that has run out is not told, and a greater fencing number ends the own one at once.

--- a/src/app/gateway/lease.ts
+++ b/src/app/gateway/lease.ts
@@ -40,7 +40,10 @@
 const CLOCK_SLACK_MS = 400;
 
 export interface Leadership {
-  /** The row as held, for peers; undefined for others than the holder. */
+  /**
+   * The row as held, for peers; undefined for others than the holder, and once the lease has run out: one
+   * that the store turns away must not speak for the fleet beside its successor.
+   */
   ownLease(): PeerState['lease'];
   /** Takes the row as the leader gossips it. */
   takeLease(lease: NonNullable<PeerState['lease']>): void;
@@ -169,12 +172,14 @@
     ownLease: () => {
       const { held, seen } = state;
       if (!held || !seen?.row || seen.row.released) return undefined;
+      if (!isHolder(state, clock.now())) return undefined;
       return { version: seen.version, row: seen.row, fenceVersion: held.fenceVersion };
     },
     takeLease: ({ version, row, fenceVersion }) => {
       ledAt = clock.now();
       readAt = later(ledAt, READ_MS);
-      if (state.held || state.pending) return;
+      const isSuccessor = state.held !== undefined && row.fencing > state.held.fencing;
+      if ((state.held && !isSuccessor) || state.pending) return;
       const fence = { version: fenceVersion, row: { fencing: row.fencing } };
       dispatch({ kind: 'read', lease: { version, row }, fence });
     },
