Put what is found of silent groups in a module of its own

gossip.ts held two jobs, telling peers and judging groups that give no sign; app/gateway/findings.ts has the second. The subject of arrived messages has its own name again. No behaviour changes.

--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -116,7 +116,7 @@
   /** Entries of the store. */
   const known = new Map<DaemonId, DaemonEntry>();
   const heard = new Map<DaemonId, PeerView>();
-  const all = new Subject<FromPeer>();
+  const received = new Subject<FromPeer>();
   /** By address: when a peer was last heard of, and what it is being told. */
   const heardAt = new Map<string, MonoTime>();
   const conversations = new Map<string, Conversation>();
@@ -146,13 +146,13 @@
     }
   };
 
-  const take = (received: FromPeer): void => {
-    const { from, address, message } = received;
+  const take = (arrived: FromPeer): void => {
+    const { from, address, message } = arrived;
     if (message.kind === 'state') {
       heard.set(from, { ...message, id: from, address, at: clock.now() });
     }
-    noteLeader(received);
-    all.next(received);
+    noteLeader(arrived);
+    received.next(arrived);
   };
 
   peers.received.subscribe(({ from, address, message }) => {
@@ -266,7 +266,7 @@
     size,
     isLarge,
     candidates,
-    received: all,
+    received,
     unreachable: peers.unreachable,
     send: (address, message) => {
       peers.send(address, message);
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -1,18 +1,17 @@
 /** Tells peers what this daemon knows, and gives those that are behind what they lack. */
 
 import { joinNews } from '../../core/gateway/news';
-import { isConfirmed, noteWitness } from '../../core/gateway/witnesses';
-import type { Witnesses } from '../../core/gateway/witnesses';
-import type { ConfigVersion, DaemonId, InstanceId, MonoTime } from '../../core/ids';
+import type { ConfigVersion, MonoTime } from '../../core/ids';
 import { brandAs, later } from '../../core/ids';
-import type { Board, Stall } from './board';
+import type { Board } from './board';
 import type { ConfigView } from './config-view';
 import type { GatewayContext } from './context';
+import { createFindings } from './findings';
 import type { Fleet, FromPeer, PeerView } from './fleet';
 import type { Former } from './former';
 import type { Leadership } from './lease';
 import { sumLoads, withoutOwn } from './loads';
-import type { Finding, PeerState, PlainMessage, Progress } from './messages';
+import type { PeerState, PlainMessage, Progress } from './messages';
 import type { Roster, RosterNews } from './roster';
 import type { WaitingRoom } from './waiting';
 
@@ -48,10 +47,6 @@
 const HELP_AFTER_MS = 250;
 /** Daemons of a large fleet, beside its leader, that help the same peer at a time. */
 const HELPERS = 3;
-/** Requests of others that a group is taken to have while their loads are not known: as many as a busy one. */
-const UNKNOWN_RUNNING = 12;
-/** Older events say nothing of a group any more. */
-const EVENT_MEMORY_MS = 10_000;
 /** News of servers to a large fleet go together for so long: half of the time between two statements of loads. */
 const NEWS_TOGETHER_MS = 100;
 /** The same peer is not helped again before this. */
@@ -69,9 +64,7 @@
   let told: PeerState | undefined;
   let revisionSince = ctx.clock.now();
   let revision = 0;
-  let witnesses: Witnesses = new Map();
-  /** When groups last gave an event to a peer, by head. */
-  const lastEvents = new Map<InstanceId, MonoTime>();
+  const findings = createFindings({ ctx, board, fleet, former, leadership });
   /** News that wait to be told, and from when on they may be. */
   let pendingNews: RosterNews | undefined;
   let tellNewsAt = ctx.clock.now();
@@ -137,61 +130,6 @@
     }
   };
 
-  /** Nothing is sent to the group for a while, its streams are moved, and the leader looks into it. */
-  const believe = ({ group, head }: Stall, finding: 'confirmed' | 'lost', source: string): void => {
-    const evidence = finding === 'lost' ? 'lost' : 'silent';
-    const isNews = board.suspect(group, evidence, source);
-    board.abandon({ group, head });
-    if (finding === 'confirmed') former.inspect({ group, head });
-    // In a large fleet only the leader was told; what it found by itself is news to all.
-    const mustTell = finding === 'lost' || (isNews && fleet.isLarge());
-    if (mustTell && leadership.held() !== undefined) {
-      fleet.spread({ kind: 'stalled', group, head, finding });
-    }
-  };
-
-  const noteEvents = (quiet: PeerState['quiet']): void => {
-    const now = ctx.clock.now();
-    for (const [head, quietMs] of quiet) {
-      const eventAt = later(now, -quietMs);
-      const known = lastEvents.get(head);
-      if (known === undefined || eventAt > known) lastEvents.set(head, eventAt);
-    }
-  };
-
-  const forgetEvents = (now: MonoTime): void => {
-    for (const [head, at] of lastEvents) {
-      if (now >= later(at, EVENT_MEMORY_MS)) lastEvents.delete(head);
-    }
-  };
-
-  const noteSeen = (stall: Stall, reporter: DaemonId): void => {
-    const now = ctx.clock.now();
-    const { group, head } = stall;
-    witnesses = noteWitness(witnesses, group, reporter, now);
-    // Where the others' loads are not known, they are taken to have many streams there.
-    const running = board.knowsOthers() ? board.runningElsewhere(head) : UNKNOWN_RUNNING;
-    const eventAt = latest(lastEvents.get(head), board.eventAt(head));
-    const isSure = isConfirmed(witnesses, group, { running, eventAt }, now);
-    ctx.logger.info('group seen silent', { step: 'stall', group, reporter, running, isSure });
-    if (isSure) believe(stall, 'confirmed', `reported by ${reporter}`);
-  };
-
-  /** What a daemon found of a group. One that could not reach it may have lost only its own link. */
-  const takeFinding: Readonly<Record<Finding, (stall: Stall, reporter: DaemonId) => void>> = {
-    seen: noteSeen,
-    unreachable: (stall) => {
-      former.inspect(stall);
-    },
-    confirmed: (stall, reporter) => {
-      believe(stall, 'confirmed', `told by ${reporter}`);
-    },
-    lost: (stall, reporter) => {
-      board.suspect(stall.group, 'lost', `found by ${reporter}`);
-      board.abandon(stall);
-    },
-  };
-
   const take: {
     readonly [K in PlainMessage['kind']]: (
       message: Extract<PlainMessage, { kind: K }>,
@@ -200,13 +138,13 @@
   } = {
     state: (state, { address }) => {
       hasNews = true;
-      noteEvents(state.quiet);
+      findings.noteEvents(state.quiet);
       if (state.hasTraffic) noteTraffic();
       if (state.lease) leadership.takeLease(state.lease);
       help(state, address);
     },
     stalled: ({ group, head, finding }, { from }) => {
-      if (board.find(head)?.id === group) takeFinding[finding]({ group, head }, from);
+      if (board.find(head)?.id === group) findings.take(finding, { group, head }, from);
     },
     config: ({ config: offered }, { from }) => {
       const version = brandAs<ConfigVersion>(offered.version);
@@ -277,7 +215,7 @@
   /** Tells all peers; in a large fleet the leader does, and without one those that may become it are told. */
   const tellAll = (now: MonoTime, peers: readonly PeerView[], isLarge: boolean): void => {
     if (now < dueAt) return;
-    forgetEvents(now);
+    findings.forgetOld(now);
     const intervalMs = isLarge ? LARGE_INTERVAL_MS : LEAST_INTERVAL_MS;
     dueAt = later(now, intervalMs + INTERVAL_PER_PEER_MS * peers.length);
     if (!isLarge) fleet.broadcast(ownState());
@@ -307,26 +245,6 @@
     tellNews(ctx.clock.now());
   });
 
-  const report = ({ group, head }: Stall, finding: 'seen' | 'unreachable'): void => {
-    const message = { kind: 'stalled', group, head, finding } as const;
-    const isLarge = fleet.isLarge();
-    const leader = isLarge ? fleet.leader() : undefined;
-    if (leader) fleet.send(leader.address, message);
-    else if (isLarge) fleet.sendToLikelyLeaders(message);
-    else fleet.broadcast(message);
-    takeFinding[finding]({ group, head }, ctx.settings.id);
-  };
-
-  board.stalls.subscribe((stall) => {
-    report(stall, 'seen');
-  });
-  board.unreachable.subscribe((stall) => {
-    report(stall, 'unreachable');
-  });
-  former.lost.subscribe((stall) => {
-    believe(stall, 'lost', 'members asked');
-  });
-
   return {
     noteTraffic,
     tick: () => {
@@ -341,8 +259,3 @@
     },
   };
 }
-
-function latest(a: MonoTime | undefined, b: MonoTime | undefined): MonoTime | undefined {
-  if (a === undefined || b === undefined) return a ?? b;
-  return a > b ? a : b;
-}
