--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -26,7 +26,8 @@
 import { later } from '../../core/ids';
 import type { GroupId, InstanceId, ModelId, MonoTime, ServiceId } from '../../core/ids';
 import type { GatewayContext } from './context';
-import type { Loads } from './messages';
+import type { LoadSums } from './loads';
+import { createPeerLoads } from './peer-loads';
 import type { Roster } from './roster';
 
 /** An open group with the figures of its service. */
@@ -85,7 +86,7 @@
   /** Paces of groups as this daemon saw them of late, by head. */
   paces(): readonly (readonly [InstanceId, number])[];
   /** What the other daemons have running and waiting, together, and the paces that all saw. */
-  takeLoads(loads: Pick<Loads, 'running' | 'paces' | 'waiting'>, isWhole: boolean): void;
+  takeLoads(sums: LoadSums, isWhole: boolean): void;
   /** Whether the loads of the others are known, and young. */
   knowsOthers(): boolean;
   /** Work of each model over all daemons: requests that run or wait, in full groups. */
@@ -95,12 +96,8 @@
 
 /** With so many requests of others in a group they tell of a fault as well. */
 const SHARED_AT = 2;
-/** The sum of all loads holds for so long: leaders tell it several times in that time. */
-const LOADS_FRESH_MS = 1_500;
 /** A tick so late shows that the process did not run, milliseconds. */
 const HELD_UP_MS = 150;
-/** Peers' reports of their loads are this old at most, but for a slow link: the interval at which few daemons gossip. */
-const REPORT_AGE_MS = 200;
 
 export function createBoard(
   ctx: GatewayContext,
@@ -110,16 +107,7 @@
   const { clock, logger } = ctx;
   const progress = new Map<InstanceId, Progress>();
   let suspicions: Suspicions = new Map();
-  const elsewhere = new Map<InstanceId, { readonly running: number; readonly unread: number }>();
-  const sharedPaces = new Map<InstanceId, number>();
-  /** Requests sent since the peers' reports were last taken in. */
-  const takenSince = new Map<InstanceId, number>();
-  /** Peers with requests that wait for a model. */
-  const waitingPeers = new Map<string, number>();
-  /** Their requests that wait, by model. */
-  const waitingAll = new Map<string, number>();
-  let reportsDueAt = clock.now();
-  let knownUntil = clock.now();
+  const others = createPeerLoads(ctx);
   let tickedAt = clock.now();
   /** The end of the last time in which this process did not run, as when it was short of processor time. */
   let heldUpUntil = clock.now();
@@ -169,10 +157,10 @@
     progress.get(head) ?? createProgress(clock.now());
 
   const runningIn = (head: InstanceId): number =>
-    (progress.get(head)?.running ?? 0) + (elsewhere.get(head)?.running ?? 0);
+    (progress.get(head)?.running ?? 0) + others.running(head);
 
   const unreadIn = (head: InstanceId): number =>
-    (progress.get(head)?.unread ?? 0) + (elsewhere.get(head)?.unread ?? 0);
+    (progress.get(head)?.unread ?? 0) + others.unread(head);
 
   /** Time that the prompts sent to the group take to be read, milliseconds. */
   const readingMs = ({ head, engine, spec }: BoardGroup): number =>
@@ -180,9 +168,9 @@
 
   /** This daemon's part of the places that were free at the last report of the peers, less what it took since. */
   const mayTake = ({ head, model, engine }: BoardGroup): number => {
-    const taken = takenSince.get(head.id) ?? 0;
+    const taken = others.sentSince(head.id);
     const free = engine.batchSize - runningIn(head.id) + taken;
-    const daemons = 1 + (waitingPeers.get(model) ?? 0);
+    const daemons = 1 + others.waitingDaemons(model);
     return Math.max(1, Math.ceil(free / daemons)) - taken;
   };
 
@@ -196,7 +184,7 @@
 
   /** The slower of what this daemon and all together saw: one of them may have seen it later. */
   const paceOf = (group: BoardGroup): number =>
-    Math.max(ownPace(group) ?? 1, sharedPaces.get(group.head.id) ?? 1);
+    Math.max(ownPace(group) ?? 1, others.pace(group.head.id));
 
   const isHeld = (group: GroupId): boolean => isSuspect(suspicions, group, clock.now());
 
@@ -210,8 +198,6 @@
   const ofModel = (service: ServiceId, model: ModelId): BoardGroup[] =>
     [...groups().values()].filter((group) => group.service === service && group.model === model);
 
-  const knowsOthers = (): boolean => clock.now() < knownUntil;
-
   const noteHeldUp = (): void => {
     const now = clock.now();
     if (now >= later(tickedAt, HELD_UP_MS)) heldUpUntil = now;
@@ -221,7 +207,7 @@
   const silentAt = (seen: Progress, group: BoardGroup, isShared: boolean): MonoTime | undefined => {
     const [usualMs, readMs] = [usualOf(group), readingMs(group)];
     return isShared
-      ? stalledBesideOthersAt(seen, usualMs, readMs, knowsOthers())
+      ? stalledBesideOthersAt(seen, usualMs, readMs, others.areKnown())
       : stalledAt(seen, usualMs, readMs);
   };
 
@@ -231,7 +217,7 @@
       // Events that came while this process did not run are not read yet.
       const seen = known.since < heldUpUntil ? { ...known, since: heldUpUntil } : known;
       const group = seen.running > 0 ? groups().get(head) : undefined;
-      const isShared = !knowsOthers() || (elsewhere.get(head)?.running ?? 0) >= SHARED_AT;
+      const isShared = !others.areKnown() || others.running(head) >= SHARED_AT;
       const at = group && silentAt(seen, group, isShared);
       if (!group || at === undefined || now < at || isHeld(group.id)) continue;
       const silentMs = Math.round(now - seen.since);
@@ -278,12 +264,12 @@
         })),
     serves: (service, model) => model !== undefined && ofModel(service, model).length > 0,
     find: (head) => groups().get(head),
-    runningElsewhere: (head) => elsewhere.get(head)?.running ?? 0,
+    runningElsewhere: (head) => others.running(head),
     isBusy: (group) =>
       [...groups().values()].some(({ id, head }) => id === group && runningIn(head.id) > 0),
     noteSent: (head, promptTokens) => {
       progress.set(head, noteSent(progressOf(head), clock.now(), promptTokens));
-      takenSince.set(head, (takenSince.get(head) ?? 0) + 1);
+      others.noteSent(head);
     },
     noteRead: (head, promptTokens) => {
       progress.set(head, noteRead(progressOf(head), promptTokens));
@@ -313,33 +299,16 @@
       );
     },
     eventAt: (head) => progress.get(head)?.eventAt,
-    knowsOthers,
-    takeLoads: ({ running, paces, waiting }, isWhole) => {
-      if (isWhole) knownUntil = later(clock.now(), LOADS_FRESH_MS);
-      elsewhere.clear();
-      sharedPaces.clear();
-      for (const [head, slowdown] of paces) sharedPaces.set(head, slowdown);
-      waitingPeers.clear();
-      waitingAll.clear();
-      for (const [head, count, tokens] of running) {
-        elsewhere.set(head, { running: count, unread: tokens });
-      }
-      for (const [model, daemons, count] of waiting) {
-        waitingPeers.set(model, daemons);
-        waitingAll.set(model, count);
-      }
-      const now = clock.now();
-      if (now >= reportsDueAt) {
-        takenSince.clear();
-        reportsDueAt = later(now, REPORT_AGE_MS);
-      }
+    knowsOthers: () => others.areKnown(),
+    takeLoads: (sums, isWhole) => {
+      others.take(sums, isWhole);
       changes.next();
     },
     demand: () => {
       const demand = new Map<ModelId, number>();
       for (const { engine } of routes.value?.config.services ?? []) {
         for (const { name } of engine?.models ?? []) {
-          demand.set(name, (waitingAll.get(name) ?? 0) / (engine?.batchSize ?? 1));
+          demand.set(name, others.waitingRequests(name) / (engine?.batchSize ?? 1));
         }
       }
       for (const { head, model, engine } of groups().values()) {
