--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -213,9 +213,9 @@
 
   const findStalls = (): void => {
     const now = clock.now();
-    for (const [head, known] of progress) {
+    for (const [head, last] of progress) {
       // Events that came while this process did not run are not read yet.
-      const seen = known.since < heldUpUntil ? { ...known, since: heldUpUntil } : known;
+      const seen = last.since < heldUpUntil ? { ...last, since: heldUpUntil } : last;
       const group = seen.running > 0 ? groups().get(head) : undefined;
       const isShared = !others.areKnown() || others.running(head) >= SHARED_AT;
       const at = group && silentAt(seen, group, isShared);
