--- a/src/app/gateway/config-view.ts
+++ b/src/app/gateway/config-view.ts
@@ -10,7 +10,7 @@
 import type { MonoTime } from '../../core/ids';
 import type { Feed } from '../../ports/gateway';
 import type { GatewayContext } from './context';
-import type { Leader } from './fleet';
+import type { Leader } from './peer-view';
 import { watchFeed } from './watch';
 import type { Watch } from './watch';
 
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -14,38 +14,11 @@
 import type { Change, DaemonEntry, Feed } from '../../ports/gateway';
 import type { GatewayContext } from './context';
 import { parseGatewayMessage } from './messages';
-import type { GatewayMessage, LeaderMessage, PeerState, PlainMessage, Progress } from './messages';
+import type { GatewayMessage, LeaderMessage, PeerState, PlainMessage } from './messages';
+import type { FromPeer, Leader, PeerView } from './peer-view';
 import { createRelaying } from './relaying';
 import { watchFeed } from './watch';
 
-/** A message with its sender. */
-export interface FromPeer {
-  readonly from: DaemonId;
-  readonly address: string;
-  /** Address of the daemon that passed it on; the sender's own where it came directly. */
-  readonly via: string;
-  readonly message: PlainMessage;
-}
-
-export interface PeerView extends PeerState {
-  readonly id: DaemonId;
-  readonly address: string;
-  readonly at: MonoTime;
-}
-
-/** The daemon that holds the lease, as it last said. */
-export interface Leader {
-  readonly id: DaemonId;
-  readonly address: string;
-  /** Address of the daemon through which it was last heard. */
-  readonly via: string;
-  /** When it last said so. */
-  readonly at: MonoTime;
-  readonly progress: Progress;
-  /** Daemons that it hears of, where it told. */
-  readonly daemons?: number;
-}
-
 export interface Fleet {
   /** Peers that were heard of lately. */
   live(): readonly PeerView[];
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -7,11 +7,12 @@
 import type { ConfigView } from './config-view';
 import type { GatewayContext } from './context';
 import { createFindings } from './findings';
-import type { Fleet, FromPeer, PeerView } from './fleet';
+import type { Fleet } from './fleet';
 import type { Former } from './former';
 import type { Leadership } from './lease';
 import { sumLoads, withoutOwn } from './loads';
 import type { PeerState, PlainMessage, Progress } from './messages';
+import type { FromPeer, PeerView } from './peer-view';
 import type { Roster, RosterNews } from './roster';
 import type { WaitingRoom } from './waiting';
 
--- a/src/app/gateway/relaying.ts
+++ b/src/app/gateway/relaying.ts
@@ -9,7 +9,7 @@
 import { compareText } from '../../utils/common';
 import type { DaemonId, MonoTime } from '../../core/ids';
 import type { GatewayContext } from './context';
-import type { FromPeer, Leader, PeerView } from './fleet';
+import type { FromPeer, Leader, PeerView } from './peer-view';
 import type { GatewayMessage, LeaderMessage, PeerState, StateEntry } from './messages';
 
 /** Links to peers, as far as relaying needs them. */
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -15,7 +15,7 @@
 import type { InstanceId, MonoTime } from '../../core/ids';
 import type { Change, Feed } from '../../ports/gateway';
 import type { GatewayContext } from './context';
-import type { Leader } from './fleet';
+import type { Leader } from './peer-view';
 import { wasAway, watchFeed } from './watch';
 import type { Watch } from './watch';
 
--- a/tests/gateway/fleet-polls.test.ts
+++ b/tests/gateway/fleet-polls.test.ts
@@ -2,7 +2,7 @@
 
 import { createConfigView } from '../../src/app/gateway/config-view';
 import type { ConfigView } from '../../src/app/gateway/config-view';
-import type { Leader } from '../../src/app/gateway/fleet';
+import type { Leader } from '../../src/app/gateway/peer-view';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId } from '../../src/core/ids';
 import type { GatewayConfig } from '../../src/core/gateway/types';
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -2,32 +2,16 @@
 import { describe, expect, it } from 'vitest';
 
 import { createClock } from '../../src/adapters/runtime';
-import type { FromPeer, PeerView } from '../../src/app/gateway/fleet';
+import type { FromPeer, PeerView } from '../../src/app/gateway/peer-view';
 import { createGossip } from '../../src/app/gateway/gossip';
 import type { GossipDeps } from '../../src/app/gateway/gossip';
-import type {
-  GatewayMessage,
-  Loads,
-  PeerState,
-  PlainMessage,
-} from '../../src/app/gateway/messages';
+import type { GatewayMessage, PlainMessage } from '../../src/app/gateway/messages';
 import { brandAs, later } from '../../src/core/ids';
-import type { DaemonId, FencingNumber, GroupId, InstanceId, MonoTime } from '../../src/core/ids';
-import { makeContext, makeState } from './support';
+import type { DaemonId, GroupId, InstanceId, MonoTime } from '../../src/core/ids';
+import { LEASE, makeContext, makeLoads, makeState } from './support';
 
 const LEADER = '127.0.0.1:1';
 const PEERS = 69;
-const LEASE: NonNullable<PeerState['lease']> = {
-  version: 1,
-  row: {
-    holder: brandAs<DaemonId>('leader'),
-    session: 's',
-    fencing: brandAs<FencingNumber>(1),
-    ttlMs: 2_000,
-    released: false,
-  },
-  fenceVersion: 1,
-};
 const STALL = { group: brandAs<GroupId>('g'), head: brandAs<InstanceId>('s1') };
 
 /** One daemon of a fleet of 70, whose messages are noted in place of being sent. */
@@ -121,20 +105,6 @@
   };
 }
 
-const LOADS: Loads = {
-  kind: 'loads',
-  configVersion: 3,
-  serversRevision: 10,
-  isStoreLost: false,
-  storeAgeMs: 0,
-  hasTraffic: true,
-  lease: LEASE,
-  daemons: 70,
-  running: [],
-  paces: [],
-  waiting: [],
-};
-
 describe('a daemon of a large fleet', () => {
   it('speaks to the leader alone, so that messages grow with the daemons and not their square', () => {
     const { sent, run, stalls } = setUp();
@@ -189,7 +159,7 @@
     let helpers = 0;
     for (const { sent, hear, wait } of daemons) {
       wait(400);
-      hear({ ...LOADS, configVersion: 1 });
+      hear(makeLoads({ configVersion: 1 }));
       helpers += sent.length;
     }
     expect(helpers).toBeGreaterThan(0);
--- a/tests/gateway/relaying.test.ts
+++ b/tests/gateway/relaying.test.ts
@@ -1,42 +1,20 @@
 import { describe, expect, it } from 'vitest';
 
 import { createClock } from '../../src/adapters/runtime';
-import type { Leader, PeerView } from '../../src/app/gateway/fleet';
-import type { GatewayMessage, Loads } from '../../src/app/gateway/messages';
+import type { Leader, PeerView } from '../../src/app/gateway/peer-view';
+import type { GatewayMessage } from '../../src/app/gateway/messages';
 import { createRelaying } from '../../src/app/gateway/relaying';
 import type { Relaying } from '../../src/app/gateway/relaying';
 import { brandAs, later } from '../../src/core/ids';
-import type { DaemonId, FencingNumber, ZoneId } from '../../src/core/ids';
-import { makeContext, makeState } from './support';
+import type { DaemonId, ZoneId } from '../../src/core/ids';
+import { makeContext, makeLoads, makeState } from './support';
 
 const DAEMONS = 195;
 const LEADER = 0;
 const STEP_MS = 50;
 const SPEAK_MS = 200;
 
-const LOADS: Loads = {
-  kind: 'loads',
-  configVersion: 3,
-  serversRevision: 10,
-  isStoreLost: false,
-  storeAgeMs: 0,
-  hasTraffic: true,
-  lease: {
-    version: 1,
-    row: {
-      holder: brandAs<DaemonId>('d0'),
-      session: 's',
-      fencing: brandAs<FencingNumber>(1),
-      ttlMs: 2_000,
-      released: false,
-    },
-    fenceVersion: 1,
-  },
-  daemons: DAEMONS,
-  running: [],
-  paces: [],
-  waiting: [],
-};
+const LOADS = makeLoads({ daemons: DAEMONS });
 
 interface Daemon {
   readonly relaying: Relaying;
--- a/tests/gateway/retry-budget.test.ts
+++ b/tests/gateway/retry-budget.test.ts
@@ -7,6 +7,32 @@
 
 const ALLOWANCE: FleetAllowance = { ratio: 0.2, slack: 40, windowMs: 10_000, daemons: 4 };
 
+interface Step {
+  readonly ms: number;
+  readonly isFirst: boolean;
+}
+
+/** When requests were first sent and retries made, where each step that is no first send asks for a retry. */
+function play(steps: readonly Step[], allowance: FleetAllowance, startedAt: number) {
+  let budget = createFleetBudget(at(startedAt));
+  let now = 0;
+  const firsts: number[] = [];
+  const retries: number[] = [];
+  for (const { ms, isFirst } of steps) {
+    now += ms;
+    if (isFirst) {
+      budget = noteFirstSend(budget, allowance, at(now));
+      firsts.push(now);
+      continue;
+    }
+    const taken = takeRetry(budget, allowance, at(now));
+    if (!taken) continue;
+    budget = taken;
+    retries.push(now);
+  }
+  return { firsts, retries };
+}
+
 describe('the retries of one daemon', () => {
   it('are its part of half the fixed number at once, a window after its start', () => {
     let budget = createFleetBudget(at(-ALLOWANCE.windowMs));
@@ -77,22 +103,7 @@
     const step = fc.record({ ms: fc.integer({ min: 0, max: 250 }), isFirst: fc.boolean() });
     fc.assert(
       fc.property(fc.array(step, { maxLength: 600 }), (steps) => {
-        let budget = createFleetBudget(at(0));
-        let now = 0;
-        const firsts: number[] = [];
-        const retries: number[] = [];
-        for (const { ms, isFirst } of steps) {
-          now += ms;
-          if (isFirst) {
-            budget = noteFirstSend(budget, LARGE, at(now));
-            firsts.push(now);
-            continue;
-          }
-          const taken = takeRetry(budget, LARGE, at(now));
-          if (!taken) continue;
-          budget = taken;
-          retries.push(now);
-        }
+        const { firsts, retries } = play(steps, LARGE, 0);
         const count = (times: readonly number[], from: number): number =>
           times.filter((time) => time >= from && time < from + LARGE.windowMs).length;
         const part = LARGE.slack / LARGE.daemons;
@@ -110,22 +121,7 @@
     const step = fc.record({ ms: fc.integer({ min: 0, max: 400 }), isFirst: fc.boolean() });
     fc.assert(
       fc.property(fc.array(step, { maxLength: 400 }), (steps) => {
-        let budget = createFleetBudget(at(-ALLOWANCE.windowMs));
-        let now = 0;
-        const firsts: number[] = [];
-        const retries: number[] = [];
-        for (const { ms, isFirst } of steps) {
-          now += ms;
-          if (isFirst) {
-            budget = noteFirstSend(budget, ALLOWANCE, at(now));
-            firsts.push(now);
-            continue;
-          }
-          const taken = takeRetry(budget, ALLOWANCE, at(now));
-          if (!taken) continue;
-          budget = taken;
-          retries.push(now);
-        }
+        const { firsts, retries } = play(steps, ALLOWANCE, -ALLOWANCE.windowMs);
         for (const start of retries) {
           const inWindow = (time: number): boolean => time >= start && time < start + 10_000;
           const allowed = 10 + 1 + 0.2 * firsts.filter(inWindow).length;
--- a/tests/gateway/roster.test.ts
+++ b/tests/gateway/roster.test.ts
@@ -1,7 +1,7 @@
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import { describe, expect, it } from 'vitest';
 
-import type { Leader } from '../../src/app/gateway/fleet';
+import type { Leader } from '../../src/app/gateway/peer-view';
 import type { Progress } from '../../src/app/gateway/messages';
 import { createRoster } from '../../src/app/gateway/roster';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -6,15 +6,17 @@
 import { createLogger } from '../../src/adapters/telemetry/logger';
 import { createMetrics } from '../../src/adapters/telemetry/metrics';
 import type { GatewayContext } from '../../src/app/gateway/context';
-import type { PeerState } from '../../src/app/gateway/messages';
+import type { Loads, PeerState } from '../../src/app/gateway/messages';
 import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
 import type { BackendServer, EngineSpec, GatewayConfig, Route } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
 import type {
   ConfigVersion,
+  DaemonId,
   DomainId,
   Epoch,
+  FencingNumber,
   GroupId,
   InstanceId,
   ModelId,
@@ -135,6 +137,37 @@
   };
 }
 
+/** The row of a leader's lease, as it tells it. */
+export const LEASE: NonNullable<PeerState['lease']> = {
+  version: 1,
+  row: {
+    holder: brandAs<DaemonId>('leader'),
+    session: 's',
+    fencing: brandAs<FencingNumber>(1),
+    ttlMs: 2_000,
+    released: false,
+  },
+  fenceVersion: 1,
+};
+
+/** What the leader of a large fleet tells all. */
+export function makeLoads(more: Partial<Loads> = {}): Loads {
+  return {
+    kind: 'loads',
+    configVersion: 3,
+    serversRevision: 10,
+    isStoreLost: false,
+    storeAgeMs: 0,
+    hasTraffic: true,
+    lease: LEASE,
+    daemons: 70,
+    running: [],
+    paces: [],
+    waiting: [],
+    ...more,
+  };
+}
+
 /** What simulated fleets have in common. */
 export const FLEET = { engine: ENGINE, service: SERVICE };
 
