--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -7,6 +7,8 @@
 import type { DaemonId, FencingNumber, GroupId, InstanceId, ZoneId } from '../../core/ids';
 
 const natural = z.number().min(0);
+const daemonIdSchema = z.string().transform((id) => brandAs<DaemonId>(id));
+const instanceIdSchema = z.string().transform((id) => brandAs<InstanceId>(id));
 
 /** How far a daemon is, so that others can tell whether it lacks anything. */
 const progressSchema = {
@@ -27,7 +29,7 @@
 const leaseSchema = z.object({
   version: natural,
   row: z.object({
-    holder: z.string().transform((id) => brandAs<DaemonId>(id)),
+    holder: daemonIdSchema,
     session: z.string(),
     fencing: natural.transform((n) => brandAs<FencingNumber>(n)),
     ttlMs: natural,
@@ -37,14 +39,10 @@
 });
 
 /** By head of a group: requests in flight, and the prompt tokens of those without an event. */
-const runningSchema = z.array(
-  z.tuple([z.string().transform((id) => brandAs<InstanceId>(id)), natural, natural]),
-);
+const runningSchema = z.array(z.tuple([instanceIdSchema, natural, natural]));
 
 /** By head of a group: how many times slower than usual its events came of late. */
-const pacesSchema = z.array(
-  z.tuple([z.string().transform((id) => brandAs<InstanceId>(id)), z.number().min(1)]),
-);
+const pacesSchema = z.array(z.tuple([instanceIdSchema, z.number().min(1)]));
 
 const stateSchema = z.object({
   kind: z.literal('state'),
@@ -58,7 +56,7 @@
   lease: leaseSchema.optional(),
   running: runningSchema,
   /** By head of a group with requests in flight here: time since any of them gave an event, milliseconds. */
-  quiet: z.array(z.tuple([z.string().transform((id) => brandAs<InstanceId>(id)), natural])),
+  quiet: z.array(z.tuple([instanceIdSchema, natural])),
   paces: pacesSchema,
   /** Requests that wait here for a group, by model. */
   waiting: z.array(z.tuple([z.string(), natural])),
@@ -88,7 +86,7 @@
 const stalledSchema = z.object({
   kind: z.literal('stalled'),
   group: z.string().transform((id) => brandAs<GroupId>(id)),
-  head: z.string().transform((id) => brandAs<InstanceId>(id)),
+  head: instanceIdSchema,
   finding: findings,
 });
 
@@ -117,8 +115,6 @@
   ),
 });
 
-const daemonIdSchema = z.string().transform((id) => brandAs<DaemonId>(id));
-
 /** What a leader says to all; `to` are addresses that the receiver passes it on to. */
 const relayedSchema = z.object({
   kind: z.literal('relayed'),
