Log where the time of a stream went, and the places of each model

The line of a request told neither how long it waited for a place in a daemon nor how long for its first event in a group, and no line told places, requests in them, beyond them and without one: waiting in daemons, waiting in engines, free places that are not used and want of groups looked the same.

request ended: waitedMs, firstEventMs, targetMs. work of a model: the leader, one line a second for each model (core/gateway/work, pure). report: late requests with both waits, and the moments in which most requests had no place.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -23,6 +23,8 @@
 import { isSuspect, noteEvidence } from '../../core/gateway/suspicion';
 import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
 import type { EngineSpec, ModelSpec } from '../../core/gateway/types';
+import { summarizeWork } from '../../core/gateway/work';
+import type { ModelWork, WaitingLoad } from '../../core/gateway/work';
 import { later } from '../../core/ids';
 import type { GroupId, InstanceId, ModelId, MonoTime, ServiceId } from '../../core/ids';
 import type { GatewayContext } from './context';
@@ -91,6 +93,8 @@
   knowsOthers(): boolean;
   /** Work of each model over all daemons: requests that run or wait, in full groups. */
   demand(): ReadonlyMap<ModelId, number>;
+  /** Places of each model, the requests of all daemons in them, and those that wait for one. */
+  work(waiting: readonly WaitingLoad[]): readonly ModelWork[];
   tick(): void;
 }
 
@@ -317,6 +321,16 @@
       }
       return demand;
     },
+    work: (waiting) =>
+      summarizeWork(
+        [...groups().values()].map(({ id, head, model, engine }) => ({
+          model,
+          running: runningIn(head.id),
+          batchSize: engine.batchSize,
+          isSuspect: isHeld(id),
+        })),
+        waiting,
+      ),
     tick: () => {
       groups();
       noteHeldUp();
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -63,8 +63,16 @@
   return { deadline, answerBy, placeBy: placeBy < answerBy ? placeBy : answerBy };
 }
 
+/** Where the time of a stream went, milliseconds. */
+export interface StreamTimes {
+  /** Until it had a place in a group, over all attempts. */
+  readonly waitedMs: number;
+  /** From its arrival until its caller was sent the first event; absent where none came. */
+  readonly firstEventMs?: number;
+}
+
 /** What is noted of a request at its end. */
-export interface Ending {
+export interface Ending extends Partial<StreamTimes> {
   readonly outcome: 'served' | 'refused' | 'failed' | 'torn' | 'caller-gone';
   readonly status: number;
   readonly attempts: number;
@@ -86,6 +94,7 @@
     ...(exchange.facts.model !== undefined && { model: exchange.facts.model }),
     ms,
     leftMs: Math.round(exchange.deadline - ctx.clock.now()),
+    targetMs: exchange.route.targetMs,
     ...ending,
   };
   if (outcome === 'served') ctx.logger.info('request ended', fields);
@@ -153,18 +162,19 @@
   readonly reason: string;
   readonly attempts: number;
   readonly retryAfter?: RetryAfter;
+  readonly times?: StreamTimes;
 }
 
 /** Ends a request that has no answer: refused where it surely has not run, failed otherwise. */
 export function giveUp(
   ctx: GatewayContext,
   exchange: Exchange,
-  { exposure, reason, attempts, retryAfter }: GivenUp,
+  { exposure, reason, attempts, retryAfter, times }: GivenUp,
 ): void {
   const isLate = ctx.clock.now() >= exchange.answerBy;
   const failed = isLate ? 504 : 502;
   const status = exposure === 'not-run' ? 503 : failed;
   answerOwn(ctx, exchange.res, { status, message: reason, ...(retryAfter && { retryAfter }) });
   const outcome = exposure === 'not-run' ? 'refused' : 'failed';
-  logEnding(ctx, exchange, { outcome, status, attempts, reason });
+  logEnding(ctx, exchange, { outcome, status, attempts, reason, ...times });
 }
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -15,6 +15,7 @@
 import type { FromPeer, PeerView } from './peer-view';
 import type { Roster, RosterNews } from './roster';
 import type { WaitingRoom } from './waiting';
+import { createWorkLog } from './work-log';
 
 export interface GossipDeps {
   readonly ctx: GatewayContext;
@@ -65,6 +66,7 @@
   let told: PeerState | undefined;
   let revisionSince = ctx.clock.now();
   let revision = 0;
+  const workLog = createWorkLog(ctx, board);
   const findings = createFindings({ ctx, board, fleet, former, leadership });
   /** News that wait to be told, and from when on they may be. */
   let pendingNews: RosterNews | undefined;
@@ -256,6 +258,7 @@
       else takeDirectLoads(now, peers);
       tellAll(now, peers, isLarge);
       tellNews(now);
+      if (leadership.held() !== undefined) workLog.tick(now, () => [...peers, ownState()]);
       fleet.tick();
     },
   };
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -14,7 +14,7 @@
 import { fail } from '../../utils/errors';
 import type { BoardGroup } from './board';
 import { giveUp, logEnding, logFailedAttempt, WHEN_UNSERVED } from './exchange';
-import type { Exchange } from './exchange';
+import type { Exchange, StreamTimes } from './exchange';
 import type { Retries } from './retries';
 import { describe, relay } from './stream-relay';
 import type { Ended, Place, RelayDeps, StreamState } from './stream-relay';
@@ -79,9 +79,10 @@
     model: ModelId,
     state: StreamState,
   ): Promise<BoardGroup | undefined> => {
-    const now = choose(exchange, model, state);
-    if (now) return now;
-    return deps.waiting.wait({
+    const found = choose(exchange, model, state);
+    if (found) return found;
+    const since = ctx.clock.now();
+    const place = await deps.waiting.wait({
       model,
       priority: exchange.priority,
       until: waitUntil(exchange, model, state),
@@ -92,6 +93,8 @@
       isRetry: state.tried.size > 0,
       choose: () => choose(exchange, model, state),
     });
+    state.waitedMs += ctx.clock.now() - since;
+    return place;
   };
 
   const mayGoOn = (exchange: Exchange, state: StreamState, ended: Ended): boolean => {
@@ -113,6 +116,8 @@
       exposure: 'not-run',
       lastId: given === undefined ? undefined : Number(given),
       hasStarted: false,
+      waitedMs: 0,
+      firstEventAt: undefined,
       reason: 'no group serves the model',
     };
     if (model === undefined) {
@@ -137,7 +142,14 @@
         holds.set(name, noteHold(holds.get(name), ctx.clock.now() - sentAt));
         const status = exchange.res.statusCode;
         const { attempts } = state;
-        logEnding(ctx, exchange, { outcome: 'served', status, attempts, server: group.head.id });
+        const server = group.head.id;
+        logEnding(ctx, exchange, {
+          outcome: 'served',
+          status,
+          attempts,
+          server,
+          ...timesOf(exchange, state),
+        });
         return;
       }
       const { reason } = state;
@@ -151,6 +163,13 @@
   return { call };
 }
 
+function timesOf({ arrivedAt }: Exchange, { waitedMs, firstEventAt }: StreamState): StreamTimes {
+  return {
+    waitedMs: Math.round(waitedMs),
+    ...(firstEventAt !== undefined && { firstEventMs: Math.round(firstEventAt - arrivedAt) }),
+  };
+}
+
 function endWithoutAnswer(
   { ctx, board }: StreamDeps,
   exchange: Exchange,
@@ -158,20 +177,34 @@
 ): void {
   const { attempts, reason, exposure } = state;
   const { res, gone } = exchange;
+  const times = timesOf(exchange, state);
   if (gone.aborted) {
-    logEnding(ctx, exchange, { outcome: 'caller-gone', status: 0, attempts, reason });
+    logEnding(ctx, exchange, {
+      outcome: 'caller-gone',
+      status: 0,
+      attempts,
+      reason,
+      ...times,
+    });
     return;
   }
   if (!state.hasStarted) {
     const retryAfter = board.serves(exchange.service, exchange.facts.model)
       ? undefined
       : WHEN_UNSERVED;
-    giveUp(ctx, exchange, { exposure, reason, attempts, ...(retryAfter && { retryAfter }) });
+    giveUp(ctx, exchange, {
+      exposure,
+      reason,
+      attempts,
+      times,
+      ...(retryAfter && { retryAfter }),
+    });
     return;
   }
   // The caller must not take what it has for a whole answer.
   res.destroy();
-  logEnding(ctx, exchange, { outcome: 'torn', status: res.statusCode, attempts, reason });
+  const status = res.statusCode;
+  logEnding(ctx, exchange, { outcome: 'torn', status, attempts, reason, ...times });
 }
 
 /** Sends the request to one group and passes its events on. */
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -25,6 +25,10 @@
   /** Id of the last event that the caller has. */
   lastId: number | undefined;
   hasStarted: boolean;
+  /** Time spent waiting for places, milliseconds. */
+  waitedMs: number;
+  /** When the caller was sent its first event. */
+  firstEventAt: MonoTime | undefined;
   reason: string;
 }
 
@@ -146,6 +150,7 @@
       lastAt = now;
       if (!place.isRead) board.noteRead(head, exchange.facts.promptTokens);
       place.isRead = true;
+      state.firstEventAt ??= now;
       start();
       res.write(passed.length === 1 ? passed[0] : Buffer.concat(passed));
     };
--- a/src/cli/report-text.ts
+++ b/src/cli/report-text.ts
@@ -1,6 +1,6 @@
 /** A report as text for a terminal. */
 
-import type { Report, Second } from '../core/report/types';
+import type { Report, Second, WorkSecond } from '../core/report/types';
 
 const MS_PER_S = 1_000;
 const MOST_ROWS = 10;
@@ -33,19 +33,31 @@
     .slice(0, MOST_ROWS);
 }
 
+/** The moments in which most requests waited, in daemons or engines. */
+function worstWork({ work }: Report): readonly WorkSecond[] {
+  const standing = ({ queued, waiting }: WorkSecond): number => queued + waiting;
+  return work
+    .filter((second) => standing(second) > 0)
+    .sort((a, b) => standing(b) - standing(a))
+    .slice(0, MOST_ROWS);
+}
+
 export function renderText(report: Report): string {
   const { startedAt, lastsMs, daemons, leaders } = report;
   const head = `${daemons.length} daemons, ${seconds(lastsMs)} from ${new Date(startedAt).toISOString()}`;
   return [
     head,
     table('Requests', [
-      ['kind', 'ended', 'served', 'median', 'p99'],
-      ...report.requests.map(({ name, ended, served, medianMs, p99Ms }) => [
-        name,
-        String(ended),
-        String(served),
-        `${medianMs} ms`,
-        `${p99Ms} ms`,
+      ['kind', 'ended', 'served', 'median', 'p99', 'late', 'waited', 'until first event'],
+      ...report.requests.map((kind) => [
+        kind.name,
+        String(kind.ended),
+        String(kind.served),
+        `${kind.medianMs} ms`,
+        `${kind.p99Ms} ms`,
+        String(kind.late),
+        `${kind.medianLateWaitMs} ms`,
+        `${kind.medianLateFirstMs} ms`,
       ]),
     ]),
     table('Not served', [
@@ -82,6 +94,19 @@
         seconds(model.unservedMs),
       ]),
     ]),
+    table('Most requests without a place', [
+      ['at', 'model', 'groups', 'places', 'running', 'free', 'waiting', 'queued in engines'],
+      ...worstWork(report).map((second) => [
+        seconds(second.at),
+        second.model,
+        String(second.groups),
+        String(second.places),
+        String(second.running),
+        String(second.free),
+        String(second.waiting),
+        String(second.queued),
+      ]),
+    ]),
     table('Store without an answer', [
       ['at', 'for', 'daemon', 'collection'],
       ...report.outages
--- a/src/core/report/report.ts
+++ b/src/core/report/report.ts
@@ -9,6 +9,7 @@
 import { summarizeModels } from './groups';
 import { countSeconds, isEnd, summarizeReasons, summarizeRequests } from './requests';
 import type { Outage, Report, VersionSummary } from './types';
+import { listWork } from './work';
 
 function findOutages(events: readonly Event[]): Outage[] {
   const open = new Map<string, Event>();
@@ -64,6 +65,7 @@
     reasons: summarizeReasons(ends),
     seconds: countSeconds(ends),
     models: summarizeModels(events, lastsMs),
+    work: listWork(events),
     outages: findOutages(events),
     versions: summarizeVersions(events),
     leaders: events
--- a/src/core/report/requests.ts
+++ b/src/core/report/requests.ts
@@ -25,17 +25,32 @@
   return textOf(end, 'model') || textOf(end, 'route') || 'no route';
 }
 
+/** Served streams whose first event came after their objective. */
+function isLate(end: Event): boolean {
+  const [first, target] = [numberOf(end, 'firstEventMs'), numberOf(end, 'targetMs')];
+  return first !== undefined && target !== undefined && first > target;
+}
+
+function waitedMs(end: Event): number {
+  return numberOf(end, 'waitedMs') ?? 0;
+}
+
 export function summarizeRequests(ends: readonly Event[]): RequestSummary[] {
   return [...groupBy(ends, nameOf)]
     .map(([name, own]) => {
       const served = own.filter((end) => outcomeOf(end) === 'served');
       const times = served.flatMap((end) => numberOf(end, 'ms') ?? []);
+      const late = served.filter(isLate);
+      const firstMs = late.map((end) => (numberOf(end, 'firstEventMs') ?? 0) - waitedMs(end));
       return {
         name,
         ended: own.length,
         served: served.length,
         medianMs: quantile(times, 0.5),
         p99Ms: quantile(times, 0.99),
+        late: late.length,
+        medianLateWaitMs: quantile(late.map(waitedMs), 0.5),
+        medianLateFirstMs: quantile(firstMs, 0.5),
       };
     })
     .sort((a, b) => b.ended - a.ended);
--- a/src/core/report/types.ts
+++ b/src/core/report/types.ts
@@ -8,6 +8,11 @@
   /** Time from arrival to the end of served requests, milliseconds. */
   readonly medianMs: number;
   readonly p99Ms: number;
+  /** Served ones whose first event came after their latency objective. */
+  readonly late: number;
+  /** Of the late ones: time until they had a place, and from there to the first event, milliseconds. */
+  readonly medianLateWaitMs: number;
+  readonly medianLateFirstMs: number;
 }
 
 /** Requests that were not served, by what was said to the caller and why. */
@@ -39,6 +44,20 @@
   readonly unservedMs: number;
 }
 
+/** Places of a model and the requests in them or without one, as the leader knew them. */
+export interface WorkSecond {
+  readonly at: number;
+  readonly model: string;
+  readonly groups: number;
+  readonly places: number;
+  readonly running: number;
+  /** Requests beyond the places of their group: they wait in its engine. */
+  readonly queued: number;
+  readonly free: number;
+  /** Requests that wait in daemons. */
+  readonly waiting: number;
+}
+
 /** A time in which the store answered one daemon nothing about a collection. */
 export interface Outage {
   readonly daemon: string;
@@ -66,6 +85,7 @@
   readonly reasons: readonly ReasonSummary[];
   readonly seconds: readonly Second[];
   readonly models: readonly ModelSummary[];
+  readonly work: readonly WorkSecond[];
   readonly outages: readonly Outage[];
   readonly versions: readonly VersionSummary[];
   readonly leaders: readonly { readonly daemon: string; readonly at: number }[];
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -55,6 +55,7 @@
       quiet: () => [],
       eventAt: () => undefined,
       knowsOthers: () => true,
+      work: () => [],
       takeLoads: () => undefined,
       stalls,
       find: () => ({ id: 'g' }),
--- a/tests/report.test.ts
+++ b/tests/report.test.ts
@@ -34,7 +34,11 @@
   line(2.5, 'a', 'configuration in force', { version: 4, source: 'store' }),
   line(3.75, 'b', 'configuration in force', { version: 4, source: 'peer a' }),
   ended(3, 'served'),
-  ended(3.5, 'served', { ms: 300 }),
+  ended(3.5, 'served', { ms: 300, targetMs: 150, waitedMs: 40, firstEventMs: 190 }),
+  line(3.6, 'a', 'work of a model', {
+    ...{ model: 'large', groups: 1, suspects: 0, places: 18, running: 18, queued: 7, free: 0 },
+    ...{ daemons: 2, waitingDaemons: 1, waiting: 3 },
+  }),
   line(4, 'b', 'store lost', { collection: 'op' }),
   line(4, 'b', 'store lost', { collection: 'servers' }),
   line(6, 'b', 'store regained', { collection: 'op', awayMs: 3_000 }),
@@ -63,10 +67,25 @@
     expect(report.leaders).toEqual([{ daemon: 'b', at: 15_000 }]);
   });
 
+  it('tells how many requests were in places, waited for one, and waited in engines', () => {
+    expect(report.work).toEqual([
+      {
+        ...{ at: 3_600, model: 'large', groups: 1, places: 18 },
+        ...{ running: 18, queued: 7, free: 0, waiting: 3 },
+      },
+    ]);
+  });
+
   it('tells who was served, how fast, and why the others were not', () => {
     expect(report.requests).toEqual([
-      { name: 'large', ended: 5, served: 3, medianMs: 200, p99Ms: 300 },
-      { name: 'no route', ended: 1, served: 0, medianMs: 0, p99Ms: 0 },
+      {
+        ...{ name: 'large', ended: 5, served: 3, medianMs: 200, p99Ms: 300 },
+        ...{ late: 1, medianLateWaitMs: 40, medianLateFirstMs: 150 },
+      },
+      {
+        ...{ name: 'no route', ended: 1, served: 0, medianMs: 0, p99Ms: 0 },
+        ...{ late: 0, medianLateWaitMs: 0, medianLateFirstMs: 0 },
+      },
     ]);
     expect(report.reasons).toEqual([
       {
