Take places in groups in a module of its own

Cause: the choice of a group sat in the closure of the stream calls and could be played only with sockets. No behaviour changes. tests/gateway/choice, board and whole-path pass as before.

--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -6,7 +6,6 @@
 import { merge } from 'rxjs';
 
 import type { Upstream } from '../../adapters/upstream/upstream';
-import { chooseGroup, countToLookAt, hasRoom, sample } from '../../core/gateway/balance';
 import { nameOf } from '../../core/gateway/routes';
 import { noteHold } from '../../core/gateway/waiting-order';
 import { later } from '../../core/ids';
@@ -15,6 +14,8 @@
 import type { BoardGroup } from './board';
 import { giveUp, logEnding, logFailedAttempt, WHEN_UNSERVED } from './exchange';
 import type { Exchange, StreamTimes } from './exchange';
+import { takePlace } from './placing';
+import type { PlacingDeps } from './placing';
 import type { Retries } from './retries';
 import { describe, relay } from './stream-relay';
 import type { Ended, Place, RelayDeps, StreamState } from './stream-relay';
@@ -28,12 +29,10 @@
  */
 const MAX_UNREACHED = 4;
 
-export interface StreamDeps extends RelayDeps {
+export interface StreamDeps extends RelayDeps, PlacingDeps {
   readonly upstream: Upstream;
   readonly retries: Retries;
   readonly waiting: WaitingRoom;
-  /** Daemons that choose as well, this one included. */
-  readonly daemons: () => number;
 }
 
 export interface StreamCalls {
@@ -46,23 +45,13 @@
   const holds = new Map<string, number>();
 
   const choose = (
-    exchange: Exchange,
+    { service, route, facts }: Exchange,
     model: ModelId,
-    state: StreamState,
+    { tried }: StreamState,
   ): BoardGroup | undefined => {
-    const { service, route, facts } = exchange;
-    const candidates = board.candidates(service, model, route.maxPauseMs, state.tried);
-    const open = candidates.filter(
-      (candidate) => !candidate.isTried && hasRoom(candidate, facts.promptTokens),
-    );
-    const count = countToLookAt(open.length, deps.daemons());
-    const some = sample(open, count, () => ctx.random.next());
-    const { zone } = ctx.settings;
-    const found = chooseGroup(some, facts.promptTokens, zone, ctx.random.next());
-    const group = found && board.find(found.head);
-    // The place is taken in the same tick, so that the next request in turn sees it taken.
-    if (group) board.noteSent(group.head.id, exchange.facts.promptTokens);
-    return group;
+    const { promptTokens } = facts;
+    const { maxPauseMs } = route;
+    return takePlace(deps, { service, model, promptTokens, maxPauseMs, tried });
   };
 
   /** A caller whose model no group serves is told to come back, for its wait would likely be in vain. */
