Divide the room in groups by need, so that no backlog builds up inside engines

Cause: a daemon with requests waiting took at least one free place of each group in each interval of reports. With 40 to 60 of 70 daemons waiting, one free place was taken up to 60 times; the surplus stood in the engines' own queues, in order of arrival, where late requests go before those that could be on time. Class of fault: metastable backlog; a limit that does not shrink with the number of those that share it, on figures that are all of the same age.

Ruled out: order of waiting in daemons (late ones go last already); lost tries (late at the first attempt); beliefs, but for herding: all daemons chose the least filled of the same few groups.

Change: room.ts divides the room of a model by need (waiting, and expected until loads are heard of again), fractions by lot, a place given back by an own stream mostly used again; a fifth of the places may be queued in an engine. drawGroup: among many daemons a group is drawn in proportion to its room, in place of the least filled of a few. Loads tell arrivals too. tests/gateway/choice and loads: the checks of mayTake and countToLookAt are replaced by checks of room and of the draw; the cases that said a full group is never chosen say so of one without room.

A line more at the leader: servers of a service, by what they are at.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -19,6 +19,8 @@
   usualPauseMs,
 } from '../../core/gateway/progress';
 import type { Progress } from '../../core/gateway/progress';
+import { expectDemand, mostRunning, roomIn } from '../../core/gateway/room';
+import type { Asked } from '../../core/gateway/room';
 import type { RouteTable } from '../../core/gateway/routes';
 import { isSuspect, noteEvidence } from '../../core/gateway/suspicion';
 import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
@@ -30,6 +32,7 @@
 import type { GatewayContext } from './context';
 import type { LoadSums } from './loads';
 import { createPeerLoads } from './peer-loads';
+import { createRoomUses } from './room-use';
 import type { Roster } from './roster';
 
 /** An open group with the figures of its service. */
@@ -44,14 +47,21 @@
   readonly head: InstanceId;
 }
 
+/** What a stream needs of a group. */
+export interface GroupNeeds {
+  readonly service: ServiceId;
+  readonly model: ModelId;
+  /** Longest pause between events that its caller takes for on time, milliseconds. */
+  readonly maxPauseMs: number;
+  /** Heads of the groups that it was sent to before. */
+  readonly tried: ReadonlySet<InstanceId>;
+}
+
 export interface Board {
-  /** Groups of a model that are open and not under suspicion, for streams that bear pauses of `gapMs`. */
-  candidates(
-    service: ServiceId,
-    model: ModelId,
-    gapMs: number,
-    tried: ReadonlySet<InstanceId>,
-  ): GroupCandidate[];
+  /** Groups of a model that are open and not under suspicion. */
+  candidates(needs: GroupNeeds): GroupCandidate[];
+  /** Further requests that this daemon may send to these groups of the model. */
+  mayTake(model: ModelId, groups: readonly GroupCandidate[], here: Asked): number;
   /** Whether any group of the model is open, suspected or not. */
   serves(service: ServiceId, model: ModelId | undefined): boolean;
   find(head: InstanceId): BoardGroup | undefined;
@@ -87,8 +97,11 @@
   eventAt(head: InstanceId): MonoTime | undefined;
   /** Paces of groups as this daemon saw them of late, by head. */
   paces(): readonly (readonly [InstanceId, number])[];
-  /** What the other daemons have running and waiting, together, and the paces that all saw. */
-  takeLoads(sums: LoadSums, isWhole: boolean): void;
+  /**
+   * What the other daemons have running and waiting, together, and the paces that all saw. `isWhole`: of
+   * most of them; `ageMs`: what happened longer ago is in it.
+   */
+  takeLoads(sums: LoadSums, facts: LoadFacts): void;
   /** Whether the loads of the others are known, and young. */
   knowsOthers(): boolean;
   /** Work of each model over all daemons: requests that run or wait, in full groups. */
@@ -98,6 +111,11 @@
   tick(): void;
 }
 
+export interface LoadFacts {
+  readonly isWhole: boolean;
+  readonly ageMs: number;
+}
+
 /** With so many requests of others in a group they tell of a fault as well. */
 const SHARED_AT = 2;
 /** A tick so late shows that the process did not run, milliseconds. */
@@ -112,6 +130,9 @@
   const progress = new Map<InstanceId, Progress>();
   let suspicions: Suspicions = new Map();
   const others = createPeerLoads(ctx);
+  const uses = createRoomUses(ctx);
+  /** Age of the others' loads when they are heard of. */
+  let agedMs = 0;
   let tickedAt = clock.now();
   /** The end of the last time in which this process did not run, as when it was short of processor time. */
   let heldUpUntil = clock.now();
@@ -170,14 +191,6 @@
   const readingMs = ({ head, engine, spec }: BoardGroup): number =>
     (spec.pace * unreadIn(head.id)) / engine.prefillTokensPerMs;
 
-  /** This daemon's part of the places that were free at the last report of the peers, less what it took since. */
-  const mayTake = ({ head, model, engine }: BoardGroup): number => {
-    const taken = others.sentSince(head.id);
-    const free = engine.batchSize - runningIn(head.id) + taken;
-    const daemons = 1 + others.waitingDaemons(model);
-    return Math.max(1, Math.ceil(free / daemons)) - taken;
-  };
-
   const usualOf = ({ engine, spec, head }: BoardGroup): number =>
     usualPauseMs(engine, spec.pace, runningIn(head.id));
 
@@ -190,6 +203,26 @@
   const paceOf = (group: BoardGroup): number =>
     Math.max(ownPace(group) ?? 1, others.pace(group.head.id));
 
+  const toCandidate = (group: BoardGroup, { maxPauseMs, tried }: GroupNeeds): GroupCandidate => {
+    const { head, engine, spec } = group;
+    const load = {
+      running: runningIn(head.id),
+      batchSize: engine.batchSize,
+      unread: unreadIn(head.id),
+      maxUnread: readableTokens(engine, spec.pace, runningIn(head.id), maxPauseMs),
+    };
+    const usualPrompt = engine.usual.prompt;
+    const readMeanwhile = (agedMs * engine.prefillTokensPerMs) / (spec.pace * usualPrompt);
+    return {
+      ...load,
+      head: head.id,
+      zone: head.zone,
+      room: roomIn({ ...load, usualPrompt, readMeanwhile }),
+      slowdown: paceOf(group),
+      isTried: tried.has(head.id),
+    };
+  };
+
   const isHeld = (group: GroupId): boolean => isSuspect(suspicions, group, clock.now());
 
   const suspect = (group: GroupId, evidence: Evidence, reason: string): boolean => {
@@ -252,20 +285,17 @@
       abandoned.next(stall);
     },
     changes,
-    candidates: (service, model, gapMs, tried) =>
-      ofModel(service, model)
+    candidates: (needs) =>
+      ofModel(needs.service, needs.model)
         .filter(({ id }) => !isHeld(id))
-        .map((group) => ({
-          head: group.head.id,
-          zone: group.head.zone,
-          running: runningIn(group.head.id),
-          batchSize: group.engine.batchSize,
-          mayTake: mayTake(group),
-          unread: unreadIn(group.head.id),
-          maxUnread: readableTokens(group.engine, group.spec.pace, runningIn(group.head.id), gapMs),
-          slowdown: paceOf(group),
-          isTried: tried.has(group.head.id),
-        })),
+        .map((group) => toCandidate(group, needs)),
+    mayTake: (model, found, here) => {
+      const room = found.reduce((sum, one) => sum + one.room, 0);
+      return uses.mayTake(model, room, {
+        here: expectDemand({ ...here, waiting: Math.max(1, here.waiting) }, agedMs),
+        elsewhere: expectDemand(others.asked(model), agedMs),
+      });
+    },
     serves: (service, model) => model !== undefined && ofModel(service, model).length > 0,
     find: (head) => groups().get(head),
     runningElsewhere: (head) => others.running(head),
@@ -273,13 +303,17 @@
       [...groups().values()].some(({ id, head }) => id === group && runningIn(head.id) > 0),
     noteSent: (head, promptTokens) => {
       progress.set(head, noteSent(progressOf(head), clock.now(), promptTokens));
-      others.noteSent(head);
+      const group = groups().get(head);
+      if (group) uses.noteSent(group.model);
     },
     noteRead: (head, promptTokens) => {
       progress.set(head, noteRead(progressOf(head), promptTokens));
     },
     noteEnded: (head, unread) => {
       progress.set(head, noteEnded(progressOf(head), unread));
+      const group = groups().get(head);
+      const hasRoom = group && runningIn(head) < mostRunning(group.engine.batchSize);
+      if (hasRoom && !isHeld(group.id)) uses.noteEnded(group.model);
       changes.next();
     },
     noteEvent: (head, pauseMs) => {
@@ -304,15 +338,17 @@
     },
     eventAt: (head) => progress.get(head)?.eventAt,
     knowsOthers: () => others.areKnown(),
-    takeLoads: (sums, isWhole) => {
+    takeLoads: (sums, { isWhole, ageMs }) => {
       others.take(sums, isWhole);
+      agedMs = ageMs;
+      uses.noteLoads(ageMs);
       changes.next();
     },
     demand: () => {
       const demand = new Map<ModelId, number>();
       for (const { engine } of routes.value?.config.services ?? []) {
         for (const { name } of engine?.models ?? []) {
-          demand.set(name, others.waitingRequests(name) / (engine?.batchSize ?? 1));
+          demand.set(name, others.asked(name).waiting / (engine?.batchSize ?? 1));
         }
       }
       for (const { head, model, engine } of groups().values()) {
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -4,7 +4,6 @@
 import type { Observable } from 'rxjs';
 
 import { createPeers } from '../../adapters/peers/peers';
-import { sample } from '../../core/gateway/balance';
 import { isSilent, noteSpoken } from '../../core/gateway/silence';
 import type { Conversation } from '../../core/gateway/silence';
 import { brandAs, later } from '../../core/ids';
@@ -12,6 +11,7 @@
 import { rankSuccessors } from '../../core/gateway/succession';
 import type { Strengths } from '../../core/gateway/succession';
 import type { Change, DaemonEntry, Feed } from '../../ports/gateway';
+import { sample } from '../../utils/common';
 import type { GatewayContext } from './context';
 import { parseGatewayMessage } from './messages';
 import type { GatewayMessage, LeaderMessage, PeerState, PlainMessage } from './messages';
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import type { Dialect, Feeds, Servers } from '../../ports/gateway';
 import { later } from '../../core/ids';
 import { pause } from '../../utils/pause';
+import { createArrivals } from './arrivals';
 import { createBoard } from './board';
 import { createConfigView } from './config-view';
 import type { GatewayContext } from './context';
@@ -69,6 +70,7 @@
   const routes = () => config.table.value;
   const board = createBoard(ctx, roster, config.table);
   const waiting = createWaitingRoom(ctx, board);
+  const arrivals = createArrivals(ctx);
   const former = createFormer(ctx, {
     roster,
     routes,
@@ -82,7 +84,10 @@
   const sharers = (): number => Math.max(fleet.size(), fleet.candidates().size);
   const retries = createRetries(ctx, sharers);
   const plain = createPlainCalls({ ctx, roster, upstream, dialect, retries });
-  const streams = createStreamCalls({ ctx, board, upstream, dialect, retries, waiting, daemons });
+  const streams = createStreamCalls({
+    ...{ ctx, board, upstream, dialect, retries },
+    ...{ waiting, arrivals, daemons: sharers },
+  });
   const gossip = createGossip({
     ctx,
     config,
@@ -92,6 +97,7 @@
     former,
     leadership,
     waiting,
+    arrivals,
     isStopping: () => isStopping,
   });
   const front = createFront({
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -3,6 +3,7 @@
 import { joinNews } from '../../core/gateway/news';
 import type { ConfigVersion, MonoTime } from '../../core/ids';
 import { brandAs, later } from '../../core/ids';
+import type { Arrivals } from './arrivals';
 import type { Board } from './board';
 import type { ConfigView } from './config-view';
 import type { GatewayContext } from './context';
@@ -26,6 +27,7 @@
   readonly former: Former;
   readonly leadership: Leadership;
   readonly waiting: WaitingRoom;
+  readonly arrivals: Arrivals;
   readonly isStopping: () => boolean;
 }
 
@@ -41,6 +43,8 @@
 const LARGE_INTERVAL_MS = 1_200;
 /** Between two statements to the leader of a large fleet, and of the leader to all. */
 const LOADS_MS = 200;
+/** Loads in a large fleet go to a relay, to the leader and back: each daemon's statement is this old at most. */
+const RELAYED_AGE_MS = 2 * LOADS_MS;
 /** Added for each peer, so that a daemon's messages do not grow with the fleet. */
 const INTERVAL_PER_PEER_MS = 9;
 /** Loads of peers that fell silent are dropped at this interval at the latest. */
@@ -54,8 +58,13 @@
 /** The same peer is not helped again before this. */
 const HELP_AGAIN_MS = 500;
 
+/** Between two statements of a daemon that tells `peers` of them directly. */
+function intervalMs(peers: number): number {
+  return LEAST_INTERVAL_MS + INTERVAL_PER_PEER_MS * peers;
+}
+
 export function createGossip(deps: GossipDeps): Gossip {
-  const { ctx, config, roster, board, fleet, former, leadership, waiting } = deps;
+  const { ctx, config, roster, board, fleet, former, leadership, waiting, arrivals } = deps;
   const helped = new Map<string, MonoTime>();
   let dueAt = ctx.clock.now();
   let hasTraffic = false;
@@ -66,12 +75,18 @@
   let told: PeerState | undefined;
   let revisionSince = ctx.clock.now();
   let revision = 0;
-  const workLog = createWorkLog(ctx, board);
+  const workLog = createWorkLog(ctx, board, roster.servers);
   const findings = createFindings({ ctx, board, fleet, former, leadership });
   /** News that wait to be told, and from when on they may be. */
   let pendingNews: RosterNews | undefined;
   let tellNewsAt = ctx.clock.now();
 
+  /** By model: requests that wait here, and those that come in a second. */
+  const asked = (): PeerState['waiting'] => {
+    const models = new Set([...waiting.waiting(), ...arrivals.rates()].map(([model]) => model));
+    return [...models].map((model) => [model, waiting.count(model), arrivals.rate(model)]);
+  };
+
   const ownState = (lease = leadership.ownLease()): PeerState => ({
     kind: 'state',
     configVersion: config.version(),
@@ -88,7 +103,7 @@
     running: board.running().map((entry) => [...entry]),
     quiet: board.quiet().map((entry) => [...entry]),
     paces: board.paces().map((entry) => [...entry]),
-    waiting: waiting.waiting().map(([model, count]) => [model, count]),
+    waiting: asked(),
   });
 
   const noteTraffic = (): void => {
@@ -159,7 +174,10 @@
     loads: (sums, { address }) => {
       leadership.takeLease(sums.lease);
       if (sums.hasTraffic) noteTraffic();
-      board.takeLoads(told ? withoutOwn(sums, told) : sums, isMost(sums.daemons));
+      board.takeLoads(told ? withoutOwn(sums, told) : sums, {
+        isWhole: isMost(sums.daemons),
+        ageMs: RELAYED_AGE_MS,
+      });
       help(sums, address);
     },
     news: ({ since, revision: theirs, changes }) => {
@@ -180,7 +198,10 @@
 
   const takeDirectLoads = (now: MonoTime, peers: readonly PeerView[]): void => {
     if (!hasNews && now < newsDueAt) return;
-    board.takeLoads(sumLoads(peers), isMost(peers.length + 1));
+    board.takeLoads(sumLoads(peers), {
+      isWhole: isMost(peers.length + 1),
+      ageMs: intervalMs(peers.length),
+    });
     hasNews = false;
     newsDueAt = later(now, NEWS_MS);
   };
@@ -192,7 +213,10 @@
     const state = ownState();
     const { lease, configVersion, serversRevision, isStoreLost, storeAgeMs, configAgeMs } = state;
     if (lease) {
-      board.takeLoads(sumLoads(peers), isMost(peers.length + 1));
+      board.takeLoads(sumLoads(peers), {
+        isWhole: isMost(peers.length + 1),
+        ageMs: RELAYED_AGE_MS,
+      });
       // Who hears of a revision before the news that lead to it would ask the store for them.
       flushNews();
       fleet.spread({
@@ -212,15 +236,15 @@
     told = state;
     const leader = fleet.leader();
     if (leader) fleet.answer(leader, told);
-    else board.takeLoads(sumLoads(peers), false);
+    else board.takeLoads(sumLoads(peers), { isWhole: false, ageMs: RELAYED_AGE_MS });
   };
 
   /** Tells all peers; in a large fleet the leader does, and without one those that may become it are told. */
   const tellAll = (now: MonoTime, peers: readonly PeerView[], isLarge: boolean): void => {
     if (now < dueAt) return;
     findings.forgetOld(now);
-    const intervalMs = isLarge ? LARGE_INTERVAL_MS : LEAST_INTERVAL_MS;
-    dueAt = later(now, intervalMs + INTERVAL_PER_PEER_MS * peers.length);
+    const extraMs = isLarge ? LARGE_INTERVAL_MS - LEAST_INTERVAL_MS : 0;
+    dueAt = later(now, intervalMs(peers.length) + extraMs);
     if (!isLarge) fleet.broadcast(ownState());
     else if (!fleet.leader() && !leadership.ownLease()) fleet.sendToLikelyLeaders(ownState());
   };
--- a/src/app/gateway/loads.ts
+++ b/src/app/gateway/loads.ts
@@ -33,38 +33,42 @@
   states: readonly Pick<PeerState, 'running' | 'paces' | 'waiting'>[],
 ): LoadSums {
   const running = new Map<InstanceId, readonly [number, number]>();
-  const waiting = new Map<string, readonly [number, number]>();
+  const waiting = new Map<string, readonly [number, number, number]>();
   for (const state of states) {
     for (const [head, count, tokens] of state.running) {
       const [counts, sum] = running.get(head) ?? [0, 0];
       running.set(head, [counts + count, sum + tokens]);
     }
-    for (const [model, count] of state.waiting) {
-      const [daemons, sum] = waiting.get(model) ?? [0, 0];
-      waiting.set(model, [daemons + 1, sum + count]);
+    for (const [model, count, perSecond] of state.waiting) {
+      const [daemons, sum, rate] = waiting.get(model) ?? [0, 0, 0];
+      waiting.set(model, [daemons + Math.sign(count), sum + count, rate + perSecond]);
     }
   }
   return {
     running: [...running].map(([head, [count, tokens]]) => [head, count, tokens]),
     paces: meanPaces(states),
-    waiting: [...waiting].map(([model, [daemons, count]]) => [model, daemons, count]),
+    waiting: [...waiting].map(([model, sums]) => [model, ...sums]),
   };
 }
 
 /** A sum without one daemon's own part, as far as that part is the one that was summed. */
 export function withoutOwn(sums: LoadSums, own: Pick<PeerState, 'running' | 'waiting'>): LoadSums {
   const ownRunning = new Map(own.running.map(([head, ...rest]) => [head, rest] as const));
-  const ownWaiting = new Map(own.waiting);
+  const ownWaiting = new Map(own.waiting.map(([model, ...rest]) => [model, rest] as const));
   return {
     paces: sums.paces,
     running: sums.running.map(([head, count, tokens]) => {
       const [ownCount, ownTokens] = ownRunning.get(head) ?? [0, 0];
       return [head, Math.max(0, count - ownCount), Math.max(0, tokens - ownTokens)];
     }),
-    waiting: sums.waiting.map(([model, daemons, count]) => {
-      const ownCount = ownWaiting.get(model);
-      if (ownCount === undefined) return [model, daemons, count];
-      return [model, Math.max(0, daemons - 1), Math.max(0, count - ownCount)];
+    waiting: sums.waiting.map(([model, daemons, count, perSecond]) => {
+      const [ownCount, ownRate] = ownWaiting.get(model) ?? [0, 0];
+      return [
+        model,
+        Math.max(0, daemons - Math.sign(ownCount)),
+        Math.max(0, count - ownCount),
+        Math.max(0, perSecond - ownRate),
+      ];
     }),
   };
 }
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -58,8 +58,8 @@
   /** By head of a group with requests in flight here: time since any of them gave an event, milliseconds. */
   quiet: z.array(z.tuple([instanceIdSchema, natural])),
   paces: pacesSchema,
-  /** Requests that wait here for a group, by model. */
-  waiting: z.array(z.tuple([z.string(), natural])),
+  /** By model: requests that wait here for a group, and how many come here in a second. */
+  waiting: z.array(z.tuple([z.string(), natural, natural])),
 });
 
 /** What the leader of a large fleet tells all, in place of what each would tell each. */
@@ -72,8 +72,8 @@
   running: runningSchema,
   /** Means over the daemons that saw the groups; those at their usual pace are left out. */
   paces: pacesSchema,
-  /** Daemons with requests that wait for a model, and how many wait, by model. */
-  waiting: z.array(z.tuple([z.string(), natural, natural])),
+  /** By model: daemons with requests that wait for it, how many wait, and how many come in a second. */
+  waiting: z.array(z.tuple([z.string(), natural, natural, natural])),
 });
 
 /**
--- a/src/app/gateway/placing.ts
+++ b/src/app/gateway/placing.ts
@@ -1,38 +1,45 @@
 /** Takes a place in a group for a stream. */
 
-import { chooseGroup, countToLookAt, hasRoom, sample } from '../../core/gateway/balance';
-import type { InstanceId, ModelId, ServiceId } from '../../core/ids';
-import type { Board, BoardGroup } from './board';
+import { chooseGroup, drawGroup, hasRoom } from '../../core/gateway/balance';
+import type { GroupCandidate } from '../../core/gateway/balance';
+import type { Arrivals } from './arrivals';
+import type { Board, BoardGroup, GroupNeeds } from './board';
 import type { GatewayContext } from './context';
+import type { WaitingRoom } from './waiting';
 
 export interface PlacingDeps {
   readonly ctx: GatewayContext;
   readonly board: Board;
-  /** Daemons that choose as well, this one included. */
+  readonly waiting: WaitingRoom;
+  readonly arrivals: Arrivals;
+  /** Daemons that may choose as well, this one included. */
   readonly daemons: () => number;
 }
 
-export interface PlaceRequest {
-  readonly service: ServiceId;
-  readonly model: ModelId;
+export interface PlaceRequest extends GroupNeeds {
   readonly promptTokens: number;
-  /** Longest pause between events that its caller takes for on time, milliseconds. */
-  readonly maxPauseMs: number;
-  /** Heads of the groups that it was sent to before. */
-  readonly tried: ReadonlySet<InstanceId>;
 }
 
+/** So few daemons hear of each other soon enough to choose the least filled group. */
+const FEW_DAEMONS = 10;
+
 /** The group in which a place was taken; undefined where none has room for this daemon. */
 export function takePlace(
-  { ctx, board, daemons }: PlacingDeps,
-  { service, model, promptTokens, maxPauseMs, tried }: PlaceRequest,
+  { ctx, board, waiting, arrivals, daemons }: PlacingDeps,
+  { promptTokens, ...needs }: PlaceRequest,
 ): BoardGroup | undefined {
-  const candidates = board.candidates(service, model, maxPauseMs, tried);
-  const open = candidates.filter(
-    (candidate) => !candidate.isTried && hasRoom(candidate, promptTokens),
-  );
-  const some = sample(open, countToLookAt(open.length, daemons()), () => ctx.random.next());
-  const found = chooseGroup(some, promptTokens, ctx.settings.zone, ctx.random.next());
+  const { model } = needs;
+  const candidates = board.candidates(needs);
+  const here = { waiting: waiting.count(model), perSecond: arrivals.rate(model) };
+  if (board.mayTake(model, candidates, here) < 1) return undefined;
+  const open = candidates.filter((one) => !one.isTried && hasRoom(one, promptTokens));
+  const { zone } = ctx.settings;
+  const random = (): number => ctx.random.next();
+  const choose = (): GroupCandidate | undefined =>
+    daemons() > FEW_DAEMONS
+      ? drawGroup(open, zone, random)
+      : chooseGroup(open, promptTokens, zone, random());
+  const found = choose();
   const group = found && board.find(found.head);
   // The place is taken in the same tick, so that the next request in turn sees it taken.
   if (group) board.noteSent(group.head.id, promptTokens);
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -19,7 +19,6 @@
 import type { Retries } from './retries';
 import { describe, relay } from './stream-relay';
 import type { Ended, Place, RelayDeps, StreamState } from './stream-relay';
-import type { WaitingRoom } from './waiting';
 
 /** A group that lost a member is formed again from warm servers in little more than half a second. */
 const UNSERVED_WAIT_MS = 700;
@@ -32,7 +31,6 @@
 export interface StreamDeps extends RelayDeps, PlacingDeps {
   readonly upstream: Upstream;
   readonly retries: Retries;
-  readonly waiting: WaitingRoom;
 }
 
 export interface StreamCalls {
@@ -118,6 +116,7 @@
       return;
     }
     retries.noteRequest(exchange.service);
+    deps.arrivals.note(model);
     for (;;) {
       const group = await findGroup(exchange, model, state);
       if (!group) break;
--- a/src/app/gateway/waiting.ts
+++ b/src/app/gateway/waiting.ts
@@ -21,6 +21,8 @@
   /** Undefined once the wait is over in vain. */
   wait(waiter: Waiter): Promise<BoardGroup | undefined>;
   waiting(): readonly (readonly [ModelId, number])[];
+  /** Requests that wait for the model. */
+  count(model: ModelId): number;
 }
 
 interface Entry extends Waiter {
@@ -29,6 +31,7 @@
 
 export function createWaitingRoom(ctx: GatewayContext, board: Board): WaitingRoom {
   const entries = new Set<Entry>();
+  const counts = new Map<ModelId, number>();
   let isServing = false;
 
   const inTurn = (): Entry[] => {
@@ -52,10 +55,17 @@
 
   board.changes.subscribe(serve);
 
+  const addCount = (model: ModelId, by: 1 | -1): void => {
+    const count = (counts.get(model) ?? 0) + by;
+    if (count > 0) counts.set(model, count);
+    else counts.delete(model);
+  };
+
   const wait = (waiter: Waiter): Promise<BoardGroup | undefined> =>
     new Promise((resolve) => {
       const settle = (group: BoardGroup | undefined): void => {
         if (!entries.delete(entry)) return;
+        addCount(entry.model, -1);
         clearTimeout(timer);
         waiter.gone.removeEventListener('abort', onGone);
         resolve(group);
@@ -67,14 +77,8 @@
       const timer = setTimeout(onGone, Math.max(0, waiter.until - ctx.clock.now()));
       waiter.gone.addEventListener('abort', onGone, { once: true });
       entries.add(entry);
+      addCount(entry.model, 1);
     });
 
-  return {
-    wait,
-    waiting: () => {
-      const counts = new Map<ModelId, number>();
-      for (const { model } of entries) counts.set(model, (counts.get(model) ?? 0) + 1);
-      return [...counts];
-    },
-  };
+  return { wait, waiting: () => [...counts], count: (model) => counts.get(model) ?? 0 };
 }
--- a/src/app/gateway/work-log.ts
+++ b/src/app/gateway/work-log.ts
@@ -1,8 +1,10 @@
-/** The leader's account of places and waiting requests: one line a second for each model. */
+/** The leader's account of places, waiting requests and servers: a line a second for each model and service. */
 
+import { summarizeServers } from '../../core/gateway/work';
 import type { WaitingLoad } from '../../core/gateway/work';
+import type { BackendServer } from '../../core/gateway/types';
 import { brandAs, later } from '../../core/ids';
-import type { ModelId, MonoTime } from '../../core/ids';
+import type { InstanceId, ModelId, MonoTime } from '../../core/ids';
 import type { Board } from './board';
 import type { GatewayContext } from './context';
 import { sumLoads } from './loads';
@@ -23,7 +25,11 @@
   }));
 }
 
-export function createWorkLog({ clock, logger }: GatewayContext, board: Board): WorkLog {
+export function createWorkLog(
+  { clock, logger }: GatewayContext,
+  board: Board,
+  servers: ReadonlyMap<InstanceId, BackendServer>,
+): WorkLog {
   let dueAt = clock.now();
 
   return {
@@ -34,6 +40,9 @@
       for (const { model, ...work } of board.work(waitingIn(heard))) {
         logger.info('work of a model', { step: 'work', model, daemons: heard.length, ...work });
       }
+      for (const work of summarizeServers(servers.values())) {
+        logger.info('servers of a service', { step: 'work', ...work });
+      }
     },
   };
 }
--- a/src/core/gateway/balance.ts
+++ b/src/core/gateway/balance.ts
@@ -9,11 +9,8 @@
   /** Requests in it, of all daemons, as far as this one knows. */
   readonly running: number;
   readonly batchSize: number;
-  /**
-   * Requests that this daemon may add before it hears from its peers again: its part of the free
-   * places, where others wait for them as well.
-   */
-  readonly mayTake: number;
+  /** Requests that it can take without holding up those that it has. */
+  readonly room: number;
   /** Prompt tokens in it that wait to be read. */
   readonly unread: number;
   /** Prompt tokens that may wait without holding up the events of others for too long. */
@@ -46,35 +43,44 @@
   slowWeight: 1,
 };
 
-/** So many daemons may all look at all groups. */
-const FEW_DAEMONS = 10;
-const LEAST_CHOICES = 3;
-
 export function hasRoom(
-  { running, batchSize, mayTake, unread, maxUnread }: GroupCandidate,
+  { room, unread, maxUnread }: Pick<GroupCandidate, 'room' | 'unread' | 'maxUnread'>,
   prompt: number,
 ): boolean {
-  if (running >= batchSize || mayTake < 1) return false;
+  if (room < 1) return false;
   return unread === 0 || unread + prompt <= maxUnread;
 }
 
+/** Groups that are drawn, of which one in the own zone is taken. */
+const DRAWS = 3;
+/** A slow group counts as having this part of its room: it is drawn where hardly another has any. */
+const SLOW_SHARE = 0.02;
+
 /**
- * How many of the groups to look at. A few daemons look at all. Many daemons whose knowledge is of the
- * same age would all choose the same group: each then looks at a few, drawn at random (Mitzenmacher,
- * "The Power of Two Choices in Randomized Load Balancing", 2001).
+ * A group drawn by lot, those with more room more often. Of a few that are drawn, one in the own zone goes
+ * before the others.
+ *
+ * Load pattern: many daemons whose knowledge of loads is of the same age. The least filled group, also the
+ * least filled of a few, is the same to all of them until they hear again, and is overfilled meanwhile. In
+ * proportion to its room each group gets what it can take (Dahlin, "Interpreting Stale Load Information",
+ * 2000).
  */
-export function countToLookAt(groups: number, daemons: number): number {
-  const share = FEW_DAEMONS / Math.max(FEW_DAEMONS, daemons);
-  return Math.max(LEAST_CHOICES, Math.ceil(groups * share));
-}
-
-/** A random sample of `count` candidates, by `random` in [0, 1). */
-export function sample<T>(all: readonly T[], count: number, random: () => number): readonly T[] {
-  if (count >= all.length) return all;
-  const left = [...all];
-  return Array.from({ length: count }, () =>
-    left.splice(Math.floor(random() * left.length), 1),
-  ).flat();
+export function drawGroup(
+  candidates: readonly GroupCandidate[],
+  zone: ZoneId,
+  random: () => number,
+  { slowAt }: GroupChoiceOptions = GROUP_CHOICE_DEFAULTS,
+): GroupCandidate | undefined {
+  const weights = candidates.map(
+    ({ room, slowdown }) => (room / slowdown) * (slowdown >= slowAt ? SLOW_SHARE : 1),
+  );
+  const total = weights.reduce((sum, weight) => sum + weight, 0);
+  const draw = (): GroupCandidate | undefined => {
+    let left = random() * total;
+    return candidates.find((_, i) => (left -= weights[i] ?? 0) < 0) ?? candidates.at(-1);
+  };
+  const drawn = Array.from({ length: DRAWS }, draw);
+  return drawn.find((group) => group?.zone === zone) ?? drawn[0];
 }
 
 /**
--- a/src/core/gateway/work.ts
+++ b/src/core/gateway/work.ts
@@ -1,6 +1,8 @@
 /** The places of each model's groups, and the requests that are in them or wait for one. */
 
-import type { ModelId } from '../ids';
+import type { ModelId, ServiceId } from '../ids';
+import { isStandby } from './forming/start';
+import type { BackendServer } from './types';
 
 /** One open group, as its load is known. */
 export interface GroupLoad {
@@ -78,3 +80,49 @@
   }
   return [...works.values()];
 }
+
+/** What the backend servers of a service are at. */
+export interface ServerWork {
+  readonly service: ServiceId;
+  readonly servers: number;
+  readonly leaving: number;
+  /** Members of groups that serve, as they report it; the heads alone say so of the whole group. */
+  readonly ready: number;
+  readonly joining: number;
+  /** Kept warm to replace members. */
+  readonly standby: number;
+  /** Members of groups that end or are broken. */
+  readonly ending: number;
+  /** In no group. */
+  readonly idle: number;
+}
+
+type Occupation = Exclude<keyof ServerWork, 'service' | 'servers'>;
+
+function occupationOf({ isDraining, membership }: BackendServer): Occupation {
+  if (isDraining) return 'leaving';
+  if (!membership) return 'idle';
+  if (membership.state === 'joining') return 'joining';
+  if (isStandby(membership.group)) return 'standby';
+  return membership.state === 'ready' || membership.state === 'open' ? 'ready' : 'ending';
+}
+
+/** Counts by service, of services whose servers form groups. */
+export function summarizeServers(servers: Iterable<BackendServer>): readonly ServerWork[] {
+  const works = new Map<ServiceId, ServerWork>();
+  for (const server of servers) {
+    const { service, domain } = server;
+    if (domain === undefined) continue;
+    const work = works.get(service) ?? {
+      ...{ service, servers: 0, leaving: 0, ready: 0 },
+      ...{ joining: 0, standby: 0, ending: 0, idle: 0 },
+    };
+    const occupation = occupationOf(server);
+    works.set(service, {
+      ...work,
+      servers: work.servers + 1,
+      [occupation]: work[occupation] + 1,
+    });
+  }
+  return [...works.values()];
+}
--- a/src/utils/common.ts
+++ b/src/utils/common.ts
@@ -22,3 +22,12 @@
   if (a === b) return 0;
   return a < b ? -1 : 1;
 }
+
+/** A random sample of `count` items, by `random` in [0, 1). */
+export function sample<T>(all: readonly T[], count: number, random: () => number): readonly T[] {
+  if (count >= all.length) return all;
+  const left = [...all];
+  return Array.from({ length: count }, () =>
+    left.splice(Math.floor(random() * left.length), 1),
+  ).flat();
+}
--- a/tests/gateway/board.test.ts
+++ b/tests/gateway/board.test.ts
@@ -27,6 +27,12 @@
 }
 
 const HEAD = instance('s0');
+const NEEDS = {
+  ...{ service: SERVICE, model: SMALL, maxPauseMs: 250 },
+  tried: new Set<InstanceId>(),
+};
+/** Loads of all, just told. */
+const HEARD = { isWhole: true, ageMs: 200 };
 
 /** A board with the servers of one open group in the roster, and a clock of its own. */
 function setUp() {
@@ -40,7 +46,7 @@
     { servers, changes } as unknown as Roster,
     routes,
   );
-  const heads = () => board.candidates(SERVICE, SMALL, 250, new Set()).map(({ head }) => head);
+  const heads = () => board.candidates(NEEDS).map(({ head }) => head);
   /** The process runs, and looks about it as often as it should. */
   const run = (ms: number): void => {
     for (let passed = 0; passed < ms; passed += TICK_MS) {
@@ -62,7 +68,7 @@
   const parts = setUp();
   parts.routes.next(TABLE);
   parts.changes.next();
-  parts.board.takeLoads({ running: [], paces: [], waiting: [] }, true);
+  parts.board.takeLoads({ running: [], paces: [], waiting: [] }, HEARD);
   parts.run(100);
   return parts;
 }
@@ -122,10 +128,10 @@
 describe('a group that is slow', () => {
   it('is known as such by what other daemons saw, and no longer than they see it', () => {
     const { board } = setUpServing();
-    const pace = () => board.candidates(SERVICE, SMALL, 250, new Set())[0]?.slowdown;
-    board.takeLoads({ running: [], paces: [[HEAD, 3.5]], waiting: [] }, true);
+    const pace = () => board.candidates(NEEDS)[0]?.slowdown;
+    board.takeLoads({ running: [], paces: [[HEAD, 3.5]], waiting: [] }, HEARD);
     expect(pace()).toBe(3.5);
-    board.takeLoads({ running: [], paces: [], waiting: [] }, true);
+    board.takeLoads({ running: [], paces: [], waiting: [] }, HEARD);
     expect(pace()).toBe(1);
   });
 
--- a/tests/gateway/choice.test.ts
+++ b/tests/gateway/choice.test.ts
@@ -1,11 +1,13 @@
 import { describe, expect, it } from 'vitest';
 
-import { chooseGroup, choosePlain } from '../../src/core/gateway/balance';
+import { createRandom } from '../../src/adapters/runtime';
+import { chooseGroup, choosePlain, drawGroup } from '../../src/core/gateway/balance';
 import type { GroupCandidate, PlainCandidate } from '../../src/core/gateway/balance';
 import { brandAs } from '../../src/core/ids';
 import type { ZoneId } from '../../src/core/ids';
 import { instance } from './support';
 
+const DRAWN = 1_000;
 const [HERE, THERE] = [brandAs<ZoneId>('a'), brandAs<ZoneId>('b')];
 
 function group(id: string, more: Partial<GroupCandidate> = {}): GroupCandidate {
@@ -14,7 +16,7 @@
     zone: HERE,
     running: 0,
     batchSize: 10,
-    mayTake: 10,
+    room: 10,
     unread: 0,
     maxUnread: 5_000,
     slowdown: 1,
@@ -68,7 +70,8 @@
   it('is a slow one, however empty, only where no quick one has room', () => {
     const slow = group('1', { slowdown: 3 });
     expect(chooseGroup([slow, group('2', { running: 9 })], 1_000, HERE, 0)?.head).toBe('2');
-    expect(chooseGroup([slow, group('2', { running: 10 })], 1_000, HERE, 0)).toBe(slow);
+    const full = group('2', { running: 10, room: 0 });
+    expect(chooseGroup([slow, full], 1_000, HERE, 0)).toBe(slow);
   });
 
   it('is not one whose streams would pause too long for the prompt to be read', () => {
@@ -78,13 +81,43 @@
     expect(chooseGroup([reading], 400, HERE, 0)).toBe(reading);
   });
 
-  it('takes no more than this part of the free places until peers are heard', () => {
-    expect(chooseGroup([group('1', { mayTake: 0 })], 1_000, HERE, 0)).toBeUndefined();
+  it('is none that has no room or was tried', () => {
+    const candidates = [group('1', { room: 0 }), group('2', { isTried: true })];
+    expect(chooseGroup(candidates, 1_000, HERE, 0)).toBeUndefined();
   });
+});
 
-  it('is none that is full or was tried', () => {
-    const candidates = [group('1', { running: 10 }), group('2', { isTried: true })];
-    expect(chooseGroup(candidates, 1_000, HERE, 0)).toBeUndefined();
+describe('the group that one of many daemons draws', () => {
+  const drawMany = (candidates: readonly GroupCandidate[]): ReadonlyMap<string, number> => {
+    const random = createRandom(5);
+    const counts = new Map<string, number>();
+    for (let n = 0; n < DRAWN; n++) {
+      const head = drawGroup(candidates, HERE, () => random.next())?.head ?? 'none';
+      counts.set(head, (counts.get(head) ?? 0) + 1);
+    }
+    return counts;
+  };
+
+  it('is each one as often as it has room: all see the same loads until they hear again', () => {
+    const counts = drawMany([group('1', { room: 9 }), group('2', { room: 3 })]);
+    expect(counts.get('1')).toBeGreaterThan(0.7 * DRAWN);
+    expect(counts.get('2')).toBeGreaterThan(0.2 * DRAWN);
+  });
+
+  it('is mostly one in the own zone, and another where there is no room in it', () => {
+    const near = group('1', { room: 5 });
+    const far = group('2', { room: 5, zone: THERE });
+    expect(drawMany([near, far]).get('1')).toBeGreaterThan(0.8 * DRAWN);
+    expect(drawMany([{ ...near, room: 0 }, far]).get('2')).toBe(DRAWN);
+  });
+
+  it('is hardly ever a slow one while a quick one has room', () => {
+    const counts = drawMany([group('1', { slowdown: 4 }), group('2', { room: 2 })]);
+    expect(counts.get('1') ?? 0).toBeLessThan(0.1 * DRAWN);
+  });
+
+  it('is none where there is none', () => {
+    expect(drawGroup([], HERE, () => 0.5)).toBeUndefined();
   });
 });
 
--- a/tests/gateway/fleet-model.ts
+++ b/tests/gateway/fleet-model.ts
@@ -7,6 +7,8 @@
 import { vi } from 'vitest';
 
 import { createRandom } from '../../src/adapters/runtime';
+import { createArrivals } from '../../src/app/gateway/arrivals';
+import type { Arrivals } from '../../src/app/gateway/arrivals';
 import { createBoard } from '../../src/app/gateway/board';
 import type { Board, BoardGroup } from '../../src/app/gateway/board';
 import { sumLoads, withoutOwn } from '../../src/app/gateway/loads';
@@ -28,6 +30,7 @@
 const REPORT_MS = 200;
 /** From a statement to those that hear of the sum of all. */
 const ON_ITS_WAY_MS = 100;
+const LOAD_FACTS = { isWhole: true, ageMs: 2 * REPORT_MS };
 const TARGET_MS = 300;
 /** Callers leave a stream without an event after this. */
 const PATIENCE_MS = 2_000;
@@ -59,6 +62,7 @@
 interface ModelDaemon {
   readonly board: Board;
   readonly waiting: WaitingRoom;
+  readonly arrivals: Arrivals;
   readonly place: (request: ModelRequest) => BoardGroup | undefined;
   told: PeerState | undefined;
 }
@@ -104,7 +108,12 @@
 }
 
 /** Needs faked timers. */
-export function createFleetModel({ daemons: size, groups: count, load, seed }: FleetModelOptions) {
+export function createFleetModel({
+  daemons: size,
+  groups: count,
+  load,
+  seed,
+}: FleetModelOptions): FleetModel {
   const random = createRandom(seed);
   const startedAt = Date.now();
   const now = (): number => Date.now() - startedAt;
@@ -127,12 +136,15 @@
     const settings = { zone: brandAs<ZoneId>('a') };
     const ctx = makeContext({ clock, settings, seed: seed * 1_000 + n });
     const board = createBoard(ctx, roster, new BehaviorSubject<RouteTable | undefined>(TABLE));
+    const waiting = createWaitingRoom(ctx, board);
+    const arrivals = createArrivals(ctx);
     const daemon: ModelDaemon = {
       board,
-      waiting: createWaitingRoom(ctx, board),
+      waiting,
+      arrivals,
       place: ({ tried }) =>
         takePlace(
-          { ctx, board, daemons: () => size },
+          { ctx, board, waiting, arrivals, daemons: () => size },
           {
             ...{ service: SERVICE, model: SMALL, promptTokens: PROMPT_TOKENS },
             ...{ maxPauseMs: MAX_PAUSE_MS, tried },
@@ -214,6 +226,7 @@
         ...{ attempts: 0, firstEventAt: undefined, outcome: undefined },
       };
       requests.push(request);
+      daemon.arrivals.note(SMALL);
       seek(request);
     }
   };
@@ -259,10 +272,10 @@
     for (const stream of [...left, ...ended]) release(group, stream);
   };
 
-  const stateOf = ({ board, waiting }: ModelDaemon): PeerState =>
+  const stateOf = ({ board, waiting, arrivals }: ModelDaemon): PeerState =>
     makeState({
       running: board.running().map((entry) => [...entry]),
-      waiting: waiting.waiting().map(([model, waits]) => [model, waits]),
+      waiting: [[SMALL, waiting.count(SMALL), arrivals.rate(SMALL)]],
     });
 
   const report = (): void => {
@@ -273,7 +286,7 @@
     setTimeout(() => {
       daemons.forEach((daemon, n) => {
         const own = states[n];
-        daemon.board.takeLoads(own ? withoutOwn(sums, own) : sums, true);
+        daemon.board.takeLoads(own ? withoutOwn(sums, own) : sums, LOAD_FACTS);
       });
     }, ON_ITS_WAY_MS);
   };
@@ -318,5 +331,5 @@
   };
 
   formGroups(count);
-  return { requests, run, loseGroups, formGroups, longestQueue, onTime } satisfies FleetModel;
+  return { requests, run, loseGroups, formGroups, longestQueue, onTime };
 }
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -84,7 +84,8 @@
       held: () => (isLeading ? 1 : undefined),
       takeLease: () => undefined,
     },
-    waiting: { waiting: () => [] },
+    waiting: { waiting: () => [], count: () => 0 },
+    arrivals: { rates: () => [], rate: () => 0 },
     isStopping: () => false,
   };
   const gossip = createGossip(deps as unknown as GossipDeps);
--- a/tests/gateway/loads.test.ts
+++ b/tests/gateway/loads.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 
 import { sumLoads, withoutOwn } from '../../src/app/gateway/loads';
-import { countToLookAt, sample } from '../../src/core/gateway/balance';
+import { sample } from '../../src/utils/common';
 import { instance } from './support';
 
 const [A, B] = [instance('a'), instance('b')];
@@ -14,7 +14,7 @@
       [B, 1, 0],
     ] as [typeof A, number, number][],
     paces: [],
-    waiting: [['large', 4]] as [string, number][],
+    waiting: [['large', 4, 2.5]] as [string, number, number][],
   };
 
   it('add up by head and by model', () => {
@@ -24,10 +24,19 @@
         [B, 1, 0],
       ],
       paces: [],
-      waiting: [['large', 1, 4]],
+      waiting: [['large', 1, 4, 2.5]],
     });
   });
 
+  it('count daemons only where requests wait, and new requests of all', () => {
+    const busy = {
+      running: [],
+      paces: [],
+      waiting: [['large', 0, 3]] as [string, number, number][],
+    };
+    expect(sumLoads([busy, other]).waiting).toEqual([['large', 1, 4, 5.5]]);
+  });
+
   it('leave those of the others once the own part is taken off', () => {
     const sums = sumLoads([own, other]);
     expect(withoutOwn(sums, own)).toEqual({
@@ -36,9 +45,9 @@
         [B, 1, 0],
       ],
       paces: [],
-      waiting: [['large', 1, 4]],
+      waiting: [['large', 1, 4, 2.5]],
     });
-    expect(withoutOwn(sums, other).waiting).toEqual([['large', 0, 0]]);
+    expect(withoutOwn(sums, other).waiting).toEqual([['large', 0, 0, 0]]);
   });
 });
 
@@ -58,12 +67,7 @@
   });
 });
 
-describe('the groups that a daemon looks at', () => {
-  it('are all among few daemons and a few among many', () => {
-    expect(countToLookAt(12, 7)).toBe(12);
-    expect(countToLookAt(12, 70)).toBe(3);
-  });
-
+describe('peers of which a few are told', () => {
   it('are drawn without repetition', () => {
     let n = 0;
     const drawn = sample([1, 2, 3, 4, 5], 3, () => [0.9, 0, 0.5][n++] ?? 0);
--- a/tests/gateway/work.test.ts
+++ b/tests/gateway/work.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 
-import { summarizeWork } from '../../src/core/gateway/work';
-import { LARGE, SMALL } from './support';
+import { summarizeServers, summarizeWork } from '../../src/core/gateway/work';
+import { inGroup, LARGE, makeServer, SERVICE, SMALL } from './support';
 
 describe('the work of a model', () => {
   it('tells requests in places from those that wait in engines and those that wait in daemons', () => {
@@ -24,3 +24,23 @@
     expect(found).toMatchObject([{ model: SMALL, groups: 0, places: 0, waiting: 2 }]);
   });
 });
+
+describe('the servers of a service', () => {
+  it('are counted by what they are at', () => {
+    const servers = [
+      makeServer('1', inGroup('group-1', 0, 'open')),
+      makeServer('2', inGroup('group-1', 1, 'ready')),
+      makeServer('3', inGroup('standby-2', 0, 'ready')),
+      makeServer('4', inGroup('group-3', 0, 'joining')),
+      makeServer('5', inGroup('group-4', 0, 'broken')),
+      makeServer('6'),
+      makeServer('7', { isDraining: true }),
+    ];
+    expect(summarizeServers(servers)).toEqual([
+      {
+        ...{ service: SERVICE, servers: 7, leaving: 1, ready: 2 },
+        ...{ joining: 1, standby: 1, ending: 1, idle: 1 },
+      },
+    ]);
+  });
+});
