Let a holder that hands its lease back act no more

Where the answer was lost the former holder went on for the rest of its lease. Fault of serve alone: the gateway never hands a working lease over.

Fix: a release under way, or one whose answer is lost, ends the holding.

--- a/src/core/lease/lease.ts
+++ b/src/core/lease/lease.ts
@@ -40,8 +40,10 @@
 }
 
 /** Whether this daemon may act for the domain at this instant. */
-export function isHolder(state: LeaseState, now: MonoTime): boolean {
-  return state.held !== undefined && now < state.held.validUntil && !state.stopping;
+export function isHolder({ held, pending, stopping }: LeaseState, now: MonoTime): boolean {
+  // Whoever sees the row handed back takes it, perhaps before the answer is here.
+  const isHandedBack = stopping || pending?.kind === 'release';
+  return held !== undefined && now < held.validUntil && !isHandedBack;
 }
 
 function isOwn(state: LeaseState, row: LeaseRow | undefined): boolean {
@@ -221,6 +223,9 @@
   tick: (state, _event, { now }) => onTick(state, now),
   committed: (state, event, { now }) => onCommitted(state, event, now),
   refused: (state, { conflict }, { now }) => onRefused(state, conflict, now),
-  unsure: (state) => read(withoutPending(state)),
+  unsure: (state) => {
+    const after = withoutPending(state);
+    return read(state.pending?.kind === 'release' ? withoutHeld(after) : after);
+  },
   stop: (state, _event, { now }) => onTick({ ...state, stopping: true }, now),
 });
--- a/tests/lease.test.ts
+++ b/tests/lease.test.ts
@@ -60,6 +60,19 @@
     expect(isHolder(state, 9_000 as MonoTime)).toBe(false);
   });
 
+  it('does not act between handing the lease back and the answer, nor where that is lost', () => {
+    const eager = { ...holder(), settings: { ...holder().settings, handoverMs: 1_000 } };
+    const outranked = drive(eager, 100, { kind: 'ranked', rank: 1 });
+    const { state, effects } = drive(outranked.state, 1_200, TICK);
+    expect(effects).toMatchObject([{ kind: 'commit', row: { released: true } }]);
+    expect(isHolder(outranked.state, 1_200 as MonoTime)).toBe(true);
+    expect(isHolder(state, 1_200 as MonoTime)).toBe(false);
+    const lost = drive(state, 1_300, { kind: 'unsure' });
+    expect(isHolder(lost.state, 1_300 as MonoTime)).toBe(false);
+    const refused = drive(state, 1_300, { kind: 'refused', conflict: false });
+    expect(isHolder(refused.state, 1_300 as MonoTime)).toBe(true);
+  });
+
   it('renews without touching the fence row', () => {
     const { effects } = drive(holder(), 2_500, TICK);
     expect(effects).toMatchObject([{ kind: 'commit', leaseVersion: 5 }]);
