--- a/src/adapters/platform/store-call.ts
+++ b/src/adapters/platform/store-call.ts
@@ -16,6 +16,8 @@
   readonly timeoutMs?: number;
   /** Connections at a time. */
   readonly maxSockets?: number;
+  /** Sees each reply before anything is made of it. */
+  readonly onReply?: (reply: HttpReply, step: string) => void;
 }
 
 /** One call of a store. */
@@ -63,6 +65,7 @@
           : fail('store-unavailable', 'no answer', { ...origin, cause: failure.cause });
       })
       .andThen((reply) => {
+        opts.onReply?.(reply, step);
         if (REFUSED.has(reply.status)) {
           return errAsync(fail('store-unavailable', `refused with ${reply.status}`, origin));
         }
--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -21,6 +21,8 @@
   nutmegstack_call_ms: 'Time from arrival to the end of the answer, by kind of call',
   nutmegstack_refusals_total: 'Requests that belong to no route or organisation, by status',
   nutmegstack_orders_total: 'Orders to members of replica groups by kind and result',
+  nutmegstack_store_eras_total:
+    'Newer eras of the store that this daemon saw, the first one included',
   nutmegstack_config_version: 'Version of the configuration in force on this daemon',
   nutmegstack_config_alarms_total: 'Configurations that could not be put in force, by code',
 };
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -99,8 +99,9 @@
     waitMs: () => ENTRIES_WAIT_MS,
     trustUntil: (now) => later(now, ENTRIES_WAIT_MS),
     restUntil: (since) => later(since, leader() ? LED_ENTRIES_REST_MS : ENTRIES_REST_MS),
-    take: (changes: readonly Change<DaemonEntry>[], isWhole) => {
-      if (isWhole) known.clear();
+    take: (changes: readonly Change<DaemonEntry>[], kind) => {
+      // An older copy may lack daemons that live; they enter themselves again.
+      if (kind === 'whole') known.clear();
       for (const { key, value } of changes) {
         const id = brandAs<DaemonId>(key);
         if (value === undefined) known.delete(id);
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -1,9 +1,9 @@
 /** One gateway daemon: puts its parts together, starts them, and stops without cutting a request. */
 
 import { createUpstream } from '../../adapters/upstream/upstream';
-import type { Table } from '../../ports/platform';
-import type { Dialect, Feeds, Servers } from '../../ports/gateway';
+import type { Dialect, EraTable, Feeds, Servers } from '../../ports/gateway';
 import { later } from '../../core/ids';
+import { FIRST_ERA } from '../../core/store-era';
 import { pause } from '../../utils/pause';
 import { createArrivals } from './arrivals';
 import { createBoard } from './board';
@@ -24,7 +24,7 @@
 export interface GatewayOptions {
   readonly ctx: GatewayContext;
   readonly feeds: Feeds;
-  readonly table: Table;
+  readonly table: EraTable;
   readonly servers: Servers;
   readonly dialect: Dialect;
   readonly readyPath: string;
@@ -48,6 +48,8 @@
 const STOP_MARGIN_MS = 900;
 const CONNECT_TIMEOUT_MS = 400;
 const IDLE_MS = 4_000;
+/** Daemons enter themselves again within this time of the store's return, milliseconds. */
+const ANNOUNCE_SPREAD_MS = 1_500;
 
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
   const { ctx, feeds, dialect } = options;
@@ -118,6 +120,15 @@
   await front.start();
   const ready = await listenReady(ctx, { path: options.readyPath, isReady });
   void options.announce(true);
+  ctx.store.eras.subscribe(({ before, era, source }) => {
+    ctx.metrics.count('nutmegstack_store_eras_total');
+    logger.warn('era of the store', { step: 'store', before, era, source });
+    if (before === FIRST_ERA || isStopping) return;
+    // The older copy may lack this daemon's own entry.
+    setTimeout(() => {
+      if (!isStopping) void options.announce(true);
+    }, ctx.random.next() * ANNOUNCE_SPREAD_MS);
+  });
   roster.changes.subscribe(() => {
     former.tick();
   });
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -3,6 +3,7 @@
 import { joinNews } from '../../core/gateway/news';
 import type { ConfigVersion, MonoTime } from '../../core/ids';
 import { brandAs, later } from '../../core/ids';
+import { isLater, ORIGIN } from '../../core/store-era';
 import type { Arrivals } from './arrivals';
 import type { Board } from './board';
 import type { ConfigView } from './config-view';
@@ -73,8 +74,9 @@
   let loadsDueAt = ctx.clock.now();
   /** The state last sent to the leader. */
   let told: PeerState | undefined;
-  let revisionSince = ctx.clock.now();
-  let revision = 0;
+  /** How far the servers are known, and since when. */
+  let serversAt = ORIGIN;
+  let serversSince = ctx.clock.now();
   const workLog = createWorkLog(ctx, board, roster.servers);
   const findings = createFindings({ ctx, board, fleet, former, leadership });
   /** News that wait to be told, and from when on they may be. */
@@ -90,7 +92,8 @@
   const ownState = (lease = leadership.ownLease()): PeerState => ({
     kind: 'state',
     configVersion: config.version(),
-    serversRevision: roster.revision(),
+    serversAt: roster.changedAt(),
+    storeEra: ctx.store.era(),
     isStoreLost: roster.watch.isFailing(),
     storeAgeMs: Math.round(roster.watch.ageMs()),
     configAgeMs: Math.round(config.watch.ageMs()),
@@ -135,16 +138,21 @@
     if (table && peer.configVersion < config.version() && isOld && mayHelp(`config ${address}`)) {
       fleet.send(address, { kind: 'config', config: table.config });
     }
-    if (roster.revision() !== revision) {
-      revision = roster.revision();
-      revisionSince = now;
+    if (isLater(roster.changedAt(), serversAt)) {
+      serversAt = roster.changedAt();
+      serversSince = now;
     }
-    const isBehind = peer.serversRevision < revision && now >= later(revisionSince, HELP_AFTER_MS);
+    const isLong = now >= later(serversSince, HELP_AFTER_MS);
+    const isBehind = isLong && isLater(serversAt, peer.serversAt);
     // One that knows of no server at all is told even what this daemon can't look up any more.
-    const isFresh = !roster.watch.isFailing() || peer.serversRevision === 0;
+    const isFresh = !roster.watch.isFailing() || !isLater(peer.serversAt, ORIGIN);
     const canTell = peer.isStoreLost && isFresh;
     if (isBehind && canTell && mayHelp(`servers ${address}`)) {
-      fleet.send(address, { kind: 'servers', revision, servers: [...roster.servers.values()] });
+      fleet.send(address, {
+        kind: 'servers',
+        at: serversAt,
+        servers: [...roster.servers.values()],
+      });
     }
   };
 
@@ -154,8 +162,9 @@
       from: FromPeer,
     ) => void;
   } = {
-    state: (state, { address }) => {
+    state: (state, { from, address }) => {
       hasNews = true;
+      ctx.store.noteEra(state.storeEra, `peer ${from}`);
       findings.noteEvents(state.quiet);
       if (state.hasTraffic) noteTraffic();
       if (state.lease) leadership.takeLease(state.lease);
@@ -168,10 +177,11 @@
       const version = brandAs<ConfigVersion>(offered.version);
       config.offer({ ...offered, version }, `peer ${from}`);
     },
-    servers: ({ revision: theirs, servers }) => {
-      roster.takeFromPeer(theirs, servers);
+    servers: ({ at, servers }) => {
+      roster.takeFromPeer(at, servers);
     },
-    loads: (sums, { address }) => {
+    loads: (sums, { from, address }) => {
+      ctx.store.noteEra(sums.storeEra, `peer ${from}`);
       leadership.takeLease(sums.lease);
       if (sums.hasTraffic) noteTraffic();
       board.takeLoads(told ? withoutOwn(sums, told) : sums, {
@@ -180,10 +190,10 @@
       });
       help(sums, address);
     },
-    news: ({ since, revision: theirs, changes }) => {
+    news: ({ since, upTo, changes }) => {
       roster.takeNews({
         since,
-        revision: theirs,
+        upTo,
         changes: changes.map(({ key, value }) => (value ? { key, value } : { key })),
       });
     },
@@ -211,7 +221,8 @@
     if (now < loadsDueAt) return;
     loadsDueAt = later(now, LOADS_MS);
     const state = ownState();
-    const { lease, configVersion, serversRevision, isStoreLost, storeAgeMs, configAgeMs } = state;
+    const { lease, configVersion, serversAt: at, storeEra } = state;
+    const { isStoreLost, storeAgeMs, configAgeMs } = state;
     if (lease) {
       board.takeLoads(sumLoads(peers), {
         isWhole: isMost(peers.length + 1),
@@ -222,7 +233,8 @@
       fleet.spread({
         kind: 'loads',
         configVersion,
-        serversRevision,
+        serversAt: at,
+        storeEra,
         isStoreLost,
         storeAgeMs,
         ...(configAgeMs !== undefined && { configAgeMs }),
@@ -258,9 +270,9 @@
 
   const flushNews = (): void => {
     if (!pendingNews) return;
-    const { since, revision: upTo, changes } = pendingNews;
+    const { since, upTo, changes } = pendingNews;
     pendingNews = undefined;
-    fleet.spread({ kind: 'news', since, revision: upTo, changes: [...changes] });
+    fleet.spread({ kind: 'news', since, upTo, changes: [...changes] });
   };
 
   roster.news.subscribe((news) => {
--- a/src/app/gateway/lease.ts
+++ b/src/app/gateway/lease.ts
@@ -12,7 +12,8 @@
   LeaseSettings,
   LeaseState,
 } from '../../core/lease/types';
-import type { Row, Table } from '../../ports/platform';
+import type { EraTable } from '../../ports/gateway';
+import type { Row } from '../../ports/platform';
 import type { GatewayContext } from './context';
 import { LEASE_NAME } from './fleet';
 import type { Fleet } from './fleet';
@@ -55,7 +56,7 @@
   isReleased(): boolean;
 }
 
-export function createLeadership(ctx: GatewayContext, table: Table, fleet: Fleet): Leadership {
+export function createLeadership(ctx: GatewayContext, table: EraTable, fleet: Fleet): Leadership {
   const { settings, clock, logger } = ctx;
   const session = `${settings.id} ${clock.epoch()} ${ctx.random.next()}`;
   const domain = brandAs<DomainId>(LEASE_NAME);
@@ -95,10 +96,12 @@
       dispatch({ kind: 'read-failed' });
       return;
     }
-    const lease = rowOf(rows.value, LEASE_KEY);
-    const fence = rowOf(rows.value, FENCE_KEY);
+    const { era } = rows.value;
+    const lease = rowOf(rows.value.rows, LEASE_KEY);
+    const fence = rowOf(rows.value.rows, FENCE_KEY);
     dispatch({
       kind: 'read',
+      era,
       ...(lease && { lease: { version: lease.version, row: lease.value as unknown as LeaseRow } }),
       ...(fence && { fence: { version: fence.version, row: fence.value as unknown as FenceRow } }),
     });
@@ -156,6 +159,10 @@
     dispatch({ kind: 'ranked', rank: place });
   };
 
+  ctx.store.eras.subscribe(({ era }) => {
+    dispatch({ kind: 'era', era });
+  });
+
   const tick = (): void => {
     notePause();
     const now = clock.now();
@@ -173,15 +180,16 @@
       const { held, seen } = state;
       if (!held || !seen?.row || seen.row.released) return undefined;
       if (!isHolder(state, clock.now())) return undefined;
-      return { version: seen.version, row: seen.row, fenceVersion: held.fenceVersion };
+      const { era } = state;
+      return { era, version: seen.version, row: seen.row, fenceVersion: held.fenceVersion };
     },
-    takeLease: ({ version, row, fenceVersion }) => {
+    takeLease: ({ era, version, row, fenceVersion }) => {
       ledAt = clock.now();
       readAt = later(ledAt, READ_MS);
       const isSuccessor = state.held !== undefined && row.fencing > state.held.fencing;
       if ((state.held && !isSuccessor) || state.pending) return;
       const fence = { version: fenceVersion, row: { fencing: row.fencing } };
-      dispatch({ kind: 'read', lease: { version, row }, fence });
+      dispatch({ kind: 'read', era, lease: { version, row }, fence });
     },
     held: () => {
       const now = clock.now();
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -5,17 +5,28 @@
 import type { BackendServer, GatewayConfig } from '../../core/gateway/types';
 import { brandAs } from '../../core/ids';
 import type { DaemonId, FencingNumber, GroupId, InstanceId, ZoneId } from '../../core/ids';
+import { toStoreEra } from '../../core/store-era';
 
 const natural = z.number().min(0);
 const daemonIdSchema = z.string().transform((id) => brandAs<DaemonId>(id));
 const instanceIdSchema = z.string().transform((id) => brandAs<InstanceId>(id));
 
+const eraSchema = z.number().transform((value, ctx) => {
+  const era = toStoreEra(value);
+  if (era !== undefined) return era;
+  ctx.addIssue({ code: 'custom', message: 'no era of a store' });
+  return z.NEVER;
+});
+const positionSchema = z.object({ era: eraSchema, revision: natural });
+
 /** How far a daemon is, so that others can tell whether it lacks anything. */
 const progressSchema = {
   /** Version of the configuration in force; 0 for none. */
   configVersion: natural,
-  /** Revision of the store at which the servers last changed, as far as is known there. */
-  serversRevision: natural,
+  /** Point in the store's history at which the servers last changed, as far as is known there. */
+  serversAt: positionSchema,
+  /** The newest era of the store that is known there. */
+  storeEra: eraSchema,
   /** The store cannot be reached from there. */
   isStoreLost: z.boolean(),
   /** Time since the store last answered there about the servers, milliseconds. */
@@ -27,6 +38,8 @@
 
 /** The lease row of a leader, so that others need not read it. */
 const leaseSchema = z.object({
+  /** Of the store: versions of other eras say nothing of it. */
+  era: eraSchema,
   version: natural,
   row: z.object({
     holder: daemonIdSchema,
@@ -98,15 +111,15 @@
 
 const serversSchema = z.object({
   kind: z.literal('servers'),
-  revision: natural,
+  at: positionSchema,
   servers: z.array(z.custom<BackendServer>((value) => typeof value === 'object' && value !== null)),
 });
 
-/** Changes of the servers from one revision of the store to a later one. */
+/** Changes of the servers from one point of an era of the store to a later one. */
 const newsSchema = z.object({
   kind: z.literal('news'),
-  since: natural,
-  revision: natural,
+  since: positionSchema,
+  upTo: positionSchema,
   changes: z.array(
     z.object({
       key: z.string(),
@@ -142,7 +155,7 @@
 
 export type Progress = Pick<
   PeerState,
-  'configVersion' | 'serversRevision' | 'isStoreLost' | 'storeAgeMs' | 'configAgeMs'
+  'configVersion' | 'serversAt' | 'storeEra' | 'isStoreLost' | 'storeAgeMs' | 'configAgeMs'
 >;
 export type Loads = z.output<typeof loadsSchema>;
 export type PeerState = z.output<typeof stateSchema>;
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -4,20 +4,26 @@
  *
  * Entries lapse while the store is away, whether or not their servers live. A server whose entry went
  * then is kept for a short time after the store's return, and is gone only if its entry has not come back.
+ *
+ * A store that comes back from an older copy shows servers as they were. What a server wrote later is
+ * believed until it has written again, also that it leaves or has gone.
  */
 
 import { Subject } from 'rxjs';
 import type { Observable } from 'rxjs';
 
+import { reaches } from '../../core/gateway/news';
 import type { News } from '../../core/gateway/news';
 import type { BackendServer } from '../../core/gateway/types';
 import { later } from '../../core/ids';
 import type { InstanceId, MonoTime } from '../../core/ids';
+import { isLater, latest, ORIGIN } from '../../core/store-era';
+import type { Position } from '../../core/store-era';
 import type { Change, Feed } from '../../ports/gateway';
 import type { GatewayContext } from './context';
 import type { Leader } from './peer-view';
 import { wasAway, watchFeed } from './watch';
-import type { Watch } from './watch';
+import type { TakenAs, Watch } from './watch';
 
 /** Servers that live enter themselves again within two seconds of the store's return; a little more for the way here. */
 const RETURN_MS = 2_300;
@@ -38,11 +44,11 @@
   readonly news: Observable<RosterNews>;
   readonly watch: Watch;
   /** Takes a peer's view, where it is newer and the store cannot be reached from here. */
-  takeFromPeer(revision: number, servers: readonly BackendServer[]): void;
+  takeFromPeer(at: Position, servers: readonly BackendServer[]): void;
   /** Takes what a peer heard from the store, where it goes on from what is known here. */
   takeNews(news: RosterNews): void;
-  /** Revision of the store at which the view last changed. */
-  revision(): number;
+  /** Point in the store's history at which the view last changed. */
+  changedAt(): Position;
   tick(): void;
 }
 
@@ -77,7 +83,7 @@
   const servers = new Map<InstanceId, BackendServer>();
   const changes = new Subject<void>();
   const news = new Subject<RosterNews>();
-  let told = 0;
+  let told = ORIGIN;
   /** Lapsed while the store was away: gone at this instant unless they come back. */
   const held = new Map<InstanceId, MonoTime>();
   /** The last known life of each server, by the name of its entry. */
@@ -87,7 +93,7 @@
   /** Gone from `servers`, and until when they are remembered. */
   const forgetAt = new Map<InstanceId, MonoTime>();
   const gone = new Map<InstanceId, BackendServer>();
-  let changedAt = 0;
+  let changedAt = ORIGIN;
 
   const endLife = (before: BackendServer): void => {
     const { id } = before;
@@ -132,12 +138,36 @@
     if (servers.delete(id)) ctx.logger.info('server gone', { step: 'roster', server: id, reason });
   };
 
-  const takeFromStore = (list: readonly Change<BackendServer>[], isWhole: boolean): void => {
-    take(list, isWhole);
-    const revision = watch.revision();
-    changedAt = Math.max(changedAt, revision);
-    if (!isWhole) news.next({ since: told, revision, changes: list });
-    told = revision;
+  /** Whether the entry shows less of this life than is known: an older copy of what the server wrote. */
+  const isOutdated = ({ id, name, reportNumber }: BackendServer): boolean => {
+    const before = lives.get(name);
+    if (before?.id !== id || reportNumber === undefined) return false;
+    const known = before.reportNumber ?? 0;
+    return reportNumber < known || (reportNumber === known && !servers.has(id));
+  };
+
+  /** Entries of an older copy that still hold. */
+  const withoutOutdated = (
+    list: readonly Change<BackendServer>[],
+  ): readonly Change<BackendServer>[] => {
+    const outdated = new Set(list.filter(({ value }) => value && isOutdated(value)));
+    if (outdated.size > 0) {
+      const fields = { step: 'roster', servers: outdated.size, of: list.length };
+      ctx.logger.info('entries of an older copy passed over', fields);
+    }
+    return list.flatMap((change) => {
+      if (!outdated.has(change)) return [change];
+      const known = lives.get(change.key);
+      return known && servers.has(known.id) ? [{ key: change.key, value: known }] : [];
+    });
+  };
+
+  const takeFromStore = (list: readonly Change<BackendServer>[], kind: TakenAs): void => {
+    take(kind === 'copy' ? withoutOutdated(list) : list, kind !== 'changes');
+    const position = watch.position();
+    changedAt = latest(changedAt, position);
+    if (kind === 'changes') news.next({ since: told, upTo: position, changes: list });
+    told = position;
   };
 
   const take = (list: readonly Change<BackendServer>[], isWhole: boolean): void => {
@@ -156,7 +186,7 @@
   /** Until when the leader's view, as far as it is known here, is young enough. */
   const trustUntil = (since: MonoTime): MonoTime => {
     const told = leader();
-    if (!told || told.progress.isStoreLost || told.progress.serversRevision > watch.revision()) {
+    if (!told || told.progress.isStoreLost || isLater(told.progress.serversAt, watch.position())) {
       return since;
     }
     return later(told.at, longestAgeMs() - told.progress.storeAgeMs);
@@ -206,22 +236,22 @@
     changes,
     news,
     watch,
-    revision: () => changedAt,
-    takeFromPeer: (revision, list) => {
-      if (!watch.isFailing() || revision <= Math.max(watch.revision(), changedAt)) return;
-      changedAt = revision;
+    changedAt: () => changedAt,
+    takeFromPeer: (at, list) => {
+      if (!watch.isFailing() || !isLater(at, latest(watch.position(), changedAt))) return;
+      changedAt = at;
       take(
         list.map((value) => ({ key: value.name, value })),
         true,
       );
-      ctx.logger.info('servers taken from a peer', { step: 'roster', revision });
+      ctx.logger.info('servers taken from a peer', { step: 'roster', ...at });
     },
-    takeNews: ({ since, revision, changes: list }) => {
-      const known = watch.revision();
-      if (known === 0 || since > known || revision <= known) return;
-      watch.skipTo(revision);
-      changedAt = Math.max(changedAt, revision);
-      told = revision;
+    takeNews: ({ since, upTo, changes: list }) => {
+      const known = watch.position();
+      if (!isLater(known, ORIGIN) || !reaches(known, since) || !isLater(upTo, known)) return;
+      watch.skipTo(upTo);
+      changedAt = latest(changedAt, upTo);
+      told = upTo;
       take(list, false);
     },
     tick: () => {
--- a/src/app/gateway/store-access.ts
+++ b/src/app/gateway/store-access.ts
@@ -4,8 +4,19 @@
  */
 
 import { firstValueFrom, race, Subject, timer } from 'rxjs';
+import type { Observable } from 'rxjs';
 
 import type { MonoTime } from '../../core/ids';
+import { FIRST_ERA } from '../../core/store-era';
+import type { StoreEra } from '../../core/store-era';
+
+/** An era of the store that was not known here before. */
+export interface EraSeen {
+  readonly before: StoreEra;
+  readonly era: StoreEra;
+  /** The call that showed it, or the peer that told of it. */
+  readonly source: string;
+}
 
 export interface StoreAccess {
   /** Whether the last call of some collection failed, and none has been answered since. */
@@ -19,13 +30,29 @@
    * the store has answered, or after `longestMs`.
    */
   turn(collection: string, longestMs: number): Promise<void>;
+  /** The newest era of the store that is known here. */
+  era(): StoreEra;
+  /** What a call or a peer shows of the era, before anything is made of what else it says. */
+  noteEra(era: StoreEra, source: string): void;
+  /** Each newer era, within the call that notes it. */
+  readonly eras: Observable<EraSeen>;
 }
 
 export function createStoreAccess(): StoreAccess {
   const answers = new Subject<void>();
   let trying: string | undefined;
   let answeredAt: MonoTime | undefined;
+  const eras = new Subject<EraSeen>();
+  let known = FIRST_ERA;
   return {
+    eras,
+    era: () => known,
+    noteEra: (era, source) => {
+      if (era <= known) return;
+      const before = known;
+      known = era;
+      eras.next({ before, era, source });
+    },
     isAway: () => trying !== undefined,
     noteFailure: (collection) => {
       trying ??= collection;
--- a/src/app/gateway/watch.ts
+++ b/src/app/gateway/watch.ts
@@ -5,11 +5,17 @@
 import { judgePoll, longestCallMs, planPoll } from '../../core/gateway/polling';
 import { later } from '../../core/ids';
 import type { EpochTime, MonoTime } from '../../core/ids';
+import { isLater, latest, ORIGIN } from '../../core/store-era';
+import type { Position } from '../../core/store-era';
 import type { Change, Changes, Feed } from '../../ports/gateway';
+import { fail as makeError } from '../../utils/errors';
 import type { StepError } from '../../utils/errors';
 import { pause } from '../../utils/pause';
 import type { GatewayContext } from './context';
 
+/** What changes are: `copy` is the whole collection of a store that came back from an older copy. */
+export type TakenAs = 'changes' | 'whole' | 'copy';
+
 export interface WatchOptions<T> {
   readonly feed: Feed<T>;
   /** How long the store should hold a poll for changes, milliseconds. */
@@ -26,20 +32,20 @@
    */
   readonly restUntil?: (since: MonoTime) => MonoTime;
   readonly restsAlways?: boolean;
-  /** Changes in the order of the store. `isWhole`: they are the whole collection. */
-  readonly take: (changes: readonly Change<T>[], isWhole: boolean) => void;
+  /** Changes in the order of the store, or the whole collection. */
+  readonly take: (changes: readonly Change<T>[], kind: TakenAs) => void;
 }
 
 export interface Watch {
-  /** Revision of the store up to which the collection is known; 0 before the first load. */
-  revision(): number;
+  /** Up to where in the store's history the collection is known. */
+  position(): Position;
   /** Time since the store last answered, milliseconds; since the start before the first answer. */
   ageMs(): number;
   /** The end of the last failure of the store; undefined where there was none. */
   returnedAt(): MonoTime | undefined;
   isFailing(): boolean;
-  /** The collection is known up to `revision` by another way. */
-  skipTo(revision: number): void;
+  /** The collection is known up to there by another way. */
+  skipTo(position: Position): void;
   stop(): void;
 }
 
@@ -47,6 +53,8 @@
 const DEFAULT_REST_MS = 20;
 /** A rest that may end early, and a call that may be given up, are looked at this often. */
 const LOOK_MS = 100;
+/** Daemons learn of the store's return together, and read from it anew within this time, milliseconds. */
+const SPREAD_MS = 400;
 /** Between tries while the store fails: at once soon after a failure, then so often that all daemons stay far below its rate. */
 const FIRST_RETRY_MS = 60;
 const LONGEST_RETRY_MS = 500;
@@ -60,7 +68,13 @@
   const { feed, take, waitMs = () => DEFAULT_WAIT_MS, restsAlways = false } = options;
   const { restUntil = (since: MonoTime) => later(since, DEFAULT_REST_MS) } = options;
   const { trustUntil = (now: MonoTime) => now } = options;
-  let revision = 0;
+  let position = ORIGIN;
+  /** The next call loads the whole collection. */
+  let mustLoad = true;
+  /** The last load was of an earlier era. */
+  let isCopy = false;
+  /** Ends the call under way. */
+  let cancel = new AbortController();
   let contact = readClocks(ctx);
   let returnedAt: MonoTime | undefined;
   let failures = 0;
@@ -78,8 +92,11 @@
     }
     failures = 0;
     ctx.store.noteAnswer(contact.mono);
-    revision = Math.max(revision, result.revision);
-    if (isWhole || result.changes.length > 0) take(result.changes, isWhole);
+    position = latest(position, result.position);
+    if (!isWhole && result.changes.length === 0) return;
+    const whole = isCopy ? 'copy' : 'whole';
+    if (isWhole) [mustLoad, isCopy] = [false, false];
+    take(result.changes, isWhole ? whole : 'changes');
   };
 
   const longestRetryMs = (): number => {
@@ -91,7 +108,7 @@
   const fail = async (err: StepError, sentAt: MonoTime): Promise<void> => {
     if (err.code === 'history-gone') {
       ctx.logger.warn('history gone, loading anew', { step: 'watch', collection: feed.name });
-      revision = 0;
+      mustLoad = true;
       return;
     }
     failures += 1;
@@ -129,7 +146,6 @@
       trustedUntil: trustUntil(sentAt),
       isFailing: failures > 0,
     });
-    const cancel = new AbortController();
     const looks = setInterval(() => {
       const now = ctx.clock.now();
       const answeredAt = ctx.store.answeredAt();
@@ -140,13 +156,16 @@
       });
       if (verdict !== 'wait') cancel.abort(verdict);
     }, LOOK_MS);
-    const result = await feed.poll(revision, plan.waitMs, cancel.signal);
+    const result = await feed.poll(position, plan.waitMs, cancel.signal);
     clearInterval(looks);
-    return result.isErr() && cancel.signal.reason === 'renew' ? undefined : result;
+    const isNews = cancel.signal.reason === 'renew' || cancel.signal.reason === 'era';
+    return result.isErr() && isNews ? undefined : result;
   };
 
   const step = async (): Promise<void> => {
-    const isWhole = revision === 0;
+    const isWhole = mustLoad;
+    if (isCopy) await pause(ctx.random.next() * SPREAD_MS);
+    cancel = new AbortController();
     const sentAt = ctx.clock.now();
     const result = await (isWhole ? feed.load() : poll());
     if (stopped || !result) return;
@@ -154,10 +173,25 @@
       await fail(result.error, sentAt);
       return;
     }
+    if (result.value.position.era < ctx.store.era()) {
+      await fail(outdated(), sentAt);
+      return;
+    }
     accept(result.value, isWhole);
     if (restsAlways || result.value.changes.length > 0) await rest();
   };
 
+  /** The collection may have gone back: it is read anew, and what is missing may come again soon. */
+  const loadAnew = (): void => {
+    returnedAt = ctx.clock.now();
+    [mustLoad, isCopy] = [true, true];
+    ctx.logger.info('loading anew from an older copy', { step: 'watch', collection: feed.name });
+    cancel.abort('era');
+  };
+  const eras = ctx.store.eras.subscribe(({ era }) => {
+    if (isLater(position, ORIGIN) && position.era < era) loadAnew();
+  });
+
   const run = async (): Promise<void> => {
     while (!stopped) await step();
   };
@@ -167,19 +201,25 @@
   });
 
   return {
-    revision: () => revision,
+    position: () => position,
     ageMs,
     returnedAt: () => returnedAt,
     isFailing: () => failures > 0,
     skipTo: (known) => {
-      if (revision > 0) revision = Math.max(revision, known);
+      if (!mustLoad && known.era === position.era) position = latest(position, known);
     },
     stop: () => {
       stopped = true;
+      eras.unsubscribe();
     },
   };
 }
 
+/** Of what was read before the store's return, and answered after that was known. */
+function outdated(): StepError {
+  return makeError('store-unavailable', 'answer of an earlier era', { step: 'watch' });
+}
+
 /** Whether the store was away at some time since `ms` milliseconds ago. */
 export function wasAway(watch: Watch, now: MonoTime, ms: number): boolean {
   if (watch.isFailing()) return true;
--- a/src/core/gateway/news.ts
+++ b/src/core/gateway/news.ts
@@ -6,9 +6,12 @@
  * of one server only the last.
  */
 
+import { isLater } from '../store-era';
+import type { Position } from '../store-era';
+
 export interface News<T> {
-  readonly since: number;
-  readonly revision: number;
+  readonly since: Position;
+  readonly upTo: Position;
   readonly changes: readonly { readonly key: string; readonly value?: T }[];
 }
 
@@ -17,7 +20,12 @@
  * nobody may take them for all that happened since the earlier ones.
  */
 export function joinNews<T>(earlier: News<T> | undefined, news: News<T>): News<T> {
-  if (!earlier || earlier.revision < news.since) return news;
+  if (!earlier || !reaches(earlier.upTo, news.since)) return news;
   const last = new Map([...earlier.changes, ...news.changes].map((change) => [change.key, change]));
-  return { since: earlier.since, revision: news.revision, changes: [...last.values()] };
+  return { since: earlier.since, upTo: news.upTo, changes: [...last.values()] };
+}
+
+/** Whether whoever knows the collection up to `known` can go on from `since`. */
+export function reaches(known: Position, since: Position): boolean {
+  return known.era === since.era && !isLater(since, known);
 }
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -140,6 +140,8 @@
   readonly name: ServerName;
   /** When this life began, by the server's clock; undefined where it does not tell. */
   readonly startedAt?: EpochTime;
+  /** Grows with what the server writes of itself in one life. */
+  readonly reportNumber?: number;
   readonly service: ServiceId;
   /** `host:port`; given to other servers after this one has ended. */
   readonly address: string;
--- a/src/core/lease/lease.ts
+++ b/src/core/lease/lease.ts
@@ -5,15 +5,29 @@
  * full time, plus the margin, from when it first saw the present version of the row. Both use their
  * own monotonic clocks. After Gray and Cheriton, "Leases", 1989; fencing numbers keep out a holder
  * that was paused past its lease.
+ *
+ * A table that came back from an older copy may have lost the lease of somebody who still holds it. The
+ * holder takes it again at once, under a fencing number of the new era; everybody else waits the full time
+ * from when they first saw the new era.
  */
 
 import { later } from '../ids';
 import type { DaemonId, DomainId, FencingNumber, MonoTime } from '../ids';
+import { FIRST_ERA, fencingFloor, isOfEra } from '../store-era';
+import type { StoreEra } from '../store-era';
 import { omit } from '../../utils/omit';
 import { createReducer, next } from '../reducer';
 import type { Step } from '../reducer';
 import { LEASE_SETTINGS } from './types';
-import type { LeaseEffect, LeaseEvent, LeaseRow, LeaseSettings, LeaseState } from './types';
+import type {
+  LeaseEffect,
+  LeaseEvent,
+  LeaseRow,
+  LeaseSettings,
+  LeaseState,
+  PendingLease,
+  SeenLease,
+} from './types';
 
 type LeaseStep = Step<LeaseState, LeaseEffect>;
 
@@ -35,6 +49,8 @@
     offered: false,
     stopping: false,
     reading: false,
+    era: FIRST_ERA,
+    hasReturned: false,
     dueAt: now,
   };
 }
@@ -50,6 +66,11 @@
   return row?.holder === state.self && row.session === state.session && !row.released;
 }
 
+/** Whether the row is from before the table's return: somebody may hold the lease since, and it doesn't show. */
+function isOutdated({ era, hasReturned }: LeaseState, row: LeaseRow | undefined): boolean {
+  return row ? !isOfEra(row.fencing, era) : hasReturned;
+}
+
 /**
  * When this candidate may take the lease; undefined while nothing is known of it. An earlier process of
  * its own id has ended: after all daemons were lost together, its lease need not run out first.
@@ -57,6 +78,7 @@
 function freeAt(state: LeaseState): MonoTime | undefined {
   const { seen, settings, self } = state;
   if (!seen) return undefined;
+  if (isOutdated(state, seen.row)) return later(seen.since, settings.ttlMs + settings.marginMs);
   if (!seen.row || seen.row.released || seen.row.holder === self) return seen.since;
   return later(seen.since, seen.row.ttlMs + settings.marginMs);
 }
@@ -85,24 +107,31 @@
     released,
   };
   const kind = released ? 'release' : 'renew';
+  const pending: PendingLease = { kind, sentAt: now, era: state.era, row };
   return next<LeaseState, LeaseEffect>(
-    { ...state, pending: { kind, sentAt: now, row }, dueAt: later(now, settings.renewMs) },
+    { ...state, pending, dueAt: later(now, settings.renewMs) },
     { kind: 'commit', row, leaseVersion: seen.version },
   );
 }
 
+/** Above all numbers of earlier eras, whose rows are lost, and of this one. */
+function nextFencing(era: StoreEra, { fencing, row }: SeenLease): FencingNumber {
+  return (Math.max(fencingFloor(era), fencing, row?.fencing ?? 0) + 1) as FencingNumber;
+}
+
 function take(state: LeaseState, now: MonoTime): LeaseStep {
   const { seen, settings } = state;
   if (!seen) return next(state);
   const row: LeaseRow = {
     holder: state.self,
     session: state.session,
-    fencing: (Math.max(seen.fencing, seen.row?.fencing ?? 0) + 1) as FencingNumber,
+    fencing: nextFencing(state.era, seen),
     ttlMs: settings.ttlMs,
     released: false,
   };
+  const pending: PendingLease = { kind: 'take', sentAt: now, era: state.era, row };
   return next<LeaseState, LeaseEffect>(
-    { ...state, pending: { kind: 'take', sentAt: now, row }, dueAt: later(now, settings.renewMs) },
+    { ...state, pending, dueAt: later(now, settings.renewMs) },
     { kind: 'commit', row, leaseVersion: seen.version, fenceVersion: seen.fenceVersion },
   );
 }
@@ -113,8 +142,17 @@
   return now >= later(state.rankedAt, state.settings.handoverMs);
 }
 
+/** The table has lost the lease that is held here. */
+function takeAgain(state: LeaseState, now: MonoTime): LeaseStep {
+  if (!isHolder(state, now)) return next(withoutHeld(state));
+  if (now < state.dueAt) return next(state);
+  const soon = { ...state, dueAt: later(now, state.settings.renewMs / 2) };
+  return state.seen ? take(state, now) : read(soon);
+}
+
 function onTick(state: LeaseState, now: MonoTime): LeaseStep {
   if (state.pending) return next(state);
+  if (state.held && !isOfEra(state.held.fencing, state.era)) return takeAgain(state, now);
   if (state.held) {
     if (state.stopping || isHandoverDue(state, now)) return renew(state, now, true);
     return now >= state.dueAt ? renew(state, now, false) : next(state);
@@ -145,11 +183,21 @@
   return { ...state, contact: { since: isUnbroken ? contact.since : now, last: now } };
 }
 
+/** What was seen of the table's rows says nothing of them any more. */
+function onEra(state: LeaseState, era: StoreEra): LeaseState {
+  if (era <= state.era) return state;
+  // The first era that this process sees is no return.
+  const hasReturned = state.hasReturned || state.contact !== undefined;
+  return { ...omit(state, 'seen'), era, hasReturned };
+}
+
 function onRead(
-  state: LeaseState,
+  before: LeaseState,
   event: Extract<LeaseEvent, { kind: 'read' }>,
   now: MonoTime,
 ): LeaseStep {
+  const state = onEra(before, event.era ?? before.era);
+  if (event.era !== undefined && event.era < state.era) return next({ ...state, reading: false });
   const done: LeaseState = { ...inContact(state, now), reading: false };
   const version = event.lease?.version ?? 0;
   // An answer from before what is known already, or while a commit is on its way.
@@ -161,7 +209,11 @@
     fencing: event.fence?.row.fencing ?? (0 as FencingNumber),
     since: done.seen?.version === version ? done.seen.since : now,
   };
-  if (!isOwn(done, seen.row)) return next(withoutHeld({ ...done, seen }));
+  const isLost = done.held !== undefined && !isOfEra(done.held.fencing, done.era);
+  if (isLost && isOutdated(done, seen.row)) return next({ ...done, seen, dueAt: now });
+  if (!isOwn(done, seen.row) || isOutdated(done, seen.row)) {
+    return next(withoutHeld({ ...done, seen }));
+  }
   if (done.seen?.version === version && done.held) return next({ ...done, seen });
   // Our write took effect though its answer was lost. Which sending it was cannot be told, so the
   // lease counts as lapsed until renewed.
@@ -179,7 +231,8 @@
   now: MonoTime,
 ): LeaseStep {
   const { pending, seen, settings } = state;
-  if (!pending || !seen) return next(state);
+  if (!pending) return next(state);
+  if (pending.era !== state.era || !seen) return read(withoutPending(state));
   const fenceVersion = pending.kind === 'take' ? event.fenceVersion : seen.fenceVersion;
   const after: LeaseState = {
     ...withoutPending(state),
@@ -204,6 +257,7 @@
 
 function onRefused(state: LeaseState, conflict: boolean, now: MonoTime): LeaseStep {
   const after = withoutPending(state);
+  if (state.pending && state.pending.era !== state.era) return read(after);
   if (conflict) return read({ ...withoutHeld(after), dueAt: now });
   return next({ ...after, dueAt: later(now, state.settings.renewMs / 2) });
 }
@@ -223,6 +277,8 @@
   tick: (state, _event, { now }) => onTick(state, now),
   committed: (state, event, { now }) => onCommitted(state, event, now),
   refused: (state, { conflict }, { now }) => onRefused(state, conflict, now),
+  era: (state, { era }) =>
+    state.held && era > state.era ? read(onEra(state, era)) : next(onEra(state, era)),
   unsure: (state) => {
     const after = withoutPending(state);
     return read(state.pending?.kind === 'release' ? withoutHeld(after) : after);
--- a/src/core/lease/types.ts
+++ b/src/core/lease/types.ts
@@ -1,6 +1,7 @@
 /** Leases on fabric domains: rows, state, events and effects. */
 
 import type { DaemonId, DomainId, FencingNumber, MonoTime } from '../ids';
+import type { StoreEra } from '../store-era';
 
 /** The row `lease/{domain}`; written anew, unchanged, at each renewal. */
 export interface LeaseRow {
@@ -61,6 +62,8 @@
 export interface PendingLease {
   readonly kind: 'take' | 'renew' | 'release';
   readonly sentAt: MonoTime;
+  /** Its conditions are versions of this era: in another one they may hold by chance. */
+  readonly era: StoreEra;
   readonly row: LeaseRow;
 }
 
@@ -82,6 +85,10 @@
   readonly offered: boolean;
   readonly stopping: boolean;
   readonly reading: boolean;
+  /** The newest era of the table that is known here. */
+  readonly era: StoreEra;
+  /** Whether the table came back from an older copy while this process ran. */
+  readonly hasReturned: boolean;
   readonly seen?: SeenLease;
   /** When the rows were last read, and since when without a long gap. */
   readonly contact?: Contact;
@@ -99,12 +106,16 @@
 export type LeaseEvent =
   | {
       readonly kind: 'read';
+      /** Of the rows; the newest one known where it is left out. */
+      readonly era?: StoreEra;
       readonly lease?: { readonly version: number; readonly row: LeaseRow };
       readonly fence?: SeenFence;
     }
   | { readonly kind: 'read-failed' }
   | { readonly kind: 'ranked'; readonly rank: number }
   | { readonly kind: 'tick' }
+  /** The table is of this era. To be told before the result of a call that showed it. */
+  | { readonly kind: 'era'; readonly era: StoreEra }
   | { readonly kind: 'committed'; readonly version: number; readonly fenceVersion: number }
   /** Nothing was written; `conflict` when the rows had moved on. */
   | { readonly kind: 'refused'; readonly conflict: boolean }
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -6,7 +6,9 @@
 import type { OrderResult, ServerOrder } from '../core/gateway/orders';
 import type { BackendServer, GatewayConfig } from '../core/gateway/types';
 import type { InstanceId, ModelId, OrganisationId, ServerName } from '../core/ids';
+import type { Position, StoreEra } from '../core/store-era';
 import type { StepError } from '../utils/errors';
+import type { Committed, Row, Transaction } from './platform';
 
 /** One entry of a collection; `value` is left out once the entry is gone. */
 export interface Change<T> {
@@ -14,23 +16,39 @@
   readonly value?: T;
 }
 
-/** Entries as of one revision of the platform's store. */
+/** Entries as of one point in the history of the platform's store. */
 export interface Changes<T> {
   readonly changes: readonly Change<T>[];
-  readonly revision: number;
+  readonly position: Position;
 }
 
 /**
  * A collection that the platform keeps and reports changes of.
  *
- * Errors: `store-unavailable`; `history-gone` from `poll`, after which the collection is loaded anew.
+ * Errors: `store-unavailable`; `history-gone` from `poll`, also where the store has begun another era since
+ * `position`, after which the collection is loaded anew.
  */
 export interface Feed<T> {
   readonly name: string;
   /** The whole collection. */
   load(): ResultAsync<Changes<T>, StepError>;
-  /** Waits up to `waitMs` for changes after `revision`; fails at once when `signal` aborts. */
-  poll(revision: number, waitMs: number, signal: AbortSignal): ResultAsync<Changes<T>, StepError>;
+  /** Waits up to `waitMs` for changes after `position`; fails at once when `signal` aborts. */
+  poll(position: Position, waitMs: number, signal: AbortSignal): ResultAsync<Changes<T>, StepError>;
+}
+
+/** Rows of the product's own, as of one era of the store. */
+export interface EraRows {
+  readonly era: StoreEra;
+  readonly rows: readonly Row[];
+}
+
+/**
+ * The product's own rows in a store that may come back from an older copy. Versions of rows hold in the era
+ * in which they were read. Errors as for `Table`.
+ */
+export interface EraTable {
+  read(keys: readonly string[]): ResultAsync<EraRows, StepError>;
+  commit(transaction: Transaction): ResultAsync<Committed, StepError>;
 }
 
 /** What a daemon enters of itself where the others find it. */
--- a/stand-ins/users-platform/start.ts
+++ b/stand-ins/users-platform/start.ts
@@ -4,6 +4,7 @@
 import type { EngineSpec } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
 import type { ServerName, ServiceId } from '../../src/core/ids';
+import { pause } from '../../src/utils/pause';
 import { createEngineFleet } from './engines';
 import type { EngineFleet } from './engines';
 import { startEngine, startPlain } from './servers';
@@ -32,12 +33,19 @@
   readonly storeAddress: string;
   /** Writes a configuration as the operator does. */
   configure(document: object): void;
+  /**
+   * The store is away for `awayMs` and comes back from a copy that is then `copyAgeMs` old. The operator and
+   * the servers write again what they wrote since.
+   */
+  returnStore(options: { readonly awayMs: number; readonly copyAgeMs: number }): Promise<void>;
   /** Starts a further engine server in a domain. */
   addEngine(domain: string): Promise<void>;
   close(): void;
 }
 
 const TICK_MS = 20;
+/** Servers and the operator have written again so long after the store's return. */
+const WRITTEN_AGAIN_MS = 1_500;
 export const LLM_SERVICE = brandAs<ServiceId>('llm');
 export const PLAIN_SERVICE = brandAs<ServiceId>('ledger');
 
@@ -48,6 +56,7 @@
   const runs: Run[] = [];
   const plainFaults: PlainFaults = { cutAnswers: 0, failAnswers: 0, refuse: 0 };
   const closers: (() => void)[] = [];
+  const plainRows = new Map<string, object>();
   const fleet = createEngineFleet({
     engine,
     service: LLM_SERVICE,
@@ -71,9 +80,13 @@
       state: 'ready',
     };
     store.put(TABLES.servers, name, row);
+    plainRows.set(name, row);
   }
 
   const shown = new Map<ServerName, string>();
+  /** How often each server has written of itself. */
+  const written = new Map<ServerName, number>();
+  let document: object | undefined;
   const publish = (): void => {
     const rows = new Map([...fleet.rows().values()].map((row) => [row.name, row]));
     for (const name of [...shown.keys()]) {
@@ -86,7 +99,9 @@
       const text = JSON.stringify(encodeRow({ ...server, address }));
       if (shown.get(name) === text) continue;
       shown.set(name, text);
-      store.put(TABLES.servers, name, JSON.parse(text));
+      const sequence = (written.get(name) ?? 0) + 1;
+      written.set(name, sequence);
+      store.put(TABLES.servers, name, { ...(JSON.parse(text) as object), sequence });
     }
   };
   let last = performance.now();
@@ -103,8 +118,19 @@
     plainFaults,
     runs,
     storeAddress: `${host}:${firstPort}`,
-    configure: (document) => {
-      store.put(TABLES.operator, CONFIG_KEY, document);
+    configure: (next) => {
+      document = next;
+      store.put(TABLES.operator, CONFIG_KEY, next);
+    },
+    returnStore: async ({ awayMs, copyAgeMs }) => {
+      store.faults.isDown = true;
+      await pause(awayMs);
+      store.restore(copyAgeMs);
+      store.faults.isDown = false;
+      await pause(WRITTEN_AGAIN_MS);
+      shown.clear();
+      for (const [name, row] of plainRows) store.put(TABLES.servers, name, row);
+      if (document) store.put(TABLES.operator, CONFIG_KEY, document);
     },
     addEngine: async (domain) => {
       const name = fleet.servers.get(fleet.add(domain))?.name;
--- a/stand-ins/users-platform/store.ts
+++ b/stand-ins/users-platform/store.ts
@@ -22,6 +22,16 @@
   remove: z.array(z.object(place)),
 });
 
+/** The store as it was at an instant, for a return from an older copy. */
+interface StoreCopy {
+  readonly at: number;
+  readonly rows: ReadonlyMap<string, StoredRow>;
+  readonly version: number;
+}
+
+/** Copies are kept for so long, milliseconds. */
+const COPIES_KEPT_MS = 20_000;
+
 /** Faults that tests switch on and off. */
 export interface StoreFaults {
   /** Every call is answered 503, nothing done. */
@@ -40,6 +50,9 @@
   get(table: string, key: string): unknown;
   /** Forgets what changed: feeds have to load anew. */
   compact(): void;
+  /** Comes back from a copy that is `ageMs` old, in the next era; what was written since is gone. */
+  restore(ageMs: number): void;
+  era(): number;
   /** Calls so far, by path. */
   readonly calls: ReadonlyMap<string, number>;
   close(): void;
@@ -59,6 +72,8 @@
   const faults: StoreFaults = { isDown: false, isSilent: false, losesAnswers: false };
   let version = 0;
   let oldest = 0;
+  let era = 1;
+  let copies: StoreCopy[] = [];
 
   const keyOf = (table: string, part: string, key: string): string => `${table}\0${part}\0${key}`;
 
@@ -69,6 +84,11 @@
   const commit = (change: () => void): void => {
     version += 1;
     change();
+    const at = performance.now();
+    copies = [
+      ...copies.filter((copy) => copy.at > at - COPIES_KEPT_MS),
+      { at, rows: new Map(rows), version },
+    ];
     for (const wake of [...waiters]) wake();
   };
 
@@ -78,8 +98,9 @@
       rowVersion: version,
       nowMs: Math.round(performance.now()),
     });
-    res.writeHead(status, { 'Content-Type': 'application/json' }).end(text);
+    res.writeHead(status, { ...eraHeader(), 'Content-Type': 'application/json' }).end(text);
   };
+  const eraHeader = (): Record<string, string> => ({ 'Store-Era': String(era) });
 
   const shown = ({ value, ...row }: StoredRow): object =>
     value === undefined ? { ...row, deleted: true } : { ...row, value };
@@ -114,7 +135,7 @@
     const table = url.searchParams.get('table') ?? '';
     const after = Number(url.searchParams.get('after'));
     const waitMs = Number(url.searchParams.get('waitMs'));
-    if (after < oldest) {
+    if (after < oldest || after > version) {
       answer(res, 410, { rows: [] });
       return;
     }
@@ -125,7 +146,7 @@
     const finish = (): void => {
       waiters.delete(wake);
       clearTimeout(timer);
-      if (faults.isDown) res.writeHead(503).end();
+      if (faults.isDown) res.writeHead(503, eraHeader()).end();
       else answer(res, 200, { rows: changed().map(shown) });
     };
     const wake = (): void => {
@@ -145,7 +166,7 @@
     calls.set(url.pathname, (calls.get(url.pathname) ?? 0) + 1);
     if (faults.isSilent) return;
     if (faults.isDown) {
-      res.writeHead(503).end();
+      res.writeHead(503, eraHeader()).end();
       return;
     }
     if (url.pathname === PATHS.transaction) void transact(req, res);
@@ -177,6 +198,16 @@
         ? undefined
         : (JSON.parse(Buffer.from(value, 'base64').toString()) as unknown);
     },
+    restore: (ageMs) => {
+      const copy = copies.findLast(({ at }) => at <= performance.now() - ageMs);
+      rows.clear();
+      for (const [key, row] of copy?.rows ?? []) rows.set(key, row);
+      version = copy?.version ?? 0;
+      oldest = Math.min(oldest, version);
+      era += 1;
+      copies = copy ? [copy] : [];
+    },
+    era: () => era,
     compact: () => {
       oldest = version;
       for (const wake of [...waiters]) wake();
--- /dev/null
+++ b/tests/fuzz/lease-eras.ts
@@ -0,0 +1,220 @@
+/**
+ * Candidates for one lease over a table that comes back from older copies, in virtual time: calls take time,
+ * answers are lost, writes take effect late, processes pause and start again.
+ */
+
+import { createRandom } from '../../src/adapters/runtime';
+import type { DaemonId, DomainId, FencingNumber, MonoTime } from '../../src/core/ids';
+import { createLease, isHolder, reduceLease } from '../../src/core/lease/lease';
+import type { FenceRow, LeaseEffect, LeaseEvent, LeaseRow } from '../../src/core/lease/types';
+import type { LeaseState } from '../../src/core/lease/types';
+import type { StoreEra } from '../../src/core/store-era';
+
+export interface LeaseErasOptions {
+  readonly seed: number;
+  readonly steps: number;
+}
+
+export interface LeaseErasResult {
+  readonly violations: readonly string[];
+  readonly returns: number;
+  readonly terms: number;
+  /** Longest time without a holder while calls were answered, milliseconds. */
+  readonly longestGapMs: number;
+}
+
+interface Stored<T> {
+  readonly version: number;
+  readonly row: T;
+}
+
+interface TableState {
+  readonly version: number;
+  readonly lease?: Stored<LeaseRow>;
+  readonly fence?: Stored<FenceRow>;
+}
+
+interface Process {
+  readonly id: DaemonId;
+  state: LeaseState;
+  pausedUntil: number;
+}
+
+interface Due {
+  readonly at: number;
+  readonly run: () => void;
+}
+
+const CANDIDATES = 5;
+const STEP_MS = 20;
+const SETTINGS = { ttlMs: 2_000, marginMs: 200, renewMs: 600, backupDelayMs: 300 };
+/** Copies are up to so old. */
+const OLDEST_COPY_MS = 6_000;
+const AWAY_MS = 800;
+
+export function runLeaseEras({ seed, steps }: LeaseErasOptions): LeaseErasResult {
+  const random = createRandom(seed);
+  const chance = (share: number): boolean => random.next() < share;
+  const upTo = (ms: number): number => Math.floor(random.next() * ms);
+  let now = 0;
+  let era = 1;
+  let table: TableState = { version: 1 };
+  const history: { readonly at: number; readonly table: TableState }[] = [];
+  let awayUntil = 0;
+  let due: Due[] = [];
+  let returns = 0;
+  let starts = 0;
+  const violations: string[] = [];
+  /** Who was given each fencing number. */
+  const terms = new Map<FencingNumber, string>();
+  let ledAt = 0;
+  let longestGapMs = 0;
+
+  const start = (n: number): Process => {
+    starts += 1;
+    const id = `d${n}` as DaemonId;
+    const options = { domain: 'd' as DomainId, self: id, session: `${id} ${starts}` };
+    const state = createLease({ ...options, settings: SETTINGS }, now as MonoTime);
+    const process: Process = { id, state, pausedUntil: 0 };
+    dispatch(process, { kind: 'ranked', rank: n });
+    return process;
+  };
+
+  const after = (ms: number, run: () => void): void => {
+    due.push({ at: now + ms, run });
+  };
+
+  const dispatch = (process: Process, event: LeaseEvent): void => {
+    const step = reduceLease(process.state, event, { now: now as MonoTime });
+    process.state = step.state;
+    for (const effect of step.effects) send(process, effect);
+  };
+
+  /** The era is told before the result, as the adapter does. */
+  const answer = (process: Process, answeredIn: number, event: LeaseEvent): void => {
+    after(2 + upTo(chance(0.1) ? 400 : 10), () => {
+      if (!processes.includes(process)) return;
+      dispatch(process, { kind: 'era', era: answeredIn as StoreEra });
+      dispatch(process, event);
+    });
+  };
+
+  const apply = (effect: Extract<LeaseEffect, { kind: 'commit' }>): LeaseEvent => {
+    const { row, leaseVersion, fenceVersion } = effect;
+    const holds =
+      (table.lease?.version ?? 0) === leaseVersion &&
+      (fenceVersion === undefined || (table.fence?.version ?? 0) === fenceVersion);
+    if (!holds) return { kind: 'refused', conflict: true };
+    const version = table.version + 1;
+    const fence = { version, row: { fencing: row.fencing } };
+    table = {
+      ...table,
+      version,
+      lease: { version, row },
+      ...(fenceVersion !== undefined && { fence }),
+    };
+    return { kind: 'committed', version, fenceVersion: table.fence?.version ?? 0 };
+  };
+
+  const call: {
+    readonly [K in LeaseEffect['kind']]: (
+      process: Process,
+      effect: Extract<LeaseEffect, { kind: K }>,
+    ) => void;
+  } = {
+    read: (process) => {
+      const { lease, fence } = table;
+      answer(process, era, {
+        kind: 'read',
+        era: era as StoreEra,
+        ...(lease && { lease }),
+        ...(fence && { fence }),
+      });
+    },
+    commit: (process, effect) => {
+      const result = apply(effect);
+      if (chance(0.1))
+        after(300, () => {
+          answer(process, era, { kind: 'unsure' });
+        });
+      else answer(process, era, result);
+    },
+  };
+
+  const send = (process: Process, effect: LeaseEffect): void => {
+    // Some calls take effect late, perhaps in another era than that in which they were sent.
+    after(2 + upTo(chance(0.05) ? 3_000 : 8), () => {
+      if (now < awayUntil) {
+        const failed: LeaseEvent =
+          effect.kind === 'read' ? { kind: 'read-failed' } : { kind: 'refused', conflict: false };
+        after(5, () => {
+          if (processes.includes(process)) dispatch(process, failed);
+        });
+        return;
+      }
+      call[effect.kind](process, effect as never);
+    });
+  };
+
+  const returnFromCopy = (): void => {
+    const copyAt = now - upTo(OLDEST_COPY_MS);
+    const copy = history.findLast(({ at }) => at <= copyAt);
+    if (copy) ({ table } = copy);
+    era += 1;
+    returns += 1;
+    awayUntil = now + upTo(AWAY_MS);
+  };
+
+  const trouble = (): void => {
+    if (chance(0.002)) returnFromCopy();
+    if (chance(0.002)) {
+      const process = processes[upTo(CANDIDATES)];
+      if (process) process.pausedUntil = now + upTo(4_000);
+    }
+    if (chance(0.002)) {
+      const n = upTo(CANDIDATES);
+      processes[n] = start(n);
+    }
+  };
+
+  const check = (): void => {
+    const holders = processes.filter(({ state }) => isHolder(state, now as MonoTime));
+    for (const { state } of holders) {
+      const fencing = state.held?.fencing;
+      if (fencing === undefined) continue;
+      const { session } = state;
+      const known = terms.get(fencing);
+      if (known !== undefined && known !== session) {
+        violations.push(`at ${now}: ${fencing} is of ${known} and ${session}`);
+      }
+      terms.set(fencing, session);
+    }
+    if (holders.length > 1) {
+      violations.push(`at ${now}: ${holders.map(({ state }) => state.session).join()} hold`);
+    }
+    if (holders.length > 0) ledAt = now;
+    longestGapMs = Math.max(longestGapMs, now - Math.max(ledAt, awayUntil));
+  };
+
+  const processes: Process[] = [];
+  for (let n = 0; n < CANDIDATES; n++) processes.push(start(n));
+  for (let step = 0; step < steps && violations.length === 0; step++) {
+    now += STEP_MS;
+    const ready = due.filter(({ at }) => at <= now).sort((a, b) => a.at - b.at);
+    due = due.filter(({ at }) => at > now);
+    for (const { run } of ready) run();
+    history.push({ at: now, table });
+    if (history.length > OLDEST_COPY_MS / STEP_MS) history.shift();
+    for (const process of processes) {
+      if (now < process.pausedUntil) continue;
+      if (!process.state.held && !process.state.reading && chance(0.03)) {
+        process.state = { ...process.state, reading: true };
+        send(process, { kind: 'read' });
+      }
+      dispatch(process, { kind: 'tick' });
+    }
+    trouble();
+    check();
+  }
+  return { violations, returns, terms: terms.size, longestGapMs };
+}
--- /dev/null
+++ b/tests/gateway/store-return.test.ts
@@ -0,0 +1,306 @@
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { describe, expect, it, vi } from 'vitest';
+
+import { createConfigView } from '../../src/app/gateway/config-view';
+import { createRoster } from '../../src/app/gateway/roster';
+import type { Roster } from '../../src/app/gateway/roster';
+import { createStoreAccess } from '../../src/app/gateway/store-access';
+import { watchFeed } from '../../src/app/gateway/watch';
+import { mixHashes } from '../../src/core/routing/hash';
+import { joinNews, reaches } from '../../src/core/gateway/news';
+import type { BackendServer } from '../../src/core/gateway/types';
+import { brandAs } from '../../src/core/ids';
+import type { ConfigVersion } from '../../src/core/ids';
+import type { StoreEra } from '../../src/core/store-era';
+import type { Change, Changes, Feed } from '../../src/ports/gateway';
+import { fail } from '../../src/utils/errors';
+import type { StepError } from '../../src/utils/errors';
+import { createFakeClock, fakeTime } from './fake-time';
+import { makeConfig, makeContext, makeServer, position } from './support';
+
+fakeTime();
+
+const [FIRST, SECOND] = [brandAs<StoreEra>(1), brandAs<StoreEra>(2)];
+/** Daemons load anew spread over this time, and a little more for what follows. */
+const LOADED_MS = 600;
+const MISSING_MS = 2_400;
+
+async function pass(ms: number): Promise<void> {
+  await vi.advanceTimersByTimeAsync(ms);
+}
+
+/** A store of one collection that tells its era in each answer, as the adapter does. */
+function createEraStore<T>() {
+  const access = createStoreAccess();
+  let rows = new Map<string, { readonly value: T; readonly revision: number }>();
+  let [era, revision, loads] = [FIRST, 0, 0];
+  const wakers = new Set<() => void>();
+  const read = (after: number): Changes<T> => {
+    access.noteEra(era, 'call');
+    const changes = [...rows].flatMap(([key, row]): Change<T>[] =>
+      row.revision > after ? [{ key, value: row.value }] : [],
+    );
+    return { changes, position: { era, revision } };
+  };
+  const poll = (
+    at: Changes<T>['position'],
+    waitMs: number,
+    signal: AbortSignal,
+  ): ResultAsync<Changes<T>, StepError> => {
+    const answer = new Promise<Changes<T> | undefined>((resolve) => {
+      const look = (): void => {
+        if (read(at.revision).changes.length > 0) resolve(read(at.revision));
+      };
+      wakers.add(look);
+      setTimeout(() => {
+        resolve(read(at.revision));
+      }, waitMs);
+      signal.addEventListener('abort', () => {
+        resolve(undefined);
+      });
+      look();
+    });
+    return ResultAsync.fromSafePromise(answer).andThen((changes) => {
+      if (!changes) return errAsync(fail('store-unavailable', 'given up', { step: 'poll' }));
+      const isSame = changes.position.era === at.era;
+      return isSame
+        ? okAsync(changes)
+        : errAsync(fail('history-gone', 'other era', { step: 'poll' }));
+    });
+  };
+  const feed: Feed<T> = {
+    name: 'rows',
+    load: () => {
+      loads += 1;
+      return okAsync(read(-1));
+    },
+    poll,
+  };
+  return {
+    access,
+    feed,
+    loads: () => loads,
+    put: (key: string, value: T): void => {
+      revision += 1;
+      rows.set(key, { value, revision });
+      for (const wake of [...wakers]) wake();
+    },
+    remove: (key: string): void => {
+      rows.delete(key);
+    },
+    copy: () => ({ rows: new Map(rows), revision }),
+    /** Comes back from a copy, in the next era. */
+    restore: (copy: { readonly rows: typeof rows; readonly revision: number }): void => {
+      rows = new Map(copy.rows);
+      ({ revision } = copy);
+      era = SECOND;
+    },
+  };
+}
+
+describe('a collection that is followed, when the store comes back from an older copy', () => {
+  const follow = () => {
+    const store = createEraStore<number>();
+    const ctx = makeContext({ clock: createFakeClock(), store: store.access });
+    const known = new Map<string, number>();
+    const watch = watchFeed(ctx, {
+      feed: store.feed,
+      take: (changes) => {
+        for (const { key, value } of changes) if (value !== undefined) known.set(key, value);
+      },
+    });
+    return { store, known, watch };
+  };
+
+  it('is loaded anew also where the new era has passed the position that was known', async () => {
+    const { store, known, watch } = follow();
+    store.put('a', 1);
+    await pass(100);
+    const copy = store.copy();
+    store.put('a', 2);
+    await pass(100);
+    store.restore(copy);
+    // Versions are given out again: the change below has a revision that was known before the return.
+    store.put('b', 7);
+    await pass(LOADED_MS);
+    expect(known.get('b')).toBe(7);
+    expect(watch.position()).toEqual({ era: SECOND, revision: 2 });
+    watch.stop();
+  });
+
+  it('ends a poll that is out as soon as any call or peer tells of the new era', async () => {
+    const { store, known, watch } = follow();
+    store.put('a', 1);
+    await pass(100);
+    const copy = store.copy();
+    store.restore({ ...copy, rows: new Map([...copy.rows, ['c', { value: 9, revision: 1 }]]) });
+    expect(store.loads()).toBe(1);
+    store.access.noteEra(SECOND, 'peer');
+    await pass(LOADED_MS);
+    expect(store.loads()).toBe(2);
+    expect(known.get('c')).toBe(9);
+    watch.stop();
+  });
+
+  it('is loaded at different moments by daemons that learn of it together', async () => {
+    const loadedAt = new Set<number>();
+    const stores = Array.from({ length: 20 }, (_, seed) => {
+      const store = createEraStore<number>();
+      const ctx = makeContext({
+        clock: createFakeClock(),
+        store: store.access,
+        seed: mixHashes(1, seed),
+      });
+      const load = (): ReturnType<typeof store.feed.load> => {
+        loadedAt.add(Math.floor(Date.now() / 20));
+        return store.feed.load();
+      };
+      return {
+        store,
+        watch: watchFeed(ctx, { feed: { ...store.feed, load }, take: () => undefined }),
+      };
+    });
+    for (const { store } of stores) store.put('a', 1);
+    await pass(100);
+    loadedAt.clear();
+    for (const { store } of stores) {
+      store.restore(store.copy());
+      store.access.noteEra(SECOND, 'peer');
+    }
+    await pass(LOADED_MS);
+    expect(loadedAt.size).toBeGreaterThan(8);
+    for (const { watch } of stores) watch.stop();
+  });
+});
+
+describe('backend servers, when the store comes back from an older copy', () => {
+  const NAME = 's1';
+  const server = (reportNumber: number, more: Partial<BackendServer> = {}): BackendServer =>
+    makeServer(NAME, { reportNumber, ...more });
+
+  const follow = () => {
+    const store = createEraStore<BackendServer>();
+    const ctx = makeContext({
+      clock: createFakeClock(),
+      store: store.access,
+      tunables: { leavingMs: 100 },
+    });
+    const roster = createRoster(ctx, {
+      feed: store.feed,
+      isLeading: () => true,
+      leader: () => undefined,
+    });
+    /** Also what happens by the clock alone. */
+    const run = async (ms: number): Promise<void> => {
+      for (let passed = 0; passed < ms; passed += 50) {
+        await pass(50);
+        roster.tick();
+      }
+    };
+    return { store, roster, run };
+  };
+  const known = (roster: Roster): BackendServer | undefined => [...roster.servers.values()][0];
+
+  it('that were leaving are leaving still', async () => {
+    const { store, roster, run } = follow();
+    store.put(NAME, server(3));
+    await run(100);
+    const copy = store.copy();
+    store.put(NAME, server(4, { isDraining: true }));
+    await run(100);
+    store.restore(copy);
+    store.access.noteEra(SECOND, 'peer');
+    await run(LOADED_MS);
+    expect(known(roster)?.isDraining).toBe(true);
+    store.put(NAME, server(5, { isDraining: true }));
+    await run(300);
+    expect(known(roster)?.isDraining).toBe(true);
+    roster.watch.stop();
+  });
+
+  it('that are missing are kept until they have had the time to enter themselves again', async () => {
+    const { store, roster, run } = follow();
+    const copy = store.copy();
+    store.put(NAME, server(1));
+    await run(100);
+    store.restore(copy);
+    store.access.noteEra(SECOND, 'peer');
+    await run(LOADED_MS);
+    expect(known(roster)).toBeDefined();
+    await run(MISSING_MS);
+    expect(known(roster)).toBeUndefined();
+    roster.watch.stop();
+  });
+
+  it('that had gone come back only with what they write themselves', async () => {
+    const { store, roster, run } = follow();
+    store.put(NAME, server(3));
+    await run(100);
+    const copy = store.copy();
+    store.remove(NAME);
+    store.put('other', makeServer('s2'));
+    roster.takeNews({
+      since: position(1, FIRST),
+      upTo: position(3, FIRST),
+      changes: [{ key: NAME }],
+    });
+    expect([...roster.servers.values()].some(({ name }) => name === NAME)).toBe(false);
+    store.restore(copy);
+    store.access.noteEra(SECOND, 'peer');
+    await run(LOADED_MS);
+    expect([...roster.servers.values()].some(({ name }) => name === NAME)).toBe(false);
+    store.put(NAME, server(4));
+    await run(300);
+    expect([...roster.servers.values()].some(({ name }) => name === NAME)).toBe(true);
+    roster.watch.stop();
+  });
+});
+
+describe('the configuration in force, when the store comes back from an older copy', () => {
+  it('stays, until the operator has written a newer one', async () => {
+    const store = createEraStore<ReturnType<typeof makeConfig>>();
+    const ctx = makeContext({
+      clock: createFakeClock(),
+      store: store.access,
+      tunables: { configMs: 1_000 },
+    });
+    const version = (n: number) => makeConfig({ version: brandAs<ConfigVersion>(n) });
+    store.put('config', version(5));
+    const view = createConfigView(ctx, {
+      feed: store.feed,
+      daemons: () => 3,
+      leader: () => undefined,
+    });
+    await pass(500);
+    const copy = store.copy();
+    store.put('config', version(8));
+    await pass(500);
+    expect(view.version()).toBe(8);
+    store.restore(copy);
+    store.access.noteEra(SECOND, 'peer');
+    await pass(LOADED_MS);
+    expect(view.version()).toBe(8);
+    store.put('config', version(9));
+    await pass(LOADED_MS);
+    expect(view.version()).toBe(9);
+    view.watch.stop();
+  });
+});
+
+describe('news of servers from another era', () => {
+  it('are not gone on from: the same revision has another meaning there', () => {
+    expect(reaches(position(9, FIRST), position(4, FIRST))).toBe(true);
+    expect(reaches(position(9, FIRST), position(4, SECOND))).toBe(false);
+    const earlier = {
+      since: position(1, FIRST),
+      upTo: position(9, FIRST),
+      changes: [{ key: 'a' }],
+    };
+    const later = {
+      since: position(4, SECOND),
+      upTo: position(5, SECOND),
+      changes: [{ key: 'b' }],
+    };
+    expect(joinNews(earlier, later)).toEqual(later);
+  });
+});
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -18,6 +18,8 @@
 /** Longer than the daemons' own time-outs for the store and for connections. */
 const LONG_DELAY_MS = 900;
 const SHORT_DELAY_MS = 60;
+const LONGEST_AWAY_MS = 800;
+const OLDEST_COPY_MS = 5_000;
 
 function pick<T>(random: Random, items: readonly T[]): T {
   const found = items[Math.floor(random.next() * items.length)];
@@ -208,9 +210,20 @@
   'daemon-paused': ({ world, random }) => pauseProcess(pick(random, world.daemons)),
 };
 
+/** Returns of the store from an older copy. They are drawn apart as well. */
+const RETURN_FAULTS: Readonly<Record<string, Fault>> = {
+  'store-returns': ({ world, random }) => {
+    const awayMs = random.next() * LONGEST_AWAY_MS;
+    const copyAgeMs = random.next() * OLDEST_COPY_MS;
+    void world.platform.returnStore({ awayMs, copyAgeMs });
+    return NOTHING;
+  },
+};
+
 export const FAULTS: Readonly<Record<string, Fault>> = {
   ...COMMON_FAULTS,
   ...ENTRY_FAULTS,
+  ...RETURN_FAULTS,
   ...SILENCES,
 };
 
@@ -255,3 +268,8 @@
 export function planEntryFaults(random: Random, count: number, durationMs: number): PlannedFault[] {
   return drawFaults(random, Object.keys(ENTRY_FAULTS), count, durationMs);
 }
+
+/** Returns of the store that fall between the faults of a schedule. */
+export function planReturns(random: Random, count: number, durationMs: number): PlannedFault[] {
+  return drawFaults(random, Object.keys(RETURN_FAULTS), count, durationMs);
+}
