--- a/tests/lease.test.ts
+++ b/tests/lease.test.ts
@@ -1,27 +1,12 @@
 import { describe, expect, it } from 'vitest';
 
 import type { DaemonId, DomainId, MonoTime } from '../src/core/ids';
-import { createLease, isHolder, reduceLease } from '../src/core/lease/lease';
-import type { LeaseEffect, LeaseEvent, LeaseRow, LeaseState } from '../src/core/lease/types';
+import { createLease, isHolder } from '../src/core/lease/lease';
+import type { LeaseEvent, LeaseRow, LeaseState } from '../src/core/lease/types';
+import { drive } from './support/lease';
 
 const SETTINGS = { ttlMs: 10_000, marginMs: 1_000, renewMs: 2_500, backupDelayMs: 2_000 };
 
-interface Driven {
-  readonly state: LeaseState;
-  readonly effects: readonly LeaseEffect[];
-}
-
-function drive(state: LeaseState, now: number, ...events: readonly LeaseEvent[]): Driven {
-  const effects: LeaseEffect[] = [];
-  let after = state;
-  for (const event of events) {
-    const step = reduceLease(after, event, { now: now as MonoTime });
-    after = step.state;
-    effects.push(...step.effects);
-  }
-  return { state: after, effects };
-}
-
 function candidate(self = 'a', rank = 0): LeaseState {
   const options = { domain: 'd' as DomainId, self: self as DaemonId, session: `${self}1` };
   const state = createLease({ ...options, settings: SETTINGS }, 0 as MonoTime);
--- a/tests/store-era.test.ts
+++ b/tests/store-era.test.ts
@@ -1,10 +1,11 @@
 import { describe, expect, it } from 'vitest';
 
 import type { DaemonId, DomainId, FencingNumber, MonoTime } from '../src/core/ids';
-import { createLease, isHolder, reduceLease } from '../src/core/lease/lease';
+import { createLease, isHolder } from '../src/core/lease/lease';
 import type { LeaseEffect, LeaseEvent, LeaseRow, LeaseState } from '../src/core/lease/types';
 import { fencingFloor, isLater, isOfEra, latest, toStoreEra } from '../src/core/store-era';
 import type { StoreEra } from '../src/core/store-era';
+import { drive } from './support/lease';
 
 const SETTINGS = { ttlMs: 2_000, marginMs: 200, renewMs: 600, backupDelayMs: 300 };
 const era = (value: number): StoreEra => value as StoreEra;
@@ -40,22 +41,6 @@
   });
 });
 
-interface Driven {
-  readonly state: LeaseState;
-  readonly effects: readonly LeaseEffect[];
-}
-
-function drive(state: LeaseState, now: number, ...events: readonly LeaseEvent[]): Driven {
-  const effects: LeaseEffect[] = [];
-  let after = state;
-  for (const event of events) {
-    const step = reduceLease(after, event, { now: at(now) });
-    after = step.state;
-    effects.push(...step.effects);
-  }
-  return { state: after, effects };
-}
-
 function candidate(self: string): LeaseState {
   const options = { domain: 'd' as DomainId, self: self as DaemonId, session: `${self}1` };
   const state = createLease({ ...options, settings: SETTINGS }, at(0));
