--- a/src/app/gateway/watch.ts
+++ b/src/app/gateway/watch.ts
@@ -71,7 +71,7 @@
   let position = ORIGIN;
   /** The next call loads the whole collection. */
   let mustLoad = true;
-  /** The last load was of an earlier era. */
+  /** The store came back from an older copy since the last load. */
   let isCopy = false;
   /** Ends the call under way. */
   let cancel = new AbortController();
--- a/src/cli/report-text.ts
+++ b/src/cli/report-text.ts
@@ -118,6 +118,15 @@
           collection,
         ]),
     ]),
+    table('Returns of the store from an older copy', [
+      ['era', 'seen at', 'until last', 'daemons'],
+      ...report.returns.map(({ era, at, spreadMs, daemons: count }) => [
+        String(era),
+        seconds(at),
+        seconds(spreadMs),
+        String(count),
+      ]),
+    ]),
     table('Configurations that came slowest', [
       ['version', 'first at', 'until last', 'daemons'],
       ...[...report.versions]
--- a/src/core/explain/explain.ts
+++ b/src/core/explain/explain.ts
@@ -36,6 +36,8 @@
   'store regained',
   'servers taken from a peer',
   'configuration in force',
+  'era of the store',
+  'loading anew from an older copy',
   'retry budget spent',
   'log lines left out',
 ]);
--- a/src/core/report/report.ts
+++ b/src/core/report/report.ts
@@ -8,7 +8,7 @@
 import type { Event } from './events';
 import { summarizeModels } from './groups';
 import { countSeconds, isEnd, summarizeReasons, summarizeRequests } from './requests';
-import type { Outage, Report, VersionSummary } from './types';
+import type { Outage, Report, ReturnSummary, VersionSummary } from './types';
 import { listWork } from './work';
 
 function findOutages(events: readonly Event[]): Outage[] {
@@ -36,6 +36,18 @@
   );
 }
 
+/** The first era that a process sees is no return. */
+function summarizeReturns(events: readonly Event[]): ReturnSummary[] {
+  const seen = events.filter(
+    (event) => event.message === 'era of the store' && numberOf(event, 'before') !== 0,
+  );
+  return [...groupBy(seen, (event) => textOf(event, 'era'))].map(([era, own]) => {
+    const times = own.map(({ at }) => at);
+    const at = Math.min(...times);
+    return { era: Number(era), at, spreadMs: Math.max(...times) - at, daemons: own.length };
+  });
+}
+
 function summarizeVersions(events: readonly Event[]): VersionSummary[] {
   const inForce = events.filter(({ message }) => message === 'configuration in force');
   return [...groupBy(inForce, (event) => textOf(event, 'version'))].map(([version, own]) => {
@@ -67,6 +79,7 @@
     models: summarizeModels(events, lastsMs),
     work: listWork(events),
     outages: findOutages(events),
+    returns: summarizeReturns(events),
     versions: summarizeVersions(events),
     leaders: events
       .filter(({ message }) => message === 'lease taken')
--- a/src/core/report/types.ts
+++ b/src/core/report/types.ts
@@ -67,6 +67,16 @@
   readonly ms: number | undefined;
 }
 
+/** How daemons learned that the store came back from an older copy. */
+export interface ReturnSummary {
+  readonly era: number;
+  /** When the first daemon saw the era. */
+  readonly at: number;
+  /** From the first daemon to the last one that saw it, milliseconds. */
+  readonly spreadMs: number;
+  readonly daemons: number;
+}
+
 /** How a version of the configuration came into force. */
 export interface VersionSummary {
   readonly version: number;
@@ -87,6 +97,7 @@
   readonly models: readonly ModelSummary[];
   readonly work: readonly WorkSecond[];
   readonly outages: readonly Outage[];
+  readonly returns: readonly ReturnSummary[];
   readonly versions: readonly VersionSummary[];
   readonly leaders: readonly { readonly daemon: string; readonly at: number }[];
 }
--- a/tests/report.test.ts
+++ b/tests/report.test.ts
@@ -42,6 +42,9 @@
   line(4, 'b', 'store lost', { collection: 'op' }),
   line(4, 'b', 'store lost', { collection: 'servers' }),
   line(6, 'b', 'store regained', { collection: 'op', awayMs: 3_000 }),
+  line(6.5, 'a', 'era of the store', { before: 0, era: 1, source: 'load' }),
+  line(7, 'a', 'era of the store', { before: 1, era: 2, source: 'poll' }),
+  line(7.25, 'b', 'era of the store', { before: 1, era: 2, source: 'peer a' }),
   line(10, 'a', 'group serves no more', { ...FIRST }),
   line(10, 'b', 'group serves no more', { ...FIRST }),
   ended(10.5, 'refused', { reason: 'no group serves the model' }),
@@ -67,6 +70,10 @@
     expect(report.leaders).toEqual([{ daemon: 'b', at: 15_000 }]);
   });
 
+  it('tells when the store came back from an older copy, and how long until all daemons knew', () => {
+    expect(report.returns).toEqual([{ era: 2, at: 7_000, spreadMs: 250, daemons: 2 }]);
+  });
+
   it('tells how many requests were in places, waited for one, and waited in engines', () => {
     expect(report.work).toEqual([
       {
