Give each era of the store its own lease rows, and let a new process wait after a return

Cause, two faults. (A) A process that started after a return took an absent row at once: the first era that it saw was 'no return'. (B) A take sent in a lost era passed its condition by chance, as versions are given out again, and put an old number into the row that counts them. Now the rows are named by their era, so a late write touches rows that nobody reads, and an absent row is free at once only in era 0. Ruled out: numbers with a part of their process (unique, but the new row would still be overwritten), a read before each act (a call an order), asking peers (unsafe over cut links).

--- a/src/app/gateway/lease.ts
+++ b/src/app/gateway/lease.ts
@@ -3,6 +3,7 @@
 import { rankSuccessors, readDelayMs } from '../../core/gateway/succession';
 import { brandAs, later } from '../../core/ids';
 import type { DomainId, FencingNumber, MonoTime } from '../../core/ids';
+import { leaseKeys, leasePrefix } from '../../core/lease/keys';
 import { createLease, isHolder, reduceLease } from '../../core/lease/lease';
 import type {
   FenceRow,
@@ -13,7 +14,7 @@
   LeaseState,
 } from '../../core/lease/types';
 import type { EraTable } from '../../ports/gateway';
-import type { Row } from '../../ports/platform';
+import type { Row, Write } from '../../ports/platform';
 import type { GatewayContext } from './context';
 import { LEASE_NAME } from './fleet';
 import type { Fleet } from './fleet';
@@ -33,10 +34,11 @@
 };
 /** Candidates that hear nothing of a leader look at the row this often; twice within the life of a lease. */
 const READ_MS = 900;
+/** Rows of lost eras that one transaction removes. */
+const MOST_REMOVED = 50;
 /** Between two looks at who else may hold the lease. */
 const RANK_MS = 400;
-const LEASE_KEY = `lease/${LEASE_NAME}`;
-const FENCE_KEY = `${LEASE_KEY}#fence`;
+const DOMAIN = brandAs<DomainId>(LEASE_NAME);
 /** Wall clock and monotonic clock may drift apart this far between two looks before a pause is assumed. */
 const CLOCK_SLACK_MS = 400;
 
@@ -59,11 +61,12 @@
 export function createLeadership(ctx: GatewayContext, table: EraTable, fleet: Fleet): Leadership {
   const { settings, clock, logger } = ctx;
   const session = `${settings.id} ${clock.epoch()} ${ctx.random.next()}`;
-  const domain = brandAs<DomainId>(LEASE_NAME);
   let state: LeaseState = createLease(
-    { domain, self: settings.id, session, settings: SETTINGS },
+    { domain: DOMAIN, self: settings.id, session, settings: SETTINGS },
     clock.now(),
   );
+  /** Rows of lost eras that were seen in the table. */
+  let leftovers: readonly string[] = [];
   let readAt = clock.now();
   let rankAt = clock.now();
   /** When a leader was last heard of; before the first, the start. */
@@ -90,15 +93,17 @@
     rows.find((row) => row.key === key);
 
   const read = async (): Promise<void> => {
-    const rows = await table.read([LEASE_KEY, FENCE_KEY]);
-    if (rows.isErr()) {
-      logger.debug('lease not read', { step: 'lease', code: rows.error.code });
+    const result = await table.read(leasePrefix(DOMAIN));
+    if (result.isErr()) {
+      logger.debug('lease not read', { step: 'lease', code: result.error.code });
       dispatch({ kind: 'read-failed' });
       return;
     }
-    const { era } = rows.value;
-    const lease = rowOf(rows.value.rows, LEASE_KEY);
-    const fence = rowOf(rows.value.rows, FENCE_KEY);
+    const { era, rows } = result.value;
+    const keys = leaseKeys(DOMAIN, era);
+    const lease = rowOf(rows, keys.lease);
+    const fence = rowOf(rows, keys.fence);
+    leftovers = rows.filter((row) => row !== lease && row !== fence).map(({ key }) => key);
     dispatch({
       kind: 'read',
       era,
@@ -108,20 +113,21 @@
   };
 
   const commit = async (effect: Extract<LeaseEffect, { kind: 'commit' }>): Promise<void> => {
-    const { row, leaseVersion, fenceVersion } = effect;
+    const { era, row, leaseVersion, fenceVersion } = effect;
+    const keys = leaseKeys(DOMAIN, era);
     const isTake = fenceVersion !== undefined;
-    const fence = isTake ? [{ key: FENCE_KEY, value: { fencing: row.fencing } }] : [];
-    const result = await table.commit({
-      conditions: [
-        { key: LEASE_KEY, version: leaseVersion },
-        ...(isTake ? [{ key: FENCE_KEY, version: fenceVersion }] : []),
-      ],
-      writes: [{ key: LEASE_KEY, value: { ...row } }, ...fence],
-    });
+    const conditions = [{ key: keys.lease, version: leaseVersion }];
+    const writes: Write[] = [{ key: keys.lease, value: { ...row } }];
+    if (isTake) {
+      conditions.push({ key: keys.fence, version: fenceVersion });
+      writes.push({ key: keys.fence, value: { fencing: row.fencing } });
+      writes.push(...leftovers.slice(0, MOST_REMOVED).map((key) => ({ key })));
+    }
+    const result = await table.commit({ conditions, writes });
     if (result.isOk()) {
       const { versions } = result.value;
-      const version = versions[LEASE_KEY] ?? 0;
-      dispatch({ kind: 'committed', version, fenceVersion: versions[FENCE_KEY] ?? 0 });
+      const version = versions[keys.lease] ?? 0;
+      dispatch({ kind: 'committed', version, fenceVersion: versions[keys.fence] ?? 0 });
       return;
     }
     const { code } = result.error;
--- a/src/core/lease/lease.ts
+++ b/src/core/lease/lease.ts
@@ -7,8 +7,8 @@
  * that was paused past its lease.
  *
  * A table that came back from an older copy may have lost the lease of somebody who still holds it. The
- * holder takes it again at once, under a fencing number of the new era; everybody else waits the full time
- * from when they first saw the new era.
+ * holder takes it again at once, under a fencing number of the new era; everybody else, a process that has
+ * just started too, waits the full time from when they first saw the new era. Each era has rows of its own.
  */
 
 import { later } from '../ids';
@@ -50,7 +50,6 @@
     stopping: false,
     reading: false,
     era: FIRST_ERA,
-    hasReturned: false,
     dueAt: now,
   };
 }
@@ -66,9 +65,9 @@
   return row?.holder === state.self && row.session === state.session && !row.released;
 }
 
-/** Whether the row is from before the table's return: somebody may hold the lease since, and it doesn't show. */
-function isOutdated({ era, hasReturned }: LeaseState, row: LeaseRow | undefined): boolean {
-  return row ? !isOfEra(row.fencing, era) : hasReturned;
+/** Whether somebody may hold the lease under a row that a return of the table has lost. */
+function isOutdated({ era }: LeaseState, row: LeaseRow | undefined): boolean {
+  return row ? !isOfEra(row.fencing, era) : era !== FIRST_ERA;
 }
 
 /**
@@ -110,7 +109,7 @@
   const pending: PendingLease = { kind, sentAt: now, era: state.era, row };
   return next<LeaseState, LeaseEffect>(
     { ...state, pending, dueAt: later(now, settings.renewMs) },
-    { kind: 'commit', row, leaseVersion: seen.version },
+    { kind: 'commit', era: state.era, row, leaseVersion: seen.version },
   );
 }
 
@@ -130,9 +129,10 @@
     released: false,
   };
   const pending: PendingLease = { kind: 'take', sentAt: now, era: state.era, row };
+  const { version: leaseVersion, fenceVersion } = seen;
   return next<LeaseState, LeaseEffect>(
     { ...state, pending, dueAt: later(now, settings.renewMs) },
-    { kind: 'commit', row, leaseVersion: seen.version, fenceVersion: seen.fenceVersion },
+    { kind: 'commit', era: state.era, row, leaseVersion, fenceVersion },
   );
 }
 
@@ -186,9 +186,7 @@
 /** What was seen of the table's rows says nothing of them any more. */
 function onEra(state: LeaseState, era: StoreEra): LeaseState {
   if (era <= state.era) return state;
-  // The first era that this process sees is no return.
-  const hasReturned = state.hasReturned || state.contact !== undefined;
-  return { ...omit(state, 'seen'), era, hasReturned };
+  return { ...omit(state, 'seen'), era };
 }
 
 function onRead(
--- a/src/core/lease/types.ts
+++ b/src/core/lease/types.ts
@@ -87,8 +87,6 @@
   readonly reading: boolean;
   /** The newest era of the table that is known here. */
   readonly era: StoreEra;
-  /** Whether the table came back from an older copy while this process ran. */
-  readonly hasReturned: boolean;
   readonly seen?: SeenLease;
   /** When the rows were last read, and since when without a long gap. */
   readonly contact?: Contact;
@@ -127,6 +125,8 @@
   | { readonly kind: 'read' }
   | {
       readonly kind: 'commit';
+      /** Names the rows: a write that arrives in a later era must not touch those of that era. */
+      readonly era: StoreEra;
       readonly row: LeaseRow;
       readonly leaseVersion: number;
       /** Present when the lease changes hands: the fence row is written too. */
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -47,7 +47,8 @@
  * in which they were read. Errors as for `Table`.
  */
 export interface EraTable {
-  read(keys: readonly string[]): ResultAsync<EraRows, StepError>;
+  /** The rows whose keys begin so. */
+  read(prefix: string): ResultAsync<EraRows, StepError>;
   commit(transaction: Transaction): ResultAsync<Committed, StepError>;
 }
 
--- a/tests/fuzz/admission.ts
+++ b/tests/fuzz/admission.ts
@@ -18,11 +18,7 @@
 import { brandAs } from '../../src/core/ids';
 import type { MonoTime, RequestId } from '../../src/core/ids';
 import { at, callerClass, MODEL, request, seeded } from './admission-fixtures';
-
-export interface FuzzOptions {
-  readonly seed: number;
-  readonly runs: number;
-}
+import type { FuzzOptions } from './options';
 
 type Phase = 'queued' | 'running' | 'refused' | 'ended';
 
--- a/tests/fuzz/config.ts
+++ b/tests/fuzz/config.ts
@@ -19,11 +19,7 @@
   submitAgain,
 } from './config-world';
 import type { ConfigWorld, Fault } from './config-world';
-
-export interface FuzzOptions {
-  readonly seed: number;
-  readonly runs: number;
-}
+import type { FuzzOptions } from './options';
 
 type ConfigCommand = fc.Command<object, ConfigWorld>;
 
--- a/tests/fuzz/groups/groups.ts
+++ b/tests/fuzz/groups/groups.ts
@@ -8,10 +8,9 @@
 import type { World } from '../../support/control-world';
 import { ACTS, commandArbitraries, fullConfig } from './commands';
 import { createOracle } from './oracle';
+import type { FuzzOptions } from '../options';
 
-export interface FuzzOptions {
-  readonly seed: number;
-  readonly runs: number;
+export interface GroupsFuzzOptions extends FuzzOptions {
   /** Longest history, in commands. */
   readonly maxCommands?: number;
 }
@@ -68,7 +67,11 @@
 }
 
 /** Throws with the seed and the shrunk history should a check fail. */
-export async function fuzzGroups({ seed, runs, maxCommands = 25 }: FuzzOptions): Promise<void> {
+export async function fuzzGroups({
+  seed,
+  runs,
+  maxCommands = 25,
+}: GroupsFuzzOptions): Promise<void> {
   const histories = fc.commands(commandArbitraries(), { maxCommands });
   await fc.assert(
     fc.asyncProperty(histories, async (commands) => {
--- a/tests/fuzz/lease-eras.ts
+++ b/tests/fuzz/lease-eras.ts
@@ -5,10 +5,12 @@
 
 import { createRandom } from '../../src/adapters/runtime';
 import type { DaemonId, DomainId, FencingNumber, MonoTime } from '../../src/core/ids';
+import { leaseKeys } from '../../src/core/lease/keys';
 import { createLease, isHolder, reduceLease } from '../../src/core/lease/lease';
 import type { FenceRow, LeaseEffect, LeaseEvent, LeaseRow } from '../../src/core/lease/types';
 import type { LeaseState } from '../../src/core/lease/types';
 import type { StoreEra } from '../../src/core/store-era';
+import type { FuzzOptions } from './options';
 
 export interface LeaseErasOptions {
   readonly seed: number;
@@ -19,6 +21,8 @@
   readonly violations: readonly string[];
   readonly returns: number;
   readonly terms: number;
+  /** What happened last, oldest first. */
+  readonly trace: readonly string[];
   /** Longest time without a holder while calls were answered, milliseconds. */
   readonly longestGapMs: number;
 }
@@ -28,10 +32,11 @@
   readonly row: T;
 }
 
+/** Rows by their keys, and the version of the newest write. */
 interface TableState {
   readonly version: number;
-  readonly lease?: Stored<LeaseRow>;
-  readonly fence?: Stored<FenceRow>;
+  readonly leases: ReadonlyMap<string, Stored<LeaseRow>>;
+  readonly fences: ReadonlyMap<string, Stored<FenceRow>>;
 }
 
 interface Process {
@@ -45,12 +50,15 @@
   readonly run: () => void;
 }
 
+const DOMAIN = 'd' as DomainId;
 const CANDIDATES = 5;
 const STEP_MS = 20;
 const SETTINGS = { ttlMs: 2_000, marginMs: 200, renewMs: 600, backupDelayMs: 300 };
 /** Copies are up to so old. */
 const OLDEST_COPY_MS = 6_000;
 const AWAY_MS = 800;
+const TRACE_LINES = 40;
+const STEPS = 50_000;
 
 export function runLeaseEras({ seed, steps }: LeaseErasOptions): LeaseErasResult {
   const random = createRandom(seed);
@@ -58,7 +66,7 @@
   const upTo = (ms: number): number => Math.floor(random.next() * ms);
   let now = 0;
   let era = 1;
-  let table: TableState = { version: 1 };
+  let table: TableState = { version: 1, leases: new Map(), fences: new Map() };
   const history: { readonly at: number; readonly table: TableState }[] = [];
   let awayUntil = 0;
   let due: Due[] = [];
@@ -72,20 +80,30 @@
 
   const start = (n: number): Process => {
     starts += 1;
+    if (now > 0) note(`d${n} starts as ${starts}`);
     const id = `d${n}` as DaemonId;
-    const options = { domain: 'd' as DomainId, self: id, session: `${id} ${starts}` };
+    const options = { domain: DOMAIN, self: id, session: `${id} ${starts}` };
     const state = createLease({ ...options, settings: SETTINGS }, now as MonoTime);
     const process: Process = { id, state, pausedUntil: 0 };
     dispatch(process, { kind: 'ranked', rank: n });
     return process;
   };
 
+  const trace: string[] = [];
+  const note = (line: string): void => {
+    trace.push(`${now}: era ${era}: ${line}`);
+    if (trace.length > TRACE_LINES) trace.shift();
+  };
+
   const after = (ms: number, run: () => void): void => {
     due.push({ at: now + ms, run });
   };
 
   const dispatch = (process: Process, event: LeaseEvent): void => {
     const step = reduceLease(process.state, event, { now: now as MonoTime });
+    if (event.kind !== 'tick' && event.kind !== 'era') {
+      note(`${process.state.session}: ${event.kind}`);
+    }
     process.state = step.state;
     for (const effect of step.effects) send(process, effect);
   };
@@ -101,19 +119,20 @@
 
   const apply = (effect: Extract<LeaseEffect, { kind: 'commit' }>): LeaseEvent => {
     const { row, leaseVersion, fenceVersion } = effect;
+    const keys = leaseKeys(DOMAIN, effect.era);
+    const [lease, fence] = [table.leases.get(keys.lease), table.fences.get(keys.fence)];
     const holds =
-      (table.lease?.version ?? 0) === leaseVersion &&
-      (fenceVersion === undefined || (table.fence?.version ?? 0) === fenceVersion);
+      (lease?.version ?? 0) === leaseVersion &&
+      (fenceVersion === undefined || (fence?.version ?? 0) === fenceVersion);
     if (!holds) return { kind: 'refused', conflict: true };
     const version = table.version + 1;
-    const fence = { version, row: { fencing: row.fencing } };
-    table = {
-      ...table,
-      version,
-      lease: { version, row },
-      ...(fenceVersion !== undefined && { fence }),
-    };
-    return { kind: 'committed', version, fenceVersion: table.fence?.version ?? 0 };
+    const leases = new Map(table.leases).set(keys.lease, { version, row });
+    const fences = new Map(table.fences);
+    if (fenceVersion !== undefined) {
+      fences.set(keys.fence, { version, row: { fencing: row.fencing } });
+    }
+    table = { version, leases, fences };
+    return { kind: 'committed', version, fenceVersion: fences.get(keys.fence)?.version ?? 0 };
   };
 
   const call: {
@@ -123,7 +142,8 @@
     ) => void;
   } = {
     read: (process) => {
-      const { lease, fence } = table;
+      const keys = leaseKeys(DOMAIN, era as StoreEra);
+      const [lease, fence] = [table.leases.get(keys.lease), table.fences.get(keys.fence)];
       answer(process, era, {
         kind: 'read',
         era: era as StoreEra,
@@ -133,6 +153,8 @@
     },
     commit: (process, effect) => {
       const result = apply(effect);
+      const { holder, fencing, released } = effect.row;
+      note(`row of ${holder} ${fencing}${released ? ' released' : ''} ${result.kind}`);
       if (chance(0.1))
         after(300, () => {
           answer(process, era, { kind: 'unsure' });
@@ -162,6 +184,7 @@
     if (copy) ({ table } = copy);
     era += 1;
     returns += 1;
+    note(`came back from a copy of ${copy?.at ?? now}`);
     awayUntil = now + upTo(AWAY_MS);
   };
 
@@ -216,5 +239,16 @@
     trouble();
     check();
   }
-  return { violations, returns, terms: terms.size, longestGapMs };
+  return { violations, returns, terms: terms.size, longestGapMs, trace };
+}
+
+/** Histories of seeds that follow each other; throws with the first that breaks a rule. */
+export function fuzzLeaseEras({ seed, runs, onRun }: FuzzOptions): void {
+  for (let run = 0; run < runs; run++) {
+    const { violations, trace } = runLeaseEras({ seed: seed + run, steps: STEPS });
+    if (violations.length > 0) {
+      throw new Error(`seed ${seed + run}: ${violations.join('; ')}\n${trace.join('\n')}`);
+    }
+    onRun?.(run + 1);
+  }
 }
--- a/tests/fuzz/ledger.ts
+++ b/tests/fuzz/ledger.ts
@@ -16,6 +16,7 @@
   sweep,
 } from './ledger-world';
 import type { Run, SendFault, Submission, World, WriteFault } from './ledger-world';
+import type { FuzzOptions } from './options';
 
 const DAEMONS = 3;
 
@@ -184,11 +185,6 @@
   ...[givingUp, freezing, resuming, resuming, killing, passing, landing, sweeping],
 ];
 
-export interface FuzzOptions {
-  readonly seed: number;
-  readonly runs: number;
-}
-
 /** Throws with the seed and the shrunk history if anything that must hold did not. */
 export function fuzzLedger({ seed, runs }: FuzzOptions): void {
   const histories = fc.commands(COMMANDS, { maxCommands: 60, size: 'max' });
--- a/tests/fuzz/main.ts
+++ b/tests/fuzz/main.ts
@@ -6,16 +6,12 @@
 import { fuzzAdmission } from './admission';
 import { fuzzConfig } from './config';
 import { fuzzGroups } from './groups/groups';
+import { fuzzLeaseEras } from './lease-eras';
 import { fuzzLedger } from './ledger';
 import { fuzzMembership } from './membership';
+import type { FuzzOptions } from './options';
 import { fuzzRouting } from './routing';
 
-/** How a fuzz run is asked for. */
-export interface FuzzOptions {
-  readonly seed: number;
-  readonly runs: number;
-}
-
 /** A property over histories; throws with the seed and the shrunk history of a failure. */
 type Fuzz = (opts: FuzzOptions) => Promise<void> | void;
 
@@ -26,20 +22,48 @@
   config: fuzzConfig,
   membership: fuzzMembership,
   groups: fuzzGroups,
+  'lease-eras': fuzzLeaseEras,
 };
 
 const options = z.object({
   seed: z.coerce.number().int(),
   runs: z.coerce.number().int().positive(),
-  only: z.string().optional(),
+  only: z
+    .string()
+    .refine((name) => name in FUZZES, {
+      error: `no such property; there are ${Object.keys(FUZZES).join(', ')}`,
+    })
+    .optional(),
 });
 
+/** Between two lines of progress, milliseconds. */
+const PROGRESS_MS = 10_000;
+
+/** Prints how many histories have passed, and how many a second. */
+function createProgress(name: string): (passed: number) => void {
+  const startedAt = Date.now();
+  let printedAt = startedAt;
+  return (passed) => {
+    const now = Date.now();
+    if (now - printedAt < PROGRESS_MS) return;
+    printedAt = now;
+    const perSecond = Number(((passed * 1_000) / (now - startedAt)).toFixed(2));
+    process.stdout.write(`${JSON.stringify({ fuzz: name, passed, perSecond })}\n`);
+  };
+}
+
 async function fuzz(args: unknown): Promise<void> {
-  const { seed, runs, only } = options.parse(args);
+  const parsed = options.safeParse(args);
+  if (!parsed.success) {
+    process.stderr.write(`${z.prettifyError(parsed.error)}\n`);
+    process.exitCode = 2;
+    return;
+  }
+  const { seed, runs, only } = parsed.data;
   const chosen = Object.entries(FUZZES).filter(([name]) => only === undefined || only === name);
   for (const [name, property] of chosen) {
     try {
-      await property({ seed, runs });
+      await property({ seed, runs, onRun: createProgress(name) });
       process.stdout.write(`${JSON.stringify({ fuzz: name, seed, runs, passed: true })}\n`);
     } catch (err) {
       const report = err instanceof Error ? err.message : String(err);
--- a/tests/fuzz/membership.ts
+++ b/tests/fuzz/membership.ts
@@ -15,11 +15,7 @@
   start,
 } from './membership-world';
 import type { MembershipWorld } from './membership-world';
-
-export interface FuzzOptions {
-  readonly seed: number;
-  readonly runs: number;
-}
+import type { FuzzOptions } from './options';
 
 type MembershipCommand = fc.Command<object, MembershipWorld>;
 
--- a/tests/fuzz/routing.ts
+++ b/tests/fuzz/routing.ts
@@ -16,7 +16,7 @@
 } from '../../src/core/routing/routing';
 import { ROUTING_POLICIES } from '../../src/core/routing/policies';
 import type { RoutingPolicyName, RoutingState } from '../../src/core/routing/types';
-import type { FuzzOptions } from './admission';
+import type { FuzzOptions } from './options';
 import { at, routableGroup, seeded } from './admission-fixtures';
 
 /** What the oracle knows: the groups of attempts in flight, and the time. */
--- /dev/null
+++ b/tests/gateway/lease-return.test.ts
@@ -0,0 +1,101 @@
+import { describe, expect, it } from 'vitest';
+
+import { createClock } from '../../src/adapters/runtime';
+import type { Fleet } from '../../src/app/gateway/fleet';
+import { createLeadership } from '../../src/app/gateway/lease';
+import type { Leadership } from '../../src/app/gateway/lease';
+import { brandAs, later } from '../../src/core/ids';
+import type { DaemonId } from '../../src/core/ids';
+import { createEraStore } from '../support/era-table';
+import type { EraClient } from '../support/era-table';
+import { makeContext } from './support';
+
+interface Candidate {
+  readonly leadership: Leadership;
+  readonly client: EraClient;
+}
+
+/** Daemons before one store, on a clock of their own. Each is first in line in its own eyes. */
+function setUp() {
+  const clock = createClock();
+  const [start, epoch] = [clock.now(), clock.epoch()];
+  let now = start;
+  const store = createEraStore();
+  const running = new Set<Leadership>();
+
+  const add = (name: string): Candidate => {
+    const id = brandAs<DaemonId>(name);
+    const ctx = makeContext({
+      settings: { id },
+      clock: { now: () => now, epoch: () => later(epoch, now - start) },
+    });
+    const client = store.client((era) => {
+      ctx.store.noteEra(era, 'call');
+    });
+    const fleet = { candidates: () => new Map([[id, 1]]) } as unknown as Fleet;
+    const leadership = createLeadership(ctx, client.table, fleet);
+    running.add(leadership);
+    return { leadership, client };
+  };
+
+  const run = async (ms: number, each: () => void = () => undefined): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += 50) {
+      now = later(now, 50);
+      for (const leadership of running) leadership.tick();
+      await new Promise((resolve) => setImmediate(resolve));
+      each();
+    }
+  };
+
+  const kill = ({ leadership }: Candidate): void => {
+    running.delete(leadership);
+  };
+  return { store, add, run, kill };
+}
+
+/** The store has come back, `b` holds the lease of the new era, and a take of `a` is on its way since the lost one. */
+async function withWriteOfLostEra() {
+  const daemons = setUp();
+  const { store, add, run, kill } = daemons;
+  const restore = store.copy();
+  const first = add('a');
+  await run(3_000);
+  kill(first);
+  const again = add('a');
+  again.client.hold();
+  await run(3_000);
+  kill(again);
+  restore();
+  const owner = add('b');
+  const deliver = (): void => {
+    again.client.deliver();
+  };
+  return { ...daemons, owner, deliver };
+}
+
+describe('a write of a lost era that arrives after the return of the store', () => {
+  it('changes nothing of the lease of the new era', async () => {
+    const { owner, run, deliver } = await withWriteOfLostEra();
+    await run(3_000, deliver);
+    const fencing = owner.leadership.held();
+    expect(fencing).toBeDefined();
+    await run(5_000, () => {
+      deliver();
+      expect(owner.leadership.held()).toBe(fencing);
+    });
+  });
+
+  it('leads to no fencing number that is given out twice', async () => {
+    const { owner, run, deliver, add, kill } = await withWriteOfLostEra();
+    await run(3_000);
+    const fencing = owner.leadership.held();
+    await run(5_000, () => {
+      deliver();
+      if (owner.leadership.held() === undefined) kill(owner);
+    });
+    kill(owner);
+    const next = add('c');
+    await run(6_000);
+    expect(next.leadership.held()).toBeGreaterThan(fencing ?? Infinity);
+  });
+});
--- a/tests/gateway/spoiled-bodies.test.ts
+++ b/tests/gateway/spoiled-bodies.test.ts
@@ -116,22 +116,22 @@
       logger: createLogger({ write: () => undefined }),
       noteEra: () => undefined,
     });
-    const rows = await store.table.read(['a']);
+    const rows = await store.table.read('a');
     expect(rows._unsafeUnwrapErr().code).toBe('bad-answer');
   });
 
   it('is passed over, with a line in the log, where a single row is spoiled', async () => {
     const value = Buffer.from('{"whole":true}').toString('base64');
     const row = (key: string, of: string) => ({ key, value: of, rowVersion: 3 });
-    const rows = [row('a', 'e25vIEpTT04='), row('b', value)];
+    const rows = [row('rows/a', 'e25vIEpTT04='), row('rows/b', value), row('other', value)];
     const address = await startAnswering(JSON.stringify({ rows, rowVersion: 4 }));
     const lines: string[] = [];
     const logger = createLogger({ write: (line) => lines.push(line) });
-    const read = await createStore({ address, logger, noteEra: () => undefined }).table.read([
-      'a',
-      'b',
+    const store = createStore({ address, logger, noteEra: () => undefined });
+    const read = await store.table.read('rows/');
+    expect(read._unsafeUnwrap().rows).toEqual([
+      { key: 'rows/b', version: 3, value: { whole: true } },
     ]);
-    expect(read._unsafeUnwrap().rows).toEqual([{ key: 'b', version: 3, value: { whole: true } }]);
     expect(lines).toHaveLength(1);
     expect(lines[0]).toContain(TABLES.state);
   });
--- a/tests/gateway/whole-path.test.ts
+++ b/tests/gateway/whole-path.test.ts
@@ -15,7 +15,8 @@
 import type { PlatformStandIn } from '../../stand-ins/users-platform/start';
 import { HEADERS, PATHS, TABLES } from '../../platform/names';
 import { brandAs } from '../../src/core/ids';
-import type { FencingNumber } from '../../src/core/ids';
+import type { DomainId, FencingNumber } from '../../src/core/ids';
+import { leaseKeys } from '../../src/core/lease/keys';
 import { isOfEra } from '../../src/core/store-era';
 import type { StoreEra } from '../../src/core/store-era';
 import { callDaemon, eventIds, launchDaemon } from '../support/gateway-daemon';
@@ -68,7 +69,7 @@
   while (!(await check())) await new Promise((resolve) => setTimeout(resolve, 50));
 }
 
-const LEASE = 'lease/groups';
+const LEASE = brandAs<DomainId>('groups');
 const leaseSchema = z.object({ fencing: z.number() });
 const era = (value: number): StoreEra => brandAs<StoreEra>(value);
 
@@ -292,8 +293,12 @@
     for (const { front: address } of daemons) {
       await until(async () => (await send(address, '/newest/x')).status === 200);
     }
-    const fencing = (): number =>
-      leaseSchema.parse(platform.store.get(TABLES.state, LEASE)).fencing;
+    /** Of the lease in the store's present era; 0 before anybody has taken it. */
+    const fencing = (): number => {
+      const key = leaseKeys(LEASE, era(platform.store.era())).lease;
+      const row = platform.store.get(TABLES.state, key);
+      return row === undefined ? 0 : leaseSchema.parse(row).fencing;
+    };
     const before = fencing();
     const stream = send(front(0), '/stream/x', { body: 'events=120&n=return' });
     const returned = platform.returnStore({ awayMs: 300, copyAgeMs: 2_500 });
--- a/tests/store-era.test.ts
+++ b/tests/store-era.test.ts
@@ -62,7 +62,7 @@
 
 /** Holds the lease in the first era since 0. */
 function holder(self = 'a'): LeaseState {
-  const sent = drive(candidate(self), 0, seen(1, 0), TICK);
+  const sent = drive(candidate(self), 0, seen(0, 0), TICK);
   return drive(sent.state, 0, { kind: 'committed', version: 5, fenceVersion: 5 }).state;
 }
 
