Grant places in groups by need, use own ones again, and let late requests yield

Load pattern: more is asked for than there are places. Cause, from the first event's times in a model of 70 daemons: each daemon drew groups by free places that were old by a third of their turnover, so some stood 10 above their places and others below; a fifth of each group's places was a queue in the engine that took most of the objective; and requests that were late already took places from those that could be on time. Now free places are granted to one daemon each, by need; a place that an own stream gave back is used again in the same group; the queue in a group is what is passed within half of the time that requests may wait; those that cannot be on time any more, by first events as observed, take what the others leave.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -13,14 +13,15 @@
   noteRead,
   noteSent,
   readableTokens,
+  publishedHoldMs,
   slowdownOf,
   stalledAt,
   stalledBesideOthersAt,
   usualPauseMs,
 } from '../../core/gateway/progress';
 import type { Progress } from '../../core/gateway/progress';
-import { expectDemand, mostRunning, roomIn } from '../../core/gateway/room';
-import type { Asked } from '../../core/gateway/room';
+import { departuresIn, mostQueued, reuseChance, roomIn } from '../../core/gateway/room';
+import type { GroupRoom } from '../../core/gateway/room';
 import type { RouteTable } from '../../core/gateway/routes';
 import { isSuspect, noteEvidence } from '../../core/gateway/suspicion';
 import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
@@ -32,7 +33,8 @@
 import type { GatewayContext } from './context';
 import type { LoadSums } from './loads';
 import { createPeerLoads } from './peer-loads';
-import { createRoomUses } from './room-use';
+import { createRooms } from './rooms';
+import type { Admission, ModelAsked } from './rooms';
 import type { Roster } from './roster';
 
 /** An open group with the figures of its service. */
@@ -60,8 +62,14 @@
 export interface Board {
   /** Groups of a model that are open and not under suspicion. */
   candidates(needs: GroupNeeds): GroupCandidate[];
-  /** Further requests that this daemon may send to these groups of the model. */
-  mayTake(model: ModelId, groups: readonly GroupCandidate[], here: Asked): number;
+  /** Those of the groups that a request of this daemon may be sent to. */
+  admit(
+    model: ModelId,
+    groups: readonly GroupCandidate[],
+    asked: Omit<ModelAsked, 'elsewhere'>,
+  ): Admission;
+  /** Places in the group that this daemon has to itself. */
+  granted(head: InstanceId): number;
   /** Whether any group of the model is open, suspected or not. */
   serves(service: ServiceId, model: ModelId | undefined): boolean;
   find(head: InstanceId): BoardGroup | undefined;
@@ -72,8 +80,8 @@
   noteSent(head: InstanceId, promptTokens: number): void;
   /** The first event of a request came: its prompt has been read. */
   noteRead(head: InstanceId, promptTokens: number): void;
-  /** `unread`: tokens of the prompt, where no event came. */
-  noteEnded(head: InstanceId, unread: number): void;
+  /** `unread`: tokens of the prompt, where no event came; `holdMs`: how long it had its place, where one came. */
+  noteEnded(head: InstanceId, unread: number, holdMs?: number): void;
   noteEvent(head: InstanceId, pauseMs: number | undefined): void;
   /** The group surely stands still: this daemon's streams in it are moved as well. */
   abandon(stall: Stall): void;
@@ -111,6 +119,8 @@
   tick(): void;
 }
 
+type Turnover = Pick<GroupRoom, 'running' | 'batchSize' | 'queued' | 'departing'>;
+
 export interface LoadFacts {
   readonly isWhole: boolean;
   readonly ageMs: number;
@@ -130,9 +140,7 @@
   const progress = new Map<InstanceId, Progress>();
   let suspicions: Suspicions = new Map();
   const others = createPeerLoads(ctx);
-  const uses = createRoomUses(ctx);
-  /** Age of the others' loads when they are heard of. */
-  let agedMs = 0;
+  const rooms = createRooms(ctx);
   let tickedAt = clock.now();
   /** The end of the last time in which this process did not run, as when it was short of processor time. */
   let heldUpUntil = clock.now();
@@ -203,26 +211,50 @@
   const paceOf = (group: BoardGroup): number =>
     Math.max(ownPace(group) ?? 1, others.pace(group.head.id));
 
+  /** The requests that the group has and may have, and those that leave it until loads are heard of again. */
+  const turnoverOf = ({ head, engine, spec }: BoardGroup): Turnover => {
+    const { batchSize } = engine;
+    const running = runningIn(head.id);
+    const inPlaces = Math.min(running, batchSize);
+    const holdMs = rooms.holdMs(spec.name) ?? publishedHoldMs(engine, spec.pace, inPlaces);
+    const slackMs = rooms.slackMs(spec.name) ?? 0;
+    return {
+      running,
+      batchSize,
+      queued: mostQueued(batchSize, { slackMs, holdMs }),
+      departing: departuresIn({ running, batchSize }, rooms.agedMs(), holdMs),
+    };
+  };
+
   const toCandidate = (group: BoardGroup, { maxPauseMs, tried }: GroupNeeds): GroupCandidate => {
     const { head, engine, spec } = group;
+    const turnover = turnoverOf(group);
+    const { running, batchSize } = turnover;
     const load = {
-      running: runningIn(head.id),
-      batchSize: engine.batchSize,
+      ...{ running, batchSize },
       unread: unreadIn(head.id),
-      maxUnread: readableTokens(engine, spec.pace, runningIn(head.id), maxPauseMs),
+      maxUnread: readableTokens(engine, spec.pace, running, maxPauseMs),
     };
     const usualPrompt = engine.usual.prompt;
-    const readMeanwhile = (agedMs * engine.prefillTokensPerMs) / (spec.pace * usualPrompt);
+    const readMeanwhile = (rooms.agedMs() * engine.prefillTokensPerMs) / (spec.pace * usualPrompt);
+    const room = { ...load, ...turnover, usualPrompt, readMeanwhile };
     return {
       ...load,
       head: head.id,
       zone: head.zone,
-      room: roomIn({ ...load, usualPrompt, readMeanwhile }),
+      room: roomIn(room),
+      freePlaces: roomIn({ ...room, departing: 0 }),
       slowdown: paceOf(group),
       isTried: tried.has(head.id),
     };
   };
 
+  const freePlace = (group: BoardGroup, holdMs: number | undefined): void => {
+    const { id, head, model } = group;
+    if (holdMs !== undefined) rooms.noteHold(model, holdMs);
+    if (!isHeld(id) && ctx.random.next() < reuseChance(turnoverOf(group))) rooms.noteFree(head.id);
+  };
+
   const isHeld = (group: GroupId): boolean => isSuspect(suspicions, group, clock.now());
 
   const suspect = (group: GroupId, evidence: Evidence, reason: string): boolean => {
@@ -289,13 +321,9 @@
       ofModel(needs.service, needs.model)
         .filter(({ id }) => !isHeld(id))
         .map((group) => toCandidate(group, needs)),
-    mayTake: (model, found, here) => {
-      const room = found.reduce((sum, one) => sum + one.room, 0);
-      return uses.mayTake(model, room, {
-        here: expectDemand({ ...here, waiting: Math.max(1, here.waiting) }, agedMs),
-        elsewhere: expectDemand(others.asked(model), agedMs),
-      });
-    },
+    admit: (model, found, asked) =>
+      rooms.admit(model, found, { ...asked, elsewhere: others.asked(model) }),
+    granted: (head) => rooms.granted(head),
     serves: (service, model) => model !== undefined && ofModel(service, model).length > 0,
     find: (head) => groups().get(head),
     runningElsewhere: (head) => others.running(head),
@@ -303,17 +331,15 @@
       [...groups().values()].some(({ id, head }) => id === group && runningIn(head.id) > 0),
     noteSent: (head, promptTokens) => {
       progress.set(head, noteSent(progressOf(head), clock.now(), promptTokens));
-      const group = groups().get(head);
-      if (group) uses.noteSent(group.model);
+      rooms.noteSent(head);
     },
     noteRead: (head, promptTokens) => {
       progress.set(head, noteRead(progressOf(head), promptTokens));
     },
-    noteEnded: (head, unread) => {
-      progress.set(head, noteEnded(progressOf(head), unread));
+    noteEnded: (head, unread, holdMs) => {
       const group = groups().get(head);
-      const hasRoom = group && runningIn(head) < mostRunning(group.engine.batchSize);
-      if (hasRoom && !isHeld(group.id)) uses.noteEnded(group.model);
+      if (group) freePlace(group, holdMs);
+      progress.set(head, noteEnded(progressOf(head), unread));
       changes.next();
     },
     noteEvent: (head, pauseMs) => {
@@ -340,8 +366,7 @@
     knowsOthers: () => others.areKnown(),
     takeLoads: (sums, { isWhole, ageMs }) => {
       others.take(sums, isWhole);
-      agedMs = ageMs;
-      uses.noteLoads(ageMs);
+      rooms.noteLoads(ageMs);
       changes.next();
     },
     demand: () => {
--- /dev/null
+++ b/src/app/gateway/route-times.ts
@@ -0,0 +1,32 @@
+/** How long requests of each route took of late: to their first event, and with a place in all. */
+
+import { noteFirstEvent, slackMs } from '../../core/gateway/first-event';
+import type { FirstEvents } from '../../core/gateway/first-event';
+import type { Route } from '../../core/gateway/types';
+import { noteHold } from '../../core/gateway/waiting-order';
+
+export interface RouteTimes {
+  /** A group took so long from the arrival of a request to its first event, milliseconds. */
+  noteFirstEvent(route: Route, ms: number): void;
+  /** A request that was served held its place for so long, milliseconds. */
+  noteHold(route: Route, ms: number): void;
+  /** Mean time that requests hold a place; 0 before any was served. */
+  holdMs(route: Route): number;
+  /** Time that a request may wait for a place and still be on time, milliseconds. */
+  slackMs(route: Route): number;
+}
+
+export function createRouteTimes(): RouteTimes {
+  const firstEvents = new Map<string, FirstEvents>();
+  const holds = new Map<string, number>();
+  return {
+    noteFirstEvent: ({ name }, ms) => {
+      firstEvents.set(name, noteFirstEvent(firstEvents.get(name), ms));
+    },
+    noteHold: ({ name }, ms) => {
+      holds.set(name, noteHold(holds.get(name), ms));
+    },
+    holdMs: ({ name }) => holds.get(name) ?? 0,
+    slackMs: ({ name, targetMs }) => slackMs(firstEvents.get(name), targetMs),
+  };
+}
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -7,9 +7,8 @@
 
 import type { Upstream } from '../../adapters/upstream/upstream';
 import { nameOf } from '../../core/gateway/routes';
-import { noteHold } from '../../core/gateway/waiting-order';
 import { later } from '../../core/ids';
-import type { ModelId, MonoTime } from '../../core/ids';
+import type { InstanceId, ModelId, MonoTime } from '../../core/ids';
 import { fail } from '../../utils/errors';
 import type { BoardGroup } from './board';
 import { giveUp, logEnding, logFailedAttempt, WHEN_UNSERVED } from './exchange';
@@ -17,6 +16,8 @@
 import { takePlace } from './placing';
 import type { PlacingDeps } from './placing';
 import type { Retries } from './retries';
+import { createRouteTimes } from './route-times';
+import type { RouteTimes } from './route-times';
 import { describe, relay } from './stream-relay';
 import type { Ended, Place, RelayDeps, StreamState } from './stream-relay';
 
@@ -39,17 +40,27 @@
 
 export function createStreamCalls(deps: StreamDeps): StreamCalls {
   const { ctx, board, retries } = deps;
-  /** Mean time that requests of a route hold a place, milliseconds. */
-  const holds = new Map<string, number>();
+  const times = createRouteTimes();
+
+  /** Until when the request must have a place to be on time; a stream that has begun may not wait at all. */
+  const placedBy = ({ arrivedAt, route, answerBy }: Exchange, state: StreamState): MonoTime =>
+    state.hasStarted ? answerBy : later(arrivedAt, times.slackMs(route));
 
   const choose = (
-    { service, route, facts }: Exchange,
+    exchange: Exchange,
     model: ModelId,
-    { tried }: StreamState,
+    state: StreamState,
   ): BoardGroup | undefined => {
-    const { promptTokens } = facts;
-    const { maxPauseMs } = route;
-    return takePlace(deps, { service, model, promptTokens, maxPauseMs, tried });
+    const { service, route, facts } = exchange;
+    return takePlace(deps, {
+      service,
+      model,
+      promptTokens: facts.promptTokens,
+      maxPauseMs: route.maxPauseMs,
+      tried: state.tried,
+      slackMs: times.slackMs(route),
+      isLate: ctx.clock.now() >= placedBy(exchange, state),
+    });
   };
 
   /** A caller whose model no group serves is told to come back, for its wait would likely be in vain. */
@@ -74,8 +85,8 @@
       priority: exchange.priority,
       until: waitUntil(exchange, model, state),
       arrivedAt: exchange.arrivedAt,
-      onTimeUntil: later(exchange.arrivedAt, exchange.route.targetMs),
-      holdMs: holds.get(exchange.route.name) ?? 0,
+      onTimeUntil: placedBy(exchange, state),
+      holdMs: times.holdMs(exchange.route),
       gone: exchange.gone,
       isRetry: state.tried.size > 0,
       choose: () => choose(exchange, model, state),
@@ -121,13 +132,10 @@
       const group = await findGroup(exchange, model, state);
       if (!group) break;
       state.tried.add(group.head.id);
-      const sentAt = ctx.clock.now();
-      const ended = await attempt(deps, exchange, group, state);
+      const ended = await attempt({ ...deps, times }, exchange, group, state);
       if (ended === 'not-sent') state.unreached += 1;
       else state.attempts += 1;
       if (ended === 'complete' || ended === 'passed-on') {
-        const { name } = exchange.route;
-        holds.set(name, noteHold(holds.get(name), ctx.clock.now() - sentAt));
         const status = exchange.res.statusCode;
         const { attempts } = state;
         const server = group.head.id;
@@ -197,7 +205,7 @@
 
 /** Sends the request to one group and passes its events on. */
 async function attempt(
-  deps: StreamDeps,
+  deps: StreamDeps & { readonly times: RouteTimes },
   exchange: Exchange,
   group: BoardGroup,
   state: StreamState,
@@ -205,8 +213,8 @@
   const { ctx, board, upstream, dialect } = deps;
   const { head } = group;
   const stop = new AbortController();
-  const place: Place = { isRead: false };
   const now = ctx.clock.now();
+  const place: Place = { sentAt: now, readAt: undefined };
   const end = later(exchange.answerBy, 0);
   const limit = setTimeout(
     () => {
@@ -255,6 +263,22 @@
     clearTimeout(limit);
     exchange.gone.removeEventListener('abort', onGone);
     stalls.unsubscribe();
-    board.noteEnded(head.id, place.isRead ? 0 : exchange.facts.promptTokens);
+    giveBack(deps, exchange, head.id, place);
+  }
+}
+
+function giveBack(
+  { ctx, board, times }: StreamDeps & { readonly times: RouteTimes },
+  { route, facts }: Exchange,
+  head: InstanceId,
+  { sentAt, readAt }: Place,
+): void {
+  if (readAt === undefined) {
+    board.noteEnded(head, facts.promptTokens);
+    return;
   }
+  const holdMs = ctx.clock.now() - sentAt;
+  times.noteHold(route, holdMs);
+  times.noteFirstEvent(route, readAt - sentAt);
+  board.noteEnded(head, 0, holdMs);
 }
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -34,8 +34,9 @@
 
 /** A request's place in a group. */
 export interface Place {
-  /** Whether the prompt has been read, which the first event shows. */
-  isRead: boolean;
+  readonly sentAt: MonoTime;
+  /** When the first event showed that the prompt has been read. */
+  readAt: MonoTime | undefined;
 }
 
 /** An answer that is being passed on. */
@@ -148,8 +149,8 @@
       const now = ctx.clock.now();
       board.noteEvent(head, lastAt === undefined ? undefined : now - lastAt);
       lastAt = now;
-      if (!place.isRead) board.noteRead(head, exchange.facts.promptTokens);
-      place.isRead = true;
+      if (place.readAt === undefined) board.noteRead(head, exchange.facts.promptTokens);
+      place.readAt ??= now;
       state.firstEventAt ??= now;
       start();
       res.write(passed.length === 1 ? passed[0] : Buffer.concat(passed));
--- a/src/core/gateway/balance.ts
+++ b/src/core/gateway/balance.ts
@@ -11,6 +11,8 @@
   readonly batchSize: number;
   /** Requests that it can take without holding up those that it has. */
   readonly room: number;
+  /** The part of its room that is free now, departures not counted. */
+  readonly freePlaces: number;
   /** Prompt tokens in it that wait to be read. */
   readonly unread: number;
   /** Prompt tokens that may wait without holding up the events of others for too long. */
@@ -43,14 +45,21 @@
   slowWeight: 1,
 };
 
-export function hasRoom(
-  { room, unread, maxUnread }: Pick<GroupCandidate, 'room' | 'unread' | 'maxUnread'>,
+/** Whether the prompt can be read without holding up the events of others for too long. */
+export function mayRead(
+  { unread, maxUnread }: Pick<GroupCandidate, 'unread' | 'maxUnread'>,
   prompt: number,
 ): boolean {
-  if (room < 1) return false;
   return unread === 0 || unread + prompt <= maxUnread;
 }
 
+export function hasRoom(
+  group: Pick<GroupCandidate, 'room' | 'unread' | 'maxUnread'>,
+  prompt: number,
+): boolean {
+  return group.room >= 1 && mayRead(group, prompt);
+}
+
 /** Groups that are drawn, of which one in the own zone is taken. */
 const DRAWS = 3;
 /** A slow group counts as having this part of its room: it is drawn where hardly another has any. */
--- a/src/core/gateway/progress.ts
+++ b/src/core/gateway/progress.ts
@@ -82,6 +82,13 @@
   return pace * engine.stepsPerPass * (engine.stepMs + perRequest * running);
 }
 
+/** How long a usual request holds a place in a group that runs `running` requests, by the published figures. */
+export function publishedHoldMs(engine: EngineSpec, pace: number, running: number): number {
+  const { prompt, answer } = engine.usual;
+  const stepMs = usualPauseMs(engine, pace, running) / engine.stepsPerPass;
+  return (pace * prompt) / engine.prefillTokensPerMs + answer * stepMs;
+}
+
 /** What was seen of a group's pace says nothing of it after this, milliseconds: slow spells end. */
 const PACE_FRESH_MS = 2_500;
 
--- a/src/core/gateway/room.ts
+++ b/src/core/gateway/room.ts
@@ -1,21 +1,27 @@
 /**
- * How much of the room in a model's groups one daemon may use before it hears of the others again.
+ * Which room in a model's groups one daemon may use before it hears of the others again.
  *
- * Load pattern: groups are lost, and many daemons have requests waiting. All of them see the same free
- * places at the same moment, from loads that are some tenths of a second old. If each takes them, the
- * surplus waits in the groups' engines in order of arrival, out of reach of our own order of waiting:
- * requests that are late already stand before those that could be on time, and the backlog outlives its
- * cause.
+ * Load pattern: groups are lost or a burst comes, and many daemons have requests waiting. All of them see the
+ * same free places at the same moment, from loads that are some tenths of a second old. If each takes them, the
+ * surplus waits in the groups' engines in order of arrival, out of reach of our own order of waiting, and nearly
+ * every request becomes late although there are places for most.
  *
- * So while more is asked for than there is room, the room is divided by need, fractions by lot. A place that
- * one of a daemon's own streams gave back is free before the others know of it: most of these are used
- * again at once, the rest is left to daemons that have no streams.
+ * So while more is asked for than there is room, the free places are granted by need, each to one daemon. A
+ * place that one of a daemon's own streams gave back is that daemon's to use again, in the same group: it knows
+ * of it before all others. Requests that are late already use only what those that can be on time leave: for a
+ * place that a late one takes, another request becomes late as well.
  */
 
+import type { InstanceId } from '../ids';
+
 /** What a group can take, as a daemon sees it. */
 export interface GroupRoom {
   readonly running: number;
   readonly batchSize: number;
+  /** Requests beyond its places that it may have. */
+  readonly queued: number;
+  /** Requests that will have ended when loads are heard of again. */
+  readonly departing: number;
   /** Prompt tokens in it that wait to be read, and how many may. */
   readonly unread: number;
   readonly maxUnread: number;
@@ -25,20 +31,36 @@
   readonly readMeanwhile: number;
 }
 
+/** Part of the time that requests may wait for a place which they may spend in a group's own queue. */
+const QUEUED_PART = 0.5;
+
+export interface QueueTimes {
+  /** Time that a request may wait for a place and still be on time, milliseconds. */
+  readonly slackMs: number;
+  /** Mean time that requests hold a place, milliseconds. */
+  readonly holdMs: number;
+}
+
 /**
- * Requests beyond the places of a group, as a part of them. A place that becomes free is taken at once, where
- * it would else stay empty until daemons hear of it; few enough to wait for less than a usual objective.
+ * Requests that may stand in a group beyond its places, so that a place which becomes free is taken at once:
+ * as many as reach a place within a part of their slack.
  */
-const QUEUED_SHARE = 0.2;
+export function mostQueued(batchSize: number, { slackMs, holdMs }: QueueTimes): number {
+  return Math.round((batchSize * QUEUED_PART * slackMs) / Math.max(1, slackMs, holdMs));
+}
 
-/** Requests that a group may have at a time. */
-export function mostRunning(batchSize: number): number {
-  return batchSize + Math.round(QUEUED_SHARE * batchSize);
+/** Requests of the group that end within `ms`, where each holds its place for `holdMs` on average. */
+export function departuresIn(
+  { running, batchSize }: Pick<GroupRoom, 'running' | 'batchSize'>,
+  ms: number,
+  holdMs: number,
+): number {
+  return (Math.min(running, batchSize) * ms) / Math.max(ms, holdMs);
 }
 
 /** Requests that the group can take without holding up those that it has. */
 export function roomIn(group: GroupRoom): number {
-  const places = mostRunning(group.batchSize) - group.running;
+  const places = group.batchSize + group.queued - group.running + group.departing;
   const prompts = (group.maxUnread - group.unread) / group.usualPrompt + group.readMeanwhile;
   return Math.max(0, Math.min(places, Math.ceil(prompts)));
 }
@@ -51,34 +73,86 @@
 
 const MS_PER_S = 1_000;
 
-/** Requests that wait, or will come within `ms` milliseconds. */
-export function expectDemand({ waiting, perSecond }: Asked, ms: number): number {
-  return waiting + (perSecond * ms) / MS_PER_S;
+/** Requests that want a place, those that wait and those that come until loads are heard of again. */
+export interface Demand {
+  readonly onTime: number;
+  readonly late: number;
 }
 
-/** Requests for a model that have no place, or will come until loads are heard of again. */
-export interface Demand {
-  readonly here: number;
-  readonly elsewhere: number;
+/** Of those that wait, only the arrivals of the last `slackMs` can still be on time. */
+export function expectDemand(
+  { waiting, perSecond }: Asked,
+  { agedMs, slackMs }: { readonly agedMs: number; readonly slackMs: number },
+): Demand {
+  const onTime = Math.min(waiting, (perSecond * slackMs) / MS_PER_S);
+  return { onTime: onTime + (perSecond * agedMs) / MS_PER_S, late: waiting - onTime };
 }
 
-/** What a daemon did with the room of a model since loads were last taken in. */
-export interface RoomUse {
-  /** Room in all groups when the loads were taken in. */
+/** What a request may use: all room, places that its daemon was granted, or what the others leave. */
+export type Access = 'all' | 'granted' | 'surplus';
+
+export interface RoomDemand {
+  /** In all groups of the model, with the departures that are expected. */
   readonly room: number;
-  /** In [0, 1): decides on the fraction of a place. */
-  readonly lot: number;
-  /** Requests that were sent since, and those that ended. */
-  readonly sent: number;
-  readonly ended: number;
+  readonly here: Demand;
+  readonly elsewhere: Demand;
 }
 
-/** Part of the places given back that is used again at once. */
-const REUSED_SHARE = 0.8;
+export function accessTo({ room, here, elsewhere }: RoomDemand, isLate: boolean): Access {
+  const onTime = here.onTime + elsewhere.onTime;
+  if (onTime + here.late + elsewhere.late <= room) return 'all';
+  if (isLate) return 'surplus';
+  return onTime <= room ? 'all' : 'granted';
+}
+
+/** Late requests that this daemon may send until loads are heard of again; `lot` decides on the fraction. */
+export function lateShare({ room, here, elsewhere }: RoomDemand, lot: number): number {
+  const surplus = Math.max(0, room - here.onTime - elsewhere.onTime);
+  const late = here.late + elsewhere.late;
+  return late === 0 ? 0 : Math.floor((surplus * here.late) / late + lot);
+}
 
-/** Further requests that this daemon may send to groups of the model. */
-export function mayTake({ room, lot, sent, ended }: RoomUse, { here, elsewhere }: Demand): number {
-  if (here + elsewhere <= room) return Infinity;
-  const share = here / (here + elsewhere);
-  return Math.floor(room * share + REUSED_SHARE * ended + lot) - sent;
+/** This daemon's part of the demand that can be on time. */
+export function onTimeShare({ here, elsewhere }: RoomDemand): number {
+  const all = here.onTime + elsewhere.onTime;
+  return all === 0 ? 0 : here.onTime / all;
+}
+
+/** Free places of a group. */
+export interface FreePlaces {
+  readonly head: InstanceId;
+  readonly places: number;
+}
+
+/**
+ * Grants the daemon its share of each group's free places. Fractions are carried from group to group and begin
+ * with a lot, so that all daemons together are granted as many as there are.
+ */
+export function grantPlaces(
+  groups: readonly FreePlaces[],
+  share: number,
+  lot: number,
+): readonly (readonly [InstanceId, number])[] {
+  let sum = lot;
+  return groups.flatMap(({ head, places }) => {
+    const before = Math.floor(sum);
+    sum += share * places;
+    const granted = Math.floor(sum) - before;
+    return granted === 0 ? [] : [[head, granted] as const];
+  });
+}
+
+/**
+ * The chance that a place which a stream gave back is used again. In a group that has more requests than it may
+ * have, as many of the departures as it has too many are not replaced.
+ */
+export function reuseChance({
+  running,
+  batchSize,
+  queued,
+  departing,
+}: Pick<GroupRoom, 'running' | 'batchSize' | 'queued' | 'departing'>): number {
+  const surplus = running - batchSize - queued;
+  if (surplus <= 0) return 1;
+  return departing === 0 ? 0 : Math.max(0, 1 - surplus / departing);
 }
--- a/src/core/gateway/waiting-order.ts
+++ b/src/core/gateway/waiting-order.ts
@@ -15,7 +15,7 @@
   /** 0 is the most urgent. */
   readonly priority: number;
   readonly arrivedAt: MonoTime;
-  /** The latency objective is missed after this. */
+  /** The latency objective is missed where it has no place by then. */
   readonly onTimeUntil: MonoTime;
   /** How long requests of its kind hold a place, milliseconds. */
   readonly holdMs: number;
--- a/tests/gateway/choice.test.ts
+++ b/tests/gateway/choice.test.ts
@@ -17,6 +17,7 @@
     running: 0,
     batchSize: 10,
     room: 10,
+    freePlaces: 10,
     unread: 0,
     maxUnread: 5_000,
     slowdown: 1,
--- a/tests/gateway/fleet-model.ts
+++ b/tests/gateway/fleet-model.ts
@@ -17,6 +17,8 @@
 import type { Roster } from '../../src/app/gateway/roster';
 import { createWaitingRoom } from '../../src/app/gateway/waiting';
 import type { WaitingRoom } from '../../src/app/gateway/waiting';
+import { noteFirstEvent, slackMs as slackOf } from '../../src/core/gateway/first-event';
+import type { FirstEvents } from '../../src/core/gateway/first-event';
 import { usualPauseMs } from '../../src/core/gateway/progress';
 import type { RouteTable } from '../../src/core/gateway/routes';
 import type { BackendServer } from '../../src/core/gateway/types';
@@ -69,6 +71,7 @@
 
 interface Stream {
   readonly request: ModelRequest;
+  readonly sentAt: number;
   /** Undefined while it waits in the engine. */
   nextEventAt: number | undefined;
   lastEventAt: number | undefined;
@@ -132,6 +135,9 @@
   let toldAt = 0;
   const rate = load * count * GROUP_RATE;
 
+  let firstEvents: FirstEvents | undefined;
+  const slackMs = (): number => slackOf(firstEvents, TARGET_MS);
+
   const daemons: ModelDaemon[] = Array.from({ length: size }, (_, n) => {
     const settings = { zone: brandAs<ZoneId>('a') };
     const ctx = makeContext({ clock, settings, seed: seed * 1_000 + n });
@@ -142,12 +148,13 @@
       board,
       waiting,
       arrivals,
-      place: ({ tried }) =>
+      place: ({ tried, arrivedAt }) =>
         takePlace(
           { ctx, board, waiting, arrivals, daemons: () => size },
           {
             ...{ service: SERVICE, model: SMALL, promptTokens: PROMPT_TOKENS },
-            ...{ maxPauseMs: MAX_PAUSE_MS, tried },
+            ...{ maxPauseMs: MAX_PAUSE_MS, tried, slackMs: slackMs() },
+            isLate: now() >= arrivedAt + slackMs(),
           },
         ),
       told: undefined,
@@ -163,8 +170,10 @@
     request.outcome = outcome;
   };
 
-  const release = ({ head }: ModelGroup, { request, events }: Stream): void => {
-    request.daemon.board.noteEnded(head.id, events === 0 ? PROMPT_TOKENS : 0);
+  const release = ({ head }: ModelGroup, { request, events, sentAt }: Stream): void => {
+    const { board } = request.daemon;
+    if (events === 0) board.noteEnded(head.id, PROMPT_TOKENS);
+    else board.noteEnded(head.id, 0, now() - sentAt);
   };
 
   /** Streams that are lost or moved go on at another group, if they may. */
@@ -183,7 +192,7 @@
     request.tried.add(head.id);
     const group = groups.find((one) => one.head.id === head.id);
     const stream: Stream = {
-      ...{ request, nextEventAt: undefined, lastEventAt: undefined, events: 0 },
+      ...{ request, sentAt: now(), nextEventAt: undefined, lastEventAt: undefined, events: 0 },
     };
     if (group) group.streams.push(stream);
     else {
@@ -202,7 +211,7 @@
     const until = later(at(arrivedAt), PLACE_WITHIN_MS);
     const entry = {
       ...{ model: SMALL, priority: 1, until, arrivedAt: at(arrivedAt), holdMs: 1_000 },
-      onTimeUntil: later(at(arrivedAt), TARGET_MS),
+      onTimeUntil: later(at(arrivedAt), slackMs()),
       gone: new AbortController().signal,
       isRetry: request.tried.size > 0,
       choose: () => {
@@ -241,6 +250,7 @@
     if (now() < stream.nextEventAt) return true;
     if (stream.events === 0) {
       board.noteRead(group.head.id, PROMPT_TOKENS);
+      firstEvents = noteFirstEvent(firstEvents, now() - stream.sentAt);
       request.firstEventAt ??= now();
     }
     board.noteEvent(
--- a/tests/gateway/overload-recovery.test.ts
+++ b/tests/gateway/overload-recovery.test.ts
@@ -47,3 +47,29 @@
     },
   );
 });
+
+const BURST_MS = 5_000;
+
+/** More is asked for than there are places, for so long that every waiting room is full. */
+function playBurst(daemons: number, load: number, seed: number): number {
+  const fleet = createFleetModel({ daemons, groups: GROUPS, load, seed });
+  fleet.run(BURST_MS + REST_MS);
+  return fleet.onTime(BURST_MS / 2, BURST_MS);
+}
+
+describe('a fleet that is asked for more than it can serve', () => {
+  // Guards against a burst that makes nearly every request late although there are places for most.
+  it.each([
+    [DAEMONS, 1.25, 1],
+    [DAEMONS, 1.25, 2],
+    [DAEMONS, 1.5, 1],
+    [DAEMONS, 1.5, 2],
+    [6, 1.5, 1],
+    [6, 1.5, 2],
+  ])(
+    'serves half of the requests on time or more, with %i daemons at %d of its capacity (seed %i)',
+    (daemons, load, seed) => {
+      expect(playBurst(daemons, load, seed)).toBeGreaterThan(0.5);
+    },
+  );
+});
--- a/tests/gateway/room.test.ts
+++ b/tests/gateway/room.test.ts
@@ -1,18 +1,35 @@
 import { describe, expect, it } from 'vitest';
 
 import { createRandom } from '../../src/adapters/runtime';
-import { mayTake, mostRunning, roomIn } from '../../src/core/gateway/room';
+import {
+  accessTo,
+  departuresIn,
+  expectDemand,
+  grantPlaces,
+  lateShare,
+  mostQueued,
+  onTimeShare,
+  reuseChance,
+  roomIn,
+} from '../../src/core/gateway/room';
+import { instance } from './support';
 
 const BUSY = {
-  ...{ running: 12, batchSize: 18, unread: 0, maxUnread: 8_000 },
+  ...{ running: 12, batchSize: 18, queued: 2, departing: 0, unread: 0, maxUnread: 8_000 },
   ...{ usualPrompt: 1_000, readMeanwhile: 4 },
 };
 
 describe('the room in a group', () => {
   it('is what its places leave, and a few requests that take each place as it becomes free', () => {
-    expect(roomIn(BUSY)).toBe(mostRunning(18) - 12);
-    expect(mostRunning(18)).toBeGreaterThan(18);
-    expect(mostRunning(18)).toBeLessThan(24);
+    expect(roomIn(BUSY)).toBe(8);
+    expect(roomIn({ ...BUSY, queued: 0 })).toBe(6);
+  });
+
+  it('has a queue that is passed within half of the time that requests may wait', () => {
+    expect(mostQueued(18, { slackMs: 200, holdMs: 1_800 })).toBe(1);
+    expect(mostQueued(34, { slackMs: 200, holdMs: 400 })).toBe(9);
+    expect(mostQueued(34, { slackMs: 500, holdMs: 100 })).toBe(17);
+    expect(mostQueued(18, { slackMs: 0, holdMs: 0 })).toBe(0);
   });
 
   it('is what can be read, where prompts wait to be read', () => {
@@ -23,34 +40,106 @@
   it('is none in an overfull group', () => {
     expect(roomIn({ ...BUSY, running: 40 })).toBe(0);
   });
+
+  it('counts the requests that will have ended when loads are heard of again', () => {
+    expect(roomIn({ ...BUSY, running: 18, departing: 5 })).toBe(7);
+    expect(departuresIn({ running: 18, batchSize: 18 }, 400, 1_200)).toBe(6);
+    expect(departuresIn({ running: 30, batchSize: 18 }, 400, 1_200)).toBe(6);
+    expect(departuresIn({ running: 18, batchSize: 18 }, 400, 100)).toBe(18);
+  });
+});
+
+describe('what is asked for', () => {
+  it('can be on time as far as it came of late, and the rest is late', () => {
+    const ages = { agedMs: 500, slackMs: 200 };
+    expect(expectDemand({ waiting: 30, perSecond: 50 }, ages)).toEqual({ onTime: 35, late: 20 });
+    expect(expectDemand({ waiting: 4, perSecond: 50 }, ages)).toEqual({ onTime: 29, late: 0 });
+  });
 });
 
-describe('what a daemon may take of the room', () => {
-  const use = { room: 20, lot: 0, sent: 0, ended: 0 };
+describe('what a request may use', () => {
+  const demand = {
+    room: 20,
+    here: { onTime: 2, late: 1 },
+    elsewhere: { onTime: 10, late: 5 },
+  };
+  const scarce = { ...demand, elsewhere: { onTime: 30, late: 5 } };
+  const backlog = { ...demand, elsewhere: { onTime: 10, late: 50 } };
 
-  it('is all while there is enough for everybody', () => {
-    expect(mayTake({ ...use, sent: 15 }, { here: 5, elsewhere: 10 })).toBe(Infinity);
+  it('is all room while there is enough for everybody', () => {
+    expect(accessTo(demand, false)).toBe('all');
+    expect(accessTo(demand, true)).toBe('all');
   });
 
-  it('is its part by need while there is not, less what it took', () => {
-    expect(mayTake(use, { here: 10, elsewhere: 30 })).toBe(5);
-    expect(mayTake({ ...use, sent: 5 }, { here: 10, elsewhere: 30 })).toBe(0);
+  it('is what its daemon was granted where not all can be on time', () => {
+    expect(accessTo(scarce, false)).toBe('granted');
   });
 
-  it('grows with most of the places that its own streams gave back', () => {
-    expect(mayTake({ ...use, room: 0, ended: 5 }, { here: 10, elsewhere: 30 })).toBe(4);
+  it('is what the others leave where it is late', () => {
+    expect(accessTo(scarce, true)).toBe('surplus');
+    expect(lateShare(scarce, 0.99)).toBe(0);
+    expect(accessTo(backlog, true)).toBe('surplus');
+    expect(accessTo(backlog, false)).toBe('all');
   });
 
-  it('adds up to the room over all daemons, however many wait', () => {
+  it('of the surplus is a part by need, as many as there are over all daemons', () => {
     const random = createRandom(3);
-    const daemons = 70;
-    const [room, rounds] = [12, 200];
-    let taken = 0;
+    const [daemons, rounds] = [70, 200];
+    const demands = {
+      room: 40,
+      here: { onTime: 0.4, late: 3 },
+      elsewhere: { onTime: 0.4 * (daemons - 1), late: 3 * (daemons - 1) },
+    };
+    let sent = 0;
+    for (let n = 0; n < daemons * rounds; n++) sent += lateShare(demands, random.next());
+    expect(sent / rounds).toBeGreaterThan(0.95 * 12);
+    expect(sent / rounds).toBeLessThan(1.05 * 12);
+  });
+});
+
+describe('the places that daemons are granted', () => {
+  const groups = [3, 0, 7, 2].map((places, n) => ({ head: instance(`${n}`), places }));
+
+  it('add up to those that are free in each group, however many daemons there are', () => {
+    const random = createRandom(5);
+    const [daemons, rounds] = [70, 400];
+    const share = onTimeShare({
+      room: 12,
+      here: { onTime: 2, late: 9 },
+      elsewhere: { onTime: 2 * (daemons - 1), late: 0 },
+    });
+    const granted = new Map<string, number>();
     for (let n = 0; n < daemons * rounds; n++) {
-      const lot = random.next();
-      taken += mayTake({ ...use, room, lot }, { here: 2, elsewhere: 2 * (daemons - 1) });
+      for (const [head, places] of grantPlaces(groups, share, random.next())) {
+        granted.set(head, (granted.get(head) ?? 0) + places);
+      }
+    }
+    for (const { head, places } of groups) {
+      const mean = (granted.get(head) ?? 0) / rounds;
+      expect(mean).toBeGreaterThanOrEqual(0.95 * places);
+      expect(mean).toBeLessThanOrEqual(1.05 * places);
     }
-    expect(taken / rounds).toBeGreaterThan(0.95 * room);
-    expect(taken / rounds).toBeLessThan(1.05 * room);
+  });
+
+  it('are all of them where nobody else asks', () => {
+    expect(grantPlaces(groups, 1, 0)).toEqual([
+      ['0', 3],
+      ['2', 7],
+      ['3', 2],
+    ]);
+  });
+});
+
+describe('a place that a stream gave back', () => {
+  const full = { batchSize: 18, queued: 2, departing: 6 };
+
+  it('is used again in a group that has no more than it may have', () => {
+    expect(reuseChance({ ...full, running: 20 })).toBe(1);
+  });
+
+  it('is used again less often the more the group has too many', () => {
+    expect(reuseChance({ ...full, running: 20 + 3 })).toBe(0.5);
+    expect(reuseChance({ ...full, running: 20 + 9 })).toBe(0);
+    expect(reuseChance({ ...full, departing: 0, running: 20 + 1 })).toBe(0);
   });
 });
