Read the rows of a lease after a lost race before taking it again

Seen in a trace of the fuzz: a candidate whose take was refused for its versions sent the same one again each tick, up to ten times, until its read was answered. What was seen is now dropped with the conflict. tests/lease, one case, red before.

--- a/src/core/lease/lease.ts
+++ b/src/core/lease/lease.ts
@@ -256,7 +256,8 @@
 function onRefused(state: LeaseState, conflict: boolean, now: MonoTime): LeaseStep {
   const after = withoutPending(state);
   if (state.pending && state.pending.era !== state.era) return read(after);
-  if (conflict) return read({ ...withoutHeld(after), dueAt: now });
+  // A take with the versions that were refused would be refused again.
+  if (conflict) return read({ ...omit(withoutHeld(after), 'seen'), dueAt: now });
   return next({ ...after, dueAt: later(now, state.settings.renewMs / 2) });
 }
 
--- a/tests/lease.test.ts
+++ b/tests/lease.test.ts
@@ -169,6 +169,14 @@
     expect(lost.state.pending).toBeUndefined();
   });
 
+  it('sends nothing more after a lost race until it has read the rows', () => {
+    const sent = drive(candidate('b'), 0, { kind: 'read' }, TICK);
+    const lost = drive(sent.state, 10, { kind: 'refused', conflict: true }, TICK, TICK);
+    expect(lost.effects).toEqual([{ kind: 'read' }]);
+    const known = drive(lost.state, 20, seen(5, rowOf('a', { released: true })), TICK);
+    expect(known.effects).toMatchObject([{ kind: 'commit', leaseVersion: 5 }]);
+  });
+
   it('tries again, later, when the table is down', () => {
     const sent = drive(candidate('b'), 0, { kind: 'read' }, TICK);
     const down = drive(sent.state, 10, { kind: 'refused', conflict: false }, TICK);
