--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -6,7 +6,7 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { createInterface } from 'node:readline';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { until } from '../tests/support/processes';
 import { documentFor, startSystem, submit, untilServing } from '../tests/support/system';
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,6 +1,7 @@
 // Bundles every program of the project into dist/, one file a program; with the argument `daemon`, the
 // daemon of the users' platform alone into target/.
 import { existsSync } from 'node:fs';
+import { resolve } from 'node:path';
 import { build } from 'esbuild';
 
 const PROGRAMS = {
@@ -19,6 +20,15 @@
 const programs = isDeployment ? { daemon: 'platform/main.ts' } : PROGRAMS;
 const present = Object.entries(programs).filter(([, source]) => existsSync(source));
 
+/**
+ * Modules that leave out what no program uses. All of a program is compiled at its start, and after a loss of all
+ * daemons callers wait for that.
+ */
+const SMALLER_MODULES = {
+  rxjs: 'node_modules/rxjs/dist/esm/index.js',
+  'hdr-histogram-js': 'node_modules/hdr-histogram-js/dist/HistogramBuilder.js',
+};
+
 await build({
   entryPoints: Object.fromEntries(present),
   outdir: isDeployment ? 'target' : 'dist',
@@ -28,6 +38,11 @@
   target: 'node20',
   format: 'cjs',
   sourcemap: 'linked',
+  minifySyntax: true,
+  minifyWhitespace: true,
+  alias: Object.fromEntries(
+    Object.entries(SMALLER_MODULES).map(([name, path]) => [name, resolve(path)]),
+  ),
   // The addon only speeds cbor-x up; its JavaScript does the same without, and a binary can't load it.
   external: ['cbor-extract'],
   define: { 'process.env.CBOR_NATIVE_ACCELERATION_DISABLED': '"true"' },
--- a/src/adapters/engine.ts
+++ b/src/adapters/engine.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage } from 'node:http';
 import { ResultAsync, err, errAsync, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { EngineReport } from '../core/groups/types';
 import type { Engine, EngineOrder, OrderAuthority } from '../ports/engine';
--- a/src/adapters/peers/handshake.ts
+++ b/src/adapters/peers/handshake.ts
@@ -5,7 +5,7 @@
  */
 
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { brandAs } from '../../core/ids';
 import type { DaemonId } from '../../core/ids';
--- a/src/adapters/peers/messages.ts
+++ b/src/adapters/peers/messages.ts
@@ -1,6 +1,6 @@
 /** What daemons may send each other, checked on arrival. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { brandAs } from '../../core/ids';
 import type { DaemonId, EpochTime } from '../../core/ids';
--- a/src/adapters/platform/instances.ts
+++ b/src/adapters/platform/instances.ts
@@ -2,7 +2,7 @@
 
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { brandAs } from '../../core/ids';
 import type { DomainId, InstanceId, ZoneId } from '../../core/ids';
--- a/src/adapters/platform/table.ts
+++ b/src/adapters/platform/table.ts
@@ -2,7 +2,7 @@
 
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { Json, ScanPage, Table } from '../../ports/platform';
 import { fail } from '../../utils/errors';
--- a/src/app/config/messages.ts
+++ b/src/app/config/messages.ts
@@ -1,6 +1,6 @@
 /** What daemons tell each other of the configuration, by gossip and directly. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { VersionMark } from '../../core/config/in-force';
 import type { Push } from '../../core/config/push';
--- a/src/app/control/codec.ts
+++ b/src/app/control/codec.ts
@@ -1,6 +1,6 @@
 /** Rows and gossip values of the control plane, checked when they come in. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { GroupRow, InstanceRow, Versioned } from '../../core/groups/types';
 import type { FenceRow, LeaseRow } from '../../core/lease/types';
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -1,6 +1,6 @@
 /** What gateway daemons tell each other, checked on arrival. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { BackendServer, GatewayConfig } from '../../core/gateway/types';
 import { brandAs } from '../../core/ids';
--- a/src/app/requests/claim-rows.ts
+++ b/src/app/requests/claim-rows.ts
@@ -1,6 +1,6 @@
 /** Reads claim rows, which other versions of the program may have written. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { ClaimRow, SeenRow } from '../../core/ledger/rows';
 import type { Row } from '../../ports/platform';
--- a/src/app/requests/model-body.ts
+++ b/src/app/requests/model-body.ts
@@ -2,7 +2,7 @@
 
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { StepError } from '../../utils/errors';
 import { fail } from '../../utils/errors';
--- a/src/app/requests/strikes.ts
+++ b/src/app/requests/strikes.ts
@@ -2,7 +2,7 @@
 
 import { filter } from 'rxjs';
 import type { Subscription } from 'rxjs';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { RoutableGroup } from '../../core/groups/types';
 import type { AttemptId, DomainId, EpochTime, Fingerprint, GroupId } from '../../core/ids';
--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -4,7 +4,7 @@
 import { isIP } from 'node:net';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { brandAs } from '../core/ids';
 import type { DaemonId, ZoneId } from '../core/ids';
--- a/src/core/config/document.ts
+++ b/src/core/config/document.ts
@@ -1,6 +1,6 @@
 /** The configuration document as operators write it, and its shape check. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 const NAME = /^[a-z0-9][a-z0-9._-]{0,62}$/;
 const HTTP_METHOD = /^[A-Z]{3,7}$/;
--- a/src/core/config/rows.ts
+++ b/src/core/config/rows.ts
@@ -8,7 +8,7 @@
 
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { hashParts } from '../../utils/common';
 import type { ChangeId, ConfigVersion } from '../ids';
--- a/src/core/membership/members.ts
+++ b/src/core/membership/members.ts
@@ -1,6 +1,6 @@
 /** Members as entries: states and incarnations ordered by one version number. */
 
-import { z } from 'zod';
+import * as z from 'zod';
 
 import type { ConfigVersion, DaemonId, EpochTime, ZoneId } from '../ids';
 import { brandAs, later } from '../ids';
--- a/stand-ins/users-platform/store.ts
+++ b/stand-ins/users-platform/store.ts
@@ -2,7 +2,7 @@
 
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { PATHS } from '../../platform/names';
 
--- a/stand-ins/users-platform/wire.ts
+++ b/stand-ins/users-platform/wire.ts
@@ -4,7 +4,7 @@
 import type { BackendServer } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
 import type { Epoch, GroupId, InstanceId, ModelId } from '../../src/core/ids';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** The row of a server in the list of servers. */
 export function encodeRow(server: BackendServer): object {
--- a/tests/faults/system.test.ts
+++ b/tests/faults/system.test.ts
@@ -1,7 +1,7 @@
 /** Faults of whole processes: kills, freezes, outages and planned stops, over real sockets. */
 
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { callJson } from '../../stand-ins/shared/client';
 import { until } from '../support/processes';
--- a/tests/fuzz/main.ts
+++ b/tests/fuzz/main.ts
@@ -1,7 +1,7 @@
 /** Longer stateful fuzzing by hand: `npm run fuzz -- --seed S --runs N [--only name]`. */
 
 import sade from 'sade';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { fuzzAdmission } from './admission';
 import { fuzzConfig } from './config';
--- a/tests/gateway/whole-path.test.ts
+++ b/tests/gateway/whole-path.test.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import {
   describeConfig,
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -3,7 +3,7 @@
 import { mkdirSync } from 'node:fs';
 import { join } from 'node:path';
 import sade from 'sade';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { soak } from './soak';
 
--- a/tests/support/processes.ts
+++ b/tests/support/processes.ts
@@ -3,7 +3,7 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { createInterface } from 'node:readline';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const readyLine = z.looseObject({ ready: z.literal(true) });
 
--- a/tests/support/system.ts
+++ b/tests/support/system.ts
@@ -1,7 +1,7 @@
 /** A whole system of separate processes on loopback: platform, engines, service, daemons. */
 
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { freePorts } from '../../scripts/demo/processes';
 import { run, until } from './processes';
--- a/tests/whole-path.test.ts
+++ b/tests/whole-path.test.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 import { promisify } from 'node:util';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
-import { z } from 'zod';
+import * as z from 'zod';
 
 import { answerText } from '../stand-ins/engine/answer';
 import { until } from './support/processes';
