Use no place of a slow group again, and split the board by duty

A place that a stream gave back in a group that has turned slow would have gone to the daemon's next request, which the draw by room avoided before. Such places count as room of the last resort again. choice.test, three cases; the second is red without the mend. The directory of groups and the watch for silence are modules of their own now; nothing else of the board changed.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -1,11 +1,9 @@
 /** The groups that streams may be sent to, with what is known of their load and health. */
 
-import { merge, Subject } from 'rxjs';
+import { Subject } from 'rxjs';
 import type { BehaviorSubject, Observable } from 'rxjs';
 
 import type { GroupCandidate } from '../../core/gateway/balance';
-import { findOpenGroups } from '../../core/gateway/groups';
-import type { OpenGroup } from '../../core/gateway/groups';
 import {
   createProgress,
   noteEnded,
@@ -15,8 +13,6 @@
   readableTokens,
   publishedHoldMs,
   slowdownOf,
-  stalledAt,
-  stalledBesideOthersAt,
   usualPauseMs,
 } from '../../core/gateway/progress';
 import type { Progress } from '../../core/gateway/progress';
@@ -25,24 +21,18 @@
 import type { RouteTable } from '../../core/gateway/routes';
 import { isSuspect, noteEvidence } from '../../core/gateway/suspicion';
 import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
-import type { EngineSpec, ModelSpec } from '../../core/gateway/types';
 import { summarizeWork } from '../../core/gateway/work';
 import type { ModelWork, WaitingLoad } from '../../core/gateway/work';
-import { later } from '../../core/ids';
 import type { GroupId, InstanceId, ModelId, MonoTime, ServiceId } from '../../core/ids';
 import type { GatewayContext } from './context';
+import { createDirectory } from './directory';
+import type { BoardGroup } from './directory';
 import type { LoadSums } from './loads';
 import { createPeerLoads } from './peer-loads';
 import { createRooms } from './rooms';
 import type { Admission, ModelAsked } from './rooms';
 import type { Roster } from './roster';
-
-/** An open group with the figures of its service. */
-export interface BoardGroup extends OpenGroup {
-  readonly service: ServiceId;
-  readonly engine: EngineSpec;
-  readonly spec: ModelSpec;
-}
+import { createSilenceWatch } from './silence-watch';
 
 export interface Stall {
   readonly group: GroupId;
@@ -126,11 +116,6 @@
   readonly ageMs: number;
 }
 
-/** With so many requests of others in a group they tell of a fault as well. */
-const SHARED_AT = 2;
-/** A tick so late shows that the process did not run, milliseconds. */
-const HELD_UP_MS = 150;
-
 export function createBoard(
   ctx: GatewayContext,
   roster: Roster,
@@ -141,50 +126,12 @@
   let suspicions: Suspicions = new Map();
   const others = createPeerLoads(ctx);
   const rooms = createRooms(ctx);
-  let tickedAt = clock.now();
-  /** The end of the last time in which this process did not run, as when it was short of processor time. */
-  let heldUpUntil = clock.now();
   const stalls = new Subject<Stall>();
   const abandoned = new Subject<Stall>();
   const unreachable = new Subject<Stall>();
   const changes = new Subject<void>();
-  let known = new Map<InstanceId, BoardGroup>();
-  /** Whether servers or configuration have changed since `known` was made of them. */
-  let isStale = false;
-
-  /** The open groups by their heads. Hundreds of servers change more often than anybody looks. */
-  const groups = (): ReadonlyMap<InstanceId, BoardGroup> => {
-    if (isStale) rebuild();
-    return known;
-  };
-
-  const rebuild = (): void => {
-    const table = routes.value;
-    const next = new Map<InstanceId, BoardGroup>();
-    isStale = false;
-    if (!table) return;
-    for (const group of findOpenGroups(roster.servers.values())) {
-      const { service } = group.head;
-      const engine = table.service(service)?.engine;
-      const spec = engine?.models.find(({ name }) => name === group.model);
-      if (engine && spec) next.set(group.head.id, { ...group, service, engine, spec });
-    }
-    logChanges(next);
-    known = next;
-  };
-
-  const logChanges = (next: ReadonlyMap<InstanceId, BoardGroup>): void => {
-    for (const [head, { id, model }] of next) {
-      if (known.get(head)?.id !== id) {
-        logger.info('group serves', { step: 'board', group: id, model, head });
-      }
-    }
-    for (const [head, { id }] of known) {
-      if (next.get(head)?.id !== id) {
-        logger.info('group serves no more', { step: 'board', group: id, head });
-      }
-    }
-  };
+  const directory = createDirectory(ctx, roster, routes);
+  const groups = (): ReadonlyMap<InstanceId, BoardGroup> => directory.groups();
 
   const progressOf = (head: InstanceId): Progress =>
     progress.get(head) ?? createProgress(clock.now());
@@ -267,44 +214,26 @@
   const ofModel = (service: ServiceId, model: ModelId): BoardGroup[] =>
     [...groups().values()].filter((group) => group.service === service && group.model === model);
 
-  const noteHeldUp = (): void => {
-    const now = clock.now();
-    if (now >= later(tickedAt, HELD_UP_MS)) heldUpUntil = now;
-    tickedAt = now;
-  };
-
-  const silentAt = (seen: Progress, group: BoardGroup, isShared: boolean): MonoTime | undefined => {
-    const [usualMs, readMs] = [usualOf(group), readingMs(group)];
-    return isShared
-      ? stalledBesideOthersAt(seen, usualMs, readMs, others.areKnown())
-      : stalledAt(seen, usualMs, readMs);
-  };
+  const silence = createSilenceWatch(clock);
 
   const findStalls = (): void => {
-    const now = clock.now();
-    for (const [head, last] of progress) {
-      // Events that came while this process did not run are not read yet.
-      const seen = last.since < heldUpUntil ? { ...last, since: heldUpUntil } : last;
+    for (const [head, seen] of progress) {
       const group = seen.running > 0 ? groups().get(head) : undefined;
-      const isShared = !others.areKnown() || others.running(head) >= SHARED_AT;
-      const at = group && silentAt(seen, group, isShared);
-      if (!group || at === undefined || now < at || isHeld(group.id)) continue;
-      const silentMs = Math.round(now - seen.since);
-      const pauseMs = Math.round(Math.max(usualOf(group), seen.pauseMs ?? 0));
-      suspect(
-        group.id,
-        'silent',
-        `${seen.running} streams silent for ${silentMs} ms, usual pause ${pauseMs} ms, reading ${Math.round(readingMs(group))} ms, running ${runningIn(head)}`,
-      );
+      if (!group || isHeld(group.id)) continue;
+      const reason = silence.find(seen, {
+        usualMs: usualOf(group),
+        readingMs: readingMs(group),
+        running: runningIn(head),
+        knowsOthers: others.areKnown(),
+        elsewhere: others.running(head),
+      });
+      if (reason === undefined) continue;
+      suspect(group.id, 'silent', reason);
       stalls.next({ group: group.id, head });
     }
   };
 
-  // Either may come first: without the configuration no group is known to belong to a service.
-  merge(roster.changes, routes).subscribe(() => {
-    isStale = true;
-    changes.next();
-  });
+  directory.changes.subscribe(changes);
 
   return {
     stalls,
@@ -394,7 +323,7 @@
       ),
     tick: () => {
       groups();
-      noteHeldUp();
+      silence.tick();
       findStalls();
       for (const [head, { running }] of progress) {
         if (running === 0 && !roster.servers.has(head)) progress.delete(head);
--- a/src/app/gateway/placing.ts
+++ b/src/app/gateway/placing.ts
@@ -1,10 +1,10 @@
 /** Takes a place in a group for a stream. */
 
-import { chooseGroup, drawGroup, hasRoom, mayRead } from '../../core/gateway/balance';
-import type { GroupCandidate } from '../../core/gateway/balance';
+import { chooseGroup, drawGroup, listOpen } from '../../core/gateway/balance';
 import type { Arrivals } from './arrivals';
-import type { Board, BoardGroup, GroupNeeds } from './board';
+import type { Board, GroupNeeds } from './board';
 import type { GatewayContext } from './context';
+import type { BoardGroup } from './directory';
 import type { WaitingRoom } from './waiting';
 
 export interface PlacingDeps {
@@ -27,19 +27,6 @@
 /** So few daemons hear of each other soon enough to choose the least filled group. */
 const FEW_DAEMONS = 10;
 
-/** Groups in which this daemon has a place to itself go first. */
-function preferGranted(
-  { board }: PlacingDeps,
-  groups: readonly GroupCandidate[],
-  promptTokens: number,
-): readonly GroupCandidate[] {
-  const own = groups.flatMap((one) => {
-    const room = board.granted(one.head);
-    return room < 1 ? [] : [{ ...one, room }];
-  });
-  return own.length > 0 ? own : groups.filter((one) => hasRoom(one, promptTokens));
-}
-
 /** The group in which a place was taken; undefined where none has room for this daemon. */
 export function takePlace(
   deps: PlacingDeps,
@@ -49,8 +36,7 @@
   const { model } = needs;
   const here = { waiting: waiting.count(model), perSecond: arrivals.rate(model) };
   const admission = board.admit(model, board.candidates(needs), { here, slackMs, isLate });
-  const untried = admission.groups.filter((one) => !one.isTried && mayRead(one, promptTokens));
-  const open = preferGranted(deps, untried, promptTokens);
+  const open = listOpen(admission.groups, (head) => board.granted(head), promptTokens);
   const { zone } = ctx.settings;
   const random = (): number => ctx.random.next();
   const found =
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -10,7 +10,7 @@
 import { later } from '../../core/ids';
 import type { InstanceId, ModelId, MonoTime } from '../../core/ids';
 import { fail } from '../../utils/errors';
-import type { BoardGroup } from './board';
+import type { BoardGroup } from './directory';
 import { giveUp, logEnding, logFailedAttempt, WHEN_UNSERVED } from './exchange';
 import type { Exchange, StreamTimes } from './exchange';
 import { takePlace } from './placing';
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -4,7 +4,8 @@
 import { createEventReader } from '../../core/gateway/events';
 import type { InstanceId, MonoTime } from '../../core/ids';
 import type { AnswerFacts, Dialect } from '../../ports/gateway';
-import type { Board, BoardGroup } from './board';
+import type { Board } from './board';
+import type { BoardGroup } from './directory';
 import type { GatewayContext } from './context';
 import type { Exchange, Exposure } from './exchange';
 
--- a/src/app/gateway/waiting.ts
+++ b/src/app/gateway/waiting.ts
@@ -3,7 +3,8 @@
 import { compareWaiting } from '../../core/gateway/waiting-order';
 import type { WaitingRequest } from '../../core/gateway/waiting-order';
 import type { ModelId, MonoTime } from '../../core/ids';
-import type { Board, BoardGroup } from './board';
+import type { Board } from './board';
+import type { BoardGroup } from './directory';
 import type { GatewayContext } from './context';
 
 export interface Waiter extends WaitingRequest {
--- a/src/core/gateway/balance.ts
+++ b/src/core/gateway/balance.ts
@@ -60,6 +60,28 @@
   return group.room >= 1 && mayRead(group, prompt);
 }
 
+/** Whether the group is so slow that most requests in it miss their objective. */
+function isSlow({ slowdown }: GroupCandidate): boolean {
+  return slowdown >= GROUP_CHOICE_DEFAULTS.slowAt;
+}
+
+/**
+ * The groups that a request may be sent to: quick ones in which the daemon has places to itself, as many as
+ * `granted` tells, otherwise all that have room.
+ */
+export function listOpen(
+  candidates: readonly GroupCandidate[],
+  granted: (head: InstanceId) => number,
+  promptTokens: number,
+): readonly GroupCandidate[] {
+  const readable = candidates.filter((one) => !one.isTried && mayRead(one, promptTokens));
+  const own = readable.flatMap((one) => {
+    const room = granted(one.head);
+    return room < 1 || isSlow(one) ? [] : [{ ...one, room }];
+  });
+  return own.length > 0 ? own : readable.filter(({ room }) => room >= 1);
+}
+
 /** Groups that are drawn, of which one in the own zone is taken. */
 const DRAWS = 3;
 /** A slow group counts as having this part of its room: it is drawn where hardly another has any. */
--- a/tests/gateway/choice.test.ts
+++ b/tests/gateway/choice.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 
 import { createRandom } from '../../src/adapters/runtime';
-import { chooseGroup, choosePlain, drawGroup } from '../../src/core/gateway/balance';
+import { chooseGroup, choosePlain, drawGroup, listOpen } from '../../src/core/gateway/balance';
 import type { GroupCandidate, PlainCandidate } from '../../src/core/gateway/balance';
 import { brandAs } from '../../src/core/ids';
 import type { ZoneId } from '../../src/core/ids';
@@ -137,3 +137,27 @@
     expect(choosePlain([plain('1', { isTried: true })], HERE, 0.5)).toBeUndefined();
   });
 });
+
+describe('the groups that a request may be sent to', () => {
+  const granted = (places: Readonly<Record<string, number>>) => (head: string) => places[head] ?? 0;
+  const heads = (groups: readonly GroupCandidate[]) => groups.map(({ head }) => head);
+  const all = [group('1'), group('2'), group('3', { slowdown: 3 }), group('4', { room: 0 })];
+
+  it('are those in which this daemon has places to itself', () => {
+    expect(heads(listOpen(all, granted({ '2': 1, '4': 2 }), 100))).toEqual(['2', '4']);
+  });
+
+  it('are all that have room where it has none, or has them in slow groups alone', () => {
+    expect(heads(listOpen(all, granted({}), 100))).toEqual(['1', '2', '3']);
+    expect(heads(listOpen(all, granted({ '3': 5 }), 100))).toEqual(['1', '2', '3']);
+  });
+
+  it('are not those that were tried, or that have too much to read', () => {
+    const some = [
+      group('1', { isTried: true }),
+      group('2', { unread: 4_950 }),
+      group('3', { unread: 4_000 }),
+    ];
+    expect(heads(listOpen(some, granted({ '1': 1, '2': 1 }), 100))).toEqual(['3']);
+  });
+});
