Keep the last loads of the fleet while nobody leads it

Load pattern: the store answers nobody for longer than the lease lasts. The last sum of all is now kept for 15 s there. Sums that a leader tells of fewer daemons hold as before: those of daemons that were lost must not look taken. Ruled out: an equal share of the places for each daemon, callers are spread too unevenly for it; a leader that goes on without its lease, it would speak beside its successor.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -29,6 +29,7 @@
 import type { BoardGroup } from './directory';
 import type { LoadSums } from './loads';
 import { createPeerLoads } from './peer-loads';
+import type { SumFacts } from './peer-loads';
 import { createRooms } from './rooms';
 import type { Admission, ModelAsked } from './rooms';
 import type { Roster } from './roster';
@@ -96,8 +97,8 @@
   /** Paces of groups as this daemon saw them of late, by head. */
   paces(): readonly (readonly [InstanceId, number])[];
   /**
-   * What the other daemons have running and waiting, together, and the paces that all saw. `isWhole`: of
-   * most of them; `ageMs`: what happened longer ago is in it.
+   * What the other daemons have running and waiting, together, and the paces that all saw. `ageMs`: what
+   * happened longer ago is in it.
    */
   takeLoads(sums: LoadSums, facts: LoadFacts): void;
   /** Whether the loads of the others are known, and young. */
@@ -111,8 +112,7 @@
 
 type Turnover = Pick<GroupRoom, 'running' | 'batchSize' | 'queued' | 'departing'>;
 
-export interface LoadFacts {
-  readonly isWhole: boolean;
+export interface LoadFacts extends SumFacts {
   readonly ageMs: number;
 }
 
@@ -293,9 +293,8 @@
     },
     eventAt: (head) => progress.get(head)?.eventAt,
     knowsOthers: () => others.areKnown(),
-    takeLoads: (sums, { isWhole, ageMs }) => {
-      others.take(sums, isWhole);
-      rooms.noteLoads(ageMs);
+    takeLoads: (sums, { ageMs, ...facts }) => {
+      if (others.take(sums, facts)) rooms.noteLoads(ageMs);
       changes.next();
     },
     demand: () => {
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -186,6 +186,7 @@
       if (sums.hasTraffic) noteTraffic();
       board.takeLoads(told ? withoutOwn(sums, told) : sums, {
         isWhole: isMost(sums.daemons),
+        isUnled: false,
         ageMs: RELAYED_AGE_MS,
       });
       help(sums, address);
@@ -210,6 +211,7 @@
     if (!hasNews && now < newsDueAt) return;
     board.takeLoads(sumLoads(peers), {
       isWhole: isMost(peers.length + 1),
+      isUnled: false,
       ageMs: intervalMs(peers.length),
     });
     hasNews = false;
@@ -226,6 +228,7 @@
     if (lease) {
       board.takeLoads(sumLoads(peers), {
         isWhole: isMost(peers.length + 1),
+        isUnled: false,
         ageMs: RELAYED_AGE_MS,
       });
       // Who hears of a revision before the news that lead to it would ask the store for them.
@@ -248,7 +251,10 @@
     told = state;
     const leader = fleet.leader();
     if (leader) fleet.answer(leader, told);
-    else board.takeLoads(sumLoads(peers), { isWhole: false, ageMs: RELAYED_AGE_MS });
+    else {
+      const facts = { isWhole: false, isUnled: true, ageMs: RELAYED_AGE_MS };
+      board.takeLoads(sumLoads(peers), facts);
+    }
   };
 
   /** Tells all peers; in a large fleet the leader does, and without one those that may become it are told. */
--- a/src/app/gateway/peer-loads.ts
+++ b/src/app/gateway/peer-loads.ts
@@ -6,9 +6,17 @@
 import type { GatewayContext } from './context';
 import type { LoadSums } from './loads';
 
+/** Whose loads were summed. */
+export interface SumFacts {
+  /** Of most daemons that may be at work. */
+  readonly isWhole: boolean;
+  /** Of the few that this daemon hears in a large fleet without a leader. */
+  readonly isUnled: boolean;
+}
+
 export interface PeerLoads {
-  /** `isWhole`: the sums are of most daemons that may be at work. */
-  take(sums: LoadSums, isWhole: boolean): void;
+  /** False where the sums are passed over, since others that were heard before are nearer to the truth. */
+  take(sums: LoadSums, facts: SumFacts): boolean;
   /** Whether the loads of the others are known, and young. */
   areKnown(): boolean;
   /** Requests of the others in a group, and the prompt tokens of those without an event. */
@@ -22,6 +30,11 @@
 
 /** The sum of all loads holds for so long: leaders tell it several times in that time. */
 const FRESH_MS = 1_500;
+/**
+ * Where no later sum is heard, as while the store is away and nobody can hold the lease, this one stays nearer to
+ * the truth than the loads of a few peers: callers keep to their daemons, and the others go on as before.
+ */
+const KEPT_MS = 15_000;
 
 const NOTHING_ASKED: Asked = { waiting: 0, perSecond: 0 };
 
@@ -30,16 +43,20 @@
   let paces: ReadonlyMap<InstanceId, number> = new Map();
   let waiting: ReadonlyMap<string, Asked> = new Map();
   let knownUntil = clock.now();
+  let keptUntil = clock.now();
 
   return {
-    take: (sums, isWhole) => {
+    take: (sums, { isWhole, isUnled }) => {
       const now = clock.now();
+      if (isUnled && now < keptUntil) return false;
+      if (!isUnled) keptUntil = later(now, KEPT_MS);
       if (isWhole) knownUntil = later(now, FRESH_MS);
       running = new Map(sums.running.map(([head, ...load]) => [head, load]));
       paces = new Map(sums.paces);
       waiting = new Map(
         sums.waiting.map(([model, , count, perSecond]) => [model, { waiting: count, perSecond }]),
       );
+      return true;
     },
     areKnown: () => clock.now() < knownUntil,
     running: (head) => running.get(head)?.[0] ?? 0,
--- a/tests/gateway/board.test.ts
+++ b/tests/gateway/board.test.ts
@@ -32,7 +32,7 @@
   tried: new Set<InstanceId>(),
 };
 /** Loads of all, just told. */
-const HEARD = { isWhole: true, ageMs: 200 };
+const HEARD = { isWhole: true, isUnled: false, ageMs: 200 };
 
 /** A board with the servers of one open group in the roster, and a clock of its own. */
 function setUp() {
--- a/tests/gateway/fleet-model.ts
+++ b/tests/gateway/fleet-model.ts
@@ -33,7 +33,7 @@
 const REPORT_MS = 200;
 /** From a statement to those that hear of the sum of all. */
 const ON_ITS_WAY_MS = 100;
-const LOAD_FACTS = { isWhole: true, ageMs: 2 * REPORT_MS };
+const LOAD_FACTS = { isWhole: true, isUnled: false, ageMs: 2 * REPORT_MS };
 const TARGET_MS = 300;
 /** Callers leave a stream without an event after this. */
 const PATIENCE_MS = 2_000;
@@ -105,6 +105,8 @@
   loseGroups(count: number): void;
   /** As many new ones are formed. */
   formGroups(count: number): void;
+  /** From now on nobody sums the loads of all: each daemon hears of no other. */
+  loseLeader(): void;
   /** Most requests that stood in one engine beyond its places, since the last call. */
   longestQueue(): number;
   /** The part of the arrivals of a span of time that was served on time. */
@@ -134,6 +136,7 @@
   let longest = 0;
   let nextArrivalAt = 0;
   let toldAt = 0;
+  let isLed = true;
   const rate = load * count * GROUP_RATE;
 
   let firstEvents: FirstEvents | undefined;
@@ -292,6 +295,12 @@
   const report = (): void => {
     if (now() < toldAt) return;
     toldAt = now() + REPORT_MS;
+    if (!isLed) {
+      for (const { board } of daemons) {
+        board.takeLoads(sumLoads([]), { ...LOAD_FACTS, isWhole: false, isUnled: true });
+      }
+      return;
+    }
     const states = daemons.map(stateOf);
     const sums = sumLoads(states);
     setTimeout(() => {
@@ -341,6 +350,10 @@
     return found;
   };
 
+  const loseLeader = (): void => {
+    isLed = false;
+  };
+
   formGroups(count);
-  return { requests, run, loseGroups, formGroups, longestQueue, onTime };
+  return { requests, run, loseGroups, formGroups, loseLeader, longestQueue, onTime };
 }
--- a/tests/gateway/overload-recovery.test.ts
+++ b/tests/gateway/overload-recovery.test.ts
@@ -73,3 +73,27 @@
     },
   );
 });
+
+describe('a fleet whose loads nobody sums up any more', () => {
+  /** As long as the store answers nobody: the lease has lapsed, and no leader follows. */
+  const playOutage = (load: number, seed: number): number => {
+    const fleet = createFleetModel({ daemons: DAEMONS, groups: GROUPS, load, seed });
+    fleet.run(WARM_UP_MS);
+    fleet.loseLeader();
+    fleet.run(BURST_MS + REST_MS);
+    return fleet.onTime(WARM_UP_MS + 1_000, WARM_UP_MS + BURST_MS);
+  };
+
+  // Guards against daemons that take all groups for empty as soon as they hear of no other.
+  it.each([
+    [0.9, 1],
+    [1.25, 1],
+    [1.25, 2],
+    [1.5, 1],
+  ])(
+    'serves half of the requests on time or more, at %d of its capacity (seed %i)',
+    (load, seed) => {
+      expect(playOutage(load, seed)).toBeGreaterThan(0.5);
+    },
+  );
+});
