Log what a server says it takes, and the server of a request that ended without an answer

Observability for the exceeded limit: no line told what a server had named, nor whether a daemon knew it, and the end of a request whose caller left did not name its server. All heads of answers are now read at one place. No decision changes.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { listenReady } from './ready';
 import { createRetries } from './retries';
 import { createRoster } from './roster';
+import { createStatements } from './statements';
 import { createStreamCalls } from './stream-call';
 import { createWaitingRoom } from './waiting';
 
@@ -85,9 +86,10 @@
   // Entries count as well: a daemon that has just started hears of few peers, and would take a larger part.
   const sharers = (): number => Math.max(fleet.size(), fleet.candidates().size);
   const retries = createRetries(ctx, sharers);
-  const plain = createPlainCalls({ ctx, roster, upstream, dialect, retries });
+  const statements = createStatements(ctx, dialect);
+  const plain = createPlainCalls({ ctx, roster, upstream, dialect, retries, statements });
   const streams = createStreamCalls({
-    ...{ ctx, board, upstream, dialect, retries },
+    ...{ ctx, board, upstream, dialect, retries, statements },
     ...{ waiting, arrivals, daemons: sharers },
   });
   const gossip = createGossip({
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -19,6 +19,7 @@
 import type { Exchange, Exposure } from './exchange';
 import type { Retries } from './retries';
 import type { Roster } from './roster';
+import type { Statements } from './statements';
 
 export interface PlainDeps {
   readonly ctx: GatewayContext;
@@ -26,6 +27,7 @@
   readonly upstream: Upstream;
   readonly dialect: Dialect;
   readonly retries: Retries;
+  readonly statements: Statements;
 }
 
 export interface PlainCalls {
@@ -145,7 +147,8 @@
       tried.add(server.id);
       if (result.kind !== 'not-sent') attempts += 1;
       if (exchange.gone.aborted) {
-        logEnding(ctx, exchange, { outcome: 'caller-gone', status: 0, attempts });
+        const { id } = server;
+        logEnding(ctx, exchange, { outcome: 'caller-gone', status: 0, attempts, server: id });
         return;
       }
       if (result.kind === 'answered') {
@@ -220,18 +223,19 @@
   });
   if (sent.kind === 'not-sent') return { kind: 'not-sent', reason: sent.error.message };
   if (sent.kind === 'lost') return { kind: 'lost', reason: sent.error.message };
-  return readWhole(deps, exchange, sent, limit);
+  return readWhole(deps, exchange, server, sent, limit);
 }
 
 async function readWhole(
-  { dialect }: PlainDeps,
+  { statements }: PlainDeps,
   exchange: Exchange,
+  server: BackendServer,
   answered: Answered,
   limit: AbortSignal,
 ): Promise<Attempt> {
   const { res, destroy } = answered;
   const status = res.statusCode ?? 0;
-  const facts = dialect.readAnswer(status, res.headers);
+  const facts = statements.read(server.id, res);
   const lose = (reason: string): Attempt => {
     destroy();
     return { kind: 'lost', reason };
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -111,6 +111,7 @@
       tried: new Set(),
       attempts: 0,
       unreached: 0,
+      server: undefined,
       exposure: 'not-run',
       lastId: given === undefined ? undefined : Number(given),
       hasStarted: false,
@@ -132,6 +133,7 @@
       const group = await findGroup(exchange, model, state);
       if (!group) break;
       state.tried.add(group.head.id);
+      state.server = group.head.id;
       const ended = await attempt({ ...deps, times }, exchange, group, state);
       if (ended === 'not-sent') state.unreached += 1;
       else state.attempts += 1;
@@ -171,7 +173,7 @@
   exchange: Exchange,
   state: StreamState,
 ): void {
-  const { attempts, reason, exposure } = state;
+  const { attempts, reason, exposure, server } = state;
   const { res, gone } = exchange;
   const times = timesOf(exchange, state);
   if (gone.aborted) {
@@ -180,6 +182,7 @@
       status: 0,
       attempts,
       reason,
+      ...(server !== undefined && { server }),
       ...times,
     });
     return;
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -8,11 +8,13 @@
 import type { BoardGroup } from './directory';
 import type { GatewayContext } from './context';
 import type { Exchange, Exposure } from './exchange';
+import type { Statements } from './statements';
 
 export interface RelayDeps {
   readonly ctx: GatewayContext;
   readonly board: Board;
   readonly dialect: Dialect;
+  readonly statements: Statements;
 }
 
 /** Progress of one caller's stream over all its attempts. */
@@ -22,6 +24,8 @@
   attempts: number;
   /** Groups whose heads could not be reached. */
   unreached: number;
+  /** Head of the group that it was sent to last. */
+  server: InstanceId | undefined;
   exposure: Exposure;
   /** Id of the last event that the caller has. */
   lastId: number | undefined;
@@ -64,7 +68,7 @@
   const { deps, exchange, group, state, answered, stop } = relayed;
   const { res, destroy } = answered;
   const status = res.statusCode ?? 0;
-  const facts = deps.dialect.readAnswer(status, res.headers);
+  const facts = deps.statements.read(group.head.id, res);
   const lose = (reason: string): Ended => {
     state.reason = reason;
     destroy();
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -115,8 +115,14 @@
   readonly isSigned: boolean;
   /** The server's own word that the request did not run. */
   readonly isNotExecuted: boolean;
+  /** Another server answered than the one that was meant: what the head says of the server is of that one. */
+  readonly isOfOther: boolean;
   /** The server that kept the request from running, where another one is named. */
   readonly faultAt?: InstanceId;
+  /** Requests a second that the server takes from all daemons together. */
+  readonly limitPerS?: number;
+  /** Headers by which the server says something of itself that can't be understood, with their values. */
+  readonly unreadable: readonly string[];
 }
 
 /** The headers of callers and backend servers. Lists of headers alternate names and values. */
