--- a/stand-ins/users-platform/servers.ts
+++ b/stand-ins/users-platform/servers.ts
@@ -9,6 +9,7 @@
 import type { ServerOrder } from '../../src/core/gateway/orders';
 import type { ServerName } from '../../src/core/ids';
 import type { EngineFleet } from './engines';
+import type { Statements } from './statements';
 import { decodeOrder, ORDER_STATUS } from './wire';
 
 /** One request that a server began to run. */
@@ -84,6 +85,7 @@
   fleet: EngineFleet,
   name: ServerName,
   runs: Run[],
+  statements: Statements,
 ): Promise<() => void> {
   const state = () => fleet.named(name);
 
@@ -138,6 +140,7 @@
     if (!isAlive || !isMeant(name, req, res)) return;
     if (req.url === PATHS.order) void takeOrder(req, res);
     else if (req.url === PATHS.report) report(res);
+    else if (statements.meet(name, req, res) === 'turned-away') return;
     else if (state()?.joined?.state === 'open') void stream(req, res);
     else res.writeHead(503, { [HEADERS.notExecuted]: '1' }).end();
   });
@@ -155,6 +158,7 @@
   address: string,
   runs: Run[],
   faults: PlainFaults,
+  statements: Statements,
 ): Promise<() => void> {
   const id = brandAs<ServerName>(name);
   const take = (fault: keyof PlainFaults): boolean => {
@@ -163,7 +167,7 @@
     return true;
   };
   const server = createServer((req, res) => {
-    if (!isMeant(id, req, res)) return;
+    if (!isMeant(id, req, res) || statements.meet(id, req, res) === 'turned-away') return;
     void readBody(req).then((body) => {
       if (take('refuse')) {
         res.writeHead(503, { [HEADERS.notExecuted]: '1' }).end();
--- a/stand-ins/users-platform/start.ts
+++ b/stand-ins/users-platform/start.ts
@@ -9,6 +9,8 @@
 import type { EngineFleet } from './engines';
 import { startEngine, startPlain } from './servers';
 import type { PlainFaults, Run } from './servers';
+import { createStatements } from './statements';
+import type { Statements } from './statements';
 import { startStore } from './store';
 import type { StoreStandIn } from './store';
 import { encodeRow } from './wire';
@@ -28,6 +30,7 @@
   readonly store: StoreStandIn;
   readonly fleet: EngineFleet;
   readonly plainFaults: PlainFaults;
+  readonly statements: Statements;
   /** Every request that a server began to run. */
   readonly runs: readonly Run[];
   readonly storeAddress: string;
@@ -55,6 +58,7 @@
   const store = await startStore(host, firstPort);
   const runs: Run[] = [];
   const plainFaults: PlainFaults = { cutAnswers: 0, failAnswers: 0, refuse: 0 };
+  const statements = createStatements();
   const closers: (() => void)[] = [];
   const plainRows = new Map<string, object>();
   const fleet = createEngineFleet({
@@ -65,12 +69,12 @@
     addressOf: (n) => `${host}:${firstPort + 1 + plainServers + n}`,
   });
   for (const { name } of fleet.servers.values()) {
-    closers.push(await startEngine(fleet, name, runs));
+    closers.push(await startEngine(fleet, name, runs, statements));
   }
   for (let n = 0; n < plainServers; n++) {
     const name = `plain-${n}`;
     const address = `${host}:${firstPort + 1 + n}`;
-    closers.push(await startPlain(name, address, runs, plainFaults));
+    closers.push(await startPlain(name, address, runs, plainFaults, statements));
     const published = publishedAddress(address);
     const row = {
       service: PLAIN_SERVICE,
@@ -116,6 +120,7 @@
     store,
     fleet,
     plainFaults,
+    statements,
     runs,
     storeAddress: `${host}:${firstPort}`,
     configure: (next) => {
@@ -134,7 +139,7 @@
     },
     addEngine: async (domain) => {
       const name = fleet.servers.get(fleet.add(domain))?.name;
-      if (name !== undefined) closers.push(await startEngine(fleet, name, runs));
+      if (name !== undefined) closers.push(await startEngine(fleet, name, runs, statements));
     },
     close: () => {
       clearInterval(ticker);
--- /dev/null
+++ b/tests/gateway/gateway-fixture.ts
@@ -0,0 +1,115 @@
+/** Daemons before servers that say something of themselves in their answers, with callers that keep asking. */
+
+import type { ChildProcess } from 'node:child_process';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { describeConfig, USUAL_ROUTES } from '../../stand-ins/users-platform/document';
+import { startPlatform } from '../../stand-ins/users-platform/start';
+import type { PlatformStandIn } from '../../stand-ins/users-platform/start';
+import type { ServerName } from '../../src/core/ids';
+import { pause } from '../../src/utils/pause';
+import { callDaemon, launchDaemon } from '../support/gateway-daemon';
+import type { Reply } from '../support/gateway-daemon';
+import { ENGINE, LARGE, SMALL } from './support';
+
+const HOST = '127.0.0.1';
+const KEY = 'key-of-the-depot';
+const PORTS_PER_DAEMON = 10;
+const SERVER_PORTS = 100;
+const LOOK_MS = 50;
+
+/** A request with its answer, where there was one. */
+export interface Asked {
+  readonly requestId: string;
+  readonly daemon: number;
+  readonly sentAt: number;
+  readonly reply: Reply | undefined;
+  readonly answeredAt: number;
+}
+
+export interface GatewayFixture {
+  readonly platform: PlatformStandIn;
+  /** Heads of the groups that serve the model now. */
+  heads(model: string): readonly ServerName[];
+  /** Sends `perS` requests a second to each daemon, one after the other over all of them, for `ms`. */
+  ask(path: string, perS: number, ms: number): Promise<readonly Asked[]>;
+  close(): void;
+}
+
+export interface FixtureOptions {
+  readonly firstPort: number;
+  readonly daemons: number;
+  readonly plainServers: number;
+}
+
+async function until(check: () => boolean): Promise<void> {
+  while (!check()) await pause(LOOK_MS);
+}
+
+export async function startFixture({
+  firstPort,
+  daemons,
+  plainServers,
+}: FixtureOptions): Promise<GatewayFixture> {
+  const dir = mkdtempSync(join(tmpdir(), 'nutmegstack-fixture-'));
+  const platform = await startPlatform({
+    host: HOST,
+    firstPort,
+    engine: ENGINE,
+    domains: [11, 11],
+    plainServers,
+  });
+  const portOf = (n: number, role: number): string =>
+    `${HOST}:${firstPort + SERVER_PORTS + PORTS_PER_DAEMON * n + role}`;
+  const processes: ChildProcess[] = Array.from({ length: daemons }, (_, n) =>
+    launchDaemon({
+      id: `daemon-${n}`,
+      dir,
+      listen: portOf(n, 0),
+      readyListen: portOf(n, 1),
+      peerListen: portOf(n, 2),
+      seeds: [portOf(0, 2), portOf(1, 2)],
+      platform: platform.storeAddress,
+    }),
+  );
+  const organisations = [{ name: 'depot', apiKeys: [KEY] }];
+  platform.configure(
+    describeConfig({ version: 1, routes: USUAL_ROUTES, engine: ENGINE, organisations }),
+  );
+  await until(() => platform.fleet.serving(SMALL) === 2 && platform.fleet.serving(LARGE) === 2);
+
+  let lastId = 0;
+  const askOnce = async (path: string, daemon: number): Promise<Asked> => {
+    const requestId = `request-${lastId++}`;
+    const sentAt = performance.now();
+    const options = { requestId, key: KEY, model: SMALL, body: 'events=3', waitMs: 3_000 };
+    const reply = await callDaemon(portOf(daemon, 0), path, options).catch(() => undefined);
+    return { requestId, daemon, sentAt, reply, answeredAt: performance.now() };
+  };
+
+  return {
+    platform,
+    heads: (model) =>
+      [...platform.fleet.servers.values()].flatMap(({ id, name, joined }) =>
+        joined?.state === 'open' && joined.model === model && joined.members[0] === id
+          ? [name]
+          : [],
+      ),
+    ask: async (path, perS, ms) => {
+      const startedAt = performance.now();
+      const all: Promise<Asked>[] = [];
+      for (let n = 0; n < (perS * daemons * ms) / 1_000; n++) {
+        await pause(startedAt + (n * 1_000) / (perS * daemons) - performance.now());
+        all.push(askOnce(path, n % daemons));
+      }
+      return Promise.all(all);
+    },
+    close: () => {
+      for (const child of processes) child.kill('SIGKILL');
+      platform.close();
+      rmSync(dir, { recursive: true });
+    },
+  };
+}
