Share the limit that a server names among all daemons

Callers saw nothing; a server in need was sent what it could not take. Cause: the head of an answer was read for what concerns its own request alone, so that what the server says of itself reached no decision. Now the limit is kept by server life, told to peers (in a large fleet by way of the leader), and shared: about as many daemons as the limit has requests in a second send for all, the same ones by rendezvous hashing for everybody, each with whole turns at its part of the rate. Groups and plain servers without a turn are not chosen; a request that could not get a turn in time is refused at once, with the time of the next turn as Retry-After.

--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -27,6 +27,8 @@
 import type { GatewayContext } from './context';
 import { createDirectory } from './directory';
 import type { BoardGroup } from './directory';
+import { leastOf } from './limits';
+import type { Limits } from './limits';
 import type { LoadSums } from './loads';
 import { createPeerLoads } from './peer-loads';
 import type { SumFacts } from './peer-loads';
@@ -63,6 +65,10 @@
   granted(head: InstanceId): number;
   /** Whether any group of the model is open, suspected or not. */
   serves(service: ServiceId, model: ModelId | undefined): boolean;
+  /** Time until a group of the model may be sent a request from here, as far as limits go, milliseconds. */
+  turnInMs(service: ServiceId, model: ModelId): number;
+  /** The same from any daemon. */
+  takesInMs(service: ServiceId, model: ModelId): number;
   find(head: InstanceId): BoardGroup | undefined;
   /** Requests of the other daemons in the group, as far as is known here. */
   runningElsewhere(head: InstanceId): number;
@@ -120,6 +126,7 @@
   ctx: GatewayContext,
   roster: Roster,
   routes: BehaviorSubject<RouteTable | undefined>,
+  limits: Limits,
 ): Board {
   const { clock, logger } = ctx;
   const progress = new Map<InstanceId, Progress>();
@@ -185,12 +192,13 @@
     const usualPrompt = engine.usual.prompt;
     const readMeanwhile = (rooms.agedMs() * engine.prefillTokensPerMs) / (spec.pace * usualPrompt);
     const room = { ...load, ...turnover, usualPrompt, readMeanwhile };
+    const turns = limits.turns(head.id);
     return {
       ...load,
       head: head.id,
       zone: head.zone,
-      room: roomIn(room),
-      freePlaces: roomIn({ ...room, departing: 0 }),
+      room: Math.min(turns, roomIn(room)),
+      freePlaces: Math.min(turns, roomIn({ ...room, departing: 0 })),
       slowdown: paceOf(group),
       isTried: tried.has(head.id),
     };
@@ -248,12 +256,16 @@
     changes,
     candidates: (needs) =>
       ofModel(needs.service, needs.model)
-        .filter(({ id }) => !isHeld(id))
+        .filter(({ id, head }) => !isHeld(id) && limits.turns(head.id) >= 1)
         .map((group) => toCandidate(group, needs)),
     admit: (model, found, asked) =>
       rooms.admit(model, found, { ...asked, elsewhere: others.asked(model) }),
     granted: (head) => rooms.granted(head),
     serves: (service, model) => model !== undefined && ofModel(service, model).length > 0,
+    turnInMs: (service, model) =>
+      leastOf(ofModel(service, model).map(({ head }) => limits.turnInMs(head.id))),
+    takesInMs: (service, model) =>
+      leastOf(ofModel(service, model).map(({ head }) => limits.takesInMs(head.id))),
     find: (head) => groups().get(head),
     runningElsewhere: (head) => others.running(head),
     isBusy: (group) =>
@@ -261,6 +273,7 @@
     noteSent: (head, promptTokens) => {
       progress.set(head, noteSent(progressOf(head), clock.now(), promptTokens));
       rooms.noteSent(head);
+      limits.take(head);
     },
     noteRead: (head, promptTokens) => {
       progress.set(head, noteRead(progressOf(head), promptTokens));
@@ -322,6 +335,7 @@
       ),
     tick: () => {
       groups();
+      if (limits.tick()) changes.next();
       silence.tick();
       findStalls();
       for (const [head, { running }] of progress) {
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -133,6 +133,14 @@
 /** No group serves the model: forming one takes between half a second from warm servers and a load of weights. */
 export const WHEN_UNSERVED: RetryAfter = { leastMs: 1_000, spreadMs: 600 };
 
+/** All that could serve it take one more only so much later: callers come back then, and not together. */
+export function whenTaken(ms: number): RetryAfter {
+  return {
+    leastMs: Math.max(WHEN_FULL.leastMs, ms),
+    spreadMs: Math.max(WHEN_FULL.spreadMs, ms / 2),
+  };
+}
+
 export interface OwnAnswer {
   readonly status: number;
   readonly message: string;
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -4,6 +4,7 @@
 import type { Observable } from 'rxjs';
 
 import { createPeers } from '../../adapters/peers/peers';
+import { listSilent } from '../../core/gateway/limits/share';
 import { isSilent, noteSpoken } from '../../core/gateway/silence';
 import type { Conversation } from '../../core/gateway/silence';
 import { brandAs, later } from '../../core/ids';
@@ -30,6 +31,8 @@
   isLarge(): boolean;
   /** Daemons that may be at work: heard of lately, or entered in the store; without those that stop. */
   candidates(): Strengths;
+  /** Entered daemons that give no sign, as those say that hear most of them. */
+  silent(): readonly DaemonId[];
   readonly received: Observable<FromPeer>;
   /** Addresses whose links broke or could not be made. */
   readonly unreachable: Observable<string>;
@@ -114,7 +117,8 @@
   const noteLeader = ({ from: id, address, via, message }: FromPeer): void => {
     const at = clock.now();
     if (message.kind === 'loads') {
-      lastLeader = { id, address, via, at, progress: message, daemons: message.daemons };
+      const { daemons, silent } = message;
+      lastLeader = { id, address, via, at, progress: message, daemons, silent };
     } else if (message.kind === 'state' && message.lease) {
       lastLeader = { id, address, via, at, progress: message };
     }
@@ -169,6 +173,13 @@
     return all;
   };
 
+  const silent = (): readonly DaemonId[] => {
+    const told = leader()?.silent;
+    if (told) return told;
+    const heardNow = new Set([settings.id, ...live().map(({ id }) => id)]);
+    return listSilent([...known.keys()], heardNow);
+  };
+
   const addresses = (): Set<string> => {
     const all = new Set<string>(ctx.tunables.value.seeds);
     for (const { address } of known.values()) all.add(address);
@@ -240,6 +251,7 @@
     size,
     isLarge,
     candidates,
+    silent,
     received,
     unreachable: peers.unreachable,
     send: (address, message) => {
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -14,6 +14,7 @@
 import { createFront } from './front';
 import { createGossip } from './gossip';
 import { createLeadership } from './lease';
+import { createLimits } from './limits';
 import { createPlainCalls } from './plain-call';
 import { listenReady } from './ready';
 import { createRetries } from './retries';
@@ -71,7 +72,14 @@
     leader: () => fleet.leader(),
   });
   const routes = () => config.table.value;
-  const board = createBoard(ctx, roster, config.table);
+  const limits = createLimits(ctx, {
+    daemons: () => {
+      const silent = new Set(fleet.silent());
+      return [...fleet.candidates().keys()].filter((id) => !silent.has(id));
+    },
+    isGone: (server) => !roster.servers.has(server),
+  });
+  const board = createBoard(ctx, roster, config.table, limits);
   const waiting = createWaitingRoom(ctx, board);
   const arrivals = createArrivals(ctx);
   const former = createFormer(ctx, {
@@ -86,8 +94,10 @@
   // Entries count as well: a daemon that has just started hears of few peers, and would take a larger part.
   const sharers = (): number => Math.max(fleet.size(), fleet.candidates().size);
   const retries = createRetries(ctx, sharers);
-  const statements = createStatements(ctx, dialect);
-  const plain = createPlainCalls({ ctx, roster, upstream, dialect, retries, statements });
+  const statements = createStatements(ctx, dialect, limits);
+  const plain = createPlainCalls({
+    ...{ ctx, roster, upstream, dialect, retries, statements, limits },
+  });
   const streams = createStreamCalls({
     ...{ ctx, board, upstream, dialect, retries, statements },
     ...{ waiting, arrivals, daemons: sharers },
@@ -102,6 +112,7 @@
     leadership,
     waiting,
     arrivals,
+    limits,
     isStopping: () => isStopping,
   });
   const front = createFront({
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -12,6 +12,7 @@
 import type { Fleet } from './fleet';
 import type { Former } from './former';
 import type { Leadership } from './lease';
+import type { Limits } from './limits';
 import { sumLoads, withoutOwn } from './loads';
 import type { PeerState, PlainMessage, Progress } from './messages';
 import type { FromPeer, PeerView } from './peer-view';
@@ -29,6 +30,7 @@
   readonly leadership: Leadership;
   readonly waiting: WaitingRoom;
   readonly arrivals: Arrivals;
+  readonly limits: Limits;
   readonly isStopping: () => boolean;
 }
 
@@ -65,7 +67,7 @@
 }
 
 export function createGossip(deps: GossipDeps): Gossip {
-  const { ctx, config, roster, board, fleet, former, leadership, waiting, arrivals } = deps;
+  const { ctx, config, roster, board, fleet, former, leadership, waiting, arrivals, limits } = deps;
   const helped = new Map<string, MonoTime>();
   let dueAt = ctx.clock.now();
   let hasTraffic = false;
@@ -107,6 +109,7 @@
     quiet: board.quiet().map((entry) => [...entry]),
     paces: board.paces().map((entry) => [...entry]),
     waiting: asked(),
+    limits: limits.told(),
   });
 
   const noteTraffic = (): void => {
@@ -166,6 +169,7 @@
       hasNews = true;
       ctx.store.noteEra(state.storeEra, `peer ${from}`);
       findings.noteEvents(state.quiet);
+      limits.takeTold(state.limits, `peer ${from}`);
       if (state.hasTraffic) noteTraffic();
       if (state.lease) leadership.takeLease(state.lease);
       help(state, address);
@@ -184,6 +188,7 @@
       ctx.store.noteEra(sums.storeEra, `peer ${from}`);
       leadership.takeLease(sums.lease);
       if (sums.hasTraffic) noteTraffic();
+      limits.takeTold(sums.limits, `peer ${from}`);
       board.takeLoads(told ? withoutOwn(sums, told) : sums, {
         isWhole: isMost(sums.daemons),
         isUnled: false,
@@ -244,6 +249,8 @@
         hasTraffic,
         lease,
         daemons: peers.length + 1,
+        limits: limits.toldToAll(),
+        silent: [...fleet.silent()],
         ...sumLoads([...peers, state]),
       });
       return;
--- /dev/null
+++ b/src/app/gateway/limits.ts
@@ -0,0 +1,184 @@
+/** What backend servers take a second, as all daemons share it, and this daemon's turns. */
+
+import * as knownLimits from '../../core/gateway/limits/known';
+import type { KnownLimits, Said, Told } from '../../core/gateway/limits/known';
+import { paceMs, refill, shareOf, turnInMs } from '../../core/gateway/limits/share';
+import type { Share, Turns } from '../../core/gateway/limits/share';
+import { later } from '../../core/ids';
+import type { DaemonId, InstanceId, MonoTime } from '../../core/ids';
+import type { GatewayContext } from './context';
+
+export interface Limits {
+  /** An answer of the server came. */
+  noteAnswer(server: InstanceId, said: Said): void;
+  takeTold(told: readonly Told[], source: string): void;
+  /** What servers said to this daemon, for its peers. */
+  told(): Told[];
+  /** What servers said to anybody: all of it once a second, else what has changed since the last call. */
+  toldToAll(): Told[];
+  /** Requests that this daemon may send to the server now; infinite where the server named no limit. */
+  turns(server: InstanceId): number;
+  /** Takes a turn for a request that is being sent. */
+  take(server: InstanceId): void;
+  /** Time until this daemon has a turn, milliseconds: 0 where it has one, infinite where it will have none. */
+  turnInMs(server: InstanceId): number;
+  /** Time until the server takes a request of any daemon, milliseconds. */
+  takesInMs(server: InstanceId): number;
+  /** Whether turns have come for requests that wait. */
+  tick(): boolean;
+}
+
+export interface LimitsOptions {
+  /** Daemons that share the limits, this one included. */
+  readonly daemons: () => readonly DaemonId[];
+  readonly isGone: (server: InstanceId) => boolean;
+}
+
+interface Part {
+  readonly limitPerS: number;
+  share: Share;
+  turns: Turns;
+  /** Whether there was a turn when it was last looked for. */
+  hadTurn: boolean;
+}
+
+/** The daemons that share are looked up this often. */
+const DAEMONS_MS = 250;
+/** A daemon that has just started hears of all limits within this. */
+const TELL_ALL_MS = 1_000;
+
+/** The least of the times; 0 where there is none, since no limit stands in the way then. */
+export function leastOf(times: readonly number[]): number {
+  return times.length === 0 ? 0 : Math.min(...times);
+}
+
+export function createLimits(ctx: GatewayContext, { daemons, isGone }: LimitsOptions): Limits {
+  const { clock, logger, settings } = ctx;
+  let known: KnownLimits = new Map();
+  let sharers: readonly DaemonId[] = [settings.id];
+  let lookAt = clock.now();
+  let tellAllAt = clock.now();
+  /** Limits as they were last told to all. */
+  let toldLast: KnownLimits = new Map();
+  const parts = new Map<InstanceId, Part>();
+
+  const shareIn = (server: InstanceId, limitPerS: number): Share =>
+    shareOf({ server, limitPerS, self: settings.id, daemons: sharers });
+
+  const logShare = (server: InstanceId, limitPerS: number, { perSecond }: Share): void => {
+    const saidAt = known.get(server)?.saidAt ?? clock.now();
+    logger.info('share of a limit', {
+      step: 'limit',
+      server,
+      limitPerS,
+      ageMs: Math.round(clock.now() - saidAt),
+      daemons: sharers.length,
+      perSecond: Number(perSecond.toFixed(3)),
+    });
+  };
+
+  const setPart = (server: InstanceId, limitPerS: number): void => {
+    const before = parts.get(server);
+    const now = clock.now();
+    const share = shareIn(server, limitPerS);
+    const turns = before ? refill(before.turns, before.share, now) : { saved: 0, at: now };
+    if (before?.share.perSecond !== share.perSecond) logShare(server, limitPerS, share);
+    parts.set(server, { limitPerS, share, turns, hadTurn: false });
+  };
+
+  /** Brings the parts up to what is known, after a change of it. */
+  const update = (next: KnownLimits, source: string): void => {
+    for (const [server, { perSecond }] of next) {
+      const before = known.get(server)?.perSecond;
+      if (before === perSecond) continue;
+      logger.info(perSecond === undefined ? 'limit ended' : 'limit named', {
+        step: 'limit',
+        server,
+        source,
+        ...(perSecond !== undefined && { limitPerS: perSecond }),
+        ...(before !== undefined && { before }),
+      });
+    }
+    known = next;
+    for (const server of parts.keys()) {
+      if (known.get(server)?.perSecond === undefined) parts.delete(server);
+    }
+    for (const [server, { perSecond }] of known) {
+      if (perSecond !== undefined && parts.get(server)?.limitPerS !== perSecond) {
+        setPart(server, perSecond);
+      }
+    }
+  };
+
+  const apply = (next: KnownLimits, source: string): void => {
+    if (next !== known) update(next, source);
+  };
+
+  const lookUpDaemons = (now: MonoTime): void => {
+    if (now < lookAt || known.size === 0) return;
+    lookAt = later(now, DAEMONS_MS);
+    apply(knownLimits.forget(known, isGone, now), 'forgotten');
+    const found = [...daemons()].sort();
+    if (found.join(' ') === sharers.join(' ')) return;
+    sharers = found;
+    for (const [server, { limitPerS }] of parts) setPart(server, limitPerS);
+  };
+
+  const partOf = (server: InstanceId): Part | undefined => {
+    const part = parts.get(server);
+    if (part) part.turns = refill(part.turns, part.share, clock.now());
+    return part;
+  };
+
+  const turns = (server: InstanceId): number => {
+    const part = partOf(server);
+    return part ? Math.floor(part.turns.saved) : Infinity;
+  };
+
+  return {
+    noteAnswer: (server, said) => {
+      apply(knownLimits.noteAnswer(known, server, said, clock.now()), 'answer');
+    },
+    takeTold: (told, source) => {
+      apply(knownLimits.takeTold(known, told, clock.now()), source);
+    },
+    told: () => knownLimits.tell(known, clock.now()),
+    toldToAll: () => {
+      const now = clock.now();
+      const all = knownLimits.tell(known, now, { ofAll: true });
+      const isDue = now >= tellAllAt;
+      if (isDue) tellAllAt = later(now, TELL_ALL_MS);
+      const isNews = ([server]: Told): boolean =>
+        known.get(server)?.perSecond !== toldLast.get(server)?.perSecond;
+      const told = isDue ? all : all.filter(isNews);
+      toldLast = known;
+      return told;
+    },
+    turns,
+    take: (server) => {
+      const part = partOf(server);
+      if (!part) return;
+      part.turns = { ...part.turns, saved: part.turns.saved - 1 };
+      ctx.metrics.count('nutmegstack_limited_sends_total');
+    },
+    turnInMs: (server) => {
+      const part = partOf(server);
+      return part ? turnInMs(part.turns, part.share) : 0;
+    },
+    takesInMs: (server) => {
+      const part = partOf(server);
+      if (!part) return 0;
+      return Math.min(turnInMs(part.turns, part.share), paceMs(part.limitPerS));
+    },
+    tick: () => {
+      lookUpDaemons(clock.now());
+      let hasNew = false;
+      for (const [server, part] of parts) {
+        const hasTurn = turns(server) >= 1;
+        hasNew ||= hasTurn && !part.hadTurn;
+        part.hadTurn = hasTurn;
+      }
+      return hasNew;
+    },
+  };
+}
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -57,6 +57,9 @@
 /** By head of a group: how many times slower than usual its events came of late. */
 const pacesSchema = z.array(z.tuple([instanceIdSchema, z.number().min(1)]));
 
+/** By server: requests a second that it takes from all daemons, null once it named none any more; age, milliseconds. */
+const limitsSchema = z.array(z.tuple([instanceIdSchema, natural.nullable(), natural])).default([]);
+
 const stateSchema = z.object({
   kind: z.literal('state'),
   ...progressSchema,
@@ -73,6 +76,8 @@
   paces: pacesSchema,
   /** By model: requests that wait here for a group, and how many come here in a second. */
   waiting: z.array(z.tuple([z.string(), natural, natural])),
+  /** As servers said to this daemon. */
+  limits: limitsSchema,
 });
 
 /** What the leader of a large fleet tells all, in place of what each would tell each. */
@@ -87,6 +92,10 @@
   paces: pacesSchema,
   /** By model: daemons with requests that wait for it, how many wait, and how many come in a second. */
   waiting: z.array(z.tuple([z.string(), natural, natural, natural])),
+  /** As servers said to any daemon. */
+  limits: limitsSchema,
+  /** Daemons that are entered and give no sign. */
+  silent: z.array(daemonIdSchema).default([]),
 });
 
 /**
--- a/src/app/gateway/peer-view.ts
+++ b/src/app/gateway/peer-view.ts
@@ -29,4 +29,6 @@
   readonly progress: Progress;
   /** Daemons that it hears of, where it told. */
   readonly daemons?: number;
+  /** Daemons of which it hears nothing, where it told. */
+  readonly silent?: readonly DaemonId[];
 }
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -15,8 +15,10 @@
 import type { AnswerFacts, Dialect } from '../../ports/gateway';
 import { fail } from '../../utils/errors';
 import type { GatewayContext } from './context';
-import { giveUp, logEnding, logFailedAttempt } from './exchange';
-import type { Exchange, Exposure } from './exchange';
+import { giveUp, logEnding, logFailedAttempt, whenTaken } from './exchange';
+import type { Exchange, Exposure, RetryAfter } from './exchange';
+import { leastOf } from './limits';
+import type { Limits } from './limits';
 import type { Retries } from './retries';
 import type { Roster } from './roster';
 import type { Statements } from './statements';
@@ -28,6 +30,7 @@
   readonly dialect: Dialect;
   readonly retries: Retries;
   readonly statements: Statements;
+  readonly limits: Limits;
 }
 
 export interface PlainCalls {
@@ -64,7 +67,7 @@
 const FIRST_SERVER_ERROR = 500;
 
 export function createPlainCalls(deps: PlainDeps): PlainCalls {
-  const { ctx, roster, retries } = deps;
+  const { ctx, roster, retries, limits } = deps;
   const records = new Map<InstanceId, ServerRecord>();
 
   const recordOf = (id: InstanceId): ServerRecord => {
@@ -75,9 +78,14 @@
     return record;
   };
 
+  const serversOf = (service: ServiceId): BackendServer[] =>
+    [...roster.servers.values()].filter(
+      (server) => server.service === service && !server.isDraining,
+    );
+
   const candidates = (service: ServiceId, tried: ReadonlySet<InstanceId>): PlainCandidate[] =>
-    [...roster.servers.values()]
-      .filter((server) => server.service === service && !server.isDraining)
+    serversOf(service)
+      .filter(({ id }) => limits.turns(id) >= 1)
       .map(({ id, zone, batchSize }) => ({
         id,
         zone,
@@ -86,6 +94,10 @@
         isTried: tried.has(id),
       }));
 
+  /** Time until a server of the service takes a request, as far as limits go, milliseconds. */
+  const whenAnyTakes = (service: ServiceId): number =>
+    leastOf(serversOf(service).map(({ id }) => limits.takesInMs(id)));
+
   const choose = (
     exchange: Exchange,
     tried: ReadonlySet<InstanceId>,
@@ -106,6 +118,7 @@
     const record = recordOf(server.id);
     const startedAt = ctx.clock.now();
     record.running += 1;
+    limits.take(server.id);
     const result = await sendOnce(deps, exchange, server, until);
     record.running -= 1;
     const hasFailed = result.kind !== 'answered' || isServerError(result.res);
@@ -139,10 +152,17 @@
     let exposure: Exposure = 'not-run';
     let reason = 'no server of the service is known';
     let attempts = 0;
+    let retryAfter: RetryAfter | undefined;
     retries.noteRequest(exchange.service);
     for (;;) {
       const server = choose(exchange, tried);
-      if (!server) break;
+      if (!server) {
+        const takesInMs = whenAnyTakes(exchange.service);
+        if (takesInMs === 0) break;
+        reason = 'the servers of the service take no more now';
+        retryAfter = whenTaken(takesInMs);
+        break;
+      }
       const result = await attempt(exchange, server, patience(exchange, attempts));
       tried.add(server.id);
       if (result.kind !== 'not-sent') attempts += 1;
@@ -165,7 +185,7 @@
       if (result.kind === 'lost') exposure = 'unknown';
       if (!mayTryAgain(exchange, attempts, result)) break;
     }
-    giveUp(ctx, exchange, { exposure, reason, attempts });
+    giveUp(ctx, exchange, { exposure, reason, attempts, ...(retryAfter && { retryAfter }) });
   };
 
   return { call };
@@ -223,19 +243,25 @@
   });
   if (sent.kind === 'not-sent') return { kind: 'not-sent', reason: sent.error.message };
   if (sent.kind === 'lost') return { kind: 'lost', reason: sent.error.message };
-  return readWhole(deps, exchange, server, sent, limit);
+  return readWhole(deps, exchange, { server, sentAt: now, answered: sent, limit });
+}
+
+/** An answer with the send that brought it. */
+interface AnsweredBy {
+  readonly server: BackendServer;
+  readonly sentAt: MonoTime;
+  readonly answered: Answered;
+  readonly limit: AbortSignal;
 }
 
 async function readWhole(
   { statements }: PlainDeps,
   exchange: Exchange,
-  server: BackendServer,
-  answered: Answered,
-  limit: AbortSignal,
+  { server, sentAt, answered, limit }: AnsweredBy,
 ): Promise<Attempt> {
   const { res, destroy } = answered;
   const status = res.statusCode ?? 0;
-  const facts = statements.read(server.id, res);
+  const facts = statements.read(server.id, res, sentAt);
   const lose = (reason: string): Attempt => {
     destroy();
     return { kind: 'lost', reason };
--- a/src/app/gateway/statements.ts
+++ b/src/app/gateway/statements.ts
@@ -1,39 +1,37 @@
-/** What backend servers say of themselves in the heads of their answers. */
+/** What backend servers say of themselves in the heads of their answers: read once, and told to whom it concerns. */
 
 import type { IncomingMessage } from 'node:http';
 
-import type { InstanceId } from '../../core/ids';
+import type { InstanceId, MonoTime } from '../../core/ids';
 import type { AnswerFacts, Dialect } from '../../ports/gateway';
 import type { GatewayContext } from './context';
+import type { Limits } from './limits';
 
 export interface Statements {
-  /** Reads the head of an answer of the server. */
-  read(server: InstanceId, res: Pick<IncomingMessage, 'statusCode' | 'headers'>): AnswerFacts;
+  /** Reads the head of an answer of the server; `sentAt`: when its request was sent. */
+  read(
+    server: InstanceId,
+    res: Pick<IncomingMessage, 'statusCode' | 'headers'>,
+    sentAt: MonoTime,
+  ): AnswerFacts;
 }
 
-export function createStatements({ logger }: GatewayContext, dialect: Dialect): Statements {
-  const limits = new Map<InstanceId, number>();
-
-  const noteLimit = (server: InstanceId, limitPerS: number | undefined): void => {
-    const before = limits.get(server);
-    if (before === limitPerS) return;
-    if (limitPerS === undefined) limits.delete(server);
-    else limits.set(server, limitPerS);
-    logger.info(limitPerS === undefined ? 'limit named no more' : 'limit named', {
-      step: 'statement',
-      server,
-      ...(limitPerS !== undefined && { limitPerS }),
-      ...(before !== undefined && { before }),
-    });
-  };
-
+export function createStatements(
+  { logger }: GatewayContext,
+  dialect: Dialect,
+  limits: Limits,
+): Statements {
   return {
-    read: (server, { statusCode = 0, headers }) => {
+    read: (server, { statusCode = 0, headers }, sentAt) => {
       const facts = dialect.readAnswer(statusCode, headers);
       for (const header of facts.unreadable) {
         logger.warn('header of a server not understood', { step: 'statement', server, header });
       }
-      if (!facts.isOfOther) noteLimit(server, facts.limitPerS);
+      if (facts.isOfOther) return facts;
+      // A limit that can't be understood is no sign that there is none.
+      if (facts.unreadable.length === 0) {
+        limits.noteAnswer(server, { perSecond: facts.limitPerS, sentAt });
+      }
       return facts;
     },
   };
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -10,9 +10,10 @@
 import { later } from '../../core/ids';
 import type { InstanceId, ModelId, MonoTime } from '../../core/ids';
 import { fail } from '../../utils/errors';
+import type { Board } from './board';
 import type { BoardGroup } from './directory';
-import { giveUp, logEnding, logFailedAttempt, WHEN_UNSERVED } from './exchange';
-import type { Exchange, StreamTimes } from './exchange';
+import { giveUp, logEnding, logFailedAttempt, WHEN_UNSERVED, whenTaken } from './exchange';
+import type { Exchange, RetryAfter, StreamTimes } from './exchange';
 import { takePlace } from './placing';
 import type { PlacingDeps } from './placing';
 import type { Retries } from './retries';
@@ -80,10 +81,12 @@
     const found = choose(exchange, model, state);
     if (found) return found;
     const since = ctx.clock.now();
+    const until = waitUntil(exchange, model, state);
+    if (later(since, board.turnInMs(exchange.service, model)) > until) return undefined;
     const place = await deps.waiting.wait({
       model,
       priority: exchange.priority,
-      until: waitUntil(exchange, model, state),
+      until,
       arrivedAt: exchange.arrivedAt,
       onTimeUntil: placedBy(exchange, state),
       holdMs: times.holdMs(exchange.route),
@@ -117,7 +120,7 @@
       hasStarted: false,
       waitedMs: 0,
       firstEventAt: undefined,
-      reason: 'no group serves the model',
+      reason: 'no group of the model has room',
     };
     if (model === undefined) {
       giveUp(ctx, exchange, {
@@ -168,12 +171,25 @@
   };
 }
 
+/** Why a group could not be found and when to come back, where that is known. */
+function whyUnplaced(
+  board: Board,
+  { service, facts: { model } }: Exchange,
+): { readonly reason: string; readonly retryAfter: RetryAfter } | undefined {
+  if (model === undefined || !board.serves(service, model)) {
+    return { reason: 'no group serves the model', retryAfter: WHEN_UNSERVED };
+  }
+  const takesInMs = board.takesInMs(service, model);
+  if (takesInMs === 0) return undefined;
+  return { reason: 'the groups of the model take no more now', retryAfter: whenTaken(takesInMs) };
+}
+
 function endWithoutAnswer(
   { ctx, board }: StreamDeps,
   exchange: Exchange,
   state: StreamState,
 ): void {
-  const { attempts, reason, exposure, server } = state;
+  const { attempts, exposure, server, reason } = state;
   const { res, gone } = exchange;
   const times = timesOf(exchange, state);
   if (gone.aborted) {
@@ -188,15 +204,13 @@
     return;
   }
   if (!state.hasStarted) {
-    const retryAfter = board.serves(exchange.service, exchange.facts.model)
-      ? undefined
-      : WHEN_UNSERVED;
+    const unplaced = whyUnplaced(board, exchange);
     giveUp(ctx, exchange, {
       exposure,
-      reason,
+      reason: attempts === 0 ? (unplaced?.reason ?? reason) : reason,
       attempts,
       times,
-      ...(retryAfter && { retryAfter }),
+      ...(unplaced && { retryAfter: unplaced.retryAfter }),
     });
     return;
   }
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -68,7 +68,7 @@
   const { deps, exchange, group, state, answered, stop } = relayed;
   const { res, destroy } = answered;
   const status = res.statusCode ?? 0;
-  const facts = deps.statements.read(group.head.id, res);
+  const facts = deps.statements.read(group.head.id, res, relayed.place.sentAt);
   const lose = (reason: string): Ended => {
     state.reason = reason;
     destroy();
--- a/tests/gateway/board.test.ts
+++ b/tests/gateway/board.test.ts
@@ -7,7 +7,7 @@
 import type { RouteTable } from '../../src/core/gateway/routes';
 import { brandAs, later } from '../../src/core/ids';
 import type { Epoch, GroupId, InstanceId } from '../../src/core/ids';
-import { ENGINE, instance, makeContext, makeServer, SERVICE, SMALL } from './support';
+import { ENGINE, instance, makeContext, makeLimits, makeServer, SERVICE, SMALL } from './support';
 
 const TICK_MS = 50;
 const TABLE = {
@@ -41,11 +41,9 @@
   const changes = new Subject<void>();
   const servers = new Map(openGroup().map((server) => [server.id, server]));
   const routes = new BehaviorSubject<RouteTable | undefined>(undefined);
-  const board = createBoard(
-    makeContext({ clock: { ...clock, now: () => now } }),
-    { servers, changes } as unknown as Roster,
-    routes,
-  );
+  const ctx = makeContext({ clock: { ...clock, now: () => now } });
+  const roster = { servers, changes } as unknown as Roster;
+  const board = createBoard(ctx, roster, routes, makeLimits(ctx));
   const heads = () => board.candidates(NEEDS).map(({ head }) => head);
   /** The process runs, and looks about it as often as it should. */
   const run = (ms: number): void => {
--- a/tests/gateway/fleet-model.ts
+++ b/tests/gateway/fleet-model.ts
@@ -25,7 +25,16 @@
 import type { BackendServer } from '../../src/core/gateway/types';
 import { brandAs, later } from '../../src/core/ids';
 import type { EpochTime, InstanceId, ZoneId } from '../../src/core/ids';
-import { at, ENGINE, inGroup, instance, makeContext, makeServer, makeState } from './support';
+import {
+  at,
+  ENGINE,
+  inGroup,
+  instance,
+  makeContext,
+  makeLimits,
+  makeServer,
+  makeState,
+} from './support';
 import { SERVICE, SMALL } from './support';
 
 const STEP_MS = 10;
@@ -145,7 +154,8 @@
   const daemons: ModelDaemon[] = Array.from({ length: size }, (_, n) => {
     const settings = { zone: brandAs<ZoneId>('a') };
     const ctx = makeContext({ clock, settings, seed: seed * 1_000 + n });
-    const board = createBoard(ctx, roster, new BehaviorSubject<RouteTable | undefined>(TABLE));
+    const table = new BehaviorSubject<RouteTable | undefined>(TABLE);
+    const board = createBoard(ctx, roster, table, makeLimits(ctx));
     const waiting = createWaitingRoom(ctx, board);
     const arrivals = createArrivals(ctx);
     const daemon: ModelDaemon = {
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -76,6 +76,7 @@
       broadcast: note('all'),
       spread: note('all'),
       tick: () => undefined,
+      silent: () => [],
       sendToLikelyLeaders: note('likely leaders'),
     },
     former: { noteTraffic: () => undefined, inspect: () => undefined, lost: new Subject() },
@@ -86,6 +87,7 @@
     },
     waiting: { waiting: () => [], count: () => 0 },
     arrivals: { rates: () => [], rate: () => 0 },
+    limits: { told: () => [], toldToAll: () => [], takeTold: () => undefined },
     isStopping: () => false,
   };
   const gossip = createGossip(deps as unknown as GossipDeps);
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -6,6 +6,8 @@
 import { createLogger } from '../../src/adapters/telemetry/logger';
 import { createMetrics } from '../../src/adapters/telemetry/metrics';
 import type { GatewayContext } from '../../src/app/gateway/context';
+import { createLimits } from '../../src/app/gateway/limits';
+import type { Limits } from '../../src/app/gateway/limits';
 import type { Loads, PeerState } from '../../src/app/gateway/messages';
 import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
@@ -141,6 +143,7 @@
     quiet: [],
     paces: [],
     waiting: [],
+    limits: [],
     ...more,
   };
 }
@@ -174,10 +177,17 @@
     running: [],
     paces: [],
     waiting: [],
+    limits: [],
+    silent: [],
     ...more,
   };
 }
 
+/** Limits of a daemon to which no server has named one. */
+export function makeLimits(ctx: GatewayContext): Limits {
+  return createLimits(ctx, { daemons: () => [ctx.settings.id], isGone: () => false });
+}
+
 /** What simulated fleets have in common. */
 export const FLEET = { engine: ENGINE, service: SERVICE };
 
