Prove the sharing of limits in a model of the fleet in virtual time

1 to 195 daemons before a server whose limit is named, rises, falls, ends and comes back, with daemons that end, stand still or are cut off, uneven callers, late answers and late words of peers. A leader tells all limits at once where a peer hears no leader yet.

--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -249,7 +249,8 @@
         hasTraffic,
         lease,
         daemons: peers.length + 1,
-        limits: limits.toldToAll(),
+        // One that has just started knows none, and would send as if there were none.
+        limits: limits.toldToAll(peers.some(({ hearsLeader }) => !hearsLeader)),
         silent: [...fleet.silent()],
         ...sumLoads([...peers, state]),
       });
--- a/src/app/gateway/limits.ts
+++ b/src/app/gateway/limits.ts
@@ -14,8 +14,8 @@
   takeTold(told: readonly Told[], source: string): void;
   /** What servers said to this daemon, for its peers. */
   told(): Told[];
-  /** What servers said to anybody: all of it once a second, else what has changed since the last call. */
-  toldToAll(): Told[];
+  /** What servers said to anybody: all of it once a second and where it `isWanted`, else what has changed since the last call. */
+  toldToAll(isWanted: boolean): Told[];
   /** Requests that this daemon may send to the server now; infinite where the server named no limit. */
   turns(server: InstanceId): number;
   /** Takes a turn for a request that is being sent. */
@@ -44,7 +44,7 @@
 
 /** The daemons that share are looked up this often. */
 const DAEMONS_MS = 250;
-/** A daemon that has just started hears of all limits within this. */
+/** What a message that was lost told comes again after this. */
 const TELL_ALL_MS = 1_000;
 
 /** The least of the times; 0 where there is none, since no limit stands in the way then. */
@@ -143,10 +143,10 @@
       apply(knownLimits.takeTold(known, told, clock.now()), source);
     },
     told: () => knownLimits.tell(known, clock.now()),
-    toldToAll: () => {
+    toldToAll: (isWanted) => {
       const now = clock.now();
       const all = knownLimits.tell(known, now, { ofAll: true });
-      const isDue = now >= tellAllAt;
+      const isDue = isWanted || now >= tellAllAt;
       if (isDue) tellAllAt = later(now, TELL_ALL_MS);
       const isNews = ([server]: Told): boolean =>
         known.get(server)?.perSecond !== toldLast.get(server)?.perSecond;
--- a/tests/fuzz/main.ts
+++ b/tests/fuzz/main.ts
@@ -8,6 +8,7 @@
 import { fuzzGroups } from './groups/groups';
 import { fuzzLeaseEras } from './lease-eras';
 import { fuzzLedger } from './ledger';
+import { fuzzLimits } from './limits';
 import { fuzzMembership } from './membership';
 import type { FuzzOptions } from './options';
 import { fuzzRouting } from './routing';
@@ -23,6 +24,7 @@
   membership: fuzzMembership,
   groups: fuzzGroups,
   'lease-eras': fuzzLeaseEras,
+  limits: fuzzLimits,
 };
 
 const options = z.object({
--- /dev/null
+++ b/tests/gateway/limits.test.ts
@@ -0,0 +1,154 @@
+import { describe, expect, it } from 'vitest';
+
+import { dialect } from '../../platform/ingress';
+import { HEADERS } from '../../platform/names';
+import { createLimits } from '../../src/app/gateway/limits';
+import { forget, noteAnswer, takeTold, tell } from '../../src/core/gateway/limits/known';
+import type { KnownLimits } from '../../src/core/gateway/limits/known';
+import { countSenders, listSilent, shareOf } from '../../src/core/gateway/limits/share';
+import { brandAs } from '../../src/core/ids';
+import type { DaemonId, EpochTime } from '../../src/core/ids';
+import { at, instance, makeContext } from './support';
+
+const SERVER = instance('s1');
+const NONE: KnownLimits = new Map();
+
+function named(perSecond: number, ms: number): KnownLimits {
+  return noteAnswer(NONE, SERVER, { perSecond, sentAt: at(ms - 10) }, at(ms));
+}
+
+function daemonIds(count: number): DaemonId[] {
+  return Array.from({ length: count }, (_, n) => brandAs<DaemonId>(`d${n}`));
+}
+
+describe('what is known of limits', () => {
+  it('holds until an answer to a later request names none', () => {
+    const known = named(2, 100);
+    const early = noteAnswer(known, SERVER, { sentAt: at(90) }, at(2_000));
+    expect(early.get(SERVER)?.perSecond).toBe(2);
+    const later = noteAnswer(known, SERVER, { sentAt: at(1_900) }, at(2_000));
+    expect(later.get(SERVER)?.perSecond).toBeUndefined();
+  });
+
+  it('holds throughout where it comes and goes with each answer', () => {
+    const known = noteAnswer(named(2, 100), SERVER, { sentAt: at(120) }, at(200));
+    expect(known.get(SERVER)?.perSecond).toBe(2);
+  });
+
+  it('follows the later word of a peer, and never an earlier one', () => {
+    const known = named(2, 1_000);
+    expect(takeTold(known, [[SERVER, 5, 300]], at(1_200)).get(SERVER)?.perSecond).toBe(2);
+    expect(takeTold(known, [[SERVER, 5, 100]], at(1_200)).get(SERVER)?.perSecond).toBe(5);
+    expect(takeTold(known, [[SERVER, null, 0]], at(1_200)).get(SERVER)?.perSecond).toBeUndefined();
+  });
+
+  it('passes on what servers said here, and what others told only where it collects for them', () => {
+    const known = takeTold(NONE, [[SERVER, 5, 100]], at(1_000));
+    expect(tell(known, at(1_100))).toEqual([]);
+    expect(tell(known, at(1_100), { ofAll: true })).toEqual([[SERVER, 5, 200]]);
+    expect(tell(named(2, 1_000), at(1_100))).toEqual([[SERVER, 2, 100]]);
+  });
+
+  it('forgets servers that are gone, and keeps what the others said however long ago', () => {
+    const known = named(2, 0);
+    expect(forget(known, () => false, at(60_000)).size).toBe(1);
+    expect(forget(known, () => true, at(60_000)).size).toBe(0);
+  });
+});
+
+describe('the share of a limit', () => {
+  it.each([1, 7, 70, 195, 670])('of all daemons together is the limit (%i daemons)', (count) => {
+    const daemons = daemonIds(count);
+    for (const limitPerS of [0.5, 1.6, 5, 40]) {
+      const shares = daemons.map((self) => shareOf({ server: SERVER, limitPerS, self, daemons }));
+      const perSecond = shares.reduce((sum, share) => sum + share.perSecond, 0);
+      const senders = shares.filter((share) => share.perSecond > 0).length;
+      expect(perSecond).toBeCloseTo(limitPerS);
+      expect(senders).toBe(countSenders(limitPerS, count));
+    }
+  });
+
+  it('of a server that takes nothing is a request now and then, which tells when it takes more', () => {
+    const [self = brandAs<DaemonId>('d0')] = daemonIds(1);
+    const { perSecond } = shareOf({ server: SERVER, limitPerS: 0, self, daemons: [self] });
+    expect(perSecond).toBeGreaterThan(0);
+    expect(perSecond).toBeLessThanOrEqual(0.2);
+  });
+
+  it('counts silent daemons out only where most are heard', () => {
+    const daemons = daemonIds(7);
+    expect(listSilent(daemons, new Set(daemons.slice(0, 4)))).toEqual(daemons.slice(4));
+    expect(listSilent(daemons, new Set(daemons.slice(0, 3)))).toEqual([]);
+  });
+});
+
+describe('the turns of a daemon', () => {
+  function setUp(daemons: () => readonly DaemonId[] = () => [brandAs<DaemonId>('d0')]) {
+    let ms = 0;
+    const clock = { now: () => at(ms), epoch: () => brandAs<EpochTime>(ms) };
+    const ctx = makeContext({ clock, settings: { id: brandAs<DaemonId>('d0') } });
+    const limits = createLimits(ctx, { daemons, isGone: () => false });
+    return { limits, wait: (more: number) => (ms += more) };
+  }
+
+  it('are unlimited until a server names a limit, and again once it names none', () => {
+    const { limits, wait } = setUp();
+    expect(limits.turns(SERVER)).toBe(Infinity);
+    limits.noteAnswer(SERVER, { perSecond: 2, sentAt: at(0) });
+    expect(limits.turns(SERVER)).toBe(0);
+    expect(limits.turnInMs(SERVER)).toBe(500);
+    wait(500);
+    expect(limits.turns(SERVER)).toBe(1);
+    limits.take(SERVER);
+    expect(limits.turns(SERVER)).toBe(0);
+    wait(1_000);
+    limits.noteAnswer(SERVER, { sentAt: at(1_200) });
+    expect(limits.turns(SERVER)).toBe(Infinity);
+  });
+
+  it('wake requests that wait for one, once each', () => {
+    const { limits, wait } = setUp();
+    limits.noteAnswer(SERVER, { perSecond: 2, sentAt: at(0) });
+    expect(limits.tick()).toBe(false);
+    wait(600);
+    expect(limits.tick()).toBe(true);
+    expect(limits.tick()).toBe(false);
+  });
+
+  it('are none for a daemon that does not send to the server, and the pace of the others tells when to come back', () => {
+    const others = daemonIds(200).filter((self) => {
+      const facts = { server: SERVER, limitPerS: 2, self, daemons: daemonIds(200) };
+      return shareOf(facts).perSecond === 0;
+    });
+    expect(others).toContain('d0');
+    const { limits, wait } = setUp(() => daemonIds(200));
+    limits.noteAnswer(SERVER, { perSecond: 2, sentAt: at(0) });
+    limits.tick();
+    wait(60_000);
+    limits.tick();
+    expect(limits.turns(SERVER)).toBe(0);
+    expect(limits.turnInMs(SERVER)).toBe(Infinity);
+    expect(limits.takesInMs(SERVER)).toBe(500);
+  });
+});
+
+describe('a limit on the wire', () => {
+  it.each([
+    ['1.6', 1.6],
+    ['0', 0],
+    [' 12 ', 12],
+    ['3, 1.5', 1.5],
+    ['3, x', 3],
+  ])('%j is read', (text, perSecond) => {
+    expect(dialect.readAnswer(200, { [HEADERS.limit]: text })).toMatchObject({
+      limitPerS: perSecond,
+      unreadable: [],
+    });
+  });
+
+  it.each(['', '-1', 'NaN', '1e400', 'Infinity', '1 2', '0x10'])('%j is not understood', (text) => {
+    const facts = dialect.readAnswer(200, { [HEADERS.limit]: text });
+    expect(facts.limitPerS).toBeUndefined();
+    expect(facts.unreadable).toEqual([`${HEADERS.limit}: ${text}`]);
+  });
+});
