Keep the rest that a server asks a daemon for

Callers saw refusals and late answers while other servers had room: each daemon went on trying a server that had turned it away and named a time. Cause: Retry-After of a server was no part of what the head of an answer is read for; its 503 counted as one failure among others. Now the end of the rest is kept by server life, for this daemon alone, and the longest of two is kept. Nothing is sent meanwhile, also of what was chosen before (checked in the tick of the write); where all servers rest, a request is refused at once and told to come back no sooner than the first of them. A rest may be a date; what can't be understood is logged and changes nothing.

Ruled out by the record: a queue, the three requests came 1.4 to 2.2 s after the answer.

--- /dev/null
+++ b/src/app/gateway/allowances.ts
@@ -0,0 +1,63 @@
+/** What this daemon may send to each backend server now, by all that the server said of itself. */
+
+import { noteRest, restLeftMs } from '../../core/gateway/rests';
+import type { Rests } from '../../core/gateway/rests';
+import type { InstanceId } from '../../core/ids';
+import type { GatewayContext } from './context';
+import type { Limits } from './limits';
+
+export interface Allowances {
+  /** Requests that may be sent to the server now; infinite where it said nothing of it. */
+  turns(server: InstanceId): number;
+  /** Takes a turn for a request that is being sent. */
+  take(server: InstanceId): void;
+  /** Time until this daemon has a turn, milliseconds: 0 where it has one, infinite where it will have none. */
+  turnInMs(server: InstanceId): number;
+  /** Time until the server takes a request that was refused here, from this daemon or another, milliseconds. */
+  takesInMs(server: InstanceId): number;
+  /** Whether the server wants nothing from this daemon, also of what was chosen for it before. */
+  isResting(server: InstanceId): boolean;
+  /** The server turned this daemon away and wants nothing from it for so long, milliseconds. */
+  noteRest(server: InstanceId, restMs: number): void;
+  /** Whether turns have come for requests that wait. */
+  tick(): boolean;
+}
+
+/** The least of the times; 0 where there is none, since no server's word stands in the way then. */
+export function leastOf(times: readonly number[]): number {
+  return times.length === 0 ? 0 : Math.min(...times);
+}
+
+export function createAllowances({ clock, logger }: GatewayContext, limits: Limits): Allowances {
+  let rests: Rests = new Map();
+  /** Servers that rested when it was last looked. */
+  let resting: ReadonlySet<InstanceId> = new Set();
+
+  const leftMs = (server: InstanceId): number => restLeftMs(rests, server, clock.now());
+
+  const hasAnyEnded = (): boolean => {
+    const before = resting;
+    resting = new Set([...rests.keys()].filter((server) => leftMs(server) > 0));
+    return [...before].some((server) => !resting.has(server));
+  };
+
+  return {
+    turns: (server) => (leftMs(server) > 0 ? 0 : limits.turns(server)),
+    take: (server) => {
+      limits.take(server);
+    },
+    turnInMs: (server) => Math.max(leftMs(server), limits.turnInMs(server)),
+    takesInMs: (server) => Math.max(leftMs(server), limits.takesInMs(server)),
+    isResting: (server) => leftMs(server) > 0,
+    noteRest: (server, restMs) => {
+      const next = noteRest(rests, server, restMs, clock.now());
+      if (next === rests) return;
+      rests = next;
+      logger.info('server rests', { step: 'rest', server, restMs: Math.round(leftMs(server)) });
+    },
+    tick: () => {
+      const haveRestsEnded = hasAnyEnded();
+      return limits.tick() || haveRestsEnded;
+    },
+  };
+}
--- a/src/app/gateway/board.ts
+++ b/src/app/gateway/board.ts
@@ -24,11 +24,11 @@
 import { summarizeWork } from '../../core/gateway/work';
 import type { ModelWork, WaitingLoad } from '../../core/gateway/work';
 import type { GroupId, InstanceId, ModelId, MonoTime, ServiceId } from '../../core/ids';
+import { leastOf } from './allowances';
+import type { Allowances } from './allowances';
 import type { GatewayContext } from './context';
 import { createDirectory } from './directory';
 import type { BoardGroup } from './directory';
-import { leastOf } from './limits';
-import type { Limits } from './limits';
 import type { LoadSums } from './loads';
 import { createPeerLoads } from './peer-loads';
 import type { SumFacts } from './peer-loads';
@@ -65,7 +65,7 @@
   granted(head: InstanceId): number;
   /** Whether any group of the model is open, suspected or not. */
   serves(service: ServiceId, model: ModelId | undefined): boolean;
-  /** Time until a group of the model may be sent a request from here, as far as limits go, milliseconds. */
+  /** Time until a group of the model may be sent a request from here, by what servers said of themselves, milliseconds. */
   turnInMs(service: ServiceId, model: ModelId): number;
   /** The same from any daemon. */
   takesInMs(service: ServiceId, model: ModelId): number;
@@ -126,7 +126,7 @@
   ctx: GatewayContext,
   roster: Roster,
   routes: BehaviorSubject<RouteTable | undefined>,
-  limits: Limits,
+  allowances: Allowances,
 ): Board {
   const { clock, logger } = ctx;
   const progress = new Map<InstanceId, Progress>();
@@ -192,7 +192,7 @@
     const usualPrompt = engine.usual.prompt;
     const readMeanwhile = (rooms.agedMs() * engine.prefillTokensPerMs) / (spec.pace * usualPrompt);
     const room = { ...load, ...turnover, usualPrompt, readMeanwhile };
-    const turns = limits.turns(head.id);
+    const turns = allowances.turns(head.id);
     return {
       ...load,
       head: head.id,
@@ -256,16 +256,16 @@
     changes,
     candidates: (needs) =>
       ofModel(needs.service, needs.model)
-        .filter(({ id, head }) => !isHeld(id) && limits.turns(head.id) >= 1)
+        .filter(({ id, head }) => !isHeld(id) && allowances.turns(head.id) >= 1)
         .map((group) => toCandidate(group, needs)),
     admit: (model, found, asked) =>
       rooms.admit(model, found, { ...asked, elsewhere: others.asked(model) }),
     granted: (head) => rooms.granted(head),
     serves: (service, model) => model !== undefined && ofModel(service, model).length > 0,
     turnInMs: (service, model) =>
-      leastOf(ofModel(service, model).map(({ head }) => limits.turnInMs(head.id))),
+      leastOf(ofModel(service, model).map(({ head }) => allowances.turnInMs(head.id))),
     takesInMs: (service, model) =>
-      leastOf(ofModel(service, model).map(({ head }) => limits.takesInMs(head.id))),
+      leastOf(ofModel(service, model).map(({ head }) => allowances.takesInMs(head.id))),
     find: (head) => groups().get(head),
     runningElsewhere: (head) => others.running(head),
     isBusy: (group) =>
@@ -273,7 +273,7 @@
     noteSent: (head, promptTokens) => {
       progress.set(head, noteSent(progressOf(head), clock.now(), promptTokens));
       rooms.noteSent(head);
-      limits.take(head);
+      allowances.take(head);
     },
     noteRead: (head, promptTokens) => {
       progress.set(head, noteRead(progressOf(head), promptTokens));
@@ -335,7 +335,7 @@
       ),
     tick: () => {
       groups();
-      if (limits.tick()) changes.next();
+      if (allowances.tick()) changes.next();
       silence.tick();
       findStalls();
       for (const [head, { running }] of progress) {
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -8,6 +8,8 @@
 import { later } from '../../core/ids';
 import type { GroupId, InstanceId, MonoTime, ServiceId } from '../../core/ids';
 import type { CallFacts } from '../../ports/gateway';
+import { fail } from '../../utils/errors';
+import type { StepError } from '../../utils/errors';
 import type { GatewayContext } from './context';
 
 /** A request that was read whole and belongs to a route. */
@@ -122,6 +124,11 @@
   });
 }
 
+/** The server asked for rest after the request was chosen for it. */
+export function serverRests(): StepError {
+  return fail('cancelled', 'the server rests', { step: 'send' });
+}
+
 /** When a refused caller should come back, milliseconds; spread so that callers do not come together. */
 export interface RetryAfter {
   readonly leastMs: number;
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import { later } from '../../core/ids';
 import { FIRST_ERA } from '../../core/store-era';
 import { pause } from '../../utils/pause';
+import { createAllowances } from './allowances';
 import { createArrivals } from './arrivals';
 import { createBoard } from './board';
 import { createConfigView } from './config-view';
@@ -79,7 +80,8 @@
     },
     isGone: (server) => !roster.servers.has(server),
   });
-  const board = createBoard(ctx, roster, config.table, limits);
+  const allowances = createAllowances(ctx, limits);
+  const board = createBoard(ctx, roster, config.table, allowances);
   const waiting = createWaitingRoom(ctx, board);
   const arrivals = createArrivals(ctx);
   const former = createFormer(ctx, {
@@ -94,12 +96,12 @@
   // Entries count as well: a daemon that has just started hears of few peers, and would take a larger part.
   const sharers = (): number => Math.max(fleet.size(), fleet.candidates().size);
   const retries = createRetries(ctx, sharers);
-  const statements = createStatements(ctx, dialect, limits);
+  const statements = createStatements(ctx, { dialect, limits, allowances });
   const plain = createPlainCalls({
-    ...{ ctx, roster, upstream, dialect, retries, statements, limits },
+    ...{ ctx, roster, upstream, dialect, retries, statements, allowances },
   });
   const streams = createStreamCalls({
-    ...{ ctx, board, upstream, dialect, retries, statements },
+    ...{ ctx, board, upstream, dialect, retries, statements, allowances },
     ...{ waiting, arrivals, daemons: sharers },
   });
   const gossip = createGossip({
--- a/src/app/gateway/limits.ts
+++ b/src/app/gateway/limits.ts
@@ -47,11 +47,6 @@
 /** What a message that was lost told comes again after this. */
 const TELL_ALL_MS = 1_000;
 
-/** The least of the times; 0 where there is none, since no limit stands in the way then. */
-export function leastOf(times: readonly number[]): number {
-  return times.length === 0 ? 0 : Math.min(...times);
-}
-
 export function createLimits(ctx: GatewayContext, { daemons, isGone }: LimitsOptions): Limits {
   const { clock, logger, settings } = ctx;
   let known: KnownLimits = new Map();
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -14,11 +14,11 @@
 import type { InstanceId, MonoTime, ServiceId } from '../../core/ids';
 import type { AnswerFacts, Dialect } from '../../ports/gateway';
 import { fail } from '../../utils/errors';
+import { leastOf } from './allowances';
+import type { Allowances } from './allowances';
 import type { GatewayContext } from './context';
-import { giveUp, logEnding, logFailedAttempt, whenTaken } from './exchange';
-import type { Exchange, Exposure, RetryAfter } from './exchange';
-import { leastOf } from './limits';
-import type { Limits } from './limits';
+import { giveUp, logEnding, logFailedAttempt, serverRests, whenTaken } from './exchange';
+import type { Exchange, Exposure } from './exchange';
 import type { Retries } from './retries';
 import type { Roster } from './roster';
 import type { Statements } from './statements';
@@ -30,7 +30,7 @@
   readonly dialect: Dialect;
   readonly retries: Retries;
   readonly statements: Statements;
-  readonly limits: Limits;
+  readonly allowances: Allowances;
 }
 
 export interface PlainCalls {
@@ -66,8 +66,11 @@
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const FIRST_SERVER_ERROR = 500;
 
+const NONE_KNOWN = 'no server of the service is known';
+const NONE_TAKES = 'the servers of the service take no more now';
+
 export function createPlainCalls(deps: PlainDeps): PlainCalls {
-  const { ctx, roster, retries, limits } = deps;
+  const { ctx, roster, retries, allowances } = deps;
   const records = new Map<InstanceId, ServerRecord>();
 
   const recordOf = (id: InstanceId): ServerRecord => {
@@ -85,7 +88,7 @@
 
   const candidates = (service: ServiceId, tried: ReadonlySet<InstanceId>): PlainCandidate[] =>
     serversOf(service)
-      .filter(({ id }) => limits.turns(id) >= 1)
+      .filter(({ id }) => allowances.turns(id) >= 1)
       .map(({ id, zone, batchSize }) => ({
         id,
         zone,
@@ -94,9 +97,9 @@
         isTried: tried.has(id),
       }));
 
-  /** Time until a server of the service takes a request, as far as limits go, milliseconds. */
+  /** Time until a server of the service takes a request, by what servers said of themselves, milliseconds. */
   const whenAnyTakes = (service: ServiceId): number =>
-    leastOf(serversOf(service).map(({ id }) => limits.takesInMs(id)));
+    leastOf(serversOf(service).map(({ id }) => allowances.takesInMs(id)));
 
   const choose = (
     exchange: Exchange,
@@ -118,7 +121,7 @@
     const record = recordOf(server.id);
     const startedAt = ctx.clock.now();
     record.running += 1;
-    limits.take(server.id);
+    allowances.take(server.id);
     const result = await sendOnce(deps, exchange, server, until);
     record.running -= 1;
     const hasFailed = result.kind !== 'answered' || isServerError(result.res);
@@ -150,19 +153,12 @@
   const call = async (exchange: Exchange): Promise<void> => {
     const tried = new Set<InstanceId>();
     let exposure: Exposure = 'not-run';
-    let reason = 'no server of the service is known';
+    let reason: string | undefined;
     let attempts = 0;
-    let retryAfter: RetryAfter | undefined;
     retries.noteRequest(exchange.service);
     for (;;) {
       const server = choose(exchange, tried);
-      if (!server) {
-        const takesInMs = whenAnyTakes(exchange.service);
-        if (takesInMs === 0) break;
-        reason = 'the servers of the service take no more now';
-        retryAfter = whenTaken(takesInMs);
-        break;
-      }
+      if (!server) break;
       const result = await attempt(exchange, server, patience(exchange, attempts));
       tried.add(server.id);
       if (result.kind !== 'not-sent') attempts += 1;
@@ -185,7 +181,14 @@
       if (result.kind === 'lost') exposure = 'unknown';
       if (!mayTryAgain(exchange, attempts, result)) break;
     }
-    giveUp(ctx, exchange, { exposure, reason, attempts, ...(retryAfter && { retryAfter }) });
+    const takesInMs = whenAnyTakes(exchange.service);
+    const without = takesInMs > 0 ? NONE_TAKES : NONE_KNOWN;
+    giveUp(ctx, exchange, {
+      exposure,
+      reason: reason ?? without,
+      attempts,
+      ...(takesInMs > 0 && { retryAfter: whenTaken(takesInMs) }),
+    });
   };
 
   return { call };
@@ -216,7 +219,7 @@
   server: BackendServer,
   until: MonoTime,
 ): Promise<Attempt> {
-  const { ctx, upstream, dialect } = deps;
+  const { ctx, upstream, dialect, allowances } = deps;
   const now = ctx.clock.now();
   const limit = AbortSignal.any([
     exchange.gone,
@@ -238,8 +241,10 @@
     body: exchange.body,
     ownConnection: false,
     signal: limit,
-    beforeSend: () =>
-      ctx.clock.now() < until ? undefined : fail('deadline-exceeded', 'too late', { step: 'send' }),
+    beforeSend: () => {
+      if (ctx.clock.now() >= until) return fail('deadline-exceeded', 'too late', { step: 'send' });
+      return allowances.isResting(server.id) ? serverRests() : undefined;
+    },
   });
   if (sent.kind === 'not-sent') return { kind: 'not-sent', reason: sent.error.message };
   if (sent.kind === 'lost') return { kind: 'lost', reason: sent.error.message };
--- a/src/app/gateway/statements.ts
+++ b/src/app/gateway/statements.ts
@@ -4,6 +4,7 @@
 
 import type { InstanceId, MonoTime } from '../../core/ids';
 import type { AnswerFacts, Dialect } from '../../ports/gateway';
+import type { Allowances } from './allowances';
 import type { GatewayContext } from './context';
 import type { Limits } from './limits';
 
@@ -16,22 +17,29 @@
   ): AnswerFacts;
 }
 
+export interface StatementsOptions {
+  readonly dialect: Dialect;
+  readonly limits: Limits;
+  readonly allowances: Allowances;
+}
+
 export function createStatements(
   { logger }: GatewayContext,
-  dialect: Dialect,
-  limits: Limits,
+  { dialect, limits, allowances }: StatementsOptions,
 ): Statements {
   return {
     read: (server, { statusCode = 0, headers }, sentAt) => {
       const facts = dialect.readAnswer(statusCode, headers);
-      for (const header of facts.unreadable) {
-        logger.warn('header of a server not understood', { step: 'statement', server, header });
+      for (const { about, header } of facts.unreadable) {
+        const fields = { step: 'statement', server, about, header };
+        logger.warn('header of a server not understood', fields);
       }
       if (facts.isOfOther) return facts;
       // A limit that can't be understood is no sign that there is none.
-      if (facts.unreadable.length === 0) {
+      if (!facts.unreadable.some(({ about }) => about === 'limit')) {
         limits.noteAnswer(server, { perSecond: facts.limitPerS, sentAt });
       }
+      if (facts.restMs !== undefined) allowances.noteRest(server, facts.restMs);
       return facts;
     },
   };
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -10,9 +10,17 @@
 import { later } from '../../core/ids';
 import type { InstanceId, ModelId, MonoTime } from '../../core/ids';
 import { fail } from '../../utils/errors';
+import type { Allowances } from './allowances';
 import type { Board } from './board';
 import type { BoardGroup } from './directory';
-import { giveUp, logEnding, logFailedAttempt, WHEN_UNSERVED, whenTaken } from './exchange';
+import {
+  giveUp,
+  logEnding,
+  logFailedAttempt,
+  serverRests,
+  WHEN_UNSERVED,
+  whenTaken,
+} from './exchange';
 import type { Exchange, RetryAfter, StreamTimes } from './exchange';
 import { takePlace } from './placing';
 import type { PlacingDeps } from './placing';
@@ -31,6 +39,7 @@
 const MAX_UNREACHED = 4;
 
 export interface StreamDeps extends RelayDeps, PlacingDeps {
+  readonly allowances: Allowances;
   readonly upstream: Upstream;
   readonly retries: Retries;
 }
@@ -227,7 +236,7 @@
   group: BoardGroup,
   state: StreamState,
 ): Promise<Ended> {
-  const { ctx, board, upstream, dialect } = deps;
+  const { ctx, board, upstream, dialect, allowances } = deps;
   const { head } = group;
   const stop = new AbortController();
   const now = ctx.clock.now();
@@ -263,8 +272,10 @@
       body: exchange.body,
       ownConnection: false,
       signal: stop.signal,
-      beforeSend: () =>
-        ctx.clock.now() < end ? undefined : fail('deadline-exceeded', 'too late', { step: 'send' }),
+      beforeSend: () => {
+        if (ctx.clock.now() >= end) return fail('deadline-exceeded', 'too late', { step: 'send' });
+        return allowances.isResting(head.id) ? serverRests() : undefined;
+      },
     });
     if (sent.kind !== 'answered') {
       state.reason = describe(stop.signal, sent.error.message);
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -121,8 +121,16 @@
   readonly faultAt?: InstanceId;
   /** Requests a second that the server takes from all daemons together. */
   readonly limitPerS?: number;
-  /** Headers by which the server says something of itself that can't be understood, with their values. */
-  readonly unreadable: readonly string[];
+  /** The server turned the request away and wants nothing from this daemon for so long, milliseconds. */
+  readonly restMs?: number;
+  /** What the server says of itself and can't be understood. */
+  readonly unreadable: readonly Unreadable[];
+}
+
+/** A header that can't be understood, with its value, cut where it is long. */
+export interface Unreadable {
+  readonly about: 'limit' | 'rest';
+  readonly header: string;
 }
 
 /** The headers of callers and backend servers. Lists of headers alternate names and values. */
--- a/tests/gateway/board.test.ts
+++ b/tests/gateway/board.test.ts
@@ -7,7 +7,15 @@
 import type { RouteTable } from '../../src/core/gateway/routes';
 import { brandAs, later } from '../../src/core/ids';
 import type { Epoch, GroupId, InstanceId } from '../../src/core/ids';
-import { ENGINE, instance, makeContext, makeLimits, makeServer, SERVICE, SMALL } from './support';
+import {
+  ENGINE,
+  instance,
+  makeContext,
+  makeAllowances,
+  makeServer,
+  SERVICE,
+  SMALL,
+} from './support';
 
 const TICK_MS = 50;
 const TABLE = {
@@ -43,7 +51,7 @@
   const routes = new BehaviorSubject<RouteTable | undefined>(undefined);
   const ctx = makeContext({ clock: { ...clock, now: () => now } });
   const roster = { servers, changes } as unknown as Roster;
-  const board = createBoard(ctx, roster, routes, makeLimits(ctx));
+  const board = createBoard(ctx, roster, routes, makeAllowances(ctx));
   const heads = () => board.candidates(NEEDS).map(({ head }) => head);
   /** The process runs, and looks about it as often as it should. */
   const run = (ms: number): void => {
--- a/tests/gateway/fleet-model.ts
+++ b/tests/gateway/fleet-model.ts
@@ -31,7 +31,7 @@
   inGroup,
   instance,
   makeContext,
-  makeLimits,
+  makeAllowances,
   makeServer,
   makeState,
 } from './support';
@@ -155,7 +155,7 @@
     const settings = { zone: brandAs<ZoneId>('a') };
     const ctx = makeContext({ clock, settings, seed: seed * 1_000 + n });
     const table = new BehaviorSubject<RouteTable | undefined>(TABLE);
-    const board = createBoard(ctx, roster, table, makeLimits(ctx));
+    const board = createBoard(ctx, roster, table, makeAllowances(ctx));
     const waiting = createWaitingRoom(ctx, board);
     const arrivals = createArrivals(ctx);
     const daemon: ModelDaemon = {
--- a/tests/gateway/limits.test.ts
+++ b/tests/gateway/limits.test.ts
@@ -149,6 +149,6 @@
   it.each(['', '-1', 'NaN', '1e400', 'Infinity', '1 2', '0x10'])('%j is not understood', (text) => {
     const facts = dialect.readAnswer(200, { [HEADERS.limit]: text });
     expect(facts.limitPerS).toBeUndefined();
-    expect(facts.unreadable).toEqual([`${HEADERS.limit}: ${text}`]);
+    expect(facts.unreadable).toEqual([{ about: 'limit', header: `${HEADERS.limit}: ${text}` }]);
   });
 });
--- /dev/null
+++ b/tests/gateway/rests.test.ts
@@ -0,0 +1,76 @@
+import { describe, expect, it } from 'vitest';
+
+import { dialect } from '../../platform/ingress';
+import { createAllowances } from '../../src/app/gateway/allowances';
+import { createLimits } from '../../src/app/gateway/limits';
+import { noteRest, restLeftMs } from '../../src/core/gateway/rests';
+import type { Rests } from '../../src/core/gateway/rests';
+import { brandAs } from '../../src/core/ids';
+import type { DaemonId, EpochTime } from '../../src/core/ids';
+import { at, instance, makeContext } from './support';
+
+const SERVER = instance('s1');
+const NONE: Rests = new Map();
+
+describe('the rest that a server asks for', () => {
+  it('lasts until its end, and until the later one of two', () => {
+    const rests = noteRest(NONE, SERVER, 3_000, at(100));
+    expect(restLeftMs(rests, SERVER, at(100))).toBe(3_000);
+    expect(restLeftMs(rests, SERVER, at(3_100))).toBe(0);
+    expect(restLeftMs(noteRest(rests, SERVER, 500, at(200)), SERVER, at(200))).toBe(2_900);
+    expect(restLeftMs(noteRest(rests, SERVER, 5_000, at(200)), SERVER, at(200))).toBe(5_000);
+  });
+
+  it('holds for one life of the server, and leaves none out for ever', () => {
+    const rests = noteRest(NONE, SERVER, 999_999_999_000, at(0));
+    expect(restLeftMs(rests, instance('s1@2'), at(0))).toBe(0);
+    expect(restLeftMs(rests, SERVER, at(600_000))).toBe(0);
+  });
+
+  it('leaves no turns here, tells when it ends, and wakes requests that wait', () => {
+    let ms = 0;
+    const clock = { now: () => at(ms), epoch: () => brandAs<EpochTime>(ms) };
+    const ctx = makeContext({ clock, settings: { id: brandAs<DaemonId>('d0') } });
+    const limits = createLimits(ctx, { daemons: () => [ctx.settings.id], isGone: () => false });
+    const allowances = createAllowances(ctx, limits);
+    expect(allowances.turns(SERVER)).toBe(Infinity);
+    allowances.noteRest(SERVER, 2_000);
+    expect(allowances.turns(SERVER)).toBe(0);
+    expect(allowances.takesInMs(SERVER)).toBe(2_000);
+    expect(allowances.tick()).toBe(false);
+    ms = 2_000;
+    expect(allowances.isResting(SERVER)).toBe(false);
+    expect(allowances.tick()).toBe(true);
+    expect(allowances.turns(SERVER)).toBe(Infinity);
+  });
+});
+
+describe('a rest on the wire', () => {
+  it.each([
+    ['3', 3_000],
+    ['0.25', 250],
+    ['0', 0],
+  ])('%j is read', (text, restMs) => {
+    expect(dialect.readAnswer(503, { 'retry-after': text })).toMatchObject({
+      restMs,
+      unreadable: [],
+    });
+  });
+
+  it('may be a date', () => {
+    const text = new Date(Date.now() + 60_000).toUTCString();
+    const { restMs = 0 } = dialect.readAnswer(503, { 'retry-after': text });
+    expect(restMs).toBeGreaterThan(55_000);
+    expect(restMs).toBeLessThanOrEqual(60_000);
+  });
+
+  it.each(['', '-3', 'NaN', '1e400', 'soon', '3, 5'])('%j is not understood', (text) => {
+    const facts = dialect.readAnswer(503, { 'retry-after': text });
+    expect(facts.restMs).toBeUndefined();
+    expect(facts.unreadable).toEqual([{ about: 'rest', header: `retry-after: ${text}` }]);
+  });
+
+  it('is one of an answer that turns a request away', () => {
+    expect(dialect.readAnswer(200, { 'retry-after': '3' }).restMs).toBeUndefined();
+  });
+});
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -5,9 +5,10 @@
 import { createClock, createRandom } from '../../src/adapters/runtime';
 import { createLogger } from '../../src/adapters/telemetry/logger';
 import { createMetrics } from '../../src/adapters/telemetry/metrics';
+import { createAllowances } from '../../src/app/gateway/allowances';
+import type { Allowances } from '../../src/app/gateway/allowances';
 import type { GatewayContext } from '../../src/app/gateway/context';
 import { createLimits } from '../../src/app/gateway/limits';
-import type { Limits } from '../../src/app/gateway/limits';
 import type { Loads, PeerState } from '../../src/app/gateway/messages';
 import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
@@ -183,9 +184,10 @@
   };
 }
 
-/** Limits of a daemon to which no server has named one. */
-export function makeLimits(ctx: GatewayContext): Limits {
-  return createLimits(ctx, { daemons: () => [ctx.settings.id], isGone: () => false });
+/** Allowances of a daemon to which no server has said anything. */
+export function makeAllowances(ctx: GatewayContext): Allowances {
+  const daemons = () => [ctx.settings.id];
+  return createAllowances(ctx, createLimits(ctx, { daemons, isGone: () => false }));
 }
 
 /** What simulated fleets have in common. */
