--- a/tests/gateway/leaving-server.test.ts
+++ b/tests/gateway/leaving-server.test.ts
@@ -7,7 +7,7 @@
 import type { GatewayFixture } from './gateway-fixture';
 import { SMALL } from './support';
 
-const FIRST_PORT = 22_000;
+const FIRST_PORT = 25_600;
 const DAEMONS = 3;
 
 let fixture: GatewayFixture;
--- a/tests/gateway/limit-of-server.test.ts
+++ b/tests/gateway/limit-of-server.test.ts
@@ -7,7 +7,7 @@
 import { startFixture } from './gateway-fixture';
 import type { GatewayFixture } from './gateway-fixture';
 
-const FIRST_PORT = 21_600;
+const FIRST_PORT = 25_000;
 const DAEMONS = 5;
 const LIMIT_PER_S = 1.6;
 /** The platform's rule: from so long after a limit was first named, and over spans of this length. */
--- a/tests/gateway/rest-of-server.test.ts
+++ b/tests/gateway/rest-of-server.test.ts
@@ -6,7 +6,7 @@
 import type { Asked, GatewayFixture } from './gateway-fixture';
 import { SMALL } from './support';
 
-const FIRST_PORT = 21_800;
+const FIRST_PORT = 25_300;
 const DAEMONS = 3;
 const REST_S = 3;
 /** The platform's rule: from so long after the answer to its end, no more than so many from one daemon. */
