Send nothing more to a server that says in an answer that it leaves

A server that leaves says so in its answers, earlier than the platform's list shows it; daemons sent on until they read the list. Cause, as for limits and rests: the word stayed with the request that it came with. Now the roster holds to it for that life of the server, whatever its entry says, and peers are told (in a large fleet by way of the leader), so that the leader replaces the server's group as well. Streams under way end where they are.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import { createFront } from './front';
 import { createGossip } from './gossip';
 import { createLeadership } from './lease';
+import { createLeaving } from './leaving';
 import { createLimits } from './limits';
 import { createPlainCalls } from './plain-call';
 import { listenReady } from './ready';
@@ -80,6 +81,7 @@
     },
     isGone: (server) => !roster.servers.has(server),
   });
+  const leaving = createLeaving(ctx, roster);
   const allowances = createAllowances(ctx, limits);
   const board = createBoard(ctx, roster, config.table, allowances);
   const waiting = createWaitingRoom(ctx, board);
@@ -96,7 +98,7 @@
   // Entries count as well: a daemon that has just started hears of few peers, and would take a larger part.
   const sharers = (): number => Math.max(fleet.size(), fleet.candidates().size);
   const retries = createRetries(ctx, sharers);
-  const statements = createStatements(ctx, { dialect, limits, allowances });
+  const statements = createStatements(ctx, { dialect, limits, allowances, leaving });
   const plain = createPlainCalls({
     ...{ ctx, roster, upstream, dialect, retries, statements, allowances },
   });
@@ -115,6 +117,7 @@
     waiting,
     arrivals,
     limits,
+    leaving,
     isStopping: () => isStopping,
   });
   const front = createFront({
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -12,6 +12,7 @@
 import type { Fleet } from './fleet';
 import type { Former } from './former';
 import type { Leadership } from './lease';
+import type { Leaving } from './leaving';
 import type { Limits } from './limits';
 import { sumLoads, withoutOwn } from './loads';
 import type { PeerState, PlainMessage, Progress } from './messages';
@@ -31,6 +32,7 @@
   readonly waiting: WaitingRoom;
   readonly arrivals: Arrivals;
   readonly limits: Limits;
+  readonly leaving: Leaving;
   readonly isStopping: () => boolean;
 }
 
@@ -67,7 +69,19 @@
 }
 
 export function createGossip(deps: GossipDeps): Gossip {
-  const { ctx, config, roster, board, fleet, former, leadership, waiting, arrivals, limits } = deps;
+  const {
+    ctx,
+    config,
+    roster,
+    board,
+    fleet,
+    former,
+    leadership,
+    waiting,
+    arrivals,
+    limits,
+    leaving,
+  } = deps;
   const helped = new Map<string, MonoTime>();
   let dueAt = ctx.clock.now();
   let hasTraffic = false;
@@ -110,6 +124,7 @@
     paces: board.paces().map((entry) => [...entry]),
     waiting: asked(),
     limits: limits.told(),
+    leaving: leaving.told(),
   });
 
   const noteTraffic = (): void => {
@@ -170,6 +185,7 @@
       ctx.store.noteEra(state.storeEra, `peer ${from}`);
       findings.noteEvents(state.quiet);
       limits.takeTold(state.limits, `peer ${from}`);
+      leaving.takeTold(state.leaving, `peer ${from}`);
       if (state.hasTraffic) noteTraffic();
       if (state.lease) leadership.takeLease(state.lease);
       help(state, address);
@@ -189,6 +205,7 @@
       leadership.takeLease(sums.lease);
       if (sums.hasTraffic) noteTraffic();
       limits.takeTold(sums.limits, `peer ${from}`);
+      leaving.takeTold(sums.leaving, `peer ${from}`);
       board.takeLoads(told ? withoutOwn(sums, told) : sums, {
         isWhole: isMost(sums.daemons),
         isUnled: false,
@@ -252,6 +269,7 @@
         // One that has just started knows none, and would send as if there were none.
         limits: limits.toldToAll(peers.some(({ hearsLeader }) => !hearsLeader)),
         silent: [...fleet.silent()],
+        leaving: leaving.told({ ofAll: true }),
         ...sumLoads([...peers, state]),
       });
       return;
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -78,6 +78,8 @@
   waiting: z.array(z.tuple([z.string(), natural, natural])),
   /** As servers said to this daemon. */
   limits: limitsSchema,
+  /** Servers that said of late that they leave. */
+  leaving: z.array(instanceIdSchema).default([]),
 });
 
 /** What the leader of a large fleet tells all, in place of what each would tell each. */
@@ -94,6 +96,7 @@
   waiting: z.array(z.tuple([z.string(), natural, natural, natural])),
   /** As servers said to any daemon. */
   limits: limitsSchema,
+  leaving: z.array(instanceIdSchema).default([]),
   /** Daemons that are entered and give no sign. */
   silent: z.array(daemonIdSchema).default([]),
 });
--- a/src/app/gateway/roster.ts
+++ b/src/app/gateway/roster.ts
@@ -47,6 +47,8 @@
   takeFromPeer(at: Position, servers: readonly BackendServer[]): void;
   /** Takes what a peer heard from the store, where it goes on from what is known here. */
   takeNews(news: RosterNews): void;
+  /** The server itself said that it leaves, and holds to it for this life. False where that is known. */
+  noteLeaving(id: InstanceId): boolean;
   /** Point in the store's history at which the view last changed. */
   changedAt(): Position;
   tick(): void;
@@ -93,8 +95,13 @@
   /** Gone from `servers`, and until when they are remembered. */
   const forgetAt = new Map<InstanceId, MonoTime>();
   const gone = new Map<InstanceId, BackendServer>();
+  /** Servers that said that they leave, whatever their entries say, and when that was heard. */
+  const leaving = new Map<InstanceId, MonoTime>();
   let changedAt = ORIGIN;
 
+  const asSaid = (server: BackendServer): BackendServer =>
+    leaving.has(server.id) ? { ...server, isDraining: true } : server;
+
   const endLife = (before: BackendServer): void => {
     const { id } = before;
     held.delete(id);
@@ -116,7 +123,7 @@
     lives.set(name, server);
     held.delete(id);
     gone.delete(id);
-    servers.set(id, server);
+    servers.set(id, asSaid(server));
   };
 
   const remove = (name: string): void => {
@@ -216,6 +223,9 @@
       gone.delete(id);
       ended.delete(id);
     }
+    for (const [id, at] of leaving) {
+      if (now >= later(at, LAPSED_MS) && !servers.has(id)) leaving.delete(id);
+    }
     for (const [name, { id }] of lives) {
       if (!servers.has(id) && !forgetAt.has(id)) lives.delete(name);
     }
@@ -236,6 +246,16 @@
     changes,
     news,
     watch,
+    noteLeaving: (id) => {
+      if (leaving.has(id)) return false;
+      leaving.set(id, ctx.clock.now());
+      const server = servers.get(id);
+      if (server && !server.isDraining) {
+        servers.set(id, asSaid(server));
+        changes.next();
+      }
+      return true;
+    },
     changedAt: () => changedAt,
     takeFromPeer: (at, list) => {
       if (!watch.isFailing() || !isLater(at, latest(watch.position(), changedAt))) return;
--- a/src/app/gateway/statements.ts
+++ b/src/app/gateway/statements.ts
@@ -6,6 +6,7 @@
 import type { AnswerFacts, Dialect } from '../../ports/gateway';
 import type { Allowances } from './allowances';
 import type { GatewayContext } from './context';
+import type { Leaving } from './leaving';
 import type { Limits } from './limits';
 
 export interface Statements {
@@ -21,11 +22,12 @@
   readonly dialect: Dialect;
   readonly limits: Limits;
   readonly allowances: Allowances;
+  readonly leaving: Leaving;
 }
 
 export function createStatements(
   { logger }: GatewayContext,
-  { dialect, limits, allowances }: StatementsOptions,
+  { dialect, limits, allowances, leaving }: StatementsOptions,
 ): Statements {
   return {
     read: (server, { statusCode = 0, headers }, sentAt) => {
@@ -40,6 +42,7 @@
         limits.noteAnswer(server, { perSecond: facts.limitPerS, sentAt });
       }
       if (facts.restMs !== undefined) allowances.noteRest(server, facts.restMs);
+      if (facts.isLeaving) leaving.note(server);
       return facts;
     },
   };
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -123,13 +123,15 @@
   readonly limitPerS?: number;
   /** The server turned the request away and wants nothing from this daemon for so long, milliseconds. */
   readonly restMs?: number;
+  /** The server says that it leaves: it wants nothing new in this life. */
+  readonly isLeaving: boolean;
   /** What the server says of itself and can't be understood. */
   readonly unreadable: readonly Unreadable[];
 }
 
 /** A header that can't be understood, with its value, cut where it is long. */
 export interface Unreadable {
-  readonly about: 'limit' | 'rest';
+  readonly about: 'limit' | 'rest' | 'leaving';
   readonly header: string;
 }
 
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -88,6 +88,7 @@
     waiting: { waiting: () => [], count: () => 0 },
     arrivals: { rates: () => [], rate: () => 0 },
     limits: { told: () => [], toldToAll: () => [], takeTold: () => undefined },
+    leaving: { told: () => [], takeTold: () => undefined },
     isStopping: () => false,
   };
   const gossip = createGossip(deps as unknown as GossipDeps);
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -145,6 +145,7 @@
     paces: [],
     waiting: [],
     limits: [],
+    leaving: [],
     ...more,
   };
 }
@@ -179,6 +180,7 @@
     paces: [],
     waiting: [],
     limits: [],
+    leaving: [],
     silent: [],
     ...more,
   };
