Soak daemons before servers that name limits, ask for rest, leave by their answers or say nonsense

Rounds of their own in which no daemon and no link is disturbed, so that none is excused; each server's arrivals are held against the platform's rules.

--- a/stand-ins/users-platform/start.ts
+++ b/stand-ins/users-platform/start.ts
@@ -31,6 +31,7 @@
   readonly fleet: EngineFleet;
   readonly plainFaults: PlainFaults;
   readonly statements: Statements;
+  readonly plainServers: readonly ServerName[];
   /** Every request that a server began to run. */
   readonly runs: readonly Run[];
   readonly storeAddress: string;
@@ -121,6 +122,7 @@
     fleet,
     plainFaults,
     statements,
+    plainServers: [...plainRows.keys()].map((name) => brandAs<ServerName>(name)),
     runs,
     storeAddress: `${host}:${firstPort}`,
     configure: (next) => {
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -18,6 +18,7 @@
   entryFaults: z.coerce.number().int().nonnegative(),
   returns: z.coerce.number().int().nonnegative(),
   silentRounds: z.coerce.number().int().nonnegative(),
+  statementRounds: z.coerce.number().int().nonnegative(),
   seconds: z.coerce.number().positive(),
   port: z.coerce
     .number()
@@ -29,7 +30,7 @@
 async function run(args: unknown): Promise<void> {
   const options = optionsSchema.parse(args);
   const { seed: first, seeds, daemons, faults, entryFaults, returns, silentRounds } = options;
-  const { seconds, port, logs } = options;
+  const { seconds, port, logs, statementRounds } = options;
   for (let seed = first; seed < first + seeds; seed++) {
     const logsOfSeed = logs === undefined ? undefined : join(logs, `seed-${seed}`);
     if (logsOfSeed !== undefined) mkdirSync(logsOfSeed, { recursive: true });
@@ -40,6 +41,7 @@
       entryFaults,
       returns,
       silentRounds,
+      statementRounds,
       durationMs: seconds * 1_000,
       firstPort: port,
       ...(logsOfSeed !== undefined && { logs: logsOfSeed }),
@@ -58,6 +60,7 @@
   .option('--returns', 'Returns of the store from an older copy', 0)
   .option('--entryFaults', 'Restarts of servers under their names, and spoiled rows', 0)
   .option('--silentRounds', 'Rounds of silences, each followed by a change, before the faults', 0)
+  .option('--statementRounds', 'Rounds in which servers say what they take', 0)
   .option('--seconds', 'Time over which the faults begin', 14)
   .option('--logs', "Directory for the daemons' logs, one folder a seed")
   .option('--port', 'First of about 400 ports', 23_000)
--- a/tests/soak/soak.test.ts
+++ b/tests/soak/soak.test.ts
@@ -36,3 +36,13 @@
     expect(report.counts['stream 200']).toBeGreaterThan(0);
   });
 });
+
+describe('daemons before servers that say what they take', () => {
+  // Guards against daemons that together or alone send more than a server said it wants.
+  it('hold to it (seed 801)', async () => {
+    const report = await soak({ seed: 801, faults: 0, statementRounds: 2, firstPort: PORT });
+    expect(report.faults).toEqual([]);
+    expect(report.counts['stream 200']).toBeGreaterThan(0);
+    expect(report.counts['unsafe 200']).toBeGreaterThan(0);
+  });
+});
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -9,6 +9,7 @@
 import { FAULTS, planEntryFaults, planFaults, planReturns, planSilences } from './faults';
 import type { PlannedFault } from './faults';
 import { judge, tally } from './judge';
+import { runStatementRound } from './statements';
 import { FORMER_KEY, KEY, startWorld } from './world';
 import type { SoakDaemon, World } from './world';
 
@@ -23,6 +24,8 @@
   readonly returns?: number;
   /** Rounds of silences before them, each followed by a change that must be in force in time. */
   readonly silentRounds?: number;
+  /** Rounds in which servers name limits, ask for rest or say that they leave, before the faults. */
+  readonly statementRounds?: number;
   readonly durationMs?: number;
   readonly firstPort?: number;
   /** Directory for the daemons' logs. */
@@ -141,6 +144,7 @@
   entryFaults = 0,
   returns = 0,
   silentRounds = 0,
+  statementRounds = 0,
   durationMs = 14_000,
   firstPort = 23_000,
   logs,
@@ -159,6 +163,10 @@
     for (let round = 0; round < silentRounds; round++) {
       late.push(...(await runSilentRound(world, ofSilences)));
     }
+    const ofStatements = createRandom(seed + 4);
+    for (let round = 0; round < statementRounds; round++) {
+      late.push(...(await runStatementRound(world, ofStatements, callers.calls)));
+    }
     await carryOut(world, plan, createRandom(seed + 1));
     const isKeyRemoved = plan.some(({ name }) => name === 'key-removed');
     const wrong = await awaitRecovery(world, isKeyRemoved);
