Read answers to orders and questions for what servers say of themselves, too

Answers to orders and reports carry the same words. They may name a limit and the leaving; that they name none ends nothing, and a rest is one of callers' requests alone.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -99,6 +99,9 @@
   const sharers = (): number => Math.max(fleet.size(), fleet.candidates().size);
   const retries = createRetries(ctx, sharers);
   const statements = createStatements(ctx, { dialect, limits, allowances, leaving });
+  options.servers.heads.subscribe((head) => {
+    statements.take(head);
+  });
   const plain = createPlainCalls({
     ...{ ctx, roster, upstream, dialect, retries, statements, allowances },
   });
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingHttpHeaders } from 'node:http';
 import type { ResultAsync } from 'neverthrow';
+import type { Observable } from 'rxjs';
 
 import type { OrderResult, ServerOrder } from '../core/gateway/orders';
 import type { BackendServer, GatewayConfig } from '../core/gateway/types';
@@ -78,8 +79,16 @@
   readonly slowdown: number;
 }
 
+/** The head of an answer to an order or a question. */
+export interface ServerHead {
+  readonly server: InstanceId;
+  readonly facts: AnswerFacts;
+}
+
 /** Orders and questions to backend servers. */
 export interface Servers {
+  /** Of each answer of the server that was meant. */
+  readonly heads: Observable<ServerHead>;
   /** Never fails: an order without an answer has the result `unknown`. */
   order(server: BackendServer, order: ServerOrder): Promise<OrderResult>;
   report(server: BackendServer, timeoutMs: number): ResultAsync<ServerReport, StepError>;
