--- a/src/app/gateway/limits.ts
+++ b/src/app/gateway/limits.ts
@@ -6,6 +6,7 @@
 import type { Share, Turns } from '../../core/gateway/limits/share';
 import { later } from '../../core/ids';
 import type { DaemonId, InstanceId, MonoTime } from '../../core/ids';
+import { compareText } from '../../utils/common';
 import type { GatewayContext } from './context';
 
 export interface Limits {
@@ -57,6 +58,8 @@
   let toldLast: KnownLimits = new Map();
   const parts = new Map<InstanceId, Part>();
 
+  const listSharers = (): readonly DaemonId[] => [...daemons()].sort(compareText);
+
   const shareIn = (server: InstanceId, limitPerS: number): Share =>
     shareOf({ server, limitPerS, self: settings.id, daemons: sharers });
 
@@ -95,6 +98,7 @@
       });
     }
     known = next;
+    if (parts.size === 0) sharers = listSharers();
     for (const server of parts.keys()) {
       if (known.get(server)?.perSecond === undefined) parts.delete(server);
     }
@@ -113,7 +117,7 @@
     if (now < lookAt || known.size === 0) return;
     lookAt = later(now, DAEMONS_MS);
     apply(knownLimits.forget(known, isGone, now), 'forgotten');
-    const found = [...daemons()].sort();
+    const found = listSharers();
     if (found.join(' ') === sharers.join(' ')) return;
     sharers = found;
     for (const [server, { limitPerS }] of parts) setPart(server, limitPerS);
