Let a limit rise only by an answer whose request was sent after the lower one was heard

Cause: a statement was dated by when it was read. It was made at some time between the sending of its request and that; both ends are kept and told now, and where the order is open the lower limit holds.

With the bench of shared limits (npm run bench limits).

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,7 @@
 import { benchGroups } from './groups';
 import { benchLoads } from './groups-loads';
 import { benchControlSlopes } from './groups-slopes';
+import { benchLimits } from './limits';
 import { benchMembershipSlopes } from './membership-slopes';
 import { benchMembershipTraffic } from './membership-traffic';
 import { benchQuarantine } from './quarantine';
@@ -27,6 +28,7 @@
   'slopes-request': measureRequestSlopes,
   retries: compareRetries,
   quarantine: benchQuarantine,
+  limits: benchLimits,
   'group-loads': benchLoads,
   'config-propagation': benchConfigPropagation,
   'slopes-membership': benchMembershipSlopes,
--- a/src/app/gateway/limits.ts
+++ b/src/app/gateway/limits.ts
@@ -64,12 +64,12 @@
     shareOf({ server, limitPerS, self: settings.id, daemons: sharers });
 
   const logShare = (server: InstanceId, limitPerS: number, { perSecond }: Share): void => {
-    const saidAt = known.get(server)?.saidAt ?? clock.now();
+    const heardAt = known.get(server)?.heardAt ?? clock.now();
     logger.info('share of a limit', {
       step: 'limit',
       server,
       limitPerS,
-      ageMs: Math.round(clock.now() - saidAt),
+      ageMs: Math.round(clock.now() - heardAt),
       daemons: sharers.length,
       perSecond: Number(perSecond.toFixed(3)),
     });
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -57,8 +57,13 @@
 /** By head of a group: how many times slower than usual its events came of late. */
 const pacesSchema = z.array(z.tuple([instanceIdSchema, z.number().min(1)]));
 
-/** By server: requests a second that it takes from all daemons, null once it named none any more; age, milliseconds. */
-const limitsSchema = z.array(z.tuple([instanceIdSchema, natural.nullable(), natural])).default([]);
+/**
+ * By server: requests a second that it takes from all daemons, null once it named none any more; time since the request
+ * was sent whose answer said so, and since that was read, milliseconds.
+ */
+const limitsSchema = z
+  .array(z.tuple([instanceIdSchema, natural.nullable(), natural, natural]))
+  .default([]);
 
 const stateSchema = z.object({
   kind: z.literal('state'),
