--- a/src/core/gateway/limits/share.ts
+++ b/src/core/gateway/limits/share.ts
@@ -8,7 +8,7 @@
  */
 
 import type { DaemonId, InstanceId, MonoTime } from '../../ids';
-import { rankByRendezvous } from '../../membership/rendezvous';
+import { rankOf } from '../../membership/rendezvous';
 
 export interface Share {
   /** Turns a second; 0 for a daemon that does not send to the server. */
@@ -44,8 +44,7 @@
 
 export function shareOf({ server, limitPerS, self, daemons }: ShareFacts): Share {
   const senders = countSenders(limitPerS, daemons.length);
-  const rank = rankByRendezvous<string>(server, daemons).indexOf(self);
-  if (rank >= senders) return NO_SHARE;
+  if (rankOf(server, self, daemons) >= senders) return NO_SHARE;
   const perSecond = Math.max(limitPerS, LEAST_PER_S) / senders;
   return { perSecond, mostSaved: Math.max(LEAST_SAVED, perSecond * SAVED_S) };
 }
--- a/src/core/membership/rendezvous.ts
+++ b/src/core/membership/rendezvous.ts
@@ -21,3 +21,13 @@
     .sort((a, b) => b.weight - a.weight || compareText(a.candidate, b.candidate))
     .map((ranked) => ranked.candidate);
 }
+
+/** How many of the candidates come before `one`, which is among them: its place in that order, without the order. */
+export function rankOf<T extends string>(key: string, one: T, candidates: readonly T[]): number {
+  const keyHash = hashText(key, FNV_OFFSET);
+  const own = weigh(keyHash, one);
+  return candidates.filter((candidate) => {
+    const weight = weigh(keyHash, candidate);
+    return weight > own || (weight === own && compareText(candidate, one) < 0);
+  }).length;
+}
--- a/tests/membership-rendezvous.test.ts
+++ b/tests/membership-rendezvous.test.ts
@@ -1,6 +1,7 @@
+import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 
-import { rankByRendezvous } from '../src/core/membership/rendezvous';
+import { rankByRendezvous, rankOf } from '../src/core/membership/rendezvous';
 
 const DAEMONS = Array.from({ length: 7 }, (_, i) => `daemon-${i}`);
 const KEYS = Array.from({ length: 2100 }, (_, i) => `domain-${i}`);
@@ -31,3 +32,18 @@
     expect(counts.size).toBe(DAEMONS.length);
   });
 });
+
+describe('rankOf', () => {
+  it('gives the place in the order of all', () => {
+    const names = fc.uniqueArray(fc.string({ maxLength: 12 }), { minLength: 1, maxLength: 30 });
+    fc.assert(
+      fc.property(fc.string({ maxLength: 12 }), names, (key, candidates) => {
+        const order = rankByRendezvous(key, candidates);
+        expect(candidates.map((one) => rankOf(key, one, candidates))).toEqual(
+          candidates.map((one) => order.indexOf(one)),
+        );
+      }),
+      { seed: 1 },
+    );
+  });
+});
