Tell those that send to a server of a change of its limit at once

Found by a fresh seed of the model (922130 of 450): a limit fell to 0 while 118 of 195 daemons were cut off, the leader among them. Nobody told the eight senders, each found out by a request of its own, and six came where five are allowed. Whoever hears a change now tells the senders before and after it directly, sixteen at most; links are made as needed. Red before: the seed. Ruled out: a bound that excuses the absence of a leader, for the senders themselves were not cut off.

--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -37,6 +37,8 @@
   /** Addresses whose links broke or could not be made. */
   readonly unreachable: Observable<string>;
   send(address: string, message: PlainMessage): void;
+  /** Sends to daemons whose addresses are known. */
+  sendTo(daemons: readonly DaemonId[], message: PlainMessage): void;
   broadcast(message: PlainMessage): void;
   /** Tells all daemons what this one, their leader, has to say; in a large fleet through relays. */
   spread(message: LeaderMessage): void;
@@ -188,13 +190,14 @@
     return all;
   };
 
+  const addressOf = (id: DaemonId): string | undefined =>
+    known.get(id)?.address ?? heard.get(id)?.address;
+
   const likelyLeaders = (): Set<string> => {
     const others = rankSuccessors(LEASE_NAME, candidates()).filter((id) => id !== settings.id);
     const first = others.slice(0, LIKELY_LEADERS);
     const drawn = sample(others, LIKELY_LEADERS, () => ctx.random.next());
-    const found = [...first, ...drawn].flatMap(
-      (id) => known.get(id)?.address ?? heard.get(id)?.address ?? [],
-    );
+    const found = [...first, ...drawn].flatMap((id) => addressOf(id) ?? []);
     const all = new Set([...ctx.tunables.value.seeds, ...found]);
     // A leader that is no longer heard of may only have lost its link to here.
     if (lastLeader && candidates().has(lastLeader.id)) all.add(lastLeader.address);
@@ -257,6 +260,12 @@
     send: (address, message) => {
       peers.send(address, message);
     },
+    sendTo: (daemons, message) => {
+      peers.sendToAll(
+        daemons.flatMap((id) => addressOf(id) ?? []),
+        message,
+      );
+    },
     broadcast,
     spread: (message) => {
       if (!isLarge()) {
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -80,6 +80,9 @@
       return [...fleet.candidates().keys()].filter((id) => !silent.has(id));
     },
     isGone: (server) => !roster.servers.has(server),
+    tell: (others, told) => {
+      fleet.sendTo(others, { kind: 'limits', limits: told });
+    },
   });
   const leaving = createLeaving(ctx, roster);
   const allowances = createAllowances(ctx, limits);
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -193,6 +193,9 @@
     stalled: ({ group, head, finding }, { from }) => {
       if (board.find(head)?.id === group) findings.take(finding, { group, head }, from);
     },
+    limits: (message, { from }) => {
+      limits.takeTold(message.limits, `peer ${from}`);
+    },
     config: ({ config: offered }, { from }) => {
       const version = brandAs<ConfigVersion>(offered.version);
       config.offer({ ...offered, version }, `peer ${from}`);
--- a/src/app/gateway/limits.ts
+++ b/src/app/gateway/limits.ts
@@ -2,7 +2,7 @@
 
 import * as knownLimits from '../../core/gateway/limits/known';
 import type { KnownLimits, Said, Told } from '../../core/gateway/limits/known';
-import { paceMs, refill, shareOf, turnInMs } from '../../core/gateway/limits/share';
+import { paceMs, refill, sendersOf, shareOf, turnInMs } from '../../core/gateway/limits/share';
 import type { Share, Turns } from '../../core/gateway/limits/share';
 import { later } from '../../core/ids';
 import type { DaemonId, InstanceId, MonoTime } from '../../core/ids';
@@ -33,6 +33,8 @@
   /** Daemons that share the limits, this one included. */
   readonly daemons: () => readonly DaemonId[];
   readonly isGone: (server: InstanceId) => boolean;
+  /** Tells other daemons at once, whether or not anybody leads. */
+  readonly tell: (daemons: readonly DaemonId[], told: Told[]) => void;
 }
 
 interface Part {
@@ -48,7 +50,13 @@
 /** What a message that was lost told comes again after this. */
 const TELL_ALL_MS = 1_000;
 
-export function createLimits(ctx: GatewayContext, { daemons, isGone }: LimitsOptions): Limits {
+/** Senders beyond these hear of a change with all the others. */
+const MOST_TOLD_AT_ONCE = 16;
+
+export function createLimits(
+  ctx: GatewayContext,
+  { daemons, isGone, tell }: LimitsOptions,
+): Limits {
   const { clock, logger, settings } = ctx;
   let known: KnownLimits = new Map();
   let sharers: readonly DaemonId[] = [settings.id];
@@ -113,6 +121,19 @@
     if (next !== known) update(next, source);
   };
 
+  /** Those that send to the server are told of a change by who hears it first: a fall binds them from then on. */
+  const tellSenders = (server: InstanceId, limits: readonly (number | undefined)[]): void => {
+    const senders = new Set(
+      limits.flatMap((limitPerS) =>
+        limitPerS === undefined ? [] : sendersOf(server, limitPerS, sharers),
+      ),
+    );
+    senders.delete(settings.id);
+    if (senders.size === 0 || senders.size > MOST_TOLD_AT_ONCE) return;
+    const told = knownLimits.tell(known, clock.now()).filter(([one]) => one === server);
+    tell([...senders], told);
+  };
+
   const lookUpDaemons = (now: MonoTime): void => {
     if (now < lookAt || known.size === 0) return;
     lookAt = later(now, DAEMONS_MS);
@@ -136,7 +157,10 @@
 
   return {
     noteAnswer: (server, said) => {
+      const before = known.get(server)?.perSecond;
       apply(knownLimits.noteAnswer(known, server, said, clock.now()), 'answer');
+      const after = known.get(server)?.perSecond;
+      if (after !== before) tellSenders(server, [before, after]);
     },
     takeTold: (told, source) => {
       apply(knownLimits.takeTold(known, told, clock.now()), source);
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -145,6 +145,9 @@
   ),
 });
 
+/** What a server said, for those that send to it. */
+const limitsMessageSchema = z.object({ kind: z.literal('limits'), limits: limitsSchema });
+
 /** What a leader says to all; `to` are addresses that the receiver passes it on to. */
 const relayedSchema = z.object({
   kind: z.literal('relayed'),
@@ -167,6 +170,7 @@
   serversSchema,
   newsSchema,
   loadsSchema,
+  limitsMessageSchema,
   relayedSchema,
 ]);
 
--- a/src/core/gateway/limits/share.ts
+++ b/src/core/gateway/limits/share.ts
@@ -8,7 +8,7 @@
  */
 
 import type { DaemonId, InstanceId, MonoTime } from '../../ids';
-import { rankOf } from '../../membership/rendezvous';
+import { rankByRendezvous, rankOf } from '../../membership/rendezvous';
 
 export interface Share {
   /** Turns a second; 0 for a daemon that does not send to the server. */
@@ -34,6 +34,18 @@
   return Math.max(1, Math.min(daemons, Math.ceil(limitPerS)));
 }
 
+/** The daemons that send to the server for all. */
+export function sendersOf(
+  server: InstanceId,
+  limitPerS: number,
+  daemons: readonly DaemonId[],
+): readonly DaemonId[] {
+  return rankByRendezvous<string>(server, daemons).slice(
+    0,
+    countSenders(limitPerS, daemons.length),
+  ) as DaemonId[];
+}
+
 export interface ShareFacts {
   readonly server: InstanceId;
   readonly limitPerS: number;
--- a/tests/fuzz/limits-world.ts
+++ b/tests/fuzz/limits-world.ts
@@ -159,6 +159,14 @@
           return ids.filter((one) => !silent.has(one));
         },
         isGone: () => false,
+        tell: (others, told) => {
+          for (const peer of daemons) {
+            if (!others.includes(peer.id)) continue;
+            receive(daemon(), peer, () => {
+              peer.limits.takeTold(told, id);
+            });
+          }
+        },
       },
     );
 
--- a/tests/fuzz/limits.test.ts
+++ b/tests/fuzz/limits.test.ts
@@ -6,7 +6,7 @@
 const FIXED_SEEDS = 14;
 const FRESH_SEEDS = 7;
 /** Seeds that once broke the rule. */
-const FOUND_SEEDS = [810_287];
+const FOUND_SEEDS = [810_287, 922_130];
 
 describe('a limit that many daemons share', () => {
   it(`is kept and used (seeds 1 to ${FIXED_SEEDS})`, () => {
--- a/tests/gateway/limits.test.ts
+++ b/tests/gateway/limits.test.ts
@@ -4,8 +4,8 @@
 import { HEADERS } from '../../platform/names';
 import { createLimits } from '../../src/app/gateway/limits';
 import { forget, noteAnswer, takeTold, tell } from '../../src/core/gateway/limits/known';
-import type { KnownLimits } from '../../src/core/gateway/limits/known';
-import { countSenders, listSilent, shareOf } from '../../src/core/gateway/limits/share';
+import type { KnownLimits, Told } from '../../src/core/gateway/limits/known';
+import { countSenders, listSilent, sendersOf, shareOf } from '../../src/core/gateway/limits/share';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId, EpochTime } from '../../src/core/ids';
 import { at, instance, makeContext } from './support';
@@ -110,7 +110,7 @@
     let ms = 0;
     const clock = { now: () => at(ms), epoch: () => brandAs<EpochTime>(ms) };
     const ctx = makeContext({ clock, settings: { id: brandAs<DaemonId>('d0') } });
-    const limits = createLimits(ctx, { daemons, isGone: () => false });
+    const limits = createLimits(ctx, { daemons, isGone: () => false, tell: () => undefined });
     return { limits, wait: (more: number) => (ms += more) };
   }
 
@@ -155,6 +155,29 @@
   });
 });
 
+describe('a change of a limit', () => {
+  // Guards against senders that go on for as long as nobody leads them.
+  it('is told at once to those that send to the server, before and after it', () => {
+    const clock = { now: () => at(100), epoch: () => brandAs<EpochTime>(100) };
+    const all = daemonIds(200);
+    const ctx = makeContext({ clock, settings: { id: brandAs<DaemonId>('d0') } });
+    const sent: [readonly DaemonId[], readonly Told[]][] = [];
+    const limits = createLimits(ctx, {
+      daemons: () => all,
+      isGone: () => false,
+      tell: (daemons, told) => sent.push([daemons, told]),
+    });
+    limits.noteAnswer(SERVER, { perSecond: 8, sentAt: at(50) });
+    limits.noteAnswer(SERVER, { perSecond: 8, sentAt: at(60) });
+    limits.noteAnswer(SERVER, { perSecond: 0, sentAt: at(70) });
+    const senders = sendersOf(SERVER, 8, all).filter((id) => id !== 'd0');
+    expect(sent).toEqual([
+      [senders, [[SERVER, 8, 50, 0]]],
+      [senders, [[SERVER, 0, 30, 0]]],
+    ]);
+  });
+});
+
 describe('a limit on the wire', () => {
   it.each([
     ['1.6', 1.6],
--- a/tests/gateway/rests.test.ts
+++ b/tests/gateway/rests.test.ts
@@ -31,7 +31,11 @@
     let ms = 0;
     const clock = { now: () => at(ms), epoch: () => brandAs<EpochTime>(ms) };
     const ctx = makeContext({ clock, settings: { id: brandAs<DaemonId>('d0') } });
-    const limits = createLimits(ctx, { daemons: () => [ctx.settings.id], isGone: () => false });
+    const limits = createLimits(ctx, {
+      daemons: () => [ctx.settings.id],
+      isGone: () => false,
+      tell: () => undefined,
+    });
     const allowances = createAllowances(ctx, limits);
     expect(allowances.turns(SERVER)).toBe(Infinity);
     allowances.noteRest(SERVER, 2_000);
--- a/tests/gateway/statements.test.ts
+++ b/tests/gateway/statements.test.ts
@@ -21,7 +21,11 @@
   let ms = 0;
   const clock = { now: () => at(ms), epoch: () => brandAs<EpochTime>(ms) };
   const ctx = makeContext({ clock, settings: { id: brandAs<DaemonId>('d0') } });
-  const limits = createLimits(ctx, { daemons: () => [ctx.settings.id], isGone: () => false });
+  const limits = createLimits(ctx, {
+    daemons: () => [ctx.settings.id],
+    isGone: () => false,
+    tell: () => undefined,
+  });
   const left: InstanceId[] = [];
   const leaving = { note: (server: InstanceId) => left.push(server) } as unknown as Leaving;
   const allowances = createAllowances(ctx, limits);
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -189,7 +189,10 @@
 /** Allowances of a daemon to which no server has said anything. */
 export function makeAllowances(ctx: GatewayContext): Allowances {
   const daemons = () => [ctx.settings.id];
-  return createAllowances(ctx, createLimits(ctx, { daemons, isGone: () => false }));
+  return createAllowances(
+    ctx,
+    createLimits(ctx, { daemons, isGone: () => false, tell: () => undefined }),
+  );
 }
 
 /** What simulated fleets have in common. */
