--- a/tests/gateway/boundary.test.ts
+++ b/tests/gateway/boundary.test.ts
@@ -11,8 +11,8 @@
 }
 
 /** Names of the platform alone; `last-event-id` is the published name of a header. */
-const NAMES = [...Object.values(HEADERS), ...Object.values(PATHS)].filter(
-  (name) => name.includes('nutmegstack') || name.startsWith('/api/'),
+const NAMES = [...Object.values(HEADERS), ...Object.values(PATHS)].filter((name) =>
+  /nutmegstack|^\/api\/|^server-/.test(name),
 );
 
 describe('the product', () => {
--- a/tests/gateway/rests.test.ts
+++ b/tests/gateway/rests.test.ts
@@ -68,6 +68,13 @@
     expect(restMs).toBeLessThanOrEqual(60_000);
   });
 
+  it('may be a date by the clock of the server', () => {
+    const date = new Date(Date.now() - 3_600_000);
+    const until = new Date(date.getTime() + 7_000).toUTCString();
+    const headers = { date: date.toUTCString(), 'retry-after': until };
+    expect(dialect.readAnswer(503, headers).restMs).toBe(7_000);
+  });
+
   it.each(['', '-3', 'NaN', '1e400', 'soon', '3, 5'])('%j is not understood', (text) => {
     const facts = dialect.readAnswer(503, { 'retry-after': text });
     expect(facts.restMs).toBeUndefined();
