--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -14,6 +14,7 @@
   seed: z.coerce.number().int(),
   seeds: z.coerce.number().int().positive(),
   daemons: z.coerce.number().int().min(2),
+  callers: z.coerce.number().int().positive(),
   faults: z.coerce.number().int().nonnegative(),
   entryFaults: z.coerce.number().int().nonnegative(),
   returns: z.coerce.number().int().nonnegative(),
@@ -30,13 +31,14 @@
 async function run(args: unknown): Promise<void> {
   const options = optionsSchema.parse(args);
   const { seed: first, seeds, daemons, faults, entryFaults, returns, silentRounds } = options;
-  const { seconds, port, logs, statementRounds } = options;
+  const { seconds, port, logs, statementRounds, callers } = options;
   for (let seed = first; seed < first + seeds; seed++) {
     const logsOfSeed = logs === undefined ? undefined : join(logs, `seed-${seed}`);
     if (logsOfSeed !== undefined) mkdirSync(logsOfSeed, { recursive: true });
     const report = await soak({
       seed,
       daemons,
+      callersPerDaemon: callers,
       faults,
       entryFaults,
       returns,
@@ -56,6 +58,7 @@
   .option('--seed', 'First seed', 1)
   .option('--seeds', 'Number of seeds', 1)
   .option('--daemons', 'Daemon processes', 3)
+  .option('--callers', 'Callers at each daemon', 6)
   .option('--faults', 'Faults of a schedule', 14)
   .option('--returns', 'Returns of the store from an older copy', 0)
   .option('--entryFaults', 'Restarts of servers under their names, and spoiled rows', 0)
