--- a/tests/fuzz/limits-world.ts
+++ b/tests/fuzz/limits-world.ts
@@ -10,6 +10,7 @@
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId, EpochTime, MonoTime } from '../../src/core/ids';
 import { instance, makeContext } from '../gateway/support';
+import { SETTLE_MS } from '../support/server-rules';
 
 export interface LimitsOptions {
   readonly seed: number;
@@ -66,7 +67,6 @@
 const TICK_MS = 50;
 const DIRECT_DAEMONS = 13;
 const LARGE_TELL_MS = 200;
-const SETTLE_MS = 3_000;
 /** Until the head of an answer is there. */
 export const LONGEST_ANSWER_MS = 400;
 /** A daemon counts as told so long after it passed on an answer. */
--- a/tests/fuzz/limits.ts
+++ b/tests/fuzz/limits.ts
@@ -1,14 +1,10 @@
 /** Fuzzing of shared limits: no span holds more requests than the platform's rule allows, and the limit is used. */
 
+import { allowedInSpan, SETTLE_MS, SPAN_MS } from '../support/server-rules';
 import { LONGEST_ANSWER_MS, runLimits, TOLD_AFTER_MS } from './limits-world';
 import type { LimitsResult } from './limits-world';
 import type { FuzzOptions } from './options';
 
-/** The platform's rule. */
-const SETTLE_MS = 3_000;
-const SPAN_MS = 4_000;
-const SPARE_RATIO = 1.5;
-const SPARE_REQUESTS = 5;
 /** A limit that has fallen binds daemons once an answer can have told them: as a first one does, half a second later. */
 const TOLD_MS = LONGEST_ANSWER_MS + TOLD_AFTER_MS;
 const SAMPLE_MS = 50;
@@ -33,7 +29,7 @@
   for (const [first, from] of times.entries()) {
     if (from < firstNamedAt + SETTLE_MS) continue;
     while (last < times.length && (times[last] ?? 0) < from + SPAN_MS) last += 1;
-    const allowed = SPARE_RATIO * takenIn(limitAt, from) + SPARE_REQUESTS;
+    const allowed = allowedInSpan(takenIn(limitAt, from));
     if (last - first > allowed)
       return `${last - first} requests from ${from} on, ${allowed} allowed`;
   }
--- a/tests/gateway/limit-of-server.test.ts
+++ b/tests/gateway/limit-of-server.test.ts
@@ -3,6 +3,7 @@
 import { HEADERS } from '../../platform/names';
 import { brandAs } from '../../src/core/ids';
 import type { ServerName } from '../../src/core/ids';
+import { allowedBy, mostInSpan, SETTLE_MS } from '../support/server-rules';
 import { SMALL } from './support';
 import { startFixture } from './gateway-fixture';
 import type { GatewayFixture } from './gateway-fixture';
@@ -10,11 +11,6 @@
 const FIRST_PORT = 25_000;
 const DAEMONS = 5;
 const LIMIT_PER_S = 1.6;
-/** The platform's rule: from so long after a limit was first named, and over spans of this length. */
-const SETTLE_MS = 3_000;
-const SPAN_MS = 4_000;
-const SPARE_REQUESTS = 5;
-const SPARE_RATIO = 1.5;
 const ASKING_MS = 12_000;
 /** A refusal that waits for nothing takes no longer. */
 const SOON_MS = 500;
@@ -35,22 +31,15 @@
   return all.map(({ at }) => at - from).filter((at) => at >= SETTLE_MS);
 }
 
-function mostInSpan(times: readonly number[]): number {
-  return Math.max(
-    0,
-    ...times.map((from) => times.filter((t) => t >= from && t < from + SPAN_MS).length),
-  );
-}
-
 function says(servers: readonly ServerName[], headers: Readonly<Record<string, string>>): void {
   for (const server of servers) fixture.platform.statements.says.set(server, headers);
 }
 
 /** Requests at each of the servers, held against the limit, and the number of all. */
 function countKept(servers: readonly ServerName[], from: number): number {
-  const allowed = (SPARE_RATIO * LIMIT_PER_S * SPAN_MS) / 1_000 + SPARE_REQUESTS;
   const times = servers.map((server) => settledArrivals(server, from));
-  for (const ofServer of times) expect(mostInSpan(ofServer)).toBeLessThanOrEqual(allowed);
+  for (const ofServer of times)
+    expect(mostInSpan(ofServer)).toBeLessThanOrEqual(allowedBy(LIMIT_PER_S));
   return times.flat().length;
 }
 
--- a/tests/gateway/rest-of-server.test.ts
+++ b/tests/gateway/rest-of-server.test.ts
@@ -4,14 +4,12 @@
 import type { ServerName } from '../../src/core/ids';
 import { startFixture } from './gateway-fixture';
 import type { Asked, GatewayFixture } from './gateway-fixture';
+import { MOST_IN_REST, mostInRest } from '../support/server-rules';
 import { SMALL } from './support';
 
 const FIRST_PORT = 25_300;
 const DAEMONS = 3;
 const REST_S = 3;
-/** The platform's rule: from so long after the answer to its end, no more than so many from one daemon. */
-const HEARD_MS = 500;
-const MOST = 2;
 const ASKING_MS = 7_000;
 const SOON_MS = 500;
 /** Each daemon has met all of the servers by then. */
@@ -55,17 +53,14 @@
 }
 
 /** By daemon: most requests that came to the server within the rest that an answer had asked for. */
-function mostInRest(server: ServerName, asked: readonly Asked[]): number[] {
+function mostInRests(server: ServerName, asked: readonly Asked[]): number[] {
   const daemonOf = new Map(asked.map(({ requestId, daemon }) => [requestId, daemon]));
   const arrivals = fixture.platform.statements.arrivals.filter((one) => one.server === server);
   return Array.from({ length: DAEMONS }, (_, daemon) => {
     const times = arrivals.flatMap(({ requestId, at }) =>
       daemonOf.get(requestId) === daemon ? [at] : [],
     );
-    const inRest = times.map(
-      (from) => times.filter((t) => t > from + HEARD_MS && t < from + REST_S * 1_000).length,
-    );
-    return Math.max(0, ...inRest);
+    return mostInRest(times, REST_S);
   });
 }
 
@@ -79,8 +74,8 @@
     const servers = isStream ? fixture.heads(SMALL).slice(0, 1) : plainServers().slice(0, 2);
     const asked = await askShedding(servers, path, 10);
     for (const server of servers) {
-      const found = mostInRest(server, asked);
-      expect(Math.max(...found)).toBeLessThanOrEqual(MOST);
+      const found = mostInRests(server, asked);
+      expect(Math.max(...found)).toBeLessThanOrEqual(MOST_IN_REST);
     }
     expect(
       fixture.platform.statements.arrivals.some(({ server }) => servers.includes(server)),
@@ -96,7 +91,7 @@
     const servers = plainServers();
     const asked = await askShedding(servers, '/unsafe/x', 5);
     for (const server of servers) {
-      expect(Math.max(...mostInRest(server, asked))).toBeLessThanOrEqual(MOST);
+      expect(Math.max(...mostInRests(server, asked))).toBeLessThanOrEqual(MOST_IN_REST);
     }
     const ran = new Set(fixture.platform.runs.map(({ requestId }) => requestId));
     const untouched = asked.filter(
--- a/tests/gateway/rests.test.ts
+++ b/tests/gateway/rests.test.ts
@@ -1,13 +1,11 @@
 import { describe, expect, it } from 'vitest';
 
 import { dialect } from '../../platform/ingress';
-import { createAllowances } from '../../src/app/gateway/allowances';
-import { createLimits } from '../../src/app/gateway/limits';
 import { noteRest, restLeftMs } from '../../src/core/gateway/rests';
 import type { Rests } from '../../src/core/gateway/rests';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId, EpochTime } from '../../src/core/ids';
-import { at, instance, makeContext } from './support';
+import { at, instance, makeAllowances, makeContext } from './support';
 
 const SERVER = instance('s1');
 const NONE: Rests = new Map();
@@ -31,12 +29,7 @@
     let ms = 0;
     const clock = { now: () => at(ms), epoch: () => brandAs<EpochTime>(ms) };
     const ctx = makeContext({ clock, settings: { id: brandAs<DaemonId>('d0') } });
-    const limits = createLimits(ctx, {
-      daemons: () => [ctx.settings.id],
-      isGone: () => false,
-      tell: () => undefined,
-    });
-    const allowances = createAllowances(ctx, limits);
+    const allowances = makeAllowances(ctx);
     expect(allowances.turns(SERVER)).toBe(Infinity);
     allowances.noteRest(SERVER, 2_000);
     expect(allowances.turns(SERVER)).toBe(0);
--- a/tests/gateway/statements.test.ts
+++ b/tests/gateway/statements.test.ts
@@ -8,12 +8,11 @@
 import { createServers } from '../../platform/servers';
 import { createAllowances } from '../../src/app/gateway/allowances';
 import type { Leaving } from '../../src/app/gateway/leaving';
-import { createLimits } from '../../src/app/gateway/limits';
 import { createStatements } from '../../src/app/gateway/statements';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId, EpochTime, GroupId, Epoch, InstanceId } from '../../src/core/ids';
 import type { ServerHead } from '../../src/ports/gateway';
-import { at, instance, makeContext, makeServer } from './support';
+import { at, instance, makeContext, makeLimits, makeServer } from './support';
 
 const SERVER = instance('s1');
 
@@ -21,11 +20,7 @@
   let ms = 0;
   const clock = { now: () => at(ms), epoch: () => brandAs<EpochTime>(ms) };
   const ctx = makeContext({ clock, settings: { id: brandAs<DaemonId>('d0') } });
-  const limits = createLimits(ctx, {
-    daemons: () => [ctx.settings.id],
-    isGone: () => false,
-    tell: () => undefined,
-  });
+  const limits = makeLimits(ctx);
   const left: InstanceId[] = [];
   const leaving = { note: (server: InstanceId) => left.push(server) } as unknown as Leaving;
   const allowances = createAllowances(ctx, limits);
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -9,6 +9,7 @@
 import type { Allowances } from '../../src/app/gateway/allowances';
 import type { GatewayContext } from '../../src/app/gateway/context';
 import { createLimits } from '../../src/app/gateway/limits';
+import type { Limits } from '../../src/app/gateway/limits';
 import type { Loads, PeerState } from '../../src/app/gateway/messages';
 import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
@@ -186,13 +187,15 @@
   };
 }
 
+/** Limits of a daemon that shares them with nobody. */
+export function makeLimits(ctx: GatewayContext): Limits {
+  const daemons = () => [ctx.settings.id];
+  return createLimits(ctx, { daemons, isGone: () => false, tell: () => undefined });
+}
+
 /** Allowances of a daemon to which no server has said anything. */
 export function makeAllowances(ctx: GatewayContext): Allowances {
-  const daemons = () => [ctx.settings.id];
-  return createAllowances(
-    ctx,
-    createLimits(ctx, { daemons, isGone: () => false, tell: () => undefined }),
-  );
+  return createAllowances(ctx, makeLimits(ctx));
 }
 
 /** What simulated fleets have in common. */
--- a/tests/soak/statements.ts
+++ b/tests/soak/statements.ts
@@ -6,16 +6,11 @@
 import type { DomainId, InstanceId, ServerName } from '../../src/core/ids';
 import { pause } from '../../src/utils/pause';
 import { COMMON_SETTINGS } from '../support/gateway-daemon';
+import { allowedBy, MOST_IN_REST, mostInRest, mostInSpan } from '../support/server-rules';
 import type { Call } from './callers';
 import type { World } from './world';
 
-/** The platform's rules; daemons and their links are calm in a round, so that none is excused. */
-const SPAN_MS = 4_000;
-const SPARE_RATIO = 1.5;
-const SPARE_REQUESTS = 5;
-const HEARD_MS = 500;
-const MOST_IN_REST = 2;
-
+/** Daemons and their links are calm in a round, so that the rules excuse none. */
 const ROUND_MS = 9_000;
 const SPEAKERS = 3;
 const SPOILED: readonly string[] = ['', '-1', 'NaN', '1e400', '2, x', 'soon', '1 1'];
@@ -74,10 +69,6 @@
   },
 };
 
-function mostIn(times: readonly number[], ms: number): number {
-  return Math.max(0, ...times.map((t) => times.filter((u) => u >= t && u < t + ms).length));
-}
-
 function timesByDaemon(
   arrivals: readonly Arrival[],
   daemonOf: ReadonlyMap<string, string>,
@@ -101,16 +92,14 @@
     const settled = arrivals
       .map(({ at }) => at)
       .filter((at) => at >= from + COMMON_SETTINGS.settleMs);
-    const most = mostIn(settled, SPAN_MS);
-    const allowed = (SPARE_RATIO * limitPerS * SPAN_MS) / 1_000 + SPARE_REQUESTS;
-    return most > allowed ? [`${name} with a limit of ${limitPerS} got ${most} in 4 s`] : [];
+    const most = mostInSpan(settled);
+    return most > allowedBy(limitPerS)
+      ? [`${name} with a limit of ${limitPerS} got ${most} in 4 s`]
+      : [];
   },
   rest: ({ name, restS }, arrivals, daemonOf) =>
     [...timesByDaemon(arrivals, daemonOf)].flatMap(([daemon, times]) => {
-      const inRest = times.map(
-        (t) => times.filter((u) => u > t + HEARD_MS && u < t + restS * 1_000).length,
-      );
-      const most = Math.max(0, ...inRest);
+      const most = mostInRest(times, restS);
       return most > MOST_IN_REST ? [`${name}, resting ${restS} s, got ${most} from ${daemon}`] : [];
     }),
   leaving: ({ name }, arrivals, daemonOf) =>
