Keep a reserve in domains that groups would fill completely

Cause: before the first caller, warm reserve servers counted as free of cost for a further group. A domain of 18 servers became one group of 8 and five of 2 without a spare, so the first lost member took the group of 8 away until servers had loaded its weights (nine groups fell to three within ten seconds). Change: a group without weight loads may use the reserve only while callers are served, which is when it replaces a lost group.

--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -63,9 +63,12 @@
     ...candidates.filter(({ usesReserve }) => !usesReserve).map(({ loads }) => loads),
   );
   // The reserve replaces lost members: a group that lost one is formed again with reserved servers,
-  // which is cheaper than loading its remaining members with another model.
-  const mayUseReserve = ({ loads, ...need }: Candidate): boolean =>
-    loads === 0 || (loads < cheapest && (cheapest < Infinity || isUnderprovisioned(draft, need)));
+  // which is cheaper than loading its remaining members with another model. Before the first caller
+  // nothing was lost yet, and a further group would leave no spare for the first loss.
+  const mayUseReserve = ({ loads, ...need }: Candidate): boolean => {
+    if (loads === 0) return draft.view.hasTraffic;
+    return loads < cheapest && (cheapest < Infinity || isUnderprovisioned(draft, need));
+  };
   return candidates.filter((candidate) => {
     if (!candidate.usesReserve) return candidate.loads === 0 || isGroupWorthwhile(draft, candidate);
     return isGroupWorthwhile(draft, candidate) && mayUseReserve(candidate);
--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -4,7 +4,7 @@
 import { createEngineFleet } from '../../stand-ins/users-platform/engines';
 import { runLosses } from '../../bench/forming-loop';
 import { createLeader } from './leader';
-import { FLEET, instance, LARGE, SMALL } from './support';
+import { ENGINE, FLEET, instance, LARGE, SMALL } from './support';
 
 function headOf(fleet: ReturnType<typeof createEngineFleet>, model: string) {
   const found = [...fleet.servers.values()].find(
@@ -40,6 +40,35 @@
   });
 });
 
+/** Models whose groups fill a domain of 18 servers without a remainder. */
+const FILLING_ENGINE = {
+  ...ENGINE,
+  models: ENGINE.models.map((model) => ({
+    ...model,
+    size: model.name === LARGE ? 8 : 2,
+    share: 0.5,
+  })),
+};
+
+describe('a domain that groups would fill completely', () => {
+  // Guards against groups of a small model formed from the warm reserve before the first caller: each
+  // loss then takes a group of the large model for the time of a weight load.
+  it('keeps a reserve, which replaces a lost member of the large model', () => {
+    const options = { ...FLEET, engine: FILLING_ENGINE, domains: [18], hasTraffic: false };
+    const fleet = createEngineFleet(options);
+    const leader = createLeader(fleet, { engine: FILLING_ENGINE });
+    leader.run(25_000);
+    const [large, small] = [fleet.serving(LARGE), fleet.serving(SMALL)];
+    expect(8 * large + 2 * small).toBeLessThan(18);
+    const loads = fleet.loads();
+    fleet.kill(headOf(fleet, LARGE).joined?.members[1] ?? instance('none'));
+    leader.run(2_000);
+    expect(fleet.serving(LARGE)).toBe(large);
+    expect(fleet.loads()).toBe(loads);
+    expect(fleet.violations).toEqual([]);
+  });
+});
+
 describe('a lost member', () => {
   it.each([LARGE, SMALL])('of %s is replaced by a warm spare within a second', (model) => {
     const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: false });
