Leave servers that did not receive their join out of the next groups

Cause: after the loss of a zone, entries of ended processes stay listed for seconds. A join to one of them fails, and the planner formed the next group with the same entry: 27 groups were begun and ended within 1.5 s while 54 servers returned, weight loads that never started used up the permitted rate, and 33 servers stayed idle for seven seconds while 200 requests waited. Change: a member whose join reached another process is left out for 20 s, one that could not be reached for 4 s; their recorded loads are dropped.

--- a/src/core/gateway/forming/form.ts
+++ b/src/core/gateway/forming/form.ts
@@ -1,9 +1,12 @@
 /** Advances groups being formed: members join, and the head opens once all report that they are ready. */
 
-import type { BackendServer, ModelSpec } from '../types';
+import { later } from '../../ids';
+import type { GroupId } from '../../ids';
 import { isComplete } from '../groups';
 import type { ReplicaGroup } from '../groups';
-import type { GroupId } from '../../ids';
+import type { OrderResult } from '../orders';
+import type { BackendServer, ModelSpec } from '../types';
+import { dropLoads } from './loads';
 import { startRetirement } from './retire';
 import { sendOrder, isSuspect, lastResult, modelOf } from './state';
 import type { Draft, Formation } from './state';
@@ -12,12 +15,55 @@
   return { kind: 'join' as const, group, epoch, model, members: members.map(({ id }) => id) };
 }
 
+/** Results of a join after which the member cannot become ready in this group. */
+const FAILED_JOINS: ReadonlySet<OrderResult | undefined> = new Set<OrderResult>([
+  'refused',
+  'other-server',
+  'not-sent',
+]);
+
+/**
+ * Time for which a server is left out of groups after a join that did not reach its process, by the result
+ * of that join. The entry of an ended process is removed within a few seconds, and the next process has
+ * another id.
+ */
+const UNAVAILABLE_MS: Readonly<Partial<Record<OrderResult, number>>> = {
+  'other-server': 20_000,
+  'not-sent': 4_000,
+};
+
+function joinResult(
+  draft: Draft,
+  formation: Formation,
+  member: BackendServer,
+): OrderResult | undefined {
+  return lastResult(draft, member, joinOrder(formation));
+}
+
 /** Whether a member can no longer become ready in this group. */
 function cannotJoin(draft: Draft, formation: Formation, member: BackendServer): boolean {
   const current = draft.view.servers.get(member.id);
   if (!current || current.isDraining || isSuspect(draft, member.id)) return true;
-  const result = lastResult(draft, member, joinOrder(formation));
-  return result === 'refused' || result === 'other-server' || result === 'not-sent';
+  return FAILED_JOINS.has(joinResult(draft, formation, member));
+}
+
+/**
+ * Leaves members that didn't receive their join out of the next groups.
+ *
+ * Load pattern: a zone is lost and its servers return within a second of each other, while entries of the
+ * ended processes are still listed. A group that includes such an entry fails, and forming it again with the
+ * same entry makes all its members join and leave many times.
+ */
+function excludeUnavailable(draft: Draft, formation: Formation): void {
+  const failed = formation.members.filter((member) =>
+    FAILED_JOINS.has(joinResult(draft, formation, member)),
+  );
+  dropLoads(draft, failed);
+  for (const member of failed) {
+    const result = joinResult(draft, formation, member);
+    const excludedMs = result && UNAVAILABLE_MS[result];
+    if (excludedMs !== undefined) draft.suspects.set(member.id, later(draft.now, excludedMs));
+  }
 }
 
 function reportsGroup(draft: Draft, { group, epoch }: Formation, { id }: BackendServer): boolean {
@@ -39,6 +85,7 @@
   const { members } = formation;
   const isBlocked = members.some((member) => cannotJoin(draft, formation, member));
   if (isBlocked || draft.now >= formation.deadline) {
+    excludeUnavailable(draft, formation);
     abandon(draft, formation);
     return;
   }
--- a/src/core/gateway/forming/loads.ts
+++ b/src/core/gateway/forming/loads.ts
@@ -40,3 +40,9 @@
     draft.loads.push({ server: server.id, at: draft.now, until: later(draft.now, ms) });
   }
 }
+
+/** Removes the running loads of servers that did not start them. */
+export function dropLoads(draft: Draft, servers: readonly BackendServer[]): void {
+  const ids = new Set(servers.map(({ id }) => id));
+  draft.loads = draft.loads.filter(({ server, until }) => !ids.has(server) || draft.now >= until);
+}
