Move the inspection of members out of the group planner

Change: the requests for reports of stalled groups are in member-inspection.ts; behaviour is the same.

--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -1,31 +1,23 @@
 /**
- * Plans replica groups while this daemon holds the lease: sends orders to servers and investigates
- * stalls.
+ * Plans replica groups while this daemon holds the lease: sends orders to servers and has stalled
+ * groups inspected.
  */
 
-import { Subject } from 'rxjs';
 import type { Observable } from 'rxjs';
 
 import type { FormingState, FormingView, OrderEffect } from '../../core/gateway/forming/state';
 import { createFormingState } from '../../core/gateway/forming/state';
-import { EPOCHS_PER_LEASE, isStandby } from '../../core/gateway/forming/start';
+import { EPOCHS_PER_LEASE } from '../../core/gateway/forming/start';
 import { noteResult, noteSuspect, planGroups } from '../../core/gateway/forming/plan';
 import type { RouteTable } from '../../core/gateway/routes';
 import type { BackendServer, ServiceSpec } from '../../core/gateway/types';
 import { later } from '../../core/ids';
-import type {
-  FencingNumber,
-  GroupId,
-  InstanceId,
-  ModelId,
-  MonoTime,
-  ServiceId,
-} from '../../core/ids';
+import type { FencingNumber, GroupId, ModelId, MonoTime, ServiceId } from '../../core/ids';
 import type { Servers } from '../../ports/gateway';
-import { pause } from '../../utils/pause';
 import type { Stall } from './group-registry';
 import type { GatewayContext } from './context';
 import type { Leadership } from './lease';
+import { createMemberInspection } from './member-inspection';
 import type { ServerRegistry } from './server-registry';
 
 export interface GroupPlanner {
@@ -39,19 +31,6 @@
   noteTraffic(): void;
 }
 
-/**
- * A member that sends no report within this time is considered lost. A healthy one takes about a
- * millisecond.
- */
-const REPORT_TIMEOUT_MS = 250;
-/**
- * After this time a second request is sent on a connection of its own, in case a packet was lost.
- */
-const RETRY_REPORT_MS = 90;
-/** A lost member is excluded for this long, or until it restarts under another id. */
-const LOST_EXCLUSION_MS = 20_000;
-/** Minimum time between two inspections of the same group. */
-const INSPECT_INTERVAL_MS = 700;
 /**
  * Offered load is sampled at this interval and with this weight: a mean over about five seconds.
  */
@@ -86,10 +65,6 @@
   let hasTraffic = false;
   let planDueAt = clock.now();
   let planTimer: NodeJS.Timeout | undefined;
-  const nextInspectionAt = new Map<GroupId, MonoTime>();
-  /** Servers whose entries expired and whose groups were inspected since. */
-  const inspectedLapsed = new Set<InstanceId>();
-  const lostGroups = new Subject<Stall>();
 
   /**
    * Offered load as a running mean, so that a short peak does not decide which model a group gets.
@@ -211,91 +186,21 @@
     }
   };
 
-  /** Whether the server sends a report, on the first or the second request. */
-  const isResponding = async (server: BackendServer): Promise<boolean> => {
-    const requestReport = async (timeoutMs: number): Promise<boolean> =>
-      (await servers.report(server, timeoutMs)).isOk();
-    const first = requestReport(REPORT_TIMEOUT_MS);
-    const hasAnswered = await Promise.race([first, pause(RETRY_REPORT_MS).then(() => false)]);
-    if (hasAnswered) return true;
-    const both = await Promise.all([first, requestReport(REPORT_TIMEOUT_MS - RETRY_REPORT_MS)]);
-    return both.includes(true);
-  };
-
-  const inspect = ({ group, head }: Stall): void => {
-    const now = clock.now();
-    const nextAt = nextInspectionAt.get(group);
-    if (leadership.heldFencing() === undefined || (nextAt !== undefined && now < nextAt)) return;
-    nextInspectionAt.set(group, later(now, INSPECT_INTERVAL_MS));
-    const members = [...serverRegistry.servers.values(), ...serverRegistry.lapsed.values()].filter(
-      ({ membership }) => membership?.group === group,
-    );
-    void inspectMembers(group, head, members);
-  };
-
-  const inspectMembers = async (
-    group: GroupId,
-    head: InstanceId,
-    members: readonly BackendServer[],
-  ): Promise<void> => {
-    const responding = await Promise.all(members.map(isResponding));
-    const lost = members.filter((_, i) => !responding[i]);
-    logger.info('members asked', {
-      step: 'inspect',
-      group,
-      head,
-      members: members.length,
-      lost: lost.map(({ id }) => id).join(' '),
-    });
-    // If no member answers, this daemon's own link may be down: check it against other domains
-    // first.
-    if (
-      lost.length === members.length &&
-      members.length > 1 &&
-      !(await canReachOtherDomains(members))
-    )
-      return;
+  const noteLost = (lost: readonly BackendServer[], until: MonoTime): void => {
     for (const { id, service } of lost) {
-      states.set(service, noteSuspect(stateOf(service), id, later(clock.now(), LOST_EXCLUSION_MS)));
+      states.set(service, noteSuspect(stateOf(service), id, until));
     }
-    if (lost.length === 0) return;
-    if (!isStandby(group)) lostGroups.next({ group, head });
-    tick();
-  };
-
-  /**
-   * A member whose entry expired may be lost, or may only be cut off from the store and from this
-   * daemon. If its group has streams, their events or their silence decide; an idle group is
-   * inspected.
-   */
-  const inspectLapsed = (): void => {
-    for (const { id, membership } of serverRegistry.lapsed.values()) {
-      if (inspectedLapsed.has(id)) continue;
-      inspectedLapsed.add(id);
-      if (membership && !isBusy(membership.group)) inspect({ group: membership.group, head: id });
-    }
-    for (const id of inspectedLapsed)
-      if (!serverRegistry.lapsed.has(id)) inspectedLapsed.delete(id);
-  };
-
-  serverRegistry.changes.subscribe(inspectLapsed);
-
-  /**
-   * Whether any engine server of another domain answers; servers of plain services give no reports.
-   */
-  const canReachOtherDomains = async (members: readonly BackendServer[]): Promise<boolean> => {
-    const ownDomain = members[0]?.domain;
-    const others = [...serverRegistry.servers.values()]
-      .filter(({ domain }) => domain !== undefined && domain !== ownDomain)
-      .slice(0, 2);
-    const responding = await Promise.all(others.map(isResponding));
-    return responding.includes(true);
   };
+  const inspection = createMemberInspection(ctx, {
+    ...{ serverRegistry, leadership, servers, isBusy, noteLost, replan: tick },
+  });
 
   return {
     tick,
-    inspect,
-    lost: lostGroups,
+    inspect: (stall) => {
+      inspection.inspect(stall);
+    },
+    lost: inspection.lost,
     noteTraffic: () => {
       hasTraffic = true;
     },
