Replace slow members of groups by spares

Cause: a group runs at the speed of its slowest member. Slow servers were avoided but stayed in their groups. Change: the leader asks the members of a group that stays slow for reports, if a spare can join without a weight load, and notes a slow member if the replacement is worth its interruption of two seconds. The planner then ends the group as for a leaving member and forms it again with the spare; the slow server is picked last until it reports normal speed. One group of a model in four is changed at a time.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -103,6 +103,7 @@
     servers: options.servers,
     isBusy: (group) => groupRegistry.isBusy(group),
     offeredLoad: () => groupRegistry.offeredLoad(),
+    slowdowns: () => groupRegistry.slowdowns(),
   });
   const upstream = createUpstream({ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS });
   // Registered daemons are counted as well: a daemon that has just started hears from few peers and
--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -8,17 +8,25 @@
 import type { FormingState, FormingView, OrderEffect } from '../../core/gateway/forming/state';
 import { createFormingState } from '../../core/gateway/forming/state';
 import { EPOCHS_PER_LEASE } from '../../core/gateway/forming/start';
-import { noteResult, noteSuspect, planGroups } from '../../core/gateway/forming/plan';
+import { noteResult, noteSlow, noteSuspect, planGroups } from '../../core/gateway/forming/plan';
 import type { RouteTable } from '../../core/gateway/routes';
 import type { BackendServer, ServiceSpec } from '../../core/gateway/types';
 import { later } from '../../core/ids';
-import type { FencingNumber, GroupId, ModelId, MonoTime, ServiceId } from '../../core/ids';
+import type {
+  FencingNumber,
+  GroupId,
+  InstanceId,
+  ModelId,
+  MonoTime,
+  ServiceId,
+} from '../../core/ids';
 import type { Servers } from '../../ports/gateway';
 import type { Stall } from './group-registry';
 import type { GatewayContext } from './context';
 import type { Leadership } from './lease';
 import { createMemberInspection } from './member-inspection';
 import type { ServerRegistry } from './server-registry';
+import { createSlowMembers } from './slow-members';
 
 export interface GroupPlanner {
   /** Plans again. To be called after each change and periodically. */
@@ -52,6 +60,8 @@
   readonly isBusy: (group: GroupId) => boolean;
   /** Offered load of each model, in full batches. */
   readonly offeredLoad: () => ReadonlyMap<ModelId, number>;
+  /** Slowdown factors of groups, by head. */
+  readonly slowdowns: () => ReadonlyMap<InstanceId, number>;
 }
 
 export function createGroupPlanner(
@@ -133,6 +143,7 @@
     states.set(service.name, plan.state);
     logPlan(before, plan.state);
     for (const effect of plan.orders) void send(service.name, effect, fencing);
+    slowMembers.tick(service.name, view);
   };
 
   const logPlan = (before: FormingState, after: FormingState): void => {
@@ -195,6 +206,17 @@
     ...{ serverRegistry, leadership, servers, isBusy, noteLost, replan: tick },
   });
 
+  const slowMembers = createSlowMembers(ctx, {
+    slowdowns: options.slowdowns,
+    servers,
+    stateOf,
+    noteSlow: (service, id, until) => {
+      states.set(service, noteSlow(stateOf(service), id, until));
+    },
+    isCurrent: (fencing) => term === fencing && leadership.heldFencing() === fencing,
+    replan: tick,
+  });
+
   return {
     tick,
     inspect: (stall) => {
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -115,6 +115,8 @@
   lastEventAt(head: InstanceId): MonoTime | undefined;
   /** Slowdown factors of groups as this daemon recently measured them, by head. */
   paces(): readonly (readonly [InstanceId, number])[];
+  /** Slowdown factors of groups as any daemon recently measured them, by head. */
+  slowdowns(): ReadonlyMap<InstanceId, number>;
   /**
    * Applies the summed load of the other daemons and the slowdowns that all daemons measured.
    * `ageMs`: the sums include everything that happened longer ago than this.
@@ -326,6 +328,11 @@
         const slowdown = group && localSlowdown(group);
         return slowdown === undefined ? [] : [[head, slowdown] as const];
       }),
+    slowdowns: () => {
+      const slowdownOfGroup = (group: ServingGroup): number =>
+        peerLoads.areFresh() ? currentSlowdown(group) : (localSlowdown(group) ?? 1);
+      return new Map([...groups()].map(([head, group]) => [head, slowdownOfGroup(group)]));
+    },
     quiet: () => {
       const now = clock.now();
       return [...progress].flatMap(([head, { running, eventAt }]) =>
--- a/src/core/gateway/forming/held-spares.ts
+++ b/src/core/gateway/forming/held-spares.ts
@@ -3,7 +3,7 @@
 import type { DomainId, ModelId } from '../../ids';
 import type { BackendServer } from '../types';
 import { pickMembers, remainingMembers } from './members';
-import { isEnabled } from './state';
+import { isEnabled, isSlow } from './state';
 import type { Draft } from './state';
 
 /** Members of ending groups that will become free in the domain, by the model to form again with them. */
@@ -14,7 +14,9 @@
   const releasing = new Map<ModelId, BackendServer[]>();
   for (const { model, members } of draft.retirements.values()) {
     if (model === undefined) continue;
-    const staying = remainingMembers(draft, members).filter((server) => server.domain === domain);
+    const staying = remainingMembers(draft, members).filter(
+      (server) => server.domain === domain && !isSlow(draft, server.id),
+    );
     if (staying.length > 0) releasing.set(model, [...(releasing.get(model) ?? []), ...staying]);
   }
   return releasing;
--- a/src/core/gateway/forming/members.ts
+++ b/src/core/gateway/forming/members.ts
@@ -5,7 +5,7 @@
 import type { BackendServer, ModelSpec } from '../types';
 import { joinCost } from './form';
 import { isStandby } from './start';
-import { isSuspect } from './state';
+import { isSlow, isSuspect } from './state';
 import type { Draft } from './state';
 
 /** Servers that may join a group now, by domain. */
@@ -35,8 +35,22 @@
   });
 }
 
-/** The free servers that are ready for the model soonest; ties go to those least useful to other models. */
-export function pickMembers(
+/**
+ * Moves slow servers behind all others that join as they do, with or without a weight load: a group of
+ * a slow server is worth more than one that waits for a load.
+ */
+function putSlowLast(draft: Draft, sorted: BackendServer[], model: ModelSpec): BackendServer[] {
+  if (!sorted.some(({ id }) => isSlow(draft, id))) return sorted;
+  const rank = (server: BackendServer): number =>
+    (joinCost(draft, server, model).isLoad ? 2 : 0) + (isSlow(draft, server.id) ? 1 : 0);
+  return sorted.sort((a, b) => rank(a) - rank(b));
+}
+
+/**
+ * The servers by the time in which they are ready for the model; ties go to those least useful to other
+ * models, and slow servers come last.
+ */
+export function sortByJoinTime(
   draft: Draft,
   free: readonly BackendServer[],
   model: ModelSpec,
@@ -44,14 +58,22 @@
   const others = draft.view.engine.models.filter(({ name }) => name !== model.name);
   const minOtherJoinMs = (server: BackendServer): number =>
     Math.min(...others.map((other) => joinCost(draft, server, other).ms));
-  return [...free]
-    .sort(
-      (a, b) =>
-        joinCost(draft, a, model).ms - joinCost(draft, b, model).ms ||
-        minOtherJoinMs(b) - minOtherJoinMs(a) ||
-        compareText(a.id, b.id),
-    )
-    .slice(0, model.size);
+  const sorted = [...free].sort(
+    (a, b) =>
+      joinCost(draft, a, model).ms - joinCost(draft, b, model).ms ||
+      minOtherJoinMs(b) - minOtherJoinMs(a) ||
+      compareText(a.id, b.id),
+  );
+  return putSlowLast(draft, sorted, model);
+}
+
+/** The free servers that suit a group of the model best. */
+export function pickMembers(
+  draft: Draft,
+  free: readonly BackendServer[],
+  model: ModelSpec,
+): BackendServer[] {
+  return sortByJoinTime(draft, free, model).slice(0, model.size);
 }
 
 /** Number of the servers that must load the model's weights from the shared store. */
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -17,6 +17,7 @@
 import { pruneLosses, noteLoss } from './reserve';
 import { advanceRetirements, startRetirement } from './retire';
 import { claimDomain } from './rebalance';
+import { canReplaceSlow } from './slow';
 import { isStandby } from './start';
 import { draftOf, isSuspect, noteModels, stateOf } from './state';
 import type { Draft, FormingState, FormingView, OrderEffect } from './state';
@@ -102,6 +103,7 @@
     retire(draft, group, 'leave');
   }
   if (fault === 'leaving' && hasReplacement(draft, group)) retire(draft, group, 'finish');
+  if (fault === undefined && canReplaceSlow(draft, group)) retire(draft, group, 'finish');
 }
 
 /** Handles a group whose head is not listed: it may still serve, but no requests are sent to it. */
@@ -174,7 +176,9 @@
   const isExpired = (at: MonoTime): boolean => draft.now >= later(at, MEMORY_MS);
   for (const [key, { at }] of draft.sentOrders) if (isExpired(at)) draft.sentOrders.delete(key);
   for (const [id, at] of draft.dissolved) if (isExpired(at)) draft.dissolved.delete(id);
-  for (const [id, until] of draft.suspects) if (draft.now >= until) draft.suspects.delete(id);
+  for (const deadlines of [draft.suspects, draft.slowMembers]) {
+    for (const [id, until] of deadlines) if (draft.now >= until) deadlines.delete(id);
+  }
   pruneLoads(draft);
   pruneLosses(draft);
 }
@@ -201,10 +205,26 @@
   return { ...state, sentOrders: new Map(state.sentOrders).set(key, { ...sent, result }) };
 }
 
+function withDeadline(
+  deadlines: ReadonlyMap<InstanceId, MonoTime>,
+  id: InstanceId,
+  until: MonoTime | undefined,
+): ReadonlyMap<InstanceId, MonoTime> {
+  const changed = new Map(deadlines);
+  if (until === undefined) changed.delete(id);
+  else changed.set(id, until);
+  return changed;
+}
+
 /** Suspects a server lost until `until`; without `until` it clears the suspicion. */
 export function noteSuspect(state: FormingState, id: InstanceId, until?: MonoTime): FormingState {
-  const suspects = new Map(state.suspects);
-  if (until === undefined) suspects.delete(id);
-  else suspects.set(id, until);
-  return { ...state, suspects };
+  return { ...state, suspects: withDeadline(state.suspects, id, until) };
+}
+
+/**
+ * Notes a server as slow until `until`: its group is formed again without it where spares permit, and it
+ * is picked last. Without `until` the server has normal speed again.
+ */
+export function noteSlow(state: FormingState, id: InstanceId, until?: MonoTime): FormingState {
+  return { ...state, slowMembers: withDeadline(state.slowMembers, id, until) };
 }
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -142,6 +142,8 @@
   readonly foreignGroups: ReadonlyMap<GroupId, MonoTime>;
   /** Servers suspected lost, and until when. */
   readonly suspects: ReadonlyMap<InstanceId, MonoTime>;
+  /** Servers measured as slow, and until when they are picked last unless measured again. */
+  readonly slowMembers: ReadonlyMap<InstanceId, MonoTime>;
   /** By the order's key. */
   readonly sentOrders: ReadonlyMap<string, SentOrder>;
   /** Weight loads that this process started. */
@@ -202,6 +204,7 @@
     dissolved: new Map(),
     foreignGroups: new Map(),
     suspects: new Map(),
+    slowMembers: new Map(),
     sentOrders: new Map(),
     loads: [],
     epochCount: 0,
@@ -219,6 +222,7 @@
   readonly dissolved: Map<GroupId, MonoTime>;
   readonly foreignGroups: Map<GroupId, MonoTime>;
   readonly suspects: Map<InstanceId, MonoTime>;
+  readonly slowMembers: Map<InstanceId, MonoTime>;
   readonly sentOrders: Map<string, SentOrder>;
   loads: WeightLoad[];
   epochCount: number;
@@ -239,6 +243,7 @@
     dissolved: new Map(state.dissolved),
     foreignGroups: new Map(state.foreignGroups),
     suspects: new Map(state.suspects),
+    slowMembers: new Map(state.slowMembers),
     sentOrders: new Map(state.sentOrders),
     loads: [...state.loads],
     epochCount: state.epochCount,
@@ -256,6 +261,7 @@
   const { settings, formations, retirements, dissolved, foreignGroups } = draft;
   const {
     suspects,
+    slowMembers,
     sentOrders: sent,
     loads,
     epochCount,
@@ -270,6 +276,7 @@
     dissolved,
     foreignGroups,
     suspects,
+    slowMembers,
     sentOrders: sent,
     loads,
     epochCount,
@@ -305,6 +312,12 @@
   return until !== undefined && draft.now < until;
 }
 
+/** Whether the server was measured as slow. */
+export function isSlow(draft: Draft, id: InstanceId): boolean {
+  const until = draft.slowMembers.get(id);
+  return until !== undefined && draft.now < until;
+}
+
 function keyOf(server: BackendServer, order: ServerOrder): string {
   const subject = order.kind === 'stage' ? order.model : `${order.group}/${order.epoch}`;
   const mode = order.kind === 'close' ? order.mode : '';
--- /dev/null
+++ b/tests/gateway/planned-fleet.ts
@@ -0,0 +1,113 @@
+/**
+ * The group planner of a leading daemon over a simulated fleet, in simulated time. A group's slowdown factor
+ * is that of its slowest member.
+ */
+
+import { errAsync, okAsync } from 'neverthrow';
+import { Subject } from 'rxjs';
+
+import { createGroupPlanner } from '../../src/app/gateway/group-planner';
+import type { GroupPlannerOptions } from '../../src/app/gateway/group-planner';
+import type { BackendServer } from '../../src/core/gateway/types';
+import type { InstanceId, ModelId } from '../../src/core/ids';
+import { createEngineFleet } from '../../stand-ins/users-platform/engines';
+import { at, ENGINE, FLEET, LARGE, makeConfig, makeContext, SERVICE } from './support';
+
+/** Starts a fleet with the group planner of its leading daemon, and waits until groups are formed. */
+export async function startPlannedFleet(domains: readonly number[]) {
+  const fleet = createEngineFleet({ ...FLEET, domains, hasTraffic: false });
+  const slow = new Map<InstanceId, number>();
+  /** Slowdown factors of groups that have another cause than their members. */
+  const measured = new Map<InstanceId, number>();
+  const reports: { at: number; server: InstanceId }[] = [];
+  const closed: number[] = [];
+  let fencing = 1;
+  const slowdownOf = (id: InstanceId): number => slow.get(id) ?? 1;
+  const heads = () => [...fleet.servers.values()].filter((s) => s.joined?.members[0] === s.id);
+  const options = {
+    serverRegistry: {
+      get servers() {
+        return fleet.rows();
+      },
+      get lapsed() {
+        return fleet.lapsed();
+      },
+      ended: fleet.ended,
+      watch: { isFailing: () => false },
+      changes: new Subject(),
+    },
+    routes: () => ({
+      config: makeConfig({ services: [{ name: SERVICE, engine: ENGINE }] as never }),
+    }),
+    leadership: { heldFencing: () => fencing, release: () => undefined },
+    servers: {
+      order: (server: BackendServer, order: never) => {
+        if ((order as { kind: string }).kind === 'close') closed.push(fleet.now());
+        return Promise.resolve(fleet.take({ key: '', server, order }, 0));
+      },
+      report: ({ id }: BackendServer) => {
+        reports.push({ at: fleet.now(), server: id });
+        if (!fleet.servers.get(id)?.isAlive) return errAsync('dead');
+        return okAsync({ slowdown: slowdownOf(id) });
+      },
+    },
+    isBusy: () => false,
+    offeredLoad: () => new Map(ENGINE.models.map(({ name }) => [name, 0.8 * domains.length])),
+    slowdowns: () =>
+      new Map(
+        heads().map(({ id, joined }) => {
+          const factors = joined?.members.map(slowdownOf) ?? [];
+          return [id, Math.max(measured.get(id) ?? 1, ...factors)];
+        }),
+      ),
+  };
+  const clock = { now: () => at(fleet.now()), epoch: () => 0 as never };
+  const planner = createGroupPlanner(
+    makeContext({ clock, tunables: { headBreakMs: 6_000, loadWindowMs: 5_000 } }),
+    options as unknown as GroupPlannerOptions,
+  );
+  /** Runs for `ms`; returns the least number of groups of the large model that served meanwhile. */
+  const run = async (ms: number): Promise<number> => {
+    let least = Infinity;
+    for (let passed = 0; passed < ms; passed += 50) {
+      fleet.advance(50);
+      planner.tick();
+      await new Promise(setImmediate);
+      least = Math.min(least, fleet.serving(LARGE));
+    }
+    return least;
+  };
+  const groupsOf = (model: ModelId): readonly InstanceId[][] =>
+    heads().flatMap(({ joined }) =>
+      joined?.state === 'open' && joined.model === model ? [[...joined.members]] : [],
+    );
+  const largeGroup = (n: number): InstanceId[] => groupsOf(LARGE)[n] ?? [];
+  const isServing = (id: InstanceId): boolean => groupsOf(LARGE).flat().includes(id);
+  const setSlow = (ids: readonly (InstanceId | undefined)[], factor = 4): void => {
+    for (const id of ids) if (id !== undefined) slow.set(id, factor);
+  };
+  const spares = (domain: string): InstanceId[] =>
+    [...fleet.servers.values()]
+      .filter((s) => s.domain === domain && (s.joined?.members.length ?? 1) === 1)
+      .map(({ id }) => id);
+  await run(15_000);
+  planner.noteTraffic();
+  fleet.beginTraffic();
+  await run(2_000);
+  return {
+    ...{
+      fleet,
+      run,
+      reports,
+      closed,
+      slow,
+      measured,
+      planner,
+      setSlow,
+      spares,
+      largeGroup,
+      isServing,
+    },
+    replaceLeader: () => (fencing += 1),
+  };
+}
