--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -1,9 +1,7 @@
-/** Exchanges state with peers and sends those that are behind what they are missing. */
+/** Exchanges state with peers. */
 
-import { mergeUpdates } from '../../core/gateway/collection-updates';
 import type { ConfigVersion, MonoTime } from '../../core/ids';
 import { brandAs, later } from '../../core/ids';
-import { isLater, ORIGIN_POSITION } from '../../core/store-era';
 import type { Arrivals } from './arrivals';
 import type { GroupRegistry } from './group-registry';
 import type { ConfigView } from './config-view';
@@ -15,9 +13,12 @@
 import type { LeavingServers } from './leaving-servers';
 import type { RateLimits } from './rate-limits';
 import { sumLoads, withoutOwn } from './loads';
-import type { PeerState, PlainMessage, PeerProgress } from './messages';
+import type { PeerState, PlainMessage } from './messages';
+import { createOwnState } from './own-state';
+import { createPeerHelp } from './peer-help';
 import type { ReceivedMessage, PeerView } from './peer-view';
-import type { ServerRegistry, ServerUpdates } from './server-registry';
+import { createUpdatePublisher } from './publish-updates';
+import type { ServerRegistry } from './server-registry';
 import type { WaitQueue } from './wait-queue';
 import { createWorkLog } from './work-log';
 
@@ -57,17 +58,6 @@
 const INTERVAL_PER_PEER_MS = 9;
 /** Loads of peers that fell silent are dropped after this interval at the latest. */
 const LOADS_REFRESH_MS = 500;
-/**
- * The store informs all daemons of a version within milliseconds; peers send it to a daemon that
- * lacks it after this delay.
- */
-const HELP_DELAY_MS = 250;
-/** Daemons of a large fleet, other than the leader, that help the same peer at a time. */
-const MAX_HELPERS = 3;
-/** Server updates to a large fleet are batched for this long: half of the interval of loads. */
-const UPDATE_BATCH_MS = 100;
-/** Minimum time between two messages that help the same peer. */
-const HELP_INTERVAL_MS = 500;
 
 /** Interval of a daemon that sends its state to `peers` other daemons directly. */
 function intervalMs(peers: number): number {
@@ -83,12 +73,9 @@
     fleet,
     planner,
     leadership,
-    waitQueue,
-    arrivals,
     limits: rateLimits,
     leaving: leavingServers,
   } = deps;
-  const nextHelpAt = new Map<string, MonoTime>();
   let dueAt = ctx.clock.now();
   let hasTraffic = false;
   let hasNewState = false;
@@ -96,47 +83,15 @@
   let loadsDueAt = ctx.clock.now();
   /** The state last sent to the leader. */
   let lastSentState: PeerState | undefined;
-  /** Position up to which the servers are known, and since when. */
-  let serversAt = ORIGIN_POSITION;
-  let serversSince = ctx.clock.now();
   const workLog = createWorkLog(ctx, groupRegistry, serverRegistry.servers);
-  const stallReporting = createStallReporting({
-    ctx,
-    groupRegistry,
-    fleet,
-    planner,
-    leadership,
-  });
-  /** Server updates that wait to be published, and the earliest time to do so. */
-  let pendingUpdates: ServerUpdates | undefined;
-  let publishUpdatesAt = ctx.clock.now();
-
-  /** By model: waiting requests and the arrival rate, requests a second. */
-  const offeredLoad = (): PeerState['waiting'] => {
-    const models = new Set([...waitQueue.waiting(), ...arrivals.rates()].map(([model]) => model));
-    return [...models].map((model) => [model, waitQueue.count(model), arrivals.rate(model)]);
-  };
-
-  const ownState = (lease = leadership.ownLease()): PeerState => ({
-    kind: 'state',
-    configVersion: config.version(),
-    serversAt: serverRegistry.changedAt(),
-    storeEra: ctx.store.era(),
-    isStoreLost: serverRegistry.watch.isFailing(),
-    storeAgeMs: Math.round(serverRegistry.watch.ageMs()),
-    configAgeMs: Math.round(config.watch.ageMs()),
-    hasTraffic,
-    isStopping: deps.isStopping(),
-    zone: ctx.settings.zone,
-    cores: ctx.settings.cores,
-    hearsLeader: lease !== undefined || fleet.leader() !== undefined,
-    ...(lease && { lease }),
-    running: groupRegistry.running().map((entry) => [...entry]),
-    quiet: groupRegistry.quiet().map((entry) => [...entry]),
-    paces: groupRegistry.paces().map((entry) => [...entry]),
-    waiting: offeredLoad(),
-    limits: rateLimits.report(),
-    leaving: leavingServers.report(),
+  const stallReporting = createStallReporting(deps);
+  const updates = createUpdatePublisher(deps);
+  const help = createPeerHelp(deps);
+
+  const ownState = createOwnState({
+    ...deps,
+    hasLeader: () => fleet.leader() !== undefined,
+    hasTraffic: () => hasTraffic,
   });
 
   const noteTraffic = (): void => {
@@ -145,58 +100,6 @@
     planner.noteTraffic();
   };
 
-  const mayHelp = (key: string): boolean => {
-    const now = ctx.clock.now();
-    const nextAt = nextHelpAt.get(key);
-    if (nextAt !== undefined && now < nextAt) return false;
-    nextHelpAt.set(key, later(now, HELP_INTERVAL_MS));
-    return true;
-  };
-
-  /**
-   * In a large fleet the leader helps, and only a few of the other daemons: all receive the same
-   * state.
-   */
-  const isHelper = (): boolean =>
-    !fleet.isLarge() ||
-    leadership.ownLease() !== undefined ||
-    ctx.random.next() < MAX_HELPERS / fleet.size();
-
-  /**
-   * Sends a peer that is behind what it is missing: the store refuses it, or it has just started.
-   */
-  const sendMissing = (peer: PeerProgress, address: string): void => {
-    if (!isHelper()) return;
-    const now = ctx.clock.now();
-    const table = config.table.value;
-    const isOldEnough = now >= later(config.since(), HELP_DELAY_MS) || peer.configVersion === 0;
-    if (
-      table &&
-      peer.configVersion < config.version() &&
-      isOldEnough &&
-      mayHelp(`config ${address}`)
-    ) {
-      fleet.send(address, { kind: 'config', config: table.config });
-    }
-    if (isLater(serverRegistry.changedAt(), serversAt)) {
-      serversAt = serverRegistry.changedAt();
-      serversSince = now;
-    }
-    const isSettled = now >= later(serversSince, HELP_DELAY_MS);
-    const isBehind = isSettled && isLater(serversAt, peer.serversAt);
-    // A peer that knows no servers at all gets them even if this daemon can't confirm them with the
-    // store.
-    const isFresh = !serverRegistry.watch.isFailing() || !isLater(peer.serversAt, ORIGIN_POSITION);
-    const canSendServers = peer.isStoreLost && isFresh;
-    if (isBehind && canSendServers && mayHelp(`servers ${address}`)) {
-      fleet.send(address, {
-        kind: 'servers',
-        at: serversAt,
-        servers: [...serverRegistry.servers.values()],
-      });
-    }
-  };
-
   const handlers: {
     readonly [K in PlainMessage['kind']]: (
       message: Extract<PlainMessage, { kind: K }>,
@@ -211,7 +114,7 @@
       leavingServers.applyReport(state.leaving, `peer ${from}`);
       if (state.hasTraffic) noteTraffic();
       if (state.lease) leadership.notePeerLease(state.lease);
-      sendMissing(state, address);
+      help.sendMissing(state, address);
     },
     stalled: ({ group, head, finding }, { from }) => {
       if (groupRegistry.find(head)?.id === group)
@@ -238,7 +141,7 @@
         isLeaderless: false,
         ageMs: RELAYED_LOAD_AGE_MS,
       });
-      sendMissing(sums, address);
+      help.sendMissing(sums, address);
     },
     news: ({ since, upTo, changes }) => {
       serverRegistry.applyUpdates({
@@ -284,7 +187,7 @@
       });
       // A daemon that learned of a position before the updates leading to it would fetch them from
       // the store.
-      flushUpdates();
+      updates.flush();
       fleet.broadcastAsLeader({
         kind: 'loads',
         configVersion,
@@ -326,31 +229,6 @@
     else if (!fleet.leader() && !leadership.ownLease()) fleet.sendToLikelyLeaders(ownState());
   };
 
-  /**
-   * Publishes server updates in batches: in a large fleet, each message is relayed to every daemon.
-   */
-  const publishUpdates = (now: MonoTime): void => {
-    if (now < publishUpdatesAt) return;
-    publishUpdatesAt = later(now, fleet.isLarge() ? UPDATE_BATCH_MS : 0);
-    flushUpdates();
-  };
-
-  const flushUpdates = (): void => {
-    if (!pendingUpdates) return;
-    const { since, upTo, changes } = pendingUpdates;
-    pendingUpdates = undefined;
-    fleet.broadcastAsLeader({ kind: 'news', since, upTo, changes: [...changes] });
-  };
-
-  serverRegistry.news.subscribe((updates) => {
-    if (leadership.heldFencing() === undefined) {
-      pendingUpdates = undefined;
-      return;
-    }
-    pendingUpdates = mergeUpdates(pendingUpdates, updates);
-    publishUpdates(ctx.clock.now());
-  });
-
   return {
     noteTraffic,
     tick: () => {
@@ -360,7 +238,7 @@
       if (isLarge) exchangeLoads(now, peers);
       else applyDirectLoads(now, peers);
       publishState(now, peers, isLarge);
-      publishUpdates(now);
+      updates.tick();
       if (leadership.heldFencing() !== undefined) workLog.tick(now, () => [...peers, ownState()]);
       fleet.tick();
     },
--- /dev/null
+++ b/src/app/gateway/own-state.ts
@@ -0,0 +1,53 @@
+/** The state message of this daemon. */
+
+import type { GossipDeps } from './gossip';
+import type { PeerState } from './messages';
+
+type OwnStateDeps = Omit<GossipDeps, 'planner' | 'fleet'> & {
+  readonly hasLeader: () => boolean;
+  readonly hasTraffic: () => boolean;
+};
+
+/** Returns a function that reports this daemon's current state, as the holder of `lease` if it leads. */
+export function createOwnState({
+  ctx,
+  config,
+  serverRegistry,
+  groupRegistry,
+  leadership,
+  waitQueue,
+  arrivals,
+  limits: rateLimits,
+  leaving: leavingServers,
+  isStopping,
+  hasLeader,
+  hasTraffic,
+}: OwnStateDeps): (lease?: PeerState['lease']) => PeerState {
+  /** By model: waiting requests and the arrival rate, requests a second. */
+  const offeredLoad = (): PeerState['waiting'] => {
+    const models = new Set([...waitQueue.waiting(), ...arrivals.rates()].map(([model]) => model));
+    return [...models].map((model) => [model, waitQueue.count(model), arrivals.rate(model)]);
+  };
+
+  return (lease = leadership.ownLease()) => ({
+    kind: 'state',
+    configVersion: config.version(),
+    serversAt: serverRegistry.changedAt(),
+    storeEra: ctx.store.era(),
+    isStoreLost: serverRegistry.watch.isFailing(),
+    storeAgeMs: Math.round(serverRegistry.watch.ageMs()),
+    configAgeMs: Math.round(config.watch.ageMs()),
+    hasTraffic: hasTraffic(),
+    isStopping: isStopping(),
+    zone: ctx.settings.zone,
+    cores: ctx.settings.cores,
+    hearsLeader: lease !== undefined || hasLeader(),
+    ...(lease && { lease }),
+    running: groupRegistry.running().map((entry) => [...entry]),
+    quiet: groupRegistry.quiet().map((entry) => [...entry]),
+    paces: groupRegistry.paces().map((entry) => [...entry]),
+    waiting: offeredLoad(),
+    limits: rateLimits.report(),
+    leaving: leavingServers.report(),
+  });
+}
--- /dev/null
+++ b/src/app/gateway/peer-help.ts
@@ -0,0 +1,106 @@
+/** Sends peers that are behind what they are missing: the store refuses them, or they have just started. */
+
+import { later } from '../../core/ids';
+import type { MonoTime } from '../../core/ids';
+import { isLater, ORIGIN_POSITION } from '../../core/store-era';
+import type { ConfigView } from './config-view';
+import type { GatewayContext } from './context';
+import type { Fleet } from './fleet';
+import type { Leadership } from './lease';
+import type { PeerProgress } from './messages';
+import type { ServerRegistry } from './server-registry';
+
+export interface PeerHelpDeps {
+  readonly ctx: GatewayContext;
+  readonly config: ConfigView;
+  readonly serverRegistry: ServerRegistry;
+  readonly fleet: Fleet;
+  readonly leadership: Leadership;
+}
+
+export interface PeerHelp {
+  /** Sends the peer the configuration and the servers if its progress shows that it lacks them. */
+  sendMissing(peer: PeerProgress, address: string): void;
+}
+
+/**
+ * The store informs all daemons of a version within milliseconds; peers send it to a daemon that
+ * lacks it after this delay.
+ */
+const HELP_DELAY_MS = 250;
+/** Daemons of a large fleet, other than the leader, that help the same peer at a time. */
+const MAX_HELPERS = 3;
+/** Minimum time between two messages that help the same peer. */
+const HELP_INTERVAL_MS = 500;
+
+export function createPeerHelp({
+  ctx,
+  config,
+  serverRegistry,
+  fleet,
+  leadership,
+}: PeerHelpDeps): PeerHelp {
+  const nextHelpAt = new Map<string, MonoTime>();
+  /** Position up to which the servers are known, and since when. */
+  let serversAt = ORIGIN_POSITION;
+  let serversSince = ctx.clock.now();
+
+  const mayHelp = (key: string): boolean => {
+    const now = ctx.clock.now();
+    const nextAt = nextHelpAt.get(key);
+    if (nextAt !== undefined && now < nextAt) return false;
+    nextHelpAt.set(key, later(now, HELP_INTERVAL_MS));
+    return true;
+  };
+
+  /**
+   * In a large fleet the leader helps, and only a few of the other daemons: all receive the same
+   * state.
+   */
+  const isHelper = (): boolean =>
+    !fleet.isLarge() ||
+    leadership.ownLease() !== undefined ||
+    ctx.random.next() < MAX_HELPERS / fleet.size();
+
+  const sendConfig = (peer: PeerProgress, address: string, now: MonoTime): void => {
+    const table = config.table.value;
+    const isOldEnough = now >= later(config.since(), HELP_DELAY_MS) || peer.configVersion === 0;
+    if (
+      table &&
+      peer.configVersion < config.version() &&
+      isOldEnough &&
+      mayHelp(`config ${address}`)
+    ) {
+      fleet.send(address, { kind: 'config', config: table.config });
+    }
+  };
+
+  const sendServers = (peer: PeerProgress, address: string, now: MonoTime): void => {
+    if (isLater(serverRegistry.changedAt(), serversAt)) {
+      serversAt = serverRegistry.changedAt();
+      serversSince = now;
+    }
+    const isSettled = now >= later(serversSince, HELP_DELAY_MS);
+    const isBehind = isSettled && isLater(serversAt, peer.serversAt);
+    // A peer that knows no servers at all gets them even if this daemon can't confirm them with the
+    // store.
+    const isFresh = !serverRegistry.watch.isFailing() || !isLater(peer.serversAt, ORIGIN_POSITION);
+    const canSendServers = peer.isStoreLost && isFresh;
+    if (isBehind && canSendServers && mayHelp(`servers ${address}`)) {
+      fleet.send(address, {
+        kind: 'servers',
+        at: serversAt,
+        servers: [...serverRegistry.servers.values()],
+      });
+    }
+  };
+
+  return {
+    sendMissing: (peer, address) => {
+      if (!isHelper()) return;
+      const now = ctx.clock.now();
+      sendConfig(peer, address, now);
+      sendServers(peer, address, now);
+    },
+  };
+}
