Leave groups in evacuated zones as they are, and form others elsewhere

Cause: the group planner knew no evacuated zones. It counted groups that get no requests, ended and formed groups there, and gave their servers orders. Change: the view has the evacuated zones. Groups with a member there are neither checked nor counted, their servers are not free, and no order is sent to them; ending a group goes on after the evacuation. A group that is being formed is dropped from the plan and opened afterwards like one of an earlier leader. The fleet stand-in can have domains in several zones.

--- a/src/core/gateway/forming/members.ts
+++ b/src/core/gateway/forming/members.ts
@@ -3,6 +3,7 @@
 import type { DomainId, InstanceId } from '../../ids';
 import { compareText } from '../../../utils/common';
 import type { BackendServer, ModelSpec } from '../types';
+import { isEvacuated } from './evacuated';
 import { joinCost } from './form';
 import { isStandby } from './start';
 import { isSuspect } from './state';
@@ -17,6 +18,7 @@
   for (const server of draft.view.servers.values()) {
     const { id, domain, isDraining, membership } = server;
     if (domain === undefined || isDraining || taken.has(id) || isSuspect(draft, id)) continue;
+    if (isEvacuated(draft, server)) continue;
     const isBound =
       membership && !isStandby(membership.group) && !draft.dissolved.has(membership.group);
     if (isBound) continue;
@@ -31,7 +33,8 @@
 export function remainingMembers(draft: Draft, members: readonly BackendServer[]): BackendServer[] {
   return members.flatMap(({ id }) => {
     const server = draft.view.servers.get(id);
-    return !server || server.isDraining || isSuspect(draft, id) ? [] : [server];
+    if (!server || server.isDraining || isSuspect(draft, id)) return [];
+    return isEvacuated(draft, server) ? [] : [server];
   });
 }
 
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -11,6 +11,7 @@
 import type { OrderResult } from '../orders';
 import type { BackendServer } from '../types';
 import { composeGroups } from './compose';
+import { dropEvacuatedFormations, excludeEvacuated } from './evacuated';
 import { advanceFormations, joinCost, openGroup } from './form';
 import { pruneLoads } from './loads';
 import { collectFreeServers } from './members';
@@ -184,7 +185,8 @@
   const draft = draftOf(state, view, now);
   prune(draft);
   noteModels(draft);
-  const groups = collectGroups(view.servers.values());
+  const groups = excludeEvacuated(draft, collectGroups(view.servers.values()));
+  dropEvacuatedFormations(draft);
   const byId = new Map<GroupId, ReplicaGroup>(groups.map((group) => [group.id, group]));
   for (const id of draft.foreignGroups.keys()) if (!byId.has(id)) draft.foreignGroups.delete(id);
   for (const group of groups) checkGroup(draft, group);
--- a/src/core/gateway/forming/retire.ts
+++ b/src/core/gateway/forming/retire.ts
@@ -6,6 +6,7 @@
 
 import { later } from '../../ids';
 import type { BackendServer } from '../types';
+import { isEvacuated } from './evacuated';
 import { sendOrder, isSuspect } from './state';
 import type { Draft, Retirement, RetirementStep } from './state';
 
@@ -120,7 +121,10 @@
 /** Advances every group being ended by one step. */
 export function advanceRetirements(draft: Draft): void {
   for (const retirement of [...draft.retirements.values()]) {
-    const { head } = retirement;
+    const { head, members } = retirement;
+    // Goes on after the evacuation; until then no order may be sent.
+    const involved = head ? [head, ...members] : members;
+    if (involved.some((server) => isEvacuated(draft, server))) continue;
     // A head that has restarted no longer has the group that its earlier process served.
     if (head && draft.view.ended.has(head.id)) release(draft, retirement);
     else if (head) STEP_HANDLERS[retirement.step](draft, retirement, head);
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -1,6 +1,6 @@
 /** State of the group planner: what it keeps between plans beside the servers' own reports. */
 
-import type { DomainId, Epoch, GroupId, InstanceId, ModelId, MonoTime } from '../../ids';
+import type { DomainId, Epoch, GroupId, InstanceId, ModelId, MonoTime, ZoneId } from '../../ids';
 import { later } from '../../ids';
 import type { OrderResult, ServerOrder } from '../orders';
 import type { BackendServer, EngineSpec } from '../types';
@@ -184,6 +184,8 @@
   readonly hasTraffic: boolean;
   /** Offered load of each model, in groups that it would keep busy; absent if unknown. */
   readonly offeredLoad?: ReadonlyMap<ModelId, number>;
+  /** Zones in which no server is given any order. */
+  readonly evacuated?: ReadonlySet<ZoneId>;
 }
 
 /** An order to send; its result is reported under `key`. */
--- a/stand-ins/users-platform/engines.ts
+++ b/stand-ins/users-platform/engines.ts
@@ -75,6 +75,8 @@
   readonly domains: readonly number[];
   /** False: loads take a tenth of their time until `beginTraffic`. */
   readonly hasTraffic: boolean;
+  /** Zone of the n-th domain. */
+  readonly zoneOf?: (domain: number) => string;
   /** Address of the n-th server. */
   readonly addressOf?: (n: number) => string;
 }
@@ -87,6 +89,7 @@
   service,
   domains,
   hasTraffic: startsWithTraffic,
+  zoneOf = () => 'zone-a',
   addressOf = (n) => `127.0.0.1:${10_000 + n}`,
 }: EngineFleetOptions) {
   let hasTraffic = startsWithTraffic;
@@ -299,7 +302,7 @@
       startedAt,
       service,
       address,
-      zone: brandAs<ZoneId>('zone-a'),
+      zone: brandAs<ZoneId>(zoneOf(Number(domain.slice(1)))),
       batchSize: engine.batchSize,
       domain,
       isDraining,
--- a/tests/gateway/leader.ts
+++ b/tests/gateway/leader.ts
@@ -4,7 +4,8 @@
 import type { FormingMechanism, FormingState } from '../../src/core/gateway/forming/state';
 import { noteResult, noteSuspect, planGroups } from '../../src/core/gateway/forming/plan';
 import type { EngineSpec } from '../../src/core/gateway/types';
-import type { ModelId } from '../../src/core/ids';
+import { brandAs } from '../../src/core/ids';
+import type { ModelId, ZoneId } from '../../src/core/ids';
 import type { EngineFleet } from '../../stand-ins/users-platform/engines';
 import { at, ENGINE } from './support';
 
@@ -34,6 +35,9 @@
   let hasTraffic = startsWithTraffic;
   let fencing = 1;
   let orders = 0;
+  let evacuated: ReadonlySet<ZoneId> = new Set();
+  /** Orders to servers of evacuated zones. */
+  let misdirected = 0;
   let state: FormingState = createFormingState({ disabledMechanisms });
 
   const step = (): void => {
@@ -47,12 +51,14 @@
       engine,
       fencing,
       hasTraffic,
+      evacuated,
       ...(offeredLoad && { offeredLoad }),
     };
     const plan = planGroups(state, view, now);
     state = plan.state;
     for (const effect of plan.orders) {
       orders += 1;
+      if (evacuated.has(effect.server.zone)) misdirected += 1;
       const result = fleet.take(effect, lateMs(orders));
       state = noteResult(state, effect.key, result);
     }
@@ -71,6 +77,11 @@
     beginTraffic: (): void => {
       hasTraffic = true;
     },
+    /** Evacuates these zones and no others. */
+    evacuate: (...zones: readonly string[]): void => {
+      evacuated = new Set(zones.map((zone) => brandAs<ZoneId>(zone)));
+    },
+    misdirected: () => misdirected,
     orders: () => orders,
     state: () => state,
   };
