Send nothing to servers of zones that the operator evacuated

Cause: rows of the operator's table other than the configuration were logged as invalid and had no effect: after an evacuation every daemon went on to send to the zone. Change: the feed of the operator's table has entries of two kinds. An evacuation counts by its key, and rows of neither kind are ignored. core/gateway/evacuations merges what daemons know by position in the store's history; app/gateway/evacuations keeps it, from the store and from peers (state, loads, config). The group registry, plain calls and the check in the tick of the send leave the servers out, the leader gives them no orders and asks them for no reports. A stream of a model with no groups but evacuated ones is refused at once, also from the queue; plain calls likewise. Zones stay evacuated over a restore of the store until the operator has written. The group index keeps the groups, so that stalls of their last streams are seen. Tests: existing fakes of the operator's feed give entries; nothing else in these tests is changed.

--- a/src/app/gateway/config-view.ts
+++ b/src/app/gateway/config-view.ts
@@ -10,8 +10,9 @@
 import type { GatewayConfig } from '../../core/gateway/types';
 import { later } from '../../core/ids';
 import type { MonoTime } from '../../core/ids';
-import type { Feed } from '../../ports/gateway';
+import type { Feed, OperatorEntry } from '../../ports/gateway';
 import type { GatewayContext } from './context';
+import type { Evacuations } from './evacuations';
 import type { Leader } from './peer-view';
 import { watchFeed } from './watch';
 import type { Watch } from './watch';
@@ -52,7 +53,9 @@
 const POLL_DELAY_SHARE = 0.15;
 
 export interface ConfigViewOptions {
-  readonly feed: Feed<GatewayConfig>;
+  readonly feed: Feed<OperatorEntry>;
+  /** Receives the evacuated zones, which are in the same table. */
+  readonly evacuations?: Pick<Evacuations, 'applyEntries'>;
   /** Running daemons, as far as known. */
   readonly daemons: () => number;
   /** The leader's latest statement, if recent. */
@@ -61,7 +64,7 @@
 
 export function createConfigView(
   ctx: GatewayContext,
-  { feed, daemons, leader }: ConfigViewOptions,
+  { feed, evacuations, daemons, leader }: ConfigViewOptions,
 ): ConfigView {
   const table = new BehaviorSubject<RouteTable | undefined>(undefined);
   let adoptedAt = ctx.clock.now();
@@ -102,8 +105,11 @@
     waitMs: () => Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, WAIT_PER_DAEMON_MS * daemons())),
     freshUntil,
     nextPollAt: (at) => later(at, ctx.tunables.value.configMs * POLL_DELAY_SHARE),
-    apply: (changes) => {
-      for (const { value } of changes) if (value) adoptIfNewer(value, 'store');
+    apply: (changes, kind) => {
+      // Evacuations first: requests are sent as soon as a configuration is in force.
+      evacuations?.applyEntries(changes, kind, watch.position());
+      for (const { value } of changes)
+        if (value?.kind === 'config') adoptIfNewer(value.config, 'store');
     },
   });
   const ageMs = (): number => Math.min(watch.ageMs(), confirmedAgeMs(ctx.clock.now()));
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -137,6 +137,11 @@
   return fail('cancelled', 'the server asked to back off', { step: 'send' });
 }
 
+/** Error of a request whose server's zone was evacuated after it was selected. */
+export function evacuatedError(): StepError {
+  return fail('cancelled', 'the zone of the server is evacuated', { step: 'send' });
+}
+
 /**
  * When a refused caller should retry, milliseconds; with jitter, so that callers do not retry
  * together.
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -10,6 +10,7 @@
 import { createGroupRegistry } from './group-registry';
 import { createConfigView } from './config-view';
 import type { GatewayContext } from './context';
+import { createEvacuations } from './evacuations';
 import { createFleet } from './fleet';
 import { createGroupPlanner } from './group-planner';
 import { createHttpServer } from './http-server';
@@ -69,8 +70,10 @@
 
   const fleet = createFleet(ctx, feeds.daemons);
   const daemons = (): number => fleet.size();
+  const evacuations = createEvacuations(ctx);
   const config = createConfigView(ctx, {
     feed: feeds.config,
+    evacuations,
     daemons,
     leader: () => fleet.leader(),
   });
@@ -93,10 +96,17 @@
   });
   const leavingServers = createLeavingServers(ctx, serverRegistry);
   const throttle = createThrottle(ctx, rateLimits);
-  const groupRegistry = createGroupRegistry(ctx, serverRegistry, config.table, throttle);
+  const groupRegistry = createGroupRegistry(
+    ctx,
+    serverRegistry,
+    config.table,
+    throttle,
+    evacuations,
+  );
   const waitQueue = createWaitQueue(ctx, groupRegistry);
   const arrivals = createArrivals(ctx);
   const planner = createGroupPlanner(ctx, {
+    evacuations,
     serverRegistry,
     routes,
     leadership,
@@ -119,15 +129,16 @@
     notices.apply(head);
   });
   const plain = createPlainCalls({
-    ...{ ctx, serverRegistry, upstream, dialect, retries, notices, throttle },
+    ...{ ctx, serverRegistry, upstream, dialect, retries, notices, throttle, evacuations },
   });
   const streams = createStreamCalls({
-    ...{ ctx, groupRegistry, upstream, dialect, retries, notices, throttle },
+    ...{ ctx, groupRegistry, upstream, dialect, retries, notices, throttle, evacuations },
     ...{ waitQueue, arrivals, daemons: countSharingDaemons },
   });
   const gossip = createGossip({
     ctx,
     config,
+    evacuations,
     serverRegistry,
     groupRegistry,
     fleet,
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -6,6 +6,7 @@
 import type { GroupRegistry } from './group-registry';
 import type { ConfigView } from './config-view';
 import type { GatewayContext } from './context';
+import type { Evacuations } from './evacuations';
 import { createStallReporting } from './stall-reporting';
 import type { Fleet } from './fleet';
 import type { GroupPlanner } from './group-planner';
@@ -14,7 +15,7 @@
 import type { RateLimits } from './rate-limits';
 import { sumLoads, withoutOwn } from './loads';
 import type { PeerState, PlainMessage } from './messages';
-import { createOwnState } from './own-state';
+import { createOwnState, knowledgeOf } from './own-state';
 import { createPeerHelp } from './peer-help';
 import type { ReceivedMessage, PeerView } from './peer-view';
 import { createUpdatePublisher } from './publish-updates';
@@ -25,6 +26,7 @@
 export interface GossipDeps {
   readonly ctx: GatewayContext;
   readonly config: ConfigView;
+  readonly evacuations: Evacuations;
   readonly serverRegistry: ServerRegistry;
   readonly groupRegistry: GroupRegistry;
   readonly fleet: Fleet;
@@ -68,6 +70,7 @@
   const {
     ctx,
     config,
+    evacuations,
     serverRegistry,
     groupRegistry,
     fleet,
@@ -109,6 +112,7 @@
     state: (state, { from, address }) => {
       hasNewState = true;
       ctx.store.noteEra(state.storeEra, `peer ${from}`);
+      evacuations.applyReport(state.evacuations, `peer ${from}`);
       stallReporting.noteIdleTimes(state.quiet);
       rateLimits.applyReport(state.limits, `peer ${from}`);
       leavingServers.applyReport(state.leaving, `peer ${from}`);
@@ -123,7 +127,8 @@
     limits: (message, { from }) => {
       rateLimits.applyReport(message.limits, `peer ${from}`);
     },
-    config: ({ config: received }, { from }) => {
+    config: ({ config: received, evacuations: evacuated }, { from }) => {
+      evacuations.applyReport(evacuated, `peer ${from}`);
       const version = brandAs<ConfigVersion>(received.version);
       config.adoptIfNewer({ ...received, version }, `peer ${from}`);
     },
@@ -132,6 +137,7 @@
     },
     loads: (sums, { from, address }) => {
       ctx.store.noteEra(sums.storeEra, `peer ${from}`);
+      evacuations.applyReport(sums.evacuations, `peer ${from}`);
       leadership.notePeerLease(sums.lease);
       if (sums.hasTraffic) noteTraffic();
       rateLimits.applyReport(sums.limits, `peer ${from}`);
@@ -177,8 +183,7 @@
     if (now < loadsDueAt) return;
     loadsDueAt = later(now, LOADS_INTERVAL_MS);
     const state = ownState();
-    const { lease, configVersion, serversAt: at, storeEra } = state;
-    const { isStoreLost, storeAgeMs, configAgeMs } = state;
+    const { lease } = state;
     if (lease) {
       groupRegistry.applyLoads(sumLoads(peers), {
         coversMost: isMajority(peers.length + 1),
@@ -190,13 +195,7 @@
       updates.flush();
       fleet.broadcastAsLeader({
         kind: 'loads',
-        configVersion,
-        serversAt: at,
-        storeEra,
-        isStoreLost,
-        storeAgeMs,
-        ...(configAgeMs !== undefined && { configAgeMs }),
-        hasTraffic,
+        ...knowledgeOf(state),
         lease,
         daemons: peers.length + 1,
         // A daemon that has just started knows no limits and would send without any.
--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -25,6 +25,7 @@
 import { pause } from '../../utils/pause';
 import type { Stall } from './group-registry';
 import type { GatewayContext } from './context';
+import type { Evacuations } from './evacuations';
 import type { Leadership } from './lease';
 import type { ServerRegistry } from './server-registry';
 
@@ -65,6 +66,7 @@
 const MAX_PLAN_SHARE = 0.2;
 
 export interface GroupPlannerOptions {
+  readonly evacuations: Pick<Evacuations, 'zones' | 'isEvacuated' | 'changes'>;
   readonly serverRegistry: ServerRegistry;
   readonly routes: () => RouteTable | undefined;
   readonly leadership: Leadership;
@@ -80,7 +82,7 @@
   options: GroupPlannerOptions,
 ): GroupPlanner {
   const { clock, logger } = ctx;
-  const { serverRegistry, routes, leadership, servers, isBusy } = options;
+  const { serverRegistry, routes, leadership, servers, isBusy, evacuations } = options;
   let term: FencingNumber | undefined;
   let states = new Map<ServiceId, FormingState>();
   let hasTraffic = false;
@@ -126,7 +128,10 @@
     const lapsed = [...serverRegistry.lapsed].filter(([, { service }]) => service === name);
     const { ended } = serverRegistry;
     const servers = new Map(current);
-    const view = { servers, lapsed: new Map(lapsed), ended, engine, fencing, hasTraffic };
+    const evacuated = evacuations.zones();
+    const view = {
+      ...{ servers, lapsed: new Map(lapsed), ended, engine, fencing, hasTraffic, evacuated },
+    };
     return hasTraffic && smoothedLoad.size > 0 ? { ...view, offeredLoad: smoothedLoad } : view;
   };
 
@@ -230,6 +235,8 @@
     const members = [...serverRegistry.servers.values(), ...serverRegistry.lapsed.values()].filter(
       ({ membership }) => membership?.group === group,
     );
+    // Nothing may be sent to servers of evacuated zones; the streams there end by their own silence.
+    if (members.some(({ zone }) => evacuations.isEvacuated(zone))) return;
     void inspectMembers(group, head, members);
   };
 
@@ -279,6 +286,9 @@
   };
 
   serverRegistry.changes.subscribe(inspectLapsed);
+  evacuations.changes.subscribe(() => {
+    tick();
+  });
 
   /**
    * Whether any engine server of another domain answers; servers of plain services give no reports.
@@ -287,6 +297,7 @@
     const ownDomain = members[0]?.domain;
     const others = [...serverRegistry.servers.values()]
       .filter(({ domain }) => domain !== undefined && domain !== ownDomain)
+      .filter(({ zone }) => !evacuations.isEvacuated(zone))
       .slice(0, 2);
     const responding = await Promise.all(others.map(isResponding));
     return responding.includes(true);
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -1,6 +1,6 @@
 /** Registry of the groups that streams can be sent to, with the known load and health of each. */
 
-import { Subject } from 'rxjs';
+import { merge, Subject } from 'rxjs';
 import type { BehaviorSubject, Observable } from 'rxjs';
 
 import type { GroupCandidate } from '../../core/gateway/balance';
@@ -32,6 +32,8 @@
 import { minOrZero } from './throttle';
 import type { Throttle } from './throttle';
 import type { GatewayContext } from './context';
+import { NO_EVACUATIONS } from './evacuations';
+import type { EvacuatedZones } from './evacuations';
 import { createGroupIndex } from './group-index';
 import type { ServingGroup } from './group-index';
 import type { LoadSums } from './loads';
@@ -68,8 +70,10 @@
   ): Admission;
   /** Free slots of the group that are reserved for this daemon. */
   grantedSlots(head: InstanceId): number;
-  /** Whether any group of the model is open, suspected or not. */
+  /** Whether any group of the model is open outside evacuated zones, suspected or not. */
   hasOpenGroup(service: ServiceId, model: ModelId | undefined): boolean;
+  /** Whether groups of the model are open, but all of them in evacuated zones. */
+  isModelEvacuated(service: ServiceId, model: ModelId): boolean;
   /**
    * Time until this daemon may send a request to a group of the model under the servers' rate
    * limits and backoffs, milliseconds.
@@ -142,6 +146,7 @@
   serverRegistry: ServerRegistry,
   routes: BehaviorSubject<RouteTable | undefined>,
   throttle: Throttle,
+  evacuations: EvacuatedZones = NO_EVACUATIONS,
 ): GroupRegistry {
   const { clock, logger } = ctx;
   const progress = new Map<InstanceId, Progress>();
@@ -246,9 +251,15 @@
     return isNew;
   };
 
-  const groupsOfModel = (service: ServiceId, model: ModelId): ServingGroup[] =>
+  const isEvacuated = ({ head }: ServingGroup): boolean => evacuations.isEvacuated(head.zone);
+
+  const openGroups = (service: ServiceId, model: ModelId): ServingGroup[] =>
     [...groups().values()].filter((group) => group.service === service && group.model === model);
 
+  /** Streams in groups of evacuated zones go on; these groups get no new ones. */
+  const groupsOfModel = (service: ServiceId, model: ModelId): ServingGroup[] =>
+    openGroups(service, model).filter((group) => !isEvacuated(group));
+
   const stallDetector = createStallDetector(clock);
 
   const findStalls = (): void => {
@@ -268,7 +279,7 @@
     }
   };
 
-  groupIndex.changes.subscribe(changes);
+  merge(groupIndex.changes, evacuations.changes).subscribe(changes);
 
   return {
     stalls,
@@ -290,6 +301,8 @@
     grantedSlots: (head) => admission.grantedSlots(head),
     hasOpenGroup: (service, model) =>
       model !== undefined && groupsOfModel(service, model).length > 0,
+    isModelEvacuated: (service, model) =>
+      openGroups(service, model).length > 0 && groupsOfModel(service, model).length === 0,
     msUntilToken: (service, model) =>
       minOrZero(groupsOfModel(service, model).map(({ head }) => throttle.msUntilToken(head.id))),
     msUntilAccepted: (service, model) =>
@@ -353,12 +366,14 @@
     },
     work: (waiting) =>
       summarizeWork(
-        [...groups().values()].map(({ id, head, model, engine }) => ({
-          model,
-          running: runningIn(head.id),
-          batchSize: engine.batchSize,
-          isSuspect: isSuspected(id),
-        })),
+        [...groups().values()]
+          .filter((group) => !isEvacuated(group))
+          .map(({ id, head, model, engine }) => ({
+            model,
+            running: runningIn(head.id),
+            batchSize: engine.batchSize,
+            isSuspect: isSuspected(id),
+          })),
         waiting,
       ),
     tick: () => {
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -2,6 +2,7 @@
 
 import * as z from 'zod';
 
+import type { EvacuationReport } from '../../core/gateway/evacuations';
 import type { BackendServer, GatewayConfig } from '../../core/gateway/types';
 import { brandAs } from '../../core/ids';
 import type { DaemonId, FencingNumber, GroupId, InstanceId, ZoneId } from '../../core/ids';
@@ -19,6 +20,17 @@
 });
 const positionSchema = z.object({ era: eraSchema, revision: natural });
 
+const zoneSchema = z.string().transform((zone) => brandAs<ZoneId>(zone));
+
+/** Zones that the operator evacuated, as known at a position in the store's history. */
+const evacuationsSchema = z
+  .object({
+    at: positionSchema,
+    zones: z.array(zoneSchema),
+    held: z.array(zoneSchema).optional(),
+  })
+  .transform(({ at, zones, held }): EvacuationReport => ({ at, zones, ...(held && { held }) }));
+
 /** How current a daemon's knowledge is, so that others can tell what it is missing. */
 const progressSchema = {
   /** Version of the configuration in force; 0 for none. */
@@ -39,6 +51,8 @@
    */
   configAgeMs: natural.optional(),
   hasTraffic: z.boolean(),
+  /** Absent as long as the sender has seen no evacuation. */
+  evacuations: evacuationsSchema.optional(),
 };
 
 /** The lease row of a leader, so that other daemons need not read it. */
@@ -75,7 +89,7 @@
   kind: z.literal('state'),
   ...progressSchema,
   isStopping: z.boolean(),
-  zone: z.string().transform((zone) => brandAs<ZoneId>(zone)),
+  zone: zoneSchema,
   /** Processor cores that the daemon may use. */
   cores: natural,
   /** Whether this daemon hears from a leader or is the leader. */
@@ -136,6 +150,8 @@
 const configSchema = z.object({
   kind: z.literal('config'),
   config: z.custom<GatewayConfig>((value) => typeof value === 'object' && value !== null),
+  /** A daemon without the store learns both together. */
+  evacuations: evacuationsSchema.optional(),
 });
 
 const serversSchema = z.object({
--- a/src/app/gateway/own-state.ts
+++ b/src/app/gateway/own-state.ts
@@ -1,7 +1,9 @@
 /** The state message of this daemon. */
 
 import type { GossipDeps } from './gossip';
-import type { PeerState } from './messages';
+import type { PeerProgress, PeerState } from './messages';
+
+type Knowledge = PeerProgress & Pick<PeerState, 'hasTraffic' | 'evacuations'>;
 
 type OwnStateDeps = Omit<GossipDeps, 'planner' | 'fleet'> & {
   readonly hasLeader: () => boolean;
@@ -15,6 +17,7 @@
   serverRegistry,
   groupRegistry,
   leadership,
+  evacuations,
   waitQueue,
   arrivals,
   limits: rateLimits,
@@ -29,25 +32,40 @@
     return [...models].map((model) => [model, waitQueue.count(model), arrivals.rate(model)]);
   };
 
-  return (lease = leadership.ownLease()) => ({
-    kind: 'state',
-    configVersion: config.version(),
-    serversAt: serverRegistry.changedAt(),
-    storeEra: ctx.store.era(),
-    isStoreLost: serverRegistry.watch.isFailing(),
-    storeAgeMs: Math.round(serverRegistry.watch.ageMs()),
-    configAgeMs: Math.round(config.watch.ageMs()),
-    hasTraffic: hasTraffic(),
-    isStopping: isStopping(),
-    zone: ctx.settings.zone,
-    cores: ctx.settings.cores,
-    hearsLeader: lease !== undefined || hasLeader(),
-    ...(lease && { lease }),
-    running: groupRegistry.running().map((entry) => [...entry]),
-    quiet: groupRegistry.quiet().map((entry) => [...entry]),
-    paces: groupRegistry.paces().map((entry) => [...entry]),
-    waiting: offeredLoad(),
-    limits: rateLimits.report(),
-    leaving: leavingServers.report(),
-  });
+  return (lease = leadership.ownLease()) => {
+    const evacuated = evacuations.report();
+    return {
+      kind: 'state',
+      configVersion: config.version(),
+      serversAt: serverRegistry.changedAt(),
+      storeEra: ctx.store.era(),
+      isStoreLost: serverRegistry.watch.isFailing(),
+      storeAgeMs: Math.round(serverRegistry.watch.ageMs()),
+      configAgeMs: Math.round(config.watch.ageMs()),
+      hasTraffic: hasTraffic(),
+      ...(evacuated && { evacuations: evacuated }),
+      isStopping: isStopping(),
+      zone: ctx.settings.zone,
+      cores: ctx.settings.cores,
+      hearsLeader: lease !== undefined || hasLeader(),
+      ...(lease && { lease }),
+      running: groupRegistry.running().map((entry) => [...entry]),
+      quiet: groupRegistry.quiet().map((entry) => [...entry]),
+      paces: groupRegistry.paces().map((entry) => [...entry]),
+      waiting: offeredLoad(),
+      limits: rateLimits.report(),
+      leaving: leavingServers.report(),
+    };
+  };
+}
+
+/** The part of a state about its sender's knowledge, which a leader publishes of itself. */
+export function knowledgeOf(state: PeerState): Knowledge {
+  const { configVersion, serversAt, storeEra, isStoreLost, storeAgeMs, hasTraffic } = state;
+  const { configAgeMs, evacuations } = state;
+  return {
+    ...{ configVersion, serversAt, storeEra, isStoreLost, storeAgeMs, hasTraffic },
+    ...(configAgeMs !== undefined && { configAgeMs }),
+    ...(evacuations && { evacuations }),
+  };
 }
--- a/src/app/gateway/peer-help.ts
+++ b/src/app/gateway/peer-help.ts
@@ -5,6 +5,7 @@
 import { isLater, ORIGIN_POSITION } from '../../core/store-era';
 import type { ConfigView } from './config-view';
 import type { GatewayContext } from './context';
+import type { Evacuations } from './evacuations';
 import type { Fleet } from './fleet';
 import type { Leadership } from './lease';
 import type { PeerProgress } from './messages';
@@ -13,6 +14,7 @@
 export interface PeerHelpDeps {
   readonly ctx: GatewayContext;
   readonly config: ConfigView;
+  readonly evacuations: Evacuations;
   readonly serverRegistry: ServerRegistry;
   readonly fleet: Fleet;
   readonly leadership: Leadership;
@@ -36,6 +38,7 @@
 export function createPeerHelp({
   ctx,
   config,
+  evacuations,
   serverRegistry,
   fleet,
   leadership,
@@ -71,7 +74,12 @@
       isOldEnough &&
       mayHelp(`config ${address}`)
     ) {
-      fleet.send(address, { kind: 'config', config: table.config });
+      const evacuated = evacuations.report();
+      fleet.send(address, {
+        kind: 'config',
+        config: table.config,
+        ...(evacuated && { evacuations: evacuated }),
+      });
     }
   };
 
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -22,9 +22,12 @@
   logRequestEnd,
   logFailedAttempt,
   backoffError,
+  evacuatedError,
+  RETRY_AFTER_UNSERVED,
   retryAfterDelay,
 } from './exchange';
-import type { Exchange, Execution } from './exchange';
+import type { EvacuatedZones } from './evacuations';
+import type { Exchange, Execution, RetryAfter } from './exchange';
 import type { Retries } from './retries';
 import type { ServerRegistry } from './server-registry';
 import type { ServerNotices } from './server-notices';
@@ -37,6 +40,7 @@
   readonly retries: Retries;
   readonly notices: ServerNotices;
   readonly throttle: Throttle;
+  readonly evacuations: EvacuatedZones;
 }
 
 export interface PlainCalls {
@@ -64,6 +68,11 @@
   | { readonly kind: 'not-run'; readonly reason: string }
   | { readonly kind: 'lost'; readonly reason: string };
 
+interface Unserved {
+  readonly reason: string;
+  readonly retryAfter?: RetryAfter;
+}
+
 /** Weight of the latest call in a server's running means. */
 const SMOOTHING = 0.15;
 /**
@@ -75,10 +84,11 @@
 const FIRST_SERVER_ERROR = 500;
 
 const NO_SERVER = 'no server of the service is known';
+const EVACUATED = 'all servers of the service are in evacuated zones';
 const NO_CAPACITY = 'all servers of the service are rate-limited or backing off';
 
 export function createPlainCalls(deps: PlainDeps): PlainCalls {
-  const { ctx, serverRegistry, retries, throttle } = deps;
+  const { ctx, serverRegistry, retries, throttle, evacuations } = deps;
   const records = new Map<InstanceId, ServerRecord>();
 
   const recordOf = (id: InstanceId): ServerRecord => {
@@ -89,11 +99,14 @@
     return record;
   };
 
-  const serversOf = (service: ServiceId): BackendServer[] =>
+  const registeredServers = (service: ServiceId): BackendServer[] =>
     [...serverRegistry.servers.values()].filter(
       (server) => server.service === service && !server.isDraining,
     );
 
+  const serversOf = (service: ServiceId): BackendServer[] =>
+    registeredServers(service).filter(({ zone }) => !evacuations.isEvacuated(zone));
+
   const candidates = (service: ServiceId, tried: ReadonlySet<InstanceId>): PlainCandidate[] =>
     serversOf(service)
       .filter(({ id }) => throttle.tokens(id) >= 1)
@@ -112,6 +125,15 @@
   const msUntilAnyAccepts = (service: ServiceId): number =>
     minOrZero(serversOf(service).map(({ id }) => throttle.msUntilAccepted(id)));
 
+  /** Why no server can be chosen and when to retry, if known. */
+  const explainNoServer = (service: ServiceId): Unserved => {
+    const isEvacuated = serversOf(service).length === 0 && registeredServers(service).length > 0;
+    if (isEvacuated) return { reason: EVACUATED, retryAfter: RETRY_AFTER_UNSERVED };
+    const acceptedInMs = msUntilAnyAccepts(service);
+    if (acceptedInMs === 0) return { reason: NO_SERVER };
+    return { reason: NO_CAPACITY, retryAfter: retryAfterDelay(acceptedInMs) };
+  };
+
   const choose = (
     exchange: Exchange,
     tried: ReadonlySet<InstanceId>,
@@ -192,14 +214,8 @@
       if (result.kind === 'lost') exposure = 'unknown';
       if (!canRetry(exchange, attempts, result)) break;
     }
-    const acceptedInMs = msUntilAnyAccepts(exchange.service);
-    const fallbackReason = acceptedInMs > 0 ? NO_CAPACITY : NO_SERVER;
-    endUnanswered(ctx, exchange, {
-      exposure,
-      reason: reason ?? fallbackReason,
-      attempts,
-      ...(acceptedInMs > 0 && { retryAfter: retryAfterDelay(acceptedInMs) }),
-    });
+    const { reason: unserved, ...hint } = explainNoServer(exchange.service);
+    endUnanswered(ctx, exchange, { exposure, reason: reason ?? unserved, attempts, ...hint });
   };
 
   return { call };
@@ -230,7 +246,7 @@
   server: BackendServer,
   until: MonoTime,
 ): Promise<Attempt> {
-  const { ctx, upstream, dialect, throttle } = deps;
+  const { ctx, upstream, dialect, throttle, evacuations } = deps;
   const now = ctx.clock.now();
   const limit = AbortSignal.any([
     exchange.gone,
@@ -255,6 +271,7 @@
     beforeSend: () => {
       if (ctx.clock.now() >= until)
         return fail('deadline-exceeded', 'deadline reached before sending', { step: 'send' });
+      if (evacuations.isEvacuated(server.zone)) return evacuatedError();
       return throttle.isBackingOff(server.id) ? backoffError() : undefined;
     },
   });
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -18,12 +18,14 @@
   logRequestEnd,
   logFailedAttempt,
   backoffError,
+  evacuatedError,
   RETRY_AFTER_UNSERVED,
   retryAfterDelay,
 } from './exchange';
 import type { Exchange, RetryAfter, StreamTimes } from './exchange';
 import { takeSlot } from './take-slot';
 import type { SlotDeps } from './take-slot';
+import type { EvacuatedZones } from './evacuations';
 import type { Retries } from './retries';
 import { createRouteTimes } from './route-times';
 import type { RouteTimes } from './route-times';
@@ -44,6 +46,7 @@
   readonly throttle: Throttle;
   readonly upstream: Upstream;
   readonly retries: Retries;
+  readonly evacuations: EvacuatedZones;
 }
 
 export interface StreamCalls {
@@ -94,6 +97,9 @@
   ): Promise<ServingGroup | undefined> => {
     const found = tryTakeSlot(exchange, model, state);
     if (found) return found;
+    const isHopeless = (): boolean =>
+      !state.hasStarted && groupRegistry.isModelEvacuated(exchange.service, model);
+    if (isHopeless()) return undefined;
     const since = ctx.clock.now();
     const until = waitUntil(exchange, model, state);
     if (later(since, groupRegistry.msUntilToken(exchange.service, model)) > until) return undefined;
@@ -106,6 +112,7 @@
       holdMs: times.holdMs(exchange.route),
       gone: exchange.gone,
       isRetry: state.tried.size > 0,
+      isHopeless,
       choose: () => tryTakeSlot(exchange, model, state),
     });
     state.waitedMs += ctx.clock.now() - since;
@@ -199,7 +206,11 @@
   { service, facts: { model } }: Exchange,
 ): { readonly reason: string; readonly retryAfter: RetryAfter } | undefined {
   if (model === undefined || !groupRegistry.hasOpenGroup(service, model)) {
-    return { reason: 'no group serves the model', retryAfter: RETRY_AFTER_UNSERVED };
+    const isEvacuated = model !== undefined && groupRegistry.isModelEvacuated(service, model);
+    const reason = isEvacuated
+      ? 'all groups of the model are in evacuated zones'
+      : 'no group serves the model';
+    return { reason, retryAfter: RETRY_AFTER_UNSERVED };
   }
   const acceptedInMs = groupRegistry.msUntilAccepted(service, model);
   if (acceptedInMs === 0) return undefined;
@@ -252,7 +263,7 @@
   group: ServingGroup,
   state: StreamState,
 ): Promise<AttemptResult> {
-  const { ctx, groupRegistry, upstream, dialect, throttle } = deps;
+  const { ctx, groupRegistry, upstream, dialect, throttle, evacuations } = deps;
   const { head } = group;
   const stop = new AbortController();
   const now = ctx.clock.now();
@@ -291,6 +302,7 @@
       beforeSend: () => {
         if (ctx.clock.now() >= sendUntil)
           return fail('deadline-exceeded', 'deadline reached before sending', { step: 'send' });
+        if (evacuations.isEvacuated(head.zone)) return evacuatedError();
         return throttle.isBackingOff(head.id) ? backoffError() : undefined;
       },
     });
--- a/src/app/gateway/wait-queue.ts
+++ b/src/app/gateway/wait-queue.ts
@@ -17,6 +17,8 @@
    * others.
    */
   readonly isRetry: boolean;
+  /** Whether no group can become free for it, so that the wait ends now. */
+  readonly isHopeless?: () => boolean;
   /** Takes a slot in a group, if one is free. */
   readonly choose: () => ServingGroup | undefined;
 }
@@ -51,7 +53,7 @@
     for (const entry of inOrder()) {
       if (fullModels.has(entry.model)) continue;
       const group = entry.choose();
-      if (group) entry.settle(group);
+      if (group || entry.isHopeless?.()) entry.settle(group);
       else if (!entry.isRetry) fullModels.add(entry.model);
     }
     isServing = false;
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -6,7 +6,7 @@
 
 import type { OrderResult, ServerOrder } from '../core/gateway/orders';
 import type { BackendServer, GatewayConfig } from '../core/gateway/types';
-import type { InstanceId, ModelId, OrganisationId, ServerName } from '../core/ids';
+import type { InstanceId, ModelId, OrganisationId, ServerName, ZoneId } from '../core/ids';
 import type { StorePosition, StoreEra } from '../core/store-era';
 import type { StepError } from '../utils/errors';
 import type { Committed, Row, Transaction } from './platform';
@@ -65,10 +65,15 @@
   readonly cores: number;
 }
 
+/** An entry of the operator's table; each evacuated zone has one of its own. */
+export type OperatorEntry =
+  | { readonly kind: 'config'; readonly config: GatewayConfig }
+  | { readonly kind: 'evacuation'; readonly zone: ZoneId };
+
 /** Feeds of the platform's own collections. */
 export interface Feeds {
-  /** The operator's configuration, a collection of one entry. */
-  readonly config: Feed<GatewayConfig>;
+  /** The operator's configuration and evacuated zones. */
+  readonly config: Feed<OperatorEntry>;
   readonly servers: Feed<BackendServer>;
   /** Daemons, which register themselves. */
   readonly daemons: Feed<DaemonEntry>;
--- a/stand-ins/users-platform/start.ts
+++ b/stand-ins/users-platform/start.ts
@@ -1,6 +1,6 @@
 /** The users' platform in real time: store, engine servers, plain servers and operator actions. */
 
-import { CONFIG_KEY, TABLES } from '../../platform/names';
+import { CONFIG_KEY, EVACUATION_PREFIX, TABLES } from '../../platform/names';
 import type { EngineSpec } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
 import type { ServerName, ServiceId } from '../../src/core/ids';
@@ -22,6 +22,8 @@
   readonly engine: EngineSpec;
   readonly domains: readonly number[];
   readonly plainServers: number;
+  /** Zone of the n-th domain, and of the n-th plain server. */
+  readonly zoneOf?: (n: number) => string;
   /** Maps the listen address of a server to the published one, for instance that of a proxy. */
   readonly publishedAddress?: (address: string) => string;
 }
@@ -37,6 +39,8 @@
   readonly storeAddress: string;
   /** Writes the configuration document as the operator. */
   configure(document: object): void;
+  /** Evacuates a zone as the operator, or ends that. */
+  evacuate(zone: string, isEvacuated: boolean): void;
   /**
    * The store is down for `awayMs`, then returns from a copy that is `copyAgeMs` old by then. The
    * operator and the servers write their rows again afterwards.
@@ -54,7 +58,7 @@
 export const PLAIN_SERVICE = brandAs<ServiceId>('ledger');
 
 export async function startPlatform(options: PlatformOptions): Promise<PlatformStandIn> {
-  const { host, firstPort, engine, domains, plainServers } = options;
+  const { host, firstPort, engine, domains, plainServers, zoneOf = () => 'zone-a' } = options;
   const publishedAddress = options.publishedAddress ?? ((address: string) => address);
   const store = await startStore(host, firstPort);
   const runs: Run[] = [];
@@ -66,6 +70,7 @@
     engine,
     service: LLM_SERVICE,
     domains,
+    zoneOf,
     hasTraffic: false,
     addressOf: (n) => `${host}:${firstPort + 1 + plainServers + n}`,
   });
@@ -80,7 +85,7 @@
     const row = {
       service: PLAIN_SERVICE,
       address: published,
-      zone: 'zone-a',
+      zone: zoneOf(n),
       batchSize: 6,
       state: 'ready',
     };
@@ -129,6 +134,11 @@
       document = next;
       store.put(TABLES.operator, CONFIG_KEY, next);
     },
+    evacuate: (zone, isEvacuated) => {
+      const key = `${EVACUATION_PREFIX}${zone}`;
+      if (isEvacuated) store.put(TABLES.operator, key, {});
+      else store.remove(TABLES.operator, key);
+    },
     returnStore: async ({ awayMs, copyAgeMs }) => {
       store.faults.isDown = true;
       await pause(awayMs);
--- a/tests/gateway/config-view.test.ts
+++ b/tests/gateway/config-view.test.ts
@@ -5,13 +5,12 @@
 import type { PeerProgress } from '../../src/app/gateway/messages';
 import { brandAs } from '../../src/core/ids';
 import type { ConfigVersion } from '../../src/core/ids';
-import type { GatewayConfig } from '../../src/core/gateway/types';
-import type { Feed } from '../../src/ports/gateway';
+import type { Feed, OperatorEntry } from '../../src/ports/gateway';
 import { fail } from '../../src/utils/errors';
 import { pause } from '../../src/utils/pause';
 import { createFakeClock, fakeTime } from './fake-time';
 import { FIRST_ERA } from '../../src/core/store-era';
-import { makeConfig, makeContext, position } from './support';
+import { configEntry, makeConfig, makeContext, position } from './support';
 
 const CONFIG_MS = 1_000;
 
@@ -22,10 +21,10 @@
     let calls = 0;
     const read = () => {
       calls += 1;
-      const value = makeConfig({ version: brandAs<ConfigVersion>(newest) });
+      const value = configEntry(makeConfig({ version: brandAs<ConfigVersion>(newest) }));
       return okAsync({ changes: [{ key: 'config', value }], position: position(newest) });
     };
-    const feed: Feed<GatewayConfig> = {
+    const feed: Feed<OperatorEntry> = {
       name: 'config',
       load: read,
       poll: ({ revision }) =>
@@ -59,8 +58,8 @@
       clock,
     });
     let polls = 0;
-    const value = makeConfig({ version: brandAs<ConfigVersion>(1) });
-    const feed: Feed<GatewayConfig> = {
+    const value = configEntry(makeConfig({ version: brandAs<ConfigVersion>(1) }));
+    const feed: Feed<OperatorEntry> = {
       name: 'config',
       load: () => okAsync({ changes: [{ key: 'config', value }], position: position(1) }),
       poll: (_, __, signal) => {
--- a/tests/gateway/fleet-polls.test.ts
+++ b/tests/gateway/fleet-polls.test.ts
@@ -5,24 +5,25 @@
 import type { Leader } from '../../src/app/gateway/peer-view';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId } from '../../src/core/ids';
-import type { GatewayConfig } from '../../src/core/gateway/types';
+import type { OperatorEntry } from '../../src/ports/gateway';
 import { createSilentStore } from './silent-store';
 import { createFakeClock, fakeTime } from './fake-time';
 import { FIRST_ERA } from '../../src/core/store-era';
-import { makeConfig, makeContext, position } from './support';
+import { configEntry, makeConfig, makeContext, position } from './support';
 
 /** As in a fleet that communicates through its leader. */
 const BROADCAST_MS = 200;
 const LEADER_FRESH_MS = 1_200;
 const LONGEST_POLL_S = 20;
 
-const configOf = (version: number): GatewayConfig => makeConfig({ version: brandAs(version) });
+const configOf = (version: number): OperatorEntry =>
+  configEntry(makeConfig({ version: brandAs(version) }));
 
 /** A leader and its followers, which receive its progress as long as it broadcasts. */
 function startFleet(size: number, { configMs, settleMs }: { configMs: number; settleMs: number }) {
   const store = createSilentStore();
   store.put('config', configOf(1));
-  const feed = store.feed<GatewayConfig>('config');
+  const feed = store.feed<OperatorEntry>('config');
   const clock = createFakeClock();
   let lastMessage: Leader | undefined;
   const view = (seed: number, leader: () => Leader | undefined): ConfigView => {
--- a/tests/gateway/gateway-fixture.ts
+++ b/tests/gateway/gateway-fixture.ts
@@ -36,6 +36,8 @@
   readonly platform: PlatformStandIn;
   /** Heads of the groups that currently serve the model. */
   heads(model: string): readonly ServerName[];
+  /** Kills the n-th daemon and starts it again. */
+  restart(n: number): void;
   /** Sends `perS` requests a second to each daemon, round robin, for `ms` milliseconds. */
   sendRequests(path: string, perS: number, ms: number): Promise<readonly SentRequest[]>;
   close(): void;
@@ -45,6 +47,10 @@
   readonly firstPort: number;
   readonly daemons: number;
   readonly plainServers: number;
+  /** Zone of the n-th domain, and of the n-th plain server. */
+  readonly zoneOf?: (n: number) => string;
+  /** The store's address as the n-th daemon knows it, for instance that of a proxy. */
+  readonly storeAddressOf?: (n: number, address: string) => string;
 }
 
 async function until(check: () => boolean): Promise<void> {
@@ -55,6 +61,8 @@
   firstPort,
   daemons,
   plainServers,
+  zoneOf,
+  storeAddressOf = (_, address) => address,
 }: FixtureOptions): Promise<GatewayFixture> {
   const dir = mkdtempSync(join(tmpdir(), 'nutmegstack-fixture-'));
   const platform = await startPlatform({
@@ -63,10 +71,11 @@
     engine: ENGINE,
     domains: [11, 11],
     plainServers,
+    ...(zoneOf && { zoneOf }),
   });
   const portOf = (n: number, role: number): string =>
     `${HOST}:${firstPort + SERVER_PORTS + PORTS_PER_DAEMON * n + role}`;
-  const processes: ChildProcess[] = Array.from({ length: daemons }, (_, n) =>
+  const launch = (n: number): ChildProcess =>
     launchDaemon({
       id: `daemon-${n}`,
       dir,
@@ -74,9 +83,9 @@
       readyListen: portOf(n, 1),
       peerListen: portOf(n, 2),
       seeds: [portOf(0, 2), portOf(1, 2)],
-      platform: platform.storeAddress,
-    }),
-  );
+      platform: storeAddressOf(n, platform.storeAddress),
+    });
+  const processes = Array.from({ length: daemons }, (_, n) => launch(n));
   const organisations = [{ name: 'depot', apiKeys: [KEY] }];
   platform.configure(
     describeConfig({ version: 1, routes: DEFAULT_ROUTES, engine: ENGINE, organisations }),
@@ -100,6 +109,10 @@
           ? [name]
           : [],
       ),
+    restart: (n) => {
+      processes[n]?.kill('SIGKILL');
+      processes[n] = launch(n);
+    },
     sendRequests: async (path, perS, ms) => {
       const startedAt = performance.now();
       const all: Promise<SentRequest>[] = [];
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -2,13 +2,14 @@
 import { describe, expect, it } from 'vitest';
 
 import { createClock } from '../../src/adapters/runtime';
+import { createEvacuations } from '../../src/app/gateway/evacuations';
 import type { ReceivedMessage, PeerView } from '../../src/app/gateway/peer-view';
 import { createGossip } from '../../src/app/gateway/gossip';
 import type { GossipDeps } from '../../src/app/gateway/gossip';
 import type { GatewayMessage, PlainMessage } from '../../src/app/gateway/messages';
 import { brandAs, later } from '../../src/core/ids';
-import type { DaemonId, GroupId, InstanceId, MonoTime } from '../../src/core/ids';
-import { LEASE, makeContext, makeLoads, makeState, position } from './support';
+import type { DaemonId, GroupId, InstanceId, MonoTime, ZoneId } from '../../src/core/ids';
+import { LEASE, makeConfig, makeContext, makeLoads, makeState, position } from './support';
 
 const LEADER = '127.0.0.1:1';
 const PEERS = 69;
@@ -42,7 +43,9 @@
       since: () => later(now, -10_000),
       table: new BehaviorSubject({ config: { version: 3 } }),
       watch: { ageMs: () => 0 },
+      adoptIfNewer: () => true,
     },
+    evacuations: createEvacuations(ctx),
     serverRegistry: {
       changedAt: () => position(10),
       servers: new Map(),
@@ -159,6 +162,26 @@
     expect(kindsTo('cut off')).toEqual(['config', 'servers']);
   });
 
+  // Guards against daemons without the store that learn of an evacuation too late or not at all.
+  it('passes evacuated zones on: to the leader, from it to all, and with a configuration', () => {
+    const evacuations = { at: position(12), zones: [brandAs<ZoneId>('zone-a')] };
+    const follower = setUp();
+    follower.hear({ kind: 'config', config: makeConfig(), evacuations });
+    follower.run(250);
+    expect(follower.sent.at(-1)).toMatchObject({ to: LEADER, message: { evacuations } });
+    const leader = setUp({ isLeading: true });
+    leader.hear(makeState({ evacuations }), 'follower');
+    leader.run(250);
+    expect(leader.sent.at(-1)).toMatchObject({ to: 'all', message: { evacuations } });
+    leader.hear(makeState({ configVersion: 0 }), 'starting');
+    const help = leader.sent.find(({ message }) => message.kind === 'config');
+    expect(help?.message).toMatchObject({ evacuations });
+    const other = setUp();
+    other.hear(makeLoads({ evacuations }));
+    other.run(250);
+    expect(other.sent.at(-1)).toMatchObject({ message: { evacuations } });
+  });
+
   it('lets only a few daemons help a leader that is behind', () => {
     const daemons = Array.from({ length: PEERS }, (_, seed) => setUp({ seed }));
     let helpers = 0;
--- a/tests/gateway/store-return.test.ts
+++ b/tests/gateway/store-return.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it, vi } from 'vitest';
 
 import { createConfigView } from '../../src/app/gateway/config-view';
+import { createEvacuations } from '../../src/app/gateway/evacuations';
 import { createServerRegistry } from '../../src/app/gateway/server-registry';
 import type { ServerRegistry } from '../../src/app/gateway/server-registry';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
@@ -10,13 +11,13 @@
 import { mergeUpdates, canContinueFrom } from '../../src/core/gateway/collection-updates';
 import type { BackendServer } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
-import type { ConfigVersion } from '../../src/core/ids';
+import type { ConfigVersion, ZoneId } from '../../src/core/ids';
 import type { StoreEra } from '../../src/core/store-era';
-import type { Change, Changes, Feed } from '../../src/ports/gateway';
+import type { Change, Changes, Feed, OperatorEntry } from '../../src/ports/gateway';
 import { fail } from '../../src/utils/errors';
 import type { StepError } from '../../src/utils/errors';
 import { createFakeClock, fakeTime } from './fake-time';
-import { makeConfig, makeContext, makeServer, position } from './support';
+import { configEntry, makeConfig, makeContext, makeServer, position } from './support';
 
 fakeTime();
 
@@ -259,13 +260,13 @@
 
 describe('the configuration in force, when the store is restored from an older copy', () => {
   it('stays until the operator writes a newer one', async () => {
-    const store = createEraStore<ReturnType<typeof makeConfig>>();
+    const store = createEraStore<OperatorEntry>();
     const ctx = makeContext({
       clock: createFakeClock(),
       store: store.access,
       tunables: { configMs: 1_000 },
     });
-    const version = (n: number) => makeConfig({ version: brandAs<ConfigVersion>(n) });
+    const version = (n: number) => configEntry(makeConfig({ version: brandAs<ConfigVersion>(n) }));
     store.put('config', version(5));
     const view = createConfigView(ctx, {
       feed: store.feed,
@@ -288,6 +289,56 @@
   });
 });
 
+describe('an evacuation amid a series of configurations', () => {
+  // Guards against an evacuation that is lost between versions, or that only a leader would tell of.
+  it('takes effect without a leader, within a second', async () => {
+    const store = createEraStore<OperatorEntry>();
+    const ctx = makeContext({
+      clock: createFakeClock(),
+      store: store.access,
+      tunables: { configMs: 5_000 },
+    });
+    const evacuations = createEvacuations(ctx);
+    const options = { feed: store.feed, evacuations, daemons: () => 66, leader: () => undefined };
+    const view = createConfigView(ctx, options);
+    const zone = brandAs<ZoneId>('zone-a');
+    for (let version = 1; version <= 30; version++) {
+      store.put('config', configEntry(makeConfig({ version: brandAs<ConfigVersion>(version) })));
+      if (version === 10) store.put('row', { kind: 'evacuation', zone });
+      await advance(100);
+      if (version === 20) expect(evacuations.isEvacuated(zone)).toBe(true);
+    }
+    await advance(1_000);
+    expect([view.version(), evacuations.isEvacuated(zone)]).toEqual([30, true]);
+    view.watch.stop();
+  });
+});
+
+describe('an evacuation, when the store is restored from a copy without its row', () => {
+  // Guards against requests to a zone whose evacuation the operator did not end.
+  it('lasts until the operator writes to the table again', async () => {
+    const store = createEraStore<OperatorEntry>();
+    const tunables = { configMs: 1_000 };
+    const ctx = makeContext({ clock: createFakeClock(), store: store.access, tunables });
+    const zone = brandAs<ZoneId>('zone-a');
+    const evacuations = createEvacuations(ctx);
+    const options = { feed: store.feed, evacuations, daemons: () => 3, leader: () => undefined };
+    const view = createConfigView(ctx, options);
+    await advance(500);
+    const copy = store.copy();
+    store.put('row', { kind: 'evacuation', zone });
+    await advance(500);
+    store.restore(copy);
+    store.access.noteEra(SECOND, 'peer');
+    await advance(LOADED_MS);
+    expect(evacuations.isEvacuated(zone)).toBe(true);
+    store.put('config', configEntry(makeConfig()));
+    await advance(LOADED_MS);
+    expect(evacuations.isEvacuated(zone)).toBe(false);
+    view.watch.stop();
+  });
+});
+
 describe('server updates from another era', () => {
   it('are not continued from: the same revision has another meaning there', () => {
     expect(canContinueFrom(position(9, FIRST), position(4, FIRST))).toBe(true);
--- a/tests/gateway/store-silence.test.ts
+++ b/tests/gateway/store-silence.test.ts
@@ -15,18 +15,19 @@
 import { createServerRegistry } from '../../src/app/gateway/server-registry';
 import { watchFeed } from '../../src/app/gateway/watch';
 import { brandAs, later } from '../../src/core/ids';
-import type { BackendServer, GatewayConfig } from '../../src/core/gateway/types';
+import type { BackendServer } from '../../src/core/gateway/types';
+import type { OperatorEntry } from '../../src/ports/gateway';
 import type { ConfigVersion } from '../../src/core/ids';
 import { createSilentStore } from './silent-store';
 import { createFakeClock, fakeTime } from './fake-time';
-import { instance, makeConfig, makeContext, makeServer } from './support';
+import { configEntry, instance, makeConfig, makeContext, makeServer } from './support';
 
 const CONFIG_MS = 2_000;
 const LEAVING_MS = 2_000;
 const SETTLE_MS = 3_000;
 
-const configOf = (version: number): GatewayConfig =>
-  makeConfig({ version: brandAs<ConfigVersion>(version) });
+const configOf = (version: number): OperatorEntry =>
+  configEntry(makeConfig({ version: brandAs<ConfigVersion>(version) }));
 
 /** The store-backed parts of one daemon without peers, connected as in the gateway. */
 function followStore(seed: number) {
@@ -40,7 +41,7 @@
   store.put('s1', makeServer('s1'));
   store.put('daemons', 'address');
   const config = createConfigView(ctx, {
-    feed: store.feed<GatewayConfig>('config'),
+    feed: store.feed<OperatorEntry>('config'),
     daemons: () => 1,
     leader: () => undefined,
   });
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -32,6 +32,7 @@
 import type { MemberState } from '../../src/core/gateway/types';
 import { FIRST_ERA } from '../../src/core/store-era';
 import type { StorePosition, StoreEra } from '../../src/core/store-era';
+import type { OperatorEntry } from '../../src/ports/gateway';
 
 export const SERVICE = brandAs<ServiceId>('llm');
 export const LARGE = brandAs<ModelId>('large');
@@ -127,6 +128,11 @@
   };
 }
 
+/** The entry of a configuration in the operator's table. */
+export function configEntry(config: GatewayConfig): OperatorEntry {
+  return { kind: 'config', config };
+}
+
 /** A daemon's state message to its peers. */
 export function makeState(more: Partial<PeerState> = {}): PeerState {
   return {
