Test that no group is ended in an evacuated zone

Cause: no test failed without the check in retire.ts, since the stand-in carries orders out at once. Change: a test in which orders are late while a group is being ended.

--- a/tests/gateway/forming-evacuation.test.ts
+++ b/tests/gateway/forming-evacuation.test.ts
@@ -62,6 +62,25 @@
     expect(fleet.violations).toEqual([]);
   });
 
+  it('that are being ended get no more orders until the evacuation ends', () => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [11, 11], zoneOf, hasTraffic: false });
+    const leader = createLeader(fleet, { lateMs: () => 60_000 });
+    leader.run(30_000);
+    const [member] = fleet.named(brandAs<ServerName>('s000'))?.joined?.members ?? [];
+    fleet.setLate(true);
+    fleet.drain(member ?? instance('none'));
+    leader.run(100);
+    expect(leader.state().retirements.size).toBe(1);
+    leader.evacuate('zone-0');
+    leader.run(10_000);
+    expect(leader.misdirected()).toBe(0);
+    fleet.setLate(false);
+    leader.evacuate();
+    leader.run(5_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([2, 2]);
+    expect(fleet.violations).toEqual([]);
+  });
+
   // Guards against a model that counts groups which get no requests, and so gets no others.
   it('do not count for their model, which gets a group elsewhere', () => {
     const models = FLEET.engine.models.filter(({ name }) => name === SMALL);
