--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -24,6 +24,7 @@
   nutmegstack_orders_total: 'Orders to members of replica groups by kind and result',
   nutmegstack_slow_checks_total: 'Checks of slow groups for slow members, by outcome',
   nutmegstack_slow_reports_total: 'Reports requested to find slow servers',
+  nutmegstack_evacuated_zones: 'Zones that the operator evacuated, as far as this daemon knows',
   nutmegstack_store_eras_total:
     'Newer eras of the store that this daemon saw, the first one included',
   nutmegstack_config_version: 'Version of the configuration in force on this daemon',
--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -24,6 +24,7 @@
 import type { Servers } from '../../ports/gateway';
 import type { Stall } from './group-registry';
 import type { GatewayContext } from './context';
+import type { Evacuations } from './evacuations';
 import type { Leadership } from './lease';
 import { createMemberInspection } from './member-inspection';
 import type { ServerRegistry } from './server-registry';
@@ -53,6 +54,7 @@
 const MAX_PLAN_SHARE = 0.2;
 
 export interface GroupPlannerOptions {
+  readonly evacuations: Pick<Evacuations, 'zones' | 'isEvacuated' | 'changes'>;
   readonly serverRegistry: ServerRegistry;
   readonly routes: () => RouteTable | undefined;
   readonly leadership: Leadership;
@@ -70,7 +72,7 @@
   options: GroupPlannerOptions,
 ): GroupPlanner {
   const { clock, logger } = ctx;
-  const { serverRegistry, routes, leadership, servers, isBusy } = options;
+  const { serverRegistry, routes, leadership, servers, isBusy, evacuations } = options;
   let term: FencingNumber | undefined;
   let states = new Map<ServiceId, FormingState>();
   let hasTraffic = false;
@@ -112,7 +114,10 @@
     const lapsed = [...serverRegistry.lapsed].filter(([, { service }]) => service === name);
     const { ended } = serverRegistry;
     const servers = new Map(current);
-    const view = { servers, lapsed: new Map(lapsed), ended, engine, fencing, hasTraffic };
+    const evacuated = evacuations.zones();
+    const view = {
+      ...{ servers, lapsed: new Map(lapsed), ended, engine, fencing, hasTraffic, evacuated },
+    };
     return hasTraffic && smoothedLoad.size > 0 ? { ...view, offeredLoad: smoothedLoad } : view;
   };
 
@@ -209,7 +214,10 @@
   };
 
   const inspection = createMemberInspection(ctx, {
-    ...{ serverRegistry, leadership, servers, isBusy, noteLost, replan: tick },
+    ...{ serverRegistry, leadership, servers, isBusy, evacuations, noteLost, replan: tick },
+  });
+  evacuations.changes.subscribe(() => {
+    tick();
   });
 
   const slowMembers = createSlowMembers(ctx, {
--- a/src/app/gateway/member-inspection.ts
+++ b/src/app/gateway/member-inspection.ts
@@ -10,6 +10,7 @@
 import type { Servers } from '../../ports/gateway';
 import { pause } from '../../utils/pause';
 import type { GatewayContext } from './context';
+import type { EvacuatedZones } from './evacuations';
 import type { Stall } from './group-registry';
 import type { Leadership } from './lease';
 import type { ServerRegistry } from './server-registry';
@@ -27,6 +28,7 @@
   readonly servers: Pick<Servers, 'report'>;
   /** Whether any daemon has streams running in the group. */
   readonly isBusy: (group: GroupId) => boolean;
+  readonly evacuations: Pick<EvacuatedZones, 'isEvacuated'>;
   /** Records servers as lost until the given time. */
   readonly noteLost: (lost: readonly BackendServer[], until: MonoTime) => void;
   /** Called after `noteLost`. */
@@ -51,7 +53,7 @@
   { clock, logger }: Pick<GatewayContext, 'clock' | 'logger'>,
   options: MemberInspectionOptions,
 ): MemberInspection {
-  const { serverRegistry, leadership, servers, isBusy, noteLost, replan } = options;
+  const { serverRegistry, leadership, servers, isBusy, evacuations, noteLost, replan } = options;
   const nextInspectionAt = new Map<GroupId, MonoTime>();
   /** Servers whose entries expired and whose groups were inspected since. */
   const inspectedLapsed = new Set<InstanceId>();
@@ -76,6 +78,8 @@
     const members = [...serverRegistry.servers.values(), ...serverRegistry.lapsed.values()].filter(
       ({ membership }) => membership?.group === group,
     );
+    // Nothing may be sent to servers of evacuated zones; the streams there end by their own silence.
+    if (members.some(({ zone }) => evacuations.isEvacuated(zone))) return;
     void inspectMembers(group, head, members);
   };
 
@@ -131,6 +135,7 @@
     const ownDomain = members[0]?.domain;
     const others = [...serverRegistry.servers.values()]
       .filter(({ domain }) => domain !== undefined && domain !== ownDomain)
+      .filter(({ zone }) => !evacuations.isEvacuated(zone))
       .slice(0, 2);
     const responding = await Promise.all(others.map(isResponding));
     return responding.includes(true);
--- a/src/app/gateway/slow-members.ts
+++ b/src/app/gateway/slow-members.ts
@@ -147,8 +147,12 @@
   ): BackendServer | undefined => {
     const now = clock.now();
     const lastAt = (id: InstanceId): number => measuredAt.get(id) ?? -Infinity;
+    const isAskable = (id: InstanceId): boolean => {
+      const server = view.servers.get(id);
+      return server !== undefined && !(view.evacuated?.has(server.zone) ?? false);
+    };
     const [oldest] = [...slowMembers.keys()]
-      .filter((id) => view.servers.has(id) && now >= lastAt(id) + REPORT_INTERVAL_MS)
+      .filter((id) => isAskable(id) && now >= lastAt(id) + REPORT_INTERVAL_MS)
       .sort((a, b) => lastAt(a) - lastAt(b));
     return oldest === undefined ? undefined : view.servers.get(oldest);
   };
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -12,6 +12,7 @@
 import type { BackendServer } from '../types';
 import { areUnlistedLost, noteFoundGroups } from './adopt';
 import { composeGroups } from './compose';
+import { dropEvacuatedFormations, excludeEvacuated } from './evacuated';
 import { advanceFormations, joinCost, openGroup } from './form';
 import { pruneLoads } from './loads';
 import { collectFreeServers } from './members';
@@ -195,7 +196,8 @@
   const draft = draftOf(state, view, now);
   prune(draft);
   noteModels(draft);
-  const groups = collectGroups(view.servers.values());
+  const groups = excludeEvacuated(draft, collectGroups(view.servers.values()));
+  dropEvacuatedFormations(draft);
   const byId = new Map<GroupId, ReplicaGroup>(groups.map((group) => [group.id, group]));
   for (const id of draft.foreignGroups.keys()) if (!byId.has(id)) draft.foreignGroups.delete(id);
   noteFoundGroups(draft, groups, (group) => {
--- a/src/core/gateway/forming/slow.ts
+++ b/src/core/gateway/forming/slow.ts
@@ -12,6 +12,7 @@
 import { later } from '../../ids';
 import type { DomainId, GroupId, InstanceId, ModelId, MonoTime } from '../../ids';
 import type { BackendServer, ModelSpec } from '../types';
+import { isEvacuated } from './evacuated';
 import { joinCost } from './form';
 import { excludeHeldSpares } from './held-spares';
 import { collectFreeServers, sortByJoinTime } from './members';
@@ -116,7 +117,11 @@
   if (head?.membership?.state !== 'open' || members.length !== size) return false;
   if (draft.retirements.has(id) || draft.formations.has(id)) return false;
   return members.every(
-    (server) => !server.isDraining && !isSuspect(draft, server.id) && !isSlow(draft, server.id),
+    (server) =>
+      !server.isDraining &&
+      !isEvacuated(draft, server) &&
+      !isSuspect(draft, server.id) &&
+      !isSlow(draft, server.id),
   );
 }
 
--- a/tests/gateway/leader.ts
+++ b/tests/gateway/leader.ts
@@ -5,7 +5,8 @@
 import { noteResult, noteSuspect, planGroups } from '../../src/core/gateway/forming/plan';
 import { noteStalled } from '../../src/core/gateway/forming/adopt';
 import type { EngineSpec } from '../../src/core/gateway/types';
-import type { GroupId, InstanceId, ModelId } from '../../src/core/ids';
+import { brandAs } from '../../src/core/ids';
+import type { GroupId, InstanceId, ModelId, ZoneId } from '../../src/core/ids';
 import type { EngineFleet } from '../../stand-ins/users-platform/engines';
 import { at, ENGINE } from './support';
 
@@ -37,6 +38,9 @@
   let orders = 0;
   /** Servers whose rows expired before the process of the current leader began. */
   let unknown = new Set<InstanceId>();
+  let evacuated: ReadonlySet<ZoneId> = new Set();
+  /** Orders to servers of evacuated zones. */
+  let misdirected = 0;
   let state: FormingState = createFormingState({ disabledMechanisms });
 
   const step = (): void => {
@@ -50,12 +54,14 @@
       engine,
       fencing,
       hasTraffic,
+      evacuated,
       ...(offeredLoad && { offeredLoad }),
     };
     const plan = planGroups(state, view, now);
     state = plan.state;
     for (const effect of plan.orders) {
       orders += 1;
+      if (evacuated.has(effect.server.zone)) misdirected += 1;
       const result = fleet.take(effect, lateMs(orders));
       state = noteResult(state, effect.key, result);
     }
@@ -81,6 +87,11 @@
     noteStalled: (group: GroupId): void => {
       state = noteStalled(state, group);
     },
+    /** Evacuates these zones and no others. */
+    evacuate: (...zones: readonly string[]): void => {
+      evacuated = new Set(zones.map((zone) => brandAs<ZoneId>(zone)));
+    },
+    misdirected: () => misdirected,
     orders: () => orders,
     state: () => state,
   };
--- a/tests/gateway/planned-fleet.ts
+++ b/tests/gateway/planned-fleet.ts
@@ -6,6 +6,7 @@
 import { errAsync, okAsync } from 'neverthrow';
 import { Subject } from 'rxjs';
 
+import { createEvacuations } from '../../src/app/gateway/evacuations';
 import { createGroupPlanner } from '../../src/app/gateway/group-planner';
 import type { GroupPlannerOptions } from '../../src/app/gateway/group-planner';
 import type { BackendServer } from '../../src/core/gateway/types';
@@ -62,10 +63,11 @@
       ),
   };
   const clock = { now: () => at(fleet.now()), epoch: () => 0 as never };
-  const planner = createGroupPlanner(
-    makeContext({ clock, tunables: { headBreakMs: 6_000, loadWindowMs: 5_000 } }),
-    options as unknown as GroupPlannerOptions,
-  );
+  const ctx = makeContext({ clock, tunables: { headBreakMs: 6_000, loadWindowMs: 5_000 } });
+  const planner = createGroupPlanner(ctx, {
+    ...options,
+    evacuations: createEvacuations(ctx),
+  } as unknown as GroupPlannerOptions);
   /** Runs for `ms`; returns the least number of groups of the large model that served meanwhile. */
   const run = async (ms: number): Promise<number> => {
     let least = Infinity;
