--- a/src/app/gateway/settings.ts
+++ b/src/app/gateway/settings.ts
@@ -48,4 +48,10 @@
   readonly retryWindowMs: number;
   /** Length of the windows over which weight loads are limited. */
   readonly loadWindowMs: number;
+  /**
+   * Bound on requests to a cold server in any one second, over all daemons: this factor on the rate
+   * that it tolerates, plus a fixed number. Without the factor there is no bound.
+   */
+  readonly coldFactor?: number;
+  readonly coldSlack?: number;
 }
--- a/src/core/gateway/types.ts
+++ b/src/core/gateway/types.ts
@@ -97,6 +97,10 @@
   readonly maxConns: number;
   /** Absent for plain services, whose servers form no groups. */
   readonly engine?: EngineSpec;
+  /** Requests per second that a cold server tolerates; 0 or absent: cold servers have no limit. */
+  readonly coldPerS?: number;
+  /** For how long a server is cold after it starts, unless it states that itself, milliseconds. */
+  readonly coldStartMs?: number;
 }
 
 /** Limits on a caller's requests and connections. */
@@ -153,6 +157,8 @@
   readonly address: string;
   readonly zone: ZoneId;
   readonly isDraining: boolean;
+  /** For how long it stays cold from this report on, milliseconds; 0: it is warm. */
+  readonly coldMs?: number;
   /** Requests that it runs concurrently. */
   readonly batchSize: number;
   readonly domain?: DomainId;
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -137,6 +137,8 @@
   readonly limitPerS?: number;
   /** Backoff after a 503 (`Retry-After`): how long to send the server nothing, milliseconds. */
   readonly restMs?: number;
+  /** For how long the server stays cold, milliseconds; 0: it is warm. */
+  readonly coldMs?: number;
   /** The server is shutting down and takes no new requests until it has restarted. */
   readonly isLeaving: boolean;
   /** Headers about the server's own state that could not be parsed. */
@@ -145,7 +147,7 @@
 
 /** A malformed header: name and value, truncated if long. */
 export interface MalformedHeader {
-  readonly about: 'limit' | 'rest' | 'leaving';
+  readonly about: 'limit' | 'rest' | 'cold' | 'leaving';
   readonly header: string;
 }
 
