Limit the requests of all daemons together to cold servers

Cause: a cold server crashes well above the rate that it tolerates, and daemons sent to it as to a warm one: 37 and 38 requests in one second were measured where 30.5 are allowed. Change: the leader assigns senders to each cold head or plain server, each with a number of requests in any sliding second; others send nothing. Assignments stay until a second after the server is warm. A new leader adopts those that daemons report. Requests that cannot get a token in time are refused at once.

--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -20,6 +20,9 @@
   nutmegstack_calls_total: 'Requests of callers at the gateway by route and outcome',
   nutmegstack_call_ms: 'Time from arrival to the end of the answer, by kind of call',
   nutmegstack_limited_sends_total: 'Requests sent to servers that named how many they take',
+  nutmegstack_cold_sends_total:
+    'Requests to cold servers by whether they were sent or held back at the last moment',
+  nutmegstack_cold_servers: 'Cold servers that take requests and have a bound on them',
   nutmegstack_refusals_total: 'Requests that belong to no route or organisation, by status',
   nutmegstack_orders_total: 'Orders to members of replica groups by kind and result',
   nutmegstack_store_eras_total:
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -132,9 +132,10 @@
   });
 }
 
-/** Error of a request whose server asked this daemon to back off after it was selected. */
-export function backoffError(): StepError {
-  return fail('cancelled', 'the server asked to back off', { step: 'send' });
+/** Error of a request whose server asked for a backoff, or became cold, after it was selected. */
+export function heldBackError(isBackingOff: boolean): StepError {
+  const reason = isBackingOff ? 'the server asked to back off' : 'the server became cold';
+  return fail('cancelled', reason, { step: 'send' });
 }
 
 /**
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -7,6 +7,8 @@
 import { pause } from '../../utils/pause';
 import { createThrottle } from './throttle';
 import { createArrivals } from './arrivals';
+import { createColdAssignments } from './cold-assignments';
+import { createColdServers } from './cold-servers';
 import { createGroupRegistry } from './group-registry';
 import { createConfigView } from './config-view';
 import type { GatewayContext } from './context';
@@ -92,7 +94,16 @@
     },
   });
   const leavingServers = createLeavingServers(ctx, serverRegistry);
-  const throttle = createThrottle(ctx, rateLimits);
+  const assignments = createColdAssignments(ctx, {
+    leadership,
+    fleet,
+    isStopping: () => isStopping,
+    publish: (message) => {
+      fleet.broadcastAsLeader(message);
+    },
+  });
+  const coldServers = createColdServers(ctx, { serverRegistry, routes: config.table, assignments });
+  const throttle = createThrottle(ctx, rateLimits, coldServers);
   const groupRegistry = createGroupRegistry(ctx, serverRegistry, config.table, throttle);
   const waitQueue = createWaitQueue(ctx, groupRegistry);
   const arrivals = createArrivals(ctx);
@@ -114,6 +125,7 @@
     limits: rateLimits,
     throttle,
     leaving: leavingServers,
+    cold: coldServers,
   });
   options.servers.heads.subscribe((head) => {
     notices.apply(head);
@@ -137,6 +149,7 @@
     arrivals,
     limits: rateLimits,
     leaving: leavingServers,
+    cold: coldServers,
     isStopping: () => isStopping,
   });
   const httpServer = createHttpServer({
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -5,6 +5,7 @@
 import { brandAs, later } from '../../core/ids';
 import { isLater, ORIGIN_POSITION } from '../../core/store-era';
 import type { Arrivals } from './arrivals';
+import type { ColdServers } from './cold-servers';
 import type { GroupRegistry } from './group-registry';
 import type { ConfigView } from './config-view';
 import type { GatewayContext } from './context';
@@ -33,6 +34,7 @@
   readonly arrivals: Arrivals;
   readonly limits: RateLimits;
   readonly leaving: LeavingServers;
+  readonly cold: ColdServers;
   readonly isStopping: () => boolean;
 }
 
@@ -87,6 +89,7 @@
     arrivals,
     limits: rateLimits,
     leaving: leavingServers,
+    cold: coldServers,
   } = deps;
   const nextHelpAt = new Map<string, MonoTime>();
   let dueAt = ctx.clock.now();
@@ -117,6 +120,11 @@
     return [...models].map((model) => [model, waitQueue.count(model), arrivals.rate(model)]);
   };
 
+  const coldReport = (): Pick<PeerState, 'cold'> => {
+    const cold = coldServers.report();
+    return cold ? { cold } : {};
+  };
+
   const ownState = (lease = leadership.ownLease()): PeerState => ({
     kind: 'state',
     configVersion: config.version(),
@@ -137,12 +145,14 @@
     waiting: offeredLoad(),
     limits: rateLimits.report(),
     leaving: leavingServers.report(),
+    ...coldReport(),
   });
 
   const noteTraffic = (): void => {
     if (hasTraffic) return;
     hasTraffic = true;
     planner.noteTraffic();
+    coldServers.noteTraffic();
   };
 
   const mayHelp = (key: string): boolean => {
@@ -209,6 +219,7 @@
       stallReporting.noteIdleTimes(state.quiet);
       rateLimits.applyReport(state.limits, `peer ${from}`);
       leavingServers.applyReport(state.leaving, `peer ${from}`);
+      if (state.cold) coldServers.applyReport(state.cold);
       if (state.hasTraffic) noteTraffic();
       if (state.lease) leadership.notePeerLease(state.lease);
       sendMissing(state, address);
@@ -220,6 +231,9 @@
     limits: (message, { from }) => {
       rateLimits.applyReport(message.limits, `peer ${from}`);
     },
+    'cold-senders': (message, { from }) => {
+      coldServers.applySenders(message, `peer ${from}`);
+    },
     config: ({ config: received }, { from }) => {
       const version = brandAs<ConfigVersion>(received.version);
       config.adoptIfNewer({ ...received, version }, `peer ${from}`);
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -23,6 +23,7 @@
   freeCapacityOf,
 } from '../../core/gateway/capacity';
 import type { GroupCapacity } from '../../core/gateway/capacity';
+import { queueDelayMs } from '../../core/gateway/limits/cold';
 import type { RouteTable } from '../../core/gateway/routes';
 import { isSuspect, noteEvidence } from '../../core/gateway/suspicion';
 import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
@@ -72,9 +73,11 @@
   hasOpenGroup(service: ServiceId, model: ModelId | undefined): boolean;
   /**
    * Time until this daemon may send a request to a group of the model under the servers' rate
-   * limits and backoffs, milliseconds.
+   * limits and backoffs, milliseconds. `ahead`: requests of this daemon that are sent before it.
    */
-  msUntilToken(service: ServiceId, model: ModelId): number;
+  msUntilToken(service: ServiceId, model: ModelId, ahead?: number): number;
+  /** Whether the model has groups and the heads of all of them are cold. */
+  areGroupsCold(service: ServiceId, model: ModelId): boolean;
   /** Like `msUntilToken`, but for a request from any daemon. */
   msUntilAccepted(service: ServiceId, model: ModelId): number;
   find(head: InstanceId): ServingGroup | undefined;
@@ -219,12 +222,14 @@
       prefillsUntilUpdate,
     };
     const tokens = throttle.tokens(head.id);
+    const warmUp = throttle.warmUpFactor(head.id);
     return {
       ...load,
       head: head.id,
       zone: head.zone,
-      freeCapacity: Math.min(tokens, freeCapacityOf(capacity)),
-      freeSlots: Math.min(tokens, freeCapacityOf({ ...capacity, departing: 0 })),
+      freeCapacity: Math.min(tokens, warmUp * freeCapacityOf(capacity)),
+      freeSlots: Math.min(tokens, warmUp * freeCapacityOf({ ...capacity, departing: 0 })),
+      ...(throttle.coldLimit(head.id) && { isOwnShare: true }),
       slowdown: currentSlowdown(group),
       isTried: tried.has(head.id),
     };
@@ -290,8 +295,16 @@
     grantedSlots: (head) => admission.grantedSlots(head),
     hasOpenGroup: (service, model) =>
       model !== undefined && groupsOfModel(service, model).length > 0,
-    msUntilToken: (service, model) =>
-      minOrZero(groupsOfModel(service, model).map(({ head }) => throttle.msUntilToken(head.id))),
+    msUntilToken: (service, model, ahead = 0) => {
+      const heads = groupsOfModel(service, model).map(({ head }) => head.id);
+      const nextMs = minOrZero(heads.map((head) => throttle.msUntilToken(head)));
+      const limits = heads.map((head) => throttle.coldLimit(head));
+      return nextMs + queueDelayMs(limits, ahead);
+    },
+    areGroupsCold: (service, model) => {
+      const found = groupsOfModel(service, model);
+      return found.length > 0 && found.every(({ head }) => throttle.coldLimit(head.id));
+    },
     msUntilAccepted: (service, model) =>
       minOrZero(groupsOfModel(service, model).map(({ head }) => throttle.msUntilAccepted(head.id))),
     find: (head) => groups().get(head),
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -71,6 +71,12 @@
   .array(z.tuple([instanceIdSchema, natural.nullable(), natural, natural]))
   .default([]);
 
+/**
+ * By cold server: time for which it stays cold as it told the sender itself, 0 if it did not,
+ * milliseconds; requests a second that the sender may send to it.
+ */
+const coldSchema = z.array(z.tuple([instanceIdSchema, natural, natural]));
+
 const stateSchema = z.object({
   kind: z.literal('state'),
   ...progressSchema,
@@ -94,6 +100,7 @@
   limits: limitsSchema,
   /** Servers that recently announced that they are leaving. */
   leaving: z.array(instanceIdSchema).default([]),
+  cold: coldSchema.optional(),
 });
 
 /** What the leader of a large fleet publishes, in place of an exchange between all daemons. */
@@ -160,12 +167,27 @@
 /** Rate limits that servers named, for the daemons that send to these servers. */
 const limitsMessageSchema = z.object({ kind: z.literal('limits'), limits: limitsSchema });
 
+/**
+ * From the leader: by cold server the requests a second that each sender may send, the time for
+ * which it stays cold, milliseconds, and its senders.
+ */
+const coldSendersSchema = z.object({
+  kind: z.literal('cold-senders'),
+  fencing: natural.transform((n) => brandAs<FencingNumber>(n)),
+  servers: z.array(z.tuple([instanceIdSchema, natural, natural, z.array(daemonIdSchema)])),
+});
+
 /** A message of the leader; `to` are the addresses that the receiver forwards it to. */
 const relayedSchema = z.object({
   kind: z.literal('relayed'),
   to: z.array(z.string()),
   origin: z.object({ id: daemonIdSchema, address: z.string() }),
-  message: z.discriminatedUnion('kind', [loadsSchema, newsSchema, stalledSchema]),
+  message: z.discriminatedUnion('kind', [
+    loadsSchema,
+    newsSchema,
+    stalledSchema,
+    coldSendersSchema,
+  ]),
 });
 
 /** States of several daemons, collected by a relay for the leader. */
@@ -183,6 +205,7 @@
   newsSchema,
   loadsSchema,
   limitsMessageSchema,
+  coldSendersSchema,
   relayedSchema,
 ]);
 
@@ -192,6 +215,8 @@
 >;
 export type LoadsMessage = z.output<typeof loadsSchema>;
 export type PeerState = z.output<typeof stateSchema>;
+export type ColdSendersMessage = z.output<typeof coldSendersSchema>;
+export type ColdReport = z.output<typeof coldSchema>;
 export type StallFinding = z.output<typeof findingSchema>;
 export type GatewayMessage = z.output<typeof messageSchema>;
 type Relayed = z.output<typeof relayedSchema>;
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -21,7 +21,7 @@
   endUnanswered,
   logRequestEnd,
   logFailedAttempt,
-  backoffError,
+  heldBackError,
   retryAfterDelay,
 } from './exchange';
 import type { Exchange, Execution } from './exchange';
@@ -255,10 +255,14 @@
     beforeSend: () => {
       if (ctx.clock.now() >= until)
         return fail('deadline-exceeded', 'deadline reached before sending', { step: 'send' });
-      return throttle.isBackingOff(server.id) ? backoffError() : undefined;
+      if (throttle.maySend(server.id)) return undefined;
+      return heldBackError(throttle.isBackingOff(server.id));
     },
   });
-  if (sent.kind === 'not-sent') return { kind: 'not-sent', reason: sent.error.message };
+  if (sent.kind === 'not-sent') {
+    throttle.returnToken(server.id);
+    return { kind: 'not-sent', reason: sent.error.message };
+  }
   if (sent.kind === 'lost') return { kind: 'lost', reason: sent.error.message };
   return readAnswer(deps, exchange, { server, sentAt: now, answered: sent, limit });
 }
--- a/src/app/gateway/server-notices.ts
+++ b/src/app/gateway/server-notices.ts
@@ -1,12 +1,13 @@
 /**
- * Processes what backend servers announce in their response headers: rate limits, backoff and
- * leaving.
+ * Processes what backend servers announce in their response headers: rate limits, backoff,
+ * coldness and leaving.
  */
 
 import type { IncomingMessage } from 'node:http';
 
 import type { InstanceId, MonoTime } from '../../core/ids';
 import type { ResponseFacts, HeaderDialect, ResponseHeaders } from '../../ports/gateway';
+import type { ColdServers } from './cold-servers';
 import type { Throttle } from './throttle';
 import type { GatewayContext } from './context';
 import type { LeavingServers } from './leaving-servers';
@@ -31,11 +32,12 @@
   readonly limits: RateLimits;
   readonly throttle: Throttle;
   readonly leaving: LeavingServers;
+  readonly cold: Pick<ColdServers, 'noteColdMs'>;
 }
 
 export function createServerNotices(
   { clock, logger }: GatewayContext,
-  { dialect, limits: rateLimits, throttle, leaving: leavingServers }: ServerNoticesOptions,
+  { dialect, limits: rateLimits, throttle, leaving: leavingServers, cold }: ServerNoticesOptions,
 ): ServerNotices {
   const apply = ({ server, facts }: ResponseHeaders, sentAt?: MonoTime): void => {
     for (const { about, header } of facts.unreadable) {
@@ -49,6 +51,7 @@
     if (perSecond !== undefined || (sentAt !== undefined && !isLimitUnreadable)) {
       rateLimits.noteAnswer(server, { perSecond, sentAt: sentAt ?? clock.now() });
     }
+    if (facts.coldMs !== undefined) cold.noteColdMs(server, facts.coldMs, sentAt);
     if (facts.isLeaving) leavingServers.note(server);
   };
 
--- a/src/app/gateway/slot-admission.ts
+++ b/src/app/gateway/slot-admission.ts
@@ -86,7 +86,8 @@
   ): void => {
     if (lateRemaining.has(model)) return;
     lateRemaining.set(model, lateQuota(contention, random.next()));
-    const freeByGroup = groups.map(({ head, freeSlots }) => ({
+    const shared = groups.filter(({ isOwnShare }) => isOwnShare !== true);
+    const freeByGroup = shared.map(({ head, freeSlots }) => ({
       head,
       // Slots released by own streams are already reserved for this daemon.
       slots: Math.max(0, freeSlots - (grantedSlots.get(head) ?? 0)),
@@ -101,7 +102,9 @@
   > = {
     all: (_, groups) => ({ groups, noteSent: ignore }),
     granted: (_, groups) => ({
-      groups: groups.filter(({ head }) => (grantedSlots.get(head) ?? 0) >= 1),
+      groups: groups.filter(
+        ({ head, isOwnShare }) => isOwnShare === true || (grantedSlots.get(head) ?? 0) >= 1,
+      ),
       noteSent: ignore,
     }),
     surplus: (model, groups) => {
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -17,7 +17,7 @@
   endUnanswered,
   logRequestEnd,
   logFailedAttempt,
-  backoffError,
+  heldBackError,
   RETRY_AFTER_UNSERVED,
   retryAfterDelay,
 } from './exchange';
@@ -96,7 +96,9 @@
     if (found) return found;
     const since = ctx.clock.now();
     const until = waitUntil(exchange, model, state);
-    if (later(since, groupRegistry.msUntilToken(exchange.service, model)) > until) return undefined;
+    const msUntilToken = (ahead: number): number =>
+      groupRegistry.msUntilToken(exchange.service, model, ahead);
+    if (later(since, msUntilToken(deps.waitQueue.count(model))) > until) return undefined;
     const group = await deps.waitQueue.wait({
       model,
       priority: exchange.priority,
@@ -107,6 +109,8 @@
       gone: exchange.gone,
       isRetry: state.tried.size > 0,
       choose: () => tryTakeSlot(exchange, model, state),
+      msUntilToken,
+      areGroupsCold: () => groupRegistry.areGroupsCold(exchange.service, model),
     });
     state.waitedMs += ctx.clock.now() - since;
     return group;
@@ -291,10 +295,12 @@
       beforeSend: () => {
         if (ctx.clock.now() >= sendUntil)
           return fail('deadline-exceeded', 'deadline reached before sending', { step: 'send' });
-        return throttle.isBackingOff(head.id) ? backoffError() : undefined;
+        if (throttle.maySend(head.id)) return undefined;
+        return heldBackError(throttle.isBackingOff(head.id));
       },
     });
     if (sent.kind !== 'answered') {
+      if (sent.kind === 'not-sent') throttle.returnToken(head.id);
       state.reason = abortReason(stop.signal, sent.error.message);
       if (exchange.gone.aborted) return 'caller-gone';
       if (sent.kind === 'lost') return 'lost';
--- a/src/app/gateway/throttle.ts
+++ b/src/app/gateway/throttle.ts
@@ -1,11 +1,13 @@
 /**
- * Limits what this daemon sends to each backend server: the server's rate limit and its backoff
- * requests combined.
+ * Limits what this daemon sends to each backend server: the server's rate limit, the limit while it
+ * is cold and its backoff requests combined.
  */
 
 import { noteBackoff, backoffRemainingMs } from '../../core/gateway/server-backoff';
 import type { Backoffs } from '../../core/gateway/server-backoff';
+import type { ColdLimit } from '../../core/gateway/limits/cold';
 import type { InstanceId } from '../../core/ids';
+import type { ColdLimits } from './cold-servers';
 import type { GatewayContext } from './context';
 import type { RateLimits } from './rate-limits';
 
@@ -25,6 +27,17 @@
    * well.
    */
   isBackingOff(server: InstanceId): boolean;
+  /**
+   * To be called just before a request that took a token is sent, which counts it. Returns false if
+   * it must not be sent: the server asked for a backoff or became cold after it was chosen.
+   */
+  maySend(server: InstanceId): boolean;
+  /** Returns the token of a request that was not sent. */
+  returnToken(server: InstanceId): void;
+  /** The limit on requests to a cold server; undefined if it is not cold. */
+  coldLimit(server: InstanceId): ColdLimit | undefined;
+  /** Factor on the free capacity of a server that has just become warm; otherwise 1. */
+  warmUpFactor(server: InstanceId): number;
   /**
    * Notes that the server refused a request and asked this daemon to back off for `restMs`
    * milliseconds.
@@ -42,6 +55,7 @@
 export function createThrottle(
   { clock, logger }: GatewayContext,
   rateLimits: RateLimits,
+  coldLimits: ColdLimits & { tick(): boolean },
 ): Throttle {
   let backoffs: Backoffs = new Map();
   /** Servers that were in backoff at the last check. */
@@ -57,13 +71,31 @@
   };
 
   return {
-    tokens: (server) => (remainingMs(server) > 0 ? 0 : rateLimits.tokens(server)),
+    tokens: (server) =>
+      remainingMs(server) > 0 ? 0 : Math.min(rateLimits.tokens(server), coldLimits.tokens(server)),
     takeToken: (server) => {
       rateLimits.takeToken(server);
+      coldLimits.takeToken(server);
     },
-    msUntilToken: (server) => Math.max(remainingMs(server), rateLimits.msUntilToken(server)),
-    msUntilAccepted: (server) => Math.max(remainingMs(server), rateLimits.msUntilAccepted(server)),
+    msUntilToken: (server) =>
+      Math.max(
+        remainingMs(server),
+        rateLimits.msUntilToken(server),
+        coldLimits.msUntilToken(server),
+      ),
+    msUntilAccepted: (server) =>
+      Math.max(
+        remainingMs(server),
+        rateLimits.msUntilAccepted(server),
+        coldLimits.msUntilAccepted(server),
+      ),
     isBackingOff: (server) => remainingMs(server) > 0,
+    maySend: (server) => remainingMs(server) === 0 && coldLimits.noteSent(server),
+    returnToken: (server) => {
+      coldLimits.returnToken(server);
+    },
+    coldLimit: (server) => coldLimits.limit(server),
+    warmUpFactor: (server) => coldLimits.warmUpFactor(server),
     noteBackoff: (server, restMs) => {
       const next = noteBackoff(backoffs, server, restMs, clock.now());
       if (next === backoffs) return;
@@ -75,8 +107,8 @@
       });
     },
     tick: () => {
-      const haveBackoffsEnded = hasAnyBackoffEnded();
-      return rateLimits.tick() || haveBackoffsEnded;
+      const hasCapacity = [rateLimits.tick(), coldLimits.tick(), hasAnyBackoffEnded()];
+      return hasCapacity.includes(true);
     },
   };
 }
--- a/src/app/gateway/wait-queue.ts
+++ b/src/app/gateway/wait-queue.ts
@@ -2,6 +2,7 @@
 
 import { compareWaiting } from '../../core/gateway/waiting-order';
 import type { WaitingRequest } from '../../core/gateway/waiting-order';
+import { later } from '../../core/ids';
 import type { ModelId, MonoTime } from '../../core/ids';
 import type { GroupRegistry } from './group-registry';
 import type { ServingGroup } from './group-index';
@@ -19,6 +20,10 @@
   readonly isRetry: boolean;
   /** Takes a slot in a group, if one is free. */
   readonly choose: () => ServingGroup | undefined;
+  /** Whether all groups of the model are cold, so that few of the requests get a slot in time. */
+  readonly areGroupsCold?: () => boolean;
+  /** Time until a slot may be taken after `ahead` other requests, milliseconds. */
+  readonly msUntilToken?: (ahead: number) => number;
 }
 
 export interface WaitQueue {
@@ -43,17 +48,30 @@
     return [...entries].sort((a, b) => compareWaiting(a, b, now));
   };
 
+  /** Refuses the requests for a model without a slot that cannot get one in time. */
+  const refuseHopeless = (model: ModelId): void => {
+    let ahead = 0;
+    for (const { until, settle, msUntilToken, ...entry } of inOrder()) {
+      if (entry.model !== model || entry.isRetry || !msUntilToken) continue;
+      if (later(ctx.clock.now(), msUntilToken(ahead)) > until) settle(undefined);
+      else ahead += 1;
+    }
+  };
+
   /** Serves requests in order; a model found full is skipped for the rest of the round. */
   const serve = (): void => {
     if (entries.size === 0 || isServing) return;
     isServing = true;
     const fullModels = new Set<ModelId>();
+    const coldModels = new Set<ModelId>();
     for (const entry of inOrder()) {
       if (fullModels.has(entry.model)) continue;
       const group = entry.choose();
       if (group) entry.settle(group);
       else if (!entry.isRetry) fullModels.add(entry.model);
+      if (!group && entry.areGroupsCold?.() === true) coldModels.add(entry.model);
     }
+    for (const model of coldModels) refuseHopeless(model);
     isServing = false;
   };
 
--- a/src/core/gateway/balance.ts
+++ b/src/core/gateway/balance.ts
@@ -13,6 +13,8 @@
   readonly freeCapacity: number;
   /** The part of the free capacity that is free now, without expected departures. */
   readonly freeSlots: number;
+  /** Whether the free capacity is this daemon's part of a limit, which no other daemon uses. */
+  readonly isOwnShare?: boolean;
   /** Prompt tokens in it that wait for prefill. */
   readonly pendingPrefill: number;
   /** Prompt tokens that may wait for prefill without delaying the events of other streams too long. */
@@ -81,7 +83,7 @@
 ): readonly GroupCandidate[] {
   const prefillable = candidates.filter((one) => !one.isTried && canPrefill(one, promptTokens));
   const own = prefillable.flatMap((one) => {
-    const slots = granted(one.head);
+    const slots = one.isOwnShare === true ? one.freeCapacity : granted(one.head);
     return slots < 1 || isSlow(one) ? [] : [{ ...one, freeCapacity: slots }];
   });
   return own.length > 0 ? own : prefillable.filter(({ freeCapacity }) => freeCapacity >= 1);
--- a/tests/gateway/server-notices.test.ts
+++ b/tests/gateway/server-notices.test.ts
@@ -12,7 +12,7 @@
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId, EpochTime, GroupId, Epoch, InstanceId } from '../../src/core/ids';
 import type { ResponseHeaders } from '../../src/ports/gateway';
-import { at, instance, makeContext, makeRateLimits, makeServer } from './support';
+import { at, instance, makeColdServers, makeContext, makeRateLimits, makeServer } from './support';
 
 const SERVER = instance('s1');
 
@@ -25,8 +25,10 @@
   const leaving = {
     note: (server: InstanceId) => leftServers.push(server),
   } as unknown as LeavingServers;
-  const throttle = createThrottle(ctx, rateLimits);
-  const notices = createServerNotices(ctx, { dialect, limits: rateLimits, throttle, leaving });
+  const cold = makeColdServers(ctx);
+  const throttle = createThrottle(ctx, rateLimits, cold);
+  const options = { dialect, limits: rateLimits, throttle, leaving, cold };
+  const notices = createServerNotices(ctx, options);
   const read = (statusCode: number, headers: Record<string, string>): void => {
     notices.read(SERVER, { statusCode, headers }, at(ms - 10));
   };
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -1,10 +1,13 @@
 /** Factories for objects that gateway tests commonly need. */
 
-import { BehaviorSubject } from 'rxjs';
+import { BehaviorSubject, Subject } from 'rxjs';
 
 import { createClock, createRandom } from '../../src/adapters/runtime';
 import { createLogger } from '../../src/adapters/telemetry/logger';
 import { createMetrics } from '../../src/adapters/telemetry/metrics';
+import { createColdAssignments } from '../../src/app/gateway/cold-assignments';
+import { createColdServers } from '../../src/app/gateway/cold-servers';
+import type { ColdServers } from '../../src/app/gateway/cold-servers';
 import { createThrottle } from '../../src/app/gateway/throttle';
 import type { Throttle } from '../../src/app/gateway/throttle';
 import type { GatewayContext } from '../../src/app/gateway/context';
@@ -13,6 +16,7 @@
 import type { LoadsMessage, PeerState } from '../../src/app/gateway/messages';
 import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
+import type { RouteTable } from '../../src/core/gateway/routes';
 import type { BackendServer, EngineSpec, GatewayConfig, Route } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
 import type {
@@ -193,9 +197,22 @@
   return createRateLimits(ctx, { daemons, isRemoved: () => false, publish: () => undefined });
 }
 
+/** Cold servers of a daemon that knows no server. */
+export function makeColdServers(ctx: GatewayContext): ColdServers {
+  const serverRegistry = { servers: new Map(), changes: new Subject<void>() };
+  const routes = new BehaviorSubject<RouteTable | undefined>(undefined);
+  const assignments = createColdAssignments(ctx, {
+    leadership: { heldFencing: () => undefined },
+    fleet: { live: () => [], candidates: () => new Map() },
+    isStopping: () => false,
+    publish: () => undefined,
+  });
+  return createColdServers(ctx, { serverRegistry, routes, assignments });
+}
+
 /** Throttle of a daemon to which no server has set a limit. */
 export function makeThrottle(ctx: GatewayContext): Throttle {
-  return createThrottle(ctx, makeRateLimits(ctx));
+  return createThrottle(ctx, makeRateLimits(ctx), makeColdServers(ctx));
 }
 
 /** Parameters shared by simulated fleets. */
