Let a sender use all of its tokens for a cold group while callers wait

Cause: while the offered load exceeds the free capacity, a daemon divided the free slots of a group among all daemons. Those of a cold group are its own tokens already, so hardly any was used. Change: such slots need no grant, and late requests may use them. Result: 'include all of its own part of a limit' in tests/gateway/slot-admission.test.ts passes for requests on time and late ones.

--- a/src/app/gateway/slot-admission.ts
+++ b/src/app/gateway/slot-admission.ts
@@ -110,9 +110,9 @@
     surplus: (model, groups) => {
       const remaining = lateRemaining.get(model) ?? 0;
       return {
-        groups: remaining < 1 ? [] : groups,
+        groups: remaining < 1 ? groups.filter(({ isOwnShare }) => isOwnShare === true) : groups,
         noteSent: () => {
-          lateRemaining.set(model, remaining - 1);
+          lateRemaining.set(model, Math.max(0, remaining - 1));
         },
       };
     },
--- a/tests/gateway/slot-admission.test.ts
+++ b/tests/gateway/slot-admission.test.ts
@@ -2,6 +2,7 @@
 
 import { createPeerLoads } from '../../src/app/gateway/peer-loads';
 import { createSlotAdmission } from '../../src/app/gateway/slot-admission';
+import { listEligible } from '../../src/core/gateway/balance';
 import type { GroupCandidate } from '../../src/core/gateway/balance';
 import { brandAs, later } from '../../src/core/ids';
 import type { EpochTime, ZoneId } from '../../src/core/ids';
@@ -48,6 +49,24 @@
 describe('the slots that a daemon may use', () => {
   const heads = (groups: readonly GroupCandidate[]) => groups.map(({ head }) => head);
 
+  // Guards against senders of a cold server that divide their own requests among all daemons, so
+  // that hardly any is sent while callers wait.
+  it.each([
+    { isLate: false, offered: OVERLOAD },
+    { isLate: true, offered: OVERLOAD },
+  ])('include all of its own part of a limit (late: $isLate)', ({ isLate, offered }) => {
+    const { rooms: admission } = setUp();
+    admission.noteLoads(400);
+    const own = { ...group('3', 1), isOwnShare: true };
+    const remote = { waiting: 400, perSecond: 200 };
+    const admit = () => admission.admit(SMALL, [own], { ...offered, remote, isLate });
+    expect(heads(admit().groups)).toEqual(['3']);
+    admit().noteSent();
+    expect(heads(admit().groups)).toEqual(['3']);
+    const eligible = listEligible(admit().groups, (head) => admission.grantedSlots(head), 100);
+    expect(heads(eligible)).toEqual(['3']);
+  });
+
   it('are those granted, minus those taken, plus those released by its streams', () => {
     const { rooms: admission } = setUp();
     admission.noteLoads(400);
