Test cold servers with daemon processes and a stand-in whose servers become cold

Cause: the bound was checked without processes only. Waiting, headers and the template have tests too.

--- a/stand-ins/users-platform/document.ts
+++ b/stand-ins/users-platform/document.ts
@@ -13,6 +13,8 @@
   readonly routes: readonly object[];
   readonly engine: EngineSpec;
   readonly organisations: readonly OperatorOrganisation[];
+  /** Requests per second that a cold server of any service tolerates. */
+  readonly coldPerS?: number;
 }
 
 const HOST_NAME = 'a.example';
@@ -73,8 +75,10 @@
   routes,
   engine,
   organisations,
+  coldPerS,
 }: DocumentOptions): object {
-  const usual = { healthPath: '/health', maxConns: 100 };
+  const cold = coldPerS === undefined ? {} : { coldPerS, coldStartS: 20 };
+  const usual = { healthPath: '/health', maxConns: 100, ...cold };
   return {
     version,
     routes,
--- a/stand-ins/users-platform/start.ts
+++ b/stand-ins/users-platform/start.ts
@@ -42,6 +42,8 @@
    * operator and the servers write their rows again afterwards.
    */
   returnStore(options: { readonly awayMs: number; readonly copyAgeMs: number }): Promise<void>;
+  /** The servers are cold for `coldMs` from now on, and state it in their rows. */
+  setCold(names: readonly ServerName[], coldMs: number): void;
   /** Starts another engine server in a domain. */
   addEngine(domain: string): Promise<void>;
   close(): void;
@@ -89,6 +91,8 @@
   }
 
   const shown = new Map<ServerName, string>();
+  /** When cold servers become warm. */
+  const coldUntil = new Map<ServerName, number>();
   /** Last sequence number that each server wrote into its row. */
   const sequences = new Map<ServerName, number>();
   let document: object | undefined;
@@ -101,12 +105,14 @@
     }
     for (const [name, server] of rows) {
       const address = publishedAddress(server.address);
+      const until = coldUntil.get(name) ?? 0;
       const text = JSON.stringify(encodeRow({ ...server, address }));
-      if (shown.get(name) === text) continue;
-      shown.set(name, text);
+      if (shown.get(name) === `${text} ${until}`) continue;
+      shown.set(name, `${text} ${until}`);
+      const coldMs = Math.max(0, until - performance.now());
       const sequence = (sequences.get(name) ?? 0) + 1;
       sequences.set(name, sequence);
-      store.put(TABLES.servers, name, { ...(JSON.parse(text) as object), sequence });
+      store.put(TABLES.servers, name, { ...(JSON.parse(text) as object), sequence, coldMs });
     }
   };
   let last = performance.now();
@@ -139,6 +145,13 @@
       for (const [name, row] of plainRows) store.put(TABLES.servers, name, row);
       if (document) store.put(TABLES.operator, CONFIG_KEY, document);
     },
+    setCold: (names, coldMs) => {
+      for (const name of names) {
+        const row = plainRows.get(name);
+        coldUntil.set(name, performance.now() + coldMs);
+        if (row) store.put(TABLES.servers, name, { ...row, coldMs });
+      }
+    },
     addEngine: async (domain) => {
       const name = fleet.servers.get(fleet.add(domain))?.name;
       if (name !== undefined) closers.push(await startEngine(fleet, name, runs, statements));
--- a/stand-ins/users-platform/wire.ts
+++ b/stand-ins/users-platform/wire.ts
@@ -20,7 +20,7 @@
     state: isDraining ? 'draining' : 'ready',
     ...(born !== undefined && { born }),
     sequence: 1,
-    coldMs: 0,
+    coldMs: server.coldMs ?? 0,
     ...(domain !== undefined && {
       stage: 'both',
       models: model === undefined ? [] : [{ name: model, version: 1, adapters: [] }],
--- a/tests/gateway/cold-model.ts
+++ b/tests/gateway/cold-model.ts
@@ -141,7 +141,11 @@
     }
   };
 
-  const pick = (): ModelDaemon => daemons[Math.floor(chance(count))] as ModelDaemon;
+  const pick = (): ModelDaemon => {
+    const [found] = daemons.slice(Math.floor(chance(count)));
+    if (!found) throw new Error('a model needs daemons');
+    return found;
+  };
 
   return {
     daemons,
--- a/tests/gateway/cold-servers.test.ts
+++ b/tests/gateway/cold-servers.test.ts
@@ -1,16 +1,21 @@
+import { readFileSync } from 'node:fs';
+import { Subject } from 'rxjs';
 import { describe, expect, it } from 'vitest';
 
 import { dialect } from '../../platform/ingress';
 import { HEADERS } from '../../platform/names';
 import { decodeServer } from '../../platform/servers';
+import type { GroupRegistry } from '../../src/app/gateway/group-registry';
+import { createWaitQueue } from '../../src/app/gateway/wait-queue';
 import { coldBound, planSenders, queueDelayMs } from '../../src/core/gateway/limits/cold';
 import { noteCold, unstatedColdMs } from '../../src/core/gateway/limits/cold-periods';
 import type { ColdPeriod, ColdStatement } from '../../src/core/gateway/limits/cold-periods';
-import { brandAs } from '../../src/core/ids';
+import { brandAs, later } from '../../src/core/ids';
 import type { EpochTime } from '../../src/core/ids';
+import { pause } from '../../src/utils/pause';
 import { COLD_PER_S, createColdModel, rateOf } from './cold-model';
 import type { ColdModel, ColdModelOptions } from './cold-model';
-import { at, instance } from './support';
+import { at, instance, makeContext, SMALL } from './support';
 
 const BOUND = coldBound(COLD_PER_S, { factor: 1.5, slack: 5 });
 const BUDGET = 24;
@@ -253,6 +258,34 @@
   });
 });
 
+describe('requests that wait', () => {
+  // Guards against requests that wait to their deadline after all groups of their model became cold.
+  it('are refused once those ahead of them take all tokens in time', async () => {
+    const changes = new Subject<void>();
+    const ctx = makeContext();
+    const queue = createWaitQueue(ctx, { changes } as unknown as GroupRegistry);
+    const now = ctx.clock.now();
+    let areAllCold = false;
+    const ended: number[] = [];
+    for (const n of [0, 1, 2, 3]) {
+      const waiter = {
+        ...{ model: SMALL, priority: 1, arrivedAt: later(now, n), until: later(now, 5_000) },
+        ...{ onTimeUntil: later(now, 5_000), holdMs: 1, gone: new AbortController().signal },
+        ...{ isRetry: false, choose: () => undefined, areGroupsCold: () => areAllCold },
+        msUntilToken: (ahead: number) => (ahead < 2 ? 1_000 : 6_000),
+      };
+      void queue.wait(waiter).then(() => ended.push(n));
+    }
+    changes.next();
+    await pause(0);
+    expect(ended).toEqual([]);
+    areAllCold = true;
+    changes.next();
+    await pause(0);
+    expect(ended).toEqual([2, 3]);
+  });
+});
+
 describe('a cold period', () => {
   const period: ColdPeriod = { since: at(0), until: at(9_000), statedAt: at(5_000), source: 'row' };
   const untilAfter = (before: ColdPeriod, statement: ColdStatement, now: number) =>
@@ -311,6 +344,22 @@
     expect(read('soon')).toMatchObject({ unreadable: [{ about: 'cold' }] });
   });
 
+  // Guards against a settings file that no daemon can read, with and without the bounds.
+  it('has its bounds in the settings only if the platform gives them', () => {
+    const template = readFileSync('deploy/settings.json.tmpl', 'utf8');
+    const render = (given: ReadonlySet<string>): unknown =>
+      JSON.parse(
+        template
+          .replace(/\{\{#([\w.]+)\}\}(.*?)\{\{\/\1\}\}/gs, (_, name: string, inner: string) =>
+            given.has(name) ? inner : '',
+          )
+          .replace(/\{\{[\w.]+\|json\}\}/g, '1.5'),
+      );
+    expect(render(new Set())).not.toHaveProperty('coldFactor');
+    const bounds = { coldFactor: 1.5, coldSlack: 1.5 };
+    expect(render(new Set(['bounds.coldOver', 'bounds.coldSlack']))).toMatchObject(bounds);
+  });
+
   // Guards against a server that disappears because one field of its row is malformed.
   it('does not hide a server whose row states it wrongly', () => {
     expect(decodeServer('s1', { ...ROW, coldMs: 'long' })?.id).toBe('s1');
--- a/tests/gateway/gateway-fixture.ts
+++ b/tests/gateway/gateway-fixture.ts
@@ -45,6 +45,10 @@
   readonly firstPort: number;
   readonly daemons: number;
   readonly plainServers: number;
+  /** Further settings of the daemons. */
+  readonly settings?: object;
+  /** Requests per second that a cold server tolerates. */
+  readonly coldPerS?: number;
 }
 
 async function until(check: () => boolean): Promise<void> {
@@ -55,6 +59,8 @@
   firstPort,
   daemons,
   plainServers,
+  settings,
+  coldPerS,
 }: FixtureOptions): Promise<GatewayFixture> {
   const dir = mkdtempSync(join(tmpdir(), 'nutmegstack-fixture-'));
   const platform = await startPlatform({
@@ -75,11 +81,15 @@
       peerListen: portOf(n, 2),
       seeds: [portOf(0, 2), portOf(1, 2)],
       platform: platform.storeAddress,
+      ...(settings && { more: settings }),
     }),
   );
   const organisations = [{ name: 'depot', apiKeys: [KEY] }];
   platform.configure(
-    describeConfig({ version: 1, routes: DEFAULT_ROUTES, engine: ENGINE, organisations }),
+    describeConfig({
+      ...{ version: 1, routes: DEFAULT_ROUTES, engine: ENGINE, organisations },
+      ...(coldPerS !== undefined && { coldPerS }),
+    }),
   );
   await until(() => platform.fleet.serving(SMALL) === 2 && platform.fleet.serving(LARGE) === 2);
 
--- a/tests/gateway/server-notices.test.ts
+++ b/tests/gateway/server-notices.test.ts
@@ -25,8 +25,9 @@
   const leaving = {
     note: (server: InstanceId) => leftServers.push(server),
   } as unknown as LeavingServers;
-  const cold = makeColdServers(ctx);
-  const throttle = createThrottle(ctx, rateLimits, cold);
+  const coldTimes: number[] = [];
+  const cold = { noteColdMs: (_: InstanceId, coldMs: number) => coldTimes.push(coldMs) };
+  const throttle = createThrottle(ctx, rateLimits, makeColdServers(ctx));
   const options = { dialect, limits: rateLimits, throttle, leaving, cold };
   const notices = createServerNotices(ctx, options);
   const read = (statusCode: number, headers: Record<string, string>): void => {
@@ -37,6 +38,7 @@
     limits: rateLimits,
     allowances: throttle,
     left: leftServers,
+    coldTimes,
     read,
     wait: (more: number) => (ms += more),
   };
@@ -54,6 +56,15 @@
     expect(leftServers).toEqual([SERVER]);
   });
 
+  // Guards against a server that became cold and is known to be from its row only.
+  it('tell for how long the server stays cold, unless another one answered', () => {
+    const { read, coldTimes } = setUp();
+    read(200, { [HEADERS.coldMs]: '700' });
+    read(421, { [HEADERS.coldMs]: '900' });
+    read(200, {});
+    expect(coldTimes).toEqual([700]);
+  });
+
   it('are not attributed to the intended server if another one answered', () => {
     const { read, limits: rateLimits, allowances: throttle, left: leftServers } = setUp();
     read(421, { [HEADERS.limit]: '2', [HEADERS.leaving]: '1', 'retry-after': '3' });
