Complete the gossip fixture, and test the capacity of groups after a cold period

Cause: gossip of tests/gateway/large-fleet.test.ts had no cold servers, so four of its tests failed; nothing checked the scaled capacity of a group, nor the new messages as relays parse them. Change: the fixture has cold servers; tests of the free capacity and of the messages; a port range that leaving-server.test.ts does not use.

--- a/tests/gateway/cold-servers-daemons.test.ts
+++ b/tests/gateway/cold-servers-daemons.test.ts
@@ -7,7 +7,7 @@
 import type { GatewayFixture, SentRequest } from './gateway-fixture';
 import { SMALL } from './support';
 
-const FIRST_PORT = 25_600;
+const FIRST_PORT = 26_700;
 const DAEMONS = 5;
 const COLD_PER_S = 4;
 /** Bound with the factor 1.5 and the slack 5, and what is assigned of it. */
--- a/tests/gateway/cold-servers.test.ts
+++ b/tests/gateway/cold-servers.test.ts
@@ -6,6 +6,7 @@
 import { HEADERS } from '../../platform/names';
 import { decodeServer } from '../../platform/servers';
 import type { GroupRegistry } from '../../src/app/gateway/group-registry';
+import { parseGatewayMessage } from '../../src/app/gateway/messages';
 import { createWaitQueue } from '../../src/app/gateway/wait-queue';
 import { coldBound, planSenders, queueDelayMs } from '../../src/core/gateway/limits/cold';
 import { noteCold, unstatedColdMs } from '../../src/core/gateway/limits/cold-periods';
@@ -15,7 +16,7 @@
 import { pause } from '../../src/utils/pause';
 import { COLD_PER_S, createColdModel, rateOf } from './cold-model';
 import type { ColdModel, ColdModelOptions } from './cold-model';
-import { at, instance, makeContext, SMALL } from './support';
+import { at, instance, makeContext, makeState, SMALL } from './support';
 
 const BOUND = coldBound(COLD_PER_S, { factor: 1.5, slack: 5 });
 const BUDGET = 24;
@@ -344,6 +345,18 @@
     expect(read('soon')).toMatchObject({ unreadable: [{ about: 'cold' }] });
   });
 
+  // Guards against assignments that relays of a large fleet drop as invalid.
+  it('and senders of a cold server are valid messages, directly and through a relay', () => {
+    const message = { kind: 'cold-senders', fencing: 3, servers: [['s1@1', 2, 900, ['d1', 'd2']]] };
+    const origin = { id: 'd0', address: 'h:1' };
+    const relayed = { kind: 'relayed', to: ['h:2'], origin, message };
+    expect(parseGatewayMessage(message)).toEqual(message);
+    expect(parseGatewayMessage(relayed)).toEqual(relayed);
+    const state = makeState({ cold: [[instance('s1'), 900, 2]] });
+    expect(parseGatewayMessage(state)).toEqual(state);
+    expect(parseGatewayMessage(makeState())).not.toHaveProperty('cold');
+  });
+
   // Guards against a settings file that no daemon can read, with and without the bounds.
   it('has its bounds in the settings only if the platform gives them', () => {
     const template = readFileSync('deploy/settings.json.tmpl', 'utf8');
--- a/tests/gateway/group-registry.test.ts
+++ b/tests/gateway/group-registry.test.ts
@@ -3,6 +3,7 @@
 
 import { createClock } from '../../src/adapters/runtime';
 import { createGroupRegistry } from '../../src/app/gateway/group-registry';
+import type { Throttle } from '../../src/app/gateway/throttle';
 import type { ServerRegistry } from '../../src/app/gateway/server-registry';
 import type { RouteTable } from '../../src/core/gateway/routes';
 import { brandAs, later } from '../../src/core/ids';
@@ -35,7 +36,7 @@
 const FRESH_LOADS = { coversMost: true, isLeaderless: false, ageMs: 200 };
 
 /** A registry with the servers of one open group, on a manual clock. */
-function setUp() {
+function setUp(limits: Partial<Throttle> = {}) {
   const clock = createClock();
   let now = clock.now();
   const changes = new Subject<void>();
@@ -43,7 +44,10 @@
   const routes = new BehaviorSubject<RouteTable | undefined>(undefined);
   const ctx = makeContext({ clock: { ...clock, now: () => now } });
   const serverRegistry = { servers, changes } as unknown as ServerRegistry;
-  const registry = createGroupRegistry(ctx, serverRegistry, routes, makeThrottle(ctx));
+  const registry = createGroupRegistry(ctx, serverRegistry, routes, {
+    ...makeThrottle(ctx),
+    ...limits,
+  });
   const heads = () => registry.candidates(NEEDS).map(({ head }) => head);
   /** Advances time with regular ticks. */
   const run = (ms: number): void => {
@@ -71,6 +75,24 @@
   return parts;
 }
 
+describe('the free capacity of a group', () => {
+  // Guards against a jump of the load of a group whose head has just become warm, and against
+  // grants among all daemons of what is one daemon's own part of a limit.
+  it('is scaled after a cold period, and is marked as own during one', () => {
+    const find = (limits: Partial<Throttle>) => {
+      const { registry, routes } = setUp(limits);
+      routes.next(TABLE);
+      return registry.candidates(NEEDS)[0];
+    };
+    const warm = find({});
+    const warming = find({ warmUpFactor: () => 0.5 });
+    expect(warming?.freeCapacity).toBe(0.5 * (warm?.freeCapacity ?? 0));
+    expect(warm).not.toHaveProperty('isOwnShare');
+    const cold = find({ tokens: () => 2, coldLimit: () => ({ perSecond: 2, endMs: 900 }) });
+    expect(cold).toMatchObject({ freeCapacity: 2, isOwnShare: true });
+  });
+});
+
 describe('groups available to streams', () => {
   it('are known once servers and configuration are, in either order', () => {
     const serversFirst = setUp();
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -8,7 +8,7 @@
 import type { GatewayMessage, PlainMessage } from '../../src/app/gateway/messages';
 import { brandAs, later } from '../../src/core/ids';
 import type { DaemonId, GroupId, InstanceId, MonoTime } from '../../src/core/ids';
-import { LEASE, makeContext, makeLoads, makeState, position } from './support';
+import { LEASE, makeColdServers, makeContext, makeLoads, makeState, position } from './support';
 
 const LEADER = '127.0.0.1:1';
 const PEERS = 69;
@@ -89,6 +89,7 @@
     arrivals: { rates: () => [], rate: () => 0 },
     limits: { report: () => [], reportToAll: () => [], applyReport: () => undefined },
     leaving: { report: () => [], applyReport: () => undefined },
+    cold: makeColdServers(ctx),
     isStopping: () => false,
   };
   const gossip = createGossip(deps as unknown as GossipDeps);
