--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -3,6 +3,7 @@
 import type { ConfigVersion, MonoTime } from '../../core/ids';
 import { brandAs, later } from '../../core/ids';
 import type { Arrivals } from './arrivals';
+import type { ColdServers } from './cold-servers';
 import type { GroupRegistry } from './group-registry';
 import type { ConfigView } from './config-view';
 import type { GatewayContext } from './context';
@@ -36,6 +37,7 @@
   readonly arrivals: Arrivals;
   readonly limits: RateLimits;
   readonly leaving: LeavingServers;
+  readonly cold: ColdServers;
   readonly isStopping: () => boolean;
 }
 
@@ -78,6 +80,7 @@
     leadership,
     limits: rateLimits,
     leaving: leavingServers,
+    cold: coldServers,
   } = deps;
   let dueAt = ctx.clock.now();
   let hasTraffic = false;
@@ -101,6 +104,7 @@
     if (hasTraffic) return;
     hasTraffic = true;
     planner.noteTraffic();
+    coldServers.noteTraffic();
   };
 
   const handlers: {
@@ -116,6 +120,7 @@
       stallReporting.noteIdleTimes(state.quiet);
       rateLimits.applyReport(state.limits, `peer ${from}`);
       leavingServers.applyReport(state.leaving, `peer ${from}`);
+      if (state.cold) coldServers.applyReport(state.cold);
       if (state.hasTraffic) noteTraffic();
       if (state.lease) leadership.notePeerLease(state.lease);
       help.sendMissing(state, address);
@@ -127,6 +132,9 @@
     limits: (message, { from }) => {
       rateLimits.applyReport(message.limits, `peer ${from}`);
     },
+    'cold-senders': (message, { from }) => {
+      coldServers.applySenders(message, `peer ${from}`);
+    },
     config: ({ config: received, evacuations: evacuated }, { from }) => {
       evacuations.applyReport(evacuated, `peer ${from}`);
       const version = brandAs<ConfigVersion>(received.version);
--- a/src/app/gateway/own-state.ts
+++ b/src/app/gateway/own-state.ts
@@ -22,6 +22,7 @@
   arrivals,
   limits: rateLimits,
   leaving: leavingServers,
+  cold: coldServers,
   isStopping,
   hasLeader,
   hasTraffic,
@@ -34,6 +35,7 @@
 
   return (lease = leadership.ownLease()) => {
     const evacuated = evacuations.report();
+    const cold = coldServers.report();
     return {
       kind: 'state',
       configVersion: config.version(),
@@ -55,6 +57,7 @@
       waiting: offeredLoad(),
       limits: rateLimits.report(),
       leaving: leavingServers.report(),
+      ...(cold && { cold }),
     };
   };
 }
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -21,9 +21,9 @@
   endUnanswered,
   logRequestEnd,
   logFailedAttempt,
-  backoffError,
   evacuatedError,
   RETRY_AFTER_UNSERVED,
+  heldBackError,
   retryAfterDelay,
 } from './exchange';
 import type { EvacuatedZones } from './evacuations';
@@ -272,10 +272,14 @@
       if (ctx.clock.now() >= until)
         return fail('deadline-exceeded', 'deadline reached before sending', { step: 'send' });
       if (evacuations.isEvacuated(server.zone)) return evacuatedError();
-      return throttle.isBackingOff(server.id) ? backoffError() : undefined;
+      if (throttle.maySend(server.id)) return undefined;
+      return heldBackError(throttle.isBackingOff(server.id));
     },
   });
-  if (sent.kind === 'not-sent') return { kind: 'not-sent', reason: sent.error.message };
+  if (sent.kind === 'not-sent') {
+    throttle.returnToken(server.id);
+    return { kind: 'not-sent', reason: sent.error.message };
+  }
   if (sent.kind === 'lost') return { kind: 'lost', reason: sent.error.message };
   return readAnswer(deps, exchange, { server, sentAt: now, answered: sent, limit });
 }
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -17,8 +17,8 @@
   endUnanswered,
   logRequestEnd,
   logFailedAttempt,
-  backoffError,
   evacuatedError,
+  heldBackError,
   RETRY_AFTER_UNSERVED,
   retryAfterDelay,
 } from './exchange';
@@ -102,7 +102,9 @@
     if (isHopeless()) return undefined;
     const since = ctx.clock.now();
     const until = waitUntil(exchange, model, state);
-    if (later(since, groupRegistry.msUntilToken(exchange.service, model)) > until) return undefined;
+    const msUntilToken = (ahead: number): number =>
+      groupRegistry.msUntilToken(exchange.service, model, ahead);
+    if (later(since, msUntilToken(deps.waitQueue.count(model))) > until) return undefined;
     const group = await deps.waitQueue.wait({
       model,
       priority: exchange.priority,
@@ -114,6 +116,8 @@
       isRetry: state.tried.size > 0,
       isHopeless,
       choose: () => tryTakeSlot(exchange, model, state),
+      msUntilToken,
+      areGroupsCold: () => groupRegistry.areGroupsCold(exchange.service, model),
     });
     state.waitedMs += ctx.clock.now() - since;
     return group;
@@ -303,10 +307,12 @@
         if (ctx.clock.now() >= sendUntil)
           return fail('deadline-exceeded', 'deadline reached before sending', { step: 'send' });
         if (evacuations.isEvacuated(head.zone)) return evacuatedError();
-        return throttle.isBackingOff(head.id) ? backoffError() : undefined;
+        if (throttle.maySend(head.id)) return undefined;
+        return heldBackError(throttle.isBackingOff(head.id));
       },
     });
     if (sent.kind !== 'answered') {
+      if (sent.kind === 'not-sent') throttle.returnToken(head.id);
       state.reason = abortReason(stop.signal, sent.error.message);
       if (exchange.gone.aborted) return 'caller-gone';
       if (sent.kind === 'lost') return 'lost';
--- a/tests/gateway/gateway-fixture.ts
+++ b/tests/gateway/gateway-fixture.ts
@@ -51,6 +51,10 @@
   readonly zoneOf?: (n: number) => string;
   /** The store's address as the n-th daemon knows it, for instance that of a proxy. */
   readonly storeAddressOf?: (n: number, address: string) => string;
+  /** Further settings of the daemons. */
+  readonly settings?: object;
+  /** Requests per second that a cold server tolerates. */
+  readonly coldPerS?: number;
 }
 
 async function until(check: () => boolean): Promise<void> {
@@ -63,6 +67,8 @@
   plainServers,
   zoneOf,
   storeAddressOf = (_, address) => address,
+  settings,
+  coldPerS,
 }: FixtureOptions): Promise<GatewayFixture> {
   const dir = mkdtempSync(join(tmpdir(), 'nutmegstack-fixture-'));
   const platform = await startPlatform({
@@ -84,11 +90,15 @@
       peerListen: portOf(n, 2),
       seeds: [portOf(0, 2), portOf(1, 2)],
       platform: storeAddressOf(n, platform.storeAddress),
+      ...(settings && { more: settings }),
     });
   const processes = Array.from({ length: daemons }, (_, n) => launch(n));
   const organisations = [{ name: 'depot', apiKeys: [KEY] }];
   platform.configure(
-    describeConfig({ version: 1, routes: DEFAULT_ROUTES, engine: ENGINE, organisations }),
+    describeConfig({
+      ...{ version: 1, routes: DEFAULT_ROUTES, engine: ENGINE, organisations },
+      ...(coldPerS !== undefined && { coldPerS }),
+    }),
   );
   await until(() => platform.fleet.serving(SMALL) === 2 && platform.fleet.serving(LARGE) === 2);
 
