Give servers to the model whose callers gain most by another group

Cause: the plan moved servers between models only if all members could join without a weight load, only above 0.7 of a 5 s mean of the load. On domains of 18 servers with groups of 8 and 2, callers of the large model were refused at each peak of a wave while groups of the small one had room.

It acts only while a model lacks room at its recent peak; need, compose and rebalance use the same values.

--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -8,8 +8,9 @@
 import { excludeHeldSpares } from './held-spares';
 import { canStartLoads } from './loads';
 import { collectFreeServers, countRequiredLoads, pickMembers } from './members';
-import { isUnderprovisioned, isGroupWorthwhile, rankByNeed } from './need';
+import { isUnderprovisioned, isGroupWorthwhile, isWorthReserve, rankByNeed } from './need';
 import type { ModelNeed } from './need';
+import { noteClaimUsed } from './reassignments';
 import { countReserve } from './reserve';
 import { prepareSpares, stageMembers } from './spares';
 import { GROUP_PREFIX, isStandby, startFormation } from './start';
@@ -49,7 +50,7 @@
 function listCandidates(
   draft: Draft,
   needs: readonly ModelNeed[],
-  { free, reserve }: FreeDomain,
+  { free, reserve, servers }: FreeDomain,
 ): readonly Candidate[] {
   const candidates = needs
     .filter(({ model }) => model.size <= free.length)
@@ -65,13 +66,29 @@
   // The reserve replaces lost members: a group that lost one is formed again with reserved servers,
   // which is cheaper than loading its remaining members with another model.
   const mayUseReserve = ({ loads, ...need }: Candidate): boolean =>
-    loads === 0 || (loads < cheapest && (cheapest < Infinity || isUnderprovisioned(draft, need)));
+    (loads === 0 && isWorthReserve(draft, need, needs, servers)) ||
+    (loads < cheapest && (cheapest < Infinity || isUnderprovisioned(draft, need)));
   return candidates.filter((candidate) => {
     if (!candidate.usesReserve) return candidate.loads === 0 || isGroupWorthwhile(draft, candidate);
     return isGroupWorthwhile(draft, candidate) && mayUseReserve(candidate);
   });
 }
 
+/** Whether loads for a group may start now. */
+function canStart(draft: Draft, loads: number): boolean {
+  return canStartLoads(draft, loads, draft.view.engine.loadsAtOnce * LOAD_OVERCOMMIT);
+}
+
+/**
+ * While models compete for servers: the model whose group is worth most per server, of those that need no
+ * weight load if there is one. Servers don't wait for a load that cannot start yet.
+ */
+function findWorthiest(draft: Draft, candidates: readonly Candidate[]): Candidate | undefined {
+  return candidates
+    .filter(({ value, loads }) => value > 0 && canStart(draft, loads))
+    .sort((a, b) => Number(a.loads > 0) - Number(b.loads > 0) || b.value - a.value)[0];
+}
+
 /**
  * The model to form the next group for. One that needs no weight load goes first, then the neediest.
  * While more servers may still join the domain, a load is started only for the neediest model of all.
@@ -85,7 +102,10 @@
   if (claimant) return claimant.size <= free.length ? claimant : undefined;
   const needs = rankByNeed(draft, counts);
   const candidates = listCandidates(draft, needs, domain);
-  const first = candidates.find(({ loads }) => loads === 0) ?? candidates[0];
+  const first =
+    findWorthiest(draft, candidates) ??
+    candidates.find(({ loads }) => loads === 0) ??
+    candidates[0];
   const isFinal = first?.loads === 0 || domain.isSettled || first?.model === needs[0]?.model;
   return isFinal ? first?.model : undefined;
 }
@@ -104,6 +124,8 @@
 interface FreeDomain {
   readonly domain: DomainId;
   readonly free: readonly BackendServer[];
+  /** Number of all its servers that are not draining. */
+  readonly servers: number;
   /** Number of its servers that are reserved to replace lost members. */
   readonly reserve: number;
   readonly isSettled: boolean;
@@ -122,7 +144,7 @@
   if (!model) return [];
   const members = pickMembers(draft, free, model);
   const loads = countRequiredLoads(draft, members, model);
-  if (!canStartLoads(draft, loads, draft.view.engine.loadsAtOnce * LOAD_OVERCOMMIT)) return [];
+  if (!canStart(draft, loads)) return [];
   startFormation(draft, model, members, GROUP_PREFIX);
   counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
   return members;
@@ -130,12 +152,13 @@
 
 /** The domain without the members of a group just formed there; that group also satisfies a claim. */
 function withoutMembers(
-  { domain, free, reserve, isSettled }: FreeDomain,
+  { domain, free, servers, reserve, isSettled }: FreeDomain,
   members: readonly BackendServer[],
 ): FreeDomain {
   return {
     domain,
     free: free.filter((server) => !members.includes(server)),
+    servers,
     reserve,
     isSettled,
   };
@@ -159,6 +182,7 @@
     });
   }
   for (const { domain, free, isSettled: hasSettled, claimant } of domains) {
+    if (!claimant) noteClaimUsed(draft, domain);
     if (hasSettled && !claimant) prepareSpares(draft, domain, free);
   }
   stageMembers(draft, groups);
@@ -177,6 +201,7 @@
       return {
         ...(claimant && { claimant }),
         domain,
+        servers,
         free: excludeHeldSpares(draft, domain, free),
         reserve: countReserve(draft, servers, sizes.size),
         isSettled: isSettled(draft, domain, servers),
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -16,7 +16,7 @@
 import { collectFreeServers } from './members';
 import { pruneLosses, noteLoss } from './reserve';
 import { advanceRetirements, startRetirement } from './retire';
-import { claimDomain } from './rebalance';
+import { claimDomains } from './reassign';
 import { isStandby } from './start';
 import { draftOf, isSuspect, noteModels, stateOf } from './state';
 import type { Draft, FormingState, FormingView, OrderEffect } from './state';
@@ -190,7 +190,7 @@
   for (const group of groups) checkGroup(draft, group);
   advanceFormations(draft, byId);
   advanceRetirements(draft);
-  composeGroups(draft, groups, claimDomain(draft, groups));
+  composeGroups(draft, groups, claimDomains(draft, groups));
   return { state: stateOf(draft), orders: draft.effects };
 }
 
--- a/src/core/gateway/forming/rebalance.ts
+++ b/src/core/gateway/forming/rebalance.ts
@@ -51,13 +51,13 @@
 }
 
 /** Groups of one domain that would be ended in favour of a model. */
-interface Preemption {
+export interface Preemption {
   readonly domain: DomainId;
   readonly groups: readonly ReplicaGroup[];
 }
 
 /** A model that lacks a group, and what may be spent on one. */
-interface GroupRequest {
+export interface GroupRequest {
   readonly model: ModelSpec;
   /** Whether weights may be loaded for it. */
   readonly mayLoad: boolean;
@@ -76,7 +76,7 @@
 }
 
 /** The groups to end in a domain so that enough servers become free; undefined if that isn't possible. */
-function findPreemption(
+export function findPreemption(
   draft: Draft,
   request: GroupRequest,
   inDomain: readonly ReplicaGroup[],
@@ -105,16 +105,24 @@
   return missing <= 0 ? preempted : undefined;
 }
 
+/** The groups that may be ended for another model. */
+export function listPreemptible(
+  draft: Draft,
+  groups: readonly ReplicaGroup[],
+): readonly ReplicaGroup[] {
+  return groups.filter(
+    ({ id, head }) =>
+      head?.membership?.state === 'open' && !draft.retirements.has(id) && !isStandby(id),
+  );
+}
+
 function choosePreemption(
   draft: Draft,
   request: GroupRequest,
   groups: readonly ReplicaGroup[],
   obtainable: ObtainableServers,
 ): Preemption | undefined {
-  const serving = groups.filter(
-    ({ id, head }) =>
-      head?.membership?.state === 'open' && !draft.retirements.has(id) && !isStandby(id),
-  );
+  const serving = listPreemptible(draft, groups);
   const domains = new Set([...obtainable.keys(), ...serving.flatMap(({ domain }) => domain ?? [])]);
   return [...domains]
     .flatMap((domain): Preemption[] => {
@@ -125,9 +133,12 @@
     .sort((a, b) => a.groups.length - b.groups.length || compareText(a.domain, b.domain))[0];
 }
 
-/** Groups that a model can release while its load per group stays below `limit`; one always remains. */
-function countSpare({ work, groups }: ModelNeed, limit: number): number {
-  const needed = Math.max(1, Math.ceil(work / limit));
+/**
+ * Groups that a model can release while its load per group stays below `limit`; one always remains, and as
+ * many as the recent peak of its load fills.
+ */
+function countSpare({ work, peak, groups }: ModelNeed, limit: number): number {
+  const needed = Math.max(1, Math.ceil(work / limit), Math.ceil(peak));
   return Math.max(0, groups - needed);
 }
 
--- a/src/core/gateway/forming/reserve.ts
+++ b/src/core/gateway/forming/reserve.ts
@@ -28,6 +28,11 @@
   draft.recentLosses = draft.recentLosses.filter((at) => draft.now < later(at, LOSS_WINDOW_MS));
 }
 
+/** Groups that each server loses per millisecond; at least one in the whole window, as with a new leader. */
+export function lossRate({ recentLosses, view }: Draft): number {
+  return Math.max(1, recentLosses.length) / LOSS_WINDOW_MS / Math.max(1, view.servers.size);
+}
+
 /** Number of spares to keep in a domain of `servers` servers; losses are spread over `domains`. */
 export function countReserve(draft: Draft, servers: number, domains: number): number {
   const minSpares = Math.floor(servers / SERVERS_PER_SPARE);
--- a/src/core/gateway/forming/spares.ts
+++ b/src/core/gateway/forming/spares.ts
@@ -77,8 +77,14 @@
   return draft.loads.some(({ server, until }) => server === id && draft.now < until);
 }
 
-function stage(draft: Draft, server: BackendServer, model: ModelSpec): void {
-  if (isLoading(draft, server) || !canStartLoads(draft, 1, maxSpareLoads(draft))) return;
+/** Stages the model's weights on the server's host, unless the limit of loads is reached. */
+export function stage(
+  draft: Draft,
+  server: BackendServer,
+  model: ModelSpec,
+  maxConcurrent = maxSpareLoads(draft),
+): void {
+  if (isLoading(draft, server) || !canStartLoads(draft, 1, maxConcurrent)) return;
   sendOrder(draft, server, { kind: 'stage', model: model.name });
   noteLoads(draft, [server], model);
 }
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -4,6 +4,7 @@
 import { later } from '../../ids';
 import type { OrderResult, ServerOrder } from '../orders';
 import type { BackendServer, EngineSpec } from '../types';
+import type { ChangeWorth, ModelDemand } from './worth';
 
 /**
  * What the planner does beside replacing lost members. Each mechanism can be disabled to measure its
@@ -13,11 +14,12 @@
  * - `reserve`: as many spares are kept as losses are expected.
  * - `wanted`: no weights are loaded for a group that the offered load would not fill.
  * - `rebalance`: a model that lacks groups takes servers from another model's groups.
+ * - `worth`: servers go to the model whose callers gain most by another group, if demand is known.
  * - `staged-members`: one member of each smaller group has the larger model staged on its host.
  * - `spares`: spares are warm for one model and have another staged on their hosts.
  */
 export type FormingMechanism =
-  'held-spares' | 'reserve' | 'wanted' | 'rebalance' | 'staged-members' | 'spares';
+  'held-spares' | 'reserve' | 'wanted' | 'rebalance' | 'worth' | 'staged-members' | 'spares';
 
 /** Times and limits of the planner; all times in milliseconds. */
 export interface FormingSettings {
@@ -129,6 +131,29 @@
   readonly result?: OrderResult;
 }
 
+/**
+ * Step of a change of a domain's servers from one model to another.
+ *
+ * - `staging`: weights are staged on the servers while their groups serve.
+ * - `ending`: the groups are being ended, and the domain's free servers are kept for the new one.
+ * - `done`: the new group is being formed or serves.
+ * - `dropped`: given up. In the last two steps the domain is not changed again until `until`.
+ */
+export type ReassignmentStep = 'staging' | 'ending' | 'done' | 'dropped';
+
+/** A change of a domain's servers from one model to another. */
+export interface Reassignment {
+  readonly model: ModelId;
+  readonly step: ReassignmentStep;
+  readonly until: MonoTime;
+  /** Groups that the model gets, and groups that end, by model. */
+  readonly gained: number;
+  readonly lost: ReadonlyMap<ModelId, number>;
+  /** Weights that were missing when it was last judged. */
+  readonly loads: number;
+  readonly worth: ChangeWorth;
+}
+
 /** The planner's state; immutable, replaced by each plan. */
 export interface FormingState {
   readonly settings: FormingSettings;
@@ -154,6 +179,10 @@
   readonly recentLosses: readonly MonoTime[];
   /** Model of each server's last group: it stays warm for it, though it reports none after leaving. */
   readonly lastModels: ReadonlyMap<InstanceId, ModelId>;
+  /** Changes of servers from one model to another, by domain. */
+  readonly reassignments: ReadonlyMap<DomainId, Reassignment>;
+  /** When such changes were last judged. */
+  readonly judgedAt?: MonoTime;
 }
 
 /** Number of servers in a domain, and when it was first observed. */
@@ -184,6 +213,8 @@
   readonly hasTraffic: boolean;
   /** Offered load of each model, in groups that it would keep busy; absent if unknown. */
   readonly offeredLoad?: ReadonlyMap<ModelId, number>;
+  /** Demand for each model over the last half minute; absent until it was measured. */
+  readonly demand?: ReadonlyMap<ModelId, ModelDemand>;
 }
 
 /** An order to send; its result is reported under `key`. */
@@ -208,6 +239,7 @@
     arrivals: new Map(),
     recentLosses: [],
     lastModels: new Map(),
+    reassignments: new Map(),
   };
 }
 
@@ -225,6 +257,8 @@
   readonly arrivals: Map<DomainId, Arrival>;
   recentLosses: MonoTime[];
   readonly lastModels: Map<InstanceId, ModelId>;
+  readonly reassignments: Map<DomainId, Reassignment>;
+  judgedAt: MonoTime | undefined;
   readonly view: FormingView;
   readonly now: MonoTime;
   readonly effects: OrderEffect[];
@@ -245,6 +279,8 @@
     arrivals: new Map(state.arrivals),
     recentLosses: [...state.recentLosses],
     lastModels: new Map(state.lastModels),
+    reassignments: new Map(state.reassignments),
+    judgedAt: state.judgedAt,
     view,
     now,
     effects: [],
@@ -262,6 +298,8 @@
     arrivals,
     recentLosses,
     lastModels,
+    reassignments,
+    judgedAt,
   } = draft;
   return {
     settings,
@@ -276,6 +314,8 @@
     arrivals,
     recentLosses,
     lastModels,
+    reassignments,
+    ...(judgedAt !== undefined && { judgedAt }),
   };
 }
 
--- a/tests/gateway/leader.ts
+++ b/tests/gateway/leader.ts
@@ -1,10 +1,14 @@
 /** Runs the group planner's core against a simulated fleet, as the lease holder does. */
 
 import { createFormingState } from '../../src/core/gateway/forming/state';
-import type { FormingMechanism, FormingState } from '../../src/core/gateway/forming/state';
+import type {
+  FormingMechanism,
+  FormingState,
+  FormingView,
+} from '../../src/core/gateway/forming/state';
 import { noteResult, noteSuspect, planGroups } from '../../src/core/gateway/forming/plan';
 import type { EngineSpec } from '../../src/core/gateway/types';
-import type { ModelId } from '../../src/core/ids';
+import type { ModelId, MonoTime } from '../../src/core/ids';
 import type { EngineFleet } from '../../stand-ins/users-platform/engines';
 import { at, ENGINE } from './support';
 
@@ -17,6 +21,8 @@
   readonly lateMs?: (n: number) => number;
   /** Offered load of each model, in full groups. */
   readonly offeredLoad?: ReadonlyMap<ModelId, number>;
+  /** Load and demand as the group planner measures them; called before each plan once callers are served. */
+  readonly measure?: (now: MonoTime) => Pick<FormingView, 'offeredLoad' | 'demand'>;
   /** Mechanisms that are disabled. */
   readonly disabledMechanisms?: readonly FormingMechanism[];
 }
@@ -27,6 +33,7 @@
     hasTraffic: startsWithTraffic = false,
     lateMs = () => 0,
     offeredLoad,
+    measure,
     engine = ENGINE,
     disabledMechanisms = [],
   }: LeaderOptions = {},
@@ -48,6 +55,7 @@
       fencing,
       hasTraffic,
       ...(offeredLoad && { offeredLoad }),
+      ...(hasTraffic && measure?.(now)),
     };
     const plan = planGroups(state, view, now);
     state = plan.state;
