Sample the demand for each model, and log why servers change their model

Cause: the group planner knew the offered load only as a 5 s mean of running and waiting requests. Requests that were refused did not show, and the log of an ended group did not tell that its servers went to another model, nor why.

Change: the group registry supplies the load of each model with the arrivals of all daemons; the planner samples it twice a second once callers are served and passes the demand to the plan. Each step of a change writes a line "servers change model" with its inputs, their age and its worth, and counts in nutmegstack_reassignments_total.

--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -22,6 +22,8 @@
   nutmegstack_limited_sends_total: 'Requests sent to servers that named how many they take',
   nutmegstack_refusals_total: 'Requests that belong to no route or organisation, by status',
   nutmegstack_orders_total: 'Orders to members of replica groups by kind and result',
+  nutmegstack_reassignments_total:
+    'Changes of servers from one model to another by the model that gets them and step',
   nutmegstack_store_eras_total:
     'Newer eras of the store that this daemon saw, the first one included',
   nutmegstack_config_version: 'Version of the configuration in force on this daemon',
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -12,6 +12,7 @@
 import type { GatewayContext } from './context';
 import { createFleet } from './fleet';
 import { createGroupPlanner } from './group-planner';
+import { withUrgency } from './model-demand';
 import { createHttpServer } from './http-server';
 import { createGossip } from './gossip';
 import { createLeadership } from './lease';
@@ -103,6 +104,13 @@
     servers: options.servers,
     isBusy: (group) => groupRegistry.isBusy(group),
     offeredLoad: () => groupRegistry.offeredLoad(),
+    loadSamples: () => {
+      const samples = groupRegistry.loadSamples((model) => ({
+        waiting: waitQueue.count(model),
+        perSecond: arrivals.rate(model),
+      }));
+      return withUrgency(samples, (model) => waitQueue.urgency(model));
+    },
   });
   const upstream = createUpstream({ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS });
   // Registered daemons are counted as well: a daemon that has just started hears from few peers and
--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -6,6 +6,7 @@
 import { Subject } from 'rxjs';
 import type { Observable } from 'rxjs';
 
+import type { LoadSample } from '../../core/gateway/forming/demand';
 import type { FormingState, FormingView, OrderEffect } from '../../core/gateway/forming/state';
 import { createFormingState } from '../../core/gateway/forming/state';
 import { EPOCHS_PER_LEASE, isStandby } from '../../core/gateway/forming/start';
@@ -26,6 +27,8 @@
 import type { Stall } from './group-registry';
 import type { GatewayContext } from './context';
 import type { Leadership } from './lease';
+import { createModelDemand } from './model-demand';
+import { logReassignments } from './reassignment-log';
 import type { ServerRegistry } from './server-registry';
 
 export interface GroupPlanner {
@@ -73,6 +76,8 @@
   readonly isBusy: (group: GroupId) => boolean;
   /** Offered load of each model, in full batches. */
   readonly offeredLoad: () => ReadonlyMap<ModelId, number>;
+  /** Load of each model, from which the demand is measured. */
+  readonly loadSamples: () => ReadonlyMap<ModelId, LoadSample>;
 }
 
 export function createGroupPlanner(
@@ -96,10 +101,12 @@
    */
   const smoothedLoad = new Map<ModelId, number>();
   let smoothedAt = clock.now();
+  const modelDemand = createModelDemand(clock);
   const updateSmoothedLoad = (): void => {
     const now = clock.now();
     if (now < later(smoothedAt, LOAD_SAMPLE_MS)) return;
     smoothedAt = now;
+    if (hasTraffic) modelDemand.sample(options.loadSamples());
     for (const [model, work] of options.offeredLoad()) {
       const before = smoothedLoad.get(model) ?? work;
       smoothedLoad.set(model, before + LOAD_SMOOTHING * (work - before));
@@ -127,7 +134,8 @@
     const { ended } = serverRegistry;
     const servers = new Map(current);
     const view = { servers, lapsed: new Map(lapsed), ended, engine, fencing, hasTraffic };
-    return hasTraffic && smoothedLoad.size > 0 ? { ...view, offeredLoad: smoothedLoad } : view;
+    if (!hasTraffic || smoothedLoad.size === 0) return view;
+    return { ...view, offeredLoad: smoothedLoad, demand: modelDemand.demand() };
   };
 
   const send = async (
@@ -157,6 +165,7 @@
     const plan = planGroups(before, view, clock.now());
     states.set(service.name, plan.state);
     logPlan(before, plan.state);
+    logReassignments(ctx, { before, after: plan.state, demands: modelDemand });
     for (const effect of plan.orders) void send(service.name, effect, fencing);
   };
 
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -22,7 +22,8 @@
   reuseProbability,
   freeCapacityOf,
 } from '../../core/gateway/capacity';
-import type { GroupCapacity } from '../../core/gateway/capacity';
+import type { GroupCapacity, OfferedLoad } from '../../core/gateway/capacity';
+import type { LoadSample } from '../../core/gateway/forming/demand';
 import type { RouteTable } from '../../core/gateway/routes';
 import { isSuspect, noteEvidence } from '../../core/gateway/suspicion';
 import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
@@ -122,6 +123,10 @@
   applyLoads(sums: LoadSums, facts: LoadSnapshot): void;
   /** Whether the load of the other daemons is known and fresh. */
   hasPeerLoads(): boolean;
+  /**
+   * Load of each model over all daemons. `local`: waiting requests and arrival rate of this daemon.
+   */
+  loadSamples(local: (model: ModelId) => OfferedLoad): ReadonlyMap<ModelId, LoadSample>;
   /** Offered load of each model over all daemons: running and waiting requests, in full batches. */
   offeredLoad(): ReadonlyMap<ModelId, number>;
   /**
@@ -351,6 +356,27 @@
       }
       return offered;
     },
+    loadSamples: (local) => {
+      const samples = new Map<ModelId, LoadSample>();
+      const { services = [] } = routes.value?.config ?? {};
+      for (const { name: service, engine } of services) {
+        for (const { name } of engine?.models ?? []) {
+          const open = groupsOfModel(service, name);
+          const [own, remote] = [local(name), peerLoads.offeredLoad(name)];
+          const batchSize = engine?.batchSize ?? 1;
+          const holdMs = admission.holdMs(name);
+          samples.set(name, {
+            running: open.reduce((sum, { head }) => sum + runningIn(head.id), 0),
+            waiting: own.waiting + remote.waiting,
+            perSecond: own.perSecond + remote.perSecond,
+            slots: open.length * batchSize,
+            batchSize,
+            ...(holdMs !== undefined && { holdMs }),
+          });
+        }
+      }
+      return samples;
+    },
     work: (waiting) =>
       summarizeWork(
         [...groups().values()].map(({ id, head, model, engine }) => ({
--- a/src/app/gateway/wait-queue.ts
+++ b/src/app/gateway/wait-queue.ts
@@ -27,6 +27,8 @@
   waiting(): readonly (readonly [ModelId, number])[];
   /** Number of requests that wait for the model. */
   count(model: ModelId): number;
+  /** Lowest priority number among the requests that wait for the model. */
+  urgency(model: ModelId): number | undefined;
 }
 
 interface QueueEntry extends Waiter {
@@ -84,5 +86,12 @@
       addCount(entry.model, 1);
     });
 
-  return { wait, waiting: () => [...counts], count: (model) => counts.get(model) ?? 0 };
+  const urgency = (model: ModelId): number | undefined => {
+    const priorities = [...entries].flatMap((entry) =>
+      entry.model === model ? entry.priority : [],
+    );
+    return priorities.length === 0 ? undefined : Math.min(...priorities);
+  };
+
+  return { wait, waiting: () => [...counts], count: (model) => counts.get(model) ?? 0, urgency };
 }
--- a/tests/gateway/group-registry.test.ts
+++ b/tests/gateway/group-registry.test.ts
@@ -146,3 +146,18 @@
     expect(registry.quiet()).toEqual([[HEAD, 0]]);
   });
 });
+
+describe('the load of a model', () => {
+  // Without a daemon's own requests a small fleet, and without arrivals every fleet, misses refused callers.
+  it('includes requests that run, wait and arrive at this daemon and at the others', () => {
+    const { registry } = setUpServing();
+    registry.noteSent(HEAD, 100);
+    registry.applyLoads(
+      { running: [[HEAD, 5, 0]], paces: [], waiting: [[SMALL, 2, 3, 8]] },
+      FRESH_LOADS,
+    );
+    const samples = registry.loadSamples(() => ({ waiting: 1, perSecond: 2 }));
+    const load = { running: 6, waiting: 4, perSecond: 10, slots: 18, batchSize: 18 };
+    expect(samples.get(SMALL)).toEqual(load);
+  });
+});
