--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -28,6 +28,8 @@
   nutmegstack_slow_checks_total: 'Checks of slow groups for slow members, by outcome',
   nutmegstack_slow_reports_total: 'Reports requested to find slow servers',
   nutmegstack_evacuated_zones: 'Zones that the operator evacuated, as far as this daemon knows',
+  nutmegstack_reassignments_total:
+    'Changes of servers from one model to another by the model that gets them and step',
   nutmegstack_store_eras_total:
     'Newer eras of the store that this daemon saw, the first one included',
   nutmegstack_config_version: 'Version of the configuration in force on this daemon',
--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -6,6 +6,7 @@
 import type { Observable } from 'rxjs';
 
 import { noteStalled } from '../../core/gateway/forming/adopt';
+import type { LoadSample } from '../../core/gateway/forming/demand';
 import type { FormingState, FormingView, OrderEffect } from '../../core/gateway/forming/state';
 import { createFormingState } from '../../core/gateway/forming/state';
 import { EPOCHS_PER_LEASE } from '../../core/gateway/forming/start';
@@ -27,6 +28,8 @@
 import type { Evacuations } from './evacuations';
 import type { Leadership } from './lease';
 import { createMemberInspection } from './member-inspection';
+import { createModelDemand } from './model-demand';
+import { logReassignments } from './reassignment-log';
 import type { ServerRegistry } from './server-registry';
 import { createSlowMembers } from './slow-members';
 
@@ -65,6 +68,8 @@
   readonly offeredLoad: () => ReadonlyMap<ModelId, number>;
   /** Slowdown factors of groups, by head. */
   readonly slowdowns: () => ReadonlyMap<InstanceId, number>;
+  /** Load of each model, from which the demand is measured. */
+  readonly loadSamples: () => ReadonlyMap<ModelId, LoadSample>;
 }
 
 export function createGroupPlanner(
@@ -84,10 +89,12 @@
    */
   const smoothedLoad = new Map<ModelId, number>();
   let smoothedAt = clock.now();
+  const modelDemand = createModelDemand(clock);
   const updateSmoothedLoad = (): void => {
     const now = clock.now();
     if (now < later(smoothedAt, LOAD_SAMPLE_MS)) return;
     smoothedAt = now;
+    if (hasTraffic) modelDemand.sample(options.loadSamples());
     for (const [model, work] of options.offeredLoad()) {
       const before = smoothedLoad.get(model) ?? work;
       smoothedLoad.set(model, before + LOAD_SMOOTHING * (work - before));
@@ -118,7 +125,8 @@
     const view = {
       ...{ servers, lapsed: new Map(lapsed), ended, engine, fencing, hasTraffic, evacuated },
     };
-    return hasTraffic && smoothedLoad.size > 0 ? { ...view, offeredLoad: smoothedLoad } : view;
+    if (!hasTraffic || smoothedLoad.size === 0) return view;
+    return { ...view, offeredLoad: smoothedLoad, demand: modelDemand.demand() };
   };
 
   const send = async (
@@ -148,6 +156,7 @@
     const plan = planGroups(before, view, clock.now());
     states.set(service.name, plan.state);
     logPlan(before, plan.state);
+    logReassignments(ctx, { before, after: plan.state, demands: modelDemand });
     for (const effect of plan.orders) void send(service.name, effect, fencing);
     slowMembers.tick(service.name, view);
   };
--- a/tests/gateway/leader.ts
+++ b/tests/gateway/leader.ts
@@ -1,12 +1,16 @@
 /** Runs the group planner's core against a simulated fleet, as the lease holder does. */
 
 import { createFormingState } from '../../src/core/gateway/forming/state';
-import type { FormingMechanism, FormingState } from '../../src/core/gateway/forming/state';
+import type {
+  FormingMechanism,
+  FormingState,
+  FormingView,
+} from '../../src/core/gateway/forming/state';
 import { noteResult, noteSuspect, planGroups } from '../../src/core/gateway/forming/plan';
 import { noteStalled } from '../../src/core/gateway/forming/adopt';
 import type { EngineSpec } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
-import type { GroupId, InstanceId, ModelId, ZoneId } from '../../src/core/ids';
+import type { GroupId, InstanceId, ModelId, MonoTime, ZoneId } from '../../src/core/ids';
 import type { EngineFleet } from '../../stand-ins/users-platform/engines';
 import { at, ENGINE } from './support';
 
@@ -19,6 +23,8 @@
   readonly lateMs?: (n: number) => number;
   /** Offered load of each model, in full groups. */
   readonly offeredLoad?: ReadonlyMap<ModelId, number>;
+  /** Load and demand as the group planner measures them; called before each plan once callers are served. */
+  readonly measure?: (now: MonoTime) => Pick<FormingView, 'offeredLoad' | 'demand'>;
   /** Mechanisms that are disabled. */
   readonly disabledMechanisms?: readonly FormingMechanism[];
 }
@@ -29,6 +35,7 @@
     hasTraffic: startsWithTraffic = false,
     lateMs = () => 0,
     offeredLoad,
+    measure,
     engine = ENGINE,
     disabledMechanisms = [],
   }: LeaderOptions = {},
@@ -56,6 +63,7 @@
       hasTraffic,
       evacuated,
       ...(offeredLoad && { offeredLoad }),
+      ...(hasTraffic && measure?.(now)),
     };
     const plan = planGroups(state, view, now);
     state = plan.state;
--- a/tests/gateway/planned-fleet.ts
+++ b/tests/gateway/planned-fleet.ts
@@ -54,6 +54,7 @@
     },
     isBusy: () => false,
     offeredLoad: () => new Map(ENGINE.models.map(({ name }) => [name, 0.8 * domains.length])),
+    loadSamples: () => new Map(),
     slowdowns: () =>
       new Map(
         heads().map(({ id, joined }) => {
