Count only confirmed stalls against groups that a new leader found

Cause: a finding that one daemon could not reach a head also marked the group as stalled, though that daemon may only have lost its own link; the leader then ended a group that served. Change: the planner is told of a stall apart from the request to inspect the members, and only once enough daemons saw the streams silent.

--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -36,6 +36,8 @@
 export interface GroupPlanner {
   /** Plans again. To be called after each change and periodically. */
   tick(): void;
+  /** Notes that the streams of a group have stalled, which shows that it lost a member. */
+  noteStalled(stall: Stall): void;
   /** Asks the members of a stalled group for reports and replaces those that do not answer. */
   inspect(stall: Stall): void;
   /** Groups with a member that did not answer and is therefore considered lost. */
@@ -217,11 +219,6 @@
       states.set(service, noteSuspect(stateOf(service), id, until));
     }
   };
-  const noteStalledGroup = ({ group, head }: Stall): void => {
-    const service = serverRegistry.servers.get(head)?.service;
-    if (service !== undefined) states.set(service, noteStalled(stateOf(service), group));
-  };
-
   const inspection = createMemberInspection(ctx, {
     ...{ serverRegistry, leadership, servers, isBusy, evacuations, noteLost, replan: tick },
   });
@@ -242,8 +239,11 @@
 
   return {
     tick,
+    noteStalled: ({ group, head }) => {
+      const service = serverRegistry.servers.get(head)?.service;
+      if (service !== undefined) states.set(service, noteStalled(stateOf(service), group));
+    },
     inspect: (stall) => {
-      noteStalledGroup(stall);
       inspection.inspect(stall);
     },
     lost: inspection.lost,
--- a/src/app/gateway/stall-reporting.ts
+++ b/src/app/gateway/stall-reporting.ts
@@ -55,7 +55,10 @@
     const evidence = finding === 'lost' ? 'lost' : 'silent';
     const isNew = groupRegistry.suspect(group, evidence, source);
     groupRegistry.evacuate({ group, head });
-    if (finding === 'confirmed') planner.inspect({ group, head });
+    if (finding === 'confirmed') {
+      planner.noteStalled({ group, head });
+      planner.inspect({ group, head });
+    }
     // In a large fleet only the leader receives reports, so it publishes what it concludes from
     // them.
     const mustBroadcast = finding === 'lost' || (isNew && fleet.isLarge());
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -90,7 +90,12 @@
       silent: () => [],
       sendToLikelyLeaders: record('likely leaders'),
     },
-    planner: { noteTraffic: () => undefined, inspect: () => undefined, lost: new Subject() },
+    planner: {
+      noteTraffic: () => undefined,
+      noteStalled: () => undefined,
+      inspect: () => undefined,
+      lost: new Subject(),
+    },
     leadership: {
       ownLease: () => (isLeading ? LEASE : undefined),
       heldFencing: () => (isLeading ? 1 : undefined),
