--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -20,6 +20,7 @@
   returns: z.coerce.number().int().nonnegative(),
   silentRounds: z.coerce.number().int().nonnegative(),
   statementRounds: z.coerce.number().int().nonnegative(),
+  zoneRounds: z.coerce.number().int().nonnegative(),
   seconds: z.coerce.number().positive(),
   port: z.coerce
     .number()
@@ -31,7 +32,7 @@
 async function run(args: unknown): Promise<void> {
   const options = optionsSchema.parse(args);
   const { seed: first, seeds, daemons, faults, entryFaults, returns, silentRounds } = options;
-  const { seconds, port, logs, statementRounds, callers } = options;
+  const { seconds, port, logs, statementRounds, zoneRounds, callers } = options;
   for (let seed = first; seed < first + seeds; seed++) {
     const seedLogs = logs === undefined ? undefined : join(logs, `seed-${seed}`);
     if (seedLogs !== undefined) mkdirSync(seedLogs, { recursive: true });
@@ -44,6 +45,7 @@
       returns,
       silentRounds,
       statementRounds,
+      zoneRounds,
       durationMs: seconds * 1_000,
       firstPort: port,
       ...(seedLogs !== undefined && { logs: seedLogs }),
@@ -72,6 +74,11 @@
     'Rounds in which servers send limits, Retry-After or leaving headers',
     0,
   )
+  .option(
+    '--zoneRounds',
+    'Rounds in which a zone is evacuated and its servers are cold afterwards',
+    0,
+  )
   .option('--seconds', 'Period in which the faults start', 14)
   .option('--logs', "Directory for the daemons' logs, one folder per seed")
   .option('--port', 'First of about 400 ports', 23_000)
--- a/tests/soak/soak.test.ts
+++ b/tests/soak/soak.test.ts
@@ -46,3 +46,14 @@
     expect(report.counts['unsafe 200']).toBeGreaterThan(0);
   });
 });
+
+describe('daemons under an operator who evacuates a zone whose servers are cold afterwards', () => {
+  // Guards against requests to the zone from a daemon that the store does not answer, and against more
+  // requests to a cold server than it tolerates from all daemons together.
+  it('send it nothing meanwhile and little at first (seed 901)', async () => {
+    const report = await soak({ seed: 901, faults: 0, zoneRounds: 2, firstPort: PORT });
+    expect(report.faults).toEqual([]);
+    expect(report.counts['stream 200']).toBeGreaterThan(0);
+    expect(report.counts['unsafe 200']).toBeGreaterThan(0);
+  });
+});
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -11,6 +11,7 @@
 import { judge, tally } from './judge';
 import { runStatementRound } from './statements';
 import { FORMER_KEY, KEY, startWorld } from './world';
+import { runZoneRound } from './zones';
 import type { SoakDaemon, World } from './world';
 
 export interface SoakOptions {
@@ -26,6 +27,8 @@
   readonly silentRounds?: number;
   /** Rounds before the schedule in which servers send limits, Retry-After or leaving headers. */
   readonly statementRounds?: number;
+  /** Rounds before the schedule in which a zone is evacuated and its servers are cold afterwards. */
+  readonly zoneRounds?: number;
   readonly durationMs?: number;
   readonly firstPort?: number;
   /** Directory for the daemons' logs. */
@@ -146,6 +149,7 @@
   returns = 0,
   silentRounds = 0,
   statementRounds = 0,
+  zoneRounds = 0,
   durationMs = 14_000,
   firstPort = 23_000,
   logs,
@@ -155,7 +159,11 @@
   const entryPlan = planEntryFaults(createRandom(seed), entryFaults, durationMs);
   const returnPlan = planReturns(createRandom(seed + 3), returns, durationMs);
   const plan = [...common, ...entryPlan, ...returnPlan].sort((a, b) => a.at - b.at);
-  const world = await startWorld({ daemons, firstPort, ...(logs !== undefined && { logs }) });
+  const hasZones = zoneRounds > 0;
+  const world = await startWorld({
+    ...{ daemons, firstPort, hasZones },
+    ...(logs !== undefined && { logs }),
+  });
   try {
     await awaitServing(world);
     const callers = startCallers(world, random, callersPerDaemon);
@@ -168,6 +176,10 @@
     for (let round = 0; round < statementRounds; round++) {
       roundFaults.push(...(await runStatementRound(world, statementRandom, callers.calls)));
     }
+    const zoneRandom = createRandom(seed + 5);
+    for (let round = 0; round < zoneRounds; round++) {
+      roundFaults.push(...(await runZoneRound(world, zoneRandom)));
+    }
     await runSchedule(world, plan, createRandom(seed + 1));
     const isKeyRemoved = plan.some(({ name }) => name === 'key-removed');
     const unrecovered = await awaitRecovery(world, isKeyRemoved);
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -16,6 +16,7 @@
 import { launchDaemon } from '../support/gateway-daemon';
 import { startProxy } from './proxy';
 import type { Proxy } from './proxy';
+import { COLD_PER_S, COLD_SETTINGS, zoneOf } from './zones';
 
 export const KEY = 'key-of-the-depot';
 /** API key that `removeKey` removes from the configuration. */
@@ -60,6 +61,8 @@
   readonly firstPort: number;
   /** Directory for the daemons' logs; logs are discarded if undefined. */
   readonly logs?: string;
+  /** Spreads the servers over two zones, and bounds the requests to cold servers. */
+  readonly hasZones?: boolean;
 }
 
 /** Starts the platform, proxies and daemons, and publishes the first configuration. */
@@ -67,6 +70,7 @@
   daemons: count,
   firstPort,
   logs,
+  hasZones = false,
 }: WorldOptions): Promise<World> {
   const dir = mkdtempSync(join(tmpdir(), 'nutmegstack-soak-'));
   const proxies = new Map<string, Proxy>();
@@ -90,6 +94,7 @@
     domains: DOMAINS,
     plainServers: PLAIN_SERVERS,
     publishedAddress,
+    ...(hasZones && { zoneOf }),
   });
   const servers = 1 + PLAIN_SERVERS + DOMAINS.reduce((sum, size) => sum + size, 0) + SPARE_PORTS;
   for (let port = serverPorts + 1; port < serverPorts + servers; port++) {
@@ -104,7 +109,8 @@
       ...addedRoutes.map((name) => describeRoute(name, 'safe', PLAIN_SERVICE)),
     ];
     const organisations = [{ name: 'depot', apiKeys: keys }];
-    platform.configure(describeConfig({ version, routes, engine: ENGINE, organisations }));
+    const cold = hasZones ? { coldPerS: COLD_PER_S } : {};
+    platform.configure(describeConfig({ version, routes, engine: ENGINE, organisations, ...cold }));
   };
 
   const portOf = (n: number, role: number): string =>
@@ -123,7 +129,7 @@
         peerListen: daemon.toPeers.address,
         seeds,
         platform: daemon.toStore.address,
-        more: { peerBind: portOf(n, 2) },
+        more: { peerBind: portOf(n, 2), ...(hasZones && COLD_SETTINGS) },
       },
       log,
     );
