Send no request to a cold server on behalf of its earlier process

Cause: a request takes a token, then waits up to 400 ms for a connection. If the server restarted meanwhile, the id that was chosen had left the registry and so had no limit: the check before the write let the request through, to the same address, where the cold process received it in addition to the requests of its senders.

Change: a request that took a token is not sent if its server is no longer listed. It counts as not sent and goes to another server. Without a bound for cold servers no tokens are counted, and nothing changes.

--- a/src/app/gateway/cold-servers.ts
+++ b/src/app/gateway/cold-servers.ts
@@ -24,7 +24,7 @@
   takeToken(server: InstanceId): void;
   /**
    * Counts a request as sent, in place of the token that it took. Returns false if it must not be
-   * sent: the server has become cold since.
+   * sent: the server has become cold since, or is no longer listed.
    */
   noteSent(server: InstanceId): boolean;
   /** Returns the token of a request that was not sent. */
@@ -116,7 +116,12 @@
     );
   };
 
+  /** The process that was chosen has ended, and its address may be that of a cold one. */
+  const hasEnded = (server: InstanceId): boolean =>
+    sendsOf(server).reserved.length > 0 && !serverRegistry.servers.has(server);
+
   const noteSent = (server: InstanceId): boolean => {
+    if (hasEnded(server)) return false;
     if (!periods.hasBound(server)) return true;
     const now = clock.now();
     const period = periods.limited(server);
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -134,7 +134,9 @@
 
 /** Error of a request whose server asked for a backoff, or became cold, after it was selected. */
 export function heldBackError(isBackingOff: boolean): StepError {
-  const reason = isBackingOff ? 'the server asked to back off' : 'the server became cold';
+  const reason = isBackingOff
+    ? 'the server asked to back off'
+    : 'the server became cold or restarted';
   return fail('cancelled', reason, { step: 'send' });
 }
 
--- a/src/app/gateway/throttle.ts
+++ b/src/app/gateway/throttle.ts
@@ -29,7 +29,7 @@
   isBackingOff(server: InstanceId): boolean;
   /**
    * To be called just before a request that took a token is sent, which counts it. Returns false if
-   * it must not be sent: the server asked for a backoff or became cold after it was chosen.
+   * it must not be sent: the server asked for a backoff, became cold or ended after it was chosen.
    */
   maySend(server: InstanceId): boolean;
   /** Returns the token of a request that was not sent. */
--- /dev/null
+++ b/tests/gateway/cold-knowledge.test.ts
@@ -0,0 +1,64 @@
+import { BehaviorSubject, Subject } from 'rxjs';
+import { describe, expect, it } from 'vitest';
+
+import { createColdAssignments } from '../../src/app/gateway/cold-assignments';
+import { createColdPeriods } from '../../src/app/gateway/cold-periods';
+import { createColdServers } from '../../src/app/gateway/cold-servers';
+import { createRouteTable } from '../../src/core/gateway/routes';
+import type { RouteTable } from '../../src/core/gateway/routes';
+import type { BackendServer } from '../../src/core/gateway/types';
+import { brandAs } from '../../src/core/ids';
+import type { EpochTime, InstanceId, ServerName } from '../../src/core/ids';
+import { at, instance, makeConfig, makeContext, makeServer, SERVICE } from './support';
+
+const COLD_MS = 4_000;
+const SPEC = { name: SERVICE, healthPath: '/', maxConns: 9, coldPerS: 17, coldStartMs: 20_000 };
+const TABLE = createRouteTable(makeConfig({ services: [SPEC] }));
+
+/** One daemon's view of rows, in virtual time. */
+function createView({ hasConfig = true } = {}) {
+  let now = 10_000;
+  const clock = { now: () => at(now), epoch: () => brandAs<EpochTime>(now) };
+  const ctx = makeContext({ clock, tunables: { coldFactor: 1.5, coldSlack: 5 } });
+  const servers = new Map<InstanceId, BackendServer>();
+  const changes = new Subject<void>();
+  const routes = new BehaviorSubject<RouteTable | undefined>(hasConfig ? TABLE : undefined);
+  const assignments = createColdAssignments(ctx, {
+    leadership: { heldFencing: () => undefined },
+    fleet: { live: () => [], candidates: () => new Map() },
+    isStopping: () => false,
+    publish: () => undefined,
+  });
+  const serverRegistry = { servers, changes };
+  return {
+    routes,
+    periods: createColdPeriods(ctx, serverRegistry, routes),
+    cold: createColdServers(ctx, { serverRegistry, routes, assignments }),
+    pass: (ms: number) => {
+      now += ms;
+    },
+    /** Shows the process of server `s1` that started at `born`, in place of an earlier one. */
+    show: (born: number, more: Partial<BackendServer> = {}): InstanceId => {
+      const id = instance(`s1@${born}`);
+      const startedAt = brandAs<EpochTime>(born);
+      servers.clear();
+      servers.set(id, { ...makeServer('s1'), id, startedAt, ...more });
+      changes.next();
+      return id;
+    },
+  };
+}
+
+describe('a server that restarts', () => {
+  // Guards against a request that connects while the server restarts and reaches its cold process
+  // without being counted, as the earlier process had no limit.
+  it('gets no request whose connection was opened for its earlier process', () => {
+    const { cold, show } = createView();
+    const before = show(1_000, { coldMs: 0 });
+    cold.tick();
+    cold.takeToken(before);
+    show(9_900, { coldMs: COLD_MS });
+    expect(cold.noteSent(before)).toBe(false);
+    cold.returnToken(before);
+  });
+});
