Count requests for the earlier process of a cold server

Cause: a server that restarts has a new id, so its cold period began as if it had taken no requests before, and the leader assigned senders at once. Daemons that had not read the new row yet still sent without a limit to the same address, in addition to the senders. This concerns servers whose entries outlast their processes, as when a zone is lost for two seconds.

Change: if the row of an earlier process shows that it took requests, the senders are assigned only once no request counts that was sent before all daemons knew, as for a server that becomes cold while it serves.

--- a/src/app/gateway/cold-periods.ts
+++ b/src/app/gateway/cold-periods.ts
@@ -11,7 +11,7 @@
 import type { RouteTable } from '../../core/gateway/routes';
 import type { BackendServer, ServiceSpec } from '../../core/gateway/types';
 import { brandAs, later } from '../../core/ids';
-import type { EpochTime, InstanceId, MonoTime } from '../../core/ids';
+import type { EpochTime, InstanceId, MonoTime, ServerName } from '../../core/ids';
 import type { GatewayContext } from './context';
 import type { ServerRegistry } from './server-registry';
 
@@ -55,10 +55,12 @@
 ): ColdPeriods {
   const startedAt = clock.now();
   const periods = new Map<InstanceId, ColdPeriod>();
-  /** Servers that took requests before they became cold. */
+  /** Servers that took requests before they became cold, or whose earlier process did. */
   const earlierUntil = new Map<InstanceId, MonoTime>();
   /** Rows that were read. */
   const rows = new Map<InstanceId, BackendServer>();
+  /** The process of each server whose row was read last. */
+  const processes = new Map<ServerName, InstanceId>();
   let haveRowsChanged = true;
   let trafficSince: EpochTime | undefined;
 
@@ -106,21 +108,30 @@
   const readRow = (row: BackendServer): void => {
     const before = rows.get(row.id);
     if (before === row) return;
+    const earlierProcess = processes.get(row.name);
+    // Daemons that do not know of a restart yet still send to the server's address.
+    const earlierRow = before ?? (earlierProcess && rows.get(earlierProcess));
     rows.set(row.id, row);
+    processes.set(row.name, row.id);
     const isSameReport = before?.reportNumber === row.reportNumber;
     if (before && isSameReport && row.reportNumber !== undefined) return;
     const { coldStartMs = 0 } = serviceOf(row) ?? {};
     const unstated = { startedAt: row.startedAt, coldStartMs, trafficSince };
     const coldMs = row.coldMs ?? unstatedColdMs(unstated, clock.epoch());
     // A row that does not state it does not end a period that the server stated elsewhere.
-    if (row.coldMs !== undefined || coldMs > 0) noteWith(row.id, { coldMs, source: 'row' }, before);
+    if (row.coldMs !== undefined || coldMs > 0)
+      noteWith(row.id, { coldMs, source: 'row' }, earlierRow);
   };
 
   const readRows = (): void => {
     if (!haveRowsChanged) return;
     haveRowsChanged = false;
     for (const row of serverRegistry.servers.values()) readRow(row);
-    for (const server of rows.keys()) if (!serverRegistry.servers.has(server)) rows.delete(server);
+    for (const [server, { name }] of rows) {
+      if (serverRegistry.servers.has(server)) continue;
+      rows.delete(server);
+      if (processes.get(name) === server) processes.delete(name);
+    }
   };
 
   /** A changed row counts from the moment that the registry has it, not from the next tick. */
--- a/tests/gateway/cold-knowledge.test.ts
+++ b/tests/gateway/cold-knowledge.test.ts
@@ -8,7 +8,7 @@
 import type { RouteTable } from '../../src/core/gateway/routes';
 import type { BackendServer } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
-import type { EpochTime, InstanceId, ServerName } from '../../src/core/ids';
+import type { EpochTime, InstanceId } from '../../src/core/ids';
 import { at, instance, makeConfig, makeContext, makeServer, SERVICE } from './support';
 
 const COLD_MS = 4_000;
@@ -61,4 +61,17 @@
     expect(cold.noteSent(before)).toBe(false);
     cold.returnToken(before);
   });
+
+  // Guards against senders that are assigned while other daemons still send to the server as to its
+  // earlier process, at the same address and without a limit.
+  it('is assigned senders only once no request for its earlier process counts', () => {
+    const { periods, show, pass } = createView();
+    show(1_000, { coldMs: 0 });
+    periods.tick();
+    pass(500);
+    const after = show(10_400, { coldMs: COLD_MS });
+    expect(periods.limited(after)?.earlierUntil).toBe(11_550);
+    periods.tick();
+    expect(periods.limited(after)?.earlierUntil).toBe(11_550);
+  });
 });
