Read rows without a cold time again when the configuration changes

Cause: how long a server that does not state it stays cold depends on the configuration, but its row was read only once. A daemon that starts and has the rows before the configuration took such servers for warm until their rows changed, and sent to them without a limit. The rows that are read again once callers are served were first forgotten, so that senders were assigned at once although the servers had taken requests.

Change: rows without `coldMs` are read again after each change of the configuration and once callers are served, and what the server did before is kept.

--- a/src/app/gateway/cold-periods.ts
+++ b/src/app/gateway/cold-periods.ts
@@ -61,6 +61,8 @@
   const rows = new Map<InstanceId, BackendServer>();
   /** The process of each server whose row was read last. */
   const processes = new Map<ServerName, InstanceId>();
+  /** Servers whose rows are read again although they have not changed. */
+  const dueAgain = new Set<InstanceId>();
   let haveRowsChanged = true;
   let trafficSince: EpochTime | undefined;
 
@@ -68,6 +70,14 @@
     haveRowsChanged = true;
   });
 
+  /** For rows that do not state it, how long a server stays cold also depends on other knowledge. */
+  const readUnstatedAgain = (): void => {
+    for (const [server, { coldMs }] of rows) if (coldMs === undefined) dueAgain.add(server);
+    haveRowsChanged = true;
+  };
+
+  routes.subscribe(readUnstatedAgain);
+
   const serviceOf = ({ service }: BackendServer): ServiceSpec | undefined =>
     routes.value?.service(service);
 
@@ -107,14 +117,15 @@
   /** Reads each row once: its time counts from when it was written, which is about when it arrives. */
   const readRow = (row: BackendServer): void => {
     const before = rows.get(row.id);
-    if (before === row) return;
+    const isDueAgain = dueAgain.delete(row.id);
+    if (before === row && !isDueAgain) return;
     const earlierProcess = processes.get(row.name);
     // Daemons that do not know of a restart yet still send to the server's address.
     const earlierRow = before ?? (earlierProcess && rows.get(earlierProcess));
     rows.set(row.id, row);
     processes.set(row.name, row.id);
     const isSameReport = before?.reportNumber === row.reportNumber;
-    if (before && isSameReport && row.reportNumber !== undefined) return;
+    if (before && isSameReport && row.reportNumber !== undefined && !isDueAgain) return;
     const { coldStartMs = 0 } = serviceOf(row) ?? {};
     const unstated = { startedAt: row.startedAt, coldStartMs, trafficSince };
     const coldMs = row.coldMs ?? unstatedColdMs(unstated, clock.epoch());
@@ -130,6 +141,7 @@
     for (const [server, { name }] of rows) {
       if (serverRegistry.servers.has(server)) continue;
       rows.delete(server);
+      dueAgain.delete(server);
       if (processes.get(name) === server) processes.delete(name);
     }
   };
@@ -161,8 +173,7 @@
     noteTraffic: () => {
       const isAtStart = clock.now() < later(startedAt, START_MS);
       trafficSince ??= isAtStart ? brandAs<EpochTime>(0) : clock.epoch();
-      for (const [server, { coldMs }] of rows) if (coldMs === undefined) rows.delete(server);
-      haveRowsChanged = true;
+      readUnstatedAgain();
     },
     warmUpFactor: (server) => {
       const period = periods.get(server);
--- a/tests/gateway/cold-knowledge.test.ts
+++ b/tests/gateway/cold-knowledge.test.ts
@@ -75,3 +75,31 @@
     expect(periods.limited(after)?.earlierUntil).toBe(11_550);
   });
 });
+
+describe('a row that does not state how long its server stays cold', () => {
+  // Guards against a daemon that starts, reads the rows before the configuration, and sends without
+  // a limit to servers that have just started.
+  it('is read again once the configuration is known', () => {
+    const { cold, routes, show } = createView({ hasConfig: false });
+    const server = show(9_000);
+    cold.noteTraffic();
+    cold.tick();
+    routes.next(TABLE);
+    expect(cold.tokens(server)).toBe(0);
+    cold.tick();
+    expect(cold.tokens(server)).toBe(0);
+    expect(cold.limit(server)?.endMs).toBe(20_000);
+  });
+
+  // Guards against senders that are assigned while others still send without a limit.
+  it('gives no senders at once to a server that took requests before callers were known', () => {
+    const { periods, show, pass } = createView();
+    const server = show(9_000);
+    periods.tick();
+    expect(periods.limited(server)).toBeUndefined();
+    pass(500);
+    periods.noteTraffic();
+    periods.tick();
+    expect(periods.limited(server)?.earlierUntil).toBe(11_550);
+  });
+});
