Extend a cold period by a row that has the number of the one before

Cause: a row with the report number of the row before was taken for a copy of it and not read, also if it stated that the server stays cold and the one before did not. The server then got requests without a limit until its next report.

Change: such a row is ignored only if its time is not longer than in the row before. A shorter one still does not end a period.

--- a/src/app/gateway/cold-periods.ts
+++ b/src/app/gateway/cold-periods.ts
@@ -48,6 +48,15 @@
  */
 const START_MS = 2_000;
 
+/**
+ * Whether the row repeats a report, so that its time no longer counts from now. One with a longer
+ * time may be newer, whatever its number.
+ */
+function isKnownReport(row: BackendServer, before: BackendServer): boolean {
+  const isSame = row.reportNumber !== undefined && row.reportNumber === before.reportNumber;
+  return isSame && (row.coldMs ?? 0) <= (before.coldMs ?? 0);
+}
+
 export function createColdPeriods(
   { clock, tunables }: GatewayContext,
   serverRegistry: Pick<ServerRegistry, 'servers' | 'changes'>,
@@ -124,8 +133,7 @@
     const earlierRow = before ?? (earlierProcess && rows.get(earlierProcess));
     rows.set(row.id, row);
     processes.set(row.name, row.id);
-    const isSameReport = before?.reportNumber === row.reportNumber;
-    if (before && isSameReport && row.reportNumber !== undefined && !isDueAgain) return;
+    if (!isDueAgain && before && isKnownReport(row, before)) return;
     const { coldStartMs = 0 } = serviceOf(row) ?? {};
     const unstated = { startedAt: row.startedAt, coldStartMs, trafficSince };
     const coldMs = row.coldMs ?? unstatedColdMs(unstated, clock.epoch());
--- a/tests/gateway/cold-knowledge.test.ts
+++ b/tests/gateway/cold-knowledge.test.ts
@@ -103,3 +103,19 @@
     expect(periods.limited(server)?.earlierUntil).toBe(11_550);
   });
 });
+
+describe('a row that is read twice with other values', () => {
+  // Guards against a server that becomes cold again and is not limited, because its row has the
+  // number of the report before.
+  it('extends the period, and does not shorten it', () => {
+    const { cold, show } = createView();
+    const server = show(1_000, { reportNumber: 7, coldMs: 0 });
+    cold.tick();
+    show(1_000, { reportNumber: 7, coldMs: COLD_MS });
+    cold.tick();
+    expect(cold.limit(server)?.endMs).toBe(COLD_MS + 1_000);
+    show(1_000, { reportNumber: 7, coldMs: 100 });
+    cold.tick();
+    expect(cold.limit(server)?.endMs).toBe(COLD_MS + 1_000);
+  });
+});
