Publish that a server became cold before it has senders

Cause: a server that becomes cold while it takes requests gets senders only after a second, and the leader's first message about it was that assignment. While the store is unavailable, a daemon that does not learn the coldness from an answer sent without a limit for that second, and the senders started as soon as it stopped.

Change: the leader publishes such a server at once, without senders. The receivers limit it and keep no assignment, so that a new leader still assigns senders.

--- a/src/app/gateway/cold-assignments.ts
+++ b/src/app/gateway/cold-assignments.ts
@@ -78,6 +78,8 @@
   let termSince = clock.now();
   let repeatDueAt = clock.now();
   let repeatFrom = 0;
+  /** Servers without senders whose coldness was published. */
+  let announced: ReadonlySet<InstanceId> = new Set();
 
   // Fencing numbers of different eras cannot be compared.
   store.eras.subscribe(() => {
@@ -152,6 +154,26 @@
     return missing;
   };
 
+  /**
+   * Publishes servers that became cold while they took requests, before they are assigned senders:
+   * daemons that do not know it from the store would go on to send without a limit until then.
+   */
+  const announce = (fencing: FencingNumber, cold: readonly ColdServer[]): void => {
+    const unassigned = cold.filter(
+      ({ server, assignAt }) => assignAt !== undefined && !assignments.has(server),
+    );
+    const isAnnounced = ({ server }: ColdServer): boolean => announced.has(server);
+    const next = unassigned.filter((entry) => !isAnnounced(entry)).slice(0, MAX_ASSIGNED);
+    announced = new Set([...unassigned.filter(isAnnounced), ...next].map(({ server }) => server));
+    const servers = next.map(({ server, leftMs }): ColdSendersMessage['servers'][number] => [
+      server,
+      0,
+      Math.round(leftMs),
+      [],
+    ]);
+    if (servers.length > 0) publish({ kind: 'cold-senders', fencing, servers });
+  };
+
   const repeat = (fencing: FencingNumber, cold: readonly ColdServer[], now: MonoTime): void => {
     if (now < repeatDueAt || cold.length === 0) return;
     repeatDueAt = later(now, REPEAT_MS);
@@ -167,6 +189,7 @@
     receive: ({ fencing, servers }, source) => {
       newestTerm = fencing;
       for (const [server, perSender, leftMs, senders] of servers) {
+        if (senders.length === 0) continue;
         const before = assignments.get(server);
         const isSender = senders.includes(settings.id);
         const wasSender = before?.senders.includes(settings.id);
@@ -191,6 +214,7 @@
       if (fencing === undefined) return;
       newestTerm = Math.max(newestTerm, fencing);
       send(fencing, assignMissing(cold));
+      announce(fencing, cold);
       repeat(fencing, cold, now);
     },
   };
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -185,7 +185,7 @@
 
 /**
  * From the leader: by cold server the requests a second that each sender may send, the time for
- * which it stays cold, milliseconds, and its senders.
+ * which it stays cold, milliseconds, and its senders; none if they are not assigned yet.
  */
 const coldSendersSchema = z.object({
   kind: z.literal('cold-senders'),
--- a/tests/gateway/cold-servers.test.ts
+++ b/tests/gateway/cold-servers.test.ts
@@ -218,6 +218,21 @@
     for (const { cold } of model.daemons) expect(cold.tokens(server)).toBeLessThanOrEqual(2);
   });
 
+  // Guards against daemons that learn of a cold server only with its senders: while the store is
+  // unavailable they would send without a limit for another second, and the senders on top of that.
+  it('that the leader alone knows to be cold is published before it has senders', () => {
+    const model = modelOf(66, 12, { demandPerS: 1, connectMs: 0 });
+    const server = model.writeRow('s1', 0);
+    model.run(500);
+    model.daemons[0]?.cold.noteColdMs(server, COLD_MS);
+    const knownAt = model.now() + 350;
+    model.run(COLD_MS);
+    const times = (model.sends.get(server) ?? []).filter((time) => time >= knownAt);
+    expect(Math.min(...times)).toBeGreaterThan(knownAt + 600);
+    expect(rateOf(times, 0, 1).most).toBeLessThanOrEqual(BOUND);
+    expect(times.length).toBeGreaterThan(BUDGET);
+  });
+
   // Guards against a limit that ends with the cold period, within a second that began before.
   it('is limited for a second after it is warm, and its capacity then rises within a second', () => {
     const model = modelOf(7, 9);
