Ignore senders assigned by leaders of earlier eras of the store

Cause: at a new era of the store a daemon forgot the highest fencing number that it had seen, on the assumption that those of different eras cannot be compared. A late message of a leader from before the restore was then applied, and its senders added to those of the current leader.

Change: the number is kept. Each fencing number contains its era, so those of a later era exceed it.

Result: the new test in cold-knowledge.test.ts failed before (the message was not outdated) and passes.

--- a/src/app/gateway/cold-assignments.ts
+++ b/src/app/gateway/cold-assignments.ts
@@ -68,11 +68,14 @@
 const TERM_SETTLE_MS = 700;
 
 export function createColdAssignments(
-  { clock, logger, settings, store }: GatewayContext,
+  { clock, logger, settings }: GatewayContext,
   { leadership, fleet, isStopping, publish }: ColdAssignmentsOptions,
 ): ColdAssignments {
   const assignments = new Map<InstanceId, ColdAssignment>();
-  /** The highest fencing number seen, and as the leader, since when it is this daemon's. */
+  /**
+   * The highest fencing number seen, which those of later eras of the store exceed; and as the
+   * leader, since when it is this daemon's.
+   */
   let newestTerm = 0;
   let term: FencingNumber | undefined;
   let termSince = clock.now();
@@ -81,11 +84,6 @@
   /** Servers without senders whose coldness was published. */
   let announced: ReadonlySet<InstanceId> = new Set();
 
-  // Fencing numbers of different eras cannot be compared.
-  store.eras.subscribe(() => {
-    newestTerm = 0;
-  });
-
   const send = (fencing: FencingNumber, cold: readonly ColdServer[]): void => {
     const servers = cold.flatMap(({ server, leftMs }): ColdSendersMessage['servers'] => {
       const assignment = assignments.get(server);
--- a/tests/gateway/cold-knowledge.test.ts
+++ b/tests/gateway/cold-knowledge.test.ts
@@ -8,7 +8,9 @@
 import type { RouteTable } from '../../src/core/gateway/routes';
 import type { BackendServer } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
-import type { EpochTime, InstanceId } from '../../src/core/ids';
+import type { EpochTime, FencingNumber, InstanceId } from '../../src/core/ids';
+import { fencingFloor } from '../../src/core/store-era';
+import type { StoreEra } from '../../src/core/store-era';
 import { at, instance, makeConfig, makeContext, makeServer, SERVICE } from './support';
 
 const COLD_MS = 4_000;
@@ -119,3 +121,23 @@
     expect(cold.limit(server)?.endMs).toBe(COLD_MS + 1_000);
   });
 });
+
+describe('assignments of senders', () => {
+  // Guards against a leader from before a restore of the store whose late message adds its senders
+  // to those of the current leader.
+  it('of a leader in an earlier era of the store stay outdated', () => {
+    const ctx = makeContext();
+    const assignments = createColdAssignments(ctx, {
+      leadership: { heldFencing: () => undefined },
+      fleet: { live: () => [], candidates: () => new Map() },
+      isStopping: () => false,
+      publish: () => undefined,
+    });
+    const era = brandAs<StoreEra>(1);
+    const message = { kind: 'cold-senders' as const, servers: [] };
+    assignments.receive({ ...message, fencing: fencingFloor(era) }, 'peer');
+    ctx.store.noteEra(era, 'peer');
+    const fencing = brandAs<FencingNumber>(3);
+    expect(assignments.isOutdated({ ...message, fencing })).toBe(true);
+  });
+});
