--- a/src/app/gateway/cold-periods.ts
+++ b/src/app/gateway/cold-periods.ts
@@ -11,7 +11,7 @@
 import type { RouteTable } from '../../core/gateway/routes';
 import type { BackendServer, ServiceSpec } from '../../core/gateway/types';
 import { brandAs, later } from '../../core/ids';
-import type { EpochTime, InstanceId, MonoTime } from '../../core/ids';
+import type { EpochTime, InstanceId, MonoTime, ServerName } from '../../core/ids';
 import type { GatewayContext } from './context';
 import type { ServerRegistry } from './server-registry';
 
@@ -48,6 +48,15 @@
  */
 const START_MS = 2_000;
 
+/**
+ * Whether the row repeats a report, so that its time no longer counts from now. One with a longer
+ * time may be newer, whatever its number.
+ */
+function isKnownReport(row: BackendServer, before: BackendServer): boolean {
+  const isSame = row.reportNumber !== undefined && row.reportNumber === before.reportNumber;
+  return isSame && (row.coldMs ?? 0) <= (before.coldMs ?? 0);
+}
+
 export function createColdPeriods(
   { clock, tunables }: GatewayContext,
   serverRegistry: Pick<ServerRegistry, 'servers' | 'changes'>,
@@ -55,10 +64,14 @@
 ): ColdPeriods {
   const startedAt = clock.now();
   const periods = new Map<InstanceId, ColdPeriod>();
-  /** Servers that took requests before they became cold. */
+  /** Servers that took requests before they became cold, or whose earlier process did. */
   const earlierUntil = new Map<InstanceId, MonoTime>();
   /** Rows that were read. */
   const rows = new Map<InstanceId, BackendServer>();
+  /** The process of each server whose row was read last. */
+  const processes = new Map<ServerName, InstanceId>();
+  /** Servers whose rows are read again although they have not changed. */
+  const dueAgain = new Set<InstanceId>();
   let haveRowsChanged = true;
   let trafficSince: EpochTime | undefined;
 
@@ -66,6 +79,14 @@
     haveRowsChanged = true;
   });
 
+  /** For rows that do not state it, how long a server stays cold also depends on other knowledge. */
+  const readUnstatedAgain = (): void => {
+    for (const [server, { coldMs }] of rows) if (coldMs === undefined) dueAgain.add(server);
+    haveRowsChanged = true;
+  };
+
+  routes.subscribe(readUnstatedAgain);
+
   const serviceOf = ({ service }: BackendServer): ServiceSpec | undefined =>
     routes.value?.service(service);
 
@@ -105,22 +126,32 @@
   /** Reads each row once: its time counts from when it was written, which is about when it arrives. */
   const readRow = (row: BackendServer): void => {
     const before = rows.get(row.id);
-    if (before === row) return;
+    const isDueAgain = dueAgain.delete(row.id);
+    if (before === row && !isDueAgain) return;
+    const earlierProcess = processes.get(row.name);
+    // Daemons that do not know of a restart yet still send to the server's address.
+    const earlierRow = before ?? (earlierProcess && rows.get(earlierProcess));
     rows.set(row.id, row);
-    const isSameReport = before?.reportNumber === row.reportNumber;
-    if (before && isSameReport && row.reportNumber !== undefined) return;
+    processes.set(row.name, row.id);
+    if (!isDueAgain && before && isKnownReport(row, before)) return;
     const { coldStartMs = 0 } = serviceOf(row) ?? {};
     const unstated = { startedAt: row.startedAt, coldStartMs, trafficSince };
     const coldMs = row.coldMs ?? unstatedColdMs(unstated, clock.epoch());
     // A row that does not state it does not end a period that the server stated elsewhere.
-    if (row.coldMs !== undefined || coldMs > 0) noteWith(row.id, { coldMs, source: 'row' }, before);
+    if (row.coldMs !== undefined || coldMs > 0)
+      noteWith(row.id, { coldMs, source: 'row' }, earlierRow);
   };
 
   const readRows = (): void => {
     if (!haveRowsChanged) return;
     haveRowsChanged = false;
     for (const row of serverRegistry.servers.values()) readRow(row);
-    for (const server of rows.keys()) if (!serverRegistry.servers.has(server)) rows.delete(server);
+    for (const [server, { name }] of rows) {
+      if (serverRegistry.servers.has(server)) continue;
+      rows.delete(server);
+      dueAgain.delete(server);
+      if (processes.get(name) === server) processes.delete(name);
+    }
   };
 
   /** A changed row counts from the moment that the registry has it, not from the next tick. */
@@ -150,8 +181,7 @@
     noteTraffic: () => {
       const isAtStart = clock.now() < later(startedAt, START_MS);
       trafficSince ??= isAtStart ? brandAs<EpochTime>(0) : clock.epoch();
-      for (const [server, { coldMs }] of rows) if (coldMs === undefined) rows.delete(server);
-      haveRowsChanged = true;
+      readUnstatedAgain();
     },
     warmUpFactor: (server) => {
       const period = periods.get(server);
