Reserve spares only for groups that their domain has

Cause: while models compete for servers, a group that needs no weight load was not formed from a domain's spares if the loss of larger groups weighed more. All servers of the domain counted for that loss, also where none of them was in a larger group, so six or seven warm servers of a domain with small groups alone stayed free while callers of the small model were refused.

Change: the expected losses are those of the servers that are in groups of the larger model in that domain.

--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -50,7 +50,7 @@
 function listCandidates(
   draft: Draft,
   needs: readonly ModelNeed[],
-  { free, reserve, servers }: FreeDomain,
+  { free, reserve, grouped }: FreeDomain,
 ): readonly Candidate[] {
   const candidates = needs
     .filter(({ model }) => model.size <= free.length)
@@ -68,7 +68,7 @@
   // nothing was lost yet, and a further group would leave no spare for the first loss.
   const mayUseReserve = ({ loads, ...need }: Candidate): boolean => {
     if (loads === 0 && !draft.view.hasTraffic) return false;
-    if (loads === 0 && isWorthReserve(draft, need, needs, servers)) return true;
+    if (loads === 0 && isWorthReserve(draft, need, needs, grouped)) return true;
     return loads < cheapest && (cheapest < Infinity || isUnderprovisioned(draft, need));
   };
   return candidates.filter((candidate) => {
@@ -127,8 +127,8 @@
 interface FreeDomain {
   readonly domain: DomainId;
   readonly free: readonly BackendServer[];
-  /** Number of all its servers that are not draining. */
-  readonly servers: number;
+  /** Number of its servers in groups of each model. */
+  readonly grouped: ReadonlyMap<ModelId, number>;
   /** Number of its servers that are reserved to replace lost members. */
   readonly reserve: number;
   readonly isSettled: boolean;
@@ -155,13 +155,13 @@
 
 /** The domain without the members of a group just formed there; that group also satisfies a claim. */
 function withoutMembers(
-  { domain, free, servers, reserve, isSettled }: FreeDomain,
+  { domain, free, grouped, reserve, isSettled }: FreeDomain,
   members: readonly BackendServer[],
 ): FreeDomain {
   return {
     domain,
     free: free.filter((server) => !members.includes(server)),
-    servers,
+    grouped,
     reserve,
     isSettled,
   };
@@ -174,7 +174,7 @@
   claims: ReadonlyMap<DomainId, ModelSpec>,
 ): void {
   const counts = countGroups(draft, groups);
-  let domains = freeDomains(draft, claims);
+  let domains = freeDomains(draft, groups, claims);
   for (let isDone = false; !isDone;) {
     isDone = true;
     domains = domains.map((domain) => {
@@ -191,7 +191,34 @@
   stageMembers(draft, groups);
 }
 
-function freeDomains(draft: Draft, claims: ReadonlyMap<DomainId, ModelSpec>): FreeDomain[] {
+/** Number of servers in groups of each model that serve, are being formed or will be formed again. */
+function countGrouped(
+  draft: Draft,
+  groups: readonly ReplicaGroup[],
+): ReadonlyMap<DomainId, ReadonlyMap<ModelId, number>> {
+  const byDomain = new Map<DomainId, Map<ModelId, number>>();
+  const add = (domain: DomainId | undefined, model: ModelId | undefined, count: number): void => {
+    if (domain === undefined || model === undefined) return;
+    const counts = byDomain.get(domain) ?? new Map<ModelId, number>();
+    byDomain.set(domain, counts.set(model, (counts.get(model) ?? 0) + count));
+  };
+  for (const { id, domain, model, members } of groups) {
+    const isGone = draft.dissolved.has(id) || draft.retirements.has(id);
+    if (!isGone && !isStandby(id) && !draft.formations.has(id)) add(domain, model, members.length);
+  }
+  for (const { model, members } of draft.retirements.values())
+    add(members[0]?.domain, model, members.length);
+  for (const { model, members, isStandby: isStandbyGroup } of draft.formations.values())
+    if (!isStandbyGroup) add(members[0]?.domain, model, members.length);
+  return byDomain;
+}
+
+function freeDomains(
+  draft: Draft,
+  groups: readonly ReplicaGroup[],
+  claims: ReadonlyMap<DomainId, ModelSpec>,
+): FreeDomain[] {
+  const grouped = countGrouped(draft, groups);
   const sizes = new Map<DomainId, number>();
   for (const { domain, isDraining } of draft.view.servers.values()) {
     if (domain !== undefined && !isDraining) sizes.set(domain, (sizes.get(domain) ?? 0) + 1);
@@ -204,7 +231,7 @@
       return {
         ...(claimant && { claimant }),
         domain,
-        servers,
+        grouped: grouped.get(domain) ?? new Map(),
         free: excludeHeldSpares(draft, domain, free),
         reserve: countReserve(draft, servers, sizes.size),
         isSettled: isSettled(draft, domain, servers),
--- a/src/core/gateway/forming/need.ts
+++ b/src/core/gateway/forming/need.ts
@@ -101,17 +101,19 @@
 /**
  * Whether a group that needs no load is worth the domain's spares while models compete for servers. A larger
  * model loses a whole group with each member, and without a spare it is missing for the time of a load.
+ * `grouped`: the domain's servers in groups, by model. Spares replace only members of their own domain.
  */
 export function isWorthReserve(
   draft: Draft,
   { model, value }: ModelNeed,
   needs: readonly ModelNeed[],
-  servers: number,
+  grouped: ReadonlyMap<ModelId, number>,
 ): boolean {
   if (needs.every((need) => need.value === 0)) return true;
   const spared = needs
     .filter((need) => need.model.size > model.size)
     .map((need) => {
+      const servers = grouped.get(need.model.name) ?? 0;
       const expectedLosses = lossRate(draft) * servers * need.model.loadMs;
       return need.value * need.model.size * Math.min(1, expectedLosses);
     });
