Form a worthwhile group from spares while refused callers hide the load

Cause: a group that needs weight loads and the domain's spares was formed only if the offered load exceeded what the model's groups, those being formed included, can take. Refused callers are missing in the offered load, so that seven servers of which six were needed, five of them warm, waited for four seconds beside callers who were refused.

Change: while models compete for servers, the worth of the group decides, which rests on the demand. Spares that larger groups of the domain need are still kept.

Result: the new case fails without the change.

--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -8,7 +8,13 @@
 import { excludeHeldSpares } from './held-spares';
 import { canStartLoads } from './loads';
 import { collectFreeServers, countRequiredLoads, pickMembers } from './members';
-import { isUnderprovisioned, isGroupWorthwhile, isWorthReserve, rankByNeed } from './need';
+import {
+  isUnderprovisioned,
+  isGroupWorthwhile,
+  isWorthLoads,
+  isWorthReserve,
+  rankByNeed,
+} from './need';
 import type { ModelNeed } from './need';
 import { noteClaimUsed } from './reassignments';
 import { countReserve } from './reserve';
@@ -68,8 +74,11 @@
   // nothing was lost yet, and a further group would leave no spare for the first loss.
   const mayUseReserve = ({ loads, ...need }: Candidate): boolean => {
     if (loads === 0 && !draft.view.hasTraffic) return false;
-    if (loads === 0 && isWorthReserve(draft, need, needs, grouped)) return true;
-    return loads < cheapest && (cheapest < Infinity || isUnderprovisioned(draft, need));
+    const isWorthSpares = isWorthReserve(draft, need, needs, grouped);
+    if (loads === 0 && isWorthSpares) return true;
+    // Refused callers are missing in the offered load, but not in the demand that the worth rests on.
+    const isNeeded = isUnderprovisioned(draft, need) || (isWorthLoads(need) && isWorthSpares);
+    return loads < cheapest && (cheapest < Infinity || isNeeded);
   };
   return candidates.filter((candidate) => {
     if (!candidate.usesReserve) return candidate.loads === 0 || isGroupWorthwhile(draft, candidate);
--- a/src/core/gateway/forming/need.ts
+++ b/src/core/gateway/forming/need.ts
@@ -92,9 +92,15 @@
 /** Worth per server from which a group is worth weight loads: a group of eight that is used 0.14 of the time. */
 const MIN_VALUE = 0.05;
 
+/** Whether another group of the model is worth weight loads while models compete for servers. */
+export function isWorthLoads({ value }: ModelNeed): boolean {
+  return value > MIN_VALUE;
+}
+
 /** Whether another group of the model would be used; assumed while the offered load is unknown. */
-export function isGroupWorthwhile(draft: Draft, { work, groups, value }: ModelNeed): boolean {
-  if (!isEnabled(draft, 'wanted') || value > MIN_VALUE) return true;
+export function isGroupWorthwhile(draft: Draft, need: ModelNeed): boolean {
+  const { work, groups } = need;
+  if (!isEnabled(draft, 'wanted') || isWorthLoads(need)) return true;
   return draft.view.offeredLoad === undefined || groups === 0 || work > WORTHWHILE_LOAD * groups;
 }
 
--- a/tests/gateway/forming-worth.test.ts
+++ b/tests/gateway/forming-worth.test.ts
@@ -213,6 +213,7 @@
 
   it.each([
     { name: 'warm, beside a group of the same model', warm: 4, beside: [], isFormed: true },
+    { name: 'of which one needs a load', warm: 2, beside: [], isFormed: true },
     { name: 'beside a larger group', warm: 4, beside: groupIn('d0', LARGE, 6), isFormed: false },
   ])('$name, form a group: $isFormed', ({ warm, beside, isFormed }) => {
     const free = Array.from({ length: 4 }, (_, n) =>
