Judge each change of servers on the supply that earlier ones leave

Cause: changes whose weights were staged in the same plan were all judged on the number of groups before any of them. Two changes could each end one of a model's last two groups, and the model was left without any. In the plans after that, groups that had ended were subtracted a second time for each change still being made.

Change: each staged change is judged on the supply after those before it. A change whose groups were ended adds the groups to come and subtracts nothing.

Result: the new test fails without the change (both groups were ended).

--- a/src/core/gateway/forming/reassign.ts
+++ b/src/core/gateway/forming/reassign.ts
@@ -9,7 +9,7 @@
  */
 
 import { later } from '../../ids';
-import type { ModelId } from '../../ids';
+import type { DomainId, ModelId } from '../../ids';
 import type { ReplicaGroup } from '../groups';
 import { countGroups } from './compose';
 import { bestChange, horizonOf, listDomains } from './domain-changes';
@@ -55,36 +55,54 @@
     startRetirement(draft, { group: id, epoch, head, members }, 'finish');
 }
 
-/** Continues a change whose weights are being staged; ends the groups once all are staged. */
+/**
+ * Continues a change whose weights are being staged; ends the groups once all are staged. Returns the supply
+ * after that, on which the next change is judged.
+ */
 function continueStaging(
   draft: Draft,
   supply: Supply | undefined,
   state: DomainState | undefined,
   { model }: Reassignment,
-): void {
+): Supply | undefined {
   const spec = draft.view.engine.models.find(({ name }) => name === model);
   const change = supply && state && spec && bestChange(draft, supply, spec, state);
   if (!change || change.ended.length === 0) {
     if (state) dropReassignment(draft, state.domain);
-    return;
+    return supply;
   }
   const { loadsAtOnce } = draft.view.engine;
   for (const server of change.unstaged) stage(draft, server, change.spec, loadsAtOnce);
-  if (change.unstaged.length > 0) return;
+  if (change.unstaged.length > 0) return supply;
   const worth = judgeChange(supply, change, horizonOf(draft, change));
   if (!isWorthMaking(change, worth, true)) {
     dropReassignment(draft, change.domain);
-    return;
+    return supply;
   }
   record(draft, change, { step: 'ending', worth });
   endGroups(draft, change);
+  return withChange(supply, change);
+}
+
+/** The supply with the groups to come of changes whose groups were ended; those no longer count. */
+function withEnding(draft: Draft, supply: Supply): Supply {
+  return listPending(draft)
+    .filter(([, { step }]) => step === 'ending')
+    .reduce((before, [, { model, gained }]) => {
+      return withChange(before, { model, gained, lost: new Map() });
+    }, supply);
 }
 
-/** Begins the change that is worth most, unless as many are being made as loads and callers permit. */
+/**
+ * Begins the change that is worth most, unless as many are being made as loads and callers permit. `supply`
+ * includes changes whose groups were ended.
+ */
 function beginChange(draft: Draft, supply: Supply, domains: readonly DomainState[]): void {
   const pending = listPending(draft);
   if (pending.length >= Math.max(1, Math.floor(domains.length / DOMAINS_PER_CHANGE))) return;
-  const planned = pending.reduce((before, [, change]) => withChange(before, change), supply);
+  const planned = pending
+    .filter(([, { step }]) => step === 'staging')
+    .reduce((before, [, change]) => withChange(before, change), supply);
   const changes = domains
     .filter(({ domain }) => !draft.reassignments.has(domain))
     .flatMap((state) =>
@@ -120,12 +138,15 @@
   groups: readonly ReplicaGroup[],
 ): void {
   const domains = listDomains(draft, groups);
-  for (const [domain, reassignment] of listPending(draft)) {
-    const state = domains.find((each) => each.domain === domain);
-    if (reassignment.step === 'staging') continueStaging(draft, supply, state, reassignment);
-    else if (!canForm(draft, state, reassignment.model)) dropReassignment(draft, domain);
-  }
-  if (supply) beginChange(draft, supply, domains);
+  const find = (domain: DomainId): DomainState | undefined =>
+    domains.find((each) => each.domain === domain);
+  for (const [domain, { step, model }] of listPending(draft))
+    if (step === 'ending' && !canForm(draft, find(domain), model)) dropReassignment(draft, domain);
+  let expected = supply && withEnding(draft, supply);
+  for (const [domain, reassignment] of listPending(draft))
+    if (reassignment.step === 'staging')
+      expected = continueStaging(draft, expected, find(domain), reassignment);
+  if (expected) beginChange(draft, expected, domains);
 }
 
 /** Domains whose groups were ended for a model. */
--- a/tests/gateway/forming-worth.test.ts
+++ b/tests/gateway/forming-worth.test.ts
@@ -10,7 +10,7 @@
   isWorthMaking,
   judgeChange,
 } from '../../src/core/gateway/forming/worth';
-import type { EngineSpec } from '../../src/core/gateway/types';
+import type { BackendServer, EngineSpec } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
 import type { DomainId, Epoch, GroupId, ModelId } from '../../src/core/ids';
 import { createEngineFleet } from '../../stand-ins/users-platform/engines';
@@ -186,19 +186,49 @@
   });
 });
 
+const groupIn = (domain: string, model: ModelId, size: number, staged: readonly ModelId[] = []) =>
+  Array.from({ length: size }, (_, rank) =>
+    makeServer(`${domain}${model}${rank}`, {
+      ...{ domain: brandAs<DomainId>(domain), model, staged },
+      membership: {
+        ...{ group: brandAs<GroupId>(`group-${domain}${model}`), epoch: brandAs<Epoch>(1) },
+        ...{ rank, state: 'open' },
+      },
+    }),
+  );
+const viewOf = (servers: readonly BackendServer[]) => ({
+  servers: new Map(servers.map((server) => [server.id, server])),
+  ...{ lapsed: new Map(), ended: new Map(), engine: ENGINE, fencing: 1, hasTraffic: true },
+});
+
+// Guards against the end of a model's last groups by several changes at once, each of which leaves one.
+it('changes whose weights are staged at the same time leave each model a group', () => {
+  const inDomain = (domain: string) => [
+    ...groupIn(domain, SMALL, 3, [LARGE]),
+    ...Array.from({ length: 3 }, (_, n) =>
+      makeServer(`${domain}free${n}`, { domain: brandAs<DomainId>(domain), staged: [LARGE] }),
+    ),
+  ];
+  const servers = [...inDomain('d0'), ...inDomain('d1'), ...groupIn('d2', LARGE, 6)];
+  const staging = {
+    ...{ model: LARGE, step: 'staging' as const, until: at(20_000), gained: 1, loads: 0 },
+    ...{ lost: new Map([[SMALL, 1]]), worth: { gain: 1, loss: 0, net: 1 } },
+  };
+  const reassignments = new Map(
+    ['d0', 'd1'].map((domain) => [brandAs<DomainId>(domain), staging] as const),
+  );
+  const demand = new Map([
+    [LARGE, { load: 4, peakLoad: 4, unserved: 3 }],
+    [SMALL, { load: 0.1, peakLoad: 0.1, unserved: 0 }],
+  ]);
+  const view = { ...viewOf(servers), demand, offeredLoad: new Map([[LARGE, 4]]) };
+  const { state } = planGroups({ ...createFormingState(), reassignments }, view, at(10_000));
+  expect([...state.retirements.keys()]).toEqual(['group-d0small']);
+});
+
 // Guards against free servers that wait for seconds, as spares for groups that their domain does not have or
 // because refused callers are missing in the offered load, while callers of a model are refused.
 describe('the spares of a domain', () => {
-  const groupIn = (domain: string, model: ModelId, size: number) =>
-    Array.from({ length: size }, (_, rank) =>
-      makeServer(`${domain}${model}${rank}`, {
-        ...{ domain: brandAs<DomainId>(domain), model },
-        membership: {
-          ...{ group: brandAs<GroupId>(`group-${domain}${model}`), epoch: brandAs<Epoch>(1) },
-          ...{ rank, state: 'open' },
-        },
-      }),
-    );
   const SUPPLY = {
     demand: new Map([
       [LARGE, { load: 1.4, peakLoad: 1.6, unserved: 0.4 }],
@@ -221,11 +251,7 @@
     );
     const other = beside.length > 0 ? [] : groupIn('d1', LARGE, 6);
     const servers = [...free, ...groupIn('d0', SMALL, 3), ...beside, ...other];
-    const view = {
-      servers: new Map(servers.map((server) => [server.id, server])),
-      ...{ lapsed: new Map(), ended: new Map(), engine: ENGINE, fencing: 1, hasTraffic: true },
-      ...SUPPLY,
-    };
+    const view = { ...viewOf(servers), ...SUPPLY };
     const recentLosses = Array.from({ length: 6 }, () => at(9_000));
     const { state } = planGroups({ ...createFormingState(), recentLosses }, view, at(10_000));
     const formed = [...state.formations.values()].filter(({ isStandby }) => !isStandby);
