Judge changes of servers with the groups that are about to return

Cause: a group that lost a member did not count from the loss until it was formed again with a spare, up to seven seconds if its head was lost. Changes of servers were judged in that time as if the group were missing: weights were staged and the change was given up a second later, or groups of another model were ended for a group that was no longer needed.

Change: a change is judged on the groups that serve and those that can be formed again without a weight load. Nothing is judged in the plan in which a group releases its servers.

--- a/src/core/gateway/forming/held-spares.ts
+++ b/src/core/gateway/forming/held-spares.ts
@@ -1,8 +1,9 @@
-/** Holds back the spares that a group which is ending needs to be formed again. */
+/** Finds ending groups that will be formed again, and holds back the spares that they need. */
 
 import type { DomainId, ModelId } from '../../ids';
 import type { BackendServer } from '../types';
-import { pickMembers, remainingMembers } from './members';
+import { joinCost } from './form';
+import { collectFreeServers, pickMembers, remainingMembers } from './members';
 import { isEnabled, isSlow } from './state';
 import type { Draft } from './state';
 
@@ -43,3 +44,28 @@
   }
   return remaining;
 }
+
+/** Ending groups that will be formed again without a weight load, by model. */
+export function countReturning(draft: Draft): ReadonlyMap<ModelId, number> {
+  const free = collectFreeServers(draft);
+  const domains = new Set(
+    [...draft.retirements.values()].flatMap(({ model, members }) =>
+      model === undefined ? [] : (members[0]?.domain ?? []),
+    ),
+  );
+  const counts = new Map<ModelId, number>();
+  for (const domain of domains) {
+    let remaining = free.get(domain) ?? [];
+    for (const [name, releasing] of listReleasing(draft, domain)) {
+      const model = draft.view.engine.models.find((spec) => spec.name === name);
+      if (!model) continue;
+      const spares = remaining.filter((server) => !joinCost(draft, server, model).isLoad);
+      const possible = Math.floor((releasing.length + spares.length) / model.size);
+      const returning = Math.min(Math.ceil(releasing.length / model.size), possible);
+      const used = new Set(spares.slice(0, Math.max(0, returning * model.size - releasing.length)));
+      remaining = remaining.filter((server) => !used.has(server));
+      counts.set(name, (counts.get(name) ?? 0) + returning);
+    }
+  }
+  return counts;
+}
--- a/src/core/gateway/forming/reassign.ts
+++ b/src/core/gateway/forming/reassign.ts
@@ -14,6 +14,7 @@
 import { countGroups } from './compose';
 import { bestChange, horizonOf, listDomains } from './domain-changes';
 import type { DomainChange, DomainState } from './domain-changes';
+import { countReturning } from './held-spares';
 import { canStartLoads } from './loads';
 import { contendedSupply } from './need';
 import { claimDomain } from './rebalance';
@@ -84,18 +85,24 @@
   return withChange(supply, change);
 }
 
-/** The supply with the groups to come of changes whose groups were ended; those no longer count. */
-function withEnding(draft: Draft, supply: Supply): Supply {
-  return listPending(draft)
-    .filter(([, { step }]) => step === 'ending')
-    .reduce((before, [, { model, gained }]) => {
-      return withChange(before, { model, gained, lost: new Map() });
-    }, supply);
+/**
+ * The supply with the groups to come: those that are formed again after a loss, and those of changes whose
+ * groups were ended.
+ */
+function withComing(draft: Draft, supply: Supply): Supply {
+  const groups = new Map(supply.groups);
+  for (const [model, count] of countReturning(draft))
+    groups.set(model, (groups.get(model) ?? 0) + count);
+  const ending = listPending(draft).filter(([, { step }]) => step === 'ending');
+  return ending.reduce<Supply>(
+    (before, [, { model, gained }]) => withChange(before, { model, gained, lost: new Map() }),
+    { ...supply, groups },
+  );
 }
 
 /**
  * Begins the change that is worth most, unless as many are being made as loads and callers permit. `supply`
- * includes changes whose groups were ended.
+ * includes the groups to come, see `withComing`.
  */
 function beginChange(draft: Draft, supply: Supply, domains: readonly DomainState[]): void {
   const pending = listPending(draft);
@@ -127,6 +134,8 @@
   const { judgedAt, now, arrivals } = draft;
   const intervalMs = Math.max(MIN_JUDGE_INTERVAL_MS, JUDGE_MS_PER_DOMAIN * arrivals.size);
   if (judgedAt !== undefined && now < later(judgedAt, intervalMs)) return false;
+  // Servers released in this plan are not yet in the group that is formed of them.
+  if ([...draft.dissolved.values()].includes(now)) return false;
   draft.judgedAt = now;
   return true;
 }
@@ -142,7 +151,7 @@
     domains.find((each) => each.domain === domain);
   for (const [domain, { step, model }] of listPending(draft))
     if (step === 'ending' && !canForm(draft, find(domain), model)) dropReassignment(draft, domain);
-  let expected = supply && withEnding(draft, supply);
+  let expected = supply && withComing(draft, supply);
   for (const [domain, reassignment] of listPending(draft))
     if (reassignment.step === 'staging')
       expected = continueStaging(draft, expected, find(domain), reassignment);
--- a/tests/gateway/forming-worth.test.ts
+++ b/tests/gateway/forming-worth.test.ts
@@ -2,22 +2,18 @@
 
 import { addSample, estimateDemand } from '../../src/core/gateway/forming/demand';
 import type { DemandHistory } from '../../src/core/gateway/forming/demand';
-import { planGroups } from '../../src/core/gateway/forming/plan';
-import { createFormingState } from '../../src/core/gateway/forming/state';
 import type { FormingMechanism } from '../../src/core/gateway/forming/state';
 import {
   expectedShortfall,
   isWorthMaking,
   judgeChange,
 } from '../../src/core/gateway/forming/worth';
-import type { BackendServer, EngineSpec } from '../../src/core/gateway/types';
-import { brandAs } from '../../src/core/ids';
-import type { DomainId, Epoch, GroupId, ModelId } from '../../src/core/ids';
+import type { EngineSpec } from '../../src/core/gateway/types';
 import { createEngineFleet } from '../../stand-ins/users-platform/engines';
 import { createLeader } from './leader';
 import { createCallers, wave } from './model-callers';
 import type { LoadCurve } from './model-callers';
-import { at, ENGINE, FLEET, LARGE, makeServer, SMALL } from './support';
+import { at, ENGINE, FLEET, LARGE, SMALL } from './support';
 
 function engineOf(large: number, small: number): EngineSpec {
   const [first, second] = ENGINE.models;
@@ -186,79 +182,6 @@
   });
 });
 
-const groupIn = (domain: string, model: ModelId, size: number, staged: readonly ModelId[] = []) =>
-  Array.from({ length: size }, (_, rank) =>
-    makeServer(`${domain}${model}${rank}`, {
-      ...{ domain: brandAs<DomainId>(domain), model, staged },
-      membership: {
-        ...{ group: brandAs<GroupId>(`group-${domain}${model}`), epoch: brandAs<Epoch>(1) },
-        ...{ rank, state: 'open' },
-      },
-    }),
-  );
-const viewOf = (servers: readonly BackendServer[]) => ({
-  servers: new Map(servers.map((server) => [server.id, server])),
-  ...{ lapsed: new Map(), ended: new Map(), engine: ENGINE, fencing: 1, hasTraffic: true },
-});
-
-// Guards against the end of a model's last groups by several changes at once, each of which leaves one.
-it('changes whose weights are staged at the same time leave each model a group', () => {
-  const inDomain = (domain: string) => [
-    ...groupIn(domain, SMALL, 3, [LARGE]),
-    ...Array.from({ length: 3 }, (_, n) =>
-      makeServer(`${domain}free${n}`, { domain: brandAs<DomainId>(domain), staged: [LARGE] }),
-    ),
-  ];
-  const servers = [...inDomain('d0'), ...inDomain('d1'), ...groupIn('d2', LARGE, 6)];
-  const staging = {
-    ...{ model: LARGE, step: 'staging' as const, until: at(20_000), gained: 1, loads: 0 },
-    ...{ lost: new Map([[SMALL, 1]]), worth: { gain: 1, loss: 0, net: 1 } },
-  };
-  const reassignments = new Map(
-    ['d0', 'd1'].map((domain) => [brandAs<DomainId>(domain), staging] as const),
-  );
-  const demand = new Map([
-    [LARGE, { load: 4, peakLoad: 4, unserved: 3 }],
-    [SMALL, { load: 0.1, peakLoad: 0.1, unserved: 0 }],
-  ]);
-  const view = { ...viewOf(servers), demand, offeredLoad: new Map([[LARGE, 4]]) };
-  const { state } = planGroups({ ...createFormingState(), reassignments }, view, at(10_000));
-  expect([...state.retirements.keys()]).toEqual(['group-d0small']);
-});
-
-// Guards against free servers that wait for seconds, as spares for groups that their domain does not have or
-// because refused callers are missing in the offered load, while callers of a model are refused.
-describe('the spares of a domain', () => {
-  const SUPPLY = {
-    demand: new Map([
-      [LARGE, { load: 1.4, peakLoad: 1.6, unserved: 0.4 }],
-      [SMALL, { load: 1.5, peakLoad: 1.8, unserved: 0.5 }],
-    ]),
-    // Refused callers are not included.
-    offeredLoad: new Map([
-      [LARGE, 0.85],
-      [SMALL, 0.85],
-    ]),
-  };
-
-  it.each([
-    { name: 'warm, beside a group of the same model', warm: 4, beside: [], isFormed: true },
-    { name: 'of which one needs a load', warm: 2, beside: [], isFormed: true },
-    { name: 'beside a larger group', warm: 4, beside: groupIn('d0', LARGE, 6), isFormed: false },
-  ])('$name, form a group: $isFormed', ({ warm, beside, isFormed }) => {
-    const free = Array.from({ length: 4 }, (_, n) =>
-      makeServer(`s${n}`, n < warm ? { model: SMALL } : {}),
-    );
-    const other = beside.length > 0 ? [] : groupIn('d1', LARGE, 6);
-    const servers = [...free, ...groupIn('d0', SMALL, 3), ...beside, ...other];
-    const view = { ...viewOf(servers), ...SUPPLY };
-    const recentLosses = Array.from({ length: 6 }, () => at(9_000));
-    const { state } = planGroups({ ...createFormingState(), recentLosses }, view, at(10_000));
-    const formed = [...state.formations.values()].filter(({ isStandby }) => !isStandby);
-    expect(formed.map(({ model }) => model)).toEqual(isFormed ? [SMALL] : []);
-  });
-});
-
 describe('the worth of a change', () => {
   const MODELS = engineOf(8, 2).models;
   const supplyOf = (large: number, small: number, urgency?: number) => ({
