State reasons of thresholds without figures of trials

Cause: comments in the modules that assign servers by demand contained figures of single trials and colloquial terms.

Change: the comments keep the reason. Names of two flags and one result say what they hold.

Result: no change of behaviour.

--- a/src/core/gateway/forming/adopt.ts
+++ b/src/core/gateway/forming/adopt.ts
@@ -4,7 +4,7 @@
  * Load pattern: servers lose their connection to the platform's registry but keep serving, and all daemons
  * restart meanwhile. The new leader finds groups with unlisted members and cannot know whether these are
  * alive. Ending all of them would interrupt every stream and leave a fraction of the slots for the callers
- * who return at that moment. A group that lost a member stands still, so its streams tell.
+ * who return at that moment. A group that lost a member stands still, so its streams show whether one is lost.
  */
 
 import type { GroupId } from '../../ids';
--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -24,7 +24,7 @@
 
 /**
  * Factor on the concurrent loads that the weight store sustains without slowing down. Above 1, since
- * candidates members of a group load at once and would often leave part of that rate unused.
+ * members of a group load at once and would often leave part of that rate unused.
  */
 const LOAD_OVERCOMMIT = 1.5;
 
--- a/src/core/gateway/forming/demand.ts
+++ b/src/core/gateway/forming/demand.ts
@@ -30,7 +30,7 @@
 const MIN_SPAN_MS = 12_000;
 /**
  * Shortages that together lasted for less than this in the window count as none: a change of servers
- * interrupts their groups for about four seconds, so that a short burst is over before it pays.
+ * interrupts their groups for about four seconds, so that a short burst is over before that gains anything.
  */
 const MIN_SHORTAGE_MS = 5_000;
 /** Weight of a sample in the mean time that requests hold their slots. */
@@ -39,7 +39,7 @@
 const ROOM_SHARE = 0.9;
 /**
  * Load that arrivals may show, as a factor on the most slots within the window. Refused callers who return
- * are counted at each arrival, so that more than the peak of a wave of 55% is not believed.
+ * are counted at each arrival, so that no more than the peak of a wave of 55% is assumed.
  */
 const MAX_ARRIVALS_FACTOR = 1.6;
 
--- a/src/core/gateway/forming/reassign.ts
+++ b/src/core/gateway/forming/reassign.ts
@@ -176,12 +176,12 @@
   const supply = contendedSupply(draft, counts);
   const pending = listPending(draft);
   if ((supply || pending.length > 0) && isJudgingDue(draft)) judgeChanges(draft, supply, groups);
-  const isPromised = (name: ModelId): boolean => pending.some(([, { model }]) => model === name);
-  const lacksAll = draft.view.engine.models.some(
-    ({ name }) => !counts.has(name) && !isPromised(name),
+  const isPending = (name: ModelId): boolean => pending.some(([, { model }]) => model === name);
+  const isAnyWithoutGroups = draft.view.engine.models.some(
+    ({ name }) => !counts.has(name) && !isPending(name),
   );
-  // The present rules would undo a change that they don't know of.
-  const isByNeed = lacksAll || (!supply && draft.reassignments.size === 0);
+  // The rules of `rebalance.ts` ignore changes that are being made and would undo them.
+  const isByNeed = isAnyWithoutGroups || (!supply && draft.reassignments.size === 0);
   return new Map([...(isByNeed ? claimDomain(draft, groups) : []), ...listClaims(draft)]);
 }
 
--- a/src/core/gateway/forming/reserve.ts
+++ b/src/core/gateway/forming/reserve.ts
@@ -28,7 +28,7 @@
   draft.recentLosses = draft.recentLosses.filter((at) => draft.now < later(at, LOSS_WINDOW_MS));
 }
 
-/** Groups that each server loses per millisecond; at least one in the whole window, as with a new leader. */
+/** Losses per server and millisecond. At least one in the window is assumed: a new leader has observed none. */
 export function lossRate({ recentLosses, view }: Draft): number {
   return Math.max(1, recentLosses.length) / LOSS_WINDOW_MS / Math.max(1, view.servers.size);
 }
--- a/src/core/gateway/forming/slow-reports.ts
+++ b/src/core/gateway/forming/slow-reports.ts
@@ -100,6 +100,6 @@
   ];
   const gain = Math.max(...slow.map(factorOf)) / Math.max(...after.map(factorOf));
   const joinMs = Math.max(...used.map((spare) => spare.joinMs));
-  const pays = isReplacementWorthwhile(slowForMs, { gain, joinMs });
-  return { ...found, outcome: pays ? 'replace' : 'not-worthwhile' };
+  const isWorthwhile = isReplacementWorthwhile(slowForMs, { gain, joinMs });
+  return { ...found, outcome: isWorthwhile ? 'replace' : 'not-worthwhile' };
 }
--- a/src/core/gateway/forming/slow.ts
+++ b/src/core/gateway/forming/slow.ts
@@ -153,7 +153,7 @@
   readonly slowAreas: ReadonlySet<string>;
 }
 
-/** The check of a group, if a replacement is possible now and would pay. */
+/** The check of a group, if a replacement is possible now and worthwhile. */
 function toCheck(
   { input, draft, free, slowAreas }: CheckContext,
   group: ReplicaGroup,
--- a/src/core/gateway/forming/worth.ts
+++ b/src/core/gateway/forming/worth.ts
@@ -8,9 +8,8 @@
  * is judged over the time that it lasts, including the time in which neither group serves.
  *
  * Costs are in groups whose work is missing, weighted by the square root of the group's size. Unweighted, a
- * large model would lose to a small one however badly it is served. Weighted by size, with 9 domains of 18
- * and a loss every 3 s, the small model fell from 1.00 to 0.84 while the large one rose from 0.65 to 0.77; with
- * the square root, 0.91 and 0.73 (trials, one seed).
+ * large model would lose to a small one however badly it is served; weighted by size, the callers of a small
+ * model would lose more than those of the large one gain.
  */
 
 import type { ModelId } from '../../ids';
@@ -76,9 +75,8 @@
 const URGENCY_FACTOR = 1.25;
 /**
  * Mean gain from which a change is made, as a share of the weight of one group of all the servers that
- * change their model. Estimates of the load vary by about 7% with the phase of a wave. At 0.1, members lost
- * every 3 s caused changes for shortages that were over at once: the small model fell to 0.92 with 9 domains
- * of 18 in place of 0.95, and the large one gained as much (trials, three seeds).
+ * change their model. Estimates of the load vary with the phase of a wave, and a low threshold leads to changes
+ * for shortages after losses that are soon over.
  */
 const MIN_GAIN_SHARE = 0.25;
 
--- a/tests/gateway/forming-worth.test.ts
+++ b/tests/gateway/forming-worth.test.ts
@@ -61,7 +61,7 @@
 };
 
 describe('callers of a model that are refused while groups of another one have room', () => {
-  // The present rule misses the peaks of a wave and any change that needs a weight load.
+  // The rules of `rebalance.ts` miss the peaks of a wave and any change that needs a weight load.
   it.each([
     { name: '3 domains of 18, sizes 8 and 2, a wave', ...WAVE, gain: 0.1 },
     {
@@ -132,7 +132,7 @@
   });
 
   // Demand must not alter a plan that serves all callers.
-  it('are those of the present rules while every model has room at its peak', () => {
+  it('are those without the demand while every model has room at its peak', () => {
     const play = (disabledMechanisms: readonly FormingMechanism[]) => {
       const scenario = { ...WAVE, large: wave(0.6), small: wave(0.6), disabledMechanisms };
       const { leader, fleet, groups } = startServing(scenario);
