Plan no change of servers with spares held for another group

Cause: a change counted all free servers of its domain, also the spares that are held for a group which lost a member and is formed again. The groups of the change were ended, but their servers stayed free until that group had its spares, up to seven seconds if its head was lost, and then one was missing.

Change: held spares are not counted, neither when a change begins nor while it is made.

Result: the new test fails without the change.

--- a/src/core/gateway/forming/domain-changes.ts
+++ b/src/core/gateway/forming/domain-changes.ts
@@ -5,6 +5,7 @@
 import type { ReplicaGroup } from '../groups';
 import type { BackendServer, ModelSpec } from '../types';
 import { joinCost } from './form';
+import { excludeHeldSpares } from './held-spares';
 import { collectFreeServers, pickMembers, remainingMembers } from './members';
 import { findPreemption, listPreemptible } from './rebalance';
 import { countReserve, lossRate } from './reserve';
@@ -31,7 +32,7 @@
 /** The servers and groups of one domain. */
 export interface DomainState {
   readonly domain: DomainId;
-  /** Free servers, and members of groups that are ending for another model. */
+  /** Free servers that are not held for another group, and members of groups that are ending for another model. */
   readonly obtainable: readonly BackendServer[];
   readonly groups: readonly ReplicaGroup[];
   readonly reserve: number;
@@ -51,7 +52,7 @@
     .map(([domain, servers]) => ({
       domain,
       obtainable: [
-        ...(free.get(domain) ?? []),
+        ...excludeHeldSpares(draft, domain, free.get(domain) ?? []),
         ...releasing.filter((server) => server.domain === domain),
       ],
       groups: preemptible.filter((group) => group.domain === domain),
--- a/tests/gateway/forming-supply.test.ts
+++ b/tests/gateway/forming-supply.test.ts
@@ -80,6 +80,23 @@
   expect(state.reassignments.size > 0).toBe(test.isChanged);
 });
 
+// Guards against servers that stay free until another group of their domain, for which some of them are held, has
+// been formed again: up to seven seconds.
+it('no group is ended for one that would need spares held for another group', () => {
+  const lost = groupIn('d0', LARGE, 6);
+  const spares = ['a', 'b', 'c'].map((id) => makeServer(`spare${id}1`, { model: LARGE }));
+  const small = [...groupIn('d0', SMALL, 3, [LARGE]), ...groupIn('d2', SMALL, 3)];
+  const servers = [...lost, ...spares, ...groupIn('d1', LARGE, 6), ...small];
+  const demand = new Map([
+    [LARGE, { load: 4, peakLoad: 4, unserved: 2 }],
+    [SMALL, { load: 0.5, peakLoad: 0.5, unserved: 0 }],
+  ]);
+  const view = { ...viewOf(servers), demand, offeredLoad: new Map([[LARGE, 2]]) };
+  const suspects = new Map(lost.slice(0, 1).map(({ id }) => [id, at(40_000)] as const));
+  const { state } = planGroups({ ...createFormingState(), suspects }, view, at(10_000));
+  expect([...state.retirements.keys()]).toEqual(['group-d0large']);
+});
+
 // Guards against free servers that wait for seconds, as spares for groups that their domain does not have or
 // because refused callers are missing in the offered load, while callers of a model are refused.
 describe('the spares of a domain', () => {
