--- a/src/core/gateway/forming/need.ts
+++ b/src/core/gateway/forming/need.ts
@@ -92,26 +92,34 @@
 /** Worth per server from which a group is worth weight loads: a group of eight that is used 0.14 of the time. */
 const MIN_VALUE = 0.05;
 
+/** Whether another group of the model is worth weight loads while models compete for servers. */
+export function isWorthLoads({ value }: ModelNeed): boolean {
+  return value > MIN_VALUE;
+}
+
 /** Whether another group of the model would be used; assumed while the offered load is unknown. */
-export function isGroupWorthwhile(draft: Draft, { work, groups, value }: ModelNeed): boolean {
-  if (!isEnabled(draft, 'wanted') || value > MIN_VALUE) return true;
+export function isGroupWorthwhile(draft: Draft, need: ModelNeed): boolean {
+  const { work, groups } = need;
+  if (!isEnabled(draft, 'wanted') || isWorthLoads(need)) return true;
   return draft.view.offeredLoad === undefined || groups === 0 || work > WORTHWHILE_LOAD * groups;
 }
 
 /**
  * Whether a group that needs no load is worth the domain's spares while models compete for servers. A larger
  * model loses a whole group with each member, and without a spare it is missing for the time of a load.
+ * `grouped`: the domain's servers in groups, by model. Spares replace only members of their own domain.
  */
 export function isWorthReserve(
   draft: Draft,
   { model, value }: ModelNeed,
   needs: readonly ModelNeed[],
-  servers: number,
+  grouped: ReadonlyMap<ModelId, number>,
 ): boolean {
   if (needs.every((need) => need.value === 0)) return true;
   const spared = needs
     .filter((need) => need.model.size > model.size)
     .map((need) => {
+      const servers = grouped.get(need.model.name) ?? 0;
       const expectedLosses = lossRate(draft) * servers * need.model.loadMs;
       return need.value * need.model.size * Math.min(1, expectedLosses);
     });
--- a/src/core/gateway/forming/reassign.ts
+++ b/src/core/gateway/forming/reassign.ts
@@ -9,11 +9,12 @@
  */
 
 import { later } from '../../ids';
-import type { ModelId } from '../../ids';
+import type { DomainId, ModelId } from '../../ids';
 import type { ReplicaGroup } from '../groups';
 import { countGroups } from './compose';
 import { bestChange, horizonOf, listDomains } from './domain-changes';
 import type { DomainChange, DomainState } from './domain-changes';
+import { countReturning } from './held-spares';
 import { canStartLoads } from './loads';
 import { contendedSupply } from './need';
 import { claimDomain } from './rebalance';
@@ -55,36 +56,60 @@
     startRetirement(draft, { group: id, epoch, head, members }, 'finish');
 }
 
-/** Continues a change whose weights are being staged; ends the groups once all are staged. */
+/**
+ * Continues a change whose weights are being staged; ends the groups once all are staged. Returns the supply
+ * after that, on which the next change is judged.
+ */
 function continueStaging(
   draft: Draft,
   supply: Supply | undefined,
   state: DomainState | undefined,
   { model }: Reassignment,
-): void {
+): Supply | undefined {
   const spec = draft.view.engine.models.find(({ name }) => name === model);
   const change = supply && state && spec && bestChange(draft, supply, spec, state);
   if (!change || change.ended.length === 0) {
     if (state) dropReassignment(draft, state.domain);
-    return;
+    return supply;
   }
   const { loadsAtOnce } = draft.view.engine;
   for (const server of change.unstaged) stage(draft, server, change.spec, loadsAtOnce);
-  if (change.unstaged.length > 0) return;
+  if (change.unstaged.length > 0) return supply;
   const worth = judgeChange(supply, change, horizonOf(draft, change));
   if (!isWorthMaking(change, worth, true)) {
     dropReassignment(draft, change.domain);
-    return;
+    return supply;
   }
   record(draft, change, { step: 'ending', worth });
   endGroups(draft, change);
+  return withChange(supply, change);
 }
 
-/** Begins the change that is worth most, unless as many are being made as loads and callers permit. */
+/**
+ * The supply with the groups to come: those that are formed again after a loss, and those of changes whose
+ * groups were ended.
+ */
+function withComing(draft: Draft, supply: Supply): Supply {
+  const groups = new Map(supply.groups);
+  for (const [model, count] of countReturning(draft))
+    groups.set(model, (groups.get(model) ?? 0) + count);
+  const ending = listPending(draft).filter(([, { step }]) => step === 'ending');
+  return ending.reduce<Supply>(
+    (before, [, { model, gained }]) => withChange(before, { model, gained, lost: new Map() }),
+    { ...supply, groups },
+  );
+}
+
+/**
+ * Begins the change that is worth most, unless as many are being made as loads and callers permit. `supply`
+ * includes the groups to come, see `withComing`.
+ */
 function beginChange(draft: Draft, supply: Supply, domains: readonly DomainState[]): void {
   const pending = listPending(draft);
   if (pending.length >= Math.max(1, Math.floor(domains.length / DOMAINS_PER_CHANGE))) return;
-  const planned = pending.reduce((before, [, change]) => withChange(before, change), supply);
+  const planned = pending
+    .filter(([, { step }]) => step === 'staging')
+    .reduce((before, [, change]) => withChange(before, change), supply);
   const changes = domains
     .filter(({ domain }) => !draft.reassignments.has(domain))
     .flatMap((state) =>
@@ -109,6 +134,8 @@
   const { judgedAt, now, arrivals } = draft;
   const intervalMs = Math.max(MIN_JUDGE_INTERVAL_MS, JUDGE_MS_PER_DOMAIN * arrivals.size);
   if (judgedAt !== undefined && now < later(judgedAt, intervalMs)) return false;
+  // Servers released in this plan are not yet in the group that is formed of them.
+  if ([...draft.dissolved.values()].includes(now)) return false;
   draft.judgedAt = now;
   return true;
 }
@@ -120,12 +147,15 @@
   groups: readonly ReplicaGroup[],
 ): void {
   const domains = listDomains(draft, groups);
-  for (const [domain, reassignment] of listPending(draft)) {
-    const state = domains.find((each) => each.domain === domain);
-    if (reassignment.step === 'staging') continueStaging(draft, supply, state, reassignment);
-    else if (!canForm(draft, state, reassignment.model)) dropReassignment(draft, domain);
-  }
-  if (supply) beginChange(draft, supply, domains);
+  const find = (domain: DomainId): DomainState | undefined =>
+    domains.find((each) => each.domain === domain);
+  for (const [domain, { step, model }] of listPending(draft))
+    if (step === 'ending' && !canForm(draft, find(domain), model)) dropReassignment(draft, domain);
+  let expected = supply && withComing(draft, supply);
+  for (const [domain, reassignment] of listPending(draft))
+    if (reassignment.step === 'staging')
+      expected = continueStaging(draft, expected, find(domain), reassignment);
+  if (expected) beginChange(draft, expected, domains);
 }
 
 /** Domains whose groups were ended for a model. */
@@ -146,12 +176,12 @@
   const supply = contendedSupply(draft, counts);
   const pending = listPending(draft);
   if ((supply || pending.length > 0) && isJudgingDue(draft)) judgeChanges(draft, supply, groups);
-  const isPromised = (name: ModelId): boolean => pending.some(([, { model }]) => model === name);
-  const lacksAll = draft.view.engine.models.some(
-    ({ name }) => !counts.has(name) && !isPromised(name),
+  const isPending = (name: ModelId): boolean => pending.some(([, { model }]) => model === name);
+  const isAnyWithoutGroups = draft.view.engine.models.some(
+    ({ name }) => !counts.has(name) && !isPending(name),
   );
-  // The present rules would undo a change that they don't know of.
-  const isByNeed = lacksAll || (!supply && draft.reassignments.size === 0);
+  // The rules of `rebalance.ts` ignore changes that are being made and would undo them.
+  const isByNeed = isAnyWithoutGroups || (!supply && draft.reassignments.size === 0);
   return new Map([...(isByNeed ? claimDomain(draft, groups) : []), ...listClaims(draft)]);
 }
 
