Count a group of any size as the same number of callers when models compete

Cause: missing work was weighted by the square root of the group's size. Change: a group counts by its slots, which don't depend on its size, so a change is made only where the groups that end have room at their own peaks. The reserve keeps its weight by size.

--- a/src/core/gateway/forming/need.ts
+++ b/src/core/gateway/forming/need.ts
@@ -89,12 +89,12 @@
  */
 const WORTHWHILE_LOAD = 0.6;
 
-/** Worth per server from which a group is worth weight loads: a group of eight that is used 0.14 of the time. */
-const MIN_VALUE = 0.05;
+/** Share of the time in which a group must be used to be worth weight loads. */
+const MIN_USE = 0.14;
 
 /** Whether another group of the model is worth weight loads while models compete for servers. */
-export function isWorthLoads({ value }: ModelNeed): boolean {
-  return value > MIN_VALUE;
+export function isWorthLoads({ model, value }: ModelNeed): boolean {
+  return value * model.size > MIN_USE;
 }
 
 /** Whether another group of the model would be used; assumed while the offered load is unknown. */
@@ -104,6 +104,11 @@
   return draft.view.offeredLoad === undefined || groups === 0 || work > WORTHWHILE_LOAD * groups;
 }
 
+/** Value of a group; a larger one counts more, since its loss leaves more servers without work. */
+function weigh({ model, value }: Pick<ModelNeed, 'model' | 'value'>): number {
+  return value * model.size * Math.sqrt(model.size);
+}
+
 /**
  * Whether a group that needs no load is worth the domain's spares while models compete for servers. A larger
  * model loses a whole group with each member, and without a spare it is missing for the time of a load.
@@ -121,9 +126,9 @@
     .map((need) => {
       const servers = grouped.get(need.model.name) ?? 0;
       const expectedLosses = lossRate(draft) * servers * need.model.loadMs;
-      return need.value * need.model.size * Math.min(1, expectedLosses);
+      return weigh(need) * Math.min(1, expectedLosses);
     });
-  return value * model.size > Math.max(0, ...spared);
+  return weigh({ model, value }) > Math.max(0, ...spared);
 }
 
 /** Whether the offered load is known and exceeds what the model's groups can take. */
--- a/src/core/gateway/forming/reassign.ts
+++ b/src/core/gateway/forming/reassign.ts
@@ -76,7 +76,7 @@
   for (const server of change.unstaged) stage(draft, server, change.spec, loadsAtOnce);
   if (change.unstaged.length > 0) return supply;
   const worth = judgeChange(supply, change, horizonOf(draft, change));
-  if (!isWorthMaking(change, worth, true)) {
+  if (!isWorthMaking(worth, true)) {
     dropReassignment(draft, change.domain);
     return supply;
   }
--- a/src/core/gateway/forming/worth.ts
+++ b/src/core/gateway/forming/worth.ts
@@ -7,9 +7,9 @@
  * at a peak serves after it. The worth is therefore a mean over the swing, per unit of time, and a change
  * is judged over the time that it lasts, including the time in which neither group serves.
  *
- * Costs are in groups whose work is missing, weighted by the square root of the group's size. Unweighted, a
- * large model would lose to a small one however badly it is served; weighted by size, the callers of a small
- * model would lose more than those of the large one gain.
+ * Costs are in groups whose work is missing. All groups have the same number of slots, so a group of a large
+ * model counts as many callers as one of a small model, and a change is made only if the groups that end have
+ * room to spare at their own peaks.
  */
 
 import type { ModelId } from '../../ids';
@@ -52,7 +52,7 @@
   readonly riskedGroups: number;
 }
 
-/** Worth of a change, per unit of time, in weighted groups. */
+/** Worth of a change, per unit of time, in groups. */
 export interface ChangeWorth {
   /** Gain once the new groups serve. */
   readonly gain: number;
@@ -74,11 +74,10 @@
 /** Factor by which a caller counts more than one of the next less urgent class. */
 const URGENCY_FACTOR = 1.25;
 /**
- * Mean gain from which a change is made, as a share of the weight of one group of all the servers that
- * change their model. Estimates of the load vary with the phase of a wave, and a low threshold leads to changes
- * for shortages after losses that are soon over.
+ * Mean gain from which a change is made, in groups. Estimates of the load vary with the phase of a wave, and
+ * a low threshold leads to changes for shortages after losses that are soon over.
  */
-const MIN_GAIN_SHARE = 0.25;
+const MIN_GAIN = 0.25;
 
 const NO_CHANGE: ReadonlyMap<ModelId, number> = new Map();
 
@@ -108,15 +107,13 @@
  * Cost of the demand that `groups` groups of a model leave unserved. It rises more than in proportion, so
  * that with too little capacity for all models the shares that they are served approach each other.
  */
-function unservedCost(supply: Supply, { name, size }: ModelSpec, groups: number): number {
+function unservedCost(supply: Supply, { name }: ModelSpec, groups: number): number {
   const demand = supply.demand.get(name);
   if (!demand) return 0;
   const shortfall = expectedShortfall(demand, groups);
   if (shortfall === 0) return 0;
   const share = Math.min(1, shortfall / demand.load);
-  return (
-    urgencyFactor(supply, demand) * Math.sqrt(size) * shortfall * (1 + UNEVENNESS_WEIGHT * share)
-  );
+  return urgencyFactor(supply, demand) * shortfall * (1 + UNEVENNESS_WEIGHT * share);
 }
 
 /** Cost over all models if the numbers of groups change by `change`. */
@@ -127,7 +124,7 @@
   }, 0);
 }
 
-/** Worth of one more group of the model, in weighted groups. */
+/** Worth of one more group of the model, in groups. */
 export function valueOfGroup(supply: Supply, model: ModelSpec): number {
   const groups = supply.groups.get(model.name) ?? 0;
   return unservedCost(supply, model, groups) - unservedCost(supply, model, groups + 1);
@@ -170,12 +167,8 @@
  * Whether a change is worth making. `isBegun`: weights are staged for it already, so that half the gain
  * suffices: a change that has begun is not given up for a small difference.
  */
-export function isWorthMaking(
-  { servers }: GroupChange,
-  { net }: ChangeWorth,
-  isBegun = false,
-): boolean {
-  return net >= MIN_GAIN_SHARE * Math.sqrt(servers) * (isBegun ? 0.5 : 1);
+export function isWorthMaking({ net }: ChangeWorth, isBegun = false): boolean {
+  return net >= MIN_GAIN * (isBegun ? 0.5 : 1);
 }
 
 /** A change with its worth. */
@@ -193,7 +186,7 @@
   let best: JudgedChange<C> | undefined;
   for (const change of changes) {
     const worth = judgeChange(supply, change, horizonMs(change));
-    if (!isWorthMaking(change, worth)) continue;
+    if (!isWorthMaking(worth)) continue;
     if (!best || worth.net > best.worth.net) best = { change, worth };
   }
   return best;
--- a/tests/gateway/forming-worth.test.ts
+++ b/tests/gateway/forming-worth.test.ts
@@ -231,7 +231,7 @@
     },
   ])('suffices: $is if $name', ({ supply, change = {}, is }) => {
     const judged = { ...CHANGE, ...change };
-    expect(isWorthMaking(judged, judgeChange(supply, judged, 60_000))).toBe(is);
+    expect(isWorthMaking(judgeChange(supply, judged, 60_000))).toBe(is);
   });
 
   it('is greater for callers who are more urgent', () => {
