--- a/bench/forming-loop.ts
+++ b/bench/forming-loop.ts
@@ -4,7 +4,7 @@
  */
 
 import { createRandom } from '../src/adapters/runtime';
-import type { FormingMechanism } from '../src/core/gateway/forming/state';
+import type { FormingMechanism } from '../src/core/gateway/forming/settings';
 import { createEngineFleet } from '../stand-ins/users-platform/engines';
 import { createLeader } from '../tests/gateway/leader';
 import { FLEET, LARGE, SMALL } from '../tests/gateway/support';
--- a/bench/forming.ts
+++ b/bench/forming.ts
@@ -1,6 +1,6 @@
 /** Ablation of the group planner's mechanisms: the same losses with all of them and without each one. */
 
-import type { FormingMechanism } from '../src/core/gateway/forming/state';
+import type { FormingMechanism } from '../src/core/gateway/forming/settings';
 import { runLosses } from './forming-loop';
 import { mean, summarise } from './statistics';
 
--- a/tests/gateway/forming-worth.test.ts
+++ b/tests/gateway/forming-worth.test.ts
@@ -2,7 +2,7 @@
 
 import { addSample, estimateDemand } from '../../src/core/gateway/forming/demand';
 import type { DemandHistory } from '../../src/core/gateway/forming/demand';
-import type { FormingMechanism } from '../../src/core/gateway/forming/state';
+import type { FormingMechanism } from '../../src/core/gateway/forming/settings';
 import {
   expectedShortfall,
   isWorthMaking,
--- a/tests/gateway/leader.ts
+++ b/tests/gateway/leader.ts
@@ -1,11 +1,8 @@
 /** Runs the group planner's core against a simulated fleet, as the lease holder does. */
 
 import { createFormingState } from '../../src/core/gateway/forming/state';
-import type {
-  FormingMechanism,
-  FormingState,
-  FormingView,
-} from '../../src/core/gateway/forming/state';
+import type { FormingMechanism } from '../../src/core/gateway/forming/settings';
+import type { FormingState, FormingView } from '../../src/core/gateway/forming/state';
 import { noteResult, noteSuspect, planGroups } from '../../src/core/gateway/forming/plan';
 import { noteStalled } from '../../src/core/gateway/forming/adopt';
 import type { EngineSpec } from '../../src/core/gateway/types';
