Split the load and the health of groups out of the group registry

Change: group-loads.ts holds requests, occupancy and candidates of groups, group-health.ts holds suspicions and stalls. No change of behaviour.

--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -23,7 +23,7 @@
 } from '../../core/ids';
 import type { Servers } from '../../ports/gateway';
 import { pause } from '../../utils/pause';
-import type { Stall } from './group-registry';
+import type { Stall } from './group-health';
 import type { GatewayContext } from './context';
 import type { Leadership } from './lease';
 import type { ServerRegistry } from './server-registry';
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -4,28 +4,9 @@
 import type { BehaviorSubject, Observable } from 'rxjs';
 
 import type { GroupCandidate } from '../../core/gateway/balance';
-import {
-  createProgress,
-  noteEnded,
-  noteEvent,
-  notePrefilled,
-  noteSent,
-  maxPrefillTokens,
-  publishedHoldMs,
-  slowdownOf,
-  expectedPauseMs,
-} from '../../core/gateway/progress';
-import type { Progress } from '../../core/gateway/progress';
-import {
-  departuresIn,
-  maxQueued,
-  reuseProbability,
-  freeCapacityOf,
-} from '../../core/gateway/capacity';
-import type { GroupCapacity } from '../../core/gateway/capacity';
+import { reuseProbability } from '../../core/gateway/capacity';
 import type { RouteTable } from '../../core/gateway/routes';
-import { isSuspect, noteEvidence } from '../../core/gateway/suspicion';
-import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
+import type { Evidence } from '../../core/gateway/suspicion';
 import { summarizeWork } from '../../core/gateway/work';
 import type { ModelWork, WaitingLoad } from '../../core/gateway/work';
 import type { GroupId, InstanceId, ModelId, MonoTime, ServiceId } from '../../core/ids';
@@ -34,28 +15,16 @@
 import type { GatewayContext } from './context';
 import { createGroupIndex } from './group-index';
 import type { ServingGroup } from './group-index';
+import { createGroupHealth } from './group-health';
+import type { Stall } from './group-health';
+import { createGroupLoads } from './group-loads';
+import type { GroupNeeds } from './group-loads';
 import type { LoadSums } from './loads';
 import { createPeerLoads } from './peer-loads';
 import type { LoadSource } from './peer-loads';
 import { createSlotAdmission } from './slot-admission';
 import type { Admission, ModelOfferedLoad } from './slot-admission';
 import type { ServerRegistry } from './server-registry';
-import { createStallDetector } from './stall-detector';
-
-export interface Stall {
-  readonly group: GroupId;
-  readonly head: InstanceId;
-}
-
-/** Requirements of a stream on its group. */
-export interface GroupNeeds {
-  readonly service: ServiceId;
-  readonly model: ModelId;
-  /** Longest pause between events that its caller still counts as on time, milliseconds. */
-  readonly maxPauseMs: number;
-  /** Heads of the groups that it was already sent to. */
-  readonly tried: ReadonlySet<InstanceId>;
-}
 
 export interface GroupRegistry {
   /** Open, unsuspected groups of a model for which this daemon has a token. */
@@ -131,8 +100,6 @@
   tick(): void;
 }
 
-type GroupOccupancy = Pick<GroupCapacity, 'running' | 'batchSize' | 'queued' | 'departing'>;
-
 export interface LoadSnapshot extends LoadSource {
   readonly ageMs: number;
 }
@@ -143,139 +110,41 @@
   routes: BehaviorSubject<RouteTable | undefined>,
   throttle: Throttle,
 ): GroupRegistry {
-  const { clock, logger } = ctx;
-  const progress = new Map<InstanceId, Progress>();
-  let suspicions: Suspicions = new Map();
   const peerLoads = createPeerLoads(ctx);
   const admission = createSlotAdmission(ctx);
-  const stalls = new Subject<Stall>();
+  const groupLoads = createGroupLoads({ clock: ctx.clock, peerLoads, admission, throttle });
   const evacuated = new Subject<Stall>();
   const unreachable = new Subject<Stall>();
   const changes = new Subject<void>();
   const groupIndex = createGroupIndex(ctx, serverRegistry, routes);
   const groups = (): ReadonlyMap<InstanceId, ServingGroup> => groupIndex.groups();
-
-  const progressOf = (head: InstanceId): Progress =>
-    progress.get(head) ?? createProgress(clock.now());
-
-  const runningIn = (head: InstanceId): number =>
-    (progress.get(head)?.running ?? 0) + peerLoads.running(head);
-
-  const pendingPrefillIn = (head: InstanceId): number =>
-    (progress.get(head)?.pendingPrefill ?? 0) + peerLoads.pendingPrefill(head);
-
-  /** Time to prefill the prompts that were sent to the group, milliseconds. */
-  const prefillMs = ({ head, engine, spec }: ServingGroup): number =>
-    (spec.pace * pendingPrefillIn(head.id)) / engine.prefillTokensPerMs;
-
-  const expectedPauseOf = ({ engine, spec, head }: ServingGroup): number =>
-    expectedPauseMs(engine, spec.pace, runningIn(head.id));
-
-  const localSlowdown = (group: ServingGroup): number | undefined => {
-    const seen = progress.get(group.head.id);
-    return seen && slowdownOf(seen, expectedPauseOf(group), clock.now());
-  };
-
-  /**
-   * The greater of this daemon's measurement and the fleet's mean: either may be the more recent.
-   */
-  const currentSlowdown = (group: ServingGroup): number =>
-    Math.max(localSlowdown(group) ?? 1, peerLoads.pace(group.head.id));
-
-  /**
-   * Current and permitted requests of the group, and those expected to end before the next load
-   * update.
-   */
-  const occupancyOf = ({ head, engine, spec }: ServingGroup): GroupOccupancy => {
-    const { batchSize } = engine;
-    const running = runningIn(head.id);
-    const occupiedSlots = Math.min(running, batchSize);
-    const holdMs = admission.holdMs(spec.name) ?? publishedHoldMs(engine, spec.pace, occupiedSlots);
-    const slackMs = admission.slackMs(spec.name) ?? 0;
-    return {
-      running,
-      batchSize,
-      queued: maxQueued(batchSize, { slackMs, holdMs }),
-      departing: departuresIn({ running, batchSize }, admission.loadAgeMs(), holdMs),
-    };
-  };
-
-  const toCandidate = (group: ServingGroup, { maxPauseMs, tried }: GroupNeeds): GroupCandidate => {
-    const { head, engine, spec } = group;
-    const occupancy = occupancyOf(group);
-    const { running, batchSize } = occupancy;
-    const load = {
-      ...{ running, batchSize },
-      pendingPrefill: pendingPrefillIn(head.id),
-      maxPendingPrefill: maxPrefillTokens(engine, spec.pace, running, maxPauseMs),
-    };
-    const meanPromptTokens = engine.usual.prompt;
-    const prefillsUntilUpdate =
-      (admission.loadAgeMs() * engine.prefillTokensPerMs) / (spec.pace * meanPromptTokens);
-    const capacity = {
-      ...load,
-      ...occupancy,
-      meanPromptTokens,
-      prefillsUntilUpdate,
-    };
-    const tokens = throttle.tokens(head.id);
-    return {
-      ...load,
-      head: head.id,
-      zone: head.zone,
-      freeCapacity: Math.min(tokens, freeCapacityOf(capacity)),
-      freeSlots: Math.min(tokens, freeCapacityOf({ ...capacity, departing: 0 })),
-      slowdown: currentSlowdown(group),
-      isTried: tried.has(head.id),
-    };
-  };
+  const health = createGroupHealth({
+    ...{ ctx, peerLoads, groupLoads },
+    find: (head) => groups().get(head),
+  });
+  const runningIn = (head: InstanceId): number => groupLoads.runningIn(head);
 
   const releaseSlot = (group: ServingGroup, holdMs: number | undefined): void => {
     const { id, head, model } = group;
     if (holdMs !== undefined) admission.noteHold(model, holdMs);
-    if (!isSuspected(id) && ctx.random.next() < reuseProbability(occupancyOf(group)))
+    if (
+      !health.isSuspected(id) &&
+      ctx.random.next() < reuseProbability(groupLoads.occupancyOf(group))
+    )
       admission.noteSlotFreed(head.id);
   };
 
-  const isSuspected = (group: GroupId): boolean => isSuspect(suspicions, group, clock.now());
-
-  const suspect = (group: GroupId, evidence: Evidence, reason: string): boolean => {
-    const isNew = !isSuspected(group);
-    suspicions = noteEvidence(suspicions, group, evidence, clock.now());
-    if (isNew) logger.warn('group suspected', { step: 'board', group, evidence, reason });
-    return isNew;
-  };
-
   const groupsOfModel = (service: ServiceId, model: ModelId): ServingGroup[] =>
     [...groups().values()].filter((group) => group.service === service && group.model === model);
 
-  const stallDetector = createStallDetector(clock);
-
-  const findStalls = (): void => {
-    for (const [head, seen] of progress) {
-      const group = seen.running > 0 ? groups().get(head) : undefined;
-      if (!group || isSuspected(group.id)) continue;
-      const reason = stallDetector.detect(seen, {
-        expectedPauseMs: expectedPauseOf(group),
-        prefillMs: prefillMs(group),
-        running: runningIn(head),
-        hasPeerLoads: peerLoads.areFresh(),
-        runningOnPeers: peerLoads.running(head),
-      });
-      if (reason === undefined) continue;
-      suspect(group.id, 'silent', reason);
-      stalls.next({ group: group.id, head });
-    }
-  };
-
   groupIndex.changes.subscribe(changes);
 
   return {
-    stalls,
+    stalls: health.stalls,
     evacuated,
     unreachable,
     noteUnreachable: (stall, reason) => {
-      if (suspect(stall.group, 'unreachable', reason)) unreachable.next(stall);
+      if (health.suspect(stall.group, 'unreachable', reason)) unreachable.next(stall);
     },
     evacuate: (stall) => {
       evacuated.next(stall);
@@ -283,8 +152,8 @@
     changes,
     candidates: (needs) =>
       groupsOfModel(needs.service, needs.model)
-        .filter(({ id, head }) => !isSuspected(id) && throttle.tokens(head.id) >= 1)
-        .map((group) => toCandidate(group, needs)),
+        .filter(({ id, head }) => !health.isSuspected(id) && throttle.tokens(head.id) >= 1)
+        .map((group) => groupLoads.toCandidate(group, needs)),
     admit: (model, found, offered) =>
       admission.admit(model, found, { ...offered, remote: peerLoads.offeredLoad(model) }),
     grantedSlots: (head) => admission.grantedSlots(head),
@@ -299,40 +168,32 @@
     isBusy: (group) =>
       [...groups().values()].some(({ id, head }) => id === group && runningIn(head.id) > 0),
     noteSent: (head, promptTokens) => {
-      progress.set(head, noteSent(progressOf(head), clock.now(), promptTokens));
+      groupLoads.noteSent(head, promptTokens);
       admission.noteSent(head);
       throttle.takeToken(head);
     },
     notePrefilled: (head, promptTokens) => {
-      progress.set(head, notePrefilled(progressOf(head), promptTokens));
+      groupLoads.notePrefilled(head, promptTokens);
     },
     noteEnded: (head, pendingPrefill, holdMs) => {
       const group = groups().get(head);
       if (group) releaseSlot(group, holdMs);
-      progress.set(head, noteEnded(progressOf(head), pendingPrefill));
+      groupLoads.noteEnded(head, pendingPrefill);
       changes.next();
     },
     noteEvent: (head, pauseMs) => {
-      progress.set(head, noteEvent(progressOf(head), clock.now(), pauseMs));
+      groupLoads.noteEvent(head, pauseMs);
     },
-    suspect,
-    running: () =>
-      [...progress]
-        .filter(([, { running }]) => running > 0)
-        .map(([head, { running, pendingPrefill }]) => [head, running, pendingPrefill] as const),
+    suspect: (group, evidence, reason) => health.suspect(group, evidence, reason),
+    running: () => groupLoads.running(),
     paces: () =>
-      [...progress.keys()].flatMap((head) => {
+      [...groupLoads.progress.keys()].flatMap((head) => {
         const group = groups().get(head);
-        const slowdown = group && localSlowdown(group);
+        const slowdown = group && groupLoads.localSlowdown(group);
         return slowdown === undefined ? [] : [[head, slowdown] as const];
       }),
-    quiet: () => {
-      const now = clock.now();
-      return [...progress].flatMap(([head, { running, eventAt }]) =>
-        running > 0 && eventAt !== undefined ? [[head, Math.round(now - eventAt)] as const] : [],
-      );
-    },
-    lastEventAt: (head) => progress.get(head)?.eventAt,
+    quiet: () => groupLoads.quiet(),
+    lastEventAt: (head) => groupLoads.lastEventAt(head),
     hasPeerLoads: () => peerLoads.areFresh(),
     applyLoads: (sums, { ageMs, ...facts }) => {
       if (peerLoads.apply(sums, facts)) admission.noteLoads(ageMs);
@@ -357,18 +218,15 @@
           model,
           running: runningIn(head.id),
           batchSize: engine.batchSize,
-          isSuspect: isSuspected(id),
+          isSuspect: health.isSuspected(id),
         })),
         waiting,
       ),
     tick: () => {
       groups();
       if (throttle.tick()) changes.next();
-      stallDetector.tick();
-      findStalls();
-      for (const [head, { running }] of progress) {
-        if (running === 0 && !serverRegistry.servers.has(head)) progress.delete(head);
-      }
+      health.tick();
+      groupLoads.prune((head) => serverRegistry.servers.has(head));
     },
   };
 }
--- a/src/app/gateway/stall-reporting.ts
+++ b/src/app/gateway/stall-reporting.ts
@@ -8,7 +8,8 @@
 import type { StallReports } from '../../core/gateway/stall-quorum';
 import type { DaemonId, InstanceId, MonoTime } from '../../core/ids';
 import { later } from '../../core/ids';
-import type { GroupRegistry, Stall } from './group-registry';
+import type { Stall } from './group-health';
+import type { GroupRegistry } from './group-registry';
 import type { GatewayContext } from './context';
 import type { Fleet } from './fleet';
 import type { GroupPlanner } from './group-planner';
--- a/src/app/gateway/take-slot.ts
+++ b/src/app/gateway/take-slot.ts
@@ -2,7 +2,8 @@
 
 import { chooseGroup, pickWeightedGroup, listEligible } from '../../core/gateway/balance';
 import type { Arrivals } from './arrivals';
-import type { GroupRegistry, GroupNeeds } from './group-registry';
+import type { GroupNeeds } from './group-loads';
+import type { GroupRegistry } from './group-registry';
 import type { GatewayContext } from './context';
 import type { ServingGroup } from './group-index';
 import type { WaitQueue } from './wait-queue';
