Grant free slots by priority class over the whole fleet

Cause: waiting requests were ordered by priority only within one daemon, which sees a few of the fleet's several hundred requests a second; a less urgent request took a slot that a more urgent one needed at another daemon. Change: the loads that daemons exchange are by model and priority. The slots that more urgent classes of all daemons need are taken off the free capacity before a class is admitted. With a single class the decisions are the same.

--- a/src/app/gateway/arrivals.ts
+++ b/src/app/gateway/arrivals.ts
@@ -1,13 +1,14 @@
-/** Recent arrival rates of requests for each model at this daemon. */
+/** Recent arrival rates of requests for each model and priority at this daemon. */
 
 import type { ModelId, MonoTime } from '../../core/ids';
 import type { GatewayContext } from './context';
 
 export interface Arrivals {
-  note(model: ModelId): void;
+  note(model: ModelId, priority?: number): void;
   /** Requests a second. */
-  rate(model: ModelId): number;
-  rates(): readonly (readonly [ModelId, number])[];
+  rate(model: ModelId, priority?: number): number;
+  /** Requests a second by model and priority. */
+  rates(): readonly (readonly [model: ModelId, perSecond: number, priority: number])[];
 }
 
 interface DecayingSum {
@@ -21,27 +22,31 @@
 const MIN_RATE = 0.05;
 
 export function createArrivals({ clock }: GatewayContext): Arrivals {
-  const sums = new Map<ModelId, DecayingSum>();
+  const sums = new Map<ModelId, Map<number, DecayingSum>>();
 
   const decayedSum = ({ sum, at }: DecayingSum, now: MonoTime): number =>
     sum * Math.exp((at - now) / DECAY_MS);
 
-  const rate = (model: ModelId): number => {
-    const entry = sums.get(model);
+  const rate = (model: ModelId, priority = 0): number => {
+    const entry = sums.get(model)?.get(priority);
     return entry ? (decayedSum(entry, clock.now()) * 1_000) / DECAY_MS : 0;
   };
 
   return {
-    note: (model) => {
+    note: (model, priority = 0) => {
       const now = clock.now();
-      const entry = sums.get(model);
-      sums.set(model, { sum: (entry ? decayedSum(entry, now) : 0) + 1, at: now });
+      const classes = sums.get(model) ?? new Map<number, DecayingSum>();
+      sums.set(model, classes);
+      const entry = classes.get(priority);
+      classes.set(priority, { sum: (entry ? decayedSum(entry, now) : 0) + 1, at: now });
     },
     rate,
     rates: () =>
-      [...sums.keys()].flatMap((model) => {
-        const current = rate(model);
-        return current < MIN_RATE ? [] : [[model, Number(current.toFixed(1))] as const];
-      }),
+      [...sums].flatMap(([model, classes]) =>
+        [...classes.keys()].flatMap((priority) => {
+          const current = rate(model, priority);
+          return current < MIN_RATE ? [] : [[model, Number(current.toFixed(1)), priority] as const];
+        }),
+      ),
   };
 }
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -14,7 +14,7 @@
 import type { Leadership } from './lease';
 import type { LeavingServers } from './leaving-servers';
 import type { RateLimits } from './rate-limits';
-import { sumLoads, withoutOwn } from './loads';
+import { sumLoads, toReport, withoutOwn } from './loads';
 import type { PeerState, PlainMessage, PeerProgress } from './messages';
 import type { ReceivedMessage, PeerView } from './peer-view';
 import type { ServerRegistry, ServerUpdates } from './server-registry';
@@ -111,11 +111,8 @@
   let pendingUpdates: ServerUpdates | undefined;
   let publishUpdatesAt = ctx.clock.now();
 
-  /** By model: waiting requests and the arrival rate, requests a second. */
-  const offeredLoad = (): PeerState['waiting'] => {
-    const models = new Set([...waitQueue.waiting(), ...arrivals.rates()].map(([model]) => model));
-    return [...models].map((model) => [model, waitQueue.count(model), arrivals.rate(model)]);
-  };
+  /** By model and priority: waiting requests and the arrival rate, requests a second. */
+  const offeredLoad = (): PeerState['waiting'] => toReport(waitQueue, arrivals);
 
   const ownState = (lease = leadership.ownLease()): PeerState => ({
     kind: 'state',
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -13,6 +13,8 @@
 import { minOrZero } from './throttle';
 import type { Throttle } from './throttle';
 import type { GatewayContext } from './context';
+import { admitClass } from './class-admission';
+import type { ClassRequest } from './class-admission';
 import { createGroupIndex } from './group-index';
 import type { ServingGroup } from './group-index';
 import { createGroupHealth } from './group-health';
@@ -23,18 +25,14 @@
 import { createPeerLoads } from './peer-loads';
 import type { LoadSource } from './peer-loads';
 import { createSlotAdmission } from './slot-admission';
-import type { Admission, ModelOfferedLoad } from './slot-admission';
+import type { Admission } from './slot-admission';
 import type { ServerRegistry } from './server-registry';
 
 export interface GroupRegistry {
   /** Open, unsuspected groups of a model for which this daemon has a token. */
   candidates(needs: GroupNeeds): GroupCandidate[];
   /** Selects the groups that a request of this daemon may be sent to. */
-  admit(
-    model: ModelId,
-    groups: readonly GroupCandidate[],
-    offered: Omit<ModelOfferedLoad, 'remote'>,
-  ): Admission;
+  admit(model: ModelId, groups: readonly GroupCandidate[], request: ClassRequest): Admission;
   /** Free slots of the group that are reserved for this daemon. */
   grantedSlots(head: InstanceId): number;
   /** Whether any group of the model is open, suspected or not. */
@@ -51,7 +49,8 @@
   runningOnPeers(head: InstanceId): number;
   /** Whether any daemon has streams running in the group. */
   isBusy(group: GroupId): boolean;
-  noteSent(head: InstanceId, promptTokens: number): void;
+  /** `usesGrant`: whether the request used up a slot that was reserved for this daemon. */
+  noteSent(head: InstanceId, promptTokens: number, usesGrant?: boolean): void;
   /** Notes the first event of a request: its prefill is done. */
   notePrefilled(head: InstanceId, promptTokens: number): void;
   /**
@@ -127,11 +126,8 @@
   const releaseSlot = (group: ServingGroup, holdMs: number | undefined): void => {
     const { id, head, model } = group;
     if (holdMs !== undefined) admission.noteHold(model, holdMs);
-    if (
-      !health.isSuspected(id) &&
-      ctx.random.next() < reuseProbability(groupLoads.occupancyOf(group))
-    )
-      admission.noteSlotFreed(head.id);
+    const reuse = reuseProbability(groupLoads.occupancyOf(group)) * admission.reusableShare(model);
+    if (!health.isSuspected(id) && ctx.random.next() < reuse) admission.noteSlotFreed(head.id);
   };
 
   const groupsOfModel = (service: ServiceId, model: ModelId): ServingGroup[] =>
@@ -154,8 +150,7 @@
       groupsOfModel(needs.service, needs.model)
         .filter(({ id, head }) => !health.isSuspected(id) && throttle.tokens(head.id) >= 1)
         .map((group) => groupLoads.toCandidate(group, needs)),
-    admit: (model, found, offered) =>
-      admission.admit(model, found, { ...offered, remote: peerLoads.offeredLoad(model) }),
+    admit: (model, found, request) => admitClass({ admission, peerLoads }, model, found, request),
     grantedSlots: (head) => admission.grantedSlots(head),
     hasOpenGroup: (service, model) =>
       model !== undefined && groupsOfModel(service, model).length > 0,
@@ -167,9 +162,9 @@
     runningOnPeers: (head) => peerLoads.running(head),
     isBusy: (group) =>
       [...groups().values()].some(({ id, head }) => id === group && runningIn(head.id) > 0),
-    noteSent: (head, promptTokens) => {
+    noteSent: (head, promptTokens, usesGrant) => {
       groupLoads.noteSent(head, promptTokens);
-      admission.noteSent(head);
+      admission.noteSent(head, usesGrant);
       throttle.takeToken(head);
     },
     notePrefilled: (head, promptTokens) => {
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -88,8 +88,11 @@
    */
   quiet: z.array(z.tuple([instanceIdSchema, natural])),
   paces: slowdownsSchema,
-  /** By model: requests that wait at this daemon for a group, and arrivals a second. */
-  waiting: z.array(z.tuple([z.string(), natural, natural])),
+  /**
+   * By model and priority: requests that wait at this daemon for a group, arrivals a second, and the
+   * priority, which is left out if it is 0.
+   */
+  waiting: z.array(z.tuple([z.string(), natural, natural, natural.optional()])),
   /** As servers named them to this daemon. */
   limits: limitsSchema,
   /** Servers that recently announced that they are leaving. */
@@ -107,10 +110,10 @@
   /** Means over the daemons that measured the groups; groups at normal speed are left out. */
   paces: slowdownsSchema,
   /**
-   * By model: daemons with waiting requests for it, number of waiting requests, and arrivals a
-   * second.
+   * By model and priority: daemons with waiting requests, number of waiting requests, arrivals a
+   * second, and the priority, which is left out if it is 0.
    */
-  waiting: z.array(z.tuple([z.string(), natural, natural, natural])),
+  waiting: z.array(z.tuple([z.string(), natural, natural, natural, natural.optional()])),
   /** As servers named them to any daemon. */
   limits: limitsSchema,
   leaving: z.array(instanceIdSchema).default([]),
--- a/src/app/gateway/peer-loads.ts
+++ b/src/app/gateway/peer-loads.ts
@@ -4,6 +4,8 @@
  */
 
 import type { OfferedLoad } from '../../core/gateway/capacity';
+import { sumClasses } from '../../core/gateway/priority-classes';
+import type { ClassLoad } from '../../core/gateway/priority-classes';
 import { later } from '../../core/ids';
 import type { InstanceId, ModelId } from '../../core/ids';
 import type { GatewayContext } from './context';
@@ -29,6 +31,8 @@
   pace(head: InstanceId): number;
   /** Requests of the other daemons that wait for a model, and their arrival rate. */
   offeredLoad(model: ModelId): OfferedLoad;
+  /** The same by priority. */
+  classLoads(model: ModelId): readonly ClassLoad[];
 }
 
 /** How long a sum of all loads is fresh; leaders send several in that time. */
@@ -40,12 +44,20 @@
  */
 const KEPT_MS = 15_000;
 
-const NO_LOAD: OfferedLoad = { waiting: 0, perSecond: 0 };
+function byModel(sums: LoadSums['waiting']): ReadonlyMap<string, readonly ClassLoad[]> {
+  const loads = new Map<string, ClassLoad[]>();
+  for (const [model, , waiting, perSecond, priority = 0] of sums) {
+    const classes = loads.get(model) ?? [];
+    loads.set(model, classes);
+    classes.push({ priority, waiting, perSecond });
+  }
+  return loads;
+}
 
 export function createPeerLoads({ clock }: GatewayContext): PeerLoads {
   let running: ReadonlyMap<InstanceId, readonly [count: number, unread: number]> = new Map();
   let slowdowns: ReadonlyMap<InstanceId, number> = new Map();
-  let waiting: ReadonlyMap<string, OfferedLoad> = new Map();
+  let waiting: ReadonlyMap<string, readonly ClassLoad[]> = new Map();
   let freshUntil = clock.now();
   let keptUntil = clock.now();
 
@@ -57,15 +69,14 @@
       if (coversMost) freshUntil = later(now, FRESH_MS);
       running = new Map(sums.running.map(([head, ...load]) => [head, load]));
       slowdowns = new Map(sums.paces);
-      waiting = new Map(
-        sums.waiting.map(([model, , count, perSecond]) => [model, { waiting: count, perSecond }]),
-      );
+      waiting = byModel(sums.waiting);
       return true;
     },
     areFresh: () => clock.now() < freshUntil,
     running: (head) => running.get(head)?.[0] ?? 0,
     pendingPrefill: (head) => running.get(head)?.[1] ?? 0,
     pace: (head) => slowdowns.get(head) ?? 1,
-    offeredLoad: (model) => waiting.get(model) ?? NO_LOAD,
+    offeredLoad: (model) => sumClasses(waiting.get(model) ?? [], () => true),
+    classLoads: (model) => waiting.get(model) ?? [],
   };
 }
--- a/src/app/gateway/slot-admission.ts
+++ b/src/app/gateway/slot-admission.ts
@@ -10,14 +10,17 @@
   grantSlots,
   lateQuota,
   onTimeShare,
+  shareLeft,
 } from '../../core/gateway/capacity';
 import type { SlotAccess, OfferedLoad, Contention } from '../../core/gateway/capacity';
+import { NO_LOAD } from '../../core/gateway/priority-classes';
+import type { ClassRank } from '../../core/gateway/priority-classes';
 import { smoothHoldMs } from '../../core/gateway/waiting-order';
 import { later } from '../../core/ids';
 import type { InstanceId, ModelId, MonoTime } from '../../core/ids';
 import type { GatewayContext } from './context';
 
-/** Offered load of a model on this daemon and on the other daemons. */
+/** Offered load of a model's priority class on this daemon and on the other daemons. */
 export interface ModelOfferedLoad {
   readonly local: OfferedLoad;
   readonly remote: OfferedLoad;
@@ -25,11 +28,15 @@
   readonly slackMs: number;
   /** Whether the request that needs a slot has waited for longer than that. */
   readonly isLate: boolean;
+  /** The class of the request among all classes; absent if the model has only one. */
+  readonly rank?: ClassRank;
 }
 
 export interface Admission {
   /** Groups that the request may be sent to. */
   readonly groups: readonly GroupCandidate[];
+  /** Whether the request uses up a slot that was granted to this daemon. */
+  readonly usesGrants: boolean;
   /** Must be called once the request is sent. */
   readonly noteSent: () => void;
 }
@@ -42,7 +49,7 @@
   noteLoads(ageMs: number): void;
   /** Age of the peers' load when it arrives, milliseconds. */
   loadAgeMs(): number;
-  noteSent(head: InstanceId): void;
+  noteSent(head: InstanceId, usesGrant?: boolean): void;
   /** A stream released its slot; this daemon may reuse it. */
   noteSlotFreed(head: InstanceId): void;
   /** A stream held its slot for `holdMs` milliseconds. */
@@ -54,6 +61,8 @@
    * arrives.
    */
   slackMs(model: ModelId): number | undefined;
+  /** Part of the released slots that more urgent requests at other daemons leave over, 0 to 1. */
+  reusableShare(model: ModelId): number;
   /** Free slots of the group that are reserved for this daemon. */
   grantedSlots(head: InstanceId): number;
   /** Determines which groups a request may use, given the load offered to their free slots. */
@@ -62,15 +71,32 @@
 
 const ignore = (): void => undefined;
 
+/** Whether there is load of less urgent classes and not enough capacity for all classes. */
+function isContendedBelow(
+  { freeCapacity, local, remote, urgent = 0 }: Contention,
+  lessUrgent: number,
+): boolean {
+  const own = local.onTime + local.late + remote.onTime + remote.late;
+  return lessUrgent > 0 && urgent + own + lessUrgent > freeCapacity;
+}
+
+const ONLY_CLASS: ClassRank = {
+  ...{ priority: 0, urgent: NO_LOAD, lessUrgent: NO_LOAD },
+};
+
+function classKey(model: ModelId, { priority }: ClassRank): string {
+  return `${priority} ${model}`;
+}
+
 export function createSlotAdmission({ clock, random }: GatewayContext): SlotAdmission {
   const holds = new Map<ModelId, number>();
   const slacks = new Map<ModelId, number>();
   const grantedSlots = new Map<InstanceId, number>();
-  /**
-   * Late requests that may still be sent, by model; an entry exists once the model's slots were
-   * granted.
-   */
-  const lateRemaining = new Map<ModelId, number>();
+  /** Late requests that may still be sent, by class. */
+  const lateRemaining = new Map<string, number>();
+  /** Classes whose slots were granted. */
+  const grantedClasses = new Set<string>();
+  const reusableShares = new Map<ModelId, number>();
   let loadAgeMs = 0;
   /** Load updates that arrive before this do not yet include what was sent since the last grant. */
   let grantsKeptUntil: MonoTime = clock.now();
@@ -80,16 +106,17 @@
   };
 
   const grantOnce = (
-    model: ModelId,
+    key: string,
     groups: readonly GroupCandidate[],
     contention: Contention,
   ): void => {
-    if (lateRemaining.has(model)) return;
-    lateRemaining.set(model, lateQuota(contention, random.next()));
+    if (grantedClasses.has(key)) return;
+    grantedClasses.add(key);
+    const left = shareLeft(contention);
     const freeByGroup = groups.map(({ head, freeSlots }) => ({
       head,
       // Slots released by own streams are already reserved for this daemon.
-      slots: Math.max(0, freeSlots - (grantedSlots.get(head) ?? 0)),
+      slots: left * Math.max(0, freeSlots - (grantedSlots.get(head) ?? 0)),
     }));
     for (const [head, slots] of grantSlots(freeByGroup, onTimeShare(contention), random.next())) {
       addGranted(head, slots);
@@ -97,22 +124,26 @@
   };
 
   const ADMIT: Readonly<
-    Record<SlotAccess, (model: ModelId, groups: readonly GroupCandidate[]) => Admission>
+    Record<
+      SlotAccess,
+      (key: string, groups: readonly GroupCandidate[]) => Omit<Admission, 'usesGrants'>
+    >
   > = {
     all: (_, groups) => ({ groups, noteSent: ignore }),
     granted: (_, groups) => ({
       groups: groups.filter(({ head }) => (grantedSlots.get(head) ?? 0) >= 1),
       noteSent: ignore,
     }),
-    surplus: (model, groups) => {
-      const remaining = lateRemaining.get(model) ?? 0;
+    surplus: (key, groups) => {
+      const remaining = lateRemaining.get(key) ?? 0;
       return {
         groups: remaining < 1 ? [] : groups,
         noteSent: () => {
-          lateRemaining.set(model, remaining - 1);
+          lateRemaining.set(key, remaining - 1);
         },
       };
     },
+    none: () => ({ groups: [], noteSent: ignore }),
   };
 
   return {
@@ -123,10 +154,12 @@
       grantsKeptUntil = later(now, ageMs);
       grantedSlots.clear();
       lateRemaining.clear();
+      grantedClasses.clear();
+      reusableShares.clear();
     },
     loadAgeMs: () => loadAgeMs,
-    noteSent: (head) => {
-      addGranted(head, -1);
+    noteSent: (head, usesGrant = true) => {
+      if (usesGrant) addGranted(head, -1);
     },
     noteSlotFreed: (head) => {
       addGranted(head, 1);
@@ -136,17 +169,31 @@
     },
     holdMs: (model) => holds.get(model),
     slackMs: (model) => slacks.get(model),
+    reusableShare: (model) => reusableShares.get(model) ?? 1,
     grantedSlots: (head) => grantedSlots.get(head) ?? 0,
-    admit: (model, groups, { local, remote, slackMs, isLate }) => {
+    admit: (model, groups, { local, remote, slackMs, isLate, rank = ONLY_CLASS }) => {
       slacks.set(model, smoothHoldMs(slacks.get(model), slackMs));
       const ages = { agedMs: loadAgeMs, slackMs };
+      const urgent = expectLoad(rank.urgent, ages);
       const contention: Contention = {
         freeCapacity: groups.reduce((sum, { freeCapacity }) => sum + freeCapacity, 0),
         local: expectLoad({ ...local, waiting: Math.max(1, local.waiting) }, ages),
         remote: expectLoad(remote, ages),
+        urgent: urgent.onTime + urgent.late,
       };
-      grantOnce(model, groups, contention);
-      return ADMIT[slotAccessFor(contention, isLate)](model, groups);
+      const { onTime, late } = expectLoad(rank.lessUrgent, ages);
+      const lessUrgent = onTime + late;
+      const key = classKey(model, rank);
+      const access = slotAccessFor(contention, isLate);
+      if (!lateRemaining.has(key)) lateRemaining.set(key, lateQuota(contention, random.next()));
+      // The slots of a class that has enough are not reserved if a less urgent class competes for
+      // what it leaves over.
+      const usesGrants = access !== 'all' || !isContendedBelow(contention, lessUrgent);
+      if (usesGrants) grantOnce(key, groups, contention);
+      if (access === 'granted' || access === 'surplus') {
+        reusableShares.set(model, shareLeft(contention));
+      }
+      return { ...ADMIT[access](key, groups), usesGrants };
     },
   };
 }
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -68,6 +68,7 @@
       service,
       model,
       promptTokens: facts.promptTokens,
+      priority: exchange.priority,
       maxPauseMs: route.maxPauseMs,
       tried: state.tried,
       slackMs: times.slackMs(route),
@@ -145,7 +146,7 @@
       return;
     }
     retries.noteRequest(exchange.service);
-    deps.arrivals.note(model);
+    deps.arrivals.note(model, exchange.priority);
     for (;;) {
       const group = await findGroup(exchange, model, state);
       if (!group) break;
--- a/src/app/gateway/wait-queue.ts
+++ b/src/app/gateway/wait-queue.ts
@@ -24,9 +24,10 @@
 export interface WaitQueue {
   /** Resolves with undefined if the wait ends without a slot. */
   wait(waiter: Waiter): Promise<ServingGroup | undefined>;
-  waiting(): readonly (readonly [ModelId, number])[];
-  /** Number of requests that wait for the model. */
-  count(model: ModelId): number;
+  /** Numbers of waiting requests by model and priority. */
+  waiting(): readonly (readonly [model: ModelId, count: number, priority: number])[];
+  /** Number of requests that wait for the model, of one priority or of all. */
+  count(model: ModelId, priority?: number): number;
 }
 
 interface QueueEntry extends Waiter {
@@ -35,7 +36,7 @@
 
 export function createWaitQueue(ctx: GatewayContext, groupRegistry: GroupRegistry): WaitQueue {
   const entries = new Set<QueueEntry>();
-  const counts = new Map<ModelId, number>();
+  const counts = new Map<ModelId, Map<number, number>>();
   let isServing = false;
 
   const inOrder = (): QueueEntry[] => {
@@ -59,17 +60,25 @@
 
   groupRegistry.changes.subscribe(serve);
 
-  const addCount = (model: ModelId, by: 1 | -1): void => {
-    const count = (counts.get(model) ?? 0) + by;
-    if (count > 0) counts.set(model, count);
-    else counts.delete(model);
+  const addCount = ({ model, priority }: QueueEntry, by: 1 | -1): void => {
+    const classes = counts.get(model) ?? new Map<number, number>();
+    counts.set(model, classes);
+    const count = (classes.get(priority) ?? 0) + by;
+    if (count > 0) classes.set(priority, count);
+    else classes.delete(priority);
+  };
+
+  const countOf = (model: ModelId, priority?: number): number => {
+    const classes = counts.get(model);
+    if (priority !== undefined) return classes?.get(priority) ?? 0;
+    return [...(classes?.values() ?? [])].reduce((sum, count) => sum + count, 0);
   };
 
   const wait = (waiter: Waiter): Promise<ServingGroup | undefined> =>
     new Promise((resolve) => {
       const settle = (group: ServingGroup | undefined): void => {
         if (!entries.delete(entry)) return;
-        addCount(entry.model, -1);
+        addCount(entry, -1);
         clearTimeout(timer);
         waiter.gone.removeEventListener('abort', onAbort);
         resolve(group);
@@ -81,8 +90,15 @@
       const timer = setTimeout(onAbort, Math.max(0, waiter.until - ctx.clock.now()));
       waiter.gone.addEventListener('abort', onAbort, { once: true });
       entries.add(entry);
-      addCount(entry.model, 1);
+      addCount(entry, 1);
     });
 
-  return { wait, waiting: () => [...counts], count: (model) => counts.get(model) ?? 0 };
+  return {
+    wait,
+    waiting: () =>
+      [...counts].flatMap(([model, classes]) =>
+        [...classes].map(([priority, count]) => [model, count, priority] as const),
+      ),
+    count: countOf,
+  };
 }
--- a/src/app/gateway/work-log.ts
+++ b/src/app/gateway/work-log.ts
@@ -10,7 +10,7 @@
 import type { InstanceId, ModelId, MonoTime } from '../../core/ids';
 import type { GroupRegistry } from './group-registry';
 import type { GatewayContext } from './context';
-import { sumLoads } from './loads';
+import { sumLoads, withoutPriorities } from './loads';
 import type { PeerState } from './messages';
 
 export interface WorkLog {
@@ -21,7 +21,8 @@
 const INTERVAL_MS = 1_000;
 
 function waitingLoads(states: readonly PeerState[]): WaitingLoad[] {
-  return sumLoads(states).waiting.map(([model, daemons, requests]) => ({
+  const byModel = states.map((state) => ({ ...state, waiting: withoutPriorities(state.waiting) }));
+  return sumLoads(byModel).waiting.map(([model, daemons, requests]) => ({
     model: brandAs<ModelId>(model),
     daemons,
     requests,
--- a/src/core/gateway/capacity.ts
+++ b/src/core/gateway/capacity.ts
@@ -11,6 +11,10 @@
  * to need. A slot released by one of a daemon's own streams may be reused by that daemon, in the same group,
  * since it knows of the slot before all others. Requests that are already late use only what those that can
  * be on time leave over: each slot that a late one takes makes another request late.
+ *
+ * Requests of one model may differ in priority. The slots that more urgent requests of all daemons need are
+ * taken off the free capacity first, so that a less urgent request at one daemon takes no slot from a more
+ * urgent one at another.
  */
 
 import type { InstanceId } from '../ids';
@@ -101,8 +105,9 @@
  * - `all`: any free slot.
  * - `granted`: only slots that were granted to its daemon.
  * - `surplus`: only slots that requests which can be on time leave over.
+ * - `none`: more urgent requests need all slots.
  */
-export type SlotAccess = 'all' | 'granted' | 'surplus';
+export type SlotAccess = 'all' | 'granted' | 'surplus' | 'none';
 
 /** Free capacity of a model's groups, and the expected load of this daemon and of its peers. */
 export interface Contention {
@@ -110,13 +115,22 @@
   readonly freeCapacity: number;
   readonly local: ExpectedLoad;
   readonly remote: ExpectedLoad;
+  /** Slots that the requests of more urgent classes need, on all daemons; 0 if absent. */
+  readonly urgent?: number;
+}
+
+/** The part of the free capacity that more urgent classes leave over, 0 to 1. */
+export function shareLeft({ freeCapacity, urgent = 0 }: Contention): number {
+  if (urgent === 0) return 1;
+  return freeCapacity <= urgent ? 0 : 1 - urgent / freeCapacity;
 }
 
 /** The slots that a request may use; `isLate` if it can no longer be on time. */
-export function slotAccessFor(
-  { freeCapacity, local, remote }: Contention,
-  isLate: boolean,
-): SlotAccess {
+export function slotAccessFor(contention: Contention, isLate: boolean): SlotAccess {
+  const { local, remote } = contention;
+  const share = shareLeft(contention);
+  if (share === 0) return 'none';
+  const freeCapacity = share * contention.freeCapacity;
   const onTime = local.onTime + remote.onTime;
   if (onTime + local.late + remote.late <= freeCapacity) return 'all';
   if (isLate) return 'surplus';
@@ -124,7 +138,9 @@
 }
 
 /** Late requests that this daemon may send before the next load update, rounded at random by `chance` in [0, 1). */
-export function lateQuota({ freeCapacity, local, remote }: Contention, chance: number): number {
+export function lateQuota(contention: Contention, chance: number): number {
+  const { local, remote } = contention;
+  const freeCapacity = shareLeft(contention) * contention.freeCapacity;
   const surplus = Math.max(0, freeCapacity - local.onTime - remote.onTime);
   const late = local.late + remote.late;
   return late === 0 ? 0 : Math.floor((surplus * local.late) / late + chance);
--- a/tests/gateway/fleet-model.ts
+++ b/tests/gateway/fleet-model.ts
@@ -13,7 +13,7 @@
 import { createGroupRegistry } from '../../src/app/gateway/group-registry';
 import type { GroupRegistry } from '../../src/app/gateway/group-registry';
 import type { ServingGroup } from '../../src/app/gateway/group-index';
-import { sumLoads, withoutOwn } from '../../src/app/gateway/loads';
+import { sumLoads, toReport, withoutOwn } from '../../src/app/gateway/loads';
 import type { PeerState } from '../../src/app/gateway/messages';
 import { takeSlot } from '../../src/app/gateway/take-slot';
 import type { ServerRegistry } from '../../src/app/gateway/server-registry';
@@ -26,6 +26,8 @@
 import type { BackendServer } from '../../src/core/gateway/types';
 import { brandAs, later } from '../../src/core/ids';
 import type { EpochTime, InstanceId, ZoneId } from '../../src/core/ids';
+import { enqueue, ONLY_KIND, pickKind } from './fleet-kinds';
+import type { ModelKind } from './fleet-kinds';
 import {
   at,
   ENGINE,
@@ -52,6 +54,7 @@
 const PROMPT_TOKENS = 700;
 const EVENTS = 30;
 const MAX_ATTEMPTS = 2;
+const WAVE_MS = 13_000;
 
 export interface FleetModelOptions {
   readonly daemons: number;
@@ -59,11 +62,16 @@
   /** Arrival rate, as a fraction of the capacity of all groups. */
   readonly load: number;
   readonly seed: number;
+  /** One kind by default. */
+  readonly kinds?: readonly ModelKind[];
+  /** Relative swing of the load in waves. */
+  readonly swing?: number;
 }
 
 export type Outcome = 'on time' | 'late' | 'refused' | 'failed' | 'caller gone';
 
 export interface ModelRequest {
+  readonly kind: ModelKind;
   readonly arrivedAt: number;
   readonly daemon: ModelDaemon;
   readonly tried: Set<InstanceId>;
@@ -129,6 +137,8 @@
   groups: count,
   load,
   seed,
+  kinds = [ONLY_KIND],
+  swing = 0,
 }: FleetModelOptions): FleetModel {
   const random = createRandom(seed);
   const startedAt = Date.now();
@@ -147,7 +157,8 @@
   let nextArrivalAt = 0;
   let nextReportAt = 0;
   let hasLeader = true;
-  const rate = load * count * GROUP_RATE;
+  const meanRate = load * count * GROUP_RATE;
+  const rate = (): number => meanRate * (1 + swing * Math.sin((2 * Math.PI * now()) / WAVE_MS));
 
   let firstEvents: FirstEventStats | undefined;
   const slackMs = (): number => slackOf(firstEvents, TARGET_MS);
@@ -163,12 +174,13 @@
       groupRegistry,
       waiting,
       arrivals,
-      takeSlot: ({ tried, arrivedAt }) =>
+      takeSlot: ({ kind, tried, arrivedAt }) =>
         takeSlot(
           { ctx, groupRegistry, waitQueue: waiting, arrivals, daemons: () => size },
           {
             ...{ service: SERVICE, model: SMALL, promptTokens: PROMPT_TOKENS },
             ...{ maxPauseMs: MAX_PAUSE_MS, tried, slackMs: slackMs() },
+            priority: kind.priority,
             isLate: now() >= arrivedAt + slackMs(),
           },
         ),
@@ -181,10 +193,6 @@
     return daemon;
   });
 
-  const end = (request: ModelRequest, outcome: Outcome): void => {
-    request.outcome = outcome;
-  };
-
   const release = ({ head }: ModelGroup, { request, events, sentAt }: Stream): void => {
     const { groupRegistry } = request.daemon;
     if (events === 0) groupRegistry.noteEnded(head.id, PROMPT_TOKENS);
@@ -198,7 +206,7 @@
     for (const stream of dropped) {
       release(group, stream);
       if (stream.request.attempts < MAX_ATTEMPTS) dispatch(stream.request);
-      else end(stream.request, 'failed');
+      else stream.request.outcome = 'failed';
     }
   };
 
@@ -209,10 +217,10 @@
     const stream: Stream = {
       ...{ request, sentAt: now(), nextEventAt: undefined, lastEventAt: undefined, events: 0 },
     };
-    if (group) group.streams.push(stream);
+    if (group) enqueue(group.streams, stream);
     else {
       request.daemon.groupRegistry.noteEnded(head.id, PROMPT_TOKENS);
-      end(request, 'failed');
+      request.outcome = 'failed';
     }
   };
 
@@ -225,7 +233,13 @@
     }
     const until = later(at(arrivedAt), SLOT_TIMEOUT_MS);
     const entry = {
-      ...{ model: SMALL, priority: 1, until, arrivedAt: at(arrivedAt), holdMs: 1_000 },
+      ...{
+        model: SMALL,
+        priority: request.kind.priority,
+        until,
+        arrivedAt: at(arrivedAt),
+        holdMs: 1_000,
+      },
       onTimeUntil: later(at(arrivedAt), slackMs()),
       gone: new AbortController().signal,
       isRetry: request.tried.size > 0,
@@ -236,21 +250,26 @@
       },
     };
     void daemon.waiting.wait(entry).then((found) => {
-      if (!found) end(request, 'refused');
+      if (!found) request.outcome = 'refused';
     });
   };
 
   const arrive = (): void => {
     while (nextArrivalAt <= now()) {
-      nextArrivalAt += (-Math.log(1 - random.next()) * 1_000) / rate;
+      nextArrivalAt += (-Math.log(1 - random.next()) * 1_000) / rate();
       const daemon = daemons[Math.floor(random.next() * size)];
       if (!daemon) continue;
       const request: ModelRequest = {
-        ...{ arrivedAt: now(), daemon, tried: new Set<InstanceId>() },
+        ...{
+          kind: pickKind(kinds, () => random.next()),
+          arrivedAt: now(),
+          daemon,
+          tried: new Set<InstanceId>(),
+        },
         ...{ attempts: 0, firstEventAt: undefined, outcome: undefined },
       };
       requests.push(request);
-      daemon.arrivals.note(SMALL);
+      daemon.arrivals.note(SMALL, request.kind.priority);
       dispatch(request);
     }
   };
@@ -289,10 +308,10 @@
       .filter((stream) => !advance(group, stream));
     longest = Math.max(longest, group.streams.length - ENGINE.batchSize);
     group.streams = group.streams.filter((one) => !ended.includes(one) && !abandoned.includes(one));
-    for (const { request } of abandoned) end(request, 'caller gone');
+    for (const { request } of abandoned) request.outcome = 'caller gone';
     for (const { request } of ended) {
       const first = request.firstEventAt ?? Infinity;
-      end(request, first - request.arrivedAt <= TARGET_MS ? 'on time' : 'late');
+      request.outcome = first - request.arrivedAt <= TARGET_MS ? 'on time' : 'late';
     }
     for (const stream of [...abandoned, ...ended]) release(group, stream);
   };
@@ -300,7 +319,7 @@
   const stateOf = ({ groupRegistry, waiting, arrivals }: ModelDaemon): PeerState =>
     makeState({
       running: groupRegistry.running().map((entry) => [...entry]),
-      waiting: [[SMALL, waiting.count(SMALL), arrivals.rate(SMALL)]],
+      waiting: toReport(waiting, arrivals),
     });
 
   const report = (): void => {
@@ -365,10 +384,11 @@
     return found;
   };
 
-  const loseLeader = (): void => {
-    hasLeader = false;
-  };
-
   formGroups(count);
-  return { requests, run, loseGroups, formGroups, loseLeader, longestQueue, onTime };
+  return {
+    ...{ requests, run, loseGroups, formGroups, longestQueue, onTime },
+    loseLeader: () => {
+      hasLeader = false;
+    },
+  };
 }
