Refuse at once what will not be served, and order organisations within a class

Cause: requests that got no slot in the end waited 1.3 s for an objective of a fraction of that; a large organisation displaced a small one in the queue. Change: a request that finds no slot is refused on arrival, or when it becomes late, if at the known loads it gets no slot before its caller gives up; Retry-After names when the requests ahead have been served, or grows with the load, and is spread over as long a time again. Within a class, requests of an organisation that was served less in the last seconds go first. Streams carry their priority, capped at 9, to engines. All of it only if requests of the model differ in priority or organisation.

--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -19,6 +19,8 @@
     'Accelerator seconds held by no serving group; without a model: by no group at all',
   nutmegstack_calls_total: 'Requests of callers at the gateway by route and outcome',
   nutmegstack_call_ms: 'Time from arrival to the end of the answer, by kind of call',
+  nutmegstack_early_refusals_total:
+    'Streams refused on arrival because no slot was expected in time, by priority',
   nutmegstack_limited_sends_total: 'Requests sent to servers that named how many they take',
   nutmegstack_refusals_total: 'Requests that belong to no route or organisation, by status',
   nutmegstack_orders_total: 'Orders to members of replica groups by kind and result',
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -79,6 +79,12 @@
    * none.
    */
   readonly firstEventMs?: number;
+  /** For a request that was refused early, the estimate that this is based on. */
+  readonly expectedWaitMs?: number;
+  /** Requests that would have been served before it. */
+  readonly ahead?: number;
+  /** Age of the other daemons' loads. */
+  readonly ageMs?: number;
 }
 
 /** What is logged about a request when it ends. */
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import { createLeadership } from './lease';
 import { createLeavingServers } from './leaving-servers';
 import { createRateLimits } from './rate-limits';
+import { createOrganisationUse } from './organisation-use';
 import { createPlainCalls } from './plain-call';
 import { listenReady } from './ready';
 import { createRetries } from './retries';
@@ -94,7 +95,8 @@
   const leavingServers = createLeavingServers(ctx, serverRegistry);
   const throttle = createThrottle(ctx, rateLimits);
   const groupRegistry = createGroupRegistry(ctx, serverRegistry, config.table, throttle);
-  const waitQueue = createWaitQueue(ctx, groupRegistry);
+  const organisationUse = createOrganisationUse(clock);
+  const waitQueue = createWaitQueue(ctx, groupRegistry, organisationUse);
   const arrivals = createArrivals(ctx);
   const planner = createGroupPlanner(ctx, {
     serverRegistry,
@@ -123,7 +125,7 @@
   });
   const streams = createStreamCalls({
     ...{ ctx, groupRegistry, upstream, dialect, retries, notices, throttle },
-    ...{ waitQueue, arrivals, daemons: countSharingDaemons },
+    ...{ waitQueue, arrivals, use: organisationUse, daemons: countSharingDaemons },
   });
   const gossip = createGossip({
     ctx,
@@ -173,6 +175,7 @@
     leadership.tick();
     serverRegistry.tick();
     groupRegistry.tick();
+    organisationUse.prune();
     gossip.tick();
     planner.tick();
   }, TICK_MS);
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -5,6 +5,8 @@
 
 import type { GroupCandidate } from '../../core/gateway/balance';
 import { reuseProbability } from '../../core/gateway/capacity';
+import type { ServiceView } from '../../core/gateway/early-refusal';
+import type { ClassLoad } from '../../core/gateway/priority-classes';
 import type { RouteTable } from '../../core/gateway/routes';
 import type { Evidence } from '../../core/gateway/suspicion';
 import { summarizeWork } from '../../core/gateway/work';
@@ -90,6 +92,12 @@
   applyLoads(sums: LoadSums, facts: LoadSnapshot): void;
   /** Whether the load of the other daemons is known and fresh. */
   hasPeerLoads(): boolean;
+  /** Age of the other daemons' load when it arrives, milliseconds. */
+  loadAgeMs(): number;
+  /** Load of the model on the other daemons, by priority. */
+  classLoads(model: ModelId): readonly ClassLoad[];
+  /** Slots of the model's open groups, and how they are used by all daemons. */
+  slotUse(service: ServiceId, model: ModelId): SlotUse;
   /** Offered load of each model over all daemons: running and waiting requests, in full batches. */
   offeredLoad(): ReadonlyMap<ModelId, number>;
   /**
@@ -99,6 +107,8 @@
   tick(): void;
 }
 
+export type SlotUse = Pick<ServiceView, 'slots' | 'running' | 'holdMs'>;
+
 export interface LoadSnapshot extends LoadSource {
   readonly ageMs: number;
 }
@@ -190,6 +200,16 @@
     quiet: () => groupLoads.quiet(),
     lastEventAt: (head) => groupLoads.lastEventAt(head),
     hasPeerLoads: () => peerLoads.areFresh(),
+    loadAgeMs: () => admission.loadAgeMs(),
+    classLoads: (model) => peerLoads.classLoads(model),
+    slotUse: (service, model) => {
+      const open = groupsOfModel(service, model);
+      return {
+        slots: open.reduce((sum, { engine }) => sum + engine.batchSize, 0),
+        running: open.reduce((sum, { head }) => sum + runningIn(head.id), 0),
+        holdMs: admission.holdMs(model),
+      };
+    },
     applyLoads: (sums, { ageMs, ...facts }) => {
       if (peerLoads.apply(sums, facts)) admission.noteLoads(ageMs);
       changes.next();
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -23,7 +23,9 @@
 } from './exchange';
 import type { Exchange, RetryAfter, StreamTimes } from './exchange';
 import { takeSlot } from './take-slot';
-import type { SlotDeps } from './take-slot';
+import { findEarlyRefusal, isOrdered } from './early-refusals';
+import type { EarlyRefusal, RefusalDeps } from './early-refusals';
+import type { QueuePlace } from './wait-queue';
 import type { Retries } from './retries';
 import { createRouteTimes } from './route-times';
 import type { RouteTimes } from './route-times';
@@ -39,8 +41,10 @@
  * them, so this is not a retry; the limit applies when this daemon's own link is down.
  */
 const MAX_UNREACHABLE_HEADS = 4;
+/** Engines know the priorities 0 to 9. */
+const MAX_ENGINE_PRIORITY = 9;
 
-export interface StreamDeps extends RelayDeps, SlotDeps {
+export interface StreamDeps extends RelayDeps, RefusalDeps {
   readonly throttle: Throttle;
   readonly upstream: Upstream;
   readonly retries: Retries;
@@ -64,7 +68,7 @@
     state: StreamState,
   ): ServingGroup | undefined => {
     const { service, route, facts } = exchange;
-    return takeSlot(deps, {
+    const group = takeSlot(deps, {
       service,
       model,
       promptTokens: facts.promptTokens,
@@ -74,6 +78,8 @@
       slackMs: times.slackMs(route),
       isLate: ctx.clock.now() >= onTimeUntil(exchange, state),
     });
+    if (group) deps.use.noteServed(model, organisationNameOf(exchange.caller));
+    return group;
   };
 
   /**
@@ -87,6 +93,22 @@
     return unservedUntil < exchange.slotBy ? unservedUntil : exchange.slotBy;
   };
 
+  /** Only a request that was sent to no group is refused early. */
+  const refuseEarly = (
+    exchange: Exchange,
+    state: StreamState,
+    place: QueuePlace,
+  ): EarlyRefusal | undefined => {
+    if (state.tried.size > 0 || state.hasStarted) return undefined;
+    const now = ctx.clock.now();
+    return findEarlyRefusal(deps, {
+      ...place,
+      service: exchange.service,
+      slackMs: place.onTimeUntil - now,
+      slotMs: exchange.slotBy - now,
+    });
+  };
+
   /** Takes a slot in a group, if necessary after waiting in the queue. */
   const findGroup = async (
     exchange: Exchange,
@@ -98,13 +120,22 @@
     const since = ctx.clock.now();
     const until = waitUntil(exchange, model, state);
     if (later(since, groupRegistry.msUntilToken(exchange.service, model)) > until) return undefined;
-    const group = await deps.waitQueue.wait({
+    const place: QueuePlace = {
       model,
       priority: exchange.priority,
-      until,
+      organisation: organisationNameOf(exchange.caller),
       arrivedAt: exchange.arrivedAt,
       onTimeUntil: onTimeUntil(exchange, state),
       holdMs: times.holdMs(exchange.route),
+    };
+    state.refusal = refuseEarly(exchange, state, place);
+    if (state.refusal) return undefined;
+    const group = await deps.waitQueue.wait({
+      ...{ ...place, until },
+      givesUp: () => {
+        state.refusal = refuseEarly(exchange, state, place);
+        return state.refusal !== undefined;
+      },
       gone: exchange.gone,
       isRetry: state.tried.size > 0,
       choose: () => tryTakeSlot(exchange, model, state),
@@ -134,6 +165,7 @@
       lastId: lastEventId === undefined ? undefined : Number(lastEventId),
       hasStarted: false,
       waitedMs: 0,
+      refusal: undefined,
       firstEventAt: undefined,
       reason: 'no group of the model has free capacity',
     };
@@ -229,6 +261,15 @@
     });
     return;
   }
+  if (state.refusal) {
+    const { retryAfter, ...estimate } = state.refusal;
+    ctx.metrics.count('nutmegstack_early_refusals_total', { priority: String(exchange.priority) });
+    const why = 'no slot is expected in time';
+    endUnanswered(ctx, exchange, {
+      ...{ exposure, attempts, retryAfter, reason: why, times: { ...times, ...estimate } },
+    });
+    return;
+  }
   if (!state.hasStarted) {
     const noSlot = explainNoSlot(groupRegistry, exchange);
     endUnanswered(ctx, exchange, {
@@ -284,6 +325,9 @@
         leftMs: sendUntil - now,
         bodyBytes: exchange.body.length,
         ...(organisation !== undefined && { organisation }),
+        ...(isOrdered(deps, group.model, exchange.priority) && {
+          priority: Math.min(MAX_ENGINE_PRIORITY, exchange.priority),
+        }),
         ...(state.lastId !== undefined && { lastEventId: String(state.lastId) }),
       }),
       body: exchange.body,
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -4,6 +4,7 @@
 import { createEventReader } from '../../core/gateway/events';
 import type { InstanceId, MonoTime } from '../../core/ids';
 import type { ResponseFacts, HeaderDialect } from '../../ports/gateway';
+import type { EarlyRefusal } from './early-refusals';
 import type { GroupRegistry } from './group-registry';
 import type { ServingGroup } from './group-index';
 import type { GatewayContext } from './context';
@@ -32,6 +33,8 @@
   hasStarted: boolean;
   /** Time spent waiting for slots, milliseconds. */
   waitedMs: number;
+  /** Set if the request was refused because no slot is expected in time. */
+  refusal: EarlyRefusal | undefined;
   /** When the caller was sent its first event. */
   firstEventAt: MonoTime | undefined;
   reason: string;
--- a/src/app/gateway/wait-queue.ts
+++ b/src/app/gateway/wait-queue.ts
@@ -2,13 +2,19 @@
 
 import { compareWaiting } from '../../core/gateway/waiting-order';
 import type { WaitingRequest } from '../../core/gateway/waiting-order';
-import type { ModelId, MonoTime } from '../../core/ids';
+import type { ModelId, MonoTime, OrganisationId } from '../../core/ids';
 import type { GroupRegistry } from './group-registry';
 import type { ServingGroup } from './group-index';
 import type { GatewayContext } from './context';
+import type { OrganisationUse } from './organisation-use';
 
-export interface Waiter extends WaitingRequest {
+/** What determines the place of a request in the queue. */
+export interface QueuePlace extends Omit<WaitingRequest, 'organisationRank'> {
   readonly model: ModelId;
+  readonly organisation?: OrganisationId | undefined;
+}
+
+export interface Waiter extends QueuePlace {
   /** The wait ends unsuccessfully at this time. */
   readonly until: MonoTime;
   readonly gone: AbortSignal;
@@ -17,6 +23,8 @@
    * others.
    */
   readonly isRetry: boolean;
+  /** Called once when the request becomes late: whether it leaves the queue without a slot. */
+  readonly givesUp?: () => boolean;
   /** Takes a slot in a group, if one is free. */
   readonly choose: () => ServingGroup | undefined;
 }
@@ -28,20 +36,42 @@
   waiting(): readonly (readonly [model: ModelId, count: number, priority: number])[];
   /** Number of requests that wait for the model, of one priority or of all. */
   count(model: ModelId, priority?: number): number;
+  /** Number of waiting requests of the model that would be served before a new one. */
+  ahead(place: QueuePlace): number;
 }
 
 interface QueueEntry extends Waiter {
   readonly settle: (group: ServingGroup | undefined) => void;
 }
 
-export function createWaitQueue(ctx: GatewayContext, groupRegistry: GroupRegistry): WaitQueue {
+export function createWaitQueue(
+  ctx: GatewayContext,
+  groupRegistry: GroupRegistry,
+  use?: Pick<OrganisationUse, 'rank'>,
+): WaitQueue {
   const entries = new Set<QueueEntry>();
   const counts = new Map<ModelId, Map<number, number>>();
   let isServing = false;
 
+  const withRank = (place: QueuePlace): WaitingRequest => ({
+    ...place,
+    organisationRank: use?.rank(place.model, place.organisation) ?? 0,
+  });
+
   const inOrder = (): QueueEntry[] => {
     const now = ctx.clock.now();
-    return [...entries].sort((a, b) => compareWaiting(a, b, now));
+    return [...entries]
+      .map((entry) => ({ entry, place: withRank(entry) }))
+      .sort((a, b) => compareWaiting(a.place, b.place, now))
+      .map(({ entry }) => entry);
+  };
+
+  const ahead = (place: QueuePlace): number => {
+    const now = ctx.clock.now();
+    const own = withRank(place);
+    return [...entries].filter(
+      (entry) => entry.model === place.model && compareWaiting(withRank(entry), own, now) < 0,
+    ).length;
   };
 
   /** Serves requests in order; a model found full is skipped for the rest of the round. */
@@ -80,6 +110,7 @@
         if (!entries.delete(entry)) return;
         addCount(entry, -1);
         clearTimeout(timer);
+        clearTimeout(lateTimer);
         waiter.gone.removeEventListener('abort', onAbort);
         resolve(group);
       };
@@ -87,7 +118,13 @@
         settle(undefined);
       };
       const entry: QueueEntry = { ...waiter, settle };
-      const timer = setTimeout(onAbort, Math.max(0, waiter.until - ctx.clock.now()));
+      const now = ctx.clock.now();
+      const timer = setTimeout(onAbort, Math.max(0, waiter.until - now));
+      const onLate = (): void => {
+        if (waiter.givesUp?.() === true) onAbort();
+      };
+      const lateMs = waiter.onTimeUntil - now;
+      const lateTimer = waiter.givesUp && lateMs > 0 ? setTimeout(onLate, lateMs) : undefined;
       waiter.gone.addEventListener('abort', onAbort, { once: true });
       entries.add(entry);
       addCount(entry, 1);
@@ -100,5 +137,6 @@
         [...classes].map(([priority, count]) => [model, count, priority] as const),
       ),
     count: countOf,
+    ahead,
   };
 }
--- a/src/core/gateway/waiting-order.ts
+++ b/src/core/gateway/waiting-order.ts
@@ -6,7 +6,7 @@
  * in order of arrival, a few long ones make many short ones late. So among requests of the same priority
  * those that can still be on time go first, and among these a shorter one goes before a longer one that
  * arrived slightly earlier. Late ones go last, in order of arrival: a longer wait costs them little, while
- * it would make others late.
+ * it would make others late. Between the two rules comes the order among organisations, see fair-order.ts.
  */
 
 import type { MonoTime } from '../ids';
@@ -20,6 +20,8 @@
   readonly onTimeUntil: MonoTime;
   /** Mean time that requests of its kind hold a slot, milliseconds. */
   readonly holdMs: number;
+  /** Rank of its organisation within the priority class; the lower one goes first. 0 if absent. */
+  readonly organisationRank?: number;
 }
 
 /**
@@ -39,7 +41,8 @@
 /** Comparison function for sorting: negative if `a` goes first. */
 export function compareWaiting(a: WaitingRequest, b: WaitingRequest, now: MonoTime): number {
   const isLate = [a, b].map(({ onTimeUntil }) => Number(now >= onTimeUntil)) as [number, number];
-  const order = a.priority - b.priority || isLate[0] - isLate[1];
+  const ranks = (a.organisationRank ?? 0) - (b.organisationRank ?? 0);
+  const order = a.priority - b.priority || isLate[0] - isLate[1] || ranks;
   if (order !== 0) return order;
   return isLate[0] === 1 ? a.arrivedAt - b.arrivedAt : sortKeyOf(a) - sortKeyOf(b);
 }
--- a/tests/gateway/fleet-kinds.ts
+++ b/tests/gateway/fleet-kinds.ts
@@ -1,14 +1,21 @@
 /** Kinds of requests in the fleet model, and the order in which its engines admit them. */
 
+import { brandAs } from '../../src/core/ids';
+import type { OrganisationId } from '../../src/core/ids';
+
 /** Requests of one organisation and priority. */
 export interface ModelKind {
   readonly priority: number;
-  readonly organisation: string;
+  readonly organisation: OrganisationId;
   /** Share of all requests, 0 to 1. */
   readonly share: number;
 }
 
-export const ONLY_KIND: ModelKind = { priority: 1, organisation: 'o', share: 1 };
+export const ONLY_KIND: ModelKind = {
+  priority: 1,
+  organisation: brandAs<OrganisationId>('o'),
+  share: 1,
+};
 
 /** Draws a kind; a single kind takes no random number. */
 export function pickKind(kinds: readonly ModelKind[], random: () => number): ModelKind {
--- a/tests/gateway/fleet-model.ts
+++ b/tests/gateway/fleet-model.ts
@@ -9,16 +9,16 @@
 
 import { createRandom } from '../../src/adapters/runtime';
 import { createArrivals } from '../../src/app/gateway/arrivals';
-import type { Arrivals } from '../../src/app/gateway/arrivals';
+import { findEarlyRefusal } from '../../src/app/gateway/early-refusals';
+import type { RefusalDeps } from '../../src/app/gateway/early-refusals';
 import { createGroupRegistry } from '../../src/app/gateway/group-registry';
-import type { GroupRegistry } from '../../src/app/gateway/group-registry';
 import type { ServingGroup } from '../../src/app/gateway/group-index';
 import { sumLoads, toReport, withoutOwn } from '../../src/app/gateway/loads';
+import { createOrganisationUse } from '../../src/app/gateway/organisation-use';
 import type { PeerState } from '../../src/app/gateway/messages';
 import { takeSlot } from '../../src/app/gateway/take-slot';
 import type { ServerRegistry } from '../../src/app/gateway/server-registry';
 import { createWaitQueue } from '../../src/app/gateway/wait-queue';
-import type { WaitQueue } from '../../src/app/gateway/wait-queue';
 import { noteFirstEvent, slackMs as slackOf } from '../../src/core/gateway/first-event';
 import type { FirstEventStats } from '../../src/core/gateway/first-event';
 import { expectedPauseMs } from '../../src/core/gateway/progress';
@@ -46,7 +46,7 @@
 /** Delay from a daemon's report until the others receive the sum. */
 const PROPAGATION_MS = 100;
 const LOAD_FACTS = { coversMost: true, isLeaderless: false, ageMs: 2 * REPORT_MS };
-const TARGET_MS = 300;
+export const TARGET_MS = 300;
 /** Callers abandon a stream without an event after this. */
 const PATIENCE_MS = 2_000;
 const SLOT_TIMEOUT_MS = 1_300;
@@ -78,12 +78,11 @@
   attempts: number;
   firstEventAt: number | undefined;
   outcome: Outcome | undefined;
+  /** Set if it was refused early. */
+  refusedAt?: number;
 }
 
-interface ModelDaemon {
-  readonly groupRegistry: GroupRegistry;
-  readonly waiting: WaitQueue;
-  readonly arrivals: Arrivals;
+interface ModelDaemon extends RefusalDeps {
   readonly takeSlot: (request: ModelRequest) => ServingGroup | undefined;
   lastState: PeerState | undefined;
 }
@@ -168,22 +167,21 @@
     const ctx = makeContext({ clock, settings, seed: seed * 1_000 + n });
     const table = new BehaviorSubject<RouteTable | undefined>(TABLE);
     const groupRegistry = createGroupRegistry(ctx, serverRegistry, table, makeThrottle(ctx));
-    const waiting = createWaitQueue(ctx, groupRegistry);
+    const use = createOrganisationUse(clock);
+    const waitQueue = createWaitQueue(ctx, groupRegistry, use);
     const arrivals = createArrivals(ctx);
+    const deps = { ctx, groupRegistry, waitQueue, arrivals, use, daemons: () => size };
     const daemon: ModelDaemon = {
-      groupRegistry,
-      waiting,
-      arrivals,
-      takeSlot: ({ kind, tried, arrivedAt }) =>
-        takeSlot(
-          { ctx, groupRegistry, waitQueue: waiting, arrivals, daemons: () => size },
-          {
-            ...{ service: SERVICE, model: SMALL, promptTokens: PROMPT_TOKENS },
-            ...{ maxPauseMs: MAX_PAUSE_MS, tried, slackMs: slackMs() },
-            priority: kind.priority,
-            isLate: now() >= arrivedAt + slackMs(),
-          },
-        ),
+      ...deps,
+      takeSlot: ({ kind, tried, arrivedAt }) => {
+        const group = takeSlot(deps, {
+          ...{ service: SERVICE, model: SMALL, promptTokens: PROMPT_TOKENS },
+          ...{ maxPauseMs: MAX_PAUSE_MS, tried, slackMs: slackMs(), priority: kind.priority },
+          isLate: now() >= arrivedAt + slackMs(),
+        });
+        if (group) use.noteServed(SMALL, kind.organisation);
+        return group;
+      },
       lastState: undefined,
     };
     groupRegistry.stalls.subscribe(({ head }) => {
@@ -232,25 +230,32 @@
       return;
     }
     const until = later(at(arrivedAt), SLOT_TIMEOUT_MS);
+    const onTimeUntil = later(at(arrivedAt), slackMs());
+    const { priority, organisation } = request.kind;
+    const place = {
+      ...{ model: SMALL, priority, organisation, arrivedAt: at(arrivedAt), onTimeUntil },
+      ...{ service: SERVICE, holdMs: 1_000 },
+    };
+    const isRetry = request.tried.size > 0;
+    const givesUp = (): boolean => {
+      const left = { slackMs: onTimeUntil - now(), slotMs: until - now() };
+      if (isRetry || !findEarlyRefusal(daemon, { ...place, ...left })) return false;
+      request.outcome = 'refused';
+      request.refusedAt = now();
+      return true;
+    };
+    if (givesUp()) return;
     const entry = {
-      ...{
-        model: SMALL,
-        priority: request.kind.priority,
-        until,
-        arrivedAt: at(arrivedAt),
-        holdMs: 1_000,
-      },
-      onTimeUntil: later(at(arrivedAt), slackMs()),
+      ...{ ...place, until, givesUp, isRetry },
       gone: new AbortController().signal,
-      isRetry: request.tried.size > 0,
       choose: () => {
         const found = daemon.takeSlot(request);
         if (found) send(request, found);
         return found;
       },
     };
-    void daemon.waiting.wait(entry).then((found) => {
-      if (!found) request.outcome = 'refused';
+    void daemon.waitQueue.wait(entry).then((found) => {
+      if (!found) request.outcome ??= 'refused';
     });
   };
 
@@ -316,10 +321,10 @@
     for (const stream of [...abandoned, ...ended]) release(group, stream);
   };
 
-  const stateOf = ({ groupRegistry, waiting, arrivals }: ModelDaemon): PeerState =>
+  const stateOf = ({ groupRegistry, waitQueue, arrivals }: ModelDaemon): PeerState =>
     makeState({
       running: groupRegistry.running().map((entry) => [...entry]),
-      waiting: toReport(waiting, arrivals),
+      waiting: toReport(waitQueue, arrivals),
     });
 
   const report = (): void => {
--- a/tests/gateway/priority-order.test.ts
+++ b/tests/gateway/priority-order.test.ts
@@ -3,17 +3,20 @@
 import { sumLoads, toReport, withoutOwn } from '../../src/app/gateway/loads';
 import { lateQuota, shareLeft, slotAccessFor } from '../../src/core/gateway/capacity';
 import { isHeldBack } from '../../src/core/gateway/priority-classes';
-import { createFleetModel } from './fleet-model';
+import { brandAs } from '../../src/core/ids';
+import type { OrganisationId } from '../../src/core/ids';
+import { createFleetModel, TARGET_MS } from './fleet-model';
 import type { ModelRequest } from './fleet-model';
 import { fakeTime } from './fake-time';
 import { makeState, SMALL } from './support';
 
 fakeTime();
 
+const [A, B] = [brandAs<OrganisationId>('a'), brandAs<OrganisationId>('b')];
 const KINDS = [
-  { priority: 0, organisation: 'a', share: 0.3 },
-  { priority: 1, organisation: 'a', share: 0.4 },
-  { priority: 2, organisation: 'b', share: 0.3 },
+  { priority: 0, organisation: A, share: 0.3 },
+  { priority: 1, organisation: A, share: 0.4 },
+  { priority: 2, organisation: B, share: 0.3 },
 ];
 const FROM_MS = 3_000;
 const UNTIL_MS = 9_000;
@@ -22,15 +25,21 @@
 function runOverload(daemons: number, load: number, swing: number) {
   const fleet = createFleetModel({ daemons, groups: 15, load, swing, seed: 1, kinds: KINDS });
   fleet.run(UNTIL_MS + DRAIN_MS);
-  const shares = (outcomes: readonly ModelRequest['outcome'][]): readonly number[] =>
+  const shares = (isCounted: (request: ModelRequest) => boolean): readonly number[] =>
     KINDS.map(({ priority }) => {
       const own = fleet.requests.filter(
         ({ kind, arrivedAt }) =>
           kind.priority === priority && arrivedAt >= FROM_MS && arrivedAt < UNTIL_MS,
       );
-      return own.filter(({ outcome }) => outcomes.includes(outcome)).length / own.length;
+      return own.filter(isCounted).length / own.length;
     });
-  return { onTime: shares(['on time']), served: shares(['on time', 'late']) };
+  return {
+    onTime: shares(({ outcome }) => outcome === 'on time'),
+    served: shares(({ outcome }) => outcome === 'on time' || outcome === 'late'),
+    refusedAtOnce: shares(
+      ({ arrivedAt, refusedAt = Infinity }) => refusedAt - arrivedAt <= TARGET_MS / 10,
+    ),
+  };
 }
 
 describe('an overloaded fleet with three priorities', () => {
@@ -51,6 +60,15 @@
   });
 });
 
+describe('requests of a class that is not served at all', () => {
+  // Guards against callers who wait for a slot in vain until they give up.
+  it('are refused on arrival, and none of a class that is served completely is', () => {
+    const { served, refusedAtOnce } = runOverload(66, 2, 0);
+    expect(refusedAtOnce[0]).toBe(0);
+    expect(refusedAtOnce[2]).toBeGreaterThan(0.85 * (1 - (served[2] ?? 0)));
+  });
+});
+
 describe('the slots that a less urgent class may use', () => {
   const contention = {
     freeCapacity: 20,
