--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -11,17 +11,10 @@
 import type { InstanceId, ModelId, MonoTime } from '../../core/ids';
 import { fail } from '../../utils/errors';
 import type { Throttle } from './throttle';
-import type { GroupRegistry } from './group-registry';
 import type { ServingGroup } from './group-index';
-import {
-  endUnanswered,
-  logRequestEnd,
-  logFailedAttempt,
-  backoffError,
-  RETRY_AFTER_UNSERVED,
-  retryAfterDelay,
-} from './exchange';
-import type { Exchange, RetryAfter, StreamTimes } from './exchange';
+import { endUnanswered, logRequestEnd, logFailedAttempt, backoffError } from './exchange';
+import type { Exchange } from './exchange';
+import { endFailedStream, streamTimesOf } from './stream-end';
 import { takeSlot } from './take-slot';
 import { findEarlyRefusal, isOrdered } from './early-refusals';
 import type { EarlyRefusal, RefusalDeps } from './early-refusals';
@@ -216,77 +209,6 @@
   return { call };
 }
 
-function streamTimesOf(
-  { arrivedAt }: Exchange,
-  { waitedMs, firstEventAt }: StreamState,
-): StreamTimes {
-  return {
-    waitedMs: Math.round(waitedMs),
-    ...(firstEventAt !== undefined && { firstEventMs: Math.round(firstEventAt - arrivedAt) }),
-  };
-}
-
-/** Why no slot was found and when to retry, if known. */
-function explainNoSlot(
-  groupRegistry: GroupRegistry,
-  { service, facts: { model } }: Exchange,
-): { readonly reason: string; readonly retryAfter: RetryAfter } | undefined {
-  if (model === undefined || !groupRegistry.hasOpenGroup(service, model)) {
-    return { reason: 'no group serves the model', retryAfter: RETRY_AFTER_UNSERVED };
-  }
-  const acceptedInMs = groupRegistry.msUntilAccepted(service, model);
-  if (acceptedInMs === 0) return undefined;
-  return {
-    reason: 'all groups of the model are rate-limited or backing off',
-    retryAfter: retryAfterDelay(acceptedInMs),
-  };
-}
-
-function endFailedStream(
-  { ctx, groupRegistry }: StreamDeps,
-  exchange: Exchange,
-  state: StreamState,
-): void {
-  const { attempts, exposure, server, reason } = state;
-  const { res, gone: callerSignal } = exchange;
-  const times = streamTimesOf(exchange, state);
-  if (callerSignal.aborted) {
-    logRequestEnd(ctx, exchange, {
-      outcome: 'caller-gone',
-      status: 0,
-      attempts,
-      reason,
-      ...(server !== undefined && { server }),
-      ...times,
-    });
-    return;
-  }
-  if (state.refusal) {
-    const { retryAfter, ...estimate } = state.refusal;
-    ctx.metrics.count('nutmegstack_early_refusals_total', { priority: String(exchange.priority) });
-    const why = 'no slot is expected in time';
-    endUnanswered(ctx, exchange, {
-      ...{ exposure, attempts, retryAfter, reason: why, times: { ...times, ...estimate } },
-    });
-    return;
-  }
-  if (!state.hasStarted) {
-    const noSlot = explainNoSlot(groupRegistry, exchange);
-    endUnanswered(ctx, exchange, {
-      exposure,
-      reason: attempts === 0 ? (noSlot?.reason ?? reason) : reason,
-      attempts,
-      times,
-      ...(noSlot && { retryAfter: noSlot.retryAfter }),
-    });
-    return;
-  }
-  // The caller must not take the partial answer for a complete one.
-  res.destroy();
-  const status = res.statusCode;
-  logRequestEnd(ctx, exchange, { outcome: 'torn', status, attempts, reason, ...times });
-}
-
 /** Sends the request to one group and forwards its events. */
 async function attempt(
   deps: StreamDeps & { readonly times: RouteTimes },
--- /dev/null
+++ b/src/app/gateway/stream-end.ts
@@ -0,0 +1,83 @@
+/** Ends streams that were not served completely, and says why. */
+
+import { RETRY_AFTER_UNSERVED, endUnanswered, logRequestEnd, retryAfterDelay } from './exchange';
+import type { Exchange, RetryAfter, StreamTimes } from './exchange';
+import type { GatewayContext } from './context';
+import type { GroupRegistry } from './group-registry';
+import type { StreamState } from './stream-relay';
+
+export interface StreamEndDeps {
+  readonly ctx: GatewayContext;
+  readonly groupRegistry: GroupRegistry;
+}
+
+export function streamTimesOf(
+  { arrivedAt }: Exchange,
+  { waitedMs, firstEventAt }: StreamState,
+): StreamTimes {
+  return {
+    waitedMs: Math.round(waitedMs),
+    ...(firstEventAt !== undefined && { firstEventMs: Math.round(firstEventAt - arrivedAt) }),
+  };
+}
+
+/** Why no slot was found and when to retry, if known. */
+function explainNoSlot(
+  groupRegistry: GroupRegistry,
+  { service, facts: { model } }: Exchange,
+): { readonly reason: string; readonly retryAfter: RetryAfter } | undefined {
+  if (model === undefined || !groupRegistry.hasOpenGroup(service, model)) {
+    return { reason: 'no group serves the model', retryAfter: RETRY_AFTER_UNSERVED };
+  }
+  const acceptedInMs = groupRegistry.msUntilAccepted(service, model);
+  if (acceptedInMs === 0) return undefined;
+  return {
+    reason: 'all groups of the model are rate-limited or backing off',
+    retryAfter: retryAfterDelay(acceptedInMs),
+  };
+}
+
+export function endFailedStream(
+  { ctx, groupRegistry }: StreamEndDeps,
+  exchange: Exchange,
+  state: StreamState,
+): void {
+  const { attempts, exposure, server, reason } = state;
+  const { res, gone: callerSignal } = exchange;
+  const times = streamTimesOf(exchange, state);
+  if (callerSignal.aborted) {
+    logRequestEnd(ctx, exchange, {
+      outcome: 'caller-gone',
+      status: 0,
+      attempts,
+      reason,
+      ...(server !== undefined && { server }),
+      ...times,
+    });
+    return;
+  }
+  if (state.refusal) {
+    const { retryAfter, ...estimate } = state.refusal;
+    ctx.metrics.count('nutmegstack_early_refusals_total', { priority: String(exchange.priority) });
+    const why = 'no slot is expected in time';
+    endUnanswered(ctx, exchange, {
+      ...{ exposure, attempts, retryAfter, reason: why, times: { ...times, ...estimate } },
+    });
+    return;
+  }
+  if (!state.hasStarted) {
+    const noSlot = explainNoSlot(groupRegistry, exchange);
+    endUnanswered(ctx, exchange, {
+      exposure,
+      reason: attempts === 0 ? (noSlot?.reason ?? reason) : reason,
+      attempts,
+      times,
+      ...(noSlot && { retryAfter: noSlot.retryAfter }),
+    });
+    return;
+  }
+  // The caller must not take the partial answer for a complete one.
+  res.destroy();
+  const status = res.statusCode;
+  logRequestEnd(ctx, exchange, { outcome: 'torn', status, attempts, reason, ...times });
+}
