--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import { createGossip } from './gossip';
 import { createLeadership } from './lease';
 import { createLeavingServers } from './leaving-servers';
+import { createRefusedCallers } from './refused-callers';
 import { createRateLimits } from './rate-limits';
 import { createOrganisationUse } from './organisation-use';
 import { createPlainCalls } from './plain-call';
@@ -96,6 +97,7 @@
   const throttle = createThrottle(ctx, rateLimits);
   const groupRegistry = createGroupRegistry(ctx, serverRegistry, config.table, throttle);
   const organisationUse = createOrganisationUse(clock);
+  const refusedCallers = createRefusedCallers(clock);
   const waitQueue = createWaitQueue(ctx, groupRegistry, organisationUse);
   const arrivals = createArrivals(ctx);
   const planner = createGroupPlanner(ctx, {
@@ -125,7 +127,7 @@
   });
   const streams = createStreamCalls({
     ...{ ctx, groupRegistry, upstream, dialect, retries, notices, throttle },
-    ...{ waitQueue, arrivals, use: organisationUse, daemons: countSharingDaemons },
+    ...{ waitQueue, arrivals, use: organisationUse, refusedCallers, daemons: countSharingDaemons },
   });
   const gossip = createGossip({
     ctx,
@@ -176,6 +178,7 @@
     serverRegistry.tick();
     groupRegistry.tick();
     organisationUse.prune();
+    refusedCallers.prune();
     gossip.tick();
     planner.tick();
   }, TICK_MS);
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -15,6 +15,7 @@
 import { endUnanswered, logRequestEnd, logFailedAttempt, backoffError } from './exchange';
 import type { Exchange } from './exchange';
 import { endFailedStream, streamTimesOf } from './stream-end';
+import type { RefusedCallers } from './refused-callers';
 import { takeSlot } from './take-slot';
 import { findEarlyRefusal, isOrdered } from './early-refusals';
 import type { EarlyRefusal, RefusalDeps } from './early-refusals';
@@ -41,6 +42,7 @@
   readonly throttle: Throttle;
   readonly upstream: Upstream;
   readonly retries: Retries;
+  readonly refusedCallers: RefusedCallers;
 }
 
 export interface StreamCalls {
@@ -117,6 +119,7 @@
       model,
       priority: exchange.priority,
       organisation: organisationNameOf(exchange.caller),
+      hasReturned: deps.refusedCallers.hasReturned(exchange.facts.requestId),
       arrivedAt: exchange.arrivedAt,
       onTimeUntil: onTimeUntil(exchange, state),
       holdMs: times.holdMs(exchange.route),
@@ -203,6 +206,9 @@
       if (result === 'lost') state.exposure = 'unknown';
       if (result === 'caller-gone' || !canRetry(exchange, state, result)) break;
     }
+    const isRefused = state.exposure === 'not-run' && !state.hasStarted && !exchange.gone.aborted;
+    if (isRefused && isOrdered(deps, model, exchange.priority))
+      deps.refusedCallers.noteRefused(exchange.facts.requestId);
     endFailedStream(deps, exchange, state);
   };
 
--- a/src/app/gateway/wait-queue.ts
+++ b/src/app/gateway/wait-queue.ts
@@ -12,6 +12,8 @@
 export interface QueuePlace extends Omit<WaitingRequest, 'organisationRank'> {
   readonly model: ModelId;
   readonly organisation?: OrganisationId | undefined;
+  /** Its caller returned after a refusal: it goes before all organisations of its class. */
+  readonly hasReturned?: boolean;
 }
 
 export interface Waiter extends QueuePlace {
@@ -44,6 +46,9 @@
   readonly settle: (group: ServingGroup | undefined) => void;
 }
 
+/** Below the ranks of all organisations. */
+const RETURNED_RANK = -1;
+
 export function createWaitQueue(
   ctx: GatewayContext,
   groupRegistry: GroupRegistry,
@@ -55,7 +60,10 @@
 
   const withRank = (place: QueuePlace): WaitingRequest => ({
     ...place,
-    organisationRank: use?.rank(place.model, place.organisation) ?? 0,
+    organisationRank:
+      place.hasReturned === true
+        ? RETURNED_RANK
+        : (use?.rank(place.model, place.organisation) ?? 0),
   });
 
   const inOrder = (): QueueEntry[] => {
--- a/tests/gateway/stream-order.test.ts
+++ b/tests/gateway/stream-order.test.ts
@@ -41,6 +41,7 @@
     waitQueue: createWaitQueue(ctx, groupRegistry, use),
     dialect: { forward: (_: unknown, facts: ForwardFacts) => (sent.push(facts), []) },
     upstream: { send: () => Promise.resolve({ kind: 'lost', error }) },
+    refusedCallers: { hasReturned: () => false, noteRefused: () => undefined },
     retries: { noteRequest: () => undefined, mayRetry: () => false },
   } as unknown as StreamDeps;
   const streams = createStreamCalls(deps);
