--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -22,8 +22,16 @@
   nutmegstack_early_refusals_total:
     'Streams refused on arrival because no slot was expected in time, by priority',
   nutmegstack_limited_sends_total: 'Requests sent to servers that named how many they take',
+  nutmegstack_cold_sends_total:
+    'Requests to cold servers by whether they were sent or held back at the last moment',
+  nutmegstack_cold_servers: 'Cold servers that take requests and have a bound on them',
   nutmegstack_refusals_total: 'Requests that belong to no route or organisation, by status',
   nutmegstack_orders_total: 'Orders to members of replica groups by kind and result',
+  nutmegstack_slow_checks_total: 'Checks of slow groups for slow members, by outcome',
+  nutmegstack_slow_reports_total: 'Reports requested to find slow servers',
+  nutmegstack_evacuated_zones: 'Zones that the operator evacuated, as far as this daemon knows',
+  nutmegstack_reassignments_total:
+    'Changes of servers from one model to another by the model that gets them and step',
   nutmegstack_store_eras_total:
     'Newer eras of the store that this daemon saw, the first one included',
   nutmegstack_config_version: 'Version of the configuration in force on this daemon',
--- a/src/app/gateway/arrivals.ts
+++ b/src/app/gateway/arrivals.ts
@@ -5,7 +5,7 @@
 
 export interface Arrivals {
   note(model: ModelId, priority?: number): void;
-  /** Requests a second. */
+  /** Requests a second, of one priority or of all. */
   rate(model: ModelId, priority?: number): number;
   /** Requests a second by model and priority. */
   rates(): readonly (readonly [model: ModelId, perSecond: number, priority: number])[];
@@ -27,9 +27,13 @@
   const decayedSum = ({ sum, at }: DecayingSum, now: MonoTime): number =>
     sum * Math.exp((at - now) / DECAY_MS);
 
-  const rate = (model: ModelId, priority = 0): number => {
-    const entry = sums.get(model)?.get(priority);
-    return entry ? (decayedSum(entry, clock.now()) * 1_000) / DECAY_MS : 0;
+  const rate = (model: ModelId, priority?: number): number => {
+    const now = clock.now();
+    const entries = [...(sums.get(model) ?? [])].filter(
+      ([other]) => priority === undefined || other === priority,
+    );
+    const sum = entries.reduce((total, [, entry]) => total + decayedSum(entry, now), 0);
+    return (sum * 1_000) / DECAY_MS;
   };
 
   return {
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -7,11 +7,15 @@
 import { pause } from '../../utils/pause';
 import { createThrottle } from './throttle';
 import { createArrivals } from './arrivals';
+import { createColdAssignments } from './cold-assignments';
+import { createColdServers } from './cold-servers';
 import { createGroupRegistry } from './group-registry';
 import { createConfigView } from './config-view';
 import type { GatewayContext } from './context';
+import { createEvacuations } from './evacuations';
 import { createFleet } from './fleet';
 import { createGroupPlanner } from './group-planner';
+import { withUrgency } from './model-demand';
 import { createHttpServer } from './http-server';
 import { createGossip } from './gossip';
 import { createLeadership } from './lease';
@@ -71,8 +75,10 @@
 
   const fleet = createFleet(ctx, feeds.daemons);
   const daemons = (): number => fleet.size();
+  const evacuations = createEvacuations(ctx);
   const config = createConfigView(ctx, {
     feed: feeds.config,
+    evacuations,
     daemons,
     leader: () => fleet.leader(),
   });
@@ -94,19 +100,43 @@
     },
   });
   const leavingServers = createLeavingServers(ctx, serverRegistry);
-  const throttle = createThrottle(ctx, rateLimits);
-  const groupRegistry = createGroupRegistry(ctx, serverRegistry, config.table, throttle);
+  const assignments = createColdAssignments(ctx, {
+    leadership,
+    fleet,
+    isStopping: () => isStopping,
+    publish: (message) => {
+      fleet.broadcastAsLeader(message);
+    },
+  });
+  const coldServers = createColdServers(ctx, { serverRegistry, routes: config.table, assignments });
+  const throttle = createThrottle(ctx, rateLimits, coldServers);
+  const groupRegistry = createGroupRegistry(
+    ctx,
+    serverRegistry,
+    config.table,
+    throttle,
+    evacuations,
+  );
   const organisationUse = createOrganisationUse(clock);
   const refusedCallers = createRefusedCallers(clock);
   const waitQueue = createWaitQueue(ctx, groupRegistry, organisationUse);
   const arrivals = createArrivals(ctx);
   const planner = createGroupPlanner(ctx, {
+    evacuations,
     serverRegistry,
     routes,
     leadership,
     servers: options.servers,
     isBusy: (group) => groupRegistry.isBusy(group),
     offeredLoad: () => groupRegistry.offeredLoad(),
+    slowdowns: () => groupRegistry.slowdowns(),
+    loadSamples: () => {
+      const samples = groupRegistry.loadSamples((model) => ({
+        waiting: waitQueue.count(model),
+        perSecond: arrivals.rate(model),
+      }));
+      return withUrgency(samples, (model) => waitQueue.urgency(model));
+    },
   });
   const upstream = createUpstream({ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS });
   // Registered daemons are counted as well: a daemon that has just started hears from few peers and
@@ -118,20 +148,22 @@
     limits: rateLimits,
     throttle,
     leaving: leavingServers,
+    cold: coldServers,
   });
   options.servers.heads.subscribe((head) => {
     notices.apply(head);
   });
   const plain = createPlainCalls({
-    ...{ ctx, serverRegistry, upstream, dialect, retries, notices, throttle },
+    ...{ ctx, serverRegistry, upstream, dialect, retries, notices, throttle, evacuations },
   });
   const streams = createStreamCalls({
-    ...{ ctx, groupRegistry, upstream, dialect, retries, notices, throttle },
+    ...{ ctx, groupRegistry, upstream, dialect, retries, notices, throttle, evacuations },
     ...{ waitQueue, arrivals, use: organisationUse, refusedCallers, daemons: countSharingDaemons },
   });
   const gossip = createGossip({
     ctx,
     config,
+    evacuations,
     serverRegistry,
     groupRegistry,
     fleet,
@@ -141,6 +173,7 @@
     arrivals,
     limits: rateLimits,
     leaving: leavingServers,
+    cold: coldServers,
     isStopping: () => isStopping,
   });
   const httpServer = createHttpServer({
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -1,29 +1,33 @@
-/** Exchanges state with peers and sends those that are behind what they are missing. */
+/** Exchanges state with peers. */
 
-import { mergeUpdates } from '../../core/gateway/collection-updates';
 import type { ConfigVersion, MonoTime } from '../../core/ids';
 import { brandAs, later } from '../../core/ids';
-import { isLater, ORIGIN_POSITION } from '../../core/store-era';
 import type { Arrivals } from './arrivals';
+import type { ColdServers } from './cold-servers';
 import type { GroupRegistry } from './group-registry';
 import type { ConfigView } from './config-view';
 import type { GatewayContext } from './context';
+import type { Evacuations } from './evacuations';
 import { createStallReporting } from './stall-reporting';
 import type { Fleet } from './fleet';
 import type { GroupPlanner } from './group-planner';
 import type { Leadership } from './lease';
 import type { LeavingServers } from './leaving-servers';
 import type { RateLimits } from './rate-limits';
-import { sumLoads, toReport, withoutOwn } from './loads';
-import type { PeerState, PlainMessage, PeerProgress } from './messages';
+import { sumLoads, withoutOwn } from './loads';
+import type { PeerState, PlainMessage } from './messages';
+import { createOwnState, knowledgeOf } from './own-state';
+import { createPeerHelp } from './peer-help';
 import type { ReceivedMessage, PeerView } from './peer-view';
-import type { ServerRegistry, ServerUpdates } from './server-registry';
+import { createUpdatePublisher } from './publish-updates';
+import type { ServerRegistry } from './server-registry';
 import type { WaitQueue } from './wait-queue';
 import { createWorkLog } from './work-log';
 
 export interface GossipDeps {
   readonly ctx: GatewayContext;
   readonly config: ConfigView;
+  readonly evacuations: Evacuations;
   readonly serverRegistry: ServerRegistry;
   readonly groupRegistry: GroupRegistry;
   readonly fleet: Fleet;
@@ -33,6 +37,7 @@
   readonly arrivals: Arrivals;
   readonly limits: RateLimits;
   readonly leaving: LeavingServers;
+  readonly cold: ColdServers;
   readonly isStopping: () => boolean;
 }
 
@@ -57,17 +62,6 @@
 const INTERVAL_PER_PEER_MS = 9;
 /** Loads of peers that fell silent are dropped after this interval at the latest. */
 const LOADS_REFRESH_MS = 500;
-/**
- * The store informs all daemons of a version within milliseconds; peers send it to a daemon that
- * lacks it after this delay.
- */
-const HELP_DELAY_MS = 250;
-/** Daemons of a large fleet, other than the leader, that help the same peer at a time. */
-const MAX_HELPERS = 3;
-/** Server updates to a large fleet are batched for this long: half of the interval of loads. */
-const UPDATE_BATCH_MS = 100;
-/** Minimum time between two messages that help the same peer. */
-const HELP_INTERVAL_MS = 500;
 
 /** Interval of a daemon that sends its state to `peers` other daemons directly. */
 function intervalMs(peers: number): number {
@@ -78,17 +72,16 @@
   const {
     ctx,
     config,
+    evacuations,
     serverRegistry,
     groupRegistry,
     fleet,
     planner,
     leadership,
-    waitQueue,
-    arrivals,
     limits: rateLimits,
     leaving: leavingServers,
+    cold: coldServers,
   } = deps;
-  const nextHelpAt = new Map<string, MonoTime>();
   let dueAt = ctx.clock.now();
   let hasTraffic = false;
   let hasNewState = false;
@@ -96,102 +89,22 @@
   let loadsDueAt = ctx.clock.now();
   /** The state last sent to the leader. */
   let lastSentState: PeerState | undefined;
-  /** Position up to which the servers are known, and since when. */
-  let serversAt = ORIGIN_POSITION;
-  let serversSince = ctx.clock.now();
   const workLog = createWorkLog(ctx, groupRegistry, serverRegistry.servers);
-  const stallReporting = createStallReporting({
-    ctx,
-    groupRegistry,
-    fleet,
-    planner,
-    leadership,
-  });
-  /** Server updates that wait to be published, and the earliest time to do so. */
-  let pendingUpdates: ServerUpdates | undefined;
-  let publishUpdatesAt = ctx.clock.now();
-
-  /** By model and priority: waiting requests and the arrival rate, requests a second. */
-  const offeredLoad = (): PeerState['waiting'] => toReport(waitQueue, arrivals);
-
-  const ownState = (lease = leadership.ownLease()): PeerState => ({
-    kind: 'state',
-    configVersion: config.version(),
-    serversAt: serverRegistry.changedAt(),
-    storeEra: ctx.store.era(),
-    isStoreLost: serverRegistry.watch.isFailing(),
-    storeAgeMs: Math.round(serverRegistry.watch.ageMs()),
-    configAgeMs: Math.round(config.watch.ageMs()),
-    hasTraffic,
-    isStopping: deps.isStopping(),
-    zone: ctx.settings.zone,
-    cores: ctx.settings.cores,
-    hearsLeader: lease !== undefined || fleet.leader() !== undefined,
-    ...(lease && { lease }),
-    running: groupRegistry.running().map((entry) => [...entry]),
-    quiet: groupRegistry.quiet().map((entry) => [...entry]),
-    paces: groupRegistry.paces().map((entry) => [...entry]),
-    waiting: offeredLoad(),
-    limits: rateLimits.report(),
-    leaving: leavingServers.report(),
+  const stallReporting = createStallReporting(deps);
+  const updates = createUpdatePublisher(deps);
+  const help = createPeerHelp(deps);
+
+  const ownState = createOwnState({
+    ...deps,
+    hasLeader: () => fleet.leader() !== undefined,
+    hasTraffic: () => hasTraffic,
   });
 
   const noteTraffic = (): void => {
     if (hasTraffic) return;
     hasTraffic = true;
     planner.noteTraffic();
-  };
-
-  const mayHelp = (key: string): boolean => {
-    const now = ctx.clock.now();
-    const nextAt = nextHelpAt.get(key);
-    if (nextAt !== undefined && now < nextAt) return false;
-    nextHelpAt.set(key, later(now, HELP_INTERVAL_MS));
-    return true;
-  };
-
-  /**
-   * In a large fleet the leader helps, and only a few of the other daemons: all receive the same
-   * state.
-   */
-  const isHelper = (): boolean =>
-    !fleet.isLarge() ||
-    leadership.ownLease() !== undefined ||
-    ctx.random.next() < MAX_HELPERS / fleet.size();
-
-  /**
-   * Sends a peer that is behind what it is missing: the store refuses it, or it has just started.
-   */
-  const sendMissing = (peer: PeerProgress, address: string): void => {
-    if (!isHelper()) return;
-    const now = ctx.clock.now();
-    const table = config.table.value;
-    const isOldEnough = now >= later(config.since(), HELP_DELAY_MS) || peer.configVersion === 0;
-    if (
-      table &&
-      peer.configVersion < config.version() &&
-      isOldEnough &&
-      mayHelp(`config ${address}`)
-    ) {
-      fleet.send(address, { kind: 'config', config: table.config });
-    }
-    if (isLater(serverRegistry.changedAt(), serversAt)) {
-      serversAt = serverRegistry.changedAt();
-      serversSince = now;
-    }
-    const isSettled = now >= later(serversSince, HELP_DELAY_MS);
-    const isBehind = isSettled && isLater(serversAt, peer.serversAt);
-    // A peer that knows no servers at all gets them even if this daemon can't confirm them with the
-    // store.
-    const isFresh = !serverRegistry.watch.isFailing() || !isLater(peer.serversAt, ORIGIN_POSITION);
-    const canSendServers = peer.isStoreLost && isFresh;
-    if (isBehind && canSendServers && mayHelp(`servers ${address}`)) {
-      fleet.send(address, {
-        kind: 'servers',
-        at: serversAt,
-        servers: [...serverRegistry.servers.values()],
-      });
-    }
+    coldServers.noteTraffic();
   };
 
   const handlers: {
@@ -203,12 +116,14 @@
     state: (state, { from, address }) => {
       hasNewState = true;
       ctx.store.noteEra(state.storeEra, `peer ${from}`);
+      evacuations.applyReport(state.evacuations, `peer ${from}`);
       stallReporting.noteIdleTimes(state.quiet);
       rateLimits.applyReport(state.limits, `peer ${from}`);
       leavingServers.applyReport(state.leaving, `peer ${from}`);
+      if (state.cold) coldServers.applyReport(state.cold);
       if (state.hasTraffic) noteTraffic();
       if (state.lease) leadership.notePeerLease(state.lease);
-      sendMissing(state, address);
+      help.sendMissing(state, address);
     },
     stalled: ({ group, head, finding }, { from }) => {
       if (groupRegistry.find(head)?.id === group)
@@ -217,7 +132,11 @@
     limits: (message, { from }) => {
       rateLimits.applyReport(message.limits, `peer ${from}`);
     },
-    config: ({ config: received }, { from }) => {
+    'cold-senders': (message, { from }) => {
+      coldServers.applySenders(message, `peer ${from}`);
+    },
+    config: ({ config: received, evacuations: evacuated }, { from }) => {
+      evacuations.applyReport(evacuated, `peer ${from}`);
       const version = brandAs<ConfigVersion>(received.version);
       config.adoptIfNewer({ ...received, version }, `peer ${from}`);
     },
@@ -226,6 +145,7 @@
     },
     loads: (sums, { from, address }) => {
       ctx.store.noteEra(sums.storeEra, `peer ${from}`);
+      evacuations.applyReport(sums.evacuations, `peer ${from}`);
       leadership.notePeerLease(sums.lease);
       if (sums.hasTraffic) noteTraffic();
       rateLimits.applyReport(sums.limits, `peer ${from}`);
@@ -235,7 +155,7 @@
         isLeaderless: false,
         ageMs: RELAYED_LOAD_AGE_MS,
       });
-      sendMissing(sums, address);
+      help.sendMissing(sums, address);
     },
     news: ({ since, upTo, changes }) => {
       serverRegistry.applyUpdates({
@@ -271,8 +191,7 @@
     if (now < loadsDueAt) return;
     loadsDueAt = later(now, LOADS_INTERVAL_MS);
     const state = ownState();
-    const { lease, configVersion, serversAt: at, storeEra } = state;
-    const { isStoreLost, storeAgeMs, configAgeMs } = state;
+    const { lease } = state;
     if (lease) {
       groupRegistry.applyLoads(sumLoads(peers), {
         coversMost: isMajority(peers.length + 1),
@@ -281,16 +200,10 @@
       });
       // A daemon that learned of a position before the updates leading to it would fetch them from
       // the store.
-      flushUpdates();
+      updates.flush();
       fleet.broadcastAsLeader({
         kind: 'loads',
-        configVersion,
-        serversAt: at,
-        storeEra,
-        isStoreLost,
-        storeAgeMs,
-        ...(configAgeMs !== undefined && { configAgeMs }),
-        hasTraffic,
+        ...knowledgeOf(state),
         lease,
         daemons: peers.length + 1,
         // A daemon that has just started knows no limits and would send without any.
@@ -323,31 +236,6 @@
     else if (!fleet.leader() && !leadership.ownLease()) fleet.sendToLikelyLeaders(ownState());
   };
 
-  /**
-   * Publishes server updates in batches: in a large fleet, each message is relayed to every daemon.
-   */
-  const publishUpdates = (now: MonoTime): void => {
-    if (now < publishUpdatesAt) return;
-    publishUpdatesAt = later(now, fleet.isLarge() ? UPDATE_BATCH_MS : 0);
-    flushUpdates();
-  };
-
-  const flushUpdates = (): void => {
-    if (!pendingUpdates) return;
-    const { since, upTo, changes } = pendingUpdates;
-    pendingUpdates = undefined;
-    fleet.broadcastAsLeader({ kind: 'news', since, upTo, changes: [...changes] });
-  };
-
-  serverRegistry.news.subscribe((updates) => {
-    if (leadership.heldFencing() === undefined) {
-      pendingUpdates = undefined;
-      return;
-    }
-    pendingUpdates = mergeUpdates(pendingUpdates, updates);
-    publishUpdates(ctx.clock.now());
-  });
-
   return {
     noteTraffic,
     tick: () => {
@@ -357,7 +245,7 @@
       if (isLarge) exchangeLoads(now, peers);
       else applyDirectLoads(now, peers);
       publishState(now, peers, isLarge);
-      publishUpdates(now);
+      updates.tick();
       if (leadership.heldFencing() !== undefined) workLog.tick(now, () => [...peers, ownState()]);
       fleet.tick();
     },
--- a/src/app/gateway/group-loads.ts
+++ b/src/app/gateway/group-loads.ts
@@ -47,6 +47,8 @@
   expectedPauseOf(group: ServingGroup): number;
   /** Slowdown factor as this daemon recently measured it. */
   localSlowdown(group: ServingGroup): number | undefined;
+  /** Slowdown factor as any daemon recently measured it. */
+  slowdown(group: ServingGroup): number;
   /**
    * Current and permitted requests of the group, and those expected to end before the next load
    * update.
@@ -139,12 +141,14 @@
       prefillsUntilUpdate,
     };
     const tokens = throttle.tokens(head.id);
+    const warmUp = throttle.warmUpFactor(head.id);
     return {
       ...load,
       head: head.id,
       zone: head.zone,
-      freeCapacity: Math.min(tokens, freeCapacityOf(capacity)),
-      freeSlots: Math.min(tokens, freeCapacityOf({ ...capacity, departing: 0 })),
+      freeCapacity: Math.min(tokens, warmUp * freeCapacityOf(capacity)),
+      freeSlots: Math.min(tokens, warmUp * freeCapacityOf({ ...capacity, departing: 0 })),
+      ...(throttle.coldLimit(head.id) && { isOwnShare: true }),
       slowdown: currentSlowdown(group),
       isTried: tried.has(head.id),
     };
@@ -157,6 +161,8 @@
       (spec.pace * pendingPrefillIn(head.id)) / engine.prefillTokensPerMs,
     expectedPauseOf,
     localSlowdown,
+    slowdown: (group) =>
+      peerLoads.areFresh() ? currentSlowdown(group) : (localSlowdown(group) ?? 1),
     occupancyOf,
     toCandidate,
     noteSent: (head, promptTokens) => {
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -1,11 +1,14 @@
 /** Registry of the groups that streams can be sent to, with the known load and health of each. */
 
-import { Subject } from 'rxjs';
+import { merge, Subject } from 'rxjs';
 import type { BehaviorSubject, Observable } from 'rxjs';
 
 import type { GroupCandidate } from '../../core/gateway/balance';
 import { reuseProbability } from '../../core/gateway/capacity';
+import type { OfferedLoad } from '../../core/gateway/capacity';
 import type { ServiceView } from '../../core/gateway/early-refusal';
+import type { LoadSample } from '../../core/gateway/forming/demand';
+import { queueDelayMs } from '../../core/gateway/limits/cold';
 import type { ClassLoad } from '../../core/gateway/priority-classes';
 import type { RouteTable } from '../../core/gateway/routes';
 import type { Evidence } from '../../core/gateway/suspicion';
@@ -17,6 +20,8 @@
 import type { GatewayContext } from './context';
 import { admitClass } from './class-admission';
 import type { ClassRequest } from './class-admission';
+import { NO_EVACUATIONS } from './evacuations';
+import type { EvacuatedZones } from './evacuations';
 import { createGroupIndex } from './group-index';
 import type { ServingGroup } from './group-index';
 import { createGroupHealth } from './group-health';
@@ -37,13 +42,17 @@
   admit(model: ModelId, groups: readonly GroupCandidate[], request: ClassRequest): Admission;
   /** Free slots of the group that are reserved for this daemon. */
   grantedSlots(head: InstanceId): number;
-  /** Whether any group of the model is open, suspected or not. */
+  /** Whether any group of the model is open outside evacuated zones, suspected or not. */
   hasOpenGroup(service: ServiceId, model: ModelId | undefined): boolean;
+  /** Whether groups of the model are open, but all of them in evacuated zones. */
+  isModelEvacuated(service: ServiceId, model: ModelId): boolean;
   /**
    * Time until this daemon may send a request to a group of the model under the servers' rate
-   * limits and backoffs, milliseconds.
+   * limits and backoffs, milliseconds. `ahead`: requests of this daemon that are sent before it.
    */
-  msUntilToken(service: ServiceId, model: ModelId): number;
+  msUntilToken(service: ServiceId, model: ModelId, ahead?: number): number;
+  /** Whether the model has groups and the heads of all of them are cold. */
+  areGroupsCold(service: ServiceId, model: ModelId): boolean;
   /** Like `msUntilToken`, but for a request from any daemon. */
   msUntilAccepted(service: ServiceId, model: ModelId): number;
   find(head: InstanceId): ServingGroup | undefined;
@@ -85,6 +94,8 @@
   lastEventAt(head: InstanceId): MonoTime | undefined;
   /** Slowdown factors of groups as this daemon recently measured them, by head. */
   paces(): readonly (readonly [InstanceId, number])[];
+  /** Slowdown factors of groups as any daemon recently measured them, by head. */
+  slowdowns(): ReadonlyMap<InstanceId, number>;
   /**
    * Applies the summed load of the other daemons and the slowdowns that all daemons measured.
    * `ageMs`: the sums include everything that happened longer ago than this.
@@ -98,6 +109,10 @@
   classLoads(model: ModelId): readonly ClassLoad[];
   /** Slots of the model's open groups, and how they are used by all daemons. */
   slotUse(service: ServiceId, model: ModelId): SlotUse;
+  /**
+   * Load of each model over all daemons. `local`: waiting requests and arrival rate of this daemon.
+   */
+  loadSamples(local: (model: ModelId) => OfferedLoad): ReadonlyMap<ModelId, LoadSample>;
   /** Offered load of each model over all daemons: running and waiting requests, in full batches. */
   offeredLoad(): ReadonlyMap<ModelId, number>;
   /**
@@ -118,6 +133,7 @@
   serverRegistry: ServerRegistry,
   routes: BehaviorSubject<RouteTable | undefined>,
   throttle: Throttle,
+  evacuations: EvacuatedZones = NO_EVACUATIONS,
 ): GroupRegistry {
   const peerLoads = createPeerLoads(ctx);
   const admission = createSlotAdmission(ctx);
@@ -140,10 +156,25 @@
     if (!health.isSuspected(id) && ctx.random.next() < reuse) admission.noteSlotFreed(head.id);
   };
 
-  const groupsOfModel = (service: ServiceId, model: ModelId): ServingGroup[] =>
+  const isEvacuated = ({ head }: ServingGroup): boolean => evacuations.isEvacuated(head.zone);
+
+  const openGroups = (service: ServiceId, model: ModelId): ServingGroup[] =>
     [...groups().values()].filter((group) => group.service === service && group.model === model);
 
-  groupIndex.changes.subscribe(changes);
+  /** Streams in groups of evacuated zones go on; these groups get no new ones. */
+  const groupsOfModel = (service: ServiceId, model: ModelId): ServingGroup[] =>
+    openGroups(service, model).filter((group) => !isEvacuated(group));
+
+  const slotUse = (service: ServiceId, model: ModelId): SlotUse => {
+    const open = groupsOfModel(service, model);
+    return {
+      slots: open.reduce((sum, { engine }) => sum + engine.batchSize, 0),
+      running: open.reduce((sum, { head }) => sum + runningIn(head.id), 0),
+      holdMs: admission.holdMs(model),
+    };
+  };
+
+  merge(groupIndex.changes, evacuations.changes).subscribe(changes);
 
   return {
     stalls: health.stalls,
@@ -164,8 +195,18 @@
     grantedSlots: (head) => admission.grantedSlots(head),
     hasOpenGroup: (service, model) =>
       model !== undefined && groupsOfModel(service, model).length > 0,
-    msUntilToken: (service, model) =>
-      minOrZero(groupsOfModel(service, model).map(({ head }) => throttle.msUntilToken(head.id))),
+    isModelEvacuated: (service, model) =>
+      openGroups(service, model).length > 0 && groupsOfModel(service, model).length === 0,
+    msUntilToken: (service, model, ahead = 0) => {
+      const heads = groupsOfModel(service, model).map(({ head }) => head.id);
+      const nextMs = minOrZero(heads.map((head) => throttle.msUntilToken(head)));
+      const limits = heads.map((head) => throttle.coldLimit(head));
+      return nextMs + queueDelayMs(limits, ahead);
+    },
+    areGroupsCold: (service, model) => {
+      const found = groupsOfModel(service, model);
+      return found.length > 0 && found.every(({ head }) => throttle.coldLimit(head.id));
+    },
     msUntilAccepted: (service, model) =>
       minOrZero(groupsOfModel(service, model).map(({ head }) => throttle.msUntilAccepted(head.id))),
     find: (head) => groups().get(head),
@@ -197,19 +238,14 @@
         const slowdown = group && groupLoads.localSlowdown(group);
         return slowdown === undefined ? [] : [[head, slowdown] as const];
       }),
+    slowdowns: () =>
+      new Map([...groups()].map(([head, group]) => [head, groupLoads.slowdown(group)])),
     quiet: () => groupLoads.quiet(),
     lastEventAt: (head) => groupLoads.lastEventAt(head),
     hasPeerLoads: () => peerLoads.areFresh(),
     loadAgeMs: () => admission.loadAgeMs(),
     classLoads: (model) => peerLoads.classLoads(model),
-    slotUse: (service, model) => {
-      const open = groupsOfModel(service, model);
-      return {
-        slots: open.reduce((sum, { engine }) => sum + engine.batchSize, 0),
-        running: open.reduce((sum, { head }) => sum + runningIn(head.id), 0),
-        holdMs: admission.holdMs(model),
-      };
-    },
+    slotUse,
     applyLoads: (sums, { ageMs, ...facts }) => {
       if (peerLoads.apply(sums, facts)) admission.noteLoads(ageMs);
       changes.next();
@@ -227,14 +263,32 @@
       }
       return offered;
     },
+    loadSamples: (local) => {
+      const samples = new Map<ModelId, LoadSample>();
+      for (const { name: service, engine } of routes.value?.config.services ?? []) {
+        for (const { name } of engine?.models ?? []) {
+          const { slots, running, holdMs } = slotUse(service, name);
+          const [own, remote] = [local(name), peerLoads.offeredLoad(name)];
+          samples.set(name, {
+            ...{ slots, running, batchSize: engine?.batchSize ?? 1 },
+            waiting: own.waiting + remote.waiting,
+            perSecond: own.perSecond + remote.perSecond,
+            ...(holdMs !== undefined && { holdMs }),
+          });
+        }
+      }
+      return samples;
+    },
     work: (waiting) =>
       summarizeWork(
-        [...groups().values()].map(({ id, head, model, engine }) => ({
-          model,
-          running: runningIn(head.id),
-          batchSize: engine.batchSize,
-          isSuspect: health.isSuspected(id),
-        })),
+        [...groups().values()]
+          .filter((group) => !isEvacuated(group))
+          .map(({ id, head, model, engine }) => ({
+            model,
+            running: runningIn(head.id),
+            batchSize: engine.batchSize,
+            isSuspect: health.isSuspected(id),
+          })),
         waiting,
       ),
     tick: () => {
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -2,6 +2,7 @@
 
 import * as z from 'zod';
 
+import type { EvacuationReport } from '../../core/gateway/evacuations';
 import type { BackendServer, GatewayConfig } from '../../core/gateway/types';
 import { brandAs } from '../../core/ids';
 import type { DaemonId, FencingNumber, GroupId, InstanceId, ZoneId } from '../../core/ids';
@@ -19,6 +20,17 @@
 });
 const positionSchema = z.object({ era: eraSchema, revision: natural });
 
+const zoneSchema = z.string().transform((zone) => brandAs<ZoneId>(zone));
+
+/** Zones that the operator evacuated, as known at a position in the store's history. */
+const evacuationsSchema = z
+  .object({
+    at: positionSchema,
+    zones: z.array(zoneSchema),
+    held: z.array(zoneSchema).optional(),
+  })
+  .transform(({ at, zones, held }): EvacuationReport => ({ at, zones, ...(held && { held }) }));
+
 /** How current a daemon's knowledge is, so that others can tell what it is missing. */
 const progressSchema = {
   /** Version of the configuration in force; 0 for none. */
@@ -39,6 +51,8 @@
    */
   configAgeMs: natural.optional(),
   hasTraffic: z.boolean(),
+  /** Absent as long as the sender has seen no evacuation. */
+  evacuations: evacuationsSchema.optional(),
 };
 
 /** The lease row of a leader, so that other daemons need not read it. */
@@ -71,11 +85,17 @@
   .array(z.tuple([instanceIdSchema, natural.nullable(), natural, natural]))
   .default([]);
 
+/**
+ * By cold server: time for which it stays cold as it told the sender itself, 0 if it did not,
+ * milliseconds; requests a second that the sender may send to it.
+ */
+const coldSchema = z.array(z.tuple([instanceIdSchema, natural, natural]));
+
 const stateSchema = z.object({
   kind: z.literal('state'),
   ...progressSchema,
   isStopping: z.boolean(),
-  zone: z.string().transform((zone) => brandAs<ZoneId>(zone)),
+  zone: zoneSchema,
   /** Processor cores that the daemon may use. */
   cores: natural,
   /** Whether this daemon hears from a leader or is the leader. */
@@ -97,6 +117,7 @@
   limits: limitsSchema,
   /** Servers that recently announced that they are leaving. */
   leaving: z.array(instanceIdSchema).default([]),
+  cold: coldSchema.optional(),
 });
 
 /** What the leader of a large fleet publishes, in place of an exchange between all daemons. */
@@ -139,6 +160,8 @@
 const configSchema = z.object({
   kind: z.literal('config'),
   config: z.custom<GatewayConfig>((value) => typeof value === 'object' && value !== null),
+  /** A daemon without the store learns both together. */
+  evacuations: evacuationsSchema.optional(),
 });
 
 const serversSchema = z.object({
@@ -163,12 +186,27 @@
 /** Rate limits that servers named, for the daemons that send to these servers. */
 const limitsMessageSchema = z.object({ kind: z.literal('limits'), limits: limitsSchema });
 
+/**
+ * From the leader: by cold server the requests a second that each sender may send, the time for
+ * which it stays cold, milliseconds, and its senders.
+ */
+const coldSendersSchema = z.object({
+  kind: z.literal('cold-senders'),
+  fencing: natural.transform((n) => brandAs<FencingNumber>(n)),
+  servers: z.array(z.tuple([instanceIdSchema, natural, natural, z.array(daemonIdSchema)])),
+});
+
 /** A message of the leader; `to` are the addresses that the receiver forwards it to. */
 const relayedSchema = z.object({
   kind: z.literal('relayed'),
   to: z.array(z.string()),
   origin: z.object({ id: daemonIdSchema, address: z.string() }),
-  message: z.discriminatedUnion('kind', [loadsSchema, newsSchema, stalledSchema]),
+  message: z.discriminatedUnion('kind', [
+    loadsSchema,
+    newsSchema,
+    stalledSchema,
+    coldSendersSchema,
+  ]),
 });
 
 /** States of several daemons, collected by a relay for the leader. */
@@ -186,6 +224,7 @@
   newsSchema,
   loadsSchema,
   limitsMessageSchema,
+  coldSendersSchema,
   relayedSchema,
 ]);
 
@@ -195,6 +234,8 @@
 >;
 export type LoadsMessage = z.output<typeof loadsSchema>;
 export type PeerState = z.output<typeof stateSchema>;
+export type ColdSendersMessage = z.output<typeof coldSendersSchema>;
+export type ColdReport = z.output<typeof coldSchema>;
 export type StallFinding = z.output<typeof findingSchema>;
 export type GatewayMessage = z.output<typeof messageSchema>;
 type Relayed = z.output<typeof relayedSchema>;
--- a/src/app/gateway/slot-admission.ts
+++ b/src/app/gateway/slot-admission.ts
@@ -113,7 +113,8 @@
     if (grantedClasses.has(key)) return;
     grantedClasses.add(key);
     const left = shareLeft(contention);
-    const freeByGroup = groups.map(({ head, freeSlots }) => ({
+    const shared = groups.filter(({ isOwnShare }) => isOwnShare !== true);
+    const freeByGroup = shared.map(({ head, freeSlots }) => ({
       head,
       // Slots released by own streams are already reserved for this daemon.
       slots: left * Math.max(0, freeSlots - (grantedSlots.get(head) ?? 0)),
@@ -131,19 +132,24 @@
   > = {
     all: (_, groups) => ({ groups, noteSent: ignore }),
     granted: (_, groups) => ({
-      groups: groups.filter(({ head }) => (grantedSlots.get(head) ?? 0) >= 1),
+      groups: groups.filter(
+        ({ head, isOwnShare }) => isOwnShare === true || (grantedSlots.get(head) ?? 0) >= 1,
+      ),
       noteSent: ignore,
     }),
     surplus: (key, groups) => {
       const remaining = lateRemaining.get(key) ?? 0;
       return {
-        groups: remaining < 1 ? [] : groups,
+        groups: remaining < 1 ? groups.filter(({ isOwnShare }) => isOwnShare === true) : groups,
         noteSent: () => {
-          lateRemaining.set(key, remaining - 1);
+          lateRemaining.set(key, Math.max(0, remaining - 1));
         },
       };
     },
-    none: () => ({ groups: [], noteSent: ignore }),
+    none: (_, groups) => ({
+      groups: groups.filter(({ isOwnShare }) => isOwnShare === true),
+      noteSent: ignore,
+    }),
   };
 
   return {
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -12,13 +12,20 @@
 import { fail } from '../../utils/errors';
 import type { Throttle } from './throttle';
 import type { ServingGroup } from './group-index';
-import { endUnanswered, logRequestEnd, logFailedAttempt, backoffError } from './exchange';
+import {
+  endUnanswered,
+  logRequestEnd,
+  logFailedAttempt,
+  evacuatedError,
+  heldBackError,
+} from './exchange';
 import type { Exchange } from './exchange';
 import { endFailedStream, streamTimesOf } from './stream-end';
 import type { RefusedCallers } from './refused-callers';
 import { takeSlot } from './take-slot';
 import { findEarlyRefusal, isOrdered } from './early-refusals';
 import type { EarlyRefusal, RefusalDeps } from './early-refusals';
+import type { EvacuatedZones } from './evacuations';
 import type { QueuePlace } from './wait-queue';
 import type { Retries } from './retries';
 import { createRouteTimes } from './route-times';
@@ -43,6 +50,7 @@
   readonly upstream: Upstream;
   readonly retries: Retries;
   readonly refusedCallers: RefusedCallers;
+  readonly evacuations: EvacuatedZones;
 }
 
 export interface StreamCalls {
@@ -112,9 +120,13 @@
   ): Promise<ServingGroup | undefined> => {
     const found = tryTakeSlot(exchange, model, state);
     if (found) return found;
+    const isHopeless = (): boolean =>
+      !state.hasStarted && groupRegistry.isModelEvacuated(exchange.service, model);
+    if (isHopeless()) return undefined;
     const since = ctx.clock.now();
     const until = waitUntil(exchange, model, state);
-    if (later(since, groupRegistry.msUntilToken(exchange.service, model)) > until) return undefined;
+    const msUntilToken = (ahead: number): number =>
+      groupRegistry.msUntilToken(exchange.service, model, ahead);
     const place: QueuePlace = {
       model,
       priority: exchange.priority,
@@ -124,6 +136,10 @@
       onTimeUntil: onTimeUntil(exchange, state),
       holdMs: times.holdMs(exchange.route),
     };
+    const ahead = isOrdered(deps, model, exchange.priority)
+      ? deps.waitQueue.ahead(place)
+      : deps.waitQueue.count(model);
+    if (later(since, msUntilToken(ahead)) > until) return undefined;
     state.refusal = refuseEarly(exchange, state, place);
     if (state.refusal) return undefined;
     const group = await deps.waitQueue.wait({
@@ -134,7 +150,10 @@
       },
       gone: exchange.gone,
       isRetry: state.tried.size > 0,
+      isHopeless,
       choose: () => tryTakeSlot(exchange, model, state),
+      msUntilToken,
+      areGroupsCold: () => groupRegistry.areGroupsCold(exchange.service, model),
     });
     state.waitedMs += ctx.clock.now() - since;
     return group;
@@ -222,7 +241,7 @@
   group: ServingGroup,
   state: StreamState,
 ): Promise<AttemptResult> {
-  const { ctx, groupRegistry, upstream, dialect, throttle } = deps;
+  const { ctx, groupRegistry, upstream, dialect, throttle, evacuations } = deps;
   const { head } = group;
   const stop = new AbortController();
   const now = ctx.clock.now();
@@ -264,10 +283,13 @@
       beforeSend: () => {
         if (ctx.clock.now() >= sendUntil)
           return fail('deadline-exceeded', 'deadline reached before sending', { step: 'send' });
-        return throttle.isBackingOff(head.id) ? backoffError() : undefined;
+        if (evacuations.isEvacuated(head.zone)) return evacuatedError();
+        if (throttle.maySend(head.id)) return undefined;
+        return heldBackError(throttle.isBackingOff(head.id));
       },
     });
     if (sent.kind !== 'answered') {
+      if (sent.kind === 'not-sent') throttle.returnToken(head.id);
       state.reason = abortReason(stop.signal, sent.error.message);
       if (exchange.gone.aborted) return 'caller-gone';
       if (sent.kind === 'lost') return 'lost';
--- a/src/app/gateway/stream-end.ts
+++ b/src/app/gateway/stream-end.ts
@@ -27,7 +27,11 @@
   { service, facts: { model } }: Exchange,
 ): { readonly reason: string; readonly retryAfter: RetryAfter } | undefined {
   if (model === undefined || !groupRegistry.hasOpenGroup(service, model)) {
-    return { reason: 'no group serves the model', retryAfter: RETRY_AFTER_UNSERVED };
+    const isEvacuated = model !== undefined && groupRegistry.isModelEvacuated(service, model);
+    const reason = isEvacuated
+      ? 'all groups of the model are in evacuated zones'
+      : 'no group serves the model';
+    return { reason, retryAfter: RETRY_AFTER_UNSERVED };
   }
   const acceptedInMs = groupRegistry.msUntilAccepted(service, model);
   if (acceptedInMs === 0) return undefined;
--- a/src/app/gateway/wait-queue.ts
+++ b/src/app/gateway/wait-queue.ts
@@ -2,6 +2,7 @@
 
 import { compareWaiting } from '../../core/gateway/waiting-order';
 import type { WaitingRequest } from '../../core/gateway/waiting-order';
+import { later } from '../../core/ids';
 import type { ModelId, MonoTime, OrganisationId } from '../../core/ids';
 import type { GroupRegistry } from './group-registry';
 import type { ServingGroup } from './group-index';
@@ -27,8 +28,14 @@
   readonly isRetry: boolean;
   /** Called once when the request becomes late: whether it leaves the queue without a slot. */
   readonly givesUp?: () => boolean;
+  /** Whether no group can become free for it, so that the wait ends now. */
+  readonly isHopeless?: () => boolean;
   /** Takes a slot in a group, if one is free. */
   readonly choose: () => ServingGroup | undefined;
+  /** Whether all groups of the model are cold, so that few of the requests get a slot in time. */
+  readonly areGroupsCold?: () => boolean;
+  /** Time until a slot may be taken after `ahead` other requests, milliseconds. */
+  readonly msUntilToken?: (ahead: number) => number;
 }
 
 export interface WaitQueue {
@@ -40,6 +47,8 @@
   count(model: ModelId, priority?: number): number;
   /** Number of waiting requests of the model that would be served before a new one. */
   ahead(place: QueuePlace): number;
+  /** Lowest priority number among the requests that wait for the model. */
+  urgency(model: ModelId): number | undefined;
 }
 
 interface QueueEntry extends Waiter {
@@ -82,17 +91,30 @@
     ).length;
   };
 
+  /** Refuses the requests for a model without a slot that cannot get one in time. */
+  const refuseHopeless = (model: ModelId): void => {
+    let ahead = 0;
+    for (const { until, settle, msUntilToken, ...entry } of inOrder()) {
+      if (entry.model !== model || entry.isRetry || !msUntilToken) continue;
+      if (later(ctx.clock.now(), msUntilToken(ahead)) > until) settle(undefined);
+      else ahead += 1;
+    }
+  };
+
   /** Serves requests in order; a model found full is skipped for the rest of the round. */
   const serve = (): void => {
     if (entries.size === 0 || isServing) return;
     isServing = true;
     const fullModels = new Set<ModelId>();
+    const coldModels = new Set<ModelId>();
     for (const entry of inOrder()) {
       if (fullModels.has(entry.model)) continue;
       const group = entry.choose();
-      if (group) entry.settle(group);
+      if (group || entry.isHopeless?.()) entry.settle(group);
       else if (!entry.isRetry) fullModels.add(entry.model);
+      if (!group && entry.areGroupsCold?.() === true) coldModels.add(entry.model);
     }
+    for (const model of coldModels) refuseHopeless(model);
     isServing = false;
   };
 
@@ -138,6 +160,11 @@
       addCount(entry, 1);
     });
 
+  const urgency = (model: ModelId): number | undefined => {
+    const priorities = [...(counts.get(model)?.keys() ?? [])];
+    return priorities.length === 0 ? undefined : Math.min(...priorities);
+  };
+
   return {
     wait,
     waiting: () =>
@@ -146,5 +173,6 @@
       ),
     count: countOf,
     ahead,
+    urgency,
   };
 }
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -10,13 +10,16 @@
 import type { ReplicaGroup } from '../groups';
 import type { OrderResult } from '../orders';
 import type { BackendServer } from '../types';
+import { areUnlistedLost, noteFoundGroups } from './adopt';
 import { composeGroups } from './compose';
+import { dropEvacuatedFormations, excludeEvacuated } from './evacuated';
 import { advanceFormations, joinCost, openGroup } from './form';
 import { pruneLoads } from './loads';
 import { collectFreeServers } from './members';
 import { pruneLosses, noteLoss } from './reserve';
 import { advanceRetirements, startRetirement } from './retire';
-import { claimDomain } from './rebalance';
+import { claimDomains } from './reassign';
+import { canReplaceSlow } from './slow';
 import { isStandby } from './start';
 import { draftOf, isSuspect, noteModels, stateOf } from './state';
 import type { Draft, FormingState, FormingView, OrderEffect } from './state';
@@ -45,6 +48,11 @@
   return membersAmong(draft.view.lapsed, group);
 }
 
+/** Members of the group that are listed or were, and may still serve. */
+function knownMembers(draft: Draft, group: ReplicaGroup): BackendServer[] {
+  return [...group.members, ...lapsedMembers(draft, group)];
+}
+
 /** Members of the group whose servers have restarted since. */
 function endedMembers(draft: Draft, group: ReplicaGroup): BackendServer[] {
   return membersAmong(draft.view.ended, group);
@@ -59,9 +67,10 @@
   group: ReplicaGroup,
   size: number,
 ): 'lost' | 'leaving' | undefined {
-  const members = [...group.members, ...lapsedMembers(draft, group)];
-  const isLost = members.length < size || members.some(({ id }) => isSuspect(draft, id));
-  if (isLost) return 'lost';
+  const members = knownMembers(draft, group);
+  const areLost = areUnlistedLost(draft, group) || endedMembers(draft, group).length > 0;
+  const hasUnlistedLoss = members.length < size && areLost;
+  if (hasUnlistedLoss || members.some(({ id }) => isSuspect(draft, id))) return 'lost';
   return members.some(({ isDraining }) => isDraining) ? 'leaving' : undefined;
 }
 
@@ -102,6 +111,7 @@
     retire(draft, group, 'leave');
   }
   if (fault === 'leaving' && hasReplacement(draft, group)) retire(draft, group, 'finish');
+  if (fault === undefined && canReplaceSlow(draft, group)) retire(draft, group, 'finish');
 }
 
 /** Handles a group whose head is not listed: it may still serve, but no requests are sent to it. */
@@ -174,7 +184,9 @@
   const isExpired = (at: MonoTime): boolean => draft.now >= later(at, MEMORY_MS);
   for (const [key, { at }] of draft.sentOrders) if (isExpired(at)) draft.sentOrders.delete(key);
   for (const [id, at] of draft.dissolved) if (isExpired(at)) draft.dissolved.delete(id);
-  for (const [id, until] of draft.suspects) if (draft.now >= until) draft.suspects.delete(id);
+  for (const deadlines of [draft.suspects, draft.slowMembers]) {
+    for (const [id, until] of deadlines) if (draft.now >= until) deadlines.delete(id);
+  }
   pruneLoads(draft);
   pruneLosses(draft);
 }
@@ -184,13 +196,18 @@
   const draft = draftOf(state, view, now);
   prune(draft);
   noteModels(draft);
-  const groups = collectGroups(view.servers.values());
+  const groups = excludeEvacuated(draft, collectGroups(view.servers.values()));
+  dropEvacuatedFormations(draft);
   const byId = new Map<GroupId, ReplicaGroup>(groups.map((group) => [group.id, group]));
   for (const id of draft.foreignGroups.keys()) if (!byId.has(id)) draft.foreignGroups.delete(id);
+  noteFoundGroups(draft, groups, (group) => {
+    const size = sizeOf(draft, group);
+    return size !== undefined && knownMembers(draft, group).length >= size;
+  });
   for (const group of groups) checkGroup(draft, group);
   advanceFormations(draft, byId);
   advanceRetirements(draft);
-  composeGroups(draft, groups, claimDomain(draft, groups));
+  composeGroups(draft, groups, claimDomains(draft, groups));
   return { state: stateOf(draft), orders: draft.effects };
 }
 
@@ -201,10 +218,26 @@
   return { ...state, sentOrders: new Map(state.sentOrders).set(key, { ...sent, result }) };
 }
 
+function withDeadline(
+  deadlines: ReadonlyMap<InstanceId, MonoTime>,
+  id: InstanceId,
+  until: MonoTime | undefined,
+): ReadonlyMap<InstanceId, MonoTime> {
+  const changed = new Map(deadlines);
+  if (until === undefined) changed.delete(id);
+  else changed.set(id, until);
+  return changed;
+}
+
 /** Suspects a server lost until `until`; without `until` it clears the suspicion. */
 export function noteSuspect(state: FormingState, id: InstanceId, until?: MonoTime): FormingState {
-  const suspects = new Map(state.suspects);
-  if (until === undefined) suspects.delete(id);
-  else suspects.set(id, until);
-  return { ...state, suspects };
+  return { ...state, suspects: withDeadline(state.suspects, id, until) };
+}
+
+/**
+ * Notes a server as slow until `until`: its group is formed again without it where spares permit, and it
+ * is picked last. Without `until` the server has normal speed again.
+ */
+export function noteSlow(state: FormingState, id: InstanceId, until?: MonoTime): FormingState {
+  return { ...state, slowMembers: withDeadline(state.slowMembers, id, until) };
 }
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -1,9 +1,10 @@
 /** State of the group planner: what it keeps between plans beside the servers' own reports. */
 
-import type { DomainId, Epoch, GroupId, InstanceId, ModelId, MonoTime } from '../../ids';
+import type { DomainId, Epoch, GroupId, InstanceId, ModelId, MonoTime, ZoneId } from '../../ids';
 import { later } from '../../ids';
 import type { OrderResult, ServerOrder } from '../orders';
 import type { BackendServer, EngineSpec } from '../types';
+import type { ChangeWorth, ModelDemand } from './worth';
 
 /**
  * What the planner does beside replacing lost members. Each mechanism can be disabled to measure its
@@ -13,11 +14,12 @@
  * - `reserve`: as many spares are kept as losses are expected.
  * - `wanted`: no weights are loaded for a group that the offered load would not fill.
  * - `rebalance`: a model that lacks groups takes servers from another model's groups.
+ * - `worth`: servers go to the model whose callers gain most by another group, if demand is known.
  * - `staged-members`: one member of each smaller group has the larger model staged on its host.
  * - `spares`: spares are warm for one model and have another staged on their hosts.
  */
 export type FormingMechanism =
-  'held-spares' | 'reserve' | 'wanted' | 'rebalance' | 'staged-members' | 'spares';
+  'held-spares' | 'reserve' | 'wanted' | 'rebalance' | 'worth' | 'staged-members' | 'spares';
 
 /** Times and limits of the planner; all times in milliseconds. */
 export interface FormingSettings {
@@ -119,6 +121,12 @@
   readonly freeAt?: MonoTime;
 }
 
+/**
+ * What a leader knows of an open group's members: all were listed at some time, some were not when it first
+ * saw the group, or its streams have stalled since.
+ */
+export type FoundGroup = 'complete' | 'incomplete' | 'stalled';
+
 /** An order in flight, or answered. */
 export interface SentOrder {
   /** When it was last sent. */
@@ -129,6 +137,29 @@
   readonly result?: OrderResult;
 }
 
+/**
+ * Step of a change of a domain's servers from one model to another.
+ *
+ * - `staging`: weights are staged on the servers while their groups serve.
+ * - `ending`: the groups are being ended, and the domain's free servers are kept for the new one.
+ * - `done`: the new group is being formed or serves.
+ * - `dropped`: given up. In the last two steps the domain is not changed again until `until`.
+ */
+export type ReassignmentStep = 'staging' | 'ending' | 'done' | 'dropped';
+
+/** A change of a domain's servers from one model to another. */
+export interface Reassignment {
+  readonly model: ModelId;
+  readonly step: ReassignmentStep;
+  readonly until: MonoTime;
+  /** Groups that the model gets, and groups that end, by model. */
+  readonly gained: number;
+  readonly lost: ReadonlyMap<ModelId, number>;
+  /** Weights that were missing when it was last judged. */
+  readonly loads: number;
+  readonly worth: ChangeWorth;
+}
+
 /** The planner's state; immutable, replaced by each plan. */
 export interface FormingState {
   readonly settings: FormingSettings;
@@ -142,6 +173,8 @@
   readonly foreignGroups: ReadonlyMap<GroupId, MonoTime>;
   /** Servers suspected lost, and until when. */
   readonly suspects: ReadonlyMap<InstanceId, MonoTime>;
+  /** Servers measured as slow, and until when they are picked last unless measured again. */
+  readonly slowMembers: ReadonlyMap<InstanceId, MonoTime>;
   /** By the order's key. */
   readonly sentOrders: ReadonlyMap<string, SentOrder>;
   /** Weight loads that this process started. */
@@ -154,6 +187,12 @@
   readonly recentLosses: readonly MonoTime[];
   /** Model of each server's last group: it stays warm for it, though it reports none after leaving. */
   readonly lastModels: ReadonlyMap<InstanceId, ModelId>;
+  /** Open groups, by what this leader found out about their members; see `adopt.ts`. */
+  readonly foundGroups: ReadonlyMap<GroupId, FoundGroup>;
+  /** Changes of servers from one model to another, by domain. */
+  readonly reassignments: ReadonlyMap<DomainId, Reassignment>;
+  /** When such changes were last judged. */
+  readonly judgedAt?: MonoTime;
 }
 
 /** Number of servers in a domain, and when it was first observed. */
@@ -184,6 +223,10 @@
   readonly hasTraffic: boolean;
   /** Offered load of each model, in groups that it would keep busy; absent if unknown. */
   readonly offeredLoad?: ReadonlyMap<ModelId, number>;
+  /** Zones in which no server is given any order. */
+  readonly evacuated?: ReadonlySet<ZoneId>;
+  /** Demand for each model over the last half minute; absent until it was measured. */
+  readonly demand?: ReadonlyMap<ModelId, ModelDemand>;
 }
 
 /** An order to send; its result is reported under `key`. */
@@ -202,12 +245,15 @@
     dissolved: new Map(),
     foreignGroups: new Map(),
     suspects: new Map(),
+    slowMembers: new Map(),
     sentOrders: new Map(),
     loads: [],
     epochCount: 0,
     arrivals: new Map(),
     recentLosses: [],
     lastModels: new Map(),
+    foundGroups: new Map(),
+    reassignments: new Map(),
   };
 }
 
@@ -219,12 +265,16 @@
   readonly dissolved: Map<GroupId, MonoTime>;
   readonly foreignGroups: Map<GroupId, MonoTime>;
   readonly suspects: Map<InstanceId, MonoTime>;
+  readonly slowMembers: Map<InstanceId, MonoTime>;
   readonly sentOrders: Map<string, SentOrder>;
   loads: WeightLoad[];
   epochCount: number;
   readonly arrivals: Map<DomainId, Arrival>;
   recentLosses: MonoTime[];
   readonly lastModels: Map<InstanceId, ModelId>;
+  readonly foundGroups: Map<GroupId, FoundGroup>;
+  readonly reassignments: Map<DomainId, Reassignment>;
+  judgedAt: MonoTime | undefined;
   readonly view: FormingView;
   readonly now: MonoTime;
   readonly effects: OrderEffect[];
@@ -239,12 +289,16 @@
     dissolved: new Map(state.dissolved),
     foreignGroups: new Map(state.foreignGroups),
     suspects: new Map(state.suspects),
+    slowMembers: new Map(state.slowMembers),
     sentOrders: new Map(state.sentOrders),
     loads: [...state.loads],
     epochCount: state.epochCount,
     arrivals: new Map(state.arrivals),
     recentLosses: [...state.recentLosses],
     lastModels: new Map(state.lastModels),
+    foundGroups: new Map(state.foundGroups),
+    reassignments: new Map(state.reassignments),
+    judgedAt: state.judgedAt,
     view,
     now,
     effects: [],
@@ -256,12 +310,16 @@
   const { settings, formations, retirements, dissolved, foreignGroups } = draft;
   const {
     suspects,
+    slowMembers,
     sentOrders: sent,
     loads,
     epochCount,
     arrivals,
     recentLosses,
     lastModels,
+    foundGroups,
+    reassignments,
+    judgedAt,
   } = draft;
   return {
     settings,
@@ -270,12 +328,16 @@
     dissolved,
     foreignGroups,
     suspects,
+    slowMembers,
     sentOrders: sent,
     loads,
     epochCount,
     arrivals,
     recentLosses,
     lastModels,
+    foundGroups,
+    reassignments,
+    ...(judgedAt !== undefined && { judgedAt }),
   };
 }
 
@@ -305,6 +367,12 @@
   return until !== undefined && draft.now < until;
 }
 
+/** Whether the server was measured as slow. */
+export function isSlow(draft: Draft, id: InstanceId): boolean {
+  const until = draft.slowMembers.get(id);
+  return until !== undefined && draft.now < until;
+}
+
 function keyOf(server: BackendServer, order: ServerOrder): string {
   const subject = order.kind === 'stage' ? order.model : `${order.group}/${order.epoch}`;
   const mode = order.kind === 'close' ? order.mode : '';
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -6,7 +6,7 @@
 
 import type { OrderResult, ServerOrder } from '../core/gateway/orders';
 import type { BackendServer, GatewayConfig } from '../core/gateway/types';
-import type { InstanceId, ModelId, OrganisationId, ServerName } from '../core/ids';
+import type { InstanceId, ModelId, OrganisationId, ServerName, ZoneId } from '../core/ids';
 import type { StorePosition, StoreEra } from '../core/store-era';
 import type { StepError } from '../utils/errors';
 import type { Committed, Row, Transaction } from './platform';
@@ -65,10 +65,15 @@
   readonly cores: number;
 }
 
+/** An entry of the operator's table; each evacuated zone has one of its own. */
+export type OperatorEntry =
+  | { readonly kind: 'config'; readonly config: GatewayConfig }
+  | { readonly kind: 'evacuation'; readonly zone: ZoneId };
+
 /** Feeds of the platform's own collections. */
 export interface Feeds {
-  /** The operator's configuration, a collection of one entry. */
-  readonly config: Feed<GatewayConfig>;
+  /** The operator's configuration and evacuated zones. */
+  readonly config: Feed<OperatorEntry>;
   readonly servers: Feed<BackendServer>;
   /** Daemons, which register themselves. */
   readonly daemons: Feed<DaemonEntry>;
@@ -137,6 +142,8 @@
   readonly limitPerS?: number;
   /** Backoff after a 503 (`Retry-After`): how long to send the server nothing, milliseconds. */
   readonly restMs?: number;
+  /** For how long the server stays cold, milliseconds; 0: it is warm. */
+  readonly coldMs?: number;
   /** The server is shutting down and takes no new requests until it has restarted. */
   readonly isLeaving: boolean;
   /** Headers about the server's own state that could not be parsed. */
@@ -145,7 +152,7 @@
 
 /** A malformed header: name and value, truncated if long. */
 export interface MalformedHeader {
-  readonly about: 'limit' | 'rest' | 'leaving';
+  readonly about: 'limit' | 'rest' | 'cold' | 'leaving';
   readonly header: string;
 }
 
--- a/stand-ins/users-platform/start.ts
+++ b/stand-ins/users-platform/start.ts
@@ -1,6 +1,6 @@
 /** The users' platform in real time: store, engine servers, plain servers and operator actions. */
 
-import { CONFIG_KEY, TABLES } from '../../platform/names';
+import { CONFIG_KEY, EVACUATION_PREFIX, TABLES } from '../../platform/names';
 import type { EngineSpec } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
 import type { ServerName, ServiceId } from '../../src/core/ids';
@@ -22,6 +22,8 @@
   readonly engine: EngineSpec;
   readonly domains: readonly number[];
   readonly plainServers: number;
+  /** Zone of the n-th domain, and of the n-th plain server. */
+  readonly zoneOf?: (n: number) => string;
   /** Maps the listen address of a server to the published one, for instance that of a proxy. */
   readonly publishedAddress?: (address: string) => string;
 }
@@ -37,11 +39,15 @@
   readonly storeAddress: string;
   /** Writes the configuration document as the operator. */
   configure(document: object): void;
+  /** Evacuates a zone as the operator, or ends that. */
+  evacuate(zone: string, isEvacuated: boolean): void;
   /**
    * The store is down for `awayMs`, then returns from a copy that is `copyAgeMs` old by then. The
    * operator and the servers write their rows again afterwards.
    */
   returnStore(options: { readonly awayMs: number; readonly copyAgeMs: number }): Promise<void>;
+  /** The servers are cold for `coldMs` from now on, and state it in their rows. */
+  setCold(names: readonly ServerName[], coldMs: number): void;
   /** Starts another engine server in a domain. */
   addEngine(domain: string): Promise<void>;
   close(): void;
@@ -54,7 +60,7 @@
 export const PLAIN_SERVICE = brandAs<ServiceId>('ledger');
 
 export async function startPlatform(options: PlatformOptions): Promise<PlatformStandIn> {
-  const { host, firstPort, engine, domains, plainServers } = options;
+  const { host, firstPort, engine, domains, plainServers, zoneOf = () => 'zone-a' } = options;
   const publishedAddress = options.publishedAddress ?? ((address: string) => address);
   const store = await startStore(host, firstPort);
   const runs: Run[] = [];
@@ -66,6 +72,7 @@
     engine,
     service: LLM_SERVICE,
     domains,
+    zoneOf,
     hasTraffic: false,
     addressOf: (n) => `${host}:${firstPort + 1 + plainServers + n}`,
   });
@@ -80,7 +87,7 @@
     const row = {
       service: PLAIN_SERVICE,
       address: published,
-      zone: 'zone-a',
+      zone: zoneOf(n),
       batchSize: 6,
       state: 'ready',
     };
@@ -89,6 +96,8 @@
   }
 
   const shown = new Map<ServerName, string>();
+  /** When cold servers become warm. */
+  const coldUntil = new Map<ServerName, number>();
   /** Last sequence number that each server wrote into its row. */
   const sequences = new Map<ServerName, number>();
   let document: object | undefined;
@@ -101,12 +110,14 @@
     }
     for (const [name, server] of rows) {
       const address = publishedAddress(server.address);
+      const until = coldUntil.get(name) ?? 0;
       const text = JSON.stringify(encodeRow({ ...server, address }));
-      if (shown.get(name) === text) continue;
-      shown.set(name, text);
+      if (shown.get(name) === `${text} ${until}`) continue;
+      shown.set(name, `${text} ${until}`);
+      const coldMs = Math.max(0, until - performance.now());
       const sequence = (sequences.get(name) ?? 0) + 1;
       sequences.set(name, sequence);
-      store.put(TABLES.servers, name, { ...(JSON.parse(text) as object), sequence });
+      store.put(TABLES.servers, name, { ...(JSON.parse(text) as object), sequence, coldMs });
     }
   };
   let last = performance.now();
@@ -129,6 +140,11 @@
       document = next;
       store.put(TABLES.operator, CONFIG_KEY, next);
     },
+    evacuate: (zone, isEvacuated) => {
+      const key = `${EVACUATION_PREFIX}${zone}`;
+      if (isEvacuated) store.put(TABLES.operator, key, {});
+      else store.remove(TABLES.operator, key);
+    },
     returnStore: async ({ awayMs, copyAgeMs }) => {
       store.faults.isDown = true;
       await pause(awayMs);
@@ -139,6 +155,13 @@
       for (const [name, row] of plainRows) store.put(TABLES.servers, name, row);
       if (document) store.put(TABLES.operator, CONFIG_KEY, document);
     },
+    setCold: (names, coldMs) => {
+      for (const name of names) {
+        const row = plainRows.get(name);
+        coldUntil.set(name, performance.now() + coldMs);
+        if (row) store.put(TABLES.servers, name, { ...row, coldMs });
+      }
+    },
     addEngine: async (domain) => {
       const name = fleet.servers.get(fleet.add(domain))?.name;
       if (name !== undefined) closers.push(await startEngine(fleet, name, runs, statements));
--- a/tests/gateway/forming.test.ts
+++ b/tests/gateway/forming.test.ts
@@ -1,10 +1,12 @@
 import { describe, expect, it } from 'vitest';
 
 import { createRandom } from '../../src/adapters/runtime';
+import { brandAs } from '../../src/core/ids';
+import type { GroupId } from '../../src/core/ids';
 import { createEngineFleet } from '../../stand-ins/users-platform/engines';
 import { runLosses } from '../../bench/forming-loop';
 import { createLeader } from './leader';
-import { FLEET, instance, LARGE, SMALL } from './support';
+import { ENGINE, FLEET, instance, LARGE, SMALL } from './support';
 
 function headOf(fleet: ReturnType<typeof createEngineFleet>, model: string) {
   const found = [...fleet.servers.values()].find(
@@ -40,6 +42,35 @@
   });
 });
 
+/** Models whose groups fill a domain of 18 servers without a remainder. */
+const FILLING_ENGINE = {
+  ...ENGINE,
+  models: ENGINE.models.map((model) => ({
+    ...model,
+    size: model.name === LARGE ? 8 : 2,
+    share: 0.5,
+  })),
+};
+
+describe('a domain that groups would fill completely', () => {
+  // Guards against groups of a small model formed from the warm reserve before the first caller: each
+  // loss then takes a group of the large model for the time of a weight load.
+  it('keeps a reserve, which replaces a lost member of the large model', () => {
+    const options = { ...FLEET, engine: FILLING_ENGINE, domains: [18], hasTraffic: false };
+    const fleet = createEngineFleet(options);
+    const leader = createLeader(fleet, { engine: FILLING_ENGINE });
+    leader.run(25_000);
+    const [large, small] = [fleet.serving(LARGE), fleet.serving(SMALL)];
+    expect(8 * large + 2 * small).toBeLessThan(18);
+    const loads = fleet.loads();
+    fleet.kill(headOf(fleet, LARGE).joined?.members[1] ?? instance('none'));
+    leader.run(2_000);
+    expect(fleet.serving(LARGE)).toBe(large);
+    expect(fleet.loads()).toBe(loads);
+    expect(fleet.violations).toEqual([]);
+  });
+});
+
 describe('a lost member', () => {
   it.each([LARGE, SMALL])('of %s is replaced by a warm spare within a second', (model) => {
     const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: false });
@@ -137,6 +168,37 @@
     expect(leader.orders()).toBe(orders);
   });
 
+  // Guards against ending groups that serve: after a restart of all daemons, members without a connection
+  // to the registry are unknown to everyone, and every group with such a member was ended at once.
+  it('keeps a group that serves although a member is not listed and unknown to it', () => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: false });
+    const leader = createLeader(fleet, { hasTraffic: true });
+    leader.run(15_000);
+    const { joined } = headOf(fleet, LARGE);
+    const member = joined?.members[1] ?? instance('none');
+    fleet.cut(member, true);
+    leader.run(5_000);
+    expect(fleet.rows().has(member)).toBe(false);
+    leader.replace({ isNewProcess: true });
+    leader.run(4_000);
+    expect(headOf(fleet, LARGE).joined?.group).toBe(joined?.group);
+  });
+
+  it('ends a group with an unlisted member once its streams have stalled', () => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: false });
+    const leader = createLeader(fleet, { hasTraffic: true });
+    leader.run(15_000);
+    const head = headOf(fleet, LARGE);
+    fleet.cut(head.joined?.members[1] ?? instance('none'), true);
+    leader.run(5_000);
+    leader.replace({ isNewProcess: true });
+    leader.run(500);
+    const orders = leader.orders();
+    leader.noteStalled(brandAs<GroupId>(head.joined?.group ?? 'none'));
+    leader.run(100);
+    expect(leader.orders()).toBeGreaterThan(orders);
+  });
+
   it('opens a complete group that its predecessor had not opened', () => {
     const fleet = createEngineFleet({ ...FLEET, domains: [6], hasTraffic: false });
     const leader = createLeader(fleet);
--- a/tests/gateway/leader.ts
+++ b/tests/gateway/leader.ts
@@ -1,10 +1,16 @@
 /** Runs the group planner's core against a simulated fleet, as the lease holder does. */
 
 import { createFormingState } from '../../src/core/gateway/forming/state';
-import type { FormingMechanism, FormingState } from '../../src/core/gateway/forming/state';
+import type {
+  FormingMechanism,
+  FormingState,
+  FormingView,
+} from '../../src/core/gateway/forming/state';
 import { noteResult, noteSuspect, planGroups } from '../../src/core/gateway/forming/plan';
+import { noteStalled } from '../../src/core/gateway/forming/adopt';
 import type { EngineSpec } from '../../src/core/gateway/types';
-import type { ModelId } from '../../src/core/ids';
+import { brandAs } from '../../src/core/ids';
+import type { GroupId, InstanceId, ModelId, MonoTime, ZoneId } from '../../src/core/ids';
 import type { EngineFleet } from '../../stand-ins/users-platform/engines';
 import { at, ENGINE } from './support';
 
@@ -17,6 +23,8 @@
   readonly lateMs?: (n: number) => number;
   /** Offered load of each model, in full groups. */
   readonly offeredLoad?: ReadonlyMap<ModelId, number>;
+  /** Load and demand as the group planner measures them; called before each plan once callers are served. */
+  readonly measure?: (now: MonoTime) => Pick<FormingView, 'offeredLoad' | 'demand'>;
   /** Mechanisms that are disabled. */
   readonly disabledMechanisms?: readonly FormingMechanism[];
 }
@@ -27,6 +35,7 @@
     hasTraffic: startsWithTraffic = false,
     lateMs = () => 0,
     offeredLoad,
+    measure,
     engine = ENGINE,
     disabledMechanisms = [],
   }: LeaderOptions = {},
@@ -34,6 +43,11 @@
   let hasTraffic = startsWithTraffic;
   let fencing = 1;
   let orders = 0;
+  /** Servers whose rows expired before the process of the current leader began. */
+  let unknown = new Set<InstanceId>();
+  let evacuated: ReadonlySet<ZoneId> = new Set();
+  /** Orders to servers of evacuated zones. */
+  let misdirected = 0;
   let state: FormingState = createFormingState({ disabledMechanisms });
 
   const step = (): void => {
@@ -42,17 +56,20 @@
     for (const id of fleet.stalled()) state = noteSuspect(state, id, at(now + 20_000));
     const view = {
       servers: fleet.rows(),
-      lapsed: fleet.lapsed(),
+      lapsed: new Map([...fleet.lapsed()].filter(([id]) => !unknown.has(id))),
       ended: fleet.ended,
       engine,
       fencing,
       hasTraffic,
+      evacuated,
       ...(offeredLoad && { offeredLoad }),
+      ...(hasTraffic && measure?.(now)),
     };
     const plan = planGroups(state, view, now);
     state = plan.state;
     for (const effect of plan.orders) {
       orders += 1;
+      if (evacuated.has(effect.server.zone)) misdirected += 1;
       const result = fleet.take(effect, lateMs(orders));
       state = noteResult(state, effect.key, result);
     }
@@ -62,8 +79,12 @@
     run: (ms: number): void => {
       for (let passed = 0; passed < ms; passed += TICK_MS) step();
     },
-    /** Another daemon takes over the lease; it knows only what servers report. */
-    replace: (): void => {
+    /**
+     * Another daemon takes over the lease; it knows only what servers report, and with `isNewProcess` no
+     * server whose row expired earlier.
+     */
+    replace: ({ isNewProcess = false } = {}): void => {
+      if (isNewProcess) unknown = new Set(fleet.lapsed().keys());
       fencing += 1;
       state = createFormingState({ disabledMechanisms });
     },
@@ -71,6 +92,14 @@
     beginTraffic: (): void => {
       hasTraffic = true;
     },
+    noteStalled: (group: GroupId): void => {
+      state = noteStalled(state, group);
+    },
+    /** Evacuates these zones and no others. */
+    evacuate: (...zones: readonly string[]): void => {
+      evacuated = new Set(zones.map((zone) => brandAs<ZoneId>(zone)));
+    },
+    misdirected: () => misdirected,
     orders: () => orders,
     state: () => state,
   };
--- a/tests/gateway/priority-order.test.ts
+++ b/tests/gateway/priority-order.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
+import { createArrivals } from '../../src/app/gateway/arrivals';
 import { sumLoads, toReport, withoutOwn } from '../../src/app/gateway/loads';
 import { lateQuota, shareLeft, slotAccessFor } from '../../src/core/gateway/capacity';
 import { isHeldBack } from '../../src/core/gateway/priority-classes';
@@ -8,7 +9,7 @@
 import { createFleetModel, TARGET_MS } from './fleet-model';
 import type { ModelRequest } from './fleet-model';
 import { fakeTime } from './fake-time';
-import { makeState, SMALL } from './support';
+import { makeContext, makeState, SMALL } from './support';
 
 fakeTime();
 
@@ -102,6 +103,14 @@
 });
 
 describe('the loads by priority', () => {
+  // Guards against a demand for a model that leaves out all classes but the most urgent one.
+  it('are those of all classes if no priority is named', () => {
+    const arrivals = createArrivals(makeContext());
+    for (const priority of [0, 1, 1, 2]) arrivals.note(SMALL, priority);
+    expect(arrivals.rate(SMALL, 1)).toBeCloseTo(2, 0);
+    expect(arrivals.rate(SMALL)).toBeCloseTo(4, 0);
+  });
+
   const waiting = {
     waiting: () => [[SMALL, 3, 2]] as const,
     count: (_: unknown, priority?: number) => (priority === 2 ? 3 : 0),
--- a/tests/gateway/server-notices.test.ts
+++ b/tests/gateway/server-notices.test.ts
@@ -12,7 +12,7 @@
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId, EpochTime, GroupId, Epoch, InstanceId } from '../../src/core/ids';
 import type { ResponseHeaders } from '../../src/ports/gateway';
-import { at, instance, makeContext, makeRateLimits, makeServer } from './support';
+import { at, instance, makeColdServers, makeContext, makeRateLimits, makeServer } from './support';
 
 const SERVER = instance('s1');
 
@@ -25,8 +25,11 @@
   const leaving = {
     note: (server: InstanceId) => leftServers.push(server),
   } as unknown as LeavingServers;
-  const throttle = createThrottle(ctx, rateLimits);
-  const notices = createServerNotices(ctx, { dialect, limits: rateLimits, throttle, leaving });
+  const coldTimes: number[] = [];
+  const cold = { noteColdMs: (_: InstanceId, coldMs: number) => coldTimes.push(coldMs) };
+  const throttle = createThrottle(ctx, rateLimits, makeColdServers(ctx));
+  const options = { dialect, limits: rateLimits, throttle, leaving, cold };
+  const notices = createServerNotices(ctx, options);
   const read = (statusCode: number, headers: Record<string, string>): void => {
     notices.read(SERVER, { statusCode, headers }, at(ms - 10));
   };
@@ -35,6 +38,7 @@
     limits: rateLimits,
     allowances: throttle,
     left: leftServers,
+    coldTimes,
     read,
     wait: (more: number) => (ms += more),
   };
@@ -52,6 +56,15 @@
     expect(leftServers).toEqual([SERVER]);
   });
 
+  // Guards against a server that became cold and is known to be from its row only.
+  it('tell for how long the server stays cold, unless another one answered', () => {
+    const { read, coldTimes } = setUp();
+    read(200, { [HEADERS.coldMs]: '700' });
+    read(421, { [HEADERS.coldMs]: '900' });
+    read(200, {});
+    expect(coldTimes).toEqual([700]);
+  });
+
   it('are not attributed to the intended server if another one answered', () => {
     const { read, limits: rateLimits, allowances: throttle, left: leftServers } = setUp();
     read(421, { [HEADERS.limit]: '2', [HEADERS.leaving]: '1', 'retry-after': '3' });
