Serve timely requests of all classes before late ones over the fleet

Cause: late requests of an urgent class went before timely ones of a less urgent class; each slot that a late one takes makes another request late. Urgent requests that had enough capacity also left the slots alone that their daemon had released, and filled groups chosen from outdated loads. Change: the order is timeliness, then priority, in the queue, in the slots granted over the fleet and in the expected wait. Expected loads are split into timely and late ones by class. A class that has enough uses slots that its daemon has anyway first.

--- a/src/app/gateway/early-refusals.ts
+++ b/src/app/gateway/early-refusals.ts
@@ -2,7 +2,7 @@
 
 import { refuseEarly, returnAfter } from '../../core/gateway/early-refusal';
 import type { ServiceView, TimeLeft } from '../../core/gateway/early-refusal';
-import { rankOf, sumClasses } from '../../core/gateway/priority-classes';
+import { sumClasses } from '../../core/gateway/priority-classes';
 import type { ModelId, ServiceId } from '../../core/ids';
 import type { RetryAfter } from './exchange';
 import type { OrganisationUse } from './organisation-use';
@@ -51,7 +51,8 @@
   return {
     ...groupRegistry.slotUse(service, model),
     hasPeerLoads: groupRegistry.hasPeerLoads(),
-    urgent: rankOf([...local, ...remote], priority).urgent,
+    urgent: sumClasses([...local, ...remote], (other) => other < priority),
+    lessUrgent: sumClasses([...local, ...remote], (other) => other > priority),
     own,
     localShare: Math.max(ratio, 1 / Math.max(1, daemons())),
     localAhead: waitQueue.ahead(request),
--- a/src/app/gateway/slot-admission.ts
+++ b/src/app/gateway/slot-admission.ts
@@ -9,11 +9,17 @@
   expectLoad,
   grantSlots,
   lateQuota,
+  NOTHING_EXPECTED,
   onTimeShare,
   shareLeft,
 } from '../../core/gateway/capacity';
-import type { SlotAccess, OfferedLoad, Contention } from '../../core/gateway/capacity';
-import { NO_LOAD } from '../../core/gateway/priority-classes';
+import type {
+  SlotAccess,
+  OfferedLoad,
+  Contention,
+  ExpectedLoad,
+} from '../../core/gateway/capacity';
+import { expectClasses } from '../../core/gateway/priority-classes';
 import type { ClassRank } from '../../core/gateway/priority-classes';
 import { smoothHoldMs } from '../../core/gateway/waiting-order';
 import { later } from '../../core/ids';
@@ -71,18 +77,23 @@
 
 const ignore = (): void => undefined;
 
+function sumOf({ onTime, late }: ExpectedLoad): number {
+  return onTime + late;
+}
+
 /** Whether there is load of less urgent classes and not enough capacity for all classes. */
-function isContendedBelow(
-  { freeCapacity, local, remote, urgent = 0 }: Contention,
-  lessUrgent: number,
-): boolean {
-  const own = local.onTime + local.late + remote.onTime + remote.late;
-  return lessUrgent > 0 && urgent + own + lessUrgent > freeCapacity;
+function isContendedBelow({
+  freeCapacity,
+  local,
+  remote,
+  urgent = NOTHING_EXPECTED,
+  lessUrgent = NOTHING_EXPECTED,
+}: Contention): boolean {
+  const all = [local, remote, urgent, lessUrgent].reduce((sum, load) => sum + sumOf(load), 0);
+  return sumOf(lessUrgent) > 0 && all > freeCapacity;
 }
 
-const ONLY_CLASS: ClassRank = {
-  ...{ priority: 0, urgent: NO_LOAD, lessUrgent: NO_LOAD },
-};
+const ONLY_CLASS: ClassRank = { priority: 0, urgent: [], lessUrgent: [] };
 
 function classKey(model: ModelId, { priority }: ClassRank): string {
   return `${priority} ${model}`;
@@ -101,6 +112,8 @@
   /** Load updates that arrive before this do not yet include what was sent since the last grant. */
   let grantsKeptUntil: MonoTime = clock.now();
 
+  const hasGrant = (head: InstanceId): boolean => (grantedSlots.get(head) ?? 0) >= 1;
+
   const addGranted = (head: InstanceId, by: number): void => {
     grantedSlots.set(head, (grantedSlots.get(head) ?? 0) + by);
   };
@@ -132,9 +145,7 @@
   > = {
     all: (_, groups) => ({ groups, noteSent: ignore }),
     granted: (_, groups) => ({
-      groups: groups.filter(
-        ({ head, isOwnShare }) => isOwnShare === true || (grantedSlots.get(head) ?? 0) >= 1,
-      ),
+      groups: groups.filter(({ head, isOwnShare }) => isOwnShare === true || hasGrant(head)),
       noteSent: ignore,
     }),
     surplus: (key, groups) => {
@@ -180,25 +191,23 @@
     admit: (model, groups, { local, remote, slackMs, isLate, rank = ONLY_CLASS }) => {
       slacks.set(model, smoothHoldMs(slacks.get(model), slackMs));
       const ages = { agedMs: loadAgeMs, slackMs };
-      const urgent = expectLoad(rank.urgent, ages);
       const contention: Contention = {
         freeCapacity: groups.reduce((sum, { freeCapacity }) => sum + freeCapacity, 0),
         local: expectLoad({ ...local, waiting: Math.max(1, local.waiting) }, ages),
         remote: expectLoad(remote, ages),
-        urgent: urgent.onTime + urgent.late,
+        urgent: expectClasses(rank.urgent, ages),
+        lessUrgent: expectClasses(rank.lessUrgent, ages),
       };
-      const { onTime, late } = expectLoad(rank.lessUrgent, ages);
-      const lessUrgent = onTime + late;
       const key = classKey(model, rank);
       const access = slotAccessFor(contention, isLate);
       if (!lateRemaining.has(key)) lateRemaining.set(key, lateQuota(contention, random.next()));
-      // The slots of a class that has enough are not reserved if a less urgent class competes for
-      // what it leaves over.
-      const usesGrants = access !== 'all' || !isContendedBelow(contention, lessUrgent);
-      if (usesGrants) grantOnce(key, groups, contention);
-      if (access === 'granted' || access === 'surplus') {
-        reusableShares.set(model, shareLeft(contention));
-      }
+      // No slots are granted to a class that has enough if a less urgent class competes for what it
+      // leaves over. It uses slots that this daemon has anyway first: chosen from outdated loads,
+      // other groups become overfull.
+      const isReserving = access !== 'all' || !isContendedBelow(contention);
+      if (isReserving) grantOnce(key, groups, contention);
+      const usesGrants = isReserving || groups.some(({ head }) => hasGrant(head));
+      if (access === 'granted') reusableShares.set(model, shareLeft(contention));
       return { ...ADMIT[access](key, groups), usesGrants };
     },
   };
--- a/src/core/gateway/capacity.ts
+++ b/src/core/gateway/capacity.ts
@@ -12,9 +12,11 @@
  * since it knows of the slot before all others. Requests that are already late use only what those that can
  * be on time leave over: each slot that a late one takes makes another request late.
  *
- * Requests of one model may differ in priority. The slots that more urgent requests of all daemons need are
- * taken off the free capacity first, so that a less urgent request at one daemon takes no slot from a more
- * urgent one at another.
+ * Requests of one model may differ in priority. The slots that the requests of all daemons need which go
+ * first are taken off the free capacity: for a request that can be on time the more urgent ones that can be
+ * as well, for a late one all that can be on time and the more urgent late ones. So a less urgent request at
+ * one daemon takes no slot from a more urgent one at another, and a late one takes none that makes another
+ * request late: its answer is worth about a quarter of one on time to its caller.
  */
 
 import type { InstanceId } from '../ids';
@@ -105,7 +107,7 @@
  * - `all`: any free slot.
  * - `granted`: only slots that were granted to its daemon.
  * - `surplus`: only slots that requests which can be on time leave over.
- * - `none`: more urgent requests need all slots.
+ * - `none`: more urgent requests that can be on time need all slots.
  */
 export type SlotAccess = 'all' | 'granted' | 'surplus' | 'none';
 
@@ -115,33 +117,45 @@
   readonly freeCapacity: number;
   readonly local: ExpectedLoad;
   readonly remote: ExpectedLoad;
-  /** Slots that the requests of more urgent classes need, on all daemons; 0 if absent. */
-  readonly urgent?: number;
+  /** Load of more urgent classes, on all daemons; none if absent. */
+  readonly urgent?: ExpectedLoad;
+  /** Load of less urgent classes, on all daemons; none if absent. */
+  readonly lessUrgent?: ExpectedLoad;
 }
 
-/** The part of the free capacity that more urgent classes leave over, 0 to 1. */
-export function shareLeft({ freeCapacity, urgent = 0 }: Contention): number {
-  if (urgent === 0) return 1;
-  return freeCapacity <= urgent ? 0 : 1 - urgent / freeCapacity;
+export const NOTHING_EXPECTED: ExpectedLoad = { onTime: 0, late: 0 };
+
+/** The part of the free capacity that more urgent requests which can be on time leave over, 0 to 1. */
+export function shareLeft({ freeCapacity, urgent = NOTHING_EXPECTED }: Contention): number {
+  if (urgent.onTime === 0) return 1;
+  return freeCapacity <= urgent.onTime ? 0 : 1 - urgent.onTime / freeCapacity;
+}
+
+/** Slots that the requests which can be on time and the more urgent late ones leave over; negative if too few. */
+function surplusOf({
+  freeCapacity,
+  local,
+  remote,
+  urgent = NOTHING_EXPECTED,
+  lessUrgent = NOTHING_EXPECTED,
+}: Contention): number {
+  const onTime = urgent.onTime + local.onTime + remote.onTime + lessUrgent.onTime;
+  return freeCapacity - onTime - urgent.late;
 }
 
 /** The slots that a request may use; `isLate` if it can no longer be on time. */
 export function slotAccessFor(contention: Contention, isLate: boolean): SlotAccess {
   const { local, remote } = contention;
+  if (isLate) return local.late + remote.late <= surplusOf(contention) ? 'all' : 'surplus';
   const share = shareLeft(contention);
   if (share === 0) return 'none';
-  const freeCapacity = share * contention.freeCapacity;
-  const onTime = local.onTime + remote.onTime;
-  if (onTime + local.late + remote.late <= freeCapacity) return 'all';
-  if (isLate) return 'surplus';
-  return onTime <= freeCapacity ? 'all' : 'granted';
+  return local.onTime + remote.onTime <= share * contention.freeCapacity ? 'all' : 'granted';
 }
 
 /** Late requests that this daemon may send before the next load update, rounded at random by `chance` in [0, 1). */
 export function lateQuota(contention: Contention, chance: number): number {
   const { local, remote } = contention;
-  const freeCapacity = shareLeft(contention) * contention.freeCapacity;
-  const surplus = Math.max(0, freeCapacity - local.onTime - remote.onTime);
+  const surplus = Math.max(0, surplusOf(contention));
   const late = local.late + remote.late;
   return late === 0 ? 0 : Math.floor((surplus * local.late) / late + chance);
 }
--- a/src/core/gateway/early-refusal.ts
+++ b/src/core/gateway/early-refusal.ts
@@ -24,6 +24,8 @@
   readonly urgent: OfferedLoad;
   /** Load of the request's own class, on all daemons. */
   readonly own: OfferedLoad;
+  /** Load of less urgent classes, on all daemons. */
+  readonly lessUrgent: OfferedLoad;
   /** Part of the class's load that arrives at this daemon, 0 to 1. */
   readonly localShare: number;
   /** Requests that wait at this daemon and go before this one. */
@@ -68,19 +70,21 @@
 }
 
 /**
- * The time that the request will wait for a slot. As long as it can be on time, it waits for those ahead of it;
- * from then on also for the arrivals of its own class, which go before late requests.
+ * The time that the request will wait for a slot. As long as it can be on time, it waits for those ahead of it
+ * and for arrivals of more urgent classes; from then on for the arrivals of all classes, which go before late
+ * requests.
  */
 export function expectWait(
   view: ServiceView,
   { slackMs }: Pick<TimeLeft, 'slackMs'>,
 ): ExpectedWait {
-  const { urgent, own, localShare, localAhead, remoteUrgent } = view;
+  const { urgent, own, lessUrgent, localShare, localAhead, remoteUrgent } = view;
   const ahead = localAhead + remoteUrgent * localShare;
   const leftPerS = throughput(view) - urgent.perSecond;
   const onTimeMs = msUntilServed(ahead, leftPerS, localShare);
+  const leftLatePerS = leftPerS - own.perSecond - lessUrgent.perSecond;
   const expectedWaitMs =
-    onTimeMs <= slackMs ? onTimeMs : msUntilServed(ahead, leftPerS - own.perSecond, localShare);
+    onTimeMs <= slackMs ? onTimeMs : msUntilServed(ahead, leftLatePerS, localShare);
   return { expectedWaitMs, ahead };
 }
 
--- a/src/core/gateway/priority-classes.ts
+++ b/src/core/gateway/priority-classes.ts
@@ -6,7 +6,8 @@
  * who is served. The loads of all daemons are therefore exchanged by priority.
  */
 
-import type { OfferedLoad } from './capacity';
+import { expectLoad } from './capacity';
+import type { ExpectedLoad, OfferedLoad } from './capacity';
 
 /** Load of one priority class of a model; class 0 is the most urgent. */
 export interface ClassLoad extends OfferedLoad {
@@ -16,13 +17,13 @@
 /** What a priority class competes with. */
 export interface ClassRank {
   readonly priority: number;
-  /** Load of all more urgent classes. */
-  readonly urgent: OfferedLoad;
-  /** Load of all less urgent classes. */
-  readonly lessUrgent: OfferedLoad;
+  /** Loads of all more urgent classes, of each daemon known or of all. */
+  readonly urgent: readonly ClassLoad[];
+  /** Loads of all less urgent classes. */
+  readonly lessUrgent: readonly ClassLoad[];
 }
 
-export const NO_LOAD: OfferedLoad = { waiting: 0, perSecond: 0 };
+const NO_LOAD: OfferedLoad = { waiting: 0, perSecond: 0 };
 
 /** The sum of the loads whose class satisfies `includes`. */
 export function sumClasses(
@@ -44,11 +45,24 @@
 export function rankOf(classes: readonly ClassLoad[], priority: number): ClassRank {
   return {
     priority,
-    urgent: sumClasses(classes, (other) => other < priority),
-    lessUrgent: sumClasses(classes, (other) => other > priority),
+    urgent: classes.filter((other) => other.priority < priority),
+    lessUrgent: classes.filter((other) => other.priority > priority),
   };
 }
 
+/** The sum of the expected loads: a backlog of one class is late even if another class has none. */
+export function expectClasses(
+  classes: readonly ClassLoad[],
+  ages: Parameters<typeof expectLoad>[1],
+): ExpectedLoad {
+  return classes
+    .map((load) => expectLoad(load, ages))
+    .reduce((sum, { onTime, late }) => ({ onTime: sum.onTime + onTime, late: sum.late + late }), {
+      onTime: 0,
+      late: 0,
+    });
+}
+
 /** What a daemon knows when it decides whether to hold a class back. */
 export interface ViewState {
   /** Whether the loads of the other daemons are known and fresh. */
--- a/src/core/gateway/waiting-order.ts
+++ b/src/core/gateway/waiting-order.ts
@@ -3,10 +3,11 @@
  *
  * Load pattern: groups are lost or a burst arrives, and the waiting requests of a model hold a slot for very
  * different times: a draft of 30 events for two seconds, a summary of four for a third of a second. Served
- * in order of arrival, a few long ones make many short ones late. So among requests of the same priority
- * those that can still be on time go first, and among these a shorter one goes before a longer one that
- * arrived slightly earlier. Late ones go last, in order of arrival: a longer wait costs them little, while
- * it would make others late. Between the two rules comes the order among organisations, see fair-order.ts.
+ * in order of arrival, a few long ones make many short ones late. So requests that can still be on time go
+ * first, and among those of the same priority a shorter one goes before a longer one that arrived slightly
+ * earlier. Late ones go last, also more urgent ones: a longer wait costs them little, while each would make
+ * another request late. Those of the same priority go in order of arrival. Before the order within a priority
+ * comes the one among organisations, see fair-order.ts.
  */
 
 import type { MonoTime } from '../ids';
@@ -42,7 +43,7 @@
 export function compareWaiting(a: WaitingRequest, b: WaitingRequest, now: MonoTime): number {
   const isLate = [a, b].map(({ onTimeUntil }) => Number(now >= onTimeUntil)) as [number, number];
   const ranks = (a.organisationRank ?? 0) - (b.organisationRank ?? 0);
-  const order = a.priority - b.priority || isLate[0] - isLate[1] || ranks;
+  const order = isLate[0] - isLate[1] || a.priority - b.priority || ranks;
   if (order !== 0) return order;
   return isLate[0] === 1 ? a.arrivedAt - b.arrivedAt : sortKeyOf(a) - sortKeyOf(b);
 }
--- a/tests/gateway/early-refusal.test.ts
+++ b/tests/gateway/early-refusal.test.ts
@@ -9,6 +9,7 @@
   ...{ slots: 100, running: 100, holdMs: 2_000, hasPeerLoads: true },
   urgent: { waiting: 0, perSecond: 0 },
   own: { waiting: 4, perSecond: 40 },
+  lessUrgent: { waiting: 0, perSecond: 0 },
   ...{ localShare: 0.25, localAhead: 4, remoteUrgent: 0 },
 };
 const SATURATED: ServiceView = {
@@ -29,6 +30,14 @@
     expect(refuseEarly({ ...late, localAhead: 40 }, LEFT)?.expectedWaitMs).toBeGreaterThan(1_300);
   });
 
+  // Guards against late requests that wait for a slot which timely ones of a less urgent class take.
+  it('is refused if it would be late and all classes together need all slots', () => {
+    const late = { ...FULL, own: { waiting: 4, perSecond: 30 } };
+    const lessUrgent = { waiting: 0, perSecond: 40 };
+    expect(refuseEarly({ ...late, lessUrgent }, LEFT)?.expectedWaitMs).toBe(Infinity);
+    expect(refuseEarly({ ...late, lessUrgent }, { ...LEFT, slackMs: 400 })).toBeUndefined();
+  });
+
   it('waits if it is the first of its class and the class is served', () => {
     expect(
       refuseEarly({ ...FULL, own: { waiting: 9, perSecond: 90 }, localAhead: 0 }, LEFT),
