--- a/src/app/gateway/cold-assignments.ts
+++ b/src/app/gateway/cold-assignments.ts
@@ -2,8 +2,9 @@
  * Which daemons may send to each cold server. The leader assigns them and publishes the
  * assignments; the other daemons keep what they receive until the limit of the server ends.
  *
- * An assignment is never made beside another one: a leader that has none for a server asks, by the
- * states that it received since it took the lease, whether a daemon has one.
+ * A leader that has no assignment for a server looks for one in the states that it received since it
+ * took the lease. It assigns senders beside an earlier leader's only if it receives states of most
+ * daemons, but of none of these senders.
  */
 
 import { assignSenders } from '../../core/gateway/limits/cold';
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -97,9 +97,9 @@
   ): Promise<ServingGroup | undefined> => {
     const found = tryTakeSlot(exchange, model, state);
     if (found) return found;
-    const isHopeless = (): boolean =>
+    const isUnservable = (): boolean =>
       !state.hasStarted && groupRegistry.isModelEvacuated(exchange.service, model);
-    if (isHopeless()) return undefined;
+    if (isUnservable()) return undefined;
     const since = ctx.clock.now();
     const until = waitUntil(exchange, model, state);
     const msUntilToken = (ahead: number): number =>
@@ -114,7 +114,7 @@
       holdMs: times.holdMs(exchange.route),
       gone: exchange.gone,
       isRetry: state.tried.size > 0,
-      isHopeless,
+      isUnservable,
       choose: () => tryTakeSlot(exchange, model, state),
       msUntilToken,
       areGroupsCold: () => groupRegistry.areGroupsCold(exchange.service, model),
--- a/src/app/gateway/wait-queue.ts
+++ b/src/app/gateway/wait-queue.ts
@@ -19,7 +19,7 @@
    */
   readonly isRetry: boolean;
   /** Whether no group can become free for it, so that the wait ends now. */
-  readonly isHopeless?: () => boolean;
+  readonly isUnservable?: () => boolean;
   /** Takes a slot in a group, if one is free. */
   readonly choose: () => ServingGroup | undefined;
   /** Whether all groups of the model are cold, so that few of the requests get a slot in time. */
@@ -53,7 +53,7 @@
   };
 
   /** Refuses the requests for a model without a slot that cannot get one in time. */
-  const refuseHopeless = (model: ModelId): void => {
+  const refuseUnservable = (model: ModelId): void => {
     let ahead = 0;
     for (const { until, settle, msUntilToken, ...entry } of inOrder()) {
       if (entry.model !== model || entry.isRetry || !msUntilToken) continue;
@@ -71,11 +71,11 @@
     for (const entry of inOrder()) {
       if (fullModels.has(entry.model)) continue;
       const group = entry.choose();
-      if (group || entry.isHopeless?.()) entry.settle(group);
+      if (group || entry.isUnservable?.()) entry.settle(group);
       else if (!entry.isRetry) fullModels.add(entry.model);
       if (!group && entry.areGroupsCold?.() === true) coldModels.add(entry.model);
     }
-    for (const model of coldModels) refuseHopeless(model);
+    for (const model of coldModels) refuseUnservable(model);
     isServing = false;
   };
 
--- a/src/core/gateway/forming/domain-changes.ts
+++ b/src/core/gateway/forming/domain-changes.ts
@@ -92,7 +92,6 @@
   const usedSpares = usesReserve && obtainable.length > 0;
   return {
     ...{ model: spec.name, domain, spec, ended, gained, lost: countByModel(ended) },
-    servers: ended.reduce((sum, group) => sum + group.members.length, 0),
     ...joinCosts(draft, spec, members),
     riskedGroups: usedSpares ? Math.min(1, lossRate(draft) * members.length * spec.loadMs) : 0,
   };
--- a/src/core/gateway/forming/worth.ts
+++ b/src/core/gateway/forming/worth.ts
@@ -42,8 +42,6 @@
   readonly gained: number;
   /** Groups that end, by model. */
   readonly lost: ReadonlyMap<ModelId, number>;
-  /** Servers of the groups that end. */
-  readonly servers: number;
   /** Time to stage weights first, while all groups serve. */
   readonly prepareMs: number;
   /** Time in which neither the old nor the new groups serve. */
--- a/tests/gateway/evacuations.test.ts
+++ b/tests/gateway/evacuations.test.ts
@@ -192,7 +192,7 @@
       ...{ model: SMALL, priority: 1, until: later(now, 50_000), arrivedAt: now, holdMs: 100 },
       ...{ onTimeUntil: later(now, 50_000), gone: new AbortController().signal, isRetry: false },
       choose: () => undefined,
-      isHopeless: () => registry.isModelEvacuated(SERVICE, SMALL),
+      isUnservable: () => registry.isModelEvacuated(SERVICE, SMALL),
     });
     evacuate(A, B);
     expect(await found).toBeUndefined();
--- a/tests/gateway/forming-worth.test.ts
+++ b/tests/gateway/forming-worth.test.ts
@@ -199,7 +199,7 @@
     ]),
   });
   const CHANGE = {
-    ...{ model: LARGE, gained: 1, lost: new Map([[SMALL, 4]]), servers: 8 },
+    ...{ model: LARGE, gained: 1, lost: new Map([[SMALL, 4]]) },
     ...{ prepareMs: 0, pauseMs: 4_000, riskedGroups: 0 },
   };
 
