--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -28,7 +28,6 @@
 import type { RouteTable } from '../../core/gateway/routes';
 import { isSuspect, noteEvidence } from '../../core/gateway/suspicion';
 import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
-import { hasSlotWithoutLoads } from '../../core/gateway/unknown-loads';
 import { summarizeWork } from '../../core/gateway/work';
 import type { ModelWork, WaitingLoad } from '../../core/gateway/work';
 import type { GroupId, InstanceId, ModelId, MonoTime, ServiceId } from '../../core/ids';
@@ -72,11 +71,6 @@
     groups: readonly GroupCandidate[],
     offered: Omit<ModelOfferedLoad, 'remote'>,
   ): Admission;
-  /**
-   * Whether the requests of other daemons are unknown since the start, and this one's use up its part of
-   * the groups' slots.
-   */
-  isStartLimited(groups: readonly GroupCandidate[], daemons: number): boolean;
   /** Free slots of the group that are reserved for this daemon. */
   grantedSlots(head: InstanceId): number;
   /** Whether any group of the model is open outside evacuated zones, suspected or not. */
@@ -170,7 +164,6 @@
   let suspicions: Suspicions = new Map();
   const peerLoads = createPeerLoads(ctx);
   const admission = createSlotAdmission(ctx);
-  let startChance: number | undefined;
   const stalls = new Subject<Stall>();
   const evacuated = new Subject<Stall>();
   const unreachable = new Subject<Stall>();
@@ -318,11 +311,6 @@
         .map((group) => toCandidate(group, needs)),
     admit: (model, found, offered) =>
       admission.admit(model, found, { ...offered, remote: peerLoads.offeredLoad(model) }),
-    isStartLimited: (found, daemons) => {
-      if (!peerLoads.areStillUnknown()) return false;
-      startChance ??= ctx.random.next();
-      return !hasSlotWithoutLoads(found, daemons, startChance);
-    },
     grantedSlots: (head) => admission.grantedSlots(head),
     hasOpenGroup: (service, model) =>
       model !== undefined && groupsOfModel(service, model).length > 0,
--- a/src/app/gateway/peer-loads.ts
+++ b/src/app/gateway/peer-loads.ts
@@ -22,8 +22,6 @@
   apply(sums: LoadSums, facts: LoadSource): boolean;
   /** Whether the loads of the other daemons are known and fresh. */
   areFresh(): boolean;
-  /** Whether the loads of most daemons were never known, in the first seconds of the process. */
-  areStillUnknown(): boolean;
   /** Requests of the other daemons in a group, and the prompt tokens of those without an event. */
   running(head: InstanceId): number;
   pendingPrefill(head: InstanceId): number;
@@ -42,12 +40,6 @@
  */
 const KEPT_MS = 15_000;
 
-/**
- * Without any sum by this time after the start, the other daemons are taken as absent: their entries may
- * outlast them. A lease is taken within three seconds of the loss of all daemons.
- */
-const UNKNOWN_MS = 3_500;
-
 const NO_LOAD: OfferedLoad = { waiting: 0, perSecond: 0 };
 
 export function createPeerLoads({ clock }: GatewayContext): PeerLoads {
@@ -56,14 +48,13 @@
   let waiting: ReadonlyMap<string, OfferedLoad> = new Map();
   let freshUntil = clock.now();
   let keptUntil = clock.now();
-  let unknownUntil = later(clock.now(), UNKNOWN_MS);
 
   return {
     apply: (sums, { coversMost, isLeaderless }) => {
       const now = clock.now();
       if (isLeaderless && now < keptUntil) return false;
       if (!isLeaderless) keptUntil = later(now, KEPT_MS);
-      if (coversMost) [freshUntil, unknownUntil] = [later(now, FRESH_MS), now];
+      if (coversMost) freshUntil = later(now, FRESH_MS);
       running = new Map(sums.running.map(([head, ...load]) => [head, load]));
       slowdowns = new Map(sums.paces);
       waiting = new Map(
@@ -72,7 +63,6 @@
       return true;
     },
     areFresh: () => clock.now() < freshUntil,
-    areStillUnknown: () => clock.now() < unknownUntil,
     running: (head) => running.get(head)?.[0] ?? 0,
     pendingPrefill: (head) => running.get(head)?.[1] ?? 0,
     pace: (head) => slowdowns.get(head) ?? 1,
--- a/src/app/gateway/take-slot.ts
+++ b/src/app/gateway/take-slot.ts
@@ -39,10 +39,8 @@
 ): ServingGroup | undefined {
   const { ctx, groupRegistry, waitQueue, arrivals, daemons } = deps;
   const { model } = needs;
-  const candidates = groupRegistry.candidates(needs);
-  if (groupRegistry.isStartLimited(candidates, daemons())) return undefined;
   const local = { waiting: waitQueue.count(model), perSecond: arrivals.rate(model) };
-  const admission = groupRegistry.admit(model, candidates, {
+  const admission = groupRegistry.admit(model, groupRegistry.candidates(needs), {
     local,
     slackMs,
     isLate,
