--- a/src/core/gateway/forming/demand.ts
+++ b/src/core/gateway/forming/demand.ts
@@ -1,7 +1,7 @@
 /**
  * Estimates the demand for a model from samples of its load.
  *
- * Load pattern: waves of 55% around the mean with a period of 13 s. The mean over 30 s spans more than two
+ * Load pattern: waves of half the mean, with a period of some ten seconds. The mean over 30 s spans more than two
  * of them and varies by a tenth of the swing with their phase.
  */
 
--- a/src/core/gateway/forming/worth.ts
+++ b/src/core/gateway/forming/worth.ts
@@ -2,7 +2,7 @@
  * Worth of groups to callers: of one more group of a model, and of ending groups of one model for another.
  *
  * Load pattern: two models share the servers, and the load of one swings by half around its mean every
- * 13 s. At its peaks its callers wait or are refused while groups of the other model have room. A mean over
+ * ten seconds or so. At its peaks its callers wait or are refused while groups of the other model have room. A mean over
  * a few seconds either hides the peaks or follows them; weights take 16 s to load, so a group that is begun
  * at a peak serves after it. The worth is therefore a mean over the swing, per unit of time, and a change
  * is judged over the time that it lasts, including the time in which neither group serves.
