--- a/src/app/gateway/plain-attempt.ts
+++ b/src/app/gateway/plain-attempt.ts
@@ -7,6 +7,7 @@
 import type { BackendServer } from '../../core/gateway/types';
 import type { MonoTime } from '../../core/ids';
 import type { HeaderDialect, ResponseFacts } from '../../ports/gateway';
+import { createDeadlineSignal } from '../../utils/deadline-signal';
 import { fail } from '../../utils/errors';
 import type { GatewayContext } from './context';
 import type { EvacuatedZones } from './evacuations';
@@ -47,13 +48,30 @@
   exchange: Exchange,
   server: BackendServer,
   until: MonoTime,
+): Promise<Attempt> {
+  const leftMs = Math.ceil(Math.max(1, until - deps.ctx.clock.now()));
+  const { signal, clear } = createDeadlineSignal(leftMs, exchange.gone);
+  try {
+    return await sendUntil(deps, exchange, { server, until, limit: signal });
+  } finally {
+    clear();
+  }
+}
+
+interface Target {
+  readonly server: BackendServer;
+  readonly until: MonoTime;
+  /** Aborts at that time, or when the caller has disconnected. */
+  readonly limit: AbortSignal;
+}
+
+async function sendUntil(
+  deps: PlainAttemptDeps,
+  exchange: Exchange,
+  { server, until, limit }: Target,
 ): Promise<Attempt> {
   const { ctx, upstream, dialect, throttle, evacuations } = deps;
   const now = ctx.clock.now();
-  const limit = AbortSignal.any([
-    exchange.gone,
-    AbortSignal.timeout(Math.ceil(Math.max(1, until - now))),
-  ]);
   const { method = 'GET', url = '/', rawHeaders } = exchange.req;
   const organisation = organisationNameOf(exchange.caller);
   const hasBody = exchange.body.length > 0 || exchange.req.headers['content-length'] !== undefined;
