--- a/tests/gateway/gateway-fixture.ts
+++ b/tests/gateway/gateway-fixture.ts
@@ -4,7 +4,7 @@
  */
 
 import type { ChildProcess } from 'node:child_process';
-import { mkdtempSync, rmSync } from 'node:fs';
+import { mkdtempSync, openSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
@@ -13,8 +13,8 @@
 import type { PlatformStandIn } from '../../stand-ins/users-platform/start';
 import type { ServerName } from '../../src/core/ids';
 import { pause } from '../../src/utils/pause';
-import { callDaemon, launchDaemon } from '../support/gateway-daemon';
-import type { Reply } from '../support/gateway-daemon';
+import { callDaemon, cutOff, launchDaemon } from '../support/gateway-daemon';
+import type { CutKind, Reply } from '../support/gateway-daemon';
 import { ENGINE, LARGE, SMALL } from './support';
 
 const HOST = '127.0.0.1';
@@ -39,6 +39,10 @@
   heads(model: string): readonly ServerName[];
   /** Kills the n-th daemon and starts it again. */
   restart(n: number): void;
+  /** Cuts the n-th daemon off from all servers, or ends that. */
+  cutOff(n: number, kind: CutKind | undefined): void;
+  /** Metrics of the n-th daemon, as text. */
+  metricsOf(n: number): Promise<string>;
   /**
    * Sends `perS` requests a second to each daemon, round robin, for `ms` milliseconds. `bodyOf`: body
    * of the n-th request.
@@ -66,6 +70,10 @@
   readonly settings?: object;
   /** Requests per second that a cold server tolerates. */
   readonly coldPerS?: number;
+  /** Whether `cutOff` may be called. */
+  readonly isCuttable?: boolean;
+  /** Folder for the daemons' logs. */
+  readonly logs?: string;
 }
 
 async function until(check: () => boolean): Promise<void> {
@@ -81,6 +89,8 @@
   storeAddressOf = (_, address) => address,
   settings,
   coldPerS,
+  isCuttable = false,
+  logs,
 }: FixtureOptions): Promise<GatewayFixture> {
   const dir = mkdtempSync(join(tmpdir(), 'nutmegstack-fixture-'));
   const platform = await startPlatform({
@@ -93,8 +103,9 @@
   });
   const portOf = (n: number, role: number): string =>
     `${HOST}:${firstPort + SERVER_PORTS + PORTS_PER_DAEMON * n + role}`;
-  const launch = (n: number): ChildProcess =>
-    launchDaemon({
+  const launch = (n: number): ChildProcess => {
+    const stdout = logs === undefined ? 'ignore' : openSync(join(logs, `daemon-${n}.log`), 'a');
+    const daemon = {
       id: `daemon-${n}`,
       dir,
       listen: portOf(n, 0),
@@ -103,7 +114,9 @@
       seeds: [portOf(0, 2), portOf(1, 2)],
       platform: storeAddressOf(n, platform.storeAddress),
       ...(settings && { more: settings }),
-    });
+    };
+    return launchDaemon(daemon, stdout, { isCuttable });
+  };
   const processes = Array.from({ length: daemons }, (_, n) => launch(n));
   const organisations = [{ name: 'depot', apiKeys: [KEY] }];
   platform.configure(
@@ -136,6 +149,12 @@
       processes[n]?.kill('SIGKILL');
       processes[n] = launch(n);
     },
+    cutOff: (n, kind) => {
+      const child = processes[n];
+      const ports = { firstPort: firstPort + 1, lastPort: firstPort + SERVER_PORTS - 1 };
+      if (child) cutOff(child, kind, ports);
+    },
+    metricsOf: async (n) => (await fetch(`http://${portOf(n, 1)}/metrics`)).text(),
     sendRequests: async (path, perS, ms, bodyOf = () => 'events=3') => {
       const startedAt = performance.now();
       const all: Promise<SentRequest>[] = [];
--- a/tests/support/gateway-daemon.ts
+++ b/tests/support/gateway-daemon.ts
@@ -25,6 +25,20 @@
   readonly more?: object;
 }
 
+/** How a daemon is cut off from all servers; see `cut-links.cjs`. */
+export type CutKind = 'hang' | 'reset' | 'refuse-new';
+
+export interface LaunchOptions {
+  /** Whether `cutOff` may be called for the daemon. */
+  readonly isCuttable?: boolean;
+}
+
+/** The ports of all servers. */
+export interface ServerPorts {
+  readonly firstPort: number;
+  readonly lastPort: number;
+}
+
 /** Settings shared by the daemons of the tests. */
 export const COMMON_SETTINGS = {
   zone: 'zone-a',
@@ -54,18 +68,26 @@
 export function launchDaemon(
   options: DaemonOptions,
   stdout: 'ignore' | number = 'ignore',
+  { isCuttable = false }: LaunchOptions = {},
 ): ChildProcess {
-  const child = spawn(process.execPath, [GATEWAY_PATH], {
+  const preload = isCuttable ? ['--require', './tests/support/cut-links.cjs'] : [];
+  const stderr = typeof stdout === 'number' ? stdout : 'inherit';
+  const child = spawn(process.execPath, [...preload, GATEWAY_PATH], {
     env: {
       PATH: process.env.PATH,
       NUTMEGSTACK_CONFIG: writeSettings(options),
       NUTMEGSTACK_PEER_SECRET: 'a secret of this test alone',
     },
-    stdio: ['ignore', stdout, typeof stdout === 'number' ? stdout : 'inherit'],
+    stdio: ['ignore', stdout, stderr, ...(isCuttable ? (['ipc'] as const) : [])],
   });
   return endWithTest(child, GATEWAY_PATH);
 }
 
+/** Cuts a daemon off from all servers, or ends that. */
+export function cutOff(child: ChildProcess, kind: CutKind | undefined, ports: ServerPorts): void {
+  child.send({ ...(kind && { kind }), ...ports });
+}
+
 /** A response, complete or not. */
 export interface Reply {
   readonly status: number;
--- a/tests/support/server-rules.ts
+++ b/tests/support/server-rules.ts
@@ -58,3 +58,23 @@
   const from = refusedFrom(crashTimes);
   return arrivalTimes.filter((at) => at > from).length;
 }
+
+/** Share of the success rate at other daemons that one which is cut off from all servers must reach. */
+const CUT_OFF_RATIO = 2 / 3;
+/** Failures at these daemons that are allowed in any case: a number, and a share of the requests. */
+const CUT_OFF_FAILURES = 10;
+const CUT_OFF_FAILURE_SHARE = 1 / 50;
+
+function shareOf(served: readonly boolean[]): number {
+  return served.length === 0 ? 1 : served.filter(Boolean).length / served.length;
+}
+
+/** Whether daemons that are cut off serve enough of the requests; the lists tell for each whether it was served. */
+export function isServedEnough(
+  atCutOff: readonly boolean[],
+  atOthers: readonly boolean[],
+): boolean {
+  const failures = atCutOff.filter((served) => !served).length;
+  const allowed = CUT_OFF_FAILURES + CUT_OFF_FAILURE_SHARE * atCutOff.length;
+  return failures <= allowed || shareOf(atCutOff) >= CUT_OFF_RATIO * shareOf(atOthers);
+}
