--- a/src/utils/deadline-signal.ts
+++ b/src/utils/deadline-signal.ts
@@ -6,7 +6,7 @@
 export interface DeadlineSignal {
   readonly signal: AbortSignal;
   /** Stops waiting; must be called once the work has ended. */
-  clear(): void;
+  readonly clear: () => void;
 }
 
 /** Aborts after `ms` milliseconds, or when `parent` aborts. */
--- a/tests/support/cut-links.cjs
+++ b/tests/support/cut-links.mjs
@@ -1,6 +1,7 @@
 // Loaded into a daemon before its program: cuts the daemon off from the servers' ports when its parent says so.
 // Message: `{ kind, firstPort, lastPort }`; without a kind the cut ends.
-const { Socket } = require('node:net');
+import { Socket } from 'node:net';
+import { setImmediate } from 'node:timers';
 
 const sockets = new Set();
 const hanging = new Set();
--- a/tests/support/gateway-daemon.ts
+++ b/tests/support/gateway-daemon.ts
@@ -25,7 +25,7 @@
   readonly more?: object;
 }
 
-/** How a daemon is cut off from all servers; see `cut-links.cjs`. */
+/** How a daemon is cut off from all servers; see `cut-links.mjs`. */
 export type CutKind = 'hang' | 'reset' | 'refuse-new';
 
 export interface LaunchOptions {
@@ -70,7 +70,7 @@
   stdout: 'ignore' | number = 'ignore',
   { isCuttable = false }: LaunchOptions = {},
 ): ChildProcess {
-  const preload = isCuttable ? ['--require', './tests/support/cut-links.cjs'] : [];
+  const preload = isCuttable ? ['--import', './tests/support/cut-links.mjs'] : [];
   const stderr = typeof stdout === 'number' ? stdout : 'inherit';
   const child = spawn(process.execPath, [...preload, GATEWAY_PATH], {
     env: {
