Forward a peer's request to a backend server

This is the way by a peer, not used yet. The request travels over HTTP as the server should receive it, with the server's address and an HMAC under the secret of the daemons; the peer sends it over its own pooled connections, to registered servers only, never to another peer. Its own errors say whether the request was sent.

--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -23,6 +23,11 @@
   nutmegstack_quarantined_calls_total:
     'Requests of the gateway refused because servers ended while they ran them, by standing',
   nutmegstack_refused_requests: 'Requests that this daemon refuses because they crash servers',
+  nutmegstack_forwarded_calls_total: 'Requests forwarded to servers for peers, by outcome',
+  nutmegstack_calls_sent_through_peers_total:
+    'Requests sent to servers through peers, by outcome of the attempt',
+  nutmegstack_blocked_servers: 'Servers that a peer reaches and this daemon does not',
+  nutmegstack_cut_off_services: 'Services none of whose servers this daemon reaches itself',
   nutmegstack_call_ms: 'Time from arrival to the end of the answer, by kind of call',
   nutmegstack_limited_sends_total: 'Requests sent to servers that named how many they take',
   nutmegstack_cold_sends_total:
--- /dev/null
+++ b/src/adapters/upstream/forward-client.ts
@@ -0,0 +1,102 @@
+/** Sends requests for backend servers through a peer. */
+
+import type { IncomingMessage } from 'node:http';
+
+import { fail } from '../../utils/errors';
+import { CHECK_PATH, FORWARD_ERROR, forwardHeaders, FORWARD_TO, NO_BODY } from './forward-protocol';
+import type { ForwardedRequest } from './forward-protocol';
+import type { ListeningState } from './listening';
+import type { Upstream, UpstreamCall, UpstreamResult } from './upstream';
+
+/**
+ * State of a server as a peer sees it; `unknown` if the peer does not answer, or cannot tell because it may be
+ * cut off itself.
+ */
+export type PeerVerdict = ListeningState | 'unknown';
+
+export interface ForwardClient {
+  /** Sends a call through the peer at `peerAddress`. A call that the peer could not send is `not-sent`. */
+  send(call: UpstreamCall, peerAddress: string): Promise<ForwardResult>;
+  /** Asks the peer whether the server listens; never rejects. */
+  check(address: string, peerAddress: string, timeoutMs: number): Promise<PeerVerdict>;
+}
+
+export interface ForwardResult {
+  readonly result: UpstreamResult;
+  /** Whether the peer is to blame for a call without an answer. */
+  readonly hasPeerFailed: boolean;
+}
+
+const VERDICTS: ReadonlySet<string> = new Set<PeerVerdict>(['listening', 'refused', 'unreachable']);
+
+function toRawHeaders(headers: UpstreamCall['headers']): readonly string[] {
+  if (Array.isArray(headers)) return headers as readonly string[];
+  return Object.entries(headers).flatMap(([name, value]) => [name, String(value)]);
+}
+
+async function readText(res: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  try {
+    for await (const chunk of res) chunks.push(chunk as Buffer);
+  } catch {
+    // An incomplete text is no verdict.
+    return '';
+  }
+  return Buffer.concat(chunks).toString();
+}
+
+/** Errors of the peer's own, by the value of its header. */
+const PEER_ERRORS: Readonly<Record<string, (address: string, reason: string) => UpstreamResult>> = {
+  'not-sent': (peer, reason) => ({
+    kind: 'not-sent',
+    error: fail('unavailable', reason, { step: 'forward', peer }),
+  }),
+  lost: (peer, reason) => ({
+    kind: 'lost',
+    error: fail('backend-lost', reason, { step: 'forward', peer }),
+  }),
+};
+
+/** Creates the client; `upstream` holds its connections to peers. */
+export function createForwardClient(upstream: Upstream, secret: string): ForwardClient {
+  const send = async (call: UpstreamCall, peerAddress: string): Promise<ForwardResult> => {
+    const headers = Object.entries(forwardHeaders(secret, call)).flat();
+    const result = await upstream.send({
+      ...call,
+      address: peerAddress,
+      headers: [...toRawHeaders(call.headers), ...headers],
+    });
+    if (result.kind !== 'answered') {
+      return { result, hasPeerFailed: result.error.code !== 'cancelled' && !call.signal.aborted };
+    }
+    const error = PEER_ERRORS[result.res.headers[FORWARD_ERROR] as string];
+    if (!error) return { result, hasPeerFailed: false };
+    const reason = await readText(result.res);
+    return { result: error(call.address, reason), hasPeerFailed: false };
+  };
+
+  const check = async (
+    address: string,
+    peerAddress: string,
+    timeoutMs: number,
+  ): Promise<PeerVerdict> => {
+    const req: ForwardedRequest = { address, method: 'GET', path: CHECK_PATH, body: NO_BODY };
+    const limit = new AbortController();
+    const timer = setTimeout(() => {
+      limit.abort(new Error('the peer does not answer'));
+    }, timeoutMs);
+    const sent = await upstream.send({
+      ...req,
+      address: peerAddress,
+      headers: { ...forwardHeaders(secret, req), [FORWARD_TO]: address },
+      ownConnection: false,
+      beforeSend: () => undefined,
+      signal: limit.signal,
+    });
+    const text = sent.kind === 'answered' ? await readText(sent.res) : '';
+    clearTimeout(timer);
+    return VERDICTS.has(text) ? (text as PeerVerdict) : 'unknown';
+  };
+
+  return { send, check };
+}
--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -11,7 +11,7 @@
 import { connect } from 'node:net';
 import type { NetConnectOpts, Socket } from 'node:net';
 
-import { parseAddress } from '../../utils/address';
+import { formatAddress, parseAddress } from '../../utils/address';
 import type { ErrorCode, StepError } from '../../utils/errors';
 import { fail } from '../../utils/errors';
 import { createTimeout } from '../../utils/timeout';
@@ -25,6 +25,16 @@
   readonly maxIdle?: number;
   /** Idle timeout of a connection, milliseconds; shorter if the server's `Keep-Alive` header says so. */
   readonly idleMs?: number;
+  /** Called with the outcome of each connection attempt. */
+  readonly onConnect?: (address: string, isConnected: boolean) => void;
+}
+
+/** What the connections show of the backend servers. */
+export interface UpstreamActivity {
+  /** Calls that have not ended. */
+  readonly inFlight: number;
+  /** Bytes received since the start, over all connections. */
+  readonly receivedBytes: number;
 }
 
 /** One request to one backend server. */
@@ -76,11 +86,19 @@
 /** Client for backend servers, with connection pooling. */
 export interface Upstream {
   send(call: UpstreamCall): Promise<UpstreamResult>;
+  activity(): UpstreamActivity;
+  /** Closes idle connections to the address. */
+  closeIdle(address: string): void;
   /** Destroys all connections. */
   close(): void;
 }
 
-const DEFAULTS = { connectTimeoutMs: 1_000, maxIdle: 64, idleMs: 60_000 } as const;
+const DEFAULTS = {
+  connectTimeoutMs: 1_000,
+  maxIdle: 64,
+  idleMs: 60_000,
+  onConnect: (): void => undefined,
+} as const;
 
 type ConnectCallback = (err: Error | null, socket?: Socket) => void;
 
@@ -97,6 +115,27 @@
   });
 }
 
+/** Counts the bytes received over connections, closed ones included. */
+interface ReceivedBytes {
+  note(socket: Socket): void;
+  total(): number;
+}
+
+function countReceivedBytes(): ReceivedBytes {
+  const open = new Set<Socket>();
+  let closed = 0;
+  return {
+    note: (socket) => {
+      open.add(socket);
+      socket.once('close', () => {
+        open.delete(socket);
+        closed += socket.bytesRead;
+      });
+    },
+    total: () => [...open].reduce((sum, { bytesRead }) => sum + bytesRead, closed),
+  };
+}
+
 /** Passes a socket to the agent only once it is connected. */
 function connectFirst(
   limits: ConnectLimit,
@@ -152,11 +191,24 @@
   };
 }
 
-function createAgent(keepAlive: boolean, opts: Required<UpstreamOptions>): Agent {
+function addressOf(options: NetConnectOpts): string {
+  const { host = '', port } = options as { readonly host?: string; readonly port: number };
+  return formatAddress({ host, port });
+}
+
+function createAgent(
+  keepAlive: boolean,
+  opts: Required<UpstreamOptions>,
+  received: ReceivedBytes,
+): Agent {
   const agent = new Agent({ keepAlive, maxFreeSockets: opts.maxIdle, timeout: opts.idleMs });
   const limits = createConnectLimit(opts.connectTimeoutMs);
   const open = (options: NetConnectOpts, done: ConnectCallback): undefined => {
-    connectFirst(limits, options, done);
+    connectFirst(limits, options, (err, socket) => {
+      opts.onConnect(addressOf(options), socket !== undefined);
+      if (socket) received.note(socket);
+      done(err, socket);
+    });
   };
   return Object.assign(agent, { createConnection: open, ...rejectIdleData(agent) });
 }
@@ -216,15 +268,26 @@
 /** Creates the client. A connection is reused only after a complete response. */
 export function createUpstream(options: UpstreamOptions = {}): Upstream {
   const opts = { ...DEFAULTS, ...options };
-  const shared = createAgent(true, opts);
-  const single = createAgent(false, opts);
+  const received = countReceivedBytes();
+  const shared = createAgent(true, opts, received);
+  const single = createAgent(false, opts, received);
+  let inFlight = 0;
   return {
+    activity: () => ({ inFlight, receivedBytes: received.total() }),
+    closeIdle: (address) => {
+      for (const socket of shared.freeSockets[shared.getName(parseAddress(address))] ?? [])
+        socket.destroy();
+    },
     send: (call) =>
       new Promise((resolve) => {
         const { host, port } = parseAddress(call.address);
         const { method, path, headers } = call;
         const agent = call.ownConnection ? single : shared;
         const req = request({ agent, host, port, method, path, headers });
+        inFlight += 1;
+        req.once('close', () => {
+          inFlight -= 1;
+        });
         settleCall(call, req, resolve);
       }),
     close: () => {
--- /dev/null
+++ b/src/app/gateway/forwarding.ts
@@ -0,0 +1,203 @@
+/**
+ * Forwards requests of peers to backend servers that they do not reach themselves. Everything about the request
+ * is decided by the peer; here it is sent directly and never forwarded again.
+ */
+
+import { createServer } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type { PeerVerdict } from '../../adapters/upstream/forward-client';
+import {
+  CHECK_PATH,
+  FORWARD_ERROR,
+  FORWARD_PROOF,
+  FORWARD_TO,
+  isProven,
+} from '../../adapters/upstream/forward-protocol';
+import type { ForwardedRequest } from '../../adapters/upstream/forward-protocol';
+import type { Answered, Upstream } from '../../adapters/upstream/upstream';
+import { parseAddress } from '../../utils/address';
+import { fail } from '../../utils/errors';
+import type { GatewayContext } from './context';
+
+export interface ForwardingDeps {
+  readonly upstream: Upstream;
+  readonly isServer: (address: string) => boolean;
+  readonly answerPeer: (address: string) => Promise<PeerVerdict>;
+}
+
+export interface Forwarding {
+  start(): Promise<void>;
+  inFlight(): number;
+  /** From now on, every answer closes its connection. */
+  beginStop(): void;
+  close(): void;
+}
+
+/** Requests forwarded at the same time; more are not sent. */
+const MAX_FORWARDED = 512;
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** Longer than peers keep idle connections, so that none is closed as they send. */
+const KEEP_ALIVE_MS = 20_000;
+/** Headers of a single connection. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'transfer-encoding',
+]);
+const NOT_FORWARDED: ReadonlySet<string> = new Set([
+  ...CONNECTION_HEADERS,
+  FORWARD_TO,
+  FORWARD_PROOF,
+]);
+const NOT_RETURNED: ReadonlySet<string> = new Set([...CONNECTION_HEADERS, FORWARD_ERROR]);
+
+function without(rawHeaders: readonly string[], dropped: ReadonlySet<string>): string[] {
+  return rawHeaders.filter((_, i) => !dropped.has((rawHeaders[i - (i % 2)] ?? '').toLowerCase()));
+}
+
+/** The complete body; undefined if it is incomplete or too long. */
+async function readBody(req: IncomingMessage): Promise<Buffer | undefined> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  try {
+    for await (const chunk of req) {
+      bytes += (chunk as Buffer).length;
+      if (bytes > MAX_BODY_BYTES) return undefined;
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    // Broken off by the peer, which knows.
+    return undefined;
+  }
+  return Buffer.concat(chunks);
+}
+
+/** Aborts if the peer closes the connection before the answer is complete. */
+function watchPeer(res: ServerResponse): AbortSignal {
+  const controller = new AbortController();
+  res.once('close', () => {
+    if (!res.writableFinished) controller.abort(new Error('peer disconnected'));
+  });
+  return controller.signal;
+}
+
+function answerError(res: ServerResponse, kind: 'not-sent' | 'lost', reason: string): void {
+  if (res.headersSent || res.destroyed) return;
+  const body = Buffer.from(reason);
+  res.writeHead(502, { [FORWARD_ERROR]: kind, 'Content-Length': body.length }).end(body);
+}
+
+/** Returns the server's answer; one that breaks off breaks the peer's connection too. */
+function returnAnswer(res: ServerResponse, { res: answer, hasFailed }: Answered): void {
+  res.sendDate = false;
+  res.writeHead(answer.statusCode ?? 502, without(answer.rawHeaders, NOT_RETURNED));
+  res.flushHeaders();
+  answer.pipe(res, { end: false });
+  answer.once('end', () => {
+    if (answer.complete && !hasFailed()) res.end();
+    else res.destroy();
+  });
+  answer.once('error', () => res.destroy());
+  answer.once('close', () => {
+    if (!answer.complete) res.destroy();
+  });
+}
+
+export function createForwarding(
+  { settings, logger, metrics }: GatewayContext,
+  { upstream, isServer, answerPeer }: ForwardingDeps,
+): Forwarding {
+  let inFlight = 0;
+  let isStopping = false;
+
+  const forward = async (
+    req: IncomingMessage,
+    res: ServerResponse,
+    forwarded: ForwardedRequest,
+  ): Promise<void> => {
+    const sent = await upstream.send({
+      ...forwarded,
+      headers: without(req.rawHeaders, NOT_FORWARDED),
+      ownConnection: false,
+      beforeSend: () => undefined,
+      signal: watchPeer(res),
+    });
+    metrics.count('nutmegstack_forwarded_calls_total', { outcome: sent.kind });
+    if (sent.kind === 'answered') {
+      returnAnswer(res, sent);
+      return;
+    }
+    logger.info('request of a peer not answered', {
+      step: 'forward',
+      ...{ address: forwarded.address, outcome: sent.kind, reason: sent.error.message },
+    });
+    answerError(res, sent.kind, sent.error.message);
+  };
+
+  const handle = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
+    const body = await readBody(req);
+    const { method = 'GET', url: path = '/' } = req;
+    const address = req.headers[FORWARD_TO];
+    const proof = req.headers[FORWARD_PROOF];
+    if (body === undefined || typeof address !== 'string' || Array.isArray(proof)) {
+      answerError(res, 'not-sent', 'malformed request');
+      return;
+    }
+    const forwarded = { address, method, path, body };
+    if (!isProven(settings.peerSecret, forwarded, proof)) {
+      logger.warn('request of no peer refused', { step: 'forward', address });
+      answerError(res, 'not-sent', 'the proof is not valid');
+      return;
+    }
+    if (!isServer(address)) {
+      answerError(res, 'not-sent', 'the server is not known here');
+      return;
+    }
+    if (path === CHECK_PATH) {
+      res.end(await answerPeer(address));
+      return;
+    }
+    if (inFlight > MAX_FORWARDED) answerError(res, 'not-sent', 'too many forwarded requests');
+    else await forward(req, res, forwarded);
+  };
+
+  const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true }, (req, res) => {
+    inFlight += 1;
+    if (isStopping) res.shouldKeepAlive = false;
+    res.once('close', () => {
+      inFlight -= 1;
+    });
+    handle(req, res).catch((err: unknown) => {
+      logger.error('forwarding failed with an unexpected error', {
+        step: 'forward',
+        reason: String(err),
+      });
+      res.destroy();
+    });
+  });
+
+  return {
+    start: () =>
+      new Promise((resolve, reject) => {
+        const { forwardListen } = settings;
+        if (forwardListen === undefined) {
+          resolve();
+          return;
+        }
+        server.once('error', (cause) => {
+          const peer = forwardListen;
+          reject(fail('unavailable', 'cannot listen', { step: 'forward-listen', peer, cause }));
+        });
+        server.listen(parseAddress(forwardListen), resolve);
+      }),
+    inFlight: () => inFlight,
+    beginStop: () => {
+      isStopping = true;
+    },
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- a/src/app/gateway/settings.ts
+++ b/src/app/gateway/settings.ts
@@ -17,6 +17,8 @@
   /** Address to bind for other daemons, if different. */
   readonly peerBind?: string;
   readonly peerSecret: string;
+  /** `host:port` for requests that peers ask this daemon to forward; if absent, it forwards none. */
+  readonly forwardListen?: string;
 }
 
 /** Settings that may change while the daemon runs. */
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -63,6 +63,9 @@
   readonly address: string;
   /** CPU cores that it may use; may be fractional. */
   readonly cores: number;
+  readonly zone?: ZoneId | undefined;
+  /** `host:port` at which it forwards requests of peers, if it does. */
+  readonly forwardAddress?: string | undefined;
 }
 
 /** An entry of the operator's table; each evacuated zone has one of its own. */
@@ -94,6 +97,25 @@
   readonly facts: ResponseFacts;
 }
 
+/** A request for a backend server, as the server should receive it. */
+export interface ServerRequest {
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body: Uint8Array;
+}
+
+/** How requests reach backend servers: directly, or through a peer. */
+export interface ServerPaths {
+  /** Where to send the request, and with which further headers. */
+  resolve(req: ServerRequest): {
+    readonly address: string;
+    readonly headers: Readonly<Record<string, string>>;
+  };
+  /** Notes that the server was not reached directly. */
+  noteFailed(address: string): void;
+}
+
 /** Sends orders and status requests to backend servers. */
 export interface Servers {
   /** Headers of each response, unless another server or a restarted one answered. */
--- a/src/utils/address.ts
+++ b/src/utils/address.ts
@@ -11,3 +11,8 @@
   const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
   return { host, port: Number(address.slice(colon + 1)) };
 }
+
+/** The inverse of `parseAddress`. */
+export function formatAddress({ host, port }: HostPort): string {
+  return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+}
