--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -11,7 +11,8 @@
 import { isLinkUnresponsive, noteLinkSend } from '../../core/gateway/link-health';
 import type { LinkActivity } from '../../core/gateway/link-health';
 import { brandAs, later } from '../../core/ids';
-import type { DaemonId, MonoTime } from '../../core/ids';
+import type { DaemonId, MonoTime, ServiceId } from '../../core/ids';
+import type { ForwardPeer } from '../../core/gateway/server-links';
 import { rankSuccessors } from '../../core/gateway/succession';
 import type { CoreCounts } from '../../core/gateway/succession';
 import type { Change, DaemonEntry, Feed } from '../../ports/gateway';
@@ -39,6 +40,10 @@
   candidates(): CoreCounts;
   /** Registered daemons that do not respond, as reported by the leader if there is one. */
   silent(): readonly DaemonId[];
+  /** Peers that may forward requests, as far as known; those that do not respond are left out. */
+  forwardPeers(): readonly ForwardPeer[];
+  /** Services that the peer is known to reach through others only. */
+  cutOff(id: DaemonId): ReadonlySet<ServiceId>;
   readonly received: Observable<ReceivedMessage>;
   /** Addresses whose links broke or could not be established. */
   readonly unreachable: Observable<string>;
@@ -140,8 +145,8 @@
   const noteLeader = ({ from: id, address, via, message }: ReceivedMessage): void => {
     const at = clock.now();
     if (message.kind === 'loads') {
-      const { daemons, silent } = message;
-      lastLeader = { id, address, via, at, progress: message, daemons, silent };
+      const { daemons, silent, cutOff } = message;
+      lastLeader = { id, address, via, at, progress: message, daemons, silent, cutOff };
     } else if (message.kind === 'state' && message.lease) {
       lastLeader = { id, address, via, at, progress: message };
     }
@@ -203,6 +208,24 @@
     return listUnresponsive([...entries.keys()], responsive);
   };
 
+  const cutOff = (id: DaemonId): ReadonlySet<ServiceId> => {
+    const [, reported = []] = leader()?.cutOff?.find(([daemon]) => daemon === id) ?? [];
+    return new Set([...reported, ...(peerViews.get(id)?.cutOff ?? [])]);
+  };
+
+  const forwardPeers = (): ForwardPeer[] => {
+    const unresponsive = new Set(silent());
+    const known = new Map<DaemonId, ForwardPeer>();
+    for (const [id, { zone, forwardAddress }] of entries) {
+      if (unresponsive.has(id)) continue;
+      known.set(id, { id, zone, forwardAddress, cutOff: cutOff(id), isStopping: false });
+    }
+    for (const { id, zone, forwardAddress, isStopping } of live())
+      known.set(id, { id, zone, forwardAddress, cutOff: cutOff(id), isStopping });
+    known.delete(settings.id);
+    return [...known.values()];
+  };
+
   const addresses = (): Set<string> => {
     const all = new Set<string>(ctx.tunables.value.seeds);
     for (const { address } of entries.values()) all.add(address);
@@ -278,6 +301,8 @@
     isLarge,
     candidates,
     silent,
+    forwardPeers,
+    cutOff,
     received,
     unreachable: peers.unreachable,
     send: (address, message) => {
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -1,8 +1,9 @@
 /** Assembles, starts and gracefully stops one gateway daemon. */
 
+import { createForwardClient } from '../../adapters/upstream/forward-client';
 import { checkListening } from '../../adapters/upstream/listening';
 import { createUpstream } from '../../adapters/upstream/upstream';
-import type { HeaderDialect, EraTable, Feeds, Servers } from '../../ports/gateway';
+import type { HeaderDialect, EraTable, Feeds, ServerPaths, Servers } from '../../ports/gateway';
 import { later } from '../../core/ids';
 import { FIRST_ERA } from '../../core/store-era';
 import { pause } from '../../utils/pause';
@@ -15,6 +16,7 @@
 import type { GatewayContext } from './context';
 import { createEvacuations } from './evacuations';
 import { createFleet } from './fleet';
+import { createForwarding } from './forwarding';
 import { createGroupPlanner } from './group-planner';
 import { withUrgency } from './model-demand';
 import { createHttpServer } from './http-server';
@@ -27,6 +29,10 @@
 import { createRefusedRow } from './refused-row';
 import { listenReady } from './ready';
 import { createRetries } from './retries';
+import { createRoutedUpstream } from './routed-upstream';
+import { createServerAddresses } from './server-addresses';
+import { createServerLinkWatch } from './server-links';
+import { createServerPaths } from './server-paths';
 import { createServerRegistry } from './server-registry';
 import { createServerNotices } from './server-notices';
 import { createStreamCalls } from './stream-call';
@@ -36,7 +42,8 @@
   readonly ctx: GatewayContext;
   readonly feeds: Feeds;
   readonly table: EraTable;
-  readonly servers: Servers;
+  /** Creates the client for orders to backend servers and their reports. */
+  readonly createServers: (paths: ServerPaths) => Servers;
   readonly dialect: HeaderDialect;
   readonly readyPath: string;
   /** Registers this daemon's peer address where others find it, or removes it. */
@@ -90,6 +97,31 @@
     leader: () => fleet.leader(),
   });
   const routes = () => config.table.value;
+  const direct = createUpstream({
+    ...{ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS },
+    onConnect: (address, isConnected) => {
+      serverLinks.noteConnect(address, isConnected);
+    },
+  });
+  const toPeers = createUpstream({ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS });
+  const forwardClient = createForwardClient(toPeers, settings.peerSecret);
+  const addresses = createServerAddresses(serverRegistry, evacuations, ctx.random);
+  const serverLinks = createServerLinkWatch(ctx, {
+    servers: addresses,
+    peers: () => fleet.forwardPeers(),
+    activity: () => direct.activity(),
+    checkListening,
+    askPeer: (address, peer, timeoutMs) => forwardClient.check(address, peer, timeoutMs),
+  });
+  const upstream = createRoutedUpstream(ctx, {
+    ...{ direct, forwarding: forwardClient, links: serverLinks },
+  });
+  const forwarding = createForwarding(ctx, {
+    upstream: direct,
+    isServer: (address) => addresses.serviceOf(address) !== undefined,
+    answerPeer: (address) => serverLinks.answerPeer(address),
+  });
+  const servers = options.createServers(createServerPaths(settings.peerSecret, serverLinks));
   const rateLimits = createRateLimits(ctx, {
     daemons: () => {
       const silent = new Set(fleet.silent());
@@ -125,7 +157,11 @@
     serverRegistry,
     routes,
     leadership,
-    servers: options.servers,
+    servers,
+    isReachedByPeer: async (address) => {
+      await serverLinks.verify(address);
+      return serverLinks.forwarderOf(address) !== undefined;
+    },
     isBusy: (group) => groupRegistry.isBusy(group),
     offeredLoad: () => groupRegistry.offeredLoad(),
     slowdowns: () => groupRegistry.slowdowns(),
@@ -137,7 +173,6 @@
       return withUrgency(samples, (model) => waitQueue.urgency(model));
     },
   });
-  const upstream = createUpstream({ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS });
   // Registered daemons are counted as well: a daemon that has just started hears from few peers and
   // would take too large a share.
   const countSharingDaemons = (): number => Math.max(fleet.size(), fleet.candidates().size);
@@ -149,20 +184,21 @@
     leaving: leavingServers,
     cold: coldServers,
   });
-  options.servers.heads.subscribe((head) => {
+  servers.heads.subscribe((head) => {
     notices.apply(head);
   });
   const quarantine = createGatewayQuarantine(ctx, {
-    ...{ serverRegistry, groupRegistry, checkListening },
+    ...{ serverRegistry, groupRegistry },
+    findState: (address, timeoutMs) => serverLinks.findState(address, timeoutMs),
   });
   const refusedRow = createRefusedRow(ctx, { table: options.table, leadership, quarantine });
   const plain = createPlainCalls({
     ...{ ctx, serverRegistry, upstream, dialect, retries, notices, throttle, evacuations },
-    quarantine,
+    ...{ quarantine, serverLinks },
   });
   const streams = createStreamCalls({
     ...{ ctx, groupRegistry, upstream, dialect, retries, notices, throttle, evacuations },
-    ...{ quarantine, waitQueue, arrivals, daemons: countSharingDaemons },
+    ...{ quarantine, serverLinks, waitQueue, arrivals, daemons: countSharingDaemons },
   });
   const gossip = createGossip({
     ctx,
@@ -179,6 +215,7 @@
     leaving: leavingServers,
     cold: coldServers,
     quarantine,
+    serverLinks,
     isStopping: () => isStopping,
   });
   const httpServer = createHttpServer({
@@ -196,6 +233,7 @@
     !isStopping && config.table.value !== undefined && serverRegistry.servers.size > 0;
 
   await fleet.start();
+  await forwarding.start();
   await httpServer.start();
   const ready = await listenReady(ctx, { path: options.readyPath, isReady });
   void options.announce(true);
@@ -211,9 +249,17 @@
   serverRegistry.changes.subscribe(() => {
     planner.tick();
   });
+  serverLinks.blocked.subscribe((address) => {
+    direct.closeIdle(address);
+    groupRegistry.trust({ address });
+  });
+  serverLinks.changes.subscribe(() => {
+    for (const service of serverLinks.cutOff()) groupRegistry.trust({ service });
+  });
   const ticker = setInterval(() => {
     leadership.tick();
     serverRegistry.tick();
+    serverLinks.tick();
     groupRegistry.tick();
     quarantine.tick();
     refusedRow.tick();
@@ -228,12 +274,14 @@
     logger.info('stopping', { step: 'stop', inFlight: httpServer.inFlight() });
     isStopping = true;
     httpServer.beginStop();
+    forwarding.beginStop();
     leadership.release();
     void options.announce(false);
     while (clock.now() < closeListenerAt) await pause(TICK_MS);
     httpServer.closeListener();
-    while (httpServer.inFlight() > 0 && clock.now() < deadline) await pause(TICK_MS);
-    const remaining = httpServer.inFlight();
+    const inFlight = (): number => httpServer.inFlight() + forwarding.inFlight();
+    while (inFlight() > 0 && clock.now() < deadline) await pause(TICK_MS);
+    const remaining = inFlight();
     if (remaining > 0)
       logger.warn('requests aborted at the end of the shutdown', {
         step: 'stop',
@@ -241,7 +289,9 @@
       });
     clearInterval(ticker);
     httpServer.closeConnections();
-    upstream.close();
+    forwarding.close();
+    direct.close();
+    toPeers.close();
     ready.close();
     await fleet.stop();
     logger.info('stopped', { step: 'stop' });
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -1,5 +1,7 @@
 /** Exchanges state with peers. */
 
+import { merge } from 'rxjs';
+
 import type { ConfigVersion, MonoTime } from '../../core/ids';
 import { brandAs, later } from '../../core/ids';
 import type { Arrivals } from './arrivals';
@@ -21,6 +23,7 @@
 import { createPeerHelp } from './peer-help';
 import type { ReceivedMessage, PeerView } from './peer-view';
 import { createUpdatePublisher } from './publish-updates';
+import type { ServerLinkWatch } from './server-links';
 import type { ServerRegistry } from './server-registry';
 import type { WaitQueue } from './wait-queue';
 import { createWorkLog } from './work-log';
@@ -40,6 +43,7 @@
   readonly leaving: LeavingServers;
   readonly cold: ColdServers;
   readonly quarantine: Quarantine;
+  readonly serverLinks: ServerLinkWatch;
   readonly isStopping: () => boolean;
 }
 
@@ -84,6 +88,7 @@
     leaving: leavingServers,
     cold: coldServers,
     quarantine,
+    serverLinks,
   } = deps;
   let dueAt = ctx.clock.now();
   let hasTraffic = false;
@@ -219,6 +224,9 @@
         limits: rateLimits.reportToAll(peers.some(({ hearsLeader }) => !hearsLeader)),
         silent: [...fleet.silent()],
         leaving: leavingServers.report({ ofAll: true }),
+        cutOff: [...peers, { id: ctx.settings.id, cutOff: state.cutOff }]
+          .filter(({ cutOff }) => cutOff.length > 0)
+          .map(({ id, cutOff }) => [id, cutOff]),
         ...(crashes && { crashes }),
         ...sumLoads([...peers, state]),
       });
@@ -246,7 +254,7 @@
     else if (!fleet.leader() && !leadership.ownLease()) fleet.sendToLikelyLeaders(ownState());
   };
 
-  quarantine.news.subscribe(() => {
+  merge(quarantine.news, serverLinks.changes).subscribe(() => {
     const now = ctx.clock.now();
     dueAt = now;
     loadsDueAt = now;
--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -64,6 +64,8 @@
   readonly routes: () => RouteTable | undefined;
   readonly leadership: Leadership;
   readonly servers: Servers;
+  /** Whether a server that does not answer here is reached through a peer. */
+  readonly isReachedByPeer: (address: string) => Promise<boolean>;
   /** Whether any daemon has streams running in the group. */
   readonly isBusy: (group: GroupId) => boolean;
   /** Offered load of each model, in full batches. */
@@ -221,6 +223,7 @@
   };
   const inspection = createMemberInspection(ctx, {
     ...{ serverRegistry, leadership, servers, isBusy, evacuations, noteLost, replan: tick },
+    isReachedByPeer: options.isReachedByPeer,
   });
   evacuations.changes.subscribe(() => {
     tick();
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -26,7 +26,7 @@
 import type { LoadSample } from '../../core/gateway/forming/demand';
 import { queueDelayMs } from '../../core/gateway/limits/cold';
 import type { RouteTable } from '../../core/gateway/routes';
-import { isSuspect, noteEvidence } from '../../core/gateway/suspicion';
+import { clearSuspicion, isSuspect, noteEvidence } from '../../core/gateway/suspicion';
 import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
 import { summarizeWork } from '../../core/gateway/work';
 import type { ModelWork, WaitingLoad } from '../../core/gateway/work';
@@ -106,6 +106,11 @@
   readonly evacuated: Observable<Stall>;
   /** Suspends the group for a while. Returns false if it was already suspended. */
   suspect(group: GroupId, evidence: Evidence, reason: string): boolean;
+  /**
+   * Ends the suspension of groups, other than lost ones, that this daemon's own link is to blame for:
+   * those with this address of the head, or of this service.
+   */
+  trust(which: { readonly address: string } | { readonly service: ServiceId }): void;
   /** Suspends a group whose head could not be reached, and publishes that. */
   noteUnreachable(stall: Stall, reason: string): void;
   /** Groups whose heads this daemon could not reach. */
@@ -301,6 +306,14 @@
     noteUnreachable: (stall, reason) => {
       if (suspect(stall.group, 'unreachable', reason)) unreachable.next(stall);
     },
+    trust: (which) => {
+      for (const { id, head, service } of groups().values()) {
+        const isMeant =
+          'address' in which ? head.address === which.address : service === which.service;
+        if (isMeant) suspicions = clearSuspicion(suspicions, id);
+      }
+      changes.next();
+    },
     evacuate: (stall) => {
       evacuated.next(stall);
     },
--- a/src/app/gateway/member-inspection.ts
+++ b/src/app/gateway/member-inspection.ts
@@ -31,6 +31,8 @@
   readonly evacuations: Pick<EvacuatedZones, 'isEvacuated'>;
   /** Records servers as lost until the given time. */
   readonly noteLost: (lost: readonly BackendServer[], until: MonoTime) => void;
+  /** Whether a server that does not answer here is reached through a peer. */
+  readonly isReachedByPeer: (address: string) => Promise<boolean>;
   /** Called after `noteLost`. */
   readonly replan: () => void;
 }
@@ -54,6 +56,7 @@
   options: MemberInspectionOptions,
 ): MemberInspection {
   const { serverRegistry, leadership, servers, isBusy, evacuations, noteLost, replan } = options;
+  const { isReachedByPeer } = options;
   const nextInspectionAt = new Map<GroupId, MonoTime>();
   /** Servers whose entries expired and whose groups were inspected since. */
   const inspectedLapsed = new Set<InstanceId>();
@@ -67,7 +70,8 @@
     const hasAnswered = await Promise.race([first, pause(RETRY_REPORT_MS).then(() => false)]);
     if (hasAnswered) return true;
     const both = await Promise.all([first, requestReport(REPORT_TIMEOUT_MS - RETRY_REPORT_MS)]);
-    return both.includes(true);
+    if (both.includes(true)) return true;
+    return (await isReachedByPeer(server.address)) && requestReport(REPORT_TIMEOUT_MS);
   };
 
   const inspect = ({ group, head }: Stall): void => {
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -12,6 +12,7 @@
   Fingerprint,
   GroupId,
   InstanceId,
+  ServiceId,
   ZoneId,
 } from '../../core/ids';
 import { toStoreEra } from '../../core/store-era';
@@ -28,6 +29,7 @@
 });
 const positionSchema = z.object({ era: eraSchema, revision: natural });
 
+const servicesSchema = z.array(z.string().transform((name) => brandAs<ServiceId>(name)));
 const zoneSchema = z.string().transform((zone) => brandAs<ZoneId>(zone));
 
 /** Zones that the operator evacuated, as known at a position in the store's history. */
@@ -132,6 +134,10 @@
   cores: natural,
   /** Whether this daemon hears from a leader or is the leader. */
   hearsLeader: z.boolean(),
+  /** `host:port` at which the daemon forwards requests of peers, if it does. */
+  forwardAddress: z.string().optional(),
+  /** Services whose servers the daemon reaches through peers only. */
+  cutOff: servicesSchema.default([]),
   lease: leaseSchema.optional(),
   running: runningSchema,
   /**
@@ -171,6 +177,8 @@
   leaving: z.array(instanceIdSchema).default([]),
   /** Registered daemons that do not respond. */
   silent: z.array(daemonIdSchema).default([]),
+  /** Daemons that reach services through peers only, with these services. */
+  cutOff: z.array(z.tuple([daemonIdSchema, servicesSchema])).default([]),
   /** As seen by any daemon. */
   crashes: crashesSchema.optional(),
 });
--- a/src/app/gateway/own-state.ts
+++ b/src/app/gateway/own-state.ts
@@ -24,6 +24,7 @@
   leaving: leavingServers,
   cold: coldServers,
   quarantine,
+  serverLinks,
   isStopping,
   hasLeader,
   hasTraffic,
@@ -53,6 +54,10 @@
       zone: ctx.settings.zone,
       cores: ctx.settings.cores,
       hearsLeader: lease !== undefined || hasLeader(),
+      ...(ctx.settings.forwardListen !== undefined && {
+        forwardAddress: ctx.settings.forwardListen,
+      }),
+      cutOff: [...serverLinks.cutOff()],
       ...(lease && { lease }),
       running: groupRegistry.running().map((entry) => [...entry]),
       quiet: groupRegistry.quiet().map((entry) => [...entry]),
--- a/src/app/gateway/peer-view.ts
+++ b/src/app/gateway/peer-view.ts
@@ -1,6 +1,6 @@
 /** This daemon's view of the other daemons. */
 
-import type { DaemonId, MonoTime } from '../../core/ids';
+import type { DaemonId, MonoTime, ServiceId } from '../../core/ids';
 import type { PeerState, PlainMessage, PeerProgress } from './messages';
 
 /** A message with its sender. */
@@ -31,4 +31,6 @@
   readonly daemons?: number;
   /** Daemons that do not respond to it, if it reported that. */
   readonly silent?: readonly DaemonId[];
+  /** Daemons that reach services through peers only, with these services, if it reported that. */
+  readonly cutOff?: readonly (readonly [DaemonId, readonly ServiceId[]])[];
 }
--- a/src/app/gateway/plain-attempt.ts
+++ b/src/app/gateway/plain-attempt.ts
@@ -18,7 +18,7 @@
 
 export interface PlainAttemptDeps {
   readonly ctx: GatewayContext;
-  readonly upstream: Upstream;
+  readonly upstream: Pick<Upstream, 'send'>;
   readonly dialect: HeaderDialect;
   readonly notices: ServerNotices;
   readonly throttle: Throttle;
--- a/src/app/gateway/quarantine.ts
+++ b/src/app/gateway/quarantine.ts
@@ -92,7 +92,7 @@
   tick(): void;
 }
 
-export interface QuarantineDeps extends Pick<ServerCheckDeps, 'serverRegistry' | 'checkListening'> {
+export interface QuarantineDeps extends Pick<ServerCheckDeps, 'serverRegistry' | 'findState'> {
   readonly groupRegistry: Pick<GroupRegistry, 'find'>;
 }
 
--- a/src/app/gateway/server-checks.ts
+++ b/src/app/gateway/server-checks.ts
@@ -3,7 +3,7 @@
  * evidence: the port of a process that has ended refuses new ones, or another incarnation registers.
  */
 
-import type { ListeningState } from '../../adapters/upstream/listening';
+import type { PeerVerdict } from '../../adapters/upstream/forward-client';
 import type { DomainId, GroupId, InstanceId } from '../../core/ids';
 import type { GatewayContext } from './context';
 import type { ServerRegistry } from './server-registry';
@@ -18,7 +18,8 @@
 
 export interface ServerCheckDeps {
   readonly serverRegistry: Pick<ServerRegistry, 'ended'>;
-  readonly checkListening: (address: string, timeoutMs: number) => Promise<ListeningState>;
+  /** State of a server; `unknown` if it may be this daemon's link that has failed. */
+  readonly findState: (address: string, timeoutMs: number) => Promise<PeerVerdict>;
   /** Whether a connection to the group broke recently. */
   readonly isInterrupted: (group: GroupId) => boolean;
   readonly onLost: (group: GroupId, domain: DomainId) => void;
@@ -38,7 +39,7 @@
 
 export function createServerChecks(
   { logger }: GatewayContext,
-  { serverRegistry, checkListening, isInterrupted, onLost }: ServerCheckDeps,
+  { serverRegistry, findState, isInterrupted, onLost }: ServerCheckDeps,
 ): ServerChecks {
   /** Targets that are being checked, or that still listened. */
   const unconfirmed = new Map<GroupId, RunTarget>();
@@ -46,12 +47,12 @@
   const check = async (target: RunTarget): Promise<void> => {
     const { group, domain, address, server } = target;
     unconfirmed.set(group, target);
-    const found = await checkListening(address, CHECK_TIMEOUT_MS);
+    const found = await findState(address, CHECK_TIMEOUT_MS);
     logger.info('server checked after a broken connection', {
       step: 'quarantine',
       ...{ server, group, found },
     });
-    if (found !== 'listening') onLost(group, domain);
+    if (found === 'refused' || found === 'unreachable') onLost(group, domain);
   };
 
   return {
--- /dev/null
+++ b/src/app/gateway/server-links.ts
@@ -0,0 +1,317 @@
+/**
+ * Watches this daemon's links to the backend servers, and chooses the peers through which it reaches those
+ * that it does not reach itself.
+ */
+
+import { Subject } from 'rxjs';
+import type { Observable } from 'rxjs';
+
+import type { PeerVerdict } from '../../adapters/upstream/forward-client';
+import type { ListeningState } from '../../adapters/upstream/listening';
+import type { UpstreamActivity } from '../../adapters/upstream/upstream';
+import {
+  chooseForwardPeers,
+  isBlocked,
+  noteBlocked,
+  noteLost,
+  noteReached,
+  noteSampled,
+  noteUsed,
+  SOUND_LINKS,
+  takeRechecks,
+} from '../../core/gateway/server-links';
+import type { ForwardPeer, LinkedServer } from '../../core/gateway/server-links';
+import { later } from '../../core/ids';
+import type { DaemonId, MonoTime, ServiceId } from '../../core/ids';
+import { sample } from '../../utils/common';
+import type { GatewayContext } from './context';
+import type { ServerAddresses } from './server-addresses';
+
+/** A peer that forwards requests. */
+export interface Forwarder {
+  readonly id: DaemonId;
+  readonly address: string;
+}
+
+export interface ServerLinksDeps {
+  readonly servers: ServerAddresses;
+  readonly peers: () => readonly ForwardPeer[];
+  /** Of the direct connections. */
+  readonly activity: () => UpstreamActivity;
+  readonly checkListening: (address: string, timeoutMs: number) => Promise<ListeningState>;
+  readonly askPeer: (address: string, peer: string, timeoutMs: number) => Promise<PeerVerdict>;
+}
+
+export interface ServerLinkWatch {
+  /** The peer through which to send to the server; undefined: directly. */
+  forwarderOf(address: string): Forwarder | undefined;
+  /** Whether no server of the service is reached, neither directly nor through a peer. */
+  isStranded(service: ServiceId): boolean;
+  /** Services whose servers are reached through peers only. */
+  cutOff(): ReadonlySet<ServiceId>;
+  noteConnect(address: string, isConnected: boolean): void;
+  /** A server did not answer; resolves once it is known whether this daemon's link is to blame. */
+  verify(address: string): Promise<void>;
+  /** Notes that a peer did not forward. */
+  noteForwarderFailed(peer: DaemonId): void;
+  /** Whether a server listens, as far as this daemon and its peers can tell. */
+  findState(address: string, timeoutMs: number): Promise<PeerVerdict>;
+  /** The state of a server for a peer that asks; `unknown` if this daemon may be cut off itself. */
+  answerPeer(address: string): Promise<PeerVerdict>;
+  /** Whether a server was heard from just now: this daemon's links are not down altogether. */
+  hasHeardLately(): boolean;
+  /** Servers that turn out to be reached through peers only, by address. */
+  readonly blocked: Observable<string>;
+  /** Emits when the daemon is cut off from a service, or no longer is. */
+  readonly changes: Observable<void>;
+  tick(): void;
+}
+
+/** A server on a sound link accepts a connection within milliseconds. */
+const CHECK_TIMEOUT_MS = 150;
+/** Time for a peer's answer, its own check included. */
+const ASK_TIMEOUT_MS = 400;
+/** Peers asked at a time about a server, and how often others are asked if none can tell. */
+const ASKED_PEERS = 2;
+const ASK_ROUNDS = 2;
+/** Other servers that are checked once one is blocked. */
+const CHECKED_SERVERS = 3;
+const SAMPLE_INTERVAL_MS = 300;
+/** Time without a byte from any server, while calls are in flight, after which a server is checked. */
+const SILENCE_MS = 350;
+/** Interval between such checks, as a single server may have a reason to be silent. */
+const SILENCE_CHECK_INTERVAL_MS = 2_000;
+/** Delay of a tick above which the process is assumed not to have run, milliseconds. */
+const TICK_DELAY_MS = 150;
+/** A peer that did not forward is left out for this long. */
+const PEER_BACKOFF_MS = 1_000;
+const MAX_RECHECKS = 8;
+const NOBODY: ReadonlySet<DaemonId> = new Set();
+
+export function createServerLinkWatch(
+  ctx: GatewayContext,
+  { servers, peers, activity, checkListening, askPeer }: ServerLinksDeps,
+): ServerLinkWatch {
+  const { clock, logger, metrics, random, settings } = ctx;
+  const blockedServers = new Subject<string>();
+  const changes = new Subject<void>();
+  const verifying = new Map<string, Promise<void>>();
+  const failingUntil = new Map<DaemonId, MonoTime>();
+  /** When direct connections last succeeded, by address; kept while a peer is asked about the server. */
+  const connectedAt = new Map<string, MonoTime>();
+  let links = SOUND_LINKS;
+  let receivedBytes = 0;
+  let lastTickAt = clock.now();
+  let silentSince = clock.now();
+  let heardAt: MonoTime | undefined;
+  let nextSilenceCheckAt = clock.now();
+  const nextSampleAt = new Map<ServiceId, MonoTime>();
+
+  const update = (next: typeof links): void => {
+    const before = links;
+    links = next;
+    metrics.gauge('nutmegstack_blocked_servers', links.blocked.size);
+    if (before.cutOff.size === links.cutOff.size) return;
+    metrics.gauge('nutmegstack_cut_off_services', links.cutOff.size);
+    for (const service of links.cutOff)
+      if (!before.cutOff.has(service)) logChange('cut off from all servers of a service', service);
+    for (const service of before.cutOff)
+      if (!links.cutOff.has(service)) logChange('servers of a service reached again', service);
+    changes.next();
+  };
+
+  const logChange = (message: string, service: ServiceId): void => {
+    logger.warn(message, {
+      step: 'server-links',
+      service,
+      blocked: links.blocked.size,
+      forwarders: forwardPeers(service)
+        .map(({ id }) => id)
+        .join(' '),
+    });
+  };
+
+  /** The server at the address; undefined if none is registered there any more. */
+  const serverAt = (address: string): LinkedServer | undefined => {
+    const service = servers.serviceOf(address);
+    return service === undefined ? undefined : { address, service };
+  };
+
+  const setReached = (address: string): void => {
+    if (verifying.has(address)) connectedAt.set(address, clock.now());
+    const server = serverAt(address);
+    if (server) update(noteReached(links, server, clock.now()));
+  };
+
+  const isFailing = (peer: DaemonId): boolean => {
+    const until = failingUntil.get(peer);
+    return until !== undefined && clock.now() < until;
+  };
+
+  const forwardPeers = (service: ServiceId, besides = NOBODY): readonly ForwardPeer[] =>
+    chooseForwardPeers(
+      peers().filter(({ id }) => !besides.has(id)),
+      { self: settings.id, zone: settings.zone, service, isFailing },
+    );
+
+  const pickForwarder = (service: ServiceId): Forwarder | undefined => {
+    const [found] = sample(forwardPeers(service), 1, () => random.next());
+    return found?.forwardAddress === undefined
+      ? undefined
+      : { id: found.id, address: found.forwardAddress };
+  };
+
+  /** The first verdict of a peer that can tell. */
+  const askPeers = async ({ address, service }: LinkedServer): Promise<PeerVerdict> => {
+    const asked = new Set<DaemonId>();
+    for (let round = 0; round < ASK_ROUNDS; round++) {
+      const found = sample(forwardPeers(service, asked), ASKED_PEERS, () => random.next());
+      for (const { id } of found) asked.add(id);
+      const verdicts = await Promise.all(
+        found.map(({ forwardAddress = '' }) => askPeer(address, forwardAddress, ASK_TIMEOUT_MS)),
+      );
+      if (verdicts.includes('listening')) return 'listening';
+      const verdict = verdicts.find((one) => one !== 'unknown');
+      if (verdict !== undefined) return verdict;
+    }
+    return 'unknown';
+  };
+
+  const block = (server: LinkedServer): void => {
+    const isNew = !isBlocked(links, server);
+    update(noteBlocked(links, server, clock.now()));
+    if (!isNew) return;
+    logger.warn('server reached through peers only', { step: 'server-links', ...server });
+    blockedServers.next(server.address);
+    void checkSample(server.service);
+  };
+
+  /** The direct connection has failed: asks peers whether the server is there. */
+  const confirm = async (address: string): Promise<void> => {
+    const server = serverAt(address);
+    if (!server) return;
+    const startedAt = clock.now();
+    const found = await askPeers(server);
+    // A direct connection to it that succeeded meanwhile says more.
+    if ((connectedAt.get(address) ?? -Infinity) > startedAt) return;
+    if (found === 'listening') block(server);
+    else update(noteLost(links, address));
+  };
+
+  const confirmOnce = (address: string): Promise<void> => {
+    const running = verifying.get(address);
+    if (running) return running;
+    const started = confirm(address).finally(() => {
+      verifying.delete(address);
+      connectedAt.delete(address);
+    });
+    verifying.set(address, started);
+    return started;
+  };
+
+  const verify = async (address: string): Promise<void> => {
+    if ((await checkListening(address, CHECK_TIMEOUT_MS)) === 'listening') setReached(address);
+    else await confirmOnce(address);
+  };
+
+  /** Checks a few servers of a service, which shows whether the daemon is cut off from all of them. */
+  const checkSample = async (service: ServiceId): Promise<void> => {
+    const startedAt = clock.now();
+    const dueAt = nextSampleAt.get(service);
+    if (links.cutOff.has(service) || (dueAt !== undefined && startedAt < dueAt)) return;
+    nextSampleAt.set(service, later(startedAt, SAMPLE_INTERVAL_MS));
+    const sampled = servers.sample(CHECKED_SERVERS, service);
+    await Promise.all(sampled.map(({ address }) => verify(address)));
+    const result = { service, startedAt, servers: servers.count(service) };
+    update(noteSampled(links, result, clock.now()));
+  };
+
+  const hasHeardLately = (): boolean => {
+    noteReceived(clock.now());
+    return heardAt !== undefined && clock.now() < later(heardAt, SILENCE_MS);
+  };
+
+  const noteReceived = (now: MonoTime): void => {
+    const total = activity().receivedBytes;
+    if (total === receivedBytes) return;
+    receivedBytes = total;
+    heardAt = now;
+    silentSince = now;
+  };
+
+  const watchSilence = (now: MonoTime): void => {
+    const wasPaused = now >= later(lastTickAt, TICK_DELAY_MS);
+    lastTickAt = now;
+    noteReceived(now);
+    if (activity().inFlight === 0 || wasPaused) silentSince = now;
+    if (now < later(silentSince, SILENCE_MS) || now < nextSilenceCheckAt) return;
+    nextSilenceCheckAt = later(now, SILENCE_CHECK_INTERVAL_MS);
+    logger.info('no server sends anything, checking some', { step: 'server-links' });
+    for (const { address, service } of servers.sample(CHECKED_SERVERS))
+      if (!links.cutOff.has(service)) void verify(address);
+  };
+
+  const watchBlocked = (now: MonoTime): void => {
+    if (links.blocked.size === 0) return;
+    const { links: next, due } = takeRechecks(links, now, MAX_RECHECKS);
+    update(next);
+    for (const { address } of due) void verify(address);
+  };
+
+  /** Whether any of a few servers of the service listens. */
+  const isLinkSound = async (service: ServiceId): Promise<boolean> => {
+    if (links.cutOff.has(service)) return false;
+    if (hasHeardLately()) return true;
+    const found = await Promise.all(
+      servers
+        .sample(CHECKED_SERVERS, service)
+        .map(({ address }) => checkListening(address, CHECK_TIMEOUT_MS)),
+    );
+    return found.includes('listening');
+  };
+
+  const answerPeer = async (address: string): Promise<PeerVerdict> => {
+    const service = servers.serviceOf(address);
+    if (service === undefined || links.cutOff.has(service)) return 'unknown';
+    const found = await checkListening(address, CHECK_TIMEOUT_MS);
+    return found === 'listening' || (await isLinkSound(service)) ? found : 'unknown';
+  };
+
+  return {
+    forwarderOf: (address) => {
+      if (links.blocked.size === 0) return undefined;
+      const server = serverAt(address);
+      if (!server || !isBlocked(links, server)) return undefined;
+      links = noteUsed(links, address, clock.now());
+      return pickForwarder(server.service);
+    },
+    isStranded: (service) => links.cutOff.has(service) && forwardPeers(service).length === 0,
+    cutOff: () => links.cutOff,
+    noteConnect: (address, isConnected) => {
+      if (isConnected) setReached(address);
+      else void confirmOnce(address);
+    },
+    verify,
+    noteForwarderFailed: (peer) => {
+      failingUntil.set(peer, later(clock.now(), PEER_BACKOFF_MS));
+    },
+    findState: async (address, timeoutMs) => {
+      const found = await checkListening(address, timeoutMs);
+      const server = serverAt(address);
+      if (found === 'listening' || !server) return found;
+      const verdict = await askPeers(server);
+      if (verdict === 'listening') block(server);
+      if (verdict !== 'unknown') return verdict;
+      return (await isLinkSound(server.service)) ? found : 'unknown';
+    },
+    answerPeer,
+    hasHeardLately,
+    blocked: blockedServers,
+    changes,
+    tick: () => {
+      const now = clock.now();
+      watchSilence(now);
+      watchBlocked(now);
+    },
+  };
+}
--- a/src/app/gateway/stall-reporting.ts
+++ b/src/app/gateway/stall-reporting.ts
@@ -14,6 +14,7 @@
 import type { GroupPlanner } from './group-planner';
 import type { Leadership } from './lease';
 import type { StallFinding, PeerState } from './messages';
+import type { ServerLinkWatch } from './server-links';
 
 export interface StallReportingDeps {
   readonly ctx: GatewayContext;
@@ -21,6 +22,7 @@
   readonly fleet: Fleet;
   readonly planner: GroupPlanner;
   readonly leadership: Leadership;
+  readonly serverLinks: Pick<ServerLinkWatch, 'hasHeardLately' | 'verify' | 'forwarderOf'>;
 }
 
 export interface StallReporting {
@@ -45,6 +47,7 @@
   fleet,
   planner,
   leadership,
+  serverLinks,
 }: StallReportingDeps): StallReporting {
   let reports: StallReports = new Map();
   /** When groups last gave an event to a peer, by head. */
@@ -68,6 +71,9 @@
   };
 
   const noteReport = (stall: Stall, reporter: DaemonId): void => {
+    const service = groupRegistry.find(stall.head)?.service;
+    // It sees all groups of the service silent.
+    if (service !== undefined && fleet.cutOff(reporter).has(service)) return;
     const now = ctx.clock.now();
     const { group, head } = stall;
     reports = noteStallReport(reports, group, reporter, now);
@@ -108,11 +114,23 @@
     findingHandlers[finding]({ group, head }, ctx.settings.id);
   };
 
+  /** Reports a group unless this daemon's own link turns out to be what failed. */
+  const verifyAndReport = async (stall: Stall, finding: 'seen' | 'unreachable'): Promise<void> => {
+    const address = groupRegistry.find(stall.head)?.head.address;
+    if (address !== undefined) await serverLinks.verify(address);
+    if (address === undefined || !serverLinks.forwarderOf(address)) sendReport(stall, finding);
+  };
+
+  const report = (stall: Stall, finding: 'seen' | 'unreachable'): void => {
+    if (serverLinks.hasHeardLately()) sendReport(stall, finding);
+    else void verifyAndReport(stall, finding);
+  };
+
   groupRegistry.stalls.subscribe((stall) => {
-    sendReport(stall, 'seen');
+    report(stall, 'seen');
   });
   groupRegistry.unreachable.subscribe((stall) => {
-    sendReport(stall, 'unreachable');
+    report(stall, 'unreachable');
   });
   planner.lost.subscribe((stall) => {
     actOn(stall, 'lost', 'members asked');
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -26,6 +26,7 @@
 import type { Quarantine } from './quarantine';
 import type { RunTarget } from './server-checks';
 import type { Retries } from './retries';
+import type { ServerLinkWatch } from './server-links';
 import { createRouteTimes } from './route-times';
 import type { RouteTimes } from './route-times';
 import { endFailedStream, streamTimesOf } from './stream-end';
@@ -44,10 +45,11 @@
 
 export interface StreamDeps extends RelayDeps, SlotDeps {
   readonly throttle: Throttle;
-  readonly upstream: Upstream;
+  readonly upstream: Pick<Upstream, 'send'>;
   readonly retries: Retries;
   readonly evacuations: EvacuatedZones;
   readonly quarantine: Quarantine;
+  readonly serverLinks: Pick<ServerLinkWatch, 'isStranded'>;
 }
 
 export interface StreamCalls {
@@ -107,6 +109,7 @@
     if (found) return found;
     const isUnservable = (): boolean =>
       isQuarantined(exchange) ||
+      deps.serverLinks.isStranded(exchange.service) ||
       (!state.hasStarted && groupRegistry.isModelEvacuated(exchange.service, model));
     if (isUnservable()) return undefined;
     const since = ctx.clock.now();
--- /dev/null
+++ b/src/core/gateway/server-links.ts
@@ -0,0 +1,209 @@
+/**
+ * Links of this daemon to the backend servers: which servers it reaches only through a peer, and whether that
+ * holds for all servers of a service.
+ *
+ * A connection that fails does not tell whether the server or this daemon's own link has failed. A peer that
+ * reaches the server at the same time does: the server is then `blocked` for this daemon. A daemon is cut off
+ * from a service once several of its servers are blocked and a sample shows none that it reaches directly.
+ */
+
+import { later } from '../ids';
+import type { DaemonId, MonoTime, ServiceId, ZoneId } from '../ids';
+import { rankByRendezvous } from '../membership/rendezvous';
+
+/** A server by its address. */
+export interface LinkedServer {
+  readonly address: string;
+  readonly service: ServiceId;
+}
+
+/** A server that a peer reaches and this daemon does not. */
+interface Blocked extends LinkedServer {
+  /** When a peer last reached it. */
+  readonly confirmedAt: MonoTime;
+  /** When a direct connection is tried again. */
+  readonly recheckAt: MonoTime;
+  /** When a request last needed it. */
+  readonly usedAt: MonoTime;
+}
+
+export interface ServerLinks {
+  /** By address. */
+  readonly blocked: ReadonlyMap<string, Blocked>;
+  /** Services none of whose servers is reached directly. */
+  readonly cutOff: ReadonlySet<ServiceId>;
+  /** When a server of the service was last reached directly. */
+  readonly reachedAt: ReadonlyMap<ServiceId, MonoTime>;
+}
+
+export const SOUND_LINKS: ServerLinks = {
+  blocked: new Map(),
+  cutOff: new Set(),
+  reachedAt: new Map(),
+};
+
+/** Blocked servers by which a daemon knows that it is cut off; all of a service if it has fewer. */
+const CUT_OFF_SERVERS = 3;
+/** Confirmations of different servers within this time concern the same failure. */
+const EVIDENCE_WINDOW_MS = 2_000;
+/** Interval at which a direct connection is tried again. */
+const RECHECK_INTERVAL_MS = 500;
+/** A blocked server that no request needs is forgotten after this. */
+const UNUSED_RETENTION_MS = 10_000;
+
+/** Records that a peer reached the server while this daemon did not. */
+export function noteBlocked(links: ServerLinks, server: LinkedServer, now: MonoTime): ServerLinks {
+  const usedAt = links.blocked.get(server.address)?.usedAt ?? now;
+  const recheckAt = later(now, RECHECK_INTERVAL_MS);
+  const known: Blocked = { ...server, confirmedAt: now, recheckAt, usedAt };
+  return { ...links, blocked: new Map(links.blocked).set(server.address, known) };
+}
+
+/** Servers of a service that were checked. */
+export interface ServerSample {
+  readonly service: ServiceId;
+  readonly startedAt: MonoTime;
+  /** Number of servers that the service has. */
+  readonly servers: number;
+}
+
+/** Decides after the check of a sample whether the daemon is cut off from the service. */
+export function noteSampled(
+  links: ServerLinks,
+  { service, startedAt, servers }: ServerSample,
+  now: MonoTime,
+): ServerLinks {
+  const reachedAt = links.reachedAt.get(service) ?? -Infinity;
+  if (reachedAt >= startedAt) return links;
+  const evidence = [...links.blocked.values()].filter(
+    ({ confirmedAt, ...server }) =>
+      server.service === service &&
+      confirmedAt > reachedAt &&
+      now < later(confirmedAt, EVIDENCE_WINDOW_MS),
+  );
+  if (evidence.length < Math.min(CUT_OFF_SERVERS, servers)) return links;
+  return { ...links, cutOff: new Set(links.cutOff).add(service) };
+}
+
+/**
+ * Records that a direct connection to the server succeeded. If the daemon was cut off from its service, the
+ * other servers are tried again at once.
+ */
+export function noteReached(
+  links: ServerLinks,
+  { address, service }: LinkedServer,
+  now: MonoTime,
+): ServerLinks {
+  const reachedAt = new Map(links.reachedAt).set(service, now);
+  if (!links.cutOff.has(service) && !links.blocked.has(address)) return { ...links, reachedAt };
+  const blocked = new Map(links.blocked);
+  blocked.delete(address);
+  if (links.cutOff.has(service)) {
+    for (const [other, known] of blocked)
+      if (known.service === service) blocked.set(other, { ...known, recheckAt: now });
+  }
+  const cutOff = new Set([...links.cutOff].filter((one) => one !== service));
+  return { blocked, cutOff, reachedAt };
+}
+
+/** Records that no peer reaches the server either: it is not this daemon's link that failed. */
+export function noteLost(links: ServerLinks, address: string): ServerLinks {
+  if (!links.blocked.has(address)) return links;
+  const blocked = new Map(links.blocked);
+  blocked.delete(address);
+  return { ...links, blocked };
+}
+
+/** Records that a request needs the server. */
+export function noteUsed(links: ServerLinks, address: string, now: MonoTime): ServerLinks {
+  const known = links.blocked.get(address);
+  if (!known) return links;
+  return { ...links, blocked: new Map(links.blocked).set(address, { ...known, usedAt: now }) };
+}
+
+/** Whether requests for the server go through a peer. */
+export function isBlocked(
+  { blocked, cutOff }: ServerLinks,
+  { address, service }: LinkedServer,
+): boolean {
+  return cutOff.has(service) || blocked.has(address);
+}
+
+export interface Rechecks {
+  readonly links: ServerLinks;
+  /** Servers to which a direct connection is to be tried now. */
+  readonly due: readonly LinkedServer[];
+}
+
+/**
+ * Takes the servers to try again, `max` at most, and forgets those that no request needs. Of a service that the
+ * daemon is cut off from, one server is tried at a time: all of them come back together.
+ */
+export function takeRechecks(links: ServerLinks, now: MonoTime, max: number): Rechecks {
+  const kept = [...links.blocked.values()].filter(
+    ({ service, usedAt }) => links.cutOff.has(service) || now < later(usedAt, UNUSED_RETENTION_MS),
+  );
+  const due: Blocked[] = [];
+  const postponed = new Set<ServiceId>();
+  for (const known of kept) {
+    const isCutOff = links.cutOff.has(known.service);
+    if (now < known.recheckAt || due.length >= max || postponed.has(known.service)) continue;
+    due.push(known);
+    if (isCutOff) postponed.add(known.service);
+  }
+  const recheckAt = later(now, RECHECK_INTERVAL_MS);
+  const isPostponed = (known: Blocked): boolean =>
+    due.includes(known) || postponed.has(known.service);
+  const rest = kept
+    .filter((known) => !due.includes(known))
+    .map((known) => (isPostponed(known) ? { ...known, recheckAt } : known));
+  // Those that are tried now go to the end, so that each gets its turn.
+  const all = [...rest, ...due.map((known) => ({ ...known, recheckAt }))];
+  return {
+    links: { ...links, blocked: new Map(all.map((known) => [known.address, known])) },
+    due,
+  };
+}
+
+/** A daemon that may forward requests. */
+export interface ForwardPeer {
+  readonly id: DaemonId;
+  readonly zone: ZoneId | undefined;
+  /** `host:port` at which it takes requests to forward; undefined if it takes none. */
+  readonly forwardAddress: string | undefined;
+  /** Services that it does not reach itself. */
+  readonly cutOff: ReadonlySet<ServiceId>;
+  readonly isStopping: boolean;
+}
+
+export interface ForwardPeerOptions {
+  readonly self: DaemonId;
+  readonly zone: ZoneId;
+  /** Service of the server that is to be reached. */
+  readonly service: ServiceId;
+  readonly isFailing: (peer: DaemonId) => boolean;
+}
+
+/** Peers among which one daemon spreads its requests; few, so that their connections are reused. */
+const MAX_FORWARD_PEERS = 3;
+
+/**
+ * The peers that one daemon forwards through. Those of its own zone come first, unless most of the zone is cut
+ * off: the rest of it would get too much. Different daemons choose different peers.
+ */
+export function chooseForwardPeers(
+  peers: readonly ForwardPeer[],
+  { self, zone, service, isFailing }: ForwardPeerOptions,
+): readonly ForwardPeer[] {
+  const usable = peers.filter(
+    ({ id, forwardAddress, cutOff, isStopping }) =>
+      forwardAddress !== undefined && !cutOff.has(service) && !isStopping && !isFailing(id),
+  );
+  const inZone = usable.filter((peer) => peer.zone === zone);
+  const zoneSize = 1 + peers.filter((peer) => peer.zone === zone).length;
+  const from = 2 * inZone.length >= zoneSize ? inZone : usable;
+  const byId = new Map(from.map((peer) => [peer.id, peer]));
+  return rankByRendezvous(self, [...byId.keys()])
+    .slice(0, MAX_FORWARD_PEERS)
+    .flatMap((id) => byId.get(id) ?? []);
+}
--- a/src/core/gateway/suspicion.ts
+++ b/src/core/gateway/suspicion.ts
@@ -33,6 +33,7 @@
   readonly until: MonoTime;
   /** Failures in a row; each one doubles the hold. */
   readonly consecutiveFailures: number;
+  readonly isLost: boolean;
 }
 
 /** Suspected groups, and those whose hold ended recently. */
@@ -69,5 +70,13 @@
   return next.set(group, {
     consecutiveFailures: failures,
     until: known && known.until > until ? known.until : until,
+    isLost: evidence === 'lost' || (isHeld && known.isLost),
   });
 }
+
+/** Clears the group, unless the leader found it lost: the evidence was of this daemon's own link. */
+export function clearSuspicion(suspicions: Suspicions, group: GroupId): Suspicions {
+  const known = suspicions.get(group);
+  if (!known || known.isLost) return suspicions;
+  return new Map([...suspicions].filter(([id]) => id !== group));
+}
--- a/tests/fuzz/crashes-world.ts
+++ b/tests/fuzz/crashes-world.ts
@@ -170,7 +170,7 @@
           return { id: target.group, head: { domain: target.domain } } as ServingGroup;
         },
       },
-      checkListening: (address) =>
+      findState: (address) =>
         Promise.resolve(
           groups.some(({ target, upAt }) => target.address === address && upAt <= now)
             ? 'listening'
--- a/tests/gateway/evacuations.test.ts
+++ b/tests/gateway/evacuations.test.ts
@@ -29,7 +29,15 @@
 import { startStore } from '../../stand-ins/users-platform/store';
 import type { StoreStandIn } from '../../stand-ins/users-platform/store';
 import { ENGINE, inGroup, makeContext, makeLoads, makeServer, makeState } from './support';
-import { makeQuarantine, makeRoute, makeThrottle, position, SERVICE, SMALL } from './support';
+import {
+  makeQuarantine,
+  makeRoute,
+  makeThrottle,
+  position,
+  SERVICE,
+  SMALL,
+  SOUND_LINKS,
+} from './support';
 
 const [A, B] = [brandAs<ZoneId>('zone-a'), brandAs<ZoneId>('zone-b')];
 const STORE_PORT = 25_980;
@@ -221,6 +229,7 @@
       ...{ retries: { noteRequest: () => undefined, mayRetry: () => true } },
       arrivals: createArrivals(ctx),
       quarantine: makeQuarantine(ctx),
+      serverLinks: SOUND_LINKS,
     };
     const statuses: number[] = [];
     const res = { writeHead: (status: number) => statuses.push(status), end: () => undefined };
--- a/tests/gateway/gateway-fixture.ts
+++ b/tests/gateway/gateway-fixture.ts
@@ -111,6 +111,7 @@
       listen: portOf(n, 0),
       readyListen: portOf(n, 1),
       peerListen: portOf(n, 2),
+      forwardListen: portOf(n, 3),
       seeds: [portOf(0, 2), portOf(1, 2)],
       platform: storeAddressOf(n, platform.storeAddress),
       ...(settings && { more: settings }),
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -17,6 +17,7 @@
   makeContext,
   makeLoads,
   makeState,
+  SOUND_LINKS,
   position,
 } from './support';
 
@@ -89,6 +90,7 @@
       broadcastAsLeader: record('all'),
       tick: () => undefined,
       silent: () => [],
+      cutOff: () => new Set(),
       sendToLikelyLeaders: record('likely leaders'),
     },
     planner: {
@@ -108,6 +110,7 @@
     leaving: { report: () => [], applyReport: () => undefined },
     cold: makeColdServers(ctx),
     quarantine: makeQuarantine(ctx),
+    serverLinks: SOUND_LINKS,
     isStopping: () => false,
   };
   const gossip = createGossip(deps as unknown as GossipDeps);
--- a/tests/gateway/planned-fleet.ts
+++ b/tests/gateway/planned-fleet.ts
@@ -68,6 +68,7 @@
   const planner = createGroupPlanner(ctx, {
     ...options,
     evacuations: createEvacuations(ctx),
+    isReachedByPeer: () => Promise.resolve(false),
   } as unknown as GroupPlannerOptions);
   /** Runs for `ms`; returns the least number of groups of the large model that served meanwhile. */
   const run = async (ms: number): Promise<number> => {
--- a/tests/gateway/quarantine.test.ts
+++ b/tests/gateway/quarantine.test.ts
@@ -65,7 +65,7 @@
     const quarantine = createGatewayQuarantine(ctx, {
       serverRegistry: { ended },
       groupRegistry: { find: () => undefined },
-      checkListening: () => Promise.resolve(found),
+      findState: () => Promise.resolve(found),
     });
     daemons.push(quarantine);
     return {
--- a/tests/gateway/stall-reporting.test.ts
+++ b/tests/gateway/stall-reporting.test.ts
@@ -5,7 +5,7 @@
 import type { StallReportingDeps } from '../../src/app/gateway/stall-reporting';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId, GroupId } from '../../src/core/ids';
-import { instance, makeContext } from './support';
+import { instance, makeContext, SOUND_LINKS } from './support';
 
 const STALL = { group: brandAs<GroupId>('g'), head: instance('h') };
 const REPORTER = brandAs<DaemonId>('reporter');
@@ -26,6 +26,7 @@
       inspect: () => calls.push('inspect'),
     },
     leadership: { heldFencing: () => undefined },
+    serverLinks: SOUND_LINKS,
   } as unknown as StallReportingDeps);
   reporting.receive(finding, STALL, REPORTER);
   return calls;
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -17,6 +17,7 @@
 import { createRateLimits } from '../../src/app/gateway/rate-limits';
 import type { RateLimits } from '../../src/app/gateway/rate-limits';
 import type { LoadsMessage, PeerState } from '../../src/app/gateway/messages';
+import type { ServerLinkWatch } from '../../src/app/gateway/server-links';
 import type { GatewaySettings, GatewayTunables } from '../../src/app/gateway/settings';
 import { createStoreAccess } from '../../src/app/gateway/store-access';
 import type { RouteTable } from '../../src/core/gateway/routes';
@@ -154,6 +155,7 @@
     zone: brandAs<ZoneId>('a'),
     cores: 1,
     hearsLeader: true,
+    cutOff: [],
     running: [],
     quiet: [],
     paces: [],
@@ -196,6 +198,7 @@
     limits: [],
     leaving: [],
     silent: [],
+    cutOff: [],
     ...more,
   };
 }
@@ -214,10 +217,26 @@
   return createGatewayQuarantine(ctx, {
     serverRegistry: { ended: new Map() },
     groupRegistry: { find: () => undefined },
-    checkListening: () => Promise.resolve(found),
+    findState: () => Promise.resolve(found),
   });
 }
 
+/** Links of a daemon that reaches all servers itself. */
+export const SOUND_LINKS: ServerLinkWatch = {
+  forwarderOf: () => undefined,
+  isStranded: () => false,
+  cutOff: () => new Set(),
+  noteConnect: () => undefined,
+  verify: () => Promise.resolve(),
+  noteForwarderFailed: () => undefined,
+  findState: () => Promise.resolve('listening'),
+  answerPeer: () => Promise.resolve('listening'),
+  hasHeardLately: () => true,
+  blocked: new Subject(),
+  changes: new Subject(),
+  tick: () => undefined,
+};
+
 /** Cold servers of a daemon that knows no server. */
 export function makeColdServers(ctx: GatewayContext): ColdServers {
   const serverRegistry = { servers: new Map(), changes: new Subject<void>() };
--- a/tests/gateway/suspicion.test.ts
+++ b/tests/gateway/suspicion.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
-import { isSuspect, noteEvidence } from '../../src/core/gateway/suspicion';
+import { clearSuspicion, isSuspect, noteEvidence } from '../../src/core/gateway/suspicion';
 import type { Evidence, Suspicions } from '../../src/core/gateway/suspicion';
 import { brandAs } from '../../src/core/ids';
 import type { GroupId } from '../../src/core/ids';
@@ -48,6 +48,13 @@
     expect(isSuspect(again, GROUP, at(19_000))).toBe(true);
   });
 
+  it('is tried at once when it was this daemon’s link that failed, unless the leader found it lost', () => {
+    const silent = noteEvidence(new Map(), GROUP, 'silent', at(0));
+    expect(isSuspect(clearSuspicion(silent, GROUP), GROUP, at(100))).toBe(false);
+    const lost = noteEvidence(silent, GROUP, 'lost', at(50));
+    expect(isSuspect(clearSuspicion(lost, GROUP), GROUP, at(100))).toBe(true);
+  });
+
   it('does not affect another group with the same head', () => {
     const suspicions = noteEvidence(new Map(), GROUP, 'lost', at(0));
     expect(isSuspect(suspicions, brandAs<GroupId>('group-2'), at(1))).toBe(false);
--- a/tests/support/gateway-daemon.ts
+++ b/tests/support/gateway-daemon.ts
@@ -18,6 +18,8 @@
   readonly listen: string;
   readonly readyListen: string;
   readonly peerListen: string;
+  /** Where it forwards requests of peers; if absent, it forwards none. */
+  readonly forwardListen?: string;
   readonly seeds: readonly string[];
   /** Address of the store. */
   readonly platform: string;
