End a cut whose blocked servers are gone, and ask another peer where one refuses

It tries any server of the service now (the new test in server-links was red). A peer that does not know the server, or does not reach it either, says that it did not try, so that another is asked and the group is not suspended for it. Peers are chosen once a tick: ranking hundreds of them for each request would take a tenth of a core. Both daemons log the hop with the request's id.

--- a/src/adapters/upstream/forward-client.ts
+++ b/src/adapters/upstream/forward-client.ts
@@ -45,16 +45,19 @@
   return Buffer.concat(chunks).toString();
 }
 
+function notSent(peer: string, reason: string): UpstreamResult {
+  return { kind: 'not-sent', error: fail('unavailable', reason, { step: 'forward', peer }) };
+}
+
+function lost(peer: string, reason: string): UpstreamResult {
+  return { kind: 'lost', error: fail('backend-lost', reason, { step: 'forward', peer }) };
+}
+
 /** Errors of the peer's own, by the value of its header. */
-const PEER_ERRORS: Readonly<Record<string, (address: string, reason: string) => UpstreamResult>> = {
-  'not-sent': (peer, reason) => ({
-    kind: 'not-sent',
-    error: fail('unavailable', reason, { step: 'forward', peer }),
-  }),
-  lost: (peer, reason) => ({
-    kind: 'lost',
-    error: fail('backend-lost', reason, { step: 'forward', peer }),
-  }),
+const PEER_ERRORS: Readonly<Record<string, (address: string, reason: string) => ForwardResult>> = {
+  refused: (peer, reason) => ({ result: notSent(peer, reason), hasPeerFailed: true }),
+  'not-sent': (peer, reason) => ({ result: notSent(peer, reason), hasPeerFailed: false }),
+  lost: (peer, reason) => ({ result: lost(peer, reason), hasPeerFailed: false }),
 };
 
 /** Creates the client; `upstream` holds its connections to peers. */
@@ -71,8 +74,7 @@
     }
     const error = PEER_ERRORS[result.res.headers[FORWARD_ERROR] as string];
     if (!error) return { result, hasPeerFailed: false };
-    const reason = await readText(result.res);
-    return { result: error(call.address, reason), hasPeerFailed: false };
+    return error(call.address, await readText(result.res));
   };
 
   const check = async (
--- a/src/adapters/upstream/forward-protocol.ts
+++ b/src/adapters/upstream/forward-protocol.ts
@@ -11,7 +11,10 @@
 export const FORWARD_TO = 'forward-to';
 /** HMAC of the request under the shared secret, hexadecimal. */
 export const FORWARD_PROOF = 'forward-proof';
-/** In the peer's own responses: what became of the request, `not-sent` or `lost`. */
+/**
+ * In the peer's own responses: what became of the request. `refused`: the peer did not try to send it;
+ * `not-sent`: it got no connection to the server; `lost`: it got no complete answer.
+ */
 export const FORWARD_ERROR = 'forward-error';
 /** Path that asks whether a server listens; no request is forwarded. */
 export const CHECK_PATH = '/forward-check';
--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -50,6 +50,8 @@
   readonly ownConnection: boolean;
   /** Called in the tick of the write; if it returns an error, nothing is sent. */
   readonly beforeSend: () => StepError | undefined;
+  /** Names the call in logs. */
+  readonly requestId?: string;
   /** Aborting destroys the connection. */
   readonly signal: AbortSignal;
 }
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -208,20 +208,30 @@
     return listUnresponsive([...entries.keys()], responsive);
   };
 
-  const cutOff = (id: DaemonId): ReadonlySet<ServiceId> => {
-    const [, reported = []] = leader()?.cutOff?.find(([daemon]) => daemon === id) ?? [];
-    return new Set([...reported, ...(peerViews.get(id)?.cutOff ?? [])]);
-  };
+  const cutOffBy = (
+    reported: ReadonlyMap<DaemonId, readonly ServiceId[]>,
+    id: DaemonId,
+  ): ReadonlySet<ServiceId> =>
+    new Set([...(reported.get(id) ?? []), ...(peerViews.get(id)?.cutOff ?? [])]);
+
+  const cutOff = (id: DaemonId): ReadonlySet<ServiceId> => cutOffBy(new Map(leader()?.cutOff), id);
 
   const forwardPeers = (): ForwardPeer[] => {
     const unresponsive = new Set(silent());
+    const reported = new Map(leader()?.cutOff);
     const known = new Map<DaemonId, ForwardPeer>();
     for (const [id, { zone, forwardAddress }] of entries) {
       if (unresponsive.has(id)) continue;
-      known.set(id, { id, zone, forwardAddress, cutOff: cutOff(id), isStopping: false });
+      known.set(id, {
+        id,
+        zone,
+        forwardAddress,
+        cutOff: cutOffBy(reported, id),
+        isStopping: false,
+      });
     }
     for (const { id, zone, forwardAddress, isStopping } of live())
-      known.set(id, { id, zone, forwardAddress, cutOff: cutOff(id), isStopping });
+      known.set(id, { id, zone, forwardAddress, cutOff: cutOffBy(reported, id), isStopping });
     known.delete(settings.id);
     return [...known.values()];
   };
--- a/src/app/gateway/forwarding.ts
+++ b/src/app/gateway/forwarding.ts
@@ -18,11 +18,15 @@
 import type { Answered, Upstream } from '../../adapters/upstream/upstream';
 import { parseAddress } from '../../utils/address';
 import { fail } from '../../utils/errors';
+import type { HeaderDialect } from '../../ports/gateway';
 import type { GatewayContext } from './context';
 
 export interface ForwardingDeps {
   readonly upstream: Upstream;
+  readonly dialect: Pick<HeaderDialect, 'parseRequest'>;
   readonly isServer: (address: string) => boolean;
+  /** Whether this daemon does not reach the server itself. */
+  readonly isCutOff: (address: string) => boolean;
   readonly answerPeer: (address: string) => Promise<PeerVerdict>;
 }
 
@@ -82,7 +86,11 @@
   return controller.signal;
 }
 
-function answerError(res: ServerResponse, kind: 'not-sent' | 'lost', reason: string): void {
+function answerError(
+  res: ServerResponse,
+  kind: 'refused' | 'not-sent' | 'lost',
+  reason: string,
+): void {
   if (res.headersSent || res.destroyed) return;
   const body = Buffer.from(reason);
   res.writeHead(502, { [FORWARD_ERROR]: kind, 'Content-Length': body.length }).end(body);
@@ -106,7 +114,7 @@
 
 export function createForwarding(
   { settings, logger, metrics }: GatewayContext,
-  { upstream, isServer, answerPeer }: ForwardingDeps,
+  { upstream, dialect, isServer, isCutOff, answerPeer }: ForwardingDeps,
 ): Forwarding {
   let inFlight = 0;
   let isStopping = false;
@@ -124,14 +132,17 @@
       signal: watchPeer(res),
     });
     metrics.count('nutmegstack_forwarded_calls_total', { outcome: sent.kind });
+    const { requestId } = dialect.parseRequest(req.headers);
+    logger.info('request of a peer forwarded', {
+      step: 'forward',
+      ...(requestId !== undefined && { requestId }),
+      ...{ address: forwarded.address, outcome: sent.kind },
+      ...(sent.kind !== 'answered' && { reason: sent.error.message }),
+    });
     if (sent.kind === 'answered') {
       returnAnswer(res, sent);
       return;
     }
-    logger.info('request of a peer not answered', {
-      step: 'forward',
-      ...{ address: forwarded.address, outcome: sent.kind, reason: sent.error.message },
-    });
     answerError(res, sent.kind, sent.error.message);
   };
 
@@ -141,24 +152,26 @@
     const address = req.headers[FORWARD_TO];
     const proof = req.headers[FORWARD_PROOF];
     if (body === undefined || typeof address !== 'string' || Array.isArray(proof)) {
-      answerError(res, 'not-sent', 'malformed request');
+      answerError(res, 'refused', 'malformed request');
       return;
     }
     const forwarded = { address, method, path, body };
     if (!isProven(settings.peerSecret, forwarded, proof)) {
       logger.warn('request of no peer refused', { step: 'forward', address });
-      answerError(res, 'not-sent', 'the proof is not valid');
+      answerError(res, 'refused', 'the proof is not valid');
       return;
     }
     if (!isServer(address)) {
-      answerError(res, 'not-sent', 'the server is not known here');
+      answerError(res, 'refused', 'the server is not known here');
       return;
     }
     if (path === CHECK_PATH) {
       res.end(await answerPeer(address));
       return;
     }
-    if (inFlight > MAX_FORWARDED) answerError(res, 'not-sent', 'too many forwarded requests');
+    if (isCutOff(address))
+      answerError(res, 'refused', 'the server is not reached from here either');
+    else if (inFlight > MAX_FORWARDED) answerError(res, 'refused', 'too many forwarded requests');
     else await forward(req, res, forwarded);
   };
 
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -117,7 +117,8 @@
     ...{ direct, forwarding: forwardClient, links: serverLinks },
   });
   const forwarding = createForwarding(ctx, {
-    upstream: direct,
+    ...{ upstream: direct, dialect },
+    isCutOff: (address) => serverLinks.isBlocked(address),
     isServer: (address) => addresses.serviceOf(address) !== undefined,
     answerPeer: (address) => serverLinks.answerPeer(address),
   });
--- a/src/app/gateway/plain-attempt.ts
+++ b/src/app/gateway/plain-attempt.ts
@@ -86,6 +86,7 @@
       ...(organisation !== undefined && { organisation }),
     }),
     body: exchange.body,
+    ...(exchange.facts.requestId !== undefined && { requestId: exchange.facts.requestId }),
     ownConnection: false,
     signal: limit,
     beforeSend: () => {
--- a/src/app/gateway/routed-upstream.ts
+++ b/src/app/gateway/routed-upstream.ts
@@ -15,7 +15,7 @@
 }
 
 export function createRoutedUpstream(
-  { metrics }: Pick<GatewayContext, 'metrics'>,
+  { metrics, logger }: Pick<GatewayContext, 'metrics' | 'logger'>,
   { direct, forwarding, links }: RoutedUpstreamOptions,
 ): Pick<Upstream, 'send'> {
   const send = async (call: UpstreamCall): Promise<UpstreamResult> => {
@@ -25,6 +25,11 @@
       if (!forwarder) break;
       const { result, hasPeerFailed } = await forwarding.send(call, forwarder.address);
       metrics.count('nutmegstack_calls_sent_through_peers_total', { outcome: result.kind });
+      logger.info('request sent through a peer', {
+        step: 'forward',
+        ...(call.requestId !== undefined && { requestId: call.requestId }),
+        ...{ address: call.address, peer: forwarder.id, outcome: result.kind, hasPeerFailed },
+      });
       if (hasPeerFailed) links.noteForwarderFailed(forwarder.id);
       if (result.kind !== 'not-sent' || !hasPeerFailed || call.signal.aborted) return result;
       last = result;
--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -11,6 +11,7 @@
 import type { UpstreamActivity } from '../../adapters/upstream/upstream';
 import {
   chooseForwardPeers,
+  forgetService,
   isBlocked,
   noteBlocked,
   noteLost,
@@ -45,10 +46,12 @@
 export interface ServerLinkWatch {
   /** The peer through which to send to the server; undefined: directly. */
   forwarderOf(address: string): Forwarder | undefined;
+  /** Whether this daemon does not reach the server itself. */
+  isBlocked(address: string): boolean;
   /** Whether no server of the service is reached, neither directly nor through a peer. */
   isStranded(service: ServiceId): boolean;
   /** Services whose servers are reached through peers only. */
-  cutOff(): ReadonlySet<ServiceId>;
+  cutOff(): readonly ServiceId[];
   noteConnect(address: string, isConnected: boolean): void;
   /** A server did not answer; resolves once it is known whether this daemon's link is to blame. */
   verify(address: string): Promise<void>;
@@ -97,6 +100,8 @@
   const changes = new Subject<void>();
   const verifying = new Map<string, Promise<void>>();
   const failingUntil = new Map<DaemonId, MonoTime>();
+  /** Until the next tick, as ranking hundreds of peers for each request would take too long. */
+  const chosenPeers = new Map<ServiceId, readonly ForwardPeer[]>();
   /** When direct connections last succeeded, by address; kept while a peer is asked about the server. */
   const connectedAt = new Map<string, MonoTime>();
   let links = SOUND_LINKS;
@@ -113,9 +118,9 @@
     metrics.gauge('nutmegstack_blocked_servers', links.blocked.size);
     if (before.cutOff.size === links.cutOff.size) return;
     metrics.gauge('nutmegstack_cut_off_services', links.cutOff.size);
-    for (const service of links.cutOff)
+    for (const service of links.cutOff.keys())
       if (!before.cutOff.has(service)) logChange('cut off from all servers of a service', service);
-    for (const service of before.cutOff)
+    for (const service of before.cutOff.keys())
       if (!links.cutOff.has(service)) logChange('servers of a service reached again', service);
     changes.next();
   };
@@ -148,12 +153,20 @@
     return until !== undefined && clock.now() < until;
   };
 
-  const forwardPeers = (service: ServiceId, besides = NOBODY): readonly ForwardPeer[] =>
+  const choosePeers = (service: ServiceId, besides = NOBODY): readonly ForwardPeer[] =>
     chooseForwardPeers(
       peers().filter(({ id }) => !besides.has(id)),
       { self: settings.id, zone: settings.zone, service, isFailing },
     );
 
+  const forwardPeers = (service: ServiceId): readonly ForwardPeer[] => {
+    const known = chosenPeers.get(service);
+    if (known) return known;
+    const chosen = choosePeers(service);
+    chosenPeers.set(service, chosen);
+    return chosen;
+  };
+
   const pickForwarder = (service: ServiceId): Forwarder | undefined => {
     const [found] = sample(forwardPeers(service), 1, () => random.next());
     return found?.forwardAddress === undefined
@@ -165,7 +178,7 @@
   const askPeers = async ({ address, service }: LinkedServer): Promise<PeerVerdict> => {
     const asked = new Set<DaemonId>();
     for (let round = 0; round < ASK_ROUNDS; round++) {
-      const found = sample(forwardPeers(service, asked), ASKED_PEERS, () => random.next());
+      const found = sample(choosePeers(service, asked), ASKED_PEERS, () => random.next());
       for (const { id } of found) asked.add(id);
       const verdicts = await Promise.all(
         found.map(({ forwardAddress = '' }) => askPeer(address, forwardAddress, ASK_TIMEOUT_MS)),
@@ -189,7 +202,10 @@
   /** The direct connection has failed: asks peers whether the server is there. */
   const confirm = async (address: string): Promise<void> => {
     const server = serverAt(address);
-    if (!server) return;
+    if (!server) {
+      update(noteLost(links, address));
+      return;
+    }
     const startedAt = clock.now();
     const found = await askPeers(server);
     // A direct connection to it that succeeded meanwhile says more.
@@ -252,10 +268,14 @@
   };
 
   const watchBlocked = (now: MonoTime): void => {
-    if (links.blocked.size === 0) return;
-    const { links: next, due } = takeRechecks(links, now, MAX_RECHECKS);
+    const { links: next, servers: due, services } = takeRechecks(links, now, MAX_RECHECKS);
     update(next);
     for (const { address } of due) void verify(address);
+    for (const service of services) {
+      const [server] = servers.sample(1, service);
+      if (server) void verify(server.address);
+      else update(forgetService(links, service));
+    }
   };
 
   /** Whether any of a few servers of the service listens. */
@@ -279,20 +299,25 @@
 
   return {
     forwarderOf: (address) => {
-      if (links.blocked.size === 0) return undefined;
+      if (links.blocked.size === 0 && links.cutOff.size === 0) return undefined;
       const server = serverAt(address);
       if (!server || !isBlocked(links, server)) return undefined;
       links = noteUsed(links, address, clock.now());
       return pickForwarder(server.service);
     },
+    isBlocked: (address) => {
+      const server = serverAt(address);
+      return server !== undefined && isBlocked(links, server);
+    },
     isStranded: (service) => links.cutOff.has(service) && forwardPeers(service).length === 0,
-    cutOff: () => links.cutOff,
+    cutOff: () => [...links.cutOff.keys()],
     noteConnect: (address, isConnected) => {
       if (isConnected) setReached(address);
       else void confirmOnce(address);
     },
     verify,
     noteForwarderFailed: (peer) => {
+      chosenPeers.clear();
       failingUntil.set(peer, later(clock.now(), PEER_BACKOFF_MS));
     },
     findState: async (address, timeoutMs) => {
@@ -310,6 +335,7 @@
     changes,
     tick: () => {
       const now = clock.now();
+      chosenPeers.clear();
       watchSilence(now);
       watchBlocked(now);
     },
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -255,6 +255,7 @@
         ...(state.lastId !== undefined && { lastEventId: String(state.lastId) }),
       }),
       body: exchange.body,
+      ...(exchange.facts.requestId !== undefined && { requestId: exchange.facts.requestId }),
       ownConnection: false,
       signal: stop.signal,
       beforeSend: () => {
--- a/src/core/gateway/server-links.ts
+++ b/src/core/gateway/server-links.ts
@@ -30,15 +30,15 @@
 export interface ServerLinks {
   /** By address. */
   readonly blocked: ReadonlyMap<string, Blocked>;
-  /** Services none of whose servers is reached directly. */
-  readonly cutOff: ReadonlySet<ServiceId>;
+  /** Services none of whose servers is reached directly, and when a direct connection is tried again. */
+  readonly cutOff: ReadonlyMap<ServiceId, MonoTime>;
   /** When a server of the service was last reached directly. */
   readonly reachedAt: ReadonlyMap<ServiceId, MonoTime>;
 }
 
 export const SOUND_LINKS: ServerLinks = {
   blocked: new Map(),
-  cutOff: new Set(),
+  cutOff: new Map(),
   reachedAt: new Map(),
 };
 
@@ -82,7 +82,8 @@
       now < later(confirmedAt, EVIDENCE_WINDOW_MS),
   );
   if (evidence.length < Math.min(CUT_OFF_SERVERS, servers)) return links;
-  return { ...links, cutOff: new Set(links.cutOff).add(service) };
+  const cutOff = new Map(links.cutOff).set(service, later(now, RECHECK_INTERVAL_MS));
+  return { ...links, cutOff };
 }
 
 /**
@@ -102,7 +103,8 @@
     for (const [other, known] of blocked)
       if (known.service === service) blocked.set(other, { ...known, recheckAt: now });
   }
-  const cutOff = new Set([...links.cutOff].filter((one) => one !== service));
+  const cutOff = new Map(links.cutOff);
+  cutOff.delete(service);
   return { blocked, cutOff, reachedAt };
 }
 
@@ -129,10 +131,12 @@
   return cutOff.has(service) || blocked.has(address);
 }
 
+/** What a direct connection is to be tried to now. */
 export interface Rechecks {
   readonly links: ServerLinks;
-  /** Servers to which a direct connection is to be tried now. */
-  readonly due: readonly LinkedServer[];
+  readonly servers: readonly LinkedServer[];
+  /** Any server of these services. */
+  readonly services: readonly ServiceId[];
 }
 
 /**
@@ -140,29 +144,32 @@
  * daemon is cut off from, one server is tried at a time: all of them come back together.
  */
 export function takeRechecks(links: ServerLinks, now: MonoTime, max: number): Rechecks {
+  const services = [...links.cutOff].flatMap(([service, at]) => (now >= at ? service : []));
   const kept = [...links.blocked.values()].filter(
     ({ service, usedAt }) => links.cutOff.has(service) || now < later(usedAt, UNUSED_RETENTION_MS),
   );
-  const due: Blocked[] = [];
-  const postponed = new Set<ServiceId>();
-  for (const known of kept) {
-    const isCutOff = links.cutOff.has(known.service);
-    if (now < known.recheckAt || due.length >= max || postponed.has(known.service)) continue;
-    due.push(known);
-    if (isCutOff) postponed.add(known.service);
-  }
+  const servers = kept
+    .filter(({ service, recheckAt }) => !links.cutOff.has(service) && now >= recheckAt)
+    .slice(0, max);
+  if (services.length === 0 && servers.length === 0 && kept.length === links.blocked.size)
+    return { links, servers, services };
   const recheckAt = later(now, RECHECK_INTERVAL_MS);
-  const isPostponed = (known: Blocked): boolean =>
-    due.includes(known) || postponed.has(known.service);
-  const rest = kept
-    .filter((known) => !due.includes(known))
-    .map((known) => (isPostponed(known) ? { ...known, recheckAt } : known));
-  // Those that are tried now go to the end, so that each gets its turn.
-  const all = [...rest, ...due.map((known) => ({ ...known, recheckAt }))];
-  return {
-    links: { ...links, blocked: new Map(all.map((known) => [known.address, known])) },
-    due,
-  };
+  const blocked = new Map(kept.map((known) => [known.address, known]));
+  for (const known of servers) {
+    // At the end, so that each gets its turn.
+    blocked.delete(known.address);
+    blocked.set(known.address, { ...known, recheckAt });
+  }
+  const cutOff = new Map(links.cutOff);
+  for (const service of services) cutOff.set(service, recheckAt);
+  return { links: { ...links, blocked, cutOff }, servers, services };
+}
+
+/** Forgets a service that has no servers any more. */
+export function forgetService(links: ServerLinks, service: ServiceId): ServerLinks {
+  const cutOff = new Map(links.cutOff);
+  cutOff.delete(service);
+  return { ...links, cutOff };
 }
 
 /** A daemon that may forward requests. */
--- a/tests/gateway/forwarding.test.ts
+++ b/tests/gateway/forwarding.test.ts
@@ -12,6 +12,8 @@
 
 const HOST = '127.0.0.1';
 const PEER = `${HOST}:28900`;
+/** A server that the peer does not reach itself. */
+const CUT_OFF = `${HOST}:3`;
 const SECRET = 'a secret of this test alone';
 const LENGTH = 'HTTP/1.1 200 OK\r\nX-Of-Server: yes\r\nContent-Length: 5\r\n\r\nwhole';
 const NO_LENGTH = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
@@ -55,7 +57,9 @@
   const ctx = makeContext({ settings: { forwardListen: PEER, peerSecret: SECRET } });
   const forwarding = createForwarding(ctx, {
     upstream,
+    dialect: { parseRequest: () => ({ promptTokens: 0, maxOutputTokens: 0 }) },
     isServer: known,
+    isCutOff: (address) => address === CUT_OFF,
     answerPeer: () => Promise.resolve('refused'),
   });
   await forwarding.start();
@@ -161,6 +165,12 @@
     expect(server.received).toEqual([]);
   });
 
+  it('is refused by a peer that does not reach the server itself', async () => {
+    const { client } = await startPeer(() => true);
+    const { result, hasPeerFailed } = await client.send(makeCall(CUT_OFF), PEER);
+    expect([result.kind, hasPeerFailed]).toEqual(['not-sent', true]);
+  });
+
   it('is not sent if the peer is gone', async () => {
     const client = createForwardClient(createUpstream({ connectTimeoutMs: 100 }), SECRET);
     const { result, hasPeerFailed } = await client.send(makeCall(`${HOST}:2`), `${HOST}:1`);
--- a/tests/gateway/server-links.test.ts
+++ b/tests/gateway/server-links.test.ts
@@ -121,6 +121,20 @@
     for (const address of SERVERS) expect(world.links.forwarderOf(address)).toBeUndefined();
   });
 
+  // Guards against a cut that never ends, as no blocked server is left to be tried again.
+  it('are direct again after a cut during which the blocked servers were lost', async () => {
+    const world = setUp();
+    cutOffFromAll(world);
+    world.links.noteConnect('s0:1', false);
+    await world.run(2 * TICK_MS);
+    for (const address of SERVERS) world.unreachableForPeers.add(address);
+    for (const address of SERVERS) await world.links.verify(address);
+    world.unreachable.clear();
+    world.unreachableForPeers.clear();
+    await world.run(1_000);
+    expect([...world.links.cutOff()]).toEqual([]);
+  });
+
   // Guards against requests that are written to connections that deliver nothing any more.
   it('are checked when calls are in flight and no server sends anything', async () => {
     const world = setUp();
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -224,8 +224,9 @@
 /** Links of a daemon that reaches all servers itself. */
 export const SOUND_LINKS: ServerLinkWatch = {
   forwarderOf: () => undefined,
+  isBlocked: () => false,
   isStranded: () => false,
-  cutOff: () => new Set(),
+  cutOff: () => [],
   noteConnect: () => undefined,
   verify: () => Promise.resolve(),
   noteForwarderFailed: () => undefined,
