--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -11,6 +11,7 @@
 import type { UpstreamActivity } from '../../adapters/upstream/upstream';
 import {
   chooseForwardPeers,
+  chooseWitnesses,
   forgetService,
   isBlocked,
   noteBlocked,
@@ -21,7 +22,11 @@
   SOUND_LINKS,
   takeRechecks,
 } from '../../core/gateway/server-links';
-import type { ForwardPeer, LinkedServer } from '../../core/gateway/server-links';
+import type {
+  ForwardPeer,
+  ForwardPeerOptions,
+  LinkedServer,
+} from '../../core/gateway/server-links';
 import { later } from '../../core/ids';
 import type { DaemonId, MonoTime, ServiceId } from '../../core/ids';
 import { sample } from '../../utils/common';
@@ -74,8 +79,8 @@
 const CHECK_TIMEOUT_MS = 150;
 /** Time for a peer's answer, its own check included. */
 const ASK_TIMEOUT_MS = 400;
-/** Peers asked at a time about a server, and how often others are asked if none can tell. */
-const ASKED_PEERS = 2;
+/** Peers asked at a time about a server, and how often others are asked if none reaches it. */
+const ASKED_PEERS = 3;
 const ASK_ROUNDS = 2;
 /** Other servers that are checked once one is blocked. */
 const CHECKED_SERVERS = 3;
@@ -89,7 +94,6 @@
 /** A peer that did not forward is left out for this long. */
 const PEER_BACKOFF_MS = 1_000;
 const MAX_RECHECKS = 8;
-const NOBODY: ReadonlySet<DaemonId> = new Set();
 
 export function createServerLinkWatch(
   ctx: GatewayContext,
@@ -153,16 +157,20 @@
     return until !== undefined && clock.now() < until;
   };
 
-  const choosePeers = (service: ServiceId, besides = NOBODY): readonly ForwardPeer[] =>
-    chooseForwardPeers(
-      peers().filter(({ id }) => !besides.has(id)),
-      { self: settings.id, zone: settings.zone, service, isFailing },
-    );
+  const optionsFor = (service: ServiceId): ForwardPeerOptions => ({
+    ...{ self: settings.id, zone: settings.zone, service, isFailing },
+  });
+
+  const shuffle = (all: readonly ForwardPeer[]): readonly ForwardPeer[] =>
+    all
+      .map((peer) => ({ peer, order: random.next() }))
+      .sort((a, b) => a.order - b.order)
+      .map(({ peer }) => peer);
 
   const forwardPeers = (service: ServiceId): readonly ForwardPeer[] => {
     const known = chosenPeers.get(service);
     if (known) return known;
-    const chosen = choosePeers(service);
+    const chosen = chooseForwardPeers(peers(), optionsFor(service));
     chosenPeers.set(service, chosen);
     return chosen;
   };
@@ -174,20 +182,22 @@
       : { id: found.id, address: found.forwardAddress };
   };
 
-  /** The first verdict of a peer that can tell. */
+  /**
+   * What peers find. One that reaches the server decides; that a few do not may be for links of their own, so
+   * that others are asked then.
+   */
   const askPeers = async ({ address, service }: LinkedServer): Promise<PeerVerdict> => {
-    const asked = new Set<DaemonId>();
+    const witnesses = chooseWitnesses(peers(), optionsFor(service), shuffle);
+    let verdict: PeerVerdict = 'unknown';
     for (let round = 0; round < ASK_ROUNDS; round++) {
-      const found = sample(choosePeers(service, asked), ASKED_PEERS, () => random.next());
-      for (const { id } of found) asked.add(id);
+      const found = witnesses.slice(round * ASKED_PEERS, (round + 1) * ASKED_PEERS);
       const verdicts = await Promise.all(
         found.map(({ forwardAddress = '' }) => askPeer(address, forwardAddress, ASK_TIMEOUT_MS)),
       );
       if (verdicts.includes('listening')) return 'listening';
-      const verdict = verdicts.find((one) => one !== 'unknown');
-      if (verdict !== undefined) return verdict;
+      verdict = verdicts.find((one) => one !== 'unknown') ?? verdict;
     }
-    return 'unknown';
+    return verdict;
   };
 
   const block = (server: LinkedServer): void => {
--- a/src/core/gateway/server-links.ts
+++ b/src/core/gateway/server-links.ts
@@ -192,7 +192,36 @@
 }
 
 /** Peers among which one daemon spreads its requests; few, so that their connections are reused. */
-const MAX_FORWARD_PEERS = 3;
+const MAX_FORWARD_PEERS = 6;
+
+function listUsable(
+  peers: readonly ForwardPeer[],
+  { service, isFailing }: Pick<ForwardPeerOptions, 'service' | 'isFailing'>,
+): readonly ForwardPeer[] {
+  return peers.filter(
+    ({ id, forwardAddress, cutOff, isStopping }) =>
+      forwardAddress !== undefined && !cutOff.has(service) && !isStopping && !isFailing(id),
+  );
+}
+
+/**
+ * Peers to ask whether they reach a server, the first ones first: by turns from other zones and the own one, as
+ * links often fail for a whole zone. `shuffle` returns the peers in random order.
+ */
+export function chooseWitnesses(
+  peers: readonly ForwardPeer[],
+  options: ForwardPeerOptions,
+  shuffle: (all: readonly ForwardPeer[]) => readonly ForwardPeer[],
+): readonly ForwardPeer[] {
+  const usable = shuffle(listUsable(peers, options));
+  const far = usable.filter(({ zone }) => zone !== options.zone);
+  const near = usable.filter(({ zone }) => zone === options.zone);
+  const longest = Math.max(far.length, near.length);
+  return Array.from({ length: longest }, (_, n) => [
+    ...far.slice(n, n + 1),
+    ...near.slice(n, n + 1),
+  ]).flat();
+}
 
 /**
  * The peers that one daemon forwards through. Those of its own zone come first, unless most of the zone is cut
@@ -200,12 +229,10 @@
  */
 export function chooseForwardPeers(
   peers: readonly ForwardPeer[],
-  { self, zone, service, isFailing }: ForwardPeerOptions,
+  options: ForwardPeerOptions,
 ): readonly ForwardPeer[] {
-  const usable = peers.filter(
-    ({ id, forwardAddress, cutOff, isStopping }) =>
-      forwardAddress !== undefined && !cutOff.has(service) && !isStopping && !isFailing(id),
-  );
+  const { self, zone } = options;
+  const usable = listUsable(peers, options);
   const inZone = usable.filter((peer) => peer.zone === zone);
   const zoneSize = 1 + peers.filter((peer) => peer.zone === zone).length;
   const from = 2 * inZone.length >= zoneSize ? inZone : usable;
--- a/tests/fuzz/main.ts
+++ b/tests/fuzz/main.ts
@@ -9,6 +9,7 @@
 import { fuzzGroups } from './groups/groups';
 import { fuzzLeaseEras } from './lease-eras';
 import { fuzzLedger } from './ledger';
+import { fuzzLinks } from './links';
 import { fuzzLimits } from './limits';
 import { fuzzMembership } from './membership';
 import type { FuzzOptions } from './options';
@@ -27,6 +28,7 @@
   'lease-eras': fuzzLeaseEras,
   limits: fuzzLimits,
   crashes: fuzzCrashes,
+  links: fuzzLinks,
 };
 
 const options = z.object({
--- a/tests/gateway/server-links.test.ts
+++ b/tests/gateway/server-links.test.ts
@@ -4,7 +4,7 @@
 import type { ListeningState } from '../../src/adapters/upstream/listening';
 import { createServerLinkWatch } from '../../src/app/gateway/server-links';
 import type { ServerLinkWatch } from '../../src/app/gateway/server-links';
-import { chooseForwardPeers } from '../../src/core/gateway/server-links';
+import { chooseForwardPeers, chooseWitnesses } from '../../src/core/gateway/server-links';
 import type { ForwardPeer } from '../../src/core/gateway/server-links';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId, EpochTime, ZoneId } from '../../src/core/ids';
@@ -209,6 +209,13 @@
     expect(chooseForwardPeers(mostlyCut, options).map(({ id }) => id)).toContain('b0');
   });
 
+  // Guards against asking only peers of a zone that is cut off as a whole.
+  it('are asked by turns from other zones and the own one', () => {
+    const peers = [peer('a0'), peer('a1'), peer('a2'), other('b0'), other('b1')];
+    const asked = chooseWitnesses(peers, options, (all) => all).map(({ id }) => id);
+    expect(asked).toEqual(['b0', 'a0', 'b1', 'a1', 'a2']);
+  });
+
   it('are neither stopping, nor cut off, nor without an address', () => {
     const peers = [
       peer('a0', { isStopping: true }),
