--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -2,6 +2,8 @@
 
 import type { Random } from '../../src/ports/runtime';
 import { TABLES } from '../../platform/names';
+import { sample } from '../../src/utils/common';
+import type { CutKind } from '../support/gateway-daemon';
 import { SILENT } from './proxy';
 import type { LinkFault, Proxy } from './proxy';
 import type { SoakDaemon, World } from './world';
@@ -220,10 +222,30 @@
   },
 };
 
+function cutFault(kind: CutKind): Fault {
+  return ({ world, random }) => {
+    // One daemon stays, which the others can use.
+    const count = 1 + Math.floor(random.next() * (world.daemons.length - 1));
+    const chosen = sample(world.daemons, count, () => random.next());
+    for (const daemon of chosen) world.cutOff(daemon, kind);
+    return () => {
+      for (const daemon of chosen) world.cutOff(daemon, undefined);
+    };
+  };
+}
+
+/** Daemons that lose their links to all servers. Scheduled separately as well. */
+const CUT_FAULTS: Readonly<Record<string, Fault>> = {
+  'cut-off-hang': cutFault('hang'),
+  'cut-off-reset': cutFault('reset'),
+  'cut-off-refuse-new': cutFault('refuse-new'),
+};
+
 export const FAULTS: Readonly<Record<string, Fault>> = {
   ...COMMON_FAULTS,
   ...ENTRY_FAULTS,
   ...RETURN_FAULTS,
+  ...CUT_FAULTS,
   ...SILENCES,
 };
 
@@ -273,3 +295,8 @@
 export function planReturns(random: Random, count: number, durationMs: number): PlannedFault[] {
   return scheduleFaults(random, Object.keys(RETURN_FAULTS), count, durationMs);
 }
+
+/** Plans cuts of daemons from all servers, to be merged into a schedule. */
+export function planCuts(random: Random, count: number, durationMs: number): PlannedFault[] {
+  return scheduleFaults(random, Object.keys(CUT_FAULTS), count, durationMs);
+}
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -18,6 +18,7 @@
   faults: z.coerce.number().int().nonnegative(),
   entryFaults: z.coerce.number().int().nonnegative(),
   returns: z.coerce.number().int().nonnegative(),
+  cuts: z.coerce.number().int().nonnegative(),
   silentRounds: z.coerce.number().int().nonnegative(),
   statementRounds: z.coerce.number().int().nonnegative(),
   zoneRounds: z.coerce.number().int().nonnegative(),
@@ -32,6 +33,7 @@
 async function run(args: unknown): Promise<void> {
   const options = optionsSchema.parse(args);
   const { seed: first, seeds, daemons, faults, entryFaults, returns, silentRounds } = options;
+  const { cuts } = options;
   const { seconds, port, logs, statementRounds, zoneRounds, callers } = options;
   for (let seed = first; seed < first + seeds; seed++) {
     const seedLogs = logs === undefined ? undefined : join(logs, `seed-${seed}`);
@@ -43,6 +45,7 @@
       faults,
       entryFaults,
       returns,
+      cuts,
       silentRounds,
       statementRounds,
       zoneRounds,
@@ -63,6 +66,7 @@
   .option('--callers', 'Callers at each daemon', 6)
   .option('--faults', 'Faults of a schedule', 14)
   .option('--returns', 'Restores of the store from an older copy', 0)
+  .option('--cuts', 'Cuts of daemons from all servers', 0)
   .option('--entryFaults', 'Server restarts under the same name, and invalid rows', 0)
   .option(
     '--silentRounds',
--- a/tests/soak/soak.test.ts
+++ b/tests/soak/soak.test.ts
@@ -7,18 +7,20 @@
 
 describe('daemons under a seeded schedule of overlapping faults', () => {
   it.each([
-    { seed: 1, entryFaults: 0, returns: 0 },
-    { seed: 2, entryFaults: 0, returns: 0 },
-    { seed: 3, entryFaults: 6, returns: 0 },
-    { seed: 317, entryFaults: 0, returns: 0 },
-    { seed: 4, entryFaults: 2, returns: 2 },
-  ])('violate no guarantee (seed $seed)', async ({ seed, entryFaults, returns }) => {
+    { seed: 1, entryFaults: 0, returns: 0, cuts: 0 },
+    { seed: 2, entryFaults: 0, returns: 0, cuts: 0 },
+    { seed: 3, entryFaults: 6, returns: 0, cuts: 0 },
+    { seed: 317, entryFaults: 0, returns: 0, cuts: 0 },
+    { seed: 4, entryFaults: 2, returns: 2, cuts: 0 },
+    { seed: 5, entryFaults: 0, returns: 0, cuts: 5 },
+  ])('violate no guarantee (seed $seed)', async ({ seed, entryFaults, returns, cuts }) => {
     const durationMs = 5_000;
     const report = await soak({
       seed,
       faults: 7,
       entryFaults,
       returns,
+      cuts,
       durationMs,
       firstPort: PORT,
     });
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -6,7 +6,7 @@
 import { SMALL, LARGE } from '../gateway/support';
 import { callDaemon, COMMON_SETTINGS } from '../support/gateway-daemon';
 import { startCallers } from './callers';
-import { FAULTS, planEntryFaults, planFaults, planReturns, planSilences } from './faults';
+import { FAULTS, planCuts, planEntryFaults, planFaults, planReturns, planSilences } from './faults';
 import type { PlannedFault } from './faults';
 import { judge, tally } from './judge';
 import { runStatementRound } from './statements';
@@ -23,6 +23,8 @@
   readonly entryFaults?: number;
   /** Restores of the store from an older copy, in the same schedule. */
   readonly returns?: number;
+  /** Cuts of daemons from all servers, in the same schedule. */
+  readonly cuts?: number;
   /** Rounds of silent faults before the schedule, each followed by a change that must apply in time. */
   readonly silentRounds?: number;
   /** Rounds before the schedule in which servers send limits, Retry-After or leaving headers. */
@@ -147,6 +149,7 @@
   faults = 14,
   entryFaults = 0,
   returns = 0,
+  cuts = 0,
   silentRounds = 0,
   statementRounds = 0,
   zoneRounds = 0,
@@ -158,7 +161,8 @@
   const common = planFaults(random, faults, durationMs);
   const entryPlan = planEntryFaults(createRandom(seed), entryFaults, durationMs);
   const returnPlan = planReturns(createRandom(seed + 3), returns, durationMs);
-  const plan = [...common, ...entryPlan, ...returnPlan].sort((a, b) => a.at - b.at);
+  const cutPlan = planCuts(createRandom(seed + 6), cuts, durationMs);
+  const plan = [...common, ...entryPlan, ...returnPlan, ...cutPlan].sort((a, b) => a.at - b.at);
   const hasZones = zoneRounds > 0;
   const world = await startWorld({
     ...{ daemons, firstPort, hasZones },
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -13,7 +13,8 @@
 import { PLAIN_SERVICE, startPlatform } from '../../stand-ins/users-platform/start';
 import type { PlatformStandIn } from '../../stand-ins/users-platform/start';
 import { ENGINE } from '../gateway/support';
-import { launchDaemon } from '../support/gateway-daemon';
+import { cutOff, launchDaemon } from '../support/gateway-daemon';
+import type { CutKind, ServerPorts } from '../support/gateway-daemon';
 import { startProxy } from './proxy';
 import type { Proxy } from './proxy';
 import { COLD_PER_S, COLD_SETTINGS, zoneOf } from './zones';
@@ -51,6 +52,8 @@
   readonly unmeantEnds: readonly string[];
   /** Names of the added routes, oldest first. */
   readonly addedRoutes: readonly string[];
+  /** Cuts the daemon's current process off from all servers, or ends that. */
+  cutOff(daemon: SoakDaemon, kind: CutKind | undefined): void;
   addRoute(): void;
   removeKey(): void;
   close(): void;
@@ -102,6 +105,11 @@
     proxies.set(published, await startProxy(published, `${HOST}:${port}`));
   }
 
+  const publishedPorts: ServerPorts = {
+    firstPort: serverPorts + proxyOffset + 1,
+    lastPort: serverPorts + proxyOffset + servers,
+  };
+
   const configure = (): void => {
     version += 1;
     const routes = [
@@ -127,11 +135,13 @@
         listen: daemon.front,
         readyListen: daemon.ready,
         peerListen: daemon.toPeers.address,
+        forwardListen: portOf(n, 5),
         seeds,
         platform: daemon.toStore.address,
         more: { peerBind: portOf(n, 2), ...(hasZones && COLD_SETTINGS) },
       },
       log,
+      { isCuttable: true },
     );
     if (typeof log === 'number') closeSync(log);
     daemon.process = child;
@@ -167,6 +177,9 @@
     servers: proxies,
     unmeantEnds,
     addedRoutes,
+    cutOff: ({ process: child }, kind) => {
+      if (child.connected) cutOff(child, kind, publishedPorts);
+    },
     addRoute: () => {
       addedRoutes.push(`added-${addedRoutes.length}`);
       configure();
