--- a/tests/support/gateway-daemon.ts
+++ b/tests/support/gateway-daemon.ts
@@ -87,7 +87,8 @@
 
 /** Cuts a daemon off from all servers, or ends that. */
 export function cutOff(child: ChildProcess, kind: CutKind | undefined, ports: ServerPorts): void {
-  child.send({ ...(kind && { kind }), ...ports });
+  // A process that ends meanwhile needs no message.
+  child.send({ ...(kind && { kind }), ...ports }, () => undefined);
 }
 
 /** A response, complete or not. */
