Split the watch of links to servers, and index servers only where links have failed

Asking and choosing peers, and noticing silence, are modules of their own now. The addresses of servers were indexed anew after each change of an entry, for every new connection, in quadratic time: with thousands of servers that takes longer than a request.

--- /dev/null
+++ b/src/app/gateway/forward-peers.ts
@@ -0,0 +1,110 @@
+/** The peers through which this daemon reaches servers, and which it asks whether they do. */
+
+import type { PeerVerdict } from '../../adapters/upstream/forward-client';
+import { chooseForwardPeers, chooseWitnesses } from '../../core/gateway/server-links';
+import type {
+  ForwardPeer,
+  ForwardPeerOptions,
+  LinkedServer,
+} from '../../core/gateway/server-links';
+import { later } from '../../core/ids';
+import type { DaemonId, MonoTime, ServiceId } from '../../core/ids';
+import { sample } from '../../utils/common';
+import type { GatewayContext } from './context';
+
+/** A peer that forwards requests. */
+export interface Forwarder {
+  readonly id: DaemonId;
+  readonly address: string;
+}
+
+export interface ForwardPeersDeps {
+  readonly peers: () => readonly ForwardPeer[];
+  readonly askPeer: (address: string, peer: string, timeoutMs: number) => Promise<PeerVerdict>;
+}
+
+export interface ForwardPeers {
+  /** Peers that forward requests for the service. */
+  list(service: ServiceId): readonly ForwardPeer[];
+  /** One of them at random. */
+  pick(service: ServiceId): Forwarder | undefined;
+  /**
+   * What peers find of a server. One that reaches it decides; that a few do not may be for links of their own,
+   * so that others are asked then.
+   */
+  ask(server: LinkedServer): Promise<PeerVerdict>;
+  /** Notes that a peer did not forward. */
+  noteFailed(peer: DaemonId): void;
+  tick(): void;
+}
+
+/** Time for a peer's answer, its own check of the server included. */
+const ASK_TIMEOUT_MS = 400;
+/** Peers asked at a time about a server, and how often others are asked if none reaches it. */
+const ASKED_PEERS = 3;
+const ASK_ROUNDS = 2;
+/** A peer that did not forward is left out for this long. */
+const PEER_BACKOFF_MS = 1_000;
+
+export function createForwardPeers(
+  { clock, random, settings }: Pick<GatewayContext, 'clock' | 'random' | 'settings'>,
+  { peers, askPeer }: ForwardPeersDeps,
+): ForwardPeers {
+  const failingUntil = new Map<DaemonId, MonoTime>();
+  /** Until the next tick, as ranking hundreds of peers for each request would take too long. */
+  const chosen = new Map<ServiceId, readonly ForwardPeer[]>();
+
+  const isFailing = (peer: DaemonId): boolean => {
+    const until = failingUntil.get(peer);
+    return until !== undefined && clock.now() < until;
+  };
+
+  const optionsFor = (service: ServiceId): ForwardPeerOptions => ({
+    ...{ self: settings.id, zone: settings.zone, service, isFailing },
+  });
+
+  const shuffle = (all: readonly ForwardPeer[]): readonly ForwardPeer[] =>
+    all
+      .map((peer) => ({ peer, order: random.next() }))
+      .sort((a, b) => a.order - b.order)
+      .map(({ peer }) => peer);
+
+  const list = (service: ServiceId): readonly ForwardPeer[] => {
+    const known = chosen.get(service);
+    if (known) return known;
+    const found = chooseForwardPeers(peers(), optionsFor(service));
+    chosen.set(service, found);
+    return found;
+  };
+
+  const ask = async ({ address, service }: LinkedServer): Promise<PeerVerdict> => {
+    const witnesses = chooseWitnesses(peers(), optionsFor(service), shuffle);
+    let verdict: PeerVerdict = 'unknown';
+    for (let round = 0; round < ASK_ROUNDS; round++) {
+      const asked = witnesses.slice(round * ASKED_PEERS, (round + 1) * ASKED_PEERS);
+      const verdicts = await Promise.all(
+        asked.map(({ forwardAddress = '' }) => askPeer(address, forwardAddress, ASK_TIMEOUT_MS)),
+      );
+      if (verdicts.includes('listening')) return 'listening';
+      verdict = verdicts.find((one) => one !== 'unknown') ?? verdict;
+    }
+    return verdict;
+  };
+
+  return {
+    list,
+    pick: (service) => {
+      const [found] = sample(list(service), 1, () => random.next());
+      if (found?.forwardAddress === undefined) return undefined;
+      return { id: found.id, address: found.forwardAddress };
+    },
+    ask,
+    noteFailed: (peer) => {
+      chosen.clear();
+      failingUntil.set(peer, later(clock.now(), PEER_BACKOFF_MS));
+    },
+    tick: () => {
+      chosen.clear();
+    },
+  };
+}
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -105,7 +105,7 @@
   });
   const toPeers = createUpstream({ connectTimeoutMs: CONNECT_TIMEOUT_MS, idleMs: IDLE_MS });
   const forwardClient = createForwardClient(toPeers, settings.peerSecret);
-  const addresses = createServerAddresses(serverRegistry, evacuations, ctx.random);
+  const addresses = createServerAddresses(ctx, serverRegistry, evacuations);
   const serverLinks = createServerLinkWatch(ctx, {
     servers: addresses,
     peers: () => fleet.forwardPeers(),
--- a/src/app/gateway/server-addresses.ts
+++ b/src/app/gateway/server-addresses.ts
@@ -3,9 +3,10 @@
 import { merge } from 'rxjs';
 
 import type { LinkedServer } from '../../core/gateway/server-links';
+import { later } from '../../core/ids';
 import type { ServiceId } from '../../core/ids';
-import type { Random } from '../../ports/runtime';
 import { sample } from '../../utils/common';
+import type { GatewayContext } from './context';
 import type { Evacuations } from './evacuations';
 import type { ServerRegistry } from './server-registry';
 
@@ -24,28 +25,42 @@
   readonly byService: ReadonlyMap<ServiceId, readonly LinkedServer[]>;
 }
 
+/** Entries change many times a second in a large fleet; an index this old will do, milliseconds. */
+const INDEX_AGE_MS = 200;
+
 export function createServerAddresses(
+  { clock, random }: Pick<GatewayContext, 'clock' | 'random'>,
   { servers, lapsed, changes }: Pick<ServerRegistry, 'servers' | 'lapsed' | 'changes'>,
   evacuations: Pick<Evacuations, 'isEvacuated' | 'changes'>,
-  random: Random,
 ): ServerAddresses {
   let cached: Index | undefined;
+  let isOutdated = false;
+  let keptUntil = clock.now();
   merge(changes, evacuations.changes).subscribe(() => {
-    cached = undefined;
+    isOutdated = true;
   });
   const build = (): Index => {
     const all = [...lapsed.values(), ...servers.values()];
     const byService = new Map<ServiceId, LinkedServer[]>();
     for (const { address, service, zone } of servers.values()) {
       if (evacuations.isEvacuated(zone)) continue;
-      byService.set(service, [...(byService.get(service) ?? []), { address, service }]);
+      const known = byService.get(service);
+      if (known) known.push({ address, service });
+      else byService.set(service, [{ address, service }]);
     }
     return {
       services: new Map(all.map(({ address, service }) => [address, service])),
       byService,
     };
   };
-  const index = (): Index => (cached ??= build());
+  const index = (): Index => {
+    const now = clock.now();
+    if (cached && (!isOutdated || now < keptUntil)) return cached;
+    isOutdated = false;
+    keptUntil = later(now, INDEX_AGE_MS);
+    cached = build();
+    return cached;
+  };
   const next = (): number => random.next();
   return {
     serviceOf: (address) => index().services.get(address),
--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -10,8 +10,6 @@
 import type { ListeningState } from '../../adapters/upstream/listening';
 import type { UpstreamActivity } from '../../adapters/upstream/upstream';
 import {
-  chooseForwardPeers,
-  chooseWitnesses,
   forgetService,
   isBlocked,
   noteBlocked,
@@ -22,30 +20,20 @@
   SOUND_LINKS,
   takeRechecks,
 } from '../../core/gateway/server-links';
-import type {
-  ForwardPeer,
-  ForwardPeerOptions,
-  LinkedServer,
-} from '../../core/gateway/server-links';
+import type { LinkedServer } from '../../core/gateway/server-links';
 import { later } from '../../core/ids';
 import type { DaemonId, MonoTime, ServiceId } from '../../core/ids';
-import { sample } from '../../utils/common';
 import type { GatewayContext } from './context';
+import { createForwardPeers } from './forward-peers';
+import type { Forwarder, ForwardPeersDeps } from './forward-peers';
 import type { ServerAddresses } from './server-addresses';
+import { createSilenceWatch } from './silence-watch';
 
-/** A peer that forwards requests. */
-export interface Forwarder {
-  readonly id: DaemonId;
-  readonly address: string;
-}
-
-export interface ServerLinksDeps {
+export interface ServerLinksDeps extends ForwardPeersDeps {
   readonly servers: ServerAddresses;
-  readonly peers: () => readonly ForwardPeer[];
   /** Of the direct connections. */
   readonly activity: () => UpstreamActivity;
   readonly checkListening: (address: string, timeoutMs: number) => Promise<ListeningState>;
-  readonly askPeer: (address: string, peer: string, timeoutMs: number) => Promise<PeerVerdict>;
 }
 
 export interface ServerLinkWatch {
@@ -77,43 +65,24 @@
 
 /** A server on a sound link accepts a connection within milliseconds. */
 const CHECK_TIMEOUT_MS = 150;
-/** Time for a peer's answer, its own check included. */
-const ASK_TIMEOUT_MS = 400;
-/** Peers asked at a time about a server, and how often others are asked if none reaches it. */
-const ASKED_PEERS = 3;
-const ASK_ROUNDS = 2;
 /** Other servers that are checked once one is blocked. */
 const CHECKED_SERVERS = 3;
 const SAMPLE_INTERVAL_MS = 300;
-/** Time without a byte from any server, while calls are in flight, after which a server is checked. */
-const SILENCE_MS = 350;
-/** Interval between such checks, as a single server may have a reason to be silent. */
-const SILENCE_CHECK_INTERVAL_MS = 2_000;
-/** Delay of a tick above which the process is assumed not to have run, milliseconds. */
-const TICK_DELAY_MS = 150;
-/** A peer that did not forward is left out for this long. */
-const PEER_BACKOFF_MS = 1_000;
 const MAX_RECHECKS = 8;
 
 export function createServerLinkWatch(
   ctx: GatewayContext,
-  { servers, peers, activity, checkListening, askPeer }: ServerLinksDeps,
+  { servers, activity, checkListening, ...peerDeps }: ServerLinksDeps,
 ): ServerLinkWatch {
-  const { clock, logger, metrics, random, settings } = ctx;
+  const { clock, logger, metrics } = ctx;
+  const forwardPeers = createForwardPeers(ctx, peerDeps);
+  const silence = createSilenceWatch(clock, activity);
   const blockedServers = new Subject<string>();
   const changes = new Subject<void>();
   const verifying = new Map<string, Promise<void>>();
-  const failingUntil = new Map<DaemonId, MonoTime>();
-  /** Until the next tick, as ranking hundreds of peers for each request would take too long. */
-  const chosenPeers = new Map<ServiceId, readonly ForwardPeer[]>();
   /** When direct connections last succeeded, by address; kept while a peer is asked about the server. */
   const connectedAt = new Map<string, MonoTime>();
   let links = SOUND_LINKS;
-  let receivedBytes = 0;
-  let lastTickAt = clock.now();
-  let silentSince = clock.now();
-  let heardAt: MonoTime | undefined;
-  let nextSilenceCheckAt = clock.now();
   const nextSampleAt = new Map<ServiceId, MonoTime>();
 
   const update = (next: typeof links): void => {
@@ -134,12 +103,15 @@
       step: 'server-links',
       service,
       blocked: links.blocked.size,
-      forwarders: forwardPeers(service)
+      forwarders: forwardPeers
+        .list(service)
         .map(({ id }) => id)
         .join(' '),
     });
   };
 
+  const hasFailures = (): boolean => links.blocked.size > 0 || links.cutOff.size > 0;
+
   /** The server at the address; undefined if none is registered there any more. */
   const serverAt = (address: string): LinkedServer | undefined => {
     const service = servers.serviceOf(address);
@@ -148,58 +120,11 @@
 
   const setReached = (address: string): void => {
     if (verifying.has(address)) connectedAt.set(address, clock.now());
+    if (!hasFailures()) return;
     const server = serverAt(address);
     if (server) update(noteReached(links, server, clock.now()));
   };
 
-  const isFailing = (peer: DaemonId): boolean => {
-    const until = failingUntil.get(peer);
-    return until !== undefined && clock.now() < until;
-  };
-
-  const optionsFor = (service: ServiceId): ForwardPeerOptions => ({
-    ...{ self: settings.id, zone: settings.zone, service, isFailing },
-  });
-
-  const shuffle = (all: readonly ForwardPeer[]): readonly ForwardPeer[] =>
-    all
-      .map((peer) => ({ peer, order: random.next() }))
-      .sort((a, b) => a.order - b.order)
-      .map(({ peer }) => peer);
-
-  const forwardPeers = (service: ServiceId): readonly ForwardPeer[] => {
-    const known = chosenPeers.get(service);
-    if (known) return known;
-    const chosen = chooseForwardPeers(peers(), optionsFor(service));
-    chosenPeers.set(service, chosen);
-    return chosen;
-  };
-
-  const pickForwarder = (service: ServiceId): Forwarder | undefined => {
-    const [found] = sample(forwardPeers(service), 1, () => random.next());
-    return found?.forwardAddress === undefined
-      ? undefined
-      : { id: found.id, address: found.forwardAddress };
-  };
-
-  /**
-   * What peers find. One that reaches the server decides; that a few do not may be for links of their own, so
-   * that others are asked then.
-   */
-  const askPeers = async ({ address, service }: LinkedServer): Promise<PeerVerdict> => {
-    const witnesses = chooseWitnesses(peers(), optionsFor(service), shuffle);
-    let verdict: PeerVerdict = 'unknown';
-    for (let round = 0; round < ASK_ROUNDS; round++) {
-      const found = witnesses.slice(round * ASKED_PEERS, (round + 1) * ASKED_PEERS);
-      const verdicts = await Promise.all(
-        found.map(({ forwardAddress = '' }) => askPeer(address, forwardAddress, ASK_TIMEOUT_MS)),
-      );
-      if (verdicts.includes('listening')) return 'listening';
-      verdict = verdicts.find((one) => one !== 'unknown') ?? verdict;
-    }
-    return verdict;
-  };
-
   const block = (server: LinkedServer): void => {
     const isNew = !isBlocked(links, server);
     update(noteBlocked(links, server, clock.now()));
@@ -217,7 +142,7 @@
       return;
     }
     const startedAt = clock.now();
-    const found = await askPeers(server);
+    const found = await forwardPeers.ask(server);
     // A direct connection to it that succeeded meanwhile says more.
     if ((connectedAt.get(address) ?? -Infinity) > startedAt) return;
     if (found === 'listening') block(server);
@@ -252,26 +177,7 @@
     update(noteSampled(links, result, clock.now()));
   };
 
-  const hasHeardLately = (): boolean => {
-    noteReceived(clock.now());
-    return heardAt !== undefined && clock.now() < later(heardAt, SILENCE_MS);
-  };
-
-  const noteReceived = (now: MonoTime): void => {
-    const total = activity().receivedBytes;
-    if (total === receivedBytes) return;
-    receivedBytes = total;
-    heardAt = now;
-    silentSince = now;
-  };
-
-  const watchSilence = (now: MonoTime): void => {
-    const wasPaused = now >= later(lastTickAt, TICK_DELAY_MS);
-    lastTickAt = now;
-    noteReceived(now);
-    if (activity().inFlight === 0 || wasPaused) silentSince = now;
-    if (now < later(silentSince, SILENCE_MS) || now < nextSilenceCheckAt) return;
-    nextSilenceCheckAt = later(now, SILENCE_CHECK_INTERVAL_MS);
+  const checkAfterSilence = (): void => {
     logger.info('no server sends anything, checking some', { step: 'server-links' });
     for (const { address, service } of servers.sample(CHECKED_SERVERS))
       if (!links.cutOff.has(service)) void verify(address);
@@ -291,7 +197,7 @@
   /** Whether any of a few servers of the service listens. */
   const isLinkSound = async (service: ServiceId): Promise<boolean> => {
     if (links.cutOff.has(service)) return false;
-    if (hasHeardLately()) return true;
+    if (silence.hasHeardLately()) return true;
     const found = await Promise.all(
       servers
         .sample(CHECKED_SERVERS, service)
@@ -309,17 +215,17 @@
 
   return {
     forwarderOf: (address) => {
-      if (links.blocked.size === 0 && links.cutOff.size === 0) return undefined;
+      if (!hasFailures()) return undefined;
       const server = serverAt(address);
       if (!server || !isBlocked(links, server)) return undefined;
       links = noteUsed(links, address, clock.now());
-      return pickForwarder(server.service);
+      return forwardPeers.pick(server.service);
     },
     isBlocked: (address) => {
       const server = serverAt(address);
       return server !== undefined && isBlocked(links, server);
     },
-    isStranded: (service) => links.cutOff.has(service) && forwardPeers(service).length === 0,
+    isStranded: (service) => links.cutOff.has(service) && forwardPeers.list(service).length === 0,
     cutOff: () => [...links.cutOff.keys()],
     noteConnect: (address, isConnected) => {
       if (isConnected) setReached(address);
@@ -327,26 +233,25 @@
     },
     verify,
     noteForwarderFailed: (peer) => {
-      chosenPeers.clear();
-      failingUntil.set(peer, later(clock.now(), PEER_BACKOFF_MS));
+      forwardPeers.noteFailed(peer);
     },
     findState: async (address, timeoutMs) => {
       const found = await checkListening(address, timeoutMs);
       const server = serverAt(address);
       if (found === 'listening' || !server) return found;
-      const verdict = await askPeers(server);
+      const verdict = await forwardPeers.ask(server);
       if (verdict === 'listening') block(server);
       if (verdict !== 'unknown') return verdict;
       return (await isLinkSound(server.service)) ? found : 'unknown';
     },
     answerPeer,
-    hasHeardLately,
+    hasHeardLately: () => silence.hasHeardLately(),
     blocked: blockedServers,
     changes,
     tick: () => {
       const now = clock.now();
-      chosenPeers.clear();
-      watchSilence(now);
+      forwardPeers.tick();
+      if (silence.tick()) checkAfterSilence();
       watchBlocked(now);
     },
   };
