--- a/src/app/gateway/forwarding.ts
+++ b/src/app/gateway/forwarding.ts
@@ -41,6 +41,8 @@
 /** Requests forwarded at the same time; more are not sent. */
 const MAX_FORWARDED = 512;
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** More than callers may send, for the headers that are added. */
+const MAX_HEADER_BYTES = 96 * 1024;
 /** Longer than peers keep idle connections, so that none is closed as they send. */
 const KEEP_ALIVE_MS = 20_000;
 /** Headers of a single connection. */
@@ -175,7 +177,12 @@
     else await forward(req, res, forwarded);
   };
 
-  const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, noDelay: true }, (req, res) => {
+  const options = {
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    maxHeaderSize: MAX_HEADER_BYTES,
+    noDelay: true,
+  };
+  const server = createServer(options, (req, res) => {
     inFlight += 1;
     if (isStopping) res.shouldKeepAlive = false;
     res.once('close', () => {
--- a/tests/gateway/forwarding.test.ts
+++ b/tests/gateway/forwarding.test.ts
@@ -103,6 +103,16 @@
     expect(req.endsWith('\r\n\r\nbody')).toBe(true);
   });
 
+  // Guards against a limit of the peer's that callers' headers, accepted by their daemon, exceed.
+  it('may have headers as long as callers may send', async () => {
+    const server = await startServer((socket) => socket.write(LENGTH));
+    const { client } = await startPeer(() => true);
+    const call = makeCall(server.address);
+    const headers = [...(call.headers as string[]), 'X-Long', 'x'.repeat(60_000)];
+    const { result } = await client.send({ ...call, headers }, PEER);
+    expect(await readAll(result)).toEqual({ text: 'whole', isWhole: true });
+  });
+
   // Guards against an answer without a length that looks complete although its connection was reset.
   it('has an incomplete answer when the server breaks it off', async () => {
     const server = await startServer((socket) => {
