Tell a peer by the proof whether to forward a request or to check its server

The purpose is part of the HMAC now, and the headers of the hop have names that callers do not send by accident. The new test in forwarding was red.

--- a/src/adapters/upstream/forward-client.ts
+++ b/src/adapters/upstream/forward-client.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import { fail } from '../../utils/errors';
-import { CHECK_PATH, FORWARD_ERROR, forwardHeaders, FORWARD_TO, NO_BODY } from './forward-protocol';
+import { FORWARD_ERROR, forwardHeaders, NO_BODY } from './forward-protocol';
 import type { ForwardedRequest } from './forward-protocol';
 import type { ListeningState } from './listening';
 import type { Upstream, UpstreamCall, UpstreamResult } from './upstream';
@@ -82,7 +82,7 @@
     peerAddress: string,
     timeoutMs: number,
   ): Promise<PeerVerdict> => {
-    const req: ForwardedRequest = { address, method: 'GET', path: CHECK_PATH, body: NO_BODY };
+    const req: ForwardedRequest = { address, method: 'GET', path: '/', body: NO_BODY };
     const limit = new AbortController();
     const timer = setTimeout(() => {
       limit.abort(new Error('the peer does not answer'));
@@ -90,7 +90,7 @@
     const sent = await upstream.send({
       ...req,
       address: peerAddress,
-      headers: { ...forwardHeaders(secret, req), [FORWARD_TO]: address },
+      headers: forwardHeaders(secret, req, 'check'),
       ownConnection: false,
       beforeSend: () => undefined,
       signal: limit.signal,
--- a/src/adapters/upstream/forward-protocol.ts
+++ b/src/adapters/upstream/forward-protocol.ts
@@ -8,43 +8,54 @@
 import type { ServerRequest } from '../../ports/gateway';
 
 /** `host:port` of the server that the request is for. */
-export const FORWARD_TO = 'forward-to';
+export const FORWARD_TO = 'nutmegstack-forward-to';
 /** HMAC of the request under the shared secret, hexadecimal. */
-export const FORWARD_PROOF = 'forward-proof';
+export const FORWARD_PROOF = 'nutmegstack-forward-proof';
 /**
  * In the peer's own responses: what became of the request. `refused`: the peer did not try to send it;
  * `not-sent`: it got no connection to the server; `lost`: it got no complete answer.
  */
-export const FORWARD_ERROR = 'forward-error';
-/** Path that asks whether a server listens; no request is forwarded. */
-export const CHECK_PATH = '/forward-check';
+export const FORWARD_ERROR = 'nutmegstack-forward-error';
+/** What the peer is asked to do: forward the request, or tell whether the server listens. */
+export type ForwardPurpose = 'forward' | 'check';
 
 export type ForwardedRequest = ServerRequest;
 
 export const NO_BODY = new Uint8Array();
 
-function proofOf(secret: string, { address, method, path, body }: ForwardedRequest): Buffer {
+/** The purpose is part of the proof, so that no header or path of a caller can change it. */
+function proofOf(
+  secret: string,
+  purpose: ForwardPurpose,
+  { address, method, path, body }: ForwardedRequest,
+): Buffer {
   return createHmac('sha256', secret)
-    .update(JSON.stringify(['forward', address, method, path, body.length]))
+    .update(JSON.stringify([purpose, address, method, path, body.length]))
     .update(body)
     .digest();
 }
 
-/** The headers that make a peer forward the request. */
-export function forwardHeaders(secret: string, req: ForwardedRequest): Record<string, string> {
+/** The headers that make a peer forward the request, or check its server. */
+export function forwardHeaders(
+  secret: string,
+  req: ForwardedRequest,
+  purpose: ForwardPurpose = 'forward',
+): Record<string, string> {
   return {
     [FORWARD_TO]: req.address,
-    [FORWARD_PROOF]: proofOf(secret, req).toString('hex'),
+    [FORWARD_PROOF]: proofOf(secret, purpose, req).toString('hex'),
   };
 }
 
-/** Whether the proof belongs to the request; compares in constant time. */
-export function isProven(
+/** For what purpose the proof is valid for the request, if for any; compares in constant time. */
+export function provenPurpose(
   secret: string,
   req: ForwardedRequest,
   proof: string | undefined,
-): boolean {
-  const expected = proofOf(secret, req);
+): ForwardPurpose | undefined {
   const given = Buffer.from(proof ?? '', 'hex');
-  return expected.length === given.length && timingSafeEqual(expected, given);
+  return (['forward', 'check'] as const).find((purpose) => {
+    const expected = proofOf(secret, purpose, req);
+    return expected.length === given.length && timingSafeEqual(expected, given);
+  });
 }
--- a/src/app/gateway/forwarding.ts
+++ b/src/app/gateway/forwarding.ts
@@ -8,11 +8,10 @@
 
 import type { PeerVerdict } from '../../adapters/upstream/forward-client';
 import {
-  CHECK_PATH,
   FORWARD_ERROR,
   FORWARD_PROOF,
   FORWARD_TO,
-  isProven,
+  provenPurpose,
 } from '../../adapters/upstream/forward-protocol';
 import type { ForwardedRequest } from '../../adapters/upstream/forward-protocol';
 import type { Answered, Upstream } from '../../adapters/upstream/upstream';
@@ -158,7 +157,8 @@
       return;
     }
     const forwarded = { address, method, path, body };
-    if (!isProven(settings.peerSecret, forwarded, proof)) {
+    const purpose = provenPurpose(settings.peerSecret, forwarded, proof);
+    if (purpose === undefined) {
       logger.warn('request of no peer refused', { step: 'forward', address });
       answerError(res, 'refused', 'the proof is not valid');
       return;
@@ -167,7 +167,7 @@
       answerError(res, 'refused', 'the server is not known here');
       return;
     }
-    if (path === CHECK_PATH) {
+    if (purpose === 'check') {
       res.end(await answerPeer(address));
       return;
     }
--- a/tests/gateway/forwarding.test.ts
+++ b/tests/gateway/forwarding.test.ts
@@ -103,6 +103,15 @@
     expect(req.endsWith('\r\n\r\nbody')).toBe(true);
   });
 
+  // Guards against a path of a caller's that the peer takes for a question of its own.
+  it('is forwarded whatever its path', async () => {
+    const server = await startServer((socket) => socket.write(LENGTH));
+    const { client } = await startPeer(() => true);
+    const call = { ...makeCall(server.address), path: '/forward-check' };
+    const { result } = await client.send(call, PEER);
+    expect(await readAll(result)).toEqual({ text: 'whole', isWhole: true });
+  });
+
   // Guards against a limit of the peer's that callers' headers, accepted by their daemon, exceed.
   it('may have headers as long as callers may send', async () => {
     const server = await startServer((socket) => socket.write(LENGTH));
