Take no daemon for cut off by a state that is no longer fresh

In a fleet above 13 daemons a state that a peer once sent directly is kept for a minute; one that named a cut would have kept that peer from forwarding, and its stall reports from counting, long after the cut.

--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -208,30 +208,29 @@
     return listUnresponsive([...entries.keys()], responsive);
   };
 
-  const cutOffBy = (
-    reported: ReadonlyMap<DaemonId, readonly ServiceId[]>,
-    id: DaemonId,
-  ): ReadonlySet<ServiceId> =>
-    new Set([...(reported.get(id) ?? []), ...(peerViews.get(id)?.cutOff ?? [])]);
+  /** Services that the leader reported each daemon to be cut off from. */
+  const reportedCutOff = (): ReadonlyMap<DaemonId, readonly ServiceId[]> =>
+    new Map(leader()?.cutOff);
 
-  const cutOff = (id: DaemonId): ReadonlySet<ServiceId> => cutOffBy(new Map(leader()?.cutOff), id);
+  const cutOff = (id: DaemonId): ReadonlySet<ServiceId> => {
+    const view = live().find((peer) => peer.id === id);
+    return new Set([...(reportedCutOff().get(id) ?? []), ...(view?.cutOff ?? [])]);
+  };
 
   const forwardPeers = (): ForwardPeer[] => {
     const unresponsive = new Set(silent());
-    const reported = new Map(leader()?.cutOff);
+    const reported = reportedCutOff();
     const known = new Map<DaemonId, ForwardPeer>();
     for (const [id, { zone, forwardAddress }] of entries) {
       if (unresponsive.has(id)) continue;
-      known.set(id, {
-        id,
-        zone,
-        forwardAddress,
-        cutOff: cutOffBy(reported, id),
-        isStopping: false,
-      });
+      const services = new Set(reported.get(id));
+      known.set(id, { id, zone, forwardAddress, cutOff: services, isStopping: false });
+    }
+    // A state that is no longer fresh may name a cut that has ended.
+    for (const { id, zone, forwardAddress, isStopping, cutOff: own } of live()) {
+      const services = new Set([...(reported.get(id) ?? []), ...own]);
+      known.set(id, { id, zone, forwardAddress, cutOff: services, isStopping });
     }
-    for (const { id, zone, forwardAddress, isStopping } of live())
-      known.set(id, { id, zone, forwardAddress, cutOff: cutOffBy(reported, id), isStopping });
     known.delete(settings.id);
     return [...known.values()];
   };
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -252,10 +252,10 @@
   });
   serverLinks.blocked.subscribe((address) => {
     direct.closeIdle(address);
-    groupRegistry.trust({ address });
+    groupRegistry.clearSuspicions({ address });
   });
   serverLinks.changes.subscribe(() => {
-    for (const service of serverLinks.cutOff()) groupRegistry.trust({ service });
+    for (const service of serverLinks.cutOff()) groupRegistry.clearSuspicions({ service });
   });
   const ticker = setInterval(() => {
     leadership.tick();
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -110,7 +110,7 @@
    * Ends the suspension of groups, other than lost ones, that this daemon's own link is to blame for:
    * those with this address of the head, or of this service.
    */
-  trust(which: { readonly address: string } | { readonly service: ServiceId }): void;
+  clearSuspicions(which: { readonly address: string } | { readonly service: ServiceId }): void;
   /** Suspends a group whose head could not be reached, and publishes that. */
   noteUnreachable(stall: Stall, reason: string): void;
   /** Groups whose heads this daemon could not reach. */
@@ -306,7 +306,7 @@
     noteUnreachable: (stall, reason) => {
       if (suspect(stall.group, 'unreachable', reason)) unreachable.next(stall);
     },
-    trust: (which) => {
+    clearSuspicions: (which) => {
       for (const { id, head, service } of groups().values()) {
         const isMeant =
           'address' in which ? head.address === which.address : service === which.service;
