Report no stall of a blocked head where no peer forwards either

Cause: whether a daemon's own link is to blame was asked by way of a peer to forward through, so that a daemon that was cut off and had no peer left reported all groups as stalled. It asks whether the head is blocked now. Found by reading the change again; the new test was red.

--- a/src/app/gateway/stall-reporting.ts
+++ b/src/app/gateway/stall-reporting.ts
@@ -22,7 +22,7 @@
   readonly fleet: Fleet;
   readonly planner: GroupPlanner;
   readonly leadership: Leadership;
-  readonly serverLinks: Pick<ServerLinkWatch, 'hasHeardLately' | 'verify' | 'forwarderOf'>;
+  readonly serverLinks: Pick<ServerLinkWatch, 'hasHeardLately' | 'verify' | 'isBlocked'>;
 }
 
 export interface StallReporting {
@@ -118,7 +118,7 @@
   const verifyAndReport = async (stall: Stall, finding: 'seen' | 'unreachable'): Promise<void> => {
     const address = groupRegistry.find(stall.head)?.head.address;
     if (address !== undefined) await serverLinks.verify(address);
-    if (address === undefined || !serverLinks.forwarderOf(address)) sendReport(stall, finding);
+    if (address === undefined || !serverLinks.isBlocked(address)) sendReport(stall, finding);
   };
 
   const report = (stall: Stall, finding: 'seen' | 'unreachable'): void => {
--- a/tests/gateway/stall-reporting.test.ts
+++ b/tests/gateway/stall-reporting.test.ts
@@ -32,6 +32,31 @@
   return calls;
 }
 
+describe('a stall that a daemon sees', () => {
+  // Guards against reports of all groups from a daemon that is cut off and has no peer left.
+  it('is not reported while the head is blocked, also without a peer that forwards', async () => {
+    const sent: string[] = [];
+    const stalls = new Subject();
+    createStallReporting({
+      ctx: makeContext(),
+      groupRegistry: {
+        ...{ stalls, unreachable: new Subject(), find: () => ({ head: { address: 'h:1' } }) },
+      },
+      fleet: {
+        ...{ isLarge: () => false, cutOff: () => new Set() },
+        broadcast: ({ kind }: { kind: string }) => sent.push(kind),
+      },
+      planner: { lost: new Subject() },
+      leadership: { heldFencing: () => undefined },
+      serverLinks: { ...SOUND_LINKS, hasHeardLately: () => false, isBlocked: () => true },
+    } as unknown as StallReportingDeps);
+    stalls.next(STALL);
+    await Promise.resolve();
+    await Promise.resolve();
+    expect(sent).toEqual([]);
+  });
+});
+
 describe('a finding about a group', () => {
   // Guards against ending a group because one daemon has lost its own link to the head.
   it('does not count as a stall if a daemon could not reach the head', () => {
