Keep a server blocked while peers cannot tell whether they reach it

Cause: any finding of peers but that they reach the server ended the detour, also when they gave none, being slow, restarting or cut off themselves. Requests then went over the link that had failed. Only a finding that the server is gone ends it now. Found by reading the change again; the new test was red.

--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -146,7 +146,7 @@
     // A direct connection to it that succeeded meanwhile says more.
     if ((connectedAt.get(address) ?? -Infinity) > startedAt) return;
     if (found === 'listening') block(server);
-    else update(noteLost(links, address));
+    else if (found !== 'unknown') update(noteLost(links, address));
   };
 
   const confirmOnce = (address: string): Promise<void> => {
--- a/tests/gateway/server-links.test.ts
+++ b/tests/gateway/server-links.test.ts
@@ -18,6 +18,7 @@
   /** Servers that this daemon, and its peers, do not reach. */
   readonly unreachable: Set<string>;
   readonly unreachableForPeers: Set<string>;
+  arePeersSilent: boolean;
   peers: ForwardPeer[];
   activity: { inFlight: number; receivedBytes: number };
   readonly blocked: string[];
@@ -47,6 +48,7 @@
   const world = {
     unreachable: new Set<string>(),
     unreachableForPeers: new Set<string>(),
+    arePeersSilent: false,
     peers: [peer('p0'), peer('p1')],
     activity: { inFlight: 0, receivedBytes: 0 },
     blocked: [] as string[],
@@ -60,7 +62,10 @@
     peers: () => world.peers,
     activity: () => world.activity,
     checkListening: (address) => stateOf(world.unreachable, address),
-    askPeer: (address): Promise<PeerVerdict> => stateOf(world.unreachableForPeers, address),
+    askPeer: (address): Promise<PeerVerdict> =>
+      world.arePeersSilent
+        ? Promise.resolve('unknown')
+        : stateOf(world.unreachableForPeers, address),
   });
   links.blocked.subscribe((address) => world.blocked.push(address));
   const run = async (ms: number): Promise<void> => {
@@ -100,6 +105,17 @@
     expect(await world.links.findState('s0:1', 100)).toBe('unreachable');
   });
 
+  // Guards against sending directly to a server that is out of reach because peers were slow to answer.
+  it('stay through a peer while peers cannot tell', async () => {
+    const world = setUp();
+    world.unreachable.add('s0:1');
+    world.links.noteConnect('s0:1', false);
+    await world.run(TICK_MS);
+    world.arePeersSilent = true;
+    await world.run(2_000);
+    expect(world.links.forwarderOf('s0:1')).toBeDefined();
+  });
+
   it('are cut off once no server of a sample is reached, and go through peers altogether', async () => {
     const world = setUp();
     cutOffFromAll(world);
