Ask peers about a server that is gone twice a second at most

Cause: each failed connection had up to six peers asked, and each of them connected to the server. Where nothing is cut and a server has crashed, that was six messages for each request that met it. A server that peers found gone is not looked into again for half a second.

--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -69,6 +69,8 @@
 const CHECKED_SERVERS = 3;
 const SAMPLE_INTERVAL_MS = 300;
 const MAX_RECHECKS = 8;
+/** Time for which failed connections to a server that peers found gone are not looked into again. */
+const GONE_MS = 500;
 
 export function createServerLinkWatch(
   ctx: GatewayContext,
@@ -82,6 +84,8 @@
   const verifying = new Map<string, Promise<void>>();
   /** When direct connections last succeeded, by address; kept while a peer is asked about the server. */
   const connectedAt = new Map<string, MonoTime>();
+  /** Servers that peers found gone, by address. */
+  const goneUntil = new Map<string, MonoTime>();
   let links = SOUND_LINKS;
   const nextSampleAt = new Map<ServiceId, MonoTime>();
 
@@ -146,7 +150,9 @@
     // A direct connection to it that succeeded meanwhile says more.
     if ((connectedAt.get(address) ?? -Infinity) > startedAt) return;
     if (found === 'listening') block(server);
-    else if (found !== 'unknown') update(noteLost(links, address));
+    if (found === 'listening' || found === 'unknown') return;
+    goneUntil.set(address, later(clock.now(), GONE_MS));
+    update(noteLost(links, address));
   };
 
   const confirmOnce = (address: string): Promise<void> => {
@@ -160,6 +166,15 @@
     return started;
   };
 
+  const isKnownGone = (address: string): boolean => {
+    const until = goneUntil.get(address);
+    return until !== undefined && clock.now() < until;
+  };
+
+  const pruneGone = (now: MonoTime): void => {
+    for (const [address, until] of goneUntil) if (now >= until) goneUntil.delete(address);
+  };
+
   const verify = async (address: string): Promise<void> => {
     if ((await checkListening(address, CHECK_TIMEOUT_MS)) === 'listening') setReached(address);
     else await confirmOnce(address);
@@ -229,7 +244,7 @@
     cutOff: () => [...links.cutOff.keys()],
     noteConnect: (address, isConnected) => {
       if (isConnected) setReached(address);
-      else void confirmOnce(address);
+      else if (!isKnownGone(address)) void confirmOnce(address);
     },
     verify,
     noteForwarderFailed: (peer) => {
@@ -253,6 +268,7 @@
       forwardPeers.tick();
       if (silence.tick()) checkAfterSilence();
       watchBlocked(now);
+      pruneGone(now);
     },
   };
 }
--- a/tests/gateway/server-links.test.ts
+++ b/tests/gateway/server-links.test.ts
@@ -19,6 +19,8 @@
   readonly unreachable: Set<string>;
   readonly unreachableForPeers: Set<string>;
   arePeersSilent: boolean;
+  /** Questions to peers. */
+  asked: number;
   peers: ForwardPeer[];
   activity: { inFlight: number; receivedBytes: number };
   readonly blocked: string[];
@@ -49,6 +51,7 @@
     unreachable: new Set<string>(),
     unreachableForPeers: new Set<string>(),
     arePeersSilent: false,
+    asked: 0,
     peers: [peer('p0'), peer('p1')],
     activity: { inFlight: 0, receivedBytes: 0 },
     blocked: [] as string[],
@@ -62,10 +65,11 @@
     peers: () => world.peers,
     activity: () => world.activity,
     checkListening: (address) => stateOf(world.unreachable, address),
-    askPeer: (address): Promise<PeerVerdict> =>
-      world.arePeersSilent
-        ? Promise.resolve('unknown')
-        : stateOf(world.unreachableForPeers, address),
+    askPeer: (address): Promise<PeerVerdict> => {
+      world.asked += 1;
+      if (world.arePeersSilent) return Promise.resolve('unknown');
+      return stateOf(world.unreachableForPeers, address);
+    },
   });
   links.blocked.subscribe((address) => world.blocked.push(address));
   const run = async (ms: number): Promise<void> => {
@@ -116,6 +120,18 @@
     expect(world.links.forwarderOf('s0:1')).toBeDefined();
   });
 
+  // Guards against messages for each request that meets a server that is gone.
+  it('have peers asked seldom about a server that is gone', async () => {
+    const world = setUp();
+    world.unreachable.add('s0:1');
+    world.unreachableForPeers.add('s0:1');
+    for (let n = 0; n < 20; n++) {
+      world.links.noteConnect('s0:1', false);
+      await world.run(TICK_MS);
+    }
+    expect(world.asked).toBeLessThanOrEqual(3 * world.peers.length);
+  });
+
   it('are cut off once no server of a sample is reached, and go through peers altogether', async () => {
     const world = setUp();
     cutOffFromAll(world);
