Use the field's words for findings of peers, cleared requests and healthy links

Names only, no change of behaviour: clear and confirm in place of acquit and convict in the quarantine, observers and observed states of servers, services that are unreachable, links that are healthy.

--- a/src/adapters/upstream/forward-client.ts
+++ b/src/adapters/upstream/forward-client.ts
@@ -12,13 +12,13 @@
  * State of a server as a peer sees it; `unknown` if the peer does not answer, or cannot tell because it may be
  * cut off itself.
  */
-export type PeerVerdict = ListeningState | 'unknown';
+export type ObservedState = ListeningState | 'unknown';
 
 export interface ForwardClient {
   /** Sends a call through the peer at `peerAddress`. A call that the peer could not send is `not-sent`. */
   send(call: UpstreamCall, peerAddress: string): Promise<ForwardResult>;
   /** Asks the peer whether the server listens; never rejects. */
-  check(address: string, peerAddress: string, timeoutMs: number): Promise<PeerVerdict>;
+  check(address: string, peerAddress: string, timeoutMs: number): Promise<ObservedState>;
 }
 
 export interface ForwardResult {
@@ -27,7 +27,11 @@
   readonly hasPeerFailed: boolean;
 }
 
-const VERDICTS: ReadonlySet<string> = new Set<PeerVerdict>(['listening', 'refused', 'unreachable']);
+const OBSERVED_STATES: ReadonlySet<string> = new Set<ObservedState>([
+  'listening',
+  'refused',
+  'unreachable',
+]);
 
 function toRawHeaders(headers: UpstreamCall['headers']): readonly string[] {
   if (Array.isArray(headers)) return headers as readonly string[];
@@ -39,7 +43,7 @@
   try {
     for await (const chunk of res) chunks.push(chunk as Buffer);
   } catch {
-    // An incomplete text is no verdict.
+    // An incomplete text names no state.
     return '';
   }
   return Buffer.concat(chunks).toString();
@@ -81,7 +85,7 @@
     address: string,
     peerAddress: string,
     timeoutMs: number,
-  ): Promise<PeerVerdict> => {
+  ): Promise<ObservedState> => {
     const req: ForwardedRequest = { address, method: 'GET', path: '/', body: NO_BODY };
     const limit = new AbortController();
     const timer = setTimeout(() => {
@@ -97,7 +101,7 @@
     });
     const text = sent.kind === 'answered' ? await readText(sent.res) : '';
     clearTimeout(timer);
-    return VERDICTS.has(text) ? (text as PeerVerdict) : 'unknown';
+    return OBSERVED_STATES.has(text) ? (text as ObservedState) : 'unknown';
   };
 
   return { send, check };
--- a/src/app/control/shortfall-metrics.ts
+++ b/src/app/control/shortfall-metrics.ts
@@ -14,7 +14,7 @@
 }
 
 const DOWNTIME = 'nutmegstack_group_downtime_seconds_total';
-const STRANDED = 'nutmegstack_stranded_accelerator_seconds_total';
+const UNREACHABLE = 'nutmegstack_stranded_accelerator_seconds_total';
 const MS_PER_SECOND = 1_000;
 
 export function createShortfallMetrics(ctx: ControlContext): ShortfallMetrics {
@@ -42,9 +42,9 @@
     countByOrganisation(ctx, DOWNTIME, model as ModelId, groups * seconds);
   }
   for (const [model, accelerators] of Object.entries(shortfall.stranded)) {
-    countByOrganisation(ctx, STRANDED, model as ModelId, accelerators * seconds);
+    countByOrganisation(ctx, UNREACHABLE, model as ModelId, accelerators * seconds);
   }
-  metrics.count(STRANDED, { model: '', organisation: '' }, shortfall.unassigned * seconds);
+  metrics.count(UNREACHABLE, { model: '', organisation: '' }, shortfall.unassigned * seconds);
 }
 
 /** Splits an amount among organisations by their share of the model's configured replicas. */
--- a/src/app/gateway/forward-peers.ts
+++ b/src/app/gateway/forward-peers.ts
@@ -1,7 +1,7 @@
 /** The peers through which this daemon reaches servers, and which it asks whether they do. */
 
-import type { PeerVerdict } from '../../adapters/upstream/forward-client';
-import { chooseForwardPeers, chooseWitnesses } from '../../core/gateway/server-links';
+import type { ObservedState } from '../../adapters/upstream/forward-client';
+import { chooseForwardPeers, chooseObservers } from '../../core/gateway/server-links';
 import type {
   ForwardPeer,
   ForwardPeerOptions,
@@ -20,7 +20,7 @@
 
 export interface ForwardPeersDeps {
   readonly peers: () => readonly ForwardPeer[];
-  readonly askPeer: (address: string, peer: string, timeoutMs: number) => Promise<PeerVerdict>;
+  readonly askPeer: (address: string, peer: string, timeoutMs: number) => Promise<ObservedState>;
 }
 
 export interface ForwardPeers {
@@ -32,7 +32,7 @@
    * What peers find of a server. One that reaches it decides; that a few do not may be for links of their own,
    * so that others are asked then.
    */
-  ask(server: LinkedServer): Promise<PeerVerdict>;
+  ask(server: LinkedServer): Promise<ObservedState>;
   /** Notes that a peer did not forward. */
   noteFailed(peer: DaemonId): void;
   tick(): void;
@@ -77,18 +77,18 @@
     return found;
   };
 
-  const ask = async ({ address, service }: LinkedServer): Promise<PeerVerdict> => {
-    const witnesses = chooseWitnesses(peers(), optionsFor(service), shuffle);
-    let verdict: PeerVerdict = 'unknown';
+  const ask = async ({ address, service }: LinkedServer): Promise<ObservedState> => {
+    const observers = chooseObservers(peers(), optionsFor(service), shuffle);
+    let state: ObservedState = 'unknown';
     for (let round = 0; round < ASK_ROUNDS; round++) {
-      const asked = witnesses.slice(round * ASKED_PEERS, (round + 1) * ASKED_PEERS);
-      const verdicts = await Promise.all(
+      const asked = observers.slice(round * ASKED_PEERS, (round + 1) * ASKED_PEERS);
+      const states = await Promise.all(
         asked.map(({ forwardAddress = '' }) => askPeer(address, forwardAddress, ASK_TIMEOUT_MS)),
       );
-      if (verdicts.includes('listening')) return 'listening';
-      verdict = verdicts.find((one) => one !== 'unknown') ?? verdict;
+      if (states.includes('listening')) return 'listening';
+      state = states.find((one) => one !== 'unknown') ?? state;
     }
-    return verdict;
+    return state;
   };
 
   return {
--- a/src/app/gateway/forwarding.ts
+++ b/src/app/gateway/forwarding.ts
@@ -6,7 +6,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import type { PeerVerdict } from '../../adapters/upstream/forward-client';
+import type { ObservedState } from '../../adapters/upstream/forward-client';
 import {
   FORWARD_ERROR,
   FORWARD_PROOF,
@@ -26,7 +26,7 @@
   readonly isServer: (address: string) => boolean;
   /** Whether this daemon does not reach the server itself. */
   readonly isCutOff: (address: string) => boolean;
-  readonly answerPeer: (address: string) => Promise<PeerVerdict>;
+  readonly answerPeer: (address: string) => Promise<ObservedState>;
 }
 
 export interface Forwarding {
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -32,7 +32,7 @@
   readonly serverRegistry: ServerRegistry;
   readonly retries: Retries;
   readonly quarantine: Pick<Quarantine, 'standing' | 'begin'>;
-  readonly serverLinks: Pick<ServerLinkWatch, 'isStranded'>;
+  readonly serverLinks: Pick<ServerLinkWatch, 'isUnreachable'>;
 }
 
 export interface PlainCalls {
@@ -61,7 +61,7 @@
 
 const NO_SERVER = 'no server of the service is known';
 const EVACUATED = 'all servers of the service are in evacuated zones';
-const STRANDED = 'no server is reached, neither directly nor through a peer';
+const UNREACHABLE = 'no server is reached, neither directly nor through a peer';
 const NO_CAPACITY = 'all servers of the service are rate-limited or backing off';
 
 export function createPlainCalls(deps: PlainDeps): PlainCalls {
@@ -105,8 +105,8 @@
   /** Why no server can be chosen and when to retry, if known. */
   const explainNoServer = (service: ServiceId): Unserved => {
     const isEvacuated = serversOf(service).length === 0 && registeredServers(service).length > 0;
-    if (deps.serverLinks.isStranded(service))
-      return { reason: STRANDED, retryAfter: RETRY_AFTER_UNSERVED };
+    if (deps.serverLinks.isUnreachable(service))
+      return { reason: UNREACHABLE, retryAfter: RETRY_AFTER_UNSERVED };
     if (isEvacuated) return { reason: EVACUATED, retryAfter: RETRY_AFTER_UNSERVED };
     const acceptedInMs = msUntilAnyAccepts(service);
     if (acceptedInMs === 0) return { reason: NO_SERVER };
@@ -176,8 +176,8 @@
         endQuarantined(ctx, exchange, standing, { exposure, attempts });
         return;
       }
-      const isStranded = deps.serverLinks.isStranded(exchange.service);
-      const server = isStranded ? undefined : choose(exchange, tried);
+      const isUnreachable = deps.serverLinks.isUnreachable(exchange.service);
+      const server = isUnreachable ? undefined : choose(exchange, tried);
       if (!server) break;
       const result = await attempt(exchange, server, attemptDeadline(exchange, attempts));
       tried.add(server.id);
--- a/src/app/gateway/quarantine.ts
+++ b/src/app/gateway/quarantine.ts
@@ -172,7 +172,7 @@
     return isHeld(fingerprint) ? 'held' : 'suspect';
   };
 
-  const refuseConvicted = (fingerprints: Iterable<Fingerprint>): void => {
+  const refuseConfirmed = (fingerprints: Iterable<Fingerprint>): void => {
     for (const fingerprint of fingerprints) {
       const strikes = confirmedStrikes(fingerprint);
       const count = countInSequence(strikes);
@@ -196,23 +196,23 @@
     }
   };
 
-  const acquit = (fingerprint: Fingerprint): boolean => {
+  const clearRequest = (fingerprint: Fingerprint): boolean => {
     const wasRefused = refused.has(fingerprint);
     setRefused(new Map([...refused].filter(([known]) => known !== fingerprint)));
     return clearStrikes(state, fingerprint) || wasRefused;
   };
 
-  /** A request that was answered completely a short while ago is cleared, here and at peers. */
-  const isAcquitted = (fingerprint: Fingerprint): boolean => {
+  /** Clears a request that was answered completely a short while ago, here and at peers. */
+  const clearIfCompleted = (fingerprint: Fingerprint): boolean => {
     if (!completions.has(fingerprint, clock.now())) return false;
-    acquit(fingerprint);
+    clearRequest(fingerprint);
     if (sharing.addClear(fingerprint, clock.now(), true)) news.next();
     return true;
   };
 
   const publishStrikes = (strikes: readonly Strike[]): void => {
     for (const strike of strikes) {
-      if (isAcquitted(strike.fingerprint) || !sharing.addStrike(strike, true)) continue;
+      if (clearIfCompleted(strike.fingerprint) || !sharing.addStrike(strike, true)) continue;
       metrics.count('nutmegstack_crash_strikes_total');
       logger.warn('group ended while it ran a request', {
         step: 'quarantine',
@@ -245,7 +245,7 @@
     if (isEmpty()) return;
     const fingerprint = fingerprintOf(exchange);
     completions.note(fingerprint, clock.now());
-    if (!acquit(fingerprint)) return;
+    if (!clearRequest(fingerprint)) return;
     sharing.addClear(fingerprint, clock.now(), true);
     news.next();
   };
@@ -281,7 +281,7 @@
 
   const applyStrike = (strike: Strike): void => {
     if ((sharing.clearedAt(strike.fingerprint) ?? -Infinity) >= strike.at) return;
-    if (isAcquitted(strike.fingerprint) || !sharing.addStrike(strike, false)) return;
+    if (clearIfCompleted(strike.fingerprint) || !sharing.addStrike(strike, false)) return;
     if (strike.until <= strike.at) {
       dropStrike(state, strike);
       return;
@@ -317,10 +317,10 @@
     applyReport: ({ strikes, cleared }) => {
       const now = clock.now();
       for (const [fingerprint, ageMs] of cleared) {
-        if (sharing.addClear(fingerprint, later(now, -ageMs), false)) acquit(fingerprint);
+        if (sharing.addClear(fingerprint, later(now, -ageMs), false)) clearRequest(fingerprint);
       }
       for (const update of strikes) applyStrike(toStrike(update, now));
-      refuseConvicted(strikes.map(([fingerprint]) => fingerprint));
+      refuseConfirmed(strikes.map(([fingerprint]) => fingerprint));
     },
     refused: () => listRefusedUpdates(refused, clock.now()),
     applyRefused: (updates, source) => {
@@ -343,7 +343,7 @@
       for (const strike of dropped) {
         if (strike.isOwn) sharing.addStrike({ ...strike, until: strike.at }, true);
       }
-      refuseConvicted(confirmed.map(({ fingerprint }) => fingerprint));
+      refuseConfirmed(confirmed.map(({ fingerprint }) => fingerprint));
     },
   };
 }
--- a/src/app/gateway/server-checks.ts
+++ b/src/app/gateway/server-checks.ts
@@ -3,7 +3,7 @@
  * evidence: the port of a process that has ended refuses new ones, or another incarnation registers.
  */
 
-import type { PeerVerdict } from '../../adapters/upstream/forward-client';
+import type { ObservedState } from '../../adapters/upstream/forward-client';
 import type { DomainId, GroupId, InstanceId } from '../../core/ids';
 import type { GatewayContext } from './context';
 import type { ServerRegistry } from './server-registry';
@@ -19,7 +19,7 @@
 export interface ServerCheckDeps {
   readonly serverRegistry: Pick<ServerRegistry, 'ended'>;
   /** State of a server; `unknown` if it may be this daemon's link that has failed. */
-  readonly findState: (address: string, timeoutMs: number) => Promise<PeerVerdict>;
+  readonly findState: (address: string, timeoutMs: number) => Promise<ObservedState>;
   /** Whether a connection to the group broke recently. */
   readonly isInterrupted: (group: GroupId) => boolean;
   readonly onLost: (group: GroupId, domain: DomainId) => void;
--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -6,7 +6,7 @@
 import { Subject } from 'rxjs';
 import type { Observable } from 'rxjs';
 
-import type { PeerVerdict } from '../../adapters/upstream/forward-client';
+import type { ObservedState } from '../../adapters/upstream/forward-client';
 import type { ListeningState } from '../../adapters/upstream/listening';
 import type { UpstreamActivity } from '../../adapters/upstream/upstream';
 import {
@@ -17,7 +17,7 @@
   noteReached,
   noteSampled,
   noteUsed,
-  SOUND_LINKS,
+  HEALTHY_LINKS,
   takeRechecks,
 } from '../../core/gateway/server-links';
 import type { LinkedServer } from '../../core/gateway/server-links';
@@ -42,7 +42,7 @@
   /** Whether this daemon does not reach the server itself. */
   isBlocked(address: string): boolean;
   /** Whether no server of the service is reached, neither directly nor through a peer. */
-  isStranded(service: ServiceId): boolean;
+  isUnreachable(service: ServiceId): boolean;
   /** Services whose servers are reached through peers only. */
   cutOff(): readonly ServiceId[];
   noteConnect(address: string, isConnected: boolean): void;
@@ -51,11 +51,11 @@
   /** Notes that a peer did not forward. */
   noteForwarderFailed(peer: DaemonId): void;
   /** Whether a server listens, as far as this daemon and its peers can tell. */
-  findState(address: string, timeoutMs: number): Promise<PeerVerdict>;
+  findState(address: string, timeoutMs: number): Promise<ObservedState>;
   /** The state of a server for a peer that asks; `unknown` if this daemon may be cut off itself. */
-  answerPeer(address: string): Promise<PeerVerdict>;
-  /** Whether a server was heard from just now: this daemon's links are not down altogether. */
-  hasHeardLately(): boolean;
+  answerPeer(address: string): Promise<ObservedState>;
+  /** Whether any server sent something recently: this daemon's links are not down altogether. */
+  hasReceivedRecently(): boolean;
   /** Servers that turn out to be reached through peers only, by address. */
   readonly blocked: Observable<string>;
   /** Emits when the daemon is cut off from a service, or no longer is. */
@@ -63,7 +63,7 @@
   tick(): void;
 }
 
-/** A server on a sound link accepts a connection within milliseconds. */
+/** A server on a healthy link accepts a connection within milliseconds. */
 const CHECK_TIMEOUT_MS = 150;
 /** Other servers that are checked once one is blocked. */
 const CHECKED_SERVERS = 3;
@@ -86,7 +86,7 @@
   const connectedAt = new Map<string, MonoTime>();
   /** Servers that peers found gone, by address. */
   const goneUntil = new Map<string, MonoTime>();
-  let links = SOUND_LINKS;
+  let links = HEALTHY_LINKS;
   const nextSampleAt = new Map<ServiceId, MonoTime>();
 
   const update = (next: typeof links): void => {
@@ -210,9 +210,9 @@
   };
 
   /** Whether any of a few servers of the service listens. */
-  const isLinkSound = async (service: ServiceId): Promise<boolean> => {
+  const isLinkHealthy = async (service: ServiceId): Promise<boolean> => {
     if (links.cutOff.has(service)) return false;
-    if (silence.hasHeardLately()) return true;
+    if (silence.hasReceivedRecently()) return true;
     const found = await Promise.all(
       servers
         .sample(CHECKED_SERVERS, service)
@@ -221,11 +221,11 @@
     return found.includes('listening');
   };
 
-  const answerPeer = async (address: string): Promise<PeerVerdict> => {
+  const answerPeer = async (address: string): Promise<ObservedState> => {
     const service = servers.serviceOf(address);
     if (service === undefined || links.cutOff.has(service)) return 'unknown';
     const found = await checkListening(address, CHECK_TIMEOUT_MS);
-    return found === 'listening' || (await isLinkSound(service)) ? found : 'unknown';
+    return found === 'listening' || (await isLinkHealthy(service)) ? found : 'unknown';
   };
 
   return {
@@ -240,7 +240,8 @@
       const server = serverAt(address);
       return server !== undefined && isBlocked(links, server);
     },
-    isStranded: (service) => links.cutOff.has(service) && forwardPeers.list(service).length === 0,
+    isUnreachable: (service) =>
+      links.cutOff.has(service) && forwardPeers.list(service).length === 0,
     cutOff: () => [...links.cutOff.keys()],
     noteConnect: (address, isConnected) => {
       if (isConnected) setReached(address);
@@ -254,13 +255,13 @@
       const found = await checkListening(address, timeoutMs);
       const server = serverAt(address);
       if (found === 'listening' || !server) return found;
-      const verdict = await forwardPeers.ask(server);
-      if (verdict === 'listening') block(server);
-      if (verdict !== 'unknown') return verdict;
-      return (await isLinkSound(server.service)) ? found : 'unknown';
+      const state = await forwardPeers.ask(server);
+      if (state === 'listening') block(server);
+      if (state !== 'unknown') return state;
+      return (await isLinkHealthy(server.service)) ? found : 'unknown';
     },
     answerPeer,
-    hasHeardLately: () => silence.hasHeardLately(),
+    hasReceivedRecently: () => silence.hasReceivedRecently(),
     blocked: blockedServers,
     changes,
     tick: () => {
--- a/src/app/gateway/silence-watch.ts
+++ b/src/app/gateway/silence-watch.ts
@@ -6,8 +6,8 @@
 import type { Clock } from '../../ports/runtime';
 
 export interface SilenceWatch {
-  /** Whether a server was heard from just now: this daemon's links are not down altogether. */
-  hasHeardLately(): boolean;
+  /** Whether any server sent something recently: this daemon's links are not down altogether. */
+  hasReceivedRecently(): boolean;
   /** Returns true when servers should be checked. Must be called at each tick. */
   tick(): boolean;
 }
@@ -21,7 +21,7 @@
 
 export function createSilenceWatch(clock: Clock, activity: () => UpstreamActivity): SilenceWatch {
   let receivedBytes = 0;
-  let heardAt: MonoTime | undefined;
+  let receivedAt: MonoTime | undefined;
   let silentSince = clock.now();
   let lastTickAt = clock.now();
   let nextCheckAt = clock.now();
@@ -30,15 +30,15 @@
     const total = activity().receivedBytes;
     if (total === receivedBytes) return;
     receivedBytes = total;
-    heardAt = now;
+    receivedAt = now;
     silentSince = now;
   };
 
   return {
-    hasHeardLately: () => {
+    hasReceivedRecently: () => {
       const now = clock.now();
       noteReceived(now);
-      return heardAt !== undefined && now < later(heardAt, SILENCE_MS);
+      return receivedAt !== undefined && now < later(receivedAt, SILENCE_MS);
     },
     tick: () => {
       const now = clock.now();
--- a/src/app/gateway/stall-reporting.ts
+++ b/src/app/gateway/stall-reporting.ts
@@ -22,7 +22,7 @@
   readonly fleet: Fleet;
   readonly planner: GroupPlanner;
   readonly leadership: Leadership;
-  readonly serverLinks: Pick<ServerLinkWatch, 'hasHeardLately' | 'verify' | 'isBlocked'>;
+  readonly serverLinks: Pick<ServerLinkWatch, 'hasReceivedRecently' | 'verify' | 'isBlocked'>;
 }
 
 export interface StallReporting {
@@ -122,7 +122,7 @@
   };
 
   const report = (stall: Stall, finding: 'seen' | 'unreachable'): void => {
-    if (serverLinks.hasHeardLately()) sendReport(stall, finding);
+    if (serverLinks.hasReceivedRecently()) sendReport(stall, finding);
     else void verifyAndReport(stall, finding);
   };
 
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -49,7 +49,7 @@
   readonly retries: Retries;
   readonly evacuations: EvacuatedZones;
   readonly quarantine: Quarantine;
-  readonly serverLinks: Pick<ServerLinkWatch, 'isStranded'>;
+  readonly serverLinks: Pick<ServerLinkWatch, 'isUnreachable'>;
 }
 
 export interface StreamCalls {
@@ -109,7 +109,7 @@
     if (found) return found;
     const isUnservable = (): boolean =>
       isQuarantined(exchange) ||
-      deps.serverLinks.isStranded(exchange.service) ||
+      deps.serverLinks.isUnreachable(exchange.service) ||
       (!state.hasStarted && groupRegistry.isModelEvacuated(exchange.service, model));
     if (isUnservable()) return undefined;
     const since = ctx.clock.now();
--- a/src/core/gateway/server-links.ts
+++ b/src/core/gateway/server-links.ts
@@ -36,7 +36,7 @@
   readonly reachedAt: ReadonlyMap<ServiceId, MonoTime>;
 }
 
-export const SOUND_LINKS: ServerLinks = {
+export const HEALTHY_LINKS: ServerLinks = {
   blocked: new Map(),
   cutOff: new Map(),
   reachedAt: new Map(),
@@ -208,7 +208,7 @@
  * Peers to ask whether they reach a server, the first ones first: by turns from other zones and the own one, as
  * links often fail for a whole zone. `shuffle` returns the peers in random order.
  */
-export function chooseWitnesses(
+export function chooseObservers(
   peers: readonly ForwardPeer[],
   options: ForwardPeerOptions,
   shuffle: (all: readonly ForwardPeer[]) => readonly ForwardPeer[],
--- a/tests/fuzz/links-world.ts
+++ b/tests/fuzz/links-world.ts
@@ -4,7 +4,7 @@
  */
 
 import { createRandom } from '../../src/adapters/runtime';
-import type { PeerVerdict } from '../../src/adapters/upstream/forward-client';
+import type { ObservedState } from '../../src/adapters/upstream/forward-client';
 import type { ListeningState } from '../../src/adapters/upstream/listening';
 import { createServerLinkWatch } from '../../src/app/gateway/server-links';
 import type { ServerLinkWatch } from '../../src/app/gateway/server-links';
@@ -163,7 +163,7 @@
         peers: () => peersOf(n),
         activity: () => ({ inFlight: 0, receivedBytes: 0 }),
         checkListening: (address, limitMs) => connect(daemonAt(n), address, limitMs),
-        askPeer: async (address, peer, limitMs): Promise<PeerVerdict> => {
+        askPeer: async (address, peer, limitMs): Promise<ObservedState> => {
           await later(draw(0.5, HOP_MS), () => undefined);
           if (chance(LOSS_CHANCE)) return later(limitMs, () => 'unknown');
           return daemonAt(Number(peer)).links.answerPeer(address);
--- a/tests/gateway/evacuations.test.ts
+++ b/tests/gateway/evacuations.test.ts
@@ -36,7 +36,7 @@
   position,
   SERVICE,
   SMALL,
-  SOUND_LINKS,
+  HEALTHY_LINKS,
 } from './support';
 
 const [A, B] = [brandAs<ZoneId>('zone-a'), brandAs<ZoneId>('zone-b')];
@@ -229,7 +229,7 @@
       ...{ retries: { noteRequest: () => undefined, mayRetry: () => true } },
       arrivals: createArrivals(ctx),
       quarantine: makeQuarantine(ctx),
-      serverLinks: SOUND_LINKS,
+      serverLinks: HEALTHY_LINKS,
     };
     const statuses: number[] = [];
     const res = { writeHead: (status: number) => statuses.push(status), end: () => undefined };
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -17,7 +17,7 @@
   makeContext,
   makeLoads,
   makeState,
-  SOUND_LINKS,
+  HEALTHY_LINKS,
   position,
 } from './support';
 
@@ -110,7 +110,7 @@
     leaving: { report: () => [], applyReport: () => undefined },
     cold: makeColdServers(ctx),
     quarantine: makeQuarantine(ctx),
-    serverLinks: SOUND_LINKS,
+    serverLinks: HEALTHY_LINKS,
     isStopping: () => false,
   };
   const gossip = createGossip(deps as unknown as GossipDeps);
--- a/tests/gateway/server-links.test.ts
+++ b/tests/gateway/server-links.test.ts
@@ -1,10 +1,10 @@
 import { describe, expect, it } from 'vitest';
 
-import type { PeerVerdict } from '../../src/adapters/upstream/forward-client';
+import type { ObservedState } from '../../src/adapters/upstream/forward-client';
 import type { ListeningState } from '../../src/adapters/upstream/listening';
 import { createServerLinkWatch } from '../../src/app/gateway/server-links';
 import type { ServerLinkWatch } from '../../src/app/gateway/server-links';
-import { chooseForwardPeers, chooseWitnesses } from '../../src/core/gateway/server-links';
+import { chooseForwardPeers, chooseObservers } from '../../src/core/gateway/server-links';
 import type { ForwardPeer } from '../../src/core/gateway/server-links';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId, EpochTime, ZoneId } from '../../src/core/ids';
@@ -65,7 +65,7 @@
     peers: () => world.peers,
     activity: () => world.activity,
     checkListening: (address) => stateOf(world.unreachable, address),
-    askPeer: (address): Promise<PeerVerdict> => {
+    askPeer: (address): Promise<ObservedState> => {
       world.asked += 1;
       if (world.arePeersSilent) return Promise.resolve('unknown');
       return stateOf(world.unreachableForPeers, address);
@@ -186,7 +186,7 @@
     expect(world.blocked).toEqual([]);
   });
 
-  it('strand the daemon where all peers are cut off too', async () => {
+  it('leave a service unreachable where all peers are cut off too', async () => {
     const world = setUp();
     cutOffFromAll(world);
     world.links.noteConnect('s0:1', false);
@@ -195,7 +195,7 @@
       peer('p0', { cutOff: new Set([SERVICE]) }),
       peer('p1', { cutOff: new Set([SERVICE]) }),
     ];
-    expect(world.links.isStranded(SERVICE)).toBe(true);
+    expect(world.links.isUnreachable(SERVICE)).toBe(true);
   });
 
   // Guards against strikes for the requests that run where a daemon's own links fail.
@@ -244,7 +244,7 @@
   // Guards against asking only peers of a zone that is cut off as a whole.
   it('are asked by turns from other zones and the own one', () => {
     const peers = [peer('a0'), peer('a1'), peer('a2'), other('b0'), other('b1')];
-    const asked = chooseWitnesses(peers, options, (all) => all).map(({ id }) => id);
+    const asked = chooseObservers(peers, options, (all) => all).map(({ id }) => id);
     expect(asked).toEqual(['b0', 'a0', 'b1', 'a1', 'a2']);
   });
 
--- a/tests/gateway/stall-reporting.test.ts
+++ b/tests/gateway/stall-reporting.test.ts
@@ -5,7 +5,7 @@
 import type { StallReportingDeps } from '../../src/app/gateway/stall-reporting';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId, GroupId } from '../../src/core/ids';
-import { instance, makeContext, SOUND_LINKS } from './support';
+import { instance, makeContext, HEALTHY_LINKS } from './support';
 
 const STALL = { group: brandAs<GroupId>('g'), head: instance('h') };
 const REPORTER = brandAs<DaemonId>('reporter');
@@ -26,7 +26,7 @@
       inspect: () => calls.push('inspect'),
     },
     leadership: { heldFencing: () => undefined },
-    serverLinks: SOUND_LINKS,
+    serverLinks: HEALTHY_LINKS,
   } as unknown as StallReportingDeps);
   reporting.receive(finding, STALL, REPORTER);
   return calls;
@@ -48,7 +48,7 @@
       },
       planner: { lost: new Subject() },
       leadership: { heldFencing: () => undefined },
-      serverLinks: { ...SOUND_LINKS, hasHeardLately: () => false, isBlocked: () => true },
+      serverLinks: { ...HEALTHY_LINKS, hasReceivedRecently: () => false, isBlocked: () => true },
     } as unknown as StallReportingDeps);
     stalls.next(STALL);
     await Promise.resolve();
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -222,17 +222,17 @@
 }
 
 /** Links of a daemon that reaches all servers itself. */
-export const SOUND_LINKS: ServerLinkWatch = {
+export const HEALTHY_LINKS: ServerLinkWatch = {
   forwarderOf: () => undefined,
   isBlocked: () => false,
-  isStranded: () => false,
+  isUnreachable: () => false,
   cutOff: () => [],
   noteConnect: () => undefined,
   verify: () => Promise.resolve(),
   noteForwarderFailed: () => undefined,
   findState: () => Promise.resolve('listening'),
   answerPeer: () => Promise.resolve('listening'),
-  hasHeardLately: () => true,
+  hasReceivedRecently: () => true,
   blocked: new Subject(),
   changes: new Subject(),
   tick: () => undefined,
--- a/tests/quarantine.test.ts
+++ b/tests/quarantine.test.ts
@@ -84,7 +84,7 @@
     expect(suspicionOf(state, OTHER, at(5_000))).toBe('clear');
   });
 
-  // Guards against fatal requests that exculpate each other, as each sees the groups that the others end.
+  // Guards against fatal requests that rule each other out, as each sees the groups that the others end.
   it('holds several requests responsible that end groups at the same time', () => {
     const state = createQuarantine();
     const others = ['other-bad', 'third-bad'] as Fingerprint[];
