--- a/tests/gateway/forwarding.test.ts
+++ b/tests/gateway/forwarding.test.ts
@@ -5,9 +5,10 @@
 import { createForwardClient } from '../../src/adapters/upstream/forward-client';
 import { FORWARD_TO } from '../../src/adapters/upstream/forward-protocol';
 import { createUpstream } from '../../src/adapters/upstream/upstream';
-import type { UpstreamCall, UpstreamResult } from '../../src/adapters/upstream/upstream';
+import type { UpstreamCall } from '../../src/adapters/upstream/upstream';
 import { createForwarding } from '../../src/app/gateway/forwarding';
 import { pause } from '../../src/utils/pause';
+import { readAnswer } from '../support/read-answer';
 import { makeContext } from './support';
 
 const HOST = '127.0.0.1';
@@ -80,23 +81,12 @@
   };
 }
 
-async function readAll(result: UpstreamResult): Promise<{ text: string; isWhole: boolean }> {
-  if (result.kind !== 'answered') throw new Error(result.error.message);
-  let text = '';
-  try {
-    for await (const chunk of result.res) text += String(chunk);
-  } catch {
-    return { text, isWhole: false };
-  }
-  return { text, isWhole: result.res.complete && !result.hasFailed() };
-}
-
 describe('a request that a peer forwards', () => {
   it('reaches the server as it was sent, and its answer comes back', async () => {
     const server = await startServer((socket) => socket.write(LENGTH));
     const { client } = await startPeer(() => true);
     const { result } = await client.send(makeCall(server.address), PEER);
-    expect(await readAll(result)).toEqual({ text: 'whole', isWhole: true });
+    expect(await readAnswer(result)).toEqual({ text: 'whole', isWhole: true });
     const [req = ''] = server.received;
     expect(req).toMatch(/^POST \/x\?y=1 HTTP\/1\.1\r\nHost: a\.example\r\nX-Of-Caller: yes\r\n/);
     expect(req.toLowerCase()).not.toContain(FORWARD_TO);
@@ -109,7 +99,7 @@
     const { client } = await startPeer(() => true);
     const call = { ...makeCall(server.address), path: '/forward-check' };
     const { result } = await client.send(call, PEER);
-    expect(await readAll(result)).toEqual({ text: 'whole', isWhole: true });
+    expect(await readAnswer(result)).toEqual({ text: 'whole', isWhole: true });
   });
 
   // Guards against a limit of the peer's that callers' headers, accepted by their daemon, exceed.
@@ -119,7 +109,7 @@
     const call = makeCall(server.address);
     const headers = [...(call.headers as string[]), 'X-Long', 'x'.repeat(60_000)];
     const { result } = await client.send({ ...call, headers }, PEER);
-    expect(await readAll(result)).toEqual({ text: 'whole', isWhole: true });
+    expect(await readAnswer(result)).toEqual({ text: 'whole', isWhole: true });
   });
 
   // Guards against an answer without a length that looks complete although its connection was reset.
@@ -129,7 +119,7 @@
     });
     const { client } = await startPeer(() => true);
     const { result } = await client.send(makeCall(server.address), PEER);
-    expect((await readAll(result)).isWhole).toBe(false);
+    expect((await readAnswer(result)).isWhole).toBe(false);
   });
 
   it('has an incomplete answer when the peer ends in the middle', async () => {
@@ -139,14 +129,14 @@
     setTimeout(() => {
       forwarding.close();
     }, 50);
-    expect((await readAll(result)).isWhole).toBe(false);
+    expect((await readAnswer(result)).isWhole).toBe(false);
   });
 
   it('is complete without a length when the server closes its connection', async () => {
     const server = await startServer((socket) => socket.end(`${NO_LENGTH}all of it`));
     const { client } = await startPeer(() => true);
     const { result } = await client.send(makeCall(server.address), PEER);
-    expect(await readAll(result)).toEqual({ text: 'all of it', isWhole: true });
+    expect(await readAnswer(result)).toEqual({ text: 'all of it', isWhole: true });
   });
 
   // Guards against work that goes on for callers who have left.
@@ -190,6 +180,14 @@
     expect([result.kind, hasPeerFailed]).toEqual(['not-sent', true]);
   });
 
+  // Guards against sending an unsafe call again that the peer may have passed on before it ended.
+  it('is lost if the peer ends before it answers', async () => {
+    const peer = await startServer((socket) => socket.destroy());
+    const client = createForwardClient(createUpstream(), SECRET);
+    const { result, hasPeerFailed } = await client.send(makeCall(`${HOST}:2`), peer.address);
+    expect([result.kind, hasPeerFailed]).toEqual(['lost', true]);
+  });
+
   it('is not sent if the peer is gone', async () => {
     const client = createForwardClient(createUpstream({ connectTimeoutMs: 100 }), SECRET);
     const { result, hasPeerFailed } = await client.send(makeCall(`${HOST}:2`), `${HOST}:1`);
--- a/tests/gateway/upstream-unframed.test.ts
+++ b/tests/gateway/upstream-unframed.test.ts
@@ -4,6 +4,8 @@
 import { afterEach, describe, expect, it } from 'vitest';
 
 import { createUpstream } from '../../src/adapters/upstream/upstream';
+import { readAnswer } from '../support/read-answer';
+import type { ReadAnswer } from '../support/read-answer';
 
 const closers: (() => void)[] = [];
 
@@ -59,7 +61,7 @@
 async function fetchBody(
   address: string,
   onHead: () => void = () => undefined,
-): Promise<{ text: string; isWhole: boolean }> {
+): Promise<ReadAnswer> {
   const upstream = createUpstream();
   closers.push(() => {
     upstream.close();
@@ -74,15 +76,8 @@
     beforeSend: () => undefined,
     signal: new AbortController().signal,
   });
-  if (result.kind !== 'answered') throw new Error(result.kind);
   onHead();
-  let text = '';
-  try {
-    for await (const chunk of result.res) text += String(chunk);
-  } catch {
-    return { text, isWhole: false };
-  }
-  return { text, isWhole: result.res.complete && !result.hasFailed() };
+  return readAnswer(result);
 }
 
 const HEAD = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
