Log orders and report requests that go through a peer on both daemons

The peer logged the hop, the leader did not: an order that was lost could not be followed from the leader's log. Found by reading the change again.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -122,7 +122,7 @@
     isServer: (address) => addresses.serviceOf(address) !== undefined,
     answerPeer: (address) => serverLinks.answerPeer(address),
   });
-  const servers = options.createServers(createServerPaths(settings.peerSecret, serverLinks));
+  const servers = options.createServers(createServerPaths(ctx, serverLinks));
   const rateLimits = createRateLimits(ctx, {
     daemons: () => {
       const silent = new Set(fleet.silent());
