--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -11,8 +11,7 @@
 import { isLinkUnresponsive, noteLinkSend } from '../../core/gateway/link-health';
 import type { LinkActivity } from '../../core/gateway/link-health';
 import { brandAs, later } from '../../core/ids';
-import type { DaemonId, MonoTime, ServiceId } from '../../core/ids';
-import type { ForwardPeer } from '../../core/gateway/server-links';
+import type { DaemonId, MonoTime } from '../../core/ids';
 import { rankSuccessors } from '../../core/gateway/succession';
 import type { CoreCounts } from '../../core/gateway/succession';
 import type { Change, DaemonEntry, Feed } from '../../ports/gateway';
@@ -20,11 +19,13 @@
 import type { GatewayContext } from './context';
 import { parseGatewayMessage } from './messages';
 import type { GatewayMessage, LeaderMessage, PeerState, PlainMessage } from './messages';
+import { createPeerReach } from './peer-reach';
+import type { PeerReach } from './peer-reach';
 import type { ReceivedMessage, Leader, PeerView } from './peer-view';
 import { createRelaying } from './relaying';
 import { watchFeed } from './watch';
 
-export interface Fleet {
+export interface Fleet extends PeerReach {
   /** Peers that were heard from recently. */
   live(): readonly PeerView[];
   /** The peer that most recently claimed the lease, if that was not too long ago. */
@@ -40,10 +41,6 @@
   candidates(): CoreCounts;
   /** Registered daemons that do not respond, as reported by the leader if there is one. */
   silent(): readonly DaemonId[];
-  /** Peers that may forward requests, as far as known; those that do not respond are left out. */
-  forwardPeers(): readonly ForwardPeer[];
-  /** Services that the peer is known to reach through others only. */
-  cutOff(id: DaemonId): ReadonlySet<ServiceId>;
   readonly received: Observable<ReceivedMessage>;
   /** Addresses whose links broke or could not be established. */
   readonly unreachable: Observable<string>;
@@ -208,32 +205,7 @@
     return listUnresponsive([...entries.keys()], responsive);
   };
 
-  /** Services that the leader reported each daemon to be cut off from. */
-  const reportedCutOff = (): ReadonlyMap<DaemonId, readonly ServiceId[]> =>
-    new Map(leader()?.cutOff);
-
-  const cutOff = (id: DaemonId): ReadonlySet<ServiceId> => {
-    const view = live().find((peer) => peer.id === id);
-    return new Set([...(reportedCutOff().get(id) ?? []), ...(view?.cutOff ?? [])]);
-  };
-
-  const forwardPeers = (): ForwardPeer[] => {
-    const unresponsive = new Set(silent());
-    const reported = reportedCutOff();
-    const known = new Map<DaemonId, ForwardPeer>();
-    for (const [id, { zone, forwardAddress }] of entries) {
-      if (unresponsive.has(id)) continue;
-      const services = new Set(reported.get(id));
-      known.set(id, { id, zone, forwardAddress, cutOff: services, isStopping: false });
-    }
-    // A state that is no longer fresh may name a cut that has ended.
-    for (const { id, zone, forwardAddress, isStopping, cutOff: own } of live()) {
-      const services = new Set([...(reported.get(id) ?? []), ...own]);
-      known.set(id, { id, zone, forwardAddress, cutOff: services, isStopping });
-    }
-    known.delete(settings.id);
-    return [...known.values()];
-  };
+  const reach = createPeerReach({ self: settings.id, entries, live, leader, silent });
 
   const addresses = (): Set<string> => {
     const all = new Set<string>(ctx.tunables.value.seeds);
@@ -310,8 +282,7 @@
     isLarge,
     candidates,
     silent,
-    forwardPeers,
-    cutOff,
+    ...reach,
     received,
     unreachable: peers.unreachable,
     send: (address, message) => {
