--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -11,7 +11,7 @@
 import { fail } from '../../utils/errors';
 import type { StepError } from '../../utils/errors';
 import type { GatewayContext } from './context';
-import { fingerprintOf } from './fingerprint';
+import { fingerprintOf } from './quarantine/fingerprint';
 
 /** A completely received request that matches a route. */
 export interface Exchange {
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -15,7 +15,7 @@
 import type { GroupPlanner } from './group-planner';
 import type { Leadership } from './lease';
 import type { LeavingServers } from './leaving-servers';
-import type { Quarantine } from './quarantine';
+import type { Quarantine } from './quarantine/quarantine';
 import type { RateLimits } from './rate-limits';
 import { sumLoads, withoutOwn } from './loads';
 import type { PeerState, PlainMessage } from './messages';
--- a/src/app/gateway/peer-help.ts
+++ b/src/app/gateway/peer-help.ts
@@ -9,7 +9,7 @@
 import type { Fleet } from './fleet';
 import type { Leadership } from './lease';
 import type { PeerProgress } from './messages';
-import type { Quarantine } from './quarantine';
+import type { Quarantine } from './quarantine/quarantine';
 import type { ServerRegistry } from './server-registry';
 
 export interface PeerHelpDeps {
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -22,8 +22,8 @@
 import type { Exchange, Execution, RetryAfter } from './exchange';
 import { sendOnce } from './plain-attempt';
 import type { Attempt, PlainAttemptDeps } from './plain-attempt';
-import type { Quarantine, RequestRun } from './quarantine';
-import type { RunTarget } from './server-checks';
+import type { Quarantine, RequestRun } from './quarantine/quarantine';
+import type { RunTarget } from './quarantine/server-checks';
 import type { Retries } from './retries';
 import type { ServerLinkWatch } from './server-links';
 import type { ServerRegistry } from './server-registry';
--- a/src/app/gateway/fingerprint.ts
+++ b/src/app/gateway/quarantine/fingerprint.ts
@@ -1,10 +1,10 @@
 /** Recognises a request that is sent again: by what stays the same under a new request id. */
 
-import { joinFingerprint } from '../../core/gateway/refused-requests';
-import { organisationNameOf } from '../../core/gateway/routes';
-import type { Fingerprint } from '../../core/ids';
-import { hashParts } from '../../utils/common';
-import type { Exchange } from './exchange';
+import { joinFingerprint } from '../../../core/gateway/refused-requests';
+import { organisationNameOf } from '../../../core/gateway/routes';
+import type { Fingerprint } from '../../../core/ids';
+import { hashParts } from '../../../utils/common';
+import type { Exchange } from '../exchange';
 
 const OWNER_DIGITS = 6;
 const REQUEST_DIGITS = 20;
--- a/src/app/gateway/quarantine.ts
+++ b/src/app/gateway/quarantine/quarantine.ts
@@ -6,7 +6,7 @@
 import { Subject } from 'rxjs';
 import type { Observable } from 'rxjs';
 
-import type { GroupCandidate } from '../../core/gateway/balance';
+import type { GroupCandidate } from '../../../core/gateway/balance';
 import {
   addRefused,
   digestOfRefused,
@@ -15,14 +15,14 @@
   mergeRefusedUpdates,
   pruneRefused,
   TRIAL_DELAY_MS,
-} from '../../core/gateway/refused-requests';
+} from '../../../core/gateway/refused-requests';
 import type {
   RefusedRequest,
   RefusedRequests,
   RefusedUpdate,
-} from '../../core/gateway/refused-requests';
-import { hashText } from '../../core/routing/hash';
-import { brandAs, later } from '../../core/ids';
+} from '../../../core/gateway/refused-requests';
+import { hashText } from '../../../core/routing/hash';
+import { brandAs, later } from '../../../core/ids';
 import type {
   AttemptId,
   DomainId,
@@ -30,8 +30,8 @@
   Fingerprint,
   GroupId,
   MonoTime,
-} from '../../core/ids';
-import { allowedGroups } from '../../core/retry/isolate';
+} from '../../../core/ids';
+import { allowedGroups } from '../../../core/retry/isolate';
 import {
   clearStrikes,
   createQuarantine,
@@ -43,14 +43,14 @@
   onRunInterrupted,
   onRunStart,
   suspicionOf,
-} from '../../core/retry/quarantine';
-import { countInSequence } from '../../core/retry/loss-sequence';
-import { isQuarantineEmpty, pruneQuarantine } from '../../core/retry/quarantine-expiry';
-import type { QuarantineContext, Strike } from '../../core/retry/quarantine-types';
-import type { GatewayContext } from './context';
-import type { Exchange } from './exchange';
+} from '../../../core/retry/quarantine';
+import { countInSequence } from '../../../core/retry/loss-sequence';
+import { isQuarantineEmpty, pruneQuarantine } from '../../../core/retry/quarantine-expiry';
+import type { QuarantineContext, Strike } from '../../../core/retry/quarantine-types';
+import type { GatewayContext } from '../context';
+import type { Exchange } from '../exchange';
 import { fingerprintOf } from './fingerprint';
-import type { GroupRegistry } from './group-registry';
+import type { GroupRegistry } from '../group-registry';
 import { createRecentCompletions } from './recent-completions';
 import { createServerChecks } from './server-checks';
 import type { RunTarget, ServerCheckDeps } from './server-checks';
--- a/src/app/gateway/recent-completions.ts
+++ b/src/app/gateway/quarantine/recent-completions.ts
@@ -1,7 +1,7 @@
 /** Requests that were answered completely a short while ago; such a request does not crash its servers. */
 
-import { later } from '../../core/ids';
-import type { Fingerprint, MonoTime } from '../../core/ids';
+import { later } from '../../../core/ids';
+import type { Fingerprint, MonoTime } from '../../../core/ids';
 
 const REMEMBER_MS = 60_000;
 const MAX_REMEMBERED = 5_000;
--- a/src/app/gateway/refused-row.ts
+++ b/src/app/gateway/quarantine/refused-row.ts
@@ -5,15 +5,15 @@
 
 import * as z from 'zod';
 
-import { digestOfRefused, mergeRefusedUpdates } from '../../core/gateway/refused-requests';
-import type { RefusedUpdate } from '../../core/gateway/refused-requests';
-import { brandAs, later } from '../../core/ids';
-import type { Fingerprint } from '../../core/ids';
-import type { StoreEra } from '../../core/store-era';
-import type { EraTable } from '../../ports/gateway';
-import type { Json } from '../../ports/platform';
-import type { GatewayContext } from './context';
-import type { Leadership } from './lease';
+import { digestOfRefused, mergeRefusedUpdates } from '../../../core/gateway/refused-requests';
+import type { RefusedUpdate } from '../../../core/gateway/refused-requests';
+import { brandAs, later } from '../../../core/ids';
+import type { Fingerprint } from '../../../core/ids';
+import type { StoreEra } from '../../../core/store-era';
+import type { EraTable } from '../../../ports/gateway';
+import type { Json } from '../../../ports/platform';
+import type { GatewayContext } from '../context';
+import type { Leadership } from '../lease';
 import type { Quarantine } from './quarantine';
 
 export interface RefusedRow {
--- a/src/app/gateway/server-checks.ts
+++ b/src/app/gateway/quarantine/server-checks.ts
@@ -3,10 +3,10 @@
  * evidence: the port of a process that has ended refuses new ones, or another incarnation registers.
  */
 
-import type { ObservedState } from '../../adapters/upstream/forward-client';
-import type { DomainId, GroupId, InstanceId } from '../../core/ids';
-import type { GatewayContext } from './context';
-import type { ServerRegistry } from './server-registry';
+import type { ObservedState } from '../../../adapters/upstream/forward-client';
+import type { DomainId, GroupId, InstanceId } from '../../../core/ids';
+import type { GatewayContext } from '../context';
+import type { ServerRegistry } from '../server-registry';
 
 /** Where a request runs: a group, or a server of a plain service, which is a group of its own. */
 export interface RunTarget {
--- a/src/app/gateway/strike-sharing.ts
+++ b/src/app/gateway/quarantine/strike-sharing.ts
@@ -3,9 +3,9 @@
  * so that a lost one does not matter; reports that arrive twice are applied once.
  */
 
-import { brandAs, later } from '../../core/ids';
-import type { DomainId, EpochTime, Fingerprint, GroupId, MonoTime } from '../../core/ids';
-import type { Strike } from '../../core/retry/quarantine-types';
+import { brandAs, later } from '../../../core/ids';
+import type { DomainId, EpochTime, Fingerprint, GroupId, MonoTime } from '../../../core/ids';
+import type { Strike } from '../../../core/retry/quarantine-types';
 
 /** A strike as sent between daemons; ages and the remaining time in milliseconds, 0 if it was withdrawn. */
 export type StrikeUpdate = [
--- a/src/app/gateway/stream-end.ts
+++ b/src/app/gateway/stream-end.ts
@@ -10,7 +10,7 @@
 } from './exchange';
 import type { Exchange, RetryAfter, StreamTimes } from './exchange';
 import type { GroupRegistry } from './group-registry';
-import type { Quarantine } from './quarantine';
+import type { Quarantine } from './quarantine/quarantine';
 import type { StreamState } from './stream-relay';
 
 export interface StreamEndDeps {
--- a/tests/fuzz/crashes-world.ts
+++ b/tests/fuzz/crashes-world.ts
@@ -7,13 +7,13 @@
 import { okAsync } from 'neverthrow';
 
 import { createRandom } from '../../src/adapters/runtime';
-import { createGatewayQuarantine } from '../../src/app/gateway/quarantine';
-import type { Quarantine, RequestRun } from '../../src/app/gateway/quarantine';
-import type { RunTarget } from '../../src/app/gateway/server-checks';
+import { createGatewayQuarantine } from '../../src/app/gateway/quarantine/quarantine';
+import type { Quarantine, RequestRun } from '../../src/app/gateway/quarantine/quarantine';
+import type { RunTarget } from '../../src/app/gateway/quarantine/server-checks';
 import type { Exchange } from '../../src/app/gateway/exchange';
 import type { ServingGroup } from '../../src/app/gateway/group-index';
-import { createRefusedRow } from '../../src/app/gateway/refused-row';
-import type { RefusedRow } from '../../src/app/gateway/refused-row';
+import { createRefusedRow } from '../../src/app/gateway/quarantine/refused-row';
+import type { RefusedRow } from '../../src/app/gateway/quarantine/refused-row';
 import { brandAs } from '../../src/core/ids';
 import type { DomainId, FencingNumber, GroupId } from '../../src/core/ids';
 import { FIRST_ERA } from '../../src/core/store-era';
--- a/tests/gateway/quarantine.test.ts
+++ b/tests/gateway/quarantine.test.ts
@@ -2,10 +2,10 @@
 
 import type { ListeningState } from '../../src/adapters/upstream/listening';
 import type { Exchange } from '../../src/app/gateway/exchange';
-import { fingerprintOf } from '../../src/app/gateway/fingerprint';
-import { createGatewayQuarantine } from '../../src/app/gateway/quarantine';
-import type { Quarantine } from '../../src/app/gateway/quarantine';
-import type { RunTarget } from '../../src/app/gateway/server-checks';
+import { fingerprintOf } from '../../src/app/gateway/quarantine/fingerprint';
+import { createGatewayQuarantine } from '../../src/app/gateway/quarantine/quarantine';
+import type { Quarantine } from '../../src/app/gateway/quarantine/quarantine';
+import type { RunTarget } from '../../src/app/gateway/quarantine/server-checks';
 import {
   addRefused,
   digestOfRefused,
--- a/tests/gateway/refused-row.test.ts
+++ b/tests/gateway/refused-row.test.ts
@@ -1,7 +1,7 @@
 import { errAsync, okAsync } from 'neverthrow';
 import { expect, it } from 'vitest';
 
-import { createRefusedRow } from '../../src/app/gateway/refused-row';
+import { createRefusedRow } from '../../src/app/gateway/quarantine/refused-row';
 import type { RefusedUpdate } from '../../src/core/gateway/refused-requests';
 import { brandAs, later } from '../../src/core/ids';
 import type { FencingNumber, Fingerprint } from '../../src/core/ids';
