Log the prompt parts of a lost attempt, and for how long it was being answered

The strikes of the incident named requests, no two of which were alike. What they had in common, and which of them cannot have ended the server since it had been answering them for long, was in no log.

--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -118,6 +118,8 @@
   readonly group?: GroupId;
   readonly ended: 'not-sent' | 'not-run' | 'lost' | 'caller-gone';
   readonly reason: string;
+  /** Time since the first event, if there was one, milliseconds. */
+  readonly answeringMs?: number;
 }
 
 export function logFailedAttempt(
@@ -125,12 +127,15 @@
   exchange: Exchange,
   attempt: FailedAttempt,
 ): void {
-  const { requestId } = exchange.facts;
+  const { requestId, sharedParts } = exchange.facts;
   ctx.logger.info('attempt failed', {
     step: 'attempt',
     ...(requestId !== undefined && { requestId }),
-    // A request that is sent again has another id, and may be what ended the server.
-    ...(attempt.ended === 'lost' && { fingerprint: fingerprintOf(exchange) }),
+    // A request that is sent again has another id; it or a part of its prompt may have ended the server.
+    ...(attempt.ended === 'lost' && {
+      fingerprint: fingerprintOf(exchange),
+      ...(sharedParts && { parts: sharedParts.join(' ') }),
+    }),
     ...attempt,
   });
 }
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -157,6 +157,7 @@
       hasStarted: false,
       waitedMs: 0,
       firstEventAt: undefined,
+      answeringMs: undefined,
       reason: 'no group of the model has free capacity',
     };
     if (model === undefined) {
@@ -190,12 +191,13 @@
         });
         return;
       }
-      const { reason } = state;
+      const { reason, answeringMs } = state;
       logFailedAttempt(ctx, exchange, {
         server: group.head.id,
         group: group.id,
         ended: result,
         reason,
+        ...(answeringMs !== undefined && { answeringMs }),
       });
       if (result === 'lost') state.exposure = 'unknown';
       if (result === 'caller-gone' || !canRetry(exchange, state, result)) break;
@@ -235,6 +237,9 @@
   });
   /** Only a connection that neither this daemon nor the caller gave up was broken by the server. */
   const noteEnd = (result: AttemptResult): AttemptResult => {
+    const { prefilledAt } = slot;
+    state.answeringMs =
+      prefilledAt === undefined ? undefined : Math.round(ctx.clock.now() - prefilledAt);
     const isBroken = result === 'lost' && !stop.signal.aborted;
     if (isBroken) run.broken();
     else run.ended(result === 'complete' || result === 'passed-on');
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -34,6 +34,8 @@
   waitedMs: number;
   /** When the caller was sent its first event. */
   firstEventAt: MonoTime | undefined;
+  /** Of the last attempt: time from its first event to its end, milliseconds. */
+  answeringMs: number | undefined;
   reason: string;
 }
 
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -134,6 +134,8 @@
   readonly model?: ModelId;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
+  /** Ids of the prompt's parts that other requests may share, in order; absent for none. */
+  readonly sharedParts?: readonly string[];
   /** Last event of the stream that the caller has received, for resuming. */
   readonly lastEventId?: string;
 }
