--- a/stand-ins/users-platform/servers.ts
+++ b/stand-ins/users-platform/servers.ts
@@ -42,6 +42,8 @@
 export interface Crash {
   readonly server: ServerName;
   readonly body: string;
+  /** The part of the prompt that crashed the server, if it was one. */
+  readonly part: string | undefined;
   /** `performance.now()`. */
   readonly at: number;
 }
@@ -58,6 +60,9 @@
 /** A server that runs a request with this field in its body crashes, each time. */
 const CRASH_FIELD = 'crash';
 const CRASH_AFTER_MS = 60;
+/** So does an engine server that begins an answer to a prompt with a part whose id begins like this. */
+const FATAL_PART = /\b(crash\w*):\d+/;
+const PART_CRASH_AFTER_MS = 120;
 const RESTART_MS = 2_000;
 
 async function readBody(req: IncomingMessage): Promise<string> {
@@ -95,6 +100,10 @@
   await new Promise<void>((resolve) => server.listen(port, host, resolve));
 }
 
+function fatalPartOf(req: IncomingMessage): string | undefined {
+  return FATAL_PART.exec(header(req, HEADERS.promptParts) ?? '')?.[1];
+}
+
 function isFatal(body: string): boolean {
   return new URLSearchParams(body).has(CRASH_FIELD);
 }
@@ -102,8 +111,10 @@
 /** A listening server whose process can crash and start again. */
 interface RestartableServer {
   close(): void;
-  /** Crashes if the request is a fatal one: breaks all connections, and listens again later. */
-  crashOn(body: string): void;
+  /**
+   * Crashes if the request or a part of its prompt is fatal: breaks all connections, and listens again later.
+   */
+  crashOn(body: string, part?: string): void;
 }
 
 interface RestartOptions {
@@ -134,10 +145,10 @@
     server.listen(Number(port), hostname);
   };
 
-  const crash = (body: string): void => {
+  const crash = (body: string, part?: string): void => {
     if (!isRunning || isClosed) return;
     isRunning = false;
-    crashes.push({ server: name, body, at: performance.now() });
+    crashes.push({ server: name, body, part, at: performance.now() });
     onCrash();
     stopListening();
     setTimeout(restart, RESTART_MS);
@@ -149,8 +160,9 @@
       isClosed = true;
       stopListening();
     },
-    crashOn: (body) => {
-      if (isFatal(body)) setTimeout(crash, CRASH_AFTER_MS, body);
+    crashOn: (body, part) => {
+      if (part !== undefined) setTimeout(crash, PART_CRASH_AFTER_MS, body, part);
+      else if (isFatal(body)) setTimeout(crash, CRASH_AFTER_MS, body);
     },
   };
 }
@@ -192,7 +204,7 @@
     const body = await readBody(req);
     const run = runOf(name, req, body);
     runs.push(run);
-    process.crashOn(body);
+    process.crashOn(body, fatalPartOf(req));
     const count = Number(new URLSearchParams(body).get('events') ?? 3);
     let next = Number(run.lastEventId ?? 0) + 1;
     res.writeHead(200, {
--- a/tests/gateway/gateway-fixture.ts
+++ b/tests/gateway/gateway-fixture.ts
@@ -8,6 +8,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 
+import { HEADERS } from '../../platform/names';
 import { describeConfig, DEFAULT_ROUTES } from '../../stand-ins/users-platform/document';
 import { startPlatform } from '../../stand-ins/users-platform/start';
 import type { PlatformStandIn } from '../../stand-ins/users-platform/start';
@@ -27,6 +28,8 @@
 export interface SentRequest {
   readonly requestId: string;
   readonly body: string;
+  /** Parts of its prompt, as sent; empty for none. */
+  readonly parts: string;
   readonly daemon: number;
   readonly sentAt: number;
   readonly reply: Reply | undefined;
@@ -44,14 +47,15 @@
   /** Metrics of the n-th daemon, as text. */
   metricsOf(n: number): Promise<string>;
   /**
-   * Sends `perS` requests a second to each daemon, round robin, for `ms` milliseconds. `bodyOf`: body
-   * of the n-th request.
+   * Sends `perS` requests a second to each daemon, round robin, for `ms` milliseconds. `bodyOf` and
+   * `partsOf`: body of the n-th request, and the parts of its prompt.
    */
   sendRequests(
     path: string,
     perS: number,
     ms: number,
     bodyOf?: (n: number) => string,
+    partsOf?: (n: number) => string,
   ): Promise<readonly SentRequest[]>;
   close(): void;
 }
@@ -130,12 +134,16 @@
   await until(() => [SMALL, LARGE].every((model) => platform.fleet.serving(model) === groups));
 
   let lastId = 0;
-  const sendOnce = async (path: string, daemon: number, body: string): Promise<SentRequest> => {
+  const sendOnce = async (
+    path: string,
+    { daemon, body, parts }: Pick<SentRequest, 'daemon' | 'body' | 'parts'>,
+  ): Promise<SentRequest> => {
     const requestId = `request-${lastId++}`;
     const sentAt = performance.now();
-    const options = { requestId, key: KEY, model: SMALL, body, waitMs: 3_000 };
+    const headers = parts === '' ? {} : { [HEADERS.promptParts]: parts };
+    const options = { requestId, key: KEY, model: SMALL, body, headers, waitMs: 3_000 };
     const reply = await callDaemon(portOf(daemon, 0), path, options).catch(() => undefined);
-    return { requestId, body, daemon, sentAt, reply, answeredAt: performance.now() };
+    return { requestId, body, parts, daemon, sentAt, reply, answeredAt: performance.now() };
   };
 
   return {
@@ -156,12 +164,12 @@
       if (child) cutOff(child, kind, ports);
     },
     metricsOf: async (n) => (await fetch(`http://${portOf(n, 1)}/metrics`)).text(),
-    sendRequests: async (path, perS, ms, bodyOf = () => 'events=3') => {
+    sendRequests: async (path, perS, ms, bodyOf = () => 'events=3', partsOf = () => '') => {
       const startedAt = performance.now();
       const all: Promise<SentRequest>[] = [];
       for (let n = 0; n < (perS * daemons * ms) / 1_000; n++) {
         await pause(startedAt + (n * 1_000) / (perS * daemons) - performance.now());
-        all.push(sendOnce(path, n % daemons, bodyOf(n)));
+        all.push(sendOnce(path, { daemon: n % daemons, body: bodyOf(n), parts: partsOf(n) }));
       }
       return Promise.all(all);
     },
--- a/tests/support/server-rules.ts
+++ b/tests/support/server-rules.ts
@@ -44,9 +44,15 @@
 /** Most further arrivals of such a request at servers, counted from `SETTLE_MS` after the last of these crashes. */
 export const MAX_SENDS_AFTER_CRASHES = 3;
 
+/** Servers that a part of a prompt may crash before daemons are expected to recognise it. */
+export const CRASHES_TO_RECOGNISE_PART = 5;
+
 /** From when on daemons should refuse a request with these crashes, milliseconds; infinite if there were too few. */
-export function refusedFrom(crashTimes: readonly number[]): number {
-  const recognisedAt = crashTimes.toSorted((a, b) => a - b)[CRASHES_TO_RECOGNISE - 1];
+export function refusedFrom(
+  crashTimes: readonly number[],
+  crashesToRecognise = CRASHES_TO_RECOGNISE,
+): number {
+  const recognisedAt = crashTimes.toSorted((a, b) => a - b)[crashesToRecognise - 1];
   return recognisedAt === undefined ? Infinity : recognisedAt + SETTLE_MS;
 }
 
@@ -54,11 +60,17 @@
 export function sendsAfterCrashes(
   crashTimes: readonly number[],
   arrivalTimes: readonly number[],
+  crashesToRecognise = CRASHES_TO_RECOGNISE,
 ): number {
-  const from = refusedFrom(crashTimes);
+  const from = refusedFrom(crashTimes, crashesToRecognise);
   return arrivalTimes.filter((at) => at > from).length;
 }
 
+/** From this long after its last allowed crash on, a part must not keep other requests from being served. */
+export const SERVED_AGAIN_MS = 2 * SETTLE_MS;
+/** Share of the usual success rate that requests which share other parts with fatal ones must reach then. */
+export const MIN_SHARE_OF_USUAL = 1 / 2;
+
 /** Share of the success rate at other daemons that one which is cut off from all servers must reach. */
 const CUT_OFF_RATIO = 2 / 3;
 /** Failures at these daemons that are allowed in any case: a number, and a share of the requests. */
