Keep the time of a trial when daemons exchange the list of refused requests

Of two times of a trial the later one stays, and a peer's time is later by as long as its message was under way. Times that differ by less than a second now count as one.

--- a/src/core/gateway/refused-requests.ts
+++ b/src/core/gateway/refused-requests.ts
@@ -32,6 +32,9 @@
 /** Time from the listing of a request to the first moment of its trial. */
 export const TRIAL_DELAY_MS = 5_000;
 
+/** Times of one trial differ by less than this, by the time that messages take. */
+const SAME_TRIAL_MS = 1_000;
+
 const OWNER_SEPARATOR = '-';
 
 /** Builds a fingerprint from hashes of the request's owner and of the request. */
@@ -70,7 +73,8 @@
   const until = known.until > next.until ? known.until : next.until;
   if (known.trialAt === undefined || next.trialAt === undefined)
     return { until, trialAt: undefined };
-  return { until, trialAt: known.trialAt > next.trialAt ? known.trialAt : next.trialAt };
+  const isLater = next.trialAt > later(known.trialAt, SAME_TRIAL_MS);
+  return { until, trialAt: isLater ? next.trialAt : known.trialAt };
 }
 
 export function addRefused(
--- a/tests/gateway/quarantine.test.ts
+++ b/tests/gateway/quarantine.test.ts
@@ -10,6 +10,8 @@
   addRefused,
   digestOfRefused,
   joinFingerprint,
+  listRefusedUpdates,
+  mergeRefusedUpdates,
 } from '../../src/core/gateway/refused-requests';
 import type { RefusedRequest, RefusedRequests } from '../../src/core/gateway/refused-requests';
 import { brandAs, later } from '../../src/core/ids';
@@ -359,6 +361,21 @@
     expect([...refused.keys()].slice(0, 3)).toEqual(['few-1', 'few-2', 'many-92']);
   });
 
+  // Guards against trials that are put off again and again, by the time for which each message was under way.
+  it('keeps the time of a trial when peers exchange it', () => {
+    const fingerprint = joinFingerprint('a', '1');
+    const start: RefusedRequests = new Map([
+      [fingerprint, { until: at(60_000), trialAt: at(5_000) }],
+    ]);
+    let refused = start;
+    for (let now = 1_000; now < 4_000; now += 100) {
+      refused = mergeRefusedUpdates(refused, listRefusedUpdates(refused, at(now - 80)), at(now));
+    }
+    expect(refused.get(fingerprint)?.trialAt).toBe(5_000);
+    const next = mergeRefusedUpdates(refused, [[fingerprint, 60_000, 10_000]], at(6_000));
+    expect(next.get(fingerprint)?.trialAt).toBe(16_000);
+  });
+
   it('has a digest that does not depend on the order', () => {
     const one = addRefused(new Map(), [entry('a', 1), entry('b', 2)]);
     const other = addRefused(new Map(), [entry('b', 2), entry('a', 1)]);
