--- a/src/app/gateway/quarantine/prompt-parts.ts
+++ b/src/app/gateway/quarantine/prompt-parts.ts
@@ -213,7 +213,7 @@
       isExcused
         ? (isListed(other) || currentSuspects().has(other)) && !wasSound(evidence, other)
         : isConfirmed(other) && !isConfirmed(part);
-    return lossesOf(evidence, part, explains).some(({ at, ageMs }) => at - ageMs > trialAt);
+    return lossesOf(evidence, part, explains).some(({ at, ageMs }) => at - ageMs >= trialAt);
   };
 
   const decideTrial = (part: Fingerprint): void => {
--- a/src/app/gateway/quarantine/refused-list.ts
+++ b/src/app/gateway/quarantine/refused-list.ts
@@ -75,8 +75,9 @@
     trialOffsetMs: (fingerprint) => hashText(`${fingerprint} ${settings.id}`) % TRIAL_SPREAD_MS,
     isTurn: (trialAt) => {
       const cycleMs = Math.min(TRIAL_SPREAD_MS, TURN_MS * daemons());
-      const sinceMs = clock.now() - trialAt - (hashText(settings.id) % cycleMs);
-      return sinceMs >= 0 && sinceMs % cycleMs < TURN_MS;
+      const now = clock.now();
+      // The same turns for all entries, since a request may hold several listed parts.
+      return now >= trialAt && (now + (hashText(settings.id) % cycleMs)) % cycleMs < TURN_MS;
     },
     prune: () => {
       set(pruneRefused(refused, clock.now()));
