Give the daemons of the fuzz of crashing requests ids of their own

All daemons of a history had the same id (none), from which each derives when it may begin a trial. So all of them tried a request at the same moment, which daemons of a deployment do not.

--- a/tests/fuzz/crashes-world.ts
+++ b/tests/fuzz/crashes-world.ts
@@ -117,7 +117,7 @@
     const ctx = makeContext({
       clock: { now: () => brandAs(now), epoch: () => brandAs(now + 1e12) },
       seed: seed + n,
-      ...(hasParts && { settings: { id: brandAs<DaemonId>(`daemon-${n}`) } }),
+      settings: { id: brandAs<DaemonId>(`daemon-${n}`) },
     });
     const quarantine = createGatewayQuarantine(ctx, {
       serverRegistry: { ended: new Map() },
