Let few daemons at a time try a refused request

Each daemon could try a refused request from some moment of fifteen seconds on, and for as long as it stayed listed. Where it came seldom, nearly all daemons were free to try it when it did, and several did before the first could tell how it ended: four late sends in of the fuzz of crashing requests. Trials of requests now have the turns that those of prompt parts have.

--- a/src/app/gateway/quarantine/quarantine.ts
+++ b/src/app/gateway/quarantine/quarantine.ts
@@ -120,7 +120,7 @@
     },
   });
 
-  const trials = createTrials(ctx, { state, refused });
+  const trials = createTrials({ state, refused });
 
   const isEmpty = (): boolean =>
     refused.entries().size === 0 && parts.isEmpty() && isQuarantineEmpty(state);
--- a/src/app/gateway/quarantine/refused-list.ts
+++ b/src/app/gateway/quarantine/refused-list.ts
@@ -28,8 +28,6 @@
   updates(): RefusedUpdate[];
   /** Equal on daemons with the same entries; 0 for none. */
   digest(): number;
-  /** This daemon's delay of a trial. */
-  trialOffsetMs(fingerprint: Fingerprint): number;
   /**
    * Whether this daemon may begin a trial now that may begin from `trialAt` on. Each has a turn of its own, again and
    * again, so that others learn how a trial ended before many have begun one.
@@ -38,7 +36,8 @@
   prune(): void;
 }
 
-const TRIAL_SPREAD_MS = 15_000;
+/** Time in which each daemon of a large fleet has a turn. */
+const MAX_CYCLE_MS = 15_000;
 /** Longer than others take to learn of a failed trial. */
 const TURN_MS = 1_000;
 
@@ -72,9 +71,8 @@
     },
     updates: () => listRefusedUpdates(refused, clock.now()),
     digest: () => digestOfRefused(refused),
-    trialOffsetMs: (fingerprint) => hashText(`${fingerprint} ${settings.id}`) % TRIAL_SPREAD_MS,
     isTurn: (trialAt) => {
-      const cycleMs = Math.min(TRIAL_SPREAD_MS, TURN_MS * daemons());
+      const cycleMs = Math.min(MAX_CYCLE_MS, TURN_MS * daemons());
       const now = clock.now();
       // The same turns for all entries, since a request may hold several listed parts.
       return now >= trialAt && (now + (hashText(settings.id) % cycleMs)) % cycleMs < TURN_MS;
