--- a/src/app/gateway/quarantine/prompt-parts.ts
+++ b/src/app/gateway/quarantine/prompt-parts.ts
@@ -21,6 +21,7 @@
 import type { Strike } from '../../../core/retry/quarantine-types';
 import type { GatewayContext } from '../context';
 import type { Exchange } from '../exchange';
+import { createPartTrials } from './part-trials';
 import type { RefusedList } from './refused-list';
 import type { ServerCheckDeps } from './server-checks';
 import { strictest } from './standing';
@@ -75,18 +76,7 @@
 const HOLD_MS = 10_000;
 /** Soon, as a part in common use keeps many requests waiting if it is sound. */
 const TRIAL_DELAY_MS = 500;
-/**
- * Added for each further listed part of a request. A sound request has all of them but the fatal one, and its
- * trial clears them.
- */
-const TRIAL_DELAY_PER_PART_MS = 1_500;
 const NEXT_TRIAL_DELAY_MS = 3_000;
-/** More than one, as another cause may end a group during a trial. */
-const MAX_FAILED_TRIALS = 2;
-/** Time in which a complete answer at another daemon may outweigh a failed trial. */
-const DECIDE_TRIAL_MS = 2_000;
-/** A trial without a known outcome blocks others on this daemon for this long. */
-const TRIAL_MS = 5_000;
 const REFUSED_MS = 30 * 60_000;
 
 export function isPart(fingerprint: Fingerprint): boolean {
@@ -126,11 +116,7 @@
   const evidence = createPartEvidence();
   const running = new Set<PartRun>();
   let answered: AnsweredRun[] = [];
-  const triedAt = new Map<Fingerprint, MonoTime>();
-  const failedTrials = new Map<Fingerprint, number>();
-  /** When failed trials are decided. */
-  const decideAt = new Map<Fingerprint, MonoTime>();
-  const listedAt = new Map<Fingerprint, MonoTime>();
+  const trials = createPartTrials({ clock }, refused);
   let suspects: ReadonlyMap<Fingerprint, SuspectPart> = new Map();
   let hasChanged = false;
 
@@ -138,8 +124,7 @@
 
   /** Parts that lost a group in a trial. */
   const isConfirmed = (part: Fingerprint): boolean =>
-    isListed(part) &&
-    (refused.get(part)?.trialAt === undefined || (failedTrials.get(part) ?? 0) > 0);
+    isListed(part) && (refused.get(part)?.trialAt === undefined || trials.hasFailed(part));
 
   const currentSuspects = (): typeof suspects => {
     if (hasChanged) suspects = findSuspectParts(evidence, isConfirmed);
@@ -155,18 +140,12 @@
     );
   };
 
-  const isTried = (part: Fingerprint): boolean => {
-    const at = triedAt.get(part);
-    return at !== undefined && clock.now() < later(at, TRIAL_MS);
-  };
-
   const standingOfPart = (part: Fingerprint, listedParts: number): Standing => {
     const entry = refused.get(part);
     const now = clock.now();
     if (entry) {
       if (entry.trialAt === undefined) return 'refused';
-      const trialAt = later(entry.trialAt, TRIAL_DELAY_PER_PART_MS * (listedParts - 1));
-      return refused.isTurn(trialAt) && !isTried(part) ? 'suspect' : 'held';
+      return trials.mayTry(part, entry.trialAt, listedParts) ? 'suspect' : 'held';
     }
     const suspect = currentSuspects().get(part);
     if (!suspect || now >= later(suspect.latestAt, HOLD_MS)) return 'clear';
@@ -216,22 +195,15 @@
     return lossesOf(evidence, part, explains).some(({ at, ageMs }) => at - ageMs >= trialAt);
   };
 
-  const decideTrial = (part: Fingerprint): void => {
-    decideAt.delete(part);
-    const failed = (failedTrials.get(part) ?? 0) + 1;
-    failedTrials.set(part, failed);
-    hasChanged = true;
-    if (failed >= MAX_FAILED_TRIALS) list(part, undefined);
-  };
-
   const followTrials = (now: MonoTime): void => {
     for (const [part, { trialAt }] of refused.entries()) {
       if (!isPart(part) || trialAt === undefined) continue;
-      if (!listedAt.has(part)) listedAt.set(part, now);
-      const decidedAt = decideAt.get(part);
-      if (decidedAt !== undefined && now >= decidedAt) decideTrial(part);
-      else if (hasFailedTrial(part, trialAt)) {
-        decideAt.set(part, later(now, DECIDE_TRIAL_MS));
+      trials.noteListed(part);
+      const counted = trials.countFailed(part);
+      if (counted !== 'none') hasChanged = true;
+      if (counted === 'final') list(part, undefined);
+      else if (counted === 'none' && hasFailedTrial(part, trialAt)) {
+        trials.noteFailed(part);
         list(part, later(now, NEXT_TRIAL_DELAY_MS));
       }
     }
@@ -248,7 +220,7 @@
       trialAt !== undefined && remaining === 0 && (before > 0 || !isListedAfter(trialAt, soundAt));
     if (isUnlisted) {
       refused.remove(part);
-      for (const known of [triedAt, failedTrials, decideAt, listedAt]) known.delete(part);
+      trials.forget(part);
     }
     return remaining < before || isUnlisted;
   };
@@ -259,8 +231,7 @@
     const now = clock.now();
     for (const part of run.parts) {
       // A listed part was fatal by then or never, so the answer outweighs later losses as well.
-      const isTrial = since > (listedAt.get(part) ?? Infinity);
-      const soundAt = isTrial ? now : since;
+      const soundAt = trials.isListedBefore(part, since) ? now : since;
       if (clear(part, soundAt)) onCleared(part, soundAt);
     }
   };
@@ -278,7 +249,7 @@
       const run = { parts: partsOf(exchange), address, startedAt: clock.now(), progress };
       if (run.parts.length === 0) return run;
       running.add(run);
-      for (const part of run.parts) if (isListed(part)) triedAt.set(part, run.startedAt);
+      for (const part of run.parts) if (isListed(part)) trials.begin(part);
       return run;
     },
     end: (run, ending) => {
@@ -294,7 +265,7 @@
         const since = prefilledAt ?? startedAt;
         answered.push({ run, since, checkAt: later(now, SURVIVAL_MS) });
       } else {
-        for (const part of parts) if (triedAt.get(part) === startedAt) triedAt.delete(part);
+        for (const part of parts) trials.cancel(part, startedAt);
       }
       return NO_PARTS;
     },
@@ -316,10 +287,7 @@
     },
     prune: () => {
       pruneEvidence(evidence, later(clock.now(), -REFUSED_MS));
-      for (const known of [failedTrials, decideAt, listedAt]) {
-        for (const part of known.keys()) if (!isListed(part)) known.delete(part);
-      }
-      for (const part of triedAt.keys()) if (!isTried(part)) triedAt.delete(part);
+      trials.prune();
       hasChanged = true;
     },
   };
