Report all strikes of many requests lost at once, and bound the parts that they name

A daemon reported the latest 64 of its strikes for as long as they were repeated, so that peers never heard of the others; and each strike named up to 32 parts of a prompt, which a caller chooses, in every message. Strikes that were never sent now go first, in as many reports as it takes, and a report names 256 parts at most.

--- a/src/app/gateway/quarantine/strike-sharing.ts
+++ b/src/app/gateway/quarantine/strike-sharing.ts
@@ -37,6 +37,8 @@
 /** Longer than any report is under way or repeated. */
 const REMEMBER_MS = 30_000;
 const MAX_PER_REPORT = 64;
+/** Prompts name their parts, so that a caller could fill the messages of all daemons. */
+const MAX_PARTS_PER_REPORT = 256;
 /** Reports of one complete answer differ in its time by less than this. */
 const SAME_CLEAR_MS = 300;
 
@@ -49,7 +51,10 @@
   /** When it was added here. */
   readonly at: MonoTime;
   readonly isOwn: boolean;
-  isNew: boolean;
+  /** Whether a report of this daemon's own strikes contained it. */
+  isReported: boolean;
+  /** Whether a leader has published it. */
+  isPublished: boolean;
 }
 
 export interface StrikeSharing {
@@ -84,6 +89,27 @@
   return [fingerprint, group, domain, suspect, ageMs, agoMs, remainingMs, sentParts];
 }
 
+function countParts({ item }: Entry): number {
+  return item.kind === 'strike' ? (item.strike.parts?.length ?? 0) : 0;
+}
+
+/** As many entries as one report may have: those that were never sent first, then the latest others. */
+function chooseEntries(
+  candidates: readonly Entry[],
+  wasSent: (entry: Entry) => boolean,
+): readonly Entry[] {
+  const unsent = candidates.filter((entry) => !wasSent(entry));
+  const sent = candidates.filter(wasSent);
+  const chosen: Entry[] = [];
+  let parts = 0;
+  for (const entry of [...unsent, ...sent.reverse()]) {
+    parts += countParts(entry);
+    if (chosen.length === MAX_PER_REPORT || parts > MAX_PARTS_PER_REPORT) break;
+    chosen.push(entry);
+  }
+  return chosen;
+}
+
 function toReport(entries: readonly Entry[], now: MonoTime): StrikeReport | undefined {
   if (entries.length === 0) return undefined;
   return {
@@ -104,10 +130,10 @@
   let repeatAllAt = now();
 
   const add = (item: Item, isOwn: boolean): void => {
-    entries = [...entries, { item, at: now(), isOwn, isNew: true }];
+    entries = [...entries, { item, at: now(), isOwn, isReported: false, isPublished: false }];
   };
 
-  const isReported = ({ at }: Entry, time: MonoTime): boolean => time < later(at, REPORT_MS);
+  const isDue = ({ at }: Entry, time: MonoTime): boolean => time < later(at, REPORT_MS);
 
   return {
     addStrike: (strike, isOwn) => {
@@ -127,21 +153,22 @@
     },
     clearedAt: (fingerprint) => clearedAt.get(fingerprint),
     report: (time) => {
-      const own = entries.filter((entry) => entry.isOwn && isReported(entry, time));
-      return toReport(own.slice(-MAX_PER_REPORT), time);
+      const own = entries.filter((entry) => entry.isOwn && isDue(entry, time));
+      const chosen = chooseEntries(own, ({ isReported }) => isReported);
+      for (const entry of chosen) entry.isReported = true;
+      return toReport(chosen, time);
     },
     reportOfAll: (time) => {
       const isRepeated = time >= repeatAllAt;
       if (isRepeated) repeatAllAt = later(time, REPEAT_ALL_MS);
-      const reported = entries.filter((entry) => isReported(entry, time));
-      const fresh = reported.filter((entry) => entry.isNew).slice(0, MAX_PER_REPORT);
-      const room = isRepeated ? MAX_PER_REPORT - fresh.length : 0;
-      const repeated = room > 0 ? reported.filter((entry) => !entry.isNew).slice(-room) : [];
-      for (const entry of fresh) entry.isNew = false;
-      return toReport([...repeated, ...fresh], time);
+      const due = entries.filter((entry) => isDue(entry, time));
+      const candidates = isRepeated ? due : due.filter(({ isPublished }) => !isPublished);
+      const chosen = chooseEntries(candidates, ({ isPublished }) => isPublished);
+      for (const entry of chosen) entry.isPublished = true;
+      return toReport(chosen, time);
     },
     prune: (time) => {
-      entries = entries.filter((entry) => isReported(entry, time));
+      entries = entries.filter((entry) => isDue(entry, time));
       for (const [key, at] of seen) if (time >= later(at, REMEMBER_MS)) seen.delete(key);
       for (const [key, at] of clearedAt) {
         if (time >= later(at, REMEMBER_MS)) clearedAt.delete(key);
