--- a/tests/gateway/crashing-part-daemons.test.ts
+++ b/tests/gateway/crashing-part-daemons.test.ts
@@ -9,7 +9,7 @@
   SERVED_AGAIN_MS,
   SETTLE_MS,
 } from '../support/server-rules';
-import { startFixture } from './gateway-fixture';
+import { servedShare, startFixture } from './gateway-fixture';
 import type { GatewayFixture, SentRequest } from './gateway-fixture';
 
 const FIRST_PORT = 26_400;
@@ -42,11 +42,6 @@
   fixture.close();
 });
 
-function servedShare(sent: readonly SentRequest[]): number {
-  const served = sent.filter(({ reply }) => reply?.status === 200 && reply.isWhole);
-  return served.length / sent.length;
-}
-
 function sendOthers(ms: number): Promise<readonly SentRequest[]> {
   return fixture.sendRequests(
     PATH,
--- a/tests/gateway/crashing-request-daemons.test.ts
+++ b/tests/gateway/crashing-request-daemons.test.ts
@@ -6,7 +6,7 @@
   sendsAfterCrashes,
   SETTLE_MS,
 } from '../support/server-rules';
-import { startFixture } from './gateway-fixture';
+import { servedShare, startFixture } from './gateway-fixture';
 import type { GatewayFixture, SentRequest } from './gateway-fixture';
 
 const FIRST_PORT = 26_100;
@@ -62,11 +62,6 @@
   return fixture.platform.statements.arrivals.some((one) => one.requestId === requestId);
 }
 
-function servedShare(sent: readonly SentRequest[]): number {
-  const served = sent.filter(({ reply }) => reply?.status === 200 && reply.isWhole);
-  return served.length / sent.length;
-}
-
 describe('a request that crashes each server that runs it', () => {
   // Guards against a request that is forgotten with each attempt of its caller and ends server after server.
   it.each([
--- a/tests/gateway/gateway-fixture.ts
+++ b/tests/gateway/gateway-fixture.ts
@@ -36,6 +36,12 @@
   readonly answeredAt: number;
 }
 
+/** Share of the requests that got a complete answer. */
+export function servedShare(sent: readonly SentRequest[]): number {
+  const served = sent.filter(({ reply }) => reply?.status === 200 && reply.isWhole);
+  return served.length / sent.length;
+}
+
 export interface GatewayFixture {
   readonly platform: PlatformStandIn;
   /** Heads of the groups that currently serve the model. */
