Free a part for its next trial if the request of the last one was not run

A trial was entered with a time of its own and given back by the start of its run; on a real clock the two never agree. A trial whose request was not run, or whose caller left, blocked others on that daemon for five seconds, while all requests with the part were held. Before: held (the new test fails). After: the next request is tried at once.

--- a/src/app/gateway/quarantine/part-trials.ts
+++ b/src/app/gateway/quarantine/part-trials.ts
@@ -8,9 +8,9 @@
 export interface PartTrials {
   /** Whether a request with so many listed parts may be tried on behalf of this one. */
   mayTry(part: Fingerprint, trialAt: MonoTime, listedParts: number): boolean;
-  begin(part: Fingerprint): void;
-  /** The trial that began at `startedAt` had no outcome. */
-  cancel(part: Fingerprint, startedAt: MonoTime): void;
+  begin(part: Fingerprint, at: MonoTime): void;
+  /** The trial that began at `at` had no outcome. */
+  cancel(part: Fingerprint, at: MonoTime): void;
   /** Notes that the part is listed here. */
   noteListed(part: Fingerprint): void;
   /** Whether an answer that began at `since` did so after the part was listed here. */
@@ -72,8 +72,8 @@
   return {
     mayTry: (part, trialAt, listedParts) =>
       refused.isTurn(later(trialAt, DELAY_PER_PART_MS * (listedParts - 1))) && !isUnderWay(part),
-    begin: (part) => {
-      startedAt.set(part, clock.now());
+    begin: (part, at) => {
+      startedAt.set(part, at);
     },
     cancel: (part, at) => {
       if (startedAt.get(part) === at) startedAt.delete(part);
--- a/src/app/gateway/quarantine/prompt-parts.ts
+++ b/src/app/gateway/quarantine/prompt-parts.ts
@@ -249,7 +249,7 @@
       const run = { parts: partsOf(exchange), address, startedAt: clock.now(), progress };
       if (run.parts.length === 0) return run;
       running.add(run);
-      for (const part of run.parts) if (isListed(part)) trials.begin(part);
+      for (const part of run.parts) if (isListed(part)) trials.begin(part, run.startedAt);
       return run;
     },
     end: (run, ending) => {
--- a/tests/gateway/quarantine-parts.test.ts
+++ b/tests/gateway/quarantine-parts.test.ts
@@ -82,6 +82,19 @@
     }
   });
 
+  // Guards against a part that waits for seconds since the request of its trial was not run.
+  it('tries a part again at once if the trial was not run', async () => {
+    const world = createWorld();
+    const daemon = world.addDaemon();
+    const { quarantine, crash } = daemon;
+    for (const n of [1, 2, 3]) await crash(withParts(`x${n}`, 'part'), n);
+    awaitTurn(world, daemon, withParts('y', 'part'));
+    const run = quarantine.begin(withParts('y', 'part'), targetOf(4));
+    expect(quarantine.standing(withParts('z', 'part'))).toBe('held');
+    run.ended(false);
+    expect(quarantine.standing(withParts('z', 'part'))).toBe('suspect');
+  });
+
   // Guards against holding back a part in common use while answers with it go on.
   it('does not hold a part that is being answered for long', async () => {
     const { advance, addDaemon, now } = createWorld();
