Name the parts of a prompt only once something is known of any

Each request built the names of its parts when it was sent, and each complete answer after a loss searched all losses for each of its parts, half an hour long. Now a request without any known loss is only entered in a set, and which parts are in doubt is looked up.

--- a/src/app/gateway/quarantine/prompt-parts.ts
+++ b/src/app/gateway/quarantine/prompt-parts.ts
@@ -14,6 +14,7 @@
   findSuspectParts,
   lossesOf,
   noteSound,
+  partsInDoubt,
   pruneEvidence,
   wasSound,
 } from '../../../core/retry/part-evidence';
@@ -33,9 +34,9 @@
   readonly prefilledAt: MonoTime | undefined;
 }
 
-/** A request that is running, and the parts that it may share with others. */
+/** A request that is running; its parts are named only once something is known of any. */
 export interface PartRun {
-  readonly parts: readonly Fingerprint[];
+  readonly exchange: Exchange;
   readonly address: string;
   readonly startedAt: MonoTime;
   readonly progress: AnswerProgress;
@@ -118,6 +119,7 @@
   let answered: AnsweredRun[] = [];
   const trials = createPartTrials({ clock }, refused);
   let suspects: ReadonlyMap<Fingerprint, SuspectPart> = new Map();
+  let inDoubt: ReadonlySet<Fingerprint> = new Set();
   let hasChanged = false;
 
   const isListed = (part: Fingerprint): boolean => refused.get(part) !== undefined;
@@ -126,17 +128,29 @@
   const isConfirmed = (part: Fingerprint): boolean =>
     isListed(part) && (refused.get(part)?.trialAt === undefined || trials.hasFailed(part));
 
-  const currentSuspects = (): typeof suspects => {
-    if (hasChanged) suspects = findSuspectParts(evidence, isConfirmed);
+  let listed = refused.entries();
+
+  /** The list changes by peers' entries as well, and decides which parts are confirmed. */
+  const refresh = (): void => {
+    if (!hasChanged && listed === refused.entries()) return;
     hasChanged = false;
+    listed = refused.entries();
+    suspects = findSuspectParts(evidence, isConfirmed);
+    inDoubt = partsInDoubt(evidence);
+  };
+
+  const currentSuspects = (): typeof suspects => {
+    refresh();
     return suspects;
   };
 
   const isBeingAnswered = (part: Fingerprint): boolean => {
     const now = clock.now();
     return [...running].some(
-      ({ parts, progress: { prefilledAt } }) =>
-        prefilledAt !== undefined && now >= later(prefilledAt, ANSWERED_MS) && parts.includes(part),
+      ({ exchange, progress: { prefilledAt } }) =>
+        prefilledAt !== undefined &&
+        now >= later(prefilledAt, ANSWERED_MS) &&
+        partsOf(exchange).includes(part),
     );
   };
 
@@ -179,17 +193,19 @@
   };
 
   /** Whether losses speak against the part, or it is listed and may be cleared. */
-  const isInDoubt = (part: Fingerprint): boolean =>
-    refused.get(part)?.trialAt !== undefined || lossesOf(evidence, part).length > 0;
+  const isInDoubt = (part: Fingerprint): boolean => {
+    refresh();
+    return refused.get(part)?.trialAt !== undefined || inDoubt.has(part);
+  };
 
   /**
    * Whether a run with the part was lost that began after the earliest time of a trial. A part that was answered
-   * completely before is not to blame if one is beside it that never was.
+   * completely before is ruled out if one is beside it that never was.
    */
   const hasFailedTrial = (part: Fingerprint, trialAt: MonoTime): boolean => {
-    const isExcused = wasSound(evidence, part);
+    const wasAnswered = wasSound(evidence, part);
     const explains = (other: Fingerprint): boolean =>
-      isExcused
+      wasAnswered
         ? (isListed(other) || currentSuspects().has(other)) && !wasSound(evidence, other)
         : isConfirmed(other) && !isConfirmed(part);
     return lossesOf(evidence, part, explains).some(({ at, ageMs }) => at - ageMs >= trialAt);
@@ -229,7 +245,7 @@
   const clearIfAlive = async ({ run, since }: AnsweredRun): Promise<void> => {
     if ((await findState(run.address, CHECK_TIMEOUT_MS)) !== 'listening') return;
     const now = clock.now();
-    for (const part of run.parts) {
+    for (const part of partsOf(run.exchange)) {
       // A listed part was fatal by then or never, so the answer outweighs later losses as well.
       const soundAt = trials.isListedBefore(part, since) ? now : since;
       if (clear(part, soundAt)) onCleared(part, soundAt);
@@ -238,6 +254,8 @@
 
   const isEmpty = (): boolean => evidence.losses.size === 0;
 
+  const isAnyKnown = (): boolean => !isEmpty() || refused.entries().size > 0;
+
   return {
     isEmpty,
     standing: (exchange) => {
@@ -246,16 +264,18 @@
       return strictest(parts.map((part) => standingOfPart(part, listedParts)));
     },
     begin: (exchange, address, progress) => {
-      const run = { parts: partsOf(exchange), address, startedAt: clock.now(), progress };
-      if (run.parts.length === 0) return run;
-      running.add(run);
-      for (const part of run.parts) if (isListed(part)) trials.begin(part, run.startedAt);
+      const run = { exchange, address, startedAt: clock.now(), progress };
+      if (exchange.facts.sharedParts) running.add(run);
+      if (!isAnyKnown()) return run;
+      for (const part of partsOf(exchange)) if (isListed(part)) trials.begin(part, run.startedAt);
       return run;
     },
     end: (run, ending) => {
-      const { parts, startedAt, progress } = run;
       if (!running.delete(run)) return NO_PARTS;
+      if (ending !== 'lost' && !isAnyKnown()) return NO_PARTS;
+      const { exchange, startedAt, progress } = run;
       const { prefilledAt } = progress;
+      const parts = partsOf(exchange);
       const now = clock.now();
       if (ending === 'lost') {
         const isAnswered = prefilledAt !== undefined && now >= later(prefilledAt, ANSWERED_MS);
@@ -286,9 +306,8 @@
       if (!isEmpty()) listSuspects(now);
     },
     prune: () => {
-      pruneEvidence(evidence, later(clock.now(), -REFUSED_MS));
+      if (pruneEvidence(evidence, later(clock.now(), -REFUSED_MS))) hasChanged = true;
       trials.prune();
-      hasChanged = true;
     },
   };
 }
--- a/src/core/retry/part-evidence.ts
+++ b/src/core/retry/part-evidence.ts
@@ -127,6 +127,11 @@
   });
 }
 
+/** Parts that any loss counts against. */
+export function partsInDoubt(evidence: PartEvidence): ReadonlySet<Fingerprint> {
+  return new Set(recordParts(evidence, NEVER).keys());
+}
+
 /** Whether a complete answer with the part is known. */
 export function wasSound({ soundUntil }: PartEvidence, part: Fingerprint): boolean {
   return soundUntil.has(part);
@@ -209,8 +214,10 @@
   return new Map([...suspects].filter(([, suspect]) => !isExplainedByRarer(suspect, all)));
 }
 
-/** Forgets losses before `since`, and complete answers once no loss is known. */
-export function pruneEvidence({ losses, soundUntil }: PartEvidence, since: MonoTime): void {
+/** Forgets losses before `since`, and complete answers once no loss is known; true if it forgot a loss. */
+export function pruneEvidence({ losses, soundUntil }: PartEvidence, since: MonoTime): boolean {
+  const before = losses.size;
   for (const [group, { at }] of losses) if (at < since) losses.delete(group);
   if (losses.size === 0) soundUntil.clear();
+  return losses.size < before;
 }
--- a/tests/gateway/quarantine-parts.test.ts
+++ b/tests/gateway/quarantine-parts.test.ts
@@ -82,6 +82,16 @@
     }
   });
 
+  // Guards against work for each request where no server has ended.
+  it('does not look at parts while nothing is known of any', () => {
+    const { quarantine } = createWorld().addDaemon();
+    const exchange = withParts('y', 'part');
+    const parts = exchange.facts.sharedParts;
+    if (parts) Object.assign(parts, { map: () => expect.fail('the parts were named') });
+    expect(quarantine.standing(exchange)).toBe('clear');
+    quarantine.begin(exchange, targetOf(1)).ended(true);
+  });
+
   // Guards against a part that waits for seconds since the request of its trial was not run.
   it('tries a part again at once if the trial was not run', async () => {
     const world = createWorld();
