--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -22,7 +22,8 @@
     'Requests of the gateway that were running on a group or server when it ended',
   nutmegstack_quarantined_calls_total:
     'Requests of the gateway refused because servers ended while they ran them, by standing',
-  nutmegstack_refused_requests: 'Requests that this daemon refuses because they crash servers',
+  nutmegstack_refused_requests:
+    'Requests and parts of prompts that this daemon refuses because they crash servers',
   nutmegstack_forwarded_calls_total: 'Requests forwarded to servers for peers, by outcome',
   nutmegstack_calls_sent_through_peers_total:
     'Requests sent to servers through peers, by outcome of the attempt',
