--- a/stand-ins/users-platform/engines.ts
+++ b/stand-ins/users-platform/engines.ts
@@ -53,6 +53,8 @@
   /** Alive but partitioned: orders do not reach it and its row lapses. */
   isCut: boolean;
   cutAt: number;
+  /** Its process does not run: its own times do not count, and it is cut off meanwhile. */
+  isPaused: boolean;
   isDraining: boolean;
   staged: ModelId | undefined;
   lastModel: ModelId | undefined;
@@ -126,6 +128,7 @@
       shown: undefined,
       isCut: false,
       cutAt: 0,
+      isPaused: false,
       isDraining: false,
       staged: undefined,
       lastModel: undefined,
@@ -241,7 +244,7 @@
 
   const advanceServer = (server: SimServer): void => {
     const { joined } = server;
-    if (!server.isAlive || !joined) return;
+    if (!server.isAlive || server.isPaused || !joined) return;
     if (joined.state === 'joining' && now >= joined.readyAt) {
       joined.state = 'ready';
       server.lastModel = joined.model;
@@ -266,8 +269,17 @@
     if (!isComplete || !wereReady) violations.push(`${now}: ${server.id} serves ${group} in part`);
   };
 
+  /** Moves the times that a paused server waits for. */
+  const postpone = (joined: Joined, ms: number): void => {
+    joined.readyAt += ms;
+    if (joined.openAt !== undefined) joined.openAt += ms;
+    if (joined.stalledAt !== undefined) joined.stalledAt += ms;
+  };
+
   const advance = (ms: number): void => {
     now += ms;
+    for (const { isPaused, joined } of servers.values())
+      if (isPaused && joined) postpone(joined, ms);
     for (const order of late.splice(0)) {
       if (now < order.at) late.push(order);
       else carryOut(order.server, order.order);
@@ -342,6 +354,13 @@
     return next;
   };
 
+  const cut = (id: InstanceId, isCut: boolean): void => {
+    const server = servers.get(id);
+    if (!server) return;
+    server.isCut = isCut;
+    server.cutAt = now;
+  };
+
   /** The current incarnation of the server with this name. */
   const named = (name: ServerName): SimServer | undefined =>
     [...servers.values()].find((server) => server.name === name);
@@ -372,11 +391,12 @@
       server.diedAt = now;
       server.joined = undefined;
     },
-    cut: (id: InstanceId, isCut: boolean) => {
+    cut,
+    /** A paused server is cut off; unlike one that is merely cut off, it does nothing. */
+    setPaused: (id: InstanceId, isPaused: boolean) => {
       const server = servers.get(id);
-      if (!server) return;
-      server.isCut = isCut;
-      server.cutAt = now;
+      if (server) server.isPaused = isPaused;
+      cut(id, isPaused);
     },
     drain: (id: InstanceId) => {
       const server = servers.get(id);
--- a/stand-ins/users-platform/servers.ts
+++ b/stand-ins/users-platform/servers.ts
@@ -9,6 +9,7 @@
 import type { ServerOrder } from '../../src/core/gateway/orders';
 import type { InstanceId, ServerName } from '../../src/core/ids';
 import type { EngineFleet } from './engines';
+import type { Pauses } from './pauses';
 import type { Statements } from './statements';
 import { decodeOrder, ORDER_STATUS } from './wire';
 
@@ -54,6 +55,7 @@
   readonly runs: Run[];
   readonly crashes: Crash[];
   readonly statements: Statements;
+  readonly pauses: Pauses;
 }
 
 const EVENT_MS = 20;
@@ -121,13 +123,14 @@
   readonly name: ServerName;
   readonly address: string;
   readonly crashes: Crash[];
+  readonly pauses: Pauses;
   readonly onCrash: () => void;
   readonly onRestart: () => void;
 }
 
 async function startRestartable(
   server: Server,
-  { name, address, crashes, onCrash, onRestart }: RestartOptions,
+  { name, address, crashes, pauses, onCrash, onRestart }: RestartOptions,
 ): Promise<RestartableServer> {
   const { hostname, port } = new URL(`http://${address}`);
   let isRunning = true;
@@ -147,6 +150,10 @@
 
   const crash = (body: string, part?: string): void => {
     if (!isRunning || isClosed) return;
+    if (pauses.isPaused(name)) {
+      setTimeout(crash, CRASH_AFTER_MS, body, part);
+      return;
+    }
     isRunning = false;
     crashes.push({ server: name, body, part, at: performance.now() });
     onCrash();
@@ -154,6 +161,7 @@
     setTimeout(restart, RESTART_MS);
   };
 
+  pauses.watch(name, server);
   await listen(server, hostname, Number(port));
   return {
     close: () => {
@@ -178,10 +186,16 @@
 export async function startEngine(
   fleet: EngineFleet,
   name: ServerName,
-  { runs, crashes, statements }: ServerRecords,
+  { runs, crashes, statements, pauses }: ServerRecords,
 ): Promise<() => void> {
   const state = () => fleet.named(name);
 
+  /** A group stands still with any of its members. */
+  const isGroupPaused = (): boolean => {
+    const members = state()?.joined?.members.map((id) => fleet.servers.get(id)?.name) ?? [];
+    return [name, ...members].some((member) => member !== undefined && pauses.isPaused(member));
+  };
+
   const takeOrder = async (req: IncomingMessage, res: ServerResponse): Promise<void> => {
     const order = decodeOrder(JSON.parse(await readBody(req)));
     if (!order) {
@@ -213,6 +227,7 @@
       [HEADERS.signature]: signatureOf(name, run.requestId),
     });
     const timer = setInterval(() => {
+      if (isGroupPaused()) return;
       const joined = state()?.joined;
       if (joined?.state === 'open' && joined.stalledAt !== undefined) return;
       if (joined?.state !== 'open') {
@@ -243,6 +258,7 @@
     name,
     address: state()?.address ?? '',
     crashes,
+    pauses,
     onCrash: () => {
       crashed = state()?.id;
       if (crashed !== undefined) fleet.kill(crashed);
@@ -267,7 +283,7 @@
 /** Starts a plain server that responds with the request id and the request body. */
 export async function startPlain(
   { name, address, faults, onRestart }: PlainOptions,
-  { runs, crashes, statements }: ServerRecords,
+  { runs, crashes, statements, pauses }: ServerRecords,
 ): Promise<() => void> {
   const id = brandAs<ServerName>(name);
   const take = (fault: keyof PlainFaults): boolean => {
@@ -301,6 +317,7 @@
     name: id,
     address,
     crashes,
+    pauses,
     onCrash: () => undefined,
     onRestart,
   });
--- a/stand-ins/users-platform/start.ts
+++ b/stand-ins/users-platform/start.ts
@@ -7,9 +7,11 @@
 import { pause } from '../../src/utils/pause';
 import { createEngineFleet } from './engines';
 import type { EngineFleet } from './engines';
+import { createPauses } from './pauses';
 import { startEngine, startPlain } from './servers';
 import type { Crash, PlainFaults, Run, ServerRecords } from './servers';
 import { createStatements } from './statements';
+import type { Pauses } from './pauses';
 import type { Statements } from './statements';
 import { startStore } from './store';
 import type { StoreStandIn } from './store';
@@ -34,6 +36,10 @@
   readonly plainFaults: PlainFaults;
   readonly statements: Statements;
   readonly plainServers: readonly ServerName[];
+  /** Lets servers stand still for a while, after which they go on; no server ends by that. */
+  readonly pauses: Pauses;
+  /** Names of all servers that the pattern includes, for a pause. */
+  serversOf(pattern: ServerPattern): readonly ServerName[];
   /** Every request that a server began to execute. */
   readonly runs: readonly Run[];
   /** Every server process that a request ended. */
@@ -55,6 +61,17 @@
   close(): void;
 }
 
+/** Chooses servers; each field that is given narrows the choice. */
+export interface ServerPattern {
+  readonly zone?: string;
+  readonly domain?: string;
+  /** Name of the group whose members are chosen. */
+  readonly group?: string;
+  readonly name?: string;
+  /** Only plain servers, or only those of the engine. */
+  readonly isPlain?: boolean;
+}
+
 const TICK_MS = 20;
 /** Time from the store's return until servers and operator write their rows again. */
 const REWRITE_DELAY_MS = 1_500;
@@ -65,7 +82,6 @@
   const { host, firstPort, engine, domains, plainServers, zoneOf = () => 'zone-a' } = options;
   const publishedAddress = options.publishedAddress ?? ((address: string) => address);
   const store = await startStore(host, firstPort);
-  const records: ServerRecords = { runs: [], crashes: [], statements: createStatements() };
   const plainFaults: PlainFaults = { cutAnswers: 0, failAnswers: 0, refuse: 0 };
   const closers: (() => void)[] = [];
   const plainRows = new Map<string, object>();
@@ -77,6 +93,16 @@
     hasTraffic: false,
     addressOf: (n) => `${host}:${firstPort + 1 + plainServers + n}`,
   });
+  const pauses = createPauses((name, isPaused) => {
+    const id = fleet.named(name)?.id;
+    if (id !== undefined) fleet.setPaused(id, isPaused);
+  });
+  const records: ServerRecords = {
+    runs: [],
+    crashes: [],
+    statements: createStatements(),
+    pauses,
+  };
   for (const { name } of fleet.servers.values()) {
     closers.push(await startEngine(fleet, name, records));
   }
@@ -144,6 +170,20 @@
       document = next;
       store.put(TABLES.operator, CONFIG_KEY, next);
     },
+    serversOf: (pattern) => {
+      const engines = [...fleet.servers.values()].map(({ name, domain, joined }) => ({
+        ...{ name, domain, group: joined?.group, isPlain: false },
+        zone: zoneOf(Number(domain.slice(1))),
+      }));
+      const plain = [...plainRows.keys()].map((name, n) => ({
+        ...{ name: brandAs<ServerName>(name), zone: zoneOf(n), isPlain: true },
+      }));
+      const wanted = Object.entries(pattern);
+      return [...engines, ...plain]
+        .map((server): Record<string, unknown> & typeof server => server)
+        .filter((server) => wanted.every(([field, value]) => server[field] === value))
+        .map(({ name }) => name);
+    },
     evacuate: (zone, isEvacuated) => {
       const key = `${EVACUATION_PREFIX}${zone}`;
       if (isEvacuated) store.put(TABLES.operator, key, {});
--- a/tests/gateway/gateway-fixture.ts
+++ b/tests/gateway/gateway-fixture.ts
@@ -15,7 +15,7 @@
 import type { ServerName } from '../../src/core/ids';
 import { pause } from '../../src/utils/pause';
 import { callDaemon, cutOff, launchDaemon } from '../support/gateway-daemon';
-import type { CutKind, Reply } from '../support/gateway-daemon';
+import type { CutKind, LinkDelay, Reply } from '../support/gateway-daemon';
 import { ENGINE, LARGE, SMALL } from './support';
 
 const HOST = '127.0.0.1';
@@ -48,8 +48,10 @@
   heads(model: string): readonly ServerName[];
   /** Kills the n-th daemon and starts it again. */
   restart(n: number): void;
-  /** Cuts the n-th daemon off from all servers, or ends that. */
-  cutOff(n: number, kind: CutKind | undefined): void;
+  /** Cuts the n-th daemon off from all servers or delays its links to them, or ends that. */
+  cutOff(n: number, cut: CutKind | LinkDelay | undefined): void;
+  /** Sends a signal to the n-th daemon, for instance SIGSTOP. */
+  signal(n: number, signal: NodeJS.Signals): void;
   /** Metrics of the n-th daemon, as text. */
   metricsOf(n: number): Promise<string>;
   /**
@@ -80,6 +82,10 @@
   readonly settings?: object;
   /** Requests per second that a cold server tolerates. */
   readonly coldPerS?: number;
+  /** Model that the n-th request of the fixture names; the small one by default. */
+  readonly modelOf?: (n: number) => string;
+  /** Longest wait that each request names. */
+  readonly waitMs?: number;
   /** Whether `cutOff` may be called. */
   readonly isCuttable?: boolean;
   /** Folder for the daemons' logs. */
@@ -99,6 +105,8 @@
   storeAddressOf = (_, address) => address,
   settings,
   coldPerS,
+  modelOf = () => SMALL,
+  waitMs = 3_000,
   isCuttable = false,
   logs,
 }: FixtureOptions): Promise<GatewayFixture> {
@@ -144,10 +152,11 @@
     path: string,
     { daemon, body, parts }: Pick<SentRequest, 'daemon' | 'body' | 'parts'>,
   ): Promise<SentRequest> => {
-    const requestId = `request-${lastId++}`;
+    const n = lastId++;
+    const requestId = `request-${n}`;
     const sentAt = performance.now();
     const headers = parts === '' ? {} : { [HEADERS.promptParts]: parts };
-    const options = { requestId, key: KEY, model: SMALL, body, headers, waitMs: 3_000 };
+    const options = { requestId, key: KEY, model: modelOf(n), body, headers, waitMs };
     const reply = await callDaemon(portOf(daemon, 0), path, options).catch(() => undefined);
     return { requestId, body, parts, daemon, sentAt, reply, answeredAt: performance.now() };
   };
@@ -164,10 +173,13 @@
       processes[n]?.kill('SIGKILL');
       processes[n] = launch(n);
     },
-    cutOff: (n, kind) => {
+    cutOff: (n, cut) => {
       const child = processes[n];
       const ports = { firstPort: firstPort + 1, lastPort: firstPort + SERVER_PORTS - 1 };
-      if (child) cutOff(child, kind, ports);
+      if (child) cutOff(child, cut, ports);
+    },
+    signal: (n, signal) => {
+      processes[n]?.kill(signal);
     },
     metricsOf: async (n) => (await fetch(`http://${portOf(n, 1)}/metrics`)).text(),
     sendRequests: async (path, perS, ms, bodyOf = () => 'events=3', partsOf = () => '') => {
--- a/tests/support/gateway-daemon.ts
+++ b/tests/support/gateway-daemon.ts
@@ -30,6 +30,12 @@
 /** How a daemon is cut off from all servers; see `cut-links.mjs`. */
 export type CutKind = 'hang' | 'reset' | 'refuse-new';
 
+/** What a daemon receives from servers arrives later by `delayMs`, as on a link that is full. */
+export interface LinkDelay {
+  readonly kind: 'delay';
+  readonly delayMs: number;
+}
+
 export interface LaunchOptions {
   /** Whether `cutOff` may be called for the daemon. */
   readonly isCuttable?: boolean;
@@ -85,10 +91,15 @@
   return endWithTest(child, GATEWAY_PATH);
 }
 
-/** Cuts a daemon off from all servers, or ends that. */
-export function cutOff(child: ChildProcess, kind: CutKind | undefined, ports: ServerPorts): void {
+/** Cuts a daemon off from all servers or delays its links to them, or ends that. */
+export function cutOff(
+  child: ChildProcess,
+  cut: CutKind | LinkDelay | undefined,
+  ports: ServerPorts,
+): void {
+  const fault = typeof cut === 'string' ? { kind: cut } : cut;
   // A process that ends meanwhile needs no message.
-  child.send({ ...(kind && { kind }), ...ports }, () => undefined);
+  child.send({ ...fault, ...ports }, () => undefined);
 }
 
 /** A response, complete or not. */
