Log which group a lost stream was in, the finding against it, and what it lacked

A torn stream was logged with "group stalled" and the number of its attempts: not in which group it was, who had declared that silent or lost and by which evidence, how old the last events were, nor whether a slot, a retry or an attempt was missing.

`attempt failed` and `request ended` now carry group, evidence, finding, eventAgeMs, groupEventAgeMs and lacked. Two counters: nutmegstack_failed_attempts_total by evidence, nutmegstack_streams_not_resumed_total by what was lacked.

No change of logic.

--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -18,6 +18,10 @@
   nutmegstack_stranded_accelerator_seconds_total:
     'Accelerator seconds held by no serving group; without a model: by no group at all',
   nutmegstack_calls_total: 'Requests of callers at the gateway by route and outcome',
+  nutmegstack_failed_attempts_total:
+    'Sends of the gateway that brought no answer, by how they ended and evidence against the group',
+  nutmegstack_streams_not_resumed_total:
+    'Streams of the gateway that ended without a whole answer, by what they lacked to go on elsewhere',
   nutmegstack_crash_strikes_total:
     'Requests of the gateway that were running on a group or server when it ended',
   nutmegstack_quarantined_calls_total:
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -6,12 +6,13 @@
 import { organisationNameOf } from '../../core/gateway/routes';
 import type { Route } from '../../core/gateway/types';
 import { later } from '../../core/ids';
-import type { GroupId, InstanceId, MonoTime, ServiceId } from '../../core/ids';
+import type { InstanceId, MonoTime, ServiceId } from '../../core/ids';
 import type { RequestFacts } from '../../ports/gateway';
 import { fail } from '../../utils/errors';
 import type { StepError } from '../../utils/errors';
 import type { GatewayContext } from './context';
 import { fingerprintOf } from './quarantine/fingerprint';
+import type { GroupTrace, Lack } from './stream-trace';
 
 /** A completely received request that matches a route. */
 export interface Exchange {
@@ -82,8 +83,14 @@
   readonly firstEventMs?: number;
 }
 
+/** What is logged about a stream when it ends. */
+export interface StreamEnd extends StreamTimes, Partial<GroupTrace> {
+  readonly server?: InstanceId;
+  readonly lacked?: Lack;
+}
+
 /** What is logged about a request when it ends. */
-export interface RequestEnd extends Partial<StreamTimes> {
+export interface RequestEnd extends Partial<StreamEnd> {
   readonly outcome: 'served' | 'refused' | 'failed' | 'torn' | 'caller-gone';
   readonly status: number;
   readonly attempts: number;
@@ -113,9 +120,8 @@
 }
 
 /** An attempt that produced no answer for the caller. */
-export interface FailedAttempt {
+export interface FailedAttempt extends Partial<GroupTrace> {
   readonly server: InstanceId;
-  readonly group?: GroupId;
   readonly ended: 'not-sent' | 'not-run' | 'lost' | 'caller-gone';
   readonly reason: string;
   /** Time since the first event, if there was one, milliseconds. */
@@ -128,11 +134,13 @@
   attempt: FailedAttempt,
 ): void {
   const { requestId, sharedParts } = exchange.facts;
+  const { ended, evidence = 'none' } = attempt;
+  ctx.metrics.count('nutmegstack_failed_attempts_total', { ended, evidence });
   ctx.logger.info('attempt failed', {
     step: 'attempt',
     ...(requestId !== undefined && { requestId }),
     // A request that is sent again has another id; it or a part of its prompt may have ended the server.
-    ...(attempt.ended === 'lost' && {
+    ...(ended === 'lost' && {
       fingerprint: fingerprintOf(exchange),
       ...(sharedParts && { parts: sharedParts.join(' ') }),
     }),
@@ -229,7 +237,7 @@
   readonly reason: string;
   readonly attempts: number;
   readonly retryAfter?: RetryAfter;
-  readonly times?: StreamTimes;
+  readonly details?: StreamEnd;
 }
 
 /** Ends a request because it is in quarantine. */
@@ -237,16 +245,27 @@
   ctx: GatewayContext,
   exchange: Exchange,
   standing: keyof typeof QUARANTINE_ANSWERS,
-  { exposure, attempts, times }: Pick<UnansweredRequest, 'exposure' | 'attempts' | 'times'>,
+  { exposure, attempts, details }: Pick<UnansweredRequest, 'exposure' | 'attempts' | 'details'>,
 ): void {
   const { status, message } = QUARANTINE_ANSWERS[standing];
   ctx.metrics.count('nutmegstack_quarantined_calls_total', { standing });
   if (exposure !== 'not-run') {
-    endUnanswered(ctx, exchange, { exposure, reason: message, attempts, ...(times && { times }) });
+    endUnanswered(ctx, exchange, {
+      exposure,
+      reason: message,
+      attempts,
+      ...(details && { details }),
+    });
     return;
   }
   answerLocally(ctx, exchange.res, { status, message, retryAfter: RETRY_AFTER_HELD });
-  logRequestEnd(ctx, exchange, { outcome: 'refused', status, attempts, reason: message, ...times });
+  logRequestEnd(ctx, exchange, {
+    outcome: 'refused',
+    status,
+    attempts,
+    reason: message,
+    ...details,
+  });
 }
 
 /**
@@ -256,12 +275,12 @@
 export function endUnanswered(
   ctx: GatewayContext,
   exchange: Exchange,
-  { exposure, reason, attempts, retryAfter, times }: UnansweredRequest,
+  { exposure, reason, attempts, retryAfter, details }: UnansweredRequest,
 ): void {
   const isLate = ctx.clock.now() >= exchange.answerBy;
   const failed = isLate ? 504 : 502;
   const status = exposure === 'not-run' ? 503 : failed;
   answerLocally(ctx, exchange.res, { status, message: reason, ...(retryAfter && { retryAfter }) });
   const outcome = exposure === 'not-run' ? 'refused' : 'failed';
-  logRequestEnd(ctx, exchange, { outcome, status, attempts, reason, ...times });
+  logRequestEnd(ctx, exchange, { outcome, status, attempts, reason, ...details });
 }
--- /dev/null
+++ b/src/app/gateway/group-suspicions.ts
@@ -0,0 +1,48 @@
+/** Groups that get no new requests for a while, and what was found about each. */
+
+import { clearSuspicion, isSuspect, noteEvidence } from '../../core/gateway/suspicion';
+import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
+import type { GroupId } from '../../core/ids';
+import type { GatewayContext } from './context';
+
+/** Evidence against a group, and who found it or how. */
+export interface GroupFinding {
+  readonly evidence: Evidence;
+  readonly reason: string;
+}
+
+export interface GroupSuspicions {
+  isSuspected(group: GroupId): boolean;
+  /** Suspends the group for a while. Returns false if it was already suspended. */
+  suspect(group: GroupId, evidence: Evidence, reason: string): boolean;
+  /** Ends the suspension of the group, unless the leader found it lost. */
+  clear(group: GroupId): void;
+  /** The latest finding about a group that is suspended. */
+  finding(group: GroupId): GroupFinding | undefined;
+}
+
+export function createGroupSuspicions({
+  clock,
+  logger,
+}: Pick<GatewayContext, 'clock' | 'logger'>): GroupSuspicions {
+  let suspicions: Suspicions = new Map();
+  const findings = new Map<GroupId, GroupFinding>();
+
+  const isSuspected = (group: GroupId): boolean => isSuspect(suspicions, group, clock.now());
+
+  return {
+    isSuspected,
+    suspect: (group, evidence, reason) => {
+      const isNew = !isSuspected(group);
+      suspicions = noteEvidence(suspicions, group, evidence, clock.now());
+      for (const id of findings.keys()) if (!suspicions.has(id)) findings.delete(id);
+      findings.set(group, { evidence, reason });
+      if (isNew) logger.warn('group suspected', { step: 'board', group, evidence, reason });
+      return isNew;
+    },
+    clear: (group) => {
+      suspicions = clearSuspicion(suspicions, group);
+    },
+    finding: (group) => (isSuspected(group) ? findings.get(group) : undefined),
+  };
+}
--- /dev/null
+++ b/src/app/gateway/stream-attempt.ts
@@ -0,0 +1,137 @@
+/** Sends a stream to one group and forwards its events until the attempt ends. */
+
+import { merge } from 'rxjs';
+
+import type { Upstream } from '../../adapters/upstream/upstream';
+import { organisationNameOf } from '../../core/gateway/routes';
+import { brandAs, later } from '../../core/ids';
+import type { DomainId, InstanceId } from '../../core/ids';
+import { fail } from '../../utils/errors';
+import type { EvacuatedZones } from './evacuations';
+import { evacuatedError, heldBackError } from './exchange';
+import type { Exchange } from './exchange';
+import type { ServingGroup } from './group-index';
+import type { GroupFinding } from './group-suspicions';
+import type { Quarantine } from './quarantine/quarantine';
+import type { RunTarget } from './quarantine/server-checks';
+import type { RouteTimes } from './route-times';
+import { abortReason, relay } from './stream-relay';
+import type { AttemptResult, RelayDeps, Slot, StreamState } from './stream-relay';
+import { traceGroup } from './stream-trace';
+import type { Throttle } from './throttle';
+
+export interface AttemptDeps extends RelayDeps {
+  readonly throttle: Throttle;
+  readonly upstream: Pick<Upstream, 'send'>;
+  readonly evacuations: EvacuatedZones;
+  readonly quarantine: Pick<Quarantine, 'begin'>;
+  readonly times: RouteTimes;
+}
+
+/** Sends the request to one group and forwards its events. */
+export async function attempt(
+  deps: AttemptDeps,
+  exchange: Exchange,
+  group: ServingGroup,
+  state: StreamState,
+): Promise<AttemptResult> {
+  const { ctx, groupRegistry, upstream, dialect, throttle, evacuations } = deps;
+  const { head } = group;
+  const stop = new AbortController();
+  const now = ctx.clock.now();
+  const slot: Slot = { sentAt: now, prefilledAt: undefined, lastEventAt: undefined };
+  let finding: GroupFinding | undefined;
+  const run = deps.quarantine.begin(exchange, runTargetOf(group), slot);
+  const sendUntil = later(exchange.answerBy, 0);
+  const timer = setTimeout(
+    () => {
+      stop.abort(new Error('deadline reached'));
+    },
+    Math.max(1, sendUntil - now),
+  );
+  const onDisconnect = (): void => {
+    stop.abort(new Error('caller disconnected'));
+  };
+  exchange.gone.addEventListener('abort', onDisconnect, { once: true });
+  const stalls = merge(groupRegistry.stalls, groupRegistry.evacuated).subscribe((stall) => {
+    if (stall.head !== head.id) return;
+    finding = groupRegistry.finding(group.id);
+    stop.abort(new Error('group stalled'));
+  });
+  /** Only a connection that neither this daemon nor the caller gave up was broken by the server. */
+  const noteEnd = (result: AttemptResult): AttemptResult => {
+    const { prefilledAt, lastEventAt } = slot;
+    state.trace = traceGroup(groupRegistry, { group, finding, lastEventAt }, ctx.clock.now());
+    state.answeringMs =
+      prefilledAt === undefined ? undefined : Math.round(ctx.clock.now() - prefilledAt);
+    const isBroken = result === 'lost' && !stop.signal.aborted;
+    if (isBroken) run.broken();
+    else run.ended(result === 'complete' || result === 'passed-on');
+    return result;
+  };
+  try {
+    const organisation = organisationNameOf(exchange.caller);
+    const { method = 'POST', url = '/', rawHeaders } = exchange.req;
+    const sent = await upstream.send({
+      address: head.address,
+      method,
+      path: url,
+      headers: dialect.forward(rawHeaders, {
+        server: head.name,
+        leftMs: sendUntil - now,
+        bodyBytes: exchange.body.length,
+        ...(organisation !== undefined && { organisation }),
+        ...(state.lastId !== undefined && { lastEventId: String(state.lastId) }),
+      }),
+      body: exchange.body,
+      ...(exchange.facts.requestId !== undefined && { requestId: exchange.facts.requestId }),
+      ownConnection: false,
+      signal: stop.signal,
+      beforeSend: () => {
+        if (ctx.clock.now() >= sendUntil)
+          return fail('deadline-exceeded', 'deadline reached before sending', { step: 'send' });
+        if (evacuations.isEvacuated(head.zone)) return evacuatedError();
+        if (throttle.maySend(head.id)) return undefined;
+        return heldBackError(throttle.isBackingOff(head.id));
+      },
+    });
+    if (sent.kind !== 'answered') {
+      if (sent.kind === 'not-sent') throttle.returnToken(head.id);
+      state.reason = abortReason(stop.signal, sent.error.message);
+      if (exchange.gone.aborted) return noteEnd('caller-gone');
+      if (sent.kind === 'lost') return noteEnd('lost');
+      if (sent.error.code === 'unavailable' && !stop.signal.aborted) {
+        groupRegistry.noteUnreachable({ group: group.id, head: head.id }, state.reason);
+      }
+      return noteEnd('not-sent');
+    }
+    const answered = { deps, exchange, group, state, answered: sent, stop: stop.signal, slot };
+    return noteEnd(await relay(answered));
+  } finally {
+    clearTimeout(timer);
+    exchange.gone.removeEventListener('abort', onDisconnect);
+    stalls.unsubscribe();
+    releaseSlot(deps, exchange, head.id, slot);
+  }
+}
+
+function releaseSlot(
+  { ctx, groupRegistry, times }: AttemptDeps,
+  { route, facts }: Exchange,
+  head: InstanceId,
+  { sentAt, prefilledAt }: Slot,
+): void {
+  if (prefilledAt === undefined) {
+    groupRegistry.noteEnded(head, facts.promptTokens);
+    return;
+  }
+  const holdMs = ctx.clock.now() - sentAt;
+  times.noteHold(route, holdMs);
+  times.noteFirstEvent(route, prefilledAt - sentAt);
+  groupRegistry.noteEnded(head, 0, holdMs);
+}
+
+function runTargetOf({ id, head }: ServingGroup): RunTarget {
+  const { id: server, address, domain = brandAs<DomainId>(server) } = head;
+  return { server, address, group: id, domain };
+}
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -3,35 +3,22 @@
  * resumed at another group after its last event, within the same answer, if its route allows this.
  */
 
-import { merge } from 'rxjs';
-
-import type { Upstream } from '../../adapters/upstream/upstream';
-import { organisationNameOf } from '../../core/gateway/routes';
-import { brandAs, later } from '../../core/ids';
-import type { DomainId, InstanceId, ModelId, MonoTime } from '../../core/ids';
-import { fail } from '../../utils/errors';
-import type { Throttle } from './throttle';
+import { later } from '../../core/ids';
+import type { ModelId, MonoTime } from '../../core/ids';
 import type { ServingGroup } from './group-index';
-import {
-  endUnanswered,
-  logRequestEnd,
-  logFailedAttempt,
-  evacuatedError,
-  heldBackError,
-} from './exchange';
+import { endUnanswered, logRequestEnd, logFailedAttempt } from './exchange';
 import type { Exchange } from './exchange';
 import { takeSlot } from './take-slot';
 import type { SlotDeps } from './take-slot';
-import type { EvacuatedZones } from './evacuations';
 import type { Quarantine } from './quarantine/quarantine';
-import type { RunTarget } from './quarantine/server-checks';
 import type { Retries } from './retries';
 import type { ServerLinkWatch } from './server-links';
 import { createRouteTimes } from './route-times';
-import type { RouteTimes } from './route-times';
-import { endFailedStream, streamTimesOf } from './stream-end';
-import { abortReason, relay } from './stream-relay';
-import type { AttemptResult, Slot, RelayDeps, StreamState } from './stream-relay';
+import { attempt } from './stream-attempt';
+import type { AttemptDeps } from './stream-attempt';
+import { endFailedStream, streamEndOf } from './stream-end';
+import type { AttemptResult, StreamState } from './stream-relay';
+import type { Lack } from './stream-trace';
 
 /**
  * A group that lost a member is formed again from warm servers in little more than half a second.
@@ -43,11 +30,8 @@
  */
 const MAX_UNREACHABLE_HEADS = 4;
 
-export interface StreamDeps extends RelayDeps, SlotDeps {
-  readonly throttle: Throttle;
-  readonly upstream: Pick<Upstream, 'send'>;
+export interface StreamDeps extends Omit<AttemptDeps, 'times'>, SlotDeps {
   readonly retries: Retries;
-  readonly evacuations: EvacuatedZones;
   readonly quarantine: Quarantine;
   readonly serverLinks: Pick<ServerLinkWatch, 'isUnreachable'>;
 }
@@ -135,13 +119,17 @@
     return group;
   };
 
-  const canRetry = (exchange: Exchange, state: StreamState, result: AttemptResult): boolean => {
-    const { route } = exchange;
-    if (exchange.gone.aborted || ctx.clock.now() >= exchange.answerBy) return false;
-    if (result === 'not-sent') return state.unreached < MAX_UNREACHABLE_HEADS;
-    if (state.attempts >= route.maxAttempts) return false;
-    if (result === 'lost' && !route.isResumable) return false;
-    return retries.mayRetry(exchange.service);
+  /** What the stream lacks to be sent again; takes a retry from the budget if that is all it needs. */
+  const lackedForRetry = (
+    { route, service, answerBy }: Exchange,
+    { attempts, unreached }: StreamState,
+    result: AttemptResult,
+  ): Lack | undefined => {
+    if (ctx.clock.now() >= answerBy) return 'time';
+    if (result === 'not-sent') return unreached < MAX_UNREACHABLE_HEADS ? undefined : 'attempt';
+    if (attempts >= route.maxAttempts) return 'attempt';
+    if (result === 'lost' && !route.isResumable) return 'resume';
+    return retries.mayRetry(service) ? undefined : 'retry';
   };
 
   const call = async (exchange: Exchange): Promise<void> => {
@@ -158,6 +146,8 @@
       waitedMs: 0,
       firstEventAt: undefined,
       answeringMs: undefined,
+      trace: undefined,
+      lacked: undefined,
       reason: 'no group of the model has free capacity',
     };
     if (model === undefined) {
@@ -172,7 +162,10 @@
     deps.arrivals.note(model);
     for (;;) {
       const group = await findGroup(exchange, model, state);
-      if (!group) break;
+      if (!group) {
+        if (state.tried.size > 0) state.lacked = 'slot';
+        break;
+      }
       state.tried.add(group.head.id);
       state.server = group.head.id;
       const result = await attempt({ ...deps, times }, exchange, group, state);
@@ -181,133 +174,29 @@
       if (result === 'complete' || result === 'passed-on') {
         const status = exchange.res.statusCode;
         const { attempts } = state;
-        const server = group.head.id;
         logRequestEnd(ctx, exchange, {
           outcome: 'served',
           status,
           attempts,
-          server,
-          ...streamTimesOf(exchange, state),
+          ...streamEndOf(exchange, state),
         });
         return;
       }
       const { reason, answeringMs } = state;
       logFailedAttempt(ctx, exchange, {
         server: group.head.id,
-        group: group.id,
         ended: result,
         reason,
+        ...state.trace,
         ...(answeringMs !== undefined && { answeringMs }),
       });
       if (result === 'lost') state.exposure = 'unknown';
-      if (result === 'caller-gone' || !canRetry(exchange, state, result)) break;
+      if (result === 'caller-gone' || exchange.gone.aborted) break;
+      state.lacked = lackedForRetry(exchange, state, result);
+      if (state.lacked !== undefined) break;
     }
     endFailedStream(deps, exchange, state);
   };
 
   return { call };
 }
-
-/** Sends the request to one group and forwards its events. */
-async function attempt(
-  deps: StreamDeps & { readonly times: RouteTimes },
-  exchange: Exchange,
-  group: ServingGroup,
-  state: StreamState,
-): Promise<AttemptResult> {
-  const { ctx, groupRegistry, upstream, dialect, throttle, evacuations } = deps;
-  const { head } = group;
-  const stop = new AbortController();
-  const now = ctx.clock.now();
-  const slot: Slot = { sentAt: now, prefilledAt: undefined };
-  const run = deps.quarantine.begin(exchange, runTargetOf(group), slot);
-  const sendUntil = later(exchange.answerBy, 0);
-  const timer = setTimeout(
-    () => {
-      stop.abort(new Error('deadline reached'));
-    },
-    Math.max(1, sendUntil - now),
-  );
-  const onDisconnect = (): void => {
-    stop.abort(new Error('caller disconnected'));
-  };
-  exchange.gone.addEventListener('abort', onDisconnect, { once: true });
-  const stalls = merge(groupRegistry.stalls, groupRegistry.evacuated).subscribe((stall) => {
-    if (stall.head === head.id) stop.abort(new Error('group stalled'));
-  });
-  /** Only a connection that neither this daemon nor the caller gave up was broken by the server. */
-  const noteEnd = (result: AttemptResult): AttemptResult => {
-    const { prefilledAt } = slot;
-    state.answeringMs =
-      prefilledAt === undefined ? undefined : Math.round(ctx.clock.now() - prefilledAt);
-    const isBroken = result === 'lost' && !stop.signal.aborted;
-    if (isBroken) run.broken();
-    else run.ended(result === 'complete' || result === 'passed-on');
-    return result;
-  };
-  try {
-    const organisation = organisationNameOf(exchange.caller);
-    const { method = 'POST', url = '/', rawHeaders } = exchange.req;
-    const sent = await upstream.send({
-      address: head.address,
-      method,
-      path: url,
-      headers: dialect.forward(rawHeaders, {
-        server: head.name,
-        leftMs: sendUntil - now,
-        bodyBytes: exchange.body.length,
-        ...(organisation !== undefined && { organisation }),
-        ...(state.lastId !== undefined && { lastEventId: String(state.lastId) }),
-      }),
-      body: exchange.body,
-      ...(exchange.facts.requestId !== undefined && { requestId: exchange.facts.requestId }),
-      ownConnection: false,
-      signal: stop.signal,
-      beforeSend: () => {
-        if (ctx.clock.now() >= sendUntil)
-          return fail('deadline-exceeded', 'deadline reached before sending', { step: 'send' });
-        if (evacuations.isEvacuated(head.zone)) return evacuatedError();
-        if (throttle.maySend(head.id)) return undefined;
-        return heldBackError(throttle.isBackingOff(head.id));
-      },
-    });
-    if (sent.kind !== 'answered') {
-      if (sent.kind === 'not-sent') throttle.returnToken(head.id);
-      state.reason = abortReason(stop.signal, sent.error.message);
-      if (exchange.gone.aborted) return noteEnd('caller-gone');
-      if (sent.kind === 'lost') return noteEnd('lost');
-      if (sent.error.code === 'unavailable' && !stop.signal.aborted) {
-        groupRegistry.noteUnreachable({ group: group.id, head: head.id }, state.reason);
-      }
-      return noteEnd('not-sent');
-    }
-    const answered = { deps, exchange, group, state, answered: sent, stop: stop.signal, slot };
-    return noteEnd(await relay(answered));
-  } finally {
-    clearTimeout(timer);
-    exchange.gone.removeEventListener('abort', onDisconnect);
-    stalls.unsubscribe();
-    releaseSlot(deps, exchange, head.id, slot);
-  }
-}
-
-function releaseSlot(
-  { ctx, groupRegistry, times }: StreamDeps & { readonly times: RouteTimes },
-  { route, facts }: Exchange,
-  head: InstanceId,
-  { sentAt, prefilledAt }: Slot,
-): void {
-  if (prefilledAt === undefined) {
-    groupRegistry.noteEnded(head, facts.promptTokens);
-    return;
-  }
-  const holdMs = ctx.clock.now() - sentAt;
-  times.noteHold(route, holdMs);
-  times.noteFirstEvent(route, prefilledAt - sentAt);
-  groupRegistry.noteEnded(head, 0, holdMs);
-}
-
-function runTargetOf({ id, head }: ServingGroup): RunTarget {
-  const { id: server, address, domain = brandAs<DomainId>(server) } = head;
-  return { server, address, group: id, domain };
-}
--- a/src/app/gateway/stream-end.ts
+++ b/src/app/gateway/stream-end.ts
@@ -8,7 +8,7 @@
   RETRY_AFTER_UNSERVED,
   retryAfterDelay,
 } from './exchange';
-import type { Exchange, RetryAfter, StreamTimes } from './exchange';
+import type { Exchange, RetryAfter, StreamEnd } from './exchange';
 import type { GroupRegistry } from './group-registry';
 import type { Quarantine } from './quarantine/quarantine';
 import type { StreamState } from './stream-relay';
@@ -19,12 +19,15 @@
   readonly quarantine: Pick<Quarantine, 'standing'>;
 }
 
-/** Where the time of the stream was spent, for its log line. */
-export function streamTimesOf(
+/** Where the time of the stream was spent and what happened to its group, for its log line. */
+export function streamEndOf(
   { arrivedAt }: Exchange,
-  { waitedMs, firstEventAt }: StreamState,
-): StreamTimes {
+  { waitedMs, firstEventAt, server, trace, lacked }: StreamState,
+): StreamEnd {
   return {
+    ...(server !== undefined && { server }),
+    ...trace,
+    ...(lacked !== undefined && { lacked }),
     waitedMs: Math.round(waitedMs),
     ...(firstEventAt !== undefined && { firstEventMs: Math.round(firstEventAt - arrivedAt) }),
   };
@@ -56,23 +59,24 @@
   exchange: Exchange,
   state: StreamState,
 ): void {
-  const { attempts, exposure, server, reason } = state;
+  const { attempts, exposure, reason } = state;
   const { res, gone: callerSignal } = exchange;
-  const times = streamTimesOf(exchange, state);
+  const details = streamEndOf(exchange, state);
+  if (state.lacked !== undefined)
+    ctx.metrics.count('nutmegstack_streams_not_resumed_total', { lacked: state.lacked });
   if (callerSignal.aborted) {
     logRequestEnd(ctx, exchange, {
       outcome: 'caller-gone',
       status: 0,
       attempts,
       reason,
-      ...(server !== undefined && { server }),
-      ...times,
+      ...details,
     });
     return;
   }
   const standing = quarantine.standing(exchange);
   if (!state.hasStarted && (standing === 'held' || standing === 'refused')) {
-    endQuarantined(ctx, exchange, standing, { exposure, attempts, times });
+    endQuarantined(ctx, exchange, standing, { exposure, attempts, details });
     return;
   }
   if (!state.hasStarted) {
@@ -81,7 +85,7 @@
       exposure,
       reason: attempts === 0 ? (noSlot?.reason ?? reason) : reason,
       attempts,
-      times,
+      details,
       ...(noSlot && { retryAfter: noSlot.retryAfter }),
     });
     return;
@@ -89,5 +93,5 @@
   // The caller must not take the partial answer for a complete one.
   res.destroy();
   const status = res.statusCode;
-  logRequestEnd(ctx, exchange, { outcome: 'torn', status, attempts, reason, ...times });
+  logRequestEnd(ctx, exchange, { outcome: 'torn', status, attempts, reason, ...details });
 }
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -9,6 +9,7 @@
 import type { GatewayContext } from './context';
 import type { Exchange, Execution } from './exchange';
 import type { ServerNotices } from './server-notices';
+import type { GroupTrace, Lack } from './stream-trace';
 
 export interface RelayDeps {
   readonly ctx: GatewayContext;
@@ -36,6 +37,10 @@
   firstEventAt: MonoTime | undefined;
   /** Of the last attempt: time from its first event to its end, milliseconds. */
   answeringMs: number | undefined;
+  /** The group of the last attempt. */
+  trace: GroupTrace | undefined;
+  /** Why it did not go on in another group. */
+  lacked: Lack | undefined;
   reason: string;
 }
 
@@ -44,6 +49,7 @@
   readonly sentAt: MonoTime;
   /** When the first event showed that the prefill was done. */
   prefilledAt: MonoTime | undefined;
+  lastEventAt: MonoTime | undefined;
 }
 
 /** An answer that is being forwarded. */
@@ -129,7 +135,6 @@
   const { res: upstreamRes, hasFailed } = relayedAnswer.answered;
   const { res } = exchange;
   const reader = createEventReader();
-  let lastEventAt: MonoTime | undefined;
   return new Promise((resolve) => {
     const start = (): void => {
       if (state.hasStarted) return;
@@ -155,8 +160,9 @@
       }
       if (forwarded.length === 0) return;
       const now = ctx.clock.now();
+      const { lastEventAt } = slot;
       groupRegistry.noteEvent(head, lastEventAt === undefined ? undefined : now - lastEventAt);
-      lastEventAt = now;
+      slot.lastEventAt = now;
       if (slot.prefilledAt === undefined)
         groupRegistry.notePrefilled(head, exchange.facts.promptTokens);
       slot.prefilledAt ??= now;
--- /dev/null
+++ b/tests/gateway/stream-fixture.ts
@@ -0,0 +1,277 @@
+/** Streams of one daemon against servers that a test lets answer event by event; no network. Requires fake timers. */
+
+import { EventEmitter } from 'node:events';
+import type { IncomingMessage } from 'node:http';
+import { BehaviorSubject, Subject } from 'rxjs';
+import { vi } from 'vitest';
+
+import { createLogger } from '../../src/adapters/telemetry/logger';
+import type { UpstreamCall, UpstreamResult } from '../../src/adapters/upstream/upstream';
+import { createArrivals } from '../../src/app/gateway/arrivals';
+import { NO_EVACUATIONS } from '../../src/app/gateway/evacuations';
+import type { Exchange } from '../../src/app/gateway/exchange';
+import { createGroupRegistry } from '../../src/app/gateway/group-registry';
+import type { GroupRegistry, Stall } from '../../src/app/gateway/group-registry';
+import type { Retries } from '../../src/app/gateway/retries';
+import type { ServerRegistry } from '../../src/app/gateway/server-registry';
+import { createStreamCalls } from '../../src/app/gateway/stream-call';
+import type { StreamDeps } from '../../src/app/gateway/stream-call';
+import { createWaitQueue } from '../../src/app/gateway/wait-queue';
+import type { RouteTable } from '../../src/core/gateway/routes';
+import type { Route } from '../../src/core/gateway/types';
+import { brandAs, later } from '../../src/core/ids';
+import type { GroupId, InstanceId } from '../../src/core/ids';
+import { fail } from '../../src/utils/errors';
+import { createFakeClock } from './fake-time';
+import { ENGINE, inGroup, instance, makeContext, makeQuarantine, makeRoute } from './support';
+import { makeServer, makeThrottle, HEALTHY_LINKS, SERVICE, SMALL } from './support';
+
+const TABLE = {
+  config: { services: [{ name: SERVICE, engine: ENGINE }] },
+  service: () => ({ name: SERVICE, engine: ENGINE }),
+} as unknown as RouteTable;
+const TICK_MS = 50;
+const FRESH_LOADS = { coversMost: true, isLeaderless: false, ageMs: 200 };
+const NO_LOADS = { running: [], paces: [], waiting: [] };
+const DEADLINE_MS = 20_000;
+/** Number of the last event of each stream. */
+export const LAST_EVENT = 6;
+
+/** One request at a server. */
+export class ServerRun extends EventEmitter {
+  readonly statusCode = 200;
+  readonly rawHeaders: string[] = [];
+  readonly headers = {};
+  complete = false;
+  /** Whether the gateway has closed the connection. */
+  isClosed = false;
+
+  constructor(
+    readonly head: string,
+    /** Value of `Last-Event-Id`, as sent. */
+    readonly lastEventId: string | undefined,
+  ) {
+    super();
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.emit('close');
+  }
+
+  /** Sends events by number, in one write. */
+  send(...ids: readonly number[]): void {
+    this.emit('data', Buffer.from(ids.map((id) => `id: ${id}\ndata: piece\n\n`).join('')));
+  }
+
+  /** Sends the first bytes of an event. */
+  sendPart(id: number): void {
+    this.emit('data', Buffer.from(`id: ${id}\nda`));
+  }
+
+  /** Sends the events from `first` to the last one, and ends the answer. */
+  finishFrom(first: number): void {
+    for (let id = first; id <= LAST_EVENT; id++) this.send(id);
+    this.complete = true;
+    this.emit('end');
+  }
+}
+
+/** What a caller receives. */
+export interface CallerView {
+  readonly ids: () => readonly number[];
+  readonly state: () => 'open' | 'whole' | 'torn';
+  readonly status: () => number | undefined;
+  /** Closes the caller's connection. */
+  readonly leave: () => void;
+  /** Resolves once the gateway has ended the request. */
+  readonly ended: Promise<void>;
+}
+
+export interface StreamWorldOptions {
+  /** Number of groups, with heads `s0`, `s1`, ... */
+  readonly groups: number;
+  readonly route?: Partial<Route>;
+  /** Retries that may be taken; or a budget of the test's own. */
+  readonly retries?: number | ((world: Pick<StreamWorld, 'ctx'>) => Retries);
+}
+
+export interface StreamWorld {
+  readonly ctx: ReturnType<typeof makeContext>;
+  readonly registry: GroupRegistry;
+  readonly runs: readonly ServerRun[];
+  readonly lines: () => readonly Record<string, unknown>[];
+  readonly retriesLeft: () => number;
+  request(id?: string, leftBefore?: boolean): Promise<CallerView>;
+  /** The latest request at the server. */
+  runAt(head: string): ServerRun;
+  stallOf(head: string): Stall;
+  /** Takes all slots of the group for requests of other daemons, or frees them. */
+  setFull(head: string, isFull: boolean): void;
+  /** Passes time, with regular ticks. */
+  pass(ms: number): Promise<void>;
+}
+
+export function groupOf(head: string): GroupId {
+  return brandAs<GroupId>(`group-of-${head}`);
+}
+
+function countedRetries(count: number) {
+  let left = count;
+  const mayRetry = (): boolean => {
+    if (left === 0) return false;
+    left -= 1;
+    return true;
+  };
+  const retries = { noteRequest: () => undefined, mayRetry, hasRetry: () => left > 0 };
+  return { retries, left: () => left };
+}
+
+function createCaller(id: string, route: Route, now: Exchange['arrivedAt']) {
+  const gone = new AbortController();
+  const received: Buffer[] = [];
+  let state: 'open' | 'whole' | 'torn' = 'open';
+  let status: number | undefined;
+  const res = {
+    statusCode: 200,
+    headersSent: false,
+    writeHead: (code: number) => {
+      status = code;
+      res.headersSent = true;
+    },
+    write: (bytes: Buffer) => received.push(bytes),
+    end: () => {
+      state = 'whole';
+    },
+    destroy: () => {
+      state = 'torn';
+    },
+  };
+  const deadline = later(now, DEADLINE_MS);
+  const exchange = {
+    ...{ req: { headers: {}, rawHeaders: [] }, res, body: Buffer.from(id), route },
+    facts: { model: SMALL, promptTokens: 10, requestId: id },
+    ...{ service: SERVICE, caller: { kind: 'public' }, priority: 1 },
+    ...{ arrivedAt: now, deadline, answerBy: deadline, slotBy: later(now, 1_300) },
+    gone: gone.signal,
+  } as unknown as Exchange;
+  const ids = (): number[] =>
+    [
+      ...Buffer.concat(received)
+        .toString()
+        .matchAll(/^id: (\d+)$/gm),
+    ].map(([, n]) => Number(n));
+  const leave = (): void => {
+    gone.abort(new Error('caller disconnected'));
+  };
+  return { exchange, view: { ids, state: () => state, status: () => status, leave } };
+}
+
+export function createStreamWorld({
+  groups,
+  route: routeOptions = {},
+  retries: retryOptions = 9,
+}: StreamWorldOptions): StreamWorld {
+  const lines: Record<string, unknown>[] = [];
+  const logger = createLogger({
+    write: (line) => lines.push(JSON.parse(line) as Record<string, unknown>),
+  });
+  const ctx = makeContext({ clock: createFakeClock(), logger });
+  const heads = Array.from({ length: groups }, (_, n) =>
+    makeServer(`s${n}`, {
+      model: SMALL,
+      ...inGroup(groupOf(`s${n}`), 0, 'open'),
+    }),
+  );
+  const addresses = new Map(heads.map(({ id, address }) => [address, id]));
+  const serverRegistry = {
+    servers: new Map(heads.map((server) => [server.id, server])),
+    changes: new Subject<void>(),
+  } as unknown as ServerRegistry;
+  const routes = new BehaviorSubject<RouteTable | undefined>(TABLE);
+  const throttle = makeThrottle(ctx);
+  const registry = createGroupRegistry(ctx, serverRegistry, routes, throttle);
+  const full = new Set<InstanceId>();
+  const applyLoads = (): void => {
+    const running = [...full].map((head) => [head, 200, 0] as [InstanceId, number, number]);
+    registry.applyLoads({ ...NO_LOADS, running }, FRESH_LOADS);
+  };
+  applyLoads();
+
+  const runs: ServerRun[] = [];
+  const send = ({
+    address,
+    headers,
+    signal,
+    beforeSend,
+  }: UpstreamCall): Promise<UpstreamResult> => {
+    const refusal = signal.aborted
+      ? fail('cancelled', 'call aborted', { step: 'send' })
+      : beforeSend();
+    if (refusal) return Promise.resolve({ kind: 'not-sent', error: refusal });
+    const run = new ServerRun(addresses.get(address) ?? '', (headers as readonly string[])[0]);
+    runs.push(run);
+    signal.addEventListener('abort', () => {
+      run.close();
+    });
+    return Promise.resolve({
+      ...{ kind: 'answered', res: run as unknown as IncomingMessage, reused: false },
+      hasFailed: () => false,
+      destroy: () => {
+        run.isClosed = true;
+      },
+    });
+  };
+
+  const counted = countedRetries(typeof retryOptions === 'number' ? retryOptions : 0);
+  const deps = {
+    ...{ ctx, groupRegistry: registry, throttle, upstream: { send }, daemons: () => 1 },
+    retries: typeof retryOptions === 'number' ? counted.retries : retryOptions({ ctx }),
+    dialect: {
+      forward: (_: unknown, { lastEventId }: { readonly lastEventId?: string }) =>
+        lastEventId === undefined ? [] : [lastEventId],
+      reply: () => [],
+    },
+    notices: { read: () => ({ isSigned: true, isNotExecuted: false }) },
+    ...{ evacuations: NO_EVACUATIONS, quarantine: makeQuarantine(ctx) },
+    ...{ serverLinks: HEALTHY_LINKS, waitQueue: createWaitQueue(ctx, registry) },
+    arrivals: createArrivals(ctx),
+  } as unknown as StreamDeps;
+  const calls = createStreamCalls(deps);
+  const route = makeRoute({
+    ...{ kind: 'stream', isResumable: true, maxPauseMs: 250, timeoutMs: DEADLINE_MS },
+    ...routeOptions,
+  });
+
+  const pass = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += TICK_MS) {
+      await vi.advanceTimersByTimeAsync(Math.min(TICK_MS, ms - passed));
+      registry.tick();
+    }
+    await vi.advanceTimersByTimeAsync(0);
+  };
+
+  return {
+    ...{ ctx, registry, runs, pass },
+    lines: () => lines,
+    retriesLeft: counted.left,
+    request: async (id = 'request-1', hasLeft = false) => {
+      const { exchange, view } = createCaller(id, route, ctx.clock.now());
+      if (hasLeft) view.leave();
+      const ended = calls.call(exchange);
+      await vi.advanceTimersByTimeAsync(0);
+      return { ...view, ended };
+    },
+    runAt: (head) => {
+      const run = runs.findLast((one) => one.head === head);
+      if (!run) throw new Error(`no request at ${head}`);
+      return run;
+    },
+    stallOf: (head) => ({ group: groupOf(head), head: instance(head) }),
+    setFull: (head, isFull) => {
+      if (isFull) full.add(instance(head));
+      else full.delete(instance(head));
+      applyLoads();
+    },
+  };
+}
