Log how members of a stalled group answered, and publish what a loss rests on

Operators could not tell from a torn request's id why its group had been found lost: `members asked` listed only the ids of members without a report, not how long they were waited for, what servers of other domains did, or whether the asking process itself had run. `group suspected` named the daemon but no evidence.

The line now has the answers of members and references with their times, the age of the group's last event at any daemon, the longest delay of a tick of this process and an outcome, which nutmegstack_member_inspections_total{outcome} counts. The `stalled` message carries the evidence of a loss; it is optional, so daemons without it understand the message. No decision changes.

To tell a refused port and a restarted server from silence, a request for a report now fails with `backend-refused` and `backend-lost`. The test of a report of a later incarnation expected `unavailable`; it now expects the more specific code.

New tests: member-inspection, stall-reporting, spoiled-bodies (refused or silent).

--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -40,6 +40,7 @@
   nutmegstack_cold_servers: 'Cold servers that take requests and have a bound on them',
   nutmegstack_refusals_total: 'Requests that belong to no route or organisation, by status',
   nutmegstack_orders_total: 'Orders to members of replica groups by kind and result',
+  nutmegstack_member_inspections_total: 'Inspections of the members of stalled groups, by outcome',
   nutmegstack_slow_checks_total: 'Checks of slow groups for slow members, by outcome',
   nutmegstack_slow_reports_total: 'Reports requested to find slow servers',
   nutmegstack_evacuated_zones: 'Zones that the operator evacuated, as far as this daemon knows',
--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -137,9 +137,9 @@
     refused: ({ requests }, { from }) => {
       quarantine.applyRefused(requests, `peer ${from}`);
     },
-    stalled: ({ group, head, finding }, { from }) => {
-      if (groupRegistry.find(head)?.id === group)
-        stallReporting.receive(finding, { group, head }, from);
+    stalled: ({ group, head, finding, evidence }, { from }) => {
+      if (groupRegistry.find(head)?.id !== group) return;
+      stallReporting.receive(finding, { group, head, ...(evidence && { evidence }) }, from);
     },
     limits: (message, { from }) => {
       rateLimits.applyReport(message.limits, `peer ${from}`);
--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -28,6 +28,7 @@
 import type { Evacuations } from './evacuations';
 import type { Leadership } from './lease';
 import { createMemberInspection } from './member-inspection';
+import type { LastEventAt } from './member-inspection';
 import { createModelDemand } from './model-demand';
 import { logReassignments } from './reassignment-log';
 import type { ServerRegistry } from './server-registry';
@@ -39,7 +40,7 @@
   /** Notes that the streams of a group have stalled, which shows that it lost a member. */
   noteStalled(stall: Stall): void;
   /** Asks the members of a stalled group for reports and replaces those that do not answer. */
-  inspect(stall: Stall): void;
+  inspect(stall: Stall, lastEventAt?: LastEventAt): void;
   /** Groups with a member that did not answer and is therefore considered lost. */
   readonly lost: Observable<Stall>;
   /** To be called once any daemon serves callers. */
@@ -246,8 +247,8 @@
       const service = serverRegistry.servers.get(head)?.service;
       if (service !== undefined) states.set(service, noteStalled(stateOf(service), group));
     },
-    inspect: (stall) => {
-      inspection.inspect(stall);
+    inspect: (stall, lastEventAt) => {
+      inspection.inspect(stall, lastEventAt);
     },
     lost: inspection.lost,
     noteTraffic: () => {
--- a/src/app/gateway/group-registry-types.ts
+++ b/src/app/gateway/group-registry-types.ts
@@ -5,7 +5,7 @@
 import type { GroupCandidate } from '../../core/gateway/balance';
 import type { OfferedLoad } from '../../core/gateway/capacity';
 import type { LoadSample } from '../../core/gateway/forming/demand';
-import type { Evidence } from '../../core/gateway/suspicion';
+import type { Evidence, LossEvidence } from '../../core/gateway/suspicion';
 import type { ModelWork, WaitingLoad } from '../../core/gateway/work';
 import type { GroupId, InstanceId, ModelId, MonoTime, ServiceId } from '../../core/ids';
 import type { ServingGroup } from './group-index';
@@ -17,6 +17,8 @@
 export interface Stall {
   readonly group: GroupId;
   readonly head: InstanceId;
+  /** What a loss that the leader found rests on; `silent` if absent. */
+  readonly evidence?: LossEvidence;
 }
 
 /** Requirements of a stream on its group. */
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -197,6 +197,8 @@
   group: z.string().transform((id) => brandAs<GroupId>(id)),
   head: instanceIdSchema,
   finding: findingSchema,
+  /** Of the finding `lost`; `silent` if absent, as from daemons that know no evidence. */
+  evidence: z.enum(['ended', 'silent']).optional(),
 });
 
 /** Sent in this program's internal representation: all daemons run the same program. */
--- a/src/app/gateway/stall-reporting.ts
+++ b/src/app/gateway/stall-reporting.ts
@@ -53,20 +53,28 @@
   /** When groups last gave an event to a peer, by head. */
   const lastEvents = new Map<InstanceId, MonoTime>();
 
+  /** When the group last gave an event to any daemon, as far as this one knows. */
+  const eventTimeOf = (head: InstanceId) => (): MonoTime | undefined =>
+    latest(lastEvents.get(head), groupRegistry.lastEventAt(head));
+
   /** Suspends the group for a while, moves its streams, and has the leader inspect it. */
-  const actOn = ({ group, head }: Stall, finding: 'confirmed' | 'lost', source: string): void => {
+  const actOn = (stall: Stall, finding: 'confirmed' | 'lost', source: string): void => {
+    const { group, head, evidence: lossEvidence } = stall;
     const evidence = finding === 'lost' ? 'lost' : 'silent';
     const isNew = groupRegistry.suspect(group, evidence, source);
-    groupRegistry.evacuate({ group, head });
+    groupRegistry.evacuate(stall);
     if (finding === 'confirmed') {
-      planner.noteStalled({ group, head });
-      planner.inspect({ group, head });
+      planner.noteStalled(stall);
+      planner.inspect(stall, eventTimeOf(head));
     }
     // In a large fleet only the leader receives reports, so it publishes what it concludes from
     // them.
     const mustBroadcast = finding === 'lost' || (isNew && fleet.isLarge());
     if (mustBroadcast && leadership.heldFencing() !== undefined) {
-      fleet.broadcastAsLeader({ kind: 'stalled', group, head, finding });
+      fleet.broadcastAsLeader({
+        ...{ kind: 'stalled', group, head, finding },
+        ...(lossEvidence && { evidence: lossEvidence }),
+      });
     }
   };
 
@@ -81,7 +89,7 @@
     const running = groupRegistry.hasPeerLoads()
       ? groupRegistry.runningOnPeers(head)
       : ASSUMED_RUNNING;
-    const eventAt = latest(lastEvents.get(head), groupRegistry.lastEventAt(head));
+    const eventAt = eventTimeOf(head)();
     const isSure = isStallConfirmed(reports, group, { running, eventAt }, now);
     ctx.logger.info('group seen silent', { step: 'stall', group, reporter, running, isSure });
     if (isSure) actOn(stall, 'confirmed', `reported by ${reporter}`);
@@ -93,13 +101,14 @@
   > = {
     seen: noteReport,
     unreachable: (stall) => {
-      planner.inspect(stall);
+      planner.inspect(stall, eventTimeOf(stall.head));
     },
     confirmed: (stall, reporter) => {
       actOn(stall, 'confirmed', `confirmed by ${reporter}`);
     },
     lost: (stall, reporter) => {
-      groupRegistry.suspect(stall.group, 'lost', `found by ${reporter}`);
+      const { group, evidence = 'silent' } = stall;
+      groupRegistry.suspect(group, 'lost', `found by ${reporter}, members ${evidence}`);
       groupRegistry.evacuate(stall);
     },
   };
@@ -133,7 +142,7 @@
     report(stall, 'unreachable');
   });
   planner.lost.subscribe((stall) => {
-    actOn(stall, 'lost', 'members asked');
+    actOn(stall, 'lost', `members asked: ${stall.evidence ?? 'silent'}`);
   });
 
   const noteIdleTimes = (idleTimes: PeerState['quiet']): void => {
--- a/src/core/gateway/suspicion.ts
+++ b/src/core/gateway/suspicion.ts
@@ -20,6 +20,12 @@
  */
 export type Evidence = 'silent' | 'unreachable' | 'rejecting' | 'lost';
 
+/**
+ * What the leader's finding that a group lost a member rests on: a server that ended, or only silence
+ * among servers that answer.
+ */
+export type LossEvidence = 'ended' | 'silent';
+
 /** First hold: long enough for the leader to probe the members. */
 const FIRST_HOLD_MS = 1_500;
 const MAX_HOLD_MS = 6_000;
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -122,6 +122,10 @@
   readonly heads: Observable<ResponseHeaders>;
   /** Never rejects: without a response the result is `unknown`, or `not-sent` if nothing was sent. */
   order(server: BackendServer, order: ServerOrder): Promise<OrderResult>;
+  /**
+   * Errors: `backend-refused` if the server's port refuses connections; `backend-lost` if another process
+   * answers there; `unavailable`, `bad-answer`.
+   */
   report(server: BackendServer, timeoutMs: number): ResultAsync<ServerReport, StepError>;
 }
 
--- /dev/null
+++ b/tests/gateway/asked-members.ts
@@ -0,0 +1,157 @@
+/**
+ * A leading daemon that inspects the members of groups over fake servers, in fake time: each server answers
+ * requests for its report after a delay, refuses them, or takes them and stays silent.
+ */
+
+import { err, errAsync, ok, ResultAsync } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { Subject } from 'rxjs';
+import { vi } from 'vitest';
+
+import { createLogger } from '../../src/adapters/telemetry/logger';
+import { createMemberInspection } from '../../src/app/gateway/member-inspection';
+import type { MemberInspectionOptions } from '../../src/app/gateway/member-inspection';
+import type { Stall } from '../../src/app/gateway/group-registry';
+import type { BackendServer } from '../../src/core/gateway/types';
+import { brandAs } from '../../src/core/ids';
+import type { DomainId, GroupId, InstanceId, MonoTime, ZoneId } from '../../src/core/ids';
+import { fail } from '../../src/utils/errors';
+import type { StepError } from '../../src/utils/errors';
+import { createFakeClock } from './fake-time';
+import { inGroup, makeContext, makeServer } from './support';
+
+/** When a server answers what it is asked at `now`: a time, `never`, or `refuses` at once. */
+export type Behaviour = (now: number) => number | 'never' | 'refuses';
+
+export const HEALTHY: Behaviour = (now) => now + 1;
+export const DARK: Behaviour = () => 'never';
+export const ENDED: Behaviour = () => 'refuses';
+
+/** Answers after so many milliseconds. */
+export const after =
+  (ms: number): Behaviour =>
+  (now) =>
+    now + ms;
+
+/** Stands still for `ms` from now on; what arrives meanwhile is answered afterwards. */
+export function paused(ms: number): Behaviour {
+  const until = Date.now() + ms;
+  return (now) => Math.max(now, until) + 1;
+}
+
+/** A request for a report that is neither answered nor given up. */
+interface PendingReport {
+  readonly answerAt: number;
+  readonly timeoutAt: number;
+  readonly resolve: (result: Result<unknown, StepError>) => void;
+}
+
+const NO_RESPONSE = fail('unavailable', 'no response', { step: 'report' });
+
+export interface GroupSpec {
+  readonly group: string;
+  readonly size: number;
+  readonly domain: string;
+  readonly zone?: string;
+}
+
+export function startAsking(groups: readonly GroupSpec[]) {
+  const servers = new Map<InstanceId, BackendServer>();
+  for (const { group, size, domain, zone = 'a' } of groups) {
+    for (let rank = 0; rank < size; rank++) {
+      const id = `s${servers.size + 1}`;
+      const place = { domain: brandAs<DomainId>(domain), zone: brandAs<ZoneId>(zone) };
+      const server = makeServer(id, { ...inGroup(group, rank, 'open'), ...place });
+      servers.set(server.id, server);
+    }
+  }
+  const behaviours = new Map<InstanceId, Behaviour>();
+  const clock = createFakeClock();
+  const lines: Record<string, unknown>[] = [];
+  const logger = createLogger({
+    write: (line) => lines.push(JSON.parse(line) as Record<string, unknown>) > 0,
+  });
+  const excluded = new Map<InstanceId, MonoTime>();
+  const found: { readonly stall: Stall; readonly at: number }[] = [];
+  let asked = 0;
+
+  const pending = new Set<PendingReport>();
+
+  /** Delivers the answers that have come, after giving up what has waited for too long. */
+  const settle = (): void => {
+    for (const report of pending) {
+      const isLate = Date.now() >= report.timeoutAt;
+      if (!isLate && Date.now() < report.answerAt) continue;
+      pending.delete(report);
+      report.resolve(isLate ? err(NO_RESPONSE) : ok({ slowdown: 1 }));
+    }
+  };
+
+  const answer = (server: BackendServer, timeoutMs: number) => {
+    asked += 1;
+    const now = Date.now();
+    const at = (behaviours.get(server.id) ?? HEALTHY)(now);
+    if (at === 'refuses') return errAsync(fail('backend-refused', 'refused', { step: 'report' }));
+    const answerAt = at === 'never' ? Infinity : at;
+    const timeoutAt = now + timeoutMs;
+    const result = new Promise<Result<unknown, StepError>>((resolve) => {
+      pending.add({ answerAt, timeoutAt, resolve });
+      setTimeout(settle, Math.min(answerAt, timeoutAt) - now);
+    });
+    return new ResultAsync(result);
+  };
+
+  const ctx = makeContext({ clock, logger });
+  const inspection = createMemberInspection(ctx, {
+    serverRegistry: { servers, lapsed: new Map(), changes: new Subject() },
+    leadership: { heldFencing: () => 1 },
+    servers: { report: answer },
+    isBusy: () => true,
+    evacuations: { isEvacuated: () => false },
+    noteLost: (lost: readonly BackendServer[], until: MonoTime) => {
+      for (const { id } of lost) excluded.set(id, until);
+    },
+    isReachedByPeer: () => Promise.resolve(false),
+    replan: () => undefined,
+  } as unknown as MemberInspectionOptions);
+  inspection.lost.subscribe((stall) => found.push({ stall, at: Date.now() }));
+
+  const membersOf = (group: string): InstanceId[] =>
+    [...servers.values()].filter((s) => s.membership?.group === group).map(({ id }) => id);
+  const set = (ids: readonly (InstanceId | undefined)[], behaviour: Behaviour): void => {
+    for (const id of ids) if (id !== undefined) behaviours.set(id, behaviour);
+  };
+
+  return {
+    ctx,
+    set,
+    membersOf,
+    excluded,
+    found,
+    all: (): InstanceId[] => [...servers.keys()],
+    inDomain: (domain: string): InstanceId[] =>
+      [...servers.values()].filter((s) => s.domain === domain).map(({ id }) => id),
+    inZone: (zone: string): InstanceId[] =>
+      [...servers.values()].filter((s) => s.zone === zone).map(({ id }) => id),
+    asked: () => asked,
+    /** The groups that were found lost, in order. */
+    lost: (): string[] => found.map(({ stall }) => stall.group),
+    lines: (message: string) => lines.filter((line) => line.message === message),
+    inspect: (group: string, lastEventAt?: () => MonoTime | undefined): void => {
+      const head = membersOf(group)[0];
+      if (head === undefined) throw new Error(`no group ${group}`);
+      inspection.inspect({ group: brandAs<GroupId>(group), head }, lastEventAt);
+    },
+    run: (ms: number) => vi.advanceTimersByTimeAsync(ms),
+    /** This process does not run for `ms`; then, as in an event loop, time limits pass before answers are read. */
+    block: (ms: number): void => {
+      vi.setSystemTime(Date.now() + ms);
+      for (const report of pending) {
+        if (Date.now() < report.timeoutAt) continue;
+        pending.delete(report);
+        report.resolve(err(NO_RESPONSE));
+      }
+      setTimeout(settle, 1);
+    },
+  };
+}
--- /dev/null
+++ b/tests/gateway/member-inspection.test.ts
@@ -0,0 +1,53 @@
+/** What the inspection of a group's members tells of it. */
+
+import { describe, expect, it } from 'vitest';
+
+import { DARK, ENDED, startAsking } from './asked-members';
+import { fakeTime } from './fake-time';
+import { at } from './support';
+
+const GROUPS = [
+  { group: 'g', size: 3, domain: 'd0' },
+  { group: 'h', size: 3, domain: 'd1' },
+];
+
+describe('the log line of an inspection', () => {
+  fakeTime();
+
+  // Guards against a group that ended without a record of what its members did, seen from where.
+  it('tells how each member answered, what this process did, and the age of the last event', async () => {
+    const test = startAsking(GROUPS);
+    const [, second, third] = test.membersOf('g');
+    test.set([second], DARK);
+    test.set([third], ENDED);
+    const eventAt = at(Date.now() - 700);
+    test.inspect('g', () => eventAt);
+    await test.run(100);
+    test.block(400);
+    await test.run(1_500);
+    const [line] = test.lines('members asked');
+    expect(line?.answers).toMatch(/^s1: \d+ms, s2: silent \d+ms, s3: ended$/);
+    expect(line?.eventAgeMs).toBeGreaterThanOrEqual(700);
+    expect(line?.longestDelayMs).toBeGreaterThanOrEqual(300);
+  });
+
+  it('tells what servers of other domains did if no member answers', async () => {
+    const test = startAsking(GROUPS);
+    test.set(test.membersOf('g'), DARK);
+    test.inspect('g');
+    await test.run(4_000);
+    expect(test.lines('members asked').at(-1)?.references).toMatch(/^s4: \d+ms, s5: \d+ms/);
+  });
+
+  it('names the outcome, which a metric counts', async () => {
+    const test = startAsking(GROUPS);
+    test.set(test.membersOf('g').slice(0, 1), ENDED);
+    test.inspect('g');
+    test.inspect('h');
+    await test.run(2_000);
+    expect(test.found.map(({ stall }) => stall.evidence)).toEqual(['ended']);
+    const text = await test.ctx.metrics.render();
+    for (const outcome of ['ended', 'answered'])
+      expect(text).toContain(`nutmegstack_member_inspections_total{outcome="${outcome}"} 1`);
+  });
+});
--- a/tests/gateway/spoiled-bodies.test.ts
+++ b/tests/gateway/spoiled-bodies.test.ts
@@ -28,6 +28,13 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
+/** Takes requests and never answers. */
+async function startSilent(): Promise<string> {
+  server = createServer((req) => req.resume());
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
 afterEach(() => {
   server.closeAllConnections();
   server.close();
@@ -96,12 +103,27 @@
     const address = await startAnswering('{"born":7}');
     const asked = { ...makeServer('s1', { address }), startedAt: brandAs<EpochTime>(5) };
     const report = await createServers().report(asked, 1_000);
-    expect(report._unsafeUnwrapErr().code).toBe('unavailable');
+    expect(report._unsafeUnwrapErr().code).toBe('backend-lost');
     const order = { kind: 'stage', model: brandAs<ModelId>('m') } as const;
     expect(await createServers().order(asked, order)).toBe('other-server');
   });
 });
 
+describe('a request for a report', () => {
+  // Guards against a server that is only silent being taken for one whose process has ended.
+  it('fails otherwise if the port refuses than if nothing answers', async () => {
+    const refusing = createServer();
+    await new Promise<void>((resolve) => refusing.listen(0, '127.0.0.1', resolve));
+    const address = `127.0.0.1:${(refusing.address() as AddressInfo).port}`;
+    await new Promise((resolve) => refusing.close(resolve));
+    const refused = await createServers().report(makeServer('s1', { address }), 1_000);
+    expect(refused._unsafeUnwrapErr().code).toBe('backend-refused');
+    const silent = await startSilent();
+    const unanswered = await createServers().report(makeServer('s1', { address: silent }), 50);
+    expect(unanswered._unsafeUnwrapErr().code).toBe('unavailable');
+  });
+});
+
 describe('a malformed answer', () => {
   it.each(MALFORMED)('is an error if a server reports %j', async (body) => {
     const address = await startAnswering(body);
--- a/tests/gateway/stall-reporting.test.ts
+++ b/tests/gateway/stall-reporting.test.ts
@@ -3,6 +3,7 @@
 
 import { createStallReporting } from '../../src/app/gateway/stall-reporting';
 import type { StallReportingDeps } from '../../src/app/gateway/stall-reporting';
+import { parseGatewayMessage } from '../../src/app/gateway/messages';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId, GroupId } from '../../src/core/ids';
 import { instance, makeContext, HEALTHY_LINKS } from './support';
@@ -67,3 +68,38 @@
     expect(callsFor('confirmed')).toEqual(['noteStalled', 'inspect']);
   });
 });
+
+describe('a loss that the leader found', () => {
+  // Guards against a group held back on all daemons without a trace of who found it lost, and why.
+  it('is published with its evidence, and noted with it by daemons that receive it', () => {
+    const sent: unknown[] = [];
+    const reasons: string[] = [];
+    const lost = new Subject();
+    const deps = {
+      ctx: makeContext(),
+      groupRegistry: {
+        ...{ stalls: new Subject(), unreachable: new Subject(), evacuate: () => undefined },
+        suspect: (_: unknown, __: unknown, reason: string) => reasons.push(reason) > 0,
+      },
+      fleet: { isLarge: () => false, broadcastAsLeader: (message: unknown) => sent.push(message) },
+      planner: { lost },
+      leadership: { heldFencing: () => 1 },
+      serverLinks: HEALTHY_LINKS,
+    } as unknown as StallReportingDeps;
+    const reporting = createStallReporting(deps);
+    lost.next({ ...STALL, evidence: 'ended' });
+    expect(sent).toEqual([{ kind: 'stalled', ...STALL, finding: 'lost', evidence: 'ended' }]);
+    reporting.receive('lost', { ...STALL, evidence: 'ended' }, REPORTER);
+    reporting.receive('lost', STALL, REPORTER);
+    expect(reasons).toEqual([
+      'members asked: ended',
+      'found by reporter, members ended',
+      'found by reporter, members silent',
+    ]);
+  });
+
+  it.each([[{ evidence: 'ended' }], [{}]])('is understood with and without it: %j', (more) => {
+    const message = { kind: 'stalled', ...STALL, finding: 'lost', ...more };
+    expect(parseGatewayMessage(message)).toEqual(message);
+  });
+});
