Count bytes between daemons by kind of message, and the cost of a configuration

A daemon's link was full of configurations, and nothing told whose bytes they were: the store's, or those of which peers. Nor did anything tell whether the observer's process had run when servers seemed silent.

New metrics: bytes sent to and received from peers by kind of message, bytes of the store's answers by collection, time from the receipt of a configuration until it is in force, and the longest delay of the event loop in the last 10 s. The log line of a version has its bytes and that time, and a delay of the loop of 200 ms or more is logged.

--- a/src/adapters/peers/link.ts
+++ b/src/adapters/peers/link.ts
@@ -25,8 +25,11 @@
   readonly limits: LinkLimits;
   /** Called once the peer is authenticated; returning false refuses it. */
   readonly onOpen: (peer: PeerName) => boolean;
-  /** Returns false for an invalid frame: the link is then closed. */
-  readonly onFrame: (frame: unknown) => boolean;
+  /**
+   * Returns false for an invalid frame: the link is then closed. `bytes` were received since the
+   * frame before, so they are exact to a chunk of the socket.
+   */
+  readonly onFrame: (frame: unknown, bytes: number) => boolean;
   /** Called once. The reason is `idle` if this side closed an unused link. */
   readonly onClose: (reason: string) => void;
 }
@@ -60,6 +63,8 @@
   let other: Hello | undefined;
   let reason = 'closed by the peer';
   let handshakeBytes = 0;
+  /** Received since the last frame. */
+  let frameBytes = 0;
 
   const timer = setTimeout(() => {
     destroy(`handshake not completed within ${limits.handshakeMs} ms`);
@@ -95,7 +100,7 @@
       open(other);
     },
     open: (frame) => {
-      if (!options.onFrame(frame)) destroy('invalid frame');
+      if (!options.onFrame(frame, frameBytes)) destroy('invalid frame');
     },
   };
 
@@ -113,12 +118,14 @@
   socket.setKeepAlive(true, limits.idleMs);
   socket.on('data', (chunk: Buffer) => {
     if (phase !== 'open') handshakeBytes += chunk.length;
+    frameBytes += chunk.length;
     if (handshakeBytes > limits.handshakeBytes)
       destroy(`more than ${limits.handshakeBytes} bytes before the end of the handshake`);
     else decoder.write(chunk);
   });
   decoder.on('data', (frame: unknown) => {
     if (!socket.destroyed) takeFrame[phase](frame);
+    frameBytes = 0;
   });
   decoder.on('error', (err: Error) => {
     destroy(`frame cannot be decoded: ${err.message}`);
--- a/src/adapters/peers/peers.ts
+++ b/src/adapters/peers/peers.ts
@@ -41,7 +41,7 @@
   closeMs: 500,
 };
 
-export interface PeersOptions<M> {
+export interface PeersOptions<M extends { readonly kind: string }> {
   readonly self: { readonly id: DaemonId; readonly address: string };
   /** Listen address, if it differs from the advertised one. */
   readonly listen?: string;
@@ -54,8 +54,12 @@
   readonly random: Random;
   readonly logger: Logger;
   readonly settings?: Partial<PeerSettings>;
+  /** Called for each message that is sent or received, with the bytes of its frame. */
+  readonly onMessage?: (way: MessageWay, kind: string, bytes: number) => void;
 }
 
+export type MessageWay = 'sent' | 'received';
+
 /** A received message, with its sender's advertised address. */
 export interface ReceivedFrom<M> extends Received<M> {
   readonly address: string;
@@ -88,7 +92,9 @@
 }
 
 /** Creates the peer connections of one daemon. */
-export function createPeers<M>(options: PeersOptions<M>): TcpPeers<M> {
+export function createPeers<M extends { readonly kind: string }>(
+  options: PeersOptions<M>,
+): TcpPeers<M> {
   const settings: PeerSettings = { ...PEER_DEFAULTS, ...options.settings };
   const { self, secret, tls, logger } = options;
   const name: PeerName = { id: self.id, address: self.address, process: randomUUID() };
@@ -105,7 +111,7 @@
   let server: Server | undefined;
   let stopped = false;
 
-  function takeFrame(peer: PeerName | undefined, frame: unknown): boolean {
+  function takeFrame(peer: PeerName | undefined, frame: unknown, bytes: number): boolean {
     const message = options.parse(frame);
     if (message === undefined || !peer) {
       // An incompatible daemon or a bug: always logged.
@@ -115,6 +121,7 @@
       });
       return false;
     }
+    options.onMessage?.('received', message.kind, bytes);
     received.next({ from: peer.id, address: peer.address, message });
     return true;
   }
@@ -158,7 +165,7 @@
         for (const bytes of attempt.queue) link.sendEncoded(bytes);
         return true;
       },
-      onFrame: (frame) => takeFrame(peer, frame),
+      onFrame: (frame, bytes) => takeFrame(peer, frame, bytes),
       onClose: (reason) => {
         dialling.delete(address);
         noteClosed(link);
@@ -195,7 +202,7 @@
         links.set(found.address, link);
         return true;
       },
-      onFrame: (frame) => takeFrame(peer, frame),
+      onFrame: (frame, bytes) => takeFrame(peer, frame, bytes),
       onClose: (reason) => {
         noteClosed(link);
         if (peer) {
@@ -211,28 +218,34 @@
   }
 
   /** `encode` is called only if a link is open or being opened. */
-  function sendEncoded(address: string, encode: () => Uint8Array): boolean {
+  function sendEncoded(address: string, kind: string, encode: () => Uint8Array): boolean {
     if (stopped || selfAddresses.has(address)) return false;
     const link = links.get(address);
-    if (link) return link.sendEncoded(encode());
+    if (link) {
+      const bytes = encode();
+      options.onMessage?.('sent', kind, bytes.length);
+      return link.sendEncoded(bytes);
+    }
     if (!dialling.has(address)) {
       if (!backoff.mayDial(address)) return false;
       openOutgoing(address);
     }
     const attempt = dialling.get(address);
     if (!attempt || attempt.queue.length >= settings.queuedMessages) return false;
-    attempt.queue.push(encode());
+    const bytes = encode();
+    options.onMessage?.('sent', kind, bytes.length);
+    attempt.queue.push(bytes);
     return true;
   }
 
   function send(address: string, message: M): boolean {
-    return sendEncoded(address, () => encodeFrame(message));
+    return sendEncoded(address, message.kind, () => encodeFrame(message));
   }
 
   function sendToAll(addresses: Iterable<string>, message: M): void {
     let encoded: Uint8Array | undefined;
     const encode = (): Uint8Array => (encoded ??= encodeFrame(message));
-    for (const address of addresses) sendEncoded(address, encode);
+    for (const address of addresses) sendEncoded(address, message.kind, encode);
   }
 
   function traffic(): PeerTraffic {
--- a/src/app/gateway/config-view.ts
+++ b/src/app/gateway/config-view.ts
@@ -10,7 +10,7 @@
 import type { GatewayConfig } from '../../core/gateway/types';
 import { later } from '../../core/ids';
 import type { MonoTime } from '../../core/ids';
-import type { Feed, OperatorEntry } from '../../ports/gateway';
+import type { Feed, OperatorEntry, Receipt } from '../../ports/gateway';
 import type { GatewayContext } from './context';
 import type { Evacuations } from './evacuations';
 import type { Leader } from './peer-view';
@@ -33,7 +33,7 @@
    * Puts a version in force if it is newer than the current one; a version is never downgraded.
    * Returns whether it did.
    */
-  adoptIfNewer(config: GatewayConfig, source: string): boolean;
+  adoptIfNewer(config: GatewayConfig, source: string, receipt?: Receipt): boolean;
 }
 
 /**
@@ -71,16 +71,19 @@
 
   const version = (): number => table.value?.config.version ?? 0;
 
-  const adoptIfNewer = (config: GatewayConfig, source: string): boolean => {
-    if (config.version <= version()) return false;
+  const adoptIfNewer = (config: GatewayConfig, source: string, receipt?: Receipt): boolean => {
+    const before = version();
+    if (config.version <= before) return false;
+    const startedAt = receipt?.at ?? ctx.clock.now();
     adoptedAt = ctx.clock.now();
+    table.next(createRouteTable(config));
+    const applyMs = ctx.clock.now() - startedAt;
+    ctx.metrics.observe('nutmegstack_config_apply_ms', applyMs);
     ctx.logger.info('configuration in force', {
-      step: 'config',
-      version: config.version,
-      before: version(),
-      source,
+      ...{ step: 'config', version: config.version, before, source },
+      ...(receipt && { bytes: receipt.bytes }),
+      applyMs: Math.round(applyMs),
     });
-    table.next(createRouteTable(config));
     return true;
   };
 
@@ -105,11 +108,11 @@
     waitMs: () => Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, WAIT_PER_DAEMON_MS * daemons())),
     freshUntil,
     nextPollAt: (at) => later(at, ctx.tunables.value.configMs * POLL_DELAY_SHARE),
-    apply: (changes, kind) => {
+    apply: (changes, kind, receipt) => {
       // Evacuations first: requests are sent as soon as a configuration is in force.
       evacuations?.applyEntries(changes, kind, watch.position());
       for (const { value } of changes)
-        if (value?.kind === 'config') adoptIfNewer(value.config, 'store');
+        if (value?.kind === 'config') adoptIfNewer(value.config, 'store', receipt);
     },
   });
   const ageMs = (): number => Math.min(watch.ageMs(), confirmedAgeMs(ctx.clock.now()));
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -112,6 +112,9 @@
     random: ctx.random,
     logger: ctx.logger,
     settings: { handshakeMs: HANDSHAKE_TIMEOUT_MS, longestMs: MAX_BACKOFF_MS },
+    onMessage: (way, kind, bytes) => {
+      ctx.metrics.count(`nutmegstack_peer_${way}_bytes_total`, { kind }, bytes);
+    },
   });
   /** Daemon entries of the store. */
   const entries = new Map<DaemonId, DaemonEntry>();
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import { createHttpServer } from './http-server';
 import { createGossip } from './gossip';
 import { createLeadership } from './lease';
+import { createLoopDelay } from './loop-delay';
 import { createLeavingServers } from './leaving-servers';
 import { createRateLimits } from './rate-limits';
 import { createPlainCalls } from './plain-call';
@@ -257,7 +258,9 @@
   serverLinks.changes.subscribe(() => {
     for (const service of serverLinks.cutOff()) groupRegistry.clearSuspicions({ service });
   });
+  const loopDelay = createLoopDelay(ctx, TICK_MS);
   const ticker = setInterval(() => {
+    loopDelay.tick();
     leadership.tick();
     serverRegistry.tick();
     serverLinks.tick();
--- /dev/null
+++ b/src/app/gateway/loop-delay.ts
@@ -0,0 +1,40 @@
+/** Measures for how long the event loop is blocked, or the process does not run. */
+
+import { later } from '../../core/ids';
+import type { GatewayContext } from './context';
+
+export interface LoopDelay {
+  /** Must be called at each tick. */
+  tick(): void;
+}
+
+/** The gauge shows the longest delay of the last whole interval of this length. */
+const INTERVAL_MS = 10_000;
+/** Delays from this one on are logged: streams and reports of servers count as silent soon after. */
+const LOGGED_MS = 200;
+
+/** `tickMs` is the interval of the ticks. */
+export function createLoopDelay(
+  { clock, metrics, logger }: GatewayContext,
+  tickMs: number,
+): LoopDelay {
+  let expectedAt = later(clock.now(), tickMs);
+  let intervalEndsAt = later(clock.now(), INTERVAL_MS);
+  let longestMs = 0;
+  metrics.gauge('nutmegstack_loop_delay_max_ms', 0);
+
+  return {
+    tick: () => {
+      const now = clock.now();
+      const delayMs = Math.max(0, now - expectedAt);
+      expectedAt = later(now, tickMs);
+      longestMs = Math.max(longestMs, delayMs);
+      if (delayMs >= LOGGED_MS)
+        logger.info('event loop was delayed', { step: 'loop', delayMs: Math.round(delayMs) });
+      if (now < intervalEndsAt) return;
+      intervalEndsAt = later(now, INTERVAL_MS);
+      metrics.gauge('nutmegstack_loop_delay_max_ms', longestMs);
+      longestMs = 0;
+    },
+  };
+}
--- a/src/app/gateway/watch.ts
+++ b/src/app/gateway/watch.ts
@@ -10,7 +10,7 @@
 import type { EpochTime, MonoTime } from '../../core/ids';
 import { isLater, latest, ORIGIN_POSITION } from '../../core/store-era';
 import type { StorePosition } from '../../core/store-era';
-import type { Change, Changes, Feed } from '../../ports/gateway';
+import type { Change, Changes, Feed, Receipt } from '../../ports/gateway';
 import { fail as makeError } from '../../utils/errors';
 import type { StepError } from '../../utils/errors';
 import { pause } from '../../utils/pause';
@@ -39,7 +39,7 @@
   readonly nextPollAt?: (since: MonoTime) => MonoTime;
   readonly pausesWhenUnchanged?: boolean;
   /** Receives changes in the order of the store, or the whole collection. */
-  readonly apply: (changes: readonly Change<T>[], kind: ChangeKind) => void;
+  readonly apply: (changes: readonly Change<T>[], kind: ChangeKind, receipt?: Receipt) => void;
 }
 
 export interface Watch {
@@ -105,11 +105,14 @@
     }
     failures = 0;
     ctx.store.noteAnswer(lastContact.mono);
+    const { receipt } = result;
+    const labels = { collection: feed.name };
+    if (receipt) ctx.metrics.count('nutmegstack_store_received_bytes_total', labels, receipt.bytes);
     position = latest(position, result.position);
     if (!isFullLoad && result.changes.length === 0) return;
     const loadKind = isRestoredCopy ? 'copy' : 'whole';
     if (isFullLoad) [mustLoad, isRestoredCopy] = [false, false];
-    apply(result.changes, isFullLoad ? loadKind : 'changes');
+    apply(result.changes, isFullLoad ? loadKind : 'changes', receipt);
   };
 
   const maxRetryMs = (): number => {
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -6,7 +6,14 @@
 
 import type { OrderResult, ServerOrder } from '../core/gateway/orders';
 import type { BackendServer, GatewayConfig } from '../core/gateway/types';
-import type { InstanceId, ModelId, OrganisationId, ServerName, ZoneId } from '../core/ids';
+import type {
+  InstanceId,
+  ModelId,
+  MonoTime,
+  OrganisationId,
+  ServerName,
+  ZoneId,
+} from '../core/ids';
 import type { StorePosition, StoreEra } from '../core/store-era';
 import type { StepError } from '../utils/errors';
 import type { Committed, Row, Transaction } from './platform';
@@ -21,6 +28,15 @@
 export interface Changes<T> {
   readonly changes: readonly Change<T>[];
   readonly position: StorePosition;
+  /** What the store sent for it. */
+  readonly receipt?: Receipt;
+}
+
+/** An answer of the store as it was received, before it was decoded. */
+export interface Receipt {
+  readonly bytes: number;
+  /** When its last byte was read. */
+  readonly at: MonoTime;
 }
 
 /**
