Log what each peer answered about a server, and the links behind a fault of the links fuzz

A daemon that took a sound server for ended logged the result alone, not which peers had answered what. The fuzz of links now prints these answers and the links that fail at that time. No decision is changed.

--- a/src/app/gateway/forward-peers.ts
+++ b/src/app/gateway/forward-peers.ts
@@ -23,6 +23,8 @@
   readonly askPeer: (address: string, peer: string, timeoutMs: number) => Promise<ObservedState>;
 }
 
+type ForwardPeersContext = Pick<GatewayContext, 'clock' | 'logger' | 'random' | 'settings'>;
+
 export interface ForwardPeers {
   /** Peers that forward requests for the service. */
   list(service: ServiceId): readonly ForwardPeer[];
@@ -47,7 +49,7 @@
 const PEER_BACKOFF_MS = 1_000;
 
 export function createForwardPeers(
-  { clock, random, settings }: Pick<GatewayContext, 'clock' | 'random' | 'settings'>,
+  { clock, logger, random, settings }: ForwardPeersContext,
   { peers, askPeer }: ForwardPeersDeps,
 ): ForwardPeers {
   const failingUntil = new Map<DaemonId, MonoTime>();
@@ -79,15 +81,24 @@
 
   const ask = async ({ address, service }: LinkedServer): Promise<ObservedState> => {
     const observers = chooseObservers(peers(), optionsFor(service), shuffle);
+    const startedAt = clock.now();
+    const answers: string[] = [];
     let state: ObservedState = 'unknown';
     for (let round = 0; round < ASK_ROUNDS; round++) {
       const asked = observers.slice(round * ASKED_PEERS, (round + 1) * ASKED_PEERS);
       const states = await Promise.all(
         asked.map(({ forwardAddress = '' }) => askPeer(address, forwardAddress, ASK_TIMEOUT_MS)),
       );
-      if (states.includes('listening')) return 'listening';
+      answers.push(...asked.map(({ id }, n) => `${id}:${states[n] ?? 'unknown'}`));
       state = states.find((one) => one !== 'unknown') ?? state;
+      if (states.includes('listening')) state = 'listening';
+      if (state === 'listening') break;
     }
+    logger.info('peers asked whether they reach a server', {
+      step: 'server-links',
+      ...{ address, service, state, answers: answers.join(' ') },
+      tookMs: Math.round(clock.now() - startedAt),
+    });
     return state;
   };
 
--- a/tests/fuzz/links-world.ts
+++ b/tests/fuzz/links-world.ts
@@ -4,6 +4,7 @@
  */
 
 import { createRandom } from '../../src/adapters/runtime';
+import { createLogger } from '../../src/adapters/telemetry/logger';
 import type { ObservedState } from '../../src/adapters/upstream/forward-client';
 import type { ListeningState } from '../../src/adapters/upstream/listening';
 import { createServerLinkWatch } from '../../src/app/gateway/server-links';
@@ -108,6 +109,14 @@
     trace.push(`${now}: ${text}`);
   };
 
+  /** What peers last answered about a server, by asking daemon and address. */
+  const answers = new Map<string, string>();
+  const noteAnswers = (n: number, line: string): void => {
+    const fields = JSON.parse(line) as Partial<Record<string, string>>;
+    if (fields.answers === undefined) return;
+    answers.set(`${n} ${fields.address ?? ''}`, `${now}: ${fields.answers}`);
+  };
+
   const servers: Server[] = SERVICES.flatMap(({ name, servers: size }) =>
     Array.from({ length: size }, (_, n) => ({
       address: `${name}-${n}:1`,
@@ -151,6 +160,11 @@
         clock: { now: () => brandAs<MonoTime>(now), epoch: () => brandAs<EpochTime>(now) },
         seed: seed + n,
         settings: { id, zone },
+        logger: createLogger({
+          write: (line) => {
+            noteAnswers(n, line);
+          },
+        }),
       }),
       {
         servers: {
@@ -247,6 +261,9 @@
     result.tries.push({ at, daemon: daemon.n, isServed, isCutOff });
   };
 
+  const describeLinks = ({ n, lost, lostFrom }: Daemon): string =>
+    `d${n} from ${Math.round(lostFrom)}: ${lost === 'all' ? 'all' : lost.size} of ${servers.length}`;
+
   /** A connection of the daemon breaks: it asks whether the server has ended. */
   const breakConnection = async (daemon: Daemon, { address }: Server): Promise<void> => {
     const wasUp = isUp(address);
@@ -255,7 +272,10 @@
     const reaching = daemons.filter((one) => hasLink(one, address)).length;
     if (2 * reaching <= count) return;
     result.wronglyEnded += 1;
-    note(`d${daemon.n} takes ${address} for ended: ${found}`);
+    note(`d${daemon.n} takes ${address} for ended: ${found}; ${reaching} of ${count} reach it`);
+    note(`answers of peers at ${answers.get(`${daemon.n} ${address}`) ?? 'no time'}`);
+    const failing = daemons.filter((one) => !hasLink(one, address)).map(describeLinks);
+    note(`links that fail: ${failing.join(', ')}`);
   };
 
   const cut = (): void => {
