--- /dev/null
+++ b/tests/gateway/stream-moves.test.ts
@@ -0,0 +1,181 @@
+import { describe, expect, it } from 'vitest';
+
+import { createRetries } from '../../src/app/gateway/retries';
+import { fakeTime } from './fake-time';
+import { createStreamWorld, groupOf, LAST_EVENT } from './stream-fixture';
+import type { StreamWorld, StreamWorldOptions } from './stream-fixture';
+
+fakeTime();
+
+const ALL_EVENTS = Array.from({ length: LAST_EVENT + 1 }, (_, id) => id);
+const HEADS = ['s0', 's1', 's2'];
+/** Every daemon suspends a silent group this soon, and some while later a lost one. */
+const STALL_MS = 700;
+
+/** A world with one stream that has had two events. */
+async function begin(options: StreamWorldOptions) {
+  const world = createStreamWorld(options);
+  const caller = await world.request();
+  const run = world.runs[0];
+  if (!run) throw new Error('nothing was sent');
+  run.send(0, 1);
+  return { world, caller, run };
+}
+
+const others = (head: string, groups: number): string[] =>
+  HEADS.slice(0, groups).filter((one) => one !== head);
+
+/** The leader found the group lost, as stall reporting applies it. */
+function findLost(world: StreamWorld, head: string): void {
+  world.registry.suspect(groupOf(head), 'lost', 'found by leader-1');
+  world.registry.evacuate(world.stallOf(head));
+}
+
+describe('a stream whose group is found lost while its server goes on sending', () => {
+  // Guards against findings of a leader that is late itself: they cut streams of sound groups.
+  it.each([1, 2])('is answered whole by its server, with %i groups', async (groups) => {
+    const { world, caller, run } = await begin({ groups });
+    findLost(world, run.head);
+    await world.pass(100);
+    run.send(2);
+    findLost(world, run.head);
+    await world.pass(100);
+    run.finishFrom(3);
+    await world.pass(50);
+    expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+    expect(world.runs).toHaveLength(1);
+  });
+
+  it('is answered whole when a second finding comes after its last attempt began', async () => {
+    const { world, caller, run } = await begin({ groups: 2 });
+    run.close();
+    await world.pass(50);
+    const [other] = others(run.head, 2);
+    const second = world.runAt(other ?? '');
+    second.send(2);
+    findLost(world, second.head);
+    await world.pass(100);
+    second.finishFrom(3);
+    await world.pass(50);
+    expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+  });
+});
+
+describe('a silent stream', () => {
+  const LACKS: readonly (StreamWorldOptions & { readonly lack: string })[] = [
+    { lack: 'no other group', groups: 1 },
+    { lack: 'no slot in another group', groups: 2 },
+    { lack: 'no retry', groups: 2, retries: 0 },
+    { lack: 'no attempt', groups: 2, route: { maxAttempts: 1 } },
+    { lack: 'a route that does not resume', groups: 2, route: { isResumable: false } },
+  ];
+
+  // Guards against callers' connections that are broken although the server still works on the answer.
+  describe.each(LACKS)('with $lack', ({ lack, ...options }) => {
+    it.each(['seen silent by this daemon', 'found lost by the leader'])(
+      'is not torn when its group is %s, and goes on when its server does',
+      async (finding) => {
+        const { world, caller, run } = await begin(options);
+        if (lack === 'no slot in another group')
+          for (const head of others(run.head, 2)) world.setFull(head, true);
+        await world.pass(STALL_MS);
+        if (finding === 'found lost by the leader') findLost(world, run.head);
+        await world.pass(2_000);
+        expect(caller.state()).toBe('open');
+        expect(run.isClosed).toBe(false);
+        run.finishFrom(2);
+        await world.pass(50);
+        expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+        expect(world.runs).toHaveLength(1);
+      },
+    );
+  });
+
+  // Guards against the same before the first event, where prompts are prefilled.
+  it('is kept before its first event, too, if no slot is free', async () => {
+    const world = createStreamWorld({ groups: 1 });
+    const caller = await world.request();
+    await world.pass(3_000);
+    expect(caller.state()).toBe('open');
+    world.runAt('s0').finishFrom(0);
+    await world.pass(50);
+    expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+  });
+
+  it('is moved, and answered whole, when a slot, a retry and an attempt are at hand', async () => {
+    const { world, caller, run } = await begin({ groups: 2, retries: 1 });
+    run.sendPart(2);
+    await world.pass(STALL_MS);
+    expect(run.isClosed).toBe(true);
+    const [other = ''] = others(run.head, 2);
+    const second = world.runAt(other);
+    expect(second.lastEventId).toBe('1');
+    second.finishFrom(2);
+    await world.pass(50);
+    expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+    expect([world.runs.length, world.retriesLeft()]).toEqual([2, 0]);
+  });
+
+  it('is moved once a slot in another group becomes free', async () => {
+    const { world, caller, run } = await begin({ groups: 2 });
+    const [other = ''] = others(run.head, 2);
+    world.setFull(other, true);
+    await world.pass(STALL_MS);
+    expect(run.isClosed).toBe(false);
+    world.setFull(other, false);
+    await world.pass(50);
+    expect(run.isClosed).toBe(true);
+    world.runAt(other).finishFrom(2);
+    await world.pass(50);
+    expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+  });
+
+  // Guards against a prefill for nothing: the first server is at work on the answer again.
+  it('is not moved once it has had an event again', async () => {
+    const { world, caller, run } = await begin({ groups: 2 });
+    const [other = ''] = others(run.head, 2);
+    world.setFull(other, true);
+    await world.pass(STALL_MS);
+    run.send(2);
+    world.setFull(other, false);
+    await world.pass(300);
+    expect([run.isClosed, world.runs.length]).toEqual([false, 1]);
+    run.finishFrom(3);
+    await world.pass(50);
+    expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+  });
+
+  // Guards against a slot that is held in the next group while the stream stays where it is.
+  it('takes neither a slot nor a token as long as no retry is left', async () => {
+    const { world, run } = await begin({ groups: 2, retries: 0 });
+    await world.pass(3_000);
+    expect(world.registry.running().map(([head]) => head)).toEqual([run.head]);
+  });
+});
+
+describe('streams that are silent together', () => {
+  // Guards against more retries than the fleet's budget allows, which users count, when a group is lost.
+  it('are moved as far as the retry budget allows; the others are kept and answered whole', async () => {
+    const world = createStreamWorld({
+      groups: 2,
+      retries: (ctx) => createRetries(ctx, () => 1),
+      tunables: { retryRatio: 0.25, retrySlack: 4, retryWindowMs: 10_000 },
+    });
+    world.setFull('s1', true);
+    const callers = await Promise.all(
+      Array.from({ length: 8 }, (_, n) => world.request(`request-${n}`)),
+    );
+    const first = [...world.runs];
+    for (const run of first) run.send(0, 1);
+    world.setFull('s1', false);
+    await world.pass(1_200);
+    const moved = first.filter(({ isClosed }) => isClosed);
+    expect(moved.length).toBeGreaterThan(0);
+    expect(moved.length).toBeLessThan(first.length);
+    expect(world.runs.length - first.length).toBe(moved.length);
+    for (const run of world.runs) if (!run.isClosed) run.finishFrom(2);
+    await world.pass(50);
+    for (const caller of callers)
+      expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+  });
+});
