Add a red test: a peer whose own link has failed decides that a server ended

Two causes: a peer counts as a sound observer if it reaches any one of three other servers, or if any server sends; and one answer is enough.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,6 +5,7 @@
   'tests/fuzz/crashes-open.test.ts',
   'tests/gateway/stream-moves.test.ts',
   'tests/gateway/loss-evidence.test.ts',
+  'tests/gateway/server-evidence.test.ts',
 ];
 
 export default defineConfig({
