Keep streams of silent groups until they can be moved

Callers lost answers around configurations and pauses of servers: their streams were cut while the servers went on.

Cause: a finding on a group, this daemon's own, a quorum's or the leader's, aborted all its streams at once. Only then it was seen whether a slot, a retry and an attempt were at hand; without them the caller's connection was broken.

A finding now aborts nothing. core/gateway/stream-moves.ts decides, from the stream's own silence (350 ms), its route, attempts and deadline, whether it may be moved. It is moved only when a slot in another group was taken and then a retry: then its first connection is closed and it goes on there after its last event. Otherwise it keeps its connection and tries again when slots become free, and every 100 ms, as long as its group is suspended or was ended meanwhile; an event of its own ends that. It waits in the queue of requests at its place, without counting as one that waits, as it still has a slot. It is not moved to a group that is silent at this daemon as well: servers may pause together. Streams of a group that has ended (`Stall.evidence`) are given up and resumed at once, as before. A route that does not resume is never given up on silence.

The retry is taken last, and only where one is left, so moves stay in the budget; a slot taken in vain is returned with its token of the throttle.

--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -22,6 +22,8 @@
     'Sends of the gateway that brought no answer, by how they ended and evidence against the group',
   nutmegstack_streams_not_resumed_total:
     'Streams of the gateway that ended without a whole answer, by what they lacked to go on elsewhere',
+  nutmegstack_stream_moves_total:
+    'Streams in groups found silent: moved to another group, or kept for what they lacked',
   nutmegstack_crash_strikes_total:
     'Requests of the gateway that were running on a group or server when it ended',
   nutmegstack_quarantined_calls_total:
--- a/src/app/gateway/group-registry-types.ts
+++ b/src/app/gateway/group-registry-types.ts
@@ -17,7 +17,7 @@
 export interface Stall {
   readonly group: GroupId;
   readonly head: InstanceId;
-  /** What a loss that the leader found rests on; `silent` if absent. */
+  /** What shows it; `silent` if absent. Only streams of groups that have ended are given up at once. */
   readonly evidence?: LossEvidence;
 }
 
@@ -69,7 +69,7 @@
    */
   noteEnded(head: InstanceId, pendingPrefill: number, holdMs?: number): void;
   noteEvent(head: InstanceId, pauseMs: number | undefined): void;
-  /** Moves this daemon's streams out of a group that is confirmed to be stalled. */
+  /** Moves this daemon's streams out of a group that is confirmed to be stalled, as far as they can be. */
   evacuate(stall: Stall): void;
   /** Stalls passed to `evacuate`. */
   readonly evacuated: Observable<Stall>;
@@ -96,6 +96,8 @@
    * Time since the last event of each group with requests of this daemon, milliseconds, by head.
    */
   quiet(): readonly (readonly [InstanceId, number])[];
+  /** Heads of the groups in which all streams of this daemon have been silent for so long. */
+  silentHeads(forMs: number): ReadonlySet<InstanceId>;
   /** When a stream of this daemon last got an event from the group. */
   lastEventAt(head: InstanceId): MonoTime | undefined;
   /** Slowdown factors of groups as this daemon recently measured them, by head. */
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -15,6 +15,7 @@
 import { queueDelayMs } from '../../core/gateway/limits/cold';
 import type { RouteTable } from '../../core/gateway/routes';
 import { summarizeWork } from '../../core/gateway/work';
+import { later } from '../../core/ids';
 import type { GroupId, InstanceId, ModelId, ServiceId } from '../../core/ids';
 import { minOrZero } from './throttle';
 import type { Throttle } from './throttle';
@@ -183,6 +184,14 @@
         running > 0 && eventAt !== undefined ? [[head, Math.round(now - eventAt)] as const] : [],
       );
     },
+    silentHeads: (forMs) => {
+      const silentSince = later(clock.now(), -forMs);
+      return new Set(
+        [...progress].flatMap(([head, { running, since }]) =>
+          running > 0 && since <= silentSince ? [head] : [],
+        ),
+      );
+    },
     lastEventAt: (head) => progress.get(head)?.eventAt,
     hasPeerLoads: () => peerLoads.areFresh(),
     applyLoads: (sums, { ageMs, ...facts }) => {
--- a/src/app/gateway/retries.ts
+++ b/src/app/gateway/retries.ts
@@ -8,6 +8,8 @@
 export interface Retries {
   /** Notes a request that is sent to the service for the first time. */
   noteRequest(service: ServiceId): void;
+  /** Whether `mayRetry` would return true. */
+  hasRetry(service: ServiceId): boolean;
   /** Takes a retry from the budget; false if there is none. */
   mayRetry(service: ServiceId): boolean;
 }
@@ -41,6 +43,7 @@
     noteRequest: (service) => {
       budgets.set(service, noteFirstSend(budgetOf(service), allowance(), ctx.clock.now()));
     },
+    hasRetry: (service) => takeRetry(budgetOf(service), allowance(), ctx.clock.now()) !== undefined,
     mayRetry: (service) => {
       const updated = takeRetry(budgetOf(service), allowance(), ctx.clock.now());
       if (updated) budgets.set(service, updated);
--- a/src/app/gateway/stream-attempt.ts
+++ b/src/app/gateway/stream-attempt.ts
@@ -1,7 +1,5 @@
 /** Sends a stream to one group and forwards its events until the attempt ends. */
 
-import { merge } from 'rxjs';
-
 import type { Upstream } from '../../adapters/upstream/upstream';
 import { organisationNameOf } from '../../core/gateway/routes';
 import { brandAs, later } from '../../core/ids';
@@ -11,36 +9,45 @@
 import { evacuatedError, heldBackError } from './exchange';
 import type { Exchange } from './exchange';
 import type { ServingGroup } from './group-index';
-import type { GroupFinding } from './group-suspicions';
 import type { Quarantine } from './quarantine/quarantine';
 import type { RunTarget } from './quarantine/server-checks';
 import type { RouteTimes } from './route-times';
+import { watchForMove } from './stream-move';
+import type { MoveDeps, SlotSource } from './stream-move';
 import { abortReason, relay } from './stream-relay';
 import type { AttemptResult, RelayDeps, Slot, StreamState } from './stream-relay';
 import { traceGroup } from './stream-trace';
-import type { Throttle } from './throttle';
 
-export interface AttemptDeps extends RelayDeps {
-  readonly throttle: Throttle;
+export interface AttemptDeps extends RelayDeps, MoveDeps {
   readonly upstream: Pick<Upstream, 'send'>;
   readonly evacuations: EvacuatedZones;
   readonly quarantine: Pick<Quarantine, 'begin'>;
   readonly times: RouteTimes;
 }
 
+export interface AttemptOptions {
+  readonly exchange: Exchange;
+  readonly group: ServingGroup;
+  readonly state: StreamState;
+  /** Where it may go on if the group falls silent. */
+  readonly slots: SlotSource;
+}
+
 /** Sends the request to one group and forwards its events. */
 export async function attempt(
   deps: AttemptDeps,
-  exchange: Exchange,
-  group: ServingGroup,
-  state: StreamState,
+  { exchange, group, state, slots }: AttemptOptions,
 ): Promise<AttemptResult> {
   const { ctx, groupRegistry, upstream, dialect, throttle, evacuations } = deps;
   const { head } = group;
   const stop = new AbortController();
   const now = ctx.clock.now();
-  const slot: Slot = { sentAt: now, prefilledAt: undefined, lastEventAt: undefined };
-  let finding: GroupFinding | undefined;
+  const slot: Slot = {
+    sentAt: now,
+    writtenAt: undefined,
+    prefilledAt: undefined,
+    lastEventAt: undefined,
+  };
   const run = deps.quarantine.begin(exchange, runTargetOf(group), slot);
   const sendUntil = later(exchange.answerBy, 0);
   const timer = setTimeout(
@@ -53,15 +60,15 @@
     stop.abort(new Error('caller disconnected'));
   };
   exchange.gone.addEventListener('abort', onDisconnect, { once: true });
-  const stalls = merge(groupRegistry.stalls, groupRegistry.evacuated).subscribe((stall) => {
-    if (stall.head !== head.id) return;
-    finding = groupRegistry.finding(group.id);
-    stop.abort(new Error('group stalled'));
-  });
+  const close = (reason: string): void => {
+    stop.abort(new Error(reason));
+  };
+  const move = watchForMove(deps, { exchange, group, state, slot, slots, close });
   /** Only a connection that neither this daemon nor the caller gave up was broken by the server. */
   const noteEnd = (result: AttemptResult): AttemptResult => {
     const { prefilledAt, lastEventAt } = slot;
-    state.trace = traceGroup(groupRegistry, { group, finding, lastEventAt }, ctx.clock.now());
+    const traced = { group, finding: move.finding(), lastEventAt };
+    state.trace = traceGroup(groupRegistry, traced, ctx.clock.now());
     state.answeringMs =
       prefilledAt === undefined ? undefined : Math.round(ctx.clock.now() - prefilledAt);
     const isBroken = result === 'lost' && !stop.signal.aborted;
@@ -91,8 +98,9 @@
         if (ctx.clock.now() >= sendUntil)
           return fail('deadline-exceeded', 'deadline reached before sending', { step: 'send' });
         if (evacuations.isEvacuated(head.zone)) return evacuatedError();
-        if (throttle.maySend(head.id)) return undefined;
-        return heldBackError(throttle.isBackingOff(head.id));
+        if (!throttle.maySend(head.id)) return heldBackError(throttle.isBackingOff(head.id));
+        slot.writtenAt = ctx.clock.now();
+        return undefined;
       },
     });
     if (sent.kind !== 'answered') {
@@ -105,12 +113,15 @@
       }
       return noteEnd('not-sent');
     }
-    const answered = { deps, exchange, group, state, answered: sent, stop: stop.signal, slot };
-    return noteEnd(await relay(answered));
+    const onEvent = (): void => {
+      move.noteEvent();
+    };
+    const answer = { deps, exchange, group, state, answered: sent, stop: stop.signal, slot };
+    return noteEnd(await relay({ ...answer, onEvent }));
   } finally {
     clearTimeout(timer);
     exchange.gone.removeEventListener('abort', onDisconnect);
-    stalls.unsubscribe();
+    move.end();
     releaseSlot(deps, exchange, head.id, slot);
   }
 }
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -3,8 +3,10 @@
  * resumed at another group after its last event, within the same answer, if its route allows this.
  */
 
+import { MIN_SILENCE_MS } from '../../core/gateway/stream-moves';
+import type { WaitingRequest } from '../../core/gateway/waiting-order';
 import { later } from '../../core/ids';
-import type { ModelId, MonoTime } from '../../core/ids';
+import type { InstanceId, ModelId, MonoTime } from '../../core/ids';
 import type { ServingGroup } from './group-index';
 import { endUnanswered, logRequestEnd, logFailedAttempt } from './exchange';
 import type { Exchange } from './exchange';
@@ -16,9 +18,12 @@
 import { createRouteTimes } from './route-times';
 import { attempt } from './stream-attempt';
 import type { AttemptDeps } from './stream-attempt';
+import { returnSlot } from './stream-move';
+import type { SlotSource } from './stream-move';
 import { endFailedStream, streamEndOf } from './stream-end';
 import type { AttemptResult, StreamState } from './stream-relay';
 import type { Lack } from './stream-trace';
+import type { Waiter } from './wait-queue';
 
 /**
  * A group that lost a member is formed again from warm servers in little more than half a second.
@@ -29,6 +34,7 @@
  * them, so this is not a retry; the limit applies when this daemon's own link is down.
  */
 const MAX_UNREACHABLE_HEADS = 4;
+const NONE_AVOIDED: ReadonlySet<InstanceId> = new Set();
 
 export interface StreamDeps extends Omit<AttemptDeps, 'times'>, SlotDeps {
   readonly retries: Retries;
@@ -57,6 +63,7 @@
     exchange: Exchange,
     model: ModelId,
     state: StreamState,
+    avoided: ReadonlySet<InstanceId> = NONE_AVOIDED,
   ): ServingGroup | undefined => {
     const { service, route, facts } = exchange;
     if (isQuarantined(exchange)) return undefined;
@@ -68,7 +75,11 @@
       tried: state.tried,
       slackMs: times.slackMs(route),
       isLate: ctx.clock.now() >= onTimeUntil(exchange, state),
-      narrow: (groups) => quarantine.allowed(exchange, groups),
+      narrow: (groups) =>
+        quarantine.allowed(
+          exchange,
+          groups.filter(({ head }) => !avoided.has(head)),
+        ),
     });
   };
 
@@ -83,6 +94,31 @@
     return unservedUntil < exchange.slotBy ? unservedUntil : exchange.slotBy;
   };
 
+  /** The place of the request among those that wait for a slot. */
+  const placeOf = (
+    exchange: Exchange,
+    model: ModelId,
+    state: StreamState,
+  ): WaitingRequest & Pick<Waiter, 'model'> => ({
+    model,
+    priority: exchange.priority,
+    arrivedAt: exchange.arrivedAt,
+    onTimeUntil: onTimeUntil(exchange, state),
+    holdMs: times.holdMs(exchange.route),
+  });
+
+  const slotsFor = (exchange: Exchange, model: ModelId, state: StreamState): SlotSource => ({
+    place: () => ({ ...placeOf(exchange, model, state), isRetry: true, hasSlot: true }),
+    // Servers may pause together: a stream is not moved to a group that is silent as well.
+    take: () => tryTakeSlot(exchange, model, state, groupRegistry.silentHeads(MIN_SILENCE_MS)),
+  });
+
+  /** Returns the slot to which the stream was to be moved when it ended. */
+  const returnNext = ({ facts }: Exchange, state: StreamState): void => {
+    const next = takeNext(state);
+    if (next) returnSlot(deps, next, facts.promptTokens);
+  };
+
   /** Takes a slot in a group, if necessary after waiting in the queue. */
   const findGroup = async (
     exchange: Exchange,
@@ -102,12 +138,8 @@
       groupRegistry.msUntilToken(exchange.service, model, ahead);
     if (later(since, msUntilToken(deps.waitQueue.count(model))) > until) return undefined;
     const group = await deps.waitQueue.wait({
-      model,
-      priority: exchange.priority,
+      ...placeOf(exchange, model, state),
       until,
-      arrivedAt: exchange.arrivedAt,
-      onTimeUntil: onTimeUntil(exchange, state),
-      holdMs: times.holdMs(exchange.route),
       gone: exchange.gone,
       isRetry: state.tried.size > 0,
       isUnservable,
@@ -147,6 +179,7 @@
       firstEventAt: undefined,
       answeringMs: undefined,
       trace: undefined,
+      next: undefined,
       lacked: undefined,
       reason: 'no group of the model has free capacity',
     };
@@ -161,17 +194,19 @@
     retries.noteRequest(exchange.service);
     deps.arrivals.note(model);
     for (;;) {
-      const group = await findGroup(exchange, model, state);
+      const group = takeNext(state) ?? (await findGroup(exchange, model, state));
       if (!group) {
         if (state.tried.size > 0) state.lacked = 'slot';
         break;
       }
       state.tried.add(group.head.id);
       state.server = group.head.id;
-      const result = await attempt({ ...deps, times }, exchange, group, state);
+      const slots = slotsFor(exchange, model, state);
+      const result = await attempt({ ...deps, times }, { exchange, group, state, slots });
       if (result === 'not-sent') state.unreached += 1;
       else state.attempts += 1;
       if (result === 'complete' || result === 'passed-on') {
+        returnNext(exchange, state);
         const status = exchange.res.statusCode;
         const { attempts } = state;
         logRequestEnd(ctx, exchange, {
@@ -192,11 +227,24 @@
       });
       if (result === 'lost') state.exposure = 'unknown';
       if (result === 'caller-gone' || exchange.gone.aborted) break;
-      state.lacked = lackedForRetry(exchange, state, result);
-      if (state.lacked !== undefined) break;
+      if (state.next) continue;
+      const lacked = lackedForRetry(exchange, state, result);
+      if (lacked !== undefined) {
+        state.lacked ??= lacked;
+        break;
+      }
+      state.lacked = undefined;
     }
+    returnNext(exchange, state);
     endFailedStream(deps, exchange, state);
   };
 
   return { call };
 }
+
+/** The group to which the stream is being moved, if it is. */
+function takeNext(state: StreamState): ServingGroup | undefined {
+  const { next } = state;
+  state.next = undefined;
+  return next;
+}
--- /dev/null
+++ b/src/app/gateway/stream-move.ts
@@ -0,0 +1,182 @@
+/**
+ * Moves a stream out of a group that was found silent or lost, once it is silent itself and a slot in another
+ * group and a retry can be taken. Until then it keeps its connection.
+ */
+
+import { merge } from 'rxjs';
+
+import { decideMove } from '../../core/gateway/stream-moves';
+import type { MoveDecision } from '../../core/gateway/stream-moves';
+import type { LossEvidence } from '../../core/gateway/suspicion';
+import { later } from '../../core/ids';
+import type { MonoTime } from '../../core/ids';
+import type { GatewayContext } from './context';
+import type { Exchange } from './exchange';
+import type { GroupRegistry, Stall } from './group-registry';
+import type { ServingGroup } from './group-index';
+import type { GroupFinding } from './group-suspicions';
+import type { Retries } from './retries';
+import type { Slot, StreamState } from './stream-relay';
+import type { Throttle } from './throttle';
+import type { Waiter, WaitQueue } from './wait-queue';
+
+export interface MoveDeps {
+  readonly ctx: GatewayContext;
+  readonly groupRegistry: GroupRegistry;
+  readonly retries: Retries;
+  readonly throttle: Throttle;
+  readonly waitQueue: WaitQueue;
+}
+
+/** How a stream gets a slot in another group. */
+export interface SlotSource {
+  /** Its place among the requests that wait for a slot. */
+  readonly place: () => Omit<Waiter, 'until' | 'gone' | 'choose'>;
+  readonly take: () => ServingGroup | undefined;
+}
+
+export interface MovableStream {
+  readonly exchange: Exchange;
+  readonly group: ServingGroup;
+  readonly state: StreamState;
+  readonly slot: Slot;
+  readonly slots: SlotSource;
+  /** Closes its connection. */
+  readonly close: (reason: string) => void;
+}
+
+export interface MoveWatch {
+  /** Notes an event of the stream: it is not moved unless its group is found silent again. */
+  noteEvent(): void;
+  /** The finding about the group for which the stream was to be moved. */
+  finding(): GroupFinding | undefined;
+  end(): void;
+}
+
+/** Slots and retries also become available without notice, milliseconds. */
+const RETRY_INTERVAL_MS = 100;
+
+/** Returns a slot that was taken for a request which was not sent. */
+export function returnSlot(
+  { groupRegistry, throttle }: Pick<MoveDeps, 'groupRegistry' | 'throttle'>,
+  { head }: ServingGroup,
+  promptTokens: number,
+): void {
+  throttle.returnToken(head.id);
+  groupRegistry.noteEnded(head.id, promptTokens);
+}
+
+export function watchForMove(deps: MoveDeps, stream: MovableStream): MoveWatch {
+  const { ctx, groupRegistry, retries, waitQueue } = deps;
+  const { exchange, group, state, slot, slots, close } = stream;
+  const { route, service, answerBy, facts } = exchange;
+  /** Evidence of the finding that is being acted on. */
+  let evidence: LossEvidence | undefined;
+  let finding: GroupFinding | undefined;
+  let seeking = new AbortController();
+  let isSeeking = false;
+
+  /** Whether the group is suspended, or was ended meanwhile. */
+  const isSuspected = (): boolean =>
+    groupRegistry.finding(group.id) !== undefined ||
+    groupRegistry.find(group.head.id)?.id !== group.id;
+
+  const decide = (): MoveDecision =>
+    evidence === undefined
+      ? { kind: 'keep' }
+      : decideMove(
+          {
+            evidence,
+            isSuspected: isSuspected(),
+            silentSince: slot.lastEventAt ?? slot.writtenAt,
+            isResumable: route.isResumable && (!state.hasStarted || state.lastId !== undefined),
+            attemptsLeft: route.maxAttempts - state.attempts - 1,
+            answerBy,
+          },
+          ctx.clock.now(),
+        );
+
+  const note = (outcome: 'moved' | NonNullable<StreamState['lacked']>): void => {
+    if (state.lacked === outcome) return;
+    ctx.metrics.count('nutmegstack_stream_moves_total', { outcome });
+    state.lacked = outcome === 'moved' ? undefined : outcome;
+  };
+
+  /** The retry is taken last, as it cannot be returned to the budget. */
+  const takeNext = (): ServingGroup | undefined => {
+    if (!retries.hasRetry(service)) {
+      note('retry');
+      return undefined;
+    }
+    const next = slots.take();
+    if (!next) {
+      note('slot');
+      return undefined;
+    }
+    if (retries.mayRetry(service)) return next;
+    returnSlot(deps, next, facts.promptTokens);
+    return undefined;
+  };
+
+  const tryMove = (): ServingGroup | undefined => {
+    if (decide().kind !== 'move') return undefined;
+    const next = takeNext();
+    if (!next) return undefined;
+    note('moved');
+    evidence = undefined;
+    state.next = next;
+    close('moved: its group is silent');
+    return next;
+  };
+
+  const waitFor = (until: MonoTime): Promise<ServingGroup | undefined> =>
+    waitQueue.wait({
+      ...slots.place(),
+      until: until < answerBy ? until : answerBy,
+      gone: seeking.signal,
+      choose: tryMove,
+    });
+
+  const seek = async (): Promise<void> => {
+    if (isSeeking) return;
+    isSeeking = true;
+    for (;;) {
+      const decision = decide();
+      if (decision.kind === 'keep' && decision.lacked) note(decision.lacked);
+      if (decision.kind === 'keep' || decision.kind === 'give-up' || tryMove()) break;
+      const retryAt = later(ctx.clock.now(), RETRY_INTERVAL_MS);
+      await waitFor(decision.kind === 'wait' ? decision.until : retryAt);
+    }
+    isSeeking = false;
+  };
+
+  const stop = (): void => {
+    evidence = undefined;
+    seeking.abort();
+    seeking = new AbortController();
+  };
+
+  const onStall = (stall: Stall): void => {
+    if (stall.group !== group.id || stall.head !== group.head.id) return;
+    finding = groupRegistry.finding(group.id);
+    evidence = stall.evidence ?? 'silent';
+    if (decide().kind === 'give-up') close('its group has ended');
+    else void seek();
+  };
+
+  const stalls = merge(groupRegistry.stalls, groupRegistry.evacuated).subscribe(onStall);
+
+  return {
+    noteEvent: () => {
+      if (evidence === undefined) return;
+      stop();
+      finding = undefined;
+      state.lacked = undefined;
+    },
+    finding: () => finding,
+    end: () => {
+      stalls.unsubscribe();
+      stop();
+    },
+  };
+}
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -39,6 +39,8 @@
   answeringMs: number | undefined;
   /** The group of the last attempt. */
   trace: GroupTrace | undefined;
+  /** The group to which it is being moved, where a slot was taken for it. */
+  next: ServingGroup | undefined;
   /** Why it did not go on in another group. */
   lacked: Lack | undefined;
   reason: string;
@@ -47,6 +49,8 @@
 /** A request's slot in a group. */
 export interface Slot {
   readonly sentAt: MonoTime;
+  /** When the request was written to the connection. */
+  writtenAt: MonoTime | undefined;
   /** When the first event showed that the prefill was done. */
   prefilledAt: MonoTime | undefined;
   lastEventAt: MonoTime | undefined;
@@ -61,6 +65,8 @@
   readonly answered: Answered;
   readonly stop: AbortSignal;
   readonly slot: Slot;
+  /** Called after each event. */
+  readonly onEvent: () => void;
 }
 
 /** How one attempt ended. */
@@ -129,7 +135,7 @@
 
 /** Forwards events until the end; resolves with a reason if the stream is incomplete. */
 function forwardEvents(relayedAnswer: RelayedAnswer): Promise<string | undefined> {
-  const { deps, exchange, group, state, stop, slot } = relayedAnswer;
+  const { deps, exchange, group, state, stop, slot, onEvent } = relayedAnswer;
   const { ctx, groupRegistry, dialect } = deps;
   const head = group.head.id;
   const { res: upstreamRes, hasFailed } = relayedAnswer.answered;
@@ -163,6 +169,7 @@
       const { lastEventAt } = slot;
       groupRegistry.noteEvent(head, lastEventAt === undefined ? undefined : now - lastEventAt);
       slot.lastEventAt = now;
+      onEvent();
       if (slot.prefilledAt === undefined)
         groupRegistry.notePrefilled(head, exchange.facts.promptTokens);
       slot.prefilledAt ??= now;
@@ -185,9 +192,11 @@
     upstreamRes.on('close', () => {
       resolve('stream interrupted');
     });
-    stop.addEventListener('abort', () => {
+    const onStop = (): void => {
       upstreamRes.off('data', onChunk);
       resolve(abortReason(stop, 'stopped'));
-    });
+    };
+    stop.addEventListener('abort', onStop);
+    if (stop.aborted) onStop();
   });
 }
--- a/src/app/gateway/wait-queue.ts
+++ b/src/app/gateway/wait-queue.ts
@@ -18,6 +18,8 @@
    * others.
    */
   readonly isRetry: boolean;
+  /** It still has a slot in another group, and therefore is not counted as waiting. */
+  readonly hasSlot?: boolean;
   /** Whether no group can become free for it, so that the wait ends now. */
   readonly isUnservable?: () => boolean;
   /** Takes a slot in a group, if one is free. */
@@ -91,7 +93,7 @@
     new Promise((resolve) => {
       const settle = (group: ServingGroup | undefined): void => {
         if (!entries.delete(entry)) return;
-        addCount(entry.model, -1);
+        if (entry.hasSlot !== true) addCount(entry.model, -1);
         clearTimeout(timer);
         waiter.gone.removeEventListener('abort', onAbort);
         resolve(group);
@@ -103,12 +105,12 @@
       const timer = setTimeout(onAbort, Math.max(0, waiter.until - ctx.clock.now()));
       waiter.gone.addEventListener('abort', onAbort, { once: true });
       entries.add(entry);
-      addCount(entry.model, 1);
+      if (entry.hasSlot !== true) addCount(entry.model, 1);
     });
 
   const urgency = (model: ModelId): number | undefined => {
     const priorities = [...entries].flatMap((entry) =>
-      entry.model === model ? entry.priority : [],
+      entry.model === model && entry.hasSlot !== true ? entry.priority : [],
     );
     return priorities.length === 0 ? undefined : Math.min(...priorities);
   };
--- a/src/core/gateway/suspicion.ts
+++ b/src/core/gateway/suspicion.ts
@@ -21,8 +21,11 @@
 export type Evidence = 'silent' | 'unreachable' | 'rejecting' | 'lost';
 
 /**
- * What the leader's finding that a group lost a member rests on: a server that ended, or only silence
- * among servers that answer.
+ * What shows that a group is lost.
+ *
+ * - `ended`: one of its servers has certainly ended: its port refuses, it runs as another incarnation, or its
+ *   entry is gone.
+ * - `silent`: it sends nothing. It may be paused or slow, or the observer's own link or process may be.
  */
 export type LossEvidence = 'ended' | 'silent';
 
--- /dev/null
+++ b/tests/gateway/move-decision.test.ts
@@ -0,0 +1,48 @@
+import { describe, expect, it } from 'vitest';
+
+import { decideMove } from '../../src/core/gateway/stream-moves';
+import type { SuspectedStream } from '../../src/core/gateway/stream-moves';
+import { at } from './support';
+
+const STREAM: SuspectedStream = {
+  ...{ evidence: 'silent', isSuspected: true, silentSince: at(1_000), isResumable: true },
+  ...{ attemptsLeft: 1, answerBy: at(9_000) },
+};
+const decide = (more: Partial<SuspectedStream>, now = 2_000) =>
+  decideMove({ ...STREAM, ...more }, at(now));
+
+describe('a stream whose group was found silent', () => {
+  it('is moved if it is silent itself and may go on elsewhere', () => {
+    expect(decide({})).toEqual({ kind: 'move' });
+  });
+
+  // Guards against a prefill for nothing, and streams of sound groups that are moved for a late finding.
+  it('is decided again later if it had an event a moment ago', () => {
+    expect(decide({}, 1_349)).toEqual({ kind: 'wait', until: at(1_350) });
+    expect(decide({}, 1_350)).toEqual({ kind: 'move' });
+  });
+
+  it('is not moved before it was sent', () => {
+    expect(decide({ silentSince: undefined })).toEqual({ kind: 'wait', until: at(2_350) });
+  });
+
+  // Guards against broken connections of streams that cannot go on anywhere else.
+  it.each([
+    ['resume', { isResumable: false }],
+    ['attempt', { attemptsLeft: 0 }],
+    ['time', { answerBy: at(2_000) }],
+  ])('keeps its connection for want of: %s', (lacked, more) => {
+    expect(decide(more)).toEqual({ kind: 'keep', lacked });
+  });
+
+  it('keeps its connection once the group is no longer suspended', () => {
+    expect(decide({ isSuspected: false })).toEqual({ kind: 'keep' });
+  });
+});
+
+describe('a stream whose server has ended', () => {
+  // Guards against callers who wait for a server that never answers.
+  it('is given up at once', () => {
+    expect(decide({ evidence: 'ended', silentSince: at(1_990) })).toEqual({ kind: 'give-up' });
+  });
+});
--- a/tests/gateway/stream-fixture.ts
+++ b/tests/gateway/stream-fixture.ts
@@ -196,7 +196,9 @@
   const throttle = makeThrottle(ctx);
   const registry = createGroupRegistry(ctx, serverRegistry, routes, throttle);
   const full = new Set<InstanceId>();
+  let loadsAt = ctx.clock.now();
   const applyLoads = (): void => {
+    loadsAt = later(ctx.clock.now(), FRESH_LOADS.ageMs);
     const running = [...full].map((head) => [head, 200, 0] as [InstanceId, number, number]);
     registry.applyLoads({ ...NO_LOADS, running }, FRESH_LOADS);
   };
@@ -254,6 +256,7 @@
   const pass = async (ms: number): Promise<void> => {
     for (let passed = 0; passed < ms; passed += TICK_MS) {
       await vi.advanceTimersByTimeAsync(Math.min(TICK_MS, ms - passed));
+      if (ctx.clock.now() >= loadsAt) applyLoads();
       registry.tick();
     }
     await vi.advanceTimersByTimeAsync(0);
--- a/tests/gateway/stream-moves.test.ts
+++ b/tests/gateway/stream-moves.test.ts
@@ -179,3 +179,35 @@
       expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
   });
 });
+
+describe('a stream whose server has ended', () => {
+  // Guards against callers who wait out their deadline for a server of which the leader knows that it ended.
+  it('is resumed in another group at once, also just after an event', async () => {
+    const { world, caller, run } = await begin({ groups: 2 });
+    world.registry.suspect(groupOf(run.head), 'lost', 'found by leader-1');
+    world.registry.evacuate({ ...world.stallOf(run.head), evidence: 'ended' });
+    await world.pass(50);
+    expect(run.isClosed).toBe(true);
+    const second = world.runAt(others(run.head, 2)[0] ?? '');
+    expect(second.lastEventId).toBe('1');
+    second.finishFrom(2);
+    await world.pass(50);
+    expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+  });
+});
+
+describe('servers that pause together', () => {
+  // Guards against streams that are moved from one paused group to the next, for a prefill each.
+  it('keep their streams, which go on afterwards', async () => {
+    const world = createStreamWorld({ groups: 2 });
+    const callers = await Promise.all(['a', 'b', 'c', 'd'].map((id) => world.request(id)));
+    for (const run of world.runs) run.send(0, 1);
+    expect(new Set(world.runs.map(({ head }) => head)).size).toBe(2);
+    await world.pass(3_000);
+    expect(world.runs).toHaveLength(4);
+    for (const run of world.runs) run.finishFrom(2);
+    await world.pass(50);
+    for (const caller of callers)
+      expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+  });
+});
