Send nothing for a caller who left before its attempt began

A request whose caller's connection had closed just before it was sent was sent all the same, and ran until its answer was read: listeners added to a signal that has aborted are never called. The same in the queue of waiting requests, which kept such an entry until its time was over.

Both now look at the signal first. tests/gateway/stream-moves.test.ts, "a caller that leaves": red before (1 request sent, 0 expected), green now.

--- a/src/app/gateway/stream-attempt.ts
+++ b/src/app/gateway/stream-attempt.ts
@@ -60,6 +60,7 @@
     stop.abort(new Error('caller disconnected'));
   };
   exchange.gone.addEventListener('abort', onDisconnect, { once: true });
+  if (exchange.gone.aborted) onDisconnect();
   const close = (reason: string): void => {
     stop.abort(new Error(reason));
   };
--- a/src/app/gateway/wait-queue.ts
+++ b/src/app/gateway/wait-queue.ts
@@ -104,6 +104,11 @@
       const entry: QueueEntry = { ...waiter, settle };
       const timer = setTimeout(onAbort, Math.max(0, waiter.until - ctx.clock.now()));
       waiter.gone.addEventListener('abort', onAbort, { once: true });
+      if (waiter.gone.aborted) {
+        clearTimeout(timer);
+        resolve(undefined);
+        return;
+      }
       entries.add(entry);
       if (entry.hasSlot !== true) addCount(entry.model, 1);
     });
--- a/tests/gateway/stream-moves.test.ts
+++ b/tests/gateway/stream-moves.test.ts
@@ -211,3 +211,20 @@
       expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
   });
 });
+
+describe('a caller that leaves', () => {
+  // Guards against a request that is sent for a caller who left while it was being moved or waited.
+  it('gets nothing sent if it has left before, and its server stops if it leaves later', async () => {
+    const world = createStreamWorld({ groups: 1 });
+    await world.request('left', true);
+    expect(world.runs).toHaveLength(0);
+    const caller = await world.request('leaves');
+    const run = world.runAt('s0');
+    run.send(0);
+    await world.pass(1_000);
+    caller.leave();
+    await world.pass(50);
+    expect(run.isClosed).toBe(true);
+    expect(world.registry.running()).toEqual([]);
+  });
+});
