Find servers lost by silence only against answers of others

Callers saw streams break, and models that nothing served any more, although no server had ended: with all servers paused for 800 ms the leader found all members of four groups lost, ended the groups and loaded the weights again; with its link full of a large configuration it found ten sound groups lost within half a second.

Cause: a member that gave no report for 250 ms by the leader's clock was lost for 20 s. Only if no member at all answered were two servers elsewhere asked, one answer of which was enough.

core/gateway/loss-evidence.ts now judges looks at a group, in which its members and servers of other domains and zones are asked at the same moment. A server whose port refuses, or that has restarted, is lost at once. Silence counts only in looks in which others answered within a usual time, four times the slowest of which is allowed to the rest, and only while this process ran. One member in four, or a single one, is lost after two such looks (0.5 s); more, or a whole group, after two seconds. An event of the group at any daemon starts the count anew. Requests stay open beyond a look, so late answers count. More than two groups a second are found lost by silence only if all servers asked in other zones answered. Lost servers are asked again every second and used again once they answer; those that have ended stay out until they restart.

In planned-fleet.ts a killed server now refuses reports as its port would; before, its failure had no code.

--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -28,7 +28,7 @@
 import type { Evacuations } from './evacuations';
 import type { Leadership } from './lease';
 import { createMemberInspection } from './member-inspection';
-import type { LastEventAt } from './member-inspection';
+import type { LastEventAt } from './group-inspection';
 import { createModelDemand } from './model-demand';
 import { logReassignments } from './reassignment-log';
 import type { ServerRegistry } from './server-registry';
@@ -224,6 +224,9 @@
   };
   const inspection = createMemberInspection(ctx, {
     ...{ serverRegistry, leadership, servers, isBusy, evacuations, noteLost, replan: tick },
+    noteFound: ({ id, service }) => {
+      states.set(service, noteSuspect(stateOf(service), id));
+    },
     isReachedByPeer: options.isReachedByPeer,
   });
   evacuations.changes.subscribe(() => {
--- a/src/app/gateway/member-inspection.ts
+++ b/src/app/gateway/member-inspection.ts
@@ -3,34 +3,30 @@
 import { Subject } from 'rxjs';
 import type { Observable } from 'rxjs';
 
-import { formatAnswers } from '../../core/gateway/loss-evidence';
-import type { Answer } from '../../core/gateway/loss-evidence';
+import { formatAnswers, mayFindSilent } from '../../core/gateway/loss-evidence';
 import { isStandby } from '../../core/gateway/forming/start';
+import type { LossEvidence } from '../../core/gateway/suspicion';
 import type { BackendServer } from '../../core/gateway/types';
 import { later } from '../../core/ids';
 import type { GroupId, InstanceId, MonoTime } from '../../core/ids';
 import type { Servers } from '../../ports/gateway';
-import type { StepError } from '../../utils/errors';
-import { pause } from '../../utils/pause';
 import type { GatewayContext } from './context';
-import { startDelayWatch } from './delay-watch';
 import type { EvacuatedZones } from './evacuations';
+import { inspectGroup } from './group-inspection';
+import type { Conclusion, LastEventAt } from './group-inspection';
 import type { Stall } from './group-registry';
 import type { Leadership } from './lease';
+import { createLostServers } from './lost-servers';
+import { pickReferences } from './reference-servers';
 import type { ServerRegistry } from './server-registry';
 
 export interface MemberInspection {
-  /**
-   * Asks the members of a stalled group for reports and notes those that do not answer as lost.
-   * `lastEventAt`: when the group last gave an event to any daemon, as far as known.
-   */
+  /** Asks the members of a stalled group for reports and notes those that are lost. */
   inspect(stall: Stall, lastEventAt?: LastEventAt): void;
-  /** Groups with a member that did not answer and is therefore considered lost. */
+  /** Groups with a member that is lost. */
   readonly lost: Observable<Stall>;
 }
 
-export type LastEventAt = () => MonoTime | undefined;
-
 export interface MemberInspectionOptions {
   readonly serverRegistry: Pick<ServerRegistry, 'servers' | 'lapsed' | 'changes'>;
   readonly leadership: Pick<Leadership, 'heldFencing'>;
@@ -38,111 +34,119 @@
   /** Whether any daemon has streams running in the group. */
   readonly isBusy: (group: GroupId) => boolean;
   readonly evacuations: Pick<EvacuatedZones, 'isEvacuated'>;
-  /** Records servers as lost until the given time. */
+  /** Excludes servers as lost until the given time. */
   readonly noteLost: (lost: readonly BackendServer[], until: MonoTime) => void;
+  /** Ends the exclusion of a server that answers again. */
+  readonly noteFound: (server: BackendServer) => void;
   /** Whether a server that does not answer here is reached through a peer. */
   readonly isReachedByPeer: (address: string) => Promise<boolean>;
-  /** Called after `noteLost`. */
+  /** Called after `noteLost` and `noteFound`. */
   readonly replan: () => void;
 }
 
-/**
- * A member that sends no report within this time is considered lost. A healthy one takes about a
- * millisecond.
- */
-const REPORT_TIMEOUT_MS = 250;
-/**
- * After this time a second request is sent on a connection of its own, in case a packet was lost.
- */
-const RETRY_REPORT_MS = 90;
-/** A lost member is excluded for this long, or until it restarts under another id. */
-const LOST_EXCLUSION_MS = 20_000;
-/** Minimum time between two inspections of the same group. */
+/** Minimum time between the starts of two inspections of the same group. */
 const INSPECT_INTERVAL_MS = 700;
+/** Times of losses by silence that are remembered, more than are counted. */
+const MAX_FOUND = 16;
 
 const NO_EVENTS: LastEventAt = () => undefined;
 
-/**
- * What an inspection found: all members answer, one has ended, one is silent, or nothing, as this daemon
- * reached no other server either.
- */
-type InspectionOutcome = 'answered' | 'ended' | 'silent' | 'inconclusive';
+/** A group that is inspected under the present lease. */
+interface Inspected {
+  readonly members: readonly BackendServer[];
+  readonly lastEventAt: LastEventAt;
+  readonly isCurrent: () => boolean;
+}
 
 export function createMemberInspection(
-  { clock, logger, metrics }: Pick<GatewayContext, 'clock' | 'logger' | 'metrics'>,
+  ctx: Pick<GatewayContext, 'clock' | 'logger' | 'metrics' | 'random'>,
   options: MemberInspectionOptions,
 ): MemberInspection {
-  const { serverRegistry, leadership, servers, isBusy, evacuations, noteLost, replan } = options;
-  const { isReachedByPeer } = options;
+  const { clock, logger, metrics, random } = ctx;
+  const { serverRegistry, leadership, servers, isBusy, evacuations, replan } = options;
+  const running = new Set<GroupId>();
   const nextInspectionAt = new Map<GroupId, MonoTime>();
   /** Servers whose entries expired and whose groups were inspected since. */
   const inspectedLapsed = new Set<InstanceId>();
   const lostGroups = new Subject<Stall>();
+  /** When groups were last found lost by silence. */
+  let silentFoundAt: readonly MonoTime[] = [];
+
+  const lostServers = createLostServers({
+    ...{ clock, servers, noteLost: options.noteLost },
+    fencing: () => leadership.heldFencing(),
+    isKnown: (id) => serverRegistry.servers.has(id) || serverRegistry.lapsed.has(id),
+    noteFound: (server) => {
+      logger.info('lost server answers again', { step: 'inspect', server: server.id });
+      options.noteFound(server);
+      replan();
+    },
+  });
 
-  /** How the server answers the first or the second request. */
-  const ask = async (server: BackendServer): Promise<Answer> => {
-    const askedAt = clock.now();
-    const requestReport = async (timeoutMs: number): Promise<Answer['kind']> =>
-      (await servers.report(server, timeoutMs)).match(() => 'answered', kindOf);
-    const askTwice = async (): Promise<Answer['kind']> => {
-      const first = requestReport(REPORT_TIMEOUT_MS);
-      const early = await Promise.race([first, pause(RETRY_REPORT_MS)]);
-      if (early === 'answered') return early;
-      const both = await Promise.all([first, requestReport(REPORT_TIMEOUT_MS - RETRY_REPORT_MS)]);
-      if (both.includes('answered')) return 'answered';
-      if (await isReachedByPeer(server.address)) return requestReport(REPORT_TIMEOUT_MS);
-      return both.includes('ended') ? 'ended' : 'silent';
-    };
-    const kind = await askTwice();
-    return { kind, ms: clock.now() - askedAt };
-  };
-
-  const inspect = ({ group, head }: Stall, lastEventAt: LastEventAt = NO_EVENTS): void => {
+  const inspect = (stall: Stall, lastEventAt: LastEventAt = NO_EVENTS): void => {
+    const { group } = stall;
     const now = clock.now();
     const nextAt = nextInspectionAt.get(group);
-    if (leadership.heldFencing() === undefined || (nextAt !== undefined && now < nextAt)) return;
-    nextInspectionAt.set(group, later(now, INSPECT_INTERVAL_MS));
+    const fencing = leadership.heldFencing();
+    if (fencing === undefined || running.has(group) || (nextAt !== undefined && now < nextAt))
+      return;
     const members = [...serverRegistry.servers.values(), ...serverRegistry.lapsed.values()].filter(
       ({ membership }) => membership?.group === group,
     );
     // Nothing may be sent to servers of evacuated zones; the streams there end by their own silence.
     if (members.some(({ zone }) => evacuations.isEvacuated(zone))) return;
-    void inspectMembers({ group, head }, members, lastEventAt);
+    // It is being ended.
+    if (members.some(({ id }) => lostServers.has(id))) return;
+    nextInspectionAt.set(group, later(now, INSPECT_INTERVAL_MS));
+    running.add(group);
+    const isCurrent = (): boolean => leadership.heldFencing() === fencing;
+    void inspectMembers(stall, { members, lastEventAt, isCurrent }).finally(() => {
+      running.delete(group);
+    });
   };
 
   const inspectMembers = async (
-    { group, head }: Stall,
-    members: readonly BackendServer[],
-    lastEventAt: LastEventAt,
+    stall: Stall,
+    { members, lastEventAt, isCurrent }: Inspected,
   ): Promise<void> => {
-    const delayWatch = startDelayWatch(clock);
-    const answers = await Promise.all(members.map(ask));
-    const lost = members.filter((_, i) => answers[i]?.kind !== 'answered');
-    // If no member answers, this daemon's own link may be down: check it against other domains
-    // first.
-    const mustCheckLink = lost.length === members.length && members.length > 1;
-    const references = mustCheckLink ? pickReferences(members) : [];
-    const referenceAnswers = await Promise.all(references.map(ask));
-    const isLinkDown = mustCheckLink && !referenceAnswers.some(({ kind }) => kind === 'answered');
-    const outcome = outcomeOf(answers, isLinkDown);
-    const eventAt = lastEventAt();
+    const { group, head } = stall;
+    const publish = (lost: readonly BackendServer[], evidence: LossEvidence): void => {
+      lostServers.add(lost, evidence);
+      if (!isStandby(group)) lostGroups.next({ group, head, evidence });
+      replan();
+    };
+    await inspectGroup({
+      ...{ clock, servers, members, lastEventAt, isCurrent },
+      pickReferences: () => pickReferences(members, askableServers(), () => random.next()),
+      isReachedByPeer: options.isReachedByPeer,
+      mayFindSilent: (look) => mayFindSilent(silentFoundAt, look, clock.now()),
+      report: (conclusion) => {
+        logConclusion(stall, conclusion);
+        const { outcome, lost } = conclusion;
+        if (outcome === 'silent') silentFoundAt = [...silentFoundAt, clock.now()].slice(-MAX_FOUND);
+        if (outcome === 'silent' || outcome === 'ended') publish(lost, outcome);
+      },
+    });
+  };
+
+  /** Engine servers that may be asked for comparison: neither excluded nor in an evacuated zone. */
+  const askableServers = (): readonly BackendServer[] =>
+    [...serverRegistry.servers.values()].filter(
+      ({ id, zone }) => !evacuations.isEvacuated(zone) && !lostServers.has(id),
+    );
+
+  const logConclusion = ({ group, head }: Stall, conclusion: Conclusion): void => {
+    const { outcome, members, lost, answers, references, eventAt, tookMs, delayMs } = conclusion;
     metrics.count('nutmegstack_member_inspections_total', { outcome });
     logger.info('members asked', {
-      step: 'inspect',
-      group,
-      head,
-      outcome,
-      members: members.length,
+      ...{ step: 'inspect', group, head, outcome, members },
       lost: lost.map(({ id }) => id).join(' '),
-      answers: formatAnswers(zip(members, answers)),
-      references: formatAnswers(zip(references, referenceAnswers)),
+      answers: formatAnswers(answers),
+      references: formatAnswers(references),
       ...(eventAt !== undefined && { eventAgeMs: Math.round(clock.now() - eventAt) }),
-      longestDelayMs: delayWatch.stop(),
+      tookMs: Math.round(tookMs),
+      longestDelayMs: Math.round(delayMs),
     });
-    if (outcome === 'inconclusive' || outcome === 'answered') return;
-    noteLost(lost, later(clock.now(), LOST_EXCLUSION_MS));
-    if (!isStandby(group)) lostGroups.next({ group, head, evidence: outcome });
-    replan();
   };
 
   /**
@@ -162,37 +166,5 @@
 
   serverRegistry.changes.subscribe(inspectLapsed);
 
-  /** Engine servers of other domains; servers of plain services give no reports. */
-  const pickReferences = (members: readonly BackendServer[]): readonly BackendServer[] => {
-    const ownDomain = members[0]?.domain;
-    return [...serverRegistry.servers.values()]
-      .filter(({ domain }) => domain !== undefined && domain !== ownDomain)
-      .filter(({ zone }) => !evacuations.isEvacuated(zone))
-      .slice(0, 2);
-  };
-
   return { inspect, lost: lostGroups };
 }
-
-/** Codes of errors that show that the server's process has ended. */
-const ENDED_CODES: ReadonlySet<StepError['code']> = new Set(['backend-refused', 'backend-lost']);
-
-function kindOf({ code }: StepError): Answer['kind'] {
-  return ENDED_CODES.has(code) ? 'ended' : 'silent';
-}
-
-function outcomeOf(answers: readonly Answer[], isLinkDown: boolean): InspectionOutcome {
-  if (answers.every(({ kind }) => kind === 'answered')) return 'answered';
-  if (isLinkDown) return 'inconclusive';
-  return answers.some(({ kind }) => kind === 'ended') ? 'ended' : 'silent';
-}
-
-function zip(
-  servers: readonly BackendServer[],
-  answers: readonly Answer[],
-): readonly (readonly [string, Answer])[] {
-  return servers.flatMap(({ id }, i) => {
-    const answer = answers[i];
-    return answer ? [[id, answer] as const] : [];
-  });
-}
--- /dev/null
+++ b/src/app/gateway/member-look.ts
@@ -0,0 +1,141 @@
+/** Asks the members of a group and some other servers for reports, all at the same time. */
+
+import { judgeLook } from '../../core/gateway/loss-evidence';
+import type { Answer, Look, LookResult, ReferenceAnswer } from '../../core/gateway/loss-evidence';
+import type { BackendServer } from '../../core/gateway/types';
+import type { InstanceId } from '../../core/ids';
+import type { Servers } from '../../ports/gateway';
+import type { Clock } from '../../ports/runtime';
+import type { StepError } from '../../utils/errors';
+import { createRunTimer } from './run-timer';
+
+/** A server that is asked for comparison. */
+export interface Reference {
+  readonly server: BackendServer;
+  readonly isFar: boolean;
+}
+
+export interface LookSubjects {
+  readonly members: readonly BackendServer[];
+  readonly references: readonly Reference[];
+  /** Minimum time of the look, milliseconds. */
+  readonly minMs: number;
+}
+
+export interface FinishedLook {
+  readonly look: Look;
+  readonly result: Exclude<LookResult, 'open'>;
+}
+
+export interface MemberLooks {
+  /** Asks once more. Members that have ended are not asked. */
+  take(subjects: LookSubjects): Promise<FinishedLook>;
+  /** Asks one server outside the usual order. */
+  ask(server: BackendServer): void;
+  longestDelayMs(): number;
+}
+
+export interface MemberLooksOptions {
+  readonly clock: Clock;
+  readonly servers: Pick<Servers, 'report'>;
+  /** Called when members have not answered the first request while others have. */
+  readonly onSlow: (members: readonly BackendServer[]) => void;
+  /** Called at once when a server turns out to have ended. */
+  readonly onEnded: (server: BackendServer) => void;
+}
+
+/** Requests stay open beyond the end of a look: a late answer still shows that the server is there. */
+const REPORT_TIMEOUT_MS = 2_500;
+/** After this time a second request is sent on a connection of its own, in case a packet was lost. */
+const REPEAT_MS = 90;
+
+/** Codes of errors that show that the server's process has ended. */
+const ENDED_CODES: ReadonlySet<StepError['code']> = new Set(['backend-refused', 'backend-lost']);
+
+/** Whether the error shows that the server's process has ended. */
+export function isEnded({ code }: StepError): boolean {
+  return ENDED_CODES.has(code);
+}
+
+export function createMemberLooks({
+  clock,
+  servers,
+  onSlow,
+  onEnded,
+}: MemberLooksOptions): MemberLooks {
+  const timer = createRunTimer(clock);
+  const ended = new Set<InstanceId>();
+  /** Answers within the current look, whenever they were asked for. */
+  let answers = new Map<InstanceId, Answer>();
+  let hasRepeated = false;
+
+  const noteAnswered = ({ id }: BackendServer, ms: number): void => {
+    const known = answers.get(id);
+    if (!known || known.ms < ms) answers.set(id, { kind: 'answered', ms });
+    timer.wake();
+  };
+
+  const noteFailed = (server: BackendServer, err: StepError): void => {
+    if (!isEnded(err) || ended.has(server.id)) return;
+    ended.add(server.id);
+    onEnded(server);
+    timer.wake();
+  };
+
+  const ask = (server: BackendServer): void => {
+    const askedAt = clock.now();
+    void servers.report(server, REPORT_TIMEOUT_MS).match(
+      () => {
+        noteAnswered(server, clock.now() - askedAt);
+      },
+      (err) => {
+        noteFailed(server, err);
+      },
+    );
+  };
+
+  const answerOf = ({ id }: BackendServer, silentMs: number): Answer =>
+    ended.has(id)
+      ? { kind: 'ended', ms: 0 }
+      : (answers.get(id) ?? { kind: 'silent', ms: silentMs });
+
+  const take = async ({ members, references, minMs }: LookSubjects): Promise<FinishedLook> => {
+    const startedAt = clock.now();
+    const ranBefore = timer.ranMs();
+    const asked = [...members, ...references.map(({ server }) => server)];
+    const askSilent = (): void => {
+      for (const server of asked) if (!ended.has(server.id) && !answers.has(server.id)) ask(server);
+    };
+    const observe = (): Look => {
+      const silentMs = clock.now() - startedAt;
+      return {
+        members: new Map(
+          members
+            .filter(({ id }) => !ended.has(id))
+            .map((server) => [server.id, answerOf(server, silentMs)]),
+        ),
+        references: references.map(({ server, isFar }): ReferenceAnswer => ({
+          ...answerOf(server, silentMs),
+          isFar,
+        })),
+        ranMs: timer.ranMs() - ranBefore,
+        minMs,
+      };
+    };
+    answers = new Map();
+    askSilent();
+    for (;;) {
+      await timer.step();
+      const look = observe();
+      const result = judgeLook(look);
+      if (result !== 'open') return { look, result };
+      if (hasRepeated || look.ranMs < REPEAT_MS) continue;
+      hasRepeated = true;
+      askSilent();
+      const slow = members.filter(({ id }) => look.members.get(id)?.kind === 'silent');
+      if (answers.size > 0) onSlow(slow);
+    }
+  };
+
+  return { take, ask, longestDelayMs: () => timer.longestDelayMs() };
+}
--- a/src/core/gateway/loss-evidence.ts
+++ b/src/core/gateway/loss-evidence.ts
@@ -1,4 +1,15 @@
-/** Evidence of a loss: how servers answered a request for a report. */
+/**
+ * Judges by the answers to requests for reports which members of a group are lost.
+ *
+ * Load pattern: all servers, a domain or a zone pause for a second; the leader's link is full of other bytes;
+ * its process does not run. All of these look like lost servers from one place, and ending sound groups costs
+ * loads of weights. A server that has ended is lost at once. One that is silent is lost only if others answer
+ * as usual in the same time, twice; many members of a group, or all of them, only after two seconds, as they
+ * may share a pause, and none of a group's members can be used before it answers.
+ */
+
+import { later } from '../ids';
+import type { InstanceId, MonoTime } from '../ids';
 
 /**
  * How a server answered a request for its report.
@@ -7,10 +18,144 @@
  * - `ended`: its port refuses connections, or another process answers there.
  * - `silent`: nothing of use came within `ms`.
  */
-export type Answer =
-  | { readonly kind: 'answered'; readonly ms: number }
-  | { readonly kind: 'ended'; readonly ms: number }
-  | { readonly kind: 'silent'; readonly ms: number };
+export interface Answer {
+  readonly kind: 'answered' | 'ended' | 'silent';
+  readonly ms: number;
+}
+
+/** The answer of a server that is asked for comparison. */
+export interface ReferenceAnswer extends Answer {
+  /** It is as far from the group as any server: in another zone, or in another domain if there is one zone. */
+  readonly isFar: boolean;
+}
+
+/** Answers since the members of a group and some other servers were asked together. */
+export interface Look {
+  /** Answers of the members that have not ended, by id. */
+  readonly members: ReadonlyMap<InstanceId, Answer>;
+  readonly references: readonly ReferenceAnswer[];
+  /** Time since then in which this process ran, milliseconds. */
+  readonly ranMs: number;
+  /** Minimum time of the look, milliseconds. */
+  readonly minMs: number;
+}
+
+/**
+ * - `open`: answers may still come.
+ * - `answered`: all members did.
+ * - `silent`: some did not although others answered as usual.
+ * - `inconclusive`: others took long as well, or did not answer.
+ */
+export type LookResult = 'open' | 'answered' | 'silent' | 'inconclusive';
+
+/** A sound server answers in about a millisecond; within this time also on a busy link. */
+const USUAL_MS = 250;
+/** A server that needs this many times as long as the slowest of the others is silent. */
+const SLOWEST_FACTOR = 4;
+/** After this time a look without enough answers is given up, and all are asked again. */
+const MAX_LOOK_MS = 1_000;
+/** Looks in which a member must be silent while others of its group answer. */
+const MIN_SILENT_LOOKS = 2;
+/** Silence of a whole group, or many members, that shows a loss: longer than usual pauses of hosts. */
+const SHARED_SILENCE_MS = 2_000;
+
+const hasAnswered = ({ kind }: Answer): boolean => kind === 'answered';
+const isSilent = ({ kind }: Answer): boolean => kind === 'silent';
+
+/**
+ * Whether the references answer as usual: all but one in four, since a server may be lost itself. That those
+ * of the group's zone are all silent and all others answer, or the other way, shows where a link is cut.
+ */
+function areReferencesUsual(references: readonly ReferenceAnswer[]): boolean {
+  const silent = references.filter(isSilent);
+  if (silent.length <= Math.floor(references.length / 4)) return true;
+  if (!references.some(hasAnswered)) return false;
+  const [first] = silent;
+  return references.every((answer) => (answer.isFar === first?.isFar) === isSilent(answer));
+}
+
+/** Judges a look by the answers that have come until now. */
+export function judgeLook({ members, references, ranMs, minMs }: Look): LookResult {
+  const all = [...members.values(), ...references];
+  if (![...members.values()].some(isSilent)) return 'answered';
+  const slowestMs = Math.max(0, ...all.filter(hasAnswered).map(({ ms }) => ms));
+  if (slowestMs > USUAL_MS) return 'inconclusive';
+  if (ranMs < Math.max(minMs, SLOWEST_FACTOR * slowestMs)) return 'open';
+  if (all.some(hasAnswered) && areReferencesUsual(references)) return 'silent';
+  return ranMs < MAX_LOOK_MS ? 'open' : 'inconclusive';
+}
+
+/** A group of which no member answers is asked less often, as it takes longer to be found lost. */
+const SILENT_GROUP_LOOK_MS = 500;
+
+/** Minimum time of the look after this one, or of the first, milliseconds. */
+export function nextLookMs(last?: Look): number {
+  const isGroupSilent = last && [...last.members.values()].every(isSilent);
+  return isGroupSilent ? SILENT_GROUP_LOOK_MS : USUAL_MS;
+}
+
+/** Whether only one member in four, or a single one, is silent: many together may share a pause. */
+function areFewSilent(members: Look['members']): boolean {
+  const silent = [...members.values()].filter(isSilent).length;
+  return silent < members.size && silent <= Math.max(1, Math.floor(members.size / 4));
+}
+
+/** Silence of one member since it last answered. */
+interface Silence {
+  /** Looks in which nearly all other members of its group answered as usual. */
+  readonly looks: number;
+  /** Time in which servers elsewhere answered as usual, milliseconds. */
+  readonly ms: number;
+}
+
+/** Silent members, by id. */
+export type Silences = ReadonlyMap<InstanceId, Silence>;
+
+/** Adds what a finished look shows. An inconclusive one shows only who answered. */
+export function noteLook(
+  silences: Silences,
+  { members, ranMs }: Look,
+  result: LookResult,
+): Silences {
+  const look = areFewSilent(members) ? 1 : 0;
+  const next = new Map(silences);
+  for (const [id, answer] of members) {
+    const { looks, ms } = next.get(id) ?? { looks: 0, ms: 0 };
+    if (hasAnswered(answer)) next.delete(id);
+    else if (result === 'silent') next.set(id, { looks: looks + look, ms: ms + ranMs });
+  }
+  return next;
+}
+
+/** The members that are lost by their silence, after the latest look. */
+export function findSilent(silences: Silences, { members }: Look): readonly InstanceId[] {
+  const areFew = areFewSilent(members);
+  const isLost = ({ looks, ms }: Silence): boolean =>
+    areFew ? looks >= MIN_SILENT_LOOKS : ms >= SHARED_SILENCE_MS;
+  return [...members].flatMap(([id, answer]) => {
+    const silence = isSilent(answer) ? silences.get(id) : undefined;
+    return silence && isLost(silence) ? [id] : [];
+  });
+}
+
+/** Groups that may be found lost by silence within a second without further evidence. */
+const MAX_LOST_GROUPS = 2;
+const LOST_GROUPS_WINDOW_MS = 1_000;
+
+/**
+ * Whether one more group may be found lost by silence, `foundAt` being the times of earlier ones. Many at once
+ * are more likely a fault of the observer, unless all servers asked elsewhere answered.
+ */
+export function mayFindSilent(
+  foundAt: readonly MonoTime[],
+  { references }: Look,
+  now: MonoTime,
+): boolean {
+  const far = references.filter(({ isFar }) => isFar);
+  if (far.length > 0 && far.every(hasAnswered)) return true;
+  const recent = foundAt.filter((at) => now < later(at, LOST_GROUPS_WINDOW_MS));
+  return recent.length < MAX_LOST_GROUPS;
+}
 
 const ANSWER_FORMATS: Readonly<Record<Answer['kind'], (ms: number) => string>> = {
   answered: (ms) => `${ms}ms`,
--- a/tests/gateway/asked-members.ts
+++ b/tests/gateway/asked-members.ts
@@ -46,6 +46,9 @@
   readonly resolve: (result: Result<unknown, StepError>) => void;
 }
 
+/** A check of the server and the answers of a few peers. */
+const PEER_CHECK_MS = 300;
+const RUN_STEP_MS = 5;
 const NO_RESPONSE = fail('unavailable', 'no response', { step: 'report' });
 
 export interface GroupSpec {
@@ -73,6 +76,7 @@
   });
   const excluded = new Map<InstanceId, MonoTime>();
   const found: { readonly stall: Stall; readonly at: number }[] = [];
+  const throughPeers = new Set<InstanceId>();
   let asked = 0;
 
   const pending = new Set<PendingReport>();
@@ -111,7 +115,14 @@
     noteLost: (lost: readonly BackendServer[], until: MonoTime) => {
       for (const { id } of lost) excluded.set(id, until);
     },
-    isReachedByPeer: () => Promise.resolve(false),
+    isReachedByPeer: async (address: string) => {
+      await new Promise((resolve) => setTimeout(resolve, PEER_CHECK_MS));
+      const server = [...servers.values()].find((s) => s.address === address);
+      if (!server || !throughPeers.has(server.id)) return false;
+      // What is sent from now on goes through the peer.
+      behaviours.set(server.id, HEALTHY);
+      return true;
+    },
     noteFound: ({ id }: BackendServer) => excluded.delete(id),
     replan: () => undefined,
   } as unknown as MemberInspectionOptions);
@@ -126,6 +137,7 @@
   return {
     ctx,
     set,
+    throughPeers,
     membersOf,
     excluded,
     found,
@@ -143,7 +155,14 @@
       if (head === undefined) throw new Error(`no group ${group}`);
       inspection.inspect({ group: brandAs<GroupId>(group), head }, lastEventAt);
     },
-    run: (ms: number) => vi.advanceTimersByTimeAsync(ms),
+    run: async (ms: number): Promise<void> => {
+      const until = Date.now() + ms;
+      while (Date.now() < until) {
+        await vi.advanceTimersByTimeAsync(Math.min(RUN_STEP_MS, until - Date.now()));
+        // Immediates are not faked: a process that runs has done them before the next timers.
+        await new Promise(setImmediate);
+      }
+    },
     /** This process does not run for `ms`; then, as in an event loop, time limits pass before answers are read. */
     block: (ms: number): void => {
       vi.setSystemTime(Date.now() + ms);
--- a/tests/gateway/loss-evidence.test.ts
+++ b/tests/gateway/loss-evidence.test.ts
@@ -74,6 +74,16 @@
     expectNothingFound(test);
   });
 
+  // Guards against ending groups of servers that only this daemon does not reach.
+  it.each([1, 8])('are not lost if peers reach them, %i of eight', async (count) => {
+    const test = startAsking(FLEET);
+    const cut = test.membersOf(GROUP).slice(0, count);
+    test.set(cut, DARK);
+    for (const id of cut) test.throughPeers.add(id);
+    await inspectFor(test, [GROUP], 4_000);
+    expectNothingFound(test);
+  });
+
   // Guards against a time limit that passes while the process does not run.
   it.each([{ from: 10 }, { from: 50 }, { from: 100 }, { from: 200 }, { from: 300 }])(
     'are not lost if this process does not run for 300 ms after $from ms',
@@ -192,6 +202,15 @@
     expect(await findAfter(test)).toBeLessThanOrEqual(50);
   });
 
+  it('of three of eight members, which are dark, is found after two seconds', async () => {
+    const test = startAsking(FLEET);
+    const dark = test.membersOf(GROUP).slice(2, 5);
+    test.set(dark, DARK);
+    const ms = await findAfter(test);
+    expect([ms >= 2_000, ms <= 2_600]).toEqual([true, true]);
+    expect([...test.excluded.keys()]).toEqual(dark);
+  });
+
   it('of a domain for good is found after two seconds', async () => {
     const test = startAsking(FLEET);
     test.set(test.inDomain('a0'), DARK);
@@ -224,6 +243,14 @@
     expect([ms >= 2_000, ms <= 2_800]).toEqual([true, true]);
   });
 
+  // Guards against losses elsewhere that hide each further one.
+  it('of a member is found while another zone is dark', async () => {
+    const test = startAsking(FLEET);
+    test.set(test.inZone('b'), DARK);
+    test.set(test.membersOf(GROUP).slice(1, 2), DARK);
+    expect(await findAfter(test)).toBeLessThanOrEqual(600);
+  });
+
   // Guards against a slow link that hides each loss.
   it('of a member is found also if all answers take 60 ms', async () => {
     const test = startAsking(FLEET);
--- a/tests/gateway/member-inspection.test.ts
+++ b/tests/gateway/member-inspection.test.ts
@@ -25,7 +25,7 @@
     await test.run(100);
     test.block(400);
     await test.run(1_500);
-    const [line] = test.lines('members asked');
+    const line = test.lines('members asked').at(-1);
     expect(line?.answers).toMatch(/^s1: \d+ms, s2: silent \d+ms, s3: ended$/);
     expect(line?.eventAgeMs).toBeGreaterThanOrEqual(700);
     expect(line?.longestDelayMs).toBeGreaterThanOrEqual(300);
--- a/tests/gateway/planned-fleet.ts
+++ b/tests/gateway/planned-fleet.ts
@@ -11,9 +11,13 @@
 import type { GroupPlannerOptions } from '../../src/app/gateway/group-planner';
 import type { BackendServer } from '../../src/core/gateway/types';
 import type { InstanceId, ModelId } from '../../src/core/ids';
+import { fail } from '../../src/utils/errors';
 import { createEngineFleet } from '../../stand-ins/users-platform/engines';
 import { at, ENGINE, FLEET, LARGE, makeConfig, makeContext, SERVICE } from './support';
 
+/** The port of a server that was killed refuses connections. */
+const REFUSED = fail('backend-refused', 'connection refused', { step: 'report' });
+
 /** Starts a fleet with the group planner of its leading daemon, and waits until groups are formed. */
 export async function startPlannedFleet(domains: readonly number[]) {
   const fleet = createEngineFleet({ ...FLEET, domains, hasTraffic: false });
@@ -48,7 +52,7 @@
       },
       report: ({ id }: BackendServer) => {
         reports.push({ at: fleet.now(), server: id });
-        if (!fleet.servers.get(id)?.isAlive) return errAsync('dead');
+        if (!fleet.servers.get(id)?.isAlive) return errAsync(REFUSED);
         return okAsync({ slowdown: slowdownOf(id) });
       },
     },
