Log for how long a silent member has been silent in all

The line `members asked` gave the time within the last look, at most a second, for members that had been silent for two. It now counts from the first request without an answer. member-inspection and loss-evidence: 47 passed.

--- a/src/app/gateway/member-look.ts
+++ b/src/app/gateway/member-look.ts
@@ -3,7 +3,7 @@
 import { judgeLook } from '../../core/gateway/loss-evidence';
 import type { Answer, Look, LookResult, ReferenceAnswer } from '../../core/gateway/loss-evidence';
 import type { BackendServer } from '../../core/gateway/types';
-import type { InstanceId } from '../../core/ids';
+import type { InstanceId, MonoTime } from '../../core/ids';
 import type { Servers } from '../../ports/gateway';
 import type { Clock } from '../../ports/runtime';
 import type { StepError } from '../../utils/errors';
@@ -67,11 +67,14 @@
   const ended = new Set<InstanceId>();
   /** Answers within the current look, whenever they were asked for. */
   let answers = new Map<InstanceId, Answer>();
+  /** When each server was first asked since its last answer. */
+  const silentSince = new Map<InstanceId, MonoTime>();
   let hasRepeated = false;
 
   const noteAnswered = ({ id }: BackendServer, ms: number): void => {
     const known = answers.get(id);
     if (!known || known.ms < ms) answers.set(id, { kind: 'answered', ms });
+    silentSince.delete(id);
     timer.wake();
   };
 
@@ -84,6 +87,7 @@
 
   const ask = (server: BackendServer): void => {
     const askedAt = clock.now();
+    if (!silentSince.has(server.id)) silentSince.set(server.id, askedAt);
     void servers.report(server, REPORT_TIMEOUT_MS).match(
       () => {
         noteAnswered(server, clock.now() - askedAt);
@@ -94,28 +98,27 @@
     );
   };
 
-  const answerOf = ({ id }: BackendServer, silentMs: number): Answer =>
+  const answerOf = ({ id }: BackendServer, now: MonoTime): Answer =>
     ended.has(id)
       ? { kind: 'ended', ms: 0 }
-      : (answers.get(id) ?? { kind: 'silent', ms: silentMs });
+      : (answers.get(id) ?? { kind: 'silent', ms: now - (silentSince.get(id) ?? now) });
 
   const take = async ({ members, references, minMs }: LookSubjects): Promise<FinishedLook> => {
-    const startedAt = clock.now();
     const ranBefore = timer.ranMs();
     const asked = [...members, ...references.map(({ server }) => server)];
     const askSilent = (): void => {
       for (const server of asked) if (!ended.has(server.id) && !answers.has(server.id)) ask(server);
     };
     const observe = (): Look => {
-      const silentMs = clock.now() - startedAt;
+      const now = clock.now();
       return {
         members: new Map(
           members
             .filter(({ id }) => !ended.has(id))
-            .map((server) => [server.id, answerOf(server, silentMs)]),
+            .map((server) => [server.id, answerOf(server, now)]),
         ),
         references: references.map(({ server, isFar }): ReferenceAnswer => ({
-          ...answerOf(server, silentMs),
+          ...answerOf(server, now),
           isFar,
         })),
         ranMs: timer.ranMs() - ranBefore,
--- a/tests/gateway/member-inspection.test.ts
+++ b/tests/gateway/member-inspection.test.ts
@@ -26,7 +26,7 @@
     test.block(400);
     await test.run(1_500);
     const line = test.lines('members asked').at(-1);
-    expect(line?.answers).toMatch(/^s1: \d+ms, s2: silent \d+ms, s3: ended$/);
+    expect(line?.answers).toMatch(/^s1: \d+ms, s2: silent \d{3,}ms, s3: ended$/);
     expect(line?.eventAgeMs).toBeGreaterThanOrEqual(700);
     expect(line?.longestDelayMs).toBeGreaterThanOrEqual(300);
   });
