Send no report requests to a zone that is evacuated during an inspection

An inspection now takes up to six seconds, and lost servers are asked for 20 s, so a zone may be evacuated meanwhile. Requests to its servers are then held back, and the inspection ends without a finding.

--- a/src/app/gateway/member-inspection.ts
+++ b/src/app/gateway/member-inspection.ts
@@ -1,5 +1,6 @@
 /** Inspects the members of stalled groups while this daemon holds the lease. */
 
+import { errAsync } from 'neverthrow';
 import { Subject } from 'rxjs';
 import type { Observable } from 'rxjs';
 
@@ -10,6 +11,7 @@
 import { later } from '../../core/ids';
 import type { GroupId, InstanceId, MonoTime } from '../../core/ids';
 import type { Servers } from '../../ports/gateway';
+import { fail } from '../../utils/errors';
 import type { GatewayContext } from './context';
 import type { EvacuatedZones } from './evacuations';
 import { inspectGroup } from './group-inspection';
@@ -63,7 +65,7 @@
   options: MemberInspectionOptions,
 ): MemberInspection {
   const { clock, logger, metrics, random } = ctx;
-  const { serverRegistry, leadership, servers, isBusy, evacuations, replan } = options;
+  const { serverRegistry, leadership, isBusy, evacuations, replan } = options;
   const running = new Set<GroupId>();
   const nextInspectionAt = new Map<GroupId, MonoTime>();
   /** Servers whose entries expired and whose groups were inspected since. */
@@ -72,6 +74,14 @@
   /** When groups were last found lost by silence. */
   let silentFoundAt: readonly MonoTime[] = [];
 
+  /** Asks servers, but those of zones that have been evacuated meanwhile. */
+  const servers: Pick<Servers, 'report'> = {
+    report: (server, timeoutMs) =>
+      evacuations.isEvacuated(server.zone)
+        ? errAsync(fail('cancelled', 'the zone is evacuated', { step: 'report' }))
+        : options.servers.report(server, timeoutMs),
+  };
+
   const lostServers = createLostServers({
     ...{ clock, servers, noteLost: options.noteLost },
     fencing: () => leadership.heldFencing(),
@@ -99,7 +109,9 @@
     if (members.some(({ id }) => lostServers.has(id))) return;
     nextInspectionAt.set(group, later(now, INSPECT_INTERVAL_MS));
     running.add(group);
-    const isCurrent = (): boolean => leadership.heldFencing() === fencing;
+    const isCurrent = (): boolean =>
+      leadership.heldFencing() === fencing &&
+      !members.some(({ zone }) => evacuations.isEvacuated(zone));
     void inspectMembers(stall, { members, lastEventAt, isCurrent }).finally(() => {
       running.delete(group);
     });
--- a/tests/gateway/asked-members.ts
+++ b/tests/gateway/asked-members.ts
@@ -76,7 +76,9 @@
   });
   const excluded = new Map<InstanceId, MonoTime>();
   const found: { readonly stall: Stall; readonly at: number }[] = [];
+  const evacuated = new Set<string>();
   const throughPeers = new Set<InstanceId>();
+  let fencing: number | undefined = 1;
   let asked = 0;
 
   const pending = new Set<PendingReport>();
@@ -108,10 +110,10 @@
   const ctx = makeContext({ clock, logger });
   const inspection = createMemberInspection(ctx, {
     serverRegistry: { servers, lapsed: new Map(), changes: new Subject() },
-    leadership: { heldFencing: () => 1 },
+    leadership: { heldFencing: () => fencing },
     servers: { report: answer },
     isBusy: () => true,
-    evacuations: { isEvacuated: () => false },
+    evacuations: { isEvacuated: (zone: string) => evacuated.has(zone) },
     noteLost: (lost: readonly BackendServer[], until: MonoTime) => {
       for (const { id } of lost) excluded.set(id, until);
     },
@@ -138,6 +140,7 @@
     ctx,
     set,
     throughPeers,
+    evacuated,
     membersOf,
     excluded,
     found,
@@ -146,6 +149,9 @@
       [...servers.values()].filter((s) => s.domain === domain).map(({ id }) => id),
     inZone: (zone: string): InstanceId[] =>
       [...servers.values()].filter((s) => s.zone === zone).map(({ id }) => id),
+    endLease: (): void => {
+      fencing = undefined;
+    },
     asked: () => asked,
     /** The groups that were found lost, in order. */
     lost: (): string[] => found.map(({ stall }) => stall.group),
--- a/tests/gateway/member-inspection.test.ts
+++ b/tests/gateway/member-inspection.test.ts
@@ -51,3 +51,34 @@
       expect(text).toContain(`nutmegstack_member_inspections_total{outcome="${outcome}"} 1`);
   });
 });
+
+describe('an inspection', () => {
+  fakeTime();
+
+  // Guards against requests to servers of a zone that is evacuated while its groups are looked at.
+  it('sends nothing more to a zone once it is evacuated', async () => {
+    const test = startAsking(GROUPS);
+    test.set(test.all(), DARK);
+    test.inspect('g');
+    await test.run(40);
+    test.evacuated.add('a');
+    const before = test.asked();
+    await test.run(6_000);
+    expect(test.asked()).toBe(before);
+    expect(test.found).toEqual([]);
+  });
+
+  // Guards against a server that is asked for as long as the process runs.
+  it('asks lost servers no more once this daemon does not lead', async () => {
+    const test = startAsking(GROUPS);
+    test.set(test.membersOf('g').slice(0, 1), ENDED);
+    test.inspect('g');
+    await test.run(3_000);
+    expect(test.excluded.size).toBe(1);
+    test.endLease();
+    await test.run(1_500);
+    const before = test.asked();
+    await test.run(6_000);
+    expect(test.asked()).toBe(before);
+  });
+});
