End the suspension of a silent group with its next event

After a pause of all servers callers were refused, or waited, for up to 1.5 s (20 s where the leader had found the group lost), although the groups served again: a hold ended by time alone.

An event of a group now ends its hold, if that rests on silence (`silent`, `lost`) and not on a head that could not be reached or takes no requests; waiting requests are told. `noteAlive` of the registry does the same for an event at another daemon.

As a group that goes on is then a target for streams of groups still silent, a stream is not moved to a group within 350 ms after the end of its own silence: servers that pause together do not go on in the same millisecond.

--- a/src/app/gateway/group-registry-types.ts
+++ b/src/app/gateway/group-registry-types.ts
@@ -77,6 +77,8 @@
   suspect(group: GroupId, evidence: Evidence, reason: string): boolean;
   /** The latest finding about a group that is suspended. */
   finding(group: GroupId): GroupFinding | undefined;
+  /** Ends the suspension of a group that gave an event to any daemon, if it was for its silence. */
+  noteAlive(group: GroupId): void;
   /**
    * Ends the suspension of groups, other than lost ones, that this daemon's own link is to blame for:
    * those with this address of the head, or of this service.
@@ -96,8 +98,8 @@
    * Time since the last event of each group with requests of this daemon, milliseconds, by head.
    */
   quiet(): readonly (readonly [InstanceId, number])[];
-  /** Heads of the groups in which all streams of this daemon have been silent for so long. */
-  silentHeads(forMs: number): ReadonlySet<InstanceId>;
+  /** Heads of the groups in which all streams of this daemon are silent, or were until a moment ago. */
+  silentHeads(): ReadonlySet<InstanceId>;
   /** When a stream of this daemon last got an event from the group. */
   lastEventAt(head: InstanceId): MonoTime | undefined;
   /** Slowdown factors of groups as this daemon recently measured them, by head. */
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -5,6 +5,7 @@
 
 import {
   createProgress,
+  isSilent,
   noteEnded,
   noteEvent,
   notePrefilled,
@@ -15,7 +16,6 @@
 import { queueDelayMs } from '../../core/gateway/limits/cold';
 import type { RouteTable } from '../../core/gateway/routes';
 import { summarizeWork } from '../../core/gateway/work';
-import { later } from '../../core/ids';
 import type { GroupId, InstanceId, ModelId, ServiceId } from '../../core/ids';
 import { minOrZero } from './throttle';
 import type { Throttle } from './throttle';
@@ -79,6 +79,10 @@
 
   const stallDetector = createStallDetector(clock);
 
+  const noteAlive = (group: GroupId): void => {
+    if (suspicions.noteAlive(group)) changes.next();
+  };
+
   const findStalls = (): void => {
     for (const [head, seen] of progress) {
       const group = seen.running > 0 ? groups().get(head) : undefined;
@@ -105,6 +109,7 @@
     noteUnreachable: (stall, reason) => {
       if (suspicions.suspect(stall.group, 'unreachable', reason)) unreachable.next(stall);
     },
+    noteAlive,
     clearSuspicions: (which) => {
       for (const { id, head, service } of groups().values()) {
         const isMeant =
@@ -160,6 +165,8 @@
     },
     noteEvent: (head, pauseMs) => {
       progress.set(head, noteEvent(progressOf(head), clock.now(), pauseMs));
+      const group = groups().get(head);
+      if (group) noteAlive(group.id);
     },
     suspect: (group, evidence, reason) => suspicions.suspect(group, evidence, reason),
     finding: (group) => suspicions.finding(group),
@@ -184,13 +191,9 @@
         running > 0 && eventAt !== undefined ? [[head, Math.round(now - eventAt)] as const] : [],
       );
     },
-    silentHeads: (forMs) => {
-      const silentSince = later(clock.now(), -forMs);
-      return new Set(
-        [...progress].flatMap(([head, { running, since }]) =>
-          running > 0 && since <= silentSince ? [head] : [],
-        ),
-      );
+    silentHeads: () => {
+      const now = clock.now();
+      return new Set([...progress].flatMap(([head, seen]) => (isSilent(seen, now) ? [head] : [])));
     },
     lastEventAt: (head) => progress.get(head)?.eventAt,
     hasPeerLoads: () => peerLoads.areFresh(),
--- a/src/app/gateway/group-suspicions.ts
+++ b/src/app/gateway/group-suspicions.ts
@@ -1,6 +1,6 @@
 /** Groups that get no new requests for a while, and what was found about each. */
 
-import { clearSuspicion, isSuspect, noteEvidence } from '../../core/gateway/suspicion';
+import { clearSuspicion, endSilence, isSuspect, noteEvidence } from '../../core/gateway/suspicion';
 import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
 import type { GroupId } from '../../core/ids';
 import type { GatewayContext } from './context';
@@ -17,6 +17,11 @@
   suspect(group: GroupId, evidence: Evidence, reason: string): boolean;
   /** Ends the suspension of the group, unless the leader found it lost. */
   clear(group: GroupId): void;
+  /**
+   * Ends the suspension of a group that gave an event, unless its head could not be reached or took no
+   * requests. Returns whether it was suspended.
+   */
+  noteAlive(group: GroupId): boolean;
   /** The latest finding about a group that is suspended. */
   finding(group: GroupId): GroupFinding | undefined;
 }
@@ -43,6 +48,15 @@
     clear: (group) => {
       suspicions = clearSuspicion(suspicions, group);
     },
+    noteAlive: (group) => {
+      if (suspicions.size === 0) return false;
+      const next = endSilence(suspicions, group);
+      if (next === suspicions) return false;
+      const wasSuspected = isSuspected(group);
+      suspicions = next;
+      if (wasSuspected) logger.info('group gives events again', { step: 'board', group });
+      return wasSuspected;
+    },
     finding: (group) => (isSuspected(group) ? findings.get(group) : undefined),
   };
 }
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -3,7 +3,6 @@
  * resumed at another group after its last event, within the same answer, if its route allows this.
  */
 
-import { MIN_SILENCE_MS } from '../../core/gateway/stream-moves';
 import type { WaitingRequest } from '../../core/gateway/waiting-order';
 import { later } from '../../core/ids';
 import type { InstanceId, ModelId, MonoTime } from '../../core/ids';
@@ -110,7 +109,7 @@
   const slotsFor = (exchange: Exchange, model: ModelId, state: StreamState): SlotSource => ({
     place: () => ({ ...placeOf(exchange, model, state), isRetry: true, hasSlot: true }),
     // Servers may pause together: a stream is not moved to a group that is silent as well.
-    take: () => tryTakeSlot(exchange, model, state, groupRegistry.silentHeads(MIN_SILENCE_MS)),
+    take: () => tryTakeSlot(exchange, model, state, groupRegistry.silentHeads()),
   });
 
   /** Returns the slot to which the stream was to be moved when it ended. */
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -167,9 +167,9 @@
       if (forwarded.length === 0) return;
       const now = ctx.clock.now();
       const { lastEventAt } = slot;
-      groupRegistry.noteEvent(head, lastEventAt === undefined ? undefined : now - lastEventAt);
       slot.lastEventAt = now;
       onEvent();
+      groupRegistry.noteEvent(head, lastEventAt === undefined ? undefined : now - lastEventAt);
       if (slot.prefilledAt === undefined)
         groupRegistry.notePrefilled(head, exchange.facts.promptTokens);
       slot.prefilledAt ??= now;
--- a/src/core/gateway/progress.ts
+++ b/src/core/gateway/progress.ts
@@ -38,6 +38,8 @@
   readonly pauseMs: number | undefined;
   /** When the last event of any stream was received. */
   readonly eventAt: MonoTime | undefined;
+  /** When the first event after a silence was received. */
+  readonly resumedAt: MonoTime | undefined;
 }
 
 /** Progress of a group that nothing was sent to yet. */
@@ -49,9 +51,23 @@
     since: now,
     pauseMs: undefined,
     eventAt: undefined,
+    resumedAt: undefined,
   };
 }
 
+/** A group without an event for this long is silent, milliseconds: a few pauses of a busy group. */
+export const SILENCE_MS = 350;
+
+/**
+ * Whether the group is silent, or was until a moment ago. Load pattern: servers pause and go on together, but
+ * not in the same millisecond; the first that goes on must not get the streams of the others.
+ */
+export function isSilent({ running, since, resumedAt }: Progress, now: MonoTime): boolean {
+  if (running === 0) return false;
+  const hasResumed = resumedAt !== undefined && now < later(resumedAt, SILENCE_MS);
+  return hasResumed || now >= later(since, SILENCE_MS);
+}
+
 /** Records that a request was sent to the group. */
 export function noteSent(progress: Progress, now: MonoTime, promptTokens: number): Progress {
   const since = progress.running === 0 ? now : progress.since;
@@ -88,9 +104,11 @@
   pauseMs: number | undefined,
   { smoothing }: ProgressOptions = PROGRESS_DEFAULTS,
 ): Progress {
-  if (pauseMs === undefined) return { ...progress, since: now, eventAt: now };
+  const resumedAt = now >= later(progress.since, SILENCE_MS) ? now : progress.resumedAt;
+  const next = { ...progress, since: now, eventAt: now, resumedAt };
+  if (pauseMs === undefined) return next;
   const mean = progress.pauseMs ?? pauseMs;
-  return { ...progress, since: now, eventAt: now, pauseMs: mean + smoothing * (pauseMs - mean) };
+  return { ...next, pauseMs: mean + smoothing * (pauseMs - mean) };
 }
 
 /**
--- a/src/core/gateway/stream-moves.ts
+++ b/src/core/gateway/stream-moves.ts
@@ -9,14 +9,9 @@
 
 import type { MonoTime } from '../ids';
 import { later } from '../ids';
+import { SILENCE_MS } from './progress';
 import type { LossEvidence } from './suspicion';
 
-/**
- * A stream that had an event this recently is not silent itself: a few pauses of a busy group. The quorum on
- * stalled groups uses the same time.
- */
-export const MIN_SILENCE_MS = 350;
-
 /** What a stream lacks for good, so that it stays where it is. */
 export type MoveObstacle = 'resume' | 'attempt' | 'time';
 
@@ -59,6 +54,6 @@
   if (!isSuspected) return { kind: 'keep' };
   const lacked = obstacleOf(stream, now);
   if (lacked !== undefined) return { kind: 'keep', lacked };
-  const until = later(silentSince, MIN_SILENCE_MS);
+  const until = later(silentSince, SILENCE_MS);
   return now < until ? { kind: 'wait', until } : { kind: 'move' };
 }
--- a/src/core/gateway/suspicion.ts
+++ b/src/core/gateway/suspicion.ts
@@ -3,8 +3,8 @@
  *
  * Load pattern: heads become unreachable, and their entries remain for seconds. Each daemon that tries such
  * a group costs a caller the time of a connection that is never established. A group that fails again is
- * avoided for twice as long; one that the leader found lost is not tried again. Suspicion concerns a group,
- * not its head, which may serve in another group within half a second.
+ * avoided for twice as long; one that the leader found lost is not tried again. An event of the group shows that
+ * it was only silent, as when all servers pause, and ends the hold. Suspicion concerns a group, not its head, which may serve in another group within half a second.
  */
 
 import { later } from '../ids';
@@ -36,6 +36,8 @@
 const LOST_HOLD_MS = 20_000;
 /** Evidence within this time after the end of the last hold counts as a further failure in a row. */
 const REPEAT_WINDOW_MS = 3_000;
+/** Evidence that an event of the group contradicts. */
+const SILENCE: ReadonlySet<Evidence> = new Set(['silent', 'lost']);
 
 /** A hold on a group: no requests are sent to it until it ends. */
 export interface Suspicion {
@@ -43,6 +45,8 @@
   /** Failures in a row; each one doubles the hold. */
   readonly consecutiveFailures: number;
   readonly isLost: boolean;
+  /** Whether all evidence of the hold is that the group gave nothing, which an event contradicts. */
+  readonly isSilence: boolean;
 }
 
 /** Suspected groups, and those whose hold ended recently. */
@@ -80,12 +84,22 @@
     consecutiveFailures: failures,
     until: known && known.until > until ? known.until : until,
     isLost: evidence === 'lost' || (isHeld && known.isLost),
+    isSilence: SILENCE.has(evidence) && (!isHeld || known.isSilence),
   });
 }
 
+function withoutGroup(suspicions: Suspicions, group: GroupId): Suspicions {
+  return new Map([...suspicions].filter(([id]) => id !== group));
+}
+
+/** Clears the group after an event of it, unless no connection to its head is made or it takes no requests. */
+export function endSilence(suspicions: Suspicions, group: GroupId): Suspicions {
+  return suspicions.get(group)?.isSilence === true ? withoutGroup(suspicions, group) : suspicions;
+}
+
 /** Clears the group, unless the leader found it lost: the evidence was of this daemon's own link. */
 export function clearSuspicion(suspicions: Suspicions, group: GroupId): Suspicions {
   const known = suspicions.get(group);
   if (!known || known.isLost) return suspicions;
-  return new Map([...suspicions].filter(([id]) => id !== group));
+  return withoutGroup(suspicions, group);
 }
--- a/tests/gateway/group-registry.test.ts
+++ b/tests/gateway/group-registry.test.ts
@@ -11,6 +11,7 @@
 import { ENGINE, instance, makeContext, makeThrottle, makeServer, SERVICE, SMALL } from './support';
 
 const TICK_MS = 50;
+const GROUP = brandAs<GroupId>('group-1');
 const TABLE = {
   config: { services: [{ name: SERVICE, engine: ENGINE }] },
   service: () => ({ name: SERVICE, engine: ENGINE }),
@@ -18,7 +19,7 @@
 
 function openGroup() {
   const membership = {
-    group: brandAs<GroupId>('group-1'),
+    group: GROUP,
     epoch: brandAs<Epoch>(1),
     state: 'open' as const,
   };
@@ -145,6 +146,32 @@
   });
 });
 
+describe('a suspended group', () => {
+  // Guards against requests that wait, and are refused, although the group serves again.
+  it('is available again, and waiting requests are told, once it gives an event', () => {
+    const { registry, heads, run } = setUpServing();
+    registry.noteSent(HEAD, 100);
+    registry.notePrefilled(HEAD, 100);
+    registry.noteEvent(HEAD, undefined);
+    run(700);
+    registry.suspect(GROUP, 'lost', 'found by leader-1');
+    expect(heads()).toEqual([]);
+    let changed = 0;
+    registry.changes.subscribe(() => (changed += 1));
+    registry.noteEvent(HEAD, 700);
+    expect([heads(), changed]).toEqual([[HEAD], 1]);
+    registry.noteEvent(HEAD, 50);
+    expect(changed).toBe(1);
+  });
+
+  it('is available again once it gave an event to another daemon', () => {
+    const { registry, heads } = setUpServing();
+    registry.suspect(GROUP, 'lost', 'found by leader-1');
+    registry.noteAlive(GROUP);
+    expect(heads()).toEqual([HEAD]);
+  });
+});
+
 describe('a slow group', () => {
   it("is known from other daemons' measurements, for as long as they report it", () => {
     const { registry } = setUpServing();
--- a/tests/gateway/stream-moves.test.ts
+++ b/tests/gateway/stream-moves.test.ts
@@ -205,13 +205,35 @@
     expect(new Set(world.runs.map(({ head }) => head)).size).toBe(2);
     await world.pass(3_000);
     expect(world.runs).toHaveLength(4);
-    for (const run of world.runs) run.finishFrom(2);
+    // One goes on a little earlier.
+    for (const id of [2, 3]) {
+      for (const run of world.runs) {
+        run.send(id);
+        await world.pass(50);
+      }
+    }
+    expect(world.runs).toHaveLength(4);
+    for (const run of world.runs) run.finishFrom(4);
     await world.pass(50);
     for (const caller of callers)
       expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
   });
 });
 
+describe('a new request after a pause of all servers', () => {
+  // Guards against refusals for seconds after the pause, while all groups are still suspended.
+  it('is sent as soon as a group gives an event again', async () => {
+    const { world, run } = await begin({ groups: 1 });
+    await world.pass(700);
+    await world.request('request-2');
+    await world.pass(300);
+    expect(world.runs).toHaveLength(1);
+    run.send(2);
+    await world.pass(50);
+    expect(world.runs).toHaveLength(2);
+  });
+});
+
 describe('a caller that leaves', () => {
   // Guards against a request that is sent for a caller who left while it was being moved or waited.
   it('gets nothing sent if it has left before, and its server stops if it leaves later', async () => {
--- a/tests/gateway/suspicion.test.ts
+++ b/tests/gateway/suspicion.test.ts
@@ -1,6 +1,11 @@
 import { describe, expect, it } from 'vitest';
 
-import { clearSuspicion, isSuspect, noteEvidence } from '../../src/core/gateway/suspicion';
+import {
+  clearSuspicion,
+  endSilence,
+  isSuspect,
+  noteEvidence,
+} from '../../src/core/gateway/suspicion';
 import type { Evidence, Suspicions } from '../../src/core/gateway/suspicion';
 import { brandAs } from '../../src/core/ids';
 import type { GroupId } from '../../src/core/ids';
@@ -55,6 +60,32 @@
     expect(isSuspect(clearSuspicion(lost, GROUP), GROUP, at(100))).toBe(true);
   });
 
+  // Guards against sound groups that get no requests for seconds after a pause of all servers.
+  it.each(['silent', 'lost'] as const)(
+    'is tried at once after an event, if it was %s',
+    (evidence) => {
+      const held = noteEvidence(new Map(), GROUP, evidence, at(0));
+      expect(isSuspect(endSilence(held, GROUP), GROUP, at(100))).toBe(false);
+    },
+  );
+
+  // Guards against requests to a head that takes none, although streams that it runs get events.
+  it.each(['unreachable', 'rejecting'] as const)(
+    'stays held after an event if it was %s',
+    (evidence) => {
+      const held = noteEvidence(new Map(), GROUP, evidence, at(0));
+      const both = noteEvidence(held, GROUP, 'lost', at(10));
+      const reversed = noteEvidence(
+        noteEvidence(new Map(), GROUP, 'silent', at(0)),
+        GROUP,
+        evidence,
+        at(10),
+      );
+      for (const suspicions of [held, both, reversed])
+        expect(isSuspect(endSilence(suspicions, GROUP), GROUP, at(100))).toBe(true);
+    },
+  );
+
   it('does not affect another group with the same head', () => {
     const suspicions = noteEvidence(new Map(), GROUP, 'lost', at(0));
     expect(isSuspect(suspicions, brandAs<GroupId>('group-2'), at(1))).toBe(false);
