Do not move streams for a silence in which this daemon did not run

A daemon that did not run for 0.8 s and then read a finding about a group moved its streams at once: their events lay unread in the sockets, and timers and messages of peers may come first. Each move costs a retry and a prefill.

The silence of a stream now begins at the earliest with the end of the process's last pause, as that of a group does in the stall detector, which tells it.

--- a/src/app/gateway/group-registry-types.ts
+++ b/src/app/gateway/group-registry-types.ts
@@ -100,6 +100,8 @@
   quiet(): readonly (readonly [InstanceId, number])[];
   /** Heads of the groups in which all streams of this daemon are silent, or were until a moment ago. */
   silentHeads(): ReadonlySet<InstanceId>;
+  /** Since when this process has run without a pause, so that silence is that of the servers. */
+  observingSince(): MonoTime;
   /** When a stream of this daemon last got an event from the group. */
   lastEventAt(head: InstanceId): MonoTime | undefined;
   /** Slowdown factors of groups as this daemon recently measured them, by head. */
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -195,6 +195,7 @@
       const now = clock.now();
       return new Set([...progress].flatMap(([head, seen]) => (isSilent(seen, now) ? [head] : [])));
     },
+    observingSince: () => stallDetector.observingSince(),
     lastEventAt: (head) => progress.get(head)?.eventAt,
     hasPeerLoads: () => peerLoads.areFresh(),
     applyLoads: (sums, { ageMs, ...facts }) => {
--- a/src/app/gateway/stall-detector.ts
+++ b/src/app/gateway/stall-detector.ts
@@ -3,6 +3,7 @@
 import { stalledAt, sharedGroupStalledAt } from '../../core/gateway/progress';
 import type { Progress } from '../../core/gateway/progress';
 import { later } from '../../core/ids';
+import type { MonoTime } from '../../core/ids';
 import type { Clock } from '../../ports/runtime';
 
 /** What is known of a group apart from the events that this daemon saw. */
@@ -21,6 +22,8 @@
 export interface StallDetector {
   /** Must be called at each tick: a late call shows that the process was not scheduled. */
   tick(): void;
+  /** Since when the process has run without a pause; events that arrived before may not be read yet. */
+  observingSince(): MonoTime;
   /** Why the silence of a group indicates a stall; undefined if it does not. */
   detect(progress: Progress, group: StallContext): string | undefined;
 }
@@ -38,12 +41,17 @@
    */
   let pausedUntil = clock.now();
 
+  const observingSince = (): MonoTime => {
+    const now = clock.now();
+    return now >= later(lastTickAt, TICK_DELAY_THRESHOLD_MS) ? now : pausedUntil;
+  };
+
   return {
     tick: () => {
-      const now = clock.now();
-      if (now >= later(lastTickAt, TICK_DELAY_THRESHOLD_MS)) pausedUntil = now;
-      lastTickAt = now;
+      pausedUntil = observingSince();
+      lastTickAt = clock.now();
     },
+    observingSince,
     detect: (progress, { expectedPauseMs, prefillMs, running, hasPeerLoads, runningOnPeers }) => {
       const now = clock.now();
       // Events that arrived while the process was not scheduled have not been read yet.
--- a/src/app/gateway/stream-move.ts
+++ b/src/app/gateway/stream-move.ts
@@ -81,6 +81,12 @@
     groupRegistry.finding(group.id) !== undefined ||
     groupRegistry.find(group.head.id)?.id !== group.id;
 
+  const silentSince = (): MonoTime | undefined => {
+    const since = slot.lastEventAt ?? slot.writtenAt;
+    const observingSince = groupRegistry.observingSince();
+    return since !== undefined && since < observingSince ? observingSince : since;
+  };
+
   const decide = (): MoveDecision =>
     evidence === undefined
       ? { kind: 'keep' }
@@ -88,7 +94,7 @@
           {
             evidence,
             isSuspected: isSuspected(),
-            silentSince: slot.lastEventAt ?? slot.writtenAt,
+            silentSince: silentSince(),
             isResumable: route.isResumable && (!state.hasStarted || state.lastId !== undefined),
             attemptsLeft: route.maxAttempts - state.attempts - 1,
             answerBy,
--- a/src/core/gateway/stream-moves.ts
+++ b/src/core/gateway/stream-moves.ts
@@ -29,7 +29,10 @@
   readonly evidence: LossEvidence;
   /** Whether the group is still suspended, or has been ended. */
   readonly isSuspected: boolean;
-  /** Its last event in the group, or the send if there was none; undefined if it was not sent yet. */
+  /**
+   * Its last event in the group, or the send if there was none, or the end of a pause of this process, whichever
+   * is the latest; undefined if it was not sent yet.
+   */
   readonly silentSince: MonoTime | undefined;
   /** Whether it may be resumed, and after which event. */
   readonly isResumable: boolean;
--- a/tests/gateway/stream-fixture.ts
+++ b/tests/gateway/stream-fixture.ts
@@ -110,6 +110,8 @@
   stallOf(head: string): Stall;
   /** Takes all slots of the group for requests of other daemons, or frees them. */
   setFull(head: string, isFull: boolean): void;
+  /** Passes time without ticks or timers, as if the process had not run. */
+  pauseProcess(ms: number): void;
   /** Passes time, with regular ticks. */
   pass(ms: number): Promise<void>;
 }
@@ -264,6 +266,9 @@
 
   return {
     ...{ ctx, registry, runs, pass },
+    pauseProcess: (ms) => {
+      vi.setSystemTime(Date.now() + ms);
+    },
     lines: () => lines,
     retriesLeft: counted.left,
     request: async (id = 'request-1', hasLeft = false) => {
--- a/tests/gateway/stream-moves.test.ts
+++ b/tests/gateway/stream-moves.test.ts
@@ -145,6 +145,23 @@
     expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
   });
 
+  // Guards against streams that are moved because this daemon did not run: their events are not read yet.
+  it.each(['before', 'after'])(
+    'is not moved for a finding that is read %s the first tick after a pause of this process',
+    async (order) => {
+      const { world, caller, run } = await begin({ groups: 2 });
+      await world.pass(100);
+      world.pauseProcess(800);
+      if (order === 'after') await world.pass(50);
+      findLost(world, run.head);
+      await world.pass(50);
+      run.finishFrom(2);
+      await world.pass(50);
+      expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+      expect(world.runs).toHaveLength(1);
+    },
+  );
+
   // Guards against a slot that is held in the next group while the stream stays where it is.
   it('takes neither a slot nor a token as long as no retry is left', async () => {
     const { world, run } = await begin({ groups: 2, retries: 0 });
