Keep a group with unknown members until its streams stay silent after a pause

A new leader ended groups, after a pause of all servers, whose members had only lost their entries before: a confirmed silence of a group's streams was taken as the loss of the member that the leader does not know.

The silence now counts only if an inspection finds that all known members answer and the group, with streams in it, gives no event for a second after that. A pause ends with events; a group that lost a member gives none.

planned-losses.test.ts plays pauses and such groups on the planner. The fleet's reports now keep to their time limit.

--- a/src/app/gateway/group-inspection.ts
+++ b/src/app/gateway/group-inspection.ts
@@ -8,6 +8,7 @@
 import type { InstanceId, MonoTime } from '../../core/ids';
 import type { Servers } from '../../ports/gateway';
 import type { Clock } from '../../ports/runtime';
+import { pause } from '../../utils/pause';
 import { createMemberLooks } from './member-look';
 import type { MemberLooks, Reference } from './member-look';
 
@@ -44,11 +45,19 @@
   readonly mayFindSilent: (look: Look) => boolean;
   /** Called when servers have ended, and once at the end if that tells more. */
   readonly report: (conclusion: Conclusion) => void;
+  /** Called if the group gives no event for a while although all members answer. */
+  readonly onStillSilent: () => void;
 }
 
 /** A head that waits for a lost member breaks within this time, which its entry then shows. */
 const MAX_INSPECTION_MS = 6_000;
 
+/**
+ * A group whose members answer gives events within this time unless one is lost that this daemon does not know:
+ * a few passes of the engine, and the states in which peers tell of events, every 400 ms in a large fleet.
+ */
+const RESUME_MS = 1_000;
+
 /** Members for which peers are asked whether they reach them. */
 function createPeerChecks(
   { isReachedByPeer }: Pick<GroupInspectionOptions, 'isReachedByPeer'>,
@@ -141,7 +150,10 @@
     const { result } = finished;
     if (!isCurrent()) return;
     if (result === 'answered') {
-      if (ended.size === 0) conclude('answered', [], looks);
+      if (ended.size > 0) return;
+      conclude('answered', [], looks);
+      await pause(RESUME_MS);
+      if (isCurrent() && !hasNewEvent()) options.onStillSilent();
       return;
     }
     silences = hasNewEvent() ? new Map() : noteLook(silences, look, result);
--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -37,7 +37,10 @@
 export interface GroupPlanner {
   /** Plans again. To be called after each change and periodically. */
   tick(): void;
-  /** Notes that the streams of a group have stalled, which shows that it lost a member. */
+  /**
+   * Notes that the streams of a group have stalled. If an inspection finds that all its known members answer,
+   * this shows that it lost another one.
+   */
   noteStalled(stall: Stall): void;
   /** Asks the members of a stalled group for reports and replaces those that do not answer. */
   inspect(stall: Stall, lastEventAt?: LastEventAt): void;
@@ -59,6 +62,9 @@
  */
 const MAX_PLAN_SHARE = 0.2;
 
+/** Time for which a confirmed stall is remembered: longer than the inspection that it leads to. */
+const STALL_RETENTION_MS = 10_000;
+
 export interface GroupPlannerOptions {
   readonly evacuations: Pick<Evacuations, 'zones' | 'isEvacuated' | 'changes'>;
   readonly serverRegistry: ServerRegistry;
@@ -211,12 +217,21 @@
     if (fencing === undefined || !table || serverRegistry.watch.isFailing()) return;
     if (fencing !== term) beginTerm(fencing);
     updateSmoothedLoad();
+    pruneStalls();
     for (const service of table.config.services) planService(service, fencing);
     if ([...states.values()].some(({ epochCount: epochs }) => epochs >= EPOCHS_PER_LEASE / 2)) {
       leadership.release();
     }
   };
 
+  /** When streams of groups were last confirmed to have stalled. */
+  const stalledAt = new Map<GroupId, MonoTime>();
+  const pruneStalls = (): void => {
+    const now = clock.now();
+    for (const [group, at] of stalledAt)
+      if (now >= later(at, STALL_RETENTION_MS)) stalledAt.delete(group);
+  };
+
   const noteLost = (lost: readonly BackendServer[], until: MonoTime): void => {
     for (const { id, service } of lost) {
       states.set(service, noteSuspect(stateOf(service), id, until));
@@ -229,6 +244,14 @@
     },
     isReachedByPeer: options.isReachedByPeer,
   });
+  inspection.stillSilent.subscribe(({ group, head }) => {
+    const at = stalledAt.get(group);
+    const service = serverRegistry.servers.get(head)?.service;
+    if (service === undefined || at === undefined || clock.now() >= later(at, STALL_RETENTION_MS))
+      return;
+    states.set(service, noteStalled(stateOf(service), group));
+    tick();
+  });
   evacuations.changes.subscribe(() => {
     tick();
   });
@@ -246,9 +269,8 @@
 
   return {
     tick,
-    noteStalled: ({ group, head }) => {
-      const service = serverRegistry.servers.get(head)?.service;
-      if (service !== undefined) states.set(service, noteStalled(stateOf(service), group));
+    noteStalled: ({ group }) => {
+      stalledAt.set(group, clock.now());
     },
     inspect: (stall, lastEventAt) => {
       inspection.inspect(stall, lastEventAt);
--- a/src/app/gateway/member-inspection.ts
+++ b/src/app/gateway/member-inspection.ts
@@ -27,6 +27,8 @@
   inspect(stall: Stall, lastEventAt?: LastEventAt): void;
   /** Groups with a member that is lost. */
   readonly lost: Observable<Stall>;
+  /** Groups that with streams that gave no event although all known members answered a while before. */
+  readonly stillSilent: Observable<Stall>;
 }
 
 export interface MemberInspectionOptions {
@@ -71,6 +73,7 @@
   /** Servers whose entries expired and whose groups were inspected since. */
   const inspectedLapsed = new Set<InstanceId>();
   const lostGroups = new Subject<Stall>();
+  const stillSilent = new Subject<Stall>();
   /** When groups were last found lost by silence. */
   let silentFoundAt: readonly MonoTime[] = [];
 
@@ -132,6 +135,10 @@
       pickReferences: () => pickReferences(members, askableServers(), () => random.next()),
       isReachedByPeer: options.isReachedByPeer,
       mayFindSilent: (look) => mayFindSilent(silentFoundAt, look, clock.now()),
+      onStillSilent: () => {
+        // Without streams it has no events to give.
+        if (isBusy(group)) stillSilent.next(stall);
+      },
       report: (conclusion) => {
         logConclusion(stall, conclusion);
         const { outcome, lost } = conclusion;
@@ -178,5 +185,5 @@
 
   serverRegistry.changes.subscribe(inspectLapsed);
 
-  return { inspect, lost: lostGroups };
+  return { inspect, lost: lostGroups, stillSilent };
 }
--- a/tests/gateway/asked-members.ts
+++ b/tests/gateway/asked-members.ts
@@ -58,7 +58,7 @@
   readonly zone?: string;
 }
 
-export function startAsking(groups: readonly GroupSpec[]) {
+export function startAsking(groups: readonly GroupSpec[], { isBusy = true } = {}) {
   const servers = new Map<InstanceId, BackendServer>();
   for (const { group, size, domain, zone = 'a' } of groups) {
     for (let rank = 0; rank < size; rank++) {
@@ -112,7 +112,7 @@
     serverRegistry: { servers, lapsed: new Map(), changes: new Subject() },
     leadership: { heldFencing: () => fencing },
     servers: { report: answer },
-    isBusy: () => true,
+    isBusy: () => isBusy,
     evacuations: { isEvacuated: (zone: string) => evacuated.has(zone) },
     noteLost: (lost: readonly BackendServer[], until: MonoTime) => {
       for (const { id } of lost) excluded.set(id, until);
@@ -130,6 +130,9 @@
   } as unknown as MemberInspectionOptions);
   inspection.lost.subscribe((stall) => found.push({ stall, at: Date.now() }));
 
+  const stillSilent: Stall[] = [];
+  inspection.stillSilent.subscribe((stall) => stillSilent.push(stall));
+
   const membersOf = (group: string): InstanceId[] =>
     [...servers.values()].filter((s) => s.membership?.group === group).map(({ id }) => id);
   const set = (ids: readonly (InstanceId | undefined)[], behaviour: Behaviour): void => {
@@ -140,6 +143,7 @@
     ctx,
     set,
     throughPeers,
+    stillSilent,
     evacuated,
     membersOf,
     excluded,
--- a/tests/gateway/member-inspection.test.ts
+++ b/tests/gateway/member-inspection.test.ts
@@ -2,10 +2,12 @@
 
 import { describe, expect, it } from 'vitest';
 
-import { DARK, ENDED, startAsking } from './asked-members';
+import { DARK, ENDED, paused, startAsking } from './asked-members';
 import { fakeTime } from './fake-time';
 import { at } from './support';
 
+type Asking = ReturnType<typeof startAsking>;
+
 const GROUPS = [
   { group: 'g', size: 3, domain: 'd0' },
   { group: 'h', size: 3, domain: 'd1' },
@@ -52,6 +54,48 @@
   });
 });
 
+describe('a group whose members all answer', () => {
+  fakeTime();
+
+  const stillSilent = async (eventAgeMs: number | undefined, set: (test: Asking) => void) => {
+    const test = startAsking(GROUPS);
+    set(test);
+    const startedAt = Date.now();
+    test.inspect('g', () => {
+      if (eventAgeMs === undefined) return undefined;
+      return at(Math.max(startedAt - 700, Date.now() - eventAgeMs));
+    });
+    await test.run(5_000);
+    return test.stillSilent.map(({ group }) => group);
+  };
+
+  // Guards against a group with a lost member that nobody knows, which stays until it breaks.
+  it('is still silent if it gives no event for a while after they did', async () => {
+    expect(await stillSilent(undefined, () => undefined)).toEqual(['g']);
+    expect(await stillSilent(10_000, () => undefined)).toEqual(['g']);
+  });
+
+  // Guards against the end of groups whose streams go on after a pause of all servers.
+  it('is not once it gives events, or while not all of them answer', async () => {
+    expect(await stillSilent(50, () => undefined)).toEqual([]);
+    const afterPause = (test: Asking): void => {
+      test.set(test.all(), paused(800));
+    };
+    expect(await stillSilent(1_200, afterPause)).toEqual([]);
+    const withDark = (test: Asking): void => {
+      test.set(test.membersOf('g').slice(0, 1), DARK);
+    };
+    expect(await stillSilent(undefined, withDark)).toEqual([]);
+  });
+
+  it('is not if no streams are left in it', async () => {
+    const test = startAsking(GROUPS, { isBusy: false });
+    test.inspect('g');
+    await test.run(5_000);
+    expect(test.stillSilent).toEqual([]);
+  });
+});
+
 describe('an inspection', () => {
   fakeTime();
 
--- a/tests/gateway/planned-fleet.ts
+++ b/tests/gateway/planned-fleet.ts
@@ -3,7 +3,7 @@
  * is that of its slowest member.
  */
 
-import { errAsync, okAsync } from 'neverthrow';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 import { Subject } from 'rxjs';
 
 import { createEvacuations } from '../../src/app/gateway/evacuations';
@@ -12,20 +12,44 @@
 import type { BackendServer } from '../../src/core/gateway/types';
 import type { InstanceId, ModelId } from '../../src/core/ids';
 import { fail } from '../../src/utils/errors';
+import { pause } from '../../src/utils/pause';
 import { createEngineFleet } from '../../stand-ins/users-platform/engines';
 import { at, ENGINE, FLEET, LARGE, makeConfig, makeContext, SERVICE } from './support';
 
 /** The port of a server that was killed refuses connections. */
 const REFUSED = fail('backend-refused', 'connection refused', { step: 'report' });
 
+const NO_RESPONSE = fail('unavailable', 'no response', { step: 'report' });
+
+export interface PlannedFleetOptions {
+  /** Lets timers run for so long, milliseconds, as simulated time passes; none by default. */
+  readonly pass?: (ms: number) => Promise<void>;
+}
+
+async function passImmediately(): Promise<void> {
+  await new Promise(setImmediate);
+}
+
+/** Time after which an order without a response is given up. */
+const ORDER_TIMEOUT_MS = 700;
+
 /** Starts a fleet with the group planner of its leading daemon, and waits until groups are formed. */
-export async function startPlannedFleet(domains: readonly number[]) {
+export async function startPlannedFleet(
+  domains: readonly number[],
+  { pass = passImmediately }: PlannedFleetOptions = {},
+) {
   const fleet = createEngineFleet({ ...FLEET, domains, hasTraffic: false });
   const slow = new Map<InstanceId, number>();
   /** Slowdown factors of groups that have another cause than their members. */
   const measured = new Map<InstanceId, number>();
   const reports: { at: number; server: InstanceId }[] = [];
   const closed: number[] = [];
+  /** Kinds of the orders sent. */
+  const orders: string[] = [];
+  /** Servers that lapsed before the process of the leader began. */
+  let unknown = new Set<InstanceId>();
+  let pausedUntil = 0;
+  let isBusy = false;
   let fencing = 1;
   const slowdownOf = (id: InstanceId): number => slow.get(id) ?? 1;
   const heads = () => [...fleet.servers.values()].filter((s) => s.joined?.members[0] === s.id);
@@ -35,7 +59,7 @@
         return fleet.rows();
       },
       get lapsed() {
-        return fleet.lapsed();
+        return new Map([...fleet.lapsed()].filter(([id]) => !unknown.has(id)));
       },
       ended: fleet.ended,
       watch: { isFailing: () => false },
@@ -46,17 +70,28 @@
     }),
     leadership: { heldFencing: () => fencing, release: () => undefined },
     servers: {
-      order: (server: BackendServer, order: never) => {
+      order: async (server: BackendServer, order: never) => {
+        orders.push((order as { kind: string }).kind);
+        if (fleet.now() < pausedUntil) {
+          await pause(ORDER_TIMEOUT_MS);
+          return 'unknown';
+        }
         if ((order as { kind: string }).kind === 'close') closed.push(fleet.now());
-        return Promise.resolve(fleet.take({ key: '', server, order }, 0));
+        return fleet.take({ key: '', server, order }, 0);
       },
-      report: ({ id }: BackendServer) => {
+      report: ({ id }: BackendServer, timeoutMs: number) => {
         reports.push({ at: fleet.now(), server: id });
         if (!fleet.servers.get(id)?.isAlive) return errAsync(REFUSED);
-        return okAsync({ slowdown: slowdownOf(id) });
+        const answer = { slowdown: slowdownOf(id) };
+        const waitMs = pausedUntil - fleet.now();
+        if (waitMs <= 0) return okAsync(answer);
+        const isLate = waitMs > timeoutMs;
+        return ResultAsync.fromSafePromise(pause(Math.min(waitMs, timeoutMs))).andThen(() =>
+          isLate ? errAsync(NO_RESPONSE) : okAsync(answer),
+        );
       },
     },
-    isBusy: () => false,
+    isBusy: () => isBusy,
     offeredLoad: () => new Map(ENGINE.models.map(({ name }) => [name, 0.8 * domains.length])),
     loadSamples: () => new Map(),
     slowdowns: () =>
@@ -80,7 +115,7 @@
     for (let passed = 0; passed < ms; passed += 50) {
       fleet.advance(50);
       planner.tick();
-      await new Promise(setImmediate);
+      await pass(50);
       least = Math.min(least, fleet.serving(LARGE));
     }
     return least;
@@ -116,6 +151,18 @@
       largeGroup,
       isServing,
     },
-    replaceLeader: () => (fencing += 1),
+    orders,
+    /** All servers stand still for `ms`; what arrives meanwhile is answered afterwards. */
+    pauseAll: (ms: number): void => {
+      pausedUntil = fleet.now() + ms;
+    },
+    beginStreams: (): void => {
+      isBusy = true;
+    },
+    /** With `isNewProcess`, the new leader knows no server whose entry lapsed before. */
+    replaceLeader: ({ isNewProcess = false } = {}): void => {
+      if (isNewProcess) unknown = new Set(fleet.lapsed().keys());
+      fencing += 1;
+    },
   };
 }
--- /dev/null
+++ b/tests/gateway/planned-losses.test.ts
@@ -0,0 +1,102 @@
+/** Orders that end groups, in fleets whose servers pause or are lost. */
+
+import { describe, expect, it, vi } from 'vitest';
+
+import type { Stall } from '../../src/app/gateway/group-registry';
+import type { MonoTime } from '../../src/core/ids';
+import { fakeTime } from './fake-time';
+import { startPlannedFleet } from './planned-fleet';
+import { at } from './support';
+
+type Planned = Awaited<ReturnType<typeof startPlannedFleet>>;
+
+const FLEET = [11, 11, 11, 11];
+/** A large group, a small one, and two spares. */
+const ENDING = ['close', 'leave'];
+
+const start = (domains: readonly number[] = FLEET) =>
+  startPlannedFleet(domains, {
+    pass: async (ms) => {
+      await vi.advanceTimersByTimeAsync(ms);
+      await new Promise(setImmediate);
+    },
+  });
+
+function openGroups({ fleet }: Planned): Stall[] {
+  return [...fleet.rows().values()].flatMap(({ id, membership }) =>
+    membership?.state === 'open' && membership.rank === 0
+      ? [{ group: membership.group, head: id }]
+      : [],
+  );
+}
+
+/** Streams of the groups fall silent and stay so, as daemons report time and again. */
+async function reportSilence(
+  { planner, run }: Planned,
+  groups: readonly Stall[],
+  ms: number,
+  lastEventAt?: () => MonoTime,
+): Promise<void> {
+  for (let passed = 0; passed < ms; passed += 500) {
+    for (const stall of groups) {
+      planner.noteStalled(stall);
+      planner.inspect(stall, lastEventAt);
+    }
+    await run(500);
+  }
+}
+
+describe('a pause of all servers', () => {
+  fakeTime();
+
+  // Guards against a fleet that is formed anew, and loads all weights again, after a short pause.
+  it.each([600, 800, 1_500, 3_000])('for %i ms leads to no order that ends a group', async (ms) => {
+    const test = await start();
+    const groups = openGroups(test);
+    test.beginStreams();
+    test.orders.splice(0);
+    test.pauseAll(ms);
+    await test.run(500);
+    await reportSilence(test, groups, ms);
+    await test.run(4_000);
+    expect(test.orders.filter((kind) => ENDING.includes(kind))).toEqual([]);
+    expect(openGroups(test)).toEqual(groups);
+  });
+});
+
+describe('a group with a member that the leader does not know', () => {
+  fakeTime();
+
+  const startIncomplete = async () => {
+    const test = await start([11]);
+    const [head, member] = test.largeGroup(0);
+    const group = openGroups(test).find((stall) => stall.head === head);
+    if (!group || !member) throw new Error('no group');
+    test.fleet.cut(member, true);
+    await test.run(5_000);
+    test.beginStreams();
+    test.replaceLeader({ isNewProcess: true });
+    await test.run(500);
+    return { ...test, group };
+  };
+
+  // Guards against a group that stands still until its head breaks by itself.
+  it('ends if its streams stay silent although the members that are known answer', async () => {
+    const test = await startIncomplete();
+    await reportSilence(test, [test.group], 2_000);
+    expect(openGroups(test)).not.toContainEqual(test.group);
+  });
+
+  // Guards against ending groups that have only lost their entries, because all servers paused.
+  it('stays if its streams go on after a pause', async () => {
+    const test = await startIncomplete();
+    test.pauseAll(1_300);
+    const goesOnAt = test.fleet.now() + 1_500;
+    await test.run(500);
+    await reportSilence(test, [test.group], 500, () =>
+      at(test.fleet.now() >= goesOnAt ? test.fleet.now() : goesOnAt - 2_000),
+    );
+    await test.run(4_000);
+    expect(openGroups(test)).toContainEqual(test.group);
+  });
+});
