Count no silence of a group in which this process did not read

A daemon that was busy for 50 to 150 ms, for example with a large configuration, took groups for stalled up to 100 ms too early: a tick that is late is handled before the events that arrived meanwhile are read, and only delays from 150 ms on were left out of the count. The delay of the last tick is now added to the limit.

stall-detector.test.ts, before: 3 of 7 failed ("streams silent for 540 ms" after a tick 140 ms apart from the last); now 7 of 7 pass.

--- a/src/app/gateway/stall-detector.ts
+++ b/src/app/gateway/stall-detector.ts
@@ -32,6 +32,8 @@
 const SHARED_THRESHOLD = 2;
 /** Delay of a tick above which the process is assumed not to have been scheduled, milliseconds. */
 const TICK_DELAY_THRESHOLD_MS = 150;
+/** Usual interval of the ticks, with some margin for timers, milliseconds. */
+const TICK_INTERVAL_MS = 60;
 
 export function createStallDetector(clock: Clock): StallDetector {
   let lastTickAt = clock.now();
@@ -40,6 +42,8 @@
    * time.
    */
   let pausedUntil = clock.now();
+  /** Delay of the last tick: what arrived meanwhile is read after it, milliseconds. */
+  let unreadMs = 0;
 
   const observingSince = (): MonoTime => {
     const now = clock.now();
@@ -48,8 +52,10 @@
 
   return {
     tick: () => {
+      const now = clock.now();
       pausedUntil = observingSince();
-      lastTickAt = clock.now();
+      unreadMs = Math.max(0, now - lastTickAt - TICK_INTERVAL_MS);
+      lastTickAt = now;
     },
     observingSince,
     detect: (progress, { expectedPauseMs, prefillMs, running, hasPeerLoads, runningOnPeers }) => {
@@ -61,7 +67,7 @@
       const at = isShared
         ? sharedGroupStalledAt(observed, expectedPauseMs, prefillMs, hasPeerLoads)
         : stalledAt(observed, expectedPauseMs, prefillMs);
-      if (at === undefined || now < at) return undefined;
+      if (at === undefined || now < later(at, unreadMs)) return undefined;
       const silentMs = Math.round(now - observed.since);
       const pauseMs = Math.round(Math.max(expectedPauseMs, observed.pauseMs ?? 0));
       const details = `prefill ${Math.round(prefillMs)} ms, running ${running}`;
