--- a/stand-ins/users-platform/engines.ts
+++ b/stand-ins/users-platform/engines.ts
@@ -7,7 +7,7 @@
 
 import type { OrderResult, ServerOrder } from '../../src/core/gateway/orders';
 import type { OrderEffect } from '../../src/core/gateway/forming/state';
-import type { BackendServer, EngineSpec, MemberState } from '../../src/core/gateway/types';
+import type { BackendServer, EngineSpec } from '../../src/core/gateway/types';
 import { toInstanceId } from '../../platform/servers';
 import { brandAs } from '../../src/core/ids';
 import type {
@@ -19,6 +19,8 @@
   ServiceId,
   ZoneId,
 } from '../../src/core/ids';
+import { postpone } from './sim-server';
+import type { Joined, SimServer } from './sim-server';
 
 const STALL_MS = 6_000;
 const FORM_MS = 300;
@@ -26,42 +28,6 @@
 /** The row of a silent server is removed after three missed heartbeats. */
 const LAPSE_MS = 3_600;
 
-/** The group that a server joined. */
-interface Joined {
-  readonly group: string;
-  readonly epoch: number;
-  readonly members: readonly InstanceId[];
-  readonly model: ModelId;
-  state: MemberState;
-  readyAt: number;
-  openAt: number | undefined;
-  /** When the head began to wait for a lost member. */
-  stalledAt: number | undefined;
-}
-
-interface SimServer {
-  readonly id: InstanceId;
-  readonly name: ServerName;
-  /** Start of this incarnation. */
-  readonly startedAt: EpochTime;
-  readonly address: string;
-  readonly domain: DomainId;
-  isAlive: boolean;
-  diedAt: number;
-  /** What its row contains; rows of dead servers remain until they lapse. */
-  shown: Joined | undefined;
-  /** Alive but partitioned: orders do not reach it and its row lapses. */
-  isCut: boolean;
-  cutAt: number;
-  /** Its process does not run: its own times do not count, and it is cut off meanwhile. */
-  isPaused: boolean;
-  isDraining: boolean;
-  staged: ModelId | undefined;
-  lastModel: ModelId | undefined;
-  joined: Joined | undefined;
-  highestEpoch: number;
-}
-
 /** A delayed order. */
 interface LateOrder {
   readonly at: number;
@@ -269,13 +235,6 @@
     if (!isComplete || !wereReady) violations.push(`${now}: ${server.id} serves ${group} in part`);
   };
 
-  /** Moves the times that a paused server waits for. */
-  const postpone = (joined: Joined, ms: number): void => {
-    joined.readyAt += ms;
-    if (joined.openAt !== undefined) joined.openAt += ms;
-    if (joined.stalledAt !== undefined) joined.stalledAt += ms;
-  };
-
   const advance = (ms: number): void => {
     now += ms;
     for (const { isPaused, joined } of servers.values())
--- a/tests/gateway/gateway-fixture.ts
+++ b/tests/gateway/gateway-fixture.ts
@@ -12,6 +12,7 @@
 import { describeConfig, DEFAULT_ROUTES } from '../../stand-ins/users-platform/document';
 import { startPlatform } from '../../stand-ins/users-platform/start';
 import type { PlatformStandIn } from '../../stand-ins/users-platform/start';
+import type { EngineSpec } from '../../src/core/gateway/types';
 import type { ServerName } from '../../src/core/ids';
 import { pause } from '../../src/utils/pause';
 import { callDaemon, cutOff, launchDaemon } from '../support/gateway-daemon';
@@ -78,6 +79,7 @@
   readonly zoneOf?: (n: number) => string;
   /** The store's address as the n-th daemon knows it, for instance that of a proxy. */
   readonly storeAddressOf?: (n: number, address: string) => string;
+  readonly engine?: EngineSpec;
   /** Further settings of the daemons. */
   readonly settings?: object;
   /** Requests per second that a cold server tolerates. */
@@ -101,6 +103,7 @@
   daemons,
   plainServers,
   domains = [11, 11],
+  engine = ENGINE,
   zoneOf,
   storeAddressOf = (_, address) => address,
   settings,
@@ -114,7 +117,7 @@
   const platform = await startPlatform({
     host: HOST,
     firstPort,
-    engine: ENGINE,
+    engine,
     domains,
     plainServers,
     ...(zoneOf && { zoneOf }),
@@ -140,7 +143,7 @@
   const organisations = [{ name: 'depot', apiKeys: [KEY] }];
   platform.configure(
     describeConfig({
-      ...{ version: 1, routes: DEFAULT_ROUTES, engine: ENGINE, organisations },
+      ...{ version: 1, routes: DEFAULT_ROUTES, engine, organisations },
       ...(coldPerS !== undefined && { coldPerS }),
     }),
   );
--- a/tests/support/cut-links.mjs
+++ b/tests/support/cut-links.mjs
@@ -1,6 +1,7 @@
 // Loaded into a daemon before its program: cuts the daemon off from the servers' ports when its parent says so.
 // Message: `{ kind, firstPort, lastPort }`, with `delayMs` for the kind `delay`; without a kind the cut ends.
 import { Socket } from 'node:net';
+import { performance } from 'node:perf_hooks';
 import { clearTimeout, setImmediate, setTimeout } from 'node:timers';
 
 const sockets = new Set();
