Show that peers send configurations that the store is already sending

Callers lost answers beside a large configuration: the leader's link was full, it found sound servers silent, and every daemon cut its streams there.

The test follows 60 daemons over links of a limited rate, in fake time, with the daemons' own configuration views and help.

A late daemon does not have some version after 3 s. A leader that the store ignores gets 14 copies of small versions, and no large version in time.

The interface of the help takes the daemon that delivered a report, which the fix needs.

--- a/src/app/gateway/gossip.ts
+++ b/src/app/gateway/gossip.ts
@@ -121,7 +121,7 @@
       from: ReceivedMessage,
     ) => void;
   } = {
-    state: (state, { from, address }) => {
+    state: (state, { from, address, via }) => {
       hasNewState = true;
       ctx.store.noteEra(state.storeEra, `peer ${from}`);
       evacuations.applyReport(state.evacuations, `peer ${from}`);
@@ -132,7 +132,7 @@
       if (state.crashes) quarantine.applyReport(state.crashes);
       if (state.hasTraffic) noteTraffic();
       if (state.lease) leadership.notePeerLease(state.lease);
-      help.sendMissing(state, address);
+      help.sendMissing(state, address, via);
     },
     refused: ({ requests }, { from }) => {
       quarantine.applyRefused(requests, `peer ${from}`);
@@ -155,7 +155,7 @@
     servers: ({ at, servers }) => {
       serverRegistry.adoptFromPeer(at, servers);
     },
-    loads: (sums, { from, address }) => {
+    loads: (sums, { from, address, via }) => {
       ctx.store.noteEra(sums.storeEra, `peer ${from}`);
       evacuations.applyReport(sums.evacuations, `peer ${from}`);
       leadership.notePeerLease(sums.lease);
@@ -168,7 +168,7 @@
         isLeaderless: false,
         ageMs: RELAYED_LOAD_AGE_MS,
       });
-      help.sendMissing(sums, address);
+      help.sendMissing(sums, address, via);
     },
     news: ({ since, upTo, changes }) => {
       serverRegistry.applyUpdates({
--- a/src/app/gateway/peer-help.ts
+++ b/src/app/gateway/peer-help.ts
@@ -25,9 +25,9 @@
 export interface PeerHelp {
   /**
    * Sends the peer the configuration, the servers and the refused requests if its progress shows that
-   * it lacks them.
+   * it lacks them. `via` is the daemon that delivered its report.
    */
-  sendMissing(peer: PeerProgress, address: string): void;
+  sendMissing(peer: PeerProgress, address: string, via: string): void;
 }
 
 /**
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,6 +5,7 @@
   'tests/fuzz/crashes-open.test.ts',
   'tests/gateway/server-evidence.test.ts',
   'tests/gateway/paused-servers-open.test.ts',
+  'tests/gateway/config-help.test.ts',
 ];
 
 export default defineConfig({
