Keep a safe call at its first server unless another one can take it

Callers of safe routes got 502 for answers that were on their way: after 0.45 of the time a silent first server was given up, and only then it was seen whether a retry was left in the budget and whether another server accepts requests.

The call now leaves its server only once another one was chosen, its token taken, and then a retry taken.

plain-call.ts is split: the servers of plain services and their measurements, and the departure from one, are modules of their own.

--- a/src/app/gateway/plain-attempt.ts
+++ b/src/app/gateway/plain-attempt.ts
@@ -5,14 +5,16 @@
 import type { Answered, Upstream } from '../../adapters/upstream/upstream';
 import { organisationNameOf } from '../../core/gateway/routes';
 import type { BackendServer } from '../../core/gateway/types';
-import type { MonoTime } from '../../core/ids';
 import type { HeaderDialect, ResponseFacts } from '../../ports/gateway';
+import type { MonoTime } from '../../core/ids';
 import { createDeadlineSignal } from '../../utils/deadline-signal';
 import { fail } from '../../utils/errors';
 import type { GatewayContext } from './context';
 import type { EvacuatedZones } from './evacuations';
 import { evacuatedError, heldBackError } from './exchange';
 import type { Exchange } from './exchange';
+import { createDepartureSignal } from './plain-departure';
+import type { Departure } from './plain-departure';
 import type { ServerNotices } from './server-notices';
 import type { Throttle } from './throttle';
 
@@ -42,33 +44,35 @@
 /** Limit on buffered answers; far above what plain services send. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 
-/** Sends the call to one server and reads its complete answer, until `until` at the latest. */
+/** Sends the call to one server and reads its complete answer, unless it leaves the server before. */
 export async function sendOnce(
   deps: PlainAttemptDeps,
   exchange: Exchange,
   server: BackendServer,
-  until: MonoTime,
+  departure?: Departure,
 ): Promise<Attempt> {
-  const leftMs = Math.ceil(Math.max(1, until - deps.ctx.clock.now()));
-  const { signal, clear } = createDeadlineSignal(leftMs, exchange.gone);
+  const { clock } = deps.ctx;
+  const leftMs = Math.ceil(Math.max(1, exchange.answerBy - clock.now()));
+  const leaving = departure && createDepartureSignal(clock, departure, exchange.gone);
+  const { signal, clear } = createDeadlineSignal(leftMs, leaving?.signal ?? exchange.gone);
   try {
-    return await sendUntil(deps, exchange, { server, until, limit: signal });
+    return await sendUntil(deps, exchange, { server, limit: signal });
   } finally {
     clear();
+    leaving?.clear();
   }
 }
 
 interface Target {
   readonly server: BackendServer;
-  readonly until: MonoTime;
-  /** Aborts at that time, or when the caller has disconnected. */
+  /** Aborts when an answer is due, when the call leaves the server, or when the caller has left. */
   readonly limit: AbortSignal;
 }
 
 async function sendUntil(
   deps: PlainAttemptDeps,
   exchange: Exchange,
-  { server, until, limit }: Target,
+  { server, limit }: Target,
 ): Promise<Attempt> {
   const { ctx, upstream, dialect, throttle, evacuations } = deps;
   const now = ctx.clock.now();
@@ -90,7 +94,7 @@
     ownConnection: false,
     signal: limit,
     beforeSend: () => {
-      if (ctx.clock.now() >= until)
+      if (ctx.clock.now() >= exchange.answerBy)
         return fail('deadline-exceeded', 'deadline reached before sending', { step: 'send' });
       if (evacuations.isEvacuated(server.zone)) return evacuatedError();
       if (throttle.maySend(server.id)) return undefined;
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -5,23 +5,15 @@
 
 import type { IncomingMessage } from 'node:http';
 
-import { choosePlain } from '../../core/gateway/balance';
-import type { PlainCandidate } from '../../core/gateway/balance';
 import type { BackendServer } from '../../core/gateway/types';
 import { brandAs, later } from '../../core/ids';
-import type { DomainId, GroupId, InstanceId, MonoTime, ServiceId } from '../../core/ids';
-import { minOrZero } from './throttle';
-import {
-  endQuarantined,
-  endUnanswered,
-  logRequestEnd,
-  logFailedAttempt,
-  RETRY_AFTER_UNSERVED,
-  retryAfterDelay,
-} from './exchange';
-import type { Exchange, Execution, RetryAfter } from './exchange';
+import type { DomainId, GroupId, InstanceId } from '../../core/ids';
+import { endQuarantined, endUnanswered, logRequestEnd, logFailedAttempt } from './exchange';
+import type { Exchange, Execution } from './exchange';
 import { sendOnce } from './plain-attempt';
 import type { Attempt, PlainAttemptDeps } from './plain-attempt';
+import type { Departure } from './plain-departure';
+import { createPlainServers } from './plain-servers';
 import type { Quarantine, RequestRun } from './quarantine/quarantine';
 import type { RunTarget } from './quarantine/server-checks';
 import type { Retries } from './retries';
@@ -39,175 +31,152 @@
   call(exchange: Exchange): Promise<void>;
 }
 
-/** Measurements of one server. */
-interface ServerRecord {
-  running: number;
-  failures: number;
-  latencyMs: number | undefined;
+/** Progress of one call over all its attempts. */
+interface PlainState {
+  readonly tried: Set<InstanceId>;
+  /** Servers that the call was sent to. An unreachable server does not count. */
+  attempts: number;
+  exposure: Execution;
+  /** Why the last attempt failed. */
+  reason: string | undefined;
+  /** The server for which the last one was left; a token and a retry were taken for it. */
+  next: BackendServer | undefined;
 }
 
-interface Unserved {
-  readonly reason: string;
-  readonly retryAfter?: RetryAfter;
-}
-
-/** Weight of the latest call in a server's running means. */
-const SMOOTHING = 0.15;
 /**
- * A safe call that can be retried leaves a silent server after this share of its remaining time.
+ * A safe call leaves a silent server after this share of its remaining time, and only while as much
+ * is left for another one.
  */
 const FIRST_ATTEMPT_SHARE = 0.45;
 const FIRST_SERVER_ERROR = 500;
 
-const NO_SERVER = 'no server of the service is known';
-const EVACUATED = 'all servers of the service are in evacuated zones';
-const UNREACHABLE = 'no server is reached, neither directly nor through a peer';
-const NO_CAPACITY = 'all servers of the service are rate-limited or backing off';
-
 export function createPlainCalls(deps: PlainDeps): PlainCalls {
-  const { ctx, serverRegistry, retries, throttle, evacuations, quarantine } = deps;
-  const records = new Map<InstanceId, ServerRecord>();
-
-  const recordOf = (id: InstanceId): ServerRecord => {
-    const known = records.get(id);
-    if (known) return known;
-    const record: ServerRecord = { running: 0, failures: 0, latencyMs: undefined };
-    records.set(id, record);
-    return record;
-  };
-
-  const registeredServers = (service: ServiceId): BackendServer[] =>
-    [...serverRegistry.servers.values()].filter(
-      (server) => server.service === service && !server.isDraining,
-    );
-
-  const serversOf = (service: ServiceId): BackendServer[] =>
-    registeredServers(service).filter(({ zone }) => !evacuations.isEvacuated(zone));
-
-  const candidates = (service: ServiceId, tried: ReadonlySet<InstanceId>): PlainCandidate[] =>
-    serversOf(service)
-      .filter(({ id }) => throttle.tokens(id) >= 1)
-      .map(({ id, zone, batchSize }) => ({
-        id,
-        zone,
-        batchSize,
-        ...recordOf(id),
-        isTried: tried.has(id),
-      }));
-
-  /**
-   * Time until a server of the service accepts a request, under their rate limits and backoffs,
-   * milliseconds.
-   */
-  const msUntilAnyAccepts = (service: ServiceId): number =>
-    minOrZero(serversOf(service).map(({ id }) => throttle.msUntilAccepted(id)));
-
-  /** Why no server can be chosen and when to retry, if known. */
-  const explainNoServer = (service: ServiceId): Unserved => {
-    const isEvacuated = serversOf(service).length === 0 && registeredServers(service).length > 0;
-    if (deps.serverLinks.isUnreachable(service))
-      return { reason: UNREACHABLE, retryAfter: RETRY_AFTER_UNSERVED };
-    if (isEvacuated) return { reason: EVACUATED, retryAfter: RETRY_AFTER_UNSERVED };
-    const acceptedInMs = msUntilAnyAccepts(service);
-    if (acceptedInMs === 0) return { reason: NO_SERVER };
-    return { reason: NO_CAPACITY, retryAfter: retryAfterDelay(acceptedInMs) };
-  };
-
-  const choose = (
-    exchange: Exchange,
-    tried: ReadonlySet<InstanceId>,
-  ): BackendServer | undefined => {
-    const found = choosePlain(
-      candidates(exchange.service, tried),
-      ctx.settings.zone,
-      ctx.random.next(),
-    );
-    return found && serverRegistry.servers.get(found.id);
-  };
+  const { ctx, retries, quarantine } = deps;
+  const servers = createPlainServers(deps);
 
   const attempt = async (
     exchange: Exchange,
     server: BackendServer,
-    until: MonoTime,
+    departure: Departure | undefined,
   ): Promise<Attempt> => {
-    const record = recordOf(server.id);
     const startedAt = ctx.clock.now();
-    record.running += 1;
-    throttle.takeToken(server.id);
+    servers.noteSent(server);
     const run = quarantine.begin(exchange, runTargetOf(server));
-    const result = await sendOnce(deps, exchange, server, until);
+    const result = await sendOnce(deps, exchange, server, departure);
     noteRunEnd(run, result);
-    record.running -= 1;
-    const hasFailed = result.kind !== 'answered' || isServerError(result.res);
-    record.failures += SMOOTHING * (Number(hasFailed) - record.failures);
-    if (result.kind === 'answered') {
-      const ms = ctx.clock.now() - startedAt;
-      record.latencyMs = (record.latencyMs ?? ms) + SMOOTHING * (ms - (record.latencyMs ?? ms));
-    }
+    servers.noteEnded(server, {
+      hasFailed: result.kind !== 'answered' || isServerError(result.res),
+      answeredMs: result.kind === 'answered' ? ctx.clock.now() - startedAt : undefined,
+    });
     return result;
   };
 
-  /** `attempts`: servers that the call was sent to. An unreachable server does not count. */
-  const canRetry = (exchange: Exchange, attempts: number, result: Attempt): boolean => {
+  const canRetry = (exchange: Exchange, state: PlainState, result: Attempt): boolean => {
     const { route, service } = exchange;
     if (exchange.gone.aborted || ctx.clock.now() >= exchange.answerBy) return false;
-    if (result.kind === 'not-sent') return true;
-    if (attempts >= route.maxAttempts) return false;
+    if (state.next || result.kind === 'not-sent') return true;
+    if (state.attempts >= route.maxAttempts) return false;
     const isAllowed = result.kind === 'not-run' || route.kind === 'safe';
     return isAllowed && retries.mayRetry(service);
   };
 
-  const attemptDeadline = (exchange: Exchange, attempts: number): MonoTime => {
+  const isQuarantined = (exchange: Exchange): boolean => {
+    const standing = quarantine.standing(exchange);
+    return standing === 'held' || standing === 'refused';
+  };
+
+  /** Takes another server and a retry, the retry last, as it cannot be returned to the budget. */
+  const prepareNext = (exchange: Exchange, state: PlainState): boolean => {
+    const { service } = exchange;
+    if (isQuarantined(exchange) || !retries.hasRetry(service)) return false;
+    const next = servers.take(service, state.tried);
+    if (!next) return false;
+    if (retries.mayRetry(service)) state.next = next;
+    else servers.giveBack(next);
+    return state.next !== undefined;
+  };
+
+  /** When the call may leave its server; undefined if it must not. */
+  const departureOf = (exchange: Exchange, state: PlainState): Departure | undefined => {
     const { route, answerBy } = exchange;
-    if (route.kind !== 'safe' || attempts + 1 >= route.maxAttempts) return answerBy;
+    if (route.kind !== 'safe' || state.attempts + 1 >= route.maxAttempts) return undefined;
     const now = ctx.clock.now();
-    return later(now, (answerBy - now) * FIRST_ATTEMPT_SHARE);
+    const shareMs = (answerBy - now) * FIRST_ATTEMPT_SHARE;
+    return {
+      from: later(now, shareMs),
+      until: later(answerBy, -shareMs),
+      prepare: () => prepareNext(exchange, state),
+    };
+  };
+
+  /** Returns the token that was taken for a server to which the call is not sent after all. */
+  const giveBackNext = (state: PlainState): void => {
+    const next = takeNext(state);
+    if (next) servers.giveBack(next);
+  };
+
+  const endUnserved = (exchange: Exchange, state: PlainState): void => {
+    giveBackNext(state);
+    const { exposure, attempts } = state;
+    const { reason: unserved, ...hint } = servers.explainNone(exchange.service);
+    const reason = state.reason ?? unserved;
+    endUnanswered(ctx, exchange, { exposure, reason, attempts, ...hint });
   };
 
   const call = async (exchange: Exchange): Promise<void> => {
-    const tried = new Set<InstanceId>();
-    let exposure: Execution = 'not-run';
-    let reason: string | undefined;
-    let attempts = 0;
+    const state: PlainState = {
+      ...{ tried: new Set<InstanceId>(), attempts: 0, exposure: 'not-run' },
+      ...{ reason: undefined, next: undefined },
+    };
     retries.noteRequest(exchange.service);
     for (;;) {
       const standing = quarantine.standing(exchange);
       if (standing === 'held' || standing === 'refused') {
-        endQuarantined(ctx, exchange, standing, { exposure, attempts });
+        giveBackNext(state);
+        endQuarantined(ctx, exchange, standing, state);
         return;
       }
-      const isUnreachable = deps.serverLinks.isUnreachable(exchange.service);
-      const server = isUnreachable ? undefined : choose(exchange, tried);
+      const server = takeNext(state) ?? servers.take(exchange.service, state.tried);
       if (!server) break;
-      const result = await attempt(exchange, server, attemptDeadline(exchange, attempts));
-      tried.add(server.id);
-      if (result.kind !== 'not-sent') attempts += 1;
+      state.tried.add(server.id);
+      const result = await attempt(exchange, server, departureOf(exchange, state));
+      if (result.kind !== 'not-sent') state.attempts += 1;
+      const { attempts } = state;
       if (exchange.gone.aborted) {
+        giveBackNext(state);
         const { id } = server;
         logRequestEnd(ctx, exchange, { outcome: 'caller-gone', status: 0, attempts, server: id });
         return;
       }
       if (result.kind === 'answered') {
         const isRetriable = isServerError(result.res) && exchange.route.kind === 'safe';
-        if (!isRetriable || !canRetry(exchange, attempts, result)) {
+        if (!isRetriable || !canRetry(exchange, state, result)) {
+          giveBackNext(state);
           forwardAnswer(deps, exchange, result, server, attempts);
           return;
         }
-        exposure = 'unknown';
+        state.exposure = 'unknown';
         continue;
       }
-      reason = result.reason;
+      const { reason } = result;
+      state.reason = reason;
       logFailedAttempt(ctx, exchange, { server: server.id, ended: result.kind, reason });
-      if (result.kind === 'lost') exposure = 'unknown';
-      if (!canRetry(exchange, attempts, result)) break;
+      if (result.kind === 'lost') state.exposure = 'unknown';
+      if (!canRetry(exchange, state, result)) break;
     }
-    const { reason: unserved, ...hint } = explainNoServer(exchange.service);
-    endUnanswered(ctx, exchange, { exposure, reason: reason ?? unserved, attempts, ...hint });
+    endUnserved(exchange, state);
   };
 
   return { call };
 }
 
+/** The server for which the last one was left, if it was. */
+function takeNext(state: PlainState): BackendServer | undefined {
+  const { next } = state;
+  state.next = undefined;
+  return next;
+}
+
 /** A server of a plain service is a group and a domain of its own. */
 function runTargetOf({ id, address }: BackendServer): RunTarget {
   return { server: id, address, group: brandAs<GroupId>(id), domain: brandAs<DomainId>(id) };
