--- a/tests/gateway/stream-fixture.ts
+++ b/tests/gateway/stream-fixture.ts
@@ -48,6 +48,8 @@
   complete = false;
   /** Whether the gateway has closed the connection. */
   isClosed = false;
+  /** Bytes of the next event that were sent. */
+  private sentBytes = 0;
 
   constructor(
     readonly head: string,
@@ -62,14 +64,19 @@
     this.emit('close');
   }
 
-  /** Sends events by number, in one write. */
+  /** Sends events by number, in one write; of one that was sent in part, the rest. */
   send(...ids: readonly number[]): void {
-    this.emit('data', Buffer.from(ids.map((id) => `id: ${id}\ndata: piece\n\n`).join('')));
+    const bytes = ids.map((id) => `id: ${id}\ndata: piece\n\n`).join('');
+    this.emit('data', Buffer.from(bytes.slice(this.sentBytes)));
+    this.sentBytes = 0;
   }
 
   /** Sends the first bytes of an event. */
   sendPart(id: number): void {
-    this.emit('data', Buffer.from(`id: ${id}\nda`));
+    if (this.sentBytes > 0) return;
+    const part = `id: ${id}\nda`;
+    this.sentBytes = part.length;
+    this.emit('data', Buffer.from(part));
   }
 
   /** Sends the events from `first` to the last one, and ends the answer. */
--- a/tests/gateway/stream-moves.test.ts
+++ b/tests/gateway/stream-moves.test.ts
@@ -188,7 +188,8 @@
     await world.pass(1_200);
     const moved = first.filter(({ isClosed }) => isClosed);
     expect(moved.length).toBeGreaterThan(0);
-    expect(moved.length).toBeLessThan(first.length);
+    // As users count it: a share of the requests, and a fixed number.
+    expect(moved.length).toBeLessThanOrEqual(0.25 * first.length + 4);
     expect(world.runs.length - first.length).toBe(moved.length);
     for (const run of world.runs) if (!run.isClosed) run.finishFrom(2);
     await world.pass(50);
