--- a/tests/gateway/move-decision.test.ts
+++ b/tests/gateway/move-decision.test.ts
@@ -12,6 +12,7 @@
   decideMove({ ...STREAM, ...more }, at(now));
 
 describe('a stream whose group was found silent', () => {
+  // Guards against streams that stay with a dark server although they could go on.
   it('is moved if it is silent itself and may go on elsewhere', () => {
     expect(decide({})).toEqual({ kind: 'move' });
   });
@@ -22,6 +23,7 @@
     expect(decide({}, 1_350)).toEqual({ kind: 'move' });
   });
 
+  // Guards against a retry for a request that is still connecting, and then needs none.
   it('is not moved before it was sent', () => {
     expect(decide({ silentSince: undefined })).toEqual({ kind: 'wait', until: at(2_350) });
   });
@@ -35,6 +37,7 @@
     expect(decide(more)).toEqual({ kind: 'keep', lacked });
   });
 
+  // Guards against moves out of groups that serve again.
   it('keeps its connection once the group is no longer suspended', () => {
     expect(decide({ isSuspected: false })).toEqual({ kind: 'keep' });
   });
--- a/tests/gateway/plain-call.test.ts
+++ b/tests/gateway/plain-call.test.ts
@@ -138,6 +138,7 @@
     expect(world.calls).toHaveLength(1);
   });
 
+  // Guards against the same while the others accept no requests.
   it('is answered by it if the other servers are backing off', async () => {
     const { world, first, throttle } = await call({ servers: 2, retries: 1 });
     const other = first.server === 's0' ? 's1' : 's0';
@@ -147,6 +148,7 @@
     expect(answersOf(world)).toEqual([200, 'whole']);
   });
 
+  // Guards against calls that wait out their time at a silent server.
   it('is sent to another one in time if a retry is left', async () => {
     const { world, first } = await call({ servers: 2, retries: 1 });
     await pass(400);
@@ -157,6 +159,7 @@
     expect(answersOf(world)).toEqual([200, 'whole']);
   });
 
+  // Guards against calls that ask for a retry only once, and retries too late to bring an answer.
   it('is sent to another one as soon as a retry is left, unless too little time is', async () => {
     const { world, first } = await call({ servers: 2, retries: 0 });
     await pass(480);
@@ -171,6 +174,7 @@
     expect([late.first.isClosed, late.world.retries]).toEqual([false, 1]);
   });
 
+  // Guards against calls without an end.
   it('fails at its deadline if no server answers', async () => {
     const { world } = await call({ servers: 2, retries: 0 });
     await pass(1_050);
--- a/tests/gateway/stream-moves.test.ts
+++ b/tests/gateway/stream-moves.test.ts
@@ -46,6 +46,7 @@
     expect(world.runs).toHaveLength(1);
   });
 
+  // Guards against a second finding that spends the last attempt, as in the operators' play.
   it('is answered whole when a second finding comes after its last attempt began', async () => {
     const { world, caller, run } = await begin({ groups: 2 });
     run.close();
@@ -102,6 +103,7 @@
     expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
   });
 
+  // Guards against streams that stay with a dark server although they could go on.
   it('is moved, and answered whole, when a slot, a retry and an attempt are at hand', async () => {
     const { world, caller, run } = await begin({ groups: 2, retries: 1 });
     run.sendPart(2);
@@ -116,6 +118,7 @@
     expect([world.runs.length, world.retriesLeft()]).toEqual([2, 0]);
   });
 
+  // Guards against streams that ask for a slot once and then wait out their deadline.
   it('is moved once a slot in another group becomes free', async () => {
     const { world, caller, run } = await begin({ groups: 2 });
     const [other = ''] = others(run.head, 2);
