--- a/tests/gateway/asked-members.ts
+++ b/tests/gateway/asked-members.ts
@@ -68,6 +68,8 @@
       servers.set(server.id, server);
     }
   }
+  const lapsed = new Map<InstanceId, BackendServer>();
+  const changes = new Subject<void>();
   const behaviours = new Map<InstanceId, Behaviour>();
   const clock = createFakeClock();
   const lines: Record<string, unknown>[] = [];
@@ -109,7 +111,7 @@
 
   const ctx = makeContext({ clock, logger });
   const inspection = createMemberInspection(ctx, {
-    serverRegistry: { servers, lapsed: new Map(), changes: new Subject() },
+    serverRegistry: { servers, lapsed, changes },
     leadership: { heldFencing: () => fencing },
     servers: { report: answer },
     isBusy: () => isBusy,
@@ -156,6 +158,16 @@
     endLease: (): void => {
       fencing = undefined;
     },
+    /** The entries of servers expire. */
+    lapse: (ids: readonly (InstanceId | undefined)[]): void => {
+      for (const id of ids) {
+        const server = id && servers.get(id);
+        if (!server) continue;
+        servers.delete(server.id);
+        lapsed.set(server.id, server);
+      }
+      changes.next();
+    },
     asked: () => asked,
     /** The groups that were found lost, in order. */
     lost: (): string[] => found.map(({ stall }) => stall.group),
--- a/tests/gateway/member-inspection.test.ts
+++ b/tests/gateway/member-inspection.test.ts
@@ -126,3 +126,26 @@
     expect(test.asked()).toBe(before);
   });
 });
+
+describe('an idle group of which entries have expired', () => {
+  fakeTime();
+  const IDLE = { isBusy: false };
+
+  it('loses a member that answers nothing either, and none that does', async () => {
+    const test = startAsking(GROUPS, IDLE);
+    const [, dark, cut] = test.membersOf('g');
+    test.set([dark], DARK);
+    test.lapse([dark, cut]);
+    await test.run(1_000);
+    expect([...test.excluded.keys()]).toEqual([dark]);
+  });
+
+  // Guards against groups that end because all entries expired in a long pause.
+  it('loses no member while no server answers', async () => {
+    const test = startAsking(GROUPS, IDLE);
+    test.set(test.all(), paused(2_000));
+    test.lapse(test.all());
+    await test.run(6_000);
+    expect(test.found).toEqual([]);
+  });
+});
--- a/tests/gateway/slow-members.test.ts
+++ b/tests/gateway/slow-members.test.ts
@@ -100,6 +100,20 @@
   });
 });
 
+describe('a group that seems slow', () => {
+  // Guards against replacing members because this daemon, or all servers, stood still for a moment.
+  it('stays while its members answer nothing, or report normal speed', async () => {
+    const { run, measured, largeGroup, closed, pauseAll, reports } = await startPlannedFleet(FOUR);
+    const [head] = largeGroup(0);
+    if (head === undefined) throw new Error('no group');
+    measured.set(head, 4);
+    pauseAll(3_000);
+    await run(10_000);
+    expect(reports.length).toBeGreaterThan(0);
+    expect(closed).toEqual([]);
+  });
+});
+
 describe('reports of members', () => {
   it('are requested every two seconds at most if no member is slow', async () => {
     const { run, measured, largeGroup, reports } = await startPlannedFleet(FOUR);
