Take a server for ended only if several observers with sound links agree

Cause: one peer's 'refused' decided, and a peer vouched for its finding if it reached any one of three other servers, or if any server had sent something; a peer that had lost 13 of 25 servers did so.

A peer now answers 'unknown' if more than one of three other servers is not reached from there, or if one of the service is known to be blocked. The end of a server needs three observers that are refused (all, if there are fewer), this daemon included if its own links are sound. While some cannot tell, six more peers are asked. 'unreachable' is kept apart from 'refused'.

--- a/src/app/gateway/forward-peers.ts
+++ b/src/app/gateway/forward-peers.ts
@@ -1,6 +1,7 @@
 /** The peers through which this daemon reaches servers, and which it asks whether they do. */
 
 import type { ObservedState } from '../../adapters/upstream/forward-client';
+import { isSettled, judgeServer } from '../../core/gateway/server-evidence';
 import { chooseForwardPeers, chooseObservers } from '../../core/gateway/server-links';
 import type {
   ForwardPeer,
@@ -32,9 +33,9 @@
   pick(service: ServiceId): Forwarder | undefined;
   /**
    * What peers find of a server. One that reaches it decides; that a few do not may be for links of their own,
-   * so that others are asked then.
+   * so that others are asked then. `own` is what this daemon finds, if it has looked.
    */
-  ask(server: LinkedServer): Promise<ObservedState>;
+  ask(server: LinkedServer, own?: Promise<ObservedState>): Promise<ObservedState>;
   /** Notes that a peer did not forward. */
   noteFailed(peer: DaemonId): void;
   tick(): void;
@@ -42,9 +43,8 @@
 
 /** Time for a peer's answer, its own check of the server included. */
 const ASK_TIMEOUT_MS = 400;
-/** Peers asked at a time about a server, and how often others are asked if none reaches it. */
-const ASKED_PEERS = 3;
-const ASK_ROUNDS = 2;
+/** Peers asked at a time about a server: others as long as none reaches it and what they say is not settled. */
+const ASK_ROUNDS = [3, 3, 6];
 /** A peer that did not forward is left out for this long. */
 const PEER_BACKOFF_MS = 1_000;
 
@@ -79,24 +79,39 @@
     return found;
   };
 
-  const ask = async ({ address, service }: LinkedServer): Promise<ObservedState> => {
-    const observers = chooseObservers(peers(), optionsFor(service), shuffle);
-    const startedAt = clock.now();
-    const answers: string[] = [];
-    let state: ObservedState = 'unknown';
-    for (let round = 0; round < ASK_ROUNDS; round++) {
-      const asked = observers.slice(round * ASKED_PEERS, (round + 1) * ASKED_PEERS);
-      const states = await Promise.all(
-        asked.map(({ forwardAddress = '' }) => askPeer(address, forwardAddress, ASK_TIMEOUT_MS)),
+  /** Answers of peers, by their ids. */
+  const collect = async (
+    observers: readonly ForwardPeer[],
+    { address }: LinkedServer,
+    own?: Promise<ObservedState>,
+  ): Promise<ReadonlyMap<DaemonId, ObservedState>> => {
+    const answers = new Map<DaemonId, ObservedState>();
+    for (const size of ASK_ROUNDS) {
+      const asked = observers.slice(answers.size, answers.size + size);
+      await Promise.all(
+        asked.map(async ({ id, forwardAddress = '' }) => {
+          answers.set(id, await askPeer(address, forwardAddress, ASK_TIMEOUT_MS));
+        }),
       );
-      answers.push(...asked.map(({ id }, n) => `${id}:${states[n] ?? 'unknown'}`));
-      state = states.find((one) => one !== 'unknown') ?? state;
-      if (states.includes('listening')) state = 'listening';
-      if (state === 'listening') break;
+      if (isSettled({ own: await own, peers: [...answers.values()] })) break;
     }
+    return answers;
+  };
+
+  const ask = async (
+    server: LinkedServer,
+    own?: Promise<ObservedState>,
+  ): Promise<ObservedState> => {
+    const startedAt = clock.now();
+    const observers = chooseObservers(peers(), optionsFor(server.service), shuffle);
+    const answers = await collect(observers, server, own);
+    const found = await own;
+    const askable = observers.length;
+    const state = judgeServer({ own: found, peers: [...answers.values()], askable });
     logger.info('peers asked whether they reach a server', {
       step: 'server-links',
-      ...{ address, service, state, answers: answers.join(' ') },
+      ...{ ...server, state, ...(found !== undefined && { own: found }) },
+      answers: [...answers].map((answer) => answer.join(':')).join(' '),
       tookMs: Math.round(clock.now() - startedAt),
     });
     return state;
--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -9,8 +9,10 @@
 import type { ObservedState } from '../../adapters/upstream/forward-client';
 import type { ListeningState } from '../../adapters/upstream/listening';
 import type { UpstreamActivity } from '../../adapters/upstream/upstream';
+import { areLinksSound } from '../../core/gateway/server-evidence';
 import {
   forgetService,
+  hasFailuresIn,
   isBlocked,
   noteBlocked,
   noteLost,
@@ -209,23 +211,26 @@
     }
   };
 
-  /** Whether any of a few servers of the service listens. */
-  const isLinkHealthy = async (service: ServiceId): Promise<boolean> => {
-    if (links.cutOff.has(service)) return false;
-    if (silence.hasReceivedRecently()) return true;
-    const found = await Promise.all(
-      servers
-        .sample(CHECKED_SERVERS, service)
-        .map(({ address }) => checkListening(address, CHECK_TIMEOUT_MS)),
-    );
-    return found.includes('listening');
+  /** Whether this daemon reaches other servers, so that it can tell whether this one has ended. */
+  const isLinkSound = async ({ address, service }: LinkedServer): Promise<boolean> => {
+    if (hasFailuresIn(links, service)) return false;
+    const others = servers
+      .sample(CHECKED_SERVERS + 1, service)
+      .filter((other) => other.address !== address)
+      .slice(0, CHECKED_SERVERS);
+    if (others.length === 0) return silence.hasReceivedRecently();
+    const found = others.map((other) => checkListening(other.address, CHECK_TIMEOUT_MS));
+    return areLinksSound(await Promise.all(found));
   };
 
+  /** What a failed connection says of the server: nothing if it may be for this daemon's own link. */
+  const weigh = async (server: LinkedServer, found: ListeningState): Promise<ObservedState> =>
+    found === 'listening' || (await isLinkSound(server)) ? found : 'unknown';
+
   const answerPeer = async (address: string): Promise<ObservedState> => {
-    const service = servers.serviceOf(address);
-    if (service === undefined || links.cutOff.has(service)) return 'unknown';
-    const found = await checkListening(address, CHECK_TIMEOUT_MS);
-    return found === 'listening' || (await isLinkHealthy(service)) ? found : 'unknown';
+    const server = serverAt(address);
+    if (!server || links.cutOff.has(server.service)) return 'unknown';
+    return weigh(server, await checkListening(address, CHECK_TIMEOUT_MS));
   };
 
   return {
@@ -255,10 +260,9 @@
       const found = await checkListening(address, timeoutMs);
       const server = serverAt(address);
       if (found === 'listening' || !server) return found;
-      const state = await forwardPeers.ask(server);
+      const state = await forwardPeers.ask(server, weigh(server, found));
       if (state === 'listening') block(server);
-      if (state !== 'unknown') return state;
-      return (await isLinkHealthy(server.service)) ? found : 'unknown';
+      return state;
     },
     answerPeer,
     hasReceivedRecently: () => silence.hasReceivedRecently(),
--- a/src/core/gateway/server-links.ts
+++ b/src/core/gateway/server-links.ts
@@ -131,6 +131,12 @@
   return cutOff.has(service) || blocked.has(address);
 }
 
+/** Whether this daemon is known not to reach some servers of the service. */
+export function hasFailuresIn({ blocked, cutOff }: ServerLinks, service: ServiceId): boolean {
+  if (cutOff.has(service)) return true;
+  return [...blocked.values()].some((known) => known.service === service);
+}
+
 /** What a direct connection is to be tried to now. */
 export interface Rechecks {
   readonly links: ServerLinks;
--- a/tests/fuzz/links-world.ts
+++ b/tests/fuzz/links-world.ts
@@ -14,39 +14,7 @@
 import type { DaemonId, EpochTime, MonoTime, ServiceId, ZoneId } from '../../src/core/ids';
 import { sample } from '../../src/utils/common';
 import { makeContext } from '../gateway/support';
-
-export interface LinksOptions {
-  readonly seed: number;
-  readonly daemons: number;
-  readonly ms: number;
-  /** Daemons never ask or use each other. */
-  readonly isAlone?: boolean;
-}
-
-/** A caller's first try. */
-export interface Try {
-  readonly at: number;
-  readonly daemon: number;
-  readonly isServed: boolean;
-  /** The daemon has been cut off from all servers for long enough. */
-  readonly isCutOff: boolean;
-}
-
-export interface LinksResult {
-  readonly tries: readonly Try[];
-  /** Cuts of daemons from all servers that last long enough for the rule. */
-  readonly cuts: readonly { readonly from: number; readonly to: number }[];
-  /** Sound servers, reached by most daemons, that one took for ended after its connections broke. */
-  readonly wronglyEnded: number;
-  /** Requests that were sent through peers although the links had been sound for a while. */
-  readonly needlesslyForwarded: number;
-  /**
-   * Most requests that one daemon forwarded in a second, and its share in that second if each request were
-   * divided evenly among the daemons that reach its server.
-   */
-  readonly busiest: { readonly forwarded: number; readonly evenShare: number };
-  readonly trace: readonly string[];
-}
+import type { LinksOptions, LinksResult, Try } from './links-types';
 
 interface Server {
   readonly address: string;
@@ -83,12 +51,14 @@
 const LOSS_CHANCE = 0.02;
 const MAX_DIRECT_DAEMONS = 13;
 const HOP_MS = 2;
+const DAEMONS_PER_END = 3;
 
 export async function runLinks({
   seed,
   daemons: count,
   ms,
   isAlone = false,
+  areEndsChecked = false,
 }: LinksOptions): Promise<LinksResult> {
   const random = createRandom(seed);
   const draw = (least: number, most: number): number => least + random.next() * (most - least);
@@ -210,6 +180,7 @@
     tries: [] as Try[],
     cuts: [] as { from: number; to: number }[],
     wronglyEnded: 0,
+    ends: { checked: 0, found: 0 },
     needlesslyForwarded: 0,
     busiest: { forwarded: 0, evenShare: 0 },
     trace,
@@ -278,6 +249,17 @@
     note(`links that fail: ${failing.join(', ')}`);
   };
 
+  /** A server has ended, and with it connections of daemons whose links are sound. */
+  const checkEnd = async ({ address }: Server): Promise<void> => {
+    const sound = daemons.filter((one) => now > one.lostUntil);
+    for (const daemon of sample(sound, DAEMONS_PER_END, () => random.next())) {
+      const found = await daemon.links.findState(address, CONNECT_LIMIT_MS);
+      result.ends.checked += 1;
+      if (found === 'refused') result.ends.found += 1;
+      else note(`d${daemon.n} does not find that ${address} ended: ${found}`);
+    }
+  };
+
   const cut = (): void => {
     const share = draw(0, 1) ** 2;
     const isPartial = chance(0.3);
@@ -310,6 +292,7 @@
       if (!chance(0.05)) continue;
       server.downUntil = now + draw(500, 4_000);
       note(`${server.address} crashes`);
+      if (areEndsChecked) void checkEnd(server);
     }
   };
 
--- a/tests/fuzz/links.ts
+++ b/tests/fuzz/links.ts
@@ -1,8 +1,8 @@
 /** Fuzzes the links to servers: callers of daemons that are cut off are served, and no sound server is given up. */
 
 import { isServedEnough } from '../support/server-rules';
+import type { LinksResult } from './links-types';
 import { runLinks, STABLE_MS } from './links-world';
-import type { LinksResult } from './links-world';
 import type { FuzzOptions } from './options';
 
 const SIZES = [1, 2, 3, 7, 13, 14, 70, 195, 670] as const;
