Strike a request only for a server that has ended, not for a silent one

A request whose connection broke was struck if the server was then silent for 500 ms, as servers are whose host is paused or whose link is full; three strikes refuse it. And a check that could not tell was not repeated, so that an end during the loss of links was missed.

'unreachable' no longer strikes. Each check logs how long it took.

A host that is gone for good, and registers no other incarnation, strikes no request any more.

--- a/src/app/gateway/quarantine/server-checks.ts
+++ b/src/app/gateway/quarantine/server-checks.ts
@@ -4,7 +4,8 @@
  */
 
 import type { ObservedState } from '../../../adapters/upstream/forward-client';
-import type { DomainId, GroupId, InstanceId } from '../../../core/ids';
+import { later } from '../../../core/ids';
+import type { DomainId, GroupId, InstanceId, MonoTime } from '../../../core/ids';
 import type { GatewayContext } from '../context';
 import type { ServerRegistry } from '../server-registry';
 
@@ -30,43 +31,66 @@
   check(target: RunTarget): void;
   /** The loss of the group is known. */
   forget(group: GroupId): void;
-  /** Looks for servers that restarted so soon that they listened again when they were checked. */
+  /**
+   * Looks for servers that restarted so soon that they listened again when they were checked, and checks again
+   * those whose state could not be told.
+   */
   tick(): void;
 }
 
-/** An ended process refuses connections at once; a host that is gone does not answer at all. */
+/** An ended process refuses connections at once; a paused host, or one that is gone, does not answer at all. */
 const CHECK_TIMEOUT_MS = 500;
+/** Interval at which a server is checked again whose state could not be told. */
+const RECHECK_INTERVAL_MS = 500;
+/** Only these show whether the server has ended. A silent one may be paused. */
+const CONCLUSIVE: ReadonlySet<ObservedState> = new Set<ObservedState>(['listening', 'refused']);
+
+interface Unconfirmed {
+  readonly target: RunTarget;
+  /** When it is checked again; undefined while a check is under way, or if none is needed. */
+  recheckAt: MonoTime | undefined;
+}
 
 export function createServerChecks(
-  { logger }: GatewayContext,
+  { clock, logger }: Pick<GatewayContext, 'clock' | 'logger'>,
   { serverRegistry, findState, isInterrupted, onLost }: ServerCheckDeps,
 ): ServerChecks {
-  /** Targets that are being checked, or that still listened. */
-  const unconfirmed = new Map<GroupId, RunTarget>();
+  /** Targets that are being checked, still listened, or could not be told. */
+  const unconfirmed = new Map<GroupId, Unconfirmed>();
 
-  const check = async (target: RunTarget): Promise<void> => {
-    const { group, domain, address, server } = target;
-    unconfirmed.set(group, target);
+  const check = async (entry: Unconfirmed): Promise<void> => {
+    const { group, domain, address, server } = entry.target;
+    entry.recheckAt = undefined;
+    const startedAt = clock.now();
     const found = await findState(address, CHECK_TIMEOUT_MS);
     logger.info('server checked after a broken connection', {
       step: 'quarantine',
       ...{ server, group, found },
+      tookMs: Math.round(clock.now() - startedAt),
     });
-    if (found === 'refused' || found === 'unreachable') onLost(group, domain);
+    if (!CONCLUSIVE.has(found)) entry.recheckAt = later(clock.now(), RECHECK_INTERVAL_MS);
+    if (found === 'refused') onLost(group, domain);
+  };
+
+  const review = (entry: Unconfirmed): void => {
+    const { group, domain, server } = entry.target;
+    if (serverRegistry.ended.has(server)) onLost(group, domain);
+    else if (!isInterrupted(group)) unconfirmed.delete(group);
+    else if (entry.recheckAt !== undefined && clock.now() >= entry.recheckAt) void check(entry);
   };
 
   return {
     check: (target) => {
-      if (!unconfirmed.has(target.group)) void check(target);
+      if (unconfirmed.has(target.group)) return;
+      const entry: Unconfirmed = { target, recheckAt: undefined };
+      unconfirmed.set(target.group, entry);
+      void check(entry);
     },
     forget: (group) => {
       unconfirmed.delete(group);
     },
     tick: () => {
-      for (const { group, domain, server } of unconfirmed.values()) {
-        if (serverRegistry.ended.has(server)) onLost(group, domain);
-        else if (!isInterrupted(group)) unconfirmed.delete(group);
-      }
+      for (const entry of unconfirmed.values()) review(entry);
     },
   };
 }
