Let streams decide on an idle group that is given some while it is inspected

A group whose entries expired is inspected only while it has no streams, since their events say more.

--- a/src/app/gateway/member-inspection.ts
+++ b/src/app/gateway/member-inspection.ts
@@ -96,7 +96,8 @@
     },
   });
 
-  const inspect = (stall: Stall, lastEventAt: LastEventAt = NO_EVENTS): void => {
+  /** Starts an inspection, which ends without a finding once `isNeeded` is false. */
+  const begin = (stall: Stall, lastEventAt: LastEventAt, isNeeded: () => boolean): void => {
     const { group } = stall;
     const now = clock.now();
     const nextAt = nextInspectionAt.get(group);
@@ -114,12 +115,17 @@
     running.add(group);
     const isCurrent = (): boolean =>
       leadership.heldFencing() === fencing &&
+      isNeeded() &&
       !members.some(({ zone }) => evacuations.isEvacuated(zone));
     void inspectMembers(stall, { members, lastEventAt, isCurrent }).finally(() => {
       running.delete(group);
     });
   };
 
+  const inspect = (stall: Stall, lastEventAt: LastEventAt = NO_EVENTS): void => {
+    begin(stall, lastEventAt, () => true);
+  };
+
   const inspectMembers = async (
     stall: Stall,
     { members, lastEventAt, isCurrent }: Inspected,
@@ -170,14 +176,16 @@
 
   /**
    * A member whose entry expired may be lost, or may only be cut off from the store and from this
-   * daemon. If its group has streams, their events or their silence decide; an idle group is
-   * inspected.
+   * daemon. If its group has streams, their events or their silence decide; a group is inspected
+   * while it is idle.
    */
   const inspectLapsed = (): void => {
     for (const { id, membership } of serverRegistry.lapsed.values()) {
       if (inspectedLapsed.has(id)) continue;
       inspectedLapsed.add(id);
-      if (membership && !isBusy(membership.group)) inspect({ group: membership.group, head: id });
+      if (!membership) continue;
+      const isIdle = (): boolean => !isBusy(membership.group);
+      if (isIdle()) begin({ group: membership.group, head: id }, NO_EVENTS, isIdle);
     }
     for (const id of inspectedLapsed)
       if (!serverRegistry.lapsed.has(id)) inspectedLapsed.delete(id);
--- a/tests/gateway/asked-members.ts
+++ b/tests/gateway/asked-members.ts
@@ -58,7 +58,7 @@
   readonly zone?: string;
 }
 
-export function startAsking(groups: readonly GroupSpec[], { isBusy = true } = {}) {
+export function startAsking(groups: readonly GroupSpec[], { isBusy: startsBusy = true } = {}) {
   const servers = new Map<InstanceId, BackendServer>();
   for (const { group, size, domain, zone = 'a' } of groups) {
     for (let rank = 0; rank < size; rank++) {
@@ -80,6 +80,7 @@
   const found: { readonly stall: Stall; readonly at: number }[] = [];
   const evacuated = new Set<string>();
   const throughPeers = new Set<InstanceId>();
+  let isBusy = startsBusy;
   let fencing: number | undefined = 1;
   let asked = 0;
 
@@ -155,6 +156,9 @@
       [...servers.values()].filter((s) => s.domain === domain).map(({ id }) => id),
     inZone: (zone: string): InstanceId[] =>
       [...servers.values()].filter((s) => s.zone === zone).map(({ id }) => id),
+    beginStreams: (): void => {
+      isBusy = true;
+    },
     endLease: (): void => {
       fencing = undefined;
     },
--- a/tests/gateway/member-inspection.test.ts
+++ b/tests/gateway/member-inspection.test.ts
@@ -140,6 +140,18 @@
     expect([...test.excluded.keys()]).toEqual([dark]);
   });
 
+  // Guards against the end of a group that is given streams while its members are looked at.
+  it('loses none once it has streams, whose events decide', async () => {
+    const test = startAsking(GROUPS, IDLE);
+    const [, dark] = test.membersOf('g');
+    test.set([dark], DARK);
+    test.lapse([dark]);
+    await test.run(200);
+    test.beginStreams();
+    await test.run(4_000);
+    expect(test.found).toEqual([]);
+  });
+
   // Guards against groups that end because all entries expired in a long pause.
   it('loses no member while no server answers', async () => {
     const test = startAsking(GROUPS, IDLE);
