Send a configuration to a peer only if the store does not bring it

The leader sent the version in force, 250 ms after it had it, to each daemon whose report was older, twice a second, and encoded it anew each time. With versions that follow each other faster than slow links carry them, that is nearly every daemon: the copies filled the leader's link, its own version and the reports came late, and so more daemons seemed to be behind. A leader that was behind got copies from 3 of 120 daemons with each of its messages.

A peer is now helped once its version has not changed for longer than its own poll needs, which its last answer from the store tells; sooner if the store does not answer it; by its relay first, by the leader and others in steps that a transfer fits into; not again while a copy is on its way; and within a budget of a quarter of the slowest link.

The test of a leader that is behind asked for help upon its first message. It now hears four, as a single one does not show that the leader makes no progress; the bounds are the same, over all four messages. New is one of a daemon that starts without a leader.

--- a/src/adapters/peers/peers.ts
+++ b/src/adapters/peers/peers.ts
@@ -72,12 +72,20 @@
   readonly links: number;
 }
 
+/** An encoded message. */
+export interface Prepared {
+  readonly bytes: number;
+  sendTo(address: string): void;
+}
+
 export interface TcpPeers<M> extends Peers<M> {
   readonly received: Observable<ReceivedFrom<M>>;
   /** Addresses that could not be reached or whose link broke. */
   readonly unreachable: Observable<string>;
   /** Sends to each of the addresses; the message is encoded once. */
   sendToAll(addresses: Iterable<string>, message: M): void;
+  /** Encodes a message that is sent several times. */
+  prepare(message: M): Prepared;
   /** Breaks the link, so that the next message makes a new one. */
   drop(address: string): void;
   traffic(): PeerTraffic;
@@ -248,6 +256,16 @@
     for (const address of addresses) sendEncoded(address, message.kind, encode);
   }
 
+  function prepare(message: M): Prepared {
+    const encoded = encodeFrame(message);
+    return {
+      bytes: encoded.length,
+      sendTo: (address) => {
+        sendEncoded(address, message.kind, () => encoded);
+      },
+    };
+  }
+
   function traffic(): PeerTraffic {
     let { sent: sentBytes, received: receivedBytes } = closedBytes;
     for (const link of all) {
@@ -285,6 +303,7 @@
   return {
     send,
     sendToAll,
+    prepare,
     received,
     unreachable,
     drop: (address) => links.get(address)?.destroy(IDLE),
--- a/src/app/gateway/config-view.ts
+++ b/src/app/gateway/config-view.ts
@@ -4,7 +4,7 @@
 
 import { BehaviorSubject } from 'rxjs';
 
-import { maxCallMs } from '../../core/gateway/polling';
+import { maxCallMs, pollDelayMs } from '../../core/gateway/polling';
 import { createRouteTable } from '../../core/gateway/routes';
 import type { RouteTable } from '../../core/gateway/routes';
 import type { GatewayConfig } from '../../core/gateway/types';
@@ -44,14 +44,6 @@
 const WAIT_PER_DAEMON_MS = 500;
 const MIN_WAIT_MS = 4_000;
 const MAX_WAIT_MS = 20_000;
-/**
- * After a version a daemon polls again only after this fraction of the time in which versions must
- * be in force. An operator's series of versions then costs each daemon a few calls instead of one
- * per version; the rest of that time is for the call, and for peers if the store refuses this
- * daemon.
- */
-const POLL_DELAY_SHARE = 0.15;
-
 export interface ConfigViewOptions {
   readonly feed: Feed<OperatorEntry>;
   /** Receives the evacuated zones, which are in the same table. */
@@ -107,7 +99,7 @@
     feed,
     waitMs: () => Math.min(MAX_WAIT_MS, Math.max(MIN_WAIT_MS, WAIT_PER_DAEMON_MS * daemons())),
     freshUntil,
-    nextPollAt: (at) => later(at, ctx.tunables.value.configMs * POLL_DELAY_SHARE),
+    nextPollAt: (at) => later(at, pollDelayMs(ctx.tunables.value.configMs)),
     apply: (changes, kind, receipt) => {
       // Evacuations first: requests are sent as soon as a configuration is in force.
       evacuations?.applyEntries(changes, kind, watch.position());
--- a/src/app/gateway/fleet.ts
+++ b/src/app/gateway/fleet.ts
@@ -7,6 +7,7 @@
 import type { Observable } from 'rxjs';
 
 import { createPeers } from '../../adapters/peers/peers';
+import type { Prepared } from '../../adapters/peers/peers';
 import { listUnresponsive } from '../../core/gateway/limits/share';
 import { isLinkUnresponsive, noteLinkSend } from '../../core/gateway/link-health';
 import type { LinkActivity } from '../../core/gateway/link-health';
@@ -45,6 +46,8 @@
   /** Addresses whose links broke or could not be established. */
   readonly unreachable: Observable<string>;
   send(address: string, message: PlainMessage): void;
+  /** Encodes a large message that is sent to several daemons, one by one. */
+  prepare(message: PlainMessage): Prepared;
   /** Sends to daemons whose addresses are known. */
   sendTo(daemons: readonly DaemonId[], message: PlainMessage): void;
   broadcast(message: PlainMessage): void;
@@ -291,6 +294,7 @@
     send: (address, message) => {
       peers.send(address, message);
     },
+    prepare: (message) => peers.prepare(message),
     sendTo: (daemons, message) => {
       peers.sendToAll(
         daemons.flatMap((id) => addressOf(id) ?? []),
--- a/src/app/gateway/peer-help.ts
+++ b/src/app/gateway/peer-help.ts
@@ -3,6 +3,8 @@
 import { later } from '../../core/ids';
 import type { MonoTime } from '../../core/ids';
 import { isLater, ORIGIN_POSITION } from '../../core/store-era';
+import { createConfigHelp } from './config-help';
+import type { LaggingProgress } from './config-help';
 import type { ConfigView } from './config-view';
 import type { GatewayContext } from './context';
 import type { Evacuations } from './evacuations';
@@ -27,18 +29,15 @@
    * Sends the peer the configuration, the servers and the refused requests if its progress shows that
    * it lacks them. `via` is the daemon that delivered its report.
    */
-  sendMissing(peer: PeerProgress, address: string, via: string): void;
+  sendMissing(peer: LaggingProgress, address: string, via: string): void;
 }
 
-/**
- * The store informs all daemons of a version within milliseconds; peers send it to a daemon that
- * lacks it after this delay.
- */
+/** The store informs all daemons of a change within milliseconds; peers wait for this long. */
 const HELP_DELAY_MS = 250;
-/** Daemons of a large fleet, other than the leader, that help the same peer at a time. */
-const MAX_HELPERS = 3;
 /** Minimum time between two messages that help the same peer. */
 const HELP_INTERVAL_MS = 500;
+/** Daemons of a large fleet, other than the leader, that help the same peer at a time. */
+const MAX_HELPERS = 3;
 
 export function createPeerHelp({
   ctx,
@@ -49,6 +48,7 @@
   leadership,
   quarantine,
 }: PeerHelpDeps): PeerHelp {
+  const configHelp = createConfigHelp({ ctx, config, evacuations, fleet, leadership });
   const nextHelpAt = new Map<string, MonoTime>();
   /** Position up to which the servers are known, and since when. */
   let serversAt = ORIGIN_POSITION;
@@ -71,24 +71,6 @@
     leadership.ownLease() !== undefined ||
     ctx.random.next() < MAX_HELPERS / fleet.size();
 
-  const sendConfig = (peer: PeerProgress, address: string, now: MonoTime): void => {
-    const table = config.table.value;
-    const isOldEnough = now >= later(config.since(), HELP_DELAY_MS) || peer.configVersion === 0;
-    if (
-      table &&
-      peer.configVersion < config.version() &&
-      isOldEnough &&
-      mayHelp(`config ${address}`)
-    ) {
-      const evacuated = evacuations.report();
-      fleet.send(address, {
-        kind: 'config',
-        config: table.config,
-        ...(evacuated && { evacuations: evacuated }),
-      });
-    }
-  };
-
   const sendServers = (peer: PeerProgress, address: string, now: MonoTime): void => {
     if (isLater(serverRegistry.changedAt(), serversAt)) {
       serversAt = serverRegistry.changedAt();
@@ -118,10 +100,10 @@
   };
 
   return {
-    sendMissing: (peer, address) => {
-      if (!isHelper()) return;
+    sendMissing: (peer, address, via) => {
       const now = ctx.clock.now();
-      sendConfig(peer, address, now);
+      configHelp.send(peer, { address, via }, now);
+      if (!isHelper()) return;
       sendServers(peer, address, now);
       sendRefused(peer, address);
     },
--- a/src/core/gateway/polling.ts
+++ b/src/core/gateway/polling.ts
@@ -50,6 +50,18 @@
   readonly overdueAt: MonoTime;
 }
 
+/**
+ * After a version a daemon polls again only after this fraction of the time in which versions must be in force.
+ * An operator's series of versions then costs each daemon a few calls instead of one per version; the rest of
+ * that time is for the call, and for peers if the store refuses this daemon.
+ */
+const POLL_DELAY_SHARE = 0.15;
+
+/** How long a daemon waits after a version of the configuration before it polls again, milliseconds. */
+export function pollDelayMs(configMs: number): number {
+  return configMs * POLL_DELAY_SHARE;
+}
+
 /** Longest time that a call may stay open while no peer reports that the data is fresh, milliseconds. */
 export function maxCallMs(settleMs: number): number {
   return settleMs * MAX_CALL_SHARE;
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -26,11 +26,12 @@
 const STALL = { group: brandAs<GroupId>('g'), head: brandAs<InstanceId>('s1') };
 
 /** One daemon of a fleet of 70 whose messages are recorded instead of sent. */
-function setUp({ isLeading = false, hasLeader = true, seed = 7, running = 0 } = {}) {
+function setUp({ isLeading = false, hasLeader = true, seed = 7, running = 0, id = 'own' } = {}) {
   const clock = createClock();
   let now = clock.now();
   const ctx = makeContext({
-    settings: { id: brandAs<DaemonId>('own') },
+    settings: { id: brandAs<DaemonId>(id) },
+    tunables: { configMs: 3_000 },
     clock: { ...clock, now: () => now },
     seed,
   });
@@ -85,6 +86,10 @@
       candidates: () => new Map(Array.from({ length: PEERS + 1 }, (_, n) => [`d${n}`, 1])),
       leader: () => (hasLeader && !isLeading ? { address: LEADER } : undefined),
       send: (to: string, message: GatewayMessage) => record(to)(message),
+      prepare: (message: GatewayMessage) => ({
+        bytes: 1_000,
+        sendTo: (to: string) => record(to)(message),
+      }),
       answer: (_: unknown, message: GatewayMessage) => record(LEADER)(message),
       broadcast: record('all'),
       broadcastAsLeader: record('all'),
@@ -202,14 +207,33 @@
   });
 
   it('lets only a few daemons help a leader that is behind', () => {
-    const daemons = Array.from({ length: PEERS }, (_, seed) => setUp({ seed }));
+    const daemons = Array.from({ length: PEERS }, (_, seed) => setUp({ seed, id: `d${seed}` }));
     let helpers = 0;
     for (const { sent, hear: receive, wait } of daemons) {
-      wait(400);
-      receive(makeLoads({ configVersion: 1 }));
+      // Until the first help has arrived and been reported; each daemon hears the leader throughout.
+      for (let n = 0; n < 4; n++) {
+        wait(200);
+        receive(makeLoads({ configVersion: 1 }));
+      }
       helpers += sent.length;
     }
     expect(helpers).toBeGreaterThan(0);
     expect(helpers).toBeLessThan(10);
   });
+
+  // Guards against a link that is full at the start, with a copy from each daemon that hears of it.
+  it('lets one daemon after the other help one that starts and hears no leader', () => {
+    const daemons = Array.from({ length: PEERS }, (_, n) => setUp({ id: `d${n}` }));
+    let helpers = 0;
+    for (const { sent, hear: receive, wait } of daemons) {
+      for (let n = 0; n < 3; n++) {
+        receive(makeState({ configVersion: 0, hearsLeader: false }), 'starting');
+        wait(250);
+      }
+      helpers += sent.length;
+    }
+    // Such a daemon reports to seven of the 69 only.
+    expect(helpers).toBeGreaterThan(0);
+    expect(helpers).toBeLessThanOrEqual(PEERS / 5);
+  });
 });
--- a/tests/gateway/linked-fleet.ts
+++ b/tests/gateway/linked-fleet.ts
@@ -219,7 +219,7 @@
     const progress = progressOf(daemon);
     if (relay !== daemon) {
       await transfer(STATE_BYTES, relay.link, daemon.link);
-      daemons[relayOf(n)]?.help.sendMissing(progress, `${n}`, `${n}`);
+      daemons[relayOf(n)]?.help.sendMissing({ ...progress, hearsLeader: true }, `${n}`, `${n}`);
       await pause(COLLECT_MS);
     }
     await transfer(STATE_BYTES, leader.link, relay.link);
