Don't take a slow own link for one that has failed

A daemon whose link was full of configurations found sound servers 'reached through peers only' and sent their requests through peers, over the same link. A connection to a server was given 150 ms, a peer's answer 400 ms, so that delays between the two looked like a link that has failed.

Where the fastest peer took as long as a direct check may take, the server is now given a second before it counts as blocked. Logged: each peer's time, and the result of the longer check.

Links of 400 ms and more get no answer of peers in time, so that nothing is blocked.

--- a/src/app/gateway/forward-peers.ts
+++ b/src/app/gateway/forward-peers.ts
@@ -26,6 +26,15 @@
 
 type ForwardPeersContext = Pick<GatewayContext, 'clock' | 'logger' | 'random' | 'settings'>;
 
+export interface PeerFinding {
+  readonly state: ObservedState;
+  /** Shortest time in which a peer answered, milliseconds; infinite if none did. */
+  readonly answeredInMs: number;
+}
+
+/** Answers of peers by their ids, and how long each took. */
+type PeerAnswers = Map<DaemonId, { readonly state: ObservedState; readonly tookMs: number }>;
+
 export interface ForwardPeers {
   /** Peers that forward requests for the service. */
   list(service: ServiceId): readonly ForwardPeer[];
@@ -35,7 +44,7 @@
    * What peers find of a server. One that reaches it decides; that a few do not may be for links of their own,
    * so that others are asked then. `own` is what this daemon finds, if it has looked.
    */
-  ask(server: LinkedServer, own?: Promise<ObservedState>): Promise<ObservedState>;
+  ask(server: LinkedServer, own?: Promise<ObservedState>): Promise<PeerFinding>;
   /** Notes that a peer did not forward. */
   noteFailed(peer: DaemonId): void;
   tick(): void;
@@ -48,6 +57,10 @@
 /** A peer that did not forward is left out for this long. */
 const PEER_BACKOFF_MS = 1_000;
 
+function statesOf(answers: PeerAnswers): readonly ObservedState[] {
+  return [...answers.values()].map(({ state }) => state);
+}
+
 export function createForwardPeers(
   { clock, logger, random, settings }: ForwardPeersContext,
   { peers, askPeer }: ForwardPeersDeps,
@@ -84,37 +97,38 @@
     observers: readonly ForwardPeer[],
     { address }: LinkedServer,
     own?: Promise<ObservedState>,
-  ): Promise<ReadonlyMap<DaemonId, ObservedState>> => {
-    const answers = new Map<DaemonId, ObservedState>();
+  ): Promise<PeerAnswers> => {
+    const answers: PeerAnswers = new Map();
     for (const size of ASK_ROUNDS) {
       const asked = observers.slice(answers.size, answers.size + size);
       await Promise.all(
         asked.map(async ({ id, forwardAddress = '' }) => {
-          answers.set(id, await askPeer(address, forwardAddress, ASK_TIMEOUT_MS));
+          const startedAt = clock.now();
+          const state = await askPeer(address, forwardAddress, ASK_TIMEOUT_MS);
+          answers.set(id, { state, tookMs: Math.round(clock.now() - startedAt) });
         }),
       );
-      if (isSettled({ own: await own, peers: [...answers.values()] })) break;
+      if (isSettled({ own: own && (await own), peers: statesOf(answers) })) break;
     }
     return answers;
   };
 
-  const ask = async (
-    server: LinkedServer,
-    own?: Promise<ObservedState>,
-  ): Promise<ObservedState> => {
+  const ask = async (server: LinkedServer, own?: Promise<ObservedState>): Promise<PeerFinding> => {
     const startedAt = clock.now();
     const observers = chooseObservers(peers(), optionsFor(server.service), shuffle);
     const answers = await collect(observers, server, own);
     const found = await own;
     const askable = observers.length;
-    const state = judgeServer({ own: found, peers: [...answers.values()], askable });
+    const state = judgeServer({ own: found, peers: statesOf(answers), askable });
+    const answered = [...answers.values()].filter((one) => one.state !== 'unknown');
+    const answeredInMs = Math.min(...answered.map(({ tookMs }) => tookMs));
     logger.info('peers asked whether they reach a server', {
       step: 'server-links',
       ...{ ...server, state, ...(found !== undefined && { own: found }) },
-      answers: [...answers].map((answer) => answer.join(':')).join(' '),
+      answers: [...answers].map(([id, one]) => `${id}:${one.state}:${one.tookMs}`).join(' '),
       tookMs: Math.round(clock.now() - startedAt),
     });
-    return state;
+    return { state, answeredInMs };
   };
 
   return {
--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -67,6 +67,8 @@
 
 /** A server on a healthy link accepts a connection within milliseconds. */
 const CHECK_TIMEOUT_MS = 150;
+/** A link full of other bytes delays a connection by up to this. */
+const SLOW_CHECK_TIMEOUT_MS = 1_000;
 /** Other servers that are checked once one is blocked. */
 const CHECKED_SERVERS = 3;
 const SAMPLE_INTERVAL_MS = 300;
@@ -140,6 +142,27 @@
     void checkSample(server.service);
   };
 
+  /**
+   * A peer reaches the server. Where peers answer as late as a check may take, this daemon's link is slow in all
+   * directions, and a way through peers no faster: the server is given more time then.
+   */
+  const blockUnlessLate = async (server: LinkedServer, answeredInMs: number): Promise<void> => {
+    const startedAt = clock.now();
+    const found = await checkListening(server.address, SLOW_CHECK_TIMEOUT_MS);
+    logger.info('server checked over a slow link', {
+      step: 'server-links',
+      ...{ address: server.address, found, answeredInMs },
+      tookMs: Math.round(clock.now() - startedAt),
+    });
+    if (found === 'listening') setReached(server.address);
+    else block(server);
+  };
+
+  const noteReachedByPeer = async (server: LinkedServer, answeredInMs: number): Promise<void> => {
+    if (answeredInMs < CHECK_TIMEOUT_MS) block(server);
+    else await blockUnlessLate(server, answeredInMs);
+  };
+
   /** The direct connection has failed: asks peers whether the server is there. */
   const confirm = async (address: string): Promise<void> => {
     const server = serverAt(address);
@@ -148,11 +171,11 @@
       return;
     }
     const startedAt = clock.now();
-    const found = await forwardPeers.ask(server);
+    const { state, answeredInMs } = await forwardPeers.ask(server);
     // A direct connection to it that succeeded meanwhile says more.
     if ((connectedAt.get(address) ?? -Infinity) > startedAt) return;
-    if (found === 'listening') block(server);
-    if (found === 'listening' || found === 'unknown') return;
+    if (state === 'listening') await noteReachedByPeer(server, answeredInMs);
+    if (state === 'listening' || state === 'unknown') return;
     goneUntil.set(address, later(clock.now(), GONE_MS));
     update(noteLost(links, address));
   };
@@ -260,8 +283,8 @@
       const found = await checkListening(address, timeoutMs);
       const server = serverAt(address);
       if (found === 'listening' || !server) return found;
-      const state = await forwardPeers.ask(server, weigh(server, found));
-      if (state === 'listening') block(server);
+      const { state, answeredInMs } = await forwardPeers.ask(server, weigh(server, found));
+      if (state === 'listening') await noteReachedByPeer(server, answeredInMs);
       return state;
     },
     answerPeer,
