Give up streams of a group that its head has left

A stream that could not be moved stayed at a head that had joined another group: it counted as a silent stream of the new one, which was so suspended again and again, and its caller waited for an answer that nobody would give.

The entry of a head that names another group, or none, now is evidence that its group has ended. An entry that has expired says nothing, as before.

--- a/src/app/gateway/group-index.ts
+++ b/src/app/gateway/group-index.ts
@@ -9,6 +9,7 @@
 import type { EngineSpec, ModelSpec } from '../../core/gateway/types';
 import type { InstanceId, ServiceId } from '../../core/ids';
 import type { GatewayContext } from './context';
+import type { Stall } from './group-registry-types';
 import type { ServerRegistry } from './server-registry';
 
 /** An open group with the engine and model parameters of its service. */
@@ -23,6 +24,8 @@
   groups(): ReadonlyMap<InstanceId, ServingGroup>;
   /** Emits after a change of the servers or the configuration. */
   readonly changes: Observable<void>;
+  /** Groups whose heads have left them, by their own entries: requests that still run there get no more. */
+  readonly left: Observable<Stall>;
 }
 
 function findGroups(
@@ -45,6 +48,7 @@
   routes: BehaviorSubject<RouteTable | undefined>,
 ): GroupIndex {
   const changes = new Subject<void>();
+  const left = new Subject<Stall>();
   let indexed: ReadonlyMap<InstanceId, ServingGroup> = new Map();
   /**
    * With hundreds of servers, changes are more frequent than reads, so the index is rebuilt on the
@@ -65,12 +69,22 @@
     }
   };
 
+  /** An entry that expired says nothing: the group may still serve. */
+  const findLeft = (groups: typeof indexed): Stall[] =>
+    [...groups].flatMap(([head, { id }]) => {
+      const entry = serverRegistry.servers.get(head);
+      const hasLeft = entry !== undefined && entry.membership?.group !== id;
+      return hasLeft ? [{ group: id, head, evidence: 'ended' as const }] : [];
+    });
+
   const rebuild = (): void => {
     isStale = false;
     if (!routes.value) return;
     const next = findGroups(serverRegistry, routes.value);
     logChanges(next);
+    const before = indexed;
     indexed = next;
+    for (const stall of findLeft(before)) left.next(stall);
   };
 
   // Either may arrive first: without a configuration, no group can be assigned to a service.
@@ -85,5 +99,6 @@
       return indexed;
     },
     changes,
+    left,
   };
 }
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -101,6 +101,7 @@
   };
 
   merge(groupIndex.changes, evacuations.changes).subscribe(changes);
+  groupIndex.left.subscribe(evacuated);
 
   return {
     stalls,
--- a/tests/gateway/group-registry.test.ts
+++ b/tests/gateway/group-registry.test.ts
@@ -63,7 +63,7 @@
   };
   const stalls: InstanceId[] = [];
   registry.stalls.subscribe(({ head }) => stalls.push(head));
-  return { registry, changes, routes, heads, run, stand: pauseProcess, stalls };
+  return { registry, servers, changes, routes, heads, run, stand: pauseProcess, stalls };
 }
 
 /** Like `setUp`, with routes and loads known, so that the group can be used. */
@@ -109,6 +109,34 @@
   });
 });
 
+describe('a group that its head has left', () => {
+  // Guards against streams that hang in an ended group and make the next group of its head seem silent.
+  it('is given up with its streams, unlike one whose entry has expired', () => {
+    const { registry, servers, changes, run } = setUpServing();
+    const givenUp: unknown[] = [];
+    registry.evacuated.subscribe((stall) => givenUp.push(stall));
+    const head = servers.get(HEAD);
+    servers.delete(HEAD);
+    changes.next();
+    run(TICK_MS);
+    expect(givenUp).toEqual([]);
+    if (head) servers.set(HEAD, head);
+    changes.next();
+    run(TICK_MS);
+    const next = { epoch: brandAs<Epoch>(2), state: 'open' as const, rank: 0 };
+    servers.set(
+      HEAD,
+      makeServer('s0', {
+        model: SMALL,
+        membership: { ...next, group: brandAs<GroupId>('group-2') },
+      }),
+    );
+    changes.next();
+    run(TICK_MS);
+    expect(givenUp).toEqual([{ group: GROUP, head: HEAD, evidence: 'ended' }]);
+  });
+});
+
 describe('a group with silent streams', () => {
   it('is reported as stalled once the silence exceeds the expected pauses', () => {
     const { registry, run, stalls } = setUpServing();
