Learn from connections that are established after their time-out

On a link that had become slow, for instance full of configurations, a daemon logged 'connect timeout' for sound servers, one after the other: the time-out follows the mean of measured connect times, down to 100 ms, and only connections in time were measured, so that it never rose.

A connection that timed out is now waited for until the maximum, eight of a pool at a time. If it is established, its time is measured, the server counts as reached, and the connection is closed. Callers move on after the time-out as before.

Not played on a real slow link.

--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -14,9 +14,8 @@
 import { formatAddress, parseAddress } from '../../utils/address';
 import type { ErrorCode, StepError } from '../../utils/errors';
 import { fail } from '../../utils/errors';
-import { createTimeout } from '../../utils/timeout';
 import { createConnectLimit } from './connect-limit';
-import type { ConnectLimit } from './connect-limit';
+import { createConnectionWait } from './connecting';
 
 export interface UpstreamOptions {
   /** Maximum connect timeout, milliseconds; it adapts downwards to measured connect times. */
@@ -138,33 +137,6 @@
   };
 }
 
-/** Passes a socket to the agent only once it is connected. */
-function connectFirst(
-  limits: ConnectLimit,
-  options: NetConnectOpts,
-  done: ConnectCallback,
-): undefined {
-  const startedAt = performance.now();
-  const socket = connect({ ...options, noDelay: true });
-  detectReset(socket);
-  const onFail = (err: Error): void => {
-    limit.clear();
-    socket.destroy();
-    done(err);
-  };
-  const limit = createTimeout(limits.limitMs(), () => {
-    onFail(fail('unavailable', 'connect timeout', { step: 'connect' }));
-  });
-  socket.once('error', onFail);
-  socket.once('connect', () => {
-    limit.clear();
-    limits.note(performance.now() - startedAt);
-    socket.off('error', onFail);
-    done(null, socket);
-  });
-  return undefined;
-}
-
 type Pooling = Pick<Agent, 'keepSocketAlive' | 'reuseSocket'>;
 
 /** Node's own pooling methods. `keepSocketAlive` returns a boolean, which Node's types omit. */
@@ -205,11 +177,21 @@
 ): Agent {
   const agent = new Agent({ keepAlive, maxFreeSockets: opts.maxIdle, timeout: opts.idleMs });
   const limits = createConnectLimit(opts.connectTimeoutMs);
+  const awaitConnection = createConnectionWait(opts.connectTimeoutMs);
+  /** Passes a socket to the agent only once it is connected. */
   const open = (options: NetConnectOpts, done: ConnectCallback): undefined => {
-    connectFirst(limits, options, (err, socket) => {
-      opts.onConnect(addressOf(options), socket !== undefined);
-      if (socket) received.note(socket);
-      done(err, socket);
+    const pending = connect({ ...options, noDelay: true });
+    detectReset(pending);
+    awaitConnection(pending, {
+      limits,
+      onLate: () => {
+        opts.onConnect(addressOf(options), true);
+      },
+      done: (err, socket) => {
+        opts.onConnect(addressOf(options), socket !== undefined);
+        if (socket) received.note(socket);
+        done(err, socket);
+      },
     });
   };
   return Object.assign(agent, { createConnection: open, ...rejectIdleData(agent) });
