Judge torn streams of the soak, and pause servers and daemons in it

A stream that ends without its last event is a fault now, unless the server of its last attempt, that server's link or group, or its daemon ended or was cut off meanwhile, or the deadline came while the server's connection was kept. So far a part of an answer counted as right. `--pauses N` lets all servers, a domain, a group or all daemons stand still for 0.3 to 1.5 s.

--- a/stand-ins/users-platform/servers.ts
+++ b/stand-ins/users-platform/servers.ts
@@ -22,6 +22,8 @@
   readonly body: string;
   readonly hadKey: boolean;
   readonly lastEventId: string | undefined;
+  /** When its connection or its answer ended, for streams. */
+  closedAt?: number;
 }
 
 /** Signature header of a response: identifies the server and the request. */
@@ -239,6 +241,7 @@
       next += 1;
     }, EVENT_MS);
     res.once('close', () => {
+      run.closedAt = performance.now();
       clearInterval(timer);
     });
   };
--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -7,7 +7,7 @@
 import { callDaemon } from '../support/gateway-daemon';
 import type { Reply } from '../support/gateway-daemon';
 import { LARGE, SMALL } from '../gateway/support';
-import { KEY } from './world';
+import { CALL_DEADLINE_MS, KEY } from './world';
 import type { World } from './world';
 
 export type Kind = 'stream' | 'safe' | 'unsafe';
@@ -19,6 +19,8 @@
   readonly body: string;
   readonly events: number;
   readonly daemon: string;
+  readonly sentAt: number;
+  endedAt: number;
   /** Undefined if the connection closed without a response or the caller timed out. */
   reply: Reply | undefined;
 }
@@ -26,7 +28,6 @@
 const KINDS: readonly Kind[] = ['stream', 'stream', 'safe', 'unsafe'];
 const MAX_STREAM_EVENTS = 80;
 const REQUEST_INTERVAL_MS = 25;
-const TIMEOUT_MS = 5_000;
 /** Delay before the next request after any response but 200. */
 const FAILURE_RETRY_MS = 120;
 
@@ -46,7 +47,8 @@
     const requestId = `${kind}-${calls.length}`;
     const events = 1 + Math.floor(random.next() * MAX_STREAM_EVENTS);
     const body = `events=${events}&of=${requestId}`;
-    return { requestId, kind, body, events, daemon, reply: undefined };
+    const sentAt = performance.now();
+    return { requestId, kind, body, events, daemon, sentAt, endedAt: Infinity, reply: undefined };
   };
 
   const sendCall = async (call: Call, front: string, agent: Agent): Promise<void> => {
@@ -58,11 +60,12 @@
       model,
       body,
       agent,
-      waitMs: TIMEOUT_MS,
+      waitMs: CALL_DEADLINE_MS,
     });
     // A connection closes when its daemon exits; callers do not wait past their deadline.
-    const timeout = pause(TIMEOUT_MS + 500).then(() => undefined);
+    const timeout = pause(CALL_DEADLINE_MS + 500).then(() => undefined);
     call.reply = await Promise.race([response.catch(() => undefined), timeout]);
+    call.endedAt = performance.now();
   };
 
   const runCaller = async (front: string, daemon: string): Promise<void> => {
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -13,8 +13,8 @@
   readonly random: Random;
 }
 
-type EndFault = () => void;
-type Fault = (ctx: FaultContext) => EndFault;
+export type EndFault = () => void;
+export type Fault = (ctx: FaultContext) => EndFault;
 
 const NO_CLEANUP: EndFault = () => undefined;
 /** Exceeds the daemons' store and connection timeouts. */
@@ -23,7 +23,7 @@
 const MAX_OUTAGE_MS = 800;
 const MAX_COPY_AGE_MS = 5_000;
 
-function pick<T>(random: Random, items: readonly T[]): T {
+export function pick<T>(random: Random, items: readonly T[]): T {
   const found = items[Math.floor(random.next() * items.length)];
   if (found === undefined) throw new Error('cannot pick from an empty list');
   return found;
@@ -64,6 +64,23 @@
   return [pick(random, all), pick(random, all), pick(random, all)];
 };
 
+/** Wraps a fault of server links: their groups may be given up while it lasts. */
+function ofServers(fault: (choose: () => readonly Proxy[]) => Fault): Fault {
+  return (ctx) => {
+    const chosen = serverLinks(ctx);
+    const { fleet } = ctx.world.platform;
+    const ids = [...fleet.servers.values()].flatMap(({ id, address }) =>
+      chosen.some((proxy) => proxy === ctx.world.proxyOf(address)) ? [id] : [],
+    );
+    const isOver = ctx.world.incidents.noteServers(ctx.world.withGroups(ids));
+    const end = fault(() => chosen)(ctx);
+    return () => {
+      end();
+      isOver();
+    };
+  };
+}
+
 function serverCount({ platform }: World): number {
   return platform.fleet.servers.size;
 }
@@ -83,7 +100,7 @@
   daemon.process.kill('SIGKILL');
 }
 
-function pauseProcess(daemon: SoakDaemon): EndFault {
+export function pauseProcess(daemon: SoakDaemon): EndFault {
   const child = daemon.process;
   child.kill('SIGSTOP');
   return () => {
@@ -97,6 +114,7 @@
     ({ isAlive, joined }) => isAlive && joined !== undefined,
   );
   const killed = Array.from({ length: Math.min(count, alive.length) }, () => pick(random, alive));
+  world.incidents.noteServers(world.withGroups(killed.map(({ id }) => id)))();
   for (const { id } of killed) world.platform.fleet.kill(id);
   return () => {
     for (const { domain } of new Set(killed)) void world.platform.addEngine(domain);
@@ -127,10 +145,10 @@
   'peer-links-one-way': linkFault(peerLinks, oneWaySilence),
   'peer-links-slow': linkFault(peerLinks, delay),
   'peer-links-reset': resetFault(peerLinks),
-  'server-links-silent': linkFault(serverLinks, silence),
-  'server-links-one-way': linkFault(serverLinks, oneWaySilence),
-  'server-links-slow': linkFault(serverLinks, delay),
-  'server-links-reset': resetFault(serverLinks),
+  'server-links-silent': ofServers((chosen) => linkFault(chosen, silence)),
+  'server-links-one-way': ofServers((chosen) => linkFault(chosen, oneWaySilence)),
+  'server-links-slow': ofServers((chosen) => linkFault(chosen, delay)),
+  'server-links-reset': ofServers(resetFault),
   'server-lost': (ctx) => killServers(ctx, 1),
   'servers-lost': (ctx) => killServers(ctx, 4),
   'answers-spoiled': ({ world }) => {
@@ -149,6 +167,7 @@
   'daemon-stopped': ({ world, random }) => {
     const daemon = pick(random, world.daemons);
     daemon.meantEnd ??= 'stopped';
+    daemon.stoppedAt ??= performance.now();
     daemon.process.kill('SIGTERM');
     return NO_CLEANUP;
   },
@@ -174,7 +193,9 @@
   'server-restarted': ({ world, random }) => {
     const { fleet } = world.platform;
     const alive = [...fleet.servers.values()].filter((server) => server.isAlive);
-    fleet.restart(pick(random, alive).id);
+    const { id } = pick(random, alive);
+    world.incidents.noteServers(world.withGroups([id]))();
+    fleet.restart(id);
     return NO_CLEANUP;
   },
   'entry-spoiled': ({ world, random }) => {
@@ -227,9 +248,11 @@
     // One daemon stays, which the others can use.
     const count = 1 + Math.floor(random.next() * (world.daemons.length - 1));
     const chosen = sample(world.daemons, count, () => random.next());
+    const ends = chosen.map(({ id }) => world.incidents.noteDaemon(id));
     for (const daemon of chosen) world.cutOff(daemon, kind);
     return () => {
       for (const daemon of chosen) world.cutOff(daemon, undefined);
+      for (const isOver of ends) isOver();
     };
   };
 }
@@ -256,7 +279,7 @@
   readonly forMs: number;
 }
 
-const MIN_FAULT_MS = 300;
+export const MIN_FAULT_MS = 300;
 const MAX_FAULT_MS = 4_000;
 
 function scheduleFaults(
--- a/tests/soak/judge.ts
+++ b/tests/soak/judge.ts
@@ -14,7 +14,7 @@
 const INVALID_REQUEST: ReadonlySet<number> = new Set([400, 401, 403, 404, 413, 431]);
 const MAX_ATTEMPTS = 2;
 
-type Check = (call: Call, reply: Reply, runs: readonly Run[]) => string | undefined;
+type Check = (call: Call, reply: Reply, runs: readonly Run[], world: World) => string | undefined;
 
 function expectedIds(count: number): string {
   return Array.from({ length: count }, (_, i) => i + 1).join();
@@ -30,6 +30,13 @@
   return misrouted && `event of ${misrouted[1] ?? ''}`;
 };
 
+/** A stream that began ends whole, unless a fault of the run ended its server, its connection or its daemon. */
+const checkTorn: Check = (call, { status, text, isWhole }, runs, { incidents }) => {
+  if (call.kind !== 'stream' || status !== 200 || isWhole) return undefined;
+  if (incidents.explain(call, runs)) return undefined;
+  return `torn after ${eventIds(text).length} of ${call.events} events, ${runs.length} run(s)`;
+};
+
 const checkBody: Check = ({ kind, requestId, body }, { status, text, isWhole }) => {
   if (kind === 'stream' || status !== 200 || !isWhole) return undefined;
   return text === `${requestId} ${body}` ? undefined : `body ${text}`;
@@ -51,7 +58,13 @@
   return hasRun ? `rejected with ${status} although it ran` : undefined;
 };
 
-const REPLY_CHECKS: readonly Check[] = [checkEvents, checkBody, checkSignature, checkRefusal];
+const REPLY_CHECKS: readonly Check[] = [
+  checkEvents,
+  checkTorn,
+  checkBody,
+  checkSignature,
+  checkRefusal,
+];
 
 function checkRuns({ kind, body }: Call, runs: readonly Run[]): string[] {
   const maxRuns = kind === 'unsafe' ? 1 : MAX_ATTEMPTS;
@@ -76,7 +89,7 @@
     const own = byId.get(call.requestId) ?? [];
     byId.delete(call.requestId);
     const { reply } = call;
-    const ofReply = reply ? REPLY_CHECKS.map((check) => check(call, reply, own)) : [];
+    const ofReply = reply ? REPLY_CHECKS.map((check) => check(call, reply, own, world)) : [];
     for (const fault of [...checkRuns(call, own), ...ofReply]) {
       if (fault !== undefined) faults.push(`${call.requestId} at ${call.daemon}: ${fault}`);
     }
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -19,6 +19,7 @@
   entryFaults: z.coerce.number().int().nonnegative(),
   returns: z.coerce.number().int().nonnegative(),
   cuts: z.coerce.number().int().nonnegative(),
+  pauses: z.coerce.number().int().nonnegative(),
   silentRounds: z.coerce.number().int().nonnegative(),
   statementRounds: z.coerce.number().int().nonnegative(),
   zoneRounds: z.coerce.number().int().nonnegative(),
@@ -33,7 +34,7 @@
 async function run(args: unknown): Promise<void> {
   const options = optionsSchema.parse(args);
   const { seed: first, seeds, daemons, faults, entryFaults, returns, silentRounds } = options;
-  const { cuts } = options;
+  const { cuts, pauses } = options;
   const { seconds, port, logs, statementRounds, zoneRounds, callers } = options;
   for (let seed = first; seed < first + seeds; seed++) {
     const seedLogs = logs === undefined ? undefined : join(logs, `seed-${seed}`);
@@ -46,6 +47,7 @@
       entryFaults,
       returns,
       cuts,
+      pauses,
       silentRounds,
       statementRounds,
       zoneRounds,
@@ -67,6 +69,7 @@
   .option('--faults', 'Faults of a schedule', 14)
   .option('--returns', 'Restores of the store from an older copy', 0)
   .option('--cuts', 'Cuts of daemons from all servers', 0)
+  .option('--pauses', 'Pauses of servers or of all daemons', 0)
   .option('--entryFaults', 'Server restarts under the same name, and invalid rows', 0)
   .option(
     '--silentRounds',
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -9,6 +9,7 @@
 import { FAULTS, planCuts, planEntryFaults, planFaults, planReturns, planSilences } from './faults';
 import type { PlannedFault } from './faults';
 import { judge, tally } from './judge';
+import { PAUSE_FAULTS, planPauses } from './pauses';
 import { runStatementRound } from './statements';
 import { FORMER_KEY, KEY, startWorld } from './world';
 import { runZoneRound } from './zones';
@@ -25,6 +26,8 @@
   readonly returns?: number;
   /** Cuts of daemons from all servers, in the same schedule. */
   readonly cuts?: number;
+  /** Pauses of servers or of all daemons, in the same schedule. */
+  readonly pauses?: number;
   /** Rounds of silent faults before the schedule, each followed by a change that must apply in time. */
   readonly silentRounds?: number;
   /** Rounds before the schedule in which servers send limits, Retry-After or leaving headers. */
@@ -50,6 +53,8 @@
 /** Requests in flight when the load ends run within this time, if at all. */
 const SETTLE_MS = 500;
 
+const ALL_FAULTS = { ...FAULTS, ...PAUSE_FAULTS };
+
 async function runSchedule(
   world: World,
   plan: readonly PlannedFault[],
@@ -59,7 +64,7 @@
   const ends: Promise<void>[] = [];
   for (const { name, at, forMs } of plan) {
     await pause(Math.max(0, at - (performance.now() - startedAt)));
-    const end = FAULTS[name]?.({ world, random });
+    const end = ALL_FAULTS[name]?.({ world, random });
     if (end) ends.push(pause(forMs).then(end));
   }
   await Promise.all(ends);
@@ -150,6 +155,7 @@
   entryFaults = 0,
   returns = 0,
   cuts = 0,
+  pauses = 0,
   silentRounds = 0,
   statementRounds = 0,
   zoneRounds = 0,
@@ -162,7 +168,10 @@
   const entryPlan = planEntryFaults(createRandom(seed), entryFaults, durationMs);
   const returnPlan = planReturns(createRandom(seed + 3), returns, durationMs);
   const cutPlan = planCuts(createRandom(seed + 6), cuts, durationMs);
-  const plan = [...common, ...entryPlan, ...returnPlan, ...cutPlan].sort((a, b) => a.at - b.at);
+  const pausePlan = planPauses(createRandom(seed + 7), pauses, durationMs);
+  const plan = [...common, ...entryPlan, ...returnPlan, ...cutPlan, ...pausePlan].sort(
+    (a, b) => a.at - b.at,
+  );
   const hasZones = zoneRounds > 0;
   const world = await startWorld({
     ...{ daemons, firstPort, hasZones },
--- a/tests/soak/statements.ts
+++ b/tests/soak/statements.ts
@@ -129,6 +129,11 @@
     statements.responseHeaders.set(sender.name, HEADERS_BY_KIND[sender.kind](sender, random));
     if (sender.kind === 'rest') statements.shedding.add(sender.name);
   }
+  // The stand-in breaks off what runs when a group that is leaving is closed.
+  const leaving = senders.flatMap(({ kind, head }) =>
+    kind === 'leaving' && head ? [head.id] : [],
+  );
+  const isOver = world.incidents.noteServers(world.withGroups(leaving));
   await pause(ROUND_MS);
   const daemonOf = new Map(calls.map(({ requestId, daemon }) => [requestId, daemon]));
   const faults = senders.flatMap((sender) => {
@@ -143,5 +148,6 @@
     fleet.kill(head.id);
     await platform.addEngine(head.domain);
   }
+  isOver();
   return faults;
 }
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -12,11 +12,14 @@
 } from '../../stand-ins/users-platform/document';
 import { PLAIN_SERVICE, startPlatform } from '../../stand-ins/users-platform/start';
 import type { PlatformStandIn } from '../../stand-ins/users-platform/start';
+import type { InstanceId, ServerName } from '../../src/core/ids';
 import { ENGINE } from '../gateway/support';
-import { cutOff, launchDaemon } from '../support/gateway-daemon';
+import { COMMON_SETTINGS, cutOff, launchDaemon } from '../support/gateway-daemon';
 import type { CutKind, ServerPorts } from '../support/gateway-daemon';
 import { startProxy } from './proxy';
 import type { Proxy } from './proxy';
+import { createIncidents } from './incidents';
+import type { Incidents } from './incidents';
 import { COLD_PER_S, COLD_SETTINGS, zoneOf } from './zones';
 
 export const KEY = 'key-of-the-depot';
@@ -28,6 +31,10 @@
 const DOMAINS = [11, 11];
 /** Maximum number of engine servers added during a run. */
 const SPARE_PORTS = 120;
+/** A daemon that stops ends what still runs when this has passed. */
+const SHUTDOWN_MS = COMMON_SETTINGS.shutdownS * 1_000 - 500;
+/** Time for a stream's answer, as its caller states it. */
+export const CALL_DEADLINE_MS = 5_000;
 
 /** How the soak ended a daemon process on purpose. */
 export type MeantEnd = 'killed' | 'stopped';
@@ -41,6 +48,8 @@
   readonly toPeers: Proxy;
   process: ChildProcess;
   meantEnd: MeantEnd | undefined;
+  /** When it was told to stop. */
+  stoppedAt: number | undefined;
 }
 
 export interface World {
@@ -48,8 +57,14 @@
   readonly daemons: readonly SoakDaemon[];
   /** Proxies of the servers, by published address. */
   readonly servers: ReadonlyMap<string, Proxy>;
+  /** The proxy of the server that listens at an address. */
+  proxyOf(address: string): Proxy | undefined;
   /** Daemon exits that the soak did not cause. */
   readonly unmeantEnds: readonly string[];
+  /** What explains torn answers. */
+  readonly incidents: Incidents;
+  /** Names of the members of the groups that the servers are in, and of the servers. */
+  withGroups(ids: readonly InstanceId[]): readonly ServerName[];
   /** Names of the added routes, oldest first. */
   readonly addedRoutes: readonly string[];
   /** Cuts the daemon's current process off from all servers, or ends that. */
@@ -79,6 +94,7 @@
   const proxies = new Map<string, Proxy>();
   const unmeantEnds: string[] = [];
   const addedRoutes: string[] = [];
+  const incidents = createIncidents(CALL_DEADLINE_MS);
   let keys = [KEY, FORMER_KEY];
   let version = 0;
   let isClosed = false;
@@ -146,7 +162,10 @@
     if (typeof log === 'number') closeSync(log);
     daemon.process = child;
     daemon.meantEnd = undefined;
+    daemon.stoppedAt = undefined;
     child.once('exit', (code, signal) => {
+      const stoppedMs = performance.now() - (daemon.stoppedAt ?? Infinity);
+      if (signal !== null || stoppedMs >= SHUTDOWN_MS) incidents.noteExit(daemon.id);
       // SIGTERM kills a process that has not installed its handler yet.
       const isStopped = daemon.meantEnd === 'stopped' && (code === 0 || signal === 'SIGTERM');
       const isExpected = daemon.meantEnd === 'killed' || isStopped || isClosed;
@@ -166,6 +185,7 @@
       // Set by `start` before it is read.
       process: undefined as unknown as ChildProcess,
       meantEnd: undefined,
+      stoppedAt: undefined,
     });
   }
   daemons.forEach(start);
@@ -175,7 +195,15 @@
     platform,
     daemons,
     servers: proxies,
+    proxyOf: (address) => proxies.get(publishedAddress(address)),
     unmeantEnds,
+    incidents,
+    withGroups: (ids) =>
+      ids.flatMap((id) => {
+        const { fleet } = platform;
+        const members = fleet.servers.get(id)?.joined?.members ?? [];
+        return [id, ...members].flatMap((member) => fleet.servers.get(member)?.name ?? []);
+      }),
     addedRoutes,
     cutOff: ({ process: child }, kind) => {
       if (child.connected) cutOff(child, kind, publishedPorts);
