Ask peers before a port that refuses the leader ends a group

A single refused connection, seen by the leader alone, ended a group and cut its streams at every daemon: no second request, no peer and no bound stood between. A link that refuses, or a draining member that no longer listens while its group has work, is enough.

A refusal now starts the check that strikes need as well: several observers with sound links that are refused too. Another process at the port stays certain. Draining members are not asked; their groups end as planned.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -74,6 +74,8 @@
 const SHUTDOWN_MARGIN_MS = 900;
 const CONNECT_TIMEOUT_MS = 400;
 const IDLE_MS = 4_000;
+/** A port that refuses does so within this time, milliseconds. */
+const ENDED_CHECK_MS = 150;
 /** Daemons register again within this time after the store's return, milliseconds. */
 const REREGISTER_SPREAD_MS = 1_500;
 
@@ -164,6 +166,10 @@
       await serverLinks.verify(address);
       return serverLinks.forwarderOf(address) !== undefined;
     },
+    hasEnded: async (address) => {
+      const state = await serverLinks.findState(address, ENDED_CHECK_MS);
+      return state === 'refused';
+    },
     isBusy: (group) => groupRegistry.isBusy(group),
     offeredLoad: () => groupRegistry.offeredLoad(),
     slowdowns: () => groupRegistry.slowdowns(),
--- a/src/app/gateway/group-inspection.ts
+++ b/src/app/gateway/group-inspection.ts
@@ -42,6 +42,8 @@
   readonly isCurrent: () => boolean;
   readonly pickReferences: () => readonly Reference[];
   readonly isReachedByPeer: (address: string) => Promise<boolean>;
+  /** Whether a server that refuses this daemon has ended, as far as peers can tell. */
+  readonly hasEnded: (address: string) => Promise<boolean>;
   readonly mayFindSilent: (look: Look) => boolean;
   /** Called when servers have ended, and once at the end if that tells more. */
   readonly report: (conclusion: Conclusion) => void;
@@ -131,6 +133,7 @@
     onSlow: (slow) => {
       peerChecks.start(slow);
     },
+    hasEnded: ({ address }) => options.hasEnded(address),
     onEnded: (server) => {
       if (!members.includes(server) || !isCurrent()) return;
       ended.add(server.id);
--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -73,6 +73,8 @@
   readonly servers: Servers;
   /** Whether a server that does not answer here is reached through a peer. */
   readonly isReachedByPeer: (address: string) => Promise<boolean>;
+  /** Whether a server that refuses this daemon has ended, as far as peers can tell. */
+  readonly hasEnded: (address: string) => Promise<boolean>;
   /** Whether any daemon has streams running in the group. */
   readonly isBusy: (group: GroupId) => boolean;
   /** Offered load of each model, in full batches. */
@@ -243,6 +245,7 @@
       states.set(service, noteSuspect(stateOf(service), id));
     },
     isReachedByPeer: options.isReachedByPeer,
+    hasEnded: options.hasEnded,
   });
   inspection.stillSilent.subscribe(({ group, head }) => {
     const at = stalledAt.get(group);
--- a/src/app/gateway/member-inspection.ts
+++ b/src/app/gateway/member-inspection.ts
@@ -44,6 +44,8 @@
   readonly noteFound: (server: BackendServer) => void;
   /** Whether a server that does not answer here is reached through a peer. */
   readonly isReachedByPeer: (address: string) => Promise<boolean>;
+  /** Whether a server that refuses this daemon has ended, as far as peers can tell. */
+  readonly hasEnded: (address: string) => Promise<boolean>;
   /** Called after `noteLost` and `noteFound`. */
   readonly replan: () => void;
 }
@@ -104,8 +106,9 @@
     const fencing = leadership.heldFencing();
     if (fencing === undefined || running.has(group) || (nextAt !== undefined && now < nextAt))
       return;
+    // A draining member may refuse connections while its group still has work.
     const members = [...serverRegistry.servers.values(), ...serverRegistry.lapsed.values()].filter(
-      ({ membership }) => membership?.group === group,
+      ({ membership, isDraining }) => membership?.group === group && !isDraining,
     );
     // Nothing may be sent to servers of evacuated zones; the streams there end by their own silence.
     if (members.some(({ zone }) => evacuations.isEvacuated(zone))) return;
@@ -140,6 +143,7 @@
       ...{ clock, servers, members, lastEventAt, isCurrent },
       pickReferences: () => pickReferences(members, askableServers(), () => random.next()),
       isReachedByPeer: options.isReachedByPeer,
+      hasEnded: options.hasEnded,
       mayFindSilent: (look) => mayFindSilent(silentFoundAt, look, clock.now()),
       onStillSilent: () => {
         // Without streams it has no events to give.
--- a/src/app/gateway/member-look.ts
+++ b/src/app/gateway/member-look.ts
@@ -40,6 +40,8 @@
   readonly servers: Pick<Servers, 'report'>;
   /** Called when members have not answered the first request while others have. */
   readonly onSlow: (members: readonly BackendServer[]) => void;
+  /** Whether a server whose port refuses this daemon has ended, as far as peers can tell. */
+  readonly hasEnded: (server: BackendServer) => Promise<boolean>;
   /** Called at once when a server turns out to have ended. */
   readonly onEnded: (server: BackendServer) => void;
 }
@@ -61,10 +63,13 @@
   clock,
   servers,
   onSlow,
+  hasEnded,
   onEnded,
 }: MemberLooksOptions): MemberLooks {
   const timer = createRunTimer(clock);
   const ended = new Set<InstanceId>();
+  /** Servers that refused, while peers are asked about them and after they have ended. */
+  const checked = new Set<InstanceId>();
   /** Answers within the current look, whenever they were asked for. */
   let answers = new Map<InstanceId, Answer>();
   /** When each server was first asked since its last answer. */
@@ -78,13 +83,22 @@
     timer.wake();
   };
 
-  const noteFailed = (server: BackendServer, err: StepError): void => {
-    if (!isEnded(err) || ended.has(server.id)) return;
+  const noteEnded = (server: BackendServer): void => {
+    if (ended.has(server.id)) return;
     ended.add(server.id);
     onEnded(server);
     timer.wake();
   };
 
+  /** Another process at the port is certain; a refusal may concern this daemon alone. */
+  const noteFailed = async (server: BackendServer, { code }: StepError): Promise<void> => {
+    if (code === 'backend-lost') noteEnded(server);
+    if (code !== 'backend-refused' || checked.has(server.id)) return;
+    checked.add(server.id);
+    if (await hasEnded(server)) noteEnded(server);
+    else checked.delete(server.id);
+  };
+
   const ask = (server: BackendServer): void => {
     const askedAt = clock.now();
     if (!silentSince.has(server.id)) silentSince.set(server.id, askedAt);
@@ -93,7 +107,7 @@
         noteAnswered(server, clock.now() - askedAt);
       },
       (err) => {
-        noteFailed(server, err);
+        void noteFailed(server, err);
       },
     );
   };
--- a/tests/gateway/asked-members.ts
+++ b/tests/gateway/asked-members.ts
@@ -48,6 +48,8 @@
 
 /** A check of the server and the answers of a few peers. */
 const PEER_CHECK_MS = 300;
+/** A refusal is confirmed by answers of peers, none of which waits for the server. */
+const REFUSED_CHECK_MS = 30;
 const RUN_STEP_MS = 5;
 const NO_RESPONSE = fail('unavailable', 'no response', { step: 'report' });
 
@@ -128,6 +130,15 @@
       behaviours.set(server.id, HEALTHY);
       return true;
     },
+    // Peers agree, unless they reach the server or are refused by all others as well.
+    hasEnded: async (address: string) => {
+      await new Promise((resolve) => setTimeout(resolve, REFUSED_CHECK_MS));
+      const refuses = ({ id }: BackendServer): boolean =>
+        (behaviours.get(id) ?? HEALTHY)(Date.now()) === 'refuses';
+      const all = [...servers.values()];
+      const server = all.find((one) => one.address === address);
+      return server !== undefined && !throughPeers.has(server.id) && !all.every(refuses);
+    },
     noteFound: ({ id }: BackendServer) => excluded.delete(id),
     replan: () => undefined,
   } as unknown as MemberInspectionOptions);
--- a/tests/gateway/member-inspection.test.ts
+++ b/tests/gateway/member-inspection.test.ts
@@ -161,3 +161,27 @@
     expect(test.found).toEqual([]);
   });
 });
+
+describe('a leader that is refused connections', () => {
+  fakeTime();
+  const GROUPS = ['g', 'h', 'i', 'j'].map((group, n) => ({ group, size: 8, domain: `d${n}` }));
+
+  // Guards against the end of a sound group, and of its streams at all daemons, for a link of the leader alone.
+  it('ends no group whose members a peer reaches', async () => {
+    const test = startAsking(GROUPS);
+    const [, second] = test.membersOf('g');
+    test.set([second], ENDED);
+    if (second !== undefined) test.throughPeers.add(second);
+    test.inspect('g');
+    await test.run(3_000);
+    expect(test.lost()).toEqual([]);
+  });
+
+  it('ends no group while all servers refuse it', async () => {
+    const test = startAsking(GROUPS);
+    test.set(test.all(), ENDED);
+    for (const { group } of GROUPS) test.inspect(group);
+    await test.run(3_000);
+    expect(test.lost()).toEqual([]);
+  });
+});
--- a/tests/gateway/planned-fleet.ts
+++ b/tests/gateway/planned-fleet.ts
@@ -108,6 +108,7 @@
     ...options,
     evacuations: createEvacuations(ctx),
     isReachedByPeer: () => Promise.resolve(false),
+    hasEnded: () => Promise.resolve(true),
   } as unknown as GroupPlannerOptions);
   /** Runs for `ms`; returns the least number of groups of the large model that served meanwhile. */
   const run = async (ms: number): Promise<number> => {
