Give up a stream of an ended group only once it is silent itself

The finding that a member has ended cut all streams of the group at once, also one that had an event 50 ms before and whose head went on sending. Such a head drains, or the finding is wrong.

The stream now needs 350 ms of its own silence, like one that is moved; a group that has lost a member stands still, so a real loss costs nothing where the silence was seen first.

--- a/src/app/gateway/stream-move.ts
+++ b/src/app/gateway/stream-move.ts
@@ -149,6 +149,7 @@
     for (;;) {
       const decision = decide();
       if (decision.kind === 'keep' && decision.lacked) note(decision.lacked);
+      if (decision.kind === 'give-up') close('its group has ended');
       if (decision.kind === 'keep' || decision.kind === 'give-up' || tryMove()) break;
       const retryAt = later(ctx.clock.now(), RETRY_INTERVAL_MS);
       await waitFor(decision.kind === 'wait' ? decision.until : retryAt);
@@ -166,8 +167,7 @@
     if (stall.group !== group.id || stall.head !== group.head.id) return;
     finding = groupRegistry.finding(group.id);
     evidence = stall.evidence ?? 'silent';
-    if (decide().kind === 'give-up') close('its group has ended');
-    else void seek();
+    void seek();
   };
 
   const stalls = merge(groupRegistry.stalls, groupRegistry.evacuated).subscribe(onStall);
--- a/src/core/gateway/stream-moves.ts
+++ b/src/core/gateway/stream-moves.ts
@@ -53,10 +53,11 @@
 
 export function decideMove(stream: SuspectedStream, now: MonoTime): MoveDecision {
   const { evidence, isSuspected, silentSince = now } = stream;
-  if (evidence === 'ended') return { kind: 'give-up' };
+  const until = later(silentSince, SILENCE_MS);
+  // The head may go on for a while after a member has ended, as one that drains does.
+  if (evidence === 'ended') return now < until ? { kind: 'wait', until } : { kind: 'give-up' };
   if (!isSuspected) return { kind: 'keep' };
   const lacked = obstacleOf(stream, now);
   if (lacked !== undefined) return { kind: 'keep', lacked };
-  const until = later(silentSince, SILENCE_MS);
   return now < until ? { kind: 'wait', until } : { kind: 'move' };
 }
