Ask a server on a slow link no more than a few times a second

A look in which answers are too slow now lasts 500 ms, and no server gets a request while two of its own are open.

member-inspection.test.ts: 4,785 and 1,133 requests where 364 are allowed before, green after; 90 passed with loss-evidence, loss-looks and planned-losses.

--- a/src/app/gateway/member-look.ts
+++ b/src/app/gateway/member-look.ts
@@ -48,6 +48,8 @@
 
 /** Requests stay open beyond the end of a look: a late answer still shows that the server is there. */
 const REPORT_TIMEOUT_MS = 2_500;
+/** Open requests to one server: more would fill a slow link further. */
+const MAX_OPEN = 2;
 /** After this time a second request is sent on a connection of its own, in case a packet was lost. */
 const REPEAT_MS = 90;
 
@@ -74,6 +76,8 @@
   let answers = new Map<InstanceId, Answer>();
   /** When each server was first asked since its last answer. */
   const silentSince = new Map<InstanceId, MonoTime>();
+  /** Requests without an answer or a failure yet. */
+  const open = new Map<InstanceId, number>();
   let hasRepeated = false;
 
   const noteAnswered = ({ id }: BackendServer, ms: number): void => {
@@ -99,19 +103,29 @@
     else checked.delete(server.id);
   };
 
+  const addOpen = ({ id }: BackendServer, by: 1 | -1): void => {
+    open.set(id, (open.get(id) ?? 0) + by);
+  };
+
   const ask = (server: BackendServer): void => {
     const askedAt = clock.now();
     if (!silentSince.has(server.id)) silentSince.set(server.id, askedAt);
+    addOpen(server, 1);
     void servers.report(server, REPORT_TIMEOUT_MS).match(
       () => {
+        addOpen(server, -1);
         noteAnswered(server, clock.now() - askedAt);
       },
       (err) => {
+        addOpen(server, -1);
         void noteFailed(server, err);
       },
     );
   };
 
+  const mayAsk = ({ id }: BackendServer): boolean =>
+    !ended.has(id) && !answers.has(id) && (open.get(id) ?? 0) < MAX_OPEN;
+
   const answerOf = ({ id }: BackendServer, now: MonoTime): Answer =>
     ended.has(id)
       ? { kind: 'ended', ms: 0 }
@@ -121,7 +135,7 @@
     const ranBefore = timer.ranMs();
     const asked = [...members, ...references.map(({ server }) => server)];
     const askSilent = (): void => {
-      for (const server of asked) if (!ended.has(server.id) && !answers.has(server.id)) ask(server);
+      for (const server of asked.filter(mayAsk)) ask(server);
     };
     const observe = (): Look => {
       const now = clock.now();
--- a/src/core/gateway/loss-evidence.ts
+++ b/src/core/gateway/loss-evidence.ts
@@ -97,7 +97,7 @@
   const all = [...members.values(), ...references];
   if (![...members.values()].some(isSilent)) return 'answered';
   const slowestMs = slowestUsualMs([...members.values()], references);
-  if (slowestMs > TOO_SLOW_MS) return 'inconclusive';
+  if (slowestMs > TOO_SLOW_MS) return ranMs < TOO_SLOW_MS ? 'open' : 'inconclusive';
   if (ranMs < Math.max(minMs, SLOWEST_FACTOR * slowestMs)) return 'open';
   if (all.some(hasAnswered) && areReferencesUsual(references)) return 'silent';
   return ranMs < MAX_LOOK_MS ? 'open' : 'inconclusive';
--- a/tests/gateway/member-inspection.test.ts
+++ b/tests/gateway/member-inspection.test.ts
@@ -2,7 +2,8 @@
 
 import { describe, expect, it } from 'vitest';
 
-import { DARK, ENDED, paused, startAsking } from './asked-members';
+import { after, DARK, ENDED, paused, startAsking } from './asked-members';
+import type { Behaviour } from './asked-members';
 import { fakeTime } from './fake-time';
 import { at } from './support';
 
@@ -185,3 +186,32 @@
     expect(test.lost()).toEqual([]);
   });
 });
+
+/** Answers over a link that is full: each some milliseconds after the one before. */
+function queued(delayMs: number, gapMs: number): Behaviour {
+  let last = 0;
+  return (now) => (last = Math.max(now + delayMs, last + gapMs));
+}
+
+describe('an inspection over a link that is full', () => {
+  fakeTime();
+  const GROUPS = ['g', 'h', 'i', 'j'].map((group, n) => ({ group, size: 8, domain: `d${n}` }));
+  const INSPECTED_S = 6.5;
+  const SERVERS = 14;
+
+  // Guards against a leader that fills its link further with requests for reports, one look after the other.
+  it.each([
+    { name: 'all 450 ms late', behaviour: () => after(450) },
+    { name: 'all 600 ms late', behaviour: () => after(600) },
+    { name: '600 ms late and 5 ms apart', behaviour: () => queued(600, 5) },
+    { name: '600 ms late and 20 ms apart', behaviour: () => queued(600, 20) },
+    { name: '1,200 ms late', behaviour: () => after(1_200) },
+  ])('asks each server four times a second at most: answers $name', async ({ behaviour }) => {
+    const test = startAsking(GROUPS);
+    test.set(test.all(), behaviour());
+    test.inspect('g');
+    await test.run(INSPECTED_S * 1_000);
+    expect(test.asked()).toBeLessThanOrEqual(SERVERS * 4 * INSPECTED_S);
+    expect(test.lost()).toEqual([]);
+  });
+});
