End the suspension of a silent group with an event at another daemon

Only a daemon's own events ended its suspension of a group. One without a stream there kept it for 1.5 to 6 s, although the group served others.

Times of events that peers report now end a suspension for silence that is older by more than such a report may be old (500 ms); the leader of a large fleet tells all. A group that was found lost is being ended and stays suspended.

--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -79,8 +79,10 @@
 
   const stallDetector = createStallDetector(clock);
 
-  const noteAlive = (group: GroupId): void => {
-    if (suspicions.noteAlive(group)) changes.next();
+  const noteAlive = (group: GroupId): boolean => {
+    const wasSuspected = suspicions.noteAlive(group);
+    if (wasSuspected) changes.next();
+    return wasSuspected;
   };
 
   const findStalls = (): void => {
--- a/src/app/gateway/group-suspicions.ts
+++ b/src/app/gateway/group-suspicions.ts
@@ -2,13 +2,15 @@
 
 import { clearSuspicion, endSilence, isSuspect, noteEvidence } from '../../core/gateway/suspicion';
 import type { Evidence, Suspicions } from '../../core/gateway/suspicion';
-import type { GroupId } from '../../core/ids';
+import type { GroupId, MonoTime } from '../../core/ids';
 import type { GatewayContext } from './context';
 
 /** Evidence against a group, and who found it or how. */
 export interface GroupFinding {
   readonly evidence: Evidence;
   readonly reason: string;
+  /** When it was last made here. */
+  readonly at: MonoTime;
 }
 
 export interface GroupSuspicions {
@@ -41,7 +43,7 @@
       const isNew = !isSuspected(group);
       suspicions = noteEvidence(suspicions, group, evidence, clock.now());
       for (const id of findings.keys()) if (!suspicions.has(id)) findings.delete(id);
-      findings.set(group, { evidence, reason });
+      findings.set(group, { evidence, reason, at: clock.now() });
       if (isNew) logger.warn('group suspected', { step: 'board', group, evidence, reason });
       return isNew;
     },
--- a/src/app/gateway/messages.ts
+++ b/src/app/gateway/messages.ts
@@ -189,7 +189,7 @@
  * State of a suspected group: one daemon saw its streams fall silent, or could not reach it; enough
  * daemons reported it; or its members were inspected and some are lost.
  */
-const findingSchema = z.enum(['seen', 'unreachable', 'confirmed', 'lost']);
+const findingSchema = z.enum(['seen', 'unreachable', 'confirmed', 'lost', 'alive']);
 
 /** A group that seems to be stalled. */
 const stalledSchema = z.object({
--- a/src/app/gateway/stall-reporting.ts
+++ b/src/app/gateway/stall-reporting.ts
@@ -38,6 +38,8 @@
  * one.
  */
 const ASSUMED_RUNNING = 12;
+/** A peer's state, and with it the time of an event, may be this old when it is received. */
+const MAX_STATE_AGE_MS = 500;
 /** Older events say nothing about a group's current state. */
 const EVENT_RETENTION_MS = 10_000;
 
@@ -106,6 +108,9 @@
     confirmed: (stall, reporter) => {
       actOn(stall, 'confirmed', `confirmed by ${reporter}`);
     },
+    alive: ({ group }) => {
+      groupRegistry.noteAlive(group);
+    },
     lost: (stall, reporter) => {
       const { group, evidence = 'silent' } = stall;
       groupRegistry.suspect(group, 'lost', `found by ${reporter}, members ${evidence}`);
@@ -145,12 +150,25 @@
     actOn(stall, 'lost', `members asked: ${stall.evidence ?? 'silent'}`);
   });
 
+  /** An event at a peer after the finding shows that the group goes on; in a large fleet the leader tells all. */
+  const endSuspension = (head: InstanceId, eventAt: MonoTime): void => {
+    const group = groupRegistry.find(head)?.id;
+    const finding = group === undefined ? undefined : groupRegistry.finding(group);
+    // A group that was found lost is being ended.
+    if (group === undefined || finding?.evidence !== 'silent') return;
+    if (eventAt < later(finding.at, MAX_STATE_AGE_MS) || !groupRegistry.noteAlive(group)) return;
+    if (fleet.isLarge() && leadership.heldFencing() !== undefined)
+      fleet.broadcastAsLeader({ kind: 'stalled', group, head, finding: 'alive' });
+  };
+
   const noteIdleTimes = (idleTimes: PeerState['quiet']): void => {
     const now = ctx.clock.now();
     for (const [head, idleMs] of idleTimes) {
       const eventAt = later(now, -idleMs);
       const known = lastEvents.get(head);
-      if (known === undefined || eventAt > known) lastEvents.set(head, eventAt);
+      if (known !== undefined && eventAt <= known) continue;
+      lastEvents.set(head, eventAt);
+      endSuspension(head, eventAt);
     }
   };
 
--- a/tests/gateway/stall-reporting.test.ts
+++ b/tests/gateway/stall-reporting.test.ts
@@ -1,12 +1,13 @@
 import { Subject } from 'rxjs';
 import { describe, expect, it } from 'vitest';
 
+import { createClock } from '../../src/adapters/runtime';
 import { createStallReporting } from '../../src/app/gateway/stall-reporting';
 import type { StallReportingDeps } from '../../src/app/gateway/stall-reporting';
 import { parseGatewayMessage } from '../../src/app/gateway/messages';
 import { brandAs } from '../../src/core/ids';
 import type { DaemonId, GroupId } from '../../src/core/ids';
-import { instance, makeContext, HEALTHY_LINKS } from './support';
+import { at, instance, makeContext, HEALTHY_LINKS } from './support';
 
 const STALL = { group: brandAs<GroupId>('g'), head: instance('h') };
 const REPORTER = brandAs<DaemonId>('reporter');
@@ -103,3 +104,39 @@
     expect(parseGatewayMessage(message)).toEqual(message);
   });
 });
+
+describe('a group that this daemon suspended for its silence', () => {
+  /** Whether the suspension ends, and what is told to others, when a peer had an event so long ago. */
+  function afterEvent(idleMs: number, { evidence = 'silent', isLeading = false } = {}) {
+    const clock = createClock();
+    const ended: string[] = [];
+    const told: unknown[] = [];
+    const reporting = createStallReporting({
+      ctx: makeContext({ clock: { ...clock, now: () => at(2_000) } }),
+      groupRegistry: {
+        ...{ stalls: new Subject(), unreachable: new Subject() },
+        find: () => ({ id: STALL.group }),
+        finding: () => ({ evidence, reason: '', at: at(1_000) }),
+        noteAlive: (group: string) => ended.push(group) > 0,
+      },
+      fleet: { isLarge: () => true, broadcastAsLeader: (message: unknown) => told.push(message) },
+      planner: { lost: new Subject(), stillSilent: new Subject() },
+      leadership: { heldFencing: () => (isLeading ? 1 : undefined) },
+      serverLinks: HEALTHY_LINKS,
+    } as unknown as StallReportingDeps);
+    reporting.noteIdleTimes([[STALL.head, idleMs]]);
+    return { ended, told };
+  }
+
+  // Guards against a group that serves others and gets nothing from a daemon without streams there.
+  it('is used again after an event at a peer, which the leader tells to all', () => {
+    expect(afterEvent(200)).toEqual({ ended: ['g'], told: [] });
+    const alive = { kind: 'stalled', ...STALL, finding: 'alive' };
+    expect(afterEvent(200, { isLeading: true })).toEqual({ ended: ['g'], told: [alive] });
+  });
+
+  it('stays suspended for an event that may be older, and if it is being ended', () => {
+    expect(afterEvent(800).ended).toEqual([]);
+    expect(afterEvent(200, { evidence: 'lost' }).ended).toEqual([]);
+  });
+});
