Check a daemon's own links once for many questions of peers

The check now counts for a service for 250 ms; failures that are known meanwhile count at once.

server-evidence.test.ts: 20 questions opened more than 23 connections before, green after, with server-links, slow-links and server-checks.

--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -75,6 +75,8 @@
 const MAX_RECHECKS = 8;
 /** Time for which failed connections to a server that peers found gone are not looked into again. */
 const GONE_MS = 500;
+/** Time for which the check of this daemon's own links to a service counts for further questions. */
+const SOUND_MS = 250;
 
 export function createServerLinkWatch(
   ctx: GatewayContext,
@@ -90,6 +92,8 @@
   const connectedAt = new Map<string, MonoTime>();
   /** Servers that peers found gone, by address. */
   const goneUntil = new Map<string, MonoTime>();
+  /** The last check of this daemon's own links, by service. */
+  const soundness = new Map<ServiceId, { until: MonoTime; isSound: Promise<boolean> }>();
   let links = HEALTHY_LINKS;
   const nextSampleAt = new Map<ServiceId, MonoTime>();
 
@@ -235,8 +239,17 @@
   };
 
   /** Whether this daemon reaches other servers, so that it can tell whether this one has ended. */
-  const isLinkSound = async ({ address, service }: LinkedServer): Promise<boolean> => {
-    if (hasFailuresIn(links, service)) return false;
+  const isLinkSound = ({ address, service }: LinkedServer): Promise<boolean> => {
+    if (hasFailuresIn(links, service)) return Promise.resolve(false);
+    const now = clock.now();
+    const known = soundness.get(service);
+    if (known && now < known.until) return known.isSound;
+    const isSound = checkOwnLink(address, service);
+    soundness.set(service, { until: later(now, SOUND_MS), isSound });
+    return isSound;
+  };
+
+  const checkOwnLink = async (address: string, service: ServiceId): Promise<boolean> => {
     const others = servers
       .sample(CHECKED_SERVERS + 1, service)
       .filter((other) => other.address !== address)
--- a/tests/gateway/server-evidence.test.ts
+++ b/tests/gateway/server-evidence.test.ts
@@ -24,10 +24,13 @@
   readonly links: ServerLinkWatch;
   /** Number of questions to peers. */
   readonly asked: () => number;
+  /** Number of connections that were opened to check servers. */
+  readonly checked: () => number;
 }
 
 function setUp({ answers = [], lost = [SERVER], isReceiving = false }: Fakes = {}): World {
   let asked = 0;
+  let checked = 0;
   let receivedBytes = 0;
   const stateOf = (address: string): ListeningState =>
     lost.includes(address) ? 'refused' : 'listening';
@@ -44,13 +47,16 @@
         ...{ forwardAddress: `p${n}:2`, cutOff: new Set(), isStopping: false },
       })),
     activity: () => ({ inFlight: 1, receivedBytes: isReceiving ? (receivedBytes += 1) : 0 }),
-    checkListening: (address) => Promise.resolve(stateOf(address)),
+    checkListening: (address) => {
+      checked += 1;
+      return Promise.resolve(stateOf(address));
+    },
     askPeer: () => {
       asked += 1;
       return Promise.resolve(answers[asked - 1] ?? 'unknown');
     },
   });
-  return { links, asked: () => asked };
+  return { links, asked: () => asked, checked: () => checked };
 }
 
 function times(count: number, state: ObservedState): readonly ObservedState[] {
@@ -124,3 +130,13 @@
     expect(await links.answerPeer(SERVER)).toBe('refused');
   });
 });
+
+describe('a daemon that many peers ask about a server', () => {
+  // Guards against thousands of connections in a large fleet for the end of one server.
+  it('checks its own links once for all of them', async () => {
+    const { links, checked } = setUp();
+    const states = await Promise.all(Array.from({ length: 20 }, () => links.answerPeer(SERVER)));
+    expect(new Set(states)).toEqual(new Set(['refused']));
+    expect(checked()).toBeLessThanOrEqual(20 + 3);
+  });
+});
