--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -45,6 +45,15 @@
   nutmegstack_member_inspections_total: 'Inspections of the members of stalled groups, by outcome',
   nutmegstack_slow_checks_total: 'Checks of slow groups for slow members, by outcome',
   nutmegstack_slow_reports_total: 'Reports requested to find slow servers',
+  nutmegstack_peer_sent_bytes_total: 'Bytes sent to peers, by kind of message',
+  nutmegstack_peer_received_bytes_total: 'Bytes received from peers, by kind of message',
+  nutmegstack_store_received_bytes_total:
+    "Bytes of the store's answers about collections that this daemon follows",
+  nutmegstack_config_help_total:
+    'Configurations sent to peers that lack them, or held back for want of budget',
+  nutmegstack_config_apply_ms:
+    'Time from the receipt of a configuration from the store until it is in force',
+  nutmegstack_loop_delay_max_ms: 'Longest delay of the event loop in the last whole 10 s',
   nutmegstack_evacuated_zones: 'Zones that the operator evacuated, as far as this daemon knows',
   nutmegstack_reassignments_total:
     'Changes of servers from one model to another by the model that gets them and step',
