Try groups again for a moved stream whose connections timed out

A stream that was moved gave up its first connection before the next one was established.

Groups that could not be reached no longer count as tried by a stream that has begun, its first one too; their suspension keeps it from trying them at once.

stream-moves.test.ts: the new case red before (no request after the time-outs), 27 of 27 green after.

--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -153,11 +153,12 @@
   /** What the stream lacks to be sent again; takes a retry from the budget if that is all it needs. */
   const lackedForRetry = (
     { route, service, answerBy }: Exchange,
-    { attempts, unreached }: StreamState,
+    { attempts, unreached, hasStarted }: StreamState,
     result: AttemptResult,
   ): Lack | undefined => {
     if (ctx.clock.now() >= answerBy) return 'time';
-    if (result === 'not-sent') return unreached < MAX_UNREACHABLE_HEADS ? undefined : 'attempt';
+    if (result === 'not-sent')
+      return hasStarted || unreached < MAX_UNREACHABLE_HEADS ? undefined : 'attempt';
     if (attempts >= route.maxAttempts) return 'attempt';
     if (result === 'lost' && !route.isResumable) return 'resume';
     return retries.mayRetry(service) ? undefined : 'retry';
@@ -204,6 +205,9 @@
       const result = await attempt({ ...deps, times }, { exchange, group, state, slots });
       if (result === 'not-sent') state.unreached += 1;
       else state.attempts += 1;
+      // This daemon's own link may be slow: the groups of a stream that has begun are tried again once
+      // their suspension has ended, its first one too.
+      if (result === 'not-sent' && state.hasStarted) state.tried.clear();
       if (result === 'complete' || result === 'passed-on') {
         returnNext(exchange, state);
         const status = exchange.res.statusCode;
--- a/tests/gateway/stream-fixture.ts
+++ b/tests/gateway/stream-fixture.ts
@@ -24,6 +24,7 @@
 import type { Route } from '../../src/core/gateway/types';
 import { brandAs, later } from '../../src/core/ids';
 import type { DomainId, GroupId, InstanceId } from '../../src/core/ids';
+import type { StepError } from '../../src/utils/errors';
 import { fail } from '../../src/utils/errors';
 import { createFakeClock } from './fake-time';
 import { ENGINE, inGroup, instance, makeContext, makeRoute } from './support';
@@ -117,6 +118,8 @@
   stallOf(head: string): Stall;
   /** Takes all slots of the group for requests of other daemons, or frees them. */
   setFull(head: string, isFull: boolean): void;
+  /** Whether connections to the head time out. */
+  setUnreachable(head: string, isUnreachable: boolean): void;
   /** Passes time without ticks or timers, as if the process had not run. */
   pauseProcess(ms: number): void;
   /** Passes time, with regular ticks. */
@@ -214,15 +217,21 @@
   applyLoads();
 
   const runs: ServerRun[] = [];
+  /** Heads to which no connection can be established. */
+  const unreachable = new Set<InstanceId>();
   const send = ({
     address,
     headers,
     signal,
     beforeSend,
   }: UpstreamCall): Promise<UpstreamResult> => {
+    const connected = (): StepError | undefined =>
+      unreachable.has(addresses.get(address) ?? instance(''))
+        ? fail('unavailable', 'connect timeout', { step: 'connect' })
+        : beforeSend();
     const refusal = signal.aborted
       ? fail('cancelled', 'call aborted', { step: 'send' })
-      : beforeSend();
+      : connected();
     if (refusal) return Promise.resolve({ kind: 'not-sent', error: refusal });
     const run = new ServerRun(addresses.get(address) ?? '', (headers as readonly string[])[0]);
     runs.push(run);
@@ -277,6 +286,10 @@
       vi.setSystemTime(Date.now() + ms);
     },
     lines: () => lines,
+    setUnreachable: (head, isUnreachable) => {
+      if (isUnreachable) unreachable.add(instance(head));
+      else unreachable.delete(instance(head));
+    },
     retriesLeft: counted.left,
     request: async (id = 'request-1', hasLeft = false) => {
       const { exchange, view } = createCaller(id, route, ctx.clock.now());
--- a/tests/gateway/stream-moves.test.ts
+++ b/tests/gateway/stream-moves.test.ts
@@ -276,3 +276,23 @@
     expect(world.registry.running()).toEqual([]);
   });
 });
+
+describe('a stream that is moved while connections to all groups time out', () => {
+  // Guards against the end of an answer for a link of this daemon that is slow for a second or two.
+  it('is answered whole once they are reached again', async () => {
+    const { world, caller, run } = await begin({ groups: 4 });
+    const heads = HEADS.slice(0, 4);
+    for (const head of heads) world.setUnreachable(head, true);
+    await world.pass(400);
+    findLost(world, run.head);
+    await world.pass(800);
+    expect(run.isClosed).toBe(true);
+    for (const head of heads) world.setUnreachable(head, false);
+    await world.pass(3_000);
+    const next = world.runs.at(-1);
+    expect(next?.lastEventId).toBe('1');
+    next?.finishFrom(2);
+    await world.pass(50);
+    expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+  });
+});
