--- a/src/core/gateway/config-help.ts
+++ b/src/core/gateway/config-help.ts
@@ -29,13 +29,13 @@
  * when it is heard from again.
  */
 const REPORT_GAP_MS = 1_500;
-/** Rate at which a version reaches a daemon at worst: what requests leave of the slowest link, 1,225 bytes/ms. */
+/** Rate at which a version reaches a daemon whose link of 10 Mbit/s is busy with requests. */
 const TRANSFER_BYTES_PER_MS = 350;
 /** Size of a version in an answer of the store, which is JSON in base64, relative to a message of a peer. */
 const STORE_BYTES_RATIO = 1.2;
 /** Part of the time in which a version must be in force after which the store is not waited for. */
 const MAX_WAIT_SHARE = 0.4;
-/** What one daemon may spend on help: a quarter of the slowest link. */
+/** What one daemon may spend on help: a quarter of a link of 10 Mbit/s. */
 const BUDGET_BYTES_PER_MS = 300;
 /** Budget of a daemon that has not helped for a while; one message may exceed what is left. */
 const MAX_BUDGET_BYTES = 300_000;
