Count the silence of a draining member whose host is gone

Draining members were left out of inspections, since they may refuse connections while their group still has work. One that is taken away before its work is done was so never found: its group stood still until the engine's own limit, and its streams waited with it.

Draining members are asked again. A refusal is no evidence against them, but their silence is, against answers of others and without an event of the group.

member-inspection.test.ts, 'is found lost within 0.6 s if its group gives no event': red before ([]), green after; 72 passed with loss-evidence and planned-losses.

--- a/src/app/gateway/group-inspection.ts
+++ b/src/app/gateway/group-inspection.ts
@@ -133,7 +133,9 @@
     onSlow: (slow) => {
       peerChecks.start(slow);
     },
-    hasEnded: ({ address }) => options.hasEnded(address),
+    // A draining member may refuse connections while its group still has work: only its silence counts.
+    hasEnded: ({ address, isDraining }) =>
+      isDraining ? Promise.resolve(false) : options.hasEnded(address),
     onEnded: (server) => {
       if (!members.includes(server) || !isCurrent()) return;
       ended.add(server.id);
--- a/src/app/gateway/member-inspection.ts
+++ b/src/app/gateway/member-inspection.ts
@@ -106,9 +106,8 @@
     const fencing = leadership.heldFencing();
     if (fencing === undefined || running.has(group) || (nextAt !== undefined && now < nextAt))
       return;
-    // A draining member may refuse connections while its group still has work.
     const members = [...serverRegistry.servers.values(), ...serverRegistry.lapsed.values()].filter(
-      ({ membership, isDraining }) => membership?.group === group && !isDraining,
+      ({ membership }) => membership?.group === group,
     );
     // Nothing may be sent to servers of evacuated zones; the streams there end by their own silence.
     if (members.some(({ zone }) => evacuations.isEvacuated(zone))) return;
--- a/tests/gateway/asked-members.ts
+++ b/tests/gateway/asked-members.ts
@@ -167,6 +167,10 @@
       [...servers.values()].filter((s) => s.domain === domain).map(({ id }) => id),
     inZone: (zone: string): InstanceId[] =>
       [...servers.values()].filter((s) => s.zone === zone).map(({ id }) => id),
+    drain: (id: InstanceId): void => {
+      const server = servers.get(id);
+      if (server) servers.set(id, { ...server, isDraining: true });
+    },
     beginStreams: (): void => {
       isBusy = true;
     },
--- a/tests/gateway/member-inspection.test.ts
+++ b/tests/gateway/member-inspection.test.ts
@@ -5,6 +5,7 @@
 import { after, DARK, ENDED, paused, startAsking } from './asked-members';
 import type { Behaviour } from './asked-members';
 import { fakeTime } from './fake-time';
+import type { InstanceId } from '../../src/core/ids';
 import { at } from './support';
 
 type Asking = ReturnType<typeof startAsking>;
@@ -215,3 +216,32 @@
     expect(test.lost()).toEqual([]);
   });
 });
+
+describe('a draining member that refuses connections', () => {
+  fakeTime();
+
+  const drain = (): { test: Asking; member: InstanceId } => {
+    const test = startAsking(GROUPS);
+    const member = test.membersOf('g')[1];
+    if (member === undefined) throw new Error('no members');
+    test.drain(member);
+    test.set([member], ENDED);
+    return { test, member };
+  };
+
+  // Guards against streams that wait for the engine's own limit where a server is taken away while it drains.
+  it('is found lost within 0.6 s if its group gives no event', async () => {
+    const { test } = drain();
+    test.inspect('g');
+    await test.run(600);
+    expect(test.found.map(({ stall }) => [stall.group, stall.evidence])).toEqual([['g', 'silent']]);
+  });
+
+  // Guards against the end of a group whose member has stopped listening and stays until the work is done.
+  it('is not lost while its group gives events', async () => {
+    const { test } = drain();
+    test.inspect('g', () => at(Date.now() - 100));
+    await test.run(3_000);
+    expect(test.lost()).toEqual([]);
+  });
+});
