Check own links after a peer's question, not up to 250 ms before it

The check of a daemon's own links counted for 250 ms. Links fail at any moment: a daemon that had just been asked about one server vouched for its next finding with links that had failed meanwhile, at many daemons at once, and three of them make a server count as ended. It weakened what 'several observers with sound links' asks.

Questions that come while a check runs now share the next one, which begins after them. Peers that ask at the same time still cost two checks at most.

--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -75,8 +75,6 @@
 const MAX_RECHECKS = 8;
 /** Time for which failed connections to a server that peers found gone are not looked into again. */
 const GONE_MS = 500;
-/** Time for which the check of this daemon's own links to a service counts for further questions. */
-const SOUND_MS = 250;
 
 export function createServerLinkWatch(
   ctx: GatewayContext,
@@ -92,8 +90,9 @@
   const connectedAt = new Map<string, MonoTime>();
   /** Servers that peers found gone, by address. */
   const goneUntil = new Map<string, MonoTime>();
-  /** The last check of this daemon's own links, by service. */
-  const soundness = new Map<ServiceId, { until: MonoTime; isSound: Promise<boolean> }>();
+  /** Checks of this daemon's own links that are under way, and those that follow them, by service. */
+  const ownChecks = new Map<ServiceId, Promise<boolean>>();
+  const nextChecks = new Map<ServiceId, Promise<boolean>>();
   let links = HEALTHY_LINKS;
   const nextSampleAt = new Map<ServiceId, MonoTime>();
 
@@ -238,15 +237,31 @@
     }
   };
 
-  /** Whether this daemon reaches other servers, so that it can tell whether this one has ended. */
-  const isLinkSound = ({ address, service }: LinkedServer): Promise<boolean> => {
+  /**
+   * Whether this daemon reaches other servers, so that it can tell whether this one has ended. The check begins
+   * after the question, as links may fail at any moment; questions that come during one share the next.
+   */
+  const isLinkSound = (server: LinkedServer): Promise<boolean> => {
+    const { service } = server;
     if (hasFailuresIn(links, service)) return Promise.resolve(false);
-    const now = clock.now();
-    const known = soundness.get(service);
-    if (known && now < known.until) return known.isSound;
-    const isSound = checkOwnLink(address, service);
-    soundness.set(service, { until: later(now, SOUND_MS), isSound });
-    return isSound;
+    const running = ownChecks.get(service);
+    if (!running) return startOwnCheck(server);
+    const known = nextChecks.get(service);
+    if (known) return known;
+    const next = running.then(() => {
+      nextChecks.delete(service);
+      return startOwnCheck(server);
+    });
+    nextChecks.set(service, next);
+    return next;
+  };
+
+  const startOwnCheck = ({ address, service }: LinkedServer): Promise<boolean> => {
+    const check = checkOwnLink(address, service).finally(() => {
+      if (ownChecks.get(service) === check) ownChecks.delete(service);
+    });
+    ownChecks.set(service, check);
+    return check;
   };
 
   const checkOwnLink = async (address: string, service: ServiceId): Promise<boolean> => {
