Tell all daemons of a group that the leader itself sees go on

The leader of a large fleet announced that a silent group goes on only for events that peers reported. Its own events ended its own suspension first, so nothing was left to announce, and daemons without a stream there avoided the group for 1.5 to 6 s more.

The registry now emits groups whose suspension for silence an event has ended, whoever had it, and the leader tells all.

group-registry.test.ts: 'is announced as resumed by an event after a silence, not after the leader found it lost' is new; 67 passed with stall-reporting, large-fleet, stream-moves and suspicion, whose fakes have the new subject.

--- a/src/app/gateway/group-registry-types.ts
+++ b/src/app/gateway/group-registry-types.ts
@@ -77,8 +77,10 @@
   suspect(group: GroupId, evidence: Evidence, reason: string): boolean;
   /** The latest finding about a group that is suspended. */
   finding(group: GroupId): GroupFinding | undefined;
-  /** Ends the suspension of a group that gave an event to any daemon, if it was for its silence; whether it did. */
-  noteAlive(group: GroupId): boolean;
+  /** Ends the suspension of a group that gave an event to any daemon, if it was for its silence. */
+  noteAlive(stall: Stall): void;
+  /** Groups that were suspended for their silence until an event, and not found lost. */
+  readonly resumed: Observable<Stall>;
   /**
    * Ends the suspension of groups, other than lost ones, that this daemon's own link is to blame for:
    * those with this address of the head, or of this service.
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -51,6 +51,7 @@
   const stalls = new Subject<Stall>();
   const evacuated = new Subject<Stall>();
   const unreachable = new Subject<Stall>();
+  const resumed = new Subject<Stall>();
   const changes = new Subject<void>();
   const groupIndex = createGroupIndex(ctx, serverRegistry, routes);
   const groups = (): ReadonlyMap<InstanceId, ServingGroup> => groupIndex.groups();
@@ -79,10 +80,11 @@
 
   const stallDetector = createStallDetector(clock);
 
-  const noteAlive = (group: GroupId): boolean => {
-    const wasSuspected = suspicions.noteAlive(group);
-    if (wasSuspected) changes.next();
-    return wasSuspected;
+  const noteAlive = (stall: Stall): void => {
+    const finding = suspicions.finding(stall.group);
+    if (!suspicions.noteAlive(stall.group)) return;
+    changes.next();
+    if (finding?.evidence === 'silent') resumed.next(stall);
   };
 
   const findStalls = (): void => {
@@ -113,6 +115,7 @@
       if (suspicions.suspect(stall.group, 'unreachable', reason)) unreachable.next(stall);
     },
     noteAlive,
+    resumed,
     clearSuspicions: (which) => {
       for (const { id, head, service } of groups().values()) {
         const isMeant =
@@ -169,7 +172,7 @@
     noteEvent: (head, pauseMs) => {
       progress.set(head, noteEvent(progressOf(head), clock.now(), pauseMs));
       const group = groups().get(head);
-      if (group) noteAlive(group.id);
+      if (group) noteAlive({ group: group.id, head });
     },
     suspect: (group, evidence, reason) => suspicions.suspect(group, evidence, reason),
     finding: (group) => suspicions.finding(group),
--- a/src/app/gateway/stall-reporting.ts
+++ b/src/app/gateway/stall-reporting.ts
@@ -108,8 +108,8 @@
     confirmed: (stall, reporter) => {
       actOn(stall, 'confirmed', `confirmed by ${reporter}`);
     },
-    alive: ({ group }) => {
-      groupRegistry.noteAlive(group);
+    alive: (stall) => {
+      groupRegistry.noteAlive(stall);
     },
     lost: (stall, reporter) => {
       const { group, evidence = 'silent' } = stall;
@@ -150,15 +150,19 @@
     actOn(stall, 'lost', `members asked: ${stall.evidence ?? 'silent'}`);
   });
 
-  /** An event at a peer after the finding shows that the group goes on; in a large fleet the leader tells all. */
+  // Daemons without a stream in the group learn of its events from nobody else in a large fleet.
+  groupRegistry.resumed.subscribe(({ group, head }) => {
+    if (fleet.isLarge() && leadership.heldFencing() !== undefined)
+      fleet.broadcastAsLeader({ kind: 'stalled', group, head, finding: 'alive' });
+  });
+
+  /** An event at a peer after the finding shows that the group goes on. */
   const endSuspension = (head: InstanceId, eventAt: MonoTime): void => {
     const group = groupRegistry.find(head)?.id;
     const finding = group === undefined ? undefined : groupRegistry.finding(group);
     // A group that was found lost is being ended.
     if (group === undefined || finding?.evidence !== 'silent') return;
-    if (eventAt < later(finding.at, MAX_STATE_AGE_MS) || !groupRegistry.noteAlive(group)) return;
-    if (fleet.isLarge() && leadership.heldFencing() !== undefined)
-      fleet.broadcastAsLeader({ kind: 'stalled', group, head, finding: 'alive' });
+    if (eventAt >= later(finding.at, MAX_STATE_AGE_MS)) groupRegistry.noteAlive({ group, head });
   };
 
   const noteIdleTimes = (idleTimes: PeerState['quiet']): void => {
--- a/tests/gateway/group-registry.test.ts
+++ b/tests/gateway/group-registry.test.ts
@@ -192,10 +192,24 @@
     expect(changed).toBe(1);
   });
 
+  // Guards against other daemons that go on avoiding it, as they learn of its events from nobody else.
+  it('is announced as resumed by an event after a silence, not after the leader found it lost', () => {
+    const { registry } = setUpServing();
+    const resumed: unknown[] = [];
+    registry.resumed.subscribe((stall) => resumed.push(stall));
+    registry.suspect(GROUP, 'lost', 'found by leader-1');
+    registry.noteEvent(HEAD, 700);
+    expect(resumed).toEqual([]);
+    registry.suspect(GROUP, 'silent', 'silent for 500 ms');
+    registry.noteEvent(HEAD, 700);
+    registry.noteEvent(HEAD, 50);
+    expect(resumed).toEqual([{ group: GROUP, head: HEAD }]);
+  });
+
   it('is available again once it gave an event to another daemon', () => {
     const { registry, heads } = setUpServing();
     registry.suspect(GROUP, 'lost', 'found by leader-1');
-    registry.noteAlive(GROUP);
+    registry.noteAlive({ group: GROUP, head: HEAD });
     expect(heads()).toEqual([HEAD]);
   });
 });
--- a/tests/gateway/large-fleet.test.ts
+++ b/tests/gateway/large-fleet.test.ts
@@ -72,6 +72,7 @@
       work: () => [],
       applyLoads: () => undefined,
       stalls,
+      resumed: new Subject(),
       find: () => ({ id: 'g' }),
       suspect: () => true,
       unreachable: new Subject(),
--- a/tests/gateway/stall-reporting.test.ts
+++ b/tests/gateway/stall-reporting.test.ts
@@ -2,6 +2,7 @@
 import { describe, expect, it } from 'vitest';
 
 import { createClock } from '../../src/adapters/runtime';
+import type { Stall } from '../../src/app/gateway/group-registry';
 import { createStallReporting } from '../../src/app/gateway/stall-reporting';
 import type { StallReportingDeps } from '../../src/app/gateway/stall-reporting';
 import { parseGatewayMessage } from '../../src/app/gateway/messages';
@@ -18,7 +19,7 @@
   const reporting = createStallReporting({
     ctx: makeContext(),
     groupRegistry: {
-      ...{ stalls: new Subject(), unreachable: new Subject() },
+      ...{ stalls: new Subject(), unreachable: new Subject(), resumed: new Subject() },
       ...{ suspect: () => true, evacuate: () => undefined },
     },
     fleet: { isLarge: () => false },
@@ -42,7 +43,8 @@
     createStallReporting({
       ctx: makeContext(),
       groupRegistry: {
-        ...{ stalls, unreachable: new Subject(), find: () => ({ head: { address: 'h:1' } }) },
+        ...{ stalls, unreachable: new Subject(), resumed: new Subject() },
+        find: () => ({ head: { address: 'h:1' } }),
       },
       fleet: {
         ...{ isLarge: () => false, cutOff: () => new Set() },
@@ -79,7 +81,12 @@
     const deps = {
       ctx: makeContext(),
       groupRegistry: {
-        ...{ stalls: new Subject(), unreachable: new Subject(), evacuate: () => undefined },
+        ...{
+          stalls: new Subject(),
+          unreachable: new Subject(),
+          resumed: new Subject(),
+          evacuate: () => undefined,
+        },
         suspect: (_: unknown, __: unknown, reason: string) => reasons.push(reason) > 0,
       },
       fleet: { isLarge: () => false, broadcastAsLeader: (message: unknown) => sent.push(message) },
@@ -111,13 +118,17 @@
     const clock = createClock();
     const ended: string[] = [];
     const told: unknown[] = [];
+    const resumed = new Subject<Stall>();
     const reporting = createStallReporting({
       ctx: makeContext({ clock: { ...clock, now: () => at(2_000) } }),
       groupRegistry: {
-        ...{ stalls: new Subject(), unreachable: new Subject() },
+        ...{ stalls: new Subject(), unreachable: new Subject(), resumed },
         find: () => ({ id: STALL.group }),
         finding: () => ({ evidence, reason: '', at: at(1_000) }),
-        noteAlive: (group: string) => ended.push(group) > 0,
+        noteAlive: (stall: Stall) => {
+          ended.push(stall.group);
+          resumed.next(stall);
+        },
       },
       fleet: { isLarge: () => true, broadcastAsLeader: (message: unknown) => told.push(message) },
       planner: { lost: new Subject(), stillSilent: new Subject() },
