Read what has arrived before a plain call leaves its server

After a pause of this process, timers run before answers are read that came meanwhile. The timer by which a safe call leaves a silent server is a plain one: the call was sent to a second server, for a retry, although the first had answered. It now waits for the reads, as other time-outs here do.

plain-departure.test.ts: red before in two of two runs ('left'), green after, with plain-call (9 passed).

--- a/src/app/gateway/plain-departure.ts
+++ b/src/app/gateway/plain-departure.ts
@@ -3,6 +3,8 @@
 import { later } from '../../core/ids';
 import type { MonoTime } from '../../core/ids';
 import type { Clock } from '../../ports/runtime';
+import { createTimeout } from '../../utils/timeout';
+import type { Timeout } from '../../utils/timeout';
 
 /** When a call may leave its server. */
 export interface Departure {
@@ -28,9 +30,9 @@
   gone: AbortSignal,
 ): DepartureSignal {
   const controller = new AbortController();
-  let timer: ReturnType<typeof setTimeout> | undefined;
+  let timer: Timeout | undefined;
   const wait = (at: MonoTime): void => {
-    timer = setTimeout(tryToLeave, Math.max(1, at - clock.now()));
+    timer = createTimeout(Math.max(1, at - clock.now()), tryToLeave);
   };
   const tryToLeave = (): void => {
     const now = clock.now();
@@ -47,7 +49,7 @@
   return {
     signal: controller.signal,
     clear: () => {
-      clearTimeout(timer);
+      timer?.clear();
       gone.removeEventListener('abort', onGone);
     },
   };
