--- a/src/core/gateway/loss-evidence.ts
+++ b/src/core/gateway/loss-evidence.ts
@@ -3,9 +3,9 @@
  *
  * Load pattern: all servers, a domain or a zone pause for a second; the leader's link is full of other bytes;
  * its process does not run. All of these look like lost servers from one place, and ending sound groups costs
- * loads of weights. A server that has ended is lost at once. One that is silent is lost only if others answer
- * as usual in the same time, twice; many members of a group, or all of them, only after two seconds, as they
- * may share a pause, and none of a group's members can be used before it answers.
+ * loads of weights. A server that has ended, as peers confirm, is lost at once. One that is silent is lost only
+ * if others answer as usual in the same time, twice; many members of a group, or all of them, only after two
+ * seconds, as they may share a pause, and none of a group's members can be used before it answers.
  */
 
 import { later } from '../ids';
@@ -15,7 +15,7 @@
  * How a server answered a request for its report.
  *
  * - `answered`: with a report, `ms` after it was asked.
- * - `ended`: its port refuses connections, or another process answers there.
+ * - `ended`: its port refuses connections, also those of peers, or another process answers there.
  * - `silent`: nothing of use came within `ms`.
  */
 export interface Answer {
--- a/src/core/gateway/polling.ts
+++ b/src/core/gateway/polling.ts
@@ -58,7 +58,7 @@
 const POLL_DELAY_SHARE = 0.15;
 /** The same for versions that would fill the link. */
 const MAX_POLL_DELAY_SHARE = 0.25;
-/** Versions of a series are read at a quarter of the slowest link, 1,225 bytes/ms. */
+/** Versions of a series are read at a quarter of a link of 10 Mbit/s. */
 const SERIES_BYTES_PER_MS = 300;
 
 /**
--- a/src/core/gateway/suspicion.ts
+++ b/src/core/gateway/suspicion.ts
@@ -4,7 +4,8 @@
  * Load pattern: heads become unreachable, and their entries remain for seconds. Each daemon that tries such
  * a group costs a caller the time of a connection that is never established. A group that fails again is
  * avoided for twice as long; one that the leader found lost is not tried again. An event of the group shows that
- * it was only silent, as when all servers pause, and ends the hold. Suspicion concerns a group, not its head, which may serve in another group within half a second.
+ * it was only silent, as when all servers pause, and ends the hold. Suspicion concerns a group, not its head,
+ * which may serve in another group within half a second.
  */
 
 import { later } from '../ids';
@@ -23,8 +24,8 @@
 /**
  * What shows that a group is lost.
  *
- * - `ended`: one of its servers has certainly ended: its port refuses, it runs as another incarnation, or its
- *   entry is gone.
+ * - `ended`: one of its servers has ended: its port refuses the leader and peers, or it runs as another
+ *   incarnation; or the head has left the group.
  * - `silent`: it sends nothing. It may be paused or slow, or the observer's own link or process may be.
  */
 export type LossEvidence = 'ended' | 'silent';
