Move streams to slow groups that serve

A group counted as silent, and so not as a target of a move, after 350 ms without an event. One whose events come 400 ms apart, across domains or slow, was never one: a stream of a dark group then stayed there although a slot and a retry were free.

Twice the mean pause of the group's own streams now counts where that is longer.

--- a/src/core/gateway/progress.ts
+++ b/src/core/gateway/progress.ts
@@ -62,10 +62,18 @@
  * Whether the group is silent, or was until a moment ago. Load pattern: servers pause and go on together, but
  * not in the same millisecond; the first that goes on must not get the streams of the others.
  */
-export function isSilent({ running, since, resumedAt }: Progress, now: MonoTime): boolean {
+export function isSilent(progress: Progress, now: MonoTime): boolean {
+  const { running, since, resumedAt } = progress;
   if (running === 0) return false;
   const hasResumed = resumedAt !== undefined && now < later(resumedAt, SILENCE_MS);
-  return hasResumed || now >= later(since, SILENCE_MS);
+  return hasResumed || now >= later(since, silenceMs(progress));
+}
+
+/** A slow group is not silent between two of its events. */
+const SILENT_PAUSES = 2;
+
+function silenceMs({ pauseMs = 0 }: Progress): number {
+  return Math.max(SILENCE_MS, SILENT_PAUSES * pauseMs);
 }
 
 /** Records that a request was sent to the group. */
@@ -104,7 +112,7 @@
   pauseMs: number | undefined,
   { smoothing }: ProgressOptions = PROGRESS_DEFAULTS,
 ): Progress {
-  const resumedAt = now >= later(progress.since, SILENCE_MS) ? now : progress.resumedAt;
+  const resumedAt = now >= later(progress.since, silenceMs(progress)) ? now : progress.resumedAt;
   const next = { ...progress, since: now, eventAt: now, resumedAt };
   if (pauseMs === undefined) return next;
   const mean = progress.pauseMs ?? pauseMs;
--- a/tests/gateway/stream-moves.test.ts
+++ b/tests/gateway/stream-moves.test.ts
@@ -308,3 +308,21 @@
     expect(world.heldBackCount()).toBeLessThanOrEqual(2);
   });
 });
+
+describe('a stream in a group that is silent for good', () => {
+  // Guards against a stream that hangs although a slot and a retry are free, because the other group is slow.
+  it('is moved to a group whose events come 400 ms apart', async () => {
+    const world = createStreamWorld({ groups: 2 });
+    await world.request('a');
+    await world.request('b');
+    const [dark, slow] = world.runs;
+    if (!dark || !slow) throw new Error('nothing was sent');
+    expect(dark.head).not.toBe(slow.head);
+    dark.send(0, 1);
+    for (let id = 0; id < 5; id++) {
+      slow.send(id);
+      await world.pass(400);
+    }
+    expect(world.runs.map(({ head }) => head)).toEqual([dark.head, slow.head, slow.head]);
+  });
+});
