Find a dark member while another domain is dark as well

One in four of the servers asked for comparison could be silent. In a fleet of one zone three are asked, of which a quarter is none: with another domain dark, a dark member was not found at all (12 of 12 inspections, four domains). Elsewhere a dark or paused domain drew each look out to a second.

Where most members of the group answer, they show more of the link to the silent one than servers elsewhere do, so half of those may be silent or late. For a group that is silent as a whole one in four stays.

--- a/src/core/gateway/loss-evidence.ts
+++ b/src/core/gateway/loss-evidence.ts
@@ -64,13 +64,30 @@
 const hasAnswered = ({ kind }: Answer): boolean => kind === 'answered';
 const isSilent = ({ kind }: Answer): boolean => kind === 'silent';
 
+/** Whether only one member in four, or a single one, is silent: many together may share a pause. */
+function areFewSilent(members: Look['members']): boolean {
+  const silent = [...members.values()].filter(isSilent).length;
+  return silent < members.size && silent <= Math.max(1, Math.floor(members.size / 4));
+}
+
 /**
- * Whether the references answer as usual: all but one in four, since a server may be lost itself. That those
- * of the group's zone are all silent and all others answer, or the other way, shows where a link is cut.
+ * Share of the references that may be silent or slow themselves. That others of its group answer shows more of a
+ * silent member than references do, so half of these may be lost or pause, as in a domain that is dark.
  */
-function areReferencesUsual(references: readonly ReferenceAnswer[]): boolean {
+const MAX_UNUSUAL_SHARE = { fewSilent: 1 / 2, manySilent: 1 / 4 } as const;
+
+function maxUnusual(members: Look['members'], references: readonly Answer[]): number {
+  const share = MAX_UNUSUAL_SHARE[areFewSilent(members) ? 'fewSilent' : 'manySilent'];
+  return Math.floor(references.length * share);
+}
+
+/**
+ * Whether the references answer as usual, but for a few that may be lost themselves. That those of the group's
+ * zone are all silent and all others answer, or the other way, shows where a link is cut.
+ */
+function areReferencesUsual({ members, references }: Look): boolean {
   const silent = references.filter(isSilent);
-  if (silent.length <= Math.floor(references.length / 4)) return true;
+  if (silent.length <= maxUnusual(members, references)) return true;
   if (!references.some(hasAnswered)) return false;
   const [first] = silent;
   return references.every((answer) => (answer.isFar === first?.isFar) === isSilent(answer));
@@ -83,23 +100,25 @@
 }
 
 /**
- * The slowest answer, without the slowest quarter of the references: some servers may pause or be slow, while an
- * observer that is slow itself gets all answers late.
+ * The slowest answer, without the slowest references: some servers may pause or be slow, while an observer that is
+ * slow itself gets all answers late.
  */
-function slowestUsualMs(members: readonly Answer[], references: readonly Answer[]): number {
+function slowestUsualMs({ members, references }: Look): number {
   const times = answerTimes(references);
-  const usual = times[times.length - 1 - Math.floor(times.length / 4)] ?? 0;
-  return Math.max(usual, answerTimes(members).at(-1) ?? 0);
+  const skipped = Math.min(maxUnusual(members, references), times.length - 1);
+  const usual = times[times.length - 1 - skipped] ?? 0;
+  return Math.max(usual, answerTimes([...members.values()]).at(-1) ?? 0);
 }
 
 /** Judges a look by the answers that have come until now. */
-export function judgeLook({ members, references, ranMs, minMs }: Look): LookResult {
+export function judgeLook(look: Look): LookResult {
+  const { members, references, ranMs, minMs } = look;
   const all = [...members.values(), ...references];
   if (![...members.values()].some(isSilent)) return 'answered';
-  const slowestMs = slowestUsualMs([...members.values()], references);
+  const slowestMs = slowestUsualMs(look);
   if (slowestMs > TOO_SLOW_MS) return ranMs < TOO_SLOW_MS ? 'open' : 'inconclusive';
   if (ranMs < Math.max(minMs, SLOWEST_FACTOR * slowestMs)) return 'open';
-  if (all.some(hasAnswered) && areReferencesUsual(references)) return 'silent';
+  if (all.some(hasAnswered) && areReferencesUsual(look)) return 'silent';
   return ranMs < MAX_LOOK_MS ? 'open' : 'inconclusive';
 }
 
@@ -112,12 +131,6 @@
   return isGroupSilent ? SILENT_GROUP_LOOK_MS : MIN_LOOK_MS;
 }
 
-/** Whether only one member in four, or a single one, is silent: many together may share a pause. */
-function areFewSilent(members: Look['members']): boolean {
-  const silent = [...members.values()].filter(isSilent).length;
-  return silent < members.size && silent <= Math.max(1, Math.floor(members.size / 4));
-}
-
 /** Silence of one member since it last answered. */
 interface Silence {
   /** Looks in which nearly all other members of its group answered as usual. */
--- a/tests/gateway/loss-evidence.test.ts
+++ b/tests/gateway/loss-evidence.test.ts
@@ -293,3 +293,19 @@
     expect(test.asked() - before).toBeLessThanOrEqual(15);
   });
 });
+
+describe('a dark member of a fleet in one zone', () => {
+  fakeTime();
+
+  // Guards against a loss that is not found because one of the few other domains is dark as well.
+  it('is found within 0.6 s while another domain is dark', async () => {
+    const test = startAsking(
+      ['d0', 'd1', 'd2', 'd3'].map((domain, n) => ({ group: `g${n}`, size: 3, domain })),
+    );
+    test.set([test.membersOf('g0')[1]], DARK);
+    test.set(test.inDomain('d1'), DARK);
+    test.inspect('g0');
+    await test.run(600);
+    expect(test.lost()).toEqual(['g0']);
+  });
+});
