Leave servers that have ended out of the check of own links

Cause: the end of a server needs observers whose own links are sound, and an observer whose sample of three other servers held two that had ended took its links for failed. While a fatal request ended the servers of a small plain service one after another, no daemon could confirm a further end (answers "unknown" from all), no strike was given, and the request went on to all servers.

The check of own links is a module of its own.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -4,7 +4,8 @@
 import { checkListening } from '../../adapters/upstream/listening';
 import { createUpstream } from '../../adapters/upstream/upstream';
 import type { HeaderDialect, EraTable, Feeds, ServerPaths, Servers } from '../../ports/gateway';
-import { later } from '../../core/ids';
+import { brandAs, later } from '../../core/ids';
+import type { InstanceId } from '../../core/ids';
 import { FIRST_ERA } from '../../core/store-era';
 import { pause } from '../../utils/pause';
 import { createThrottle } from './throttle';
@@ -199,6 +200,11 @@
     ...{ serverRegistry, groupRegistry, daemons },
     findState: (address, timeoutMs) => serverLinks.findState(address, timeoutMs),
   });
+  quarantine.peerLosses.subscribe((group) => {
+    // A server of a plain service is a group of its own.
+    const server = serverRegistry.servers.get(brandAs<InstanceId>(group));
+    if (server) serverLinks.noteEnded(server.address);
+  });
   const refusedRow = createRefusedRow(ctx, { table: options.table, leadership, quarantine });
   const plain = createPlainCalls({
     ...{ ctx, serverRegistry, upstream, dialect, retries, notices, throttle, evacuations },
--- a/src/app/gateway/quarantine/quarantine.ts
+++ b/src/app/gateway/quarantine/quarantine.ts
@@ -74,6 +74,8 @@
   digest(): number;
   /** Emits when peers should be informed at once. */
   readonly news: Observable<void>;
+  /** Groups, or servers of plain services, that peers found ended while these ran requests. */
+  readonly peerLosses: Observable<GroupId>;
   tick(): void;
 }
 
@@ -99,6 +101,7 @@
   const state = createQuarantine({ retentionMs: REFUSED_MS, domainFaultGroups: Infinity });
   const sharing = createStrikeSharing(() => clock.now());
   const news = new Subject<void>();
+  const peerLosses = new Subject<GroupId>();
   const refused = createRefusedList(ctx, deps.daemons);
   let lastAttempt = 0;
   let pruneAt = clock.now();
@@ -270,6 +273,7 @@
       return;
     }
     parts.noteStrike(strike);
+    peerLosses.next(strike.group);
     // The peer has confirmed that the group ended, so this daemon's own interrupted runs there count too.
     noteLost(strike.group, strike.domain, brandAs<MonoTime>(strike.at));
     onPeerStrike(state, strike, context());
@@ -325,7 +329,7 @@
       logger.info('refused requests received', fields);
     },
     digest: () => refused.digest(),
-    news,
+    ...{ news, peerLosses },
     tick: () => {
       const now = clock.now();
       checks.tick();
--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -9,7 +9,6 @@
 import type { ObservedState } from '../../adapters/upstream/forward-client';
 import type { ListeningState } from '../../adapters/upstream/listening';
 import type { UpstreamActivity } from '../../adapters/upstream/upstream';
-import { areLinksSound } from '../../core/gateway/server-evidence';
 import {
   forgetService,
   hasFailuresIn,
@@ -28,6 +27,7 @@
 import type { GatewayContext } from './context';
 import { createForwardPeers } from './forward-peers';
 import type { Forwarder, ForwardPeersDeps } from './forward-peers';
+import { createOwnLinks } from './own-links';
 import type { ServerAddresses } from './server-addresses';
 import { createSilenceWatch } from './silence-watch';
 
@@ -54,6 +54,8 @@
   noteForwarderFailed(peer: DaemonId): void;
   /** Whether a server listens, as far as this daemon and its peers can tell. */
   findState(address: string, timeoutMs: number): Promise<ObservedState>;
+  /** Notes that a server has ended, as a peer found with others. */
+  noteEnded(address: string): void;
   /** The state of a server for a peer that asks; `unknown` if this daemon may be cut off itself. */
   answerPeer(address: string): Promise<ObservedState>;
   /** Whether any server sent something recently: this daemon's links are not down altogether. */
@@ -83,6 +85,10 @@
   const { clock, logger, metrics } = ctx;
   const forwardPeers = createForwardPeers(ctx, peerDeps);
   const silence = createSilenceWatch(clock, activity);
+  const ownLinks = createOwnLinks(clock, {
+    ...{ servers, checkListening },
+    hasReceivedRecently: () => silence.hasReceivedRecently(),
+  });
   const blockedServers = new Subject<string>();
   const changes = new Subject<void>();
   const verifying = new Map<string, Promise<void>>();
@@ -90,9 +96,6 @@
   const connectedAt = new Map<string, MonoTime>();
   /** Servers that peers found gone, by address. */
   const goneUntil = new Map<string, MonoTime>();
-  /** Checks of this daemon's own links that are under way, and those that follow them, by service. */
-  const ownChecks = new Map<ServiceId, Promise<boolean>>();
-  const nextChecks = new Map<ServiceId, Promise<boolean>>();
   let links = HEALTHY_LINKS;
   const nextSampleAt = new Map<ServiceId, MonoTime>();
 
@@ -130,6 +133,7 @@
   };
 
   const setReached = (address: string): void => {
+    ownLinks.noteReached(address);
     if (verifying.has(address)) connectedAt.set(address, clock.now());
     if (!hasFailures()) return;
     const server = serverAt(address);
@@ -179,6 +183,7 @@
     if ((connectedAt.get(address) ?? -Infinity) > startedAt) return;
     if (state === 'listening') await noteReachedByPeer(server, answeredInMs);
     if (state === 'listening' || state === 'unknown') return;
+    if (state === 'refused') ownLinks.noteEnded(address);
     goneUntil.set(address, later(clock.now(), GONE_MS));
     update(noteLost(links, address));
   };
@@ -237,46 +242,12 @@
     }
   };
 
-  /**
-   * Whether this daemon reaches other servers, so that it can tell whether this one has ended. The check begins
-   * after the question, as links may fail at any moment; questions that come during one share the next.
-   */
-  const isLinkSound = (server: LinkedServer): Promise<boolean> => {
-    const { service } = server;
-    if (hasFailuresIn(links, service)) return Promise.resolve(false);
-    const running = ownChecks.get(service);
-    if (!running) return startOwnCheck(server);
-    const known = nextChecks.get(service);
-    if (known) return known;
-    const next = running.then(() => {
-      nextChecks.delete(service);
-      return startOwnCheck(server);
-    });
-    nextChecks.set(service, next);
-    return next;
-  };
-
-  const startOwnCheck = ({ address, service }: LinkedServer): Promise<boolean> => {
-    const check = checkOwnLink(address, service).finally(() => {
-      if (ownChecks.get(service) === check) ownChecks.delete(service);
-    });
-    ownChecks.set(service, check);
-    return check;
-  };
-
-  const checkOwnLink = async (address: string, service: ServiceId): Promise<boolean> => {
-    const others = servers
-      .sample(CHECKED_SERVERS + 1, service)
-      .filter((other) => other.address !== address)
-      .slice(0, CHECKED_SERVERS);
-    if (others.length === 0) return silence.hasReceivedRecently();
-    const found = others.map((other) => checkListening(other.address, CHECK_TIMEOUT_MS));
-    return areLinksSound(await Promise.all(found));
-  };
+  const areOwnLinksSound = async (server: LinkedServer): Promise<boolean> =>
+    !hasFailuresIn(links, server.service) && (await ownLinks.areSound(server));
 
   /** What a failed connection says of the server: nothing if it may be for this daemon's own link. */
   const weigh = async (server: LinkedServer, found: ListeningState): Promise<ObservedState> =>
-    found === 'listening' || (await isLinkSound(server)) ? found : 'unknown';
+    found === 'listening' || (await areOwnLinksSound(server)) ? found : 'unknown';
 
   const answerPeer = async (address: string): Promise<ObservedState> => {
     const server = serverAt(address);
@@ -313,8 +284,12 @@
       if (found === 'listening' || !server) return found;
       const { state, answeredInMs } = await forwardPeers.ask(server, weigh(server, found));
       if (state === 'listening') await noteReachedByPeer(server, answeredInMs);
+      if (state === 'refused') ownLinks.noteEnded(address);
       return state;
     },
+    noteEnded: (address) => {
+      ownLinks.noteEnded(address);
+    },
     answerPeer,
     hasReceivedRecently: () => silence.hasReceivedRecently(),
     blocked: blockedServers,
@@ -322,6 +297,7 @@
     tick: () => {
       const now = clock.now();
       forwardPeers.tick();
+      ownLinks.tick();
       if (silence.tick()) checkAfterSilence();
       watchBlocked(now);
       pruneGone(now);
--- /dev/null
+++ b/tests/gateway/ended-series.test.ts
@@ -0,0 +1,108 @@
+import { describe, expect, it } from 'vitest';
+
+import { createRandom } from '../../src/adapters/runtime';
+import type { ListeningState } from '../../src/adapters/upstream/listening';
+import { createServerLinkWatch } from '../../src/app/gateway/server-links';
+import type { ServerLinkWatch } from '../../src/app/gateway/server-links';
+import { brandAs } from '../../src/core/ids';
+import type { DaemonId, EpochTime, ZoneId } from '../../src/core/ids';
+import { sample } from '../../src/utils/common';
+import { at, makeContext, SERVICE } from './support';
+
+const SERVERS = ['s0:1', 's1:1', 's2:1', 's3:1', 's4:1', 's5:1'];
+const DAEMONS = [0, 1, 2];
+const CHECK_MS = 500;
+const SEEDS = Array.from({ length: 20 }, (_, n) => n + 1);
+const ZONE = brandAs<ZoneId>('a');
+
+interface Fleet {
+  readonly daemons: readonly ServerLinkWatch[];
+  readonly ended: Set<string>;
+  /** Servers that a daemon does not reach although they listen. */
+  readonly cut: ReadonlyMap<number, Set<string>>;
+  advance(ms: number): void;
+}
+
+/** Daemons that ask each other about six servers of one service. */
+function startFleet(seed: number): Fleet {
+  let now = 1_000;
+  const clock = { now: () => at(now), epoch: () => brandAs<EpochTime>(now) };
+  const random = createRandom(seed);
+  const ended = new Set<string>();
+  const cut = new Map(DAEMONS.map((n) => [n, new Set<string>()]));
+  const daemons: ServerLinkWatch[] = [];
+  const idOf = (n: number): DaemonId => brandAs<DaemonId>(`d${n}`);
+  const stateOf = (n: number, address: string): ListeningState =>
+    ended.has(address) || cut.get(n)?.has(address) ? 'refused' : 'listening';
+  const peersOf = (n: number) =>
+    DAEMONS.filter((other) => other !== n).map((other) => ({
+      ...{ id: idOf(other), zone: ZONE, forwardAddress: `${other}` },
+      ...{ cutOff: new Set<never>(), isStopping: false },
+    }));
+  for (const n of DAEMONS) {
+    const ctx = makeContext({ clock, settings: { id: idOf(n), zone: ZONE }, seed: seed + n });
+    const watch = createServerLinkWatch(ctx, {
+      servers: {
+        serviceOf: () => SERVICE,
+        count: () => SERVERS.length,
+        sample: (count) =>
+          sample(SERVERS, count, () => random.next()).map((address) => ({
+            ...{ address, service: SERVICE },
+          })),
+      },
+      peers: () => peersOf(n),
+      activity: () => ({ inFlight: 0, receivedBytes: 0 }),
+      checkListening: (address) => Promise.resolve(stateOf(n, address)),
+      askPeer: (address, peer) =>
+        daemons[Number(peer)]?.answerPeer(address) ?? Promise.resolve('unknown'),
+    });
+    daemons.push(watch);
+  }
+  const advance = (ms: number): void => {
+    now += ms;
+    for (const daemon of daemons) daemon.tick();
+  };
+  return { daemons, ended, cut, advance };
+}
+
+/** The first daemon meets the end of the server and, as the end is confirmed, tells the others. */
+async function endServer({ daemons, ended }: Fleet, address: string): Promise<string> {
+  ended.add(address);
+  const [first, ...others] = daemons;
+  const found = (await first?.findState(address, CHECK_MS)) ?? 'unknown';
+  if (found === 'refused') for (const other of others) other.noteEnded(address);
+  return found;
+}
+
+describe('servers that end one after another', () => {
+  // Guards against taking the end of several servers for a failure of the own links, so that no end is confirmed.
+  it.each(SEEDS)('are each found ended (seed %i)', async (seed) => {
+    const fleet = startFleet(seed);
+    const found: string[] = [];
+    for (const address of SERVERS.slice(0, 5)) {
+      found.push(await endServer(fleet, address));
+      fleet.advance(100);
+    }
+    expect(found).toEqual(Array(5).fill('refused'));
+  });
+
+  // Guards against a link that fails to some servers after the end of others, and is taken for sound.
+  it.each(SEEDS)('do not hide a link that fails to most others (seed %i)', async (seed) => {
+    const fleet = startFleet(seed);
+    await endServer(fleet, 's0:1');
+    for (const cut of fleet.cut.values())
+      for (const address of SERVERS.slice(1, 5)) cut.add(address);
+    expect(await fleet.daemons[0]?.findState('s1:1', CHECK_MS)).toBe('unknown');
+  });
+
+  // Guards against a server that goes on being left out after it has started again.
+  it('count again once they are reached', async () => {
+    const fleet = startFleet(1);
+    for (const address of SERVERS.slice(0, 5)) await endServer(fleet, address);
+    fleet.ended.clear();
+    for (const daemon of fleet.daemons) for (const address of SERVERS) await daemon.verify(address);
+    for (const cut of fleet.cut.values())
+      for (const address of SERVERS.slice(0, 5)) cut.add(address);
+    expect(await fleet.daemons[0]?.findState('s0:1', CHECK_MS)).toBe('unknown');
+  });
+});
--- a/tests/gateway/support.ts
+++ b/tests/gateway/support.ts
@@ -232,6 +232,7 @@
   verify: () => Promise.resolve(),
   noteForwarderFailed: () => undefined,
   findState: () => Promise.resolve('listening'),
+  noteEnded: () => undefined,
   answerPeer: () => Promise.resolve('listening'),
   hasReceivedRecently: () => true,
   blocked: new Subject(),
