Check the own links by a random sample whatever servers have ended

Cause: the sample of other servers was enlarged by the number of servers known to have ended, of all services, and the first three were taken. A sample as large as the service is in the order of the registry, so after a few ends elsewhere each check asked the same three servers: two dark ones kept every end from being confirmed.

Change: three of those that are left are drawn at random.

Found by a review.

--- a/src/app/gateway/own-links.ts
+++ b/src/app/gateway/own-links.ts
@@ -9,7 +9,8 @@
 import type { LinkedServer } from '../../core/gateway/server-links';
 import { later } from '../../core/ids';
 import type { MonoTime, ServiceId } from '../../core/ids';
-import type { Clock } from '../../ports/runtime';
+import { sample } from '../../utils/common';
+import type { GatewayContext } from './context';
 import type { ServerAddresses } from './server-addresses';
 
 export interface OwnLinks {
@@ -38,7 +39,7 @@
 const ENDED_MS = 5_000;
 
 export function createOwnLinks(
-  clock: Clock,
+  { clock, random }: Pick<GatewayContext, 'clock' | 'random'>,
   { servers, checkListening, hasReceivedRecently }: OwnLinksDeps,
 ): OwnLinks {
   /** Checks that are under way, and those that follow them. */
@@ -55,10 +56,10 @@
   const check = async ({ address, service }: LinkedServer): Promise<boolean> => {
     const others = servers
       .sample(CHECKED_SERVERS + 1 + endedUntil.size, service)
-      .filter((other) => other.address !== address && !hasEnded(other.address))
-      .slice(0, CHECKED_SERVERS);
+      .filter((other) => other.address !== address && !hasEnded(other.address));
     if (others.length === 0) return hasReceivedRecently();
-    const found = others.map((other) => checkListening(other.address, CHECK_TIMEOUT_MS));
+    const checked = sample(others, CHECKED_SERVERS, () => random.next());
+    const found = checked.map((other) => checkListening(other.address, CHECK_TIMEOUT_MS));
     return areLinksSound(await Promise.all(found));
   };
 
--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -85,7 +85,7 @@
   const { clock, logger, metrics } = ctx;
   const forwardPeers = createForwardPeers(ctx, peerDeps);
   const silence = createSilenceWatch(clock, activity);
-  const ownLinks = createOwnLinks(clock, {
+  const ownLinks = createOwnLinks(ctx, {
     ...{ servers, checkListening },
     hasReceivedRecently: () => silence.hasReceivedRecently(),
   });
--- a/tests/gateway/ended-series.test.ts
+++ b/tests/gateway/ended-series.test.ts
@@ -105,4 +105,19 @@
       for (const address of SERVERS.slice(0, 5)) cut.add(address);
     expect(await fleet.daemons[0]?.findState('s0:1', CHECK_MS)).toBe('unknown');
   });
+
+  // Guards against a sample that is always the same, so that two dark servers keep each end from being confirmed.
+  it.each(SEEDS)('of another service leave the sample random (seed %i)', async (seed) => {
+    const fleet = startFleet(seed);
+    for (const daemon of fleet.daemons)
+      for (let n = 0; n < SERVERS.length; n++) daemon.noteEnded(`other${n}:1`);
+    for (const cut of fleet.cut.values())
+      for (const address of SERVERS.slice(0, 2)) cut.add(address);
+    const found: (string | undefined)[] = [];
+    for (let n = 0; n < 10 && !found.includes('refused'); n++) {
+      found.push(await endServer(fleet, 's5:1'));
+      fleet.advance(500);
+    }
+    expect(found).toContain('refused');
+  });
 });
