Count servers as alive again wherever this daemon finds that they listen

Cause: a server that was noted as ended counted again only with a request's connection to it, not when this daemon found that it listens for a check of its own or for a peer's question. With all servers of a service noted, no sample was left, and bytes from another service then stood for sound links: servers were found ended while the links to all of them had failed.

Change: both findings end the note, and links are not sound if all other servers of the service are noted as ended.

Found by a review.

--- a/src/app/gateway/own-links.ts
+++ b/src/app/gateway/own-links.ts
@@ -56,9 +56,10 @@
   const check = async ({ address, service }: LinkedServer): Promise<boolean> => {
     const others = servers
       .sample(CHECKED_SERVERS + 1 + endedUntil.size, service)
-      .filter((other) => other.address !== address && !hasEnded(other.address));
+      .filter((other) => other.address !== address);
     if (others.length === 0) return hasReceivedRecently();
-    const checked = sample(others, CHECKED_SERVERS, () => random.next());
+    const alive = others.filter((other) => !hasEnded(other.address));
+    const checked = sample(alive, CHECKED_SERVERS, () => random.next());
     const found = checked.map((other) => checkListening(other.address, CHECK_TIMEOUT_MS));
     return areLinksSound(await Promise.all(found));
   };
--- a/src/app/gateway/server-links.ts
+++ b/src/app/gateway/server-links.ts
@@ -252,7 +252,9 @@
   const answerPeer = async (address: string): Promise<ObservedState> => {
     const server = serverAt(address);
     if (!server || links.cutOff.has(server.service)) return 'unknown';
-    return weigh(server, await checkListening(address, CHECK_TIMEOUT_MS));
+    const found = await checkListening(address, CHECK_TIMEOUT_MS);
+    if (found === 'listening') setReached(address);
+    return weigh(server, found);
   };
 
   return {
@@ -280,6 +282,7 @@
     },
     findState: async (address, timeoutMs) => {
       const found = await checkListening(address, timeoutMs);
+      if (found === 'listening') setReached(address);
       const server = serverAt(address);
       if (found === 'listening' || !server) return found;
       const { state, answeredInMs } = await forwardPeers.ask(server, weigh(server, found));
--- a/tests/gateway/ended-series.test.ts
+++ b/tests/gateway/ended-series.test.ts
@@ -51,7 +51,8 @@
           })),
       },
       peers: () => peersOf(n),
-      activity: () => ({ inFlight: 0, receivedBytes: 0 }),
+      // Another service sends bytes all the time.
+      activity: () => ({ inFlight: 1, receivedBytes: now }),
       checkListening: (address) => Promise.resolve(stateOf(n, address)),
       askPeer: (address, peer) =>
         daemons[Number(peer)]?.answerPeer(address) ?? Promise.resolve('unknown'),
@@ -106,6 +107,27 @@
     expect(await fleet.daemons[0]?.findState('s0:1', CHECK_MS)).toBe('unknown');
   });
 
+  // Guards against links that fail to all servers and are taken for sound, since no server is left to be checked.
+  it('count again once this daemon, or a peer by its question, has found them listening', async () => {
+    const fleet = startFleet(1);
+    for (const address of SERVERS.slice(0, 5)) await endServer(fleet, address);
+    fleet.ended.clear();
+    for (const address of SERVERS) {
+      expect(await fleet.daemons[0]?.findState(address, CHECK_MS)).toBe('listening');
+      for (const daemon of fleet.daemons.slice(1))
+        expect(await daemon.answerPeer(address)).toBe('listening');
+    }
+    for (const cut of fleet.cut.values()) for (const address of SERVERS) cut.add(address);
+    expect(await fleet.daemons[0]?.findState('s5:1', CHECK_MS)).toBe('unknown');
+  });
+
+  it('leave none to tell a failed link by once all others have ended', async () => {
+    const fleet = startFleet(1);
+    for (const address of SERVERS.slice(0, 5)) await endServer(fleet, address);
+    for (const cut of fleet.cut.values()) cut.add('s5:1');
+    expect(await fleet.daemons[0]?.findState('s5:1', CHECK_MS)).toBe('unknown');
+  });
+
   // Guards against a sample that is always the same, so that two dark servers keep each end from being confirmed.
   it.each(SEEDS)('of another service leave the sample random (seed %i)', async (seed) => {
     const fleet = startFleet(seed);
