Leave servers that have ended out of own link checks for 20 s

Cause: a server known to have ended counted again after five seconds, while its entry may stay longer and nothing asks after it meanwhile, as nothing is sent to it. Ends some seconds apart hid the next one.

Change: the note holds as long as a lost server is excluded, and still ends as soon as the server is reached.

--- a/src/app/gateway/own-links.ts
+++ b/src/app/gateway/own-links.ts
@@ -35,8 +35,8 @@
 /** A server on a healthy link accepts a connection within milliseconds. */
 const CHECK_TIMEOUT_MS = 150;
 const CHECKED_SERVERS = 3;
-/** Time for which a server that has ended is not expected to listen, unless it is reached before. */
-const ENDED_MS = 5_000;
+/** A server that has ended is not expected to listen for this long, unless it is reached before. */
+const ENDED_MS = 20_000;
 
 export function createOwnLinks(
   { clock, random }: Pick<GatewayContext, 'clock' | 'random'>,
--- a/tests/gateway/ended-series.test.ts
+++ b/tests/gateway/ended-series.test.ts
@@ -87,6 +87,14 @@
     expect(found).toEqual(Array(5).fill('refused'));
   });
 
+  // Guards against ended servers that count again while their entries stay, and hide the end of the next.
+  it.each(SEEDS)('are found ended at once many seconds apart (seed %i)', async (seed) => {
+    const fleet = startFleet(seed);
+    for (const address of SERVERS.slice(0, 3)) await endServer(fleet, address);
+    fleet.advance(15_000);
+    expect(await endServer(fleet, 's3:1')).toBe('refused');
+  });
+
   // Guards against a link that fails to some servers after the end of others, and is taken for sound.
   it.each(SEEDS)('do not hide a link that fails to most others (seed %i)', async (seed) => {
     const fleet = startFleet(seed);
