Go on with checks of the own links after one that failed

Cause: a check that follows a running one was forgotten only once the running one had succeeded. After an error every later question that met a running check got that error.

Change: it starts, and is forgotten, either way.

Measured: the test of own-links red before, green after. Found by a review.

--- a/src/app/gateway/own-links.ts
+++ b/src/app/gateway/own-links.ts
@@ -26,7 +26,7 @@
 }
 
 export interface OwnLinksDeps {
-  readonly servers: Pick<ServerAddresses, 'count' | 'sample'>;
+  readonly servers: Pick<ServerAddresses, 'sample'>;
   readonly checkListening: (address: string, timeoutMs: number) => Promise<ListeningState>;
   /** Whether any server sent something recently. */
   readonly hasReceivedRecently: () => boolean;
@@ -80,10 +80,11 @@
       if (!current) return start(server);
       const known = following.get(service);
       if (known) return known;
-      const next = current.then(() => {
+      const startNext = (): Promise<boolean> => {
         following.delete(service);
         return start(server);
-      });
+      };
+      const next = current.then(startNext, startNext);
       following.set(service, next);
       return next;
     },
