Leave out servers and daemons whose port does not exist

Cause: an entry with a port above 65535 passed validation. Connecting to it throws at once, in a check that a timer starts, and nobody catches the error: the process ends with all its connections, and as all daemons read the same entry, all of them do.

Change: such entries fail validation like other malformed ones, and a check whether a server listens takes the address for unreachable.

Found by a review; not played with real processes.

--- a/src/adapters/upstream/listening.ts
+++ b/src/adapters/upstream/listening.ts
@@ -2,18 +2,19 @@
 
 import { connect } from 'node:net';
 
-import { parseAddress } from '../../utils/address';
+import { hasValidPort, parseAddress } from '../../utils/address';
 import { createTimeout } from '../../utils/timeout';
 
 /**
  * - `listening`: a connection was established.
  * - `refused`: the host has no process at the port.
- * - `unreachable`: no answer in time, or no route.
+ * - `unreachable`: no answer in time, no route, or no valid port.
  */
 export type ListeningState = 'listening' | 'refused' | 'unreachable';
 
 /** Opens a connection and closes it again; never rejects. */
 export function checkListening(address: string, timeoutMs: number): Promise<ListeningState> {
+  if (!hasValidPort(address)) return Promise.resolve('unreachable');
   const { host, port } = parseAddress(address);
   return new Promise((resolve) => {
     const socket = connect({ host, port });
--- a/src/utils/address.ts
+++ b/src/utils/address.ts
@@ -12,6 +12,14 @@
   return { host, port: Number(address.slice(colon + 1)) };
 }
 
+const LAST_PORT = 65_535;
+
+/** Whether something can listen at the port of a `host:port`. */
+export function hasValidPort(address: string): boolean {
+  const { port } = parseAddress(address);
+  return Number.isInteger(port) && port > 0 && port <= LAST_PORT;
+}
+
 /** The inverse of `parseAddress`. */
 export function formatAddress({ host, port }: HostPort): string {
   return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
--- a/tests/gateway/spoiled-bodies.test.ts
+++ b/tests/gateway/spoiled-bodies.test.ts
@@ -6,6 +6,7 @@
 
 import { TABLES } from '../../platform/names';
 import { decodeConfig } from '../../platform/config';
+import { decodeDaemon } from '../../platform/daemons';
 import { createServers, decodeServer } from '../../platform/servers';
 import { createStore } from '../../platform/store';
 import { createLogger } from '../../src/adapters/telemetry/logger';
@@ -88,6 +89,18 @@
     );
   });
 
+  // Guards against an error that nobody catches and that ends every daemon, as each of them connects to the address.
+  it.each(['127.0.0.1:70000', '127.0.0.1:0', '127.0.0.1:99999'])(
+    'are no servers or daemons at a port that does not exist: %s',
+    (address) => {
+      expect(decodeServer('s', { ...validRow, address })).toBeUndefined();
+      expect(decodeDaemon('d', { address, cores: 1 })).toBeUndefined();
+      const row = { address: '127.0.0.1:7000', cores: 1 };
+      expect(decodeDaemon('d', row)).toBeDefined();
+      expect(decodeDaemon('d', { ...row, forwardAddress: address })).toBeUndefined();
+    },
+  );
+
   it('are never decoded as a configuration unless they contain one', () => {
     fc.assert(
       fc.property(fc.jsonValue(), (value) => {
