Date a strike by when the run broke, not by when the loss was confirmed

Cause: the end of a server may be confirmed long after the run that met it, and that of several servers in one round. Strikes were dated then, so ends one after another looked simultaneous: runs that overlap count once, and three groups lost together are taken for a fault that they share. A request that had ended three servers was a suspect after 0.6 s, where it is held if each end is confirmed at once.

Change: a strike is dated by the broken connection, and never later than its confirmation.

Measured: quarantine, runs of 400 and 800 ms confirmed 0.2 s after the third, red before, green after; 99 tests of the quarantine green. Found by a review.

--- a/src/core/retry/loss-sequence.ts
+++ b/src/core/retry/loss-sequence.ts
@@ -6,10 +6,7 @@
   readonly ageMs: number;
 }
 
-/**
- * Runs that overlap by less than this count as one after the other: a strike is dated when the loss of its
- * group is confirmed, and a request is sent on before that.
- */
+/** Runs that overlap by less than this count as one after the other: daemons date each other's strikes roughly. */
 const OVERLAP_MS = 200;
 
 /**
--- a/src/core/retry/quarantine.ts
+++ b/src/core/retry/quarantine.ts
@@ -206,7 +206,9 @@
   const strikes = interrupted.map(
     ({ fingerprint, parts, group, domain, suspect, interruptedAt, startedAt }): Strike => {
       const ageMs = interruptedAt - startedAt;
-      const strike = { fingerprint, group, domain, suspect, ageMs, at: ctx.epoch, until };
+      // The loss may be confirmed long after the run ended, and that of several groups at one time.
+      const at = later(ctx.epoch, Math.min(0, interruptedAt - ctx.now));
+      const strike = { fingerprint, group, domain, suspect, ageMs, at, until };
       return { ...strike, ...(parts && { parts }) };
     },
   );
--- a/tests/gateway/quarantine-world.ts
+++ b/tests/gateway/quarantine-world.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'vitest';
 
-import type { ListeningState } from '../../src/adapters/upstream/listening';
+import type { ObservedState } from '../../src/adapters/upstream/forward-client';
 import type { Exchange } from '../../src/app/gateway/exchange';
 import { createGatewayQuarantine } from '../../src/app/gateway/quarantine/quarantine';
 import type { Quarantine } from '../../src/app/gateway/quarantine/quarantine';
@@ -45,7 +45,7 @@
   readonly crash: (exchange: Exchange, n: number) => Promise<void>;
 }
 
-export function createWorld(atFirst: ListeningState = 'refused') {
+export function createWorld(atFirst: ObservedState = 'refused') {
   let now = at(0);
   let found = atFirst;
   const daemons: Quarantine[] = [];
@@ -79,7 +79,7 @@
       },
     };
   };
-  const setFound = (state: ListeningState): void => {
+  const setFound = (state: ObservedState): void => {
     found = state;
   };
   return { advance, addDaemon, setFound, now: () => now };
--- a/tests/gateway/quarantine.test.ts
+++ b/tests/gateway/quarantine.test.ts
@@ -70,6 +70,31 @@
     expect(two.quarantine.standing(fatal)).toBe('clear');
   });
 
+  // Guards against a fatal request that goes on because the ends of its servers, confirmed late and together, look
+  // like a fault that they share.
+  it.each([400, 800])('holds it if three ends are confirmed late: runs of %i ms', async (runMs) => {
+    const { advance, addDaemon, setFound } = createWorld('unknown');
+    const { quarantine } = addDaemon();
+    const step = async (ms: number): Promise<void> => {
+      for (let passed = 0; passed < ms; passed += 50) {
+        advance(50);
+        for (let n = 0; n < 20; n++) await Promise.resolve();
+      }
+    };
+    for (const n of [1, 2, 3]) {
+      const run = quarantine.begin(fatal, targetOf(n));
+      await step(runMs);
+      run.broken();
+      await step(50);
+    }
+    await step(200);
+    setFound('refused');
+    await step(600);
+    expect(quarantine.standing(fatal)).toBe('held');
+    await step(1_200);
+    expect(quarantine.standing(fatal)).toBe('held');
+  });
+
   // Guards against blaming a request that many callers send, and that runs on several groups at any time.
   it('does not hold a request whose runs were lost beside each other', async () => {
     const { advance, addDaemon } = createWorld();
