Log the error that ends a daemon as a line

Cause: an error that nobody catches was a trace on standard error only.

Change: a line with the error's name, its frames and the time that the process ran, written at once. Not its message, which may hold a part of what a caller sent.

Not played with a whole daemon.

--- /dev/null
+++ b/src/adapters/telemetry/fatal-errors.ts
@@ -0,0 +1,52 @@
+/**
+ * Logs the error that is about to end the process. A trace on standard error alone is lost where only the log
+ * lines are collected, and then an ended process looks like one that was killed.
+ */
+
+import { writeSync } from 'node:fs';
+
+import type { Logger } from '../../ports/runtime';
+import { createLogger } from './logger';
+import type { LoggerOptions } from './logger';
+
+/** Writes at once, as nothing that waits is written any more. */
+function writeNow(line: string): void {
+  try {
+    writeSync(process.stdout.fd, `${line}\n`);
+  } catch {
+    // The reader does not keep up, or is gone. The process ends in any case.
+  }
+}
+
+/** Frames of the stack that a line holds. */
+const MAX_FRAMES = 12;
+
+/** Where the error was thrown, without its message: that may hold a part of what a caller sent. */
+function framesOf({ stack = '' }: Error): string {
+  const frames = stack.split('\n').filter((line) => /^\s+at /.test(line));
+  return frames
+    .slice(0, MAX_FRAMES)
+    .map((line) => line.trim())
+    .join(' ');
+}
+
+/** Logs fatal errors from now on; returns a function that ends that. */
+export function logFatalErrors(
+  fields: LoggerOptions['fields'] = {},
+  logger: Pick<Logger, 'error'> = createLogger({ fields, write: writeNow }),
+): () => void {
+  const log = (thrown: unknown, origin: NodeJS.UncaughtExceptionOrigin): void => {
+    const err = thrown instanceof Error ? thrown : new Error('not an error');
+    const { code } = err as NodeJS.ErrnoException;
+    logger.error('fatal error, the process ends', {
+      step: 'process',
+      ...{ origin, name: err.name, ...(code !== undefined && { code }) },
+      frames: framesOf(err),
+      upMs: Math.round(performance.now()),
+    });
+  };
+  process.on('uncaughtExceptionMonitor', log);
+  return () => {
+    process.off('uncaughtExceptionMonitor', log);
+  };
+}
--- a/src/cli/commands/serve.ts
+++ b/src/cli/commands/serve.ts
@@ -1,5 +1,6 @@
 /** `serve`: runs the daemon. */
 
+import { logFatalErrors } from '../../adapters/telemetry/fatal-errors';
 import { StepError } from '../../utils/errors';
 import { EXIT, refused } from '../command';
 import type { Command, CommandResult } from '../command';
@@ -38,6 +39,7 @@
   const settings = readSettings(flags, env);
   if (settings.isErr()) return settingsFailure(settings.error);
   const { id } = settings.value;
+  const stopLogging = logFatalErrors({ daemon: id });
   try {
     const daemon = await startDaemon(settings.value);
     const { addresses } = daemon;
@@ -48,5 +50,7 @@
     return { exit: EXIT.done };
   } catch (err: unknown) {
     return startFailure(err);
+  } finally {
+    stopLogging();
   }
 };
