Note how long requests may have waited before they were read

What callers saw: requests without an answer seconds after their route's time-out, while the daemon's own log says that each took less than one. The log counts from the moment at which headers are parsed; what a request waits in the kernel before is in no line and no metric, and 'event loop was delayed' stays small, as each turn is short.

The event loop accepts one connection a turn (libuv 1.46), so the wait is bounded by the last turn that accepted none. No decision changes.

--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -25,6 +25,8 @@
   readonly caller: Caller;
   readonly priority: number;
   readonly arrivedAt: MonoTime;
+  /** How long it may have waited before it was read, milliseconds. */
+  readonly unreadMs: number;
   /** The caller's own deadline. */
   readonly deadline: MonoTime;
   /** When an answer is due: at the route's time limit, or shortly before the caller's deadline. */
@@ -111,6 +113,7 @@
     route: exchange.route.name,
     ...(exchange.facts.model !== undefined && { model: exchange.facts.model }),
     ms,
+    unreadMs: Math.round(exchange.unreadMs),
     leftMs: Math.round(exchange.deadline - ctx.clock.now()),
     targetMs: exchange.route.targetMs,
     ...ending,
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import { withUrgency } from './model-demand';
 import { createHttpServer } from './http-server';
 import { createGossip } from './gossip';
+import { createIntake } from './intake';
 import { createLeadership } from './lease';
 import { createLoopDelay } from './loop-delay';
 import { createLeavingServers } from './leaving-servers';
@@ -232,12 +233,14 @@
     serverLinks,
     isStopping: () => isStopping,
   });
+  const loopDelay = createLoopDelay(ctx, TICK_MS);
   const httpServer = createHttpServer({
     ctx,
     config,
     dialect,
     plain,
     streams,
+    intake: createIntake(ctx, { blockedSince: () => loopDelay.blockedSince() }),
     onTraffic: () => {
       gossip.noteTraffic();
     },
@@ -270,7 +273,6 @@
   serverLinks.changes.subscribe(() => {
     for (const service of serverLinks.cutOff()) groupRegistry.clearSuspicions({ service });
   });
-  const loopDelay = createLoopDelay(ctx, TICK_MS);
   const ticker = setInterval(() => {
     loopDelay.tick();
     leadership.tick();
--- a/src/app/gateway/http-server.ts
+++ b/src/app/gateway/http-server.ts
@@ -18,6 +18,7 @@
 import type { GatewayContext } from './context';
 import { answerLocally, deadlinesOf } from './exchange';
 import type { Exchange, RetryAfter } from './exchange';
+import type { Intake } from './intake';
 import type { PlainCalls } from './plain-call';
 import type { StreamCalls } from './stream-call';
 
@@ -27,6 +28,7 @@
   readonly dialect: HeaderDialect;
   readonly plain: PlainCalls;
   readonly streams: StreamCalls;
+  readonly intake: Intake;
   /** Called for each request that is routed to a service. */
   readonly onTraffic: () => void;
 }
@@ -60,7 +62,7 @@
 const RETRY_AFTER_UNCONFIRMED: RetryAfter = { minMs: 300, spreadMs: 700 };
 
 export function createHttpServer(deps: HttpServerDeps): HttpServer {
-  const { ctx, config } = deps;
+  const { ctx, config, intake } = deps;
   let inFlight = 0;
   let isStopping = false;
 
@@ -75,7 +77,8 @@
     res.once('finish', () => {
       if (isStopping) req.socket.destroySoon();
     });
-    serve(deps, req, res).catch((err: unknown) => {
+    const unreadMs = ctx.clock.now() - intake.noteRequest(req.socket);
+    serve(deps, req, res, unreadMs).catch((err: unknown) => {
       ctx.logger.error('request failed with an unexpected error', {
         step: 'request',
         reason: String(err),
@@ -95,6 +98,9 @@
     handle,
   );
 
+  server.on('connection', (socket) => {
+    intake.noteConnection(socket);
+  });
   config.table.subscribe((table) => {
     if (!table) return;
     server.keepAliveTimeout = table.config.limits.idleTimeoutMs + IDLE_SLACK_MS;
@@ -128,6 +134,7 @@
   deps: HttpServerDeps,
   req: IncomingMessage,
   res: ServerResponse,
+  unreadMs: number,
 ): Promise<void> {
   const { ctx, config, dialect } = deps;
   const arrivedAt = ctx.clock.now();
@@ -149,7 +156,10 @@
     refuse(deps, facts, res, [413, `the body exceeds ${maxBodyBytes} bytes`]);
     return;
   }
-  const exchange = toExchange({ deps, req, res, body, facts, arrivedAt, gone: callerSignal });
+  const exchange = toExchange({
+    ...{ deps, req, res, body, facts, arrivedAt, unreadMs },
+    gone: callerSignal,
+  });
   if (!('route' in exchange)) {
     refuse(deps, facts, res, exchange);
     return;
@@ -173,6 +183,7 @@
   readonly body: Buffer;
   readonly facts: RequestFacts;
   readonly arrivedAt: MonoTime;
+  readonly unreadMs: number;
   readonly gone: AbortSignal;
 }
 
@@ -184,6 +195,7 @@
   body,
   facts,
   arrivedAt,
+  unreadMs,
   gone: callerSignal,
 }: ArrivedRequest): Exchange | Refusal {
   const table = deps.config.table.value;
@@ -205,6 +217,7 @@
     caller,
     priority: priorityOf(route, organisation),
     arrivedAt,
+    unreadMs,
     ...deadlinesOf(facts, route, arrivedAt),
     gone: callerSignal,
   };
