--- a/tests/gateway/gateway-fixture.ts
+++ b/tests/gateway/gateway-fixture.ts
@@ -20,7 +20,7 @@
 import { ENGINE, LARGE, SMALL } from './support';
 
 const HOST = '127.0.0.1';
-const KEY = 'key-of-the-depot';
+export const FIXTURE_KEY = 'key-of-the-depot';
 const PORTS_PER_DAEMON = 10;
 const SERVER_PORTS = 100;
 const LOOK_MS = 50;
@@ -53,6 +53,10 @@
   cutOff(n: number, cut: CutKind | LinkDelay | undefined): void;
   /** Sends a signal to the n-th daemon, for instance SIGSTOP. */
   signal(n: number, signal: NodeJS.Signals): void;
+  /** Address of the n-th daemon for callers. */
+  address(n: number): string;
+  /** Process id of the n-th daemon. */
+  pid(n: number): number;
   /** Metrics of the n-th daemon, as text. */
   metricsOf(n: number): Promise<string>;
   /**
@@ -80,6 +84,8 @@
   /** The store's address as the n-th daemon knows it, for instance that of a proxy. */
   readonly storeAddressOf?: (n: number, address: string) => string;
   readonly engine?: EngineSpec;
+  /** Routes of the configuration. */
+  readonly routes?: readonly object[];
   /** Further settings of the daemons. */
   readonly settings?: object;
   /** Requests per second that a cold server tolerates. */
@@ -104,6 +110,7 @@
   plainServers,
   domains = [11, 11],
   engine = ENGINE,
+  routes = DEFAULT_ROUTES,
   zoneOf,
   storeAddressOf = (_, address) => address,
   settings,
@@ -140,10 +147,10 @@
     return launchDaemon(daemon, stdout, { isCuttable });
   };
   const processes = Array.from({ length: daemons }, (_, n) => launch(n));
-  const organisations = [{ name: 'depot', apiKeys: [KEY] }];
+  const organisations = [{ name: 'depot', apiKeys: [FIXTURE_KEY] }];
   platform.configure(
     describeConfig({
-      ...{ version: 1, routes: DEFAULT_ROUTES, engine, organisations },
+      ...{ version: 1, routes, engine, organisations },
       ...(coldPerS !== undefined && { coldPerS }),
     }),
   );
@@ -159,7 +166,7 @@
     const requestId = `request-${n}`;
     const sentAt = performance.now();
     const headers = parts === '' ? {} : { [HEADERS.promptParts]: parts };
-    const options = { requestId, key: KEY, model: modelOf(n), body, headers, waitMs };
+    const options = { requestId, key: FIXTURE_KEY, model: modelOf(n), body, headers, waitMs };
     const reply = await callDaemon(portOf(daemon, 0), path, options).catch(() => undefined);
     return { requestId, body, parts, daemon, sentAt, reply, answeredAt: performance.now() };
   };
@@ -184,6 +191,12 @@
     signal: (n, signal) => {
       processes[n]?.kill(signal);
     },
+    address: (n) => portOf(n, 0),
+    pid: (n) => {
+      const pid = processes[n]?.pid;
+      if (pid === undefined) throw new Error(`daemon ${n} does not run`);
+      return pid;
+    },
     metricsOf: async (n) => (await fetch(`http://${portOf(n, 1)}/metrics`)).text(),
     sendRequests: async (path, perS, ms, bodyOf = () => 'events=3', partsOf = () => '') => {
       const startedAt = performance.now();
