Take in what waits before working on it, and no more than can be served

What callers saw: requests without an answer until seconds after their route's time-out, while all daemons were well.

Cause: the event loop accepts one connection a turn (libuv 1.46: 97 accepts in 98 busy turns), and each turn worked on whatever it had read. Connections waited in the kernel's queue of 1,024, which nothing bounds by time, and all were served in order of arrival, each too late.

Change: requests are worked on once a turn accepts no connection, or after 10 ms, in batches of 8. A daemon that has been behind for 300 ms and four batches closes new connections unread, which costs 70 to 170 microseconds of processor time here instead of 330 to 600 for an answer, and lets callers try another daemon at once, with unsafe requests too. Meanwhile it serves the newest request first and refuses those that waited for half a second.

--- a/src/app/gateway/http-server.ts
+++ b/src/app/gateway/http-server.ts
@@ -61,8 +61,14 @@
  */
 const RETRY_AFTER_UNCONFIRMED: RetryAfter = { minMs: 300, spreadMs: 700 };
 
+/** Callers retry at another daemon; the time lets a short peak pass where all have one. */
+const RETRY_AFTER_OVERLOAD: RetryAfter = { minMs: 200, spreadMs: 600 };
+const OVERLOADED: Refusal = [503, 'the daemon is overloaded', RETRY_AFTER_OVERLOAD];
+/** Node closes further connections as soon as they are accepted; 0 would mean no limit. */
+const MAX_CONNECTIONS_SATURATED = 1;
+
 export function createHttpServer(deps: HttpServerDeps): HttpServer {
-  const { ctx, config, intake } = deps;
+  const { ctx, config, intake, dialect } = deps;
   let inFlight = 0;
   let isStopping = false;
 
@@ -77,13 +83,22 @@
     res.once('finish', () => {
       if (isStopping) req.socket.destroySoon();
     });
-    const unreadMs = ctx.clock.now() - intake.noteRequest(req.socket);
-    serve(deps, req, res, unreadMs).catch((err: unknown) => {
-      ctx.logger.error('request failed with an unexpected error', {
-        step: 'request',
-        reason: String(err),
-      });
-      res.destroy();
+    const readAt = ctx.clock.now();
+    intake.take(req.socket, {
+      refuse: () => {
+        res.shouldKeepAlive = false;
+        refuse(deps, dialect.parseRequest(req.headers), res, OVERLOADED);
+      },
+      serve: (arrivedAt) => {
+        if (res.destroyed) return;
+        serve(deps, req, res, readAt - arrivedAt).catch((err: unknown) => {
+          ctx.logger.error('request failed with an unexpected error', {
+            step: 'request',
+            reason: String(err),
+          });
+          res.destroy();
+        });
+      },
     });
   };
 
@@ -101,6 +116,12 @@
   server.on('connection', (socket) => {
     intake.noteConnection(socket);
   });
+  server.on('drop', () => {
+    intake.noteDropped();
+  });
+  intake.saturated.subscribe((isSaturated) => {
+    server.maxConnections = isSaturated ? MAX_CONNECTIONS_SATURATED : Infinity;
+  });
   config.table.subscribe((table) => {
     if (!table) return;
     server.keepAliveTimeout = table.config.limits.idleTimeoutMs + IDLE_SLACK_MS;
--- a/tests/gateway/intake.test.ts
+++ b/tests/gateway/intake.test.ts
@@ -15,12 +15,14 @@
 let lines: string[];
 let turnEnds: (() => void)[];
 let intake: Intake;
+let outcomes: string[];
 
 beforeEach(() => {
   now = at(1_000);
   blockedSince = undefined;
   lines = [];
   turnEnds = [];
+  outcomes = [];
   const ctx = {
     ...makeContext({ clock: { ...createClock(), now: () => now } }),
     logger: createLogger({ write: (line) => lines.push(line) }),
@@ -38,7 +40,14 @@
 }
 
 function waitedMs(socket: Socket): number {
-  return now - intake.noteRequest(socket);
+  let arrivedAt = now;
+  const serve = (earliest: MonoTime): void => {
+    arrivedAt = earliest;
+  };
+  intake.take(socket, { serve, refuse: () => undefined });
+  endTurn(0);
+  endTurn(0);
+  return now - arrivedAt;
 }
 
 // Guards against requests of which nobody knows how long they waited before they were read.
@@ -55,12 +64,12 @@
   });
 
   it('counts all turns in which connections were waiting', () => {
-    const sockets = Array.from({ length: 40 }, () => new Socket());
+    const sockets = Array.from({ length: 8 }, () => new Socket());
     for (const socket of sockets) {
       intake.noteConnection(socket);
       endTurn(25);
     }
-    expect(waitedMs(sockets[39] ?? new Socket())).toBe(1_000);
+    expect(waitedMs(sockets[7] ?? new Socket())).toBe(200);
   });
 
   it('counts from the last turn that found no connection waiting', () => {
@@ -90,15 +99,83 @@
   });
 
   it('is logged once for a series of turns', () => {
-    for (let n = 0; n < 10; n++) {
-      const socket = new Socket();
-      intake.noteConnection(socket);
-      endTurn(60);
-      waitedMs(socket);
-    }
-    endTurn(0);
-    endTurn(0);
+    arrive(10, 24);
+    endTurns(2);
     expect(lines.filter((line) => line.includes('requests were read late'))).toHaveLength(1);
-    expect(lines.join()).toContain('"longestMs":600');
+    expect(lines.join()).toContain('"longestMs":240');
+  });
+});
+
+/** Lets `times` connections arrive, one a turn of `ms`, each with a request. */
+function arrive(times: number, ms: number): void {
+  for (let n = 0; n < times; n++) {
+    const socket = new Socket();
+    intake.noteConnection(socket);
+    endTurn(ms);
+    intake.take(socket, {
+      serve: () => outcomes.push(`served ${n}`),
+      refuse: () => outcomes.push(`refused ${n}`),
+    });
+  }
+}
+
+function endTurns(times: number, ms = 0): void {
+  for (let n = 0; n < times; n++) endTurn(ms);
+}
+
+// Guards against callers who wait unread behind the work on others.
+describe('a daemon that takes requests in', () => {
+  it('accepts what waits before it works on any of it', () => {
+    arrive(5, 1);
+    expect(outcomes).toEqual([]);
+    endTurns(2);
+    expect(outcomes).toEqual(['served 0', 'served 1', 'served 2', 'served 3', 'served 4']);
+  });
+
+  it('works on requests after a while though more connections wait', () => {
+    arrive(30, 1);
+    expect(outcomes).not.toEqual([]);
+  });
+
+  it('works on a few at a time', () => {
+    const socket = new Socket();
+    for (let n = 0; n < 20; n++)
+      intake.take(socket, { serve: () => outcomes.push('served'), refuse: () => undefined });
+    endTurn(0);
+    expect(outcomes.length).toBeLessThan(10);
+    endTurns(3);
+    expect(outcomes).toHaveLength(20);
+  });
+});
+
+// Guards against a daemon that serves all its callers, each too late.
+describe('a daemon that gets more than it can serve', () => {
+  it('closes new connections unread until it has worked off what it has', () => {
+    const states: boolean[] = [];
+    intake.saturated.subscribe((isSaturated) => states.push(isSaturated));
+    arrive(20, 30);
+    expect(states).toEqual([false, true]);
+    endTurns(20);
+    expect(states).toEqual([false, true, false]);
+  });
+
+  it('serves the newest first, and refuses those that have waited for too long', () => {
+    const socket = new Socket();
+    for (let n = 0; n < 60; n++)
+      intake.take(socket, {
+        serve: () => outcomes.push(`served ${n}`),
+        refuse: () => outcomes.push(`refused ${n}`),
+      });
+    endTurns(5, 90);
+    expect(outcomes.at(-1)).toBe('served 52');
+    endTurns(2, 90);
+    expect(outcomes.at(-1)).toMatch(/^refused/);
+  });
+
+  it('serves what waited while the process did not run', () => {
+    blockedSince = at(200);
+    arrive(3, 1);
+    endTurns(2);
+    expect(outcomes).toEqual(['served 0', 'served 1', 'served 2']);
   });
 });
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,7 +4,6 @@
 const KNOWN_RED: readonly string[] = [
   'tests/fuzz/crashes-open.test.ts',
   'tests/gateway/paused-servers-loss.test.ts',
-  'tests/gateway/overloaded-daemon.test.ts',
 ];
 
 export default defineConfig({
