Count time-outs from when a request may have arrived

What callers saw: an answer later than the route's time-out by the time that the daemon did not read.

Cause: arrivedAt was the moment at which the headers were handled. All limits, waits and the order of waiting counted from there. Change: it is the earliest time at which the request may have arrived, which the intake knows.

Measured: a daemon that stands still for 900 ms as requests arrive, servers that do not answer, time-out 1 s: answers after 1,913 to 1,919 ms before (the new test is red for safe and unsafe calls and streams), all within 1,500 ms after.

--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -24,9 +24,9 @@
   readonly service: ServiceId;
   readonly caller: Caller;
   readonly priority: number;
+  /** The earliest time at which it may have arrived: what it waited before it was read counts. */
   readonly arrivedAt: MonoTime;
-  /** How long it may have waited before it was read, milliseconds. */
-  readonly unreadMs: number;
+  readonly readAt: MonoTime;
   /** The caller's own deadline. */
   readonly deadline: MonoTime;
   /** When an answer is due: at the route's time limit, or shortly before the caller's deadline. */
@@ -113,7 +113,7 @@
     route: exchange.route.name,
     ...(exchange.facts.model !== undefined && { model: exchange.facts.model }),
     ms,
-    unreadMs: Math.round(exchange.unreadMs),
+    unreadMs: Math.round(exchange.readAt - exchange.arrivedAt),
     leftMs: Math.round(exchange.deadline - ctx.clock.now()),
     targetMs: exchange.route.targetMs,
     ...ending,
--- a/src/app/gateway/http-server.ts
+++ b/src/app/gateway/http-server.ts
@@ -10,7 +10,6 @@
 import { identifyCaller, pickTarget, priorityOf } from '../../core/gateway/routes';
 import type { RouteTable } from '../../core/gateway/routes';
 import type { Route } from '../../core/gateway/types';
-import type { MonoTime } from '../../core/ids';
 import { parseAddress } from '../../utils/address';
 import { fail } from '../../utils/errors';
 import type { RequestFacts, HeaderDialect } from '../../ports/gateway';
@@ -91,7 +90,7 @@
       },
       serve: (arrivedAt) => {
         if (res.destroyed) return;
-        serve(deps, req, res, readAt - arrivedAt).catch((err: unknown) => {
+        serve(deps, req, res, { arrivedAt, readAt }).catch((err: unknown) => {
           ctx.logger.error('request failed with an unexpected error', {
             step: 'request',
             reason: String(err),
@@ -151,14 +150,16 @@
   };
 }
 
+/** When a request arrived at the earliest, and when it was read. */
+type ArrivalTimes = Pick<Exchange, 'arrivedAt' | 'readAt'>;
+
 async function serve(
   deps: HttpServerDeps,
   req: IncomingMessage,
   res: ServerResponse,
-  unreadMs: number,
+  { arrivedAt, readAt }: ArrivalTimes,
 ): Promise<void> {
-  const { ctx, config, dialect } = deps;
-  const arrivedAt = ctx.clock.now();
+  const { config, dialect } = deps;
   const callerSignal = watchCaller(res);
   const table = config.table.value;
   const facts = dialect.parseRequest(req.headers);
@@ -178,7 +179,7 @@
     return;
   }
   const exchange = toExchange({
-    ...{ deps, req, res, body, facts, arrivedAt, unreadMs },
+    ...{ deps, req, res, body, facts, arrivedAt, readAt },
     gone: callerSignal,
   });
   if (!('route' in exchange)) {
@@ -197,14 +198,12 @@
   stream: ({ streams }, exchange) => streams.call(exchange),
 };
 
-interface ArrivedRequest {
+interface ArrivedRequest extends ArrivalTimes {
   readonly deps: HttpServerDeps;
   readonly req: IncomingMessage;
   readonly res: ServerResponse;
   readonly body: Buffer;
   readonly facts: RequestFacts;
-  readonly arrivedAt: MonoTime;
-  readonly unreadMs: number;
   readonly gone: AbortSignal;
 }
 
@@ -216,7 +215,7 @@
   body,
   facts,
   arrivedAt,
-  unreadMs,
+  readAt,
   gone: callerSignal,
 }: ArrivedRequest): Exchange | Refusal {
   const table = deps.config.table.value;
@@ -238,7 +237,7 @@
     caller,
     priority: priorityOf(route, organisation),
     arrivedAt,
-    unreadMs,
+    readAt,
     ...deadlinesOf(facts, route, arrivedAt),
     gone: callerSignal,
   };
