Notice a pause of the process also before its timers have run

A process that goes on in the middle of a poll reads requests before it runs its timers, so the late tick that shows the pause came after them and their time-outs counted from the moment of reading. A tick that is overdue counts now as well.

--- a/src/app/gateway/loop-delay.ts
+++ b/src/app/gateway/loop-delay.ts
@@ -8,8 +8,8 @@
   /** Must be called at each tick. */
   tick(): void;
   /**
-   * When the last tick was due, if it was late and the event loop has not polled since: what arrived from then on
-   * could not be read before.
+   * When the last tick was due, if it was late and the event loop has not polled since, or the next one, if it is
+   * overdue: what arrived from then on could not be read before.
    */
   blockedSince(): MonoTime | undefined;
 }
@@ -33,7 +33,9 @@
   metrics.gauge('nutmegstack_loop_delay_max_ms', 0);
 
   return {
-    blockedSince: () => blockedSince,
+    // A process that goes on in the middle of a poll reads before it runs its timers.
+    blockedSince: () =>
+      blockedSince ?? (clock.now() - expectedAt >= BLOCKED_MS ? expectedAt : undefined),
     tick: () => {
       const now = clock.now();
       const delayMs = Math.max(0, now - expectedAt);
