Answer 408 when a body does not arrive within the time-out

What callers saw: no answer at all to a request whose body stops halfway. Cause: the rest of the body was waited for without a limit; the time-out was set only after it. Change: the route is known from the headers, and its time-out limits the wait. 408 promises that the request has not run. Reading bodies is a module of its own.

--- a/src/app/gateway/http-server.ts
+++ b/src/app/gateway/http-server.ts
@@ -10,6 +10,8 @@
 import { identifyCaller, pickTarget, priorityOf } from '../../core/gateway/routes';
 import type { RouteTable } from '../../core/gateway/routes';
 import type { Route } from '../../core/gateway/types';
+import { later } from '../../core/ids';
+import type { MonoTime } from '../../core/ids';
 import { parseAddress } from '../../utils/address';
 import { fail } from '../../utils/errors';
 import type { RequestFacts, HeaderDialect } from '../../ports/gateway';
@@ -19,6 +21,7 @@
 import type { Exchange, RetryAfter } from './exchange';
 import type { Intake } from './intake';
 import type { PlainCalls } from './plain-call';
+import { readBody } from './request-body';
 import type { StreamCalls } from './stream-call';
 
 export interface HttpServerDeps {
@@ -51,6 +54,8 @@
 const DEFAULT_IDLE_MS = 15_000;
 const DEFAULT_HEADER_BYTES = 64 * 1024;
 const HEADERS_TIMEOUT_MS = 30_000;
+/** Time for the body of a request that matches no route. */
+const BODY_TIMEOUT_MS = 30_000;
 
 type Refusal = readonly [status: number, message: string, retryAfter?: RetryAfter];
 
@@ -172,12 +177,18 @@
     refuse(deps, facts, res, [413, `the body exceeds ${maxBodyBytes} bytes`]);
     return;
   }
-  const body = await readBody(req, maxBodyBytes);
+  const until = bodyLimit(deps, table, req, { facts, arrivedAt });
+  const body = await readBody(req, { clock: deps.ctx.clock, maxBytes: maxBodyBytes, until });
   if (body === 'broken' || callerSignal.aborted) return;
   if (body === 'too-long') {
     refuse(deps, facts, res, [413, `the body exceeds ${maxBodyBytes} bytes`]);
     return;
   }
+  if (body === 'too-late') {
+    res.shouldKeepAlive = false;
+    refuse(deps, facts, res, [408, 'the body did not arrive within the time-out']);
+    return;
+  }
   const exchange = toExchange({
     ...{ deps, req, res, body, facts, arrivedAt, readAt },
     gone: callerSignal,
@@ -284,23 +295,14 @@
   return controller.signal;
 }
 
-function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer | 'too-long' | 'broken'> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    req.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maxBytes) resolve('too-long');
-      else chunks.push(chunk);
-    });
-    req.on('end', () => {
-      resolve(Buffer.concat(chunks));
-    });
-    req.on('error', () => {
-      resolve('broken');
-    });
-    req.on('close', () => {
-      resolve('broken');
-    });
-  });
+/** When the body must have arrived, if the request's route is known. */
+function bodyLimit(
+  { ctx }: HttpServerDeps,
+  table: RouteTable,
+  req: IncomingMessage,
+  { facts, arrivedAt }: Pick<Exchange, 'facts' | 'arrivedAt'>,
+): MonoTime {
+  const route = findRoute(table, req);
+  if (!route) return later(ctx.clock.now(), BODY_TIMEOUT_MS);
+  return deadlinesOf(facts, route, arrivedAt).answerBy;
 }
