--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -30,6 +30,8 @@
 const REQUEST_INTERVAL_MS = 25;
 /** Delay before the next request after any response but 200. */
 const FAILURE_RETRY_MS = 120;
+/** A request has its final answer this long after its deadline. */
+export const ANSWER_SLACK_MS = 500;
 
 export interface Callers {
   readonly calls: readonly Call[];
@@ -63,7 +65,7 @@
       waitMs: CALL_DEADLINE_MS,
     });
     // A connection closes when its daemon exits; callers do not wait past their deadline.
-    const timeout = pause(CALL_DEADLINE_MS + 500).then(() => undefined);
+    const timeout = pause(CALL_DEADLINE_MS + ANSWER_SLACK_MS).then(() => undefined);
     call.reply = await Promise.race([response.catch(() => undefined), timeout]);
     call.endedAt = performance.now();
   };
--- a/tests/soak/faults.ts
+++ b/tests/soak/faults.ts
@@ -100,11 +100,13 @@
   daemon.process.kill('SIGKILL');
 }
 
-export function pauseProcess(daemon: SoakDaemon): EndFault {
+export function pauseProcess(world: World, daemon: SoakDaemon): EndFault {
   const child = daemon.process;
+  const noteEnd = world.incidents.noteStill(daemon.id);
   child.kill('SIGSTOP');
   return () => {
     child.kill('SIGCONT');
+    noteEnd();
   };
 }
 
@@ -163,7 +165,7 @@
     world.daemons.forEach(kill);
     return NO_CLEANUP;
   },
-  'daemon-paused': ({ world, random }) => pauseProcess(pick(random, world.daemons)),
+  'daemon-paused': ({ world, random }) => pauseProcess(world, pick(random, world.daemons)),
   'daemon-stopped': ({ world, random }) => {
     const daemon = pick(random, world.daemons);
     daemon.meantEnd ??= 'stopped';
@@ -230,7 +232,7 @@
   'store-connection-muted': muteFault(storeLink),
   'peer-connections-muted': muteFault(allPeerLinks),
   'peer-links-silent': linkFault(allPeerLinks, silence),
-  'daemon-paused': ({ world, random }) => pauseProcess(pick(random, world.daemons)),
+  'daemon-paused': ({ world, random }) => pauseProcess(world, pick(random, world.daemons)),
 };
 
 /** Restores of the store from an older copy. Scheduled separately as well. */
--- a/tests/soak/incidents.ts
+++ b/tests/soak/incidents.ts
@@ -20,6 +20,10 @@
   noteDaemon(id: string): () => void;
   /** Notes a daemon whose process has just ended other than by itself. */
   noteExit(id: string): void;
+  /** Notes a daemon whose process stands still; the returned function notes when that is over. */
+  noteStill(id: string): () => void;
+  /** Whether the daemon stood still at some time in an interval. */
+  stoodStill(daemon: string, from: number, until: number): boolean;
   /** Whether an incident, or its deadline, explains that the call got a part of its answer only. */
   explain(call: Call, runs: readonly Run[]): boolean;
 }
@@ -33,6 +37,7 @@
 
 export function createIncidents(deadlineMs: number): Incidents {
   const incidents: Incident[] = [];
+  const pauses: { readonly daemon: string; readonly from: number; until: number }[] = [];
   const now = (): number => performance.now();
 
   const note = (found: Pick<Incident, 'servers' | 'daemon'>): (() => void) => {
@@ -46,6 +51,15 @@
   return {
     noteServers: (names) => note({ servers: new Set(names), daemon: undefined }),
     noteDaemon: (daemon) => note({ servers: new Set(), daemon }),
+    noteStill: (daemon) => {
+      const still = { daemon, from: now(), until: Infinity };
+      pauses.push(still);
+      return () => {
+        still.until = now();
+      };
+    },
+    stoodStill: (daemon, from, until) =>
+      pauses.some((one) => one.daemon === daemon && one.from <= until && one.until >= from),
     noteExit: (daemon) => {
       const at = now();
       incidents.push({ servers: new Set(), daemon, from: at - EXIT_NOTICED_MS, until: at });
--- a/tests/soak/judge.ts
+++ b/tests/soak/judge.ts
@@ -5,7 +5,9 @@
 import type { Run } from '../../stand-ins/users-platform/servers';
 import { eventIds } from '../support/gateway-daemon';
 import type { Reply } from '../support/gateway-daemon';
+import { ANSWER_SLACK_MS } from './callers';
 import type { Call } from './callers';
+import { CALL_DEADLINE_MS } from './world';
 import type { World } from './world';
 
 /** Statuses that guarantee that the request has not run and never will. */
@@ -79,6 +81,15 @@
   return faults;
 }
 
+/** A request has a final answer soon after its deadline, unless its daemon stood still then. */
+function checkHeld({ daemon, sentAt, endedAt, reply }: Call, { incidents }: World): string[] {
+  const from = sentAt + CALL_DEADLINE_MS;
+  const until = from + ANSWER_SLACK_MS;
+  if (reply !== undefined || endedAt < until || incidents.stoodStill(daemon, from, until))
+    return [];
+  return [`no answer ${ANSWER_SLACK_MS} ms after its deadline`];
+}
+
 /** Returns every violated guarantee, with the request's id where it concerns a request. */
 export function judge(world: World, calls: readonly Call[]): string[] {
   const { runs, fleet } = world.platform;
@@ -90,7 +101,7 @@
     byId.delete(call.requestId);
     const { reply } = call;
     const ofReply = reply ? REPLY_CHECKS.map((check) => check(call, reply, own, world)) : [];
-    for (const fault of [...checkRuns(call, own), ...ofReply]) {
+    for (const fault of [...checkRuns(call, own), ...checkHeld(call, world), ...ofReply]) {
       if (fault !== undefined) faults.push(`${call.requestId} at ${call.daemon}: ${fault}`);
     }
   }
--- a/tests/soak/pauses.ts
+++ b/tests/soak/pauses.ts
@@ -29,7 +29,7 @@
     group: pick(random, ['none', ...openGroups(world)]),
   })),
   'daemons-paused': ({ world }) => {
-    const ends = world.daemons.map(pauseProcess);
+    const ends = world.daemons.map((daemon) => pauseProcess(world, daemon));
     return () => {
       for (const end of ends) end();
     };
