Name time-out and configuration version when a request ends

An on-call engineer could not tell which version's time-out a request was held to. No decision changes.

--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -6,7 +6,7 @@
 import { organisationNameOf } from '../../core/gateway/routes';
 import type { Route } from '../../core/gateway/types';
 import { later } from '../../core/ids';
-import type { InstanceId, MonoTime, ServiceId } from '../../core/ids';
+import type { ConfigVersion, InstanceId, MonoTime, ServiceId } from '../../core/ids';
 import type { RequestFacts } from '../../ports/gateway';
 import { fail } from '../../utils/errors';
 import type { StepError } from '../../utils/errors';
@@ -21,6 +21,8 @@
   readonly body: Buffer;
   readonly facts: RequestFacts;
   readonly route: Route;
+  /** Version of the configuration that the route is from. */
+  readonly configVersion: ConfigVersion;
   readonly service: ServiceId;
   readonly caller: Caller;
   readonly priority: number;
@@ -111,6 +113,8 @@
     ...(exchange.facts.requestId !== undefined && { requestId: exchange.facts.requestId }),
     ...(organisation !== undefined && { organisation }),
     route: exchange.route.name,
+    configVersion: exchange.configVersion,
+    timeoutMs: exchange.route.timeoutMs,
     ...(exchange.facts.model !== undefined && { model: exchange.facts.model }),
     ms,
     unreadMs: Math.round(exchange.readAt - exchange.arrivedAt),
--- a/src/app/gateway/http-server.ts
+++ b/src/app/gateway/http-server.ts
@@ -244,6 +244,7 @@
     body,
     facts,
     route,
+    configVersion: table.config.version,
     service,
     caller,
     priority: priorityOf(route, organisation),
