Drop connections earlier, and judge overload by what the daemon can serve

- The daemon noticed too late that it was behind, and read requests that it refused later.
It drops after 250 ms and two batches now, and while 64 requests wait to be worked on.
A daemon that had dropped enough also kept dropping the first connection of the next series.

--- a/src/app/gateway/intake.ts
+++ b/src/app/gateway/intake.ts
@@ -111,7 +111,8 @@
   };
 
   const updateSaturation = ({ drainedAt }: ReadTurns): void => {
-    const backlog = { drainedAt, batches, oldestAt: queue[0]?.arrivedAt };
+    const [oldest] = queue;
+    const backlog = { drainedAt, batches, oldestAt: oldest?.arrivedAt, queued: queue.length };
     const next = isSaturated(backlog, saturated.value, clock.now());
     if (next !== saturated.value) saturated.next(next);
   };
@@ -125,7 +126,7 @@
     if (!mayWait && queue.length === 0) batches = 0;
     else if (!mayWait || now >= workAt) workOnBatch();
     updateSaturation(turns);
-    const isCalm = !mayWait && queue.length === 0;
+    const isCalm = !mayWait && queue.length === 0 && !saturated.value;
     if (now >= logAt || isCalm) log(now);
     if (isCalm) turns = undefined;
     else atEndOfTurn(onTurnEnd);
--- a/src/core/gateway/overload.ts
+++ b/src/core/gateway/overload.ts
@@ -17,13 +17,17 @@
   readonly batches: number;
   /** When the oldest request arrived that was read and not worked on; undefined if there is none. */
   readonly oldestAt: MonoTime | undefined;
+  /** Requests that were read and not worked on. */
+  readonly queued: number;
 }
 
 /** Callers give up a request that nobody has read after a second; most need the answer sooner. */
-const SATURATED_AFTER_MS = 300;
+const SATURATED_AFTER_MS = 250;
 /** Requests that have waited for longer are refused while the daemon is saturated, milliseconds. */
 const MAX_WAIT_MS = 500;
-const MIN_BATCHES = 4;
+const MIN_BATCHES = 2;
+/** More would be read and refused later, which costs more than to close their connections unread. */
+const MAX_QUEUED = 64;
 /** The daemon takes new connections again once the oldest request has waited for less than this, milliseconds. */
 const RELIEVED_MS = 100;
 
@@ -35,6 +39,7 @@
 export function isSaturated(backlog: Backlog, wasSaturated: boolean, now: MonoTime): boolean {
   const waited = waitedMs(backlog, now);
   if (wasSaturated) return waited >= RELIEVED_MS;
+  if (backlog.queued > MAX_QUEUED) return true;
   return waited >= SATURATED_AFTER_MS && backlog.batches >= MIN_BATCHES;
 }
 
