Describe the new metrics, and stop taking connections as long as many requests wait

A daemon that has 64 requests waiting also stays saturated until fewer wait; before, it could alternate from turn to turn.

--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -35,6 +35,9 @@
     'Requests sent to servers through peers, by outcome of the attempt',
   nutmegstack_blocked_servers: 'Servers that a peer reaches and this daemon does not',
   nutmegstack_cut_off_services: 'Services none of whose servers this daemon reaches itself',
+  nutmegstack_request_unread_ms: 'Longest time that a request may have waited before it was read',
+  nutmegstack_overload_total:
+    'Connections closed unread and requests refused because the daemon gets more than it can serve, by outcome',
   nutmegstack_call_ms: 'Time from arrival to the end of the answer, by kind of call',
   nutmegstack_limited_sends_total: 'Requests sent to servers that named how many they take',
   nutmegstack_cold_sends_total:
--- a/src/core/gateway/overload.ts
+++ b/src/core/gateway/overload.ts
@@ -37,9 +37,9 @@
 
 /** Whether the daemon takes no new connections, given whether it did not before. */
 export function isSaturated(backlog: Backlog, wasSaturated: boolean, now: MonoTime): boolean {
+  if (backlog.queued > MAX_QUEUED) return true;
   const waited = waitedMs(backlog, now);
   if (wasSaturated) return waited >= RELIEVED_MS;
-  if (backlog.queued > MAX_QUEUED) return true;
   return waited >= SATURATED_AFTER_MS && backlog.batches >= MIN_BATCHES;
 }
 
