--- a/src/app/gateway/intake.ts
+++ b/src/app/gateway/intake.ts
@@ -19,7 +19,7 @@
 export interface IntakeOptions {
   /** Calls back at the end of the current turn of the event loop. */
   readonly atEndOfTurn?: (done: () => void) => void;
-  /** Until when the process was blocked or did not run, if it has not polled since. */
+  /** Since when the process was blocked or did not run, if it has not polled since. */
   readonly blockedSince: () => MonoTime | undefined;
 }
 
--- a/src/core/gateway/overload.ts
+++ b/src/core/gateway/overload.ts
@@ -25,6 +25,7 @@
 const SATURATED_AFTER_MS = 250;
 /** Requests that have waited for longer are refused while the daemon is saturated, milliseconds. */
 const MAX_WAIT_MS = 500;
+/** A process that goes on after a pause may work off what has waited first. */
 const MIN_BATCHES = 2;
 /** More would be read and refused later, which costs more than to close their connections unread. */
 const MAX_QUEUED = 64;
