Do not count the start of a daemon as a pause of its process

The ticks begin after the daemon listens, but the first one was expected from an earlier moment. A request that came in between seemed to have waited since then: its time-out ended too early, and a daemon that all callers return to at once could close their connections as if it were behind. 'event loop was delayed' counted the start as well. Nothing is expected before the first tick now.

The new test of loop-delay is red before.

--- a/src/app/gateway/loop-delay.ts
+++ b/src/app/gateway/loop-delay.ts
@@ -26,7 +26,8 @@
   { clock, metrics, logger }: GatewayContext,
   tickMs: number,
 ): LoopDelay {
-  let expectedAt = later(clock.now(), tickMs);
+  /** Undefined before the first tick: a process that is starting is not behind. */
+  let expectedAt: MonoTime | undefined;
   let intervalEndsAt = later(clock.now(), INTERVAL_MS);
   let longestMs = 0;
   let blockedSince: MonoTime | undefined;
@@ -35,10 +36,11 @@
   return {
     // A process that goes on in the middle of a poll reads before it runs its timers.
     blockedSince: () =>
-      blockedSince ?? (clock.now() - expectedAt >= BLOCKED_MS ? expectedAt : undefined),
+      blockedSince ??
+      (expectedAt !== undefined && clock.now() - expectedAt >= BLOCKED_MS ? expectedAt : undefined),
     tick: () => {
       const now = clock.now();
-      const delayMs = Math.max(0, now - expectedAt);
+      const delayMs = Math.max(0, now - (expectedAt ?? now));
       if (delayMs >= BLOCKED_MS) {
         blockedSince = expectedAt;
         setImmediate(() => {
--- a/tests/gateway/loop-delay.test.ts
+++ b/tests/gateway/loop-delay.test.ts
@@ -35,3 +35,16 @@
   expect(await shown()).toBeCloseTo(0);
   expect(lines).toHaveLength(1);
 });
+
+// Guards against a start that counts as a pause, so that the first callers seem to have waited for all of it.
+it('counts no pause before the first tick', () => {
+  const clock = createClock();
+  let now = clock.now();
+  const loopDelay = createLoopDelay(makeContext({ clock: { ...clock, now: () => now } }), TICK_MS);
+  now = later(now, 900);
+  expect(loopDelay.blockedSince()).toBeUndefined();
+  loopDelay.tick();
+  expect(loopDelay.blockedSince()).toBeUndefined();
+  now = later(now, 900);
+  expect(loopDelay.blockedSince()).toBe(later(now, TICK_MS - 900));
+});
