Log how the end of each answer was known

An answer of a server without a length or chunks ends with its connection, and may have been cut there. The logs could not tell such answers from others, so a report of short answers with status 200 could not be traced.

"request ended" has `framing` (length, chunks, none, close), and nutmegstack_close_delimited_answers_total counts the last kind. No decision depends on it yet.

--- a/src/adapters/telemetry/descriptions.ts
+++ b/src/adapters/telemetry/descriptions.ts
@@ -40,6 +40,8 @@
     'Connections closed unread and requests refused because the daemon gets more than it can serve, by outcome',
   nutmegstack_unanswered_total:
     'Connections of callers closed before the answer was complete, by who closed them and stage of the request',
+  nutmegstack_close_delimited_answers_total:
+    'Answers of servers that ended with their connection, so that nothing shows whether they are whole, by kind of call',
   nutmegstack_unexpected_errors_total:
     'Errors that no part of the daemon expects, by part; each is logged',
   nutmegstack_malformed_requests_total:
--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -12,6 +12,8 @@
 import type { NetConnectOpts, Socket } from 'node:net';
 
 import { isFinalStatus } from '../../core/gateway/final-status';
+import { framingOf } from '../../core/gateway/response-framing';
+import type { Framing } from '../../core/gateway/response-framing';
 import { formatAddress, isAddress, parseAddress } from '../../utils/address';
 import type { ErrorCode } from '../../utils/errors';
 import { fail, StepError } from '../../utils/errors';
@@ -75,6 +77,7 @@
 export interface Answered {
   readonly kind: 'answered';
   readonly res: IncomingMessage;
+  readonly framing: Framing;
   /** Whether the connection served other calls before this one. */
   readonly reused: boolean;
   /**
@@ -287,6 +290,11 @@
     settle({
       kind: 'answered',
       res,
+      framing: framingOf({
+        ...{ method: call.method, status: statusCode },
+        contentLength: res.headers['content-length'],
+        transferEncoding: res.headers['transfer-encoding'],
+      }),
       reused: req.reusedSocket,
       hasFailed: () => failed || resetSockets.has(socket),
       destroy: () => req.destroy(),
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { Caller } from '../../core/gateway/routes';
+import type { Framing } from '../../core/gateway/response-framing';
 import { organisationNameOf } from '../../core/gateway/routes';
 import type { Route } from '../../core/gateway/types';
 import { later } from '../../core/ids';
@@ -91,6 +92,8 @@
 export interface StreamEnd extends StreamTimes, Partial<GroupTrace> {
   readonly server?: InstanceId;
   readonly lacked?: Lack;
+  /** How the end of the server's answer was known. */
+  readonly framing?: Framing;
 }
 
 /** What is logged about a request when it ends. */
@@ -106,6 +109,8 @@
   const ms = Math.round(ctx.clock.now() - exchange.arrivedAt);
   const { outcome } = ending;
   ctx.metrics.count('nutmegstack_calls_total', { route: exchange.route.name, outcome });
+  if (ending.framing === 'close')
+    ctx.metrics.count('nutmegstack_close_delimited_answers_total', { kind: exchange.route.kind });
   ctx.metrics.observe('nutmegstack_call_ms', ms, { kind: exchange.route.kind });
   const organisation = organisationNameOf(exchange.caller);
   const fields = {
--- a/src/app/gateway/plain-attempt.ts
+++ b/src/app/gateway/plain-attempt.ts
@@ -5,6 +5,7 @@
 import { discardBody, readBody } from '../../adapters/upstream/answer-input';
 import type { Answered, Upstream } from '../../adapters/upstream/upstream';
 import { mayPassOn } from '../../core/gateway/promises';
+import type { Framing } from '../../core/gateway/response-framing';
 import { organisationNameOf } from '../../core/gateway/routes';
 import type { BackendServer } from '../../core/gateway/types';
 import type { HeaderDialect, ResponseFacts } from '../../ports/gateway';
@@ -38,6 +39,7 @@
       readonly res: IncomingMessage;
       readonly body: Buffer;
       readonly facts: ResponseFacts;
+      readonly framing: Framing;
     }
   /** No connection to the server. */
   | { readonly kind: 'not-sent'; readonly reason: string }
@@ -156,5 +158,5 @@
   const body = await readBody(answered, maxBytes, limit);
   if (!body) return discard(`answer incomplete, or longer than ${maxBytes} bytes`);
   if (answered.hasFailed()) return discard('answer incomplete: connection broken');
-  return { kind: 'answered', res, body, facts };
+  return { kind: 'answered', res, body, facts, framing: answered.framing };
 }
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -198,7 +198,7 @@
 function forwardAnswer(
   { ctx, dialect }: PlainDeps,
   exchange: Exchange,
-  { res, body }: Extract<Attempt, { kind: 'answered' }>,
+  { res, body, framing }: Extract<Attempt, { kind: 'answered' }>,
   server: BackendServer,
   attempts: number,
 ): void {
@@ -206,5 +206,5 @@
   const headers = dialect.reply(res.rawHeaders);
   exchange.res.writeHead(status, [...headers, 'Content-Length', String(body.length)]);
   exchange.res.end(body);
-  logRequestEnd(ctx, exchange, { outcome: 'served', status, attempts, server: server.id });
+  logRequestEnd(ctx, exchange, { outcome: 'served', status, attempts, server: server.id, framing });
 }
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -180,6 +180,7 @@
       firstEventAt: undefined,
       answeringMs: undefined,
       trace: undefined,
+      framing: undefined,
       hasRetry: false,
       lacked: undefined,
       reason: 'no group of the model has free capacity',
--- a/src/app/gateway/stream-end.ts
+++ b/src/app/gateway/stream-end.ts
@@ -26,12 +26,13 @@
 /** Where the time of the stream was spent and what happened to its group, for its log line. */
 export function streamEndOf(
   { arrivedAt }: Exchange,
-  { waitedMs, firstEventAt, server, trace, lacked }: StreamState,
+  { waitedMs, firstEventAt, server, trace, lacked, framing }: StreamState,
 ): StreamEnd {
   return {
     ...(server !== undefined && { server }),
     ...trace,
     ...(lacked !== undefined && { lacked }),
+    ...(framing !== undefined && { framing }),
     waitedMs: Math.round(waitedMs),
     ...(firstEventAt !== undefined && { firstEventMs: Math.round(firstEventAt - arrivedAt) }),
   };
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -6,6 +6,7 @@
 import type { Answered } from '../../adapters/upstream/upstream';
 import { createEventReader } from '../../core/gateway/events';
 import { mayPassOn } from '../../core/gateway/promises';
+import type { Framing } from '../../core/gateway/response-framing';
 import { chunkFault, eventFault } from '../../core/gateway/stream-runs';
 import type { InstanceId, MonoTime } from '../../core/ids';
 import { createBodyAccount, MAX_FAILURE_BYTES, MAX_UNREAD_BYTES } from '../../core/input-limits';
@@ -49,6 +50,8 @@
   answeringMs: number | undefined;
   /** The group of the last attempt. */
   trace: GroupTrace | undefined;
+  /** How the end of the last answer was known. */
+  framing: Framing | undefined;
   /** Whether a retry was taken from the budget for it and not used. */
   hasRetry: boolean;
   /** Why it did not go on in another group. */
@@ -135,6 +138,7 @@
     return discard('answer has an unexpected Content-Encoding');
   if (status >= 300) return forwardError(relayedAnswer, facts);
   if (!facts.isSigned) return discard('answer is not signed');
+  relayedAnswer.state.framing = answered.framing;
   const reason = await forwardEvents(relayedAnswer);
   if (reason !== undefined) return discard(abortReason(run.stop.signal, reason));
   exchange.res.end();
--- a/tests/gateway/plain-call.test.ts
+++ b/tests/gateway/plain-call.test.ts
@@ -45,6 +45,7 @@
     if (this.isClosed) return;
     this.settle({
       ...{ kind: 'answered', res: this as unknown as IncomingMessage, reused: false },
+      framing: 'length',
       ...{ hasFailed: () => false, destroy: () => undefined },
     });
     await vi.advanceTimersByTimeAsync(0);
--- a/tests/gateway/stream-fixture.ts
+++ b/tests/gateway/stream-fixture.ts
@@ -21,6 +21,7 @@
 import type { StreamDeps } from '../../src/app/gateway/stream-call';
 import { createWaitQueue } from '../../src/app/gateway/wait-queue';
 import type { RouteTable } from '../../src/core/gateway/routes';
+import type { Framing } from '../../src/core/gateway/response-framing';
 import type { Route } from '../../src/core/gateway/types';
 import { brandAs, later } from '../../src/core/ids';
 import type { DomainId, GroupId, InstanceId } from '../../src/core/ids';
@@ -62,6 +63,8 @@
     super();
   }
 
+  framing: Framing = 'chunks';
+
   close(): void {
     this.isClosed = true;
     this.emit('close');
@@ -277,6 +280,9 @@
     });
     return Promise.resolve({
       ...{ kind: 'answered', res: run as unknown as IncomingMessage, reused: false },
+      get framing() {
+        return run.framing;
+      },
       hasFailed: () => false,
       destroy: () => {
         run.isClosed = true;
