Reset the connection of a stream that is broken off without chunks

A caller of HTTP/1.0 got a part of a stream that looked whole: its server had broken off, and the daemon closed the caller's connection.

Cause: HTTP/1.0 has no chunks, so the end of the connection is the end of the body. A partial response was ended by destroying it, which closes the connection as the end of a whole one does.

Change: responses that end with their connection are remembered, and breaking one off resets the connection. All ways in which the daemon ends a request without a whole answer go through this function.

--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -11,6 +11,7 @@
 import type { InstanceId, MonoTime } from '../../core/ids';
 import { createBodyAccount, MAX_FAILURE_BYTES, MAX_UNREAD_BYTES } from '../../core/input-limits';
 import type { ResponseFacts, HeaderDialect } from '../../ports/gateway';
+import { beginResponse } from './caller-response';
 import type { GroupRegistry } from './group-registry';
 import type { ServingGroup } from './group-index';
 import type { GatewayContext } from './context';
@@ -185,7 +186,7 @@
     const start = (): void => {
       if (state.hasStarted) return;
       const headers = dialect.reply(upstreamRes.rawHeaders);
-      res.writeHead(upstreamRes.statusCode ?? 200, headers);
+      beginResponse(res, { status: upstreamRes.statusCode ?? 200, headers });
       state.hasStarted = true;
     };
     /** Ends the reading: the parser may deliver more of the bytes that it has. */
--- a/src/app/gateway/unanswered.ts
+++ b/src/app/gateway/unanswered.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { MonoTime } from '../../core/ids';
+import { breakOff } from './caller-response';
 import type { GatewayContext } from './context';
 
 /** Why the daemon closed connections itself, by response. */
@@ -14,7 +15,7 @@
 /** Closes the connection of a request that gets no answer, or no more of it. */
 export function closeUnanswered(res: ServerResponse, reason: string): void {
   closeReasons.set(res, reason);
-  res.destroy();
+  breakOff(res);
 }
 
 /** How far a request had come. */
--- a/stand-ins/users-platform/statements.ts
+++ b/stand-ins/users-platform/statements.ts
@@ -1,12 +1,33 @@
 /** Response headers in which servers report about themselves, and a record of received requests. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 
 import { HEADERS } from '../../platform/names';
 import type { ServerName } from '../../src/core/ids';
 import { sendWithoutEnd } from './endless';
 import type { EndlessShape } from './endless';
 
+/** Bytes in place of an answer, after which the connection ends. */
+export interface RawAnswer {
+  readonly bytes: string;
+  readonly end: 'close' | 'reset';
+}
+
+const ENDS: Readonly<Record<RawAnswer['end'], (socket: Socket) => void>> = {
+  close: (socket) => socket.end(),
+  reset: (socket) => socket.resetAndDestroy(),
+};
+/** Time for the bytes to be read before a reset, which discards what is not, milliseconds. */
+const READ_MS = 20;
+
+function sendRaw(socket: Socket, { bytes, end }: RawAnswer): void {
+  socket.on('error', () => undefined);
+  socket.write(bytes, 'latin1', () => {
+    setTimeout(ENDS[end], READ_MS, socket);
+  });
+}
+
 /** A request that a server received, executed or not. */
 export interface Arrival {
   readonly server: ServerName;
@@ -22,6 +43,8 @@
   readonly shedding: Set<ServerName>;
   /** What requests with this path are answered with, by all servers. */
   readonly endless: Map<string, EndlessShape>;
+  /** What requests with this path are answered with, by all servers; the next of several each time. */
+  readonly raw: Map<string, RawAnswer[]>;
   readonly arrivals: readonly Arrival[];
   /** Records a request; answers it where the server sheds load, or sends without end. */
   receive(server: ServerName, req: IncomingMessage, res: ServerResponse): 'taken' | 'turned-away';
@@ -31,11 +54,13 @@
   const says = new Map<ServerName, Readonly<Record<string, string>>>();
   const shedding = new Set<ServerName>();
   const endless = new Map<string, EndlessShape>();
+  const raw = new Map<string, RawAnswer[]>();
   const arrivals: Arrival[] = [];
   return {
     responseHeaders: says,
     shedding,
     endless,
+    raw,
     arrivals,
     receive: (server, req, res) => {
       const requestId = String(req.headers[HEADERS.requestId] ?? '');
@@ -47,6 +72,11 @@
         sendWithoutEnd(req.socket, shape);
         return 'turned-away';
       }
+      const answer = raw.get(req.url ?? '')?.shift();
+      if (answer) {
+        sendRaw(req.socket, answer);
+        return 'turned-away';
+      }
       if (!shedding.has(server)) return 'taken';
       res.writeHead(503, { [HEADERS.notExecuted]: '1' }).end();
       return 'turned-away';
--- /dev/null
+++ b/tests/support/raw-caller.ts
@@ -0,0 +1,68 @@
+/** Sends a request over a connection of its own, and shows the response as it stands on the wire. */
+
+import { connect } from 'node:net';
+
+import { HEADERS } from '../../platform/names';
+import { parseAddress } from '../../src/utils/address';
+
+export interface RawReply {
+  readonly status: number;
+  /** By lower-case name. */
+  readonly headers: ReadonlyMap<string, string>;
+  /** The body, with the framing of its chunks. */
+  readonly body: string;
+  readonly end: 'closed' | 'reset';
+}
+
+export interface RawRequest {
+  readonly path: string;
+  readonly key: string;
+  readonly model: string;
+  readonly method?: string;
+  readonly version?: '1.0' | '1.1';
+  /** Sent behind the request on the same connection. */
+  readonly behind?: string;
+}
+
+export function rawRequest({
+  path,
+  key,
+  model,
+  method = 'POST',
+  version = '1.1',
+}: RawRequest): string {
+  const headers = [
+    `${method} ${path} HTTP/${version}`,
+    ...['Host: a.example', `Authorization: Bearer ${key}`, 'Content-Length: 0'],
+    ...[`${HEADERS.requestId}: raw`, `${HEADERS.waitMs}: 5000`],
+    ...[`${HEADERS.model}: ${model}`, `${HEADERS.tokenCounts}: 100,18`],
+  ];
+  return `${headers.join('\r\n')}\r\n\r\n`;
+}
+
+function parseReply(text: string, end: RawReply['end']): RawReply {
+  const at = text.indexOf('\r\n\r\n');
+  const [statusLine = '', ...lines] = text.slice(0, at).split('\r\n');
+  const headers = lines.map((line): [string, string] => {
+    const colon = line.indexOf(':');
+    return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
+  });
+  const status = Number(statusLine.split(' ')[1] ?? 0);
+  return { status, headers: new Map(headers), body: text.slice(at + 4), end };
+}
+
+/** Resolves when the daemon has closed the connection; keep-alive responses must be closed by `Connection: close`. */
+export function callRaw(address: string, req: RawRequest): Promise<RawReply> {
+  return new Promise((resolve) => {
+    const { host, port } = parseAddress(address);
+    const socket = connect({ host, port });
+    let text = '';
+    let end: RawReply['end'] = 'closed';
+    socket.on('data', (chunk: Buffer) => (text += chunk.toString('latin1')));
+    socket.on('error', () => (end = 'reset'));
+    socket.on('close', () => {
+      resolve(parseReply(text, end));
+    });
+    socket.write(rawRequest(req) + (req.behind ?? ''));
+  });
+}
