Pass on a plain answer that ends with its connection without a length

Callers got a 200 with an empty or short body and a Content-Length: a server had stopped within an answer without a length and closed its connection.

Cause: such an answer ends where its connection does (RFC 9112, 6.3), and a server that stops closes its connections as one that has finished does. The daemon buffers plain answers and set a length of its own, which makes an end that proves nothing a proof of wholeness.

What was ruled out: a head that is cut off. Eight forms of answers (length, chunks, trailers, interim head, 70 headers, HTTP/1.0), cut at each byte and ended by an end, a close or a reset, gave no complete response of Node's client, unless the server had sent it whole or without a length.

Change: the caller gets such an answer as the server sent it, without a length, and its connection closes with it. A reset still counts as lost. Where other requests of the caller's connection wait, the answer is a 502 (which promises nothing), as closing would cost their answers.

Evidence: the new tests (one daemon, 200 and 500, empty, cut and whole bodies, safe and unsafe) were red before: a Content-Length on each answer, and 200 in place of 502. All are green now.

--- a/src/app/gateway/caller-response.ts
+++ b/src/app/gateway/caller-response.ts
@@ -2,6 +2,8 @@
 
 import type { ServerResponse } from 'node:http';
 
+import type { Framing } from '../../core/gateway/response-framing';
+
 /** Responses that end with their connection. */
 const closeDelimited = new WeakSet<ServerResponse>();
 
@@ -9,15 +11,31 @@
   readonly status: number;
   /** Alternating names and values. */
   readonly headers: readonly string[];
+  /** How the end of the server's answer is known. Where nothing shows it, nothing is to show it to the caller. */
+  readonly framing: Framing;
 }
 
 /** Writes the head of a response whose body follows in parts. */
-export function beginResponse(res: ServerResponse, { status, headers }: ResponseHead): void {
+export function beginResponse(
+  res: ServerResponse,
+  { status, headers, framing }: ResponseHead,
+): void {
+  if (framing === 'close') {
+    res.useChunkedEncodingByDefault = false;
+    res.shouldKeepAlive = false;
+  }
   res.writeHead(status, [...headers]);
   // Callers of HTTP/1.0 read no chunks.
   if (!res.chunkedEncoding) closeDelimited.add(res);
 }
 
+/** Sends a response whose body was received completely, as far as its framing shows. */
+export function sendResponse(res: ServerResponse, head: ResponseHead, body: Buffer): void {
+  if (head.framing === 'close') beginResponse(res, head);
+  else res.writeHead(head.status, [...head.headers, 'Content-Length', String(body.length)]);
+  res.end(body);
+}
+
 /** Ends the connection of a response that is not whole. An ordinary close would be the end of some responses. */
 export function breakOff(res: ServerResponse): void {
   if (closeDelimited.has(res) && !res.writableFinished) res.socket?.resetAndDestroy();
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -38,6 +38,8 @@
   readonly slotBy: MonoTime;
   /** Aborted once the caller has disconnected. */
   readonly gone: AbortSignal;
+  /** Whether no other request of the caller's connection is to be answered. */
+  readonly isAloneOnConnection: () => boolean;
 }
 
 /**
--- a/src/app/gateway/http-server.ts
+++ b/src/app/gateway/http-server.ts
@@ -84,7 +84,9 @@
     }
     const readAt = ctx.clock.now();
     const facts = dialect.parseRequest(req.headers);
-    const isAnswering = (): boolean => connections.isAnswering(req.socket);
+    const { socket } = req;
+    const isAnswering = (): boolean => connections.isAnswering(socket);
+    const isAloneOnConnection = (): boolean => connections.hasOne(socket);
     watchUnanswered(ctx, { req, res, requestId: facts.requestId, readAt });
     intake.take(req.socket, {
       startWithinMs: startLimit(deps, req, facts),
@@ -98,7 +100,8 @@
       },
       serve: (arrivedAt) => {
         if (res.destroyed) return;
-        serve(deps, req, res, { arrivedAt, readAt, isAnswering }).catch((err: unknown) => {
+        const served = { arrivedAt, readAt, isAnswering, isAloneOnConnection };
+        serve(deps, req, res, served).catch((err: unknown) => {
           onUnexpected(res, err);
         });
       },
@@ -176,7 +179,7 @@
   };
 }
 
-interface ServedRequest extends ArrivalTimes {
+interface ServedRequest extends ArrivalTimes, Pick<Exchange, 'isAloneOnConnection'> {
   /** Whether a request that was read whole on its connection is not answered. */
   readonly isAnswering: () => boolean;
 }
@@ -185,7 +188,7 @@
   deps: HttpServerDeps,
   req: IncomingMessage,
   res: ServerResponse,
-  { arrivedAt, readAt, isAnswering }: ServedRequest,
+  { arrivedAt, readAt, isAnswering, isAloneOnConnection }: ServedRequest,
 ): Promise<void> {
   const { config, dialect } = deps;
   const gone = watchCaller(res);
@@ -218,6 +221,7 @@
   const exchange = toExchange({
     ...{ deps, req, res, body, facts, arrivedAt, readAt },
     gone: callerSignal,
+    isAloneOnConnection,
   });
   if (!('route' in exchange)) {
     refuse(deps, facts, res, exchange);
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -8,6 +8,7 @@
 import type { BackendServer } from '../../core/gateway/types';
 import { brandAs, later } from '../../core/ids';
 import type { DomainId, GroupId, InstanceId } from '../../core/ids';
+import { sendResponse } from './caller-response';
 import { endQuarantined, endUnanswered, logRequestEnd, logFailedAttempt } from './exchange';
 import type { Exchange, Execution } from './exchange';
 import { sendOnce } from './plain-attempt';
@@ -49,6 +50,9 @@
  */
 const FIRST_ATTEMPT_SHARE = 0.45;
 const FIRST_SERVER_ERROR = 500;
+/** Such an answer would end the connection, and the caller's other requests with it. */
+const UNPROVEN_END =
+  'the answer ends with its connection, and the caller waits for others on its own';
 
 export function createPlainCalls(deps: PlainDeps): PlainCalls {
   const { ctx, retries, quarantine } = deps;
@@ -203,8 +207,10 @@
   attempts: number,
 ): void {
   const status = res.statusCode ?? 0;
-  const headers = dialect.reply(res.rawHeaders);
-  exchange.res.writeHead(status, [...headers, 'Content-Length', String(body.length)]);
-  exchange.res.end(body);
+  if (framing === 'close' && !exchange.isAloneOnConnection()) {
+    endUnanswered(ctx, exchange, { exposure: 'unknown', reason: UNPROVEN_END, attempts });
+    return;
+  }
+  sendResponse(exchange.res, { status, headers: dialect.reply(res.rawHeaders), framing }, body);
   logRequestEnd(ctx, exchange, { outcome: 'served', status, attempts, server: server.id, framing });
 }
--- a/src/app/gateway/request-matching.ts
+++ b/src/app/gateway/request-matching.ts
@@ -47,6 +47,7 @@
   readonly body: Buffer;
   readonly facts: RequestFacts;
   readonly gone: AbortSignal;
+  readonly isAloneOnConnection: () => boolean;
 }
 
 /** Matches the request against the configuration in force once its body has been read. */
@@ -59,6 +60,7 @@
   arrivedAt,
   readAt,
   gone: callerSignal,
+  isAloneOnConnection,
 }: ArrivedRequest): Exchange | Refusal {
   const table = deps.config.table.value;
   if (!table) return [503, 'no configuration received yet'];
@@ -84,6 +86,7 @@
     readAt,
     ...deadlinesOf(facts, route, arrivedAt),
     gone: callerSignal,
+    isAloneOnConnection,
   };
 }
 
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -186,7 +186,7 @@
     const start = (): void => {
       if (state.hasStarted) return;
       const headers = dialect.reply(upstreamRes.rawHeaders);
-      beginResponse(res, { status: upstreamRes.statusCode ?? 200, headers });
+      beginResponse(res, { status: upstreamRes.statusCode ?? 200, headers, framing: 'chunks' });
       state.hasStarted = true;
     };
     /** Ends the reading: the parser may deliver more of the bytes that it has. */
--- a/tests/gateway/close-delimited-answers.test.ts
+++ b/tests/gateway/close-delimited-answers.test.ts
@@ -4,7 +4,7 @@
 import { describeRoute } from '../../stand-ins/users-platform/document';
 import { LLM_SERVICE, PLAIN_SERVICE } from '../../stand-ins/users-platform/start';
 import type { RawAnswer } from '../../stand-ins/users-platform/statements';
-import { callRaw } from '../support/raw-caller';
+import { callRaw, rawRequest } from '../support/raw-caller';
 import type { RawReply, RawRequest } from '../support/raw-caller';
 import { FIXTURE_KEY, startFixture } from './gateway-fixture';
 import type { GatewayFixture } from './gateway-fixture';
@@ -18,7 +18,8 @@
   describeRoute('once', 'streaming', LLM_SERVICE, STREAM),
   describeRoute('resumable', 'streaming', LLM_SERVICE, { ...STREAM, resumable: true }),
 ];
-const HEAD = `HTTP/1.1 200 OK\r\n${HEADERS.signature}: s\r\n`;
+const SIGNED = `${HEADERS.signature}: s\r\n`;
+const HEAD = `HTTP/1.1 200 OK\r\n${SIGNED}`;
 const EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
 
 let fixture: GatewayFixture;
@@ -43,6 +44,45 @@
   return callRaw(fixture.address(0), { path, key: FIXTURE_KEY, model: SMALL, ...req });
 }
 
+const framingHeaders = ({ headers }: RawReply): (string | undefined)[] =>
+  ['content-length', 'transfer-encoding', 'connection'].map((name) => headers.get(name));
+
+describe('an answer that ends with its connection', () => {
+  // Guards against a length of the daemon's own, which makes a cut answer look whole (MIXED).
+  it.each(['/safe/cut', '/unsafe/cut'])(
+    'is passed on without a proof of its end: %s',
+    async (path) => {
+      for (const status of ['200 OK', '500 Oops'])
+        for (const body of ['', 'cut', 'whole']) {
+          const bytes = `HTTP/1.1 ${status}\r\n${SIGNED}\r\n${body}`;
+          const reply = await callFor(path, { bytes, end: 'close' });
+          expect([reply.status, reply.body, reply.end]).toEqual([parseInt(status), body, 'closed']);
+          expect(framingHeaders(reply)).toEqual([undefined, undefined, 'close']);
+        }
+    },
+  );
+
+  it.each(['/safe/cut', '/unsafe/cut'])('is lost if its connection is reset: %s', async (path) => {
+    const answer: RawAnswer = { bytes: `${HEAD}\r\ncut`, end: 'reset' };
+    const reply = await callFor(path, answer, { isLast: true });
+    expect(reply.status).toBe(502);
+  });
+
+  // Guards against requests that are read, perhaps run, and not answered (LOST).
+  it('does not cost the answers to requests behind it on the same connection', async () => {
+    const behind = rawRequest({
+      path: '/unsafe/behind',
+      key: FIXTURE_KEY,
+      model: SMALL,
+      isLast: true,
+    });
+    const answer: RawAnswer = { bytes: `${HEAD}\r\ncut`, end: 'close' };
+    const reply = await callFor('/unsafe/cut', answer, { behind });
+    expect(reply.status).toBe(502);
+    expect(reply.body).toContain('HTTP/1.1 200 OK');
+  });
+});
+
 describe('a stream that is broken off', () => {
   // Guards against a partial answer that looks whole to callers who take the end of the connection for its end (ORDER).
   it.each(['1.0', '1.1'] as const)(
--- a/tests/support/raw-caller.ts
+++ b/tests/support/raw-caller.ts
@@ -20,6 +20,8 @@
   readonly model: string;
   readonly method?: string;
   readonly version?: '1.0' | '1.1';
+  /** Asks the daemon to close the connection with the response. */
+  readonly isLast?: boolean;
   /** Sent behind the request on the same connection. */
   readonly behind?: string;
 }
@@ -30,12 +32,14 @@
   model,
   method = 'POST',
   version = '1.1',
+  isLast = false,
 }: RawRequest): string {
   const headers = [
     `${method} ${path} HTTP/${version}`,
     ...['Host: a.example', `Authorization: Bearer ${key}`, 'Content-Length: 0'],
     ...[`${HEADERS.requestId}: raw`, `${HEADERS.waitMs}: 5000`],
     ...[`${HEADERS.model}: ${model}`, `${HEADERS.tokenCounts}: 100,18`],
+    ...(isLast ? ['Connection: close'] : []),
   ];
   return `${headers.join('\r\n')}\r\n\r\n`;
 }
@@ -51,7 +55,7 @@
   return { status, headers: new Map(headers), body: text.slice(at + 4), end };
 }
 
-/** Resolves when the daemon has closed the connection; keep-alive responses must be closed by `Connection: close`. */
+/** Resolves when the daemon has closed the connection. */
 export function callRaw(address: string, req: RawRequest): Promise<RawReply> {
   return new Promise((resolve) => {
     const { host, port } = parseAddress(address);
