Pass on a stream that ends with its connection without a last chunk

Callers got a 200 with an empty stream, or one that lacked its last events, and ended as complete: a server had stopped within an answer without a length or chunks and closed its connection.

The daemon ended its own chunks with the server's connection, which makes an end that proves nothing a proof of wholeness.

Change: the caller gets such a stream, and such a failure, as the server sent it: its connection ends with it, and is reset if the server's was. Where the caller's chunks have begun with events of another group, the end counts as lost: the stream is resumed after its last event, and a further answer with a length shows the end; without one it is broken off. Where other requests of the caller's connection wait, the stream is lost before its first event.

Evidence: seven new tests were red before (five of one daemon: last chunks, an ordinary close after a reset, 200 in place of 502; two in fake time: whole in place of open and torn).

--- a/src/app/gateway/caller-response.ts
+++ b/src/app/gateway/caller-response.ts
@@ -3,10 +3,25 @@
 import type { ServerResponse } from 'node:http';
 
 import type { Framing } from '../../core/gateway/response-framing';
+import type { Exchange } from './exchange';
 
 /** Responses that end with their connection. */
 const closeDelimited = new WeakSet<ServerResponse>();
 
+export const UNPROVEN_END = 'nothing shows whether the answer is whole';
+
+/** Whether the caller's connection may end with an answer of this framing, as no other of its requests waits for one. */
+export function mayEndWith(
+  { isAloneOnConnection }: Pick<Exchange, 'isAloneOnConnection'>,
+  framing: Framing,
+): boolean {
+  return framing !== 'close' || isAloneOnConnection();
+}
+
+export function endsWithConnection(res: ServerResponse): boolean {
+  return closeDelimited.has(res);
+}
+
 export interface ResponseHead {
   readonly status: number;
   /** Alternating names and values. */
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -8,7 +8,7 @@
 import type { BackendServer } from '../../core/gateway/types';
 import { brandAs, later } from '../../core/ids';
 import type { DomainId, GroupId, InstanceId } from '../../core/ids';
-import { sendResponse } from './caller-response';
+import { mayEndWith, sendResponse, UNPROVEN_END } from './caller-response';
 import { endQuarantined, endUnanswered, logRequestEnd, logFailedAttempt } from './exchange';
 import type { Exchange, Execution } from './exchange';
 import { sendOnce } from './plain-attempt';
@@ -50,9 +50,6 @@
  */
 const FIRST_ATTEMPT_SHARE = 0.45;
 const FIRST_SERVER_ERROR = 500;
-/** Such an answer would end the connection, and the caller's other requests with it. */
-const UNPROVEN_END =
-  'the answer ends with its connection, and the caller waits for others on its own';
 
 export function createPlainCalls(deps: PlainDeps): PlainCalls {
   const { ctx, retries, quarantine } = deps;
@@ -207,7 +204,7 @@
   attempts: number,
 ): void {
   const status = res.statusCode ?? 0;
-  if (framing === 'close' && !exchange.isAloneOnConnection()) {
+  if (!mayEndWith(exchange, framing)) {
     endUnanswered(ctx, exchange, { exposure: 'unknown', reason: UNPROVEN_END, attempts });
     return;
   }
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -11,7 +11,13 @@
 import type { InstanceId, MonoTime } from '../../core/ids';
 import { createBodyAccount, MAX_FAILURE_BYTES, MAX_UNREAD_BYTES } from '../../core/input-limits';
 import type { ResponseFacts, HeaderDialect } from '../../ports/gateway';
-import { beginResponse } from './caller-response';
+import {
+  beginResponse,
+  endsWithConnection,
+  mayEndWith,
+  sendResponse,
+  UNPROVEN_END,
+} from './caller-response';
 import type { GroupRegistry } from './group-registry';
 import type { ServingGroup } from './group-index';
 import type { GatewayContext } from './context';
@@ -151,7 +157,7 @@
   { deps, exchange, state, answered, run }: RelayedAnswer,
   facts: ResponseFacts,
 ): Promise<RelayEnd> {
-  const { res, destroy, hasFailed } = answered;
+  const { res, framing, destroy, hasFailed } = answered;
   const status = res.statusCode ?? 0;
   const reason = `server answered ${status}`;
   const isForwarded =
@@ -159,13 +165,15 @@
   const body = isForwarded
     ? await readBody(answered, MAX_FAILURE_BYTES, run.stop.signal)
     : undefined;
-  if (!body || hasFailed() || !run.goOnAlone()) {
+  if (!body || hasFailed() || !mayEndWith(exchange, framing) || !run.goOnAlone()) {
     destroy();
     return { result: 'lost', reason };
   }
-  const headers = deps.dialect.reply(res.rawHeaders);
-  exchange.res.writeHead(status, [...headers, 'Content-Length', String(body.length)]);
-  exchange.res.end(body);
+  sendResponse(
+    exchange.res,
+    { status, headers: deps.dialect.reply(res.rawHeaders), framing },
+    body,
+  );
   return { result: 'passed-on', reason };
 }
 
@@ -175,7 +183,7 @@
   const stop = run.stop.signal;
   const { ctx, groupRegistry, dialect } = deps;
   const head = group.head.id;
-  const { res: upstreamRes, hasFailed } = relayedAnswer.answered;
+  const { res: upstreamRes, framing, hasFailed } = relayedAnswer.answered;
   const { res } = exchange;
   const reader = createEventReader();
   const account = createBodyAccount(() => ctx.clock.now());
@@ -186,7 +194,7 @@
     const start = (): void => {
       if (state.hasStarted) return;
       const headers = dialect.reply(upstreamRes.rawHeaders);
-      beginResponse(res, { status: upstreamRes.statusCode ?? 200, headers, framing: 'chunks' });
+      beginResponse(res, { status: upstreamRes.statusCode ?? 200, headers, framing });
       state.hasStarted = true;
     };
     /** Ends the reading: the parser may deliver more of the bytes that it has. */
@@ -232,6 +240,10 @@
     };
     /** Events before a fault are sound: they are forwarded, as a new run goes on after the last of them. */
     const onChunk = (chunk: Buffer): void => {
+      if (!state.hasStarted && !mayEndWith(exchange, framing)) {
+        settle(UNPROVEN_END);
+        return;
+      }
       let fault = account.note(chunk.length);
       let hasProgress = false;
       let hasComment = false;
@@ -280,6 +292,12 @@
         settle('stream interrupted');
         return;
       }
+      // The caller would see the end of the chunks, or lose the answers to its other requests.
+      const isShown = state.hasStarted ? endsWithConnection(res) : mayEndWith(exchange, framing);
+      if (framing === 'close' && !isShown) {
+        settle(UNPROVEN_END);
+        return;
+      }
       if (!run.goOnAlone()) {
         settle('stopped');
         return;
--- a/tests/gateway/close-delimited-answers.test.ts
+++ b/tests/gateway/close-delimited-answers.test.ts
@@ -83,6 +83,33 @@
   });
 });
 
+describe('a stream that ends with its connection', () => {
+  const streams = ['/once/cut', '/resumable/cut'];
+
+  // Guards against a last chunk of the daemon's own, which makes a cut stream look whole (ORDER).
+  it.each(streams)('is passed on without a proof of its end: %s', async (path) => {
+    for (const body of ['', EVENTS.slice(0, 15), EVENTS]) {
+      const reply = await callFor(path, { bytes: `${HEAD}\r\n${body}`, end: 'close' });
+      expect([reply.status, reply.body, reply.end]).toEqual([200, body, 'closed']);
+      expect(framingHeaders(reply)).toEqual([undefined, undefined, 'close']);
+    }
+  });
+
+  it.each(streams)('is reset if its connection is reset: %s', async (path) => {
+    const body = EVENTS.slice(0, 15);
+    const reply = await callFor(path, { bytes: `${HEAD}\r\n${body}`, end: 'reset' });
+    expect([reply.status, reply.body, reply.end]).toEqual([200, body, 'reset']);
+  });
+
+  it('does not cost the answers to requests behind it on the same connection', async () => {
+    const behind = rawRequest({ path: '/unsafe/x', key: FIXTURE_KEY, model: SMALL, isLast: true });
+    const answer: RawAnswer = { bytes: `${HEAD}\r\n${EVENTS}`, end: 'close' };
+    const reply = await callFor('/once/cut', answer, { behind });
+    expect(reply.status).toBe(502);
+    expect(reply.body).toContain('HTTP/1.1 200 OK');
+  });
+});
+
 describe('a stream that is broken off', () => {
   // Guards against a partial answer that looks whole to callers who take the end of the connection for its end (ORDER).
   it.each(['1.0', '1.1'] as const)(
--- a/tests/gateway/stream-faulty-events.test.ts
+++ b/tests/gateway/stream-faulty-events.test.ts
@@ -57,3 +57,38 @@
     expect([caller.ids(), caller.state()]).toEqual([ALL, 'whole']);
   });
 });
+
+describe('an answer that ends with its connection, after events from another group', () => {
+  /** A stream whose second group ends its answer so, and the caller's view once `next` has been done. */
+  async function endUnproven(maxAttempts: number) {
+    const world = createStreamWorld({
+      ...{ groups: 3, route: { isResumable: true, maxAttempts } },
+      framings: ['chunks', 'close'],
+    });
+    const caller = await world.request();
+    const [first] = world.runs;
+    first?.send(0);
+    first?.close();
+    await world.pass(10);
+    const second = world.runs[1];
+    if (!second) throw new Error('nothing was resumed');
+    second.finishFrom(1);
+    await world.pass(10);
+    return { world, caller };
+  }
+
+  // Guards against the end of the caller's chunks for a stream that may be cut (ORDER).
+  it('is not the end of the stream, but one that has its length is', async () => {
+    const { world, caller } = await endUnproven(3);
+    expect([caller.ids(), caller.state()]).toEqual([ALL, 'open']);
+    expect(world.runs[2]?.lastEventId).toBe(String(LAST_EVENT));
+    world.runs[2]?.finishFrom(LAST_EVENT + 1);
+    await world.pass(10);
+    expect([caller.ids(), caller.state()]).toEqual([ALL, 'whole']);
+  });
+
+  it('breaks the stream off without a further attempt', async () => {
+    const { caller } = await endUnproven(2);
+    expect([caller.ids(), caller.state()]).toEqual([ALL, 'torn']);
+  });
+});
--- a/tests/gateway/stream-fixture.ts
+++ b/tests/gateway/stream-fixture.ts
@@ -63,8 +63,6 @@
     super();
   }
 
-  framing: Framing = 'chunks';
-
   close(): void {
     this.isClosed = true;
     this.emit('close');
@@ -132,6 +130,8 @@
   /** Retries that may be taken; or a budget of the test's own. */
   readonly retries?: number | ((ctx: GatewayContext) => Retries);
   readonly tunables?: Partial<GatewayTunables>;
+  /** Framing of the answers, in the order in which the stream is sent; chunks beyond these. */
+  readonly framings?: readonly Framing[];
 }
 
 export interface StreamWorld {
@@ -180,6 +180,7 @@
   const res = {
     statusCode: 200,
     headersSent: false,
+    chunkedEncoding: true,
     writableLength: 0,
     once: () => undefined,
     writeHead: (code: number) => {
@@ -218,6 +219,7 @@
   groups,
   route: routeOptions = {},
   retries: retryOptions = 9,
+  framings = [],
   tunables = {},
 }: StreamWorldOptions): StreamWorld {
   const lines: Record<string, unknown>[] = [];
@@ -280,9 +282,7 @@
     });
     return Promise.resolve({
       ...{ kind: 'answered', res: run as unknown as IncomingMessage, reused: false },
-      get framing() {
-        return run.framing;
-      },
+      framing: framings[runs.length - 1] ?? 'chunks',
       hasFailed: () => false,
       destroy: () => {
         run.isClosed = true;
