Tell a peer that nothing shows the end of a forwarded answer

Callers of a daemon that reaches a server through a peer would still get a cut answer as a whole one: the peer returned an answer without a length in chunks, and ended them with the server's connection.

Cause: the same as for direct answers, one daemon further on.

Ruled out: an answer of the peer that ends with its connection as well.

Change: the peer's response says in a header of the connection that the server's answer ended with its connection. The daemon that asked treats it as such an answer, and callers do not get the header. A server's own header of this name is dropped.

--- a/src/adapters/upstream/forward-client.ts
+++ b/src/adapters/upstream/forward-client.ts
@@ -4,7 +4,7 @@
 import { fail } from '../../utils/errors';
 import type { ErrorCode } from '../../utils/errors';
 import { readBody } from './answer-input';
-import { FORWARD_ERROR, forwardHeaders, NO_BODY } from './forward-protocol';
+import { FORWARD_ERROR, FORWARD_FRAMING, forwardHeaders, NO_BODY } from './forward-protocol';
 import type { ForwardedRequest } from './forward-protocol';
 import type { ListeningState } from './listening';
 import type { Answered, Upstream, UpstreamCall, UpstreamResult } from './upstream';
@@ -42,6 +42,12 @@
   return Object.entries(headers).flatMap(([name, value]) => [name, String(value)]);
 }
 
+/** The answer of the server, whose end the peer's chunks do not show. */
+function serverAnswer(answered: Answered): Answered {
+  const isCloseDelimited = answered.res.headers[FORWARD_FRAMING] === 'close';
+  return isCloseDelimited ? { ...answered, framing: 'close' } : answered;
+}
+
 /** Empty if the text is incomplete or too long: it then names no state. */
 async function readText(answered: Answered): Promise<string> {
   const body = await readBody(answered, MAX_TEXT_BYTES);
@@ -78,7 +84,7 @@
       return { result, hasPeerFailed: !isOwnDoing };
     }
     const error = PEER_ERRORS[result.res.headers[FORWARD_ERROR] as string];
-    if (!error) return { result, hasPeerFailed: false };
+    if (!error) return { result: serverAnswer(result), hasPeerFailed: false };
     return error(call.address, await readText(result));
   };
 
--- a/src/adapters/upstream/forward-protocol.ts
+++ b/src/adapters/upstream/forward-protocol.ts
@@ -19,6 +19,8 @@
  * `not-sent`: it got no connection to the server; `lost`: it got no complete answer.
  */
 export const FORWARD_ERROR = 'nutmegstack-forward-error';
+/** In the peer's responses: `close` if the server's answer ended with its connection. */
+export const FORWARD_FRAMING = 'nutmegstack-forward-framing';
 /** What the peer is asked to do: forward the request, or tell whether the server listens. */
 export type ForwardPurpose = 'forward' | 'check';
 
--- a/src/app/gateway/forwarding.ts
+++ b/src/app/gateway/forwarding.ts
@@ -9,6 +9,7 @@
 import type { ObservedState } from '../../adapters/upstream/forward-client';
 import {
   FORWARD_ERROR,
+  FORWARD_FRAMING,
   FORWARD_PROOF,
   FORWARD_TO,
   headProofState,
@@ -16,6 +17,7 @@
 } from '../../adapters/upstream/forward-protocol';
 import type { ForwardedRequest } from '../../adapters/upstream/forward-protocol';
 import type { Answered, Upstream } from '../../adapters/upstream/upstream';
+import type { Framing } from '../../core/gateway/response-framing';
 import { parseAddress } from '../../utils/address';
 import { later } from '../../core/ids';
 import { fail } from '../../utils/errors';
@@ -65,7 +67,11 @@
   FORWARD_TO,
   FORWARD_PROOF,
 ]);
-const NOT_RETURNED: ReadonlySet<string> = new Set([...CONNECTION_HEADERS, FORWARD_ERROR]);
+const NOT_RETURNED: ReadonlySet<string> = new Set([
+  ...CONNECTION_HEADERS,
+  FORWARD_ERROR,
+  FORWARD_FRAMING,
+]);
 
 function without(rawHeaders: readonly string[], dropped: ReadonlySet<string>): string[] {
   return rawHeaders.filter((_, i) => !dropped.has((rawHeaders[i - (i % 2)] ?? '').toLowerCase()));
@@ -90,10 +96,21 @@
   res.writeHead(502, { [FORWARD_ERROR]: kind, 'Content-Length': body.length }).end(body);
 }
 
+/**
+ * Tells the peer that nothing shows the end of the server's answer. Its own chunks show the end of this connection's
+ * part. The header concerns this connection alone, so that no caller gets it.
+ */
+function framingHeaders(res: ServerResponse, framing: Framing): readonly string[] {
+  if (framing !== 'close') return [];
+  const persistence = res.shouldKeepAlive ? 'keep-alive' : 'close';
+  return [FORWARD_FRAMING, framing, 'Connection', `${persistence}, ${FORWARD_FRAMING}`];
+}
+
 /** Returns the server's answer; one that breaks off breaks the peer's connection too. */
-function returnAnswer(res: ServerResponse, { res: answer, hasFailed }: Answered): void {
+function returnAnswer(res: ServerResponse, { res: answer, framing, hasFailed }: Answered): void {
+  const headers = without(answer.rawHeaders, NOT_RETURNED);
   res.sendDate = false;
-  res.writeHead(answer.statusCode ?? 502, without(answer.rawHeaders, NOT_RETURNED));
+  res.writeHead(answer.statusCode ?? 502, [...headers, ...framingHeaders(res, framing)]);
   res.flushHeaders();
   answer.pipe(res, { end: false });
   answer.once('end', () => {
