Treat an answer with an unreadable Transfer-Encoding as lost

Callers got a 200 with the bytes of chunks in the place of the server's body, with a length of the daemon's own.

Cause: Node's parser reads a body whose Transfer-Encoding is not "chunked" until the connection closes, as it is. A spoiled value, such as "chunke", or a coding that nobody asked for counted as an ordinary answer, for `serve` as one whose end is proved.

Change: the client of backend servers counts such an answer as lost, and one of HTTP/1.0 with a Transfer-Encoding, whose framing is faulty (RFC 9112, 6.1). Plain calls, streams, requests of peers and `serve` all get their answers from it. `serve` asks the client for the framing in place of a check of its own.

--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -281,20 +281,29 @@
   });
   req.once('response', (res) => {
     const { socket, statusCode } = res;
-    if (!isFinalStatus(statusCode)) {
+    const refuse = (reason: string): void => {
       req.destroy();
-      onFail(new Error(`answer with status ${String(statusCode)}`));
+      onFail(new Error(reason));
+    };
+    if (!isFinalStatus(statusCode)) {
+      refuse(`answer with status ${String(statusCode)}`);
+      return;
+    }
+    const framing = framingOf({
+      ...{ method: call.method, status: statusCode, version: res.httpVersion },
+      contentLength: res.headers['content-length'],
+      transferEncoding: res.headers['transfer-encoding'],
+    });
+    if (framing === undefined) {
+      const encoding = String(res.headers['transfer-encoding']);
+      refuse(`answer in HTTP/${res.httpVersion} with Transfer-Encoding ${encoding}`);
       return;
     }
     answered = true;
     settle({
       kind: 'answered',
       res,
-      framing: framingOf({
-        ...{ method: call.method, status: statusCode },
-        contentLength: res.headers['content-length'],
-        transferEncoding: res.headers['transfer-encoding'],
-      }),
+      framing,
       reused: req.reusedSocket,
       hasFailed: () => failed || resetSockets.has(socket),
       destroy: () => req.destroy(),
--- a/src/app/requests/service-call.ts
+++ b/src/app/requests/service-call.ts
@@ -23,8 +23,6 @@
 
 const MAX_REFUSAL_BYTES = 64 * 1024;
 const UNAVAILABLE = 503;
-/** Statuses whose responses have no body. */
-const BODILESS: ReadonlySet<number> = new Set([204, 304]);
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection',
   'content-length',
@@ -98,19 +96,8 @@
   return guard.beforeSend();
 }
 
-/**
- * Whether the answer's framing shows its end. An answer that ends only with the connection cannot be
- * distinguished from a truncated one.
- */
-function hasLength(answered: Answered, method: string): boolean {
-  const { headers, statusCode = 0 } = answered.res;
-  if (method === 'HEAD' || BODILESS.has(statusCode)) return true;
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
 async function readAnswer(
   ctx: RequestContext,
-  call: ServiceCall,
   peer: string,
   answered: Answered,
   signal: AbortSignal,
@@ -128,7 +115,8 @@
       fail('backend-refused', 'the backend server refused the call', origin),
     );
   }
-  if (!hasLength(answered, call.method)) {
+  // Such an answer cannot be distinguished from a truncated one.
+  if (answered.framing === 'close') {
     return attemptFailed(
       'bad-answer',
       fail('bad-answer', 'the answer has neither content-length nor transfer-encoding', origin),
@@ -161,7 +149,7 @@
   });
   const result =
     sent.kind === 'answered'
-      ? await readAnswer(ctx, call, peer, sent, signal)
+      ? await readAnswer(ctx, peer, sent, signal)
       : attemptFailed(sent.kind, sent.error);
   if (result.kind === 'failed' && sent.kind === 'answered') sent.destroy();
   abort.release();
--- a/src/core/gateway/response-framing.ts
+++ b/src/core/gateway/response-framing.ts
@@ -10,19 +10,24 @@
   /** Method of the request. */
   readonly method: string;
   readonly status: number;
+  /** Version of HTTP, such as `1.1`. */
+  readonly version: string;
   readonly contentLength: string | undefined;
   readonly transferEncoding: string | undefined;
 }
 
 const BODILESS: ReadonlySet<number> = new Set([204, 304]);
+const CHUNKED = 'chunked';
 
+/** Undefined if the body cannot be read: no other encoding was asked for, and HTTP/1.0 has none. */
 export function framingOf({
   method,
   status,
+  version,
   contentLength,
   transferEncoding,
-}: FramedResponse): Framing {
+}: FramedResponse): Framing | undefined {
   if (method === 'HEAD' || BODILESS.has(status)) return 'none';
-  if (transferEncoding?.toLowerCase() === 'chunked') return 'chunks';
-  return contentLength === undefined ? 'close' : 'length';
+  if (transferEncoding === undefined) return contentLength === undefined ? 'close' : 'length';
+  return transferEncoding.toLowerCase() === CHUNKED && version === '1.1' ? 'chunks' : undefined;
 }
--- a/tests/gateway/response-framing.test.ts
+++ b/tests/gateway/response-framing.test.ts
@@ -4,7 +4,13 @@
 import type { FramedResponse } from '../../src/core/gateway/response-framing';
 
 const response = (part: Partial<FramedResponse>): FramedResponse => ({
-  ...{ method: 'POST', status: 200, contentLength: undefined, transferEncoding: undefined },
+  ...{
+    method: 'POST',
+    status: 200,
+    version: '1.1',
+    contentLength: undefined,
+    transferEncoding: undefined,
+  },
   ...part,
 });
 
@@ -15,6 +21,12 @@
     ['chunks', { transferEncoding: 'Chunked' }],
     ['close', {}],
     ['close', { status: 500 }],
+    ['close', { version: '1.0' }],
+    ['length', { version: '1.0', contentLength: '5' }],
+    [undefined, { version: '1.0', transferEncoding: 'chunked' }],
+    [undefined, { transferEncoding: 'gzip, chunked' }],
+    [undefined, { transferEncoding: 'chunked, chunked' }],
+    [undefined, { transferEncoding: '' }],
     ['none', { method: 'HEAD', contentLength: '5' }],
     ['none', { status: 204 }],
     ['none', { status: 304, contentLength: '5' }],
--- a/tests/gateway/upstream-settles.test.ts
+++ b/tests/gateway/upstream-settles.test.ts
@@ -72,6 +72,31 @@
   });
 });
 
+describe('an answer whose framing cannot be read', () => {
+  // Guards against the bytes of an encoding in the place of the server's body (MIXED).
+  it.each([
+    '1.1 200 OK\r\nTransfer-Encoding: chunke',
+    '1.1 200 OK\r\nTransfer-Encoding: ',
+    '1.1 200 OK\r\nTransfer-Encoding: gzip',
+    '1.1 200 OK\r\nTransfer-Encoding: identity',
+    '1.1 200 OK\r\nTransfer-Encoding: gzip, chunked',
+    '1.1 200 OK\r\nTransfer-Encoding: chunked, gzip',
+    '1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked',
+    '1.0 200 OK\r\nTransfer-Encoding: chunked',
+    '1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked',
+    '1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3',
+    '1.1 200 OK\r\nContent-Length: 2, 2',
+    '1.1 200 OK\r\nContent-Length: +2',
+    '1.1 200 OK\r\nContent-Length:',
+  ])('counts as lost: %s', async (head) => {
+    const address = await serve(`HTTP/${head}\r\n\r\n2\r\nok\r\n0\r\n\r\n`, (socket) =>
+      socket.end(),
+    );
+    const result = await call(address);
+    expect(result).toMatchObject({ kind: 'lost', error: { code: 'backend-lost' } });
+  });
+});
+
 const UPGRADE = 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n';
 
 /** Guards against calls, and the requests and polls behind them, that wait for good. */
