Pass on an answer without a body without a length

Callers of HEAD, and those who got a 204 or 304, got "Content-Length: 0" of the daemon's own: it says that the server's answer to the same GET has an empty body, and a 204 has no length at all (RFC 9110, 8.6).

Cause: the daemon measures the body that it read, also where the answer has none.

Change: only a body that was framed as one is given its length.

--- a/src/app/gateway/caller-response.ts
+++ b/src/app/gateway/caller-response.ts
@@ -46,8 +46,10 @@
 
 /** Sends a response whose body was received completely, as far as its framing shows. */
 export function sendResponse(res: ServerResponse, head: ResponseHead, body: Buffer): void {
-  if (head.framing === 'close') beginResponse(res, head);
-  else res.writeHead(head.status, [...head.headers, 'Content-Length', String(body.length)]);
+  const isMeasured = head.framing === 'length' || head.framing === 'chunks';
+  if (isMeasured)
+    res.writeHead(head.status, [...head.headers, 'Content-Length', String(body.length)]);
+  else beginResponse(res, head);
   res.end(body);
 }
 
--- a/tests/gateway/close-delimited-answers.test.ts
+++ b/tests/gateway/close-delimited-answers.test.ts
@@ -83,6 +83,21 @@
   });
 });
 
+describe('an answer without a body', () => {
+  // Guards against a length of the daemon's own, which says that the server's answer has an empty body.
+  it.each([
+    ['HEAD', '200 OK\r\nContent-Length: 5'],
+    ['HEAD', '200 OK'],
+    ['POST', '204 No Content'],
+    ['POST', '304 Not Modified\r\nContent-Length: 5'],
+  ])('has no length of the daemon: %s, %s', async (method, head) => {
+    const bytes = `HTTP/1.1 ${head}\r\n${SIGNED}\r\n`;
+    const reply = await callFor('/unsafe/cut', { bytes, end: 'close' }, { method, isLast: true });
+    expect([reply.status, reply.body]).toEqual([parseInt(head), '']);
+    expect(framingHeaders(reply)).toEqual([undefined, undefined, 'close']);
+  });
+});
+
 describe('a stream that ends with its connection', () => {
   const streams = ['/once/cut', '/resumable/cut'];
 
