Treat an answer with a header that cannot be sent on as lost

A caller of a stream waited for the time-out (4,983 ms, status 504): its server's answer had a header named "X-A b" and no event. A plain call got a 502 for an unexpected error of the daemon.

Node's parser passes on header names with spaces and empty ones, while writeHead refuses them and throws, for a stream without events in a listener that nothing guards.

What was looked at: each byte in name, value, reason and status of a head, in Date and in Connection, through the parser, the translation of headers and writeHead. Only a space in a name and an empty name threw; all other bytes are refused by the parser or written.

Change: the client of backend servers decides by the whole head whether a response is an answer (status, names, framing), and counts one that is not as lost. Plain calls, streams and requests of peers get their answers from it.

--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -11,8 +11,6 @@
 import { connect } from 'node:net';
 import type { NetConnectOpts, Socket } from 'node:net';
 
-import { isFinalStatus } from '../../core/gateway/final-status';
-import { framingOf } from '../../core/gateway/response-framing';
 import type { Framing } from '../../core/gateway/response-framing';
 import { formatAddress, isAddress, parseAddress } from '../../utils/address';
 import type { ErrorCode } from '../../utils/errors';
@@ -20,6 +18,7 @@
 import { limitInput } from './answer-input';
 import { createConnectLimit } from './connect-limit';
 import { createConnectionWait } from './connecting';
+import { readHead } from './response-head';
 
 export interface UpstreamOptions {
   /** Maximum connect timeout, milliseconds; it adapts downwards to measured connect times. */
@@ -280,30 +279,18 @@
     req.end(call.body);
   });
   req.once('response', (res) => {
-    const { socket, statusCode } = res;
-    const refuse = (reason: string): void => {
+    const { socket } = res;
+    const head = readHead(call.method, res);
+    if (head.isErr()) {
       req.destroy();
-      onFail(new Error(reason));
-    };
-    if (!isFinalStatus(statusCode)) {
-      refuse(`answer with status ${String(statusCode)}`);
-      return;
-    }
-    const framing = framingOf({
-      ...{ method: call.method, status: statusCode, version: res.httpVersion },
-      contentLength: res.headers['content-length'],
-      transferEncoding: res.headers['transfer-encoding'],
-    });
-    if (framing === undefined) {
-      const encoding = String(res.headers['transfer-encoding']);
-      refuse(`answer in HTTP/${res.httpVersion} with Transfer-Encoding ${encoding}`);
+      onFail(head.error);
       return;
     }
     answered = true;
     settle({
       kind: 'answered',
       res,
-      framing,
+      framing: head.value,
       reused: req.reusedSocket,
       hasFailed: () => failed || resetSockets.has(socket),
       destroy: () => req.destroy(),
--- a/tests/gateway/close-delimited-answers.test.ts
+++ b/tests/gateway/raw-answers.test.ts
@@ -11,6 +11,8 @@
 import { SMALL } from './support';
 
 const FIRST_PORT = 31_400;
+/** A request whose answer is lost is answered long before its time-out. */
+const LOST_MS = 2_000;
 const STREAM = { maxGapMs: 250, maxAttempts: 1 };
 const ROUTES = [
   describeRoute('safe', 'safe', PLAIN_SERVICE, { maxAttempts: 1 }),
@@ -83,6 +85,18 @@
   });
 });
 
+describe('an answer with a header that cannot be sent on', () => {
+  // Guards against a request that waits for its time-out, as what Node throws reaches nobody.
+  it.each(['/unsafe/cut', '/once/cut'])('is lost at once: %s', async (path) => {
+    const bytes = `${HEAD}X-A b: c\r\nContent-Length: 0\r\n\r\n`;
+    const sentAt = performance.now();
+    const reply = await callFor(path, { bytes, end: 'close' }, { isLast: true });
+    expect(reply.status).toBe(502);
+    expect(performance.now() - sentAt).toBeLessThan(LOST_MS);
+    expect(reply.body).not.toContain('unexpected');
+  });
+});
+
 describe('an answer without a body', () => {
   // Guards against a length of the daemon's own, which says that the server's answer has an empty body.
   it.each([
--- a/tests/gateway/upstream-settles.test.ts
+++ b/tests/gateway/upstream-settles.test.ts
@@ -97,6 +97,21 @@
   });
 });
 
+describe('an answer with a header that cannot be sent on', () => {
+  // Guards against a name that Node reads and refuses to write: it throws where the head for the caller is written.
+  it.each(['X-A b: c', ' X-A: b', ': b', 'X-A : b'])('counts as lost: %j', async (line) => {
+    const address = await serve(`HTTP/1.1 200 OK\r\nX-First: a\r\n${line}\r\n${SIGNED}`);
+    expect((await call(address)).kind).toBe('lost');
+  });
+
+  it('is no matter for the values that servers send', async () => {
+    for (const value of ['', 'a b', 'caf\u00e9', '"x";q=1', 'a\tb']) {
+      const address = await serve(`HTTP/1.1 200 OK\r\nX-A: ${value}\r\n${SIGNED}`);
+      expect((await call(address)).kind).toBe('answered');
+    }
+  });
+});
+
 const UPGRADE = 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n';
 
 /** Guards against calls, and the requests and polls behind them, that wait for good. */
