Let an error at the end of a stream cost this answer only

A stream whose answer ended without events waited for its time-out where the head for its caller could not be written.

Cause: chunks of a stream are read within a guard, its end was not. What a listener throws reaches nobody but the process, so that the attempt never settled.

Change: chunks and the end share the guard. The attempt is lost, and the stream goes on in another group where it may.

Evidence: the new test was red before (the error reached the process); it and 85 others of streams are green.

--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -275,18 +275,22 @@
       if (fault !== undefined) settle(fault);
     };
     /** After an error no later event is forwarded, as it would follow ones that are missing. */
-    const forwardChunk = (chunk: Buffer): void => {
+    const guard = (read: () => void): void => {
       const { lastId } = state;
       try {
-        onChunk(chunk);
+        read();
       } catch (err) {
         noteUnexpected(ctx, 'relay', err);
         state.lastId = lastId;
         settle('unexpected error');
       }
     };
-    upstreamRes.on('data', forwardChunk);
-    upstreamRes.on('end', () => {
+    const forwardChunk = (chunk: Buffer): void => {
+      guard(() => {
+        onChunk(chunk);
+      });
+    };
+    const onEnd = (): void => {
       if (isSettled) return;
       if (!upstreamRes.complete || reader.hasPartialEvent() || hasFailed()) {
         settle('stream interrupted');
@@ -305,6 +309,10 @@
       start();
       write();
       settle(undefined);
+    };
+    upstreamRes.on('data', forwardChunk);
+    upstreamRes.on('end', () => {
+      guard(onEnd);
     });
     const onBroken = (): void => {
       settle('stream interrupted');
--- a/tests/gateway/stream-faulty-events.test.ts
+++ b/tests/gateway/stream-faulty-events.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 
 import { fakeTime } from './fake-time';
 import { createStreamWorld, LAST_EVENT } from './stream-fixture';
@@ -92,3 +92,22 @@
     expect([caller.ids(), caller.state()]).toEqual([ALL, 'torn']);
   });
 });
+
+describe('an error at the end of an answer without events', () => {
+  // Guards against a stream that waits for its time-out, as nothing catches what a listener throws.
+  it('costs this answer only', async () => {
+    const reply = vi
+      .fn(() => [] as string[])
+      .mockImplementationOnce(() => {
+        throw new Error('of no use to a caller');
+      });
+    const route = { isResumable: true, maxAttempts: 2 };
+    const world = createStreamWorld({ groups: 2, route, reply });
+    const caller = await world.request();
+    world.runs[0]?.finishFrom(LAST_EVENT + 1);
+    await world.pass(10);
+    world.runs[1]?.finishFrom(0);
+    await world.pass(10);
+    expect([caller.ids(), caller.state()]).toEqual([ALL, 'whole']);
+  });
+});
--- a/tests/gateway/stream-fixture.ts
+++ b/tests/gateway/stream-fixture.ts
@@ -132,6 +132,8 @@
   readonly tunables?: Partial<GatewayTunables>;
   /** Framing of the answers, in the order in which the stream is sent; chunks beyond these. */
   readonly framings?: readonly Framing[];
+  /** Headers of the caller's response. */
+  readonly reply?: () => string[];
 }
 
 export interface StreamWorld {
@@ -220,6 +222,7 @@
   route: routeOptions = {},
   retries: retryOptions = 9,
   framings = [],
+  reply = () => [],
   tunables = {},
 }: StreamWorldOptions): StreamWorld {
   const lines: Record<string, unknown>[] = [];
@@ -301,7 +304,7 @@
     dialect: {
       forward: (_: unknown, { lastEventId }: { readonly lastEventId?: string }) =>
         lastEventId === undefined ? [] : [lastEventId],
-      reply: () => [],
+      reply,
     },
     notices: { read: () => ({ isSigned: true, isNotExecuted: false }) },
     ...{ evacuations: NO_EVACUATIONS, quarantine },
