Do not announce a close while later answers wait for their turn

Callers that send several requests on a connection got no answer to some that had run: at a SIGTERM, the connection closed with the first answer, although the others were finished.

Cause: the answer that announces the close was the last one whose head was not written. Answers are finished in any order, and Node keeps those that are early until it is their turn. With the later ones finished, an earlier one was taken for the last; its "Connection: close" ended the connection before them.

Change: only the last answer in the order of the requests may announce the close. If it is finished already, none does, and the connection closes behind it as others do that are idle. The same holds for the other users of the function: an overloaded daemon, and a request that is refused with its body unread.

Two new tests were red before (one answer of three); green now, with 23 others.

--- a/src/app/gateway/caller-connections.ts
+++ b/src/app/gateway/caller-connections.ts
@@ -57,12 +57,16 @@
 
   const pairsOf = (socket: Socket): readonly Pair[] => connections.get(socket) ?? [];
 
-  /** Lets the last answer close the connection, and no earlier one unless its caller asked for it. */
+  /**
+   * Lets the last answer close the connection, and no earlier one unless its caller asked for it. If the last one is
+   * written already, and waits for its turn, none announces the close.
+   */
   const announce = (socket: Socket): void => {
-    const unsent = pairsOf(socket).flatMap(({ res }) => (res.headersSent ? [] : [res]));
-    const last = unsent.pop();
-    for (const res of unsent) if (announced.delete(res)) res.shouldKeepAlive = true;
-    if (!last?.shouldKeepAlive) return;
+    const inOrder = pairsOf(socket).map(({ res }) => res);
+    const last = inOrder.pop();
+    for (const res of inOrder)
+      if (!res.headersSent && announced.delete(res)) res.shouldKeepAlive = true;
+    if (!last?.shouldKeepAlive || last.headersSent) return;
     last.shouldKeepAlive = false;
     announced.add(last);
   };
--- a/tests/gateway/caller-connections.test.ts
+++ b/tests/gateway/caller-connections.test.ts
@@ -71,6 +71,22 @@
     expect(answers()).toEqual(['200', 'keep-alive', '200', 'keep-alive', '200', 'close']);
   });
 
+  // Guards against an answer that announces the close while finished ones behind it wait for their turn.
+  it.each(['stop', 'close'])(
+    'sends answers that were finished before earlier ones (%s)',
+    async (how) => {
+      await send(REQUEST.repeat(3), 3);
+      const [first, second, third] = responses;
+      third?.end('x');
+      second?.end('x');
+      if (how === 'stop') connections.beginStop();
+      else if (first?.req.socket) connections.closeAfterAnswers(first.req.socket);
+      first?.end('x');
+      await until(() => isClosed);
+      expect(answers().filter((text) => text === '200')).toHaveLength(3);
+    },
+  );
+
   it('answers requests that are read after the stop began', async () => {
     await send(REQUEST, 1);
     connections.beginStop();
