Do not pass on an engine's error that ends with its connection

Callers of `serve` got a 4xx of an engine with a short body and a Content-Length of the daemon's own.

Cause: as for the gateway, an answer without a length ends where its connection does. Other answers of engines prove their end by their content (the finish reason, the end mark); errors in the request were passed on as they came.

Change: such an error is a bad answer, as one of a plain service without a length is.

Evidence: the new test was red before ('{"error":' passed on as whole); the tests of model calls and streams are green.

--- a/src/app/requests/model-answer.ts
+++ b/src/app/requests/model-answer.ts
@@ -126,6 +126,9 @@
 
 /** Passes an error in the request itself (4xx) on to the caller as the answer. */
 async function onRequestError(attempt: ModelAttempt, answered: Answered): Promise<AttemptResult> {
+  // Nothing shows whether its body is whole.
+  if (answered.framing === 'close')
+    return badAnswer(attempt, 'the answer has neither content-length nor transfer-encoding');
   const body = await readBuffered(attempt, answered);
   if (body.isErr()) return attemptFailed('lost', body.error);
   const type = answered.res.headers['content-type'] ?? 'application/json';
--- a/tests/requests-model.test.ts
+++ b/tests/requests-model.test.ts
@@ -128,6 +128,20 @@
     },
   );
 
+  // Guards against an error that is cut short and looks whole, with a length of the daemon's own.
+  it('does not pass on an error in the request that ends with its connection', async () => {
+    const { url } = await setUp([
+      ({ req, res }) => {
+        res.useChunkedEncodingByDefault = false;
+        res.writeHead(400, { ...echoedHeaders(req), 'content-type': 'application/json' });
+        res.end('{"error":');
+      },
+    ]);
+    const response = await sendChat(url);
+    expect(response.text).not.toBe('{"error":');
+    expect(response.headers['nutmegstack-outcome']).toBe('unknown');
+  });
+
   it('rejects an answer for another attempt, group or epoch', async () => {
     for (const name of ['nutmegstack-attempt', 'nutmegstack-group', 'nutmegstack-epoch']) {
       const { url } = await setUp([
