Read what arrived while a stopping daemon stood still

Callers' connections were closed with requests that nobody had read: a daemon was suspended during its stop, and ended as soon as it went on.

Cause: the times for the balancer to notice the stop and for the last requests to arrive ran on while the process did not. When it went on, both were over, so that it closed its listener, with the connections that waited in it, and all others before the event loop had read once.

Change: one more tick before the listener closes, and the time for the last requests counts from that moment.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -307,9 +307,11 @@
     });
     void options.announce(false);
     while (clock.now() < closeListenerAt) await pause(TICK_MS);
+    // The process may have stood still: what arrived meanwhile is accepted and read first.
+    await pause(TICK_MS);
     httpServer.closeListener();
     const inFlight = (): number => httpServer.inFlight() + forwarding.inFlight();
-    const quietAt = later(closeListenerAt, LAST_REQUESTS_MS);
+    const quietAt = later(clock.now(), LAST_REQUESTS_MS);
     while ((inFlight() > 0 || clock.now() < quietAt) && clock.now() < deadline)
       await pause(TICK_MS);
     const remaining = inFlight();
--- a/tests/gateway/stop-with-pipelined.test.ts
+++ b/tests/gateway/stop-with-pipelined.test.ts
@@ -13,6 +13,9 @@
 const SETTLE_MS = 200;
 const WAIT_MS = 4_000;
 const LOOK_MS = 20;
+/** A daemon that stops accepts connections for a little longer. */
+const BEFORE_LISTENER_CLOSES_MS = 2_000;
+const STILL_MS = 1_500;
 
 let fixture: GatewayFixture;
 
@@ -97,3 +100,25 @@
     expect(statuses(caller.received())).toEqual([200, 400]);
   });
 });
+
+describe('requests that arrive while a daemon that stops stands still', () => {
+  // Guards against connections that are closed unread, as the time to read them passed while the process did not run.
+  it('are answered once it goes on', async () => {
+    const kept = openCaller();
+    kept.send(requestText('first'));
+    const unused = openCaller();
+    await pause(SETTLE_MS);
+    expect(statuses(kept.received())).toEqual([200]);
+    fixture.signal(0, 'SIGTERM');
+    await pause(BEFORE_LISTENER_CLOSES_MS);
+    fixture.signal(0, 'SIGSTOP');
+    await pause(SETTLE_MS);
+    const waiting = openCaller();
+    const callers = [kept, unused, waiting];
+    for (const [n, caller] of callers.entries()) caller.send(requestText(`late-${n}`));
+    await pause(STILL_MS);
+    fixture.signal(0, 'SIGCONT');
+    await untilClosed(callers);
+    expect(callers.map((one) => statuses(one.received()))).toEqual([[200, 200], [200], [200]]);
+  });
+});
