Read what arrived before closing an idle connection at a stop

Callers' connections were closed with a request unread: a daemon was suspended while one of its connections waited for the close that follows the last answer at a stop.

A timer that is due when the process goes on runs before anything is read, so that the connection still looks idle.

Change: the connection is looked at once the turn has read what arrived.

Evidence: the new test (a request arrives while the event loop stands still for 1.3 s) was red in three of three runs before; it and the eight others of the file are green in three of three.

--- a/src/app/gateway/caller-connections.ts
+++ b/src/app/gateway/caller-connections.ts
@@ -77,6 +77,11 @@
     if (isQuiet && pairsOf(socket).length === 0) destroySoon(socket);
   };
 
+  /** The process may have stood still: at the end of this turn, what arrived meanwhile has been read. */
+  const closeIfUnused = (socket: Socket): void => {
+    setImmediate(closeIfIdle, socket);
+  };
+
   const isAnswering = (socket: Socket): boolean => pairsOf(socket).some(({ req }) => req.complete);
 
   const endIfAnswered = (socket: Socket): void => {
@@ -95,7 +100,7 @@
     endIfAnswered(socket);
     if (left.length > 0 || socket.destroyed) return;
     if (closing.has(socket)) destroySoon(socket);
-    else if (isStopping) setTimeout(closeIfIdle, IDLE_AT_STOP_MS, socket);
+    else if (isStopping) setTimeout(closeIfUnused, IDLE_AT_STOP_MS, socket);
   };
 
   return {
--- a/tests/gateway/caller-connections.test.ts
+++ b/tests/gateway/caller-connections.test.ts
@@ -8,6 +8,8 @@
 import type { CallerConnections } from '../../src/app/gateway/caller-connections';
 
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n';
+/** Longer than a connection stays open without a request at a stop. */
+const STILL_MS = 1_300;
 const MALFORMED = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
 let server: Server;
@@ -87,6 +89,22 @@
     },
   );
 
+  // Guards against a connection that is closed unread, as its time passed while the process did not run.
+  it('reads what arrived while the process stood still before it closes as idle', async () => {
+    await send(REQUEST.repeat(2), 2);
+    const [first, second] = responses;
+    second?.end('x');
+    connections.beginStop();
+    first?.end('x');
+    await until(() => answers().filter((text) => text === '200').length === 2);
+    caller.write(REQUEST);
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STILL_MS);
+    await until(() => isClosed || responses.length === 3);
+    responses[2]?.end('x');
+    await until(() => isClosed);
+    expect(answers().filter((text) => text === '200')).toHaveLength(3);
+  });
+
   it('answers requests that are read after the stop began', async () => {
     await send(REQUEST, 1);
     connections.beginStop();
