--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -76,6 +76,7 @@
 export interface Answered {
   readonly kind: 'answered';
   readonly res: IncomingMessage;
+  /** How the end of its body is known; a peer may know less than its own response shows. */
   readonly framing: Framing;
   /** Whether the connection served other calls before this one. */
   readonly reused: boolean;
--- a/src/app/gateway/caller-response.ts
+++ b/src/app/gateway/caller-response.ts
@@ -8,6 +8,7 @@
 /** Responses that end with their connection. */
 const closeDelimited = new WeakSet<ServerResponse>();
 
+/** Why an answer that ends with its connection is not passed on where the caller could not see that. */
 export const UNPROVEN_END = 'nothing shows whether the answer is whole';
 
 /** Whether the caller's connection may end with an answer of this framing, as no other of its requests waits for one. */
--- a/tests/gateway/forwarded-bodies.test.ts
+++ b/tests/gateway/forwarded-bodies.test.ts
@@ -2,16 +2,12 @@
 import type { Socket } from 'node:net';
 import { afterEach, expect, it } from 'vitest';
 
-import { createForwardClient } from '../../src/adapters/upstream/forward-client';
 import { FORWARD_PROOF, FORWARD_TO } from '../../src/adapters/upstream/forward-protocol';
-import { createUpstream } from '../../src/adapters/upstream/upstream';
-import { createForwarding } from '../../src/app/gateway/forwarding';
 import { pause } from '../../src/utils/pause';
 import { heldBufferBytes } from '../support/held-bytes';
-import { makeContext } from './support';
+import { startForwardingRig } from './forwarding-rig';
 
 const PORT = 31_211;
-const SECRET = 'a secret';
 /** As a daemon of an earlier version sends it, which proves the whole request only. */
 const UNPROVEN = `${FORWARD_TO}: 127.0.0.1:1\r\n${FORWARD_PROOF}: ${'0'.repeat(64)}\r\n`;
 const CONNECTIONS = 24;
@@ -29,18 +25,7 @@
   { who: 'without a proof', headers: '' },
   { who: 'whose proof needs the body', headers: UNPROVEN },
 ])('bodies of requests that no peer sent are bounded together ($who)', async ({ headers }) => {
-  const upstream = createUpstream();
-  const forwarding = createForwarding(
-    makeContext({ settings: { forwardListen: `127.0.0.1:${PORT}`, peerSecret: SECRET } }),
-    {
-      upstream,
-      dialect: { parseRequest: () => ({ promptTokens: 0, maxOutputTokens: 0 }) },
-      isServer: () => true,
-      isCutOff: () => false,
-      answerPeer: () => Promise.resolve('refused'),
-    },
-  );
-  await forwarding.start();
+  const rig = await startForwardingRig(`127.0.0.1:${PORT}`);
   const before = heldBufferBytes();
   // All but the last byte, so that nothing is answered.
   const part = Buffer.alloc(BODY_BYTES - 1, 'x');
@@ -54,17 +39,11 @@
   });
   closers.push(() => {
     for (const socket of sockets) socket.destroy();
-    forwarding.close();
-    upstream.close();
+    rig.close();
   });
   await pause(2_000);
   expect(heldBufferBytes() - before).toBeLessThan(MAX_HELD_BYTES);
   // A peer proves its head, so that its body is read all the same.
-  const call = {
-    ...{ address: '127.0.0.1:1', method: 'POST', path: '/', body: part },
-    headers: ['Host', 'a.example', 'Content-Length', String(part.length)],
-    ...{ ownConnection: false, beforeSend: () => undefined, signal: AbortSignal.timeout(5_000) },
-  };
-  const sent = await createForwardClient(upstream, SECRET).send(call, `127.0.0.1:${PORT}`);
+  const sent = await rig.send('127.0.0.1:1', part);
   expect(sent).toMatchObject({ result: { kind: 'not-sent' }, hasPeerFailed: false });
 });
--- a/tests/gateway/forwarded-framing.test.ts
+++ b/tests/gateway/forwarded-framing.test.ts
@@ -31,7 +31,7 @@
       setTimeout(end, READ_MS, socket);
     });
   });
-  const result = await rig.send(server.address);
+  const { result } = await rig.send(server.address);
   if (result.kind !== 'answered') throw new Error(result.error.message);
   const headers = dialect.reply(result.res.rawHeaders);
   return { framing: result.framing, headers, ...(await readAnswer(result)) };
--- a/tests/gateway/forwarded-trailers.test.ts
+++ b/tests/gateway/forwarded-trailers.test.ts
@@ -24,7 +24,7 @@
     server = await startRawServer((socket) => {
       socket.write('HTTP/1.1 200 OK\r\nTrailer: X-Sum\r\nContent-Length: 5\r\n\r\nwhole');
     });
-    const result = await rig.send(server.address);
+    const { result } = await rig.send(server.address);
     expect(result.kind).toBe('answered');
     expect(await readAnswer(result)).toEqual({ text: 'whole', isWhole: true });
   });
--- a/tests/gateway/forwarding-rig.ts
+++ b/tests/gateway/forwarding-rig.ts
@@ -1,16 +1,18 @@
 /** A peer that forwards requests to servers, and a client that sends them through it. */
 
 import { createForwardClient } from '../../src/adapters/upstream/forward-client';
+import type { ForwardResult } from '../../src/adapters/upstream/forward-client';
 import { createUpstream } from '../../src/adapters/upstream/upstream';
-import type { UpstreamResult } from '../../src/adapters/upstream/upstream';
 import { createForwarding } from '../../src/app/gateway/forwarding';
 import { makeContext } from './support';
 
-export const FORWARDING_SECRET = 'a secret of this test alone';
+const SECRET = 'a secret of this test alone';
+/** Limit of a request, milliseconds. */
+const CALL_MS = 5_000;
 
 export interface ForwardingRig {
   /** Sends a request to the server at `address` through the peer. */
-  send(address: string): Promise<UpstreamResult>;
+  send(address: string, body?: Buffer): Promise<ForwardResult>;
   close(): void;
 }
 
@@ -18,7 +20,7 @@
 export async function startForwardingRig(forwardListen: string): Promise<ForwardingRig> {
   const upstream = createUpstream({ connectTimeoutMs: 200 });
   const forwarding = createForwarding(
-    makeContext({ settings: { forwardListen, peerSecret: FORWARDING_SECRET } }),
+    makeContext({ settings: { forwardListen, peerSecret: SECRET } }),
     {
       upstream,
       dialect: { parseRequest: () => ({ promptTokens: 0, maxOutputTokens: 0 }) },
@@ -29,16 +31,16 @@
   );
   await forwarding.start();
   const toPeer = createUpstream();
-  const client = createForwardClient(toPeer, FORWARDING_SECRET);
+  const client = createForwardClient(toPeer, SECRET);
   return {
-    send: async (address) => {
+    send: (address, body = Buffer.from('body')) => {
       const call = {
-        ...{ address, method: 'POST', path: '/x', body: Buffer.from('body') },
-        headers: ['Host', 'a.example', 'Content-Length', '4'],
+        ...{ address, method: 'POST', path: '/x', body },
+        headers: ['Host', 'a.example', 'Content-Length', String(body.length)],
         ...{ ownConnection: false, beforeSend: () => undefined },
-        signal: new AbortController().signal,
+        signal: AbortSignal.timeout(CALL_MS),
       };
-      return (await client.send(call, forwardListen)).result;
+      return client.send(call, forwardListen);
     },
     close: () => {
       forwarding.close();
