Check a server once more that listens after its connections broke

Callers saw a request that ends its servers run on two more of them a second after the first two, where it should have been held back for ten seconds.

Cause: the port is checked at once after a broken connection, and a process that ends may close its connections before its port. "listening" counted as conclusive, so that the end became known only with the next incarnation, 2 s later.

--- a/src/app/gateway/quarantine/server-checks.ts
+++ b/src/app/gateway/quarantine/server-checks.ts
@@ -33,22 +33,29 @@
   forget(group: GroupId): void;
   /**
    * Looks for servers that restarted so soon that they listened again when they were checked, and checks again
-   * those whose state could not be told.
+   * those whose state is not certain.
    */
   tick(): void;
 }
 
 /** An ended process refuses connections at once; a paused host, or one that is gone, does not answer at all. */
 const CHECK_TIMEOUT_MS = 500;
-/** Interval at which a server is checked again whose state could not be told. */
-const RECHECK_INTERVAL_MS = 500;
-/** Only these show whether the server has ended. A silent one may be paused. */
-const CONCLUSIVE: ReadonlySet<ObservedState> = new Set<ObservedState>(['listening', 'refused']);
+/**
+ * When a server is checked again, by what was found, milliseconds. A silent one may be paused. One that ends may
+ * close its port a moment after its connections, so that the first check can find it listening; the second is
+ * conclusive.
+ */
+const RECHECK_AFTER_MS: Readonly<Record<Exclude<ObservedState, 'refused'>, number>> = {
+  listening: 200,
+  unreachable: 500,
+  unknown: 500,
+};
 
 interface Unconfirmed {
   readonly target: RunTarget;
   /** When it is checked again; undefined while a check is under way, or if none is needed. */
   recheckAt: MonoTime | undefined;
+  hasListened: boolean;
 }
 
 export function createServerChecks(
@@ -68,8 +75,13 @@
       ...{ server, group, found },
       tookMs: Math.round(clock.now() - startedAt),
     });
-    if (!CONCLUSIVE.has(found)) entry.recheckAt = later(clock.now(), RECHECK_INTERVAL_MS);
-    if (found === 'refused') onLost(group, domain);
+    if (found === 'refused') {
+      onLost(group, domain);
+      return;
+    }
+    if (found === 'listening' && entry.hasListened) return;
+    entry.recheckAt = later(clock.now(), RECHECK_AFTER_MS[found]);
+    if (found === 'listening') entry.hasListened = true;
   };
 
   const review = (entry: Unconfirmed): void => {
@@ -82,7 +94,7 @@
   return {
     check: (target) => {
       if (unconfirmed.has(target.group)) return;
-      const entry: Unconfirmed = { target, recheckAt: undefined };
+      const entry: Unconfirmed = { target, recheckAt: undefined, hasListened: false };
       unconfirmed.set(target.group, entry);
       void check(entry);
     },
--- a/tests/gateway/server-checks.test.ts
+++ b/tests/gateway/server-checks.test.ts
@@ -77,6 +77,25 @@
     expect(world.lost).toEqual([TARGET.group]);
   });
 
+  // Guards against missing an end that breaks connections first and closes the port a moment later.
+  it('is repeated soon if the port was still open', async () => {
+    const world = setUp('listening');
+    world.checks.check(TARGET);
+    await world.run(TICK_MS);
+    world.state = 'refused';
+    await world.run(300);
+    expect(world.lost).toEqual([TARGET.group]);
+  });
+
+  // Guards against connections without need: a server that runs on is new to none of its callers.
+  it('is repeated only once if the server runs on', async () => {
+    const world = setUp('listening');
+    world.checks.check(TARGET);
+    await world.run(2_000);
+    expect(world.checked).toBe(2);
+    expect(world.lost).toEqual([]);
+  });
+
   it('counts an end once the server refuses', async () => {
     const world = setUp('refused');
     world.checks.check(TARGET);
