Log the framing of the answer that ended the stream

With two runs of a stream open, "request ended" and the count of answers that end with their connection named the run that began last, and a stream that was broken off was counted with one that no caller got.

Cause: the framing was noted at the head of each answer, not at the end of the stream. Two tests were red before; an error passed on has its framing now, too.

--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -57,7 +57,7 @@
   answeringMs: number | undefined;
   /** The group of the last attempt. */
   trace: GroupTrace | undefined;
-  /** How the end of the last answer was known. */
+  /** How the end of the answer was known that ended the stream. */
   framing: Framing | undefined;
   /** Whether a retry was taken from the budget for it and not used. */
   hasRetry: boolean;
@@ -145,9 +145,9 @@
     return discard('answer has an unexpected Content-Encoding');
   if (status >= 300) return forwardError(relayedAnswer, facts);
   if (!facts.isSigned) return discard('answer is not signed');
-  relayedAnswer.state.framing = answered.framing;
   const reason = await forwardEvents(relayedAnswer);
   if (reason !== undefined) return discard(abortReason(run.stop.signal, reason));
+  relayedAnswer.state.framing = answered.framing;
   exchange.res.end();
   return { result: 'complete', reason: '' };
 }
@@ -174,6 +174,7 @@
     { status, headers: deps.dialect.reply(res.rawHeaders), framing },
     body,
   );
+  state.framing = framing;
   return { result: 'passed-on', reason };
 }
 
--- a/tests/gateway/stream-faulty-events.test.ts
+++ b/tests/gateway/stream-faulty-events.test.ts
@@ -91,6 +91,14 @@
     const { caller } = await endUnproven(2);
     expect([caller.ids(), caller.state()]).toEqual([ALL, 'torn']);
   });
+
+  // Guards against a count of answers in doubt that includes those which no caller got.
+  it('is not logged as the framing of a stream that is broken off', async () => {
+    const { world } = await endUnproven(2);
+    const ended = world.lines().find(({ step }) => step === 'end');
+    expect(ended).toMatchObject({ outcome: 'torn' });
+    expect(ended).not.toHaveProperty('framing');
+  });
 });
 
 describe('an error at the end of an answer without events', () => {
--- a/tests/gateway/stream-moves.test.ts
+++ b/tests/gateway/stream-moves.test.ts
@@ -135,6 +135,23 @@
     expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
   });
 
+  // Guards against a log that names the framing of another answer than the one the caller got.
+  it.each([
+    { what: 'its first', framing: 'chunks', server: 0 },
+    { what: 'its second', framing: 'length', server: 1 },
+  ])(
+    'is logged with the framing of $what answer where that goes on',
+    async ({ framing, server }) => {
+      const { world, run } = await begin({ groups: 2, framings: ['chunks', 'length'] });
+      await world.pass(STALL_MS);
+      const runs = [run, world.runAt(others(run.head, 2)[0] ?? '')];
+      runs[server]?.finishFrom(2);
+      await world.pass(50);
+      const ended = world.lines().find(({ step }) => step === 'end');
+      expect(ended).toMatchObject({ outcome: 'served', framing });
+    },
+  );
+
   // Guards against a prefill for nothing: the first server is at work on the answer again.
   it('is not moved once it has had an event again', async () => {
     const { world, caller, run } = await begin({ groups: 2 });
