Close the listener at a stop only when all that waited in it is accepted

Callers whose connections waited to be accepted when a daemon stopped had them reset unread, although the daemon had seconds left to serve them: 20 to 25 of 60 at a daemon that was suspended shortly before its listener closes.

Cause: the event loop accepts one connection a turn, and the listener closed a fixed tick after the process went on. Connections are accepted in the order in which they arrive, so the listener now closes when a marker that the daemon sends itself has come through the queue, or at the end of the shutdown.

--- a/src/adapters/accept-marker.ts
+++ b/src/adapters/accept-marker.ts
@@ -5,6 +5,7 @@
 
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { firstValueFrom, race, Subject, timer } from 'rxjs';
 
 import { parseAddress } from '../utils/address';
 
@@ -13,6 +14,8 @@
   send(): boolean;
   /** Whether a connection that was accepted just now is the marker, which is closed then. */
   take(accepted: AcceptedAddresses): boolean;
+  /** Resolves once all connections that wait now have been accepted, or after `limitMs`. */
+  passQueue(limitMs: number): Promise<void>;
 }
 
 /** Both ends of a connection that was accepted, as far as Node tells them. */
@@ -48,6 +51,13 @@
 export function createAcceptMarker(address: string): AcceptMarker {
   let sent: Socket | undefined;
   let hasFailed = false;
+  /** Emits when the last marker has been accepted, or could not be sent. */
+  const settled = new Subject<void>();
+
+  const settle = (): void => {
+    sent = undefined;
+    settled.next();
+  };
 
   const fail = (): void => {
     hasFailed = true;
@@ -56,23 +66,34 @@
     }, RETRY_MS).unref();
   };
 
+  const send = (): boolean => {
+    if (sent || hasFailed) return false;
+    const socket = connect(parseAddress(address));
+    sent = socket;
+    socket.once('error', fail);
+    socket.once('close', () => {
+      if (sent === socket) settle();
+    });
+    return true;
+  };
+
   return {
-    send: () => {
-      if (sent || hasFailed) return false;
-      const socket = connect(parseAddress(address));
-      sent = socket;
-      socket.once('error', fail);
-      socket.once('close', () => {
-        if (sent === socket) sent = undefined;
-      });
-      return true;
-    },
+    send,
     take: (accepted) => {
       if (!sent || !isOtherEnd(sent, accepted)) return false;
       // A reset leaves no port behind that waits for late packets.
       sent.resetAndDestroy();
-      sent = undefined;
+      settle();
       return true;
     },
+    passQueue: async (limitMs) => {
+      const until = performance.now() + limitMs;
+      const nextSettled = async (): Promise<void> => {
+        await firstValueFrom(race(settled, timer(Math.max(0, until - performance.now()))));
+      };
+      // The marker that is on its way may be ahead of some of them.
+      if (sent) await nextSettled();
+      if (send()) await nextSettled();
+    },
   };
 }
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -309,6 +309,7 @@
     while (clock.now() < closeListenerAt) await pause(TICK_MS);
     // The process may have stood still: what arrived meanwhile is accepted and read first.
     await pause(TICK_MS);
+    await marker.passQueue(Math.max(0, deadline - clock.now()));
     httpServer.closeListener();
     const inFlight = (): number => httpServer.inFlight() + forwarding.inFlight();
     const quietAt = later(clock.now(), LAST_REQUESTS_MS);
--- a/tests/gateway/stop-with-pipelined.test.ts
+++ b/tests/gateway/stop-with-pipelined.test.ts
@@ -16,6 +16,7 @@
 /** A daemon that stops accepts connections for a little longer. */
 const BEFORE_LISTENER_CLOSES_MS = 2_000;
 const STILL_MS = 1_500;
+const WAITING_CALLERS = 60;
 
 let fixture: GatewayFixture;
 
@@ -121,4 +122,18 @@
     await untilClosed(callers);
     expect(callers.map((one) => statuses(one.received()))).toEqual([[200, 200], [200], [200]]);
   });
+
+  // Guards against a listener that closes with connections that wait in it: the event loop accepts one a turn.
+  it('are answered or refused although many connections wait to be accepted', async () => {
+    fixture.signal(0, 'SIGTERM');
+    await pause(BEFORE_LISTENER_CLOSES_MS);
+    fixture.signal(0, 'SIGSTOP');
+    await pause(SETTLE_MS);
+    const callers = Array.from({ length: WAITING_CALLERS }, openCaller);
+    for (const [n, caller] of callers.entries()) caller.send(requestText(`waiting-${n}`));
+    await pause(STILL_MS);
+    fixture.signal(0, 'SIGCONT');
+    await untilClosed(callers);
+    expect(callers.filter((one) => statuses(one.received()).length !== 1)).toEqual([]);
+  });
 });
