--- a/tests/soak/answered.test.ts
+++ b/tests/soak/answered.test.ts
@@ -37,7 +37,9 @@
     incidents.noteDaemon('daemon-0');
     incidents.noteExit('daemon-1');
     expect(checkMissing(call, [], world)).toBe('closed unanswered after 100 ms (ECONNRESET)');
-    expect(checkMissing(call, RUNS, world)).toBe('ran at plain-0 and got no answer');
+    expect(checkMissing(call, RUNS, world)).toBe(
+      'ran at plain-0 and got no answer after 100 ms (ECONNRESET)',
+    );
   });
 
   it('is none if its process was ended, or nobody listened', () => {
--- a/tests/soak/answered.ts
+++ b/tests/soak/answered.ts
@@ -27,14 +27,15 @@
   const { incidents } = world;
   if (incidents.hasExited(daemon, sentAt, endedAt) || incidents.ranOutOfGrace(call))
     return undefined;
-  if (runs.length > 0) return `ran at ${runs.at(-1)?.server ?? ''} and got no answer`;
+  const afterMs = `after ${Math.round(endedAt - sentAt)} ms (${error ?? ''})`;
+  if (runs.length > 0) return `ran at ${runs.at(-1)?.server ?? ''} and got no answer ${afterMs}`;
   const isCrossing =
     incidents.wasStopping(daemon, sentAt, endedAt) && endedAt - sentAt <= CROSSING_MS;
   if (isCrossing || isAfterClose === true) return undefined;
   const ofWhom = world.isReadable(call.organisation)
     ? ''
     : ', organisation that no header can hold';
-  return `closed unanswered after ${Math.round(endedAt - sentAt)} ms (${error ?? ''})${ofWhom}`;
+  return `closed unanswered ${afterMs}${ofWhom}`;
 }
 
 /** A 502 says that a server ended; it is a fault unless one did, or spoiled the answer. */
--- a/tests/soak/judge.ts
+++ b/tests/soak/judge.ts
@@ -38,11 +38,23 @@
   return misrouted && `event of ${misrouted[1] ?? ''}`;
 };
 
+/** Where a stream ran, and when each of its connections to servers ended, from the time it was sent. */
+function describeRuns(runs: readonly Run[], { sentAt }: Call): string {
+  const texts = runs.map(({ server, closedAt }) =>
+    closedAt === undefined
+      ? `${server} open`
+      : `${server} until ${Math.round(closedAt - sentAt)} ms`,
+  );
+  return texts.join(', ');
+}
+
 /** A stream that began ends whole, unless a fault of the run ended its server, its connection or its daemon. */
 const checkTorn: Check = (call, { status, text, isWhole }, runs, { incidents }) => {
   if (!isStream(call.kind) || status !== 200 || isWhole) return undefined;
   if (incidents.explain(call, runs) || lastOpen(runs)?.isSpoiled === true) return undefined;
-  return `torn after ${eventIds(text).length} of ${call.events} events, ${runs.length} run(s)`;
+  const endedMs = Math.round(call.endedAt - call.sentAt);
+  const ran = describeRuns(runs, call);
+  return `torn after ${eventIds(text).length} of ${call.events} events and ${endedMs} ms, ran at ${ran}`;
 };
 
 const checkBody: Check = ({ kind, requestId, body }, { status, text, isWhole }) => {
