Note in the stand-in when a silent server's connection was given up

Cause: a server that is silent closes its answer only when it may send again, so that the run its daemon had left long before counted as the one that was open last, and the reset of the other server explained nothing. The end of the daemon's side is noted now. It also excuses less: a stream no longer looks as if it had been held until its deadline.

--- a/stand-ins/users-platform/servers.ts
+++ b/stand-ins/users-platform/servers.ts
@@ -94,6 +94,17 @@
   };
 }
 
+/** Notes when the answer ended, or when the daemon gave it up, which a silent server can see before its answer closes. */
+function noteEnd(run: Run, res: ServerResponse): void {
+  const { socket } = res;
+  const note = (): void => {
+    run.closedAt ??= performance.now();
+    socket?.off('end', note);
+  };
+  socket?.once('end', note);
+  res.once('close', note);
+}
+
 /** Whether the request expects this server; responds 421 otherwise. */
 function isAddressee(id: ServerName, req: IncomingMessage, res: ServerResponse): boolean {
   const expected = header(req, HEADERS.expectInstance);
@@ -159,9 +170,7 @@
     if (isRefusal(spoiled)) return;
     const run = runOf(name, req, body);
     runs.push(run);
-    res.once('close', () => {
-      run.closedAt = performance.now();
-    });
+    noteEnd(run, res);
     if (spoiled) {
       run.isSpoiled = true;
       return;
--- a/tests/stand-ins-closing.test.ts
+++ b/tests/stand-ins-closing.test.ts
@@ -1,5 +1,7 @@
+import { request } from 'node:http';
 import { afterAll, beforeAll, describe, expect, it } from 'vitest';
 
+import { HEADERS } from '../platform/names';
 import { startPlatform } from '../stand-ins/users-platform/start';
 import type { PlatformStandIn } from '../stand-ins/users-platform/start';
 import type { CloseOrder } from '../src/core/gateway/orders';
@@ -14,6 +16,8 @@
 const FIRST_PORT = 24_640;
 const EVENTS = 20;
 const POLL_MS = 5;
+/** Long enough for events to wait in the silent server. */
+const SILENT_MS = 100;
 
 let platform: PlatformStandIn;
 let epoch = 0;
@@ -38,9 +42,9 @@
   return callDaemon(`${HOST}:${FIRST_PORT + 1}`, '/stream/x', request);
 }
 
-/** Closes an open group while its head streams; the answers to that stream and to a later request. */
-async function closeWhileStreaming(mode: CloseOrder['mode']) {
-  const { fleet, runs } = platform;
+/** Opens a group of all servers. */
+async function openGroup() {
+  const { fleet } = platform;
   const members = [...fleet.servers.keys()];
   const [head] = members;
   if (head === undefined) throw new Error('no server');
@@ -51,6 +55,13 @@
   await until(() => stateOf() === 'ready');
   fleet.carryOut(head, { kind: 'open', ...named });
   await until(() => stateOf() === 'open');
+  return { head, named, stateOf };
+}
+
+/** Closes an open group while its head streams; the answers to that stream and to a later request. */
+async function closeWhileStreaming(mode: CloseOrder['mode']) {
+  const { fleet, runs } = platform;
+  const { head, named, stateOf } = await openGroup();
   const before = runs.length;
   const streamed = call().catch(() => undefined);
   await until(() => runs.length > before);
@@ -79,3 +90,26 @@
     expect(reply?.isWhole ?? false).toBe(false);
   });
 });
+
+// Guards against a judge that takes a connection which its daemon gave up for the one that was open last.
+it('the end of a connection is noted when its daemon gives it up, also by a silent server', async () => {
+  const { fleet, runs, pauses } = platform;
+  const { head, named, stateOf } = await openGroup();
+  const before = runs.length;
+  const req = request({
+    ...{ host: HOST, port: FIRST_PORT + 1, path: '/stream/x', method: 'POST' },
+    headers: { [HEADERS.requestId]: 'given-up' },
+  });
+  req.on('error', () => undefined);
+  req.end(`events=${EVENTS}`);
+  await until(() => runs.length > before);
+  const goOn = pauses.silence(platform.serversOf({ domain: 'd0' }));
+  await pause(SILENT_MS);
+  req.destroy();
+  await pause(SILENT_MS);
+  const closedAt = runs[before]?.closedAt;
+  goOn();
+  expect(closedAt).toBeDefined();
+  fleet.carryOut(head, { kind: 'close', ...named, mode: 'abort' });
+  await until(() => stateOf() === 'ready');
+});
