Tell a caller of the soak that gave up from one whose connection ended

The soak said that requests "got no answer" which their callers had stopped waiting for, 500 ms after their deadline, at a daemon that stood still.

Cause: the judge told the two apart by comparing times, and a timer may fire a fraction of a millisecond early. The caller notes now which of the two it was. Where a timer fired early, a request that was held past its deadline was missed as well.

--- a/tests/soak/answered.test.ts
+++ b/tests/soak/answered.test.ts
@@ -3,7 +3,7 @@
 import type { Run } from '../../stand-ins/users-platform/servers';
 import { brandAs } from '../../src/core/ids';
 import type { ServerName } from '../../src/core/ids';
-import { checkBadGateway, checkMissing } from './answered';
+import { checkBadGateway, checkHeld, checkMissing } from './answered';
 import { createCall } from './callers';
 import type { Call } from './callers';
 import { createIncidents } from './incidents';
@@ -58,6 +58,22 @@
   });
 });
 
+// Guards against a judge that confuses the two where a timer fires a moment early or late.
+describe('a call whose caller gave up', () => {
+  it('was held past its deadline, whenever its timer fired, and its connection did not end', () => {
+    const { incidents, world, call } = scene({ hasGivenUp: true });
+    for (const ms of [5_499, 5_501]) {
+      call.endedAt = call.sentAt + ms;
+      expect(checkMissing(call, RUNS, world)).toBeUndefined();
+      expect(checkHeld(call, world)).toEqual(['no answer 500 ms after its deadline']);
+    }
+    incidents.noteStill('daemon-0');
+    call.endedAt = Infinity;
+    const still = { ...call, sentAt: call.sentAt - 5_200 };
+    expect(checkHeld(still, world)).toEqual([]);
+  });
+});
+
 describe('a call that is answered with 502', () => {
   const reply = { status: 502, headers: {}, text: '', isWhole: true };
 
--- a/tests/soak/answered.ts
+++ b/tests/soak/answered.ts
@@ -20,8 +20,7 @@
 /** The connection ended without an answer, and the daemon did not end with it. */
 export function checkMissing(call: Call, runs: readonly Run[], world: World): string | undefined {
   const { daemon, sentAt, endedAt, reply, error, isAfterClose } = call;
-  if (reply !== undefined || endedAt >= sentAt + CALL_DEADLINE_MS + ANSWER_SLACK_MS)
-    return undefined;
+  if (reply !== undefined || call.hasGivenUp === true) return undefined;
   // Nobody listens: a daemon that ended by itself is reported as such.
   if (error === 'ECONNREFUSED') return undefined;
   const { incidents } = world;
@@ -38,6 +37,13 @@
   return `closed unanswered ${afterMs}${ofWhom}`;
 }
 
+/** A request has a final answer soon after its deadline, unless its daemon stood still then. */
+export function checkHeld({ daemon, sentAt, hasGivenUp }: Call, { incidents }: World): string[] {
+  const from = sentAt + CALL_DEADLINE_MS;
+  if (hasGivenUp !== true || incidents.stoodStill(daemon, from, from + ANSWER_SLACK_MS)) return [];
+  return [`no answer ${ANSWER_SLACK_MS} ms after its deadline`];
+}
+
 /** A 502 says that a server ended; it is a fault unless one did, or spoiled the answer. */
 export function checkBadGateway(
   call: Call,
--- a/tests/soak/callers.ts
+++ b/tests/soak/callers.ts
@@ -22,8 +22,10 @@
   readonly daemon: string;
   readonly sentAt: number;
   endedAt: number;
-  /** Undefined if the connection closed without a response or the caller timed out. */
+  /** Undefined if the connection closed without a response or the caller gave up. */
   reply: Reply | undefined;
+  /** Whether the caller gave up, as it had no final answer some time after its deadline. */
+  hasGivenUp?: boolean;
   /** The organisation whose key it has. */
   readonly organisation: string;
   /** Code of the error that it ended with, if it has no reply. */
@@ -103,11 +105,13 @@
       waitMs: CALL_DEADLINE_MS,
     });
     // A connection closes when its daemon exits; callers do not wait past their deadline.
-    const timeout = pause(CALL_DEADLINE_MS + ANSWER_SLACK_MS).then(() => undefined);
+    const timeout = pause(CALL_DEADLINE_MS + ANSWER_SLACK_MS).then(() => 'given-up' as const);
     const failed = (err: unknown): undefined => {
       call.error = (err as NodeJS.ErrnoException).code ?? String(err);
     };
-    call.reply = await Promise.race([response.catch(failed), timeout]);
+    const ended = await Promise.race([response.catch(failed), timeout]);
+    if (ended === 'given-up') call.hasGivenUp = true;
+    else call.reply = ended;
     call.endedAt = performance.now();
   };
 
--- a/tests/soak/judge.ts
+++ b/tests/soak/judge.ts
@@ -6,11 +6,10 @@
 import type { Run } from '../../stand-ins/users-platform/servers';
 import { eventIds } from '../support/gateway-daemon';
 import type { Reply } from '../support/gateway-daemon';
-import { checkBadGateway, checkMissing, checkSpoils } from './answered';
-import { ANSWER_SLACK_MS, DEPOT } from './callers';
+import { checkBadGateway, checkHeld, checkMissing, checkSpoils } from './answered';
+import { DEPOT } from './callers';
 import { lastOpen } from './incidents';
 import type { Call, Kind } from './callers';
-import { CALL_DEADLINE_MS } from './world';
 import type { World } from './world';
 
 /** Statuses that guarantee that the request has not run and never will. */
@@ -102,15 +101,6 @@
   return faults;
 }
 
-/** A request has a final answer soon after its deadline, unless its daemon stood still then. */
-function checkHeld({ daemon, sentAt, endedAt, reply }: Call, { incidents }: World): string[] {
-  const from = sentAt + CALL_DEADLINE_MS;
-  const until = from + ANSWER_SLACK_MS;
-  if (reply !== undefined || endedAt < until || incidents.stoodStill(daemon, from, until))
-    return [];
-  return [`no answer ${ANSWER_SLACK_MS} ms after its deadline`];
-}
-
 /** Returns every violated guarantee, with the request's id where it concerns a request. */
 export function judge(world: World, calls: readonly Call[]): string[] {
   const { runs, fleet } = world.platform;
--- a/tests/soak/pipelines.ts
+++ b/tests/soak/pipelines.ts
@@ -81,11 +81,13 @@
     socket.on('data', read);
     socket.write(batch.map(encode).join(''));
     const until = performance.now() + CALL_DEADLINE_MS + ANSWER_SLACK_MS;
+    const hasTimedOut = (): boolean => !socket.destroyed && performance.now() > until;
     const isOver = (): boolean =>
       socket.destroyed ||
-      performance.now() > until ||
+      hasTimedOut() ||
       splitAnswers(text).filter(({ isWhole }) => isWhole).length === BATCH;
     while (!isOver()) await pause(POLL_MS);
+    const hasGivenUp = hasTimedOut();
     socket.off('data', read);
     const answers = splitAnswers(text);
     let isClosing = isAfterClose;
@@ -93,7 +95,8 @@
       call.reply = answers[n];
       call.endedAt = performance.now();
       call.isAfterClose = isClosing;
-      if (call.reply === undefined) call.error = 'closed';
+      if (call.reply === undefined && hasGivenUp) call.hasGivenUp = true;
+      else if (call.reply === undefined) call.error = 'closed';
       isClosing ||= call.reply?.headers.connection === 'close';
     });
     return { isClosing, isUsable: !socket.destroyed && answers.length === BATCH };
