Read on after a long answer that closes its connection

An answer whose connection closes with it was cut where its caller sent something more before it had read all: 195,485 and 195,509 of 300,000 bytes in the new tests.

Cause: Node closes the socket once the answer is handed to the kernel. Bytes that arrive later are answered with a reset, and the kernel drops what it has not delivered (RFC 9112, 9.6). Answers of up to 32 KB reach the caller's side unread; their connections close at once, as before.

--- a/src/app/gateway/caller-connections.ts
+++ b/src/app/gateway/caller-connections.ts
@@ -6,6 +6,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+import { closeLingering, closeSoon } from './linger';
+
 export interface CallerConnections {
   noteConnection(socket: Socket): void;
   /**
@@ -41,6 +43,8 @@
  * is on its way to it at the beginning of the stop is still answered.
  */
 const IDLE_AT_STOP_MS = 1_000;
+/** Answers up to this length reach a caller before it reads them, bytes. */
+const MAX_UNREAD_ANSWER_BYTES = 32 * 1024;
 
 export function createCallerConnections(): CallerConnections {
   /** Requests of each connection that are not answered, in order of arrival. */
@@ -48,6 +52,8 @@
   const closing = new WeakSet<Socket>();
   /** Bytes read from a connection when its last request was answered. */
   const readBytes = new WeakMap<Socket, number>();
+  /** Bytes written to a connection when its caller is known to have read all answers. */
+  const writtenBytes = new WeakMap<Socket, number>();
   /** Raw responses that end connections. */
   const finalResponses = new WeakMap<Socket, string>();
   /** Responses that close their connection for no wish of its caller. */
@@ -71,10 +77,20 @@
     announced.add(last);
   };
 
+  /** Whether a close may cut an answer, or reach a caller that is still sending its request. */
+  const mayCut = (socket: Socket): boolean =>
+    socket.bytesWritten - (writtenBytes.get(socket) ?? 0) > MAX_UNREAD_ANSWER_BYTES ||
+    pairsOf(socket).some(({ req }) => !req.complete);
+
+  const close = (socket: Socket): void => {
+    if (mayCut(socket)) closeLingering(socket);
+    else closeSoon(socket);
+  };
+
   /** A connection that has carried no request yet is about to, and one that has brought further bytes, too. */
   const closeIfIdle = (socket: Socket): void => {
     const isQuiet = readBytes.get(socket) === socket.bytesRead;
-    if (isQuiet && pairsOf(socket).length === 0) destroySoon(socket);
+    if (isQuiet && pairsOf(socket).length === 0) close(socket);
   };
 
   /** The process may have stood still: at the end of this turn, what arrived meanwhile has been read. */
@@ -89,7 +105,7 @@
     if (response === undefined || isAnswering(socket)) return;
     if (socket.writable && pairsOf(socket).every(({ res }) => !res.headersSent))
       socket.write(response);
-    destroySoon(socket);
+    close(socket);
   };
 
   const forget = (socket: Socket, res: ServerResponse): void => {
@@ -99,19 +115,24 @@
     readBytes.set(socket, socket.bytesRead);
     endIfAnswered(socket);
     if (left.length > 0 || socket.destroyed) return;
-    if (closing.has(socket)) destroySoon(socket);
+    if (closing.has(socket)) close(socket);
     else if (isStopping) setTimeout(closeIfUnused, IDLE_AT_STOP_MS, socket);
   };
 
   return {
     noteConnection: (socket) => {
       connections.set(socket, []);
+      // Node calls this when an answer that announced the close has been written.
+      socket.destroySoon = () => {
+        close(socket);
+      };
       socket.once('close', () => connections.delete(socket));
     },
     noteRequest: (req, res) => {
       const { socket } = req;
       const earlier = pairsOf(socket);
       const isLate = earlier.some((one) => one.res.headersSent && !one.res.shouldKeepAlive);
+      if (earlier.length === 0) writtenBytes.set(socket, socket.bytesWritten);
       responses.add(res);
       connections.set(socket, [...earlier, { req, res }]);
       res.once('close', () => {
@@ -143,10 +164,3 @@
     },
   };
 }
-
-/** Closes a connection once all that was written to it has been sent. */
-function destroySoon(socket: Socket): void {
-  if (socket.destroyed) return;
-  if (socket.writableFinished) socket.destroy();
-  else socket.end(() => socket.destroy());
-}
--- a/tests/gateway/caller-connections.test.ts
+++ b/tests/gateway/caller-connections.test.ts
@@ -10,6 +10,9 @@
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n';
 /** Longer than a connection stays open without a request at a stop. */
 const STILL_MS = 1_300;
+/** More than a caller's side takes before it is read, and little enough for the kernel to take all at once. */
+const LONG_BYTES = 300_000;
+const MAX_LINGER_MS = 3_000;
 const MALFORMED = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n';
 
 let server: Server;
@@ -164,3 +167,45 @@
   await until(() => isClosed);
   expect(answers()).toEqual(['200', 'keep-alive', '400', 'close']);
 });
+
+describe('a connection that closes with a long answer', () => {
+  /** The answer to a caller that reads nothing until it has sent something more. */
+  async function readLate(body: Buffer, framing: Readonly<Record<string, string | number>>) {
+    caller.pause();
+    await send(REQUEST, 1);
+    const [res] = responses;
+    if (!res) throw new Error('no request');
+    connections.closeAfterAnswers(res.req.socket);
+    res.useChunkedEncodingByDefault = false;
+    res.writeHead(200, framing).end(body);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    caller.write(REQUEST);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    caller.resume();
+    await until(() => isClosed);
+  }
+
+  // Guards against an answer that is cut and looks whole: bytes that arrive after a close make the kernel drop what it has not delivered (MIXED, LOST).
+  it.each([
+    { what: 'with a length', framing: { 'Content-Length': LONG_BYTES } },
+    { what: 'that ends with it', framing: {} },
+  ])('delivers it whole although its caller sends another request: $what', async ({ framing }) => {
+    await readLate(Buffer.alloc(LONG_BYTES, 'x'), framing);
+    expect(received.split('\r\n\r\n')[1]).toHaveLength(LONG_BYTES);
+    expect(answers()).toEqual(['200', 'close']);
+  });
+
+  // Guards against connections that stay for as long as their callers like.
+  it('is closed some time later if its caller neither reads nor closes', async () => {
+    caller.pause();
+    await send(REQUEST, 1);
+    const [res] = responses;
+    if (!res) throw new Error('no request');
+    const { socket } = res.req;
+    connections.closeAfterAnswers(socket);
+    res.end(Buffer.alloc(LONG_BYTES, 'x'));
+    const startedAt = performance.now();
+    await until(() => socket.destroyed);
+    expect(performance.now() - startedAt).toBeLessThan(MAX_LINGER_MS);
+  });
+});
