Play answers that are cut by a close in the soak

The soak had spoiled and endless answers, but none whose server stops in the middle of its head or body and closes.

--- a/stand-ins/users-platform/spoils.ts
+++ b/stand-ins/users-platform/spoils.ts
@@ -1,4 +1,4 @@
-/** Spoiled answers of stand-in servers: bytes without end that are no answer, and answers that cannot be read. */
+/** Spoiled answers of stand-in servers: bytes without end that are no answer, and answers that cannot be read or are cut. */
 
 import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
@@ -15,6 +15,8 @@
   readonly requests: readonly SpoiledRequest[];
   readonly first: string;
   readonly endless: string;
+  /** Whether the server closes the connection at once. */
+  readonly closes?: boolean;
 }
 
 /** A chunk that is longer than all that is sent. */
@@ -51,6 +53,18 @@
     first: 'HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n',
     endless: '',
   },
+  'cut-head': {
+    requests: ALL,
+    first: 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Enc',
+    endless: '',
+    closes: true,
+  },
+  'cut-body': {
+    requests: ALL,
+    first: `HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: ${EVENT.length}\r\n\r\n${EVENT.slice(0, -2)}`,
+    endless: '',
+    closes: true,
+  },
 } as const satisfies Readonly<Record<string, Shape>>;
 
 export type SpoiledKind = keyof typeof SPOILED;
@@ -129,7 +143,7 @@
       const requestId = String(req.headers[HEADERS.requestId] ?? '');
       const answer: SpoiledAnswer = { kind, server, requestId, bytes: 0 };
       sent.push(answer);
-      const { first, endless }: Shape = SPOILED[kind];
+      const { first, endless, closes }: Shape = SPOILED[kind];
       const [line, ...rest] = first.split('\r\n');
       const own = [
         `${HEADERS.requestId}: ${requestId}`,
@@ -140,6 +154,7 @@
       socket.once('close', () => {
         clearTimeout(closing);
       });
+      if (closes === true) socket.end();
       if (endless)
         sendOn(socket, Buffer.from(endless.repeat(PIECE_BYTES / endless.length)), answer);
       return answer;
--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -23,6 +23,7 @@
   pauses: z.coerce.number().int().nonnegative(),
   silences: z.coerce.number().int().nonnegative(),
   spoils: z.coerce.number().int().nonnegative(),
+  cutAnswers: z.coerce.number().int().nonnegative(),
   silentRounds: z.coerce.number().int().nonnegative(),
   statementRounds: z.coerce.number().int().nonnegative(),
   zoneRounds: z.coerce.number().int().nonnegative(),
@@ -37,7 +38,7 @@
 async function run(args: unknown): Promise<void> {
   const options = optionsSchema.parse(args);
   const { seed: first, seeds, step, daemons, faults, entryFaults, returns, silentRounds } = options;
-  const { cuts, pauses, silences, spoils } = options;
+  const { cuts, pauses, silences, spoils, cutAnswers } = options;
   const { seconds, port, logs, statementRounds, zoneRounds, callers } = options;
   for (let seed = first; seed < first + seeds * step; seed += step) {
     const seedLogs = logs === undefined ? undefined : join(logs, `seed-${seed}`);
@@ -53,6 +54,7 @@
       pauses,
       silences,
       spoils,
+      cutAnswers,
       silentRounds,
       statementRounds,
       zoneRounds,
@@ -78,6 +80,7 @@
   .option('--pauses', 'Pauses of servers or of all daemons', 0)
   .option('--silences', 'Silences of sound servers, which end no answer', 0)
   .option('--spoils', 'Spoiled answers and entries, and added organisations', 0)
+  .option('--cutAnswers', 'Answers that their servers cut by closing their connections', 0)
   .option('--entryFaults', 'Server restarts under the same name, and invalid rows', 0)
   .option(
     '--silentRounds',
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -17,7 +17,7 @@
   SILENCE_FAULTS,
 } from './pauses';
 import { startPipelines } from './pipelines';
-import { planSpoils, SPOIL_FAULTS } from './spoils';
+import { CUT_FAULTS, planSpoils, SPOIL_FAULTS } from './spoils';
 import { runStatementRound } from './statements';
 import { FORMER_KEY, KEY, startWorld } from './world';
 import { runZoneRound } from './zones';
@@ -40,6 +40,8 @@
   readonly silences?: number;
   /** Spoiled answers, entries and organisations, in the same schedule. */
   readonly spoils?: number;
+  /** Answers that are cut in their head or body, in the same schedule. */
+  readonly cutAnswers?: number;
   /** Rounds of silent faults before the schedule, each followed by a change that must apply in time. */
   readonly silentRounds?: number;
   /** Rounds before the schedule in which servers send limits, Retry-After or leaving headers. */
@@ -69,7 +71,8 @@
 const SETTLE_MS = 500;
 
 const ALL_FAULTS = {
-  ...{ ...FAULTS, ...PAUSE_FAULTS, ...SILENCE_FAULTS, ...COMPANION_FAULTS, ...SPOIL_FAULTS },
+  ...{ ...FAULTS, ...PAUSE_FAULTS, ...SILENCE_FAULTS, ...COMPANION_FAULTS },
+  ...{ ...SPOIL_FAULTS, ...CUT_FAULTS },
 };
 
 async function runSchedule(
@@ -179,6 +182,7 @@
   pauses = 0,
   silences = 0,
   spoils = 0,
+  cutAnswers = 0,
   silentRounds = 0,
   statementRounds = 0,
   zoneRounds = 0,
@@ -193,10 +197,13 @@
   const cutPlan = planCuts(createRandom(seed + 6), cuts, durationMs);
   const pausePlan = planPauses(createRandom(seed + 7), pauses, durationMs);
   const silencePlan = planSoundSilences(createRandom(seed + 8), silences, durationMs);
-  const spoilPlan = planSpoils(createRandom(seed + 9), spoils, durationMs);
+  const spoiled = { count: spoils, durationMs };
+  const spoilPlan = planSpoils(createRandom(seed + 9), SPOIL_FAULTS, spoiled);
+  const cut = { count: cutAnswers, durationMs };
+  const cutAnswerPlan = planSpoils(createRandom(seed + 12), CUT_FAULTS, cut);
   const plan = [
     ...[...common, ...entryPlan, ...returnPlan, ...cutPlan, ...pausePlan],
-    ...[...silencePlan, ...spoilPlan],
+    ...[...silencePlan, ...spoilPlan, ...cutAnswerPlan],
   ].sort((a, b) => a.at - b.at);
   const hasZones = zoneRounds > 0;
   const world = await startWorld({
@@ -207,7 +214,7 @@
     await awaitServing(world);
     const callers = startCallers(world, random, { perDaemon: callersPerDaemon });
     // The callers of earlier seeds stay as they were.
-    const hasFurther = silences + spoils > 0;
+    const hasFurther = silences + spoils + cutAnswers > 0;
     const further = hasFurther
       ? [
           startCallers(world, createRandom(seed + 10), {
--- a/tests/soak/spoils.ts
+++ b/tests/soak/spoils.ts
@@ -10,17 +10,26 @@
 /** Answers to each kind of request that are spoiled together. */
 const SPOILED_AT_ONCE = 2;
 const MAX_SPOIL_MS = 2_000;
+/** Scheduled apart from the others, so that the schedules of earlier seeds do not change. */
+const CUT_KINDS: readonly string[] = ['cut-head', 'cut-body'] satisfies SpoiledKind[];
 
-const spoilAnswers = Object.fromEntries(
-  (Object.keys(SPOILED) as SpoiledKind[]).map((kind): [string, Fault] => [
-    kind,
-    ({ world }) => world.platform.spoils.begin(kind, SPOILED_AT_ONCE),
-  ]),
-);
+function faultsOf(kinds: readonly SpoiledKind[]): Readonly<Record<string, Fault>> {
+  return Object.fromEntries(
+    kinds.map((kind): [string, Fault] => [
+      kind,
+      ({ world }) => world.platform.spoils.begin(kind, SPOILED_AT_ONCE),
+    ]),
+  );
+}
+
+const KINDS = Object.keys(SPOILED) as SpoiledKind[];
+
+/** Answers that their servers cut by closing their connections, by name. */
+export const CUT_FAULTS = faultsOf(KINDS.filter((kind) => CUT_KINDS.includes(kind)));
 
 /** By name. They are scheduled separately, so that the schedules of earlier seeds do not change. */
 export const SPOIL_FAULTS: Readonly<Record<string, Fault>> = {
-  ...spoilAnswers,
+  ...faultsOf(KINDS.filter((kind) => !CUT_KINDS.includes(kind))),
   'events-disordered': ({ world }) => {
     world.platform.streamFaults.disorder = SPOILED_AT_ONCE;
     return () => (world.platform.streamFaults.disorder = 0);
@@ -45,10 +54,14 @@
   },
 };
 
-/** Plans spoiled answers and entries, to be merged into a schedule. */
-export function planSpoils(random: Random, count: number, durationMs: number): PlannedFault[] {
+/** Plans faults of these, to be merged into a schedule. */
+export function planSpoils(
+  random: Random,
+  faults: typeof SPOIL_FAULTS,
+  { count, durationMs }: { readonly count: number; readonly durationMs: number },
+): PlannedFault[] {
   return Array.from({ length: count }, () => ({
-    name: pick(random, Object.keys(SPOIL_FAULTS)),
+    name: pick(random, Object.keys(faults)),
     at: Math.round(random.next() * durationMs),
     forMs: Math.round(MIN_FAULT_MS + random.next() * (MAX_SPOIL_MS - MIN_FAULT_MS)),
   }));
--- a/tests/stand-ins-spoils.test.ts
+++ b/tests/stand-ins-spoils.test.ts
@@ -69,6 +69,15 @@
     expect(platform.spoils.sent.at(-1)?.bytes).toBeGreaterThanOrEqual(MOST_SPOILED_BYTES);
   });
 
+  // Guards against a cut answer that a reader may wait for.
+  it.each(['cut-head', 'cut-body'] as const)('sends %s and closes the connection', async (kind) => {
+    const end = platform.spoils.begin(kind, 1);
+    const { text } = await readAnswer(PLAIN, '/safe/x', Infinity);
+    end();
+    expect(text.startsWith('HTTP/1.1 200 OK')).toBe(true);
+    expect(text.includes('\r\n\r\n')).toBe(kind === 'cut-body');
+  });
+
   it('sends a status line that begins with zeros, or a switch of protocols, once', async () => {
     for (const kind of ['status-zero', 'protocol-switch'] as const) {
       const end = platform.spoils.begin(kind, 1);
