Count all answers of a connection that may be cut by its close

A long answer was still cut where a short one behind it closed the connection: the caller got 195,457 of 300,000 bytes.

Cause: bytes counted from the last request on, as if a caller that sends one had read the answers before. Now all that was written to the connection counts. The new test was red before.

--- a/src/app/gateway/caller-connections.ts
+++ b/src/app/gateway/caller-connections.ts
@@ -43,8 +43,8 @@
  * is on its way to it at the beginning of the stop is still answered.
  */
 const IDLE_AT_STOP_MS = 1_000;
-/** Answers up to this length reach a caller before it reads them, bytes. */
-const MAX_UNREAD_ANSWER_BYTES = 32 * 1024;
+/** Answers of a connection up to this length reach its caller before it reads them, bytes. */
+const MAX_UNREAD_BYTES = 32 * 1024;
 
 export function createCallerConnections(): CallerConnections {
   /** Requests of each connection that are not answered, in order of arrival. */
@@ -52,8 +52,6 @@
   const closing = new WeakSet<Socket>();
   /** Bytes read from a connection when its last request was answered. */
   const readBytes = new WeakMap<Socket, number>();
-  /** Bytes written to a connection when its caller is known to have read all answers. */
-  const writtenBytes = new WeakMap<Socket, number>();
   /** Raw responses that end connections. */
   const finalResponses = new WeakMap<Socket, string>();
   /** Responses that close their connection for no wish of its caller. */
@@ -77,10 +75,12 @@
     announced.add(last);
   };
 
-  /** Whether a close may cut an answer, or reach a caller that is still sending its request. */
+  /**
+   * Whether a close may cut an answer, or reach a caller that is still sending its request. All answers count, as a
+   * further request does not show that its caller has read those before.
+   */
   const mayCut = (socket: Socket): boolean =>
-    socket.bytesWritten - (writtenBytes.get(socket) ?? 0) > MAX_UNREAD_ANSWER_BYTES ||
-    pairsOf(socket).some(({ req }) => !req.complete);
+    socket.bytesWritten > MAX_UNREAD_BYTES || pairsOf(socket).some(({ req }) => !req.complete);
 
   const close = (socket: Socket): void => {
     if (mayCut(socket)) closeLingering(socket);
@@ -132,7 +132,6 @@
       const { socket } = req;
       const earlier = pairsOf(socket);
       const isLate = earlier.some((one) => one.res.headersSent && !one.res.shouldKeepAlive);
-      if (earlier.length === 0) writtenBytes.set(socket, socket.bytesWritten);
       responses.add(res);
       connections.set(socket, [...earlier, { req, res }]);
       res.once('close', () => {
--- a/tests/gateway/caller-connections.test.ts
+++ b/tests/gateway/caller-connections.test.ts
@@ -169,6 +169,15 @@
 });
 
 describe('a connection that closes with a long answer', () => {
+  /** The caller sends something more once the daemon has closed its side, and reads then. */
+  async function sendMoreAndRead(): Promise<void> {
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    caller.write(REQUEST);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    caller.resume();
+    await until(() => isClosed);
+  }
+
   /** The answer to a caller that reads nothing until it has sent something more. */
   async function readLate(body: Buffer, framing: Readonly<Record<string, string | number>>) {
     caller.pause();
@@ -178,11 +187,7 @@
     connections.closeAfterAnswers(res.req.socket);
     res.useChunkedEncodingByDefault = false;
     res.writeHead(200, framing).end(body);
-    await new Promise((resolve) => setTimeout(resolve, 100));
-    caller.write(REQUEST);
-    await new Promise((resolve) => setTimeout(resolve, 100));
-    caller.resume();
-    await until(() => isClosed);
+    await sendMoreAndRead();
   }
 
   // Guards against an answer that is cut and looks whole: bytes that arrive after a close make the kernel drop what it has not delivered (MIXED, LOST).
@@ -195,6 +200,23 @@
     expect(answers()).toEqual(['200', 'close']);
   });
 
+  it('delivers a long answer whole although its caller asked again before it read it', async () => {
+    caller.pause();
+    await send(REQUEST, 1);
+    responses[0]
+      ?.writeHead(200, { 'Content-Length': LONG_BYTES })
+      .end(Buffer.alloc(LONG_BYTES, 'x'));
+    await until(() => connections.inFlight() === 0);
+    await send(REQUEST, 2);
+    const [, last] = responses;
+    if (!last) throw new Error('no request');
+    connections.closeAfterAnswers(last.req.socket);
+    last.end('y');
+    await sendMoreAndRead();
+    expect(received.split('\r\n\r\n')[1]?.replace(/[^x]/g, '')).toHaveLength(LONG_BYTES);
+    expect(received.endsWith('y')).toBe(true);
+  });
+
   // Guards against connections that stay for as long as their callers like.
   it('is closed some time later if its caller neither reads nor closes', async () => {
     caller.pause();
