Wait for the next group where a resumable stream lost the last of its model

Cause: where no group serves a model, a request waits for 700 ms from its arrival, as groups are formed again in little more than half a second. A stream that was lost later had no time left of these. They begin anew now when its group is lost, within its deadline.

The new test was red before. The callers of the tests' streams have a file of their own, as the fixture had outgrown one.

--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -80,13 +80,14 @@
 
   /**
    * If no group serves the model, the wait is short and the caller is asked to retry later, as a
-   * longer wait would likely be in vain.
+   * longer wait would likely be in vain. It begins anew for a request that lost the last group.
    */
   const waitUntil = (exchange: Exchange, model: ModelId, state: StreamState): MonoTime => {
     if (state.hasStarted) return exchange.answerBy;
     if (groupRegistry.hasOpenGroup(exchange.service, model)) return exchange.slotBy;
-    const unservedUntil = later(exchange.arrivedAt, UNSERVED_WAIT_MS);
-    return unservedUntil < exchange.slotBy ? unservedUntil : exchange.slotBy;
+    const unservedUntil = later(state.lostAt ?? exchange.arrivedAt, UNSERVED_WAIT_MS);
+    const until = state.lostAt === undefined ? exchange.slotBy : exchange.answerBy;
+    return unservedUntil < until ? unservedUntil : until;
   };
 
   /** The place of the request among those that wait for a slot. */
@@ -177,6 +178,7 @@
       lastId: lastEventId === undefined ? undefined : Number(lastEventId),
       hasStarted: false,
       waitedMs: 0,
+      lostAt: undefined,
       firstEventAt: undefined,
       answeringMs: undefined,
       trace: undefined,
@@ -215,6 +217,7 @@
         return;
       }
       if (result === 'caller-gone' || exchange.gone.aborted) break;
+      if (result === 'lost') state.lostAt = ctx.clock.now();
       const lacked = lackedForRetry(exchange, state, result);
       if (lacked !== undefined) {
         state.lacked ??= lacked;
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -51,6 +51,8 @@
   hasStarted: boolean;
   /** Time spent waiting for slots, milliseconds. */
   waitedMs: number;
+  /** When a group was last lost with it. */
+  lostAt: MonoTime | undefined;
   /** When the caller was sent its first event. */
   firstEventAt: MonoTime | undefined;
   /** Of the last attempt: time from its first event to its end, milliseconds. */
--- a/tests/gateway/stream-ended-group.test.ts
+++ b/tests/gateway/stream-ended-group.test.ts
@@ -1,6 +1,6 @@
 /** Streams of a group of which a server is found to have ended. */
 
-import { expect, it } from 'vitest';
+import { describe, expect, it } from 'vitest';
 
 import { fakeTime } from './fake-time';
 import { createStreamWorld, groupOf, LAST_EVENT } from './stream-fixture';
@@ -28,3 +28,35 @@
     expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
   },
 );
+
+describe('a resumable stream without an event whose group ends as the last of its model', () => {
+  /** The stream waits for its group until that ends, long after it arrived. */
+  async function loseLastGroup() {
+    const world = createStreamWorld({ groups: 2 });
+    world.setServing('s1', false);
+    const caller = await world.request();
+    await world.pass(2_000);
+    world.setServing('s0', false);
+    world.runAt('s0').close();
+    await world.pass(500);
+    return { world, caller };
+  }
+
+  // Guards against a 502 for a stream that has time left, a moment before its model is served again.
+  it('is sent to the group that is formed next', async () => {
+    const { world, caller } = await loseLastGroup();
+    world.setServing('s1', true);
+    await world.pass(50);
+    world.runAt('s1').finishFrom(0);
+    await world.pass(50);
+    expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
+  });
+
+  // Guards against a stream that is held until its deadline although no group is formed.
+  it('gets its answer soon if none is formed', async () => {
+    const { world, caller } = await loseLastGroup();
+    expect(caller.state()).toBe('open');
+    await world.pass(300);
+    expect(caller.state()).not.toBe('open');
+  });
+});
--- a/tests/gateway/stream-fixture.ts
+++ b/tests/gateway/stream-fixture.ts
@@ -10,7 +10,6 @@
 import { createArrivals } from '../../src/app/gateway/arrivals';
 import { NO_EVACUATIONS } from '../../src/app/gateway/evacuations';
 import type { GatewayContext } from '../../src/app/gateway/context';
-import type { Exchange } from '../../src/app/gateway/exchange';
 import { createGroupRegistry } from '../../src/app/gateway/group-registry';
 import type { GroupRegistry, Stall } from '../../src/app/gateway/group-registry';
 import { createGatewayQuarantine } from '../../src/app/gateway/quarantine/quarantine';
@@ -28,6 +27,8 @@
 import type { StepError } from '../../src/utils/errors';
 import { fail } from '../../src/utils/errors';
 import { createFakeClock } from './fake-time';
+import { createCaller, DEADLINE_MS } from './stream-caller';
+import type { CallerView } from './stream-caller';
 import { ENGINE, inGroup, instance, makeContext, makeRoute } from './support';
 import { makeServer, makeThrottle, HEALTHY_LINKS, SERVICE, SMALL } from './support';
 
@@ -38,7 +39,6 @@
 const TICK_MS = 50;
 const FRESH_LOADS = { coversMost: true, isLeaderless: false, ageMs: 200 };
 const NO_LOADS = { running: [], paces: [], waiting: [] };
-const DEADLINE_MS = 20_000;
 /** Number of the last event of each stream. */
 export const LAST_EVENT = 6;
 
@@ -111,18 +111,6 @@
   }
 }
 
-/** What a caller receives. */
-export interface CallerView {
-  readonly ids: () => readonly number[];
-  readonly text: () => string;
-  readonly state: () => 'open' | 'whole' | 'torn';
-  readonly status: () => number | undefined;
-  /** Closes the caller's connection. */
-  readonly leave: () => void;
-  /** From now on the caller reads nothing. */
-  readonly stopReading: () => void;
-}
-
 export interface StreamWorldOptions {
   /** Number of groups, with heads `s0`, `s1`, ... */
   readonly groups: number;
@@ -151,6 +139,8 @@
   /** Whether the head, which is not suspended for it, is refused at the last moment; counted. */
   setHeldBack(head: string): void;
   readonly heldBackCount: () => number;
+  /** Takes the group out of the fleet, or forms it again. */
+  setServing(head: string, isServing: boolean): void;
   /** Whether connections to the head time out. */
   setUnreachable(head: string, isUnreachable: boolean): void;
   /** Passes time without ticks or timers, as if the process had not run. */
@@ -174,49 +164,6 @@
   return { retries, left: () => left };
 }
 
-function createCaller(id: string, route: Route, now: Exchange['arrivedAt']) {
-  const gone = new AbortController();
-  const received: Buffer[] = [];
-  let state: 'open' | 'whole' | 'torn' = 'open';
-  let status: number | undefined;
-  const res = {
-    statusCode: 200,
-    headersSent: false,
-    chunkedEncoding: true,
-    writableLength: 0,
-    once: () => undefined,
-    writeHead: (code: number) => {
-      status = code;
-      res.headersSent = true;
-    },
-    write: (bytes: Buffer) => received.push(bytes),
-    end: () => {
-      state = 'whole';
-    },
-    destroy: () => {
-      state = 'torn';
-    },
-  };
-  const deadline = later(now, DEADLINE_MS);
-  const exchange = {
-    ...{ req: { headers: {}, rawHeaders: [] }, res, body: Buffer.from(id), route },
-    facts: { model: SMALL, promptTokens: 10, requestId: id },
-    ...{ service: SERVICE, caller: { kind: 'public' }, priority: 1 },
-    ...{ arrivedAt: now, deadline, answerBy: deadline, slotBy: later(now, 1_300) },
-    gone: gone.signal,
-  } as unknown as Exchange;
-  const text = (): string => Buffer.concat(received).toString();
-  const ids = (): number[] => [...text().matchAll(/^id: (\d+)$/gm)].map(([, n]) => Number(n));
-  const leave = (): void => {
-    gone.abort(new Error('caller disconnected'));
-  };
-  const stopReading = (): void => {
-    res.writableLength = Number.MAX_SAFE_INTEGER;
-  };
-  const seen = { ids, text, state: () => state, status: () => status };
-  return { exchange, view: { ...seen, leave, stopReading } };
-}
-
 export function createStreamWorld({
   groups,
   route: routeOptions = {},
@@ -238,10 +185,9 @@
     }),
   );
   const addresses = new Map(heads.map(({ id, address }) => [address, id]));
-  const serverRegistry = {
-    servers: new Map(heads.map((server) => [server.id, server])),
-    changes: new Subject<void>(),
-  } as unknown as ServerRegistry;
+  const servers = new Map(heads.map((server) => [server.id, server]));
+  const serverChanges = new Subject<void>();
+  const serverRegistry = { servers, changes: serverChanges } as unknown as ServerRegistry;
   const routes = new BehaviorSubject<RouteTable | undefined>(TABLE);
   const throttle = makeThrottle(ctx);
   const registry = createGroupRegistry(ctx, serverRegistry, routes, throttle);
@@ -336,6 +282,12 @@
       heldBack.add(instance(head));
     },
     heldBackCount: () => heldBackCount,
+    setServing: (head, isServing) => {
+      const server = heads.find(({ id }) => id === head);
+      if (server && isServing) servers.set(server.id, server);
+      else servers.delete(instance(head));
+      serverChanges.next();
+    },
     setUnreachable: (head, isUnreachable) => {
       if (isUnreachable) unreachable.add(instance(head));
       else unreachable.delete(instance(head));
--- a/tests/gateway/stream-order.test.ts
+++ b/tests/gateway/stream-order.test.ts
@@ -2,8 +2,9 @@
 import { describe, expect, it } from 'vitest';
 
 import { fakeTime } from './fake-time';
+import type { CallerView } from './stream-caller';
 import { createStreamWorld, groupOf, LAST_EVENT } from './stream-fixture';
-import type { CallerView, ServerRun, StreamWorld } from './stream-fixture';
+import type { ServerRun, StreamWorld } from './stream-fixture';
 
 fakeTime();
 
