Send a stream to the group that is formed anew with the head that it lost

A stream that was lost with its group was not sent to the next one where that had the same head, and got a 502 although the model was served again.

Cause: groups that a stream had tried were noted by their heads. A group that loses a member is formed again with the others, often with the same head, under an id of its own; the ids are noted now. The new test was red before.

--- a/src/app/gateway/group-loads.ts
+++ b/src/app/gateway/group-loads.ts
@@ -119,7 +119,7 @@
       freeSlots: Math.min(tokens, warmUp * freeCapacityOf({ ...capacity, departing: 0 })),
       ...(throttle.coldLimit(head.id) && { isOwnShare: true }),
       slowdown: currentSlowdown(group),
-      isTried: tried.has(head.id),
+      isTried: tried.has(group.id),
     };
   };
 
--- a/src/app/gateway/group-registry-types.ts
+++ b/src/app/gateway/group-registry-types.ts
@@ -27,8 +27,8 @@
   readonly model: ModelId;
   /** Longest pause between events that its caller still counts as on time, milliseconds. */
   readonly maxPauseMs: number;
-  /** Heads of the groups that it was already sent to. */
-  readonly tried: ReadonlySet<InstanceId>;
+  /** Groups that it was already sent to. */
+  readonly tried: ReadonlySet<GroupId>;
 }
 
 export interface GroupRegistry {
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -8,7 +8,7 @@
 import { mayPassOn } from '../../core/gateway/promises';
 import type { Framing } from '../../core/gateway/response-framing';
 import { chunkFault, eventFault } from '../../core/gateway/stream-runs';
-import type { InstanceId, MonoTime } from '../../core/ids';
+import type { GroupId, InstanceId, MonoTime } from '../../core/ids';
 import { createBodyAccount, MAX_FAILURE_BYTES, MAX_UNREAD_BYTES } from '../../core/input-limits';
 import type { ResponseFacts, HeaderDialect } from '../../ports/gateway';
 import {
@@ -35,8 +35,8 @@
 
 /** Progress of one caller's stream over all its attempts. */
 export interface StreamState {
-  /** Heads that are not to be tried next. */
-  tried: Set<InstanceId>;
+  /** Groups that are not to be tried next. A new one may have the head of one that ended. */
+  tried: Set<GroupId>;
   /** Heads that could not be sent it a moment ago, and until when they are not tried again. */
   readonly unreachedUntil: Map<InstanceId, MonoTime>;
   /** Number of groups that it was or is being sent to. */
--- a/src/app/gateway/stream-runs.ts
+++ b/src/app/gateway/stream-runs.ts
@@ -48,15 +48,15 @@
     for (const run of closed) close(run, reason);
   };
 
-  const noteNotSent = ({ head }: ServingGroup): void => {
+  const noteNotSent = ({ id, head }: ServingGroup): void => {
     state.unreached += 1;
     if (!state.hasStarted) return;
     // This daemon's own link may be slow: groups are tried again once their suspension has ended.
     if (runs.open.length === 0) {
-      state.tried = new Set([head.id]);
+      state.tried = new Set([id]);
       return;
     }
-    state.tried.delete(head.id);
+    state.tried.delete(id);
     state.unreachedUntil.set(head.id, later(ctx.clock.now(), UNREACHED_PAUSE_MS));
   };
 
@@ -106,7 +106,7 @@
       const stop = new AbortController();
       stops.set(run, stop);
       runs = beginRun(runs, run);
-      state.tried.add(group.head.id);
+      state.tried.add(group.id);
       state.attempts += 1;
       const control: RunControl = {
         ...{ stop, begin, ends },
--- a/tests/gateway/fleet-model.ts
+++ b/tests/gateway/fleet-model.ts
@@ -25,7 +25,7 @@
 import type { RouteTable } from '../../src/core/gateway/routes';
 import type { BackendServer } from '../../src/core/gateway/types';
 import { brandAs, later } from '../../src/core/ids';
-import type { EpochTime, InstanceId, ZoneId } from '../../src/core/ids';
+import type { EpochTime, GroupId, InstanceId, ZoneId } from '../../src/core/ids';
 import {
   at,
   ENGINE,
@@ -66,7 +66,7 @@
 export interface ModelRequest {
   readonly arrivedAt: number;
   readonly daemon: ModelDaemon;
-  readonly tried: Set<InstanceId>;
+  readonly tried: Set<GroupId>;
   attempts: number;
   firstEventAt: number | undefined;
   outcome: Outcome | undefined;
@@ -202,9 +202,9 @@
     }
   };
 
-  const send = (request: ModelRequest, { head }: ServingGroup): void => {
+  const send = (request: ModelRequest, { id, head }: ServingGroup): void => {
     request.attempts += 1;
-    request.tried.add(head.id);
+    request.tried.add(id);
     const group = groups.find((one) => one.head.id === head.id);
     const stream: Stream = {
       ...{ request, sentAt: now(), nextEventAt: undefined, lastEventAt: undefined, events: 0 },
@@ -246,7 +246,7 @@
       const daemon = daemons[Math.floor(random.next() * size)];
       if (!daemon) continue;
       const request: ModelRequest = {
-        ...{ arrivedAt: now(), daemon, tried: new Set<InstanceId>() },
+        ...{ arrivedAt: now(), daemon, tried: new Set<GroupId>() },
         ...{ attempts: 0, firstEventAt: undefined, outcome: undefined },
       };
       requests.push(request);
--- a/tests/gateway/group-registry.test.ts
+++ b/tests/gateway/group-registry.test.ts
@@ -31,7 +31,7 @@
 const HEAD = instance('s0');
 const NEEDS = {
   ...{ service: SERVICE, model: SMALL, maxPauseMs: 250 },
-  tried: new Set<InstanceId>(),
+  tried: new Set<GroupId>(),
 };
 /** Load facts of a fresh update that covers all daemons. */
 const FRESH_LOADS = { coversMost: true, isLeaderless: false, ageMs: 200 };
--- a/tests/gateway/stream-ended-group.test.ts
+++ b/tests/gateway/stream-ended-group.test.ts
@@ -2,6 +2,8 @@
 
 import { describe, expect, it } from 'vitest';
 
+import { brandAs } from '../../src/core/ids';
+import type { GroupId } from '../../src/core/ids';
 import { fakeTime } from './fake-time';
 import { createStreamWorld, groupOf, LAST_EVENT } from './stream-fixture';
 
@@ -43,11 +45,17 @@
   }
 
   // Guards against a 502 for a stream that has time left, a moment before its model is served again.
-  it('is sent to the group that is formed next', async () => {
+  it.each([
+    { what: 'another head', head: 's1' },
+    { what: 'the same head', head: 's0' },
+  ])('is sent to the group that is formed next, with $what', async ({ head }) => {
     const { world, caller } = await loseLastGroup();
-    world.setServing('s1', true);
+    world.setServing(head, true, brandAs<GroupId>('next-group'));
     await world.pass(50);
-    world.runAt('s1').finishFrom(0);
+    const next = world.runs[1];
+    if (!next) throw new Error('nothing was sent again');
+    expect(next.head).toBe(head);
+    next.finishFrom(0);
     await world.pass(50);
     expect([caller.state(), caller.ids()]).toEqual(['whole', ALL_EVENTS]);
   });
--- a/tests/gateway/stream-fixture.ts
+++ b/tests/gateway/stream-fixture.ts
@@ -140,7 +140,7 @@
   setHeldBack(head: string): void;
   readonly heldBackCount: () => number;
   /** Takes the group out of the fleet, or forms it again. */
-  setServing(head: string, isServing: boolean): void;
+  setServing(head: string, isServing: boolean, group?: GroupId): void;
   /** Whether connections to the head time out. */
   setUnreachable(head: string, isUnreachable: boolean): void;
   /** Passes time without ticks or timers, as if the process had not run. */
@@ -282,9 +282,10 @@
       heldBack.add(instance(head));
     },
     heldBackCount: () => heldBackCount,
-    setServing: (head, isServing) => {
+    setServing: (head, isServing, group = groupOf(head)) => {
       const server = heads.find(({ id }) => id === head);
-      if (server && isServing) servers.set(server.id, server);
+      const formed = server && { ...server, ...inGroup(group, 0, 'open') };
+      if (formed && isServing) servers.set(formed.id, formed);
       else servers.delete(instance(head));
       serverChanges.next();
     },
