--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -29,6 +29,8 @@
  * A group that lost a member is formed again from warm servers in little more than half a second.
  */
 const UNSERVED_WAIT_MS = 700;
+/** From the end of a group, which the leader has to notice first, until the next one serves. */
+const REFORMED_WAIT_MS = 1_500;
 const NONE_AVOIDED: ReadonlySet<InstanceId> = new Set();
 
 export interface StreamDeps extends Omit<AttemptDeps, 'times'>, SlotDeps {
@@ -85,8 +87,12 @@
   const waitUntil = (exchange: Exchange, model: ModelId, state: StreamState): MonoTime => {
     if (state.hasStarted) return exchange.answerBy;
     if (groupRegistry.hasOpenGroup(exchange.service, model)) return exchange.slotBy;
-    const unservedUntil = later(state.lostAt ?? exchange.arrivedAt, UNSERVED_WAIT_MS);
-    const until = state.lostAt === undefined ? exchange.slotBy : exchange.answerBy;
+    const { lostAt } = state;
+    const unservedUntil =
+      lostAt === undefined
+        ? later(exchange.arrivedAt, UNSERVED_WAIT_MS)
+        : later(lostAt, REFORMED_WAIT_MS);
+    const until = lostAt === undefined ? exchange.slotBy : exchange.answerBy;
     return unservedUntil < until ? unservedUntil : until;
   };
 
