Bound what is read for nothing after the last answer of a connection

A caller that sent on and on after an answer that closes its connection kept the daemon reading for 2.9 s in the new test, which was red before.

Cause: the time after the daemon has ended its side was bounded, and the bytes were not. The connection is closed now once 64 KB were read for nothing.

--- a/src/app/gateway/linger.ts
+++ b/src/app/gateway/linger.ts
@@ -8,15 +8,21 @@
 
 /** A peer that does not end its side is waited for this long, milliseconds. */
 const LINGER_MS = 2_000;
+/** What is read for nothing meanwhile, bytes, and the interval at which it is looked at, milliseconds. */
+const MAX_LINGER_BYTES = 64 * 1024;
+const LOOK_MS = 50;
 
 /** Ends the daemon's side of a connection, and closes it when the peer has ended its own, or some time later. */
 export function closeLingering(socket: Socket): void {
   if (socket.destroyed || socket.writableEnded) return;
-  const timer = setTimeout(() => {
-    socket.destroy();
-  }, LINGER_MS);
+  const { bytesRead } = socket;
+  const until = performance.now() + LINGER_MS;
+  const timer = setInterval(() => {
+    const isTooMuch = socket.bytesRead > bytesRead + MAX_LINGER_BYTES;
+    if (isTooMuch || performance.now() >= until) socket.destroy();
+  }, LOOK_MS);
   socket.once('close', () => {
-    clearTimeout(timer);
+    clearInterval(timer);
   });
   socket.end();
 }
--- a/tests/gateway/caller-connections.test.ts
+++ b/tests/gateway/caller-connections.test.ts
@@ -217,6 +217,22 @@
     expect(received.endsWith('y')).toBe(true);
   });
 
+  // Guards against a daemon that reads for nothing, as much as a caller likes to send.
+  it('is closed at once if its caller sends on and on', async () => {
+    await send(REQUEST, 1);
+    const [res] = responses;
+    if (!res) throw new Error('no request');
+    const { socket } = res.req;
+    connections.closeAfterAnswers(socket);
+    caller.pause();
+    res.end(Buffer.alloc(LONG_BYTES, 'x'));
+    const startedAt = performance.now();
+    const sending = setInterval(() => caller.write(REQUEST.repeat(1_000)), 10);
+    await until(() => socket.destroyed);
+    clearInterval(sending);
+    expect(performance.now() - startedAt).toBeLessThan(MAX_LINGER_MS / 3);
+  });
+
   // Guards against connections that stay for as long as their callers like.
   it('is closed some time later if its caller neither reads nor closes', async () => {
     caller.pause();
