Wait for the next group also where the end of the last is not known yet

A resumable stream whose head crashed got a 502 at once, where one whose group was known to have ended waited for the next.

Cause: connections break before the end of a group is known, and until then the model counted as served. Groups that the stream was lost with do not count now. Others that are open, and full, count as before. The new case of stream-ended-group was red before.

--- a/src/app/gateway/group-registry-types.ts
+++ b/src/app/gateway/group-registry-types.ts
@@ -42,8 +42,12 @@
   ): Admission;
   /** Free slots of the group that are reserved for this daemon. */
   grantedSlots(head: InstanceId): number;
-  /** Whether any group of the model is open outside evacuated zones, suspected or not. */
-  hasOpenGroup(service: ServiceId, model: ModelId | undefined): boolean;
+  /** Whether any group of the model, other than these, is open outside evacuated zones, suspected or not. */
+  hasOpenGroup(
+    service: ServiceId,
+    model: ModelId | undefined,
+    except?: ReadonlySet<GroupId>,
+  ): boolean;
   /**
    * Addresses of the heads of the model's open groups, if no connection to any of them could be established;
    * none otherwise.
--- a/src/app/gateway/group-registry.ts
+++ b/src/app/gateway/group-registry.ts
@@ -151,8 +151,9 @@
     admit: (model, found, offered) =>
       admission.admit(model, found, { ...offered, remote: peerLoads.offeredLoad(model) }),
     grantedSlots: (head) => admission.grantedSlots(head),
-    hasOpenGroup: (service, model) =>
-      model !== undefined && groupsOfModel(service, model).length > 0,
+    hasOpenGroup: (service, model, except) =>
+      model !== undefined &&
+      groupsOfModel(service, model).some(({ id }) => except?.has(id) !== true),
     unreachableHeads: (service, model) => {
       const found = groupsOfModel(service, model);
       const isUnreachable = ({ id }: ServingGroup): boolean =>
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -86,8 +86,10 @@
    */
   const waitUntil = (exchange: Exchange, model: ModelId, state: StreamState): MonoTime => {
     if (state.hasStarted) return exchange.answerBy;
-    if (groupRegistry.hasOpenGroup(exchange.service, model)) return exchange.slotBy;
-    const { lostAt } = state;
+    const { lostAt, tried } = state;
+    // The end of a group shows in its connections before it is known.
+    const lost = lostAt === undefined ? undefined : tried;
+    if (groupRegistry.hasOpenGroup(exchange.service, model, lost)) return exchange.slotBy;
     const unservedUntil =
       lostAt === undefined
         ? later(exchange.arrivedAt, UNSERVED_WAIT_MS)
--- a/tests/gateway/stream-ended-group.test.ts
+++ b/tests/gateway/stream-ended-group.test.ts
@@ -32,24 +32,27 @@
 );
 
 describe('a resumable stream without an event whose group ends as the last of its model', () => {
-  /** The stream waits for its group until that ends, long after it arrived. */
-  async function loseLastGroup() {
+  /** The stream waits for its group until that ends, long after it arrived; the end is known before or after the connection breaks. */
+  async function loseLastGroup(isKnownFirst = true) {
     const world = createStreamWorld({ groups: 2 });
     world.setServing('s1', false);
     const caller = await world.request();
     await world.pass(2_000);
-    world.setServing('s0', false);
+    if (isKnownFirst) world.setServing('s0', false);
     world.runAt('s0').close();
-    await world.pass(1_000);
+    await world.pass(100);
+    world.setServing('s0', false);
+    await world.pass(900);
     return { world, caller };
   }
 
   // Guards against a 502 for a stream that has time left, a moment before its model is served again.
   it.each([
-    { what: 'another head', head: 's1' },
-    { what: 'the same head', head: 's0' },
-  ])('is sent to the group that is formed next, with $what', async ({ head }) => {
-    const { world, caller } = await loseLastGroup();
+    { what: 'another head', head: 's1', isKnownFirst: true },
+    { what: 'the same head', head: 's0', isKnownFirst: true },
+    { what: 'another head, known to have ended later', head: 's1', isKnownFirst: false },
+  ])('is sent to the group that is formed next, with $what', async ({ head, isKnownFirst }) => {
+    const { world, caller } = await loseLastGroup(isKnownFirst);
     world.setServing(head, true, brandAs<GroupId>('next-group'));
     await world.pass(50);
     const next = world.runs[1];
