Close connections unread only where many of them wait

Cause: the bound on how long connections may have waited was taken for a queue of that length. It also counts turns of the event loop that were long for another reason (a large configuration, other processes on the cores), at 100 ms each, so that three such turns closed connections; the log had 283 ms, 13 requests to be worked on, 52 ms of work and 4,683 ms left. Nine connections had come in that second.

Now the connections that were accepted in that time have to account for the wait: at least twenty, whose work takes as long as callers wait, as far as the time of a request is known. The log line tells how many there were. Two tests of the intake were red before (false, true, false instead of false); those of floods are as they were.

--- a/src/app/gateway/intake.ts
+++ b/src/app/gateway/intake.ts
@@ -18,6 +18,7 @@
 } from '../../core/gateway/overload';
 import type { Backlog } from '../../core/gateway/overload';
 import {
+  acceptedMeanwhile,
   beginTurns,
   countedMs,
   earliestArrival,
@@ -154,9 +155,9 @@
   };
 
   const logSaturation = (backlog: Backlog): void => {
-    const { queued, leftMs = 0 } = backlog;
+    const { queued, accepted, leftMs = 0 } = backlog;
     logger.info('new connections are closed unread', {
-      ...{ step: 'read', queued, requests: backlog.rate.total },
+      ...{ step: 'read', queued, accepted, requests: backlog.rate.total },
       unreadMs: Math.round(backlog.unreadMs),
       waitMs: Math.round(expectedWaitMs(backlog)),
       leftMs: Math.round(leftMs),
@@ -175,7 +176,8 @@
   const updateSaturation = (state: ReadTurns): void => {
     const now = momentOf(state.ended, clock.now());
     const backlog = {
-      ...{ unreadMs: unreadMs(state), batches, queued: queue.length, rate },
+      ...{ unreadMs: unreadMs(state), accepted: acceptedMeanwhile(state) },
+      ...{ batches, queued: queue.length, rate },
       leftMs: usualLeftMs(now),
     };
     const next = isSaturated(backlog, saturated.value);
--- a/src/core/gateway/overload.ts
+++ b/src/core/gateway/overload.ts
@@ -25,6 +25,8 @@
 export interface Backlog {
   /** How long connections may have waited to be accepted. */
   readonly unreadMs: number;
+  /** Connections that were accepted meanwhile. */
+  readonly accepted: number;
   /** Batches of requests worked on since nothing waited. */
   readonly batches: number;
   /** Requests that were read and not worked on. */
@@ -46,6 +48,8 @@
 const COLD_FACTOR = 3;
 /** Callers give up a request that nobody has read after a second, or after a third of the time that they have. */
 const MAX_UNREAD_MS = 250;
+/** Fewer connections in that time show that turns of the event loop were long, not that many wait. */
+const MIN_ACCEPTED = 20;
 /** A process that goes on after a pause may work off what has waited first. */
 const MIN_BATCHES = 2;
 /** The daemon takes new connections again once requests wait for less than this, milliseconds. */
@@ -94,11 +98,21 @@
   return rate.total < WARM_REQUESTS ? waitMs / COLD_FACTOR : waitMs;
 }
 
+/**
+ * How long connections may have waited because there are many of them. Turns of the event loop may also be long for other
+ * reasons, such as a processor that others use, and what waits is served soon then.
+ */
+function floodedMs({ unreadMs, accepted, rate }: Backlog): number {
+  if (accepted < MIN_ACCEPTED) return 0;
+  if (rate.total < MIN_REQUESTS) return unreadMs;
+  return Math.min(unreadMs, expectedWaitMs({ queued: accepted, rate }));
+}
+
 /** Whether the daemon takes no new connections, given whether it did not before. */
 export function isSaturated(backlog: Backlog, wasSaturated: boolean): boolean {
-  const { unreadMs, batches, leftMs = Infinity } = backlog;
+  const { batches, leftMs = Infinity } = backlog;
   const waitMs = expectedWaitMs(backlog);
-  if (wasSaturated) return unreadMs >= RELIEVED_MS || waitMs >= RELIEVED_MS;
+  if (wasSaturated) return floodedMs(backlog) >= RELIEVED_MS || waitMs >= RELIEVED_MS;
   if (batches < MIN_BATCHES) return false;
-  return unreadMs >= MAX_UNREAD_MS || waitMs > leftMs;
+  return floodedMs(backlog) >= MAX_UNREAD_MS || waitMs > Math.max(0, leftMs);
 }
--- a/src/core/gateway/read-turns.ts
+++ b/src/core/gateway/read-turns.ts
@@ -9,10 +9,11 @@
 
 import type { MonoTime } from '../ids';
 
-/** A moment, and what turns took by then beyond the time for which one counts. */
+/** A moment, what turns took by then beyond the time for which one counts, and connections accepted by then. */
 export interface Moment {
   readonly at: MonoTime;
   readonly heldMs: number;
+  readonly accepted: number;
 }
 
 /** Consecutive turns of the event loop, as seen at the end of each. */
@@ -42,7 +43,7 @@
 
 /** Starts a series of turns; nothing that arrived before `since` waits. */
 export function beginTurns(since: MonoTime, turn = 0): ReadTurns {
-  const start = { at: since, heldMs: 0 };
+  const start = { at: since, heldMs: 0, accepted: 0 };
   return { turn, ended: start, endedBefore: start, drained: start, accepted: 0 };
 }
 
@@ -60,7 +61,7 @@
 export function endTurn({ turn, ended, drained, accepted }: ReadTurns, now: MonoTime): ReadTurns {
   return {
     turn: turn + 1,
-    ended: momentOf(ended, now),
+    ended: { ...momentOf(ended, now), accepted: ended.accepted + accepted },
     endedBefore: ended,
     drained: accepted === 0 ? ended : drained,
     accepted: 0,
@@ -69,7 +70,8 @@
 
 /** The moment `now`, in the turn that follows `ended`. */
 export function momentOf(ended: Moment, now: MonoTime): Moment {
-  return { at: now, heldMs: ended.heldMs + Math.max(0, now - ended.at - MAX_TURN_MS) };
+  const heldMs = ended.heldMs + Math.max(0, now - ended.at - MAX_TURN_MS);
+  return { at: now, heldMs, accepted: ended.accepted };
 }
 
 /** Time between two moments, without that in which turns were held. */
@@ -82,6 +84,11 @@
   return countedMs(drained, ended);
 }
 
+/** Connections accepted in the time of which `unreadMs` tells. */
+export function acceptedMeanwhile({ ended, drained }: ReadTurns): number {
+  return ended.accepted - drained.accepted;
+}
+
 /** Whether what is read in the current turn is what the connection brought along. */
 export function isFirstRead(
   { turn }: ReadTurns,
--- a/tests/gateway/intake.test.ts
+++ b/tests/gateway/intake.test.ts
@@ -127,14 +127,14 @@
     });
 }
 
-/** Lets `times` connections arrive, one a turn of `ms`, each with a request. */
-function arrive(times: number, ms: number): void {
+/** Lets `times` connections arrive, one a turn of `ms`, each with a request that is to be worked on within `limitMs`. */
+function arrive(times: number, ms: number, limitMs = startWithinMs): void {
   for (let n = 0; n < times; n++) {
     const socket = new Socket();
     intake.noteConnection(socket);
     endTurn(ms);
     intake.take(socket, {
-      startWithinMs,
+      startWithinMs: limitMs,
       serve: () => outcomes.push(`served ${n}`),
       refuse: () => outcomes.push(`refused ${n}`),
     });
@@ -224,6 +224,27 @@
     expect(outcomes.filter((one) => one.startsWith('served'))).toHaveLength(40);
   });
 
+  // Guards against connections that are closed unread since the process got little processor time.
+  it('does not count turns that are held one after the other while few connections come', () => {
+    const states: boolean[] = [];
+    intake.saturated.subscribe((isSaturated) => states.push(isSaturated));
+    arrive(19, 300, 4_800);
+    endTurns(6, 1);
+    expect(states).toEqual([false]);
+    expect(outcomes).toHaveLength(19);
+  });
+
+  // Guards against connections that are closed unread although all that came meanwhile is served at once.
+  it('closes none while it works off what comes faster than it waits', () => {
+    const states: boolean[] = [];
+    intake.saturated.subscribe((isSaturated) => states.push(isSaturated));
+    takeMany(60);
+    arrive(24, 15);
+    endTurns(6, 1);
+    expect(states).toEqual([false]);
+    expect(outcomes).toHaveLength(84);
+  });
+
   it('counts connections as accepted that arrived before a marker', () => {
     const states: boolean[] = [];
     intake.saturated.subscribe((isSaturated) => states.push(isSaturated));
