End no group that serves because its formation was noticed late

Callers of a daemon lost streams that may not be resumed, beside a configuration of 2,000 routes and nothing else: the server hung up in the middle, 2 to 4 s after the configuration, while no server had ended.

Cause: a group that is being formed has a deadline, and the plan looked at it before it looked at the group. A leader that decoded the configuration for 1.05 s, and had no answer of the store for 4.2 s, read all at once that two groups had opened and that their deadlines had passed, and ordered their heads to leave, 2 ms after it had noted that they serve. Other daemons had sent them streams meanwhile. In the log of the soak: 'group serves', 'ending group ... leave'.

A group whose head is open is no longer being formed now, and is judged as any other that serves. One that is found complete for the first time gets time to open, and a warm spare that has joined stays.

The class: a limit of time that passes while nothing is read, applied before what arrived meanwhile.

--- a/src/core/gateway/forming/form.ts
+++ b/src/core/gateway/forming/form.ts
@@ -83,22 +83,30 @@
   formation: Formation,
   group: ReplicaGroup | undefined,
 ): void {
-  const { members } = formation;
+  const { members, isStandby } = formation;
+  const isWhole = group !== undefined && isComplete(group, members.length);
+  // One that serves may hold answers, of whoever sent to it while this leader read no entries.
+  const isOpen = group?.head?.membership?.state === 'open';
+  if (isOpen || (isStandby && isWhole)) {
+    draft.formations.delete(formation.group);
+    return;
+  }
   const isBlocked = members.some((member) => cannotJoin(draft, formation, member));
-  if (isBlocked || draft.now >= formation.deadline) {
+  const isNewlyWhole = isWhole && formation.isComplete !== true;
+  const isOverdue = !isNewlyWhole && draft.now >= formation.deadline;
+  if (isBlocked || isOverdue) {
     excludeUnavailable(draft, formation);
     abandon(draft, formation);
     return;
   }
+  if (isNewlyWhole) {
+    const deadline = later(draft.now, draft.settings.joinSlackMs);
+    draft.formations.set(formation.group, { ...formation, isComplete: true, deadline });
+  }
   for (const member of members) {
     if (!reportsGroup(draft, formation, member)) sendOrder(draft, member, joinOrder(formation));
   }
-  if (!group || !isComplete(group, members.length)) return;
-  if (formation.isStandby || group.head?.membership?.state === 'open') {
-    draft.formations.delete(formation.group);
-    return;
-  }
-  openGroup(draft, group);
+  if (isWhole) openGroup(draft, group);
 }
 
 /** Orders the head to serve. Must be called only for a complete group, as the engine checks no member. */
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -14,8 +14,10 @@
   readonly model: ModelId;
   /** Ordered by rank. */
   readonly members: readonly BackendServer[];
-  /** The group is abandoned if it is not complete by then. */
+  /** The group is abandoned if it is not complete by then, or does not serve by then once it is. */
   readonly deadline: MonoTime;
+  /** Whether all members have been seen ready. */
+  readonly isComplete?: boolean;
   /** A warm spare: a group of one member that is joined and never opened. */
   readonly isStandby: boolean;
 }
