Close connections unread only with the time of a request known

In the soak of planned work a daemon that had just started closed up to 131 connections unread after one decision (20 connections accepted, no request timed yet, 4 s left for each).

Cause: while the time of a request was not known, the bound on the wait of connections counted as it was, and a daemon knows that time only once a batch of work has left requests waiting. One that works off all that it reads never does, and is not overloaded either.

An unknown time shows no flood now.

--- a/src/core/gateway/overload.ts
+++ b/src/core/gateway/overload.ts
@@ -104,7 +104,6 @@
  */
 function floodedMs({ unreadMs, accepted, rate }: Backlog): number {
   if (accepted < MIN_ACCEPTED) return 0;
-  if (rate.total < MIN_REQUESTS) return unreadMs;
   return Math.min(unreadMs, expectedWaitMs({ queued: accepted, rate }));
 }
 
