Keep no servers for groups that cannot be ended

Callers of a model got 503 for good while its servers stood idle: an entry of a server that refuses connections named a group without a head. Played with real daemons before: the model was not served within 45 s; the leader sent `leave` again and again.

Cause: the group is to be ended, and as nothing shows that its head has broken, its member stays bound until it carries out a `leave`. That is right for this member. But everything else waited for it as well, without a limit: the spares that complete its group (held-spares), the servers that the domain can obtain, for which groups of other models were even ended, the reserve, and the slow members that may be replaced.

An ending group now has a deadline by which its members are free if its servers carry out their orders: two orders after it is to leave, the longest finish before it, and the time in which the head breaks once a member has left. After it only the binding of its members remains, so that both guarantees (no incomplete group serves, no server of a group that may serve joins another) rest on the same evidence as before. Its members no longer count for the reserve.

Simulated servers, no real ones.

--- a/src/core/gateway/forming/compose.ts
+++ b/src/core/gateway/forming/compose.ts
@@ -7,7 +7,13 @@
 import type { ReplicaGroup } from '../groups';
 import { excludeHeldSpares } from './held-spares';
 import { canStartLoads } from './loads';
-import { collectFreeServers, countRequiredLoads, pickMembers } from './members';
+import {
+  collectFreeServers,
+  countByDomain,
+  countRequiredLoads,
+  isReturning,
+  pickMembers,
+} from './members';
 import {
   isUnderprovisioned,
   isGroupWorthwhile,
@@ -215,8 +221,10 @@
     const isGone = draft.dissolved.has(id) || draft.retirements.has(id);
     if (!isGone && !isStandby(id) && !draft.formations.has(id)) add(domain, model, members.length);
   }
-  for (const { model, members } of draft.retirements.values())
-    add(members[0]?.domain, model, members.length);
+  for (const retirement of draft.retirements.values()) {
+    const { model, members } = retirement;
+    if (isReturning(draft, retirement)) add(members[0]?.domain, model, members.length);
+  }
   for (const { model, members, isStandby: isStandbyGroup } of draft.formations.values())
     if (!isStandbyGroup) add(members[0]?.domain, model, members.length);
   return byDomain;
@@ -228,10 +236,7 @@
   claims: ReadonlyMap<DomainId, ModelSpec>,
 ): FreeDomain[] {
   const grouped = countGrouped(draft, groups);
-  const sizes = new Map<DomainId, number>();
-  for (const { domain, isDraining } of draft.view.servers.values()) {
-    if (domain !== undefined && !isDraining) sizes.set(domain, (sizes.get(domain) ?? 0) + 1);
-  }
+  const sizes = countByDomain(draft);
   return [...collectFreeServers(draft)]
     .sort(([a], [b]) => compareText(a, b))
     .map(([domain, free]) => {
--- a/src/core/gateway/forming/domain-changes.ts
+++ b/src/core/gateway/forming/domain-changes.ts
@@ -6,7 +6,13 @@
 import type { BackendServer, ModelSpec } from '../types';
 import { joinCost } from './form';
 import { excludeHeldSpares } from './held-spares';
-import { collectFreeServers, pickMembers, remainingMembers } from './members';
+import {
+  collectFreeServers,
+  countByDomain,
+  pickMembers,
+  remainingMembers,
+  returningMembers,
+} from './members';
 import { findPreemption, listPreemptible } from './rebalance';
 import { countReserve, lossRate } from './reserve';
 import type { Draft } from './state';
@@ -39,13 +45,11 @@
 }
 
 export function listDomains(draft: Draft, groups: readonly ReplicaGroup[]): readonly DomainState[] {
-  const sizes = new Map<DomainId, number>();
-  for (const { domain, isDraining } of draft.view.servers.values())
-    if (domain !== undefined && !isDraining) sizes.set(domain, (sizes.get(domain) ?? 0) + 1);
+  const sizes = countByDomain(draft);
   const free = collectFreeServers(draft);
   const releasing = [...draft.retirements.values()]
     .filter(({ model }) => model === undefined)
-    .flatMap(({ members }) => remainingMembers(draft, members));
+    .flatMap((retirement) => returningMembers(draft, retirement));
   const preemptible = listPreemptible(draft, groups);
   return [...sizes]
     .sort(([a], [b]) => compareText(a, b))
--- a/src/core/gateway/forming/held-spares.ts
+++ b/src/core/gateway/forming/held-spares.ts
@@ -3,7 +3,7 @@
 import type { DomainId, ModelId } from '../../ids';
 import type { BackendServer } from '../types';
 import { joinCost } from './form';
-import { collectFreeServers, pickMembers, remainingMembers } from './members';
+import { collectFreeServers, pickMembers, returningMembers } from './members';
 import { isEnabled, isSlow } from './state';
 import type { Draft } from './state';
 
@@ -13,9 +13,10 @@
   domain: DomainId,
 ): ReadonlyMap<ModelId, readonly BackendServer[]> {
   const releasing = new Map<ModelId, BackendServer[]>();
-  for (const { model, members } of draft.retirements.values()) {
+  for (const retirement of draft.retirements.values()) {
+    const { model } = retirement;
     if (model === undefined) continue;
-    const staying = remainingMembers(draft, members).filter(
+    const staying = returningMembers(draft, retirement).filter(
       (server) => server.domain === domain && !isSlow(draft, server.id),
     );
     if (staying.length > 0) releasing.set(model, [...(releasing.get(model) ?? []), ...staying]);
--- a/src/core/gateway/forming/members.ts
+++ b/src/core/gateway/forming/members.ts
@@ -7,7 +7,7 @@
 import { joinCost } from './form';
 import { isStandby } from './start';
 import { isSlow, isSuspect } from './state';
-import type { Draft } from './state';
+import type { Draft, Retirement } from './state';
 
 /** Servers that may join a group now, by domain. */
 export function collectFreeServers(draft: Draft): ReadonlyMap<DomainId, BackendServer[]> {
@@ -38,6 +38,34 @@
   });
 }
 
+/**
+ * Whether the members of an ending group are expected to be free soon.
+ *
+ * Load pattern: entries remain of servers that carry out no order, and name a group without a head. It cannot be
+ * ended, and its members stay bound. Nothing else may wait for them: servers kept for that group would be idle for good.
+ */
+export function isReturning({ now }: Draft, { dueAt }: Retirement): boolean {
+  return now < dueAt;
+}
+
+/** Current entries of the members of an ending group that are expected to join another one soon. */
+export function returningMembers(draft: Draft, retirement: Retirement): BackendServer[] {
+  return isReturning(draft, retirement) ? remainingMembers(draft, retirement.members) : [];
+}
+
+/** Number of servers in each domain, without those that leave or are bound to a group that does not end. */
+export function countByDomain(draft: Draft): ReadonlyMap<DomainId, number> {
+  const bound = new Set<InstanceId>();
+  for (const retirement of draft.retirements.values())
+    if (!isReturning(draft, retirement)) for (const { id } of retirement.members) bound.add(id);
+  const counts = new Map<DomainId, number>();
+  for (const { id, domain, isDraining } of draft.view.servers.values()) {
+    if (domain === undefined || isDraining || bound.has(id)) continue;
+    counts.set(domain, (counts.get(domain) ?? 0) + 1);
+  }
+  return counts;
+}
+
 /**
  * Moves slow servers behind all others that join as they do, with or without a weight load: a group of
  * a slow server is worth more than one that waits for a load.
--- a/src/core/gateway/forming/rebalance.ts
+++ b/src/core/gateway/forming/rebalance.ts
@@ -16,7 +16,7 @@
 import type { BackendServer, ModelSpec } from '../types';
 import { countGroups } from './compose';
 import { joinCost } from './form';
-import { collectFreeServers, remainingMembers } from './members';
+import { collectFreeServers, returningMembers } from './members';
 import { rankByNeed } from './need';
 import type { ModelNeed } from './need';
 import { startRetirement } from './retire';
@@ -45,8 +45,8 @@
     byDomain.set(server.domain, [...(byDomain.get(server.domain) ?? []), server]);
   };
   for (const free of collectFreeServers(draft).values()) free.forEach(add);
-  for (const { members } of draft.retirements.values())
-    remainingMembers(draft, members).forEach(add);
+  for (const retirement of draft.retirements.values())
+    returningMembers(draft, retirement).forEach(add);
   return byDomain;
 }
 
--- a/src/core/gateway/forming/retire.ts
+++ b/src/core/gateway/forming/retire.ts
@@ -5,6 +5,7 @@
  */
 
 import { later } from '../../ids';
+import type { MonoTime } from '../../ids';
 import type { BackendServer } from '../types';
 import { isEvacuated } from './evacuated';
 import { hasNoAnswers, isGroupLost } from './silent';
@@ -14,6 +15,13 @@
 
 /** A head that answers no order for this long counts as unreachable: one lost answer and some margin. */
 const UNREACHABLE_MS = 1_000;
+/** An order to the head, then one to its members. */
+const ORDERS_MS = 2 * UNREACHABLE_MS;
+
+/** By when the members are free if the servers carry out the orders of this step and of those that follow. */
+function dueAt({ now, settings }: Draft, step: RetirementStep): MonoTime {
+  return later(now, step === 'finish' ? settings.finishTimeoutMs + ORDERS_MS : ORDERS_MS);
+}
 
 /**
  * Starts to end a group at the given step; a head that is missing or lost is starved instead. One that is only silent
@@ -32,7 +40,8 @@
     step === 'finish' ? isGroupLost(draft, { head, members: [] }) : isSuspect(draft, server.id);
   const isReachable = head !== undefined && !isLost(head);
   const firstStep: RetirementStep = isReachable ? step : 'starve';
-  draft.retirements.set(group, { ...of, step: firstStep, since: draft.now });
+  const times = { since: draft.now, dueAt: dueAt(draft, firstStep) };
+  draft.retirements.set(group, { ...of, step: firstStep, ...times });
 }
 
 /** Whether the group ends only for its head's missing entry, and the head is back. */
@@ -49,7 +58,10 @@
 }
 
 function switchTo(draft: Draft, retirement: Retirement, step: RetirementStep): void {
-  draft.retirements.set(retirement.group, { ...retirement, step, since: draft.now });
+  // Orders that are refused or lost switch between the other steps, and put nothing off.
+  const isBounded = step !== 'finish' && retirement.step !== 'finish';
+  const due = isBounded ? retirement.dueAt : dueAt(draft, step);
+  draft.retirements.set(retirement.group, { ...retirement, step, since: draft.now, dueAt: due });
 }
 
 function release(draft: Draft, { group }: Retirement): void {
@@ -144,7 +156,7 @@
     .map((member) => sendOrder(draft, member, leaveOrder(retirement)));
   if (!results.includes('done')) return;
   const freeAt = later(now, settings.headBreakMs + settings.starveMarginMs);
-  draft.retirements.set(retirement.group, { ...retirement, freeAt });
+  draft.retirements.set(retirement.group, { ...retirement, freeAt, dueAt: freeAt });
 }
 
 /** Advances every group being ended by one step. */
--- a/src/core/gateway/forming/slow.ts
+++ b/src/core/gateway/forming/slow.ts
@@ -15,7 +15,7 @@
 import { isEvacuated } from './evacuated';
 import { joinCost } from './form';
 import { excludeHeldSpares } from './held-spares';
-import { collectFreeServers, sortByJoinTime } from './members';
+import { collectFreeServers, isReturning, sortByJoinTime } from './members';
 import { isReplacementWorthwhile } from './slow-reports';
 import type { SlowCheck, Spare } from './slow-reports';
 import { draftOf, isSlow, isSuspect } from './state';
@@ -71,7 +71,8 @@
 /** Number of groups of the model that may be changed now beside those that are ending or being formed. */
 function countChangeable(draft: Draft, model: ModelId): number {
   const ending = [...draft.retirements.values()].filter(
-    (retirement) => (retirement.model ?? retirement.head?.model) === model,
+    (retirement) =>
+      isReturning(draft, retirement) && (retirement.model ?? retirement.head?.model) === model,
   );
   const forming = [...draft.formations.values()].filter(
     (formation) => formation.model === model && !formation.isStandby,
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -44,6 +44,8 @@
   readonly model?: ModelId;
   /** When the step began. */
   readonly since: MonoTime;
+  /** By when its members are free if its servers carry out their orders. */
+  readonly dueAt: MonoTime;
   /** Its head has no entry, which is the only reason to end it, and has not been back since it was to leave. */
   readonly isForAbsence?: boolean;
   /** When the members are free: set once one has left, since the head then breaks within a known time. */
--- /dev/null
+++ b/tests/gateway/forming-odd-entries.test.ts
@@ -0,0 +1,76 @@
+import { describe, expect, it } from 'vitest';
+
+import { createEngineFleet } from '../../stand-ins/users-platform/engines';
+import type { EngineFleet } from '../../stand-ins/users-platform/engines';
+import type { OrderResult } from '../../src/core/gateway/orders';
+import type { BackendServer, MemberState } from '../../src/core/gateway/types';
+import { createLeader } from './leader';
+import { FLEET, inGroup, LARGE, makeServer, SMALL } from './support';
+
+/** A fleet with further entries, whose servers answer all orders with `result`. */
+function withEntries(
+  fleet: EngineFleet,
+  entries: readonly BackendServer[],
+  result: OrderResult,
+): EngineFleet {
+  const ids = new Set(entries.map(({ id }) => id));
+  return {
+    ...fleet,
+    rows: () => new Map([...fleet.rows(), ...entries.map((entry) => [entry.id, entry] as const)]),
+    take: (effect, lateMs) => (ids.has(effect.server.id) ? result : fleet.take(effect, lateMs)),
+  };
+}
+
+const STATES: readonly MemberState[] = ['joining', 'ready', 'open', 'closing', 'broken'];
+const RESULTS: readonly OrderResult[] = ['not-sent', 'unknown', 'refused'];
+const CASES = [LARGE, SMALL].flatMap((model) =>
+  STATES.flatMap((state) =>
+    [0, 1, 7].flatMap((rank) => RESULTS.map((result) => ({ model, state, rank, result }))),
+  ),
+);
+
+describe('an entry that nobody answers for, of a member of a group without others', () => {
+  // Guards against a model that is not served because its servers are kept for a group that never ends.
+  it.each(CASES)(
+    'keeps no servers: $state, rank $rank, $result',
+    ({ model, state, rank, result }) => {
+      const odd = makeServer('a0', { model, ...inGroup('g', rank, state) });
+      const size = model === LARGE ? 6 : 3;
+      const fleet = createEngineFleet({ ...FLEET, domains: [size], hasTraffic: true });
+      const leader = createLeader(withEntries(fleet, [odd], result), { hasTraffic: true });
+      leader.run(30_000);
+      expect(fleet.serving(LARGE) + fleet.serving(SMALL)).toBeGreaterThan(0);
+      expect(fleet.violations).toEqual([]);
+    },
+  );
+
+  // Guards against a group that is ended so that another model gets its servers and one that never comes.
+  it('ends no group of another model', () => {
+    const odd = makeServer('a0', inGroup('g', 1, 'open'));
+    const fleet = createEngineFleet({ ...FLEET, domains: [5, 3], hasTraffic: true });
+    const offeredLoad = new Map([
+      [LARGE, 1],
+      [SMALL, 0.5],
+    ]);
+    const all = withEntries(fleet, [odd], 'not-sent');
+    const leader = createLeader(all, { hasTraffic: true, offeredLoad });
+    leader.run(40_000);
+    expect(fleet.serving(SMALL)).toBe(2);
+    leader.run(10_000);
+    expect(fleet.serving(SMALL)).toBe(2);
+  });
+
+  // Guards against spares that are kept for losses of servers which are not there.
+  it('keeps no servers where there are many of them', () => {
+    const odd = Array.from({ length: 100 }, (_, n) =>
+      makeServer(`a${n}`, { model: LARGE, ...inGroup(`g${n}`, 1 + (n % 9), 'open') }),
+    );
+    const fleet = createEngineFleet({ ...FLEET, domains: [], hasTraffic: true });
+    const leader = createLeader(withEntries(fleet, odd, 'unknown'), { hasTraffic: true });
+    leader.run(3_000);
+    for (let n = 0; n < 10; n++) fleet.add('d0');
+    leader.run(40_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual([1, 1]);
+    expect(fleet.violations).toEqual([]);
+  });
+});
