Write to an idle connection only once its end would have been read

Callers got 502 for unsafe calls, and for safe ones that met two such connections, although no server had read them: a server had closed or reset an idle connection, and this daemon had not read that yet, as its event loop was busy when the call was written. What arrives during a stall is read in one turn, and the caller's request may come first.

A kept connection is now written to after the event loop has read its sockets once more. If the connection has ended by then, nothing was sent, and the call goes to the next one, at the end to a new one. Such an end counts neither as an attempt nor against the server. Bytes that arrive on it before the call is written are no answer to it; one that bore no request id was passed on before.

--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -3,7 +3,8 @@
  *
  * Invariant on which all request outcomes rely: `not-sent` means that no byte of the request has left
  * this process or ever will. For this, the request is written only once the connection is established,
- * in the same tick as the caller's last check (`beforeSend`).
+ * in the same tick as the caller's last check (`beforeSend`). An idle connection may have ended without this
+ * process having read it: it is used only once the event loop has read its sockets again.
  */
 
 import { Agent, request } from 'node:http';
@@ -18,6 +19,9 @@
 import { limitInput } from './answer-input';
 import { createConnectLimit } from './connect-limit';
 import { createConnectionWait } from './connecting';
+import { afterNextRead } from './next-read';
+import { countReceivedBytes } from './received-bytes';
+import type { ReceivedBytes } from './received-bytes';
 import { readHead } from './response-head';
 
 export interface UpstreamOptions {
@@ -127,27 +131,6 @@
   });
 }
 
-/** Counts the bytes received over connections, closed ones included. */
-interface ReceivedBytes {
-  note(socket: Socket): void;
-  total(): number;
-}
-
-function countReceivedBytes(): ReceivedBytes {
-  const open = new Set<Socket>();
-  let closed = 0;
-  return {
-    note: (socket) => {
-      open.add(socket);
-      socket.once('close', () => {
-        open.delete(socket);
-        closed += socket.bytesRead;
-      });
-    },
-    total: () => [...open].reduce((sum, { bytesRead }) => sum + bytesRead, closed),
-  };
-}
-
 type Pooling = Pick<Agent, 'keepSocketAlive' | 'reuseSocket'>;
 
 /** Node's own pooling methods. `keepSocketAlive` returns a boolean, which Node's types omit. */
@@ -229,9 +212,14 @@
   }
 }
 
+/** The idle connection that was chosen had ended; nothing was sent. */
+interface Ended {
+  readonly kind: 'ended';
+}
+
 interface CallObserver {
   /** Receives the outcome; only the first call counts. */
-  readonly settle: (result: UpstreamResult) => void;
+  readonly settle: (result: UpstreamResult | Ended) => void;
   readonly onUnexpected: (thrown: unknown) => void;
 }
 
@@ -246,6 +234,7 @@
   let failed = false;
   const onFail = (err: unknown): void => {
     failed = true;
+    if (!sent && req.reusedSocket && !call.signal.aborted) settle({ kind: 'ended' });
     const error = upstreamError(sent ? 'backend-lost' : 'unavailable', call, err);
     settle({ kind: sent ? 'lost' : 'not-sent', error });
   };
@@ -269,7 +258,8 @@
       return fail('internal', 'the check before sending failed', { step: 'send', cause });
     }
   };
-  req.once('socket', () => {
+  const write = (): void => {
+    if (req.destroyed) return;
     const refusal = refuseToSend();
     if (refusal !== undefined) {
       req.destroy();
@@ -278,9 +268,17 @@
     }
     sent = true;
     req.end(call.body);
+  };
+  req.once('socket', () => {
+    if (req.reusedSocket) afterNextRead(write);
+    else write();
   });
   req.once('response', (res) => {
     const { socket } = res;
+    if (!sent) {
+      req.destroy();
+      return;
+    }
     const head = readHead(call.method, res);
     if (head.isErr()) {
       req.destroy();
@@ -306,23 +304,29 @@
   const shared = createAgent(true, opts, received);
   const single = createAgent(false, opts, received);
   let inFlight = 0;
+  const sendOnce = (call: UpstreamCall): Promise<UpstreamResult | Ended> => {
+    const req = createRequest(call, call.ownConnection ? single : shared);
+    if (req instanceof StepError) return Promise.resolve({ kind: 'not-sent', error: req });
+    inFlight += 1;
+    req.once('close', () => {
+      inFlight -= 1;
+    });
+    limitInput(req);
+    return new Promise((resolve) => {
+      settleCall(call, req, { settle: resolve, onUnexpected: opts.onUnexpected });
+    });
+  };
   return {
     activity: () => ({ inFlight, receivedBytes: received.total() }),
     closeIdle: (address) => {
       for (const socket of shared.freeSockets[shared.getName(parseAddress(address))] ?? [])
         socket.destroy();
     },
-    send: (call) => {
-      const req = createRequest(call, call.ownConnection ? single : shared);
-      if (req instanceof StepError) return Promise.resolve({ kind: 'not-sent', error: req });
-      inFlight += 1;
-      req.once('close', () => {
-        inFlight -= 1;
-      });
-      limitInput(req);
-      return new Promise((resolve) => {
-        settleCall(call, req, { settle: resolve, onUnexpected: opts.onUnexpected });
-      });
+    send: async (call) => {
+      for (;;) {
+        const result = await sendOnce(call);
+        if (result.kind !== 'ended') return result;
+      }
     },
     close: () => {
       shared.destroy();
