Add a soak of planned work alone

Callers of a deployment saw answers lost around stops and configurations, and the soak judges these only beside faults, which excuse much.

--- a/tests/soak/main.ts
+++ b/tests/soak/main.ts
@@ -5,6 +5,7 @@
 import sade from 'sade';
 import * as z from 'zod';
 
+import { soakPlanned } from './planned';
 import { soak } from './soak';
 
 /** Linux assigns ports from 32,768 to outgoing connections; a daemon cannot listen on a port in use. */
@@ -33,8 +34,26 @@
     .int()
     .max(MAX_PORT, 'the soak needs ports below those of outgoing connections'),
   logs: z.string().optional(),
+  planned: z.boolean().optional(),
+  program: z.string().optional(),
 });
 
+type Options = z.infer<typeof optionsSchema>;
+
+async function runPlanned(options: Options, seed: number, logs: string | undefined) {
+  const { daemons, callers: callersPerType, seconds, port: firstPort, program } = options;
+  return soakPlanned({
+    ...{ seed, daemons, callers: callersPerType, durationMs: seconds * 1_000, firstPort },
+    ...(logs !== undefined && { logs }),
+    ...(program !== undefined && { program }),
+  });
+}
+
+function printReport(report: { readonly faults: readonly string[] }): void {
+  if (report.faults.length > 0) process.exitCode = 1;
+  process.stdout.write(`${JSON.stringify(report)}\n`);
+}
+
 async function run(args: unknown): Promise<void> {
   const options = optionsSchema.parse(args);
   const { seed: first, seeds, step, daemons, faults, entryFaults, returns, silentRounds } = options;
@@ -43,6 +62,10 @@
   for (let seed = first; seed < first + seeds * step; seed += step) {
     const seedLogs = logs === undefined ? undefined : join(logs, `seed-${seed}`);
     if (seedLogs !== undefined) mkdirSync(seedLogs, { recursive: true });
+    if (options.planned === true) {
+      printReport(await runPlanned(options, seed, seedLogs));
+      continue;
+    }
     const report = await soak({
       seed,
       daemons,
@@ -62,8 +85,7 @@
       firstPort: port,
       ...(seedLogs !== undefined && { logs: seedLogs }),
     });
-    if (report.faults.length > 0) process.exitCode = 1;
-    process.stdout.write(`${JSON.stringify(report)}\n`);
+    printReport(report);
   }
 }
 
@@ -99,6 +121,8 @@
   )
   .option('--seconds', 'Period in which the faults start', 14)
   .option('--logs', "Directory for the daemons' logs, one folder per seed")
+  .option('--planned', 'Planned work alone: stops, SIGHUPs and configurations, without any fault')
+  .option('--program', 'Bundle of the daemon for planned work, instead of dist/gateway.cjs')
   .option('--port', 'First of about 400 ports', 23_000)
   .action((options: unknown) => {
     run(options).catch((err: unknown) => {
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -95,6 +95,8 @@
   /** Cuts the daemon's current process off from all servers, or ends that. */
   cutOff(daemon: SoakDaemon, kind: CutKind | undefined): void;
   addRoute(): void;
+  /** Publishes a version with so many further routes; the next one is without them. */
+  addManyRoutes(count: number): void;
   removeKey(): void;
   close(): void;
 }
@@ -106,6 +108,14 @@
   readonly logs?: string;
   /** Spreads the servers over two zones, and bounds the requests to cold servers. */
   readonly hasZones?: boolean;
+  /** Zone of the n-th daemon, of the n-th plain server and of the n-th domain. */
+  readonly spreadOver?: (n: number) => string;
+  /** Bundle of the daemon; that of this work tree by default. */
+  readonly program?: string;
+  /** Whether daemons may be cut off from servers. */
+  readonly isCuttable?: boolean;
+  /** Time from the end of a daemon's process to the next one's start, milliseconds. */
+  readonly restartMs?: () => number;
 }
 
 /** Starts the platform, proxies and daemons, and publishes the first configuration. */
@@ -114,6 +124,10 @@
   firstPort,
   logs,
   hasZones = false,
+  spreadOver,
+  program,
+  isCuttable = true,
+  restartMs,
 }: WorldOptions): Promise<World> {
   const dir = mkdtempSync(join(tmpdir(), 'nutmegstack-soak-'));
   const proxies = new Map<string, Proxy>();
@@ -142,6 +156,7 @@
     publishedAddress: (address) =>
       unreadable.has(address) ? UNREADABLE_ADDRESS : publishedAddress(address),
     ...(hasZones && { zoneOf }),
+    ...(spreadOver && { zoneOf: spreadOver }),
   });
   const servers = 1 + PLAIN_SERVERS + DOMAINS.reduce((sum, size) => sum + size, 0) + SPARE_PORTS;
   for (let port = serverPorts + 1; port < serverPorts + servers; port++) {
@@ -154,12 +169,12 @@
     lastPort: serverPorts + proxyOffset + servers,
   };
 
-  const configure = (): void => {
+  const configure = (manyRoutes: readonly string[] = []): void => {
     version += 1;
     const routes = [
       ...DEFAULT_ROUTES,
       ONCE_ROUTE,
-      ...addedRoutes.map((name) => describeRoute(name, 'safe', PLAIN_SERVICE)),
+      ...[...addedRoutes, ...manyRoutes].map((name) => describeRoute(name, 'safe', PLAIN_SERVICE)),
     ];
     const added = organisations.map(({ name, key }) => ({ name, apiKeys: [key] }));
     const cold = hasZones ? { coldPerS: COLD_PER_S } : {};
@@ -188,10 +203,14 @@
         forwardListen: portOf(n, 5),
         seeds,
         platform: daemon.toStore.address,
-        more: { peerBind: portOf(n, 2), ...(hasZones && COLD_SETTINGS) },
+        more: {
+          peerBind: portOf(n, 2),
+          ...(hasZones && COLD_SETTINGS),
+          ...(spreadOver && { zone: spreadOver(n) }),
+        },
       },
       log,
-      { isCuttable: true },
+      { isCuttable, ...(program !== undefined && { program }) },
     );
     if (typeof log === 'number') closeSync(log);
     daemon.process = child;
@@ -204,7 +223,12 @@
       const isStopped = daemon.meantEnd === 'stopped' && (code === 0 || signal === 'SIGTERM');
       const isExpected = daemon.meantEnd === 'killed' || isStopped || isClosed;
       if (!isExpected) unmeantEnds.push(`${daemon.id} exited unexpectedly with ${code ?? signal}`);
-      if (!isClosed) start(daemon);
+      if (isClosed) return;
+      if (!restartMs) start(daemon);
+      else
+        setTimeout(() => {
+          if (!isClosed) start(daemon);
+        }, restartMs());
     });
   };
 
@@ -276,6 +300,9 @@
       addedRoutes.push(`added-${addedRoutes.length}`);
       configure();
     },
+    addManyRoutes: (count) => {
+      configure(Array.from({ length: count }, (_, n) => `many-${n}`));
+    },
     removeKey: () => {
       keys = [KEY];
       configure();
--- a/tests/support/gateway-daemon.ts
+++ b/tests/support/gateway-daemon.ts
@@ -41,6 +41,8 @@
   readonly isCuttable?: boolean;
   /** Whether SIGUSR2 throws in a listener of the daemon, and SIGWINCH rejects a promise. */
   readonly throwsOnSignal?: boolean;
+  /** Bundle of the daemon; that of this work tree by default. */
+  readonly program?: string;
 }
 
 /** The ports of all servers. */
@@ -78,14 +80,14 @@
 export function launchDaemon(
   options: DaemonOptions,
   stdout: 'ignore' | number = 'ignore',
-  { isCuttable = false, throwsOnSignal = false }: LaunchOptions = {},
+  { isCuttable = false, throwsOnSignal = false, program = GATEWAY_PATH }: LaunchOptions = {},
 ): ChildProcess {
   const preload = [
     ...(isCuttable ? ['--import', './tests/support/cut-links.mjs'] : []),
     ...(throwsOnSignal ? ['--import', './tests/support/throw-on-signal.mjs'] : []),
   ];
   const stderr = typeof stdout === 'number' ? stdout : 'inherit';
-  const child = spawn(process.execPath, [...preload, GATEWAY_PATH], {
+  const child = spawn(process.execPath, [...preload, program], {
     env: {
       PATH: process.env.PATH,
       NUTMEGSTACK_CONFIG: writeSettings(options),
@@ -93,7 +95,7 @@
     },
     stdio: ['ignore', stdout, stderr, ...(isCuttable ? (['ipc'] as const) : [])],
   });
-  return endWithTest(child, GATEWAY_PATH);
+  return endWithTest(child, program);
 }
 
 /** Cuts a daemon off from all servers or delays its links to them, or ends that. */
