Answer what a daemon has accepted when it is stopped as it starts

What callers saw: a daemon that got SIGTERM just after it had begun to listen reset the connections on which requests had been sent. Callers that retry connect within a millisecond of the first moment in which the port accepts.

Cause: the handler of SIGTERM was installed only after the start had returned, which is after the listener of callers and that of the balancer had opened; until then the signal ends the process. The listener of callers also opened before that of the balancer, so that an error there ended a daemon that had accepted requests.

Evidence: by a probe with 12 callers that connect again and again, SIGTERM 0 to 10 ms after the first connection: in 10 of 16 starts all 12 requests were reset.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -259,9 +259,10 @@
     !isStopping && config.table.value !== undefined && serverRegistry.servers.size > 0;
 
   await fleet.start();
+  const ready = await listenReady(ctx, { path: options.readyPath, isReady });
   await forwarding.start();
+  // Last, as errors and signals end a daemon that is starting: its caller handles both before the next connection.
   await httpServer.start();
-  const ready = await listenReady(ctx, { path: options.readyPath, isReady });
   void options.announce(true);
   ctx.store.eras.subscribe(({ before, era, source }) => {
     ctx.metrics.count('nutmegstack_store_eras_total');
