Run no request that is read behind the end of its connection

Cause: a connection on which more than 32 KB were written is closed by ending the daemon's side and reading on for up to 2 s, so that nothing is cut. What is read meanwhile still reached the handler. Only an unanswered request whose answer announces the close made it late; with none left, or on an idle connection, it was served, and its answer had nowhere to go. Connections on which less was written are closed at once and read no more, so that only callers with some traffic on a connection met it.

What is read once the daemon's side has ended is not served now. Its caller sees an end without an answer to a request that nobody ran, and may send it again. Both new cases of caller-connections were red before (0 late requests, 1 expected).

--- a/src/app/gateway/caller-connections.ts
+++ b/src/app/gateway/caller-connections.ts
@@ -111,8 +111,9 @@
 
   const isAnswering = (socket: Socket): boolean => hasRead(socket, ({ complete }) => complete);
 
-  /** Whether nothing that is read from now on can be answered. */
+  /** Whether nothing that is read from now on can be answered; the daemon's side may have ended before. */
   const isEnding = (socket: Socket): boolean => {
+    if (!socket.writable) return true;
     const last = lastRead.get(socket);
     const announces = last?.headersSent === true && !last.shouldKeepAlive;
     if (announces && requestsOf(socket).has(last)) ending.add(socket);
--- a/tests/gateway/caller-connections.test.ts
+++ b/tests/gateway/caller-connections.test.ts
@@ -241,6 +241,22 @@
     expect(received.endsWith('y')).toBe(true);
   });
 
+  // Guards against a request that is run and cannot be answered, as it crosses the close (LOST).
+  it.each(['with the last answer', 'as idle'])('takes no further request: %s', async (how) => {
+    caller.allowHalfOpen = true;
+    await send(REQUEST, 1);
+    const [res] = responses;
+    if (!res) throw new Error('no request');
+    const { socket } = res.req;
+    if (how !== 'as idle') connections.closeAfterAnswers(socket);
+    res.end(Buffer.alloc(LONG_BYTES, 'x'));
+    await until(() => connections.inFlight() === 0);
+    connections.closeIdle();
+    caller.write(REQUEST);
+    await until(() => late + responses.length === 2);
+    expect(late).toBe(1);
+  });
+
   // Guards against a daemon that reads for nothing, as much as a caller likes to send.
   it('is closed at once if its caller sends on and on', async () => {
     await send(REQUEST, 1);
