Send a request again to its server where the peer in between ended

A daemon that is cut off from the servers sends through peers. When such a peer ended, a resumable stream waited until its deadline and was torn, and a safe call got 502, where their model or service had no other group or server left to try. The server was sound and reached through the next peer.

Cause: a connection that breaks excludes the group or server it was made to from further attempts. Through a peer, the connection ends at the peer, and its end says nothing of the server.

Answers and losses through a peer are marked now, and their group or server may be tried again. Attempts and retries bound that as before; what the peer itself reports of the server still excludes it.

--- a/src/adapters/upstream/forward-client.ts
+++ b/src/adapters/upstream/forward-client.ts
@@ -45,7 +45,7 @@
 /** The answer of the server, whose end the peer's chunks do not show. */
 function serverAnswer(answered: Answered): Answered {
   const isCloseDelimited = answered.res.headers[FORWARD_FRAMING] === 'close';
-  return isCloseDelimited ? { ...answered, framing: 'close' } : answered;
+  return { ...answered, byPeer: true, ...(isCloseDelimited && { framing: 'close' }) };
 }
 
 /** Empty if the text is incomplete or too long: it then names no state. */
@@ -81,7 +81,8 @@
     });
     if (result.kind !== 'answered') {
       const isOwnDoing = OWN_ERRORS.has(result.error.code) || call.signal.aborted;
-      return { result, hasPeerFailed: !isOwnDoing };
+      const hasPeerFailed = !isOwnDoing;
+      return { result: { ...result, ...(hasPeerFailed && { byPeer: true }) }, hasPeerFailed };
     }
     const error = PEER_ERRORS[result.res.headers[FORWARD_ERROR] as string];
     if (!error) return { result: serverAnswer(result), hasPeerFailed: false };
--- a/src/adapters/upstream/upstream.ts
+++ b/src/adapters/upstream/upstream.ts
@@ -70,10 +70,14 @@
   readonly error: StepError;
 }
 
+/** A peer passes the call on: that its connection broke may be the peer's end, and then says nothing of the server. */
+export type ByPeer = true;
+
 /** The request was at least partly sent, and no response headers arrived. */
 export interface Lost {
   readonly kind: 'lost';
   readonly error: StepError;
+  readonly byPeer?: ByPeer;
 }
 
 /** Response headers arrived; the body follows. */
@@ -91,6 +95,7 @@
   readonly hasFailed: () => boolean;
   /** Destroys the connection, so that no other call reuses it. */
   readonly destroy: () => void;
+  readonly byPeer?: ByPeer;
 }
 
 export type UpstreamResult = NotSent | Lost | Answered;
--- a/src/app/gateway/plain-attempt.ts
+++ b/src/app/gateway/plain-attempt.ts
@@ -45,7 +45,12 @@
   | { readonly kind: 'not-sent'; readonly reason: string }
   /** The server states that it did not execute the call. */
   | { readonly kind: 'not-run'; readonly reason: string }
-  | { readonly kind: 'lost'; readonly reason: string; readonly isBrokenByServer: boolean };
+  | {
+      readonly kind: 'lost';
+      readonly reason: string;
+      readonly isBrokenByServer: boolean;
+      readonly byPeer: boolean;
+    };
 
 /** Limit on buffered answers; far above what plain services send. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -113,7 +118,8 @@
     return { kind: 'not-sent', reason: sent.error.message };
   }
   if (sent.kind === 'lost') {
-    return { kind: 'lost', reason: sent.error.message, isBrokenByServer: !limit.aborted };
+    const { error, byPeer = false } = sent;
+    return { kind: 'lost', reason: error.message, isBrokenByServer: !limit.aborted, byPeer };
   }
   return readAnswer(deps, exchange, { server, sentAt: now, answered: sent, limit });
 }
@@ -131,12 +137,12 @@
   exchange: Exchange,
   { server, sentAt, answered, limit }: SentAnswer,
 ): Promise<Attempt> {
-  const { res, destroy } = answered;
+  const { res, destroy, byPeer = false } = answered;
   const status = res.statusCode ?? 0;
   const facts = notices.read(server.id, res, sentAt);
   const discard = (reason: string): Attempt => {
     destroy();
-    return { kind: 'lost', reason, isBrokenByServer: !limit.aborted };
+    return { kind: 'lost', reason, isBrokenByServer: !limit.aborted, byPeer };
   };
   if (facts.requestId !== undefined && facts.requestId !== exchange.facts.requestId) {
     return discard('answer belongs to another request');
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -166,7 +166,10 @@
       const { reason } = result;
       state.reason = reason;
       logFailedAttempt(ctx, exchange, { server: server.id, ended: result.kind, reason });
-      if (result.kind === 'lost') state.exposure = 'unknown';
+      if (result.kind === 'lost') {
+        state.exposure = 'unknown';
+        if (result.byPeer) state.tried.delete(server.id);
+      }
       if (!canRetry(exchange, state, result)) break;
     }
     endUnserved(exchange, state);
--- a/src/app/gateway/stream-attempt.ts
+++ b/src/app/gateway/stream-attempt.ts
@@ -41,6 +41,8 @@
   readonly trace: GroupTrace;
   /** Time from its first event to its end, milliseconds. */
   readonly answeringMs: number | undefined;
+  /** Whether it was passed on by a peer, whose end may have been the reason. */
+  readonly byPeer: boolean;
 }
 
 /** Sends the request to one group and forwards its events. */
@@ -74,7 +76,7 @@
   if (exchange.gone.aborted) onDisconnect();
   const move = watchForMove(deps, { exchange, group, state, slot, slots, run });
   /** Only a connection that neither this daemon nor the caller gave up was broken by the server. */
-  const noteEnd = ({ result, reason }: RelayEnd): AttemptEnd => {
+  const noteEnd = ({ result, reason }: RelayEnd, byPeer = false): AttemptEnd => {
     const { prefilledAt, lastEventAt } = slot;
     const traced = { group, finding: move.finding(), lastEventAt };
     const trace = traceGroup(groupRegistry, traced, ctx.clock.now());
@@ -83,7 +85,7 @@
     const isBroken = result === 'lost' && !stop.signal.aborted;
     if (isBroken) watchedRun.broken();
     else watchedRun.ended(result === 'complete' || result === 'passed-on');
-    return { result, reason, trace, answeringMs };
+    return { result, reason, trace, answeringMs, byPeer };
   };
   try {
     const organisation = organisationNameOf(exchange.caller);
@@ -117,7 +119,7 @@
       if (sent.kind === 'not-sent') throttle.returnToken(head.id);
       const reason = abortReason(stop.signal, sent.error.message);
       if (exchange.gone.aborted) return noteEnd({ result: 'caller-gone', reason });
-      if (sent.kind === 'lost') return noteEnd({ result: 'lost', reason });
+      if (sent.kind === 'lost') return noteEnd({ result: 'lost', reason }, sent.byPeer);
       if (sent.error.code === 'unavailable' && !stop.signal.aborted) {
         groupRegistry.noteUnreachable({ group: group.id, head: head.id }, reason);
       }
@@ -127,7 +129,7 @@
       move.noteEvent();
     };
     const answer = { deps, exchange, group, state, answered: sent, run, slot };
-    return noteEnd(await relay({ ...answer, onEvent }));
+    return noteEnd(await relay({ ...answer, onEvent }), sent.byPeer);
   } catch (err) {
     watchedRun.ended(false);
     throw err;
--- a/src/app/gateway/stream-runs.ts
+++ b/src/app/gateway/stream-runs.ts
@@ -62,7 +62,7 @@
 
   return new Promise((resolve, reject) => {
     const onEnd = (run: RunNumber, group: ServingGroup, end: AttemptEnd): void => {
-      const { result, reason, trace, answeringMs } = end;
+      const { result, reason, trace, answeringMs, byPeer } = end;
       const wasOpen = runs.open.includes(run);
       runs = endRun(runs, run);
       stops.delete(run);
@@ -80,6 +80,7 @@
       if (result === 'lost') state.exposure = 'unknown';
       if (!wasOpen) return;
       if (result === 'not-sent') noteNotSent(group);
+      if (result === 'lost' && byPeer) state.tried.delete(group.id);
       // A slot may have become free between the end of the answer and now.
       if (isAnswered) closeAll('the stream is answered');
       if (runs.open.length > 0) {
--- a/tests/gateway/forwarding.test.ts
+++ b/tests/gateway/forwarding.test.ts
@@ -130,6 +130,7 @@
       forwarding.close();
     }, 50);
     expect((await readAnswer(result)).isWhole).toBe(false);
+    expect(result).toMatchObject({ byPeer: true });
   });
 
   it('is complete without a length when the server closes its connection', async () => {
@@ -161,6 +162,7 @@
     const { client } = await startPeer(() => true);
     const { result, hasPeerFailed } = await client.send(makeCall(server.address), PEER);
     expect([result.kind, hasPeerFailed]).toEqual(['lost', false]);
+    expect(result).not.toHaveProperty('byPeer');
   });
 
   it.each([
@@ -186,6 +188,7 @@
     const client = createForwardClient(createUpstream(), SECRET);
     const { result, hasPeerFailed } = await client.send(makeCall(`${HOST}:2`), peer.address);
     expect([result.kind, hasPeerFailed]).toEqual(['lost', true]);
+    expect(result).toMatchObject({ byPeer: true });
   });
 
   it('is not sent if the peer is gone', async () => {
--- a/tests/gateway/plain-call.test.ts
+++ b/tests/gateway/plain-call.test.ts
@@ -34,11 +34,11 @@
     super();
   }
 
-  close(): void {
+  close(byPeer = false): void {
     this.isClosed = true;
     this.emit('close');
     const error = fail('backend-lost', 'closed', { step: 'first-byte' });
-    this.settle({ kind: 'lost', error });
+    this.settle({ kind: 'lost', error, ...(byPeer && { byPeer }) });
   }
 
   async answer(body: string): Promise<void> {
@@ -182,3 +182,12 @@
     expect(world.status).toBe(504);
   });
 });
+
+// Guards against a failure because the peer that passed the call on ended, where its server is the last one.
+it('a safe call whose peer ends is sent to the same server again', async () => {
+  const { world, first } = await call({ servers: 1, retries: 1 });
+  first.close(true);
+  await pass(0);
+  await world.calls[1]?.answer('whole');
+  expect(answersOf(world)).toEqual([200, 'whole']);
+});
--- a/tests/gateway/stream-ended-group.test.ts
+++ b/tests/gateway/stream-ended-group.test.ts
@@ -31,6 +31,21 @@
   },
 );
 
+// Guards against a stream that waits until its deadline, as the peer that passed it on ended and its model has no group
+// other than the one that it was lost with.
+it('a resumable stream whose peer ends goes on at the same group', async () => {
+  const world = createStreamWorld({ groups: 1, byPeer: true });
+  const caller = await world.request();
+  world.runAt('s0').send(0, 1);
+  world.runAt('s0').close();
+  await world.pass(50);
+  const [, next] = world.runs;
+  if (!next) throw new Error('nothing was sent again');
+  next.finishFrom(2);
+  await world.pass(50);
+  expect([next.lastEventId, caller.state(), caller.ids()]).toEqual(['1', 'whole', ALL_EVENTS]);
+});
+
 describe('a resumable stream without an event whose group ends as the last of its model', () => {
   /** The stream waits for its group until that ends, long after it arrived; the end is known before or after the connection breaks. */
   async function loseLastGroup(isKnownFirst = true) {
--- a/tests/gateway/stream-fixture.ts
+++ b/tests/gateway/stream-fixture.ts
@@ -120,6 +120,8 @@
   readonly tunables?: Partial<GatewayTunables>;
   /** Framing of the answers, in the order in which the stream is sent; chunks beyond these. */
   readonly framings?: readonly Framing[];
+  /** Whether a peer passes all requests on. */
+  readonly byPeer?: boolean;
   /** Headers of the caller's response. */
   readonly reply?: () => string[];
 }
@@ -169,6 +171,7 @@
   route: routeOptions = {},
   retries: retryOptions = 9,
   framings = [],
+  byPeer = false,
   reply = () => [],
   tunables = {},
 }: StreamWorldOptions): StreamWorld {
@@ -232,6 +235,7 @@
     return Promise.resolve({
       ...{ kind: 'answered', res: run as unknown as IncomingMessage, reused: false },
       framing: framings[runs.length - 1] ?? 'chunks',
+      ...(byPeer && { byPeer }),
       hasFailed: () => false,
       destroy: () => {
         run.isClosed = true;
