Close no connection unread that waits when the listener closes

What callers saw: at a daemon that was stopped, and held for 1.7 s meanwhile, connections were reset with requests that had waited for their turn, 0.2 s after it went on.

Cause: before the listener closes, a marker shows that all that waited has been accepted. But while a daemon seems overloaded it closes new connections as soon as they are accepted, and the marker passes them as well. A finite queue that is accepted at one connection a turn looks like an overload once that takes 250 ms, which on a busy machine some tens of connections do. Closing unread lets callers try another daemon sooner while the balancer sends more; in the last part of a stop it sends none, and there is nothing to be kept free.

Fix: when the balancer has had its time, the intake accepts all that waits and closes nothing unread any more; requests are served in order, or answered within their time-outs as always.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -308,6 +308,7 @@
     });
     void options.announce(false);
     while (clock.now() < closeListenerAt) await pause(TICK_MS);
+    intake.acceptLast();
     // The process may have stood still: what arrived meanwhile is accepted and read first.
     await pause(TICK_MS);
     await marker.passQueue(Math.max(0, deadline - clock.now()));
--- a/src/app/gateway/intake.ts
+++ b/src/app/gateway/intake.ts
@@ -62,6 +62,8 @@
   take(socket: Socket, request: ReadRequest): void;
   /** Whether new connections are to be closed unread. */
   readonly saturated: Observable<boolean>;
+  /** From now on, no connection is closed unread: the balancer sends no more, so that those that wait are the last. */
+  acceptLast(): void;
 }
 
 interface TakenRequest extends ReadRequest {
@@ -109,6 +111,7 @@
   let markerMs = 0;
   let seen = NOTHING_SEEN;
   let logAt = later(clock.now(), LOG_INTERVAL_MS);
+  let isAcceptingLast = false;
 
   const count = (what: 'connections' | 'dropped' | 'requests' | 'refused'): void => {
     seen = { ...seen, [what]: seen[what] + 1 };
@@ -180,7 +183,7 @@
       ...{ batches, queued: queue.length, rate },
       leftMs: usualLeftMs(now),
     };
-    const next = isSaturated(backlog, saturated.value);
+    const next = !isAcceptingLast && isSaturated(backlog, saturated.value);
     if (next === saturated.value) return;
     if (next) logSaturation(backlog);
     saturated.next(next);
@@ -243,6 +246,10 @@
 
   return {
     saturated,
+    acceptLast: () => {
+      isAcceptingLast = true;
+      if (saturated.value) saturated.next(false);
+    },
     noteConnection: (socket) => {
       const { drained, turn } = current();
       connections.set(socket, { since: drained, turn });
--- a/tests/gateway/stop-with-pipelined.test.ts
+++ b/tests/gateway/stop-with-pipelined.test.ts
@@ -16,7 +16,7 @@
 /** A daemon that stops accepts connections for a little longer. */
 const BEFORE_LISTENER_CLOSES_MS = 2_000;
 const STILL_MS = 1_500;
-const WAITING_CALLERS = 60;
+const WAITING_CALLERS = 300;
 
 let fixture: GatewayFixture;
 
