Refuse what arrives in a stop after the last requests were to arrive

A stopping daemon passed on requests up to its end, and then cut their answers: those on connections that had been opened before the stop and not used, those whose bodies came late, and, under load, those that were accepted or read late. Streams and calls that had run were lost.

Cause: a stop bounds when connections are accepted and closed as idle, and nothing bounds when a request is passed on. A connection without a request stays open, as its first one may be on its way, and a request waits for its body or its turn for as long as others are in flight.

Once the time for the last requests is over, those that were not passed on are answered 503 at once, as not run, so that callers go to another daemon while they have time. That time begins when the listener has closed, so that what arrived while the process stood still is served as before. Requests of peers are refused in the same way, and their senders go to the next peer.

Evidence: stop-with-pipelined, the new case, red before ([[], []] for [[503], [503]]).

--- a/src/app/gateway/forwarding.ts
+++ b/src/app/gateway/forwarding.ts
@@ -40,6 +40,8 @@
   inFlight(): number;
   /** From now on, every answer closes its connection. */
   beginStop(): void;
+  /** From now on, requests of peers are refused; they send them through others. */
+  refuseFurther(): void;
   close(): void;
 }
 
@@ -129,6 +131,7 @@
 ): Forwarding {
   let inFlight = 0;
   let isStopping = false;
+  let isEnding = false;
   /** Held for senders that have proven nothing. */
   let unprovenBytes = 0;
 
@@ -223,7 +226,8 @@
       res.end(await answerPeer(address));
       return;
     }
-    if (isCutOff(address))
+    if (isEnding) answerError(res, 'refused', 'the daemon is about to end');
+    else if (isCutOff(address))
       answerError(res, 'refused', 'the server is not reached from here either');
     else if (inFlight > MAX_FORWARDED) answerError(res, 'refused', 'too many forwarded requests');
     else await forward(req, res, forwarded);
@@ -265,6 +269,9 @@
     beginStop: () => {
       isStopping = true;
     },
+    refuseFurther: () => {
+      isEnding = true;
+    },
     close: () => {
       server.close();
       server.closeAllConnections();
--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -315,8 +315,11 @@
     httpServer.closeListener();
     const inFlight = (): number => httpServer.inFlight() + forwarding.inFlight();
     const quietAt = later(clock.now(), LAST_REQUESTS_MS);
-    while ((inFlight() > 0 || clock.now() < quietAt) && clock.now() < deadline)
+    while ((inFlight() > 0 || clock.now() < quietAt) && clock.now() < deadline) {
+      if (clock.now() >= quietAt)
+        for (const server of [httpServer, forwarding]) server.refuseFurther();
       await pause(TICK_MS);
+    }
     const remaining = inFlight();
     if (remaining > 0)
       logger.warn('requests aborted at the end of the shutdown', {
--- a/src/app/gateway/http-server.ts
+++ b/src/app/gateway/http-server.ts
@@ -48,6 +48,8 @@
   beginStop(): void;
   /** Stops accepting connections. */
   closeListener(): void;
+  /** From now on, requests that have not been passed on are refused. */
+  refuseFurther(): void;
   closeConnections(): void;
 }
 
@@ -61,6 +63,7 @@
 const HEADERS_TIMEOUT_MS = 30_000;
 /** Callers retry at another daemon; the time lets a short peak pass where all have one. */
 const RETRY_AFTER_OVERLOAD: RetryAfter = { minMs: 200, spreadMs: 600 };
+const STOPPING: Refusal = [503, 'the daemon is about to end'];
 const OVERLOADED: Refusal = [503, 'the daemon is overloaded', RETRY_AFTER_OVERLOAD];
 /** A request without an answer this long after its limit has a handler that hangs, milliseconds. */
 const HUNG_AFTER_MS = 200;
@@ -70,6 +73,7 @@
 export function createHttpServer(deps: HttpServerDeps): HttpServer {
   const { ctx, config, intake, marker, dialect } = deps;
   const connections = createCallerConnections();
+  let isEnding = false;
 
   /** Ends a request that met an unexpected error before it was matched with a route. */
   const onUnexpected = (res: ServerResponse, thrown: unknown): void => {
@@ -101,7 +105,8 @@
       serve: (arrivedAt) => {
         if (res.destroyed) return;
         const served = { arrivedAt, readAt, isAnswering, isAloneOnConnection };
-        serve(deps, req, res, served).catch((err: unknown) => {
+        const isRefused = (): boolean => isEnding;
+        serve(deps, req, res, { ...served, isRefused }).catch((err: unknown) => {
           onUnexpected(res, err);
         });
       },
@@ -172,6 +177,9 @@
         connections.closeIdle();
       });
     },
+    refuseFurther: () => {
+      isEnding = true;
+    },
     closeConnections: () => {
       for (const res of connections.outstanding()) closeUnanswered(res, 'end of the shutdown');
       server.closeAllConnections();
@@ -182,13 +190,15 @@
 interface ServedRequest extends ArrivalTimes, Pick<Exchange, 'isAloneOnConnection'> {
   /** Whether a request that was read whole on its connection is not answered. */
   readonly isAnswering: () => boolean;
+  /** Whether it comes too late to be answered before the daemon ends. */
+  readonly isRefused: () => boolean;
 }
 
 async function serve(
   deps: HttpServerDeps,
   req: IncomingMessage,
   res: ServerResponse,
-  { arrivedAt, readAt, isAnswering, isAloneOnConnection }: ServedRequest,
+  { arrivedAt, readAt, isAnswering, isAloneOnConnection, isRefused }: ServedRequest,
 ): Promise<void> {
   const { config, dialect } = deps;
   const gone = watchCaller(res);
@@ -218,6 +228,10 @@
     refuse(deps, facts, res, [408, 'the body did not arrive within the time-out']);
     return;
   }
+  if (isRefused()) {
+    refuse(deps, facts, res, STOPPING);
+    return;
+  }
   const exchange = toExchange({
     ...{ deps, req, res, body, facts, arrivedAt, readAt },
     gone: callerSignal,
--- a/tests/gateway/forwarding.test.ts
+++ b/tests/gateway/forwarding.test.ts
@@ -182,6 +182,19 @@
     expect([result.kind, hasPeerFailed]).toEqual(['not-sent', true]);
   });
 
+  // Guards against requests that are passed on late in the stop of a peer, and whose answers its end cuts.
+  it('is refused by a peer that is about to end, which goes on with earlier ones', async () => {
+    const server = await startServer((socket) => setTimeout(() => socket.write(LENGTH), 100));
+    const { client, forwarding } = await startPeer(() => true);
+    const earlier = client.send(makeCall(server.address), PEER);
+    await pause(50);
+    forwarding.refuseFurther();
+    const { result, hasPeerFailed } = await client.send(makeCall(server.address), PEER);
+    expect([result.kind, hasPeerFailed]).toEqual(['not-sent', true]);
+    expect(await readAnswer((await earlier).result)).toEqual({ text: 'whole', isWhole: true });
+    expect(server.received).toHaveLength(1);
+  });
+
   // Guards against sending an unsafe call again that the peer may have passed on before it ended.
   it('is lost if the peer ends before it answers', async () => {
     const peer = await startServer((socket) => socket.destroy());
--- a/tests/gateway/stop-with-pipelined.test.ts
+++ b/tests/gateway/stop-with-pipelined.test.ts
@@ -17,6 +17,9 @@
 const BEFORE_LISTENER_CLOSES_MS = 2_000;
 const STILL_MS = 1_500;
 const WAITING_CALLERS = 300;
+/** After a SIGTERM, the last requests have arrived. */
+const AFTER_LAST_MS = 3_600;
+const LONG_WAIT_MS = 7_000;
 
 let fixture: GatewayFixture;
 
@@ -28,13 +31,14 @@
   fixture.close();
 });
 
-function requestText(id: string): string {
+function requestText(id: string, { waitMs = WAIT_MS, bodyBytes = 0 } = {}): string {
   return [
     'GET /safe/x HTTP/1.1',
     'Host: a.example',
     `Authorization: Bearer ${FIXTURE_KEY}`,
     `${HEADERS.requestId}: ${id}`,
-    `${HEADERS.waitMs}: ${WAIT_MS}`,
+    `${HEADERS.waitMs}: ${waitMs}`,
+    `Content-Length: ${bodyBytes}`,
     '\r\n',
   ].join('\r\n');
 }
@@ -137,3 +141,25 @@
     expect(callers.filter((one) => statuses(one.received()).length !== 1)).toEqual([]);
   });
 });
+
+describe('requests that arrive at a daemon that stops after the last ones were to arrive', () => {
+  // Guards against requests that are passed on late in a stop, and whose answers its end cuts.
+  it('are refused at once, on a connection that was not used before and with a late body', async () => {
+    const goOn = fixture.platform.pauses.begin(fixture.platform.serversOf({}));
+    const [first, unused, slow] = [openCaller(), openCaller(), openCaller()];
+    first.send(requestText('first', { waitMs: LONG_WAIT_MS }));
+    slow.send(requestText('slow', { waitMs: LONG_WAIT_MS, bodyBytes: 4 }));
+    await pause(SETTLE_MS);
+    fixture.signal(0, 'SIGTERM');
+    await pause(AFTER_LAST_MS);
+    unused.send(requestText('unused'));
+    slow.send('body');
+    await pause(SETTLE_MS);
+    expect([unused, slow].map((one) => statuses(one.received()))).toEqual([[503], [503]]);
+    goOn();
+    await untilClosed([first]);
+    expect(statuses(first.received())).toEqual([200]);
+    const ran = fixture.platform.runs.map(({ requestId }) => requestId);
+    expect(new Set(ran)).toEqual(new Set(['first']));
+  });
+});
