Do not end a group for an entry that names it with another epoch

An entry that named a group which serves, with another epoch and a state or rank that ends a group, ended the whole group: its servers were used for others, its model was no longer served.

Cause: members are grouped by name and epoch, but what the planner remembers of groups (ending, ended, being formed) is kept by name alone. Ending the one that only the odd entry names ended the other, and its members counted as free while their head served. A planner names each group after its epoch, so a name with another epoch cannot be true; such a membership now belongs to no group. Its server stays bound, as before.

New cases in forming-odd-entries (simulated servers), all three red before: "expected [ 0, 2 ] to deeply equal [ 1, 1 ]" groups after 30 s.

An entry that repeats a name with its true epoch still joins its members; no field of an entry tells the two apart.

--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -20,7 +20,7 @@
 import { advanceRetirements, startRetirement } from './retire';
 import { claimDomains } from './reassign';
 import { canReplaceSlow } from './slow';
-import { isStandby } from './start';
+import { isConsistent, isStandby } from './start';
 import { hasNoAnswers, isGroupLost } from './silent';
 import { draftOf, isSuspect, noteModels, stateOf } from './state';
 import type { Draft, FormingState, FormingView, OrderEffect, Retirement } from './state';
@@ -224,7 +224,10 @@
   prune(draft);
   noteModels(draft);
   noteForeignLoads(draft);
-  const groups = excludeEvacuated(draft, collectGroups(view.servers.values()));
+  const grouped = [...view.servers.values()].filter(
+    ({ membership }) => membership && isConsistent(membership),
+  );
+  const groups = excludeEvacuated(draft, collectGroups(grouped));
   dropEvacuatedFormations(draft);
   const byId = new Map<GroupId, ReplicaGroup>(groups.map((group) => [group.id, group]));
   for (const id of draft.foreignGroups.keys()) if (!byId.has(id)) draft.foreignGroups.delete(id);
--- a/src/core/gateway/forming/start.ts
+++ b/src/core/gateway/forming/start.ts
@@ -2,7 +2,7 @@
 
 import { brandAs, later } from '../../ids';
 import type { Epoch, GroupId } from '../../ids';
-import type { BackendServer, ModelSpec } from '../types';
+import type { BackendServer, Membership, ModelSpec } from '../types';
 import { joinCost } from './form';
 import { noteLoads } from './loads';
 import type { Draft } from './state';
@@ -19,6 +19,17 @@
   return group.startsWith(STANDBY_PREFIX);
 }
 
+const PLANNED_NAME = new RegExp(`^(?:${GROUP_PREFIX}|${STANDBY_PREFIX})(\\d+)$`);
+
+/**
+ * Whether the membership may be one of a group that a planner formed, which names each after its epoch, or of one
+ * with a name of another kind. State is kept by group id, so one server's wrong epoch must not stand for all members.
+ */
+export function isConsistent({ group, epoch }: Membership): boolean {
+  const named = PLANNED_NAME.exec(group)?.[1];
+  return named === undefined || named === String(epoch);
+}
+
 function nextEpoch(draft: Draft): Epoch {
   draft.epochCount += 1;
   return brandAs<Epoch>(draft.view.fencing * EPOCHS_PER_LEASE + draft.epochCount);
--- a/tests/gateway/forming-odd-entries.test.ts
+++ b/tests/gateway/forming-odd-entries.test.ts
@@ -4,6 +4,7 @@
 import type { EngineFleet } from '../../stand-ins/users-platform/engines';
 import type { OrderResult } from '../../src/core/gateway/orders';
 import type { BackendServer, MemberState } from '../../src/core/gateway/types';
+import type { InstanceId } from '../../src/core/ids';
 import { createLeader } from './leader';
 import { FLEET, inGroup, LARGE, makeServer, SMALL } from './support';
 
@@ -13,15 +14,19 @@
   entries: readonly BackendServer[],
   result: OrderResult,
 ): EngineFleet {
-  const ids = new Set(entries.map(({ id }) => id));
+  const isOdd = (id: InstanceId): boolean => entries.some((entry) => entry.id === id);
   return {
     ...fleet,
     rows: () => new Map([...fleet.rows(), ...entries.map((entry) => [entry.id, entry] as const)]),
-    take: (effect, lateMs) => (ids.has(effect.server.id) ? result : fleet.take(effect, lateMs)),
+    take: (effect, lateMs) => (isOdd(effect.server.id) ? result : fleet.take(effect, lateMs)),
   };
 }
 
 const STATES: readonly MemberState[] = ['joining', 'ready', 'open', 'closing', 'broken'];
+const LOAD = new Map([
+  [LARGE, 1],
+  [SMALL, 0.5],
+]);
 const RESULTS: readonly OrderResult[] = ['not-sent', 'unknown', 'refused'];
 const CASES = [LARGE, SMALL].flatMap((model) =>
   STATES.flatMap((state) =>
@@ -48,12 +53,8 @@
   it('ends no group of another model', () => {
     const odd = makeServer('a0', inGroup('g', 1, 'open'));
     const fleet = createEngineFleet({ ...FLEET, domains: [5, 3], hasTraffic: true });
-    const offeredLoad = new Map([
-      [LARGE, 1],
-      [SMALL, 0.5],
-    ]);
     const all = withEntries(fleet, [odd], 'not-sent');
-    const leader = createLeader(all, { hasTraffic: true, offeredLoad });
+    const leader = createLeader(all, { hasTraffic: true, offeredLoad: LOAD });
     leader.run(40_000);
     expect(fleet.serving(SMALL)).toBe(2);
     leader.run(10_000);
@@ -74,3 +75,28 @@
     expect(fleet.violations).toEqual([]);
   });
 });
+
+describe('an entry that names the group of others', () => {
+  // Guards against servers that join another group while the head of their own serves.
+  it.each([
+    { epochs: 1, rank: 1 },
+    { epochs: -1, rank: 1 },
+    { epochs: 1, rank: 0 },
+  ])('with another epoch ($epochs, rank $rank) does not end it', ({ epochs, rank }) => {
+    const fleet = createEngineFleet({ ...FLEET, domains: [11], hasTraffic: true });
+    const entries: BackendServer[] = [];
+    const leader = createLeader(withEntries(fleet, entries, 'done'), { hasTraffic: true });
+    leader.run(40_000);
+    const before = [fleet.serving(LARGE), fleet.serving(SMALL)];
+    for (const { joined } of [...fleet.servers.values()])
+      if (joined && joined.members.length > 1 && entries.length === 0) {
+        const { group, epoch, model } = joined;
+        entries.push(
+          makeServer('a0', { model, ...inGroup(group, rank, 'broken', epoch + epochs) }),
+        );
+      }
+    leader.run(30_000);
+    expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual(before);
+    expect(fleet.violations).toEqual([]);
+  });
+});
