Count a malformed report as an answer of its server

A group that serves was found dark, got nothing new and was ended, when one of its members sent a report with an odd value (a number too large, a text for a number).

Cause: a report that fails validation was treated like none, so that its server counted as silent while others answered. Silence counts only against answers, and such a report is one. It also ends the exclusion of a server that was only silent.

Two new cases of member-inspection were red before: the group was found lost ("expected [ { ... } ] to deeply equal []"), and the silent server was not found again.

--- a/src/app/gateway/lost-servers.ts
+++ b/src/app/gateway/lost-servers.ts
@@ -101,7 +101,7 @@
         return;
       }
       const report = await servers.report(server, timeoutMs);
-      if (report.isOk()) {
+      if (report.isOk() || (!hasEnded && report.error.code === 'bad-answer')) {
         noteAlive(server);
         return;
       }
--- a/src/app/gateway/member-look.ts
+++ b/src/app/gateway/member-look.ts
@@ -94,8 +94,16 @@
     timer.wake();
   };
 
-  /** Another process at the port is certain; a refusal may concern this daemon alone. */
-  const noteFailed = async (server: BackendServer, { code }: StepError): Promise<void> => {
+  /**
+   * Another process at the port is certain; a refusal may concern this daemon alone. A report that is not understood
+   * comes from a process that runs: it is no silence.
+   */
+  const noteFailed = async (
+    server: BackendServer,
+    { code }: StepError,
+    ms: number,
+  ): Promise<void> => {
+    if (code === 'bad-answer') noteAnswered(server, ms);
     if (code === 'backend-lost') noteEnded(server);
     if (code !== 'backend-refused' || checked.has(server.id)) return;
     checked.add(server.id);
@@ -118,7 +126,7 @@
       },
       (err) => {
         addOpen(server, -1);
-        void noteFailed(server, err);
+        void noteFailed(server, err, clock.now() - askedAt);
       },
     );
   };
--- a/tests/gateway/asked-members.ts
+++ b/tests/gateway/asked-members.ts
@@ -20,12 +20,14 @@
 import { createFakeClock } from './fake-time';
 import { inGroup, makeContext, makeServer } from './support';
 
-/** When a server answers what it is asked at `now`: a time, `never`, or `refuses` at once. */
-export type Behaviour = (now: number) => number | 'never' | 'refuses';
+/** When a server answers what it is asked at `now`: a time, `never`, or at once if it `refuses` or is `malformed`. */
+export type Behaviour = (now: number) => number | 'never' | 'refuses' | 'malformed';
 
 export const HEALTHY: Behaviour = (now) => now + 1;
 export const DARK: Behaviour = () => 'never';
 export const ENDED: Behaviour = () => 'refuses';
+/** Sends reports that fail validation. */
+export const MALFORMED: Behaviour = () => 'malformed';
 
 /** Answers after so many milliseconds. */
 export const after =
@@ -103,6 +105,7 @@
     const now = Date.now();
     const at = (behaviours.get(server.id) ?? HEALTHY)(now);
     if (at === 'refuses') return errAsync(fail('backend-refused', 'refused', { step: 'report' }));
+    if (at === 'malformed') return errAsync(fail('bad-answer', 'a field', { step: 'report' }));
     const answerAt = at === 'never' ? Infinity : at;
     const timeoutAt = now + timeoutMs;
     const result = new Promise<Result<unknown, StepError>>((resolve) => {
--- a/tests/gateway/member-inspection.test.ts
+++ b/tests/gateway/member-inspection.test.ts
@@ -2,7 +2,7 @@
 
 import { describe, expect, it } from 'vitest';
 
-import { after, DARK, ENDED, paused, startAsking } from './asked-members';
+import { after, DARK, ENDED, MALFORMED, paused, startAsking } from './asked-members';
 import type { Behaviour } from './asked-members';
 import { fakeTime } from './fake-time';
 import type { InstanceId } from '../../src/core/ids';
@@ -98,6 +98,32 @@
   });
 });
 
+describe('a member whose report is malformed', () => {
+  fakeTime();
+
+  // Guards against a server that serves and is found lost for an odd value in its report.
+  it('is there', async () => {
+    const test = startAsking(GROUPS);
+    test.set(test.membersOf('g').slice(0, 1), MALFORMED);
+    test.inspect('g');
+    await test.run(6_000);
+    expect(test.found).toEqual([]);
+    expect(test.lines('members asked').at(-1)?.outcome).toBe('answered');
+  });
+
+  it('was only silent if it answers so afterwards', async () => {
+    const test = startAsking(GROUPS);
+    const [second] = test.membersOf('g').slice(1);
+    test.set([second], DARK);
+    test.inspect('g');
+    await test.run(2_000);
+    expect(test.found).toHaveLength(1);
+    test.set([second], MALFORMED);
+    await test.run(2_000);
+    expect(test.lines('lost server answers again')).toHaveLength(1);
+  });
+});
+
 describe('an inspection', () => {
   fakeTime();
 
--- a/tests/gateway/spoiled-bodies.test.ts
+++ b/tests/gateway/spoiled-bodies.test.ts
@@ -20,10 +20,10 @@
 let server: Server;
 
 /** Answers every request with 200 and `body`. */
-async function startAnswering(body: string): Promise<string> {
+async function startAnswering(body: string, status = 200): Promise<string> {
   server = createServer((req, res) => {
     req.resume();
-    res.end(body);
+    res.writeHead(status).end(body);
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
@@ -135,6 +135,44 @@
     const unanswered = await createServers().report(makeServer('s1', { address: silent }), 50);
     expect(unanswered._unsafeUnwrapErr().code).toBe('unavailable');
   });
+
+  // Guards against a lost server that counts as there because another service has its address now.
+  it.each([404, 503])('is not answered by status %i', async (status) => {
+    const address = await startAnswering('{}', status);
+    const report = await createServers().report(makeServer('s1', { address }), 1_000);
+    expect(report._unsafeUnwrapErr().code).toBe('unavailable');
+  });
+
+  // Guards against an odd value that throws, takes long, or leads to times that are none.
+  it.each([
+    '['.repeat(200_000),
+    `{"active":${'['.repeat(100_000)}${']'.repeat(100_000)}}`,
+    `{"extra":${'['.repeat(100_000)}${']'.repeat(100_000)},"pace":1}`,
+    ...['pace', 'active', 'queued', 'born'].flatMap((field) =>
+      ['1e400', '-1e400', '1e308', '-1', '0', '9007199254740993', '"x"', 'null', '[]'].map(
+        (value) => `{"${field}":${value}}`,
+      ),
+    ),
+    ...['name', 'epoch', 'rank', 'state'].flatMap((field) =>
+      ['1e400', '1e308', '-1', '"x"', 'null', '{}'].map(
+        (value) =>
+          `{"group":${JSON.stringify({ name: 'g', epoch: 1, rank: 0, state: 'open', [field]: 0 }).replace(`"${field}":0`, `"${field}":${value}`)}}`,
+      ),
+    ),
+  ])('with an odd value is an error or a report of numbers (%#)', async (body) => {
+    const address = await startAnswering(body);
+    const startedAt = performance.now();
+    const report = await createServers().report(makeServer('s1', { address }), 2_000);
+    expect(performance.now() - startedAt).toBeLessThan(1_000);
+    report.match(
+      ({ slowdown, running, waiting }) => {
+        expect([slowdown, running, waiting].every(Number.isFinite)).toBe(true);
+      },
+      ({ code }) => {
+        expect(code).toBe('bad-answer');
+      },
+    );
+  });
 });
 
 describe('a malformed answer', () => {
