Pass no stream on that waited for a slot until the end of a stop

Cause: whether the daemon is about to end was asked once, when the request had been read.

It is asked at each step now while no server may have begun the request, and those that wait are answered 503 at once. A stream that was passed on goes on, and may be resumed.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -316,8 +316,10 @@
     const inFlight = (): number => httpServer.inFlight() + forwarding.inFlight();
     const quietAt = later(clock.now(), LAST_REQUESTS_MS);
     while ((inFlight() > 0 || clock.now() < quietAt) && clock.now() < deadline) {
-      if (clock.now() >= quietAt)
+      if (clock.now() >= quietAt) {
         for (const server of [httpServer, forwarding]) server.refuseFurther();
+        waitQueue.review();
+      }
       await pause(TICK_MS);
     }
     const remaining = inFlight();
--- a/src/app/gateway/http-server.ts
+++ b/src/app/gateway/http-server.ts
@@ -23,7 +23,7 @@
 import type { PlainCalls } from './plain-call';
 import { discardRest, readBody } from './request-body';
 import { bodyLimit, startLimit, toExchange } from './request-matching';
-import type { ArrivalTimes, Refusal } from './request-matching';
+import type { ArrivalTimes, ArrivedRequest, Refusal } from './request-matching';
 import type { StreamCalls } from './stream-call';
 import { closeUnanswered, watchUnanswered } from './unanswered';
 import { endUnexpected } from './unexpected';
@@ -105,8 +105,7 @@
       serve: (arrivedAt) => {
         if (res.destroyed) return;
         const served = { arrivedAt, readAt, isAnswering, isAloneOnConnection };
-        const isRefused = (): boolean => isEnding;
-        serve(deps, req, res, { ...served, isRefused }).catch((err: unknown) => {
+        serve(deps, req, res, { ...served, isEnding: () => isEnding }).catch((err: unknown) => {
           onUnexpected(res, err);
         });
       },
@@ -187,18 +186,17 @@
   };
 }
 
-interface ServedRequest extends ArrivalTimes, Pick<Exchange, 'isAloneOnConnection'> {
+interface ServedRequest
+  extends ArrivalTimes, Pick<ArrivedRequest, 'isAloneOnConnection' | 'isEnding'> {
   /** Whether a request that was read whole on its connection is not answered. */
   readonly isAnswering: () => boolean;
-  /** Whether it comes too late to be answered before the daemon ends. */
-  readonly isRefused: () => boolean;
 }
 
 async function serve(
   deps: HttpServerDeps,
   req: IncomingMessage,
   res: ServerResponse,
-  { arrivedAt, readAt, isAnswering, isAloneOnConnection, isRefused }: ServedRequest,
+  { arrivedAt, readAt, isAnswering, isAloneOnConnection, isEnding }: ServedRequest,
 ): Promise<void> {
   const { config, dialect } = deps;
   const gone = watchCaller(res);
@@ -228,14 +226,14 @@
     refuse(deps, facts, res, [408, 'the body did not arrive within the time-out']);
     return;
   }
-  if (isRefused()) {
+  if (isEnding()) {
     refuse(deps, facts, res, STOPPING);
     return;
   }
   const exchange = toExchange({
     ...{ deps, req, res, body, facts, arrivedAt, readAt },
     gone: callerSignal,
-    isAloneOnConnection,
+    ...{ isAloneOnConnection, isEnding },
   });
   if (!('route' in exchange)) {
     refuse(deps, facts, res, exchange);
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -141,6 +141,8 @@
         endQuarantined(ctx, exchange, standing, state);
         return;
       }
+      // Its answer might be cut by the end of the daemon.
+      if (state.exposure === 'not-run' && exchange.isEnding?.() === true) break;
       const server = takeNext(state) ?? servers.take(exchange.service, state.tried);
       if (!server) break;
       state.tried.add(server.id);
--- a/src/app/gateway/request-matching.ts
+++ b/src/app/gateway/request-matching.ts
@@ -48,6 +48,7 @@
   readonly facts: RequestFacts;
   readonly gone: AbortSignal;
   readonly isAloneOnConnection: () => boolean;
+  readonly isEnding: () => boolean;
 }
 
 /** Matches the request against the configuration in force once its body has been read. */
@@ -61,6 +62,7 @@
   readAt,
   gone: callerSignal,
   isAloneOnConnection,
+  isEnding,
 }: ArrivedRequest): Exchange | Refusal {
   const table = deps.config.table.value;
   if (!table) return [503, 'no configuration received yet'];
@@ -87,6 +89,7 @@
     ...deadlinesOf(facts, route, arrivedAt),
     gone: callerSignal,
     isAloneOnConnection,
+    isEnding,
   };
 }
 
--- a/tests/gateway/stream-fixture.ts
+++ b/tests/gateway/stream-fixture.ts
@@ -132,6 +132,8 @@
   readonly runs: readonly ServerRun[];
   readonly lines: () => readonly Record<string, unknown>[];
   readonly retriesLeft: () => number;
+  /** From now on, the daemon passes nothing further on. */
+  readonly beginEnd: () => void;
   request(id?: string, leftBefore?: boolean): Promise<CallerView>;
   /** The latest request at the server. */
   runAt(head: string): ServerRun;
@@ -248,6 +250,8 @@
     ...{ serverRegistry: { ended: new Map() }, groupRegistry: registry, daemons: () => 1 },
     findState: () => Promise.resolve('listening'),
   });
+  const waitQueue = createWaitQueue(ctx, registry);
+  let isEnding = false;
   const deps = {
     ...{ ctx, groupRegistry: registry, throttle, upstream: { send }, daemons: () => 1 },
     retries: typeof retryOptions === 'number' ? counted.retries : retryOptions(ctx),
@@ -258,7 +262,7 @@
     },
     notices: { read: () => ({ isSigned: true, isNotExecuted: false }) },
     ...{ evacuations: NO_EVACUATIONS, quarantine },
-    ...{ serverLinks: HEALTHY_LINKS, waitQueue: createWaitQueue(ctx, registry) },
+    ...{ serverLinks: HEALTHY_LINKS, waitQueue },
     arrivals: createArrivals(ctx),
   } as unknown as StreamDeps;
   const calls = createStreamCalls(deps);
@@ -297,11 +301,15 @@
       if (isUnreachable) unreachable.add(instance(head));
       else unreachable.delete(instance(head));
     },
+    beginEnd: () => {
+      isEnding = true;
+      waitQueue.review();
+    },
     retriesLeft: counted.left,
     request: async (id = 'request-1', hasLeft = false) => {
       const { exchange, view } = createCaller(id, route, ctx.clock.now());
       if (hasLeft) view.leave();
-      void calls.call(exchange);
+      void calls.call({ ...exchange, isEnding: () => isEnding });
       await vi.advanceTimersByTimeAsync(0);
       return view;
     },
