Read what has arrived before the last connections close at a stop

What callers saw: at a daemon that was held shortly before its end, connections that were open and not used yet were reset 1.2 s after a request was sent on them.

Cause: after the listener has closed, the stop waits for 300 ms without a request, and looks by a timer. When the process goes on after a pause, that timer is due before the event loop reads what has arrived meanwhile, so that the daemon looked idle and closed all connections with unread requests.

Fix: each look comes at the end of a turn, when all that had arrived has been read.

--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import { createAcceptMarker } from '../../adapters/accept-marker';
 import { createForwardClient } from '../../adapters/upstream/forward-client';
 import { checkListening } from '../../adapters/upstream/listening';
+import { afterNextRead } from '../../adapters/upstream/next-read';
 import { createUpstream } from '../../adapters/upstream/upstream';
 import type { HeaderDialect, EraTable, Feeds, ServerPaths, Servers } from '../../ports/gateway';
 import { brandAs, later } from '../../core/ids';
@@ -295,6 +296,12 @@
   }, TICK_MS);
   logger.info('started', { step: 'start', listen: settings.listen, zone: settings.zone });
 
+  const refuseFurther = (): void => {
+    httpServer.refuseFurther();
+    forwarding.refuseFurther();
+    waitQueue.review();
+  };
+
   const finish = async (): Promise<void> => {
     const deadline = later(clock.now(), ctx.tunables.value.shutdownMs - SHUTDOWN_MARGIN_MS);
     const closeListenerAt = later(clock.now(), BALANCER_DETECTION_MS);
@@ -315,13 +322,13 @@
     httpServer.closeListener();
     const inFlight = (): number => httpServer.inFlight() + forwarding.inFlight();
     const quietAt = later(clock.now(), LAST_REQUESTS_MS);
-    while ((inFlight() > 0 || clock.now() < quietAt) && clock.now() < deadline) {
-      if (clock.now() >= quietAt) {
-        for (const server of [httpServer, forwarding]) server.refuseFurther();
-        waitQueue.review();
-      }
+    const isQuiet = (): boolean => inFlight() === 0 && clock.now() >= quietAt;
+    do {
+      if (clock.now() >= quietAt) refuseFurther();
       await pause(TICK_MS);
-    }
+      // What arrived while the process stood still is read, and worked on, after the timers.
+      await new Promise<void>(afterNextRead);
+    } while (!isQuiet() && clock.now() < deadline);
     const remaining = inFlight();
     if (remaining > 0)
       logger.warn('requests aborted at the end of the shutdown', {
--- a/tests/gateway/stop-with-pipelined.test.ts
+++ b/tests/gateway/stop-with-pipelined.test.ts
@@ -77,6 +77,24 @@
     await pause(LOOK_MS);
 }
 
+/** Waits until the daemon accepts no connections any more. */
+async function untilRefused(): Promise<void> {
+  const [host, port] = fixture.address(0).split(':');
+  const isRefused = (): Promise<boolean> =>
+    new Promise((resolve) => {
+      const socket = connect(Number(port), host);
+      socket.once('error', () => {
+        resolve(true);
+      });
+      socket.once('connect', () => {
+        socket.destroy();
+        resolve(false);
+      });
+    });
+  for (let waited = 0; waited < WAIT_MS && !(await isRefused()); waited += LOOK_MS)
+    await pause(LOOK_MS);
+}
+
 describe('requests that were read before their connection closes', () => {
   // Guards against a connection that closes with one answer while others on it are outstanding.
   it('are all answered after a SIGTERM', async () => {
@@ -140,6 +158,20 @@
     await untilClosed(callers);
     expect(callers.filter((one) => statuses(one.received()).length !== 1)).toEqual([]);
   });
+
+  // Guards against a process that ends by a timer that is due before what arrived is read.
+  it('are answered although the listener has closed before', async () => {
+    const callers = Array.from({ length: CALLERS }, openCaller);
+    await pause(SETTLE_MS);
+    fixture.signal(0, 'SIGTERM');
+    await untilRefused();
+    fixture.signal(0, 'SIGSTOP');
+    for (const [n, caller] of callers.entries()) caller.send(requestText(`last-${n}`));
+    await pause(STILL_MS);
+    fixture.signal(0, 'SIGCONT');
+    await untilClosed(callers);
+    expect(callers.map((one) => statuses(one.received()))).toEqual(callers.map(() => [200]));
+  });
 });
 
 describe('requests that arrive at a daemon that stops after the last ones were to arrive', () => {
