--- a/src/app/gateway/gateway.ts
+++ b/src/app/gateway/gateway.ts
@@ -3,13 +3,11 @@
 import { createAcceptMarker } from '../../adapters/accept-marker';
 import { createForwardClient } from '../../adapters/upstream/forward-client';
 import { checkListening } from '../../adapters/upstream/listening';
-import { afterNextRead } from '../../adapters/upstream/next-read';
 import { createUpstream } from '../../adapters/upstream/upstream';
 import type { HeaderDialect, EraTable, Feeds, ServerPaths, Servers } from '../../ports/gateway';
-import { brandAs, later } from '../../core/ids';
+import { brandAs } from '../../core/ids';
 import type { InstanceId } from '../../core/ids';
 import { FIRST_ERA } from '../../core/store-era';
-import { pause } from '../../utils/pause';
 import { createThrottle } from './throttle';
 import { createArrivals } from './arrivals';
 import { createColdAssignments } from './cold-assignments';
@@ -24,6 +22,7 @@
 import { withUrgency } from './model-demand';
 import { createHttpServer } from './http-server';
 import { createGossip } from './gossip';
+import { stopGracefully } from './graceful-stop';
 import { createIntake } from './intake';
 import { createLeadership } from './lease';
 import { createLoopDelay } from './loop-delay';
@@ -66,19 +65,6 @@
 
 /** Interval of periodic work: well below the shortest timeout here. */
 const TICK_MS = 50;
-/**
- * The load balancer probes once a second and needs two failures; after that it sends no new
- * connections.
- */
-const BALANCER_DETECTION_MS = 2_600;
-/**
- * Part of the shutdown time that remains when requests are aborted, for the last answers to reach
- * their callers, links to peers to close (500 ms at most) and the last log lines to be written (200
- * ms at most).
- */
-const SHUTDOWN_MARGIN_MS = 900;
-/** Requests may still arrive for this long on connections that were accepted last, milliseconds. */
-const LAST_REQUESTS_MS = 300;
 const CONNECT_TIMEOUT_MS = 400;
 const IDLE_MS = 4_000;
 /** A port that refuses does so within this time, milliseconds. */
@@ -88,7 +74,7 @@
 
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
   const { ctx, feeds, dialect } = options;
-  const { settings, clock, logger } = ctx;
+  const { settings, logger } = ctx;
   let isStopping = false;
 
   const fleet = createFleet(ctx, feeds.daemons);
@@ -296,54 +282,25 @@
   }, TICK_MS);
   logger.info('started', { step: 'start', listen: settings.listen, zone: settings.zone });
 
-  const refuseFurther = (): void => {
-    httpServer.refuseFurther();
-    forwarding.refuseFurther();
-    waitQueue.review();
-  };
-
-  const finish = async (): Promise<void> => {
-    const deadline = later(clock.now(), ctx.tunables.value.shutdownMs - SHUTDOWN_MARGIN_MS);
-    const closeListenerAt = later(clock.now(), BALANCER_DETECTION_MS);
-    logger.info('stopping', { step: 'stop', inFlight: httpServer.inFlight() });
-    isStopping = true;
-    httpServer.beginStop();
-    forwarding.beginStop();
-    // A fault here must not cost the answers in flight.
-    runGuarded(ctx, 'release', () => {
-      leadership.release();
+  const finish = (): Promise<void> =>
+    stopGracefully({
+      ...{ ctx, httpServer, forwarding, intake, marker, waitQueue },
+      onBegin: () => {
+        isStopping = true;
+        // A fault here must not cost the answers in flight.
+        runGuarded(ctx, 'release', () => {
+          leadership.release();
+        });
+        void options.announce(false);
+      },
+      onEnd: async () => {
+        clearInterval(ticker);
+        direct.close();
+        toPeers.close();
+        ready.close();
+        await fleet.stop();
+      },
     });
-    void options.announce(false);
-    while (clock.now() < closeListenerAt) await pause(TICK_MS);
-    intake.acceptLast();
-    // The process may have stood still: what arrived meanwhile is accepted and read first.
-    await pause(TICK_MS);
-    await marker.passQueue(Math.max(0, deadline - clock.now()));
-    httpServer.closeListener();
-    const inFlight = (): number => httpServer.inFlight() + forwarding.inFlight();
-    const quietAt = later(clock.now(), LAST_REQUESTS_MS);
-    const isQuiet = (): boolean => inFlight() === 0 && clock.now() >= quietAt;
-    do {
-      if (clock.now() >= quietAt) refuseFurther();
-      await pause(TICK_MS);
-      // What arrived while the process stood still is read, and worked on, after the timers.
-      await new Promise<void>(afterNextRead);
-    } while (!isQuiet() && clock.now() < deadline);
-    const remaining = inFlight();
-    if (remaining > 0)
-      logger.warn('requests aborted at the end of the shutdown', {
-        step: 'stop',
-        inFlight: remaining,
-      });
-    clearInterval(ticker);
-    httpServer.closeConnections();
-    forwarding.close();
-    direct.close();
-    toPeers.close();
-    ready.close();
-    await fleet.stop();
-    logger.info('stopped', { step: 'stop' });
-  };
 
   let stopping: Promise<void> | undefined;
   return {
