Leave a server bound that names an ended group with another epoch

Found by the review: for a minute after a group has ended, a server whose entry named it with another epoch counted as free, and could be ordered to join another group; if that entry were true, while its head serves.

Such a membership tells nothing of the group now, and its server stays bound. The new case was red before (1 free server, 0 expected); the other one shows that the members of the ended group are free as before.

--- a/src/core/gateway/forming/members.ts
+++ b/src/core/gateway/forming/members.ts
@@ -2,13 +2,18 @@
 
 import type { DomainId, InstanceId } from '../../ids';
 import { compareText } from '../../../utils/common';
-import type { BackendServer, ModelSpec } from '../types';
+import type { BackendServer, Membership, ModelSpec } from '../types';
 import { isEvacuated } from './evacuated';
 import { joinCost } from './form';
-import { isStandby } from './start';
+import { isConsistent, isStandby } from './start';
 import { isSlow, isSuspect } from './state';
 import type { Draft, Retirement } from './state';
 
+/** Whether the membership is of a group whose head can no longer serve; one with a wrong epoch tells nothing. */
+function hasEnded({ dissolved }: Draft, membership: Membership): boolean {
+  return dissolved.has(membership.group) && isConsistent(membership);
+}
+
 /** Servers that may join a group now, by domain. */
 export function collectFreeServers(draft: Draft): ReadonlyMap<DomainId, BackendServer[]> {
   const taken = new Set<InstanceId>();
@@ -19,9 +24,7 @@
     const { id, domain, isDraining, membership } = server;
     if (domain === undefined || isDraining || taken.has(id) || isSuspect(draft, id)) continue;
     if (isEvacuated(draft, server)) continue;
-    const isBound =
-      membership && !isStandby(membership.group) && !draft.dissolved.has(membership.group);
-    if (isBound) continue;
+    if (membership && !isStandby(membership.group) && !hasEnded(draft, membership)) continue;
     const domainServers = free.get(domain);
     if (domainServers) domainServers.push(server);
     else free.set(domain, [server]);
--- a/tests/gateway/forming-odd-entries.test.ts
+++ b/tests/gateway/forming-odd-entries.test.ts
@@ -2,11 +2,15 @@
 
 import { createEngineFleet } from '../../stand-ins/users-platform/engines';
 import type { EngineFleet } from '../../stand-ins/users-platform/engines';
+import { collectFreeServers } from '../../src/core/gateway/forming/members';
+import { createFormingState, draftOf } from '../../src/core/gateway/forming/state';
 import type { OrderResult } from '../../src/core/gateway/orders';
 import type { BackendServer, MemberState } from '../../src/core/gateway/types';
 import type { InstanceId } from '../../src/core/ids';
+import { brandAs } from '../../src/core/ids';
+import type { GroupId } from '../../src/core/ids';
 import { createLeader } from './leader';
-import { FLEET, inGroup, LARGE, makeServer, SMALL } from './support';
+import { at, ENGINE, FLEET, inGroup, LARGE, makeServer, SMALL } from './support';
 
 /** A fleet with further entries, whose servers answer all orders with `result`. */
 function withEntries(
@@ -99,4 +103,19 @@
     expect([fleet.serving(LARGE), fleet.serving(SMALL)]).toEqual(before);
     expect(fleet.violations).toEqual([]);
   });
+
+  // Guards against a server that is ordered to join another group while it may serve as the head of its own.
+  it.each([
+    { epoch: 7, isFree: true },
+    { epoch: 8, isFree: false },
+  ])('leaves its server free when that group has ended: $isFree', ({ epoch, isFree }) => {
+    const server = makeServer('a0', inGroup('group-7', 0, 'open', epoch));
+    const dissolved = new Map([[brandAs<GroupId>('group-7'), at(0)]]);
+    const view = {
+      servers: new Map([[server.id, server]]),
+      ...{ lapsed: new Map(), ended: new Map(), engine: ENGINE, fencing: 1, hasTraffic: true },
+    };
+    const draft = draftOf({ ...createFormingState(), dissolved }, view, at(1_000));
+    expect(collectFreeServers(draft).size).toBe(isFree ? 1 : 0);
+  });
 });
