review: case 6, a restored group is released on an old answer, and its head is given to another group

Cause: sendOrder returns the result of the last sending when it sends an order again, and startRetirement does not forget what was sent when the group was ended before. A group that late orders have restored is so released before its head has left, and its members may be given away (TWO).

One leader leads all the while; three orders get no answer, and one server crashes.

--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -12,6 +12,7 @@
 /** A head that lost a member stands still for this long, and is broken then (`stallMs`). */
 const STALL_MS = 6000;
 const LOOK_MS = 20;
+const HEARTBEAT_MS = 1200;
 
 async function readBody(req) {
   const chunks = [];
@@ -189,7 +190,7 @@
     stream(req, res, body, server);
   };
 
-  for (let n = 0; n < count; n++) {
+  const add = async (n) => {
     const server = { id: `i-llm-${n}`, state: 'ready', joined: undefined, lastModel: undefined };
     Object.assign(server, { highestEpoch: 0, rowSequence: 0, orderSequence: 0 });
     Object.assign(server, { running: new Set(), answers: 0, staged: [] });
@@ -200,8 +201,9 @@
     server.address = `127.0.0.1:${server.http.address().port}`;
     servers.push(server);
     publish(server);
-  }
-  const beat = setInterval(() => servers.forEach(publish), 1200);
+  };
+  for (let n = 0; n < count; n++) await add(n);
+  const beat = setInterval(() => servers.forEach(publish), HEARTBEAT_MS);
   const isWhole = ({ group, epoch, members }) =>
     members.every((id) => isOf(servers.find((one) => one.id === id)?.joined, { group, epoch }));
   const look = setInterval(() => {
@@ -223,6 +225,16 @@
     /** Whether the group of the head stands still. */
     isStalled: ({ joined }) =>
       joined === undefined || joined.stalledAt !== undefined || !isWhole(joined),
+    /** Starts a further server. */
+    add: () => add(servers.length),
+    /** The server crashes: its port refuses connections, and its entry is removed after three heartbeats. */
+    crash: (server) => {
+      withdrawn.add(server);
+      server.joined = undefined;
+      server.http.closeAllConnections();
+      server.http.close();
+      setTimeout(() => store.remove('servers', server.id), 3 * HEARTBEAT_MS);
+    },
     /** The server has left: it reports nothing more, and its port refuses connections. */
     end: (server) => {
       withdrawn.add(server);
