review: errors outside a run of a case exit with 2 and leave no daemon

Cause: what was thrown before the run, or in a timer, ended the script with 1, which stands for a broken rule, without a record, and its daemons ran on. It is noted in the record now, the exit code is 2, and the daemons end with the script.

--- a/review/lib-2/daemon.mjs
+++ b/review/lib-2/daemon.mjs
@@ -86,6 +86,10 @@
       daemon.child.once('exit', (code, signal) => resolve({ code, signal }));
     });
   };
+  // However this process ends, it leaves no daemon behind.
+  process.once('exit', () => {
+    for (const { child } of daemons) child?.kill('SIGKILL');
+  });
   const untilReady = async (n, limitMs = 15_000) => {
     const until = Date.now() + limitMs;
     while (Date.now() < until) {
--- a/review/lib-2/record.mjs
+++ b/review/lib-2/record.mjs
@@ -1,11 +1,9 @@
-// Notes what was sent, answered and run; written to record.txt at the end.
-import { performance } from 'node:perf_hooks';
+// Notes what was sent, answered and run, for the record of a case.
 import { writeFileSync } from 'node:fs';
-import { dirname, join } from 'node:path';
-import { fileURLToPath } from 'node:url';
+import { performance } from 'node:perf_hooks';
 
-export function createRecord(caseUrl) {
-  const path = join(dirname(fileURLToPath(caseUrl)), 'record.txt');
+/** `file`: where `save` writes the record, as the URL of a file. */
+export function createRecord(file) {
   const startedAt = performance.now();
   const lines = [];
   const note = (what, fields = {}) => {
@@ -13,5 +11,12 @@
     const text = Object.entries(fields).map(([name, value]) => `${name}=${value}`);
     lines.push([at.padStart(8), what, ...text].join(' '));
   };
-  return { note, save: () => writeFileSync(path, `${lines.join('\n')}\n`) };
+  const save = () => writeFileSync(new URL('record.txt', file), `${lines.join('\n')}\n`);
+  // An error outside the run itself shows nothing of the rule: the case could not run.
+  process.once('uncaughtException', (err) => {
+    note('could not run', { error: err.message });
+    save();
+    process.exit(2);
+  });
+  return { note, save };
 }
