review: case 4 names the record.txt that it writes

Cause: the file was written by the shared part alone, and nothing in the folder of the case said so. The case now gives the place itself.

--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -17,7 +17,7 @@
 const STREAMS = 60;
 const STREAM_GAP_MS = 40;
 
-const record = createRecord(import.meta.url);
+const record = createRecord(new URL('record.txt', import.meta.url));
 const { note } = record;
 const unframed = new Set();
 const finished = new Set();
