review: case 7 names the record.txt that it writes

Cause: the file was written by the shared part alone, and nothing in the folder of the case said so. The case now gives the place itself.

--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -22,7 +22,7 @@
 const EVENT_MS = 40;
 const CALL_GAP_MS = 150;
 
-const record = createRecord(import.meta.url);
+const record = createRecord(new URL('record.txt', import.meta.url));
 const { note } = record;
 
 function stream(req, res, _body, server) {
