Pass answers that end with their connection on in chunks

Cause: such answers were passed on without chunks, and the kernel of a killed process closes its connections as an answer's end does.

Fix: callers of HTTP/1.1 get them in chunks, and the last chunk once the server has ended in order behind a whole event. No length is made up. They no longer cost the answers to other requests of the connection a 502, and no further attempt behind events of another group.

The new tests kill a real daemon: red before (looks whole), green now.

Changed checks: raw-answers and stream-faulty-events asked for the form without chunks, or for no end behind events of another group.

--- a/src/app/gateway/caller-connections.ts
+++ b/src/app/gateway/caller-connections.ts
@@ -20,8 +20,6 @@
   inFlight(): number;
   /** Whether a request that was read whole on the connection is not answered. */
   isAnswering(socket: Socket): boolean;
-  /** Whether one request of the connection is being read or answered. */
-  hasOne(socket: Socket): boolean;
   /** The connection closes with the last answer to what was read on it. */
   closeAfterAnswers(socket: Socket): void;
   /** From now on, the last answer on each connection closes it. */
@@ -163,7 +161,6 @@
     outstanding: () => responses,
     inFlight: () => responses.size,
     isAnswering,
-    hasOne: (socket) => requestsOf(socket).size === 1,
     closeAfterAnswers: (socket) => {
       closing.add(socket);
       announce(socket);
--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -38,8 +38,6 @@
   readonly slotBy: MonoTime;
   /** Aborted once the caller has disconnected. */
   readonly gone: AbortSignal;
-  /** Whether no other request of the caller's connection is to be answered. */
-  readonly isAloneOnConnection: () => boolean;
   /** Whether the daemon passes nothing further on, as it is about to end. */
   readonly isEnding?: () => boolean;
 }
--- a/src/app/gateway/http-server.ts
+++ b/src/app/gateway/http-server.ts
@@ -90,7 +90,6 @@
     const facts = dialect.parseRequest(req.headers);
     const { socket } = req;
     const isAnswering = (): boolean => connections.isAnswering(socket);
-    const isAloneOnConnection = (): boolean => connections.hasOne(socket);
     watchUnanswered(ctx, { req, res, requestId: facts.requestId, readAt });
     intake.take(req.socket, {
       startWithinMs: startLimit(deps, req, facts),
@@ -104,7 +103,7 @@
       },
       serve: (arrivedAt) => {
         if (res.destroyed) return;
-        const served = { arrivedAt, readAt, isAnswering, isAloneOnConnection };
+        const served = { arrivedAt, readAt, isAnswering };
         serve(deps, req, res, { ...served, isEnding: () => isEnding }).catch((err: unknown) => {
           onUnexpected(res, err);
         });
@@ -186,8 +185,7 @@
   };
 }
 
-interface ServedRequest
-  extends ArrivalTimes, Pick<ArrivedRequest, 'isAloneOnConnection' | 'isEnding'> {
+interface ServedRequest extends ArrivalTimes, Pick<ArrivedRequest, 'isEnding'> {
   /** Whether a request that was read whole on its connection is not answered. */
   readonly isAnswering: () => boolean;
 }
@@ -196,7 +194,7 @@
   deps: HttpServerDeps,
   req: IncomingMessage,
   res: ServerResponse,
-  { arrivedAt, readAt, isAnswering, isAloneOnConnection, isEnding }: ServedRequest,
+  { arrivedAt, readAt, isAnswering, isEnding }: ServedRequest,
 ): Promise<void> {
   const { config, dialect } = deps;
   const gone = watchCaller(res);
@@ -233,7 +231,7 @@
   const exchange = toExchange({
     ...{ deps, req, res, body, facts, arrivedAt, readAt },
     gone: callerSignal,
-    ...{ isAloneOnConnection, isEnding },
+    isEnding,
   });
   if (!('route' in exchange)) {
     refuse(deps, facts, res, exchange);
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -8,7 +8,7 @@
 import type { BackendServer } from '../../core/gateway/types';
 import { brandAs, later } from '../../core/ids';
 import type { DomainId, GroupId, InstanceId } from '../../core/ids';
-import { mayEndWith, sendResponse, UNPROVEN_END } from './caller-response';
+import { sendResponse } from './caller-response';
 import { endQuarantined, endUnanswered, logRequestEnd, logFailedAttempt } from './exchange';
 import type { Exchange, Execution } from './exchange';
 import { sendOnce } from './plain-attempt';
@@ -209,10 +209,6 @@
   attempts: number,
 ): void {
   const status = res.statusCode ?? 0;
-  if (!mayEndWith(exchange, framing)) {
-    endUnanswered(ctx, exchange, { exposure: 'unknown', reason: UNPROVEN_END, attempts });
-    return;
-  }
   sendResponse(exchange.res, { status, headers: dialect.reply(res.rawHeaders), framing }, body);
   logRequestEnd(ctx, exchange, { outcome: 'served', status, attempts, server: server.id, framing });
 }
--- a/src/app/gateway/request-matching.ts
+++ b/src/app/gateway/request-matching.ts
@@ -47,7 +47,6 @@
   readonly body: Buffer;
   readonly facts: RequestFacts;
   readonly gone: AbortSignal;
-  readonly isAloneOnConnection: () => boolean;
   readonly isEnding: () => boolean;
 }
 
@@ -61,7 +60,6 @@
   arrivedAt,
   readAt,
   gone: callerSignal,
-  isAloneOnConnection,
   isEnding,
 }: ArrivedRequest): Exchange | Refusal {
   const table = deps.config.table.value;
@@ -88,7 +86,6 @@
     readAt,
     ...deadlinesOf(facts, route, arrivedAt),
     gone: callerSignal,
-    isAloneOnConnection,
     isEnding,
   };
 }
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -11,13 +11,7 @@
 import type { GroupId, InstanceId, MonoTime } from '../../core/ids';
 import { createBodyAccount, MAX_FAILURE_BYTES, MAX_UNREAD_BYTES } from '../../core/input-limits';
 import type { ResponseFacts, HeaderDialect } from '../../ports/gateway';
-import {
-  beginResponse,
-  endsWithConnection,
-  mayEndWith,
-  sendResponse,
-  UNPROVEN_END,
-} from './caller-response';
+import { beginResponse, sendResponse } from './caller-response';
 import type { GroupRegistry } from './group-registry';
 import type { ServingGroup } from './group-index';
 import type { GatewayContext } from './context';
@@ -167,7 +161,7 @@
   const body = isForwarded
     ? await readBody(answered, MAX_FAILURE_BYTES, run.stop.signal)
     : undefined;
-  if (!body || hasFailed() || !mayEndWith(exchange, framing) || !run.goOnAlone()) {
+  if (!body || hasFailed() || !run.goOnAlone()) {
     destroy();
     return { result: 'lost', reason };
   }
@@ -186,7 +180,7 @@
   const stop = run.stop.signal;
   const { ctx, groupRegistry, dialect } = deps;
   const head = group.head.id;
-  const { res: upstreamRes, framing, hasFailed } = relayedAnswer.answered;
+  const { res: upstreamRes, hasFailed } = relayedAnswer.answered;
   const { res } = exchange;
   const reader = createEventReader();
   const account = createBodyAccount(() => ctx.clock.now());
@@ -197,7 +191,7 @@
     const start = (): void => {
       if (state.hasStarted) return;
       const headers = dialect.reply(upstreamRes.rawHeaders);
-      beginResponse(res, { status: upstreamRes.statusCode ?? 200, headers, framing });
+      beginResponse(res, { status: upstreamRes.statusCode ?? 200, headers });
       state.hasStarted = true;
     };
     /** Ends the reading: the parser may deliver more of the bytes that it has. */
@@ -243,10 +237,6 @@
     };
     /** Events before a fault are sound: they are forwarded, as a new run goes on after the last of them. */
     const onChunk = (chunk: Buffer): void => {
-      if (!state.hasStarted && !mayEndWith(exchange, framing)) {
-        settle(UNPROVEN_END);
-        return;
-      }
       let fault = account.note(chunk.length);
       let hasProgress = false;
       let hasComment = false;
@@ -299,12 +289,6 @@
         settle('stream interrupted');
         return;
       }
-      // The caller would see the end of the chunks, or lose the answers to its other requests.
-      const isShown = state.hasStarted ? endsWithConnection(res) : mayEndWith(exchange, framing);
-      if (framing === 'close' && !isShown) {
-        settle(UNPROVEN_END);
-        return;
-      }
       if (!run.goOnAlone()) {
         settle('stopped');
         return;
--- a/stand-ins/users-platform/statements.ts
+++ b/stand-ins/users-platform/statements.ts
@@ -8,15 +8,16 @@
 import { sendWithoutEnd } from './endless';
 import type { EndlessShape } from './endless';
 
-/** Bytes in place of an answer, after which the connection ends. */
+/** Bytes in place of an answer, after which the connection ends, or stays open. */
 export interface RawAnswer {
   readonly bytes: string;
-  readonly end: 'close' | 'reset';
+  readonly end: 'close' | 'reset' | 'none';
 }
 
 const ENDS: Readonly<Record<RawAnswer['end'], (socket: Socket) => void>> = {
   close: (socket) => socket.end(),
   reset: (socket) => socket.resetAndDestroy(),
+  none: () => undefined,
 };
 /** Time for the bytes to be read before a reset, which discards what is not, milliseconds. */
 const READ_MS = 20;
--- a/tests/support/raw-caller.ts
+++ b/tests/support/raw-caller.ts
@@ -55,6 +55,26 @@
   return { status, headers: new Map(headers), body: text.slice(at + 4), end };
 }
 
+/** A body of HTTP/1.1 chunks; undefined if the last chunk is missing. */
+export function readChunks(body: string): string | undefined {
+  let text = '';
+  for (let at = 0; ;) {
+    const lineEnd = body.indexOf('\r\n', at);
+    const size = lineEnd < 0 ? NaN : parseInt(body.slice(at, lineEnd), 16);
+    if (Number.isNaN(size)) return undefined;
+    if (size === 0) return body.slice(lineEnd) === '\r\n\r\n' ? text : undefined;
+    text += body.slice(lineEnd + 2, lineEnd + 2 + size);
+    at = lineEnd + 2 + size + 2;
+  }
+}
+
+/** Whether the response looks whole to a caller that reads it as RFC 9112, 6.3 tells. */
+export function looksWhole({ headers, body, end }: RawReply): boolean {
+  if (headers.get('transfer-encoding') === 'chunked') return readChunks(body) !== undefined;
+  const length = headers.get('content-length');
+  return length === undefined ? end === 'closed' : body.length >= Number(length);
+}
+
 /** Resolves when the daemon has closed the connection. */
 export function callRaw(address: string, req: RawRequest): Promise<RawReply> {
   return new Promise((resolve) => {
