Tell the orders of one ending of a group from those of the next

Cause: orders are kept by kind, group and server, and an order that is sent again returns its last result. A group that late orders restored is ended a second time; its order to leave got no answer, but the result of the first ending's was read for it, so that the head counted as gone.

Fix: an ending has a round, and its orders to leave and to close are kept by it.

--- a/src/core/gateway/forming/retire.ts
+++ b/src/core/gateway/forming/retire.ts
@@ -40,7 +40,7 @@
     step === 'finish' ? isGroupLost(draft, { head, members: [] }) : isSuspect(draft, server.id);
   const isReachable = head !== undefined && !isLost(head);
   const firstStep: RetirementStep = isReachable ? step : 'starve';
-  const times = { since: draft.now, dueAt: dueAt(draft, firstStep) };
+  const times = { since: draft.now, round: draft.now, dueAt: dueAt(draft, firstStep) };
   draft.retirements.set(group, { ...of, step: firstStep, ...times });
 }
 
@@ -102,11 +102,11 @@
     const { group, epoch } = retirement;
     const close = { kind: 'close', group, epoch, mode: 'finish' } as const;
     // A close that is carried out later ends no answer: the head then reports that it is closing.
-    if (isBack(draft, retirement) && lastResult(draft, head, close) !== 'done') {
+    if (isBack(draft, retirement) && lastResult(draft, head, close, retirement.round) !== 'done') {
       draft.retirements.delete(group);
       return;
     }
-    const result = sendOrder(draft, head, close);
+    const result = sendOrder(draft, head, close, retirement.round);
     const isTimedOut = draft.now >= later(retirement.since, finishLimitMs(draft, retirement));
     const isLost = isGroupLost(draft, retirement);
     if (isTimedOut || isLost || result === 'refused' || result === 'other-server') {
@@ -114,8 +114,8 @@
     }
   },
   abort: (draft, retirement, head) => {
-    const { group, epoch } = retirement;
-    const result = sendOrder(draft, head, { kind: 'close', group, epoch, mode: 'abort' });
+    const { group, epoch, round } = retirement;
+    const result = sendOrder(draft, head, { kind: 'close', group, epoch, mode: 'abort' }, round);
     if (result !== undefined) switchTo(draft, retirement, 'leave');
   },
   leave: (draft, retirement, head) => {
@@ -124,7 +124,7 @@
       switchTo(draft, { ...retirement, isForAbsence: false }, 'finish');
       return;
     }
-    const result = sendOrder(draft, head, leaveOrder(retirement));
+    const result = sendOrder(draft, head, leaveOrder(retirement), retirement.round);
     if (result === 'done' || result === 'other-server' || hasLeft(draft, retirement)) {
       release(draft, retirement);
       return;
@@ -134,7 +134,7 @@
       switchTo(draft, retirement, 'starve');
   },
   starve: (draft, retirement, head) => {
-    const result = sendOrder(draft, head, leaveOrder(retirement));
+    const result = sendOrder(draft, head, leaveOrder(retirement), retirement.round);
     if (result === 'done' || result === 'other-server' || hasLeft(draft, retirement)) {
       release(draft, retirement);
       return;
@@ -153,7 +153,7 @@
   const others = retirement.members.filter(({ id }) => id !== retirement.head?.id);
   const results = others
     .filter(({ id }) => draft.view.servers.has(id))
-    .map((member) => sendOrder(draft, member, leaveOrder(retirement)));
+    .map((member) => sendOrder(draft, member, leaveOrder(retirement), retirement.round));
   if (!results.includes('done')) return;
   const freeAt = later(now, settings.headBreakMs + settings.starveMarginMs);
   draft.retirements.set(retirement.group, { ...retirement, freeAt, dueAt: freeAt });
--- a/src/core/gateway/forming/sent-orders.ts
+++ b/src/core/gateway/forming/sent-orders.ts
@@ -6,10 +6,12 @@
 import type { BackendServer } from '../types';
 import type { Draft, SentOrder } from './state';
 
-function keyOf(server: BackendServer, order: ServerOrder): string {
+/** `round`: tells orders apart that end the same group at different times. */
+function keyOf(server: BackendServer, order: ServerOrder, round?: MonoTime): string {
   const subject = order.kind === 'stage' ? order.model : `${order.group}/${order.epoch}`;
   const mode = order.kind === 'close' ? order.mode : '';
-  return `${order.kind}${mode} ${subject} ${server.id}`;
+  const key = `${order.kind}${mode} ${subject} ${server.id}`;
+  return round === undefined ? key : `${key} ${round}`;
 }
 
 /** When the order may be sent again. */
@@ -27,8 +29,9 @@
   draft: Draft,
   server: BackendServer,
   order: ServerOrder,
+  round?: MonoTime,
 ): OrderResult | undefined {
-  const key = keyOf(server, order);
+  const key = keyOf(server, order, round);
   const sent = draft.sentOrders.get(key);
   if (!sent || draft.now >= resendAt(draft, sent)) {
     draft.sentOrders.set(key, { at: draft.now, sends: (sent?.sends ?? 0) + 1 });
@@ -42,6 +45,7 @@
   draft: Draft,
   server: BackendServer,
   order: ServerOrder,
+  round?: MonoTime,
 ): OrderResult | undefined {
-  return draft.sentOrders.get(keyOf(server, order))?.result;
+  return draft.sentOrders.get(keyOf(server, order, round))?.result;
 }
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -44,6 +44,8 @@
   readonly model?: ModelId;
   /** When the step began. */
   readonly since: MonoTime;
+  /** When it was last found to serve: results of orders that were sent before tell nothing. */
+  readonly round: MonoTime;
   /** By when its members are free if its servers carry out their orders. */
   readonly dueAt: MonoTime;
   /** Its head has no entry, which is the only reason to end it, and has not been back since it was to leave. */
