Form groups of an earlier leader again in place of opening them

Cause: a new leader opened complete groups of the leader before it under their old epochs. That leader may have ordered a member into another group under a greater epoch; such an order may be carried out seconds later, and the server must take it.

Fix: a leader opens groups of its own epochs only. Others that do not serve are left by their heads and formed again, under an epoch that makes their members refuse all orders of earlier leaders.

The new test of its orders is red before.

--- a/src/app/gateway/group-planner.ts
+++ b/src/app/gateway/group-planner.ts
@@ -10,7 +10,7 @@
 import type { LoadSample } from '../../core/gateway/forming/demand';
 import type { FormingState, FormingView, OrderEffect } from '../../core/gateway/forming/state';
 import { createFormingState } from '../../core/gateway/forming/state';
-import { EPOCHS_PER_LEASE } from '../../core/gateway/forming/start';
+import { EPOCHS_PER_LEASE } from '../../core/gateway/forming/epochs';
 import {
   noteResult,
   noteSilent,
--- a/src/core/gateway/forming/form.ts
+++ b/src/core/gateway/forming/form.ts
@@ -6,6 +6,7 @@
 import type { ReplicaGroup } from '../groups';
 import type { OrderResult } from '../orders';
 import type { BackendServer, ModelSpec } from '../types';
+import { servingForeignGroups } from './late-orders';
 import { dropLoads } from './loads';
 import { startRetirement } from './retire';
 import { sendOrder, lastResult } from './sent-orders';
@@ -67,6 +68,12 @@
   }
 }
 
+/** Whether a late order of an earlier leader has opened the member's previous group again. */
+function mustWait(reopened: ReadonlySet<GroupId>, draft: Draft, { id }: BackendServer): boolean {
+  const current = draft.view.servers.get(id)?.membership?.group;
+  return current !== undefined && reopened.has(current);
+}
+
 function reportsGroup(draft: Draft, { group, epoch }: Formation, { id }: BackendServer): boolean {
   const membership = draft.view.servers.get(id)?.membership;
   return membership?.group === group && membership.epoch === epoch;
@@ -78,11 +85,17 @@
   startRetirement(draft, { group, epoch, head: members[0], members, ...reformAs }, 'leave');
 }
 
+interface FoundGroups {
+  readonly byId: ReadonlyMap<GroupId, ReplicaGroup>;
+  readonly reopened: ReadonlySet<GroupId>;
+}
+
 function advanceFormation(
   draft: Draft,
   formation: Formation,
-  group: ReplicaGroup | undefined,
+  { byId, reopened }: FoundGroups,
 ): void {
+  const group = byId.get(formation.group);
   const { members, isStandby } = formation;
   const isWhole = group !== undefined && isComplete(group, members.length);
   // One that serves may hold answers, of whoever sent to it while this leader read no entries.
@@ -104,7 +117,8 @@
     draft.formations.set(formation.group, { ...formation, isComplete: true, deadline });
   }
   for (const member of members) {
-    if (!reportsGroup(draft, formation, member)) sendOrder(draft, member, joinOrder(formation));
+    if (reportsGroup(draft, formation, member) || mustWait(reopened, draft, member)) continue;
+    sendOrder(draft, member, joinOrder(formation));
   }
   if (isWhole) openGroup(draft, group);
 }
@@ -115,10 +129,9 @@
 }
 
 /** Advances every group being formed by one step. */
-export function advanceFormations(draft: Draft, groups: ReadonlyMap<GroupId, ReplicaGroup>): void {
-  for (const formation of [...draft.formations.values()]) {
-    advanceFormation(draft, formation, groups.get(formation.group));
-  }
+export function advanceFormations(draft: Draft, byId: ReadonlyMap<GroupId, ReplicaGroup>): void {
+  const found = { byId, reopened: servingForeignGroups(draft) };
+  for (const formation of [...draft.formations.values()]) advanceFormation(draft, formation, found);
 }
 
 /** Cost of making a server ready for a model. */
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -14,6 +14,7 @@
 import { composeGroups } from './compose';
 import { dropEvacuatedFormations, excludeEvacuated } from './evacuated';
 import { advanceFormations, joinCost, openGroup } from './form';
+import { mayOpenFound } from './late-orders';
 import { noteForeignLoads, pruneLoads } from './loads';
 import { collectFreeServers } from './members';
 import { pruneLosses, noteLoss } from './reserve';
@@ -153,7 +154,10 @@
     retire(draft, group, 'finish', { head, isForAbsence: true });
 }
 
-/** Handles a group that isn't open and that an earlier leader formed: opens it once it is complete. */
+/**
+ * Handles a group that isn't open and isn't being formed. Of one that an earlier leader formed, the members may have got orders to
+ * join others under a greater epoch, which may be carried out yet: it is formed again under an epoch of this leader.
+ */
 function checkForeign(draft: Draft, group: ReplicaGroup): void {
   const since = draft.foreignGroups.get(group.id) ?? draft.now;
   draft.foreignGroups.set(group.id, since);
@@ -161,7 +165,8 @@
   const hasSuspect = group.members.some(({ id }) => isSuspect(draft, id));
   const isSound = size !== undefined && isComplete(group, size) && !hasSuspect;
   if (isSound && !findFault(draft, group, size)) {
-    openGroup(draft, group);
+    if (mayOpenFound(draft, group)) openGroup(draft, group);
+    else retire(draft, group, 'leave');
     return;
   }
   const isLoading = group.members.every(({ membership }) => membership?.state === 'joining');
--- a/src/core/gateway/forming/start.ts
+++ b/src/core/gateway/forming/start.ts
@@ -3,6 +3,7 @@
 import { brandAs, later } from '../../ids';
 import type { Epoch, GroupId } from '../../ids';
 import type { BackendServer, Membership, ModelSpec } from '../types';
+import { epochOf } from './epochs';
 import { joinCost } from './form';
 import { noteLoads } from './loads';
 import type { Draft } from './state';
@@ -11,8 +12,6 @@
 export const STANDBY_PREFIX = 'standby-';
 /** Id prefix of groups that serve. */
 export const GROUP_PREFIX = 'group-';
-/** Epochs that may be assigned under one fencing number; the holder must then acquire the lease again. */
-export const EPOCHS_PER_LEASE = 65_536;
 
 /** Whether the group is a warm spare. */
 export function isStandby(group: GroupId): boolean {
@@ -32,7 +31,7 @@
 
 function nextEpoch(draft: Draft): Epoch {
   draft.epochCount += 1;
-  return brandAs<Epoch>(draft.view.fencing * EPOCHS_PER_LEASE + draft.epochCount);
+  return epochOf(draft.view.fencing, draft.epochCount);
 }
 
 /** Adds a formation of the model with these members, and records the weight loads that it starts. */
--- a/tests/gateway/forming-late-orders.test.ts
+++ b/tests/gateway/forming-late-orders.test.ts
@@ -1,13 +1,16 @@
 import { describe, expect, it } from 'vitest';
 
-import { ONE_MODEL, replay, walk } from './late-order-worlds';
+import { ONE_MODEL, replay, TWO_MODELS, walk } from './late-order-worlds';
 import type { Scenario } from './late-order-worlds';
-import { SMALL } from './support';
+import { LARGE, SMALL } from './support';
 
 /** Walks by hand take minutes. */
 const WALK_MS = 3_600_000;
 
-const FULL_SMALL = new Map([[SMALL, 0.95]]);
+const FULL_SMALL = new Map([
+  [SMALL, 0.95],
+  [LARGE, 0.2],
+]);
 
 const LOST: Scenario = {
   ...{ engine: ONE_MODEL, offeredLoad: FULL_SMALL, servers: 2, from: 3_200, until: 7_500 },
@@ -26,6 +29,22 @@
   },
 };
 
+const SUCCEEDED: Scenario = {
+  ...{ engine: TWO_MODELS, offeredLoad: FULL_SMALL, servers: 6, from: 3_200, until: 10_500 },
+  step: ({ fleet, member, sinceMs, decide, replaceLeader }) => {
+    const lost = sinceMs === 0 ? member(SMALL) : undefined;
+    if (lost !== undefined) fleet.kill(lost);
+    if (sinceMs < 5_000 && decide('another daemon leads')) replaceLeader();
+  },
+};
+
+const SUCCEEDED_EARLY: Scenario = {
+  ...{ engine: ONE_MODEL, servers: 3, from: 200, until: 5_500 },
+  step: ({ sinceMs, decide, replaceLeader }) => {
+    if (sinceMs < 2_500 && decide('another daemon leads')) replaceLeader();
+  },
+};
+
 const JOIN = 'join group-65537 to s000@0';
 const OPEN = 'open group-65537 to s000@0';
 const LEAVE = 'leave group-65537 to s000@0';
@@ -52,6 +71,17 @@
     ]);
     expect(run.violations).toEqual([]);
   });
+
+  // Guards against a group that is opened under an epoch below that of a join which an earlier leader sent (TWO).
+  it('is not opened by the next leader under its old epoch', () => {
+    const run = replay(SUCCEEDED, [
+      'join group-65540 to s000@0 is not answered',
+      'another daemon leads',
+      'join group-65540 to s000@0 is carried out',
+    ]);
+    expect(run.trace).toHaveLength(3);
+    expect(run.violations).toEqual([]);
+  });
 });
 
 /** Deviations to walk; more are walked by hand. */
@@ -61,6 +91,8 @@
   it.each([
     { name: 'a member is lost', scenario: LOST },
     { name: 'a member drains', scenario: DRAINED },
+    { name: 'the leader changes', scenario: SUCCEEDED },
+    { name: 'the leader changes as groups are formed', scenario: SUCCEEDED_EARLY },
   ])(
     'never join a server elsewhere while its head serves: $name',
     async ({ scenario }) => {
