Count an answer with a status above 599 as lost

What callers saw: a server in trouble answers with a status of 600 to 999, and its caller gets it as the answer.

Cause: any three digits from 200 on counted as a final status. RFC 9110, 15 calls those above 599 invalid.

Safe requests and streams that may be resumed go to another server, others get 502.

--- a/src/adapters/upstream/response-head.ts
+++ b/src/adapters/upstream/response-head.ts
@@ -15,9 +15,9 @@
 /** How the end of the answer is known, or why the response is none. */
 export function readHead(
   method: string,
-  { statusCode, headers, rawHeaders, httpVersion: version }: IncomingMessage,
+  { statusCode = 0, headers, rawHeaders, httpVersion: version }: IncomingMessage,
 ): Result<Framing, Error> {
-  if (!isFinalStatus(statusCode)) return err(new Error(`answer with status ${String(statusCode)}`));
+  if (!isFinalStatus(statusCode)) return err(new Error(`answer with status ${statusCode}`));
   const unwritable = findUnwritableName(rawHeaders);
   if (unwritable !== undefined) {
     const name = JSON.stringify(unwritable.slice(0, MAX_LOGGED_CHARS));
--- a/tests/gateway/raw-answers.test.ts
+++ b/tests/gateway/raw-answers.test.ts
@@ -96,6 +96,8 @@
     ['/once/cut', 'a header name with a space', `${HEAD}X-A b: c\r\n`],
     ['/unsafe/cut', 'a status of 000', `HTTP/1.1 000 OK\r\n${SIGNED}`],
     ['/once/cut', 'a status of 000', `HTTP/1.1 000 OK\r\n${SIGNED}`],
+    ['/unsafe/cut', 'a status of 600', `HTTP/1.1 600 OK\r\n${SIGNED}`],
+    ['/once/cut', 'a status of 999', `HTTP/1.1 999 OK\r\n${SIGNED}`],
   ])('is lost at once: %s, %s', async (path, _, head) => {
     for (const body of ['', EVENTS.slice(0, 15)]) {
       const bytes = `${head}Content-Length: ${body.length}\r\n\r\n${body}`;
