Leave open what a write did whose reply cannot be read

What users could see: a daemon takes a lease and counts as refused, as the store's reply to the write has an invalid status (000, 099) or a body that cannot be read. Found on the paths beside the reported status 000.

Cause: such replies were returned as an ordinary failure of the call. A write may have taken effect then, and has if its status is 200.

Fix: these are store-unknown for a write, as a lost reply is; the lease is read again.

Evidence: store-call (statuses 000 and 099) and spoiled-bodies (five bodies) red before, green now.

--- a/src/adapters/platform/store-call.ts
+++ b/src/adapters/platform/store-call.ts
@@ -4,6 +4,7 @@
 import { errAsync, okAsync } from 'neverthrow';
 import type { ResultAsync } from 'neverthrow';
 
+import { isFinalStatus } from '../../core/gateway/final-status';
 import { fail } from '../../utils/errors';
 import type { StepError } from '../../utils/errors';
 import { callHttp } from '../http-call';
@@ -41,6 +42,7 @@
 const DEFAULT_TIMEOUT_MS = 2_000;
 const DEFAULT_MAX_SOCKETS = 16;
 const REFUSED_STATUSES = new Set([429, 503]);
+const FIRST_SERVER_ERROR = 500;
 
 /**
  * Closes all idle connections. Pooled connections may die together without an error; after a call without
@@ -52,7 +54,7 @@
   }
 }
 
-/** Creates a store client. Status 429, 5xx and lost responses become errors; other replies are returned. */
+/** Creates a store client. Status 429, 5xx, invalid ones and lost responses become errors; other replies are returned. */
 export function createStoreCaller(opts: PlatformOptions): CallStore {
   const agent = new Agent({ keepAlive: true, maxSockets: opts.maxSockets ?? DEFAULT_MAX_SOCKETS });
   const timeoutMs = opts.timeoutMs ?? DEFAULT_TIMEOUT_MS;
@@ -75,7 +77,7 @@
             fail('store-unavailable', `store refused the call with status ${reply.status}`, origin),
           );
         }
-        if (reply.status >= 500) {
+        if (reply.status >= FIRST_SERVER_ERROR || !isFinalStatus(reply.status)) {
           const code = writes ? 'store-unknown' : 'store-unavailable';
           return errAsync(fail(code, `store call failed with status ${reply.status}`, origin));
         }
--- a/tests/gateway/spoiled-bodies.test.ts
+++ b/tests/gateway/spoiled-bodies.test.ts
@@ -193,6 +193,16 @@
     expect(rows._unsafeUnwrapErr().code).toBe('bad-answer');
   });
 
+  // Guards against a lease that is taken and counts as refused.
+  it.each(MALFORMED)('leaves open what a write did if the store sends %j', async (body) => {
+    const address = await startAnswering(body);
+    const logger = createLogger({ write: () => undefined });
+    const store = createStore({ address, logger, noteEra: () => undefined });
+    const write = { conditions: [{ key: 'lease/a', version: 0 }], writes: [] };
+    const committed = await store.table.commit(write);
+    expect(committed._unsafeUnwrapErr().code).toBe('store-unknown');
+  });
+
   it('is skipped with a log line if it concerns a single row', async () => {
     const value = Buffer.from('{"whole":true}').toString('base64');
     const row = (key: string, of: string) => ({ key, value: of, rowVersion: 3 });
--- a/tests/store-call.test.ts
+++ b/tests/store-call.test.ts
@@ -12,9 +12,15 @@
 
 /** Connections on which the store no longer answers; it still answers on new ones. */
 const unresponsive = new Set<Socket>();
+/** What the store sends in place of its usual answers. */
+let oddAnswer: string | undefined;
 const open = new Set<Socket>();
 const server = createServer((req, res) => {
   if (unresponsive.has(req.socket)) return;
+  if (oddAnswer !== undefined) {
+    req.socket.end(oddAnswer);
+    return;
+  }
   // The delay makes concurrent calls open separate connections.
   setTimeout(() => res.end('{}'), 20);
 });
@@ -28,6 +34,7 @@
 });
 
 afterEach(() => {
+  oddAnswer = undefined;
   server.closeAllConnections();
   server.close();
 });
@@ -59,3 +66,14 @@
     expect((await call(READ)).isOk()).toBe(true);
   });
 });
+
+describe('a store that answers with an invalid status', () => {
+  // Guards against a write that counts as refused and has taken effect.
+  it.each(['000', '099', '600', '999'])('leaves open what a write did (%s)', async (status) => {
+    oddAnswer = `HTTP/1.1 ${status} X\r\nContent-Length: 2\r\n\r\n{}`;
+    const call = createCaller();
+    const write = await call({ step: 'write', method: 'POST', path: '/', writes: true });
+    expect(write._unsafeUnwrapErr().code).toBe('store-unknown');
+    expect((await call(READ))._unsafeUnwrapErr().code).toBe('store-unavailable');
+  });
+});
