Refuse what may not end before a daemon that stops, and answer what does not

What callers saw: requests sent late in a planned stop were passed on, and their connections were closed without an answer at its end, unsafe ones too (LOST, reported by other operators).

Cause: requests were refused by the time at which they came alone, and those without an answer at the end were closed.

Fix: a request is refused at once (503, Retry-After) if twice the usual time of its route exceeds what is left. At the end, what has no answer gets 503 if it was not sent and 502 if it was, and nothing is sent for it any more.

Evidence: stop-with-pipelined with a real daemon, both new cases red before ([] for 502 five times; 200 for 503) and green now. isEnding of an exchange is isTooLate now; the test's fixture follows.

--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -38,8 +38,8 @@
   readonly slotBy: MonoTime;
   /** Aborted once the caller has disconnected. */
   readonly gone: AbortSignal;
-  /** Whether the daemon passes nothing further on, as it is about to end. */
-  readonly isEnding?: () => boolean;
+  /** Whether it is not to be passed on, as the daemon may end before it does. */
+  readonly isTooLate?: () => boolean;
 }
 
 /**
--- a/src/app/gateway/graceful-stop.ts
+++ b/src/app/gateway/graceful-stop.ts
@@ -54,10 +54,11 @@
   const deadline = later(clock.now(), tunables.value.shutdownMs - SHUTDOWN_MARGIN_MS);
   const closeListenerAt = later(clock.now(), BALANCER_DETECTION_MS);
   logger.info('stopping', { step: 'stop', inFlight: httpServer.inFlight() });
-  httpServer.beginStop();
+  httpServer.beginStop(deadline);
   forwarding.beginStop();
   onBegin();
-  while (clock.now() < closeListenerAt) await pause(LOOK_MS);
+  while (clock.now() < closeListenerAt)
+    await pause(Math.min(LOOK_MS, closeListenerAt - clock.now()));
   intake.acceptLast();
   // The process may have stood still: what arrived meanwhile is accepted and read first.
   await pause(LOOK_MS);
@@ -73,7 +74,7 @@
   };
   do {
     if (clock.now() >= quietAt) refuseFurther();
-    await pause(LOOK_MS);
+    await pause(clock.now() < quietAt ? Math.min(LOOK_MS, quietAt - clock.now()) : LOOK_MS);
     // What arrived while the process stood still is read, and worked on, after the timers.
     await new Promise<void>(afterNextRead);
   } while (!isQuiet() && clock.now() < deadline);
@@ -83,6 +84,9 @@
       step: 'stop',
       inFlight: remaining,
     });
+  httpServer.endOutstanding();
+  // The last answers leave before their connections are closed.
+  await pause(LOOK_MS);
   httpServer.closeConnections();
   forwarding.close();
   await onEnd();
--- a/src/app/gateway/http-server.ts
+++ b/src/app/gateway/http-server.ts
@@ -8,7 +8,9 @@
 import { Server as NetServer, Socket } from 'node:net';
 import type { DropArgument } from 'node:net';
 
+import { mayEndInTime } from '../../core/gateway/stop-admission';
 import type { Route } from '../../core/gateway/types';
+import type { MonoTime } from '../../core/ids';
 import { parseAddress } from '../../utils/address';
 import { fail } from '../../utils/errors';
 import type { AcceptMarker } from '../../adapters/accept-marker';
@@ -23,10 +25,12 @@
 import type { PlainCalls } from './plain-call';
 import { discardRest, readBody } from './request-body';
 import { bodyLimit, startLimit, toExchange } from './request-matching';
-import type { ArrivalTimes, ArrivedRequest, Refusal } from './request-matching';
+import type { ArrivalTimes, Refusal } from './request-matching';
 import type { StreamCalls } from './stream-call';
 import { closeUnanswered, watchUnanswered } from './unanswered';
-import { endUnexpected } from './unexpected';
+import { createRouteTimes } from './route-times';
+import type { RouteTimes } from './route-times';
+import { endUnexpected, endUnserved } from './unexpected';
 
 export interface HttpServerDeps {
   readonly ctx: GatewayContext;
@@ -44,12 +48,14 @@
   start(): Promise<void>;
   /** Requests that are being read or answered. */
   inFlight(): number;
-  /** From now on, every answer closes its connection. */
-  beginStop(): void;
+  /** From now on, every answer closes its connection; requests that may not end by `stopBy` are refused. */
+  beginStop(stopBy: MonoTime): void;
   /** Stops accepting connections. */
   closeListener(): void;
   /** From now on, requests that have not been passed on are refused. */
   refuseFurther(): void;
+  /** Answers the requests whose answers have not begun: what was not passed on has not run. */
+  endOutstanding(): void;
   closeConnections(): void;
 }
 
@@ -64,6 +70,8 @@
 /** Callers retry at another daemon; the time lets a short peak pass where all have one. */
 const RETRY_AFTER_OVERLOAD: RetryAfter = { minMs: 200, spreadMs: 600 };
 const STOPPING: Refusal = [503, 'the daemon is about to end'];
+const FIRST_FAILURE = 300;
+const END_OF_SHUTDOWN = 'end of the shutdown';
 const OVERLOADED: Refusal = [503, 'the daemon is overloaded', RETRY_AFTER_OVERLOAD];
 /** A request without an answer this long after its limit has a handler that hangs, milliseconds. */
 const HUNG_AFTER_MS = 200;
@@ -73,8 +81,18 @@
 export function createHttpServer(deps: HttpServerDeps): HttpServer {
   const { ctx, config, intake, marker, dialect } = deps;
   const connections = createCallerConnections();
+  const times = createRouteTimes();
+  /** Ends what is done for a request. */
+  const handled = new WeakMap<ServerResponse, AbortController>();
+  let stopBy: MonoTime | undefined;
   let isEnding = false;
 
+  /** Whether the request may be cut by the end of the daemon if it is passed on now. */
+  const isTooLate = ({ route, answerBy }: Pick<Exchange, 'route' | 'answerBy'>): boolean => {
+    const expected = { now: ctx.clock.now(), stopBy, answerBy, usualMs: times.holdMs(route) };
+    return isEnding || !mayEndInTime(expected);
+  };
+
   /** Ends a request that met an unexpected error before it was matched with a route. */
   const onUnexpected = (res: ServerResponse, thrown: unknown): void => {
     endUnexpected(ctx, res, { thrown, isLate: false });
@@ -104,7 +122,7 @@
       serve: (arrivedAt) => {
         if (res.destroyed) return;
         const served = { arrivedAt, readAt, isAnswering };
-        serve(deps, req, res, { ...served, isEnding: () => isEnding }).catch((err: unknown) => {
+        serve(deps, req, res, { ...served, isTooLate, times, handled }).catch((err: unknown) => {
           onUnexpected(res, err);
         });
       },
@@ -164,7 +182,8 @@
         });
         server.listen({ host, port, backlog: 1024 }, resolve);
       }),
-    beginStop: () => {
+    beginStop: (by) => {
+      stopBy = by;
       connections.beginStop();
     },
     closeListener: () => {
@@ -178,14 +197,25 @@
     refuseFurther: () => {
       isEnding = true;
     },
+    endOutstanding: () => {
+      for (const res of connections.outstanding())
+        if (!res.headersSent) {
+          endUnserved(ctx, res, { reason: END_OF_SHUTDOWN });
+          // It has its answer, which may promise that it does not run.
+          handled.get(res)?.abort(new Error(END_OF_SHUTDOWN));
+        }
+    },
     closeConnections: () => {
-      for (const res of connections.outstanding()) closeUnanswered(res, 'end of the shutdown');
+      for (const res of connections.outstanding()) closeUnanswered(res, END_OF_SHUTDOWN);
       server.closeAllConnections();
     },
   };
 }
 
-interface ServedRequest extends ArrivalTimes, Pick<ArrivedRequest, 'isEnding'> {
+interface ServedRequest extends ArrivalTimes {
+  readonly isTooLate: (exchange: Pick<Exchange, 'route' | 'answerBy'>) => boolean;
+  readonly times: RouteTimes;
+  readonly handled: WeakMap<ServerResponse, AbortController>;
   /** Whether a request that was read whole on its connection is not answered. */
   readonly isAnswering: () => boolean;
 }
@@ -194,10 +224,11 @@
   deps: HttpServerDeps,
   req: IncomingMessage,
   res: ServerResponse,
-  { arrivedAt, readAt, isAnswering, isEnding }: ServedRequest,
+  { arrivedAt, readAt, isAnswering, isTooLate, times, handled }: ServedRequest,
 ): Promise<void> {
   const { config, dialect } = deps;
   const gone = watchCaller(res);
+  handled.set(res, gone);
   const callerSignal = gone.signal;
   const table = config.table.value;
   const facts = dialect.parseRequest(req.headers);
@@ -224,19 +255,18 @@
     refuse(deps, facts, res, [408, 'the body did not arrive within the time-out']);
     return;
   }
-  if (isEnding()) {
-    refuse(deps, facts, res, STOPPING);
-    return;
-  }
   const exchange = toExchange({
     ...{ deps, req, res, body, facts, arrivedAt, readAt },
-    gone: callerSignal,
-    isEnding,
+    ...{ gone: callerSignal, isTooLate },
   });
   if (!('route' in exchange)) {
     refuse(deps, facts, res, exchange);
     return;
   }
+  if (isTooLate(exchange)) {
+    refuse(deps, facts, res, STOPPING);
+    return;
+  }
   deps.onTraffic();
   const stopWatching = watchHandler(deps.ctx, exchange, gone);
   try {
@@ -246,6 +276,8 @@
     endUnexpected(deps.ctx, res, { thrown, isLate });
   } finally {
     stopWatching();
+    if (res.writableEnded && res.statusCode < FIRST_FAILURE)
+      times.noteHold(exchange.route, deps.ctx.clock.now() - readAt);
   }
 }
 
--- a/src/app/gateway/plain-call.ts
+++ b/src/app/gateway/plain-call.ts
@@ -142,7 +142,7 @@
         return;
       }
       // Its answer might be cut by the end of the daemon.
-      if (state.exposure === 'not-run' && exchange.isEnding?.() === true) break;
+      if (state.exposure === 'not-run' && exchange.isTooLate?.() === true) break;
       const server = takeNext(state) ?? servers.take(exchange.service, state.tried);
       if (!server) break;
       state.tried.add(server.id);
--- a/src/app/gateway/request-matching.ts
+++ b/src/app/gateway/request-matching.ts
@@ -47,7 +47,7 @@
   readonly body: Buffer;
   readonly facts: RequestFacts;
   readonly gone: AbortSignal;
-  readonly isEnding: () => boolean;
+  readonly isTooLate: (exchange: Pick<Exchange, 'route' | 'answerBy'>) => boolean;
 }
 
 /** Matches the request against the configuration in force once its body has been read. */
@@ -60,7 +60,7 @@
   arrivedAt,
   readAt,
   gone: callerSignal,
-  isEnding,
+  isTooLate,
 }: ArrivedRequest): Exchange | Refusal {
   const table = deps.config.table.value;
   if (!table) return [503, 'no configuration received yet'];
@@ -72,6 +72,7 @@
   if (service === undefined) return [503, 'the route has no target service'];
   const organisation = caller.kind === 'known' ? caller.organisation : undefined;
   if (organisation && encodeHeaderText(organisation.name) === undefined) return UNNAMEABLE;
+  const deadlines = deadlinesOf(facts, route, arrivedAt);
   return {
     req,
     res,
@@ -84,9 +85,9 @@
     priority: priorityOf(route, organisation),
     arrivedAt,
     readAt,
-    ...deadlinesOf(facts, route, arrivedAt),
+    ...deadlines,
     gone: callerSignal,
-    isEnding,
+    isTooLate: () => isTooLate({ route, answerBy: deadlines.answerBy }),
   };
 }
 
--- a/src/app/gateway/stream-call.ts
+++ b/src/app/gateway/stream-call.ts
@@ -53,8 +53,8 @@
   };
 
   /** Whether its answer, which no server has begun, might be cut by the end of the daemon. */
-  const isTooLate = ({ isEnding }: Exchange, { exposure }: StreamState): boolean =>
-    exposure === 'not-run' && isEnding?.() === true;
+  const mayBeCut = (exchange: Exchange, { exposure }: StreamState): boolean =>
+    exposure === 'not-run' && exchange.isTooLate?.() === true;
 
   /** When the request needs a slot to be on time; for a stream that has begun, any wait is late. */
   const onTimeUntil = ({ arrivedAt, route, answerBy }: Exchange, state: StreamState): MonoTime =>
@@ -67,7 +67,7 @@
     avoided: ReadonlySet<InstanceId> = NONE_AVOIDED,
   ): ServingGroup | undefined => {
     const { service, route, facts } = exchange;
-    if (isQuarantined(exchange) || isTooLate(exchange, state)) return undefined;
+    if (isQuarantined(exchange) || mayBeCut(exchange, state)) return undefined;
     return takeSlot(deps, {
       service,
       model,
@@ -139,7 +139,7 @@
     if (found) return found;
     const isUnservable = (): boolean =>
       isQuarantined(exchange) ||
-      isTooLate(exchange, state) ||
+      mayBeCut(exchange, state) ||
       deps.serverLinks.isUnreachable(exchange.service) ||
       (!state.hasStarted && isModelOutOfReach(exchange.service, model));
     if (isUnservable()) return undefined;
--- a/src/app/gateway/unexpected.ts
+++ b/src/app/gateway/unexpected.ts
@@ -59,6 +59,15 @@
   { thrown, isLate }: { readonly thrown: unknown; readonly isLate: boolean },
 ): void {
   noteUnexpected(ctx, 'request', thrown);
+  endUnserved(ctx, res, { reason: 'the daemon met an unexpected error', isLate });
+}
+
+/** Ends a request that gets no answer of a server, with an answer that is true about whether it ran. */
+export function endUnserved(
+  ctx: GatewayContext,
+  res: ServerResponse,
+  { reason, isLate = false }: { readonly reason: string; readonly isLate?: boolean },
+): void {
   const answer = answerToUnexpected({
     wasSent: sent.has(res),
     hasStarted: res.headersSent,
@@ -66,6 +75,6 @@
     isLate,
   });
   if (answer === 'none') return;
-  if (answer === 'close') closeUnanswered(res, 'unexpected error');
-  else answerLocally(ctx, res, { status: answer, message: 'the daemon met an unexpected error' });
+  if (answer === 'close') closeUnanswered(res, reason);
+  else answerLocally(ctx, res, { status: answer, message: reason });
 }
--- a/tests/gateway/stop-with-pipelined.test.ts
+++ b/tests/gateway/stop-with-pipelined.test.ts
@@ -20,6 +20,11 @@
 /** After a SIGTERM, the last requests have arrived. */
 const AFTER_LAST_MS = 3_600;
 const LONG_WAIT_MS = 7_000;
+const VERY_LONG_WAIT_MS = 12_000;
+/** A daemon is killed so long after its SIGTERM. */
+const SHUTDOWN_MS = 8_000;
+/** More than half of what is left of the shutdown when its listener is about to close. */
+const USUAL_MS = 3_000;
 
 let fixture: GatewayFixture;
 
@@ -31,9 +36,12 @@
   fixture.close();
 });
 
-function requestText(id: string, { waitMs = WAIT_MS, bodyBytes = 0 } = {}): string {
+function requestText(
+  id: string,
+  { waitMs = WAIT_MS, bodyBytes = 0, path = '/safe/x' } = {},
+): string {
   return [
-    'GET /safe/x HTTP/1.1',
+    `GET ${path} HTTP/1.1`,
     'Host: a.example',
     `Authorization: Bearer ${FIXTURE_KEY}`,
     `${HEADERS.requestId}: ${id}`,
@@ -195,3 +203,39 @@
     expect(new Set(ran)).toEqual(new Set(['first']));
   });
 });
+
+describe('requests that take longer than what is left of the shutdown', () => {
+  const unsafe = (id: string): string =>
+    requestText(id, { path: '/unsafe/x', waitMs: VERY_LONG_WAIT_MS });
+
+  // Guards against connections that end without an answer to a request that was passed on (LOST).
+  it('are answered before their connections close', async () => {
+    const goOn = fixture.platform.pauses.begin(fixture.platform.serversOf({}));
+    const callers = Array.from({ length: CALLERS }, openCaller);
+    await pause(SETTLE_MS);
+    fixture.signal(0, 'SIGTERM');
+    await pause(BEFORE_LISTENER_CLOSES_MS);
+    for (const [n, caller] of callers.entries()) caller.send(unsafe(`long-${n}`));
+    await pause(SHUTDOWN_MS - BEFORE_LISTENER_CLOSES_MS);
+    expect(callers.map((one) => statuses(one.received()))).toEqual(callers.map(() => [502]));
+    goOn();
+  });
+
+  // Guards against requests that are taken late in a stop, though they are not expected to end before it does (LOST).
+  it('are refused at once if usual ones of their route take so long', async () => {
+    const goOn = fixture.platform.pauses.begin(fixture.platform.serversOf({}));
+    const [first, late] = [openCaller(), openCaller()];
+    first.send(unsafe('usual'));
+    await pause(USUAL_MS);
+    goOn();
+    await pause(SETTLE_MS);
+    expect(statuses(first.received())).toEqual([200]);
+    fixture.signal(0, 'SIGTERM');
+    await pause(BEFORE_LISTENER_CLOSES_MS);
+    late.send(unsafe('late'));
+    await pause(SETTLE_MS);
+    expect(statuses(late.received())).toEqual([503]);
+    expect(late.received()).toMatch(/retry-after: /i);
+    expect(fixture.platform.runs.map(({ requestId }) => requestId)).toEqual(['usual']);
+  });
+});
--- a/tests/gateway/stream-fixture.ts
+++ b/tests/gateway/stream-fixture.ts
@@ -309,7 +309,7 @@
     request: async (id = 'request-1', hasLeft = false) => {
       const { exchange, view } = createCaller(id, route, ctx.clock.now());
       if (hasLeft) view.leave();
-      void calls.call({ ...exchange, isEnding: () => isEnding });
+      void calls.call({ ...exchange, isTooLate: () => isEnding });
       await vi.advanceTimersByTimeAsync(0);
       return view;
     },
