Free members at once although their head's entry is an old one

What callers saw: after a change of the leader, groups that had lost a member were formed again late.

Cause: since heads of earlier leaders' groups may be opened again by late orders, their members counted as bound while the head's entry says that it serves. That entry is an old one until the server writes again; one that has lost the registry never does.

Fix: the entry counts once it has shown that the head has left.

New cases in forming-late-orders: an old entry (red before this change), and an opened head.

--- a/src/core/gateway/forming/form.ts
+++ b/src/core/gateway/forming/form.ts
@@ -6,7 +6,7 @@
 import type { ReplicaGroup } from '../groups';
 import type { OrderResult } from '../orders';
 import type { BackendServer, ModelSpec } from '../types';
-import { servingForeignGroups } from './late-orders';
+import { hasReopened } from './late-orders';
 import { dropLoads } from './loads';
 import { startRetirement } from './retire';
 import { sendOrder, lastResult } from './sent-orders';
@@ -69,9 +69,9 @@
 }
 
 /** Whether a late order of an earlier leader has opened the member's previous group again. */
-function mustWait(reopened: ReadonlySet<GroupId>, draft: Draft, { id }: BackendServer): boolean {
+function mustWait(draft: Draft, { id }: BackendServer): boolean {
   const current = draft.view.servers.get(id)?.membership?.group;
-  return current !== undefined && reopened.has(current);
+  return current !== undefined && hasReopened(draft, current);
 }
 
 function reportsGroup(draft: Draft, { group, epoch }: Formation, { id }: BackendServer): boolean {
@@ -85,17 +85,11 @@
   startRetirement(draft, { group, epoch, head: members[0], members, ...reformAs }, 'leave');
 }
 
-interface FoundGroups {
-  readonly byId: ReadonlyMap<GroupId, ReplicaGroup>;
-  readonly reopened: ReadonlySet<GroupId>;
-}
-
 function advanceFormation(
   draft: Draft,
   formation: Formation,
-  { byId, reopened }: FoundGroups,
+  group: ReplicaGroup | undefined,
 ): void {
-  const group = byId.get(formation.group);
   const { members, isStandby } = formation;
   const isWhole = group !== undefined && isComplete(group, members.length);
   // One that serves may hold answers, of whoever sent to it while this leader read no entries.
@@ -117,7 +111,7 @@
     draft.formations.set(formation.group, { ...formation, isComplete: true, deadline });
   }
   for (const member of members) {
-    if (reportsGroup(draft, formation, member) || mustWait(reopened, draft, member)) continue;
+    if (reportsGroup(draft, formation, member) || mustWait(draft, member)) continue;
     sendOrder(draft, member, joinOrder(formation));
   }
   if (isWhole) openGroup(draft, group);
@@ -129,9 +123,10 @@
 }
 
 /** Advances every group being formed by one step. */
-export function advanceFormations(draft: Draft, byId: ReadonlyMap<GroupId, ReplicaGroup>): void {
-  const found = { byId, reopened: servingForeignGroups(draft) };
-  for (const formation of [...draft.formations.values()]) advanceFormation(draft, formation, found);
+export function advanceFormations(draft: Draft, groups: ReadonlyMap<GroupId, ReplicaGroup>): void {
+  for (const formation of [...draft.formations.values()]) {
+    advanceFormation(draft, formation, groups.get(formation.group));
+  }
 }
 
 /** Cost of making a server ready for a model. */
--- a/src/core/gateway/forming/late-orders.ts
+++ b/src/core/gateway/forming/late-orders.ts
@@ -7,8 +7,8 @@
  */
 
 import { later } from '../../ids';
-import type { Epoch, GroupId, MonoTime } from '../../ids';
-import type { BackendServer, Membership } from '../types';
+import type { Epoch, GroupId, InstanceId, MonoTime } from '../../ids';
+import type { BackendServer } from '../types';
 import { isEpochOf } from './epochs';
 import { pendingUntil } from './sent-orders';
 import type { Draft, Retirement } from './state';
@@ -44,18 +44,30 @@
   return openUntil < joinUntil ? openUntil : joinUntil;
 }
 
-const NO_GROUPS: ReadonlySet<GroupId> = new Set();
+/** Notes that the head of a group of an earlier leader has left it, whose orders may bring it back. */
+export function noteDeparture(draft: Draft, { group, epoch, head }: EndingGroup): void {
+  if (!head || isOwn(draft, epoch) || !mayHaveEarlierOrders(draft)) return;
+  draft.departures.set(group, { head: head.id, isSeen: false });
+}
 
-/** Groups of earlier leaders whose heads report that they serve, while orders of these may still be carried out. */
-export function servingForeignGroups(draft: Draft): ReadonlySet<GroupId> {
-  if (!mayHaveEarlierOrders(draft)) return NO_GROUPS;
-  const serves = ({ rank, state, epoch }: Membership): boolean =>
-    rank === 0 && (state === 'open' || state === 'closing') && !isOwn(draft, epoch);
-  return new Set(
-    [...draft.view.servers.values()].flatMap(({ membership }) =>
-      membership && serves(membership) ? [membership.group] : [],
-    ),
-  );
+/** Whether the head's entry shows that it serves in the group. */
+function isServingIn({ view }: Draft, group: GroupId, head: InstanceId): boolean {
+  const membership = view.servers.get(head)?.membership;
+  if (membership?.group !== group) return false;
+  return membership.state === 'open' || membership.state === 'closing';
+}
+
+/** Notes which heads' entries show that they have left. Until then an entry that says otherwise may be an old one. */
+export function observeDepartures(draft: Draft): void {
+  if (!mayHaveEarlierOrders(draft)) draft.departures.clear();
+  for (const [group, { head }] of draft.departures)
+    if (!isServingIn(draft, group, head)) draft.departures.set(group, { head, isSeen: true });
+}
+
+/** Whether orders of an earlier leader have brought the head of this group back and opened it. */
+export function hasReopened(draft: Draft, group: GroupId): boolean {
+  const departure = draft.departures.get(group);
+  return departure?.isSeen === true && isServingIn(draft, group, departure.head);
 }
 
 /** Whether the group was formed by this leader, which has not ordered any of its members elsewhere since. */
--- a/src/core/gateway/forming/members.ts
+++ b/src/core/gateway/forming/members.ts
@@ -5,7 +5,7 @@
 import type { BackendServer, Membership, ModelSpec } from '../types';
 import { isEvacuated } from './evacuated';
 import { joinCost } from './form';
-import { servingForeignGroups } from './late-orders';
+import { hasReopened } from './late-orders';
 import { isConsistent, isStandby } from './start';
 import { isSlow, isSuspect } from './state';
 import type { Draft, Retirement } from './state';
@@ -20,14 +20,13 @@
   const taken = new Set<InstanceId>();
   for (const { members } of draft.formations.values()) for (const { id } of members) taken.add(id);
   for (const { members } of draft.retirements.values()) for (const { id } of members) taken.add(id);
-  const reopened = servingForeignGroups(draft);
   const free = new Map<DomainId, BackendServer[]>();
   for (const server of draft.view.servers.values()) {
     const { id, domain, isDraining, membership } = server;
     if (domain === undefined || isDraining || taken.has(id) || isSuspect(draft, id)) continue;
     if (isEvacuated(draft, server)) continue;
     if (membership && !isStandby(membership.group) && !hasEnded(draft, membership)) continue;
-    if (membership && reopened.has(membership.group)) continue;
+    if (membership && hasReopened(draft, membership.group)) continue;
     const domainServers = free.get(domain);
     if (domainServers) domainServers.push(server);
     else free.set(domain, [server]);
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -14,7 +14,7 @@
 import { composeGroups } from './compose';
 import { dropEvacuatedFormations, excludeEvacuated } from './evacuated';
 import { advanceFormations, joinCost, openGroup } from './form';
-import { mayOpenFound } from './late-orders';
+import { mayOpenFound, observeDepartures } from './late-orders';
 import { noteForeignLoads, pruneLoads } from './loads';
 import { collectFreeServers } from './members';
 import { pruneLosses, noteLoss } from './reserve';
@@ -238,6 +238,7 @@
     const size = sizeOf(draft, group);
     return size !== undefined && knownMembers(draft, group).length >= size;
   });
+  observeDepartures(draft);
   for (const group of groups) checkGroup(draft, group);
   advanceFormations(draft, byId);
   advanceRetirements(draft);
--- a/src/core/gateway/forming/retire.ts
+++ b/src/core/gateway/forming/retire.ts
@@ -9,7 +9,7 @@
 import type { OrderResult } from '../orders';
 import type { BackendServer } from '../types';
 import { isEvacuated } from './evacuated';
-import { mayOpen, restorableUntil } from './late-orders';
+import { mayOpen, noteDeparture, restorableUntil } from './late-orders';
 import { hasNoAnswers, isGroupLost } from './silent';
 import { lastResult, sendOrder } from './sent-orders';
 import { isSuspect, STALE_ENTRY_MS } from './state';
@@ -66,9 +66,10 @@
   draft.retirements.set(retirement.group, { ...retirement, step, since: draft.now, dueAt: due });
 }
 
-function release(draft: Draft, { group }: Retirement): void {
-  draft.retirements.delete(group);
-  draft.dissolved.set(group, draft.now);
+function release(draft: Draft, retirement: Retirement): void {
+  draft.retirements.delete(retirement.group);
+  draft.dissolved.set(retirement.group, draft.now);
+  noteDeparture(draft, retirement);
 }
 
 /** Frees the members of a group whose head has left, once no order on its way can open it again. */
--- a/src/core/gateway/forming/state.ts
+++ b/src/core/gateway/forming/state.ts
@@ -99,6 +99,13 @@
 /** Time within which a server's entry reflects a change; about 100 ms is usual. */
 export const STALE_ENTRY_MS = 500;
 
+/** A head that has left a group of an earlier leader. */
+export interface Departure {
+  readonly head: InstanceId;
+  /** Whether its entry has shown it since. */
+  readonly isSeen: boolean;
+}
+
 /** The planner's state; immutable, replaced by each plan. */
 export interface FormingState {
   readonly settings: FormingSettings;
@@ -108,6 +115,8 @@
   readonly retirements: ReadonlyMap<GroupId, Retirement>;
   /** Groups whose heads can no longer serve, and since when; their members are free, whatever they report. */
   readonly dissolved: ReadonlyMap<GroupId, MonoTime>;
+  /** Heads that have left, by their groups, while orders of earlier leaders may bring them back. */
+  readonly departures: ReadonlyMap<GroupId, Departure>;
   /** When each group was first seen that this process didn't form, or whose head isn't listed. */
   readonly foreignGroups: ReadonlyMap<GroupId, MonoTime>;
   /** Servers suspected lost, and until when. */
@@ -190,6 +199,7 @@
     formations: new Map(),
     retirements: new Map(),
     dissolved: new Map(),
+    departures: new Map(),
     foreignGroups: new Map(),
     suspects: new Map(),
     silentSince: new Map(),
@@ -211,6 +221,7 @@
   readonly formations: Map<GroupId, Formation>;
   readonly retirements: Map<GroupId, Retirement>;
   readonly dissolved: Map<GroupId, MonoTime>;
+  readonly departures: Map<GroupId, Departure>;
   readonly foreignGroups: Map<GroupId, MonoTime>;
   readonly suspects: Map<InstanceId, MonoTime>;
   readonly silentSince: Map<InstanceId, MonoTime>;
@@ -237,6 +248,7 @@
     formations: new Map(state.formations),
     retirements: new Map(state.retirements),
     dissolved: new Map(state.dissolved),
+    departures: new Map(state.departures),
     foreignGroups: new Map(state.foreignGroups),
     suspects: new Map(state.suspects),
     silentSince: new Map(state.silentSince),
@@ -259,7 +271,7 @@
 
 /** The new state from a finished draft. */
 export function stateOf(draft: Draft): FormingState {
-  const { settings, formations, retirements, dissolved, foreignGroups } = draft;
+  const { settings, formations, retirements, dissolved, departures, foreignGroups } = draft;
   const {
     suspects,
     silentSince,
@@ -280,6 +292,7 @@
     formations,
     retirements,
     dissolved,
+    departures,
     foreignGroups,
     suspects,
     silentSince,
--- a/tests/gateway/forming-late-orders.test.ts
+++ b/tests/gateway/forming-late-orders.test.ts
@@ -1,8 +1,13 @@
 import { describe, expect, it } from 'vitest';
 
+import { collectFreeServers } from '../../src/core/gateway/forming/members';
+import { createFormingState, draftOf } from '../../src/core/gateway/forming/state';
+import type { MemberState } from '../../src/core/gateway/types';
+import { brandAs } from '../../src/core/ids';
+import type { GroupId } from '../../src/core/ids';
 import { ONE_MODEL, replay, TWO_MODELS, walk } from './late-order-worlds';
 import type { Scenario } from './late-order-worlds';
-import { LARGE, SMALL } from './support';
+import { at, inGroup, LARGE, makeServer, SMALL } from './support';
 
 /** Walks by hand take minutes. */
 const WALK_MS = 3_600_000;
@@ -103,3 +108,28 @@
     WALK_MS,
   );
 });
+
+describe('a server of a group that an earlier leader formed and this one ended', () => {
+  const group = brandAs<GroupId>('group-7');
+  const freeServers = (state: MemberState, isSeen: boolean): number => {
+    const server = makeServer('a0', inGroup(group, 0, state, 7));
+    const view = {
+      ...{ servers: new Map([[server.id, server]]), lapsed: new Map(), ended: new Map() },
+      ...{ engine: ONE_MODEL, fencing: 1, hasTraffic: true },
+    };
+    const dissolved = new Map([[group, at(0)]]);
+    const departures = new Map([[group, { head: server.id, isSeen }]]);
+    const draft = draftOf({ ...createFormingState(), dissolved, departures }, view, at(300));
+    return collectFreeServers(draft).size;
+  };
+
+  // Guards against servers that wait for an entry of before, which may be seconds old where the head has lost the registry.
+  it('is free as soon as its head has left, though the entry is older', () => {
+    expect(freeServers('open', false)).toBe(1);
+  });
+
+  it('is not free once an order of the earlier leader has opened its head again', () => {
+    expect(freeServers('open', true)).toBe(0);
+    expect(freeServers('ready', true)).toBe(1);
+  });
+});
