Bound what all unfinished answers hold together

What callers saw (reported by other operators): a faulty server sends a body without end, the daemon that called it keeps it, runs out of memory and ends with the requests of all others (LOST).

Cause: an answer that is held until its end may hold 16 MiB, and nothing bounded their sum. The shapes of endless answers in the tests were none of these: each was closed by another bound.

Fix: plain answers, failures, reports and answers to orders hold 32 MiB together; beyond that the one that holds most gives way.

--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -4,6 +4,7 @@
 import type { Agent, ClientRequest, IncomingHttpHeaders } from 'node:http';
 import { ResultAsync, errAsync } from 'neverthrow';
 
+import type { HeldBytes } from '../core/gateway/held-bytes';
 import { createBodyAccount } from '../core/input-limits';
 import { isAddress, parseAddress } from '../utils/address';
 import { createTimeout } from '../utils/timeout';
@@ -25,6 +26,8 @@
   readonly signal?: AbortSignal;
   /** Maximum response body size, bytes. */
   readonly maxBytes?: number;
+  /** Counts the body beside others; it may have to give way to them. */
+  readonly held?: HeldBytes;
 }
 
 export interface HttpReply {
@@ -84,13 +87,21 @@
         () => performance.now(),
         call.maxBytes ?? DEFAULT_MAX_BYTES,
       );
+      const giveUp = (fault: string): void => {
+        res.off('data', onData);
+        chunks.length = 0;
+        req.destroy(new Error(fault));
+      };
+      const hold = call.held?.open(() => {
+        giveUp('the answers that are read hold too much');
+      });
       const onData = (chunk: Buffer): void => {
         chunks.push(chunk);
+        hold?.add(chunk.byteLength);
         const fault = account.note(chunk.byteLength);
-        if (fault === undefined) return;
-        res.off('data', onData);
-        req.destroy(new Error(fault));
+        if (fault !== undefined) giveUp(fault);
       };
+      res.once('close', () => hold?.release());
       res.on('data', onData);
       res.on('error', onError);
       res.on('end', () => {
--- a/src/adapters/upstream/answer-input.ts
+++ b/src/adapters/upstream/answer-input.ts
@@ -9,6 +9,7 @@
   MAX_DISCARDED_BYTES,
   TURN_BYTES,
 } from '../../core/input-limits';
+import { heldAnswers } from '../held-answers';
 
 const now = (): number => performance.now();
 
@@ -84,8 +85,8 @@
 }
 
 /**
- * The complete body; undefined if it is incomplete, exceeds the limit, or `signal` is aborted first. The caller then
- * closes the connection.
+ * The complete body; undefined if it is incomplete, exceeds the limit, has to give way to others, or `signal` is aborted
+ * first. The caller then closes the connection.
  */
 export function readBody(
   { res }: Pick<OpenAnswer, 'res'>,
@@ -98,13 +99,17 @@
     const settle = (body: Buffer | undefined): void => {
       res.off('data', onData);
       signal?.removeEventListener('abort', stop);
+      hold.release();
+      chunks.length = 0;
       resolve(body);
     };
     const stop = (): void => {
       settle(undefined);
     };
+    const hold = heldAnswers.open(stop);
     const onData = (chunk: Buffer): void => {
       chunks.push(chunk);
+      hold.add(chunk.length);
       if (account.note(chunk.length) !== undefined) stop();
     };
     if (Number(res.headers['content-length'] ?? 0) > maxBytes || signal?.aborted === true) {
--- a/src/core/input-limits.ts
+++ b/src/core/input-limits.ts
@@ -19,6 +19,8 @@
 export const MAX_DISCARD_MS = 1_000;
 /** Rest of a caller's body that is refused: closing sooner could lose the answer on its way to the caller. */
 export const MAX_REFUSED_BYTES = 1_024 * KIB;
+/** Bodies of answers that are held until their ends, together. */
+export const MAX_HELD_BYTES = 32 * 1_024 * KIB;
 /** Body of a failure, which is a message, not a result. */
 export const MAX_FAILURE_BYTES = 1_024 * KIB;
 /** Texts that daemons send each other with an error or a state. */
--- a/stand-ins/users-platform/endless.ts
+++ b/stand-ins/users-platform/endless.ts
@@ -58,6 +58,16 @@
   },
 };
 
+/** Bodies of sound plain answers, which are held until their end. */
+export const ENDLESS_ANSWERS: Readonly<Record<string, EndlessShape>> = {
+  'in chunks': { head: `${ok}\r\n`, unit: chunkOf('x'.repeat(16_000)) },
+  'without a length': { head: `HTTP/1.1 200 OK\r\n${signed}\r\n`, unit: 'x'.repeat(16_000) },
+  'of fifteen megabytes': {
+    head: `HTTP/1.1 200 OK\r\n${signed}Content-Length: 15000000\r\n\r\n`,
+    unit: 'x'.repeat(16_000),
+  },
+};
+
 /** Bodies of responses that state that the request was not executed. */
 export const ENDLESS_REJECTIONS: Readonly<Record<string, EndlessShape>> = {
   'a 503 in chunks': {
