--- a/tests/soak/planned.test.ts
+++ b/tests/soak/planned.test.ts
@@ -1,11 +1,10 @@
 import { describe, expect, it } from 'vitest';
 
+import { findFreePorts } from '../support/free-ports';
 import type { Attempt } from './planned-callers';
 import { outcomeOf } from './planned-judge';
 import { soakPlanned } from './planned';
-
-/** Apart from the ports of the other soaks. */
-const PORT = 27_000;
+import { SOAK_PORTS } from './world';
 
 const ATTEMPT: Attempt = {
   ...{ requestId: 'a', kind: 'safe', caller: 'kept', daemon: 'daemon-0', isKept: true },
@@ -42,7 +41,8 @@
 describe('daemons under stops, SIGHUPs and configurations alone', () => {
   // Guards against requests that a stop or a change of the configuration loses without any fault beside it.
   it('lose no request (seed 1)', async () => {
-    const options = { seed: 1, daemons: 4, callers: 1, durationMs: 5_000, firstPort: PORT };
+    const firstPort = await findFreePorts(SOAK_PORTS);
+    const options = { seed: 1, daemons: 4, callers: 1, durationMs: 5_000, firstPort };
     const { faults, counts } = await soakPlanned(options);
     expect(faults).toEqual([]);
     // A run without answers proves nothing.
--- a/tests/soak/world.ts
+++ b/tests/soak/world.ts
@@ -32,6 +32,8 @@
 /** As it is read from bytes that are no text. */
 const UNREADABLE_ADDRESS = '127.0.0\ufffd1:9';
 const PORTS_PER_DAEMON = 8;
+/** Ports that a world of up to seven daemons takes, from its first one on. */
+export const SOAK_PORTS = 400;
 const PLAIN_SERVERS = 3;
 const DOMAINS = [11, 11];
 /** Streams that may not be resumed. */
