Walk a drain beside a change of the leader as well

The walk of late orders had a change of the leader where a group is moved, and as groups are formed.

--- a/tests/gateway/forming-late-orders.test.ts
+++ b/tests/gateway/forming-late-orders.test.ts
@@ -52,6 +52,14 @@
   },
 };
 
+const DRAINED_AT_SUCCESSION: Scenario = {
+  ...{ engine: ONE_MODEL, servers: 3, from: 3_200, until: 7_500 },
+  step: (world) => {
+    DRAINED.step(world);
+    if (world.sinceMs < 1_500 && world.decide('another daemon leads')) world.replaceLeader();
+  },
+};
+
 const JOIN = 'join group-65537 to s000@0';
 const OPEN = 'open group-65537 to s000@0';
 const LEAVE = 'leave group-65537 to s000@0';
@@ -98,6 +106,7 @@
   it.each([
     { name: 'a member is lost', scenario: LOST },
     { name: 'a member drains', scenario: DRAINED },
+    { name: 'a member drains and the leader changes', scenario: DRAINED_AT_SUCCESSION },
     { name: 'the leader changes', scenario: SUCCEEDED },
     { name: 'the leader changes as groups are formed', scenario: SUCCEEDED_EARLY },
   ])(
