--- a/src/adapters/platform/store-call.ts
+++ b/src/adapters/platform/store-call.ts
@@ -54,7 +54,7 @@
   }
 }
 
-/** Creates a store client. Status 429, 5xx, invalid ones and lost responses become errors; other replies are returned. */
+/** Creates a store client. Lost responses and those with status 429, 5xx or an invalid one become errors. */
 export function createStoreCaller(opts: PlatformOptions): CallStore {
   const agent = new Agent({ keepAlive: true, maxSockets: opts.maxSockets ?? DEFAULT_MAX_SOCKETS });
   const timeoutMs = opts.timeoutMs ?? DEFAULT_TIMEOUT_MS;
--- a/src/core/gateway/forming/late-orders.ts
+++ b/src/core/gateway/forming/late-orders.ts
@@ -2,8 +2,8 @@
  * Tells what orders that are still on their way may do to a group that is being ended.
  *
  * An order without an answer may be carried out seconds later, after newer ones. A head may join another group only once
- * no such order can open it again: that takes an `open` while it is still in its group, and a `join` and an `open` of the same
- * epoch once it has left. Orders of this leader are known; those of an earlier one are not.
+ * no such order can open it again: that takes an `open` while it is still in its group, and a `join` and an `open` of
+ * that group once it has left. Which orders of this leader had no answer is known; of an earlier leader it is not.
  */
 
 import { later } from '../../ids';
--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -155,8 +155,9 @@
 }
 
 /**
- * Handles a group that isn't open and isn't being formed. Of one that an earlier leader formed, the members may have got orders to
- * join others under a greater epoch, which may be carried out yet: it is formed again under an epoch of this leader.
+ * Handles a group that isn't open and isn't being formed. Where an earlier leader formed it, its members may have been
+ * ordered to join other groups since, under a greater epoch, and may yet do so: it is formed again under an epoch of
+ * this leader.
  */
 function checkForeign(draft: Draft, group: ReplicaGroup): void {
   const since = draft.foreignGroups.get(group.id) ?? draft.now;
