Count an answer without a length that ends behind its head as lost

What callers would see: a server stops behind its head and closes in order; they get a 200 without a byte in chunks, whose last chunk says that it is whole, or the early end of a stream that another group had begun (MIXED, ORDER).

Fix: a success without a length of which nothing came behind its head is lost, as is a run of a stream without an event. Safe requests and streams that may be resumed go on elsewhere, others get 502. Failures are passed on as before.

--- a/src/app/gateway/caller-response.ts
+++ b/src/app/gateway/caller-response.ts
@@ -7,6 +7,9 @@
 /** Responses that end with their connection. */
 const closeDelimited = new WeakSet<ServerResponse>();
 
+/** Why an answer that ends with its connection is not passed on if nothing came behind its head. */
+export const CUT_BEHIND_HEAD = 'the answer has no length and ended behind its head';
+
 export interface ResponseHead {
   readonly status: number;
   /** Alternating names and values. */
--- a/src/app/gateway/plain-attempt.ts
+++ b/src/app/gateway/plain-attempt.ts
@@ -13,6 +13,7 @@
 import { MAX_FAILURE_BYTES } from '../../core/input-limits';
 import { createDeadlineSignal } from '../../utils/deadline-signal';
 import { fail } from '../../utils/errors';
+import { CUT_BEHIND_HEAD } from './caller-response';
 import type { GatewayContext } from './context';
 import type { EvacuatedZones } from './evacuations';
 import { evacuatedError, heldBackError } from './exchange';
@@ -165,5 +166,7 @@
   if (!body)
     return discard(`answer incomplete, longer than ${maxBytes} bytes, or given up for others`);
   if (answered.hasFailed()) return discard('answer incomplete: connection broken');
+  const isEmpty = answered.framing === 'close' && body.length === 0;
+  if (isEmpty && status < 300) return discard(CUT_BEHIND_HEAD);
   return { kind: 'answered', res, body, facts, framing: answered.framing };
 }
--- a/src/app/gateway/stream-relay.ts
+++ b/src/app/gateway/stream-relay.ts
@@ -11,7 +11,7 @@
 import type { GroupId, InstanceId, MonoTime } from '../../core/ids';
 import { createBodyAccount, MAX_FAILURE_BYTES, MAX_UNREAD_BYTES } from '../../core/input-limits';
 import type { ResponseFacts, HeaderDialect } from '../../ports/gateway';
-import { beginResponse, sendResponse } from './caller-response';
+import { beginResponse, CUT_BEHIND_HEAD, sendResponse } from './caller-response';
 import type { GroupRegistry } from './group-registry';
 import type { ServingGroup } from './group-index';
 import type { GatewayContext } from './context';
@@ -180,7 +180,7 @@
   const stop = run.stop.signal;
   const { ctx, groupRegistry, dialect } = deps;
   const head = group.head.id;
-  const { res: upstreamRes, hasFailed } = relayedAnswer.answered;
+  const { res: upstreamRes, framing, hasFailed } = relayedAnswer.answered;
   const { res } = exchange;
   const reader = createEventReader();
   const account = createBodyAccount(() => ctx.clock.now());
@@ -289,6 +289,10 @@
         settle('stream interrupted');
         return;
       }
+      if (framing === 'close' && slot.lastEventAt === undefined) {
+        settle(CUT_BEHIND_HEAD);
+        return;
+      }
       if (!run.goOnAlone()) {
         settle('stopped');
         return;
--- a/tests/gateway/stream-faulty-events.test.ts
+++ b/tests/gateway/stream-faulty-events.test.ts
@@ -103,6 +103,18 @@
     expect([caller.ids(), caller.state()]).toEqual([ALL, 'whole']);
   });
 
+  // Guards against a server that stops behind its head, whose end would be that of the caller's stream (ORDER).
+  it('goes on at the next group if its server ends it behind its head', async () => {
+    const { world, caller } = await resumeUnmeasured((run) => {
+      run.finishFrom(LAST_EVENT + 1);
+    }, 3);
+    expect(caller.state()).toBe('open');
+    expect(world.runs[2]?.lastEventId).toBe('0');
+    world.runs[2]?.finishFrom(1);
+    await world.pass(10);
+    expect([caller.ids(), caller.state()]).toEqual([ALL, 'whole']);
+  });
+
   // Guards against a count of answers in doubt that includes those which no caller got.
   it('is not logged as the framing of a stream that is broken off', async () => {
     const { world, caller } = await resumeUnmeasured((run) => {
