Keep a head that may yet be opened out of the next group

Cause: a head that cannot be reached counts as broken 6.5 s after one of its members has left. That holds for one that was open; one that was ready is opened by an order without an answer up to 13 s after it was sent.

Fix: a server whose entry shows it as the head of an ended group of this leader is not free while an open for it may come.

Evidence: the new case of forming-late-orders is red before (1 free server, 0 expected). Members beside the head are free as before.

--- a/src/core/gateway/forming/late-orders.ts
+++ b/src/core/gateway/forming/late-orders.ts
@@ -35,6 +35,14 @@
   return openPendingUntil(draft, ending) !== undefined;
 }
 
+/** Whether its entry shows the server as a head that an order of this leader may yet open. */
+export function isHeadToOpen(draft: Draft, server: BackendServer): boolean {
+  const { membership } = server;
+  if (membership?.rank !== 0 || !isOwn(draft, membership.epoch)) return false;
+  const { group, epoch } = membership;
+  return openPendingUntil(draft, { group, epoch, head: server }) !== undefined;
+}
+
 /** Until when a head that has left its group may be brought back and opened by orders of this leader. */
 export function restorableUntil(draft: Draft, ending: EndingGroup): MonoTime | undefined {
   const { group, epoch, head } = ending;
--- a/src/core/gateway/forming/members.ts
+++ b/src/core/gateway/forming/members.ts
@@ -5,7 +5,7 @@
 import type { BackendServer, Membership, ModelSpec } from '../types';
 import { isEvacuated } from './evacuated';
 import { joinCost } from './form';
-import { hasReopened } from './late-orders';
+import { hasReopened, isHeadToOpen } from './late-orders';
 import { isConsistent, isStandby } from './start';
 import { isSlow, isSuspect } from './state';
 import type { Draft, Retirement } from './state';
@@ -26,7 +26,8 @@
     if (domain === undefined || isDraining || taken.has(id) || isSuspect(draft, id)) continue;
     if (isEvacuated(draft, server)) continue;
     if (membership && !isStandby(membership.group) && !hasEnded(draft, membership)) continue;
-    if (membership && hasReopened(draft, membership.group)) continue;
+    if (membership && (hasReopened(draft, membership.group) || isHeadToOpen(draft, server)))
+      continue;
     const domainServers = free.get(domain);
     if (domainServers) domainServers.push(server);
     else free.set(domain, [server]);
--- a/tests/gateway/forming-late-orders.test.ts
+++ b/tests/gateway/forming-late-orders.test.ts
@@ -2,7 +2,8 @@
 
 import { collectFreeServers } from '../../src/core/gateway/forming/members';
 import { planGroups } from '../../src/core/gateway/forming/plan';
-import { createFormingState, draftOf } from '../../src/core/gateway/forming/state';
+import { sendOrder } from '../../src/core/gateway/forming/sent-orders';
+import { createFormingState, draftOf, stateOf } from '../../src/core/gateway/forming/state';
 import type { FormingState, Retirement } from '../../src/core/gateway/forming/state';
 import type { MemberState } from '../../src/core/gateway/types';
 import { brandAs } from '../../src/core/ids';
@@ -170,3 +171,24 @@
     expect(state.retirements.get(group)).toMatchObject({ step: 'starve' });
   });
 });
+
+describe('the head of a group that was ended without reaching it', () => {
+  // Guards against a head that is given away as broken, and is opened by an order that was sent before (TWO).
+  it.each([
+    { ms: 5_000, isFree: false },
+    { ms: 13_100, isFree: true },
+  ])('is free: $isFree, $ms ms after an open without an answer', ({ ms, isFree }) => {
+    const group = brandAs<GroupId>('group-65537');
+    const head = makeServer('a0', inGroup(group, 0, 'ready', 65_537));
+    const view = {
+      ...{ servers: new Map([[head.id, head]]), lapsed: new Map(), ended: new Map() },
+      ...{ engine: ONE_MODEL, fencing: 1, hasTraffic: true },
+    };
+    const open = { kind: 'open', group, epoch: brandAs<Epoch>(65_537) } as const;
+    const sending = draftOf(createFormingState(), view, at(0));
+    sendOrder(sending, head, open);
+    const dissolved = new Map([[group, at(ms - 100)]]);
+    const draft = draftOf({ ...stateOf(sending), dissolved }, view, at(ms));
+    expect(collectFreeServers(draft).size).toBe(isFree ? 1 : 0);
+  });
+});
