Close a group of an earlier leader before its head leaves

What callers would see: streams cut at a change of the leader, a planned one too (LOST).

Cause: a new leader ordered the head of such a group to leave because its entry says that it is ready. The entry may be some 100 ms old, and the leader before it may just have ordered the head to open; an order to leave breaks off what runs there.

The same for a group of this leader that an open may still reach, which had been closed in most cases.

Evidence: the new case of forming-late-orders is red before (leave, join; close, leave, join now).

--- a/src/core/gateway/forming/plan.ts
+++ b/src/core/gateway/forming/plan.ts
@@ -167,7 +167,7 @@
   const isSound = size !== undefined && isComplete(group, size) && !hasSuspect;
   if (isSound && !findFault(draft, group, size)) {
     if (mayOpenFound(draft, group)) openGroup(draft, group);
-    else retire(draft, group, 'leave');
+    else retire(draft, group, 'finish');
     return;
   }
   const isLoading = group.members.every(({ membership }) => membership?.state === 'joining');
--- a/src/core/gateway/forming/retire.ts
+++ b/src/core/gateway/forming/retire.ts
@@ -104,21 +104,37 @@
   return { kind: 'leave', group, epoch };
 }
 
+function closeOrder({ group, epoch }: Retirement) {
+  return { kind: 'close', group, epoch, mode: 'finish' } as const;
+}
+
+/**
+ * Goes on to `leave` once the head is known to be closed. An entry that shows it as ready may be an old one, and an order to
+ * leave breaks off the answers of a head that has opened since.
+ */
+function leaveOnceClosed(draft: Draft, retirement: Retirement, head: BackendServer): void {
+  const result = lastResult(draft, head, closeOrder(retirement), retirement.round);
+  const isKnown = result === 'done' || result === 'refused' || result === 'other-server';
+  if (isKnown || draft.now >= later(retirement.since, UNREACHABLE_MS))
+    switchTo(draft, retirement, 'leave');
+  else sendOrder(draft, head, closeOrder(retirement), retirement.round);
+}
+
 const STEP_HANDLERS: Readonly<
   Record<RetirementStep, (draft: Draft, retirement: Retirement, head: BackendServer) => void>
 > = {
   finish: (draft, retirement, head) => {
     const state = headState(draft, retirement);
     if (state === 'broken' || state === 'ready' || state === 'joining') {
-      if (state !== 'broken' && mayOpen(draft, retirement)) switchTo(draft, retirement, 'leave');
+      if (state !== 'broken' && mayOpen(draft, retirement))
+        leaveOnceClosed(draft, retirement, head);
       else release(draft, retirement);
       return;
     }
-    const { group, epoch } = retirement;
-    const close = { kind: 'close', group, epoch, mode: 'finish' } as const;
+    const close = closeOrder(retirement);
     // A close that is carried out later ends no answer: the head then reports that it is closing.
     if (isBack(draft, retirement) && lastResult(draft, head, close, retirement.round) !== 'done') {
-      draft.retirements.delete(group);
+      draft.retirements.delete(retirement.group);
       return;
     }
     const result = sendOrder(draft, head, close, retirement.round);
--- a/tests/gateway/forming-late-orders.test.ts
+++ b/tests/gateway/forming-late-orders.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 
 import { collectFreeServers } from '../../src/core/gateway/forming/members';
-import { planGroups } from '../../src/core/gateway/forming/plan';
+import { noteResult, planGroups } from '../../src/core/gateway/forming/plan';
 import { sendOrder } from '../../src/core/gateway/forming/sent-orders';
 import { createFormingState, draftOf, stateOf } from '../../src/core/gateway/forming/state';
 import type { FormingState, Retirement } from '../../src/core/gateway/forming/state';
@@ -192,3 +192,28 @@
     expect(collectFreeServers(draft).size).toBe(isFree ? 1 : 0);
   });
 });
+
+describe('a group of an earlier leader that is ready', () => {
+  // Guards against an order to leave that cuts the answers of a head which has opened since its entry (LOST).
+  it('is closed before its head is ordered to leave', () => {
+    const group = brandAs<GroupId>('group-7');
+    const members = ['a0', 'a1'].map((id, rank) =>
+      makeServer(id, { ...inGroup(group, rank, 'ready', 7), model: SMALL }),
+    );
+    const view = {
+      ...{ servers: new Map(members.map((server) => [server.id, server])), lapsed: new Map() },
+      ...{ ended: new Map(), engine: ONE_MODEL, fencing: 1, hasTraffic: true },
+    };
+    let state = createFormingState();
+    const kinds: string[] = [];
+    for (let ms = 0; ms < 300 && !kinds.includes('join'); ms += 50) {
+      const plan = planGroups(state, view, at(ms));
+      state = plan.state;
+      for (const { key, order } of plan.orders) {
+        kinds.push(order.kind);
+        state = noteResult(state, key, 'done');
+      }
+    }
+    expect(kinds.slice(0, 3)).toEqual(['close', 'leave', 'join']);
+  });
+});
