Log the answer of a request that the daemon ended itself

Fix: where the daemon has answered meanwhile, the line has that status, the outcome refused (503) or failed, and the reason.

--- a/src/app/gateway/exchange.ts
+++ b/src/app/gateway/exchange.ts
@@ -47,6 +47,8 @@
  */
 export type Execution = 'not-run' | 'unknown';
 
+/** Status of a request that has not run and never will. */
+const NOT_RUN = 503;
 /** An answer sent this long before the caller's deadline still arrives in time, milliseconds. */
 const ANSWER_MARGIN_MS = 25;
 /** Deadline of callers that name none. */
@@ -107,7 +109,17 @@
   readonly server?: InstanceId;
 }
 
-export function logRequestEnd(ctx: GatewayContext, exchange: Exchange, ending: RequestEnd): void {
+/** A request that the daemon answered while it was being handled was not left by its caller. */
+function withOwnAnswer({ res, gone }: Exchange, ending: RequestEnd): RequestEnd {
+  if (ending.outcome !== 'caller-gone' || !res.writableEnded) return ending;
+  const status = res.statusCode;
+  const outcome = status === NOT_RUN ? 'refused' : 'failed';
+  const reason = gone.reason instanceof Error ? { reason: gone.reason.message } : {};
+  return { ...ending, outcome, status, ...reason };
+}
+
+export function logRequestEnd(ctx: GatewayContext, exchange: Exchange, end: RequestEnd): void {
+  const ending = withOwnAnswer(exchange, end);
   const ms = Math.round(ctx.clock.now() - exchange.arrivedAt);
   const { outcome } = ending;
   ctx.metrics.count('nutmegstack_calls_total', { route: exchange.route.name, outcome });
