--- a/tests/gateway/endless-answers-daemon.test.ts
+++ b/tests/gateway/endless-answers-daemon.test.ts
@@ -6,8 +6,8 @@
   ENDLESS_REJECTIONS,
   ENDLESS_STREAMS,
 } from '../../stand-ins/users-platform/endless';
-import { startFixture } from './gateway-fixture';
-import type { GatewayFixture, SentRequest } from './gateway-fixture';
+import { isServed, startFixture } from './gateway-fixture';
+import type { GatewayFixture } from './gateway-fixture';
 
 const FIRST_PORT = 28_000;
 const PER_S = 60;
@@ -29,8 +29,6 @@
   fixture.close();
 });
 
-const isServed = ({ reply }: SentRequest): boolean => reply?.status === 200 && reply.isWhole;
-
 /** Statuses of spoiled requests, by route: 503 only where the servers state that nothing ran. */
 const CASES = [
   ['/safe/endless', ENDLESS_HEADS['interim heads (102)'], [502]],
--- a/tests/gateway/endless-memory.test.ts
+++ b/tests/gateway/endless-memory.test.ts
@@ -4,8 +4,8 @@
 
 import { ENDLESS_ANSWERS, ENDLESS_STREAMS } from '../../stand-ins/users-platform/endless';
 import type { EndlessShape } from '../../stand-ins/users-platform/endless';
-import { startFixture } from './gateway-fixture';
-import type { GatewayFixture, SentRequest } from './gateway-fixture';
+import { isServed, startFixture } from './gateway-fixture';
+import type { GatewayFixture } from './gateway-fixture';
 
 const FIRST_PORT = 28_700;
 const PER_S = 30;
@@ -33,8 +33,6 @@
   return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1]) / 1_024;
 }
 
-const isServed = ({ reply }: SentRequest): boolean => reply?.status === 200 && reply.isWhole;
-
 const CASES: readonly (readonly [string, string, EndlessShape | undefined])[] = [
   ...Object.entries(ENDLESS_ANSWERS).map(
     ([name, shape]) => ['/unsafe/endless', name, shape] as const,
--- a/tests/gateway/gateway-fixture.ts
+++ b/tests/gateway/gateway-fixture.ts
@@ -37,10 +37,13 @@
   readonly answeredAt: number;
 }
 
+export function isServed({ reply }: SentRequest): boolean {
+  return reply?.status === 200 && reply.isWhole;
+}
+
 /** Share of the requests that got a complete answer. */
 export function servedShare(sent: readonly SentRequest[]): number {
-  const served = sent.filter(({ reply }) => reply?.status === 200 && reply.isWhole);
-  return served.length / sent.length;
+  return sent.filter(isServed).length / sent.length;
 }
 
 export interface GatewayFixture {
